--- /dev/null
+++ b/src/callers/http_api.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/instance/instance.h"
+#include "src/libs/base/result.h"
+
+namespace mimosarail::callers {
+
+struct HttpApiOptions {
+  std::string address;
+  int64_t threads = 16;
+  int64_t max_body = 1 << 20;
+  int64_t max_wait_ms = 30000;
+  Millis control_timeout{5000};
+  /// Adds what only the daemon knows (CPU, bytes) before /metrics is shown.
+  std::function<void()> update_metrics;
+};
+
+/// The HTTP interface of callers and operators (docs/API.md). Its handlers run
+/// on traffic threads and reach the control state by messages only.
+class HttpApi {
+ public:
+  /// All arguments outlive it.
+  HttpApi(instance::Instance& instance, Executor& control,
+          metrics::Registry& metrics, HttpApiOptions options);
+  ~HttpApi();
+  HttpApi(const HttpApi&) = delete;
+  HttpApi& operator=(const HttpApi&) = delete;
+
+  /// Binds and serves on threads of its own; returns the port.
+  Result<uint16_t> Start();
+  /// Lets running handlers finish, then stops. Not from a handler.
+  void Stop();
+
+ private:
+  struct Private;
+  std::unique_ptr<Private> d_;
+};
+
+}  // namespace mimosarail::callers
--- /dev/null
+++ b/src/callers/operator_json.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <utility>
+#include <vector>
+
+#include "src/instance/instance.h"
+#include "src/libs/json/json_text.h"
+
+namespace mimosarail::callers {
+
+// What operators are shown; control thread only, but for the last two.
+
+json::Json QueueJson(instance::Instance& instance);
+json::Json InstancesJson(instance::Instance& instance);
+json::Json UpstreamsJson(instance::Instance& instance);
+json::Json RulesJson(instance::Instance& instance);
+json::Json AuditJson(instance::Instance& instance);
+
+/// HTTP status and body of a publish.
+std::pair<int, json::Json> PublishJson(const configlog::PublishResult& result);
+json::Json CostJson(const std::vector<cost::DayLine>& lines);
+
+}  // namespace mimosarail::callers
--- /dev/null
+++ b/src/configlog/config_follower.cc
@@ -0,0 +1,193 @@
+#include "src/configlog/config_follower.h"
+
+#include "src/libs/base/digest.h"
+#include "src/libs/logging/log.h"
+#include "src/libs/rpc/codec.h"
+
+namespace mimosarail::configlog {
+namespace {
+
+constexpr Millis kAskPeersEvery{500};
+constexpr Millis kCheckpointPoll{100};
+
+}  // namespace
+
+ConfigFollower::ConfigFollower(Executor& executor, platform::LogPort& log,
+                               ConfigSource& source,
+                               ConfigFollowerOptions options,
+                               std::function<std::vector<std::string>()> peers,
+                               std::function<void()> changed)
+    : executor_(executor),
+      log_(log),
+      source_(source),
+      options_(std::move(options)),
+      peers_(std::move(peers)),
+      changed_(std::move(changed)),
+      reader_(executor, log,
+              {.stream = kConfigStream, .read_wait = options_.read_wait},
+              [this](const wire::ReadReply& reply) { Consume(reply); }),
+      copy_seen_at_(executor.Now()) {}
+
+void ConfigFollower::Start() {
+  reader_.Start();
+  RunEvery(executor_, kAskPeersEvery, [this] { AskPeers(); });
+  RunEvery(executor_, kCheckpointPoll, [this] { CheckpointIfOld(); });
+}
+
+void ConfigFollower::Consume(const wire::ReadReply& reply) {
+  fold_.Consume(reply.first_retained, reply.records);
+  NoticeChange();
+}
+
+void ConfigFollower::NoticeChange() {
+  ResolvePublishes();
+  if (fold_.newest_copy() != copy_seen_) {
+    copy_seen_ = fold_.newest_copy();
+    copy_seen_at_ = executor_.Now();
+  }
+  if (fold_.revision() == last_revision_) return;
+  last_revision_ = fold_.revision();
+  logging::Event(logging::Level::kInfo, "configuration_in_force",
+                 {{"revision", std::to_string(last_revision_)},
+                  {"author", fold_.state().author}});
+  changed_();
+}
+
+void ConfigFollower::Publish(const std::string& text, const std::string& author,
+                             int64_t base,
+                             std::function<void(PublishResult)> done) {
+  PublishResult refused{.state = PublishState::kRefusedHere};
+  refused.entry.author = author;
+  refused.entry.base = base;
+  refused.entry.revision = fold_.revision();
+  refused.entry.decision = Decision::kInvalid;
+  Findings findings;
+  if (!rules::RuleSet::Parse(text, findings)) {
+    refused.entry.findings = findings.list();
+    return done(std::move(refused));
+  }
+  const std::string id = options_.name + "-" +
+                         std::to_string(options_.incarnation) + "-" +
+                         std::to_string(++next_id_);
+  wire::ConfigRecord record;
+  record.kind = wire::ConfigKind::kPublish;
+  record.id = id;
+  record.base = base;
+  record.author = author;
+  record.unix_ms = executor_.UnixMillis();
+  record.text = text;
+  publishing_[id] = {.record = rpc::Encode(record),
+                     .until = executor_.Now() + options_.publish_wait,
+                     .done = std::move(done)};
+  AppendPublish(id);
+  executor_.RunAfter(options_.publish_wait, [this, id] { ExpirePublish(id); });
+}
+
+void ConfigFollower::AppendPublish(const std::string& id) {
+  const auto found = publishing_.find(id);
+  if (found == publishing_.end()) return;
+  wire::AppendCall call;
+  call.stream = kConfigStream;
+  call.records.push_back(found->second.record);
+  ++appends_;
+  log_.Append(call, [this, id](const Result<wire::AppendReply>& reply) {
+    if (reply.ok()) return;
+    // The append may have taken effect. Appending the same id again is safe:
+    // the fold judges only its first copy.
+    executor_.RunAfter(options_.append_retry,
+                       [this, id] { AppendPublish(id); });
+  });
+}
+
+void ConfigFollower::ExpirePublish(const std::string& id) {
+  const auto found = publishing_.find(id);
+  if (found == publishing_.end()) return;
+  PublishResult result{.state = PublishState::kUnconfirmed};
+  result.entry.id = id;
+  result.entry.revision = fold_.revision();
+  const auto done = std::move(found->second.done);
+  publishing_.erase(found);
+  done(std::move(result));
+}
+
+void ConfigFollower::ResolvePublishes() {
+  for (auto it = publishing_.begin(); it != publishing_.end();) {
+    const AuditEntry* entry = fold_.FindAudit(it->first);
+    if (entry == nullptr) {
+      ++it;
+      continue;
+    }
+    const auto done = std::move(it->second.done);
+    it = publishing_.erase(it);
+    done({.state = PublishState::kDecided, .entry = *entry});
+  }
+}
+
+/// The log keeps records for a limited time only: without a fresh copy the
+/// configuration would vanish with its last publish, and an instance that
+/// starts later would find none.
+void ConfigFollower::CheckpointIfOld() {
+  if (!fold_.known() || fold_.revision() == 0 || !reader_.up()) return;
+  // Entries would all append at the same moment; a spread by name lets the
+  // others see the first one's copy and skip theirs.
+  const auto spread = Millis(static_cast<int64_t>(
+      Hash64(options_.name) %
+      static_cast<uint64_t>(options_.checkpoint_every.count() / 4 + 1)));
+  if (executor_.Now() - copy_seen_at_ < options_.checkpoint_every + spread) {
+    return;
+  }
+  copy_seen_at_ = executor_.Now();
+  const Checkpoint& state = fold_.state();
+  wire::ConfigRecord record;
+  record.kind = wire::ConfigKind::kCheckpoint;
+  record.id = state.id;
+  record.base = state.revision;
+  record.as_of = fold_.position();
+  record.author = state.author;
+  record.unix_ms = state.unix_ms;
+  record.text = state.text;
+  wire::AppendCall call;
+  call.stream = kConfigStream;
+  call.records.push_back(rpc::Encode(record));
+  ++appends_;
+  log_.Append(call, [](const Result<wire::AppendReply>&) {
+    // If it failed, the copy stays old and the next round appends again.
+  });
+}
+
+void ConfigFollower::AskPeers() {
+  const bool needed = !fold_.known() || !reader_.up();
+  if (!needed) return;
+  for (const std::string& address : peers_()) {
+    source_.FetchConfig(
+        address, [this](const Result<wire::ConfigFetchReply>& reply) {
+          if (!reply.ok() || reply.value().revision == 0) return;
+          const wire::ConfigFetchReply& told = reply.value();
+          const bool adopted = fold_.Adopt({.revision = told.revision,
+                                            .as_of = told.as_of,
+                                            .id = told.id,
+                                            .author = told.author,
+                                            .unix_ms = told.unix_ms,
+                                            .text = told.text});
+          if (!adopted) return;
+          reader_.Seek(fold_.position());
+          NoticeChange();
+        });
+  }
+}
+
+wire::ConfigFetchReply ConfigFollower::Describe() const {
+  wire::ConfigFetchReply reply;
+  // What is in force but not joined to the log must not spread further.
+  if (!fold_.known()) return reply;
+  const Checkpoint& state = fold_.state();
+  reply.revision = state.revision;
+  reply.as_of = fold_.position();
+  reply.id = state.id;
+  reply.author = state.author;
+  reply.unix_ms = state.unix_ms;
+  reply.text = state.text;
+  return reply;
+}
+
+}  // namespace mimosarail::configlog
--- /dev/null
+++ b/src/configlog/config_follower.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "src/configlog/config_fold.h"
+#include "src/libs/base/executor.h"
+#include "src/platform/stream_reader.h"
+
+namespace mimosarail::configlog {
+
+inline constexpr char kConfigStream[] = "config";
+
+/// Asks a peer which configuration is in force there.
+class ConfigSource {
+ public:
+  virtual ~ConfigSource() = default;
+  virtual void FetchConfig(const std::string& address,
+                           Callback<wire::ConfigFetchReply> done) = 0;
+};
+
+enum class PublishState { kDecided, kRefusedHere, kUnconfirmed };
+
+/// What became of a publish. `entry` is the log's verdict if kDecided,
+/// holds the findings if kRefusedHere, and only the id if kUnconfirmed: the
+/// record may still come into force.
+struct PublishResult {
+  PublishState state = PublishState::kUnconfirmed;
+  AuditEntry entry;
+};
+
+struct ConfigFollowerOptions {
+  std::string name;  ///< Of this entry; makes record ids unique.
+  int64_t incarnation = 0;
+  Millis read_wait{1000};
+  Millis checkpoint_every{60000};
+  Millis publish_wait{5000};
+  Millis append_retry{1000};
+};
+
+/// Keeps the configuration in force up to date: reads the log, publishes,
+/// appends checkpoints before the log's retention ends, and learns from peers
+/// when the log is down. Control thread only.
+class ConfigFollower {
+ public:
+  /// `changed` runs when another revision came into force. `peers` tells whom
+  /// to ask. The ports outlive it.
+  ConfigFollower(Executor& executor, platform::LogPort& log,
+                 ConfigSource& source, ConfigFollowerOptions options,
+                 std::function<std::vector<std::string>()> peers,
+                 std::function<void()> changed);
+
+  void Start();
+  /// Appends `text` as the successor of revision `base`, and waits for the
+  /// log's verdict by reading the record back.
+  void Publish(const std::string& text, const std::string& author, int64_t base,
+               std::function<void(PublishResult)> done);
+
+  const ConfigFold& fold() const { return fold_; }
+  bool log_up() const { return reader_.up(); }
+  int64_t appends() const { return appends_; }
+  int64_t reads() const { return reader_.reads(); }
+  wire::ConfigFetchReply Describe() const;
+
+ private:
+  struct Publishing {
+    std::string record;
+    TimePoint until;
+    std::function<void(PublishResult)> done;
+  };
+
+  void Consume(const wire::ReadReply& reply);
+  void NoticeChange();
+  void ResolvePublishes();
+  void AppendPublish(const std::string& id);
+  void ExpirePublish(const std::string& id);
+  void CheckpointIfOld();
+  void AskPeers();
+
+  Executor& executor_;
+  platform::LogPort& log_;
+  ConfigSource& source_;
+  ConfigFollowerOptions options_;
+  std::function<std::vector<std::string>()> peers_;
+  std::function<void()> changed_;
+  ConfigFold fold_;
+  platform::StreamReader reader_;
+  std::map<std::string, Publishing> publishing_;
+  int64_t last_revision_ = 0;
+  int64_t next_id_ = 0;
+  int64_t appends_ = 0;
+  int64_t copy_seen_ = -1;
+  TimePoint copy_seen_at_{};
+};
+
+}  // namespace mimosarail::configlog
--- /dev/null
+++ b/src/control/controller.cc
@@ -0,0 +1,90 @@
+#include "src/control/controller.h"
+
+#include "src/libs/logging/log.h"
+
+namespace mimosarail::control {
+
+Controller::Controller(Executor& executor, platform::UpstreamPort& port,
+                       SessionListener& listener, SessionOptions options)
+    : executor_(executor),
+      port_(port),
+      listener_(listener),
+      options_(std::move(options)) {}
+
+void Controller::SetListed(const std::vector<wire::ListedInstance>& instances) {
+  std::map<std::string, wire::ListedInstance> before = std::move(listed_);
+  listed_.clear();
+  for (const wire::ListedInstance& listed : instances) {
+    if (listed.role == wire::ListedRole::kUpstream) {
+      listed_[listed.name] = listed;
+    }
+  }
+  for (const auto& [name, was] : before) {
+    if (!listed_.contains(name)) last_delisting_ = executor_.Now();
+  }
+  for (const auto& [name, listed] : listed_) {
+    if (UpstreamSession* session = Find(name)) session->Update(listed);
+  }
+  ApplyAssignment();
+}
+
+void Controller::SetAssignment(
+    std::map<std::string, std::string> controller_of) {
+  controller_of_ = std::move(controller_of);
+  ApplyAssignment();
+}
+
+void Controller::ApplyAssignment() {
+  for (const auto& [name, listed] : listed_) {
+    const bool preferred = ControllerOf(listed.rack) == options_.controller;
+    auto found = sessions_.find(name);
+    if (found == sessions_.end()) {
+      if (!preferred) continue;
+      auto session = std::make_shared<UpstreamSession>(
+          executor_, port_, room_, listener_, options_, listed);
+      found = sessions_.emplace(name, std::move(session)).first;
+      by_row_.resize(
+          std::max<size_t>(by_row_.size(), found->second->row() + 1));
+      by_row_[found->second->row()] = found->second.get();
+    }
+    found->second->SetPreferred(preferred);
+  }
+  for (auto it = sessions_.begin(); it != sessions_.end();) {
+    UpstreamSession& session = *it->second;
+    if (!listed_.contains(it->first)) {
+      session.SetDelisted();
+      session.SetPreferred(false);
+    }
+    if (!session.finished()) {
+      ++it;
+      continue;
+    }
+    by_row_[session.row()] = nullptr;
+    room_.Remove(session.row());
+    it = sessions_.erase(it);
+  }
+}
+
+UpstreamSession* Controller::Find(const std::string& upstream) const {
+  const auto found = sessions_.find(upstream);
+  return found == sessions_.end() ? nullptr : found->second.get();
+}
+
+UpstreamSession* Controller::OnRow(placement::RowId row) const {
+  return row < by_row_.size() ? by_row_[row] : nullptr;
+}
+
+std::string Controller::ControllerOf(const std::string& rack) const {
+  const auto found = controller_of_.find(rack);
+  return found == controller_of_.end() ? "" : found->second;
+}
+
+std::vector<std::string> Controller::Attached() const {
+  std::vector<std::string> out;
+  for (const auto& [name, session] : sessions_) {
+    if (session->phase() == SessionPhase::kReady) out.push_back(name);
+  }
+  return out;
+}
+
+}  // namespace mimosarail::control
--- /dev/null
+++ b/src/instance/instance.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "src/configlog/config_follower.h"
+#include "src/control/controller.h"
+#include "src/cost/cost_book.h"
+#include "src/execution/execution.h"
+#include "src/instance/lookup.h"
+#include "src/libs/metrics/metrics.h"
+#include "src/membership/membership.h"
+#include "src/platform/instance_list_port.h"
+#include "src/requests/requests.h"
+
+namespace mimosarail::instance {
+
+struct InstanceOptions {
+  membership::MembershipOptions membership;
+  control::SessionOptions session;
+  configlog::ConfigFollowerOptions config;
+  requests::IntentLedgerOptions intents;
+  requests::RequestsOptions requests;
+  Millis list_refresh{1000};
+  Millis cost_flush{10000};
+  Millis shutdown_limit{20000};
+  uint64_t seed = 1;
+};
+
+/// The ways out of an entry instance. All outlive it.
+struct InstancePorts {
+  Executor& executor;
+  platform::UpstreamPort& upstreams;
+  platform::LogPort& log;
+  platform::InstanceListPort& list;
+  requests::PeerPort& peers;
+  configlog::ConfigSource& config_source;
+  membership::HeartbeatSender& heartbeats;
+  metrics::Registry& metrics;
+};
+
+/// The control state of one entry instance, without threads or sockets: the
+/// daemon and the fault-schedule tests drive the same object. Control thread
+/// only, but for the metrics.
+class Instance {
+ public:
+  Instance(InstancePorts ports, InstanceOptions options);
+  void Start();
+
+  /// Stops taking work, hands racks over, finishes what is in flight; `done`
+  /// runs once, at the latest after the shutdown limit.
+  void BeginShutdown(std::function<void()> done);
+
+  /// What a start or the readiness waits for; empty when ready.
+  std::vector<std::string> Blockers() const;
+  bool ready() const { return phase_ == wire::EntryPhase::kReady; }
+  wire::EntryPhase::type phase() const { return phase_; }
+
+  // Calls of peers.
+  void OnHeartbeat(const wire::Heartbeat& heartbeat);
+  wire::PlaceReply OnPlace(const wire::PlaceCall& call);
+  wire::ReportReply OnReport(const wire::ReportCall& call);
+  void OnFind(const wire::FindCall& call,
+              std::function<void(wire::FindReply)> done);
+  void OnSubmit(const wire::SubmitCall& call,
+                std::function<void(wire::SubmitReply)> done);
+  wire::CancelReply OnCancel(const wire::CancelCall& call);
+
+  requests::Requests& requests() { return *requests_; }
+  configlog::ConfigFollower& config() { return *config_; }
+  control::Controller& controller() { return *controller_; }
+  execution::Execution& execution() { return *execution_; }
+  membership::Membership& members() { return *members_; }
+  Lookup& lookup() { return *lookup_; }
+  platform::LogPort& log() { return ports_.log; }
+  /// Sets the gauges that are computed on demand.
+  void UpdateGauges();
+
+ private:
+  void FillHeartbeat(wire::Heartbeat& heartbeat);
+  void RefreshList();
+  void Reassign();
+  void UpdatePhase();
+  void OnMembershipChanged();
+  void OnEnded(const requests::Ended& ended);
+  void OnFirstStart(const requests::Record& record);
+  void CheckShutdown();
+  execution::OwnerRoute RouteTo(const std::string& owner, int64_t incarnation);
+
+  InstancePorts ports_;
+  InstanceOptions options_;
+  wire::EntryPhase::type phase_ = wire::EntryPhase::kJoining;
+  TimePoint started_{};
+  bool list_read_ = false;
+  bool reassigning_ = false;
+  int64_t heartbeats_filled_ = 0;
+  std::function<void()> shutdown_done_;
+  TimePoint shutdown_until_{};
+  std::unique_ptr<membership::Membership> members_;
+  std::unique_ptr<execution::Execution> execution_;
+  std::unique_ptr<control::Controller> controller_;
+  std::unique_ptr<configlog::ConfigFollower> config_;
+  std::unique_ptr<requests::IntentLedger> ledger_;
+  std::unique_ptr<requests::Requests> requests_;
+  std::unique_ptr<cost::CostBook> cost_;
+  std::unique_ptr<Lookup> lookup_;
+};
+
+}  // namespace mimosarail::instance
--- /dev/null
+++ b/src/libs/base/enum_table.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <array>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace mimosarail {
+
+/// One enumerator and the name that operators see.
+template <typename E>
+struct EnumName {
+  E value;
+  std::string_view name;
+};
+
+/// Names of an enumeration, both ways. Immutable, so safe from any thread.
+template <typename E, std::size_t N>
+class EnumTable {
+ public:
+  constexpr explicit EnumTable(std::array<EnumName<E>, N> names)
+      : names_(names) {}
+
+  /// The name, or "?" for a value outside the table.
+  constexpr std::string_view Name(E value) const {
+    for (const auto& entry : names_) {
+      if (entry.value == value) return entry.name;
+    }
+    return "?";
+  }
+
+  constexpr std::optional<E> Find(std::string_view name) const {
+    for (const auto& entry : names_) {
+      if (entry.name == name) return entry.value;
+    }
+    return std::nullopt;
+  }
+
+  /// Every name, for messages such as "one of a, b".
+  std::string Choices() const {
+    std::string out;
+    for (const auto& entry : names_) {
+      if (!out.empty()) out += ", ";
+      out += entry.name;
+    }
+    return out;
+  }
+
+ private:
+  std::array<EnumName<E>, N> names_;
+};
+
+}  // namespace mimosarail
--- /dev/null
+++ b/src/libs/base/findings.h
@@ -0,0 +1,39 @@
+#pragma once
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace mimosarail {
+
+/// One fault of an input and where it stands ("rules[2].when.team" or "7:14").
+struct Finding {
+  std::string place;
+  std::string message;
+  friend bool operator==(const Finding&, const Finding&) = default;
+};
+
+/// Collects every fault of an input, so that they are reported together.
+/// Not thread-safe.
+class Findings {
+ public:
+  void Add(std::string place, std::string message) {
+    list_.push_back({std::move(place), std::move(message)});
+  }
+  bool empty() const { return list_.empty(); }
+  const std::vector<Finding>& list() const { return list_; }
+
+  /// "place: message" a line.
+  std::string ToString() const {
+    std::string out;
+    for (const Finding& finding : list_) {
+      out += finding.place + ": " + finding.message + "\n";
+    }
+    return out;
+  }
+
+ private:
+  std::vector<Finding> list_;
+};
+
+}  // namespace mimosarail
--- /dev/null
+++ b/src/libs/json/object_reader.h
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/libs/base/enum_table.h"
+#include "src/libs/base/findings.h"
+#include "src/libs/json/json_text.h"
+
+namespace mimosarail::json {
+
+/// Inclusive bounds of a number.
+struct Bounds {
+  int64_t min = 0;
+  int64_t max = 0;
+};
+
+/// Reads the members of one object, collecting wrong types, values out of
+/// bounds and unknown keys. Absent members leave the target as it was.
+/// Not thread-safe; the text and findings outlive it.
+class ObjectReader {
+ public:
+  ObjectReader(const JsonText& text, const Json& object, std::string path,
+               Findings& findings);
+
+  bool Has(const std::string& key);
+  void Read(const std::string& key, int64_t& out, Bounds bounds);
+  void Read(const std::string& key, int32_t& out, Bounds bounds);
+  void Read(const std::string& key, bool& out);
+  /// Bounds count bytes.
+  void Read(const std::string& key, std::string& out, Bounds bounds);
+  void Read(const std::string& key, std::vector<std::string>& out);
+  /// Reads a number with a fraction and multiplies it.
+  void ReadScaled(const std::string& key, int64_t& out, Bounds bounds,
+                  int64_t scale);
+
+  template <typename E, std::size_t N>
+  void ReadEnum(const std::string& key, const EnumTable<E, N>& table, E& out) {
+    std::string name;
+    if (!Has(key)) return;
+    Read(key, name, {0, kMaxName});
+    if (const auto value = table.Find(name)) {
+      out = *value;
+    } else {
+      Add(key, "must be one of " + table.Choices());
+    }
+  }
+
+  /// The member if it is an object (or an array); a finding if it is not.
+  const Json* Object(const std::string& key);
+  const Json* Array(const std::string& key);
+
+  void Add(const std::string& key, std::string message);
+  std::string Path(const std::string& key) const;
+
+  /// Reports every member that nothing asked for.
+  void Finish();
+
+ private:
+  static constexpr int64_t kMaxName = 128;
+  const Json* Find(const std::string& key);
+  const Json* Typed(const std::string& key, bool (Json::*is)() const noexcept,
+                    const char* type);
+
+  const JsonText& text_;
+  const Json& object_;
+  std::string path_;
+  Findings& findings_;
+  std::set<std::string> known_;
+};
+
+}  // namespace mimosarail::json
--- /dev/null
+++ b/src/libs/rpc/client.cc
@@ -0,0 +1,171 @@
+#include "src/libs/rpc/client.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <deque>
+#include <mutex>
+#include <unordered_map>
+
+#include "src/libs/rpc/framing.h"
+
+namespace mimosarail::rpc {
+namespace {
+
+using asio::ip::tcp;
+
+/// One connection; every member runs on its strand.
+class Connection : public std::enable_shared_from_this<Connection> {
+ public:
+  Connection(asio::io_context& io, std::atomic<int64_t>& bytes)
+      : strand_(asio::make_strand(io)), socket_(strand_), bytes_(bytes) {}
+
+  void Open(const tcp::endpoint& endpoint) {
+    asio::post(strand_, [self = shared_from_this(), endpoint] {
+      self->socket_.async_connect(endpoint, [self](std::error_code error) {
+        if (error) return self->Fail(Errc::kUnavailable, error.message());
+        std::error_code ignored;
+        self->socket_.set_option(tcp::no_delay(true), ignored);
+        self->open_ = true;
+        self->WriteNext();
+        self->ReadNext();
+      });
+    });
+  }
+
+  void Call(Method method, std::string body, Millis timeout,
+            Callback<std::string> done) {
+    asio::post(
+        strand_, [self = shared_from_this(), method, body = std::move(body),
+                  timeout, done = std::move(done)]() mutable {
+          self->Enqueue(method, std::move(body), timeout, std::move(done));
+        });
+  }
+
+  bool broken() const { return broken_.load(); }
+
+ private:
+  struct Pending {
+    Callback<std::string> done;
+    std::unique_ptr<asio::steady_timer> timer;
+  };
+
+  void Enqueue(Method method, std::string body, Millis timeout,
+               Callback<std::string> done) {
+    if (broken_) return done(Result<std::string>(Errc::kUnavailable));
+    const int64_t id = ++last_id_;
+    auto timer = std::make_unique<asio::steady_timer>(strand_, timeout);
+    timer->async_wait([self = shared_from_this(), id](std::error_code error) {
+      if (!error) self->Finish(id, Errc::kTimeout);
+    });
+    pending_.emplace(id, Pending{std::move(done), std::move(timer)});
+    wire::Frame frame;
+    frame.id = id;
+    frame.method = static_cast<int32_t>(method);
+    frame.body = std::move(body);
+    queue_.push_back(FrameBytes(frame));
+    if (open_ && queue_.size() == 1) WriteNext();
+  }
+
+  void WriteNext() {
+    if (queue_.empty()) return;
+    bytes_ += static_cast<int64_t>(queue_.front().size());
+    asio::async_write(
+        socket_, asio::buffer(queue_.front()),
+        [self = shared_from_this()](std::error_code error, size_t) {
+          if (error) {
+            return self->Fail(Errc::kDisconnected, error.message());
+          }
+          self->queue_.pop_front();
+          self->WriteNext();
+        });
+  }
+
+  void ReadNext() {
+    AsyncReadFrame(socket_, buffer_,
+                   [self = shared_from_this()](Result<wire::Frame> frame) {
+                     if (!frame.ok()) {
+                       return self->Fail(Errc::kDisconnected,
+                                         frame.error().message);
+                     }
+                     self->bytes_ += static_cast<int64_t>(self->buffer_.size());
+                     self->Deliver(frame.value());
+                     self->ReadNext();
+                   });
+  }
+
+  void Deliver(wire::Frame& frame) {
+    if (frame.error != 0) {
+      return Finish(frame.id,
+                    Result<std::string>(static_cast<Errc>(frame.error),
+                                        std::move(frame.body)));
+    }
+    Finish(frame.id, std::move(frame.body));
+  }
+
+  void Finish(int64_t id, Result<std::string> result) {
+    auto found = pending_.find(id);
+    if (found == pending_.end()) return;  // late reply to a timed-out call
+    Callback<std::string> done = std::move(found->second.done);
+    pending_.erase(found);
+    done(std::move(result));
+  }
+
+  void Fail(Errc code, const std::string& message) {
+    if (broken_.exchange(true)) return;
+    std::error_code ignored;
+    socket_.close(ignored);
+    auto pending = std::move(pending_);
+    pending_.clear();
+    for (auto& [id, call] : pending) {
+      call.done(Result<std::string>(code, message));
+    }
+  }
+
+  asio::strand<asio::io_context::executor_type> strand_;
+  tcp::socket socket_;
+  std::atomic<int64_t>& bytes_;
+  std::atomic<bool> broken_{false};
+  bool open_ = false;
+  int64_t last_id_ = 0;
+  std::string buffer_;
+  std::deque<std::string> queue_;
+  std::unordered_map<int64_t, Pending> pending_;
+};
+
+}  // namespace
+
+struct Client::Private {
+  explicit Private(asio::io_context& io_in) : io(io_in) {}
+  asio::io_context& io;
+  std::atomic<int64_t> bytes{0};
+  std::mutex mutex;
+  std::unordered_map<std::string, std::shared_ptr<Connection>> connections;
+
+  std::shared_ptr<Connection> Connect(const std::string& address,
+                                      const tcp::endpoint& endpoint) {
+    std::lock_guard lock(mutex);
+    auto& slot = connections[address];
+    if (!slot || slot->broken()) {
+      slot = std::make_shared<Connection>(io, bytes);
+      slot->Open(endpoint);
+    }
+    return slot;
+  }
+};
+
+Client::Client(asio::io_context& io) : d_(std::make_shared<Private>(io)) {}
+Client::~Client() = default;
+
+void Client::Call(const std::string& address, Method method, std::string body,
+                  Millis timeout, Callback<std::string> done) {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint) {
+    return done(Result<std::string>(Errc::kInvalid, "bad address " + address));
+  }
+  d_->Connect(address, {endpoint->address, endpoint->port})
+      ->Call(method, std::move(body), timeout, std::move(done));
+}
+
+int64_t Client::bytes() const { return d_->bytes.load(); }
+
+}  // namespace mimosarail::rpc
--- /dev/null
+++ b/src/libs/rpc/server.cc
@@ -0,0 +1,146 @@
+#include "src/libs/rpc/server.h"
+
+#include <asio.hpp>
+#include <atomic>
+#include <deque>
+#include <unordered_map>
+
+#include "src/libs/rpc/framing.h"
+
+namespace mimosarail::rpc {
+
+using asio::ip::tcp;
+
+namespace {
+
+using HandlerTable = std::unordered_map<int32_t, Handler>;
+
+/// One accepted connection; every member runs on its strand.
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(tcp::socket socket, std::shared_ptr<const HandlerTable> handlers,
+          std::shared_ptr<std::atomic<int64_t>> bytes)
+      : socket_(std::move(socket)),
+        handlers_(std::move(handlers)),
+        bytes_(std::move(bytes)) {}
+
+  void ReadNext() {
+    AsyncReadFrame(socket_, buffer_,
+                   [self = shared_from_this()](Result<wire::Frame> frame) {
+                     if (!frame.ok()) return self->Close();
+                     *self->bytes_ +=
+                         static_cast<int64_t>(self->buffer_.size());
+                     self->Dispatch(std::move(frame.value()));
+                     self->ReadNext();
+                   });
+  }
+
+ private:
+  void Dispatch(wire::Frame frame) {
+    Responder respond = [weak = weak_from_this(),
+                         executor = socket_.get_executor(),
+                         id = frame.id](Result<std::string> reply) {
+      asio::post(executor, [weak, id, reply = std::move(reply)]() mutable {
+        if (auto self = weak.lock()) self->Send(id, std::move(reply));
+      });
+    };
+    const auto handler = handlers_->find(frame.method);
+    if (handler == handlers_->end()) return respond(Errc::kUnknownMethod);
+    handler->second(std::move(frame.body), std::move(respond));
+  }
+
+  void Send(int64_t id, Result<std::string> reply) {
+    wire::Frame frame;
+    frame.id = id;
+    frame.reply = true;
+    if (reply.ok()) {
+      frame.body = std::move(reply.value());
+    } else {
+      const std::error_code& code = reply.error().code;
+      const bool ours = code.category() == ErrorCategory();
+      frame.error = ours ? code.value() : static_cast<int>(Errc::kUnavailable);
+      frame.body = reply.error().message;
+    }
+    queue_.push_back(FrameBytes(frame));
+    if (queue_.size() == 1) WriteNext();
+  }
+
+  void WriteNext() {
+    if (queue_.empty()) return;
+    *bytes_ += static_cast<int64_t>(queue_.front().size());
+    asio::async_write(
+        socket_, asio::buffer(queue_.front()),
+        [self = shared_from_this()](std::error_code error, size_t) {
+          if (error) return self->Close();
+          self->queue_.pop_front();
+          self->WriteNext();
+        });
+  }
+
+  void Close() {
+    std::error_code ignored;
+    socket_.close(ignored);
+  }
+
+  tcp::socket socket_;
+  std::shared_ptr<const HandlerTable> handlers_;
+  std::shared_ptr<std::atomic<int64_t>> bytes_;
+  std::string buffer_;
+  std::deque<std::string> queue_;
+};
+
+}  // namespace
+
+struct Server::Private : std::enable_shared_from_this<Server::Private> {
+  explicit Private(asio::io_context& io_in) : io(io_in), acceptor(io_in) {}
+
+  void AcceptNext() {
+    acceptor.async_accept(asio::make_strand(io), [self = shared_from_this()](
+                                                     std::error_code error,
+                                                     tcp::socket socket) {
+      if (error) return;
+      std::error_code ignored;
+      socket.set_option(tcp::no_delay(true), ignored);
+      std::make_shared<Session>(std::move(socket), self->handlers, self->bytes)
+          ->ReadNext();
+      self->AcceptNext();
+    });
+  }
+
+  asio::io_context& io;
+  tcp::acceptor acceptor;
+  std::shared_ptr<HandlerTable> handlers = std::make_shared<HandlerTable>();
+  std::shared_ptr<std::atomic<int64_t>> bytes =
+      std::make_shared<std::atomic<int64_t>>(0);
+};
+
+Server::Server(asio::io_context& io) : d_(std::make_shared<Private>(io)) {}
+
+Server::~Server() {
+  std::error_code ignored;
+  d_->acceptor.close(ignored);
+}
+
+void Server::Handle(Method method, Handler handler) {
+  (*d_->handlers)[static_cast<int32_t>(method)] = std::move(handler);
+}
+
+Result<uint16_t> Server::Listen(const std::string& address) {
+  const auto parsed = ParseEndpoint(address);
+  if (!parsed) return {Errc::kInvalid, "bad address " + address};
+  const tcp::endpoint endpoint(parsed->address, parsed->port);
+  std::error_code error;
+  d_->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    d_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  if (!error) d_->acceptor.bind(endpoint, error);
+  if (!error)
+    d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error) return Error{error, address + ": " + error.message()};
+  d_->AcceptNext();
+  return d_->acceptor.local_endpoint().port();
+}
+
+int64_t Server::bytes() const { return d_->bytes->load(); }
+
+}  // namespace mimosarail::rpc
--- /dev/null
+++ b/src/libs/rpc/server.h
@@ -0,0 +1,65 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "src/libs/base/executor.h"
+#include "src/libs/base/result.h"
+#include "src/libs/rpc/codec.h"
+#include "src/libs/rpc/method.h"
+
+namespace asio {
+class io_context;
+}
+
+namespace mimosarail::rpc {
+
+/// Sends the reply of one call; may run once, on any thread, at any time.
+using Responder = std::function<void(Result<std::string>)>;
+using Handler = std::function<void(std::string body, Responder respond)>;
+
+/// Serves framed calls over TCP. Register handlers before Listen().
+class Server {
+ public:
+  /// `io` must outlive the server.
+  explicit Server(asio::io_context& io);
+  ~Server();
+  Server(const Server&) = delete;
+  Server& operator=(const Server&) = delete;
+
+  /// Not thread-safe; only before Listen().
+  void Handle(Method method, Handler handler);
+
+  /// Binds "ip:port" (port 0 lets the kernel choose) and returns the port.
+  Result<uint16_t> Listen(const std::string& address);
+
+  /// Bytes of frames sent and received so far. Thread-safe.
+  int64_t bytes() const;
+
+ private:
+  struct Private;
+  std::shared_ptr<Private> d_;
+};
+
+/// Handle() with typed messages: `handle` runs on `executor` and gets the call
+/// and a function that takes the reply.
+template <typename Message, typename Reply>
+void HandleTyped(
+    Server& server, Executor& executor, Method method,
+    std::function<void(Message, std::function<void(Reply)>)> handle) {
+  server.Handle(method, [&executor, handle = std::move(handle)](
+                            std::string body, Responder respond) {
+    Result<Message> call = Decode<Message>(body);
+    if (!call.ok()) return respond(call.error());
+    executor.Post([handle, respond = std::move(respond),
+                   call = std::move(call.value())]() mutable {
+      handle(std::move(call),
+             [respond = std::move(respond)](const Reply& reply) {
+               respond(Encode(reply));
+             });
+    });
+  });
+}
+
+}  // namespace mimosarail::rpc
--- /dev/null
+++ b/src/membership/membership.cc
@@ -0,0 +1,187 @@
+#include "src/membership/membership.h"
+
+#include <algorithm>
+#include <utility>
+
+#include "src/libs/base/enum_table.h"
+#include "src/libs/logging/log.h"
+
+namespace mimosarail::membership {
+namespace {
+
+constexpr EnumTable kPeerStateNames{std::array{
+    EnumName{PeerState::kListed, "listed"},
+    EnumName{PeerState::kReturning, "returning"},
+    EnumName{PeerState::kAlive, "alive"},
+    EnumName{PeerState::kSuspect, "suspect"},
+    EnumName{PeerState::kDead, "dead"},
+}};
+
+/// A dead peer is forgotten after this many times the dead limit.
+constexpr int kForgetFactor = 40;
+
+}  // namespace
+
+std::string_view PeerStateName(PeerState state) {
+  return kPeerStateNames.Name(state);
+}
+
+Membership::Membership(Executor& executor, HeartbeatSender& sender,
+                       MembershipOptions options,
+                       std::function<void(wire::Heartbeat&)> fill,
+                       std::function<void()> changed)
+    : executor_(executor),
+      sender_(sender),
+      options_(std::move(options)),
+      fill_(std::move(fill)),
+      changed_(std::move(changed)),
+      last_tick_(executor.Now()) {}
+
+void Membership::Start() {
+  Tick();
+  RunEvery(executor_, options_.heartbeat, [this] { Tick(); });
+}
+
+void Membership::Tick() {
+  const TimePoint now = executor_.Now();
+  const auto gap = std::chrono::duration_cast<Millis>(now - last_tick_);
+  longest_gap_ = std::max(longest_gap_, gap);
+  last_tick_ = now;
+  // After a pause of our own, silence of others proves nothing: what they sent
+  // meanwhile still waits in the socket. Without this every peer would look
+  // dead at once and all racks would be contested.
+  if (gap > options_.suspect_after) {
+    // Calls that were made before the pause are told by the number of the
+    // heartbeat they name, and must count as old.
+    sequence_ += gap / options_.heartbeat;
+    for (auto& [name, peer] : peers_) {
+      if (peer.state != PeerState::kDead) peer.heard = now;
+    }
+  }
+  for (auto& [name, peer] : peers_) UpdateState(peer, now);
+  std::erase_if(peers_, [&](const auto& entry) {
+    return entry.second.state == PeerState::kDead &&
+           now - entry.second.heard > kForgetFactor * options_.dead_after;
+  });
+  Announce();
+}
+
+void Membership::Announce() {
+  wire::Heartbeat heartbeat;
+  heartbeat.name = options_.name;
+  heartbeat.incarnation = options_.incarnation;
+  heartbeat.address = options_.address;
+  heartbeat.failure_domain = options_.failure_domain;
+  heartbeat.sequence = ++sequence_;
+  fill_(heartbeat);
+  for (const auto& [name, peer] : peers_) {
+    sender_.Send(peer.address, heartbeat);
+  }
+  for (const std::string& seed : options_.seeds) {
+    const bool known =
+        seed == options_.address ||
+        std::any_of(peers_.begin(), peers_.end(), [&](const auto& entry) {
+          return entry.second.address == seed;
+        });
+    if (!known) sender_.Send(seed, heartbeat);
+  }
+}
+
+void Membership::Receive(const wire::Heartbeat& heartbeat) {
+  if (heartbeat.name == options_.name) return;
+  const TimePoint now = executor_.Now();
+  Peer& peer = peers_[heartbeat.name];
+  const bool known = peer.last.incarnation != 0;
+  if (known && heartbeat.incarnation < peer.last.incarnation) return;
+  const bool same = heartbeat.incarnation == peer.last.incarnation;
+  // Datagrams may arrive twice or out of order; an old one must not undo what
+  // a newer one said, such as that the peer is leaving.
+  if (known && same && heartbeat.sequence <= peer.last.sequence) return;
+  const bool silent = !known || !same || peer.state == PeerState::kDead;
+  if (silent) peer.heard_since = now;
+  const bool reborn = known && !same;
+  const bool told_change = known && (heartbeat.phase != peer.last.phase ||
+                                     heartbeat.revision != peer.last.revision);
+  std::vector<wire::TeamUse> teams = std::move(peer.last.teams);
+  peer.name = heartbeat.name;
+  peer.address = heartbeat.address;
+  peer.failure_domain = heartbeat.failure_domain;
+  peer.last = heartbeat;
+  if (!heartbeat.has_teams && !reborn) peer.last.teams = std::move(teams);
+  peer.heard = now;
+  peer.leaving = heartbeat.phase == wire::EntryPhase::kLeaving;
+  if (silent) SetState(peer, PeerState::kReturning);
+  UpdateState(peer, now);
+  if (reborn || told_change) changed_();
+}
+
+void Membership::UpdateState(Peer& peer, TimePoint now) {
+  if (peer.state == PeerState::kListed) return;
+  const auto silence = now - peer.heard;
+  if (silence >= options_.dead_after) {
+    return SetState(peer, PeerState::kDead);
+  }
+  if (silence >= options_.suspect_after) {
+    return SetState(peer, peer.state == PeerState::kDead ? PeerState::kDead
+                                                         : PeerState::kSuspect);
+  }
+  // Hysteresis: a peer that flickers would take racks and lose them again with
+  // each flicker; it must be heard for a while before it counts.
+  if (peer.state == PeerState::kReturning &&
+      now - peer.heard_since < options_.return_after) {
+    return;
+  }
+  SetState(peer, PeerState::kAlive);
+}
+
+void Membership::SetState(Peer& peer, PeerState state) {
+  if (peer.state == state) return;
+  logging::Event(logging::Level::kInfo, "peer_state",
+                 {{"peer", peer.name},
+                  {"from", std::string(PeerStateName(peer.state))},
+                  {"to", std::string(PeerStateName(state))}});
+  peer.state = state;
+  changed_();
+}
+
+void Membership::SetListed(const std::vector<wire::ListedInstance>& instances) {
+  for (const wire::ListedInstance& listed : instances) {
+    if (listed.role != wire::ListedRole::kEntry) continue;
+    if (listed.name == options_.name) continue;
+    Peer& peer = peers_[listed.name];
+    if (!peer.name.empty()) continue;
+    peer.name = listed.name;
+    peer.address = listed.address;
+    peer.failure_domain = listed.failure_domain;
+  }
+}
+
+const Peer* Membership::Find(const std::string& name) const {
+  const auto found = peers_.find(name);
+  return found == peers_.end() ? nullptr : &found->second;
+}
+
+bool Membership::Lives(const std::string& name, int64_t incarnation) const {
+  if (name == options_.name) return incarnation == options_.incarnation;
+  const Peer* peer = Find(name);
+  if (peer == nullptr || peer->last.incarnation != incarnation) return false;
+  return peer->state != PeerState::kDead && peer->state != PeerState::kListed;
+}
+
+std::vector<const Peer*> Membership::Controllers() const {
+  std::vector<const Peer*> out;
+  for (const auto& [name, peer] : peers_) {
+    const bool heard =
+        peer.state == PeerState::kAlive || peer.state == PeerState::kSuspect;
+    if (heard && peer.last.phase == wire::EntryPhase::kReady) {
+      out.push_back(&peer);
+    }
+  }
+  return out;
+}
+
+Millis Membership::TakeLongestGap() {
+  return std::exchange(longest_gap_, Millis(0));
+}
+
+}  // namespace mimosarail::membership
--- /dev/null
+++ b/src/placement/amount.h
@@ -0,0 +1,73 @@
+#pragma once
+
+#include <algorithm>
+#include <array>
+#include <cstdint>
+#include <string_view>
+
+#include "platform_types.h"
+#include "src/libs/base/enum_table.h"
+
+namespace mimosarail::placement {
+
+/// What an upstream can run out of.
+enum class Dimension { kCores, kMemory, kAccelerators, kConnections, kSlots };
+
+inline constexpr size_t kDimensions = 5;
+
+inline constexpr EnumTable kDimensionNames{std::array{
+    EnumName{Dimension::kCores, "millicores"},
+    EnumName{Dimension::kMemory, "memory_mb"},
+    EnumName{Dimension::kAccelerators, "accelerators"},
+    EnumName{Dimension::kConnections, "connections"},
+    EnumName{Dimension::kSlots, "slots"},
+}};
+
+/// Resources with slots, as the decision core counts them. A value type.
+struct Amount {
+  std::array<int32_t, kDimensions> of{};
+
+  int32_t operator[](Dimension d) const { return of[static_cast<size_t>(d)]; }
+  int32_t& operator[](Dimension d) { return of[static_cast<size_t>(d)]; }
+
+  bool FitsIn(const Amount& room) const {
+    for (size_t d = 0; d < kDimensions; ++d) {
+      if (of[d] > room.of[d]) return false;
+    }
+    return true;
+  }
+  Amount& operator+=(const Amount& other) {
+    for (size_t d = 0; d < kDimensions; ++d) of[d] += other.of[d];
+    return *this;
+  }
+  Amount& operator-=(const Amount& other) {
+    for (size_t d = 0; d < kDimensions; ++d) of[d] -= other.of[d];
+    return *this;
+  }
+  void RaiseTo(const Amount& other) {
+    for (size_t d = 0; d < kDimensions; ++d)
+      of[d] = std::max(of[d], other.of[d]);
+  }
+  friend bool operator==(const Amount&, const Amount&) = default;
+};
+
+inline Amount ToAmount(const wire::Resources& resources, int32_t slots) {
+  return {{resources.millicores, resources.memory_mb, resources.accelerators,
+           resources.connections, slots}};
+}
+
+/// What one task takes: its size and one slot.
+inline Amount TaskAmount(const wire::Resources& size) {
+  return ToAmount(size, 1);
+}
+
+inline wire::Resources ToResources(const Amount& amount) {
+  wire::Resources out;
+  out.millicores = amount[Dimension::kCores];
+  out.memory_mb = amount[Dimension::kMemory];
+  out.accelerators = amount[Dimension::kAccelerators];
+  out.connections = amount[Dimension::kConnections];
+  return out;
+}
+
+}  // namespace mimosarail::placement
--- /dev/null
+++ b/src/platform/stream_reader.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <functional>
+#include <string>
+
+#include "src/libs/base/executor.h"
+#include "src/platform/log_port.h"
+
+namespace mimosarail::platform {
+
+struct StreamReaderOptions {
+  std::string stream;
+  Millis read_wait{1000};
+  Millis retry_first{100};
+  Millis retry_longest{1000};
+  int32_t max_records = 500;
+};
+
+/// Follows one stream of the log from its first retained record, and keeps
+/// trying through outages. Control thread only.
+class StreamReader {
+ public:
+  /// `consume` gets each reply; its first_retained is above the offset that
+  /// was asked for when records were trimmed unread. `executor` and `log`
+  /// outlive the reader.
+  StreamReader(Executor& executor, LogPort& log, StreamReaderOptions options,
+               std::function<void(const wire::ReadReply&)> consume);
+
+  void Start();
+  /// Goes on from `offset` with the next read.
+  void Seek(int64_t offset) { position_ = offset; }
+  /// Whether the last read was answered.
+  bool up() const { return up_; }
+  /// When a read was last answered with nothing more to come at once.
+  TimePoint caught_up_at() const { return caught_up_at_; }
+  bool ever_caught_up() const { return ever_caught_up_; }
+  int64_t position() const { return position_; }
+  /// Reads sent so far; for the control cost.
+  int64_t reads() const { return reads_; }
+
+ private:
+  void ReadNext();
+  void OnReply(TimePoint asked, const Result<wire::ReadReply>& reply);
+
+  Executor& executor_;
+  LogPort& log_;
+  StreamReaderOptions options_;
+  std::function<void(const wire::ReadReply&)> consume_;
+  int64_t position_ = 0;
+  int64_t reads_ = 0;
+  bool up_ = false;
+  bool ever_caught_up_ = false;
+  TimePoint caught_up_at_{};
+  Millis retry_{0};
+};
+
+}  // namespace mimosarail::platform
--- /dev/null
+++ b/src/requests/intent_ledger.cc
@@ -0,0 +1,139 @@
+#include "src/requests/intent_ledger.h"
+
+#include <algorithm>
+
+#include "src/libs/rpc/codec.h"
+
+namespace mimosarail::requests {
+
+void IntentFold::Consume(int64_t first_retained, int64_t offset,
+                         const std::vector<wire::Intent>& intents) {
+  Trim(first_retained);
+  for (const wire::Intent& intent : intents) {
+    const auto found = winners_.find(intent.request_id);
+    // Two entries may claim the same key because neither has read the other's
+    // record yet. Both see the same order here, so both agree on the first.
+    const bool first = found == winners_.end();
+    if (!first && intent.epoch != found->second.intent.epoch + 1) continue;
+    winners_[intent.request_id] = {intent, offset};
+    by_offset_.emplace_back(offset, intent.request_id);
+  }
+}
+
+void IntentFold::Trim(int64_t first_retained) {
+  while (!by_offset_.empty() && by_offset_.front().first < first_retained) {
+    const auto& [offset, id] = by_offset_.front();
+    const auto found = winners_.find(id);
+    if (found != winners_.end() && found->second.offset == offset) {
+      winners_.erase(found);
+    }
+    by_offset_.pop_front();
+  }
+}
+
+const wire::Intent* IntentFold::Find(const std::string& request_id) const {
+  const auto found = winners_.find(request_id);
+  return found == winners_.end() ? nullptr : &found->second.intent;
+}
+
+IntentLedger::IntentLedger(Executor& executor, platform::LogPort& log,
+                           IntentLedgerOptions options)
+    : executor_(executor),
+      log_(log),
+      options_(options),
+      reader_(executor, log,
+              {.stream = kIntentStream, .read_wait = options.read_wait},
+              [this](const wire::ReadReply& reply) { Consume(reply); }) {}
+
+void IntentLedger::Consume(const wire::ReadReply& reply) {
+  fold_.Trim(reply.first_retained);
+  for (const wire::LogRecord& record : reply.records) {
+    const auto batch = rpc::Decode<wire::IntentBatch>(record.data);
+    if (!batch.ok()) continue;
+    fold_.Consume(reply.first_retained, record.offset, batch.value().intents);
+    if (!observer_) continue;
+    for (const wire::Intent& intent : batch.value().intents) {
+      const wire::Intent* winner = fold_.Find(intent.request_id);
+      if (winner != nullptr) observer_(*winner);
+    }
+  }
+  Resolve();
+}
+
+void IntentLedger::Claim(const wire::Intent& intent, Claimed done) {
+  const wire::Intent* known = fold_.Find(intent.request_id);
+  if (known != nullptr && known->epoch >= intent.epoch) return done(*known);
+  Claiming& claiming = claiming_[intent.request_id];
+  const bool fresh = claiming.done.empty();
+  claiming.done.push_back(std::move(done));
+  if (!fresh) return;
+  claiming.intent = intent;
+  claiming.until = executor_.Now() + options_.claim_wait;
+  to_append_.push_back(intent.request_id);
+  FlushSoon();
+  executor_.RunAfter(options_.claim_wait,
+                     [this, id = intent.request_id, epoch = intent.epoch] {
+                       Expire(id, epoch);
+                     });
+}
+
+/// The first intent after a quiet time goes out at once; under load one
+/// append carries all that came within the group-commit time.
+void IntentLedger::FlushSoon() {
+  if (flush_pending_) return;
+  flush_pending_ = true;
+  const auto since =
+      std::chrono::duration_cast<Millis>(executor_.Now() - last_flush_);
+  const Millis delay = std::max(Millis(0), options_.group_commit - since);
+  executor_.RunAfter(delay, [this] { Flush(); });
+}
+
+void IntentLedger::Flush() {
+  flush_pending_ = false;
+  last_flush_ = executor_.Now();
+  wire::IntentBatch batch;
+  const std::vector<std::string> ids = std::exchange(to_append_, {});
+  for (const std::string& id : ids) {
+    const auto found = claiming_.find(id);
+    if (found != claiming_.end()) batch.intents.push_back(found->second.intent);
+  }
+  if (batch.intents.empty()) return;
+  wire::AppendCall call;
+  call.stream = kIntentStream;
+  call.records.push_back(rpc::Encode(batch));
+  ++appends_;
+  log_.Append(call, [this, ids](const Result<wire::AppendReply>& reply) {
+    if (reply.ok()) return;
+    // It may have taken effect; a second copy of our own intent changes
+    // nothing, for the first one by offset is ours as well.
+    for (const std::string& id : ids) {
+      if (claiming_.contains(id)) to_append_.push_back(id);
+    }
+    if (!to_append_.empty()) FlushSoon();
+  });
+}
+
+void IntentLedger::Resolve() {
+  for (auto it = claiming_.begin(); it != claiming_.end();) {
+    const wire::Intent* winner = fold_.Find(it->first);
+    if (winner == nullptr || winner->epoch < it->second.intent.epoch) {
+      ++it;
+      continue;
+    }
+    const wire::Intent found = *winner;
+    const std::vector<Claimed> done = std::move(it->second.done);
+    it = claiming_.erase(it);
+    for (const Claimed& callback : done) callback(found);
+  }
+}
+
+void IntentLedger::Expire(const std::string& request_id, int32_t epoch) {
+  const auto found = claiming_.find(request_id);
+  if (found == claiming_.end() || found->second.intent.epoch != epoch) return;
+  if (executor_.Now() < found->second.until) return;
+  const std::vector<Claimed> done = std::move(found->second.done);
+  claiming_.erase(found);
+  for (const Claimed& callback : done) callback(std::nullopt);
+}
+
+}  // namespace mimosarail::requests
--- /dev/null
+++ b/src/requests/peer_rooms.cc
@@ -0,0 +1,73 @@
+#include "src/requests/peer_rooms.h"
+
+#include <algorithm>
+
+namespace mimosarail::requests {
+
+using placement::Amount;
+using placement::Dimension;
+
+PeerRooms::Sent& PeerRooms::SentTo(const membership::Peer& peer) {
+  Sent& sent = sent_[peer.name];
+  if (sent.sequence != peer.last.sequence) {
+    sent = Sent{.sequence = peer.last.sequence};
+  }
+  return sent;
+}
+
+bool PeerRooms::MeetsConstraints(const std::string& peer,
+                                 const placement::Ask& ask) const {
+  const bool free_choice =
+      (ask.failure_domains == nullptr || ask.failure_domains->empty()) &&
+      (ask.racks == nullptr || ask.racks->empty());
+  if (free_choice) return true;
+  return std::any_of(controller_.listed().begin(), controller_.listed().end(),
+                     [&](const auto& entry) {
+                       const wire::ListedInstance& listed = entry.second;
+                       const placement::Rack rack{
+                           .name = listed.rack,
+                           .failure_domain = listed.failure_domain};
+                       return controller_.ControllerOf(listed.rack) == peer &&
+                              placement::Allows(ask, rack);
+                     });
+}
+
+const membership::Peer* PeerRooms::Choose(const placement::Ask& ask) {
+  const membership::Peer* best = nullptr;
+  int32_t best_free = 0;
+  for (const membership::Peer* peer : members_.Controllers()) {
+    if (peer->state != membership::PeerState::kAlive) continue;
+    Sent& sent = SentTo(*peer);
+    const Amount largest = placement::ToAmount(peer->last.free_largest, 1);
+    if (!ask.size.FitsIn(largest)) continue;
+    Amount total =
+        placement::ToAmount(peer->last.free_total, peer->last.free_slots);
+    total -= sent.amount;
+    Amount wanted;
+    for (int32_t i = 0; i < ask.tasks; ++i) wanted += ask.size;
+    if (!wanted.FitsIn(total)) continue;
+    const bool refused =
+        std::any_of(sent.refused.begin(), sent.refused.end(),
+                    [&](const Amount& size) { return size.FitsIn(wanted); });
+    if (refused || !MeetsConstraints(peer->name, ask)) continue;
+    const int32_t free = total[Dimension::kCores];
+    if (best == nullptr || free > best_free) {
+      best = peer;
+      best_free = free;
+    }
+  }
+  return best;
+}
+
+void PeerRooms::NoteSent(const std::string& peer, const placement::Ask& ask) {
+  for (int32_t i = 0; i < ask.tasks; ++i) sent_[peer].amount += ask.size;
+}
+
+void PeerRooms::NoteRefused(const std::string& peer,
+                            const placement::Ask& ask) {
+  Amount wanted;
+  for (int32_t i = 0; i < ask.tasks; ++i) wanted += ask.size;
+  sent_[peer].refused.push_back(wanted);
+}
+
+}  // namespace mimosarail::requests
--- /dev/null
+++ b/src/requests/requests.thrift
@@ -0,0 +1,147 @@
+include "platform.thrift"
+namespace cpp mimosarail.wire
+
+enum WorkKind { kService = 0, kBatch = 1, kGang = 2 }
+
+struct RequestSpec {
+  1: string id
+  2: bool keyed
+  3: string team
+  4: WorkKind kind = WorkKind.kBatch
+  5: string work
+  6: i32 tasks = 1
+  7: platform.Resources size
+  8: bool repeatable
+  /** From submission, 0 for none. */
+  9: i64 deadline_ms
+  /** Declared by the caller, doubted by us. */
+  10: i64 run_ms
+  11: bool urgent
+  12: list<string> failure_domains
+  13: list<string> racks
+  14: binary payload
+}
+
+enum PlacementGoal { kPack = 0, kSpread = 1 }
+
+/** How the first matching rule says to treat a request. */
+struct Treatment {
+  1: string rule
+  2: i64 revision
+  3: i32 priority
+  4: PlacementGoal goal
+  5: i64 wait_limit_ms
+  6: i32 retries
+  7: bool preempt
+  8: string refusal
+}
+
+enum Verdict { kDone = 0, kNotRun = 1, kUnknown = 2, kRefused = 3, kCancelled = 4 }
+
+/** The final word on a request. */
+struct Outcome {
+  1: Verdict verdict
+  2: string reason
+  /** When to ask again; 0 says nothing. */
+  3: i64 retry_after_ms
+  4: binary answer
+  5: string digest
+  6: string rule
+  7: i64 revision
+  8: i64 waited_ms
+  9: i64 ran_ms
+  10: i64 cost_micros
+  11: i32 attempts
+}
+
+/** Rebuilds an attempt at a new controller; carried as TaskSpec.context. */
+struct AttemptContext {
+  1: RequestSpec spec
+  2: Treatment treatment
+  3: string owner
+  4: i64 owner_incarnation
+}
+
+/** Asks a controller to start these tasks of an attempt, all or none. */
+struct PlaceCall {
+  1: AttemptContext context
+  2: i32 attempt
+  3: list<i32> indices
+  /** Newest heartbeat of the controller that the owner has seen: a call that
+   *  was long on its way is told by it and refused. */
+  4: i64 heartbeat_seen
+}
+enum PlaceStatus { kAccepted = 0, kNoRoom = 1, kNotReady = 2, kFenced = 3 }
+struct PlaceReply { 1: PlaceStatus status 2: string detail }
+
+/** How one task of an attempt ended, in the words of its controller. */
+enum TaskEnd {
+  /** The whole answer is there. */
+  kDone = 0
+  /** It ran and failed. */
+  kFailed = 1
+  /** The upstream's word: it started, and is gone without an answer. */
+  kLost = 2
+  /** It never started and never will. */
+  kNotStarted = 3
+  /** Stopped on request; it had started. */
+  kStopped = 4
+  /** The upstream is silent past every lease; only the owner may conclude. */
+  kLapseAssumed = 5
+  /** Another controller has the upstream now. */
+  kMoved = 6
+}
+struct ReportCall {
+  1: string request_id
+  2: i32 attempt
+  3: i32 index
+  4: TaskEnd result
+  5: string reason
+  6: binary answer
+  7: string digest
+  8: i64 ran_ms
+  9: string upstream
+  10: i64 owner_incarnation
+}
+struct ReportReply { 1: bool taken }
+
+enum OwnerState { kAbsent = 0, kWaiting = 1, kRunning = 2, kEnded = 3 }
+struct TaskWord { 1: i32 attempt 2: i32 index 3: bool ended 4: ReportCall report 5: string upstream 6: i32 tasks }
+/** Asks an entry what it knows of a request; a positive fence_below also
+ *  forbids every attempt below it there, for good. */
+struct FindCall { 1: string request_id 2: i32 fence_below 3: i64 wait_ms }
+struct FindReply {
+  1: OwnerState owner
+  2: string why
+  3: Outcome outcome
+  4: list<TaskWord> tasks
+  /** Upstreams whose inventory this entry has read under its present terms. */
+  5: list<string> attached
+  6: i32 fence_below
+}
+/** Hands a keyed submission to the entry that owns its key. */
+struct SubmitCall { 1: RequestSpec spec }
+struct SubmitReply { 1: bool taken 2: string refusal 3: i64 retry_after_ms }
+struct CancelCall { 1: string request_id 2: i32 attempt }
+struct CancelReply { 1: bool known }
+
+/** Claims the right to start a keyed request; the first by offset wins its epoch. */
+struct Intent {
+  1: string request_id
+  2: i32 epoch
+  3: string owner
+  4: i64 owner_incarnation
+  5: string spec_digest
+}
+struct IntentBatch { 1: list<Intent> intents }
+
+/** What an entry adds up for one rule, revision and team since its last record. */
+struct CostLine {
+  1: string rule
+  2: i64 revision
+  3: string team
+  4: i64 requests
+  5: i64 cost_micros
+  6: i64 waited_ms
+}
+struct CostBatch { 1: string entry 2: i64 unix_ms 3: list<CostLine> lines 4: i64 number }
--- /dev/null
+++ b/tests/standins/list_standin.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "platform_types.h"
+#include "src/libs/base/executor.h"
+
+namespace mimosarail::standins {
+
+/// The platform's instance list, which tells changes late.
+class ListStandin {
+ public:
+  ListStandin(Executor& executor, std::vector<wire::ListedInstance> instances);
+
+  wire::ListReply Fetch() const;
+  bool down() const { return down_; }
+  void SetDown(bool down) { down_ = down; }
+  void SetLag(Millis lag) { lag_ = lag; }
+  void SetState(const std::string& name, wire::ListedState::type state);
+  void Remove(const std::string& name);
+  void Put(const wire::ListedInstance& instance);
+  const std::vector<wire::ListedInstance> Upstreams() const;
+
+ private:
+  Executor& executor_;
+  Millis lag_{0};
+  bool down_ = false;
+  std::map<std::string, wire::ListedInstance> instances_;
+};
+
+/// Reads a cell: {"entries": [...], "upstreams": [...]}; see
+/// examples/*.cell.json.
+std::vector<wire::ListedInstance> ParseCell(const std::string& text);
+
+}  // namespace mimosarail::standins
--- /dev/null
+++ b/tests/standins/log_standin.cc
@@ -0,0 +1,108 @@
+#include "tests/standins/log_standin.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace mimosarail::standins {
+namespace {
+constexpr Millis kExpireEvery{50};
+}  // namespace
+
+LogStandin::LogStandin(Executor& executor, Millis retention)
+    : executor_(executor), retention_(retention) {
+  RunEvery(executor_, kExpireEvery, [this] { Expire(); });
+}
+
+template <typename Reply>
+void LogStandin::Send(const Answer<Reply>& answer, const Reply& reply) {
+  if (faults_.down) return;
+  if (faults_.slow_ms == 0) return answer(reply);
+  executor_.RunAfter(Millis(faults_.slow_ms),
+                     [answer, reply] { answer(reply); });
+}
+
+void LogStandin::Append(const wire::AppendCall& call,
+                        Answer<wire::AppendReply> answer) {
+  if (faults_.down) return;
+  if (faults_.drop_appends > 0) {
+    --faults_.drop_appends;
+    return;
+  }
+  ++appends_;
+  Stream& stream = streams_[call.stream];
+  wire::AppendReply reply;
+  reply.first_offset = stream.next;
+  for (const std::string& data : call.records) {
+    Entry entry;
+    entry.record.offset = stream.next++;
+    entry.record.data = data;
+    entry.at = executor_.Now();
+    stream.entries.push_back(std::move(entry));
+  }
+  for (const Waiting& reader : std::exchange(stream.readers, {})) {
+    Send(reader.answer, MakeReply(stream, reader.call));
+  }
+  if (faults_.drop_append_replies > 0) {
+    --faults_.drop_append_replies;
+    return;
+  }
+  Send(answer, reply);
+}
+
+wire::ReadReply LogStandin::MakeReply(const Stream& stream,
+                                      const wire::ReadCall& call) const {
+  wire::ReadReply reply;
+  reply.first_retained = stream.first;
+  reply.upper = stream.next;
+  const int64_t start = std::max(call.start, stream.first);
+  const int64_t skip = start - stream.first;
+  for (size_t i = static_cast<size_t>(std::max<int64_t>(skip, 0));
+       i < stream.entries.size() &&
+       reply.records.size() < static_cast<size_t>(call.max_records);
+       ++i) {
+    reply.records.push_back(stream.entries[i].record);
+  }
+  return reply;
+}
+
+void LogStandin::Read(const wire::ReadCall& call,
+                      Answer<wire::ReadReply> answer) {
+  if (faults_.down) return;
+  ++reads_;
+  Stream& stream = streams_[call.stream];
+  if (call.start < stream.next || call.wait_ms <= 0) {
+    return Send(answer, MakeReply(stream, call));
+  }
+  const uint64_t id = ++last_reader_;
+  stream.readers.push_back({call, std::move(answer), id});
+  executor_.RunAfter(Millis(call.wait_ms), [this, &stream, id] {
+    const auto found =
+        std::find_if(stream.readers.begin(), stream.readers.end(),
+                     [id](const Waiting& w) { return w.id == id; });
+    if (found == stream.readers.end()) return;
+    const Waiting waiting = std::move(*found);
+    stream.readers.erase(found);
+    Send(waiting.answer, MakeReply(stream, waiting.call));
+  });
+}
+
+void LogStandin::Expire() {
+  const TimePoint now = executor_.Now();
+  for (auto& [name, stream] : streams_) {
+    while (!stream.entries.empty() &&
+           now - stream.entries.front().at > retention_) {
+      stream.entries.pop_front();
+      ++stream.first;
+    }
+  }
+}
+
+void LogStandin::Trim(const std::string& name, int64_t offset) {
+  Stream& stream = streams_[name];
+  while (!stream.entries.empty() && stream.first < offset) {
+    stream.entries.pop_front();
+    ++stream.first;
+  }
+}
+
+}  // namespace mimosarail::standins
--- /dev/null
+++ b/tests/standins/upstream_standin.cc
@@ -0,0 +1,325 @@
+#include "tests/standins/upstream_standin.h"
+
+#include <cstdlib>
+
+#include "src/libs/base/digest.h"
+
+namespace mimosarail::standins {
+namespace {
+
+constexpr Millis kTick{10};
+constexpr size_t kInlineAnswer = 16384;
+
+/// Value of "name=value" in a payload, or the fallback.
+int64_t Parameter(const std::string& payload, const std::string& name,
+                  int64_t fallback) {
+  const size_t at = payload.find(name + "=");
+  if (at == std::string::npos) return fallback;
+  return std::atoll(payload.c_str() + at + name.size() + 1);
+}
+
+/// Names its request and task, so that a crossed answer shows.
+std::string MakeAnswer(const wire::TaskSpec& task) {
+  std::string out = task.work + " of " + task.request_id + " #" +
+                    std::to_string(task.index) + ": " + task.payload;
+  const auto size =
+      static_cast<size_t>(Parameter(task.payload, "answer_bytes", 0));
+  while (out.size() < size) out += static_cast<char>('a' + out.size() % 26);
+  return out;
+}
+
+const char* StateName(wire::TaskState::type state) {
+  switch (state) {
+    case wire::TaskState::kRunning:
+      return "running";
+    case wire::TaskState::kFinished:
+      return "finished";
+    case wire::TaskState::kFailed:
+      return "failed";
+    case wire::TaskState::kLapsed:
+      return "lapsed";
+    case wire::TaskState::kStopped:
+      return "stopped";
+  }
+  return "?";
+}
+
+}  // namespace
+
+UpstreamStandin::UpstreamStandin(Executor& executor, History& history,
+                                 wire::ListedInstance self)
+    : executor_(executor), history_(history), self_(std::move(self)) {
+  RunEvery(executor_, kTick, [this] { Tick(); });
+}
+
+int64_t UpstreamStandin::NowMs() const {
+  return std::chrono::duration_cast<Millis>(executor_.Now().time_since_epoch())
+      .count();
+}
+
+void UpstreamStandin::Log(const char* event, const wire::TaskSpec& task) {
+  history_.Add({{"event", event},
+                {"upstream", self_.name},
+                {"term", term_},
+                {"holder", holder_},
+                {"task", task.task_id},
+                {"request", task.request_id},
+                {"attempt", task.attempt},
+                {"index", task.index},
+                {"millicores", task.size.millicores},
+                {"memory_mb", task.size.memory_mb},
+                {"accelerators", task.size.accelerators},
+                {"connections", task.size.connections}},
+               NowMs());
+}
+
+template <typename Reply>
+void UpstreamStandin::Send(const Answer<Reply>& answer, const Reply& reply) {
+  if (faults_.delay_ms == 0) return answer(reply);
+  executor_.RunAfter(Millis(faults_.delay_ms),
+                     [answer, reply] { answer(reply); });
+}
+
+std::vector<wire::TaskStatus> UpstreamStandin::Snapshot() const {
+  std::vector<wire::TaskStatus> out;
+  for (const auto& [id, task] : tasks_) out.push_back(task.status);
+  return out;
+}
+
+void UpstreamStandin::Attach(const wire::AttachCall& call,
+                             Answer<wire::AttachReply> answer) {
+  if (faults_.silent) return;
+  Tick();
+  wire::AttachReply reply;
+  const bool again = call.term == term_ && call.controller == holder_;
+  if (call.term <= term_ && !again) {
+    reply.status = wire::CallStatus::kStaleTerm;
+    reply.term = term_;
+    reply.holder = holder_;
+    return Send(answer, reply);
+  }
+  term_ = call.term;
+  holder_ = call.controller;
+  history_.Add({{"event", "attach"},
+                {"upstream", self_.name},
+                {"term", term_},
+                {"holder", holder_}},
+               NowMs());
+  if (poller_) {
+    wire::RenewReply stale;
+    stale.status = wire::CallStatus::kStaleTerm;
+    stale.term = term_;
+    const auto poller = std::exchange(poller_, nullptr);
+    poller(stale);
+  }
+  for (auto& [id, task] : tasks_) {
+    task.told = task.status.state != wire::TaskState::kRunning;
+  }
+  reply.status = wire::CallStatus::kOk;
+  reply.term = term_;
+  reply.inventory = Snapshot();
+  reply.capacity = self_.capacity;
+  reply.slots = self_.slots;
+  Send(answer, reply);
+}
+
+void UpstreamStandin::Start(const wire::StartCall& call,
+                            Answer<wire::StartReply> answer) {
+  if (faults_.silent) return;
+  if (faults_.drop_starts > 0) {
+    --faults_.drop_starts;
+    return;
+  }
+  wire::StartReply reply;
+  reply.term = term_;
+  if (call.term != term_) {
+    Log("start_fenced", call.task);
+    reply.status = wire::CallStatus::kStaleTerm;
+    return Send(answer, reply);
+  }
+  if (released_.contains(call.task.task_id)) {
+    reply.status = wire::CallStatus::kRefused;
+    return Send(answer, reply);
+  }
+  if (!tasks_.contains(call.task.task_id)) {
+    Task& task = tasks_[call.task.task_id];
+    task.status.spec = call.task;
+    task.started = executor_.Now();
+    const int64_t declared = static_cast<int64_t>(
+        static_cast<double>(call.task.run_ms) * faults_.run_factor);
+    const bool fails =
+        faults_.fail_all || Parameter(call.task.payload, "fail", 0) != 0;
+    task.ends =
+        task.started +
+        Millis(fails ? 1 : Parameter(call.task.payload, "actual_ms", declared));
+    task.lease_until = task.started + Millis(call.lease_ms);
+    Log("start", call.task);
+  }
+  reply.status = wire::CallStatus::kOk;
+  if (faults_.drop_start_replies > 0) {
+    --faults_.drop_start_replies;
+    return;
+  }
+  Send(answer, reply);
+}
+
+void UpstreamStandin::Renew(const wire::RenewCall& call,
+                            Answer<wire::RenewReply> answer) {
+  if (faults_.silent) return;
+  Tick();
+  wire::RenewReply reply;
+  reply.term = term_;
+  if (call.term != term_) {
+    reply.status = wire::CallStatus::kStaleTerm;
+    return Send(answer, reply);
+  }
+  const TimePoint until = executor_.Now() + Millis(call.lease_ms);
+  for (auto& [id, task] : tasks_) {
+    if (task.status.state == wire::TaskState::kRunning) {
+      task.lease_until = until;
+    }
+  }
+  for (const std::string& id : call.release) {
+    const auto found = tasks_.find(id);
+    if (found == tasks_.end()) continue;
+    if (found->second.status.state == wire::TaskState::kRunning) continue;
+    released_.insert(id);
+    tasks_.erase(found);
+  }
+  if (faults_.drop_renew_replies > 0) {
+    --faults_.drop_renew_replies;
+    return;
+  }
+  poller_ = [this, answer](const wire::RenewReply& r) { Send(answer, r); };
+  const uint64_t poll = ++poll_;
+  TellPoller();
+  if (!poller_) return;
+  executor_.RunAfter(Millis(call.wait_ms), [this, poll] {
+    if (poll != poll_ || !poller_) return;
+    wire::RenewReply empty;
+    empty.status = wire::CallStatus::kOk;
+    empty.term = term_;
+    const auto poller = std::exchange(poller_, nullptr);
+    poller(empty);
+  });
+}
+
+void UpstreamStandin::TellPoller() {
+  if (!poller_ || faults_.silent) return;
+  wire::RenewReply reply;
+  reply.status = wire::CallStatus::kOk;
+  reply.term = term_;
+  for (auto& [id, task] : tasks_) {
+    if (task.told || task.status.state == wire::TaskState::kRunning) continue;
+    task.told = true;
+    reply.ended.push_back(task.status);
+  }
+  if (reply.ended.empty()) return;
+  const auto poller = std::exchange(poller_, nullptr);
+  poller(reply);
+}
+
+void UpstreamStandin::Steer(const wire::SteerCall& call,
+                            Answer<wire::SteerReply> answer) {
+  if (faults_.silent) return;
+  wire::SteerReply reply;
+  reply.term = term_;
+  if (call.term != term_) {
+    reply.status = wire::CallStatus::kStaleTerm;
+    return Send(answer, reply);
+  }
+  reply.status = wire::CallStatus::kOk;
+  if (call.action == wire::SteerAction::kStop) {
+    for (const std::string& id : call.tasks) {
+      const auto found = tasks_.find(id);
+      if (found == tasks_.end()) continue;
+      if (found->second.status.state != wire::TaskState::kRunning) continue;
+      EndTask(found->second, wire::TaskState::kStopped);
+    }
+  }
+  Send(answer, reply);
+  TellPoller();
+}
+
+void UpstreamStandin::Inventory(const wire::InventoryCall&,
+                                Answer<wire::InventoryReply> answer) {
+  if (faults_.silent) return;
+  wire::InventoryReply reply;
+  reply.term = term_;
+  reply.tasks = Snapshot();
+  Send(answer, reply);
+}
+
+void UpstreamStandin::Usage(const wire::UsageCall&,
+                            Answer<wire::UsageReply> answer) {
+  if (faults_.silent) return;
+  wire::UsageReply reply;
+  for (const auto& [id, task] : tasks_) {
+    if (task.status.state != wire::TaskState::kRunning) continue;
+    reply.used.millicores += task.status.spec.size.millicores;
+    reply.used.memory_mb += task.status.spec.size.memory_mb;
+  }
+  Send(answer, reply);
+}
+
+void UpstreamStandin::Collect(const wire::CollectCall& call,
+                              Answer<wire::CollectReply> answer) {
+  if (faults_.silent) return;
+  wire::CollectReply reply;
+  const auto found = tasks_.find(call.task_id);
+  if (found != tasks_.end() &&
+      found->second.status.state == wire::TaskState::kFinished) {
+    reply.found = true;
+    reply.answer = MakeAnswer(found->second.status.spec);
+    reply.length = found->second.status.answer_length;
+    reply.digest = found->second.status.answer_digest;
+  }
+  Send(answer, reply);
+}
+
+void UpstreamStandin::EndTask(Task& task, wire::TaskState::type state) {
+  task.status.state = state;
+  task.status.ran_ms =
+      std::chrono::duration_cast<Millis>(executor_.Now() - task.started)
+          .count();
+  if (state == wire::TaskState::kFinished) {
+    std::string answer = MakeAnswer(task.status.spec);
+    task.status.answer_length = static_cast<int64_t>(answer.size());
+    task.status.answer_digest = Digest(answer);
+    if (answer.size() <= kInlineAnswer) task.status.answer = std::move(answer);
+  }
+  Log(StateName(state), task.status.spec);
+}
+
+void UpstreamStandin::Tick() {
+  const TimePoint now = executor_.Now();
+  for (auto& [id, task] : tasks_) {
+    if (task.status.state != wire::TaskState::kRunning) continue;
+    // A frozen instance wakes with both behind it; the lease comes first.
+    if (now >= task.lease_until) {
+      EndTask(task, wire::TaskState::kLapsed);
+    } else if (now >= task.ends) {
+      const bool fails = faults_.fail_all ||
+                         Parameter(task.status.spec.payload, "fail", 0) != 0;
+      EndTask(task,
+              fails ? wire::TaskState::kFailed : wire::TaskState::kFinished);
+    }
+  }
+  TellPoller();
+}
+
+void UpstreamStandin::Die() {
+  faults_.silent = true;
+  for (auto& [id, task] : tasks_) {
+    if (task.status.state == wire::TaskState::kRunning) {
+      Log("died", task.status.spec);
+    }
+  }
+  tasks_.clear();
+  poller_ = nullptr;
+  // A new machine under the old name would have a new name; terms survive.
+}
+
+void UpstreamStandin::Reborn() { faults_.silent = false; }
+
+}  // namespace mimosarail::standins
