--- a/src/callers/http_api.cc
+++ b/src/callers/http_api.cc
@@ -209,8 +209,9 @@
         }
       }
       size_t cancelled = 0;
-      for (const std::string& id : ids)
+      for (const std::string& id : ids) {
         cancelled += requests.Cancel(id) ? 1 : 0;
+      }
       done(cancelled);
     });
     if (!count) return Busy(response);
--- a/src/callers/operator_json.cc
+++ b/src/callers/operator_json.cc
@@ -149,7 +149,7 @@
 Json CostJson(const std::vector<cost::DayLine>& lines) {
   Json out = Json::array();
   for (const cost::DayLine& line : lines) {
-    const double cost = static_cast<double>(line.sum.cost_micros) / 1e6;
+    const double cost = static_cast<double>(line.sum.cost_nanos) / 1e9;
     const auto requests = std::max<int64_t>(line.sum.requests, 1);
     out.push_back({{"day", line.day},
                    {"rule", line.sum.rule},
--- a/src/callers/request_json.cc
+++ b/src/callers/request_json.cc
@@ -122,8 +122,9 @@
   out["id"] = id;
   out["verdict"] = rules::kVerdictNames.Name(outcome.verdict);
   if (!outcome.reason.empty()) out["reason"] = outcome.reason;
-  if (outcome.retry_after_ms > 0)
+  if (outcome.retry_after_ms > 0) {
     out["retry_after_ms"] = outcome.retry_after_ms;
+  }
   if (!outcome.rule.empty()) out["rule"] = outcome.rule;
   out["revision"] = outcome.revision;
   if (outcome.verdict != wire::Verdict::kDone) return out;
@@ -136,7 +137,7 @@
   }
   out["waited_ms"] = outcome.waited_ms;
   out["ran_ms"] = outcome.ran_ms;
-  out["cost"] = static_cast<double>(outcome.cost_micros) / 1e6;
+  out["cost"] = static_cast<double>(outcome.cost_nanos) / 1e9;
   out["attempts"] = outcome.attempts;
   return out;
 }
--- a/src/cost/cost_book.cc
+++ b/src/cost/cost_book.cc
@@ -17,7 +17,7 @@
   sum.revision = line.revision;
   sum.team = line.team;
   sum.requests += line.requests;
-  sum.cost_micros += line.cost_micros;
+  sum.cost_nanos += line.cost_nanos;
   sum.waited_ms += line.waited_ms;
 }
 
--- a/src/execution/execution.cc
+++ b/src/execution/execution.cc
@@ -203,8 +203,9 @@
     control::UpstreamSession* session = controller_->Find(upstream);
     if (session == nullptr || !session->usable()) continue;
     const placement::Row& row = controller_->room().row(session->row());
-    if (!placement::Allows(ask, controller_->room().racks()[row.rack]))
+    if (!placement::Allows(ask, controller_->room().racks()[row.rack])) {
       continue;
+    }
     std::sort(
         candidates.begin(), candidates.end(), [](const Held* a, const Held* b) {
           return a->context.treatment.priority > b->context.treatment.priority;
--- a/src/instance/instance.cc
+++ b/src/instance/instance.cc
@@ -280,7 +280,7 @@
   line.revision = record.treatment.revision;
   line.team = record.spec.team;
   line.requests = 1;
-  line.cost_micros = record.outcome.cost_micros;
+  line.cost_nanos = record.outcome.cost_nanos;
   line.waited_ms = record.outcome.waited_ms;
   cost_->Add(line);
 }
--- a/src/libs/base/enum_table.h
+++ b/src/libs/base/enum_table.h
@@ -14,6 +14,10 @@
   std::string_view name;
 };
 
+// Clang 14 does not deduce aggregates by itself.
+template <typename E>
+EnumName(E, std::string_view) -> EnumName<E>;
+
 /// Names of an enumeration, both ways. Immutable, so safe from any thread.
 template <typename E, std::size_t N>
 class EnumTable {
--- a/src/libs/base/result.h
+++ b/src/libs/base/result.h
@@ -34,10 +34,13 @@
 template <typename T>
 class Result {
  public:
+  // Implicit, so that functions return a value or an error as it is.
+  // NOLINTBEGIN(google-explicit-constructor)
   Result(T value) : state_(std::move(value)) {}
   Result(Error error) : state_(std::move(error)) {}
   Result(Errc code, std::string message = {})
       : state_(Error{make_error_code(code), std::move(message)}) {}
+  // NOLINTEND(google-explicit-constructor)
 
   bool ok() const { return std::holds_alternative<T>(state_); }
   /// Precondition: ok().
--- a/src/libs/base/soft_assert.cc
+++ b/src/libs/base/soft_assert.cc
@@ -5,15 +5,15 @@
 
 namespace mimosarail {
 namespace {
-std::atomic<long> failures{0};
+std::atomic<int64_t> failures{0};
 }  // namespace
 
-void ReportSoftAssert(const char* expression, std::source_location where) {
+void ReportSoftAssert(const char* expression, const char* file, int line) {
   ++failures;
-  std::fprintf(stderr, "soft assert failed: %s at %s:%u\n", expression,
-               where.file_name(), where.line());
+  std::fprintf(stderr, "soft assert failed: %s at %s:%d\n", expression, file,
+               line);
 }
 
-long SoftAssertFailures() { return failures.load(); }
+int64_t SoftAssertFailures() { return failures.load(); }
 
 }  // namespace mimosarail
--- a/src/libs/metrics/metrics.cc
+++ b/src/libs/metrics/metrics.cc
@@ -1,6 +1,10 @@
 #include "src/libs/metrics/metrics.h"
 
 // Boost 1.74 uses std::ostringstream without including it.
+// clang-format off
+#include <sstream>
+// clang-format on
+
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
@@ -10,7 +14,6 @@
 #include <boost/accumulators/statistics/sum.hpp>
 #include <cstdio>
 #include <mutex>
-#include <sstream>
 
 namespace mimosarail::metrics {
 namespace {
--- a/src/libs/metrics/metrics.h
+++ b/src/libs/metrics/metrics.h
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <tuple>
 
 namespace mimosarail::metrics {
 
@@ -11,7 +12,9 @@
 struct Series {
   std::string name;
   std::map<std::string, std::string> labels;
-  friend auto operator<=>(const Series&, const Series&) = default;
+  friend bool operator<(const Series& a, const Series& b) {
+    return std::tie(a.name, a.labels) < std::tie(b.name, b.labels);
+  }
 };
 
 /// Counters, gauges and distributions of one process. Thread-safe.
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -131,11 +131,13 @@
   const tcp::endpoint endpoint(parsed->address, parsed->port);
   std::error_code error;
   d_->acceptor.open(endpoint.protocol(), error);
-  if (!error)
+  if (!error) {
     d_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+  }
   if (!error) d_->acceptor.bind(endpoint, error);
-  if (!error)
+  if (!error) {
     d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  }
   if (error) return Error{error, address + ": " + error.message()};
   d_->AcceptNext();
   return d_->acceptor.local_endpoint().port();
--- a/src/placement/amount.h
+++ b/src/placement/amount.h
@@ -45,8 +45,9 @@
     return *this;
   }
   void RaiseTo(const Amount& other) {
-    for (size_t d = 0; d < kDimensions; ++d)
+    for (size_t d = 0; d < kDimensions; ++d) {
       of[d] = std::max(of[d], other.of[d]);
+    }
   }
   friend bool operator==(const Amount&, const Amount&) = default;
 };
--- a/src/requests/gen/requests_types.cpp
+++ b/src/requests/gen/requests_types.cpp
@@ -982,8 +982,8 @@
   this->ran_ms = val;
 }
 
-void Outcome::__set_cost_micros(const int64_t val) {
-  this->cost_micros = val;
+void Outcome::__set_cost_nanos(const int64_t val) {
+  this->cost_nanos = val;
 }
 
 void Outcome::__set_attempts(const int32_t val) {
@@ -1093,8 +1093,8 @@
         break;
       case 10:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->cost_micros);
-          this->__isset.cost_micros = true;
+          xfer += iprot->readI64(this->cost_nanos);
+          this->__isset.cost_nanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1160,8 +1160,8 @@
   xfer += oprot->writeI64(this->ran_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cost_micros", ::apache::thrift::protocol::T_I64, 10);
-  xfer += oprot->writeI64(this->cost_micros);
+  xfer += oprot->writeFieldBegin("cost_nanos", ::apache::thrift::protocol::T_I64, 10);
+  xfer += oprot->writeI64(this->cost_nanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("attempts", ::apache::thrift::protocol::T_I32, 11);
@@ -1184,7 +1184,7 @@
   swap(a.revision, b.revision);
   swap(a.waited_ms, b.waited_ms);
   swap(a.ran_ms, b.ran_ms);
-  swap(a.cost_micros, b.cost_micros);
+  swap(a.cost_nanos, b.cost_nanos);
   swap(a.attempts, b.attempts);
   swap(a.__isset, b.__isset);
 }
@@ -1199,7 +1199,7 @@
   revision = other23.revision;
   waited_ms = other23.waited_ms;
   ran_ms = other23.ran_ms;
-  cost_micros = other23.cost_micros;
+  cost_nanos = other23.cost_nanos;
   attempts = other23.attempts;
   __isset = other23.__isset;
 }
@@ -1213,7 +1213,7 @@
   revision = other24.revision;
   waited_ms = other24.waited_ms;
   ran_ms = other24.ran_ms;
-  cost_micros = other24.cost_micros;
+  cost_nanos = other24.cost_nanos;
   attempts = other24.attempts;
   __isset = other24.__isset;
 }
@@ -1227,7 +1227,7 @@
   revision = other25.revision;
   waited_ms = other25.waited_ms;
   ran_ms = other25.ran_ms;
-  cost_micros = other25.cost_micros;
+  cost_nanos = other25.cost_nanos;
   attempts = other25.attempts;
   __isset = other25.__isset;
   return *this;
@@ -1242,7 +1242,7 @@
   revision = other26.revision;
   waited_ms = other26.waited_ms;
   ran_ms = other26.ran_ms;
-  cost_micros = other26.cost_micros;
+  cost_nanos = other26.cost_nanos;
   attempts = other26.attempts;
   __isset = other26.__isset;
   return *this;
@@ -1259,7 +1259,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "waited_ms=" << to_string(waited_ms);
   out << ", " << "ran_ms=" << to_string(ran_ms);
-  out << ", " << "cost_micros=" << to_string(cost_micros);
+  out << ", " << "cost_nanos=" << to_string(cost_nanos);
   out << ", " << "attempts=" << to_string(attempts);
   out << ")";
 }
@@ -3555,8 +3555,8 @@
   this->requests = val;
 }
 
-void CostLine::__set_cost_micros(const int64_t val) {
-  this->cost_micros = val;
+void CostLine::__set_cost_nanos(const int64_t val) {
+  this->cost_nanos = val;
 }
 
 void CostLine::__set_waited_ms(const int64_t val) {
@@ -3624,8 +3624,8 @@
         break;
       case 5:
         if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->cost_micros);
-          this->__isset.cost_micros = true;
+          xfer += iprot->readI64(this->cost_nanos);
+          this->__isset.cost_nanos = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -3671,8 +3671,8 @@
   xfer += oprot->writeI64(this->requests);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("cost_micros", ::apache::thrift::protocol::T_I64, 5);
-  xfer += oprot->writeI64(this->cost_micros);
+  xfer += oprot->writeFieldBegin("cost_nanos", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->cost_nanos);
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("waited_ms", ::apache::thrift::protocol::T_I64, 6);
@@ -3690,7 +3690,7 @@
   swap(a.revision, b.revision);
   swap(a.team, b.team);
   swap(a.requests, b.requests);
-  swap(a.cost_micros, b.cost_micros);
+  swap(a.cost_nanos, b.cost_nanos);
   swap(a.waited_ms, b.waited_ms);
   swap(a.__isset, b.__isset);
 }
@@ -3700,7 +3700,7 @@
   revision = other110.revision;
   team = other110.team;
   requests = other110.requests;
-  cost_micros = other110.cost_micros;
+  cost_nanos = other110.cost_nanos;
   waited_ms = other110.waited_ms;
   __isset = other110.__isset;
 }
@@ -3709,7 +3709,7 @@
   revision = other111.revision;
   team = std::move(other111.team);
   requests = other111.requests;
-  cost_micros = other111.cost_micros;
+  cost_nanos = other111.cost_nanos;
   waited_ms = other111.waited_ms;
   __isset = other111.__isset;
 }
@@ -3718,7 +3718,7 @@
   revision = other112.revision;
   team = other112.team;
   requests = other112.requests;
-  cost_micros = other112.cost_micros;
+  cost_nanos = other112.cost_nanos;
   waited_ms = other112.waited_ms;
   __isset = other112.__isset;
   return *this;
@@ -3728,7 +3728,7 @@
   revision = other113.revision;
   team = std::move(other113.team);
   requests = other113.requests;
-  cost_micros = other113.cost_micros;
+  cost_nanos = other113.cost_nanos;
   waited_ms = other113.waited_ms;
   __isset = other113.__isset;
   return *this;
@@ -3740,7 +3740,7 @@
   out << ", " << "revision=" << to_string(revision);
   out << ", " << "team=" << to_string(team);
   out << ", " << "requests=" << to_string(requests);
-  out << ", " << "cost_micros=" << to_string(cost_micros);
+  out << ", " << "cost_nanos=" << to_string(cost_nanos);
   out << ", " << "waited_ms=" << to_string(waited_ms);
   out << ")";
 }
--- a/src/requests/gen/requests_types.h
+++ b/src/requests/gen/requests_types.h
@@ -420,7 +420,7 @@
 std::ostream& operator<<(std::ostream& out, const Treatment& obj);
 
 typedef struct _Outcome__isset {
-  _Outcome__isset() : verdict(false), reason(false), retry_after_ms(false), answer(false), digest(false), rule(false), revision(false), waited_ms(false), ran_ms(false), cost_micros(false), attempts(false) {}
+  _Outcome__isset() : verdict(false), reason(false), retry_after_ms(false), answer(false), digest(false), rule(false), revision(false), waited_ms(false), ran_ms(false), cost_nanos(false), attempts(false) {}
   bool verdict :1;
   bool reason :1;
   bool retry_after_ms :1;
@@ -430,7 +430,7 @@
   bool revision :1;
   bool waited_ms :1;
   bool ran_ms :1;
-  bool cost_micros :1;
+  bool cost_nanos :1;
   bool attempts :1;
 } _Outcome__isset;
 
@@ -454,7 +454,7 @@
             revision(0),
             waited_ms(0),
             ran_ms(0),
-            cost_micros(0),
+            cost_nanos(0),
             attempts(0) {
   }
 
@@ -475,7 +475,7 @@
   int64_t revision;
   int64_t waited_ms;
   int64_t ran_ms;
-  int64_t cost_micros;
+  int64_t cost_nanos;
   int32_t attempts;
 
   _Outcome__isset __isset;
@@ -498,7 +498,7 @@
 
   void __set_ran_ms(const int64_t val);
 
-  void __set_cost_micros(const int64_t val);
+  void __set_cost_nanos(const int64_t val);
 
   void __set_attempts(const int32_t val);
 
@@ -522,7 +522,7 @@
       return false;
     if (!(ran_ms == rhs.ran_ms))
       return false;
-    if (!(cost_micros == rhs.cost_micros))
+    if (!(cost_nanos == rhs.cost_nanos))
       return false;
     if (!(attempts == rhs.attempts))
       return false;
@@ -1445,12 +1445,12 @@
 std::ostream& operator<<(std::ostream& out, const IntentBatch& obj);
 
 typedef struct _CostLine__isset {
-  _CostLine__isset() : rule(false), revision(false), team(false), requests(false), cost_micros(false), waited_ms(false) {}
+  _CostLine__isset() : rule(false), revision(false), team(false), requests(false), cost_nanos(false), waited_ms(false) {}
   bool rule :1;
   bool revision :1;
   bool team :1;
   bool requests :1;
-  bool cost_micros :1;
+  bool cost_nanos :1;
   bool waited_ms :1;
 } _CostLine__isset;
 
@@ -1469,7 +1469,7 @@
              revision(0),
              team(),
              requests(0),
-             cost_micros(0),
+             cost_nanos(0),
              waited_ms(0) {
   }
 
@@ -1478,7 +1478,7 @@
   int64_t revision;
   std::string team;
   int64_t requests;
-  int64_t cost_micros;
+  int64_t cost_nanos;
   int64_t waited_ms;
 
   _CostLine__isset __isset;
@@ -1491,7 +1491,7 @@
 
   void __set_requests(const int64_t val);
 
-  void __set_cost_micros(const int64_t val);
+  void __set_cost_nanos(const int64_t val);
 
   void __set_waited_ms(const int64_t val);
 
@@ -1505,7 +1505,7 @@
       return false;
     if (!(requests == rhs.requests))
       return false;
-    if (!(cost_micros == rhs.cost_micros))
+    if (!(cost_nanos == rhs.cost_nanos))
       return false;
     if (!(waited_ms == rhs.waited_ms))
       return false;
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -935,7 +935,7 @@
     outcome.answer += task.report.answer;
     outcome.ran_ms = std::max(outcome.ran_ms, task.report.ran_ms);
     if (rules) {
-      outcome.cost_micros += rules->Cost(record.spec.size, task.report.ran_ms);
+      outcome.cost_nanos += rules->Cost(record.spec.size, task.report.ran_ms);
     }
   }
   outcome.digest = Digest(outcome.answer);
@@ -1130,8 +1130,9 @@
         std::chrono::duration_cast<Millis>(c_.executor.Now() - record.submitted)
             .count();
   }
-  for (const TaskRecord& task : record.tasks)
+  for (const TaskRecord& task : record.tasks) {
     view.holders.push_back(task.holder);
+  }
   return view;
 }
 
--- a/src/requests/requests.thrift
+++ b/src/requests/requests.thrift
@@ -50,7 +50,7 @@
   7: i64 revision
   8: i64 waited_ms
   9: i64 ran_ms
-  10: i64 cost_micros
+  10: i64 cost_nanos
   11: i32 attempts
 }
 
@@ -141,7 +141,7 @@
   2: i64 revision
   3: string team
   4: i64 requests
-  5: i64 cost_micros
+  5: i64 cost_nanos
   6: i64 waited_ms
 }
 struct CostBatch { 1: string entry 2: i64 unix_ms 3: list<CostLine> lines 4: i64 number }
--- a/src/rules/rule_set.cc
+++ b/src/rules/rule_set.cc
@@ -15,6 +15,7 @@
 constexpr int64_t kMaxText = 1000000;
 constexpr int64_t kMaxMs = 7LL * 24 * 3600 * 1000;
 constexpr int64_t kMsPerSecond = 1000;
+constexpr int64_t kNanos = 1000000000;
 constexpr int32_t kMaxPriority = 9;
 constexpr int32_t kMinutesPerHour = 60;
 constexpr int32_t kMinutesPerDay = 24 * kMinutesPerHour;
@@ -87,8 +88,8 @@
   ReadOptionalScaled(reader, "max_deadline_s", when.max_deadline_ms,
                      kMaxMs / 1000, kMsPerSecond);
   ReadOptional(reader, "min_waiting", when.min_waiting, {0, 1000000});
-  ReadOptionalScaled(reader, "min_cost", when.min_cost_micros, 1000000000,
-                     1000000);
+  ReadOptionalScaled(reader, "min_cost", when.min_cost_nanos, 1000000000,
+                     kNanos);
   ReadMinute(reader, "from", when.from_minute);
   ReadMinute(reader, "to", when.to_minute);
   if (when.from_minute.has_value() != when.to_minute.has_value()) {
@@ -170,7 +171,7 @@
          MaxCovers(outer.max_run_ms, inner.max_run_ms) &&
          MaxCovers(outer.max_deadline_ms, inner.max_deadline_ms) &&
          MinCovers(outer.min_waiting, inner.min_waiting) &&
-         MinCovers(outer.min_cost_micros, inner.min_cost_micros) &&
+         MinCovers(outer.min_cost_nanos, inner.min_cost_nanos) &&
          SameCovers(outer.from_minute, inner.from_minute) &&
          SameCovers(outer.to_minute, inner.to_minute);
 }
@@ -256,16 +257,17 @@
   if (const Json* prices = reader.Object("prices")) {
     ObjectReader price_reader(*parsed, *prices, "prices", findings);
     price_reader.ReadScaled("core_second", out.prices_.core_second, {0, 1000},
-                            1000000);
+                            kNanos);
     price_reader.ReadScaled("gb_second", out.prices_.gb_second, {0, 1000},
-                            1000000);
+                            kNanos);
     price_reader.ReadScaled("accelerator_second",
-                            out.prices_.accelerator_second, {0, 1000}, 1000000);
+                            out.prices_.accelerator_second, {0, 1000}, kNanos);
     price_reader.Finish();
   }
   const Json* rules = reader.Array("rules");
-  if (rules == nullptr && !reader.Has("rules"))
+  if (rules == nullptr && !reader.Has("rules")) {
     reader.Add("rules", "is missing");
+  }
   reader.Finish();
   if (rules == nullptr) return std::nullopt;
   if (rules->size() > static_cast<size_t>(kMaxRules)) {
@@ -291,8 +293,9 @@
     rule_reader.Finish();
     out.rules_.push_back(std::move(rule));
   }
-  if (findings.list().size() == before)
+  if (findings.list().size() == before) {
     CheckOrder(*parsed, out.rules_, findings);
+  }
   if (!findings.empty()) return std::nullopt;
   return out;
 }
@@ -309,22 +312,27 @@
   }
   if (when.kind && *when.kind != spec.kind) return "kind";
   if (when.urgent && *when.urgent != spec.urgent) return "urgent";
-  if (when.repeatable && *when.repeatable != spec.repeatable)
+  if (when.repeatable && *when.repeatable != spec.repeatable) {
     return "repeatable";
-  if (when.min_millicores && spec.size.millicores < *when.min_millicores)
+  }
+  if (when.min_millicores && spec.size.millicores < *when.min_millicores) {
     return "min_cores";
-  if (when.max_millicores && spec.size.millicores > *when.max_millicores)
+  }
+  if (when.max_millicores && spec.size.millicores > *when.max_millicores) {
     return "max_cores";
+  }
   if (when.min_run_ms && spec.run_ms < *when.min_run_ms) return "min_run_s";
   if (when.max_run_ms && spec.run_ms > *when.max_run_ms) return "max_run_s";
   if (when.max_deadline_ms &&
       (spec.deadline_ms == 0 || spec.deadline_ms > *when.max_deadline_ms)) {
     return "max_deadline_s";
   }
-  if (when.min_waiting && facts.waiting < *when.min_waiting)
+  if (when.min_waiting && facts.waiting < *when.min_waiting) {
     return "min_waiting";
-  if (when.min_cost_micros && EstimatedCost(spec) < *when.min_cost_micros)
+  }
+  if (when.min_cost_nanos && EstimatedCost(spec) < *when.min_cost_nanos) {
     return "min_cost";
+  }
   if (when.from_minute && !InHours(when, facts.minute_of_day)) return "from/to";
   return "";
 }
--- a/src/rules/rule_set.h
+++ b/src/rules/rule_set.h
@@ -32,7 +32,7 @@
   std::optional<int64_t> max_run_ms;
   std::optional<int64_t> max_deadline_ms;
   std::optional<int64_t> min_waiting;
-  std::optional<int64_t> min_cost_micros;
+  std::optional<int64_t> min_cost_nanos;
   std::optional<int32_t> from_minute;  ///< With to_minute; may pass midnight.
   std::optional<int32_t> to_minute;
 };
@@ -50,9 +50,9 @@
 };
 
 struct Prices {
-  int64_t core_second = 1000;          ///< Micros.
-  int64_t gb_second = 100;             ///< Micros.
-  int64_t accelerator_second = 20000;  ///< Micros.
+  int64_t core_second = 1000000;          ///< Nanos.
+  int64_t gb_second = 100000;             ///< Nanos.
+  int64_t accelerator_second = 20000000;  ///< Nanos.
 };
 
 /// Which rule decided and, for those before it, why they did not.
@@ -79,7 +79,7 @@
   int64_t max_waiting() const { return max_waiting_; }
   const std::vector<Rule>& rules() const { return rules_; }
 
-  /// Cost of running `size` for `ran_ms`, in micros.
+  /// Cost of running `size` for `ran_ms`, in nanos.
   int64_t Cost(const wire::Resources& size, int64_t ran_ms) const;
   int64_t EstimatedCost(const wire::RequestSpec& spec) const;
 
--- a/src/tool/api_client.cc
+++ b/src/tool/api_client.cc
@@ -31,17 +31,16 @@
 ApiClient::~ApiClient() = default;
 
 Result<ApiReply> ApiClient::Get(const std::string& path) {
-  return ToReply(d_->client.Get(path.c_str()));
+  return ToReply(d_->client.Get(path));
 }
 
 Result<ApiReply> ApiClient::Post(const std::string& path,
                                  const json::Json& body) {
-  return ToReply(
-      d_->client.Post(path.c_str(), body.dump(), "application/json"));
+  return ToReply(d_->client.Post(path, body.dump(), "application/json"));
 }
 
 Result<ApiReply> ApiClient::Delete(const std::string& path) {
-  return ToReply(d_->client.Delete(path.c_str()));
+  return ToReply(d_->client.Delete(path));
 }
 
 }  // namespace mimosarail::tool
--- a/src/tool/commands.cc
+++ b/src/tool/commands.cc
@@ -56,8 +56,9 @@
 ExitCode CodeOf(int status) {
   if (status == kHttpOk) return ExitCode::kOk;
   if (status == kHttpAccepted) return ExitCode::kPending;
-  if (status == kHttpUnknown || status == kHttpNotFound)
+  if (status == kHttpUnknown || status == kHttpNotFound) {
     return ExitCode::kUnknown;
+  }
   return ExitCode::kRefused;
 }
 
@@ -258,8 +259,9 @@
 ExitCode Cancel(const Words& words, const Options& options) {
   ApiClient client(options.server);
   if (words.size() == 2) {
-    if (!callers::ValidKey(words[1]))
+    if (!callers::ValidKey(words[1])) {
       return UsageError("not an id: " + words[1]);
+    }
     return ShowReply(client.Delete("/v1/requests/" + words[1]), options);
   }
   Json body = Json::object();
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -19,8 +20,8 @@
   std::string server;
   bool json = false;
   std::string author;
-  long base = -1;
-  long wait_ms = 0;
+  int64_t base = -1;
+  int64_t wait_ms = 0;
   std::string against;
   std::string team;
   std::string work;
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -147,17 +147,21 @@
 }
 
 void ChangeList(ListStandin& list, const json& change) {
-  if (change.contains("lag_ms"))
+  if (change.contains("lag_ms")) {
     list.SetLag(Millis(change["lag_ms"].get<int64_t>()));
+  }
   if (change.contains("down")) list.SetDown(change["down"]);
-  if (change.contains("leaving"))
+  if (change.contains("leaving")) {
     list.SetState(change["leaving"], wire::ListedState::kLeaving);
-  if (change.contains("live"))
+  }
+  if (change.contains("live")) {
     list.SetState(change["live"], wire::ListedState::kLive);
+  }
   if (change.contains("remove")) list.Remove(change["remove"]);
   if (change.contains("put")) {
-    for (const auto& instance : ParseCell(change["put"].dump()))
+    for (const auto& instance : ParseCell(change["put"].dump())) {
       list.Put(instance);
+    }
   }
 }
 
