--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -160,6 +160,7 @@
 void UpstreamSession::Count(const wire::AttachReply& reply) {
   room_.SetCapacity(row_, placement::ToAmount(reply.capacity, reply.slots));
   std::map<std::string, Task> before = TakeTasks();
+  seen_end_ = 0;
   const uint64_t era = era_;
   std::vector<std::string> unwanted;
   for (const wire::TaskStatus& status : reply.inventory) {
@@ -224,6 +225,7 @@
   call.term = term_;
   call.lease_ms = options_.lease.count();
   call.wait_ms = options_.lease.count() / kRenewalsPerLease;
+  call.seen = seen_end_;
   call.release = std::exchange(release_, {});
   NoteExtension();
   port_.Renew(listed_.address, call,
@@ -302,6 +304,7 @@
 }
 
 void UpstreamSession::HandleEnd(const wire::TaskStatus& status) {
+  seen_end_ = std::max(seen_end_, status.sequence);
   const bool answered = status.state == wire::TaskState::kFinished;
   if (answered && !Whole(status)) return CollectEnd(status, kCollectAttempts);
   Drop(status.spec.task_id);
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -151,6 +151,7 @@
   Millis contest_;
   TimePoint contest_until_{};
   TimePoint last_extension_{};
+  int64_t seen_end_ = 0;  ///< Highest sequence of an end under this term.
   std::map<std::string, Task> tasks_;
   std::vector<std::string> release_;
   std::mt19937_64 random_;
--- a/src/execution/execution.cc
+++ b/src/execution/execution.cc
@@ -302,6 +302,7 @@
   report.result = end;
   report.reason = reason;
   report.upstream = upstream;
+  held.kept_upstream = status != nullptr;
   report.owner_incarnation = held.context.owner_incarnation;
   if (status != nullptr) {
     report.answer = status->answer;
@@ -350,7 +351,11 @@
   const auto found = held_.find(task_id);
   if (found == held_.end()) return;
   control::UpstreamSession* session = controller_->Find(found->second.upstream);
-  if (session != nullptr) session->Release(task_id);
+  // A task that only was assumed lapsed, or moved away, may still run there:
+  // releasing it would have its later end forgotten before it is told.
+  if (session != nullptr && found->second.kept_upstream) {
+    session->Release(task_id);
+  }
   held_.erase(found);
 }
 
--- a/src/execution/execution.h
+++ b/src/execution/execution.h
@@ -85,6 +85,8 @@
     bool ended = false;
     bool stopping = false;
     bool reporting = false;
+    /// The upstream itself keeps this end until it is released.
+    bool kept_upstream = false;
     wire::ReportCall report;
     uint64_t serial = 0;  ///< Of the report; rises with every new word.
     TimePoint ended_at{};
--- a/src/platform/gen/platform_types.cpp
+++ b/src/platform/gen/platform_types.cpp
@@ -1095,6 +1095,10 @@
 void TaskStatus::__set_ran_ms(const int64_t val) {
   this->ran_ms = val;
 }
+
+void TaskStatus::__set_sequence(const int64_t val) {
+  this->sequence = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskStatus& obj)
 {
   obj.printTo(out);
@@ -1173,6 +1177,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->sequence);
+          this->__isset.sequence = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1214,6 +1226,10 @@
   xfer += oprot->writeI64(this->ran_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sequence", ::apache::thrift::protocol::T_I64, 7);
+  xfer += oprot->writeI64(this->sequence);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1227,6 +1243,7 @@
   swap(a.answer_digest, b.answer_digest);
   swap(a.answer, b.answer);
   swap(a.ran_ms, b.ran_ms);
+  swap(a.sequence, b.sequence);
   swap(a.__isset, b.__isset);
 }
 
@@ -1237,6 +1254,7 @@
   answer_digest = other29.answer_digest;
   answer = other29.answer;
   ran_ms = other29.ran_ms;
+  sequence = other29.sequence;
   __isset = other29.__isset;
 }
 TaskStatus::TaskStatus(TaskStatus&& other30) noexcept {
@@ -1246,6 +1264,7 @@
   answer_digest = std::move(other30.answer_digest);
   answer = std::move(other30.answer);
   ran_ms = other30.ran_ms;
+  sequence = other30.sequence;
   __isset = other30.__isset;
 }
 TaskStatus& TaskStatus::operator=(const TaskStatus& other31) {
@@ -1255,6 +1274,7 @@
   answer_digest = other31.answer_digest;
   answer = other31.answer;
   ran_ms = other31.ran_ms;
+  sequence = other31.sequence;
   __isset = other31.__isset;
   return *this;
 }
@@ -1265,6 +1285,7 @@
   answer_digest = std::move(other32.answer_digest);
   answer = std::move(other32.answer);
   ran_ms = other32.ran_ms;
+  sequence = other32.sequence;
   __isset = other32.__isset;
   return *this;
 }
@@ -1277,6 +1298,7 @@
   out << ", " << "answer_digest=" << to_string(answer_digest);
   out << ", " << "answer=" << to_string(answer);
   out << ", " << "ran_ms=" << to_string(ran_ms);
+  out << ", " << "sequence=" << to_string(sequence);
   out << ")";
 }
 
@@ -1974,6 +1996,10 @@
 void RenewCall::__set_wait_ms(const int64_t val) {
   this->wait_ms = val;
 }
+
+void RenewCall::__set_seen(const int64_t val) {
+  this->seen = val;
+}
 std::ostream& operator<<(std::ostream& out, const RenewCall& obj)
 {
   obj.printTo(out);
@@ -2054,6 +2080,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->seen);
+          this->__isset.seen = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2099,6 +2133,10 @@
   xfer += oprot->writeI64(this->wait_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("seen", ::apache::thrift::protocol::T_I64, 6);
+  xfer += oprot->writeI64(this->seen);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2111,6 +2149,7 @@
   swap(a.lease_ms, b.lease_ms);
   swap(a.release, b.release);
   swap(a.wait_ms, b.wait_ms);
+  swap(a.seen, b.seen);
   swap(a.__isset, b.__isset);
 }
 
@@ -2120,6 +2159,7 @@
   lease_ms = other63.lease_ms;
   release = other63.release;
   wait_ms = other63.wait_ms;
+  seen = other63.seen;
   __isset = other63.__isset;
 }
 RenewCall::RenewCall(RenewCall&& other64) noexcept {
@@ -2128,6 +2168,7 @@
   lease_ms = other64.lease_ms;
   release = std::move(other64.release);
   wait_ms = other64.wait_ms;
+  seen = other64.seen;
   __isset = other64.__isset;
 }
 RenewCall& RenewCall::operator=(const RenewCall& other65) {
@@ -2136,6 +2177,7 @@
   lease_ms = other65.lease_ms;
   release = other65.release;
   wait_ms = other65.wait_ms;
+  seen = other65.seen;
   __isset = other65.__isset;
   return *this;
 }
@@ -2145,6 +2187,7 @@
   lease_ms = other66.lease_ms;
   release = std::move(other66.release);
   wait_ms = other66.wait_ms;
+  seen = other66.seen;
   __isset = other66.__isset;
   return *this;
 }
@@ -2156,6 +2199,7 @@
   out << ", " << "lease_ms=" << to_string(lease_ms);
   out << ", " << "release=" << to_string(release);
   out << ", " << "wait_ms=" << to_string(wait_ms);
+  out << ", " << "seen=" << to_string(seen);
   out << ")";
 }
 
--- a/src/platform/gen/platform_types.h
+++ b/src/platform/gen/platform_types.h
@@ -492,13 +492,14 @@
 std::ostream& operator<<(std::ostream& out, const TaskSpec& obj);
 
 typedef struct _TaskStatus__isset {
-  _TaskStatus__isset() : spec(false), state(false), answer_length(false), answer_digest(false), answer(false), ran_ms(false) {}
+  _TaskStatus__isset() : spec(false), state(false), answer_length(false), answer_digest(false), answer(false), ran_ms(false), sequence(false) {}
   bool spec :1;
   bool state :1;
   bool answer_length :1;
   bool answer_digest :1;
   bool answer :1;
   bool ran_ms :1;
+  bool sequence :1;
 } _TaskStatus__isset;
 
 class TaskStatus : public virtual ::apache::thrift::TBase {
@@ -513,7 +514,8 @@
                answer_length(0),
                answer_digest(),
                answer(),
-               ran_ms(0) {
+               ran_ms(0),
+               sequence(0) {
   }
 
   virtual ~TaskStatus() noexcept;
@@ -527,6 +529,10 @@
   std::string answer_digest;
   std::string answer;
   int64_t ran_ms;
+  /**
+   * Rises with every end at this upstream; 0 while it runs.
+   */
+  int64_t sequence;
 
   _TaskStatus__isset __isset;
 
@@ -542,6 +548,8 @@
 
   void __set_ran_ms(const int64_t val);
 
+  void __set_sequence(const int64_t val);
+
   bool operator == (const TaskStatus & rhs) const
   {
     if (!(spec == rhs.spec))
@@ -556,6 +564,8 @@
       return false;
     if (!(ran_ms == rhs.ran_ms))
       return false;
+    if (!(sequence == rhs.sequence))
+      return false;
     return true;
   }
   bool operator != (const TaskStatus &rhs) const {
@@ -837,16 +847,18 @@
 std::ostream& operator<<(std::ostream& out, const StartReply& obj);
 
 typedef struct _RenewCall__isset {
-  _RenewCall__isset() : upstream(false), term(false), lease_ms(false), release(false), wait_ms(false) {}
+  _RenewCall__isset() : upstream(false), term(false), lease_ms(false), release(false), wait_ms(false), seen(false) {}
   bool upstream :1;
   bool term :1;
   bool lease_ms :1;
   bool release :1;
   bool wait_ms :1;
+  bool seen :1;
 } _RenewCall__isset;
 
 /**
- * Renews every lease of the upstream, releases ended tasks, waits for ends.
+ * Renews every lease of the upstream, releases ended tasks, and waits for
+ * ends whose sequence is above `seen`.
  */
 class RenewCall : public virtual ::apache::thrift::TBase {
  public:
@@ -859,7 +871,8 @@
             : upstream(),
               term(0),
               lease_ms(0),
-              wait_ms(0) {
+              wait_ms(0),
+              seen(0) {
   }
 
   virtual ~RenewCall() noexcept;
@@ -868,6 +881,7 @@
   int64_t lease_ms;
   std::vector<std::string>  release;
   int64_t wait_ms;
+  int64_t seen;
 
   _RenewCall__isset __isset;
 
@@ -881,6 +895,8 @@
 
   void __set_wait_ms(const int64_t val);
 
+  void __set_seen(const int64_t val);
+
   bool operator == (const RenewCall & rhs) const
   {
     if (!(upstream == rhs.upstream))
@@ -893,6 +909,8 @@
       return false;
     if (!(wait_ms == rhs.wait_ms))
       return false;
+    if (!(seen == rhs.seen))
+      return false;
     return true;
   }
   bool operator != (const RenewCall &rhs) const {
--- a/src/platform/platform.thrift
+++ b/src/platform/platform.thrift
@@ -47,6 +47,8 @@
   4: string answer_digest
   5: binary answer
   6: i64 ran_ms
+  /** Rises with every end at this upstream; 0 while it runs. */
+  7: i64 sequence
 }
 
 enum CallStatus { kOk = 0, kStaleTerm = 1, kRefused = 2 }
@@ -62,13 +64,15 @@
 }
 struct StartCall { 1: string upstream 2: i64 term 3: i64 lease_ms 4: TaskSpec task }
 struct StartReply { 1: CallStatus status 2: i64 term }
-/** Renews every lease of the upstream, releases ended tasks, waits for ends. */
+/** Renews every lease of the upstream, releases ended tasks, and waits for
+ *  ends whose sequence is above `seen`. */
 struct RenewCall {
   1: string upstream
   2: i64 term
   3: i64 lease_ms
   4: list<string> release
   5: i64 wait_ms
+  6: i64 seen
 }
 struct RenewReply { 1: CallStatus status 2: i64 term 3: list<TaskStatus> ended }
 enum SteerAction { kStop = 0, kCheckpoint = 1, kThrottle = 2 }
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -37,6 +37,8 @@
   std::string holder;
   int64_t holder_incarnation = 0;
   bool lapse_assumed = false;
+  /// Answers of this settlement round and earlier ones say nothing of it.
+  int stale_round = 0;
   wire::ReportCall report;
 };
 
@@ -72,7 +74,9 @@
 
   // Settlement of the present attempt, or of a former owner's.
   bool settling = false;
-  int settle_round = 0;
+  int settle_loop = 0;
+  int settle_round = 0;  ///< Rises through the record's life.
+  int settle_first = 0;  ///< Round before the present settlement.
   TimePoint settle_since{};
   bool fenced_everywhere = false;
   TimePoint fenced_since{};
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -21,6 +21,14 @@
     EnumName{Phase::kEnded, "ended"},
 }};
 
+constexpr EnumTable kTaskPhaseNames{std::array{
+    EnumName{TaskPhase::kNone, "not asked"},
+    EnumName{TaskPhase::kAsked, "asked"},
+    EnumName{TaskPhase::kHeld, "held"},
+    EnumName{TaskPhase::kSettling, "settling"},
+    EnumName{TaskPhase::kEnded, "ended"},
+}};
+
 constexpr Millis kTick{100};
 constexpr Millis kCheckEvery{1000};
 constexpr Millis kFirstBackoff{200};
@@ -591,7 +599,7 @@
   if (report.result == wire::TaskEnd::kMoved ||
       report.result == wire::TaskEnd::kLapseAssumed) {
     // Not an end: only asking all entries tells where the task is now.
-    task.phase = TaskPhase::kSettling;
+    SetSettling(record, task);
     task.lapse_assumed |= report.result == wire::TaskEnd::kLapseAssumed;
     return StartSettling(record);
   }
@@ -702,28 +710,40 @@
 
 // ---- Settlement
 
+/// The answers of a round that is under way were given before this word came:
+/// an entry that said "held here" may have lost the task since, and believing
+/// it would leave the request running for ever in the owner's eyes.
+void Requests::SetSettling(Record& record, TaskRecord& task) {
+  task.phase = TaskPhase::kSettling;
+  task.stale_round = record.settle_round;
+}
+
 void Requests::StartSettling(Record& record) {
   for (TaskRecord& task : record.tasks) {
-    if (task.phase == TaskPhase::kAsked) task.phase = TaskPhase::kSettling;
+    if (task.phase == TaskPhase::kAsked) SetSettling(record, task);
   }
   if (record.settling) return;
   record.settling = true;
-  record.settle_round = 0;
+  record.settle_first = record.settle_round;
   record.settle_since = c_.executor.Now();
   record.fenced_everywhere = false;
   record.why = "its controller is silent; asking the others";
-  c_.executor.Post([this, id = record.spec.id] { SettleRound(id); });
+  c_.executor.Post([this, id = record.spec.id, loop = ++record.settle_loop] {
+    SettleRound(id, loop);
+  });
 }
 
-void Requests::SettleRound(const std::string& id) {
+void Requests::SettleRound(const std::string& id, int loop) {
   Record* record = FindMutable(id);
   if (record == nullptr || !record->settling) return;
+  if (record->settle_loop != loop) return;
   ++record->settle_round;
   // Look first, fence later: a fence would have a running task stopped when
   // its upstream next changes hands.
   const bool old_enough =
       c_.executor.Now() - record->placed > options_.place_validity;
-  const bool fence = record->settle_round > 1 && old_enough;
+  const bool fence =
+      record->settle_round > record->settle_first + 1 && old_enough;
   int32_t fence_below = 0;
   if (fence) {
     fence_below = record->phase == Phase::kReclaiming
@@ -803,9 +823,9 @@
     record->fenced_everywhere = true;
     record->fenced_since = now;
   }
-  const auto next = [this, id] {
+  const auto next = [this, id, loop = record->settle_loop] {
     c_.executor.RunAfter(options_.settle_every,
-                         [this, id] { SettleRound(id); });
+                         [this, id, loop] { SettleRound(id, loop); });
   };
   if (record->phase == Phase::kReclaiming) {
     EvaluateReclaim(*record, fence_below, answers);
@@ -822,6 +842,7 @@
   for (size_t i = 0; i < record->tasks.size(); ++i) {
     TaskRecord& task = record->tasks[i];
     if (task.phase != TaskPhase::kSettling) continue;
+    if (task.stale_round >= record->settle_round) continue;
     input.index = static_cast<int32_t>(i);
     input.lapse_proved = lease_over && task.lapse_assumed;
     const Settlement result = Settle(input);
@@ -895,16 +916,17 @@
   SettlementInput input = MakeSettlementInput(record, answers, fence_below > 0);
   input.attempt = -1;
   const Settlement result = Settle(input);
-  const bool may_start =
-      result.result == SettlementResult::kNotStarted ||
-      (result.result == SettlementResult::kGone && record.spec.repeatable);
-  if (may_start) {
+  // Absence proves that it does not run. It does not prove that it never ran:
+  // its former owner may have taken the answer and had the end released.
+  const bool settled = result.result == SettlementResult::kNotStarted ||
+                       result.result == SettlementResult::kGone;
+  if (settled && record.spec.repeatable) {
     record.settling = false;
     record.phase = Phase::kClaiming;
     record.why = "its key is being claimed anew";
     return Claim(record.spec.id);
   }
-  if (result.result == SettlementResult::kGone) {
+  if (settled) {
     return End(record, wire::Verdict::kUnknown,
                "its former owner is gone and it may have run");
   }
@@ -1029,7 +1051,7 @@
   for (TaskRecord& task : record.tasks) {
     if (task.phase != TaskPhase::kHeld) continue;
     if (c_.members.Lives(task.holder, task.holder_incarnation)) continue;
-    task.phase = TaskPhase::kSettling;
+    SetSettling(record, task);
     silent = true;
   }
   if (silent) StartSettling(record);
@@ -1131,7 +1153,8 @@
             .count();
   }
   for (const TaskRecord& task : record.tasks) {
-    view.holders.push_back(task.holder);
+    view.holders.push_back(std::string(kTaskPhaseNames.Name(task.phase)) +
+                           " at " + task.holder);
   }
   return view;
 }
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -172,8 +172,9 @@
   void RetryOrGiveUp(Record& record);
   void NextAttempt(Record& record, Millis delay);
 
+  void SetSettling(Record& record, TaskRecord& task);
   void StartSettling(Record& record);
-  void SettleRound(const std::string& id);
+  void SettleRound(const std::string& id, int loop);
   void CollectAnswers(const std::string& id, int32_t fence_below);
   void EvaluateSettlement(
       const std::string& id, int32_t fence_below,
--- /dev/null
+++ b/tests/schedule_test.cc
@@ -0,0 +1,266 @@
+// Seeded schedules of faults over whole entry instances, under a manual clock.
+// MIMOSARAIL_SEED runs one seed; MIMOSARAIL_SEEDS sets how many are run.
+
+#define BOOST_TEST_MODULE schedule
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
+
+#include "tests/sim/cell.h"
+#include "tests/sim/checker.h"
+
+namespace mimosarail::sim {
+namespace {
+
+constexpr Millis kStep{200};
+constexpr int kFaultySteps = 150;
+constexpr Millis kHealLimit{240000};
+
+/// Drives one cell through random requests and faults, then heals it.
+class Schedule {
+ public:
+  explicit Schedule(uint64_t seed)
+      : random_(seed), cell_({.seed = seed}), paused_until_(3, 0) {}
+
+  std::vector<std::string> Run() {
+    if (!cell_.Settle()) return {"the cell did not come up"};
+    cell_.network().lost = Pick(3) == 0 ? 10 : 0;
+    cell_.network().doubled = Pick(3) == 0 ? 20 : 0;
+    cell_.network().late = Pick(3) == 0 ? 10 : 0;
+    for (step_ = 0; step_ < kFaultySteps; ++step_) {
+      SubmitSome();
+      if (Pick(6) == 0) Fault();
+      EndPauses();
+      cell_.Run(kStep);
+    }
+    Heal();
+    return Judge();
+  }
+
+ private:
+  int Pick(int n) { return static_cast<int>(random_() % static_cast<uint64_t>(n)); }
+
+  void SubmitSome() {
+    if (Pick(2) != 0) return;
+    wire::RequestSpec spec = MakeSpec("w", 50 + Pick(3000));
+    spec.payload = "p" + std::to_string(step_);
+    spec.repeatable = Pick(2) == 0;
+    spec.urgent = Pick(4) == 0;
+    spec.size.millicores = 500 + 500 * Pick(4);
+    if (Pick(6) == 0) {
+      spec.kind = wire::WorkKind::kGang;
+      spec.tasks = 2 + Pick(3);
+    }
+    spec.keyed = Pick(2) == 0;
+    if (spec.keyed) spec.id = "key-" + std::to_string(step_);
+    SubmitAt(Pick(3), spec);
+    if (spec.keyed && Pick(2) == 0) SubmitAt(Pick(3), spec);
+  }
+
+  void SubmitAt(int entry, const wire::RequestSpec& spec) {
+    if (cell_.node(entry).executor->dead()) return;
+    Note("submit " + spec.id + " at entry " + std::to_string(entry));
+    submissions_.push_back({spec, cell_.Submit(entry, spec)});
+    at_.push_back(entry);
+  }
+
+  std::string SomeUpstream() { return Cell::UpstreamName(Pick(3), Pick(2)); }
+
+  std::string SomeParty() {
+    switch (Pick(4)) {
+      case 0:
+        return "log";
+      case 1:
+        return SomeUpstream();
+      default:
+        return Cell::EntryName(Pick(3));
+    }
+  }
+
+  void Fault() {
+    const int entry = Pick(3);
+    const int fault = Pick(12);
+    Note("fault " + std::to_string(fault) + " at entry " +
+         std::to_string(entry));
+    switch (fault) {
+      case 0:
+        cell_.Kill(entry);
+        break;
+      case 1:
+      case 2:
+        if (cell_.node(entry).executor->dead()) cell_.Restart(entry);
+        break;
+      case 3:
+        if (cell_.node(entry).executor->paused()) break;
+        cell_.node(entry).executor->Pause();
+        paused_until_[static_cast<size_t>(entry)] = step_ + 5 + Pick(60);
+        break;
+      case 4: {
+        const std::string a = Cell::EntryName(entry);
+        const std::string b = SomeParty();
+        cell_.network().Cut(a, b);
+        if (Pick(2) == 0) cell_.network().Cut(b, a);
+        break;
+      }
+      case 5:
+        cell_.network().HealAll();
+        break;
+      case 6:
+        cell_.log().faults().down = Pick(2) == 0;
+        break;
+      case 7:
+        cell_.log().faults().drop_append_replies = Pick(4);
+        break;
+      case 8:
+        cell_.upstream(SomeUpstream()).faults().drop_start_replies = 1 + Pick(2);
+        break;
+      case 9: {
+        auto& executor = cell_.upstream_executor(SomeUpstream());
+        executor.paused() ? executor.Resume() : executor.Pause();
+        break;
+      }
+      case 10:
+        Publish(entry);
+        Publish(Pick(3));
+        break;
+      case 11:
+        if (!submissions_.empty()) CancelOne(entry);
+        break;
+    }
+  }
+
+  void Publish(int entry) {
+    Node& node = cell_.node(entry);
+    if (node.executor->dead()) return;
+    cell_.Publish(entry, node.instance->config().fold().revision(),
+                  "step " + std::to_string(step_));
+  }
+
+  void CancelOne(int entry) {
+    const size_t i = static_cast<size_t>(random_() % submissions_.size());
+    Node& node = cell_.node(entry);
+    if (submissions_[i].told->id.empty()) return;
+    node.executor->Post([&node, id = submissions_[i].told->id] {
+      node.instance->lookup().Cancel(id, [](bool) {});
+    });
+  }
+
+  void EndPauses() {
+    for (int i = 0; i < 3; ++i) {
+      auto& executor = *cell_.node(i).executor;
+      if (executor.paused() && step_ >= paused_until_[static_cast<size_t>(i)]) {
+        executor.Resume();
+      }
+    }
+  }
+
+  void Heal() {
+    cell_.network().HealAll();
+    cell_.network().lost = 0;
+    cell_.network().doubled = 0;
+    cell_.network().late = 0;
+    cell_.log().faults() = {};
+    for (int i = 0; i < 3; ++i) {
+      Node& node = cell_.node(i);
+      if (node.executor->paused()) node.executor->Resume();
+      if (node.executor->dead()) cell_.Restart(i);
+    }
+    for (const std::string& name : cell_.upstream_names()) {
+      cell_.upstream(name).faults() = {};
+      cell_.upstream_executor(name).Resume();
+    }
+    cell_.RunUntil([this] { return cell_.AllAttached() && Quiet(); },
+                   kHealLimit);
+  }
+
+  bool Quiet() {
+    for (int i = 0; i < 3; ++i) {
+      if (cell_.node(i).instance->requests().unfinished() > 0) return false;
+    }
+    return true;
+  }
+
+  std::vector<std::string> Judge() {
+    wire::Resources capacity;
+    capacity.millicores = 4000;
+    capacity.memory_mb = 8000;
+    capacity.connections = 16;
+    if (const char* traced = std::getenv("MIMOSARAIL_TRACE")) Trace(traced);
+    auto broken =
+        CheckPromises(cell_.history().events(), submissions_, capacity, 4);
+    for (const std::string& name : cell_.reverts) {
+      broken.push_back("revision went back at " + name);
+    }
+    if (!cell_.AllAttached()) broken.emplace_back("not all upstreams attached");
+    for (int i = 0; i < 3; ++i) JudgeNode(cell_.node(i), broken);
+    return broken;
+  }
+
+  /// Prints the upstreams' history of one request and all attaches.
+  void Trace(const std::string& id) {
+    for (const auto& event : cell_.history().events()) {
+      if (event["event"] == "attach" || event.value("request", "") == id) {
+        std::printf("%s\n", event.dump().c_str());
+      }
+    }
+    for (const std::string& line : log_) std::printf("%s\n", line.c_str());
+  }
+
+  void Note(const std::string& line) {
+    const auto now = std::chrono::duration_cast<Millis>(
+        cell_.clock().now().time_since_epoch());
+    log_.push_back(std::to_string(now.count()) + " " + line);
+  }
+
+  void JudgeNode(Node& node, std::vector<std::string>& broken) {
+    const auto& fold = node.instance->config().fold();
+    const auto& first = cell_.node(0).instance->config().fold();
+    if (fold.revision() != first.revision() ||
+        fold.state().text != first.state().text) {
+      broken.push_back(node.name + " has another configuration");
+    }
+    for (const auto& view : node.instance->requests().Views(5)) {
+      broken.push_back(view.id + " never ended at " + node.name + ": " +
+                       std::string(requests::PhaseName(view.phase)) + ", " +
+                       view.why + " " +
+                       (view.holders.empty() ? "" : view.holders.back()));
+    }
+    const placement::Room& room = node.instance->controller().room();
+    if (room.total_free() != room.total_capacity()) {
+      broken.push_back("room leaked at " + node.name);
+    }
+  }
+
+  std::mt19937_64 random_;
+  Cell cell_;
+  int step_ = 0;
+  std::vector<int> paused_until_;
+  std::vector<Submission> submissions_;
+  std::vector<int> at_;
+  std::vector<std::string> log_;
+};
+
+int64_t FromEnvironment(const char* name, int64_t fallback) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? fallback : std::atoll(value);
+}
+
+void RunSeed(uint64_t seed) {
+  const auto broken = Schedule(seed).Run();
+  for (const std::string& line : broken) {
+    BOOST_ERROR("seed " << seed << ": " << line);
+  }
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(promises_hold_under_seeded_fault_schedules) {
+  const int64_t one = FromEnvironment("MIMOSARAIL_SEED", -1);
+  if (one >= 0) return RunSeed(static_cast<uint64_t>(one));
+  const int64_t count = FromEnvironment("MIMOSARAIL_SEEDS", 60);
+  for (int64_t seed = 1; seed <= count; ++seed) {
+    RunSeed(static_cast<uint64_t>(seed));
+  }
+}
+
+}  // namespace mimosarail::sim
--- /dev/null
+++ b/tests/sim/cell.cc
@@ -0,0 +1,387 @@
+#include "tests/sim/cell.h"
+
+namespace mimosarail::sim {
+namespace {
+
+constexpr Millis kCallTimeout{500};
+
+std::string Rules(const std::string& comment) {
+  return "// " + comment + R"(
+{"rules": [
+  {"name": "urgent", "when": {"urgent": true}, "then": {"priority": 0, "wait_limit_s": 60}},
+  {"name": "others", "then": {"priority": 4, "wait_limit_s": 120, "retries": 3}}
+]})";
+}
+
+}  // namespace
+
+/// Every way out of a simulated entry.
+class NodePorts final : public platform::UpstreamPort,
+                        public platform::LogPort,
+                        public platform::InstanceListPort,
+                        public requests::PeerPort,
+                        public configlog::ConfigSource,
+                        public membership::HeartbeatSender {
+ public:
+  NodePorts(Cell& cell, std::string self, Executor& executor)
+      : cell_(cell), self_(std::move(self)), executor_(executor) {}
+
+  void Attach(const std::string&, const wire::AttachCall& call,
+              Callback<wire::AttachReply> done) override {
+    ToUpstream<wire::AttachReply>(call, &standins::UpstreamStandin::Attach,
+                                  std::move(done));
+  }
+  void Start(const std::string&, const wire::StartCall& call,
+             Callback<wire::StartReply> done) override {
+    ToUpstream<wire::StartReply>(call, &standins::UpstreamStandin::Start,
+                                 std::move(done));
+  }
+  void Renew(const std::string&, const wire::RenewCall& call,
+             Callback<wire::RenewReply> done) override {
+    ToUpstream<wire::RenewReply>(call, &standins::UpstreamStandin::Renew,
+                                 std::move(done), Millis(call.wait_ms));
+  }
+  void Steer(const std::string&, const wire::SteerCall& call,
+             Callback<wire::SteerReply> done) override {
+    ToUpstream<wire::SteerReply>(call, &standins::UpstreamStandin::Steer,
+                                 std::move(done));
+  }
+  void Inventory(const std::string&, const wire::InventoryCall& call,
+                 Callback<wire::InventoryReply> done) override {
+    ToUpstream<wire::InventoryReply>(
+        call, &standins::UpstreamStandin::Inventory, std::move(done));
+  }
+  void Usage(const std::string&, const wire::UsageCall& call,
+             Callback<wire::UsageReply> done) override {
+    ToUpstream<wire::UsageReply>(call, &standins::UpstreamStandin::Usage,
+                                 std::move(done));
+  }
+  void Collect(const std::string&, const wire::CollectCall& call,
+               Callback<wire::CollectReply> done) override {
+    ToUpstream<wire::CollectReply>(call, &standins::UpstreamStandin::Collect,
+                                   std::move(done));
+  }
+
+  void Append(const wire::AppendCall& call,
+              Callback<wire::AppendReply> done) override {
+    cell_.network_.Call<wire::AppendReply>(
+        self_, executor_, "log", &cell_.platform_executor_, kCallTimeout,
+        [this, call](auto reply) { cell_.log_->Append(call, reply); },
+        std::move(done));
+  }
+  void Read(const wire::ReadCall& call,
+            Callback<wire::ReadReply> done) override {
+    cell_.network_.Call<wire::ReadReply>(
+        self_, executor_, "log", &cell_.platform_executor_,
+        kCallTimeout + Millis(call.wait_ms),
+        [this, call](auto reply) { cell_.log_->Read(call, reply); },
+        std::move(done));
+  }
+  void Fetch(Callback<wire::ListReply> done) override {
+    cell_.network_.Call<wire::ListReply>(
+        self_, executor_, "list", &cell_.platform_executor_, kCallTimeout,
+        [this](auto reply) {
+          if (!cell_.list_->down()) reply(cell_.list_->Fetch());
+        },
+        std::move(done));
+  }
+
+  void Place(const std::string& to, const wire::PlaceCall& call,
+             Callback<wire::PlaceReply> done) override {
+    ToPeer<wire::PlaceReply>(
+        to, kCallTimeout,
+        [call](instance::Instance& peer, auto reply) {
+          reply(peer.OnPlace(call));
+        },
+        std::move(done));
+  }
+  void Report(const std::string& to, const wire::ReportCall& call,
+              Callback<wire::ReportReply> done) override {
+    ToPeer<wire::ReportReply>(
+        to, kCallTimeout,
+        [call](instance::Instance& peer, auto reply) {
+          reply(peer.OnReport(call));
+        },
+        std::move(done));
+  }
+  void Find(const std::string& to, const wire::FindCall& call,
+            Callback<wire::FindReply> done) override {
+    ToPeer<wire::FindReply>(
+        to, kCallTimeout + Millis(call.wait_ms),
+        [call](instance::Instance& peer, auto reply) {
+          peer.OnFind(call, reply);
+        },
+        std::move(done));
+  }
+  void Submit(const std::string& to, const wire::SubmitCall& call,
+              Callback<wire::SubmitReply> done) override {
+    ToPeer<wire::SubmitReply>(
+        to, kCallTimeout,
+        [call](instance::Instance& peer, auto reply) {
+          peer.OnSubmit(call, reply);
+        },
+        std::move(done));
+  }
+  void Cancel(const std::string& to, const wire::CancelCall& call,
+              Callback<wire::CancelReply> done) override {
+    ToPeer<wire::CancelReply>(
+        to, kCallTimeout,
+        [call](instance::Instance& peer, auto reply) {
+          reply(peer.OnCancel(call));
+        },
+        std::move(done));
+  }
+  void FetchConfig(const std::string& to,
+                   Callback<wire::ConfigFetchReply> done) override {
+    ToPeer<wire::ConfigFetchReply>(
+        to, kCallTimeout,
+        [](instance::Instance& peer, auto reply) {
+          reply(peer.config().Describe());
+        },
+        std::move(done));
+  }
+  void Send(const std::string& to, const wire::Heartbeat& heartbeat) override {
+    Node* peer = cell_.ByAddress(to);
+    if (peer == nullptr) return;
+    cell_.network_.Send(
+        self_, peer->name, *peer->executor,
+        [peer, heartbeat] { peer->instance->OnHeartbeat(heartbeat); }, true);
+  }
+
+ private:
+  template <typename Reply, typename Call, typename Method>
+  void ToUpstream(const Call& call, Method method, Callback<Reply> done,
+                  Millis extra = Millis(0)) {
+    standins::UpstreamStandin* upstream =
+        cell_.upstreams_.at(call.upstream).get();
+    cell_.network_.Call<Reply>(
+        self_, executor_, call.upstream,
+        cell_.upstream_executors_.at(call.upstream).get(),
+        kCallTimeout + extra,
+        [upstream, call, method](auto reply) {
+          (upstream->*method)(call, reply);
+        },
+        std::move(done));
+  }
+
+  template <typename Reply>
+  void ToPeer(const std::string& to, Millis timeout,
+              std::function<void(instance::Instance&,
+                                 std::function<void(Reply)>)>
+                  serve,
+              Callback<Reply> done) {
+    Node* peer = cell_.ByAddress(to);
+    const bool gone = peer == nullptr || peer->executor->dead();
+    cell_.network_.Call<Reply>(
+        self_, executor_, peer == nullptr ? to : peer->name,
+        gone ? nullptr : peer->executor.get(), timeout,
+        [peer, serve = std::move(serve)](auto reply) {
+          serve(*peer->instance, reply);
+        },
+        std::move(done));
+  }
+
+  Cell& cell_;
+  std::string self_;
+  Executor& executor_;
+};
+
+wire::RequestSpec MakeSpec(const std::string& work, int64_t run_ms) {
+  wire::RequestSpec spec;
+  spec.team = "team";
+  spec.work = work;
+  spec.size.millicores = 1000;
+  spec.size.memory_mb = 100;
+  spec.repeatable = true;
+  spec.run_ms = run_ms;
+  return spec;
+}
+
+Cell::Cell(CellOptions options)
+    : options_(options), network_(clock_, options.seed) {
+  std::vector<wire::ListedInstance> listed;
+  for (int i = 0; i < options_.entries; ++i) {
+    wire::ListedInstance entry;
+    entry.name = EntryName(i);
+    entry.role = wire::ListedRole::kEntry;
+    entry.address = entry.name;
+    entry.failure_domain = "domain-" + std::to_string(i);
+    listed.push_back(entry);
+  }
+  for (int rack = 0; rack < options_.racks; ++rack) {
+    for (int i = 0; i < options_.upstreams_per_rack; ++i) {
+      wire::ListedInstance upstream;
+      upstream.name = UpstreamName(rack, i);
+      upstream.role = wire::ListedRole::kUpstream;
+      upstream.address = upstream.name;
+      upstream.rack = "rack-" + std::to_string(rack);
+      upstream.failure_domain = "domain-" + std::to_string(rack);
+      upstream.capacity.millicores = options_.millicores;
+      upstream.capacity.memory_mb = 8000;
+      upstream.capacity.connections = 16;
+      upstream.slots = 4;
+      listed.push_back(upstream);
+      auto& executor = upstream_executors_[upstream.name];
+      executor = std::make_unique<ManualExecutor>(clock_);
+      upstreams_[upstream.name] = std::make_unique<standins::UpstreamStandin>(
+          *executor, history_, upstream);
+    }
+  }
+  log_ = std::make_unique<standins::LogStandin>(platform_executor_,
+                                                options_.retention);
+  list_ = std::make_unique<standins::ListStandin>(platform_executor_, listed);
+  for (int i = 0; i < options_.entries; ++i) StartNode(i);
+}
+
+Cell::~Cell() = default;
+
+void Cell::StartNode(int i) {
+  auto node = std::make_unique<Node>();
+  node->name = EntryName(i);
+  node->incarnation = next_incarnation_++;
+  node->executor = std::make_unique<ManualExecutor>(clock_);
+  node->ports =
+      std::make_unique<NodePorts>(*this, node->name, *node->executor);
+  node->metrics = std::make_unique<metrics::Registry>();
+  const uint64_t seed =
+      options_.seed * 1000 + static_cast<uint64_t>(node->incarnation);
+  instance::InstanceOptions options;
+  options.membership = {.name = node->name,
+                        .incarnation = node->incarnation,
+                        .address = node->name,
+                        .failure_domain = "domain-" + std::to_string(i)};
+  options.session = {.controller = node->name, .seed = seed};
+  options.config = {.name = node->name,
+                    .incarnation = node->incarnation,
+                    .checkpoint_every = options_.retention / 4};
+  options.requests = {.self = node->name,
+                      .incarnation = node->incarnation,
+                      .place_validity = options.membership.dead_after,
+                      .seed = seed};
+  options.cost_flush = Millis(5000);
+  options.seed = seed;
+  node->instance = std::make_unique<instance::Instance>(
+      instance::InstancePorts{.executor = *node->executor,
+                              .upstreams = *node->ports,
+                              .log = *node->ports,
+                              .list = *node->ports,
+                              .peers = *node->ports,
+                              .config_source = *node->ports,
+                              .heartbeats = *node->ports,
+                              .metrics = *node->metrics},
+      options);
+  Node* started = node.get();
+  nodes_[node->name] = std::move(node);
+  started->instance->Start();
+}
+
+void Cell::Kill(int i) { node(i).executor->Kill(); }
+
+void Cell::Restart(int i) {
+  // Callbacks on the way to the old process still hold pointers to it.
+  dead_.push_back(std::move(nodes_[EntryName(i)]));
+  StartNode(i);
+}
+
+Node* Cell::Find(const std::string& name) {
+  const auto found = nodes_.find(name);
+  return found == nodes_.end() ? nullptr : found->second.get();
+}
+
+Node* Cell::ByAddress(const std::string& address) { return Find(address); }
+
+std::vector<std::string> Cell::upstream_names() const {
+  std::vector<std::string> out;
+  for (const auto& [name, upstream] : upstreams_) out.push_back(name);
+  return out;
+}
+
+void Cell::WatchRevisions() {
+  for (const auto& [name, node] : nodes_) {
+    const int64_t now = node->instance->config().fold().revision();
+    if (now < node->newest_revision) reverts.push_back(name);
+    node->newest_revision = now;
+  }
+}
+
+void Cell::Run(Millis span) {
+  const TimePoint until = clock_.now() + span;
+  while (clock_.now() < until) {
+    clock_.RunUntil(std::min(until, clock_.now() + Millis(20)));
+    WatchRevisions();
+  }
+}
+
+bool Cell::RunUntil(const std::function<bool()>& done, Millis limit) {
+  const TimePoint until = clock_.now() + limit;
+  while (!done() && clock_.now() < until) Run(Millis(20));
+  return done();
+}
+
+bool Cell::AllAttached() {
+  size_t attached = 0;
+  for (const auto& [name, node] : nodes_) {
+    if (node->executor->dead()) continue;
+    if (!node->instance->ready()) return false;
+    attached += node->instance->controller().Attached().size();
+  }
+  return attached >= upstreams_.size();
+}
+
+bool Cell::Settle() {
+  Run(Millis(100));
+  Publish(0, 0, "first");
+  return RunUntil([this] { return AllAttached(); }, Millis(20000));
+}
+
+std::shared_ptr<Told> Cell::Submit(int entry, wire::RequestSpec spec) {
+  auto told = std::make_shared<Told>();
+  Node& at = node(entry);
+  at.executor->Post([&at, told, spec = std::move(spec)] {
+    at.instance->requests().Submit(
+        spec, [&at, told](const requests::Submitted& submitted) {
+          told->id = submitted.id;
+          if (!submitted.taken) {
+            told->answered = true;
+            told->outcome = submitted.outcome;
+            return;
+          }
+          at.instance->requests().Await(submitted.id,
+                                        [told](const wire::Outcome& outcome) {
+                                          told->answered = true;
+                                          told->outcome = outcome;
+                                        });
+        });
+  });
+  return told;
+}
+
+std::shared_ptr<Told> Cell::Ask(int entry, const std::string& id, Millis wait) {
+  auto told = std::make_shared<Told>();
+  told->id = id;
+  Node& at = node(entry);
+  at.executor->Post([&at, told, id, wait] {
+    at.instance->lookup().Await(
+        id, wait, [told](const instance::LookupResult& result) {
+          told->answered = result.state == instance::LookupState::kEnded;
+          told->found = result.state != instance::LookupState::kUnknownId;
+          told->outcome = result.outcome;
+        });
+  });
+  return told;
+}
+
+std::shared_ptr<configlog::PublishResult> Cell::Publish(
+    int entry, int64_t base, const std::string& comment) {
+  auto result = std::make_shared<configlog::PublishResult>();
+  result->entry.revision = -1;
+  Node& at = node(entry);
+  at.executor->Post([&at, result, base, comment] {
+    at.instance->config().Publish(
+        Rules(comment), "operator", base,
+        [result](const configlog::PublishResult& told) { *result = told; });
+  });
+  return result;
+}
+
+}  // namespace mimosarail::sim
--- /dev/null
+++ b/tests/sim/manual_executor.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "src/libs/base/executor.h"
+
+namespace mimosarail::sim {
+
+/// A clock that only moves when told to, and the work that hangs on it.
+class ManualClock {
+ public:
+  TimePoint now() const { return now_; }
+  void At(TimePoint when, std::function<void()> work) {
+    queue_.emplace(std::pair(std::max(when, now_), ++sequence_),
+                   std::move(work));
+  }
+  /// Runs everything due up to `until`, then stands there.
+  void RunUntil(TimePoint until) {
+    while (!queue_.empty() && queue_.begin()->first.first <= until) {
+      auto first = queue_.extract(queue_.begin());
+      now_ = first.key().first;
+      first.mapped()();
+    }
+    now_ = until;
+  }
+  void RunFor(Millis span) { RunUntil(now_ + span); }
+
+ private:
+  // Far from zero, as a real monotonic clock is.
+  TimePoint now_ = TimePoint() + std::chrono::hours(1);
+  uint64_t sequence_ = 0;
+  std::map<std::pair<TimePoint, uint64_t>, std::function<void()>> queue_;
+};
+
+/// The executor of one simulated process, which can be paused and killed.
+class ManualExecutor final : public Executor {
+ public:
+  explicit ManualExecutor(ManualClock& clock) : clock_(clock) {}
+
+  TimePoint Now() const override { return clock_.now(); }
+  int64_t UnixMillis() const override {
+    constexpr int64_t kSomeDay = 1796000000000;
+    return kSomeDay +
+           std::chrono::duration_cast<Millis>(clock_.now().time_since_epoch())
+               .count();
+  }
+  void Post(std::function<void()> work) override {
+    RunAfter(Millis(0), std::move(work));
+  }
+  void RunAfter(Millis delay, std::function<void()> work) override {
+    clock_.At(clock_.now() + delay,
+              [this, work = std::move(work)]() mutable { Run(std::move(work)); });
+  }
+
+  void Pause() { paused_ = true; }
+  void Resume() {
+    paused_ = false;
+    for (auto& work : std::exchange(held_, {})) Post(std::move(work));
+  }
+  void Kill() { dead_ = true; }
+  bool dead() const { return dead_; }
+  bool paused() const { return paused_; }
+
+ private:
+  void Run(std::function<void()> work) {
+    if (dead_) return;
+    if (paused_) return held_.push_back(std::move(work));
+    work();
+  }
+
+  ManualClock& clock_;
+  bool paused_ = false;
+  bool dead_ = false;
+  std::vector<std::function<void()>> held_;
+};
+
+}  // namespace mimosarail::sim
--- /dev/null
+++ b/tests/sim/network.h
@@ -0,0 +1,88 @@
+#pragma once
+
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+
+#include "src/libs/base/result.h"
+#include "tests/sim/manual_executor.h"
+
+namespace mimosarail::sim {
+
+/// Carries messages between simulated processes, late, or never.
+class Network {
+ public:
+  Network(ManualClock& clock, uint64_t seed) : clock_(clock), random_(seed) {}
+
+  void Cut(const std::string& from, const std::string& to) {
+    cuts_.emplace(from, to);
+  }
+  void Heal(const std::string& from, const std::string& to) {
+    cuts_.erase({from, to});
+  }
+  void HealAll() { cuts_.clear(); }
+  /// In a thousand messages: how many are lost, come twice, or come seconds
+  /// late.
+  int lost = 0;
+  int doubled = 0;
+  int late = 0;
+
+  void Send(const std::string& from, const std::string& to, Executor& executor,
+            std::function<void()> arrive, bool may_double) {
+    if (Chance(lost)) return;
+    Deliver(from, to, executor, arrive);
+    if (may_double && Chance(doubled)) Deliver(from, to, executor, arrive);
+  }
+
+  /// One call: the request goes out, the reply comes back, or the timer ends
+  /// it. `serve` runs at the receiver.
+  template <typename Reply>
+  void Call(const std::string& from, Executor& caller, const std::string& to,
+            Executor* receiver, Millis timeout,
+            std::function<void(std::function<void(Reply)>)> serve,
+            Callback<Reply> done) {
+    auto open = std::make_shared<Callback<Reply>>(std::move(done));
+    const auto finish = [open](Result<Reply> result) {
+      if (!*open) return;
+      const auto callback = std::exchange(*open, nullptr);
+      callback(std::move(result));
+    };
+    caller.RunAfter(timeout, [finish] { finish(Errc::kTimeout); });
+    if (receiver == nullptr) {
+      caller.RunAfter(Millis(1), [finish] { finish(Errc::kUnavailable); });
+      return;
+    }
+    Send(
+        from, to, *receiver,
+        [this, from, to, &caller, serve = std::move(serve), finish] {
+          serve([this, from, to, &caller, finish](Reply reply) {
+            Send(
+                to, from, caller,
+                [finish, reply = std::move(reply)] { finish(reply); }, false);
+          });
+        },
+        true);
+  }
+
+  bool Chance(int in_thousand) {
+    return static_cast<int>(random_() % 1000) < in_thousand;
+  }
+
+ private:
+  void Deliver(const std::string& from, const std::string& to,
+               Executor& executor, const std::function<void()>& arrive) {
+    const bool long_way = Chance(late);
+    const auto delay = Millis(long_way ? 200 + random_() % 4000
+                                       : 1 + random_() % 3);
+    clock_.At(clock_.now() + delay, [this, from, to, &executor, arrive] {
+      if (!cuts_.contains({from, to})) executor.Post(arrive);
+    });
+  }
+
+  ManualClock& clock_;
+  std::mt19937_64 random_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+};
+
+}  // namespace mimosarail::sim
--- a/tests/standins/upstream_standin.cc
+++ b/tests/standins/upstream_standin.cc
@@ -28,6 +28,10 @@
   return out;
 }
 
+int64_t ToMs(TimePoint time) {
+  return std::chrono::duration_cast<Millis>(time.time_since_epoch()).count();
+}
+
 const char* StateName(wire::TaskState::type state) {
   switch (state) {
     case wire::TaskState::kRunning:
@@ -53,11 +57,11 @@
 }
 
 int64_t UpstreamStandin::NowMs() const {
-  return std::chrono::duration_cast<Millis>(executor_.Now().time_since_epoch())
-      .count();
+  return ToMs(executor_.Now());
 }
 
-void UpstreamStandin::Log(const char* event, const wire::TaskSpec& task) {
+void UpstreamStandin::Log(const char* event, const wire::TaskSpec& task,
+                          int64_t at_ms) {
   history_.Add({{"event", event},
                 {"upstream", self_.name},
                 {"term", term_},
@@ -70,7 +74,7 @@
                 {"memory_mb", task.size.memory_mb},
                 {"accelerators", task.size.accelerators},
                 {"connections", task.size.connections}},
-               NowMs());
+               at_ms);
 }
 
 template <typename Reply>
@@ -98,6 +102,12 @@
     reply.holder = holder_;
     return Send(answer, reply);
   }
+  reply.status = wire::CallStatus::kOk;
+  reply.term = call.term;
+  reply.inventory = Snapshot();
+  reply.capacity = self_.capacity;
+  reply.slots = self_.slots;
+  if (again) return Send(answer, reply);
   term_ = call.term;
   holder_ = call.controller;
   history_.Add({{"event", "attach"},
@@ -112,14 +122,6 @@
     const auto poller = std::exchange(poller_, nullptr);
     poller(stale);
   }
-  for (auto& [id, task] : tasks_) {
-    task.told = task.status.state != wire::TaskState::kRunning;
-  }
-  reply.status = wire::CallStatus::kOk;
-  reply.term = term_;
-  reply.inventory = Snapshot();
-  reply.capacity = self_.capacity;
-  reply.slots = self_.slots;
   Send(answer, reply);
 }
 
@@ -192,6 +194,7 @@
   }
   poller_ = [this, answer](const wire::RenewReply& r) { Send(answer, r); };
   const uint64_t poll = ++poll_;
+  poll_seen_ = call.seen;
   TellPoller();
   if (!poller_) return;
   executor_.RunAfter(Millis(call.wait_ms), [this, poll] {
@@ -210,8 +213,7 @@
   reply.status = wire::CallStatus::kOk;
   reply.term = term_;
   for (auto& [id, task] : tasks_) {
-    if (task.told || task.status.state == wire::TaskState::kRunning) continue;
-    task.told = true;
+    if (task.status.sequence <= poll_seen_) continue;
     reply.ended.push_back(task.status);
   }
   if (reply.ended.empty()) return;
@@ -279,6 +281,7 @@
 
 void UpstreamStandin::EndTask(Task& task, wire::TaskState::type state) {
   task.status.state = state;
+  task.status.sequence = ++last_sequence_;
   task.status.ran_ms =
       std::chrono::duration_cast<Millis>(executor_.Now() - task.started)
           .count();
@@ -288,7 +291,11 @@
     task.status.answer_digest = Digest(answer);
     if (answer.size() <= kInlineAnswer) task.status.answer = std::move(answer);
   }
-  Log(StateName(state), task.status.spec);
+  // A frozen instance notes the lapse when it wakes, but nothing of the task
+  // ran after its lease.
+  const bool lapsed = state == wire::TaskState::kLapsed;
+  Log(StateName(state), task.status.spec,
+      lapsed ? ToMs(task.lease_until) : NowMs());
 }
 
 void UpstreamStandin::Tick() {
--- a/tests/standins/upstream_standin.h
+++ b/tests/standins/upstream_standin.h
@@ -55,14 +55,16 @@
     TimePoint started{};
     TimePoint ends{};
     TimePoint lease_until{};
-    bool told = false;
   };
 
   void Tick();
   void EndTask(Task& task, wire::TaskState::type state);
   void TellPoller();
   std::vector<wire::TaskStatus> Snapshot() const;
-  void Log(const char* event, const wire::TaskSpec& task);
+  void Log(const char* event, const wire::TaskSpec& task, int64_t at_ms);
+  void Log(const char* event, const wire::TaskSpec& task) {
+    Log(event, task, NowMs());
+  }
   template <typename Reply>
   void Send(const Answer<Reply>& answer, const Reply& reply);
   int64_t NowMs() const;
@@ -77,6 +79,8 @@
   std::set<std::string> released_;
   Answer<wire::RenewReply> poller_;
   uint64_t poll_ = 0;
+  int64_t poll_seen_ = 0;
+  int64_t last_sequence_ = 0;
 };
 
 }  // namespace mimosarail::standins
