Requests: Believe only control confirmed after the fence

A follower of a key counted the owner's cost a second time (seen in scripts/demo). Ruled out: late messages alone (the start lay in a frozen upstream). Change: an upstream counts as attached only if it has answered a renewal sent after the fence; not run is said only by an owner of which nothing ran.

--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -80,9 +80,14 @@
 }
 
 std::vector<std::string> Controller::Attached() const {
+  return AttachedSince(TimePoint());
+}
+
+std::vector<std::string> Controller::AttachedSince(TimePoint since) const {
   std::vector<std::string> out;
   for (const auto& [name, session] : sessions_) {
-    if (session->phase() == SessionPhase::kReady) out.push_back(name);
+    if (session->phase() != SessionPhase::kReady) continue;
+    if (session->confirmed_since() >= since) out.push_back(name);
   }
   return out;
 }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -41,6 +41,8 @@
   std::string ControllerOf(const std::string& rack) const;
   /// Names of upstreams attached here with the inventory counted in.
   std::vector<std::string> Attached() const;
+  /// Those of which control was confirmed by the upstream after `since`.
+  std::vector<std::string> AttachedSince(TimePoint since) const;
   /// When an upstream last left the instance list; epoch if never.
   TimePoint last_delisting() const { return last_delisting_; }
 
--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -230,13 +230,15 @@
   NoteExtension();
   port_.Renew(listed_.address, call,
               Guard<wire::RenewReply>(
-                  [this, released = call.release](const auto& reply) {
-                    OnRenew(reply, released);
+                  [this, released = call.release,
+                   sent = executor_.Now()](const auto& reply) {
+                    OnRenew(reply, released, sent);
                   }));
 }
 
 void UpstreamSession::OnRenew(const Result<wire::RenewReply>& reply,
-                              const std::vector<std::string>& released) {
+                              const std::vector<std::string>& released,
+                              TimePoint sent) {
   if (!reply.ok()) {
     // Releasing twice does no harm; not releasing would fill the upstream.
     release_.insert(release_.end(), released.begin(), released.end());
@@ -246,6 +248,7 @@
     return LoseControl(reply.value().term);
   }
   contest_ = options_.contest_first;
+  confirmed_since_ = sent;
   for (const wire::TaskStatus& status : reply.value().ended) {
     HandleEnd(status);
   }
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -89,6 +89,9 @@
 
   bool usable() const;
   SessionPhase phase() const { return phase_; }
+  /// Send time of the latest renewal that the upstream has answered under the
+  /// present term; proves control at some moment after it.
+  TimePoint confirmed_since() const { return confirmed_since_; }
   placement::RowId row() const { return row_; }
   const wire::ListedInstance& listed() const { return listed_; }
   int64_t term() const { return term_; }
@@ -117,7 +120,7 @@
   void StopBeforeRenew(const std::vector<std::string>& unwanted);
   void Renew();
   void OnRenew(const Result<wire::RenewReply>& reply,
-               const std::vector<std::string>& released);
+               const std::vector<std::string>& released, TimePoint sent);
   void OnStart(const std::string& task_id,
                const Result<wire::StartReply>& reply);
   void HandleEnd(const wire::TaskStatus& status);
@@ -152,6 +155,7 @@
   Millis contest_;
   TimePoint contest_until_{};
   TimePoint last_extension_{};
+  TimePoint confirmed_since_{};
   int64_t seen_end_ = 0;  ///< Highest sequence of an end under this term.
   std::map<std::string, Task> tasks_;
   std::vector<std::string> release_;
--- a/src/execution/execution.cc
+++ b/src/execution/execution.cc
@@ -149,8 +149,14 @@
 void Execution::Find(const wire::FindCall& call, wire::FindReply& reply) {
   if (call.fence_below > 0) {
     Fence& fence = fences_[call.request_id];
-    fence.below = std::max(fence.below, call.fence_below);
-    fence.set_at = executor_.Now();
+    if (call.fence_below > fence.below) {
+      fence.below = call.fence_below;
+      fence.set_at = executor_.Now();
+    }
+    // A process that was paused believes that it controls what others have
+    // taken since. Only control that the upstream confirmed after the fence
+    // proves that no start of another term is still to come.
+    reply.attached = controller_->AttachedSince(fence.set_at);
   }
   const auto fence = fences_.find(call.request_id);
   if (fence != fences_.end()) reply.fence_below = fence->second.below;
@@ -167,7 +173,6 @@
     if (held.ended) word.report = held.report;
     reply.tasks.push_back(std::move(word));
   }
-  reply.attached = controller_->Attached();
 }
 
 bool Execution::Stop(const std::string& request_id) {
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -260,6 +260,7 @@
   by_serial_[record.serial] = record.spec.id;
   const std::string id = record.spec.id;
   if (record.spec.keyed) {
+    SetExpiry(record, record.submitted + Millis(treatment.wait_limit_ms));
     record.phase = Phase::kClaiming;
     record.why = "its key is being claimed in the log";
     done({.taken = true, .id = id});
@@ -292,8 +293,8 @@
   if (!winner) {
     // Our intent may still reach the log. That harms nobody: it makes this
     // entry the owner of a key that it has not started.
-    return End(*record, wire::Verdict::kNotRun, "the log does not answer",
-               kShortRetryMs * 2);
+    return EndUnstarted(*record, "the log does not answer",
+                        kShortRetryMs * 2);
   }
   if (winner->spec_digest != record->digest) {
     return End(*record, wire::Verdict::kRefused,
@@ -314,6 +315,7 @@
   if (!c_.members.Lives(winner.owner, winner.owner_incarnation)) {
     return Reclaim(*record, winner.epoch);
   }
+  record->foreign = true;
   const membership::Peer* owner = c_.members.Find(winner.owner);
   record->why = "owned by " + winner.owner;
   wire::SubmitCall call;
@@ -370,6 +372,7 @@
 /// The entry that won the key has died. What it started lives on at the
 /// upstreams; only if it surely started nothing may the key be claimed anew.
 void Requests::Reclaim(Record& record, int32_t lost_epoch) {
+  record.foreign = true;
   record.phase = Phase::kReclaiming;
   record.epoch = lost_epoch + 1;
   record.why = "its former owner is gone";
@@ -415,6 +418,7 @@
 
 void Requests::Enqueue(Record& record) {
   record.phase = Phase::kWaiting;
+  record.foreign = false;
   record.why = "in the queue";
   record.tasks.assign(static_cast<size_t>(record.spec.tasks), TaskRecord{});
   const TimePoint from =
@@ -922,6 +926,7 @@
                        result.result == SettlementResult::kGone;
   if (settled && record.spec.repeatable) {
     record.settling = false;
+    record.ran = true;  // under its former owner, for all that is known
     record.phase = Phase::kClaiming;
     record.why = "its key is being claimed anew";
     return Claim(record.spec.id);
@@ -949,6 +954,15 @@
   Finish(record, std::move(outcome));
 }
 
+/// "Not run" is said only of what never started and that no other entry may
+/// have started.
+void Requests::EndUnstarted(Record& record, const std::string& reason,
+                            int64_t retry_after_ms) {
+  const bool certain = !record.ran && !record.foreign;
+  End(record, certain ? wire::Verdict::kNotRun : wire::Verdict::kUnknown,
+      reason, retry_after_ms);
+}
+
 void Requests::EndDone(Record& record) {
   wire::Outcome outcome;
   outcome.verdict = wire::Verdict::kDone;
@@ -983,7 +997,11 @@
   record.spec.payload.clear();
   SetExpiry(record, TimePoint::max());
   Retain(record);
-  c_.on_ended({.record = record, .now_unix_ms = c_.executor.UnixMillis()});
+  // The owner counts the request and its cost; passing its answer on must not
+  // count it again.
+  if (!record.foreign) {
+    c_.on_ended({.record = record, .now_unix_ms = c_.executor.UnixMillis()});
+  }
   const std::vector<OutcomeCallback> waiters = std::move(record.waiters);
   record.waiters.clear();
   const wire::Outcome copy = record.outcome;
@@ -1013,9 +1031,7 @@
     }
     // Nothing of it runs now. An earlier attempt may have, so "not run" is
     // only said if none was started.
-    const bool never = !record->ran;
-    End(*record, never ? wire::Verdict::kNotRun : wire::Verdict::kUnknown,
-        "gave up waiting: " + record->why, RetryAfterMs());
+    EndUnstarted(*record, "gave up waiting: " + record->why, RetryAfterMs());
   }
   ExpireOld();
   const auto span = std::chrono::duration_cast<Millis>(now - rate_since_);
@@ -1085,9 +1101,7 @@
   for (const std::string& id : Select([](const Record& record) {
          return record.phase != Phase::kRunning;
        })) {
-    Record& record = records_[id];
-    End(record, record.ran ? wire::Verdict::kUnknown : wire::Verdict::kNotRun,
-        reason, kShortRetryMs);
+    EndUnstarted(records_[id], reason, kShortRetryMs);
   }
 }
 
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -188,6 +188,8 @@
 
   void End(Record& record, wire::Verdict::type verdict,
            const std::string& reason, int64_t retry_after_ms = 0);
+  void EndUnstarted(Record& record, const std::string& reason,
+                    int64_t retry_after_ms);
   void EndDone(Record& record);
   void Finish(Record& record, wire::Outcome outcome);
   void SetExpiry(Record& record, TimePoint when);
