--- a/src/callers/http_api.cc
+++ b/src/callers/http_api.cc
@@ -348,6 +348,11 @@
   server.set_read_timeout(kReadTimeoutSeconds);
   server.set_keep_alive_timeout(kKeepAliveSeconds);
   server.set_tcp_nodelay(true);
+  // The library's default would let two daemons share a port by mistake.
+  server.set_socket_options([](socket_t socket) {
+    const int on = 1;
+    setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  });
   d_->Register();
   int bound = port;
   if (port == 0) {
--- a/src/libs/settings/settings.h
+++ b/src/libs/settings/settings.h
@@ -20,7 +20,7 @@
   std::string log_address;
   std::string list_address;
   std::vector<std::string> peers;
-  int64_t http_threads = 16;
+  int64_t http_threads = 64;
   int64_t http_max_body = 1 << 20;
   int64_t traffic_threads = 2;
   int64_t heartbeat_ms = 500;
--- a/tests/scenarios/main.cc
+++ b/tests/scenarios/main.cc
@@ -29,8 +29,10 @@
     }
     return;
   }
-  if (value.is_boolean()) return lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
-  if (value.is_number_integer()) return lua_pushinteger(lua, value.get<int64_t>());
+  if (value.is_boolean())
+    return lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
+  if (value.is_number_integer())
+    return lua_pushinteger(lua, value.get<int64_t>());
   if (value.is_number()) return lua_pushnumber(lua, value.get<double>());
   if (value.is_null()) return lua_pushnil(lua);
   lua_pushstring(lua, value.get<std::string>().c_str());
@@ -88,18 +90,21 @@
 }
 
 int HttpLater(lua_State* lua) {
-  lua_pushinteger(lua, cell->HttpLater(Text(lua, 1), Text(lua, 2),
-                                       Text(lua, 3), ToJson(lua, 4)));
+  lua_pushinteger(lua, cell->HttpLater(Text(lua, 1), Text(lua, 2), Text(lua, 3),
+                                       ToJson(lua, 4)));
   return 1;
 }
 
 int Result(lua_State* lua) {
-  return PushReply(lua, cell->Result(static_cast<int>(luaL_checkinteger(lua, 1))));
+  return PushReply(lua,
+                   cell->Result(static_cast<int>(luaL_checkinteger(lua, 1))));
 }
 
 int Signal(lua_State* lua) {
-  static const std::map<std::string, int> kSignals{
-      {"KILL", SIGKILL}, {"STOP", SIGSTOP}, {"CONT", SIGCONT}, {"TERM", SIGTERM}};
+  static const std::map<std::string, int> kSignals{{"KILL", SIGKILL},
+                                                   {"STOP", SIGSTOP},
+                                                   {"CONT", SIGCONT},
+                                                   {"TERM", SIGTERM}};
   cell->Signal(Text(lua, 1), kSignals.at(Text(lua, 2)));
   return 0;
 }
@@ -177,10 +182,18 @@
   lua_State* lua = luaL_newstate();
   luaL_openlibs(lua);
   const std::map<std::string, lua_CFunction> functions{
-      {"start", Start},     {"http", Http},        {"http_later", HttpLater},
-      {"result", Result},   {"signal", Signal},    {"wait", Wait},
-      {"alive", Alive},     {"restart", Restart},  {"cut", Cut},
-      {"sleep_ms", Sleep},  {"now_ms", NowMs},     {"history", HistoryOf},
+      {"start", Start},
+      {"http", Http},
+      {"http_later", HttpLater},
+      {"result", Result},
+      {"signal", Signal},
+      {"wait", Wait},
+      {"alive", Alive},
+      {"restart", Restart},
+      {"cut", Cut},
+      {"sleep_ms", Sleep},
+      {"now_ms", NowMs},
+      {"history", HistoryOf},
       {"broken_promises", Check}};
   for (const auto& [name, function] : functions) {
     lua_register(lua, name.c_str(), function);
--- a/tests/scenarios/process.cc
+++ b/tests/scenarios/process.cc
@@ -3,7 +3,6 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <spawn.h>
-#include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
@@ -64,7 +63,13 @@
 }
 
 int FreePort() {
-  const int fd = socket(AF_INET, SOCK_STREAM, 0);
+  // The socket stays bound, without listening, for the life of this process:
+  // the kernel then gives the port to nobody else, while a child that sets
+  // SO_REUSEADDR or SO_REUSEPORT may still listen on it.
+  const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const int on = 1;
+  setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+  setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
   sockaddr_in address{};
   address.sin_family = AF_INET;
   address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
@@ -72,7 +77,6 @@
   auto* raw = reinterpret_cast<sockaddr*>(&address);
   if (bind(fd, raw, size) != 0) std::abort();
   getsockname(fd, raw, &size);
-  close(fd);
   return ntohs(address.sin_port);
 }
 
--- a/tests/scenarios/process.h
+++ b/tests/scenarios/process.h
@@ -28,7 +28,8 @@
   int code_ = 0;
 };
 
-/// A port of the loopback address that the kernel says is free.
+/// A port of the loopback address from the kernel, kept for this process and
+/// its children.
 int FreePort();
 
 }  // namespace mimosarail::scenarios
--- a/tests/scenarios/real_cell.cc
+++ b/tests/scenarios/real_cell.cc
@@ -18,12 +18,12 @@
 
 /// Short times, so that scenarios take seconds; every limit is generous.
 json FastSettings() {
-  return {{"heartbeat_ms", 100},   {"suspect_ms", 500},
-          {"dead_ms", 1000},       {"return_ms", 500},
-          {"list_refresh_ms", 200}, {"lease_ms", 3000},
-          {"max_delay_ms", 500},   {"call_timeout_ms", 400},
+  return {{"heartbeat_ms", 100},     {"suspect_ms", 500},
+          {"dead_ms", 1000},         {"return_ms", 500},
+          {"list_refresh_ms", 200},  {"lease_ms", 3000},
+          {"max_delay_ms", 500},     {"call_timeout_ms", 400},
           {"log_read_wait_ms", 500}, {"cost_flush_ms", 500},
-          {"checkpoint_ms", 2000}, {"shutdown_ms", 15000}};
+          {"checkpoint_ms", 2000},   {"shutdown_ms", 15000}};
 }
 
 }  // namespace
@@ -43,9 +43,10 @@
   for (int i = 0; i < entries; ++i) {
     const int advertised = FreePort();
     peers.push_back(Loopback(advertised));
-    cell["entries"].push_back({{"name", "entry-" + std::to_string(i)},
-                               {"address", peers.back()},
-                               {"failure_domain", "domain-" + std::to_string(i % 3)}});
+    cell["entries"].push_back(
+        {{"name", "entry-" + std::to_string(i)},
+         {"address", peers.back()},
+         {"failure_domain", "domain-" + std::to_string(i % 3)}});
   }
   for (int i = 0; i < racks; ++i) {
     const std::string name = "rack-" + std::to_string(i);
@@ -67,21 +68,30 @@
   WriteFile(dir_ + "/cell.json", cell.dump());
   Member& platform = members_["platform"];
   platform.http_port = FreePort();
-  platform.arguments = {
-      bin_dir_ + "/tests/standins/mimosarail_standin", "--cell",
-      dir_ + "/cell.json", "--log", Loopback(log_port_), "--list",
-      Loopback(list_port_), "--control", Loopback(platform.http_port),
-      "--retention_ms",
-      std::to_string(options.value("retention_ms", 600000))};
+  platform.arguments = {bin_dir_ + "/tests/standins/mimosarail_standin",
+                        "--cell",
+                        dir_ + "/cell.json",
+                        "--log",
+                        Loopback(log_port_),
+                        "--list",
+                        Loopback(list_port_),
+                        "--control",
+                        Loopback(platform.http_port),
+                        "--retention_ms",
+                        std::to_string(options.value("retention_ms", 600000))};
   StartMember("platform");
   for (size_t i = 0; i < racks_.size(); ++i) {
     Member& rack = members_[racks_[i]];
     rack.http_port = FreePort();
     rack.arguments = {bin_dir_ + "/tests/standins/mimosarail_standin",
-                      "--cell", dir_ + "/cell.json",
-                      "--upstreams", Loopback(real_ports[racks_[i]]),
-                      "--upstreams_as", cell["upstreams"][i]["address"],
-                      "--control", Loopback(rack.http_port)};
+                      "--cell",
+                      dir_ + "/cell.json",
+                      "--upstreams",
+                      Loopback(real_ports[racks_[i]]),
+                      "--upstreams_as",
+                      cell["upstreams"][i]["address"],
+                      "--control",
+                      Loopback(rack.http_port)};
     StartMember(racks_[i]);
   }
   for (int i = 0; i < entries; ++i) AddEntry(i, options, peers);
@@ -164,10 +174,9 @@
 int RealCell::HttpLater(const std::string& process, const std::string& method,
                         const std::string& path, const json& body) {
   const int port = members_.at(process).http_port;
-  pending_[++next_handle_] =
-      std::async(std::launch::async, [port, method, path, body] {
-        return Send(port, method, path, body);
-      });
+  pending_[++next_handle_] = std::async(
+      std::launch::async,
+      [port, method, path, body] { return Send(port, method, path, body); });
   return next_handle_;
 }
 
--- a/tests/scenarios/real_cell.h
+++ b/tests/scenarios/real_cell.h
@@ -60,7 +60,8 @@
     std::unique_ptr<Relay> relay;
   };
   void StartMember(const std::string& name);
-  void AddEntry(int i, const json& options, const std::vector<std::string>& peers);
+  void AddEntry(int i, const json& options,
+                const std::vector<std::string>& peers);
   static HttpReply Send(int port, const std::string& method,
                         const std::string& path, const json& body);
 
--- a/tests/scenarios/relay.cc
+++ b/tests/scenarios/relay.cc
@@ -22,18 +22,18 @@
     server.close(ignored);
   }
 
-  void Pump(tcp::socket& from, tcp::socket& to, std::array<char, 8192>& buffer) {
+  void Pump(tcp::socket& from, tcp::socket& to,
+            std::array<char, 8192>& buffer) {
     from.async_read_some(
-        asio::buffer(buffer),
-        [self = shared_from_this(), &from, &to, &buffer](std::error_code error,
-                                                         size_t size) {
+        asio::buffer(buffer), [self = shared_from_this(), &from, &to, &buffer](
+                                  std::error_code error, size_t size) {
           if (error) return self->Close();
-          asio::async_write(to, asio::buffer(buffer, size),
-                            [self, &from, &to, &buffer](std::error_code e,
-                                                        size_t) {
-                              if (e) return self->Close();
-                              self->Pump(from, to, buffer);
-                            });
+          asio::async_write(
+              to, asio::buffer(buffer, size),
+              [self, &from, &to, &buffer](std::error_code e, size_t) {
+                if (e) return self->Close();
+                self->Pump(from, to, buffer);
+              });
         });
   }
 
@@ -55,12 +55,12 @@
                                     static_cast<uint16_t>(from))) {}
 
   void AcceptNext() {
-    acceptor.async_accept([self = shared_from_this()](std::error_code error,
-                                                      tcp::socket socket) {
-      if (error) return;
-      if (!self->cut) self->Join(std::move(socket));
-      self->AcceptNext();
-    });
+    acceptor.async_accept(
+        [self = shared_from_this()](std::error_code error, tcp::socket socket) {
+          if (error) return;
+          if (!self->cut) self->Join(std::move(socket));
+          self->AcceptNext();
+        });
   }
 
   void Join(tcp::socket socket) {
