--- a/src/libs/json/json_text.cc
+++ b/src/libs/json/json_text.cc
@@ -69,7 +69,12 @@
   bool number_float(double value, const std::string&) override {
     return Put(value);
   }
-  bool string(std::string& value) override { return Put(value); }
+  bool string(std::string& value) override {
+    token_length_ = value.size() + 2;
+    const bool put = Put(value);
+    token_length_ = 0;
+    return put;
+  }
   bool binary(Json::binary_t&) override { return false; }
   bool start_object(size_t) override { return Open(Json::object()); }
   bool start_array(size_t) override { return Open(Json::array()); }
@@ -121,7 +126,9 @@
     }
     Json& parent = *levels_.back().node;
     if (parent.is_array()) {
-      out_.places.emplace(Path(), LineAndColumn(text_, count_));
+      // The parser has read past a string, whose length is known.
+      const size_t start = count_ > token_length_ ? count_ - token_length_ : 0;
+      out_.places.emplace(Path(), LineAndColumn(text_, start));
       parent.push_back(std::move(value));
       return &parent.back();
     }
@@ -155,6 +162,7 @@
   JsonText& out_;
   Findings& findings_;
   std::string key_;
+  size_t token_length_ = 0;
   std::vector<Level> levels_;
 };
 
--- /dev/null
+++ b/tests/config_test.cc
@@ -0,0 +1,202 @@
+// The configuration: one winner among racing operators, the same everywhere,
+// never going back, whatever the log has trimmed.
+
+#define BOOST_TEST_MODULE config
+#include <boost/test/unit_test.hpp>
+
+#include "src/configlog/config_fold.h"
+#include "src/libs/rpc/codec.h"
+#include "src/libs/settings/settings.h"
+
+namespace mimosarail::configlog {
+namespace {
+
+std::string Text(const std::string& name) {
+  return R"({"rules": [{"name": ")" + name + R"("}]})";
+}
+
+/// A log in a vector: offsets are places.
+struct FakeLog {
+  std::vector<wire::LogRecord> records;
+  int64_t first = 0;
+
+  int64_t Append(const wire::ConfigRecord& record) {
+    wire::LogRecord entry;
+    entry.offset = static_cast<int64_t>(records.size());
+    entry.data = rpc::Encode(record);
+    records.push_back(entry);
+    return entry.offset;
+  }
+  int64_t Publish(const std::string& id, int64_t base,
+                  const std::string& text) {
+    wire::ConfigRecord record;
+    record.kind = wire::ConfigKind::kPublish;
+    record.id = id;
+    record.base = base;
+    record.author = id;
+    record.text = text;
+    return Append(record);
+  }
+  int64_t Checkpoint(int64_t revision, int64_t as_of, const std::string& text) {
+    wire::ConfigRecord record;
+    record.kind = wire::ConfigKind::kCheckpoint;
+    record.id = "checkpoint";
+    record.base = revision;
+    record.as_of = as_of;
+    record.text = text;
+    return Append(record);
+  }
+  /// What a reader at `position` is sent.
+  std::vector<wire::LogRecord> From(int64_t position) const {
+    std::vector<wire::LogRecord> out;
+    for (const auto& record : records) {
+      if (record.offset >= std::max(position, first)) out.push_back(record);
+    }
+    return out;
+  }
+  void Feed(ConfigFold& fold) const {
+    fold.Consume(first, From(fold.position()));
+  }
+};
+
+}  // namespace
+
+// Two operators publish from revision 1 at once. A reader must take the first
+// by offset and tell the second what beat it, at every entry alike.
+BOOST_AUTO_TEST_CASE(the_first_by_offset_wins_a_race) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  log.Publish("b", 1, Text("two"));
+  log.Publish("c", 1, Text("three"));
+  ConfigFold fold;
+  log.Feed(fold);
+  BOOST_TEST(fold.revision() == 2);
+  BOOST_TEST(fold.state().text == Text("two"));
+  const AuditEntry* loser = fold.FindAudit("c");
+  BOOST_REQUIRE(loser != nullptr);
+  BOOST_TEST((loser->decision == Decision::kStaleBase));
+  BOOST_TEST(loser->revision == 2);
+}
+
+// The reply to an append is lost and the publisher appends the same id again:
+// the second copy must neither win nor count as a loss.
+BOOST_AUTO_TEST_CASE(a_second_copy_changes_nothing) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  log.Publish("a", 0, Text("one"));
+  ConfigFold fold;
+  log.Feed(fold);
+  BOOST_TEST(fold.revision() == 1);
+  BOOST_TEST((fold.audit().back().decision == Decision::kDuplicate));
+}
+
+// A slow entry appends its copy of revision 1 after revision 2 is in the log,
+// and everything before that copy expires. An entry that starts now must not
+// take the old copy for the last word.
+BOOST_AUTO_TEST_CASE(a_late_copy_never_brings_an_old_revision_back) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  log.Publish("b", 1, Text("two"));
+  const int64_t late = log.Checkpoint(1, 1, Text("one"));
+  log.first = late;
+  ConfigFold fresh;
+  log.Feed(fresh);
+  BOOST_TEST(!fresh.known());
+  BOOST_TEST(fresh.revision() == 0);
+  // A copy that has seen the publish closes the gap, with what came after it.
+  log.Publish("c", 2, Text("three"));
+  log.Checkpoint(2, 3, Text("two"));
+  log.Feed(fresh);
+  BOOST_TEST(fresh.known());
+  BOOST_TEST(fresh.revision() == 3);
+  BOOST_TEST(fresh.state().text == Text("three"));
+}
+
+// An entry was cut off until the log had trimmed what it did not read. It may
+// judge no publish before a copy tells what it missed, and keeps what it has.
+BOOST_AUTO_TEST_CASE(a_reader_that_missed_records_waits_for_a_copy) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  ConfigFold fold;
+  log.Feed(fold);
+  log.Publish("b", 1, Text("two"));
+  const int64_t next = log.Publish("c", 2, Text("three"));
+  log.first = next;
+  log.Feed(fold);
+  BOOST_TEST(!fold.known());
+  BOOST_TEST(fold.revision() == 1);
+  log.Checkpoint(3, next + 1, Text("three"));
+  log.Feed(fold);
+  BOOST_TEST(fold.known());
+  BOOST_TEST(fold.revision() == 3);
+}
+
+// The log is down and a peer tells its revision: newer ones are taken, older
+// ones and those that cannot be joined to what was read are not.
+BOOST_AUTO_TEST_CASE(peers_only_bring_forward) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  log.Publish("b", 1, Text("two"));
+  ConfigFold fold;
+  log.Feed(fold);
+  BOOST_TEST(!fold.Adopt({.revision = 1, .as_of = 9, .text = Text("one")}));
+  BOOST_TEST(fold.revision() == 2);
+  BOOST_TEST(fold.Adopt({.revision = 3, .as_of = 9, .text = Text("three")}));
+  BOOST_TEST(fold.revision() == 3);
+  ConfigFold fresh;
+  BOOST_TEST(fresh.Adopt({.revision = 3, .as_of = 9, .text = Text("three")}));
+  BOOST_TEST(fresh.position() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(the_difference_names_what_changed) {
+  const auto lines = Difference(
+      R"({"rules": [{"name": "a"}, {"name": "b"}, {"name": "c"}]})",
+      R"({"limits": {"waiting": 5}, "rules": [{"name": "c"}, {"name": "a", "then": {"priority": 1}}, {"name": "d"}]})");
+  BOOST_TEST(lines.size() == 5U);
+  BOOST_TEST(lines[0] == "- rule b");
+}
+
+}  // namespace mimosarail::configlog
+
+namespace mimosarail::settings {
+
+BOOST_AUTO_TEST_CASE(settings_report_all_faults_with_line_and_column) {
+  Findings findings;
+  const auto parsed = Parse(R"({
+  // a comment
+  "name": "e", "failure_domain": "d", "listen": "host:1",
+  "http_listen": "127.0.0.1:80", "log_address": "127.0.0.1:1",
+  "lease_ms": 5, "colour": 3,
+  "peers": ["127.0.0.1:1", "nowhere"]
+})",
+                            findings);
+  BOOST_TEST(!parsed.has_value());
+  const std::string text = findings.ToString();
+  for (const char* part :
+       {"3:39 listen: must be ip:port", "list_address: is missing",
+        "5:3 lease_ms: must be from 200", "5:18 colour: unknown key",
+        "6:28 peers[1]: must be ip:port"}) {
+    BOOST_TEST(text.find(part) != std::string::npos, part << " not in\n"
+                                                          << text);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(settings_that_break_a_guard_clash) {
+  Findings findings;
+  Settings settings{.name = "e",
+                    .failure_domain = "d",
+                    .listen = "127.0.0.1:1",
+                    .http_listen = "127.0.0.1:2",
+                    .log_address = "127.0.0.1:3",
+                    .list_address = "127.0.0.1:4"};
+  settings.lease_ms = settings.dead_ms;
+  std::string text = Print(settings);
+  text.replace(text.find("\"advertise\": \"\""), 15, "\"region\": \"x\"");
+  text.erase(text.find("  \"region\": \"local\",\n"), 21);
+  BOOST_TEST(!Parse(text, findings).has_value());
+  BOOST_TEST(
+      findings.ToString().find("at least twice dead_ms") != std::string::npos,
+      findings.ToString());
+}
+
+}  // namespace mimosarail::settings
--- /dev/null
+++ b/tests/placement_test.cc
@@ -0,0 +1,305 @@
+// The decision core: nothing is overcommitted, gangs are all or none, the
+// queue ages, failing upstreams are probed.
+
+#define BOOST_TEST_MODULE placement
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <random>
+#include <set>
+
+#include "src/membership/rack_assignment.h"
+#include "src/placement/policy.h"
+#include "src/placement/wait_queue.h"
+#include "src/requests/retry_budget.h"
+#include "src/requests/settlement.h"
+
+namespace mimosarail::placement {
+namespace {
+
+const Amount kCapacity{{16000, 32000, 1, 64, 8}};
+
+Room MakeRoom(int racks, int per_rack) {
+  Room room;
+  for (int r = 0; r < racks; ++r) {
+    for (int i = 0; i < per_rack; ++i) {
+      const RowId row = room.Add({.name = "u" + std::to_string(r * 100 + i),
+                                  .rack = "r" + std::to_string(r),
+                                  .failure_domain = "d" + std::to_string(r % 3),
+                                  .capacity = kCapacity});
+      room.SetUsable(row, true);
+    }
+  }
+  return room;
+}
+
+Amount Size(int32_t millicores) { return {{millicores, 100, 0, 0, 1}}; }
+
+std::unique_ptr<Policy> MakePolicy(int which) {
+  switch (which) {
+    case 0:
+      return MakeScoredPolicy(1);
+    case 1:
+      return MakeFirstFitPolicy();
+    case 2:
+      return MakeRandomFitPolicy(1);
+    default:
+      return MakeBestOfTwoPolicy(1);
+  }
+}
+
+}  // namespace
+
+BOOST_DATA_TEST_CASE(no_policy_overcommits_or_leaks,
+                     boost::unit_test::data::xrange(4), which) {
+  Room room = MakeRoom(4, 4);
+  const auto policy = MakePolicy(which);
+  std::mt19937 random(7);
+  std::vector<std::pair<RowId, Amount>> running;
+  for (int step = 0; step < 5000; ++step) {
+    const Amount size = Size(static_cast<int32_t>(250 + random() % 9000));
+    const int tasks = random() % 5 == 0 ? 3 : 1;
+    const bool spread = random() % 2 == 0;
+    for (const RowId row : policy->Place(
+             room,
+             {.size = size, .tasks = tasks, .spread = spread, .group = 5})) {
+      running.emplace_back(row, size);
+    }
+    while (running.size() > 60) {
+      const size_t i = random() % running.size();
+      room.Give(running[i].first, running[i].second, 5);
+      running.erase(running.begin() + static_cast<std::ptrdiff_t>(i));
+    }
+    for (const Row& row : room.rows()) {
+      for (const int32_t free : row.free.of) BOOST_REQUIRE(free >= 0);
+    }
+  }
+  for (const auto& [row, size] : running) room.Give(row, size, 5);
+  BOOST_TEST((room.total_free() == room.total_capacity()));
+  BOOST_TEST(room.GroupInDomain(5, "d0") == 0);
+}
+
+BOOST_AUTO_TEST_CASE(a_gang_is_placed_whole_or_not_at_all) {
+  Room room = MakeRoom(1, 2);
+  const auto policy = MakeScoredPolicy(1);
+  BOOST_TEST(policy->Place(room, {.size = Size(16000), .tasks = 3}).empty());
+  BOOST_TEST((room.total_free() == room.total_capacity()));
+  BOOST_TEST(policy->Place(room, {.size = Size(16000), .tasks = 2}).size() ==
+             2U);
+}
+
+BOOST_AUTO_TEST_CASE(spread_uses_every_failure_domain) {
+  Room room = MakeRoom(3, 4);
+  const auto policy = MakeScoredPolicy(1);
+  std::set<std::string> domains;
+  for (int i = 0; i < 3; ++i) {
+    const auto rows =
+        policy->Place(room, {.size = Size(1000), .spread = true, .group = 9});
+    domains.insert(room.racks()[room.row(rows.at(0)).rack].failure_domain);
+  }
+  BOOST_TEST(domains.size() == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(accelerators_are_kept_for_those_that_need_them) {
+  Room room;
+  const RowId with =
+      room.Add({.name = "with", .rack = "r", .capacity = kCapacity});
+  Amount plain = kCapacity;
+  plain[Dimension::kAccelerators] = 0;
+  const RowId without =
+      room.Add({.name = "without", .rack = "r", .capacity = plain});
+  room.SetUsable(with, true);
+  room.SetUsable(without, true);
+  const auto policy = MakeScoredPolicy(1);
+  BOOST_TEST(policy->Place(room, {.size = Size(1000)}).at(0) == without);
+}
+
+BOOST_AUTO_TEST_CASE(constraints_are_kept_and_the_nearest_miss_is_named) {
+  Room room = MakeRoom(3, 2);
+  const auto policy = MakeScoredPolicy(1);
+  const std::vector<std::string> domains{"d1"};
+  const auto rows =
+      policy->Place(room, {.size = Size(1000), .failure_domains = &domains});
+  BOOST_TEST(room.racks()[room.row(rows.at(0)).rack].failure_domain == "d1");
+  const std::string why = ExplainNoRoom(room, {.size = Size(17000)});
+  BOOST_TEST(
+      why.find("needs 17000 millicores, free 16000") != std::string::npos, why);
+}
+
+// An upstream fails every task within a millisecond. It always looks idle, so
+// without the probe it would draw all work of the cell and fail it.
+BOOST_AUTO_TEST_CASE(an_upstream_that_fails_everything_gets_single_probes) {
+  Room room = MakeRoom(1, 1);
+  const auto policy = MakeScoredPolicy(1);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  int placed = 0;
+  for (int second = 0; second < 600; ++second) {
+    now += std::chrono::seconds(1);
+    const auto rows = policy->Place(room, {.size = Size(1000), .now = now});
+    if (rows.empty()) continue;
+    ++placed;
+    room.NoteFailure(rows[0], now);
+    room.Give(rows[0], Size(1000));
+  }
+  BOOST_TEST(placed < 30);
+  BOOST_TEST(placed > 5);
+  room.NoteSuccess(0);
+  BOOST_TEST(policy->Place(room, {.size = Size(1000), .now = now}).size() ==
+             1U);
+}
+
+// Proofs (priority 6) come once; pushes of priority 5 keep coming, each newer.
+// By priority alone the proofs would still be queued at dawn.
+BOOST_AUTO_TEST_CASE(waiting_ages_so_that_nothing_starves) {
+  WaitQueue queue;
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  queue.Push({.id = 1, .priority = 6, .team = "a", .since = start, .shape = 1});
+  TimePoint now = start;
+  bool done = false;
+  for (uint64_t id = 2; id < 1000 && !done; ++id) {
+    now += std::chrono::seconds(10);
+    queue.Push(
+        {.id = id, .priority = 5, .team = "b", .since = now, .shape = id});
+    bool placed_one = false;
+    queue.VisitInOrder(now, [&](const QueueItem& item) {
+      if (placed_one) return Visit::kStop;
+      placed_one = true;
+      done |= item.id == 1;
+      return Visit::kPlaced;
+    });
+  }
+  BOOST_TEST(done);
+}
+
+BOOST_AUTO_TEST_CASE(urgent_first_then_order_of_arrival) {
+  WaitQueue queue;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  queue.Push({.id = 1, .priority = 4, .since = now, .shape = 1});
+  queue.Push({.id = 2, .priority = 4, .since = now + Millis(1), .shape = 2});
+  queue.Push({.id = 3, .priority = 0, .since = now + Millis(2), .shape = 3});
+  std::vector<uint64_t> order;
+  queue.VisitInOrder(now, [&](const QueueItem& item) {
+    order.push_back(item.id);
+    return Visit::kBlocked;
+  });
+  BOOST_TEST((order == std::vector<uint64_t>{3, 1, 2}));
+}
+
+BOOST_AUTO_TEST_CASE(blocked_shapes_are_asked_once) {
+  WaitQueue queue;
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (uint64_t id = 1; id <= 1000; ++id) {
+    queue.Push({.id = id, .priority = 4, .since = now, .shape = id % 3});
+  }
+  int visits = 0;
+  queue.VisitInOrder(now, [&](const QueueItem&) {
+    ++visits;
+    return Visit::kBlocked;
+  });
+  BOOST_TEST(visits == 3);
+}
+
+BOOST_AUTO_TEST_CASE(retries_are_a_share_of_starts) {
+  requests::RetryBudget budget;
+  int retries = 0;
+  for (int i = 0; i < 1000; ++i) {
+    budget.NoteStart("rule");
+    if (budget.Take("rule")) ++retries;
+  }
+  BOOST_TEST(retries <= 210);
+  BOOST_TEST(retries >= 190);
+}
+
+}  // namespace mimosarail::placement
+
+namespace mimosarail::membership {
+
+// Racks move when an entry comes or goes; each move is a takeover with a pause.
+BOOST_AUTO_TEST_CASE(racks_are_balanced_and_few_move) {
+  std::vector<RackPlace> racks;
+  for (int i = 0; i < 60; ++i) {
+    racks.push_back({"rack-" + std::to_string(i), "d" + std::to_string(i % 3)});
+  }
+  std::vector<ControllerPlace> entries;
+  for (int i = 0; i < 6; ++i) {
+    entries.push_back({"e" + std::to_string(i), "d" + std::to_string(i % 3)});
+  }
+  const auto before = AssignRacks(racks, entries);
+  std::map<std::string, int> load;
+  for (const auto& [rack, entry] : before) ++load[entry];
+  for (const auto& [entry, count] : load) BOOST_TEST(count == 10);
+  entries.erase(entries.begin() + 2);
+  const auto after = AssignRacks(racks, entries);
+  int moved = 0;
+  for (const auto& [rack, entry] : before) {
+    if (entry != "e2" && after.at(rack) != entry) ++moved;
+  }
+  BOOST_TEST(moved <= 10);
+  std::reverse(racks.begin(), racks.end());
+  std::reverse(entries.begin(), entries.end());
+  BOOST_TEST((AssignRacks(racks, entries) == after));
+}
+
+}  // namespace mimosarail::membership
+
+namespace mimosarail::requests {
+namespace {
+
+/// How one row of the table of settlements is set up.
+struct SettleCase {
+  const char* name;
+  bool word_running;
+  bool word_moved;
+  bool covered;
+  bool fenced;
+  bool vanished;
+  bool lapse_proved;
+  SettlementResult expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const SettleCase& c) {
+  return out << c.name;
+}
+
+const std::vector<SettleCase> kSettleCases{
+    {"held elsewhere", true, false, false, false, false, false,
+     SettlementResult::kHeld},
+    {"moved says nothing", false, true, true, false, false, false,
+     SettlementResult::kWait},
+    {"absent, not fenced", false, false, true, false, false, false,
+     SettlementResult::kWait},
+    {"absent, an upstream not covered", false, false, false, true, false, false,
+     SettlementResult::kWait},
+    {"absent, covered, fenced", false, false, true, true, false, false,
+     SettlementResult::kNotStarted},
+    {"absent, but an upstream took its inventory away", false, false, true,
+     true, true, false, SettlementResult::kGone},
+    {"lapse proved, not covered", false, true, false, true, false, true,
+     SettlementResult::kGone},
+};
+
+}  // namespace
+
+BOOST_DATA_TEST_CASE(settlements, boost::unit_test::data::make(kSettleCases),
+                     c) {
+  std::map<std::string, wire::FindReply> answers;
+  wire::FindReply& reply = answers["entry"];
+  reply.attached = {"up-1"};
+  if (c.covered) reply.attached.push_back("up-2");
+  if (c.word_running || c.word_moved) {
+    wire::TaskWord word;
+    word.attempt = 7;
+    word.ended = c.word_moved;
+    word.report.result = wire::TaskEnd::kMoved;
+    reply.tasks.push_back(word);
+  }
+  const Settlement result = Settle({.attempt = 7,
+                                    .answers = &answers,
+                                    .listed_upstreams = {"up-1", "up-2"},
+                                    .fenced = c.fenced,
+                                    .upstream_vanished = c.vanished,
+                                    .lapse_proved = c.lapse_proved});
+  BOOST_TEST(static_cast<int>(result.result) == static_cast<int>(c.expected));
+}
+
+}  // namespace mimosarail::requests
