--- /dev/null
+++ b/bench/arrivals.h
@@ -0,0 +1,115 @@
+#pragma once
+
+#include <algorithm>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "src/placement/amount.h"
+#include "src/placement/wait_queue.h"
+
+namespace mimosarail::bench {
+
+/// What a job is, in the users' mix.
+enum class JobKind { kUrgent, kBatch, kGang, kService };
+
+struct Job {
+  JobKind kind = JobKind::kBatch;
+  placement::Amount size;
+  int tasks = 1;
+  int priority = 4;
+  double arrives = 0;   ///< Seconds.
+  double runs = 0;      ///< Seconds, in truth.
+  double declared = 0;  ///< Seconds, as the caller says.
+  std::string team;
+  bool repeatable = true;
+};
+
+/// A load shaped on one of the users.
+struct Load {
+  std::string name;
+  double utilisation = 0.9;  ///< Offered core-seconds over capacity.
+  double seconds = 3600;
+  double declared_spread = 1;  ///< Declared run times are off by up to this.
+  bool burst = false;          ///< 400 urgent jobs at once in the middle.
+  bool overnight = false;      ///< Half of the batch work comes in one minute.
+  double gang_share = 0.1;     ///< Of the offered core-seconds.
+  double failing = 0;          ///< Share of upstreams that fail everything.
+  bool rack_lost = false;      ///< One rack dies in the middle.
+};
+
+/// Jobs of a load on `cores` cores, in order of arrival. Seeded.
+inline std::vector<Job> MakeJobs(const Load& load, double cores,
+                                 uint64_t seed) {
+  std::mt19937_64 random(seed);
+  const auto uniform = [&](double low, double high) {
+    return std::uniform_real_distribution<double>(low, high)(random);
+  };
+  std::vector<Job> jobs;
+  const double wanted = load.utilisation * cores * load.seconds;
+  double offered = 0;
+  while (offered < wanted) {
+    Job job;
+    const double pick = uniform(0, 1);
+    job.arrives = uniform(0, load.seconds);
+    if (pick < 0.5) {
+      job.kind = JobKind::kUrgent;
+      job.size = {{500, 256, 0, 1, 1}};
+      job.runs = uniform(0.2, 3);
+      job.priority = 0;
+      job.team = "field";
+      job.repeatable = false;
+    } else if (pick < 0.5 + 0.06 * load.gang_share / 0.1) {
+      job.kind = JobKind::kGang;
+      job.tasks = 4 + static_cast<int>(random() % 13);
+      job.size = {{4000, 6000, 0, 1, 1}};
+      job.runs = uniform(30, 120);
+      job.priority = 3;
+      job.team = "studio";
+    } else if (pick < 0.6) {
+      job.kind = JobKind::kService;
+      job.size = {{1000, 2000, 0, 4, 1}};
+      job.runs = uniform(300, 900);
+      job.priority = 2;
+      job.team = "portal";
+    } else {
+      job.kind = JobKind::kBatch;
+      const int cores_each = 1 << (random() % 4);
+      const int gb_per_core = 1 + static_cast<int>(random() % 3);
+      job.size = {{cores_each * 1000, cores_each * gb_per_core * 1024, 0, 1, 1}};
+      if (random() % 50 == 0) job.size[placement::Dimension::kAccelerators] = 1;
+      job.runs = uniform(10, 180);
+      job.priority = 4 + static_cast<int>(random() % 3);
+      job.team = "batch-" + std::to_string(random() % 6);
+      if (load.overnight && random() % 2 == 0) {
+        job.arrives = uniform(0, 60);
+      }
+    }
+    job.declared = job.runs;
+    if (load.declared_spread > 1) {
+      job.declared *= uniform(0.3, load.declared_spread);
+    }
+    offered += job.size[placement::Dimension::kCores] / 1000.0 * job.tasks *
+               job.runs;
+    jobs.push_back(job);
+  }
+  if (load.burst) {
+    for (int i = 0; i < 400; ++i) {
+      Job job;
+      job.kind = JobKind::kUrgent;
+      job.size = {{500, 256, 0, 1, 1}};
+      job.runs = uniform(0.2, 1);
+      job.declared = job.runs;
+      job.arrives = load.seconds / 2 + uniform(0, 0.5);
+      job.priority = 0;
+      job.team = "field";
+      job.repeatable = false;
+      jobs.push_back(job);
+    }
+  }
+  std::sort(jobs.begin(), jobs.end(),
+            [](const Job& a, const Job& b) { return a.arrives < b.arrives; });
+  return jobs;
+}
+
+}  // namespace mimosarail::bench
--- /dev/null
+++ b/bench/placement_bench.cc
@@ -0,0 +1,405 @@
+// The decision core against baselines, in the same run: seeded arrivals shaped
+// on both users, a manual clock, and a Room in place of the upstreams.
+
+#include <algorithm>
+#include <chrono>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <memory>
+#include <queue>
+#include <set>
+
+#include "bench/arrivals.h"
+#include "src/placement/policy.h"
+#include "src/placement/starvation_guard.h"
+#include "src/placement/wait_queue.h"
+
+namespace mimosarail::bench {
+namespace {
+
+using placement::Amount;
+using placement::Dimension;
+using placement::RowId;
+
+constexpr double kFailAfter = 0.01;
+const TimePoint kStart = TimePoint() + std::chrono::hours(1);
+
+TimePoint At(double seconds) {
+  return kStart + std::chrono::duration_cast<Clock::duration>(
+                      std::chrono::duration<double>(seconds));
+}
+
+/// Order and policy under test.
+struct Contender {
+  std::string name;
+  std::function<std::unique_ptr<placement::Policy>()> policy;
+  bool product = false;  ///< Priorities, ageing, reserve and guard.
+};
+
+struct Figures {
+  std::map<JobKind, std::vector<double>> waits;
+  double packed = 0;
+  double packed_time = 0;
+  int64_t decisions = 0;
+  double decision_seconds = 0;
+  int failures = 0;
+  int unstarted = 0;
+  int overcommits = 0;
+};
+
+/// Plays one load against one contender.
+class Play {
+ public:
+  Play(const Load& load, const Contender& contender, int racks, double cores,
+       uint64_t seed)
+      : load_(load),
+        contender_(contender),
+        policy_(contender.policy()),
+        jobs_(MakeJobs(load, racks * 8 * cores, seed)) {
+    for (int rack = 0; rack < racks; ++rack) {
+      for (int i = 0; i < 8; ++i) {
+        const auto millicores = static_cast<int32_t>(cores * 1000);
+        const RowId row = room_.Add(
+            {.name = "u" + std::to_string(rack * 8 + i),
+             .rack = "r" + std::to_string(rack),
+             .failure_domain = "d" + std::to_string(rack % 3),
+             .capacity = {{millicores, millicores * 2, i == 0 ? 1 : 0, 64, 8}}});
+        room_.SetUsable(row, true);
+      }
+    }
+    const auto upstreams = static_cast<double>(room_.rows().size());
+    failing_ = static_cast<RowId>(load.failing * upstreams);
+  }
+
+  Figures Run() {
+    size_t next = 0;
+    bool rack_lost = false;
+    while (next < jobs_.size() || !ends_.empty()) {
+      double when = next < jobs_.size() ? jobs_[next].arrives : 1e18;
+      if (!ends_.empty()) when = std::min(when, ends_.top().when);
+      Advance(when);
+      if (when > load_.seconds * 4) break;
+      if (load_.rack_lost && !rack_lost && when > load_.seconds / 2) {
+        rack_lost = true;
+        LoseRack();
+      }
+      while (next < jobs_.size() && jobs_[next].arrives <= now_) Arrive(next++);
+      while (!ends_.empty() && ends_.top().when <= now_) End();
+      Drain();
+    }
+    figures_.unstarted = static_cast<int>(queue_.size());
+    return figures_;
+  }
+
+ private:
+  struct Running {
+    double when = 0;
+    size_t job = 0;
+    std::vector<RowId> rows;
+    bool fails = false;
+    uint64_t serial = 0;
+    bool operator<(const Running& other) const { return when > other.when; }
+  };
+
+  void Advance(double when) {
+    // Packing counts while work waits and new work still comes.
+    if (queue_.size() > 0 && now_ < load_.seconds) {
+      const double span = std::min(when, load_.seconds) - now_;
+      const Amount free = room_.total_free();
+      const Amount capacity = room_.total_capacity();
+      double best = 0;
+      for (const Dimension d :
+           {Dimension::kCores, Dimension::kMemory, Dimension::kSlots}) {
+        best = std::max(best, 1.0 - static_cast<double>(free[d]) / capacity[d]);
+      }
+      figures_.packed += best * span;
+      figures_.packed_time += span;
+    }
+    now_ = when;
+  }
+
+  void Arrive(size_t index) {
+    const Job& job = jobs_[index];
+    placement::QueueItem item;
+    item.id = index;
+    item.priority = contender_.product ? job.priority : 4;
+    item.team = contender_.product ? job.team : "all";
+    item.since = At(job.arrives);
+    item.core_seconds = contender_.product
+                            ? job.size[Dimension::kCores] / 1000.0 * job.tasks *
+                                  job.declared
+                            : 0;
+    item.shape = Shape(job);
+    item.large = job.tasks > 1 || job.size[Dimension::kCores] >= 8000;
+    item.declared = Millis(static_cast<int64_t>(job.declared * 1000));
+    queue_.Push(item);
+  }
+
+  static uint64_t Shape(const Job& job) {
+    uint64_t shape = static_cast<uint64_t>(job.tasks) * 7 +
+                     (job.kind == JobKind::kService ? 1 : 0) +
+                     (job.priority == 0 ? 2 : 0);
+    for (const int32_t part : job.size.of) {
+      shape = shape * 1000003 + static_cast<uint64_t>(part);
+    }
+    return shape;
+  }
+
+  placement::Ask AskOf(const Job& job) const {
+    placement::Ask ask{.size = job.size, .tasks = job.tasks, .now = At(now_)};
+    if (contender_.product) {
+      ask.spread = job.kind == JobKind::kService;
+      ask.group = ask.spread ? 1 : 0;
+      ask.urgent = job.priority == 0;
+    } else {
+      ask.urgent = true;  // no reserve
+    }
+    return ask;
+  }
+
+  void Drain() {
+    if (contender_.product) guard_.BeginPass(At(now_));
+    queue_.VisitInOrder(At(now_), [&](const placement::QueueItem& item) {
+      if (contender_.product && !guard_.MayStart(item)) {
+        return placement::Visit::kSkipped;
+      }
+      const Job& job = jobs_[item.id];
+      const auto before = std::chrono::steady_clock::now();
+      auto rows = policy_->Place(room_, AskOf(job));
+      figures_.decision_seconds +=
+          std::chrono::duration<double>(std::chrono::steady_clock::now() -
+                                        before)
+              .count();
+      ++figures_.decisions;
+      if (rows.empty()) {
+        if (contender_.product) guard_.NoteBlocked(item);
+        return placement::Visit::kBlocked;
+      }
+      Start(item.id, std::move(rows));
+      return placement::Visit::kPlaced;
+    });
+    if (contender_.product) guard_.EndPass();
+    CheckOvercommit();
+  }
+
+  void Start(size_t index, std::vector<RowId> rows) {
+    const Job& job = jobs_[index];
+    Running running{.job = index, .rows = std::move(rows), .serial = ++serial_};
+    running.fails =
+        std::any_of(running.rows.begin(), running.rows.end(),
+                    [&](RowId row) { return row < failing_; });
+    running.when = now_ + (running.fails ? kFailAfter : job.runs);
+    if (!running.fails) figures_.waits[job.kind].push_back(now_ - job.arrives);
+    ends_.push(std::move(running));
+  }
+
+  void End() {
+    const Running running = ends_.top();
+    ends_.pop();
+    const Job& job = jobs_[running.job];
+    bool lost = false;
+    for (const RowId row : running.rows) {
+      if (lost_.contains(row)) {
+        lost = true;
+        continue;
+      }
+      room_.Give(row, job.size, AskOf(job).group);
+      if (running.fails && row < failing_) room_.NoteFailure(row, At(now_));
+      if (!running.fails) room_.NoteSuccess(row);
+    }
+    if (!running.fails || lost) return;
+    ++figures_.failures;
+    Arrive(running.job);
+  }
+
+  void LoseRack() {
+    for (const RowId row : std::vector<RowId>(room_.racks()[1].rows)) {
+      lost_.insert(row);
+      room_.SetUsable(row, false);
+    }
+  }
+
+  void CheckOvercommit() {
+    for (const placement::Row& row : room_.rows()) {
+      for (const int32_t free : row.free.of) {
+        if (free < 0) ++figures_.overcommits;
+      }
+    }
+  }
+
+  Load load_;
+  Contender contender_;
+  std::unique_ptr<placement::Policy> policy_;
+  std::vector<Job> jobs_;
+  placement::Room room_;
+  placement::WaitQueue queue_;
+  placement::StarvationGuard guard_;
+  std::priority_queue<Running> ends_;
+  std::set<RowId> lost_;
+  double now_ = 0;
+  RowId failing_ = 0;
+  uint64_t serial_ = 0;
+  Figures figures_;
+};
+
+double Percentile(std::vector<double> values, double p) {
+  if (values.empty()) return 0;
+  const auto at = static_cast<size_t>(p * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
+                   values.end());
+  return values[at];
+}
+
+double MaxWait(const Figures& figures) {
+  double most = 0;
+  for (const auto& [kind, waits] : figures.waits) {
+    most = std::max(most, Percentile(waits, 1.0));
+  }
+  return most;
+}
+
+const char* KindName(JobKind kind) {
+  switch (kind) {
+    case JobKind::kUrgent:
+      return "urgent";
+    case JobKind::kBatch:
+      return "batch";
+    case JobKind::kGang:
+      return "gang";
+    case JobKind::kService:
+      return "service";
+  }
+  return "?";
+}
+
+void PrintFigures(const std::string& load, const std::string& name,
+                  const Figures& f) {
+  const std::string prefix = load + "." + name + ".";
+  for (const auto& [kind, waits] : f.waits) {
+    for (const auto& [label, p] : {std::pair("p50", 0.5), std::pair("p99", 0.99),
+                                   std::pair("max", 1.0)}) {
+      std::printf("%swait_%s_%s=%.3f s\n", prefix.c_str(), KindName(kind), label,
+                  Percentile(waits, p));
+    }
+  }
+  std::printf("%spacking_while_waiting=%.4f share\n", prefix.c_str(),
+              f.packed_time > 0 ? f.packed / f.packed_time : 0);
+  std::printf("%sdecision=%.2f us\n", prefix.c_str(),
+              1e6 * f.decision_seconds / static_cast<double>(f.decisions));
+  std::printf("%sfailed_tries=%d tasks\n", prefix.c_str(), f.failures);
+  std::printf("%snever_started=%d jobs\n", prefix.c_str(), f.unstarted);
+  std::printf("%sovercommits=%d rows\n", prefix.c_str(), f.overcommits);
+}
+
+void RunLoad(const Load& load, int racks, double cores) {
+  const std::vector<Contender> contenders{
+      {"first_fit", [] { return placement::MakeFirstFitPolicy(); }},
+      {"random_fit", [] { return placement::MakeRandomFitPolicy(3); }},
+      {"best_of_two", [] { return placement::MakeBestOfTwoPolicy(3); }},
+      {"product", [] { return placement::MakeScoredPolicy(3); }, true}};
+  double best_urgent = 1e18;
+  double best_packing = 0;
+  double best_max = 1e18;
+  for (const Contender& contender : contenders) {
+    const Figures f = Play(load, contender, racks, cores, 42).Run();
+    PrintFigures(load.name, contender.name, f);
+    const double urgent =
+        Percentile(f.waits.at(JobKind::kUrgent), 0.99);
+    const double packing = f.packed_time > 0 ? f.packed / f.packed_time : 0;
+    if (!contender.product) {
+      best_urgent = std::min(best_urgent, urgent);
+      best_packing = std::max(best_packing, packing);
+      best_max = std::min(best_max, MaxWait(f));
+      continue;
+    }
+    std::printf("%s.ratio.urgent_p99=%.3f of best baseline\n",
+                load.name.c_str(), best_urgent > 0 ? urgent / best_urgent
+                                   : urgent > 0    ? 999.0
+                                                   : 1.0);
+    std::printf("%s.ratio.packing=%.3f of best baseline\n", load.name.c_str(),
+                best_packing > 0 ? packing / best_packing : 1);
+    std::printf("%s.ratio.longest_wait=%.3f of best baseline\n",
+                load.name.c_str(), MaxWait(f) / std::max(best_max, 1e-9));
+  }
+}
+
+/// Time of one decision at a size, with `running` tasks in place.
+void DecisionSpeed(int upstreams, int running) {
+  placement::Room room;
+  for (int i = 0; i < upstreams; ++i) {
+    const RowId row = room.Add(
+        {.name = "u" + std::to_string(i),
+         .rack = "r" + std::to_string(i / 8),
+         .failure_domain = "d" + std::to_string(i / 8 % 16),
+         .capacity = {{32000, 65536, i % 4 == 0 ? 4 : 0, 64, 16}}});
+    room.SetUsable(row, true);
+  }
+  const auto policy = placement::MakeScoredPolicy(1);
+  std::mt19937_64 random(5);
+  const auto ask = [&] {
+    const int32_t cores = 1 << (random() % 3);
+    const bool service = random() % 5 == 0;
+    return placement::Ask{.size = {{cores * 1000, cores * 2048, 0, 1, 1}},
+                          .spread = service,
+                          .group = service ? 1 + random() % 200 : 0,
+                          .urgent = true};
+  };
+  std::vector<std::pair<RowId, placement::Ask>> placed;
+  for (int i = 0; i < running; ++i) {
+    const placement::Ask a = ask();
+    for (const RowId row : policy->Place(room, a)) placed.emplace_back(row, a);
+  }
+  std::vector<double> micros;
+  constexpr int kDecisions = 50000;
+  for (int i = 0; i < kDecisions; ++i) {
+    const size_t victim = random() % placed.size();
+    room.Give(placed[victim].first, placed[victim].second.size,
+              placed[victim].second.group);
+    const placement::Ask a = ask();
+    const auto before = std::chrono::steady_clock::now();
+    const auto rows = policy->Place(room, a);
+    micros.push_back(std::chrono::duration<double, std::micro>(
+                         std::chrono::steady_clock::now() - before)
+                         .count());
+    if (rows.empty()) {
+      placed[victim] = placed.back();
+      placed.pop_back();
+    } else {
+      placed[victim] = {rows[0], a};
+    }
+  }
+  double sum = 0;
+  for (const double m : micros) sum += m;
+  const std::string prefix = "decision." + std::to_string(upstreams) + ".";
+  std::printf("%srunning=%zu tasks\n", prefix.c_str(), placed.size());
+  std::printf("%smean=%.2f us\n", prefix.c_str(), sum / kDecisions);
+  std::printf("%sp99=%.2f us\n", prefix.c_str(), Percentile(micros, 0.99));
+  std::printf("%srate=%.0f decisions/s on one core\n", prefix.c_str(),
+              1e6 * kDecisions / sum);
+}
+
+}  // namespace
+}  // namespace mimosarail::bench
+
+int main() {
+  using mimosarail::bench::Load;
+  for (const Load& load : std::vector<Load>{
+           {.name = "mixed_70", .utilisation = 0.7},
+           {.name = "mixed_90", .utilisation = 0.9},
+           {.name = "mixed_110", .utilisation = 1.1},
+           {.name = "push_burst", .utilisation = 0.9, .burst = true},
+           {.name = "overnight", .utilisation = 0.9, .overnight = true},
+           {.name = "gangs", .utilisation = 0.95, .gang_share = 0.3},
+           {.name = "wrong_sizes", .utilisation = 0.9, .declared_spread = 5},
+           {.name = "failing_10", .utilisation = 0.8, .failing = 0.1},
+           {.name = "rack_lost", .utilisation = 0.8, .rack_lost = true}}) {
+    mimosarail::bench::RunLoad(load, 6, 16);
+  }
+  mimosarail::bench::RunLoad({.name = "dalmatia_110", .utilisation = 1.1}, 6,
+                             32);
+  mimosarail::bench::DecisionSpeed(48, 400);
+  mimosarail::bench::DecisionSpeed(480, 4400);
+  mimosarail::bench::DecisionSpeed(3400, 31000);
+  return 0;
+}
--- a/src/placement/policy.h
+++ b/src/placement/policy.h
@@ -19,6 +19,8 @@
   const std::vector<std::string>* failure_domains = nullptr;
   const std::vector<std::string>* racks = nullptr;
   TimePoint now{};
+  /// May use the room that is kept for urgent work.
+  bool urgent = false;
 };
 
 /// Whether the rack satisfies the constraints of the ask.
--- a/src/placement/wait_queue.h
+++ b/src/placement/wait_queue.h
@@ -22,6 +22,10 @@
   double core_seconds = 0;
   /// Equal for items that fit in the same places.
   uint64_t shape = 0;
+  /// Needs much room at once, which small items would eat up for ever.
+  bool large = false;
+  /// Run time that the caller declared; 0 if none.
+  Millis declared{0};
 };
 
 enum class Visit {
--- a/tests/scenarios/main.cc
+++ b/tests/scenarios/main.cc
@@ -29,10 +29,12 @@
     }
     return;
   }
-  if (value.is_boolean())
+  if (value.is_boolean()) {
     return lua_pushboolean(lua, value.get<bool>() ? 1 : 0);
-  if (value.is_number_integer())
+  }
+  if (value.is_number_integer()) {
     return lua_pushinteger(lua, value.get<int64_t>());
+  }
   if (value.is_number()) return lua_pushnumber(lua, value.get<double>());
   if (value.is_null()) return lua_pushnil(lua);
   lua_pushstring(lua, value.get<std::string>().c_str());
--- a/tests/scenarios/process.cc
+++ b/tests/scenarios/process.cc
@@ -10,8 +10,6 @@
 #include <csignal>
 #include <cstdlib>
 
-extern char** environ;
-
 namespace mimosarail::scenarios {
 
 Process::Process(std::vector<std::string> arguments,
