Placement: Keep a reserve for urgent work and hold room for starving gangs

Change: one part in 40 of cores and slots is left by work that is not urgent; after 300 s room is held for the first large request, 90 s at a time, with backfill of at most 4 s.

--- a/bench/arrivals.h
+++ b/bench/arrivals.h
@@ -76,7 +76,8 @@
       job.kind = JobKind::kBatch;
       const int cores_each = 1 << (random() % 4);
       const int gb_per_core = 1 + static_cast<int>(random() % 3);
-      job.size = {{cores_each * 1000, cores_each * gb_per_core * 1024, 0, 1, 1}};
+      job.size = {
+          {cores_each * 1000, cores_each * gb_per_core * 1024, 0, 1, 1}};
       if (random() % 50 == 0) job.size[placement::Dimension::kAccelerators] = 1;
       job.runs = uniform(10, 180);
       job.priority = 4 + static_cast<int>(random() % 3);
@@ -89,8 +90,8 @@
     if (load.declared_spread > 1) {
       job.declared *= uniform(0.3, load.declared_spread);
     }
-    offered += job.size[placement::Dimension::kCores] / 1000.0 * job.tasks *
-               job.runs;
+    offered +=
+        job.size[placement::Dimension::kCores] / 1000.0 * job.tasks * job.runs;
     jobs.push_back(job);
   }
   if (load.burst) {
--- a/bench/placement_bench.cc
+++ b/bench/placement_bench.cc
@@ -60,11 +60,12 @@
     for (int rack = 0; rack < racks; ++rack) {
       for (int i = 0; i < 8; ++i) {
         const auto millicores = static_cast<int32_t>(cores * 1000);
-        const RowId row = room_.Add(
-            {.name = "u" + std::to_string(rack * 8 + i),
-             .rack = "r" + std::to_string(rack),
-             .failure_domain = "d" + std::to_string(rack % 3),
-             .capacity = {{millicores, millicores * 2, i == 0 ? 1 : 0, 64, 8}}});
+        const RowId row =
+            room_.Add({.name = "u" + std::to_string(rack * 8 + i),
+                       .rack = "r" + std::to_string(rack),
+                       .failure_domain = "d" + std::to_string(rack % 3),
+                       .capacity = {{millicores, millicores * 2, i == 0 ? 1 : 0,
+                                     64, 8}}});
         room_.SetUsable(row, true);
       }
     }
@@ -126,10 +127,10 @@
     item.priority = contender_.product ? job.priority : 4;
     item.team = contender_.product ? job.team : "all";
     item.since = At(job.arrives);
-    item.core_seconds = contender_.product
-                            ? job.size[Dimension::kCores] / 1000.0 * job.tasks *
-                                  job.declared
-                            : 0;
+    item.core_seconds =
+        contender_.product
+            ? job.size[Dimension::kCores] / 1000.0 * job.tasks * job.declared
+            : 0;
     item.shape = Shape(job);
     item.large = job.tasks > 1 || job.size[Dimension::kCores] >= 8000;
     item.declared = Millis(static_cast<int64_t>(job.declared * 1000));
@@ -146,12 +147,13 @@
     return shape;
   }
 
-  placement::Ask AskOf(const Job& job) const {
+  placement::Ask AskOf(size_t index) const {
+    const Job& job = jobs_[index];
     placement::Ask ask{.size = job.size, .tasks = job.tasks, .now = At(now_)};
     if (contender_.product) {
       ask.spread = job.kind == JobKind::kService;
       ask.group = ask.spread ? 1 : 0;
-      ask.urgent = job.priority == 0;
+      ask.urgent = job.priority == 0 || guard_.IsHeldFor(index);
     } else {
       ask.urgent = true;  // no reserve
     }
@@ -164,9 +166,8 @@
       if (contender_.product && !guard_.MayStart(item)) {
         return placement::Visit::kSkipped;
       }
-      const Job& job = jobs_[item.id];
       const auto before = std::chrono::steady_clock::now();
-      auto rows = policy_->Place(room_, AskOf(job));
+      auto rows = policy_->Place(room_, AskOf(item.id));
       figures_.decision_seconds +=
           std::chrono::duration<double>(std::chrono::steady_clock::now() -
                                         before)
@@ -186,9 +187,8 @@
   void Start(size_t index, std::vector<RowId> rows) {
     const Job& job = jobs_[index];
     Running running{.job = index, .rows = std::move(rows), .serial = ++serial_};
-    running.fails =
-        std::any_of(running.rows.begin(), running.rows.end(),
-                    [&](RowId row) { return row < failing_; });
+    running.fails = std::any_of(running.rows.begin(), running.rows.end(),
+                                [&](RowId row) { return row < failing_; });
     running.when = now_ + (running.fails ? kFailAfter : job.runs);
     if (!running.fails) figures_.waits[job.kind].push_back(now_ - job.arrives);
     ends_.push(std::move(running));
@@ -204,7 +204,7 @@
         lost = true;
         continue;
       }
-      room_.Give(row, job.size, AskOf(job).group);
+      room_.Give(row, job.size, AskOf(running.job).group);
       if (running.fails && row < failing_) room_.NoteFailure(row, At(now_));
       if (!running.fails) room_.NoteSuccess(row);
     }
@@ -245,8 +245,10 @@
 
 double Percentile(std::vector<double> values, double p) {
   if (values.empty()) return 0;
-  const auto at = static_cast<size_t>(p * static_cast<double>(values.size() - 1));
-  std::nth_element(values.begin(), values.begin() + static_cast<std::ptrdiff_t>(at),
+  const auto at =
+      static_cast<size_t>(p * static_cast<double>(values.size() - 1));
+  std::nth_element(values.begin(),
+                   values.begin() + static_cast<std::ptrdiff_t>(at),
                    values.end());
   return values[at];
 }
@@ -277,10 +279,11 @@
                   const Figures& f) {
   const std::string prefix = load + "." + name + ".";
   for (const auto& [kind, waits] : f.waits) {
-    for (const auto& [label, p] : {std::pair("p50", 0.5), std::pair("p99", 0.99),
-                                   std::pair("max", 1.0)}) {
-      std::printf("%swait_%s_%s=%.3f s\n", prefix.c_str(), KindName(kind), label,
-                  Percentile(waits, p));
+    for (const auto& [label, p] :
+         {std::pair("p50", 0.5), std::pair("p99", 0.99),
+          std::pair("max", 1.0)}) {
+      std::printf("%swait_%s_%s=%.3f s\n", prefix.c_str(), KindName(kind),
+                  label, Percentile(waits, p));
     }
   }
   std::printf("%spacking_while_waiting=%.4f share\n", prefix.c_str(),
@@ -304,8 +307,7 @@
   for (const Contender& contender : contenders) {
     const Figures f = Play(load, contender, racks, cores, 42).Run();
     PrintFigures(load.name, contender.name, f);
-    const double urgent =
-        Percentile(f.waits.at(JobKind::kUrgent), 0.99);
+    const double urgent = Percentile(f.waits.at(JobKind::kUrgent), 0.99);
     const double packing = f.packed_time > 0 ? f.packed / f.packed_time : 0;
     if (!contender.product) {
       best_urgent = std::min(best_urgent, urgent);
@@ -314,9 +316,10 @@
       continue;
     }
     std::printf("%s.ratio.urgent_p99=%.3f of best baseline\n",
-                load.name.c_str(), best_urgent > 0 ? urgent / best_urgent
-                                   : urgent > 0    ? 999.0
-                                                   : 1.0);
+                load.name.c_str(),
+                best_urgent > 0 ? urgent / best_urgent
+                : urgent > 0    ? 999.0
+                                : 1.0);
     std::printf("%s.ratio.packing=%.3f of best baseline\n", load.name.c_str(),
                 best_packing > 0 ? packing / best_packing : 1);
     std::printf("%s.ratio.longest_wait=%.3f of best baseline\n",
@@ -328,11 +331,11 @@
 void DecisionSpeed(int upstreams, int running) {
   placement::Room room;
   for (int i = 0; i < upstreams; ++i) {
-    const RowId row = room.Add(
-        {.name = "u" + std::to_string(i),
-         .rack = "r" + std::to_string(i / 8),
-         .failure_domain = "d" + std::to_string(i / 8 % 16),
-         .capacity = {{32000, 65536, i % 4 == 0 ? 4 : 0, 64, 16}}});
+    const RowId row =
+        room.Add({.name = "u" + std::to_string(i),
+                  .rack = "r" + std::to_string(i / 8),
+                  .failure_domain = "d" + std::to_string(i / 8 % 16),
+                  .capacity = {{32000, 65536, i % 4 == 0 ? 4 : 0, 64, 16}}});
     room.SetUsable(row, true);
   }
   const auto policy = placement::MakeScoredPolicy(1);
--- a/src/execution/execution.cc
+++ b/src/execution/execution.cc
@@ -52,7 +52,8 @@
           .group = Hash64(spec.work),
           .failure_domains = &spec.failure_domains,
           .racks = &spec.racks,
-          .now = now};
+          .now = now,
+          .urgent = context.treatment.priority == 0};
 }
 
 Execution::Execution(Executor& executor, requests::PeerPort& peers,
@@ -100,7 +101,8 @@
     return reply;
   }
   const auto tasks = static_cast<int32_t>(call.indices.size());
-  const placement::Ask ask = MakeAsk(call.context, tasks, executor_.Now());
+  placement::Ask ask = MakeAsk(call.context, tasks, executor_.Now());
+  ask.urgent |= call.use_reserve;
   const auto rows = policy_->Place(controller_->room(), ask);
   if (rows.empty()) {
     reply.status = wire::PlaceStatus::kNoRoom;
--- a/src/placement/policy.cc
+++ b/src/placement/policy.cc
@@ -7,6 +7,9 @@
 namespace mimosarail::placement {
 namespace {
 
+/// One part in so many is kept for urgent work.
+constexpr int32_t kReserveDivisor = 40;
+
 bool Contains(const std::vector<std::string>* list, const std::string& value) {
   if (list == nullptr || list->empty()) return true;
   return std::find(list->begin(), list->end(), value) != list->end();
@@ -169,8 +172,25 @@
          Contains(ask.racks, rack.name);
 }
 
+/// Work that is not urgent leaves a small share of cores and slots free, so
+/// that an urgent request need not wait for a task to end.
+bool LeavesReserve(const Room& room, const Ask& ask) {
+  if (ask.urgent) return true;
+  const Amount free = room.total_free();
+  const Amount capacity = room.total_capacity();
+  for (const Dimension d : {Dimension::kCores, Dimension::kSlots}) {
+    const int64_t wanted = int64_t{ask.size[d]} * ask.tasks;
+    // What takes most of the room could otherwise never start.
+    if (2 * wanted > capacity[d]) continue;
+    const int64_t left = free[d] - wanted;
+    if (left < capacity[d] / kReserveDivisor) return false;
+  }
+  return true;
+}
+
 std::vector<RowId> Policy::Place(Room& room, const Ask& ask) {
   std::vector<RowId> out;
+  if (!LeavesReserve(room, ask)) return out;
   for (int32_t i = 0; i < ask.tasks; ++i) {
     const RowId id = ChooseOne(room, ask);
     if (id == kNoRow || !room.Take(id, ask.size, ask.group)) break;
@@ -219,6 +239,10 @@
   }
   if (nearest == kNoRow) return "no usable upstream meets the constraints";
   const Row& row = room.row(nearest);
+  if (nearest_short == 0 && !ask.urgent && ask.tasks == 1) {
+    return "the room that is left is kept for urgent work, or is on probation "
+           "after failures";
+  }
   if (nearest_short == 0) {
     return ask.tasks > 1 ? "not all " + std::to_string(ask.tasks) +
                                " tasks fit at once on " +
--- a/src/placement/starvation_guard.h
+++ b/src/placement/starvation_guard.h
@@ -9,7 +9,7 @@
 
 struct StarvationGuardOptions {
   /// A large item that does not fit for this long gets room held back for it.
-  Millis hold_after{15000};
+  Millis hold_after{300000};
   /// Held no longer than this at a time, then not for as long again.
   Millis hold_limit{90000};
   /// While room is held, only items that declare to be this short may start:
@@ -34,8 +34,8 @@
   void NoteBlocked(const QueueItem& item);
   /// Call after the pass.
   void EndPass();
-  /// Whether room is held back now.
-  bool holding() const { return held_for_.has_value(); }
+  /// Whether room is held back for this item.
+  bool IsHeldFor(uint64_t id) const { return held_for_ == id; }
 
  private:
   StarvationGuardOptions options_;
--- a/src/requests/gen/requests_types.cpp
+++ b/src/requests/gen/requests_types.cpp
@@ -1451,6 +1451,10 @@
 void PlaceCall::__set_heartbeat_seen(const int64_t val) {
   this->heartbeat_seen = val;
 }
+
+void PlaceCall::__set_use_reserve(const bool val) {
+  this->use_reserve = val;
+}
 std::ostream& operator<<(std::ostream& out, const PlaceCall& obj)
 {
   obj.printTo(out);
@@ -1523,6 +1527,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->use_reserve);
+          this->__isset.use_reserve = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1564,6 +1576,10 @@
   xfer += oprot->writeI64(this->heartbeat_seen);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("use_reserve", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->use_reserve);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1575,6 +1591,7 @@
   swap(a.attempt, b.attempt);
   swap(a.indices, b.indices);
   swap(a.heartbeat_seen, b.heartbeat_seen);
+  swap(a.use_reserve, b.use_reserve);
   swap(a.__isset, b.__isset);
 }
 
@@ -1583,6 +1600,7 @@
   attempt = other37.attempt;
   indices = other37.indices;
   heartbeat_seen = other37.heartbeat_seen;
+  use_reserve = other37.use_reserve;
   __isset = other37.__isset;
 }
 PlaceCall::PlaceCall(PlaceCall&& other38) noexcept {
@@ -1590,6 +1608,7 @@
   attempt = other38.attempt;
   indices = std::move(other38.indices);
   heartbeat_seen = other38.heartbeat_seen;
+  use_reserve = other38.use_reserve;
   __isset = other38.__isset;
 }
 PlaceCall& PlaceCall::operator=(const PlaceCall& other39) {
@@ -1597,6 +1616,7 @@
   attempt = other39.attempt;
   indices = other39.indices;
   heartbeat_seen = other39.heartbeat_seen;
+  use_reserve = other39.use_reserve;
   __isset = other39.__isset;
   return *this;
 }
@@ -1605,6 +1625,7 @@
   attempt = other40.attempt;
   indices = std::move(other40.indices);
   heartbeat_seen = other40.heartbeat_seen;
+  use_reserve = other40.use_reserve;
   __isset = other40.__isset;
   return *this;
 }
@@ -1615,6 +1636,7 @@
   out << ", " << "attempt=" << to_string(attempt);
   out << ", " << "indices=" << to_string(indices);
   out << ", " << "heartbeat_seen=" << to_string(heartbeat_seen);
+  out << ", " << "use_reserve=" << to_string(use_reserve);
   out << ")";
 }
 
--- a/src/requests/gen/requests_types.h
+++ b/src/requests/gen/requests_types.h
@@ -612,11 +612,12 @@
 std::ostream& operator<<(std::ostream& out, const AttemptContext& obj);
 
 typedef struct _PlaceCall__isset {
-  _PlaceCall__isset() : context(false), attempt(false), indices(false), heartbeat_seen(false) {}
+  _PlaceCall__isset() : context(false), attempt(false), indices(false), heartbeat_seen(false), use_reserve(false) {}
   bool context :1;
   bool attempt :1;
   bool indices :1;
   bool heartbeat_seen :1;
+  bool use_reserve :1;
 } _PlaceCall__isset;
 
 /**
@@ -631,7 +632,8 @@
   PlaceCall& operator=(PlaceCall&&) noexcept;
   PlaceCall() noexcept
             : attempt(0),
-              heartbeat_seen(0) {
+              heartbeat_seen(0),
+              use_reserve(0) {
   }
 
   virtual ~PlaceCall() noexcept;
@@ -643,6 +645,10 @@
    * was long on its way is told by it and refused.
    */
   int64_t heartbeat_seen;
+  /**
+   * May take the room that is kept for urgent work.
+   */
+  bool use_reserve;
 
   _PlaceCall__isset __isset;
 
@@ -654,6 +660,8 @@
 
   void __set_heartbeat_seen(const int64_t val);
 
+  void __set_use_reserve(const bool val);
+
   bool operator == (const PlaceCall & rhs) const
   {
     if (!(context == rhs.context))
@@ -664,6 +672,8 @@
       return false;
     if (!(heartbeat_seen == rhs.heartbeat_seen))
       return false;
+    if (!(use_reserve == rhs.use_reserve))
+      return false;
     return true;
   }
   bool operator != (const PlaceCall &rhs) const {
--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -37,6 +37,7 @@
 constexpr int64_t kShortRetryMs = 1000;
 constexpr int64_t kLongestRetryMs = 60000;
 constexpr int32_t kMaxLosses = 10;
+constexpr int32_t kLargeMillicores = 8000;
 constexpr int kMinutesPerDay = 24 * 60;
 
 bool Ran(wire::TaskEnd::type end) { return end != wire::TaskEnd::kNotStarted; }
@@ -437,7 +438,10 @@
        .core_seconds = static_cast<double>(record.spec.size.millicores) *
                        static_cast<double>(record.spec.run_ms) *
                        record.spec.tasks / 1e6,
-       .shape = ShapeOf(record.spec, record.treatment)},
+       .shape = ShapeOf(record.spec, record.treatment),
+       .large = record.spec.tasks > 1 ||
+                record.spec.size.millicores >= kLargeMillicores,
+       .declared = Millis(record.spec.run_ms)},
       record.queue_key);
   CountWaiting(record, true);
   RequestDrain();
@@ -453,28 +457,37 @@
 }
 
 void Requests::Drain() {
+  guard_.BeginPass(c_.executor.Now());
   queue_.VisitInOrder(c_.executor.Now(), [&](const placement::QueueItem& item) {
     Record* record = FindMutable(by_serial_[item.id]);
     MR_EXPECT(record != nullptr && record->phase == Phase::kWaiting,
               return placement::Visit::kPlaced);
-    const placement::Visit visit = TryPlace(*record);
+    if (!guard_.MayStart(item)) {
+      record->why = "room is held for a large request that waited long";
+      return placement::Visit::kSkipped;
+    }
+    const placement::Visit visit = TryPlace(*record, guard_.IsHeldFor(item.id));
+    if (visit == placement::Visit::kBlocked) guard_.NoteBlocked(item);
     if (visit == placement::Visit::kPlaced) CountWaiting(*record, false);
     return visit;
   });
+  guard_.EndPass();
 }
 
-wire::PlaceCall Requests::MakeCall(const Record& record) const {
+wire::PlaceCall Requests::MakeCall(const Record& record,
+                                   bool use_reserve) const {
   wire::PlaceCall call;
   call.context.spec = record.spec;
   call.context.treatment = record.treatment;
   call.context.owner = options_.self;
   call.context.owner_incarnation = options_.incarnation;
   call.attempt = record.attempt;
+  call.use_reserve = use_reserve;
   for (int32_t i = 0; i < record.spec.tasks; ++i) call.indices.push_back(i);
   return call;
 }
 
-placement::Visit Requests::TryPlace(Record& record) {
+placement::Visit Requests::TryPlace(Record& record, bool use_reserve) {
   const auto rules = c_.rules();
   const rules::TeamLimit* limit =
       rules ? rules->LimitOf(record.spec.team) : nullptr;
@@ -485,7 +498,7 @@
     record.why = "team " + record.spec.team + " uses its quota of cores";
     return placement::Visit::kSkipped;
   }
-  const wire::PlaceCall call = MakeCall(record);
+  const wire::PlaceCall call = MakeCall(record, use_reserve);
   const placement::Ask ask =
       execution::MakeAsk(call.context, record.spec.tasks, c_.executor.Now());
   if (PlaceHere(record, call)) return placement::Visit::kPlaced;
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -14,6 +14,7 @@
 #include "src/control/controller.h"
 #include "src/execution/execution.h"
 #include "src/membership/membership.h"
+#include "src/placement/starvation_guard.h"
 #include "src/placement/wait_queue.h"
 #include "src/requests/intent_ledger.h"
 #include "src/requests/peer_port.h"
@@ -153,14 +154,14 @@
 
   void Enqueue(Record& record);
   void Drain();
-  placement::Visit TryPlace(Record& record);
+  placement::Visit TryPlace(Record& record, bool use_reserve);
   bool PlaceHere(Record& record, const wire::PlaceCall& call);
   bool PlaceAtPeer(Record& record, const wire::PlaceCall& call,
                    const placement::Ask& ask);
   void OnPlaceReply(const std::string& id, int32_t attempt,
                     const std::string& peer, const placement::Ask& ask,
                     const Result<wire::PlaceReply>& reply);
-  wire::PlaceCall MakeCall(const Record& record) const;
+  wire::PlaceCall MakeCall(const Record& record, bool use_reserve) const;
   void MarkRunning(Record& record, const std::string& holder,
                    int64_t incarnation, TaskPhase phase);
   void NoteStarted(Record& record);
@@ -205,6 +206,7 @@
   std::set<std::pair<TimePoint, std::string>> expiries_;
   std::deque<std::pair<TimePoint, std::string>> ended_;
   placement::WaitQueue queue_;
+  placement::StarvationGuard guard_;
   RetryBudget budget_;
   PeerRooms rooms_;
   std::mt19937_64 random_;
--- a/src/requests/requests.thrift
+++ b/src/requests/requests.thrift
@@ -70,6 +70,8 @@
   /** Newest heartbeat of the controller that the owner has seen: a call that
    *  was long on its way is told by it and refused. */
   4: i64 heartbeat_seen
+  /** May take the room that is kept for urgent work. */
+  5: bool use_reserve
 }
 enum PlaceStatus { kAccepted = 0, kNoRoom = 1, kNotReady = 2, kFenced = 3 }
 struct PlaceReply { 1: PlaceStatus status 2: string detail }
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -10,6 +10,7 @@
 
 #include "src/membership/rack_assignment.h"
 #include "src/placement/policy.h"
+#include "src/placement/starvation_guard.h"
 #include "src/placement/wait_queue.h"
 #include "src/requests/retry_budget.h"
 #include "src/requests/settlement.h"
@@ -303,3 +304,57 @@
 }
 
 }  // namespace mimosarail::requests
+
+namespace mimosarail::placement {
+
+// A gang needs eight slots at once; one-slot jobs take each slot that comes
+// free. Without the guard the gang waits as long as they keep coming.
+BOOST_AUTO_TEST_CASE(small_jobs_do_not_starve_a_gang) {
+  Room room = MakeRoom(1, 1);
+  WaitQueue queue;
+  StarvationGuard guard;
+  const auto policy = MakeScoredPolicy(1);
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  uint64_t id = 1;
+  std::vector<std::pair<TimePoint, Amount>> running;
+  const Amount small{{1000, 100, 0, 0, 1}};
+  bool gang_started = false;
+  queue.Push(
+      {.id = id, .priority = 4, .since = now, .shape = 1, .large = true});
+  for (int second = 0; second < 3600 && !gang_started; ++second) {
+    now += std::chrono::seconds(1);
+    queue.Push({.id = ++id, .priority = 4, .since = now, .shape = 2});
+    while (!running.empty() && running.front().first <= now) {
+      room.Give(0, running.front().second);
+      running.erase(running.begin());
+    }
+    guard.BeginPass(now);
+    queue.VisitInOrder(now, [&](const QueueItem& item) {
+      if (!guard.MayStart(item)) return Visit::kSkipped;
+      const int tasks = item.large ? 8 : 1;
+      const auto rows =
+          policy->Place(room, {.size = small, .tasks = tasks, .urgent = true});
+      if (rows.empty()) {
+        guard.NoteBlocked(item);
+        return Visit::kBlocked;
+      }
+      gang_started |= item.large;
+      running.emplace_back(now + std::chrono::seconds(20), small);
+      return Visit::kPlaced;
+    });
+    guard.EndPass();
+  }
+  BOOST_TEST(gang_started);
+}
+
+BOOST_AUTO_TEST_CASE(work_that_is_not_urgent_leaves_a_reserve) {
+  Room room = MakeRoom(2, 4);
+  const auto policy = MakeScoredPolicy(1);
+  int placed = 0;
+  while (!policy->Place(room, {.size = Size(500)}).empty()) ++placed;
+  BOOST_TEST(placed == 63);  // of 64 slots
+  BOOST_TEST(policy->Place(room, {.size = Size(500), .urgent = true}).size() ==
+             1U);
+}
+
+}  // namespace mimosarail::placement
