--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -322,6 +322,7 @@
 void UpstreamSession::CollectEnd(wire::TaskStatus status, int attempts_left) {
   if (attempts_left == 0) {
     status.state = wire::TaskState::kLapsed;
+    status.answer.clear();
     return HandleEnd(status);
   }
   wire::CollectCall call;
--- /dev/null
+++ b/tests/contract_test.cc
@@ -0,0 +1,564 @@
+// Contracts of the platform's interfaces, as docs/PLATFORM.md numbers them,
+// and what a session makes of each fault. A new adapter runs the same tables.
+
+#define BOOST_TEST_MODULE contract
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <optional>
+#include <ostream>
+
+#include "src/control/controller.h"
+#include "src/libs/base/digest.h"
+#include "tests/sim/cell.h"
+#include "tests/sim/manual_executor.h"
+
+namespace mimosarail::sim {
+namespace {
+
+using standins::LogStandin;
+using standins::UpstreamStandin;
+
+wire::ListedInstance Listed() {
+  wire::ListedInstance listed;
+  listed.name = "up";
+  listed.role = wire::ListedRole::kUpstream;
+  listed.address = "up";
+  listed.rack = "rack";
+  listed.capacity.millicores = 4000;
+  listed.capacity.memory_mb = 8000;
+  listed.capacity.connections = 16;
+  listed.slots = 4;
+  return listed;
+}
+
+wire::TaskSpec TaskOf(const std::string& id, int64_t run_ms) {
+  wire::TaskSpec task;
+  task.task_id = id;
+  task.request_id = id;
+  task.size.millicores = 1000;
+  task.run_ms = run_ms;
+  return task;
+}
+
+/// One upstream stand-in and short words to call it.
+struct UpstreamBench {
+  ManualClock clock;
+  ManualExecutor executor{clock};
+  standins::History history;
+  UpstreamStandin upstream{executor, history, Listed()};
+
+  wire::AttachReply Attach(const std::string& controller, int64_t term) {
+    wire::AttachCall call;
+    call.upstream = "up";
+    call.controller = controller;
+    call.term = term;
+    wire::AttachReply out;
+    upstream.Attach(call, [&](const wire::AttachReply& r) { out = r; });
+    return out;
+  }
+  wire::StartReply Start(int64_t term, const std::string& id, int64_t run_ms) {
+    wire::StartCall call;
+    call.term = term;
+    call.lease_ms = 1000;
+    call.task = TaskOf(id, run_ms);
+    wire::StartReply out;
+    upstream.Start(call, [&](const wire::StartReply& r) { out = r; });
+    return out;
+  }
+  wire::RenewReply Renew(int64_t term, int64_t seen,
+                         const std::vector<std::string>& release = {}) {
+    wire::RenewCall call;
+    call.term = term;
+    call.lease_ms = 1000;
+    call.seen = seen;
+    call.release = release;
+    wire::RenewReply out;
+    upstream.Renew(call, [&](const wire::RenewReply& r) { out = r; });
+    clock.RunFor(Millis(1));
+    return out;
+  }
+  int Starts() const {
+    int starts = 0;
+    for (const auto& e : history.events()) starts += e["event"] == "start";
+    return starts;
+  }
+};
+
+struct UpstreamContract {
+  const char* name;
+  bool (*holds)(UpstreamBench&);
+};
+
+std::ostream& operator<<(std::ostream& out, const UpstreamContract& c) {
+  return out << c.name;
+}
+
+using wire::CallStatus;
+
+const std::vector<UpstreamContract> kUpstreamContracts{
+    {"P1 a higher term takes control",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       return b.Attach("b", 2).status == CallStatus::kOk;
+     }},
+    {"P1 an equal or lower term is refused and told the present one",
+     [](UpstreamBench& b) {
+       b.Attach("a", 5);
+       const auto reply = b.Attach("b", 5);
+       return reply.status == CallStatus::kStaleTerm && reply.term == 5;
+     }},
+    {"P2 a start of an older term has no effect",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Attach("b", 2);
+       return b.Start(1, "t", 10).status == CallStatus::kStaleTerm &&
+              b.Starts() == 0;
+     }},
+    {"P2 a renewal of an older term extends nothing",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10000);
+       b.Attach("b", 2);
+       b.clock.RunFor(Millis(700));
+       b.Renew(1, 0);
+       b.clock.RunFor(Millis(700));
+       const auto inventory = b.Attach("b", 3).inventory;
+       return inventory.at(0).state == wire::TaskState::kLapsed;
+     }},
+    {"P3 the inventory tells what runs",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10000);
+       const auto inventory = b.Attach("b", 2).inventory;
+       return inventory.size() == 1 && inventory[0].spec.task_id == "t";
+     }},
+    {"P4 a start that comes twice runs once",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10);
+       return b.Start(1, "t", 10).status == CallStatus::kOk && b.Starts() == 1;
+     }},
+    {"P4 also after its end was released",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10);
+       b.clock.RunFor(Millis(50));
+       b.Renew(1, 0, {"t"});
+       b.Start(1, "t", 10);
+       return b.Starts() == 1;
+     }},
+    {"P5 a task without renewal lapses",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10000);
+       b.clock.RunFor(Millis(1100));
+       return b.Renew(1, 0).ended.at(0).state == wire::TaskState::kLapsed;
+     }},
+    {"P5 a frozen upstream runs nothing past the lease",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 1500);
+       b.executor.Pause();
+       b.clock.RunFor(Millis(5000));
+       b.executor.Resume();
+       b.clock.RunFor(Millis(50));
+       return b.Renew(1, 0).ended.at(0).state == wire::TaskState::kLapsed;
+     }},
+    {"P6 an end is told again until it is seen, and kept until released",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10);
+       b.clock.RunFor(Millis(50));
+       const auto first = b.Renew(1, 0);
+       const auto again = b.Renew(1, 0);
+       const auto seen = b.Renew(1, again.ended.at(0).sequence);
+       const bool kept = b.Attach("b", 2).inventory.size() == 1;
+       b.Renew(2, 0, {"t"});
+       return first.ended.size() == 1 && again.ended.size() == 1 &&
+              seen.ended.empty() && kept && b.Attach("c", 3).inventory.empty();
+     }},
+    {"P6 a release does not touch what still runs",
+     [](UpstreamBench& b) {
+       b.Attach("a", 1);
+       b.Start(1, "t", 10000);
+       b.Renew(1, 0, {"t"});
+       return b.Attach("b", 2).inventory.size() == 1;
+     }},
+};
+
+struct LogContract {
+  const char* name;
+  bool (*holds)(ManualClock&, LogStandin&);
+};
+
+std::ostream& operator<<(std::ostream& out, const LogContract& c) {
+  return out << c.name;
+}
+
+std::optional<int64_t> Append(ManualClock& clock, LogStandin& log,
+                              const std::string& data) {
+  wire::AppendCall call;
+  call.stream = "s";
+  call.records.push_back(data);
+  std::optional<int64_t> out;
+  log.Append(call, [&](const wire::AppendReply& r) { out = r.first_offset; });
+  clock.RunFor(Millis(1));
+  return out;
+}
+
+std::optional<wire::ReadReply> Read(ManualClock& clock, LogStandin& log,
+                                    int64_t start, int64_t wait_ms = 0) {
+  wire::ReadCall call;
+  call.stream = "s";
+  call.start = start;
+  call.max_records = 10;
+  call.wait_ms = wait_ms;
+  std::optional<wire::ReadReply> out;
+  log.Read(call, [&](const wire::ReadReply& r) { out = r; });
+  clock.RunFor(Millis(wait_ms + 1));
+  return out;
+}
+
+const std::vector<LogContract> kLogContracts{
+    {"P7 offsets rise by one and reads keep their order",
+     [](ManualClock& c, LogStandin& log) {
+       Append(c, log, "a");
+       Append(c, log, "b");
+       const auto read = Read(c, log, 0);
+       return read->records.size() == 2 && read->records[1].offset == 1 &&
+              read->records[1].data == "b" && read->upper == 2;
+     }},
+    {"P7 an append without a reply may have taken effect",
+     [](ManualClock& c, LogStandin& log) {
+       log.faults().drop_append_replies = 1;
+       const bool told = Append(c, log, "a").has_value();
+       return !told && Read(c, log, 0)->records.size() == 1;
+     }},
+    {"P8 what is trimmed is told by first_retained",
+     [](ManualClock& c, LogStandin& log) {
+       Append(c, log, "a");
+       c.RunFor(Millis(2000));
+       Append(c, log, "b");
+       const auto read = Read(c, log, 0);
+       return read->first_retained == 1 && read->records.size() == 1;
+     }},
+    {"P9 a read waits for a record, and comes back empty in time",
+     [](ManualClock& c, LogStandin& log) {
+       const auto read = Read(c, log, 0, 300);
+       return read.has_value() && read->records.empty();
+     }},
+    {"P10 an outage swallows calls and loses nothing",
+     [](ManualClock& c, LogStandin& log) {
+       Append(c, log, "a");
+       log.faults().down = true;
+       const bool silent = !Read(c, log, 0) && !Append(c, log, "b");
+       log.faults().down = false;
+       return silent && Read(c, log, 0)->records.size() == 1;
+     }},
+};
+
+/// Notes what a session says.
+struct Listener : control::SessionListener {
+  bool OnFound(const std::string&, const wire::TaskSpec& t) override {
+    Note("found", t);
+    return keep;
+  }
+  void OnEnded(const std::string&, const wire::TaskStatus& s) override {
+    Note("ended", s.spec);
+    answer = s.answer;
+  }
+  void OnNotStarted(const std::string&, const wire::TaskSpec& t,
+                    const std::string&) override {
+    Note("not started", t);
+  }
+  void OnLost(const std::string&, const wire::TaskSpec& t) override {
+    Note("lost", t);
+  }
+  void OnLapseAssumed(const std::string&, const wire::TaskSpec& t) override {
+    Note("lapse assumed", t);
+  }
+  void OnMoved(const std::string&, const wire::TaskSpec& t) override {
+    Note("moved", t);
+  }
+  void OnRoomChanged() override {}
+  void Note(const std::string& what, const wire::TaskSpec& task) {
+    said += what + " " + task.task_id + ";";
+  }
+  std::string said;
+  std::string answer;
+  bool keep = true;
+};
+
+/// A port whose replies a test scripts; counts what is sent.
+struct ScriptedPort : platform::UpstreamPort {
+  explicit ScriptedPort(ManualClock& c) : executor(c) {}
+  template <typename Reply>
+  void Reply_(Callback<Reply> done, Result<Reply> reply) {
+    executor.RunAfter(Millis(1), [done, reply] { done(reply); });
+  }
+  void Attach(const std::string&, const wire::AttachCall& call,
+              Callback<wire::AttachReply> done) override {
+    ++attaches;
+    wire::AttachReply reply = attach;
+    if (call.term <= lowest_term) {
+      reply.status = CallStatus::kStaleTerm;
+      reply.term = lowest_term;
+    } else {
+      lowest_term = call.term;
+    }
+    Reply_<wire::AttachReply>(done, reply);
+  }
+  void Start(const std::string&, const wire::StartCall&,
+             Callback<wire::StartReply> done) override {
+    ++starts;
+    Reply_<wire::StartReply>(done, start);
+  }
+  void Renew(const std::string&, const wire::RenewCall&,
+             Callback<wire::RenewReply> done) override {
+    order += "renew;";
+    if (renewals-- <= 0) return;
+    Reply_<wire::RenewReply>(done, renew);
+  }
+  void Steer(const std::string&, const wire::SteerCall&,
+             Callback<wire::SteerReply> done) override {
+    order += "stop;";
+    Reply_<wire::SteerReply>(done, wire::SteerReply());
+  }
+  void Inventory(const std::string&, const wire::InventoryCall&,
+                 Callback<wire::InventoryReply>) override {}
+  void Usage(const std::string&, const wire::UsageCall&,
+             Callback<wire::UsageReply>) override {}
+  void Collect(const std::string&, const wire::CollectCall&,
+               Callback<wire::CollectReply> done) override {
+    ++collects;
+    Reply_<wire::CollectReply>(done, collect);
+  }
+  ManualExecutor executor;
+  wire::AttachReply attach;
+  Result<wire::StartReply> start{wire::StartReply()};
+  wire::RenewReply renew;
+  wire::CollectReply collect;
+  int64_t lowest_term = 0;
+  int renewals = 0;
+  int attaches = 0;
+  int starts = 0;
+  int collects = 0;
+  std::string order;
+};
+
+/// A session over a scripted port.
+struct SessionBench {
+  SessionBench() {
+    port.attach.capacity = Listed().capacity;
+    port.attach.slots = 4;
+  }
+  void Open() {
+    session = std::make_shared<control::UpstreamSession>(
+        executor, port, room, listener,
+        control::SessionOptions{.controller = "me"}, Listed());
+    session->SetPreferred(true);
+    clock.RunFor(Millis(20));
+  }
+  void StartOne(Millis span = Millis(3)) {
+    room.Take(session->row(), placement::TaskAmount(TaskOf("t", 1).size),
+              control::UpstreamSession::GroupOf(TaskOf("t", 1)));
+    session->Start(TaskOf("t", 1));
+    clock.RunFor(span);
+  }
+  bool RoomIsWhole() {
+    return room.row(session->row()).free == room.row(session->row()).capacity;
+  }
+  ManualClock clock;
+  ManualExecutor executor{clock};
+  ScriptedPort port{clock};
+  placement::Room room;
+  Listener listener;
+  std::shared_ptr<control::UpstreamSession> session;
+};
+
+struct SessionFault {
+  const char* name;
+  bool (*holds)(SessionBench&);
+};
+
+std::ostream& operator<<(std::ostream& out, const SessionFault& c) {
+  return out << c.name;
+}
+
+wire::TaskStatus Status(wire::TaskState::type state, const std::string& answer,
+                        int64_t length) {
+  wire::TaskStatus status;
+  status.spec = TaskOf("t", 1);
+  status.state = state;
+  status.answer = answer;
+  status.answer_length = length;
+  status.answer_digest = Digest("whole answer");
+  status.sequence = 1;
+  return status;
+}
+
+const std::vector<SessionFault> kSessionFaults{
+    {"nothing starts before the inventory is counted in",
+     [](SessionBench& b) {
+       b.port.attach.inventory.push_back(
+           Status(wire::TaskState::kRunning, "", 0));
+       b.Open();
+       return b.room.row(b.session->row()).free[placement::Dimension::kCores] ==
+                  3000 &&
+              b.listener.said == "found t;";
+     }},
+    {"a higher term than the one that is told is taken",
+     [](SessionBench& b) {
+       b.port.lowest_term = 41;
+       b.Open();
+       return b.session->term() == 42 && b.session->usable();
+     }},
+    {"a refused start is certain and frees its room",
+     [](SessionBench& b) {
+       b.Open();
+       wire::StartReply refused;
+       refused.status = CallStatus::kRefused;
+       b.port.start = refused;
+       b.StartOne();
+       return b.listener.said == "not started t;" && b.RoomIsWhole();
+     }},
+    {"a start without reply keeps its room until an attach settles it",
+     [](SessionBench& b) {
+       b.Open();
+       b.port.start = Result<wire::StartReply>(Errc::kTimeout);
+       b.StartOne(Millis(1));
+       const bool reserved = !b.RoomIsWhole() && b.listener.said.empty();
+       b.clock.RunFor(Millis(50));
+       return reserved && b.listener.said == "not started t;" &&
+              b.RoomIsWhole() && b.port.starts == 1;
+     }},
+    {"a start without reply that did run is found, not started again",
+     [](SessionBench& b) {
+       b.Open();
+       b.port.start = Result<wire::StartReply>(Errc::kDisconnected);
+       b.port.attach.inventory.push_back(
+           Status(wire::TaskState::kRunning, "", 0));
+       b.StartOne();
+       b.clock.RunFor(Millis(50));
+       return b.listener.said == "found t;" && b.port.starts == 1 &&
+              !b.RoomIsWhole();
+     }},
+    {"a start that was never sent is certain",
+     [](SessionBench& b) {
+       b.Open();
+       b.port.start = Result<wire::StartReply>(Errc::kUnavailable);
+       b.StartOne();
+       return b.listener.said == "not started t;";
+     }},
+    {"a stale term hands every task over",
+     [](SessionBench& b) {
+       b.Open();
+       b.StartOne();
+       wire::StartReply stale;
+       stale.status = CallStatus::kStaleTerm;
+       stale.term = 9;
+       b.port.start = stale;
+       b.room.Take(b.session->row(), placement::TaskAmount(TaskOf("u", 1).size),
+                   control::UpstreamSession::GroupOf(TaskOf("u", 1)));
+       b.session->Start(TaskOf("u", 1));
+       b.clock.RunFor(Millis(5));
+       return b.listener.said == "not started u;moved t;" && b.RoomIsWhole() &&
+              !b.session->usable();
+     }},
+    {"a cut answer is collected until it is whole",
+     [](SessionBench& b) {
+       b.port.collect.found = true;
+       b.port.collect.answer = "whole answer";
+       b.port.attach.inventory.push_back(
+           Status(wire::TaskState::kFinished, "whole", 12));
+       b.Open();
+       return b.listener.answer == "whole answer" && b.port.collects == 1;
+     }},
+    {"an answer that stays cut is never handed on",
+     [](SessionBench& b) {
+       b.port.collect.found = true;
+       b.port.collect.answer = "whole ansWer";
+       b.port.attach.inventory.push_back(
+           Status(wire::TaskState::kFinished, "whole", 12));
+       b.Open();
+       b.clock.RunFor(Millis(50));
+       return b.listener.answer != "whole ansWer" && b.port.collects == 3;
+     }},
+    {"a task that is not wanted is stopped before any renewal",
+     [](SessionBench& b) {
+       b.listener.keep = false;
+       b.port.attach.inventory.push_back(
+           Status(wire::TaskState::kRunning, "", 0));
+       b.Open();
+       return b.port.order == "stop;renew;";
+     }},
+    {"a leaving upstream gets nothing new",
+     [](SessionBench& b) {
+       b.Open();
+       wire::ListedInstance leaving = Listed();
+       leaving.state = wire::ListedState::kLeaving;
+       b.session->Update(leaving);
+       return !b.session->usable() &&
+              !b.room.Take(b.session->row(),
+                           placement::TaskAmount(TaskOf("t", 1).size));
+     }},
+};
+
+}  // namespace
+
+BOOST_DATA_TEST_CASE(upstream_contract,
+                     boost::unit_test::data::make(kUpstreamContracts), c) {
+  UpstreamBench bench;
+  BOOST_TEST(c.holds(bench));
+}
+
+BOOST_DATA_TEST_CASE(log_contract, boost::unit_test::data::make(kLogContracts),
+                     c) {
+  ManualClock clock;
+  ManualExecutor executor(clock);
+  LogStandin log(executor, Millis(1000));
+  BOOST_TEST(c.holds(clock, log));
+}
+
+BOOST_DATA_TEST_CASE(session_faults,
+                     boost::unit_test::data::make(kSessionFaults), c) {
+  SessionBench bench;
+  BOOST_TEST(c.holds(bench));
+}
+
+// The list tells that an upstream leaves, but late (P11).
+BOOST_AUTO_TEST_CASE(list_contract) {
+  ManualClock clock;
+  ManualExecutor executor(clock);
+  standins::ListStandin list(executor, {Listed()});
+  list.SetLag(Millis(500));
+  list.SetState("up", wire::ListedState::kLeaving);
+  clock.RunFor(Millis(400));
+  BOOST_TEST((list.Fetch().instances[0].state == wire::ListedState::kLive));
+  clock.RunFor(Millis(200));
+  BOOST_TEST((list.Fetch().instances[0].state == wire::ListedState::kLeaving));
+}
+
+// A key is sent to two entries: the owner counts the request and its cost, the
+// entry that passes the answer on must not count it again (the bill was
+// double).
+BOOST_AUTO_TEST_CASE(a_followed_key_is_counted_once) {
+  Cell cell({.seed = 3});
+  BOOST_REQUIRE(cell.Settle());
+  wire::RequestSpec spec = MakeSpec("part-check", 50);
+  spec.keyed = true;
+  spec.id = "part";
+  const auto one = cell.Submit(0, spec);
+  const auto two = cell.Submit(1, spec);
+  BOOST_REQUIRE(cell.RunUntil([&] { return one->answered && two->answered; },
+                              Millis(20000)));
+  BOOST_TEST(one->outcome.answer == two->outcome.answer);
+  int counted = 0;
+  for (int i = 0; i < cell.entries(); ++i) {
+    const std::string text = cell.node(i).metrics->Text();
+    counted += text.find("requests_total") != std::string::npos ? 1 : 0;
+  }
+  BOOST_TEST(counted == 1);
+}
+
+}  // namespace mimosarail::sim
--- a/tests/scenarios/real_cell.cc
+++ b/tests/scenarios/real_cell.cc
@@ -10,6 +10,8 @@
 namespace mimosarail::scenarios {
 namespace {
 
+constexpr size_t kShownLines = 40;
+
 std::string Loopback(int port) { return "127.0.0.1:" + std::to_string(port); }
 
 void WriteFile(const std::string& path, const std::string& text) {
@@ -221,7 +223,8 @@
     std::string line;
     std::vector<std::string> lines;
     while (std::getline(file, line)) lines.push_back(line);
-    const size_t first = lines.size() > 400 ? lines.size() - 400 : 0;
+    const size_t first =
+        lines.size() > kShownLines ? lines.size() - kShownLines : 0;
     for (size_t i = first; i < lines.size(); ++i) {
       out += name + ": " + lines[i] + "\n";
     }
--- a/tests/scenarios/real_cell.h
+++ b/tests/scenarios/real_cell.h
@@ -48,6 +48,9 @@
   /// Histories of all upstreams in one list.
   json History();
   const std::vector<std::string>& entries() const { return entries_; }
+  int HttpPort(const std::string& process) const {
+    return members_.at(process).http_port;
+  }
   /// The last lines of every log, for a failed scenario.
   std::string Logs() const;
 
--- a/tests/scenarios/relay.cc
+++ b/tests/scenarios/relay.cc
@@ -69,6 +69,9 @@
     std::erase_if(pipes, [](const auto& weak) { return weak.expired(); });
     pipe->server.async_connect(target, [pipe](std::error_code error) {
       if (error) return pipe->Close();
+      std::error_code ignored;
+      pipe->client.set_option(tcp::no_delay(true), ignored);
+      pipe->server.set_option(tcp::no_delay(true), ignored);
       pipe->Pump(pipe->client, pipe->server, pipe->up);
       pipe->Pump(pipe->server, pipe->client, pipe->down);
     });
