--- a/tests/standins/upstream_standin.cc
+++ b/tests/standins/upstream_standin.cc
@@ -153,6 +153,10 @@
         task.started +
         Millis(fails ? 1 : Parameter(call.task.payload, "actual_ms", declared));
     task.lease_until = task.started + Millis(call.lease_ms);
+    // Ends are seen at once, not with the next tick.
+    executor_.RunAfter(
+        std::chrono::duration_cast<Millis>(task.ends - task.started),
+        [this] { Tick(); });
     Log("start", call.task);
   }
   reply.status = wire::CallStatus::kOk;
