--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -299,6 +299,7 @@
   void Attach(const std::string&, const wire::AttachCall& call,
               Callback<wire::AttachReply> done) override {
     ++attaches;
+    if (silent) return Reply_<wire::AttachReply>(done, Errc::kTimeout);
     wire::AttachReply reply = attach;
     if (call.term <= lowest_term) {
       reply.status = CallStatus::kStaleTerm;
@@ -338,6 +339,7 @@
   Result<wire::StartReply> start{wire::StartReply()};
   wire::RenewReply renew;
   wire::CollectReply collect;
+  bool silent = false;
   int64_t lowest_term = 0;
   int renewals = 0;
   int attaches = 0;
@@ -443,6 +445,33 @@
        return b.listener.said == "found t;" && b.port.starts == 1 &&
               !b.RoomIsWhole();
      }},
+    {"a start without reply is not taken for lapsed, however long",
+     [](SessionBench& b) {
+       b.Open();
+       b.port.start = Result<wire::StartReply>(Errc::kTimeout);
+       b.port.silent = true;
+       b.StartOne();
+       b.clock.RunFor(Millis(60000));
+       const bool reserved = !b.RoomIsWhole();
+       b.port.silent = false;
+       b.clock.RunFor(Millis(10000));
+       return reserved && b.listener.said == "moved t;not started t;" &&
+              b.RoomIsWhole();
+     }},
+    {"what ran at a silent upstream is assumed lapsed past the lease only",
+     [](SessionBench& b) {
+       b.Open();
+       b.StartOne();
+       b.port.silent = true;
+       b.port.start = Result<wire::StartReply>(Errc::kTimeout);
+       b.room.Take(b.session->row(), placement::TaskAmount(TaskOf("u", 1).size),
+                   control::UpstreamSession::GroupOf(TaskOf("u", 1)));
+       b.session->Start(TaskOf("u", 1));
+       b.clock.RunFor(Millis(9000));
+       const bool early = b.listener.said.empty();
+       b.clock.RunFor(Millis(6000));
+       return early && b.listener.said == "lapse assumed t;moved u;";
+     }},
     {"a start that was never sent is certain",
      [](SessionBench& b) {
        b.Open();
@@ -562,3 +591,63 @@
 }
 
 }  // namespace mimosarail::sim
+
+namespace mimosarail::sim {
+namespace {
+
+/// The entry with the most upstreams.
+instance::Instance& RichestEntry(Cell& cell) {
+  int best = 0;
+  for (int i = 1; i < cell.entries(); ++i) {
+    const auto attached = [&](int n) {
+      return cell.node(n).instance->controller().Attached().size();
+    };
+    if (attached(i) > attached(best)) best = i;
+  }
+  return *cell.node(best).instance;
+}
+
+wire::PlaceCall PlaceOf(const std::string& id, int32_t attempt) {
+  wire::PlaceCall call;
+  call.context.spec = MakeSpec("late", 50);
+  call.context.spec.id = id;
+  call.context.owner = "entry-9";
+  call.attempt = attempt;
+  call.indices = {0};
+  call.heartbeat_seen = INT64_MAX / 1000000;
+  return call;
+}
+
+}  // namespace
+
+// An owner has settled an attempt as never started, and started the next one
+// elsewhere. Its old placement call comes out of the network now.
+BOOST_AUTO_TEST_CASE(a_fenced_attempt_is_refused_for_good) {
+  Cell cell({.seed = 4});
+  BOOST_REQUIRE(cell.Settle());
+  instance::Instance& entry = RichestEntry(cell);
+  wire::FindCall fence;
+  fence.request_id = "late";
+  fence.fence_below = 1001;
+  entry.OnFind(fence, [](const wire::FindReply&) {});
+  BOOST_TEST((entry.OnPlace(PlaceOf("late", 1000)).status ==
+              wire::PlaceStatus::kFenced));
+  BOOST_TEST((entry.OnPlace(PlaceOf("late", 1001)).status ==
+              wire::PlaceStatus::kAccepted));
+}
+
+// A placement call lay in a broken link for longer than its owner waits before
+// it settles; the heartbeat that it names tells its age.
+BOOST_AUTO_TEST_CASE(a_placement_call_that_is_too_old_is_refused) {
+  Cell cell({.seed = 5});
+  BOOST_REQUIRE(cell.Settle());
+  instance::Instance& entry = RichestEntry(cell);
+  wire::PlaceCall call = PlaceOf("old", 1000);
+  call.heartbeat_seen = entry.members().sequence();
+  cell.Run(Millis(10000));
+  BOOST_TEST((entry.OnPlace(call).status == wire::PlaceStatus::kNotReady));
+  call.heartbeat_seen = entry.members().sequence();
+  BOOST_TEST((entry.OnPlace(call).status == wire::PlaceStatus::kAccepted));
+}
+
+}  // namespace mimosarail::sim
