--- a/tests/config_test.cc
+++ b/tests/config_test.cc
@@ -131,6 +131,21 @@
   BOOST_TEST(fold.revision() == 3);
 }
 
+// A copy that states an older revision than the one in force here, whatever
+// wrote it, must not take the entry back.
+BOOST_AUTO_TEST_CASE(an_older_copy_is_not_taken_after_a_gap) {
+  FakeLog log;
+  log.Publish("a", 0, Text("one"));
+  log.Publish("b", 1, Text("two"));
+  ConfigFold fold;
+  log.Feed(fold);
+  log.Publish("c", 2, Text("three"));
+  log.first = log.Checkpoint(1, 9, Text("one"));
+  log.Feed(fold);
+  BOOST_TEST(fold.revision() == 2);
+  BOOST_TEST(fold.state().text == Text("two"));
+}
+
 // The log is down and a peer tells its revision: newer ones are taken, older
 // ones and those that cannot be joined to what was read are not.
 BOOST_AUTO_TEST_CASE(peers_only_bring_forward) {
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -10,6 +10,7 @@
 #include "src/control/controller.h"
 #include "src/libs/base/digest.h"
 #include "tests/sim/cell.h"
+#include "tests/sim/checker.h"
 #include "tests/sim/manual_executor.h"
 
 namespace mimosarail::sim {
@@ -651,3 +652,87 @@
 }
 
 }  // namespace mimosarail::sim
+
+namespace mimosarail::sim {
+namespace {
+
+/// Fills every upstream with tasks of one core.
+void FillCell(Cell& cell, int64_t run_ms) {
+  for (int i = 0; i < 24; ++i) {
+    wire::RequestSpec spec = MakeSpec("filler", run_ms);
+    spec.urgent = true;  // also takes the reserve
+    cell.Submit(i % 3, spec);
+  }
+}
+
+}  // namespace
+
+// An entry that owns a waiting key is cut off from the other entries, but not
+// from the upstreams. The caller asks another entry, which finds the owner dead
+// and the task nowhere. If it took the key over, the owner would start it too
+// as soon as room came free.
+BOOST_AUTO_TEST_CASE(a_key_is_not_taken_from_an_owner_that_is_only_cut_off) {
+  Cell cell({.seed = 6});
+  BOOST_REQUIRE(cell.Settle());
+  FillCell(cell, 25000);
+  cell.Run(Millis(500));
+  wire::RequestSpec spec = MakeSpec("contested", 3000);
+  spec.keyed = true;
+  spec.id = "contested";
+  cell.Submit(2, spec);
+  cell.Run(Millis(500));
+  for (const int other : {0, 1}) {
+    cell.network().Cut(Cell::EntryName(2), Cell::EntryName(other));
+    cell.network().Cut(Cell::EntryName(other), Cell::EntryName(2));
+  }
+  cell.Run(Millis(6000));
+  cell.Submit(0, spec);
+  cell.Run(Millis(60000));
+  for (const auto& event : cell.history().events()) {
+    if (event["event"] != "start" || event["request"] != "contested") continue;
+    BOOST_TEST(event["attempt"].get<int>() < 2000);
+  }
+}
+
+// A request failed once and then waits for its next attempt until its deadline.
+// "Not run" would have its caller believe that nothing had happened.
+BOOST_AUTO_TEST_CASE(what_failed_once_is_never_told_not_run) {
+  Cell cell({.seed = 7});
+  BOOST_REQUIRE(cell.Settle());
+  wire::RequestSpec spec = MakeSpec("fails", 10);
+  spec.size.millicores = 4000;
+  spec.payload = "fail=1";
+  spec.deadline_ms = 5000;
+  const auto told = cell.Submit(0, spec);
+  BOOST_REQUIRE(cell.RunUntil(
+      [&] { return StartsOf(cell.history().events(), told->id) > 0; },
+      Millis(5000)));
+  FillCell(cell, 20000);
+  BOOST_REQUIRE(cell.RunUntil([&] { return told->answered; }, Millis(15000)));
+  BOOST_TEST((told->outcome.verdict == wire::Verdict::kUnknown));
+}
+
+}  // namespace mimosarail::sim
+
+namespace mimosarail::sim {
+
+// Nobody reaches entry-2, which reaches all upstreams and believes that the
+// others are dead. If it kept taking their racks, no settlement could ever
+// confirm all upstreams at once and callers would be told "unknown".
+BOOST_AUTO_TEST_CASE(an_entry_that_hears_nobody_stops_contesting) {
+  Cell cell({.seed = 8});
+  BOOST_REQUIRE(cell.Settle());
+  cell.network().Cut(Cell::EntryName(0), Cell::EntryName(2));
+  cell.network().Cut(Cell::EntryName(1), Cell::EntryName(2));
+  cell.Run(Millis(8000));
+  const size_t before = cell.history().events().size();
+  cell.Run(Millis(20000));
+  int contests = 0;
+  for (size_t i = before; i < cell.history().events().size(); ++i) {
+    const auto& event = cell.history().events()[i];
+    contests += event["event"] == "attach" && event["holder"] == "entry-2";
+  }
+  BOOST_TEST(contests == 0);
+}
+
+}  // namespace mimosarail::sim
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -319,10 +319,12 @@
   std::vector<std::pair<TimePoint, Amount>> running;
   const Amount small{{1000, 100, 0, 0, 1}};
   bool gang_started = false;
-  queue.Push(
-      {.id = id, .priority = 4, .since = now, .shape = 1, .large = true});
   for (int second = 0; second < 3600 && !gang_started; ++second) {
     now += std::chrono::seconds(1);
+    if (second == 30) {
+      queue.Push(
+          {.id = 1, .priority = 4, .since = now, .shape = 1, .large = true});
+    }
     queue.Push({.id = ++id, .priority = 4, .since = now, .shape = 2});
     while (!running.empty() && running.front().first <= now) {
       room.Give(0, running.front().second);
