--- a/src/requests/requests.cc
+++ b/src/requests/requests.cc
@@ -364,7 +364,7 @@
         // its incarnation still lives.
         c_.executor.RunAfter(kCheckEvery, [this, id] {
           const wire::Intent* winner = c_.ledger.Find(id);
-          if (winner != nullptr) FollowOwner(id, *winner);
+          if (winner != nullptr) OnClaimed(id, *winner);
         });
       });
 }
