--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -19,6 +19,7 @@
       listed_[listed.name] = listed;
     }
   }
+  if (before != listed_) ++list_version_;
   for (const auto& [name, was] : before) {
     if (!listed_.contains(name)) last_delisting_ = executor_.Now();
   }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -39,6 +39,8 @@
   const std::map<std::string, wire::ListedInstance>& listed() const {
     return listed_;
   }
+  /// Rises when the list of upstreams changed.
+  int64_t list_version() const { return list_version_; }
   /// Preferred controller of a rack, or "" while unknown.
   std::string ControllerOf(const std::string& rack) const;
   /// Names of upstreams attached here with the inventory counted in.
@@ -62,6 +64,7 @@
   std::vector<UpstreamSession*> by_row_;
   TimePoint last_delisting_{};
   bool minority_ = false;
+  int64_t list_version_ = 0;
 };
 
 }  // namespace mimosarail::control
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -134,8 +134,9 @@
   Submitted NotRun(const std::string& reason, int64_t retry_after_ms) const;
   std::optional<Submitted> CheckAdmission(const wire::RequestSpec& spec,
                                           const wire::Treatment& treatment,
-                                          const rules::RuleSet& rules) const;
-  std::string ImpossibleReason(const wire::RequestSpec& spec) const;
+                                          const rules::RuleSet& rules);
+  std::string ImpossibleReason(const wire::RequestSpec& spec);
+  std::string FindImpossible(const wire::RequestSpec& spec) const;
   int64_t TeamWaiting(const std::string& team) const;
   int64_t TeamMillicores(const std::string& team) const;
 
@@ -211,6 +212,9 @@
   PeerRooms rooms_;
   std::mt19937_64 random_;
   std::map<std::string, wire::TeamUse> own_use_;
+  /// Verdicts of FindImpossible() by shape, for one version of the list.
+  std::unordered_map<uint64_t, std::string> impossible_;
+  int64_t impossible_version_ = -1;
   uint64_t next_serial_ = 0;
   int64_t next_id_ = 0;
   int64_t answer_bytes_ = 0;
@@ -220,6 +224,9 @@
   int64_t rate_starts_ = 0;
 };
 
+/// Equal for requests that fit in the same places.
+uint64_t ShapeOf(const wire::RequestSpec& spec);
+
 /// Digest over what makes two submissions the same.
 std::string ContentDigest(const wire::RequestSpec& spec);
 
--- /dev/null
+++ b/src/requests/requests_placing.cc
@@ -0,0 +1,199 @@
+// Requests: the queue, and giving requests to controllers.
+
+#include <algorithm>
+
+#include "src/libs/base/soft_assert.h"
+#include "src/requests/limits.h"
+#include "src/requests/requests.h"
+
+namespace mimosarail::requests {
+namespace {
+
+constexpr int32_t kLargeMillicores = 8000;
+
+}  // namespace
+
+void Requests::Enqueue(Record& record) {
+  record.phase = Phase::kWaiting;
+  record.foreign = false;
+  record.why = "in the queue";
+  record.tasks.assign(static_cast<size_t>(record.spec.tasks), TaskRecord{});
+  const TimePoint from =
+      record.attempts == 0 ? record.submitted : c_.executor.Now();
+  TimePoint limit = from + Millis(record.treatment.wait_limit_ms);
+  if (record.spec.deadline_ms > 0) {
+    limit = std::min(limit, record.submitted + Millis(record.spec.deadline_ms));
+  }
+  SetExpiry(record, limit);
+  record.queue_key = queue_.Push(
+      {.id = record.serial,
+       .priority = record.treatment.priority,
+       .team = record.spec.team,
+       .since = record.submitted,
+       .core_seconds = static_cast<double>(record.spec.size.millicores) *
+                       static_cast<double>(record.spec.run_ms) *
+                       record.spec.tasks / 1e6,
+       .shape =
+           ShapeOf(record.spec) * 4 +
+           (record.treatment.goal == wire::PlacementGoal::kSpread ? 1 : 0) +
+           (record.treatment.preempt ? 2 : 0),
+       .large = record.spec.tasks > 1 ||
+                record.spec.size.millicores >= kLargeMillicores,
+       .declared = Millis(record.spec.run_ms)},
+      record.queue_key);
+  CountWaiting(record, true);
+  RequestDrain();
+}
+
+void Requests::RequestDrain() {
+  if (drain_pending_) return;
+  drain_pending_ = true;
+  c_.executor.Post([this] {
+    drain_pending_ = false;
+    Drain();
+  });
+}
+
+void Requests::Drain() {
+  guard_.BeginPass(c_.executor.Now());
+  queue_.VisitInOrder(c_.executor.Now(), [&](const placement::QueueItem& item) {
+    Record* record = FindMutable(by_serial_[item.id]);
+    MR_EXPECT(record != nullptr && record->phase == Phase::kWaiting,
+              return placement::Visit::kPlaced);
+    if (!guard_.MayStart(item)) {
+      record->why = "room is held for a large request that waited long";
+      return placement::Visit::kSkipped;
+    }
+    const placement::Visit visit = TryPlace(*record, guard_.IsHeldFor(item.id));
+    if (visit == placement::Visit::kBlocked) guard_.NoteBlocked(item);
+    if (visit == placement::Visit::kPlaced) CountWaiting(*record, false);
+    return visit;
+  });
+  guard_.EndPass();
+}
+
+wire::PlaceCall Requests::MakeCall(const Record& record,
+                                   bool use_reserve) const {
+  wire::PlaceCall call;
+  call.context.spec = record.spec;
+  call.context.treatment = record.treatment;
+  call.context.owner = options_.self;
+  call.context.owner_incarnation = options_.incarnation;
+  call.attempt = record.attempt;
+  call.use_reserve = use_reserve;
+  for (int32_t i = 0; i < record.spec.tasks; ++i) call.indices.push_back(i);
+  return call;
+}
+
+placement::Visit Requests::TryPlace(Record& record, bool use_reserve) {
+  const auto rules = c_.rules();
+  const rules::TeamLimit* limit =
+      rules ? rules->LimitOf(record.spec.team) : nullptr;
+  const int64_t wanted =
+      static_cast<int64_t>(record.spec.size.millicores) * record.spec.tasks;
+  if (limit != nullptr && limit->millicores &&
+      TeamMillicores(record.spec.team) + wanted > *limit->millicores) {
+    record.why = "team " + record.spec.team + " uses its quota of cores";
+    return placement::Visit::kSkipped;
+  }
+  const wire::PlaceCall call = MakeCall(record, use_reserve);
+  const placement::Ask ask =
+      execution::MakeAsk(call.context, record.spec.tasks, c_.executor.Now());
+  if (PlaceHere(record, call)) return placement::Visit::kPlaced;
+  if (PlaceAtPeer(record, call, ask)) return placement::Visit::kPlaced;
+  if (record.treatment.preempt) c_.execution.Preempt(call);
+  return placement::Visit::kBlocked;
+}
+
+bool Requests::PlaceHere(Record& record, const wire::PlaceCall& call) {
+  // The tasks must be known as asked for before the call: their first reports
+  // may come from inside it.
+  MarkRunning(record, options_.self, options_.incarnation, TaskPhase::kHeld);
+  const wire::PlaceReply reply = c_.execution.Place(call);
+  if (reply.status == wire::PlaceStatus::kAccepted) {
+    NoteStarted(record);
+    return true;
+  }
+  CountRunning(record, false);
+  record.phase = Phase::kWaiting;
+  record.why = reply.status == wire::PlaceStatus::kFenced
+                   ? "another entry is taking it over"
+                   : reply.detail;
+  record.tasks.assign(static_cast<size_t>(record.spec.tasks), TaskRecord{});
+  return false;
+}
+
+bool Requests::PlaceAtPeer(Record& record, const wire::PlaceCall& call,
+                           const placement::Ask& ask) {
+  const membership::Peer* peer = rooms_.Choose(ask);
+  if (peer == nullptr) return false;
+  wire::PlaceCall sent = call;
+  sent.heartbeat_seen = peer->last.sequence;
+  MarkRunning(record, peer->name, peer->last.incarnation, TaskPhase::kAsked);
+  rooms_.NoteSent(peer->name, ask);
+  c_.peers.Place(
+      peer->address, sent,
+      [this, id = record.spec.id, attempt = record.attempt, name = peer->name,
+       ask](const Result<wire::PlaceReply>& reply) {
+        OnPlaceReply(id, attempt, name, ask, reply);
+      });
+  return true;
+}
+
+void Requests::MarkRunning(Record& record, const std::string& holder,
+                           int64_t incarnation, TaskPhase phase) {
+  record.phase = Phase::kRunning;
+  record.placed = c_.executor.Now();
+  record.settling = false;
+  record.fenced_everywhere = false;
+  record.tasks.assign(
+      static_cast<size_t>(record.spec.tasks),
+      TaskRecord{
+          .phase = phase, .holder = holder, .holder_incarnation = incarnation});
+  CountRunning(record, true);
+}
+
+void Requests::NoteStarted(Record& record) {
+  ++record.attempts;
+  ++rate_starts_;
+  budget_.NoteStart(record.treatment.rule);
+  SetExpiry(record, TimePoint::max());
+  if (record.started_once) return;
+  record.started_once = true;
+  record.waited =
+      std::chrono::duration_cast<Millis>(c_.executor.Now() - record.submitted);
+  c_.on_first_start(record);
+}
+
+void Requests::OnPlaceReply(const std::string& id, int32_t attempt,
+                            const std::string& peer, const placement::Ask& ask,
+                            const Result<wire::PlaceReply>& reply) {
+  Record* record = FindMutable(id);
+  if (record == nullptr || record->attempt != attempt ||
+      record->phase != Phase::kRunning) {
+    return;
+  }
+  const bool never_sent =
+      !reply.ok() && reply.error().code == Errc::kUnavailable;
+  if (!reply.ok() && !never_sent) return StartSettling(*record);
+  if (reply.ok() && reply.value().status == wire::PlaceStatus::kAccepted) {
+    for (TaskRecord& task : record->tasks) {
+      if (task.phase == TaskPhase::kAsked) task.phase = TaskPhase::kHeld;
+    }
+    return NoteStarted(*record);
+  }
+  if (reply.ok() && reply.value().status == wire::PlaceStatus::kFenced) {
+    return End(*record, wire::Verdict::kUnknown,
+               "another entry has taken the request over; ask again by id");
+  }
+  rooms_.NoteRefused(peer,
+                     placement::Ask{.size = ask.size, .tasks = ask.tasks});
+  CountRunning(*record, false);
+  if (record->cancelled) {
+    return End(*record, wire::Verdict::kCancelled,
+               "before it started: not run");
+  }
+  Enqueue(*record);
+}
+
+}  // namespace mimosarail::requests
