Rpc: Include Asio through one header

Cause: AddressSanitizer: memory taken by aligned_alloc in one source file was given back by operator delete in another; Asio decides by what was included before it. Ruled out: our own buffers (the blocks are handler memory of Asio). Change: one header that fixes the choice.

--- a/src/libs/rpc/asio_executor.cc
+++ b/src/libs/rpc/asio_executor.cc
@@ -1,6 +1,6 @@
 #include "src/libs/rpc/asio_executor.h"
 
-#include <asio.hpp>
+#include "src/libs/rpc/asio.h"
 
 namespace mimosarail::rpc {
 
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include <array>
-#include <asio.hpp>
 #include <functional>
 #include <optional>
 #include <string>
 
 #include "frame_types.h"
 #include "src/libs/base/result.h"
+#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/codec.h"
 
 namespace mimosarail::rpc {
--- a/tests/scenarios/real_cell.h
+++ b/tests/scenarios/real_cell.h
@@ -1,6 +1,5 @@
 #pragma once
 
-#include <asio.hpp>
 #include <future>
 #include <map>
 #include <memory>
@@ -9,6 +8,7 @@
 #include <thread>
 #include <vector>
 
+#include "src/libs/rpc/asio.h"
 #include "tests/scenarios/process.h"
 #include "tests/scenarios/relay.h"
 
--- a/tests/standins/main.cc
+++ b/tests/standins/main.cc
@@ -5,7 +5,6 @@
 #include <gflags/gflags.h>
 #include <httplib.h>
 
-#include <asio.hpp>
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -14,6 +13,7 @@
 #include <sstream>
 #include <thread>
 
+#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/libs/rpc/server.h"
 #include "tests/standins/list_standin.h"
