--- a/bench/system_bench.cc
+++ b/bench/system_bench.cc
@@ -1,6 +1,6 @@
 // Real processes: request throughput and added delay, time without service
 // after a kill and a freeze, time of a publish to be in force, cost at rest.
-// system_bench BUILD_DIR
+// system_bench BUILD_DIR [direct|peak|takeover|publish|rest]
 
 #include <httplib.h>
 
@@ -366,11 +366,16 @@
 int main(int argc, char** argv) {
   using namespace mimosarail::bench;  // NOLINT(google-build-using-namespace)
   const std::string bin = argc > 1 ? argv[1] : "build";
-  Direct(bin);
-  Peak(bin);
-  TakeOver(bin, SIGKILL, "kill");
-  TakeOver(bin, SIGSTOP, "freeze");
-  Publishing(bin);
+  const std::string only = argc > 2 ? argv[2] : "";
+  const auto wanted = [&only](const std::string& part) {
+    return only.empty() || only == part;
+  };
+  if (wanted("direct")) Direct(bin);
+  if (wanted("peak")) Peak(bin);
+  if (wanted("takeover")) TakeOver(bin, SIGKILL, "kill");
+  if (wanted("takeover")) TakeOver(bin, SIGSTOP, "freeze");
+  if (wanted("publish")) Publishing(bin);
+  if (!wanted("rest")) return 0;
   Rest(bin, 1, 1, 8, 0);
   Rest(bin, 1, 10, 8, 0);
   Rest(bin, 1, 10, 8, 400);
--- a/src/requests/intent_ledger.cc
+++ b/src/requests/intent_ledger.cc
@@ -94,10 +94,9 @@
   const std::chrono::duration<double> step = options_.group_commit;
   tokens_ = std::min(kBurst, tokens_ + since / step);
   last_flush_ = now;
-  const bool at_once = tokens_ >= 1;
-  if (at_once) tokens_ -= 1;
-  executor_.RunAfter(at_once ? Millis(0) : options_.group_commit,
-                     [this] { Flush(); });
+  tokens_ -= 1;
+  const auto owed = std::chrono::duration_cast<Millis>(-tokens_ * step);
+  executor_.RunAfter(std::max(Millis(0), owed), [this] { Flush(); });
 }
 
 void IntentLedger::Flush() {
