--- a/bench/system_bench.cc
+++ b/bench/system_bench.cc
@@ -121,8 +121,9 @@
   }
   for (auto& thread : threads) thread.join();
   std::vector<double> all;
-  for (const auto& list : delays)
+  for (const auto& list : delays) {
     all.insert(all.end(), list.begin(), list.end());
+  }
   std::printf("%s.throughput=%.0f requests/s\n", name.c_str(),
               static_cast<double>(all.size()) / seconds);
   std::printf("%s.p50=%.2f ms\n", name.c_str(), 1000 * Percentile(all, 0.5));
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -294,13 +294,13 @@
 struct ScriptedPort : platform::UpstreamPort {
   explicit ScriptedPort(ManualClock& c) : executor(c) {}
   template <typename Reply>
-  void Reply_(Callback<Reply> done, Result<Reply> reply) {
+  void Answer(Callback<Reply> done, Result<Reply> reply) {
     executor.RunAfter(Millis(1), [done, reply] { done(reply); });
   }
   void Attach(const std::string&, const wire::AttachCall& call,
               Callback<wire::AttachReply> done) override {
     ++attaches;
-    if (silent) return Reply_<wire::AttachReply>(done, Errc::kTimeout);
+    if (silent) return Answer<wire::AttachReply>(done, Errc::kTimeout);
     wire::AttachReply reply = attach;
     if (call.term <= lowest_term) {
       reply.status = CallStatus::kStaleTerm;
@@ -308,23 +308,23 @@
     } else {
       lowest_term = call.term;
     }
-    Reply_<wire::AttachReply>(done, reply);
+    Answer<wire::AttachReply>(done, reply);
   }
   void Start(const std::string&, const wire::StartCall&,
              Callback<wire::StartReply> done) override {
     ++starts;
-    Reply_<wire::StartReply>(done, start);
+    Answer<wire::StartReply>(done, start);
   }
   void Renew(const std::string&, const wire::RenewCall&,
              Callback<wire::RenewReply> done) override {
     order += "renew;";
     if (renewals-- <= 0) return;
-    Reply_<wire::RenewReply>(done, renew);
+    Answer<wire::RenewReply>(done, renew);
   }
   void Steer(const std::string&, const wire::SteerCall&,
              Callback<wire::SteerReply> done) override {
     order += "stop;";
-    Reply_<wire::SteerReply>(done, wire::SteerReply());
+    Answer<wire::SteerReply>(done, wire::SteerReply());
   }
   void Inventory(const std::string&, const wire::InventoryCall&,
                  Callback<wire::InventoryReply>) override {}
@@ -333,7 +333,7 @@
   void Collect(const std::string&, const wire::CollectCall&,
                Callback<wire::CollectReply> done) override {
     ++collects;
-    Reply_<wire::CollectReply>(done, collect);
+    Answer<wire::CollectReply>(done, collect);
   }
   ManualExecutor executor;
   wire::AttachReply attach;
