Core: Remove state that nothing reads

Cause: a read of the whole change: the settlement took the listed entries and never looked at them, two option structs carried a call timeout that the ports own, the stream reader kept a time nobody asked for, and a factor of 1 stood before the age limit of placement calls.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -22,9 +22,6 @@
 
 using settings::Settings;
 
-/// Placement calls older than this many dead limits are refused.
-constexpr int kPlaceValidityFactor = 1;
-
 int64_t MakeIncarnation() {
   const auto now = std::chrono::system_clock::now().time_since_epoch();
   return std::chrono::duration_cast<Millis>(now).count();
@@ -45,7 +42,6 @@
   out.session = {.controller = s.name,
                  .lease = Millis(s.lease_ms),
                  .max_delay = Millis(s.max_delay_ms),
-                 .call_timeout = Millis(s.call_timeout_ms),
                  .seed = out.seed};
   out.config = {.name = s.name,
                 .incarnation = incarnation,
@@ -61,8 +57,7 @@
                   .max_answer_bytes = s.max_answer_bytes,
                   .lease = Millis(s.lease_ms),
                   .max_delay = Millis(s.max_delay_ms),
-                  .call_timeout = Millis(s.call_timeout_ms),
-                  .place_validity = kPlaceValidityFactor * Millis(s.dead_ms),
+                  .place_validity = Millis(s.dead_ms),
                   .seed = out.seed};
   out.list_refresh = Millis(s.list_refresh_ms);
   out.cost_flush = Millis(s.cost_flush_ms);
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -16,7 +16,6 @@
   std::string controller;  ///< Name of this entry.
   Millis lease{8000};
   Millis max_delay{2000};
-  Millis call_timeout{1000};
   Millis attach_retry{200};
   Millis attach_retry_longest{2000};
   Millis contest_first{1000};
--- a/src/membership/membership.cc
+++ b/src/membership/membership.cc
@@ -116,7 +116,6 @@
   peer.last = heartbeat;
   if (!heartbeat.has_teams && !reborn) peer.last.teams = std::move(teams);
   peer.heard = now;
-  peer.leaving = heartbeat.phase == wire::EntryPhase::kLeaving;
   const bool mutual = std::find(heartbeat.heard.begin(), heartbeat.heard.end(),
                                 options_.name) != heartbeat.heard.end();
   const bool link_change = mutual != peer.mutual;
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -32,7 +32,6 @@
   wire::Heartbeat last;
   TimePoint heard{};
   TimePoint heard_since{};
-  bool leaving = false;
   /// It hears this entry too; calls to one that does not would be lost.
   bool mutual = false;
 };
--- a/src/placement/room.cc
+++ b/src/placement/room.cc
@@ -33,8 +33,7 @@
   row = Row{.name = std::move(options.name),
             .rack = RackIndex(options.rack, options.failure_domain),
             .capacity = options.capacity,
-            .free = options.capacity,
-            .used_row = true};
+            .free = options.capacity};
   racks_[row.rack].rows.push_back(id);
   return id;
 }
--- a/src/placement/room.h
+++ b/src/placement/room.h
@@ -25,7 +25,6 @@
   /// Failures since the last success; see Room::NoteFailure.
   int32_t failures = 0;
   TimePoint probe_after{};
-  bool used_row = false;
 };
 
 struct Rack {
--- a/src/platform/stream_reader.cc
+++ b/src/platform/stream_reader.cc
@@ -25,14 +25,11 @@
   // The first read must not wait: an empty stream is news at a start.
   call.wait_ms = ever_caught_up_ ? options_.read_wait.count() : 0;
   ++reads_;
-  log_.Read(call, [this, asked = executor_.Now()](
-                      const Result<wire::ReadReply>& reply) {
-    OnReply(asked, reply);
-  });
+  log_.Read(call,
+            [this](const Result<wire::ReadReply>& reply) { OnReply(reply); });
 }
 
-void StreamReader::OnReply(TimePoint asked,
-                           const Result<wire::ReadReply>& reply) {
+void StreamReader::OnReply(const Result<wire::ReadReply>& reply) {
   if (up_ != reply.ok()) {
     up_ = reply.ok();
     logging::Event(up_ ? logging::Level::kInfo : logging::Level::kWarning,
@@ -49,10 +46,7 @@
   for (const wire::LogRecord& record : reply.value().records) {
     position_ = std::max(position_, record.offset + 1);
   }
-  if (position_ >= reply.value().upper) {
-    ever_caught_up_ = true;
-    caught_up_at_ = asked;
-  }
+  if (position_ >= reply.value().upper) ever_caught_up_ = true;
   ReadNext();
 }
 
--- a/src/platform/stream_reader.h
+++ b/src/platform/stream_reader.h
@@ -31,8 +31,6 @@
   void Seek(int64_t offset) { position_ = offset; }
   /// Whether the last read was answered.
   bool up() const { return up_; }
-  /// When a read was last answered with nothing more to come at once.
-  TimePoint caught_up_at() const { return caught_up_at_; }
   bool ever_caught_up() const { return ever_caught_up_; }
   int64_t position() const { return position_; }
   /// Reads sent so far; for the control cost.
@@ -40,7 +38,7 @@
 
  private:
   void ReadNext();
-  void OnReply(TimePoint asked, const Result<wire::ReadReply>& reply);
+  void OnReply(const Result<wire::ReadReply>& reply);
 
   Executor& executor_;
   LogPort& log_;
@@ -50,7 +48,6 @@
   int64_t reads_ = 0;
   bool up_ = false;
   bool ever_caught_up_ = false;
-  TimePoint caught_up_at_{};
   Millis retry_{0};
 };
 
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -34,7 +34,6 @@
   int64_t max_answer_bytes = 8 << 20;
   Millis lease{8000};
   Millis max_delay{2000};
-  Millis call_timeout{1000};
   /// A placement call that is older than this is refused by its receiver.
   Millis place_validity{3000};
   Millis settle_every{300};
--- a/src/requests/requests_settling.cc
+++ b/src/requests/requests_settling.cc
@@ -95,7 +95,6 @@
   for (const auto& [name, listed] : c_.controller.listed()) {
     input.listed_upstreams.insert(name);
   }
-  input.listed_entries = ListedEntries();
   input.fenced = fenced;
   const TimePoint vanished = c_.controller.last_delisting();
   const TimePoint since = record.phase == Phase::kReclaiming
--- a/src/requests/settlement.h
+++ b/src/requests/settlement.h
@@ -16,9 +16,8 @@
   int32_t index = 0;
   /// Answers of this sweep by entry name, this entry's own among them.
   const std::map<std::string, wire::FindReply>* answers = nullptr;
-  /// Upstreams in the instance list, and entries in it.
+  /// Upstreams in the instance list.
   std::set<std::string> listed_upstreams;
-  std::set<std::string> listed_entries;
   /// Whether every answer of the sweep set a fence above the attempt.
   bool fenced = false;
   /// An upstream left the list since the attempt was placed.
