--- /dev/null
+++ b/src/scheduling/upstream_pool.cc
@@ -0,0 +1,141 @@
+#include "src/scheduling/upstream_pool.h"
+
+#include <algorithm>
+
+#include "src/libs/base/soft_assert.h"
+
+namespace mimosarail::scheduling {
+namespace {
+
+/// Weight of one more result in the running mean of an upstream's slowness:
+/// some ten results forget a fault that is over.
+constexpr double kSpeedWeight = 0.2;
+
+constexpr int32_t kTrustedTrials = 1 << 20;
+
+Amount CapacityOf(const ports::UpstreamSize& size) {
+  Amount out;
+  out[Dimension::kCores] = size.millicores;
+  out[Dimension::kMemory] = size.memory_mb;
+  out[Dimension::kAccelerators] = size.accelerators;
+  return out;
+}
+
+}  // namespace
+
+Amount TaskRoom(const wire::StepSpec& step) {
+  Amount out;
+  // A filler works in the cores that others leave over.
+  out[Dimension::kCores] = step.filler ? 0 : step.millicores;
+  out[Dimension::kMemory] = step.memory_mb;
+  out[Dimension::kAccelerators] = step.accelerators;
+  return out;
+}
+
+UpstreamIndex UpstreamPool::Update(const ports::UpstreamEntry& entry) {
+  const auto known = index_.find(entry.id);
+  if (known != index_.end()) {
+    Upstream& upstream = upstreams_[known->second];
+    const Amount capacity = CapacityOf(entry.capacity);
+    upstream.free += capacity;
+    upstream.free -= upstream.capacity;
+    upstream.capacity = capacity;
+    upstream.entry = entry;
+    upstream.listed = true;
+    return known->second;
+  }
+  const auto index = static_cast<UpstreamIndex>(upstreams_.size());
+  const Amount capacity = CapacityOf(entry.capacity);
+  upstreams_.push_back(
+      {.entry = entry, .capacity = capacity, .free = capacity});
+  index_.emplace(entry.id, index);
+  live_.push_back(index);
+  return index;
+}
+
+void UpstreamPool::Remove(UpstreamIndex index) {
+  Upstream& upstream = upstreams_[index];
+  index_.erase(upstream.entry.id);
+  std::erase(live_, index);
+  upstream.held.clear();
+  upstream.listed = false;
+  upstream.reachable = false;
+}
+
+UpstreamIndex UpstreamPool::Find(const std::string& id) const {
+  const auto found = index_.find(id);
+  return found == index_.end() ? kNoUpstream : found->second;
+}
+
+void UpstreamPool::Hold(UpstreamIndex index, const TaskId& task,
+                        int64_t attempt, const Amount& amount) {
+  Upstream& upstream = upstreams_[index];
+  if (upstream.held.emplace(std::pair(task, attempt), amount).second) {
+    upstream.free -= amount;
+  }
+}
+
+bool UpstreamPool::Release(UpstreamIndex index, const TaskId& task,
+                           int64_t attempt) {
+  Upstream& upstream = upstreams_[index];
+  const auto held = upstream.held.find({task, attempt});
+  if (held == upstream.held.end()) return false;
+  upstream.free += held->second;
+  upstream.held.erase(held);
+  return true;
+}
+
+int32_t UpstreamPool::HeldOf(UpstreamIndex index, const StepId& step) const {
+  const auto& held = upstreams_[index].held;
+  const TaskId first{step.job, step.occurrence, step.step, 0};
+  int32_t count = 0;
+  for (auto at = held.lower_bound({first, 0});
+       at != held.end() && at->first.first.step_id() == step; ++at) {
+    ++count;
+  }
+  return count;
+}
+
+void UpstreamPool::NoteSuccess(UpstreamIndex index, TimePoint now) {
+  UpstreamHealth& health = upstreams_[index].health;
+  health.streak = 0;
+  health.trials = 0;
+  health.last_rest = Millis(0);
+  health.rest_until = {};
+  health.last_success = now;
+}
+
+void UpstreamPool::NoteFailure(UpstreamIndex index, TimePoint now,
+                               int32_t weight) {
+  UpstreamHealth& health = upstreams_[index].health;
+  health.streak += weight;
+  health.trials = 0;
+  if (health.streak < kRestAfter || now < health.rest_until) return;
+  health.last_rest = health.last_rest == Millis(0)
+                         ? kFirstRest
+                         : std::min(kLongestRest, health.last_rest * 2);
+  health.rest_until = now + health.last_rest;
+}
+
+void UpstreamPool::NoteStart(UpstreamIndex index) {
+  ++upstreams_[index].health.trials;
+}
+
+void UpstreamPool::NoteSpeed(UpstreamIndex index, double ratio) {
+  double& slowness = upstreams_[index].health.slowness;
+  slowness += kSpeedWeight * (ratio - slowness);
+}
+
+bool UpstreamPool::Usable(UpstreamIndex index, TimePoint now) const {
+  const Upstream& upstream = upstreams_[index];
+  return upstream.reachable && upstream.listed && !upstream.entry.draining &&
+         now >= upstream.health.rest_until && TrialsLeft(index) > 0;
+}
+
+int32_t UpstreamPool::TrialsLeft(UpstreamIndex index) const {
+  const UpstreamHealth& health = upstreams_[index].health;
+  if (health.streak == 0) return kTrustedTrials;
+  return std::max(0, 1 - health.trials);
+}
+
+}  // namespace mimosarail::scheduling
--- /dev/null
+++ b/src/scheduling/upstream_pool.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "src/jobs/job.h"
+#include "src/placement/amount.h"
+#include "src/ports/upstream_list_port.h"
+
+namespace mimosarail::scheduling {
+
+using placement::Amount;
+using placement::Dimension;
+
+/// How far an upstream is trusted, from its own results alone: it may answer
+/// that it is well and fail all that it starts.
+struct UpstreamHealth {
+  /// Failed or stalled tasks since the last success.
+  int32_t streak = 0;
+  /// Nothing new before this.
+  TimePoint rest_until{};
+  Millis last_rest{0};
+  TimePoint last_success{};
+  /// Starts since the last result; a suspect gets one at a time.
+  int32_t trials = 0;
+  /// Run time against the estimate, relative to all upstreams; 1 is usual.
+  double slowness = 1;
+};
+
+struct Upstream {
+  ports::UpstreamEntry entry;
+  Amount capacity;
+  Amount free;
+  /// Answered its last renewal under our fence, and its tasks are known.
+  bool reachable = false;
+  bool listed = true;
+  UpstreamHealth health;
+  /// What takes room there, by task and attempt. Freed only when the upstream
+  /// has listed the end, or its leases have surely run out.
+  std::map<std::pair<TaskId, int64_t>, Amount> held;
+};
+
+/// The upstreams, what is free on them and how far they are trusted. Decides
+/// nothing about jobs. Not thread-safe.
+class UpstreamPool {
+ public:
+  /// Adds the upstream or takes over what its entry says now.
+  UpstreamIndex Update(const ports::UpstreamEntry& entry);
+  /// Forgets the upstream and all that it held. Its index is not used again.
+  void Remove(UpstreamIndex index);
+  UpstreamIndex Find(const std::string& id) const;
+
+  Upstream& at(UpstreamIndex index) { return upstreams_[index]; }
+  const Upstream& at(UpstreamIndex index) const { return upstreams_[index]; }
+  /// Every index that is in use.
+  const std::vector<UpstreamIndex>& all() const { return live_; }
+
+  /// Takes room, even past the capacity: what runs there runs.
+  void Hold(UpstreamIndex index, const TaskId& task, int64_t attempt,
+            const Amount& amount);
+  /// Gives the room of one run back; false if none was held.
+  bool Release(UpstreamIndex index, const TaskId& task, int64_t attempt);
+  /// How many tasks of a step hold room there.
+  int32_t HeldOf(UpstreamIndex index, const StepId& step) const;
+
+  void NoteSuccess(UpstreamIndex index, TimePoint now);
+  /// `weight` 2 sends the upstream to rest at once.
+  void NoteFailure(UpstreamIndex index, TimePoint now, int32_t weight = 1);
+  void NoteStart(UpstreamIndex index);
+  /// Folds in how long a task took, as a multiple of what was expected.
+  void NoteSpeed(UpstreamIndex index, double ratio);
+
+  /// Whether it may be given something new.
+  bool Usable(UpstreamIndex index, TimePoint now) const;
+  /// Most new tasks that its record allows at this moment.
+  int32_t TrialsLeft(UpstreamIndex index) const;
+
+  /// A failing upstream rests this long, then twice as long each time. Faults
+  /// of a machine last seconds; a longer first rest would cost more room than
+  /// the few tasks that a trial loses.
+  static constexpr Millis kFirstRest{1000};
+  static constexpr Millis kLongestRest{8000};
+  /// Failures in a row after which it rests. One alone is often the task's
+  /// own fault (1 to 5 % of tasks fail anywhere).
+  static constexpr int32_t kRestAfter = 2;
+
+ private:
+  std::vector<Upstream> upstreams_;
+  std::vector<UpstreamIndex> live_;
+  std::unordered_map<std::string, UpstreamIndex> index_;
+};
+
+/// Room that a task of this step takes on an upstream.
+Amount TaskRoom(const wire::StepSpec& step);
+
+}  // namespace mimosarail::scheduling
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -291,7 +291,7 @@
 };
 
 /// A port whose replies a test scripts; counts what is sent.
-struct ScriptedPort : platform::UpstreamPort {
+struct ScriptedPort : ports::UpstreamPort {
   explicit ScriptedPort(ManualClock& c) : executor(c) {}
   template <typename Reply>
   void Answer(Callback<Reply> done, Result<Reply> reply) {
--- a/tests/sim/cell.cc
+++ b/tests/sim/cell.cc
@@ -16,9 +16,9 @@
 }  // namespace
 
 /// Every way out of a simulated entry.
-class NodePorts final : public platform::UpstreamPort,
-                        public platform::LogPort,
-                        public platform::InstanceListPort,
+class NodePorts final : public ports::UpstreamPort,
+                        public ports::LogPort,
+                        public ports::InstanceListPort,
                         public requests::PeerPort,
                         public configlog::ConfigSource,
                         public membership::HeartbeatSender {
