--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -29,7 +29,7 @@
        "says which upstreams may run a step"},
       {"seeds", List{&S::seeds}, "ip:port",
        "entry instances to ask for the leader while the store is away"},
-      {"log_level", Text{&S::log_level}, "",
+      {"log_level", Text{&S::log_level, false}, "",
        "least level of lines: debug (every start, every request), info, "
        "warning, error"},
       {"cpu_percent", Number{&S::cpu_percent, {1, 6400}}, "% of a core",
