--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -998,17 +998,13 @@
   this->task = val;
 }
 
-void TaskRecord::__set_failures(const int32_t val) {
-  this->failures = val;
+void TaskRecord::__set_failed_attempts(const std::vector<int64_t> & val) {
+  this->failed_attempts = val;
 }
 
 void TaskRecord::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
-
-void TaskRecord::__set_failed_attempt(const int64_t val) {
-  this->failed_attempt = val;
-}
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj)
 {
   obj.printTo(out);
@@ -1046,9 +1042,21 @@
         }
         break;
       case 2:
-        if (ftype == ::apache::thrift::protocol::T_I32) {
-          xfer += iprot->readI32(this->failures);
-          this->__isset.failures = true;
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->failed_attempts.clear();
+            uint32_t _size18;
+            ::apache::thrift::protocol::TType _etype21;
+            xfer += iprot->readListBegin(_etype21, _size18);
+            this->failed_attempts.resize(_size18);
+            uint32_t _i22;
+            for (_i22 = 0; _i22 < _size18; ++_i22)
+            {
+              xfer += iprot->readI64(this->failed_attempts[_i22]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.failed_attempts = true;
         } else {
           xfer += iprot->skip(ftype);
         }
@@ -1061,14 +1069,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 4:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->failed_attempt);
-          this->__isset.failed_attempt = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1090,18 +1090,22 @@
   xfer += oprot->writeI32(this->task);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failures", ::apache::thrift::protocol::T_I32, 2);
-  xfer += oprot->writeI32(this->failures);
+  xfer += oprot->writeFieldBegin("failed_attempts", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->failed_attempts.size()));
+    std::vector<int64_t> ::const_iterator _iter23;
+    for (_iter23 = this->failed_attempts.begin(); _iter23 != this->failed_attempts.end(); ++_iter23)
+    {
+      xfer += oprot->writeI64((*_iter23));
+    }
+    xfer += oprot->writeListEnd();
+  }
   xfer += oprot->writeFieldEnd();
 
   xfer += oprot->writeFieldBegin("checkpoint", ::apache::thrift::protocol::T_STRING, 3);
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("failed_attempt", ::apache::thrift::protocol::T_I64, 4);
-  xfer += oprot->writeI64(this->failed_attempt);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1110,34 +1114,30 @@
 void swap(TaskRecord &a, TaskRecord &b) {
   using ::std::swap;
   swap(a.task, b.task);
-  swap(a.failures, b.failures);
+  swap(a.failed_attempts, b.failed_attempts);
   swap(a.checkpoint, b.checkpoint);
-  swap(a.failed_attempt, b.failed_attempt);
   swap(a.__isset, b.__isset);
 }
 
-TaskRecord::TaskRecord(const TaskRecord& other18) {
-  task = other18.task;
-  failures = other18.failures;
-  checkpoint = other18.checkpoint;
-  failed_attempt = other18.failed_attempt;
-  __isset = other18.__isset;
+TaskRecord::TaskRecord(const TaskRecord& other24) {
+  task = other24.task;
+  failed_attempts = other24.failed_attempts;
+  checkpoint = other24.checkpoint;
+  __isset = other24.__isset;
 }
-TaskRecord& TaskRecord::operator=(const TaskRecord& other19) {
-  task = other19.task;
-  failures = other19.failures;
-  checkpoint = other19.checkpoint;
-  failed_attempt = other19.failed_attempt;
-  __isset = other19.__isset;
+TaskRecord& TaskRecord::operator=(const TaskRecord& other25) {
+  task = other25.task;
+  failed_attempts = other25.failed_attempts;
+  checkpoint = other25.checkpoint;
+  __isset = other25.__isset;
   return *this;
 }
 void TaskRecord::printTo(std::ostream& out) const {
   using ::apache::thrift::to_string;
   out << "TaskRecord(";
   out << "task=" << to_string(task);
-  out << ", " << "failures=" << to_string(failures);
+  out << ", " << "failed_attempts=" << to_string(failed_attempts);
   out << ", " << "checkpoint=" << to_string(checkpoint);
-  out << ", " << "failed_attempt=" << to_string(failed_attempt);
   out << ")";
 }
 
@@ -1205,14 +1205,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size20;
-            ::apache::thrift::protocol::TType _etype23;
-            xfer += iprot->readListBegin(_etype23, _size20);
-            this->tasks.resize(_size20);
-            uint32_t _i24;
-            for (_i24 = 0; _i24 < _size20; ++_i24)
+            uint32_t _size26;
+            ::apache::thrift::protocol::TType _etype29;
+            xfer += iprot->readListBegin(_etype29, _size26);
+            this->tasks.resize(_size26);
+            uint32_t _i30;
+            for (_i30 = 0; _i30 < _size26; ++_i30)
             {
-              xfer += this->tasks[_i24].read(iprot);
+              xfer += this->tasks[_i30].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1249,10 +1249,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskRecord> ::const_iterator _iter25;
-    for (_iter25 = this->tasks.begin(); _iter25 != this->tasks.end(); ++_iter25)
+    std::vector<TaskRecord> ::const_iterator _iter31;
+    for (_iter31 = this->tasks.begin(); _iter31 != this->tasks.end(); ++_iter31)
     {
-      xfer += (*_iter25).write(oprot);
+      xfer += (*_iter31).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1271,17 +1271,17 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgressRecord::ProgressRecord(const ProgressRecord& other26) {
-  state = other26.state;
-  done = other26.done;
-  tasks = other26.tasks;
-  __isset = other26.__isset;
+ProgressRecord::ProgressRecord(const ProgressRecord& other32) {
+  state = other32.state;
+  done = other32.done;
+  tasks = other32.tasks;
+  __isset = other32.__isset;
 }
-ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other27) {
-  state = other27.state;
-  done = other27.done;
-  tasks = other27.tasks;
-  __isset = other27.__isset;
+ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other33) {
+  state = other33.state;
+  done = other33.done;
+  tasks = other33.tasks;
+  __isset = other33.__isset;
   return *this;
 }
 void ProgressRecord::printTo(std::ostream& out) const {
@@ -1405,14 +1405,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size28;
-            ::apache::thrift::protocol::TType _etype31;
-            xfer += iprot->readListBegin(_etype31, _size28);
-            this->labels.resize(_size28);
-            uint32_t _i32;
-            for (_i32 = 0; _i32 < _size28; ++_i32)
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->labels.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
             {
-              xfer += iprot->readString(this->labels[_i32]);
+              xfer += iprot->readString(this->labels[_i38]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1485,10 +1485,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter33;
-    for (_iter33 = this->labels.begin(); _iter33 != this->labels.end(); ++_iter33)
+    std::vector<std::string> ::const_iterator _iter39;
+    for (_iter39 = this->labels.begin(); _iter39 != this->labels.end(); ++_iter39)
     {
-      xfer += oprot->writeString((*_iter33));
+      xfer += oprot->writeString((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1525,29 +1525,29 @@
   swap(a.__isset, b.__isset);
 }
 
-UpstreamRecord::UpstreamRecord(const UpstreamRecord& other34) {
-  id = other34.id;
-  pool = other34.pool;
-  address = other34.address;
-  failure_domain = other34.failure_domain;
-  rack = other34.rack;
-  labels = other34.labels;
-  millicores = other34.millicores;
-  memory_mb = other34.memory_mb;
-  accelerators = other34.accelerators;
-  __isset = other34.__isset;
-}
-UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other35) {
-  id = other35.id;
-  pool = other35.pool;
-  address = other35.address;
-  failure_domain = other35.failure_domain;
-  rack = other35.rack;
-  labels = other35.labels;
-  millicores = other35.millicores;
-  memory_mb = other35.memory_mb;
-  accelerators = other35.accelerators;
-  __isset = other35.__isset;
+UpstreamRecord::UpstreamRecord(const UpstreamRecord& other40) {
+  id = other40.id;
+  pool = other40.pool;
+  address = other40.address;
+  failure_domain = other40.failure_domain;
+  rack = other40.rack;
+  labels = other40.labels;
+  millicores = other40.millicores;
+  memory_mb = other40.memory_mb;
+  accelerators = other40.accelerators;
+  __isset = other40.__isset;
+}
+UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other41) {
+  id = other41.id;
+  pool = other41.pool;
+  address = other41.address;
+  failure_domain = other41.failure_domain;
+  rack = other41.rack;
+  labels = other41.labels;
+  millicores = other41.millicores;
+  memory_mb = other41.memory_mb;
+  accelerators = other41.accelerators;
+  __isset = other41.__isset;
   return *this;
 }
 void UpstreamRecord::printTo(std::ostream& out) const {
@@ -1658,15 +1658,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other36) {
-  name = other36.name;
-  address = other36.address;
-  __isset = other36.__isset;
+Member::Member(const Member& other42) {
+  name = other42.name;
+  address = other42.address;
+  __isset = other42.__isset;
 }
-Member& Member::operator=(const Member& other37) {
-  name = other37.name;
-  address = other37.address;
-  __isset = other37.__isset;
+Member& Member::operator=(const Member& other43) {
+  name = other43.name;
+  address = other43.address;
+  __isset = other43.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1787,17 +1787,17 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloCall::HelloCall(const HelloCall& other38) {
-  caller = other38.caller;
-  term = other38.term;
-  config_version = other38.config_version;
-  __isset = other38.__isset;
+HelloCall::HelloCall(const HelloCall& other44) {
+  caller = other44.caller;
+  term = other44.term;
+  config_version = other44.config_version;
+  __isset = other44.__isset;
 }
-HelloCall& HelloCall::operator=(const HelloCall& other39) {
-  caller = other39.caller;
-  term = other39.term;
-  config_version = other39.config_version;
-  __isset = other39.__isset;
+HelloCall& HelloCall::operator=(const HelloCall& other45) {
+  caller = other45.caller;
+  term = other45.term;
+  config_version = other45.config_version;
+  __isset = other45.__isset;
   return *this;
 }
 void HelloCall::printTo(std::ostream& out) const {
@@ -1905,14 +1905,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size40;
-            ::apache::thrift::protocol::TType _etype43;
-            xfer += iprot->readListBegin(_etype43, _size40);
-            this->members.resize(_size40);
-            uint32_t _i44;
-            for (_i44 = 0; _i44 < _size40; ++_i44)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->members.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->members[_i44].read(iprot);
+              xfer += this->members[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1973,10 +1973,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter45;
-    for (_iter45 = this->members.begin(); _iter45 != this->members.end(); ++_iter45)
+    std::vector<Member> ::const_iterator _iter51;
+    for (_iter51 = this->members.begin(); _iter51 != this->members.end(); ++_iter51)
     {
-      xfer += (*_iter45).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2007,25 +2007,25 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other46) {
-  leading = other46.leading;
-  term = other46.term;
-  leader = other46.leader;
-  store_reachable = other46.store_reachable;
-  members = other46.members;
-  config_version = other46.config_version;
-  config = other46.config;
-  __isset = other46.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other47) {
-  leading = other47.leading;
-  term = other47.term;
-  leader = other47.leader;
-  store_reachable = other47.store_reachable;
-  members = other47.members;
-  config_version = other47.config_version;
-  config = other47.config;
-  __isset = other47.__isset;
+HelloReply::HelloReply(const HelloReply& other52) {
+  leading = other52.leading;
+  term = other52.term;
+  leader = other52.leader;
+  store_reachable = other52.store_reachable;
+  members = other52.members;
+  config_version = other52.config_version;
+  config = other52.config;
+  __isset = other52.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other53) {
+  leading = other53.leading;
+  term = other53.term;
+  leader = other53.leader;
+  store_reachable = other53.store_reachable;
+  members = other53.members;
+  config_version = other53.config_version;
+  config = other53.config;
+  __isset = other53.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -2151,17 +2151,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceCall::AnnounceCall(const AnnounceCall& other48) {
-  term = other48.term;
-  leader = other48.leader;
-  resigned = other48.resigned;
-  __isset = other48.__isset;
+AnnounceCall::AnnounceCall(const AnnounceCall& other54) {
+  term = other54.term;
+  leader = other54.leader;
+  resigned = other54.resigned;
+  __isset = other54.__isset;
 }
-AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other49) {
-  term = other49.term;
-  leader = other49.leader;
-  resigned = other49.resigned;
-  __isset = other49.__isset;
+AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other55) {
+  term = other55.term;
+  leader = other55.leader;
+  resigned = other55.resigned;
+  __isset = other55.__isset;
   return *this;
 }
 void AnnounceCall::printTo(std::ostream& out) const {
@@ -2249,13 +2249,13 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceReply::AnnounceReply(const AnnounceReply& other50) noexcept {
-  term = other50.term;
-  __isset = other50.__isset;
+AnnounceReply::AnnounceReply(const AnnounceReply& other56) noexcept {
+  term = other56.term;
+  __isset = other56.__isset;
 }
-AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other51) noexcept {
-  term = other51.term;
-  __isset = other51.__isset;
+AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other57) noexcept {
+  term = other57.term;
+  __isset = other57.__isset;
   return *this;
 }
 void AnnounceReply::printTo(std::ostream& out) const {
@@ -2341,13 +2341,13 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other52) {
-  job = other52.job;
-  __isset = other52.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other58) {
+  job = other58.job;
+  __isset = other58.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other53) {
-  job = other53.job;
-  __isset = other53.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other59) {
+  job = other59.job;
+  __isset = other59.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -2450,15 +2450,15 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other54) noexcept {
-  verdict = other54.verdict;
-  retry_after_ms = other54.retry_after_ms;
-  __isset = other54.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other60) noexcept {
+  verdict = other60.verdict;
+  retry_after_ms = other60.retry_after_ms;
+  __isset = other60.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other55) noexcept {
-  verdict = other55.verdict;
-  retry_after_ms = other55.retry_after_ms;
-  __isset = other55.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other61) noexcept {
+  verdict = other61.verdict;
+  retry_after_ms = other61.retry_after_ms;
+  __isset = other61.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -2545,13 +2545,13 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other56) noexcept {
-  id = other56.id;
-  __isset = other56.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other62) noexcept {
+  id = other62.id;
+  __isset = other62.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other57) noexcept {
-  id = other57.id;
-  __isset = other57.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other63) noexcept {
+  id = other63.id;
+  __isset = other63.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -2654,15 +2654,15 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other58) noexcept {
-  verdict = other58.verdict;
-  state = other58.state;
-  __isset = other58.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other64) noexcept {
+  verdict = other64.verdict;
+  state = other64.state;
+  __isset = other64.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other59) noexcept {
-  verdict = other59.verdict;
-  state = other59.state;
-  __isset = other59.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other65) noexcept {
+  verdict = other65.verdict;
+  state = other65.state;
+  __isset = other65.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -2749,13 +2749,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other60) noexcept {
-  id = other60.id;
-  __isset = other60.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other66) noexcept {
+  id = other66.id;
+  __isset = other66.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other61) noexcept {
-  id = other61.id;
-  __isset = other61.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other67) noexcept {
+  id = other67.id;
+  __isset = other67.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -2841,13 +2841,13 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other62) noexcept {
-  verdict = other62.verdict;
-  __isset = other62.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other68) noexcept {
+  verdict = other68.verdict;
+  __isset = other68.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other63) noexcept {
-  verdict = other63.verdict;
-  __isset = other63.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other69) noexcept {
+  verdict = other69.verdict;
+  __isset = other69.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -2933,13 +2933,13 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other64) {
-  queue = other64.queue;
-  __isset = other64.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other70) {
+  queue = other70.queue;
+  __isset = other70.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other65) {
-  queue = other65.queue;
-  __isset = other65.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other71) {
+  queue = other71.queue;
+  __isset = other71.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -3042,15 +3042,15 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other66) noexcept {
-  verdict = other66.verdict;
-  pending = other66.pending;
-  __isset = other66.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other72) noexcept {
+  verdict = other72.verdict;
+  pending = other72.pending;
+  __isset = other72.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other67) noexcept {
-  verdict = other67.verdict;
-  pending = other67.pending;
-  __isset = other67.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other73) noexcept {
+  verdict = other73.verdict;
+  pending = other73.pending;
+  __isset = other73.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -3141,14 +3141,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->upstreams.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size74;
+            ::apache::thrift::protocol::TType _etype77;
+            xfer += iprot->readListBegin(_etype77, _size74);
+            this->upstreams.resize(_size74);
+            uint32_t _i78;
+            for (_i78 = 0; _i78 < _size74; ++_i78)
             {
-              xfer += iprot->readString(this->upstreams[_i72]);
+              xfer += iprot->readString(this->upstreams[_i78]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3197,10 +3197,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter73;
-    for (_iter73 = this->upstreams.begin(); _iter73 != this->upstreams.end(); ++_iter73)
+    std::vector<std::string> ::const_iterator _iter79;
+    for (_iter79 = this->upstreams.begin(); _iter79 != this->upstreams.end(); ++_iter79)
     {
-      xfer += oprot->writeString((*_iter73));
+      xfer += oprot->writeString((*_iter79));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3225,21 +3225,21 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other74) {
-  job = other74.job;
-  occurrence = other74.occurrence;
-  step = other74.step;
-  upstreams = other74.upstreams;
-  timeout_ms = other74.timeout_ms;
-  __isset = other74.__isset;
-}
-AdviseCall& AdviseCall::operator=(const AdviseCall& other75) {
-  job = other75.job;
-  occurrence = other75.occurrence;
-  step = other75.step;
-  upstreams = other75.upstreams;
-  timeout_ms = other75.timeout_ms;
-  __isset = other75.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other80) {
+  job = other80.job;
+  occurrence = other80.occurrence;
+  step = other80.step;
+  upstreams = other80.upstreams;
+  timeout_ms = other80.timeout_ms;
+  __isset = other80.__isset;
+}
+AdviseCall& AdviseCall::operator=(const AdviseCall& other81) {
+  job = other81.job;
+  occurrence = other81.occurrence;
+  step = other81.step;
+  upstreams = other81.upstreams;
+  timeout_ms = other81.timeout_ms;
+  __isset = other81.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -3346,15 +3346,15 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other76) {
-  upstream = other76.upstream;
-  ticket = other76.ticket;
-  __isset = other76.__isset;
+Ticket::Ticket(const Ticket& other82) {
+  upstream = other82.upstream;
+  ticket = other82.ticket;
+  __isset = other82.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other77) {
-  upstream = other77.upstream;
-  ticket = other77.ticket;
-  __isset = other77.__isset;
+Ticket& Ticket::operator=(const Ticket& other83) {
+  upstream = other83.upstream;
+  ticket = other83.ticket;
+  __isset = other83.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -3421,14 +3421,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size78;
-            ::apache::thrift::protocol::TType _etype81;
-            xfer += iprot->readListBegin(_etype81, _size78);
-            this->allowed.resize(_size78);
-            uint32_t _i82;
-            for (_i82 = 0; _i82 < _size78; ++_i82)
+            uint32_t _size84;
+            ::apache::thrift::protocol::TType _etype87;
+            xfer += iprot->readListBegin(_etype87, _size84);
+            this->allowed.resize(_size84);
+            uint32_t _i88;
+            for (_i88 = 0; _i88 < _size84; ++_i88)
             {
-              xfer += this->allowed[_i82].read(iprot);
+              xfer += this->allowed[_i88].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3469,10 +3469,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter83;
-    for (_iter83 = this->allowed.begin(); _iter83 != this->allowed.end(); ++_iter83)
+    std::vector<Ticket> ::const_iterator _iter89;
+    for (_iter89 = this->allowed.begin(); _iter89 != this->allowed.end(); ++_iter89)
     {
-      xfer += (*_iter83).write(oprot);
+      xfer += (*_iter89).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3495,17 +3495,17 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other84) {
-  verdict = other84.verdict;
-  allowed = other84.allowed;
-  valid_ms = other84.valid_ms;
-  __isset = other84.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other90) {
+  verdict = other90.verdict;
+  allowed = other90.allowed;
+  valid_ms = other90.valid_ms;
+  __isset = other90.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other85) {
-  verdict = other85.verdict;
-  allowed = other85.allowed;
-  valid_ms = other85.valid_ms;
-  __isset = other85.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other91) {
+  verdict = other91.verdict;
+  allowed = other91.allowed;
+  valid_ms = other91.valid_ms;
+  __isset = other91.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -483,11 +483,10 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _TaskRecord__isset {
-  _TaskRecord__isset() : task(false), failures(false), checkpoint(false), failed_attempt(false) {}
+  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false) {}
   bool task :1;
-  bool failures :1;
+  bool failed_attempts :1;
   bool checkpoint :1;
-  bool failed_attempt :1;
 } _TaskRecord__isset;
 
 /**
@@ -500,9 +499,7 @@
   TaskRecord& operator=(const TaskRecord&);
   TaskRecord() noexcept
              : task(0),
-               failures(0),
-               checkpoint(),
-               failed_attempt(0) {
+               checkpoint() {
   }
 
   virtual ~TaskRecord() noexcept;
@@ -510,33 +507,29 @@
    * Index among all tasks of the job.
    */
   int32_t task;
-  int32_t failures;
-  std::string checkpoint;
   /**
-   * Last attempt that was counted as a failure: an end may be told twice.
+   * Attempts that were counted as failures: an end may be told twice, and
+   * those of two upstreams in any order.
    */
-  int64_t failed_attempt;
+  std::vector<int64_t>  failed_attempts;
+  std::string checkpoint;
 
   _TaskRecord__isset __isset;
 
   void __set_task(const int32_t val);
 
-  void __set_failures(const int32_t val);
+  void __set_failed_attempts(const std::vector<int64_t> & val);
 
   void __set_checkpoint(const std::string& val);
 
-  void __set_failed_attempt(const int64_t val);
-
   bool operator == (const TaskRecord & rhs) const
   {
     if (!(task == rhs.task))
       return false;
-    if (!(failures == rhs.failures))
+    if (!(failed_attempts == rhs.failed_attempts))
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
-    if (!(failed_attempt == rhs.failed_attempt))
-      return false;
     return true;
   }
   bool operator != (const TaskRecord &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -14,6 +14,12 @@
 
 }  // namespace
 
+int64_t Task::LastAttempt() const {
+  int64_t last = attempt;
+  for (const int64_t failed : failed_attempts) last = std::max(last, failed);
+  return last;
+}
+
 Job::Job(wire::JobSpec spec)
     : spec_(std::move(spec)), occurrences_(std::max(1, spec_.occurrences)) {
   for (const wire::StepSpec& step : spec_.steps) {
@@ -92,31 +98,27 @@
 }
 
 bool Job::CountFailure(const TaskId& id, int64_t attempt) {
-  Task& task = this->task(id);
-  if (!step(id.step).gang) {
-    if (attempt <= task.failed_attempt) return false;
-    task.failed_attempt = attempt;
-    ++task.failures;
-    return true;
+  // A gang counts as one: its first task keeps the count for all.
+  const TaskId keeper{id.job, id.occurrence, id.step,
+                      step(id.step).gang ? 0 : id.index};
+  auto& counted = task(keeper).failed_attempts;
+  if (std::find(counted.begin(), counted.end(), attempt) != counted.end()) {
+    return false;
   }
-  // The gang counts as one: its first task keeps the count for all.
-  Task& first = this->task({id.job, id.occurrence, id.step, 0});
-  if (attempt <= first.failed_attempt) return false;
-  first.failed_attempt = attempt;
-  ++first.failures;
+  counted.push_back(attempt);
   return true;
 }
 
 int32_t Job::Failures(const TaskId& id) const {
-  if (!step(id.step).gang) return task(id).failures;
-  return task({id.job, id.occurrence, id.step, 0}).failures;
+  if (!step(id.step).gang) return task(id).failures();
+  return task({id.job, id.occurrence, id.step, 0}).failures();
 }
 
 int64_t Job::LastAttempt(const StepId& id) const {
   int64_t last = 0;
   for (int32_t i = 0; i < step(id.step).tasks; ++i) {
     const Task& t = task({id.job, id.occurrence, id.step, i});
-    last = std::max({last, t.attempt, t.failed_attempt});
+    last = std::max(last, t.LastAttempt());
   }
   return last;
 }
@@ -151,11 +153,10 @@
           (1U << (i % kBitsPerByte)));
       continue;
     }
-    if (task.failures == 0 && task.checkpoint.empty()) continue;
+    if (task.failed_attempts.empty() && task.checkpoint.empty()) continue;
     wire::TaskRecord record;
     record.task = static_cast<int32_t>(i);
-    record.failures = task.failures;
-    record.failed_attempt = task.failed_attempt;
+    record.failed_attempts = task.failed_attempts;
     record.checkpoint = task.checkpoint;
     out.tasks.push_back(std::move(record));
   }
@@ -168,8 +169,7 @@
   for (const wire::TaskRecord& kept : record.tasks) {
     const auto at = static_cast<size_t>(kept.task);
     MR_EXPECT(at < tasks_.size(), continue);
-    tasks_[at].failures = kept.failures;
-    tasks_[at].failed_attempt = kept.failed_attempt;
+    tasks_[at].failed_attempts = kept.failed_attempts;
     tasks_[at].checkpoint = kept.checkpoint;
   }
   for (size_t i = 0; i < tasks_.size(); ++i) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -24,10 +24,10 @@
 
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
-  int32_t failures = 0;
   /// Number of the present or the last start.
   int64_t attempt = 0;
-  int64_t failed_attempt = 0;
+  /// Attempts that failed and count, in any order.
+  std::vector<int64_t> failed_attempts;
   UpstreamIndex upstream = kNoUpstream;
   /// Where it failed last; a second try goes elsewhere.
   UpstreamIndex failed_at = kNoUpstream;
@@ -37,6 +37,11 @@
   TimePoint moved{};
   std::string checkpoint;
 
+  int32_t failures() const {
+    return static_cast<int32_t>(failed_attempts.size());
+  }
+  /// Highest number that a start of it is known to have had.
+  int64_t LastAttempt() const;
   bool active() const {
     return phase == TaskPhase::kStarting || phase == TaskPhase::kRunning ||
            phase == TaskPhase::kStopping;
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -69,10 +69,10 @@
 struct TaskRecord {
   /** Index among all tasks of the job. */
   1: i32 task
-  2: i32 failures
+  /** Attempts that were counted as failures: an end may be told twice, and
+   *  those of two upstreams in any order. */
+  2: list<i64> failed_attempts
   3: string checkpoint
-  /** Last attempt that was counted as a failure: an end may be told twice. */
-  4: i64 failed_attempt
 }
 
 /** All that must survive of a job's progress; rewritten whole. */
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -165,16 +165,7 @@
              room[pool_.at(b.upstream).entry.rack];
     });
   }
-  // A second try that fails ends the job: members stay off what failed them.
-  if (entry.job.Failures({id.job, id.occurrence, id.step, 0}) > 0) {
-    std::erase_if(found, [&](const Candidate& c) {
-      for (int32_t i = 0; i < step.tasks; ++i) {
-        const TaskId member{id.job, id.occurrence, id.step, i};
-        if (entry.job.task(member).failed_at == c.upstream) return true;
-      }
-      return pool_.at(c.upstream).health.streak > 0;
-    });
-  }
+  AvoidFailures(entry, id, found);
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fit;
   if (total < step.tasks) return false;
@@ -197,33 +188,79 @@
   const Unit& unit = entry.unit(id.occurrence, id.step);
   std::vector<Candidate> found =
       Candidates(entry, id, unit.advice, now, reserved);
-  size_t next = 0;
-  for (int32_t i = 0; i < step.tasks && next < found.size(); ++i) {
+  std::vector<Candidate> retries = found;
+  AvoidFailures(entry, id, retries);
+  const auto next = [](std::vector<Candidate>& from) -> Candidate* {
+    for (Candidate& candidate : from) {
+      if (candidate.fit > 0) return &candidate;
+    }
+    return nullptr;
+  };
+  const auto take = [](std::vector<Candidate>& from, UpstreamIndex upstream) {
+    for (Candidate& candidate : from) {
+      if (candidate.upstream == upstream) --candidate.fit;
+    }
+  };
+  for (int32_t i = 0; i < step.tasks; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
     const Task& task = entry.job.task(task_id);
     if (task.phase != TaskPhase::kWaiting) continue;
-    size_t pick = next;
-    if (task.failures > 0) {
-      // Another try goes where something has succeeded, not where it failed.
-      while (pick < found.size() &&
-             (found[pick].fit == 0 ||
-              found[pick].upstream == task.failed_at ||
-              pool_.at(found[pick].upstream).health.streak > 0)) {
-        ++pick;
-      }
-      if (pick == found.size()) continue;
-    }
-    StartTask(entry, task_id, found[pick].upstream,
-              std::max({task.attempt, task.failed_attempt,
-                        options_.attempt_base}) +
-                  1,
-              now, orders);
-    --found[pick].fit;
-    while (next < found.size() && found[next].fit == 0) ++next;
+    const bool again = task.failures() > 0;
+    const Candidate* pick = next(again ? retries : found);
+    if (pick == nullptr && again) continue;
+    if (pick == nullptr) break;
+    const UpstreamIndex upstream = pick->upstream;
+    StartTask(entry, task_id, upstream,
+              std::max(task.LastAttempt(), options_.attempt_base) + 1, now,
+              orders);
+    take(found, upstream);
+    take(retries, upstream);
   }
   Refresh(entry, id.occurrence, id.step);
 }
 
+bool Scheduler::FailedOn(const Entry& entry, const StepId& id,
+                         UpstreamIndex upstream) const {
+  for (int32_t i = 0; i < entry.job.step(id.step).tasks; ++i) {
+    const Task& task =
+        entry.job.task({id.job, id.occurrence, id.step, i});
+    if (task.failed_at == upstream) return true;
+  }
+  return false;
+}
+
+void Scheduler::AvoidFailures(const Entry& entry, const StepId& id,
+                              std::vector<Candidate>& found) const {
+  const wire::StepSpec& step = entry.job.step(id.step);
+  bool failed = false;
+  for (int32_t i = 0; i < step.tasks && !failed; ++i) {
+    failed = entry.job.task({id.job, id.occurrence, id.step, i}).failures() > 0;
+  }
+  if (!failed) return;
+  const auto avoid = [&](UpstreamIndex upstream) {
+    return pool_.at(upstream).health.streak > 0 ||
+           FailedOn(entry, id, upstream);
+  };
+  // With nothing better to be had, now or by asking, anything will do: a step
+  // that never tried again would wait for ever.
+  const StepAdvice& advice =
+      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  int64_t elsewhere = 0;
+  for (const UpstreamIndex upstream : pool_.all()) {
+    const Upstream& it = pool_.at(upstream);
+    if (!it.reachable || !it.listed || it.entry.draining) continue;
+    if (avoid(upstream) || !Suits(upstream, entry, step)) continue;
+    const bool unknown = entry.job.queue().advised &&
+                         advice.upstreams.count(upstream) == 0;
+    const bool allowed =
+        !entry.job.queue().advised || advice.Allowed(upstream);
+    if (unknown || allowed) elsewhere += Times(it.capacity, TaskRoom(step));
+  }
+  if (elsewhere < (step.gang ? step.tasks : 1)) return;
+  std::erase_if(found,
+                [&](const Candidate& c) { return avoid(c.upstream); });
+}
+
 void Scheduler::StartTask(Entry& entry, const TaskId& id,
                           UpstreamIndex upstream, int64_t attempt,
                           TimePoint now, Orders& orders) {
@@ -314,6 +351,17 @@
     int32_t now_fit;
     int32_t whole_fit;
   };
+  // What failed a task of the step is no place for its next try, as long as
+  // others are left to ask about.
+  const bool retry_elsewhere =
+      std::any_of(pool_.all().begin(), pool_.all().end(),
+                  [&](UpstreamIndex upstream) {
+                    return pool_.Usable(upstream, now) &&
+                           Suits(upstream, entry, step) &&
+                           (advice.upstreams.count(upstream) == 0 ||
+                            advice.Allowed(upstream)) &&
+                           !FailedOn(entry, id, upstream);
+                  });
   std::vector<Choice> expired;
   std::vector<Choice> unknown;
   double have_now = 0;
@@ -333,6 +381,7 @@
       continue;
     }
     if (!said->second.allowed) continue;
+    if (FailedOn(entry, id, upstream) && retry_elsewhere) continue;
     known_whole += choice.whole_fit;
     known_now += choice.now_fit;
     if (said->second.valid_until > now + kTicketMargin) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -202,6 +202,11 @@
                  const Reserved& reserved, Orders& orders);
   void PlaceTasks(Entry& entry, const StepId& id, TimePoint now,
                   const Reserved& reserved, Orders& orders);
+  bool FailedOn(const Entry& entry, const StepId& id,
+                UpstreamIndex upstream) const;
+  /// Leaves out what failed the step before, and what fails others.
+  void AvoidFailures(const Entry& entry, const StepId& id,
+                     std::vector<Candidate>& found) const;
   void StartTask(Entry& entry, const TaskId& id, UpstreamIndex upstream,
                  int64_t attempt, TimePoint now, Orders& orders);
   void ReserveForGang(const Entry& entry, const StepId& id,
