--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -281,7 +281,14 @@
   const bool unseen = entry->uncertain && !task.active() &&
                       task.phase != TaskPhase::kDone;
   if (end.kind == EndKind::kDone) pool_.NoteSuccess(upstream, now);
-  if (!present && !unseen) return;
+  if (!present && !unseen) {
+    // Only a failure still counts: a new leader may hear of it after it has
+    // adopted a later run of the task.
+    if (end.kind == EndKind::kFailed && !job.final()) {
+      TaskFailed(*entry, upstream, end.task, end.attempt, now, orders);
+    }
+    return;
+  }
   if (end.kind == EndKind::kDone && !job.step(end.task.step).lasting) {
     if (!job.final()) {
       job.NoteStarted();
