--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -16,6 +16,9 @@
 constexpr Millis kPlaceDelay{2};
 constexpr Millis kStoreTimeout{1500};
 constexpr Millis kStoreRetry{150};
+/// The steps that wait longest are explained this often, so many at a time.
+constexpr Millis kExplainPeriod{2000};
+constexpr size_t kExplainedSteps = 4;
 /// What an adviser may take beyond what its queue says.
 constexpr Millis kAdviceSlack{600};
 /// An upstream that is missing from the list while the store answers is taken
@@ -292,12 +295,28 @@
   scheduler_.Tick(deps_.executor.Now(), deps_.executor.UnixMillis());
   CheckResolved();
   DropFinalJobs();
+  ExplainWaiting();
   PlaceSoon();
   deps_.executor.RunAfter(kTick, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->Tick();
   });
 }
 
+void Coordinator::ExplainWaiting() {
+  const TimePoint now = deps_.executor.Now();
+  if (now - explained_at_ < kExplainPeriod) return;
+  explained_at_ = now;
+  deps_.metrics.Set({.name = "waiting_steps"},
+                    static_cast<double>(scheduler_.waiting_units()));
+  deps_.metrics.Set({.name = "jobs_kept"},
+                    static_cast<double>(scheduler_.jobs()));
+  for (const auto& [step, why] :
+       scheduler_.ExplainWaiting(kExplainedSteps, now)) {
+    logging::Event(Level::kInfo, "step waits",
+                   {{"step", StepIdText(step)}, {"why", why}});
+  }
+}
+
 void Coordinator::DropFinalJobs() {
   const TimePoint now = deps_.executor.Now();
   for (auto at = finals_.begin(); at != finals_.end();) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -113,6 +113,7 @@
   void CheckResolved();
   void Tick();
   void DropFinalJobs();
+  void ExplainWaiting();
 
   void OnJobStored(const wire::JobSpec& spec);
   void Finished(JobId id, JobState state);
@@ -141,7 +142,7 @@
   int64_t list_cursor_ = -1;
   bool list_known_ = false;
   TimePoint list_read_at_{};
-  TimePoint missing_since_{};
+  TimePoint explained_at_{};
 };
 
 }  // namespace mimosarail::coordinator
--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -62,6 +62,7 @@
 }  // namespace
 
 struct Pool {
+  asio::ip::tcp::endpoint endpoint;
   std::deque<PendingCall> waiting;
   std::vector<std::shared_ptr<Connection>> idle;
   size_t open = 0;
@@ -72,24 +73,26 @@
 /// One connection with at most one call on it.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  /// `next` is asked for a waiting call whenever the connection is free, and
-  /// `closed` is told once when it is gone.
+  /// The io_context and the counter outlive it.
   Connection(asio::io_context& io, const ClientOptions& options,
-             std::shared_ptr<Pool> pool)
-      : socket_(io),
+             std::atomic<int64_t>& opened, std::shared_ptr<Pool> pool)
+      : io_(io),
+        opened_(opened),
+        socket_(io),
         timer_(io),
         options_(options),
         pool_(std::move(pool)),
         parser_({.kind = MessageKind::kResponse,
                  .max_body = options.max_body}) {
     ++pool_->open;
+    ++opened_;
   }
 
-  void Open(const tcp::endpoint& endpoint, PendingCall call) {
+  void Open(PendingCall call) {
     call_ = std::move(call);
     busy_ = true;
     Arm(std::min(call_.deadline, Clock::now() + options_.connect_timeout));
-    socket_.async_connect(endpoint, [self = shared_from_this()](
+    socket_.async_connect(pool_->endpoint, [self = shared_from_this()](
                                         std::error_code error) {
       if (self->closed_) return;
       if (error) return self->Fail(Errc::kUnavailable, error.message());
@@ -119,9 +122,21 @@
     timer_.cancel();
     std::error_code ignored;  // closing is all that is left to do
     socket_.close(ignored);
+    ServeWaiting();
   }
 
  private:
+  /// Calls that waited for this connection would wait for ever: they get one
+  /// of their own in its place.
+  void ServeWaiting() {
+    if (pool_->waiting.empty()) return;
+    PendingCall call = std::move(pool_->waiting.front());
+    pool_->waiting.pop_front();
+    std::make_shared<Connection>(io_, options_, opened_, pool_)
+        ->Open(std::move(call));
+  }
+
+
   void SetOptions() {
     std::error_code ignored;  // an option that is refused only costs time
     socket_.set_option(tcp::no_delay(true), ignored);
@@ -205,6 +220,8 @@
     if (had_call) done(Result<Response>(code, message));
   }
 
+  asio::io_context& io_;
+  std::atomic<int64_t>& opened_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   ClientOptions options_;
@@ -226,7 +243,10 @@
     return call.done(Result<Response>(Errc::kInvalid, "address " + address));
   }
   auto& pool = d.pools[address];
-  if (!pool) pool = std::make_shared<Pool>();
+  if (!pool) {
+    pool = std::make_shared<Pool>();
+    pool->endpoint = {endpoint->address, endpoint->port};
+  }
   const auto now = Clock::now();
   while (!pool->idle.empty()) {
     // The most recently used one is the least likely to be closing.
@@ -238,9 +258,8 @@
   if (pool->open >= d.options.max_connections) {
     return pool->waiting.push_back(std::move(call));
   }
-  ++d.opened;
-  std::make_shared<Connection>(d.io, d.options, pool)
-      ->Open({endpoint->address, endpoint->port}, std::move(call));
+  std::make_shared<Connection>(d.io, d.options, d.opened, pool)
+      ->Open(std::move(call));
 }
 
 }  // namespace
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -428,6 +428,58 @@
   orders.advice.push_back(std::move(order));
 }
 
+std::string Scheduler::Explain(const Entry& entry, const StepId& id,
+                               TimePoint now) const {
+  const wire::StepSpec& step = entry.job.step(id.step);
+  const StepAdvice& advice =
+      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  int suits = 0;
+  int usable = 0;
+  int allowed = 0;
+  int tickets = 0;
+  int64_t fit_now = 0;
+  int64_t fit_allowed = 0;
+  for (const UpstreamIndex upstream : pool_.all()) {
+    if (!Suits(upstream, entry, step)) continue;
+    ++suits;
+    if (!pool_.Usable(upstream, now)) continue;
+    ++usable;
+    const int32_t fit = Fit(upstream, entry, id, pool_.at(upstream).free);
+    fit_now += fit;
+    if (!advice.Allowed(upstream)) continue;
+    ++allowed;
+    fit_allowed += fit;
+    if (advice.Ticket(upstream, now) != nullptr) ++tickets;
+  }
+  const StepRun& run = entry.job.run(id.occurrence, id.step);
+  std::string out = "waiting " + std::to_string(run.waiting) + " of " +
+                    std::to_string(step.tasks) +
+                    (step.gang ? " (gang)" : "") + ", upstreams " +
+                    std::to_string(suits) + ", usable " +
+                    std::to_string(usable) + ", room for " +
+                    std::to_string(fit_now);
+  if (!entry.job.queue().advised) return out;
+  return out + ", asked " + std::to_string(advice.upstreams.size()) +
+         ", allowed " + std::to_string(allowed) + " with room for " +
+         std::to_string(fit_allowed) + ", tickets " + std::to_string(tickets) +
+         (advice.asking ? ", asking" : "");
+}
+
+std::vector<std::pair<StepId, std::string>> Scheduler::ExplainWaiting(
+    size_t most, TimePoint now) const {
+  std::vector<UnitKey> oldest(queue_.begin(), queue_.end());
+  std::sort(oldest.begin(), oldest.end(), [&](const auto& a, const auto& b) {
+    return std::pair(jobs_.at(a.id.job)->accepted, a.id) <
+           std::pair(jobs_.at(b.id.job)->accepted, b.id);
+  });
+  if (oldest.size() > most) oldest.resize(most);
+  std::vector<std::pair<StepId, std::string>> out;
+  for (const UnitKey& key : oldest) {
+    out.emplace_back(key.id, Explain(*jobs_.at(key.id.job), key.id, now));
+  }
+  return out;
+}
+
 void Scheduler::OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                          TimePoint now) {
   Entry* entry = FindEntry(asked.step.job);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -125,6 +125,10 @@
   /// Accepted jobs of a queue of which no task has started; jobs with set
   /// times are not counted.
   int64_t Pending(const std::string& queue) const;
+  /// The steps that have waited longest past their latest sensible start, with
+  /// what they wait for; at most `most`.
+  std::vector<std::pair<StepId, std::string>> ExplainWaiting(
+      size_t most, TimePoint now) const;
   int64_t waiting_units() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
@@ -195,6 +199,8 @@
   std::vector<Candidate> Candidates(const Entry& entry, const StepId& id,
                                     const StepAdvice& advice, TimePoint now,
                                     const Reserved& reserved) const;
+  std::string Explain(const Entry& entry, const StepId& id,
+                      TimePoint now) const;
   bool TakeAdviceCall(int32_t priority);
   bool PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
                  Reserved& reserved, Orders& orders);
