--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -310,6 +310,11 @@
                     static_cast<double>(scheduler_.waiting_units()));
   deps_.metrics.Set({.name = "jobs_kept"},
                     static_cast<double>(scheduler_.jobs()));
+  const scheduling::AdviceBudget lanes = lanes_.Budget(now);
+  logging::Event(Level::kInfo, "load",
+                 {{"load", scheduler_.DescribeLoad()},
+                  {"lanes_free", Text(lanes.any)},
+                  {"urgent_lanes_free", Text(lanes.urgent_only)}});
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -66,7 +66,10 @@
 template <typename Reply>
 struct JobEntry::Forwarded {
   std::string what;
+  /// When a call that was never sent is refused.
   TimePoint deadline;
+  /// When the caller stops waiting.
+  TimePoint limit;
   std::function<void(std::function<void(Reply)>)> here;
   std::function<void(const std::string&, Millis, Callback<Reply>)> there;
   JobDone done;
@@ -175,8 +178,10 @@
 template <typename Reply>
 void JobEntry::Forward(std::shared_ptr<Forwarded<Reply>> call) {
   const TimePoint now = deps_.executor.Now();
-  const auto left =
-      std::chrono::duration_cast<Millis>(call->deadline - now);
+  // A call that may have taken effect somewhere can't be refused any more: it
+  // is worth settling for as long as its caller waits.
+  const TimePoint deadline = call->doubtful ? call->limit : call->deadline;
+  const auto left = std::chrono::duration_cast<Millis>(deadline - now);
   if (left <= Millis(0)) {
     logging::Event(Level::kWarning, "no answer from a leader",
                    {{"call", call->what},
@@ -228,6 +233,7 @@
   message->job = std::move(spec);
   auto call = std::make_shared<Forwarded<wire::SubmitJobReply>>();
   call->what = "submit " + JobIdText(id);
+  call->limit = deps_.executor.Now() + limit;
   call->deadline =
       deps_.executor.Now() + std::min(limit, options_.patience);
   call->here = [this, message](auto reply) { OnSubmit(*message, reply); };
@@ -248,6 +254,7 @@
   message.id = static_cast<int64_t>(id);
   auto call = std::make_shared<Forwarded<wire::JobStateReply>>();
   call->what = "state " + JobIdText(id);
+  call->limit = deps_.executor.Now() + limit;
   call->deadline =
       deps_.executor.Now() + std::min(limit, options_.patience);
   call->here = [this, message](auto reply) { OnState(message, reply); };
@@ -277,6 +284,7 @@
   message.id = static_cast<int64_t>(id);
   auto call = std::make_shared<Forwarded<wire::CancelJobReply>>();
   call->what = "cancel " + JobIdText(id);
+  call->limit = deps_.executor.Now() + limit;
   call->deadline =
       deps_.executor.Now() + std::min(limit, options_.patience);
   call->here = [this, message](auto reply) { OnCancel(message, reply); };
@@ -293,6 +301,7 @@
   message.queue = queue;
   auto call = std::make_shared<Forwarded<wire::PendingJobsReply>>();
   call->what = "pending " + queue;
+  call->limit = deps_.executor.Now() + limit;
   call->deadline =
       deps_.executor.Now() + std::min(limit, options_.patience);
   call->here = [this, message](auto reply) { OnPending(message, reply); };
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -2,6 +2,7 @@
 // advice is missing for it.
 
 #include <algorithm>
+#include <cmath>
 
 #include "src/scheduling/scheduler.h"
 
@@ -18,8 +19,12 @@
 constexpr Millis kAskAgain{150};
 /// Most upstreams that one call for advice may name.
 constexpr size_t kMaxAsked = 100;
-/// More is asked for than is needed by this factor, since rates are means.
-constexpr double kAskMargin = 1.3;
+/// So many standard deviations more than the mean is asked for: a second call
+/// costs its whole base time again, a few upstreams more cost little.
+constexpr double kAskDeviations = 1.3;
+/// Room on allowed upstreams is renewed for this multiple of the need, since
+/// some of it is taken while the call is under way.
+constexpr double kRenewMargin = 1.3;
 /// Part of all cores that waiting gangs together may hold back from others.
 constexpr double kReservedShare = 0.4;
 /// Cost of standing outside of the rack of the data or of the gang, against
@@ -38,6 +43,19 @@
   return fit;
 }
 
+/// Sum of what upstreams would take if each were allowed with some rate.
+struct Expectation {
+  double mean = 0;
+  double variance = 0;
+  void Add(double rate, double fit) {
+    mean += rate * fit;
+    variance += rate * (1 - rate) * fit * fit;
+  }
+  double Likely(double deviations) const {
+    return mean - deviations * std::sqrt(variance);
+  }
+};
+
 double Share(int32_t part, int32_t whole) {
   return whole <= 0 ? 0.0 : static_cast<double>(part) / whole;
 }
@@ -373,6 +391,8 @@
     Amount room = it.free;
     const auto held_back = reserved.find(upstream);
     if (held_back != reserved.end()) room -= held_back->second;
+    const auto asked_for = asked_room_.find(upstream);
+    if (asked_for != asked_room_.end()) room -= asked_for->second;
     const Choice choice{upstream, Fit(upstream, entry, id, room),
                         Fit(upstream, entry, id, it.capacity)};
     const auto said = advice.upstreams.find(upstream);
@@ -403,28 +423,42 @@
   double expect = have_now;
   const bool worth_renewing = !step.gang || known_now >= need;
   for (const Choice& choice : expired) {
-    if (!worth_renewing || choice.now_fit == 0 || expect >= need) break;
+    if (!worth_renewing || choice.now_fit == 0) break;
+    if (expect >= need * kRenewMargin || order.upstreams.size() >= kMaxAsked) {
+      break;
+    }
     order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
+    order.asked.push_back(choice.upstream);
     expect += choice.now_fit;
   }
   // A gang has to know enough upstreams that could take it whole; room on them
   // is then held back for it. Others go by the room that is there now.
-  double expect_whole = known_whole;
+  Expectation now_fit{.mean = expect};
+  Expectation whole_fit{.mean = known_whole};
   for (const Choice& choice : unknown) {
     if (order.upstreams.size() >= kMaxAsked) break;
-    const bool for_now = choice.now_fit > 0 && expect < need * kAskMargin;
-    const bool for_later =
-        step.gang && choice.whole_fit > 0 && expect_whole < need * kAskMargin;
+    const bool for_now =
+        choice.now_fit > 0 && now_fit.Likely(kAskDeviations) < need;
+    const bool for_later = step.gang && choice.whole_fit > 0 &&
+                           whole_fit.Likely(kAskDeviations) < need;
     if (!for_now && !for_later) break;
     order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
-    expect += rate * choice.now_fit;
-    expect_whole += rate * choice.whole_fit;
+    order.asked.push_back(choice.upstream);
+    now_fit.Add(rate, choice.now_fit);
+    whole_fit.Add(rate, choice.whole_fit);
   }
   if (order.upstreams.empty() || !TakeAdviceCall(queue.priority)) return;
+  // What the step will take, spread over all that are asked.
+  order.expected_use = TaskRoom(step);
+  const double each = need / static_cast<double>(order.upstreams.size());
+  for (int32_t& part : order.expected_use.of) {
+    part = static_cast<int32_t>(static_cast<double>(part) * each);
+  }
   order.expected = Millis(static_cast<int64_t>(
       queue.advice_base_ms +
       queue.advice_each_ms * static_cast<double>(order.upstreams.size())));
   advice.asking = true;
+  NoteAsked(order, 1);
   orders.advice.push_back(std::move(order));
 }
 
@@ -480,8 +514,19 @@
   return out;
 }
 
+void Scheduler::NoteAsked(const AdviceOrder& order, int sign) {
+  for (const UpstreamIndex upstream : order.asked) {
+    Amount share = order.expected_use;
+    for (int32_t& part : share.of) part *= sign;
+    Amount& claimed = asked_room_[upstream];
+    claimed += share;
+    if (claimed == Amount{}) asked_room_.erase(upstream);
+  }
+}
+
 void Scheduler::OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                          TimePoint now) {
+  NoteAsked(asked, -1);
   Entry* entry = FindEntry(asked.step.job);
   if (entry == nullptr) return;
   StepAdvice& known =
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -51,6 +51,9 @@
   /// Smaller goes first within a priority.
   int64_t rank = 0;
   Millis expected{0};
+  /// The same upstreams, and what the step is likely to take of each.
+  std::vector<UpstreamIndex> asked;
+  Amount expected_use;
 };
 
 /// What the scheduler wants done; the caller carries it out.
@@ -129,6 +132,8 @@
   /// what they wait for; at most `most`.
   std::vector<std::pair<StepId, std::string>> ExplainWaiting(
       size_t most, TimePoint now) const;
+  /// Waiting steps by priority, and how full the upstreams are, for a log line.
+  std::string DescribeLoad() const;
   int64_t waiting_units() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
@@ -199,6 +204,7 @@
   std::vector<Candidate> Candidates(const Entry& entry, const StepId& id,
                                     const StepAdvice& advice, TimePoint now,
                                     const Reserved& reserved) const;
+  void NoteAsked(const AdviceOrder& order, int sign);
   std::string Explain(const Entry& entry, const StepId& id,
                       TimePoint now) const;
   bool TakeAdviceCall(int32_t priority);
@@ -227,6 +233,10 @@
   std::set<UnitKey> queue_;
   std::unordered_set<JobId> changed_;
   std::multimap<int64_t, StepId> due_;
+  /// Room that steps will take whose advice is under way. Calls for others go
+  /// elsewhere; without this all ask about the same emptiest upstreams and
+  /// find them full when the answer comes.
+  std::unordered_map<UpstreamIndex, Amount> asked_room_;
   /// What is left of the budget in the present pass.
   AdviceBudget advice_left_;
   AllowanceRates rates_;
