--- a/src/coordinator/advice_lanes.h
+++ b/src/coordinator/advice_lanes.h
@@ -30,13 +30,17 @@
   void SetEntries(const std::vector<std::string>& addresses);
   scheduling::AdviceBudget Budget(TimePoint now) const;
   /// Takes a free lane; empty if there is none for this priority.
-  std::string Take(int32_t priority, TimePoint now);
+  std::string Take(int32_t priority, bool long_call, TimePoint now);
   /// Gives it back; one whose call failed rests.
   void Free(const std::string& address, bool failed, TimePoint now);
 
   /// Two lanes of seven kept late urgent work in bursts from 94 to 4 of 154
   /// jobs; none kept or half kept did worse.
   static constexpr double kUrgentShare = 2.0 / 7;
+  /// Part of the other lanes that long calls may take together. Left to their
+  /// priority alone, long calls held all of them, and steps that ask for 0.15 s
+  /// waited while 60 % of the cores were free.
+  static constexpr double kLongShare = 0.75;
   /// A lane whose call failed is not used for this long.
   static constexpr Millis kRest{700};
 
@@ -44,6 +48,7 @@
   struct Lane {
     bool busy = false;
     bool urgent = false;
+    bool long_call = false;
     TimePoint rest_until{};
   };
   std::map<std::string, Lane> lanes_;
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -596,10 +596,17 @@
 }
 
 void Coordinator::SendAdvice(const scheduling::AdviceOrder& order) {
-  const std::string lane = lanes_.Take(order.priority, deps_.executor.Now());
+  const std::string lane = lanes_.Take(
+      order.priority, order.expected > scheduling::kLongAdvice,
+      deps_.executor.Now());
   if (lane.empty()) {
     return scheduler_.OnAdvice(order, nullptr, deps_.executor.Now());
   }
+  logging::Event(Level::kDebug, "advice asked",
+                 {{"step", StepIdText(order.step)},
+                  {"entry", lane},
+                  {"upstreams", Text(static_cast<int64_t>(order.upstreams.size()))},
+                  {"expected_ms", Text(order.expected.count())}});
   deps_.advice.Ask(
       lane, order.step, order.upstreams, order.expected + kAdviceSlack,
       [weak = weak_from_this(), order,
@@ -614,6 +621,15 @@
                           {"entry", lane},
                           {"cause", advice.error().message}});
         }
+        if (advice.ok()) {
+          logging::Event(
+              Level::kDebug, "advice got",
+              {{"step", StepIdText(order.step)},
+               {"asked", Text(static_cast<int64_t>(order.upstreams.size()))},
+               {"allowed", Text(static_cast<int64_t>(
+                               advice.value().allowed.size()))},
+               {"valid_ms", Text(advice.value().valid.count())}});
+        }
         self->scheduler_.OnAdvice(order,
                                   advice.ok() ? &advice.value() : nullptr, now);
         // The lane is free and the step may start: no reason to wait.
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -17,8 +17,12 @@
 constexpr Millis kTicketMargin{60};
 /// Calls for advice that failed are repeated after this.
 constexpr Millis kAskAgain{150};
-/// Most upstreams that one call for advice may name.
-constexpr size_t kMaxAsked = 100;
+/// Most upstreams that one call for advice names; the adviser takes 100. A
+/// call for 50 takes 0.5 to 0.8 s where calls are longest, and tickets are good
+/// for 1.5 s.
+constexpr size_t kMostPerCall = 50;
+/// An adviser that seems to allow less is asked as if it allowed this much.
+constexpr double kLeastRate = 0.05;
 /// So many standard deviations more than the mean is asked for: a second call
 /// costs its whole base time again, a few upstreams more cost little.
 constexpr double kAskDeviations = 1.3;
@@ -139,13 +143,20 @@
   }
 }
 
-bool Scheduler::TakeAdviceCall(int32_t priority) {
+bool Scheduler::AdviceCallLeft(int32_t priority, Millis expected) const {
+  if (priority == 0 && advice_left_.urgent_only > 0) return true;
+  if (advice_left_.any == 0) return false;
+  return expected <= kLongAdvice || advice_left_.long_calls > 0;
+}
+
+bool Scheduler::TakeAdviceCall(int32_t priority, Millis expected) {
+  if (!AdviceCallLeft(priority, expected)) return false;
   if (priority == 0 && advice_left_.urgent_only > 0) {
     --advice_left_.urgent_only;
     return true;
   }
-  if (advice_left_.any == 0) return false;
   --advice_left_.any;
+  if (expected > kLongAdvice) --advice_left_.long_calls;
   return true;
 }
 
@@ -310,6 +321,7 @@
   const Amount size = TaskRoom(step);
   struct Room {
     UpstreamIndex upstream;
+    int32_t now;
     int32_t whole;
     int32_t free_cores;
   };
@@ -320,18 +332,21 @@
   for (const UpstreamIndex upstream : pool_.all()) {
     const Upstream& it = pool_.at(upstream);
     all_cores += it.capacity[Dimension::kCores];
+    Amount free = it.free;
+    Amount most = it.capacity;
     const auto other = reserved.find(upstream);
     if (other != reserved.end()) {
       reserved_cores += other->second[Dimension::kCores];
+      free -= other->second;
+      most -= other->second;
     }
     if (entry.job.queue().advised && !advice.Allowed(upstream)) continue;
     if (!it.reachable || !it.listed || it.entry.draining) continue;
     if (!Suits(upstream, entry, step)) continue;
-    Amount most = it.capacity;
-    if (other != reserved.end()) most -= other->second;
     const int32_t fit = Times(most, size);
     if (fit == 0) continue;
-    rooms.push_back({upstream, fit, it.free[Dimension::kCores]});
+    rooms.push_back(
+        {upstream, Times(free, size), fit, free[Dimension::kCores]});
     whole += fit;
   }
   const int64_t wanted =
@@ -346,6 +361,13 @@
            std::pair(-b.free_cores, b.upstream);
   });
   int32_t left = step.tasks;
+  // Room that is there is held first; what is missing has to drain.
+  for (Room& room : rooms) {
+    const int32_t held = std::min(room.now, left);
+    for (int32_t n = 0; n < held; ++n) reserved[room.upstream] += size;
+    room.whole -= held;
+    left -= held;
+  }
   for (const Room& room : rooms) {
     for (int32_t n = 0; n < room.whole && left > 0; ++n, --left) {
       reserved[room.upstream] += size;
@@ -353,113 +375,147 @@
   }
 }
 
-void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
-                          const Reserved& reserved, Orders& orders) {
-  Unit& unit = entry.unit(id.occurrence, id.step);
-  StepAdvice& advice = unit.advice;
-  if (advice.asking || now < advice.ask_after) return;
-  const bool urgent = entry.job.queue().priority == 0;
-  if (advice_left_.any == 0 && !(urgent && advice_left_.urgent_only > 0)) {
-    return;
-  }
-  const wire::QueuePolicy& queue = entry.job.queue();
-  const wire::StepSpec& step = entry.job.step(id.step);
+struct Scheduler::AdviceNeed {
   struct Choice {
     UpstreamIndex upstream;
     int32_t now_fit;
     int32_t whole_fit;
   };
-  // What failed a task of the step is no place for its next try, as long as
-  // others are left to ask about.
-  const bool retry_elsewhere =
-      std::any_of(pool_.all().begin(), pool_.all().end(),
-                  [&](UpstreamIndex upstream) {
-                    return pool_.Usable(upstream, now) &&
-                           Suits(upstream, entry, step) &&
-                           (advice.upstreams.count(upstream) == 0 ||
-                            advice.Allowed(upstream)) &&
-                           !FailedOn(entry, id, upstream);
-                  });
+  /// Allowed, with a ticket that has run out.
   std::vector<Choice> expired;
+  /// Never asked about.
   std::vector<Choice> unknown;
+  /// Tasks that fit now where there is a good ticket.
   double have_now = 0;
-  double known_whole = 0;
+  /// Tasks that fit now, or at best, where the step is allowed.
   double known_now = 0;
+  double known_whole = 0;
+};
+
+Scheduler::AdviceNeed Scheduler::FindAdviceNeed(
+    const Entry& entry, const StepId& id, TimePoint now,
+    const Reserved& reserved) const {
+  AdviceNeed out;
+  const wire::StepSpec& step = entry.job.step(id.step);
+  const StepAdvice& advice =
+      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  // What failed a task of the step is no place for its next try, as long as
+  // others are left to ask about.
+  const bool retry_elsewhere = std::any_of(
+      pool_.all().begin(), pool_.all().end(), [&](UpstreamIndex upstream) {
+        return pool_.Usable(upstream, now) && Suits(upstream, entry, step) &&
+               (advice.upstreams.count(upstream) == 0 ||
+                advice.Allowed(upstream)) &&
+               !FailedOn(entry, id, upstream);
+      });
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) continue;
     const Upstream& it = pool_.at(upstream);
     Amount room = it.free;
     const auto held_back = reserved.find(upstream);
     if (held_back != reserved.end()) room -= held_back->second;
-    const auto asked_for = asked_room_.find(upstream);
-    if (asked_for != asked_room_.end()) room -= asked_for->second;
-    const Choice choice{upstream, Fit(upstream, entry, id, room),
-                        Fit(upstream, entry, id, it.capacity)};
+    const int32_t whole_fit = Fit(upstream, entry, id, it.capacity);
     const auto said = advice.upstreams.find(upstream);
     if (said == advice.upstreams.end()) {
-      unknown.push_back(choice);
+      const auto asked_for = asked_room_.find(upstream);
+      if (asked_for != asked_room_.end()) room -= asked_for->second;
+      out.unknown.push_back(
+          {upstream, Fit(upstream, entry, id, room), whole_fit});
       continue;
     }
     if (!said->second.allowed) continue;
     if (FailedOn(entry, id, upstream) && retry_elsewhere) continue;
-    known_whole += choice.whole_fit;
-    known_now += choice.now_fit;
+    const AdviceNeed::Choice choice{upstream, Fit(upstream, entry, id, room),
+                                    whole_fit};
+    out.known_whole += choice.whole_fit;
+    out.known_now += choice.now_fit;
     if (said->second.valid_until > now + kTicketMargin) {
-      have_now += choice.now_fit;
+      out.have_now += choice.now_fit;
     } else {
-      expired.push_back(choice);
+      out.expired.push_back(choice);
     }
   }
-  const auto by_room = [](const Choice& a, const Choice& b) {
+  const auto by_room = [](const auto& a, const auto& b) {
     return std::tuple(-a.now_fit, -a.whole_fit, a.upstream) <
            std::tuple(-b.now_fit, -b.whole_fit, b.upstream);
   };
-  std::sort(expired.begin(), expired.end(), by_room);
-  std::sort(unknown.begin(), unknown.end(), by_room);
+  std::sort(out.expired.begin(), out.expired.end(), by_room);
+  std::sort(out.unknown.begin(), out.unknown.end(), by_room);
+  return out;
+}
+
+void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
+                          const Reserved& reserved, Orders& orders) {
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
+  if (advice.asking > 0 || now < advice.ask_after) return;
+  const wire::QueuePolicy& queue = entry.job.queue();
+  const wire::StepSpec& step = entry.job.step(id.step);
+  const Millis shortest(static_cast<int64_t>(queue.advice_base_ms));
+  if (!AdviceCallLeft(queue.priority, shortest)) return;
+  const AdviceNeed found = FindAdviceNeed(entry, id, now, reserved);
   const double need = entry.job.run(id.occurrence, id.step).waiting;
-  const double rate = std::max(0.05, rates_.Rate(queue.name));
-  AdviceOrder order{.step = id, .priority = queue.priority,
-                    .rank = unit.key.rank};
-  double expect = have_now;
-  const bool worth_renewing = !step.gang || known_now >= need;
-  for (const Choice& choice : expired) {
+  const double rate = std::max(kLeastRate, rates_.Rate(queue.name));
+  std::vector<UpstreamIndex> wanted;
+  double expect = found.have_now;
+  const bool worth_renewing = !step.gang || found.known_now >= need;
+  for (const auto& choice : found.expired) {
     if (!worth_renewing || choice.now_fit == 0) break;
-    if (expect >= need * kRenewMargin || order.upstreams.size() >= kMaxAsked) {
-      break;
-    }
-    order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
-    order.asked.push_back(choice.upstream);
+    if (expect >= need * kRenewMargin) break;
+    wanted.push_back(choice.upstream);
     expect += choice.now_fit;
   }
   // A gang has to know enough upstreams that could take it whole; room on them
   // is then held back for it. Others go by the room that is there now.
   Expectation now_fit{.mean = expect};
-  Expectation whole_fit{.mean = known_whole};
-  for (const Choice& choice : unknown) {
-    if (order.upstreams.size() >= kMaxAsked) break;
+  Expectation whole_fit{.mean = found.known_whole};
+  for (const auto& choice : found.unknown) {
     const bool for_now =
         choice.now_fit > 0 && now_fit.Likely(kAskDeviations) < need;
     const bool for_later = step.gang && choice.whole_fit > 0 &&
                            whole_fit.Likely(kAskDeviations) < need;
     if (!for_now && !for_later) break;
-    order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
-    order.asked.push_back(choice.upstream);
+    wanted.push_back(choice.upstream);
     now_fit.Add(rate, choice.now_fit);
     whole_fit.Add(rate, choice.whole_fit);
   }
-  if (order.upstreams.empty() || !TakeAdviceCall(queue.priority)) return;
+  if (!wanted.empty()) SendAsks(entry, id, wanted, orders);
+}
+
+void Scheduler::SendAsks(Entry& entry, const StepId& id,
+                         const std::vector<UpstreamIndex>& wanted,
+                         Orders& orders) {
+  Unit& unit = entry.unit(id.occurrence, id.step);
+  const wire::QueuePolicy& queue = entry.job.queue();
+  // One call for all of them would take so long that its first tickets run out
+  // before the next call ends: several lanes share them.
+  const size_t calls = (wanted.size() + kMostPerCall - 1) / kMostPerCall;
+  const size_t per_call = (wanted.size() + calls - 1) / calls;
   // What the step will take, spread over all that are asked.
-  order.expected_use = TaskRoom(step);
-  const double each = need / static_cast<double>(order.upstreams.size());
-  for (int32_t& part : order.expected_use.of) {
+  Amount use = TaskRoom(entry.job.step(id.step));
+  const double each = entry.job.run(id.occurrence, id.step).waiting /
+                      static_cast<double>(wanted.size());
+  for (int32_t& part : use.of) {
     part = static_cast<int32_t>(static_cast<double>(part) * each);
   }
-  order.expected = Millis(static_cast<int64_t>(
-      queue.advice_base_ms +
-      queue.advice_each_ms * static_cast<double>(order.upstreams.size())));
-  advice.asking = true;
-  NoteAsked(order, 1);
-  orders.advice.push_back(std::move(order));
+  for (size_t from = 0; from < wanted.size(); from += per_call) {
+    const size_t count = std::min(per_call, wanted.size() - from);
+    AdviceOrder order{
+        .step = id,
+        .priority = queue.priority,
+        .rank = unit.key.rank,
+        .expected = Millis(static_cast<int64_t>(
+            queue.advice_base_ms +
+            queue.advice_each_ms * static_cast<double>(count))),
+        .expected_use = use};
+    if (!TakeAdviceCall(queue.priority, order.expected)) return;
+    for (size_t i = from; i < from + count; ++i) {
+      order.upstreams.push_back(pool_.at(wanted[i]).entry.id);
+      order.asked.push_back(wanted[i]);
+    }
+    ++unit.advice.asking;
+    NoteAsked(order, 1);
+    orders.advice.push_back(std::move(order));
+  }
 }
 
 std::string Scheduler::Explain(const Entry& entry, const StepId& id,
@@ -496,7 +552,7 @@
   return out + ", asked " + std::to_string(advice.upstreams.size()) +
          ", allowed " + std::to_string(allowed) + " with room for " +
          std::to_string(fit_allowed) + ", tickets " + std::to_string(tickets) +
-         (advice.asking ? ", asking" : "");
+         (advice.asking > 0 ? ", asking" : "");
 }
 
 std::vector<std::pair<StepId, std::string>> Scheduler::ExplainWaiting(
@@ -531,7 +587,7 @@
   if (entry == nullptr) return;
   StepAdvice& known =
       entry->unit(asked.step.occurrence, asked.step.step).advice;
-  known.asking = false;
+  --known.asking;
   if (advice == nullptr) {
     known.ask_after = now + kAskAgain;
     return;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -68,8 +68,14 @@
 struct AdviceBudget {
   int32_t any = 0;
   int32_t urgent_only = 0;
+  /// Part of `any` that may go to long calls, so that short ones always find a
+  /// lane.
+  int32_t long_calls = 0;
 };
 
+/// A call for advice that takes longer counts as long.
+inline constexpr Millis kLongAdvice{250};
+
 struct SchedulerOptions {
   /// Attempts are numbered from here, above all that an earlier leader used.
   int64_t attempt_base = 0;
@@ -207,7 +213,14 @@
   void NoteAsked(const AdviceOrder& order, int sign);
   std::string Explain(const Entry& entry, const StepId& id,
                       TimePoint now) const;
-  bool TakeAdviceCall(int32_t priority);
+  bool TakeAdviceCall(int32_t priority, Millis expected);
+  bool AdviceCallLeft(int32_t priority, Millis expected) const;
+  /// What a step still has to ask about.
+  struct AdviceNeed;
+  AdviceNeed FindAdviceNeed(const Entry& entry, const StepId& id,
+                            TimePoint now, const Reserved& reserved) const;
+  void SendAsks(Entry& entry, const StepId& id,
+                const std::vector<UpstreamIndex>& wanted, Orders& orders);
   bool PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
                  Reserved& reserved, Orders& orders);
   bool PlaceGang(Entry& entry, const StepId& id, TimePoint now,
