--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -17,6 +17,19 @@
 constexpr Millis kTicketMargin{60};
 /// Calls for advice that failed are repeated after this.
 constexpr Millis kAskAgain{150};
+/// A gang renews tickets for so much more than it needs, and is taken to have
+/// room when it has so much more: some is lost while the call is under way.
+constexpr double kGangRenewMargin = 1.5;
+constexpr double kGangRoomMargin = 1.1;
+/// Tickets that run out within this are renewed with the others. A call for a
+/// gang takes 0.5 to 0.8 s.
+constexpr Millis kGangTicketLeft{800};
+/// Part of the room seen when a call goes out that is still there at its end.
+constexpr double kRoomLeft = 0.8;
+/// A gang asks about at least so many upstreams that the call takes half as
+/// long again as the shortest one.
+constexpr double kLeastGangAsk = 0.5;
+constexpr double kLeastAdviceMs = 0.01;
 /// Most upstreams that one call for advice names; the adviser takes 100. A
 /// call for 50 takes 0.5 to 0.8 s where calls are longest, and tickets are good
 /// for 1.5 s.
@@ -429,7 +442,8 @@
                                     whole_fit};
     out.known_whole += choice.whole_fit;
     out.known_now += choice.now_fit;
-    if (said->second.valid_until > now + kTicketMargin) {
+    const Millis margin = step.gang ? kGangTicketLeft : kTicketMargin;
+    if (said->second.valid_until > now + margin) {
       out.have_now += choice.now_fit;
     } else {
       out.expired.push_back(choice);
@@ -444,40 +458,80 @@
   return out;
 }
 
-void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
-                          const Reserved& reserved, Orders& orders) {
-  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
-  if (advice.asking > 0 || now < advice.ask_after) return;
-  const wire::QueuePolicy& queue = entry.job.queue();
-  const wire::StepSpec& step = entry.job.step(id.step);
-  const Millis shortest(static_cast<int64_t>(queue.advice_base_ms));
-  if (!AdviceCallLeft(queue.priority, shortest)) return;
-  const AdviceNeed found = FindAdviceNeed(entry, id, now, reserved);
-  const double need = entry.job.run(id.occurrence, id.step).waiting;
-  const double rate = std::max(kLeastRate, rates_.Rate(queue.name));
+std::vector<UpstreamIndex> Scheduler::ChooseForTasks(const AdviceNeed& found,
+                                                     double need, double rate) {
   std::vector<UpstreamIndex> wanted;
   double expect = found.have_now;
-  const bool worth_renewing = !step.gang || found.known_now >= need;
   for (const auto& choice : found.expired) {
-    if (!worth_renewing || choice.now_fit == 0) break;
-    if (expect >= need * kRenewMargin) break;
+    if (choice.now_fit == 0 || expect >= need * kRenewMargin) break;
     wanted.push_back(choice.upstream);
     expect += choice.now_fit;
   }
-  // A gang has to know enough upstreams that could take it whole; room on them
-  // is then held back for it. Others go by the room that is there now.
   Expectation now_fit{.mean = expect};
+  for (const auto& choice : found.unknown) {
+    if (choice.now_fit == 0 || now_fit.Likely(kAskDeviations) >= need) break;
+    wanted.push_back(choice.upstream);
+    now_fit.Add(rate, choice.now_fit);
+  }
+  return wanted;
+}
+
+std::vector<UpstreamIndex> Scheduler::ChooseForGang(
+    const AdviceNeed& found, double need, double rate,
+    const wire::QueuePolicy& queue) {
+  std::vector<UpstreamIndex> wanted;
+  // All tickets have to be good at once. Each call therefore renews, for some
+  // ms each, every one that the gang counts on.
+  double renewed = 0;
+  for (const auto& choice : found.expired) {
+    if (choice.now_fit == 0 || renewed >= need * kGangRenewMargin) break;
+    wanted.push_back(choice.upstream);
+    renewed += choice.now_fit;
+  }
+  if (found.known_now >= need * kGangRoomMargin) return wanted;
+  // The gang has to know enough upstreams that have room now, or could at
+  // least take it whole; room on them is then held back for it.
+  const double taken_meanwhile = kRoomLeft * rate;
+  Expectation now_fit{.mean = found.known_now};
   Expectation whole_fit{.mean = found.known_whole};
+  const auto least = static_cast<size_t>(
+      kLeastGangAsk * queue.advice_base_ms /
+      std::max(queue.advice_each_ms, kLeastAdviceMs));
+  std::vector<UpstreamIndex> unknown;
   for (const auto& choice : found.unknown) {
-    const bool for_now =
-        choice.now_fit > 0 && now_fit.Likely(kAskDeviations) < need;
-    const bool for_later = step.gang && choice.whole_fit > 0 &&
+    const bool for_now = choice.now_fit > 0 &&
+                         (now_fit.Likely(kAskDeviations) < need ||
+                          unknown.size() < least);
+    const bool for_later = choice.whole_fit > 0 &&
                            whole_fit.Likely(kAskDeviations) < need;
     if (!for_now && !for_later) break;
-    wanted.push_back(choice.upstream);
-    now_fit.Add(rate, choice.now_fit);
+    unknown.push_back(choice.upstream);
+    now_fit.Add(taken_meanwhile, choice.now_fit);
     whole_fit.Add(rate, choice.whole_fit);
   }
+  const bool enough_later = found.known_whole >= need * kGangRenewMargin;
+  if (now_fit.mean < need && enough_later) {
+    // Not even with these could it start: it waits for room that is held back.
+    return found.known_now >= need ? wanted : std::vector<UpstreamIndex>{};
+  }
+  wanted.insert(wanted.end(), unknown.begin(), unknown.end());
+  return wanted;
+}
+
+void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
+                          const Reserved& reserved, Orders& orders) {
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
+  if (advice.asking > 0 || now < advice.ask_after) return;
+  const wire::QueuePolicy& queue = entry.job.queue();
+  const wire::StepSpec& step = entry.job.step(id.step);
+  const Millis shortest(static_cast<int64_t>(queue.advice_base_ms));
+  if (!AdviceCallLeft(queue.priority, shortest)) return;
+  const AdviceNeed found = FindAdviceNeed(entry, id, now, reserved);
+  const double need = entry.job.run(id.occurrence, id.step).waiting;
+  const double rate = std::max(kLeastRate, rates_.Rate(queue.name));
+  const std::vector<UpstreamIndex> wanted =
+      step.gang ? ChooseForGang(found, need, rate, queue)
+                : ChooseForTasks(found, need, rate);
   if (!wanted.empty()) SendAsks(entry, id, wanted, orders);
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -219,6 +219,11 @@
   struct AdviceNeed;
   AdviceNeed FindAdviceNeed(const Entry& entry, const StepId& id,
                             TimePoint now, const Reserved& reserved) const;
+  static std::vector<UpstreamIndex> ChooseForTasks(const AdviceNeed& found,
+                                                   double need, double rate);
+  static std::vector<UpstreamIndex> ChooseForGang(
+      const AdviceNeed& found, double need, double rate,
+      const wire::QueuePolicy& queue);
   void SendAsks(Entry& entry, const StepId& id,
                 const std::vector<UpstreamIndex>& wanted, Orders& orders);
   bool PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
