--- a/src/coordinator/advice_lanes.cc
+++ b/src/coordinator/advice_lanes.cc
@@ -12,8 +12,9 @@
   });
   for (const std::string& address : addresses) lanes_.try_emplace(address);
   const auto count = static_cast<double>(lanes_.size());
-  auto urgent = static_cast<int>(std::lround(kUrgentShare * count));
-  if (lanes_.size() == 2) urgent = 1;
+  auto urgent = lanes_.size() < 2
+                    ? 0
+                    : static_cast<int>(std::ceil(kUrgentShare * count));
   for (auto& [address, lane] : lanes_) lane.urgent = urgent-- > 0;
 }
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -28,7 +28,7 @@
 constexpr double kRoomLeft = 0.8;
 /// A gang asks about at least so many upstreams that the call takes half as
 /// long again as the shortest one.
-constexpr double kLeastGangAsk = 0.5;
+constexpr double kLeastGangAsk = 1.0;
 constexpr double kLeastAdviceMs = 0.01;
 /// Most upstreams that one call for advice names; the adviser takes 100. A
 /// call for 50 takes 0.5 to 0.8 s where calls are longest, and tickets are good
@@ -375,12 +375,6 @@
   });
   int32_t left = step.tasks;
   // Room that is there is held first; what is missing has to drain.
-  for (Room& room : rooms) {
-    const int32_t held = std::min(room.now, left);
-    for (int32_t n = 0; n < held; ++n) reserved[room.upstream] += size;
-    room.whole -= held;
-    left -= held;
-  }
   for (const Room& room : rooms) {
     for (int32_t n = 0; n < room.whole && left > 0; ++n, --left) {
       reserved[room.upstream] += size;
