--- a/src/coordinator/advice_lanes.h
+++ b/src/coordinator/advice_lanes.h
@@ -36,11 +36,11 @@
 
   /// Two lanes of seven kept late urgent work in bursts from 94 to 4 of 154
   /// jobs; none kept or half kept did worse.
-  static constexpr double kUrgentShare = 1.0 / 7;
+  static constexpr double kUrgentShare = 2.0 / 7;
   /// Part of the other lanes that long calls may take together. Left to their
   /// priority alone, long calls held all of them, and steps that ask for 0.15 s
   /// waited while 60 % of the cores were free.
-  static constexpr double kLongShare = 0.75;
+  static constexpr double kLongShare = 1.0;
   /// A lane whose call failed is not used for this long.
   static constexpr Millis kRest{700};
 
--- a/src/scheduling/advice_state.h
+++ b/src/scheduling/advice_state.h
@@ -20,8 +20,8 @@
 /// What is known from the adviser about one step of one occurrence.
 struct StepAdvice {
   std::unordered_map<UpstreamIndex, UpstreamAdvice> upstreams;
-  /// Calls for it that are under way.
-  int32_t asking = 0;
+  /// A call for it is under way.
+  bool asking = false;
   /// Not before this, after a call that failed.
   TimePoint ask_after{};
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -2,7 +2,6 @@
 // advice is missing for it.
 
 #include <algorithm>
-#include <cmath>
 
 #include "src/scheduling/scheduler.h"
 
@@ -17,31 +16,10 @@
 constexpr Millis kTicketMargin{60};
 /// Calls for advice that failed are repeated after this.
 constexpr Millis kAskAgain{150};
-/// A gang renews tickets for so much more than it needs, and is taken to have
-/// room when it has so much more: some is lost while the call is under way.
-constexpr double kGangRenewMargin = 1.5;
-constexpr double kGangRoomMargin = 1.1;
-/// Tickets that run out within this are renewed with the others. A call for a
-/// gang takes 0.5 to 0.8 s.
-constexpr Millis kGangTicketLeft{800};
-/// Part of the room seen when a call goes out that is still there at its end.
-constexpr double kRoomLeft = 0.8;
-/// A gang asks about at least so many upstreams that the call takes half as
-/// long again as the shortest one.
-constexpr double kLeastGangAsk = 1.0;
-constexpr double kLeastAdviceMs = 0.01;
-/// Most upstreams that one call for advice names; the adviser takes 100. A
-/// call for 50 takes 0.5 to 0.8 s where calls are longest, and tickets are good
-/// for 1.5 s.
-constexpr size_t kMostPerCall = 50;
-/// An adviser that seems to allow less is asked as if it allowed this much.
-constexpr double kLeastRate = 0.05;
-/// So many standard deviations more than the mean is asked for: a second call
-/// costs its whole base time again, a few upstreams more cost little.
-constexpr double kAskDeviations = 1.3;
-/// Room on allowed upstreams is renewed for this multiple of the need, since
-/// some of it is taken while the call is under way.
-constexpr double kRenewMargin = 1.3;
+/// Most upstreams that one call for advice may name.
+constexpr size_t kMaxAsked = 100;
+/// More is asked for than is needed by this factor, since rates are means.
+constexpr double kAskMargin = 1.3;
 /// Part of all cores that waiting gangs together may hold back from others.
 constexpr double kReservedShare = 0.4;
 /// Cost of standing outside of the rack of the data or of the gang, against
@@ -60,19 +38,6 @@
   return fit;
 }
 
-/// Sum of what upstreams would take if each were allowed with some rate.
-struct Expectation {
-  double mean = 0;
-  double variance = 0;
-  void Add(double rate, double fit) {
-    mean += rate * fit;
-    variance += rate * (1 - rate) * fit * fit;
-  }
-  double Likely(double deviations) const {
-    return mean - deviations * std::sqrt(variance);
-  }
-};
-
 double Share(int32_t part, int32_t whole) {
   return whole <= 0 ? 0.0 : static_cast<double>(part) / whole;
 }
@@ -334,7 +299,6 @@
   const Amount size = TaskRoom(step);
   struct Room {
     UpstreamIndex upstream;
-    int32_t now;
     int32_t whole;
     int32_t free_cores;
   };
@@ -345,21 +309,18 @@
   for (const UpstreamIndex upstream : pool_.all()) {
     const Upstream& it = pool_.at(upstream);
     all_cores += it.capacity[Dimension::kCores];
-    Amount free = it.free;
-    Amount most = it.capacity;
     const auto other = reserved.find(upstream);
     if (other != reserved.end()) {
       reserved_cores += other->second[Dimension::kCores];
-      free -= other->second;
-      most -= other->second;
     }
     if (entry.job.queue().advised && !advice.Allowed(upstream)) continue;
     if (!it.reachable || !it.listed || it.entry.draining) continue;
     if (!Suits(upstream, entry, step)) continue;
+    Amount most = it.capacity;
+    if (other != reserved.end()) most -= other->second;
     const int32_t fit = Times(most, size);
     if (fit == 0) continue;
-    rooms.push_back(
-        {upstream, Times(free, size), fit, free[Dimension::kCores]});
+    rooms.push_back({upstream, fit, it.free[Dimension::kCores]});
     whole += fit;
   }
   const int64_t wanted =
@@ -374,7 +335,6 @@
            std::pair(-b.free_cores, b.upstream);
   });
   int32_t left = step.tasks;
-  // Room that is there is held first; what is missing has to drain.
   for (const Room& room : rooms) {
     for (int32_t n = 0; n < room.whole && left > 0; ++n, --left) {
       reserved[room.upstream] += size;
@@ -382,188 +342,97 @@
   }
 }
 
-struct Scheduler::AdviceNeed {
+void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
+                          const Reserved& reserved, Orders& orders) {
+  Unit& unit = entry.unit(id.occurrence, id.step);
+  StepAdvice& advice = unit.advice;
+  if (advice.asking || now < advice.ask_after) return;
+  const Millis shortest(
+      static_cast<int64_t>(entry.job.queue().advice_base_ms));
+  if (!AdviceCallLeft(entry.job.queue().priority, shortest)) return;
+  const wire::QueuePolicy& queue = entry.job.queue();
+  const wire::StepSpec& step = entry.job.step(id.step);
   struct Choice {
     UpstreamIndex upstream;
     int32_t now_fit;
     int32_t whole_fit;
   };
-  /// Allowed, with a ticket that has run out.
+  // What failed a task of the step is no place for its next try, as long as
+  // others are left to ask about.
+  const bool retry_elsewhere =
+      std::any_of(pool_.all().begin(), pool_.all().end(),
+                  [&](UpstreamIndex upstream) {
+                    return pool_.Usable(upstream, now) &&
+                           Suits(upstream, entry, step) &&
+                           (advice.upstreams.count(upstream) == 0 ||
+                            advice.Allowed(upstream)) &&
+                           !FailedOn(entry, id, upstream);
+                  });
   std::vector<Choice> expired;
-  /// Never asked about.
   std::vector<Choice> unknown;
-  /// Tasks that fit now where there is a good ticket.
   double have_now = 0;
-  /// Tasks that fit now, or at best, where the step is allowed.
-  double known_now = 0;
   double known_whole = 0;
-};
-
-Scheduler::AdviceNeed Scheduler::FindAdviceNeed(
-    const Entry& entry, const StepId& id, TimePoint now,
-    const Reserved& reserved) const {
-  AdviceNeed out;
-  const wire::StepSpec& step = entry.job.step(id.step);
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
-  // What failed a task of the step is no place for its next try, as long as
-  // others are left to ask about.
-  const bool retry_elsewhere = std::any_of(
-      pool_.all().begin(), pool_.all().end(), [&](UpstreamIndex upstream) {
-        return pool_.Usable(upstream, now) && Suits(upstream, entry, step) &&
-               (advice.upstreams.count(upstream) == 0 ||
-                advice.Allowed(upstream)) &&
-               !FailedOn(entry, id, upstream);
-      });
+  double known_now = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) continue;
     const Upstream& it = pool_.at(upstream);
     Amount room = it.free;
     const auto held_back = reserved.find(upstream);
     if (held_back != reserved.end()) room -= held_back->second;
-    const int32_t whole_fit = Fit(upstream, entry, id, it.capacity);
+    const Choice choice{upstream, Fit(upstream, entry, id, room),
+                        Fit(upstream, entry, id, it.capacity)};
     const auto said = advice.upstreams.find(upstream);
     if (said == advice.upstreams.end()) {
-      const auto asked_for = asked_room_.find(upstream);
-      if (asked_for != asked_room_.end()) room -= asked_for->second;
-      out.unknown.push_back(
-          {upstream, Fit(upstream, entry, id, room), whole_fit});
+      unknown.push_back(choice);
       continue;
     }
     if (!said->second.allowed) continue;
     if (FailedOn(entry, id, upstream) && retry_elsewhere) continue;
-    const AdviceNeed::Choice choice{upstream, Fit(upstream, entry, id, room),
-                                    whole_fit};
-    out.known_whole += choice.whole_fit;
-    out.known_now += choice.now_fit;
-    const Millis margin = step.gang ? kGangTicketLeft : kTicketMargin;
-    if (said->second.valid_until > now + margin) {
-      out.have_now += choice.now_fit;
+    known_whole += choice.whole_fit;
+    known_now += choice.now_fit;
+    if (said->second.valid_until > now + kTicketMargin) {
+      have_now += choice.now_fit;
     } else {
-      out.expired.push_back(choice);
+      expired.push_back(choice);
     }
   }
-  const auto by_room = [](const auto& a, const auto& b) {
+  const auto by_room = [](const Choice& a, const Choice& b) {
     return std::tuple(-a.now_fit, -a.whole_fit, a.upstream) <
            std::tuple(-b.now_fit, -b.whole_fit, b.upstream);
   };
-  std::sort(out.expired.begin(), out.expired.end(), by_room);
-  std::sort(out.unknown.begin(), out.unknown.end(), by_room);
-  return out;
-}
-
-std::vector<UpstreamIndex> Scheduler::ChooseForTasks(const AdviceNeed& found,
-                                                     double need, double rate) {
-  std::vector<UpstreamIndex> wanted;
-  double expect = found.have_now;
-  for (const auto& choice : found.expired) {
-    if (choice.now_fit == 0 || expect >= need * kRenewMargin) break;
-    wanted.push_back(choice.upstream);
+  std::sort(expired.begin(), expired.end(), by_room);
+  std::sort(unknown.begin(), unknown.end(), by_room);
+  const double need = entry.job.run(id.occurrence, id.step).waiting;
+  const double rate = std::max(0.05, rates_.Rate(queue.name));
+  AdviceOrder order{.step = id, .priority = queue.priority,
+                    .rank = unit.key.rank};
+  double expect = have_now;
+  const bool worth_renewing = !step.gang || known_now >= need;
+  for (const Choice& choice : expired) {
+    if (!worth_renewing || choice.now_fit == 0 || expect >= need) break;
+    order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
     expect += choice.now_fit;
   }
-  Expectation now_fit{.mean = expect};
-  for (const auto& choice : found.unknown) {
-    if (choice.now_fit == 0 || now_fit.Likely(kAskDeviations) >= need) break;
-    wanted.push_back(choice.upstream);
-    now_fit.Add(rate, choice.now_fit);
-  }
-  return wanted;
-}
-
-std::vector<UpstreamIndex> Scheduler::ChooseForGang(
-    const AdviceNeed& found, double need, double rate,
-    const wire::QueuePolicy& queue) {
-  std::vector<UpstreamIndex> wanted;
-  // All tickets have to be good at once. Each call therefore renews, for some
-  // ms each, every one that the gang counts on.
-  double renewed = 0;
-  for (const auto& choice : found.expired) {
-    if (choice.now_fit == 0 || renewed >= need * kGangRenewMargin) break;
-    wanted.push_back(choice.upstream);
-    renewed += choice.now_fit;
-  }
-  if (found.known_now >= need * kGangRoomMargin) return wanted;
-  // The gang has to know enough upstreams that have room now, or could at
-  // least take it whole; room on them is then held back for it.
-  const double taken_meanwhile = kRoomLeft * rate;
-  Expectation now_fit{.mean = found.known_now};
-  Expectation whole_fit{.mean = found.known_whole};
-  const auto least = static_cast<size_t>(
-      kLeastGangAsk * queue.advice_base_ms /
-      std::max(queue.advice_each_ms, kLeastAdviceMs));
-  std::vector<UpstreamIndex> unknown;
-  for (const auto& choice : found.unknown) {
-    const bool for_now = choice.now_fit > 0 &&
-                         (now_fit.Likely(kAskDeviations) < need ||
-                          unknown.size() < least);
-    const bool for_later = choice.whole_fit > 0 &&
-                           whole_fit.Likely(kAskDeviations) < need;
+  // A gang has to know enough upstreams that could take it whole; room on them
+  // is then held back for it. Others go by the room that is there now.
+  double expect_whole = known_whole;
+  for (const Choice& choice : unknown) {
+    if (order.upstreams.size() >= kMaxAsked) break;
+    const bool for_now = choice.now_fit > 0 && expect < need * kAskMargin;
+    const bool for_later =
+        step.gang && choice.whole_fit > 0 && expect_whole < need * kAskMargin;
     if (!for_now && !for_later) break;
-    unknown.push_back(choice.upstream);
-    now_fit.Add(taken_meanwhile, choice.now_fit);
-    whole_fit.Add(rate, choice.whole_fit);
-  }
-  const bool enough_later = found.known_whole >= need * kGangRenewMargin;
-  if (now_fit.mean < need && enough_later) {
-    // Not even with these could it start: it waits for room that is held back.
-    return found.known_now >= need ? wanted : std::vector<UpstreamIndex>{};
-  }
-  wanted.insert(wanted.end(), unknown.begin(), unknown.end());
-  return wanted;
-}
-
-void Scheduler::AskAdvice(Entry& entry, const StepId& id, TimePoint now,
-                          const Reserved& reserved, Orders& orders) {
-  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
-  if (advice.asking > 0 || now < advice.ask_after) return;
-  const wire::QueuePolicy& queue = entry.job.queue();
-  const wire::StepSpec& step = entry.job.step(id.step);
-  const Millis shortest(static_cast<int64_t>(queue.advice_base_ms));
-  if (!AdviceCallLeft(queue.priority, shortest)) return;
-  const AdviceNeed found = FindAdviceNeed(entry, id, now, reserved);
-  const double need = entry.job.run(id.occurrence, id.step).waiting;
-  const double rate = std::max(kLeastRate, rates_.Rate(queue.name));
-  const std::vector<UpstreamIndex> wanted =
-      step.gang ? ChooseForGang(found, need, rate, queue)
-                : ChooseForTasks(found, need, rate);
-  if (!wanted.empty()) SendAsks(entry, id, wanted, orders);
-}
-
-void Scheduler::SendAsks(Entry& entry, const StepId& id,
-                         const std::vector<UpstreamIndex>& wanted,
-                         Orders& orders) {
-  Unit& unit = entry.unit(id.occurrence, id.step);
-  const wire::QueuePolicy& queue = entry.job.queue();
-  // One call for all of them would take so long that its first tickets run out
-  // before the next call ends: several lanes share them.
-  const size_t calls = (wanted.size() + kMostPerCall - 1) / kMostPerCall;
-  const size_t per_call = (wanted.size() + calls - 1) / calls;
-  // What the step will take, spread over all that are asked.
-  Amount use = TaskRoom(entry.job.step(id.step));
-  const double each = entry.job.run(id.occurrence, id.step).waiting /
-                      static_cast<double>(wanted.size());
-  for (int32_t& part : use.of) {
-    part = static_cast<int32_t>(static_cast<double>(part) * each);
-  }
-  for (size_t from = 0; from < wanted.size(); from += per_call) {
-    const size_t count = std::min(per_call, wanted.size() - from);
-    AdviceOrder order{
-        .step = id,
-        .priority = queue.priority,
-        .rank = unit.key.rank,
-        .expected = Millis(static_cast<int64_t>(
-            queue.advice_base_ms +
-            queue.advice_each_ms * static_cast<double>(count))),
-        .expected_use = use};
-    if (!TakeAdviceCall(queue.priority, order.expected)) return;
-    for (size_t i = from; i < from + count; ++i) {
-      order.upstreams.push_back(pool_.at(wanted[i]).entry.id);
-      order.asked.push_back(wanted[i]);
-    }
-    ++unit.advice.asking;
-    NoteAsked(order, 1);
-    orders.advice.push_back(std::move(order));
-  }
+    order.upstreams.push_back(pool_.at(choice.upstream).entry.id);
+    expect += rate * choice.now_fit;
+    expect_whole += rate * choice.whole_fit;
+  }
+  if (order.upstreams.empty()) return;
+  order.expected = Millis(static_cast<int64_t>(
+      queue.advice_base_ms +
+      queue.advice_each_ms * static_cast<double>(order.upstreams.size())));
+  if (!TakeAdviceCall(queue.priority, order.expected)) return;
+  advice.asking = true;
+  orders.advice.push_back(std::move(order));
 }
 
 std::string Scheduler::Explain(const Entry& entry, const StepId& id,
@@ -600,7 +469,7 @@
   return out + ", asked " + std::to_string(advice.upstreams.size()) +
          ", allowed " + std::to_string(allowed) + " with room for " +
          std::to_string(fit_allowed) + ", tickets " + std::to_string(tickets) +
-         (advice.asking > 0 ? ", asking" : "");
+         (advice.asking ? ", asking" : "");
 }
 
 std::vector<std::pair<StepId, std::string>> Scheduler::ExplainWaiting(
@@ -618,24 +487,13 @@
   return out;
 }
 
-void Scheduler::NoteAsked(const AdviceOrder& order, int sign) {
-  for (const UpstreamIndex upstream : order.asked) {
-    Amount share = order.expected_use;
-    for (int32_t& part : share.of) part *= sign;
-    Amount& claimed = asked_room_[upstream];
-    claimed += share;
-    if (claimed == Amount{}) asked_room_.erase(upstream);
-  }
-}
-
 void Scheduler::OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                          TimePoint now) {
-  NoteAsked(asked, -1);
   Entry* entry = FindEntry(asked.step.job);
   if (entry == nullptr) return;
   StepAdvice& known =
       entry->unit(asked.step.occurrence, asked.step.step).advice;
-  --known.asking;
+  known.asking = false;
   if (advice == nullptr) {
     known.ask_after = now + kAskAgain;
     return;
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -463,9 +463,9 @@
   std::map<int32_t, int32_t> waiting;
   for (const UnitKey& key : queue_) ++waiting[key.priority];
   constexpr int64_t kPercent = 100;
-  std::string out = "cores in use " +
-                    std::to_string(capacity == 0 ? 0 : kPercent -
-                                       kPercent * free / capacity) +
+  const int64_t used =
+      capacity == 0 ? 0 : kPercent - kPercent * free / capacity;
+  std::string out = "cores in use " + std::to_string(used) +
                     " %, steps waiting by priority";
   for (const auto& [priority, steps] : waiting) {
     out += " " + std::to_string(priority) + ":" + std::to_string(steps);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -51,9 +51,6 @@
   /// Smaller goes first within a priority.
   int64_t rank = 0;
   Millis expected{0};
-  /// The same upstreams, and what the step is likely to take of each.
-  std::vector<UpstreamIndex> asked;
-  Amount expected_use;
 };
 
 /// What the scheduler wants done; the caller carries it out.
@@ -210,22 +207,10 @@
   std::vector<Candidate> Candidates(const Entry& entry, const StepId& id,
                                     const StepAdvice& advice, TimePoint now,
                                     const Reserved& reserved) const;
-  void NoteAsked(const AdviceOrder& order, int sign);
   std::string Explain(const Entry& entry, const StepId& id,
                       TimePoint now) const;
   bool TakeAdviceCall(int32_t priority, Millis expected);
   bool AdviceCallLeft(int32_t priority, Millis expected) const;
-  /// What a step still has to ask about.
-  struct AdviceNeed;
-  AdviceNeed FindAdviceNeed(const Entry& entry, const StepId& id,
-                            TimePoint now, const Reserved& reserved) const;
-  static std::vector<UpstreamIndex> ChooseForTasks(const AdviceNeed& found,
-                                                   double need, double rate);
-  static std::vector<UpstreamIndex> ChooseForGang(
-      const AdviceNeed& found, double need, double rate,
-      const wire::QueuePolicy& queue);
-  void SendAsks(Entry& entry, const StepId& id,
-                const std::vector<UpstreamIndex>& wanted, Orders& orders);
   bool PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
                  Reserved& reserved, Orders& orders);
   bool PlaceGang(Entry& entry, const StepId& id, TimePoint now,
@@ -251,10 +236,6 @@
   std::set<UnitKey> queue_;
   std::unordered_set<JobId> changed_;
   std::multimap<int64_t, StepId> due_;
-  /// Room that steps will take whose advice is under way. Calls for others go
-  /// elsewhere; without this all ask about the same emptiest upstreams and
-  /// find them full when the answer comes.
-  std::unordered_map<UpstreamIndex, Amount> asked_room_;
   /// What is left of the budget in the present pass.
   AdviceBudget advice_left_;
   AllowanceRates rates_;
