--- /dev/null
+++ b/tests/jobs_schedule_test.cc
@@ -0,0 +1,320 @@
+#define BOOST_TEST_MODULE jobs_schedule
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
+
+#include "tests/jobsim/job_cell.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+/// Seeds that failed once, with what was seen. They stay.
+/// 1: the first schedule, kept as a plain sample.
+const std::vector<uint64_t> kFailedOnce{1};
+constexpr uint64_t kFreshSeeds = 60;
+
+uint64_t SeedCount() {
+  const char* text = std::getenv("MIMOSARAIL_SEEDS");
+  return text == nullptr ? kFreshSeeds : std::strtoull(text, nullptr, 10);
+}
+
+std::vector<uint64_t> Seeds() {
+  std::vector<uint64_t> out = kFailedOnce;
+  for (uint64_t i = 0; i < SeedCount(); ++i) out.push_back(1000 + i);
+  return out;
+}
+
+/// One random day: jobs of several shapes while entries, store and upstreams
+/// fail. Everything heals before its end.
+class Schedule {
+ public:
+  explicit Schedule(uint64_t seed) : random_(seed) {}
+
+  void Play() {
+    cell_.RunFor(Millis(2000));
+    constexpr int kSteps = 60;
+    for (int i = 0; i < kSteps; ++i) {
+      SubmitSome();
+      if (Chance(35)) Fault();
+      cell_.RunFor(Millis(50 + Pick(400)));
+    }
+    Heal();
+    cell_.RunFor(Millis(25000));
+    Check();
+  }
+
+ private:
+  uint64_t Pick(uint64_t below) { return random_() % below; }
+  bool Chance(uint64_t percent) { return Pick(100) < percent; }
+
+  std::string SomeEntry() {
+    const auto names = cell_.names();
+    return names[Pick(names.size())];
+  }
+  std::string SomeUpstream() {
+    const auto ids = cell_.upstreams().ids();
+    return ids[Pick(ids.size())];
+  }
+
+  void SubmitSome() {
+    const JobId id = 0xabc0000 + jobs_.size();
+    const bool gang = Chance(25);
+    wire::JobSpec spec =
+        OneStepJob(id, 1 + static_cast<int32_t>(Pick(4)),
+                   500 + 500 * static_cast<int32_t>(Pick(5)), gang);
+    spec.queue.advised = Chance(50);
+    spec.queue.ticket_valid_ms = 1500;
+    if (Chance(30)) {
+      wire::StepSpec second = spec.steps[0];
+      second.gang = false;
+      second.after = {0};
+      spec.steps.push_back(second);
+    }
+    for (int32_t s = 0; s < static_cast<int32_t>(spec.steps.size()); ++s) {
+      for (int32_t i = 0; i < spec.steps[static_cast<size_t>(s)].tasks; ++i) {
+        auto& script = cell_.upstreams().script({id, 0, s, i});
+        script.takes = Millis(100 + Pick(1500));
+        script.fails = Chance(4) ? 1 : 0;
+      }
+    }
+    jobs_.push_back(id);
+    cell_.Submit(SomeEntry(), spec);
+    // The caller may send it again, elsewhere.
+    if (Chance(20)) cell_.Submit(SomeEntry(), spec);
+    if (Chance(8)) cell_.Cancel(SomeEntry(), jobs_[Pick(jobs_.size())]);
+  }
+
+  void Fault() {
+    const std::string leader = cell_.Leader();
+    const std::string entry =
+        Chance(50) && !leader.empty() ? leader : SomeEntry();
+    switch (Pick(10)) {
+      case 0:
+        return cell_.Restart(entry);
+      case 1:
+        return cell_.Pause(entry);
+      case 2:
+        for (const auto& name : cell_.names()) cell_.Resume(name);
+        return;
+      case 3:
+        return cell_.Cut(entry, Chance(60));
+      case 4:
+        cell_.store().faults().down = Chance(50);
+        return;
+      case 5:
+        if (Chance(60)) {
+          cell_.store().faults().turned_away.insert(entry);
+        } else {
+          cell_.store().faults().turned_away.clear();
+        }
+        return;
+      case 6:
+        cell_.store().faults().lose_answers = static_cast<int>(Pick(4));
+        cell_.store().faults().late_appends = static_cast<int>(Pick(2));
+        return;
+      case 7:
+        cell_.store().DropHistory();
+        return;
+      case 8:
+        cell_.upstreams().faults(SomeUpstream()).lose_starts = 2;
+        cell_.upstreams().faults(SomeUpstream()).late_starts = 1;
+        return;
+      default:
+        cell_.upstreams().faults(SomeUpstream()).cut = Chance(50);
+    }
+  }
+
+  void Heal() {
+    for (const auto& name : cell_.names()) {
+      cell_.Resume(name);
+      cell_.Cut(name, false);
+    }
+    cell_.store().faults() = {};
+    for (const auto& id : cell_.upstreams().ids()) {
+      cell_.upstreams().faults(id) = {};
+    }
+  }
+
+  void Check() {
+    for (const std::string& what : cell_.Broken()) BOOST_ERROR(what);
+    for (const JobId id : jobs_) {
+      if (!cell_.accepted(id)) continue;
+      const auto state = cell_.State(id);
+      BOOST_CHECK_MESSAGE(state.has_value(),
+                          "accepted and not known: " << JobIdText(id));
+      if (!state) continue;
+      BOOST_CHECK_MESSAGE(IsFinal(*state),
+                          "accepted and never ended: " << JobIdText(id));
+      if (cell_.cancelled(id) || *state != JobState::kComplete) continue;
+      int done = 0;
+      for (int32_t i = 0; i < 4; ++i) {
+        done += cell_.upstreams().DoneRuns({id, 0, 0, i});
+      }
+      BOOST_CHECK_MESSAGE(done > 0,
+                          "complete without a run: " << JobIdText(id));
+    }
+  }
+
+  std::mt19937_64 random_;
+  JobCell cell_{{}};
+  std::vector<JobId> jobs_;
+};
+
+}  // namespace
+
+BOOST_DATA_TEST_CASE(PromisesHoldThroughFaults,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  BOOST_TEST_CONTEXT("seed " << seed) { Schedule(seed).Play(); }
+}
+
+/// A caller sends one job. It is stored, runs once and is shown as complete.
+BOOST_AUTO_TEST_CASE(ACalmJobRunsOnce) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.Submit("entry-1", OneStepJob(7, 3, 1000));
+  cell.RunFor(Millis(200));
+  BOOST_TEST(cell.accepted(7));
+  BOOST_TEST(cell.RunUntilFinal(7, Millis(10000)));
+  for (int32_t i = 0; i < 3; ++i) {
+    BOOST_TEST(cell.upstreams().DoneRuns({7, 0, 0, i}) == 1);
+  }
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A caller's push is accepted, then all entries lose power at once. They come
+/// back with nothing in memory: the job must be known, and what ran before the
+/// loss goes on where it ran instead of running twice.
+BOOST_AUTO_TEST_CASE(AnAcceptedJobSurvivesTheLossOfAllEntries) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({9, 0, 0, 0}).takes = Millis(3000);
+  cell.Submit("entry-2", OneStepJob(9, 1, 1000));
+  cell.RunFor(Millis(100));
+  BOOST_TEST(cell.accepted(9));
+  for (const auto& name : cell.names()) cell.Kill(name);
+  cell.RunFor(Millis(500));
+  for (const auto& name : cell.names()) cell.Restart(name);
+  BOOST_TEST(cell.RunUntilFinal(9, Millis(12000)));
+  BOOST_TEST(cell.upstreams().starts() == 1);
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A job fails for good on its second run. The leader is killed between the two
+/// ends being listed and stored; the next one hears of the second end first and
+/// must still count both, or the task gets a third run.
+BOOST_AUTO_TEST_CASE(FailuresCountInAnyOrderAfterATakeover) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({11, 0, 0, 0}) = {.takes = Millis(300), .fails = 9};
+  cell.Submit("entry-0", OneStepJob(11, 1, 1000));
+  cell.RunFor(Millis(150));
+  // From now on the leader stores nothing; it goes on with what it knows.
+  cell.store().faults().turned_away.insert(cell.Leader());
+  cell.RunFor(Millis(20000));
+  BOOST_TEST(cell.Broken().empty());
+  const auto state = cell.State(11);
+  BOOST_TEST(state.has_value());
+  BOOST_TEST((state == JobState::kFailed));
+  BOOST_TEST(cell.upstreams().starts() == 2);
+}
+
+/// A start is carried out 2.5 s after its upstream left it without an answer.
+/// By then the task runs elsewhere: the late one must be refused by its token.
+BOOST_AUTO_TEST_CASE(ALateStartIsFenced) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  for (const auto& id : cell.upstreams().ids()) {
+    cell.upstreams().faults(id).late_starts = 1;
+  }
+  cell.upstreams().script({13, 0, 0, 0}).takes = Millis(4000);
+  cell.Submit("entry-0", OneStepJob(13, 1, 1000));
+  BOOST_TEST(cell.RunUntilFinal(13, Millis(30000)));
+  BOOST_TEST(cell.Broken().empty());
+  BOOST_TEST(cell.upstreams().DoneRuns({13, 0, 0, 0}) == 1);
+}
+
+/// The leader stands still for 5 s and wakes up believing that it leads. The
+/// others have taken over; nothing it then orders may start anything.
+BOOST_AUTO_TEST_CASE(AFrozenLeaderWakesUpHarmless) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  for (JobId id = 20; id < 30; ++id) {
+    cell.upstreams().script({id, 0, 0, 0}).takes = Millis(1500);
+    cell.Submit("entry-3", OneStepJob(id, 1, 4000));
+  }
+  cell.RunFor(Millis(120));
+  const std::string frozen = cell.Leader();
+  cell.Pause(frozen);
+  cell.RunFor(Millis(5000));
+  BOOST_TEST(cell.Leader() != frozen);
+  BOOST_TEST(!cell.Leader().empty());
+  cell.Resume(frozen);
+  for (JobId id = 20; id < 30; ++id) {
+    BOOST_TEST(cell.RunUntilFinal(id, Millis(20000)));
+  }
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The store is away: a new job is refused, and must then never run. Callers
+/// hear of it within the entry's patience instead of at their deadline.
+BOOST_AUTO_TEST_CASE(RefusedWhileTheStoreIsAwayNeverRuns) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.store().faults().down = true;
+  // The leader notices with the first append that is not answered.
+  cell.Submit("entry-1", OneStepJob(30, 1, 1000));
+  cell.RunFor(Millis(1000));
+  cell.Submit("entry-1", OneStepJob(31, 1, 1000));
+  cell.RunFor(Millis(1500));
+  BOOST_TEST(cell.refused(31));
+  cell.store().faults().down = false;
+  cell.RunFor(Millis(10000));
+  BOOST_TEST(!cell.upstreams().Ran(31));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// One member of a gang fails: the others break, and the whole gang starts
+/// anew with one attempt number, never as a mixture of two.
+BOOST_AUTO_TEST_CASE(ABrokenGangStartsAnewAsAWhole) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({40, 0, 0, 1}) = {.takes = Millis(200), .fails = 1};
+  cell.Submit("entry-0", OneStepJob(40, 4, 3000, true));
+  BOOST_TEST(cell.RunUntilFinal(40, Millis(15000)));
+  BOOST_TEST((cell.State(40) == JobState::kComplete));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// An upstream dies with a task. Nothing says so but its silence; the task may
+/// start elsewhere only when its lease has surely run out, and then must.
+BOOST_AUTO_TEST_CASE(ATaskOfADeadUpstreamRunsElsewhere) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({50, 0, 0, 0}).takes = Millis(2000);
+  cell.Submit("entry-0", OneStepJob(50, 1, 1000));
+  cell.RunFor(Millis(300));
+  const std::string at = cell.upstreams().Where({50, 0, 0, 0});
+  BOOST_REQUIRE(!at.empty());
+  cell.upstreams().faults(at).dead = true;
+  cell.RunFor(Millis(3500));
+  BOOST_TEST(cell.upstreams().starts() == 1);
+  BOOST_TEST(cell.RunUntilFinal(50, Millis(15000)));
+  BOOST_TEST(cell.upstreams().starts() == 2);
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// An entry is stopped for maintenance while it leads: another leads within
+/// half a second, without waiting for silence.
+BOOST_AUTO_TEST_CASE(AResigningLeaderIsReplacedAtOnce) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string first = cell.Leader();
+  cell.entry(first)->BeginShutdown();
+  cell.RunFor(Millis(500));
+  BOOST_TEST(!cell.Leader().empty());
+  BOOST_TEST(cell.Leader() != first);
+}
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/job_cell.cc
@@ -0,0 +1,305 @@
+#include "tests/jobsim/job_cell.h"
+
+#include <algorithm>
+
+#include "src/libs/rpc/codec.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr Millis kWay{1};
+constexpr Millis kCallerLimit{3000};
+
+std::string AddressOf(const std::string& name) { return name + ":1"; }
+
+}  // namespace
+
+struct JobCell::Process {
+  Process(JobCell& cell, const std::string& name)
+      : executor(cell.clock_),
+        store(cell.store_, executor, name),
+        tasks(cell.upstreams_, executor),
+        peers(cell, executor, name),
+        entry(std::make_unique<jobentry::JobEntry>(
+            jobentry::JobEntry::Dependencies{.executor = executor,
+                                             .store = store,
+                                             .config = store,
+                                             .list = store,
+                                             .tasks = tasks,
+                                             .adviser = tasks,
+                                             .peers = peers,
+                                             .metrics = metrics},
+            Options(name))) {
+    entry->Start();
+  }
+
+  static jobentry::JobEntryOptions Options(const std::string& name) {
+    jobentry::JobEntryOptions out;
+    out.leadership.member.name = name;
+    out.leadership.member.address = AddressOf(name);
+    return out;
+  }
+
+  sim::ManualExecutor executor;
+  metrics::Registry metrics;
+  StoreAccess store;
+  TaskAccess tasks;
+  PeerAccess peers;
+  std::unique_ptr<jobentry::JobEntry> entry;
+};
+
+JobCell::JobCell(CellOptions options) : options_(options) {
+  store_.Put(kConfigTable, "config", "1");
+  for (int i = 0; i < options_.upstreams; ++i) AddUpstream(i);
+  for (int i = 0; i < options_.entries; ++i) {
+    Start("entry-" + std::to_string(i));
+  }
+}
+
+JobCell::~JobCell() = default;
+
+void JobCell::AddUpstream(int number) {
+  const std::string id = "up-" + std::to_string(number);
+  upstreams_.Add(id, options_.millicores, options_.memory_mb);
+  wire::UpstreamRecord record;
+  record.id = id;
+  record.pool = "pool";
+  record.address = id + ":1";
+  record.rack = "r" + std::to_string(number / 2);
+  record.millicores = options_.millicores;
+  record.memory_mb = options_.memory_mb;
+  store_.Put(kUpstreamTable, id, rpc::Encode(record));
+}
+
+void JobCell::Start(const std::string& name) {
+  processes_[name] =
+      std::make_unique<Process>(*this, name);
+}
+
+void JobCell::Kill(const std::string& entry) {
+  auto& process = processes_[entry];
+  if (!process) return;
+  process->executor.Kill();
+  ended_.push_back(std::move(process));
+}
+
+void JobCell::Restart(const std::string& entry) {
+  Kill(entry);
+  Start(entry);
+}
+
+void JobCell::Pause(const std::string& entry) {
+  if (processes_[entry]) processes_[entry]->executor.Pause();
+}
+
+void JobCell::Resume(const std::string& entry) {
+  if (processes_[entry]) processes_[entry]->executor.Resume();
+}
+
+void JobCell::Cut(const std::string& entry, bool cut) {
+  if (cut) {
+    cut_.insert(entry);
+  } else {
+    cut_.erase(entry);
+  }
+}
+
+std::vector<std::string> JobCell::names() const {
+  std::vector<std::string> out;
+  for (const auto& [name, process] : processes_) out.push_back(name);
+  return out;
+}
+
+jobentry::JobEntry* JobCell::entry(const std::string& name) {
+  auto& process = processes_[name];
+  return process ? process->entry.get() : nullptr;
+}
+
+std::string JobCell::Leader() {
+  std::string best;
+  int64_t term = 0;
+  for (const auto& [name, process] : processes_) {
+    if (!process || process->executor.paused()) continue;
+    const auto& leadership = process->entry->leadership();
+    if (!leadership.leading() || leadership.term() <= term) continue;
+    best = name;
+    term = leadership.term();
+  }
+  return best;
+}
+
+void JobCell::Submit(const std::string& entry, wire::JobSpec spec) {
+  upstreams_.Know(spec);
+  auto& process = processes_[entry];
+  if (!process) return;
+  const auto id = static_cast<JobId>(spec.id);
+  auto* target = process->entry.get();
+  process->executor.Post([this, target, spec, id] {
+    target->Submit(spec, kCallerLimit, [this, id](jobentry::JobAnswer answer) {
+      answers_[id].push_back(answer.verdict);
+      if (answer.verdict == coordinator::JobVerdict::kDone) {
+        accepted_.insert(id);
+      }
+    });
+  });
+}
+
+bool JobCell::refused(JobId id) const {
+  const auto found = answers_.find(id);
+  if (found == answers_.end()) return false;
+  return std::all_of(found->second.begin(), found->second.end(), [](auto v) {
+    return v == coordinator::JobVerdict::kRefused;
+  });
+}
+
+void JobCell::Cancel(const std::string& entry, JobId id) {
+  auto& process = processes_[entry];
+  if (!process) return;
+  auto* target = process->entry.get();
+  process->executor.Post([this, target, id] {
+    target->Cancel(id, kCallerLimit, [this, id](jobentry::JobAnswer answer) {
+      if (answer.verdict == coordinator::JobVerdict::kDone) {
+        cancelled_.insert(id);
+      }
+    });
+  });
+}
+
+std::optional<JobState> JobCell::State(JobId id) {
+  std::optional<JobState> out;
+  for (const auto& [name, process] : processes_) {
+    if (!process || process->executor.paused()) continue;
+    auto* target = process->entry.get();
+    bool answered = false;
+    process->executor.Post([&, target] {
+      target->State(id, Millis(500), [&](jobentry::JobAnswer answer) {
+        answered = true;
+        if (answer.verdict == coordinator::JobVerdict::kDone) {
+          out = answer.state;
+        }
+      });
+    });
+    constexpr int kLooks = 350;
+    for (int i = 0; i < kLooks && !answered; ++i) clock_.RunFor(Millis(10));
+    if (answered && out) return out;
+  }
+  return out;
+}
+
+bool JobCell::RunUntilFinal(JobId id, Millis limit) {
+  const TimePoint until = clock_.now() + limit;
+  while (clock_.now() < until) {
+    clock_.RunFor(Millis(500));
+    const auto state = State(id);
+    if (state && IsFinal(*state)) return true;
+  }
+  return false;
+}
+
+std::vector<std::string> JobCell::Broken() const {
+  std::vector<std::string> out = upstreams_.broken();
+  for (const auto& [id, answers] : answers_) {
+    if (refused(id) && upstreams_.Ran(id)) {
+      out.push_back("refused, and ran: " + JobIdText(id));
+    }
+  }
+  return out;
+}
+
+wire::JobSpec OneStepJob(JobId id, int32_t tasks, int32_t millicores,
+                         bool gang) {
+  wire::JobSpec spec;
+  spec.id = static_cast<int64_t>(id);
+  spec.payload = "payload";
+  spec.queue.name = "q";
+  spec.queue.pool = "pool";
+  spec.queue.max_attempts = 2;
+  wire::StepSpec step;
+  step.tasks = tasks;
+  step.millicores = millicores;
+  step.memory_mb = 500;
+  step.estimate_ms = 500;
+  step.gang = gang;
+  spec.steps.push_back(step);
+  return spec;
+}
+
+template <typename Reply>
+void PeerAccess::Call(
+    const std::string& address, Millis timeout, Callback<Reply> done,
+    std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)>
+        serve) {
+  const std::string name = address.substr(0, address.find(':'));
+  const auto found = cell_.processes_.find(name);
+  if (found == cell_.processes_.end() || !found->second) {
+    // Nobody listens: the connection is refused.
+    return executor_.RunAfter(2 * kWay, [done] {
+      done(Result<Reply>(Errc::kUnavailable, "refused"));
+    });
+  }
+  auto answered = std::make_shared<bool>(false);
+  executor_.RunAfter(timeout, [answered, done] {
+    if (std::exchange(*answered, true)) return;
+    done(Result<Reply>(Errc::kTimeout, "no answer"));
+  });
+  if (cell_.cut_.count(name) > 0 || cell_.cut_.count(self_) > 0) return;
+  auto* process = found->second.get();
+  process->executor.RunAfter(kWay, [this, process, serve, answered, done] {
+    serve(*process->entry, [this, answered, done](const Reply& reply) {
+      executor_.RunAfter(kWay, [answered, done, reply] {
+        if (std::exchange(*answered, true)) return;
+        done(reply);
+      });
+    });
+  });
+}
+
+void PeerAccess::Hello(const std::string& address, const wire::HelloCall& call,
+                       Millis timeout, Callback<wire::HelloReply> done) {
+  Call<wire::HelloReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { reply(entry.OnHello(call)); });
+}
+void PeerAccess::Announce(const std::string& address,
+                          const wire::AnnounceCall& call, Millis timeout,
+                          Callback<wire::AnnounceReply> done) {
+  Call<wire::AnnounceReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { reply(entry.OnAnnounce(call)); });
+}
+void PeerAccess::SubmitJob(const std::string& address,
+                           const wire::SubmitJobCall& call, Millis timeout,
+                           Callback<wire::SubmitJobReply> done) {
+  Call<wire::SubmitJobReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { entry.OnSubmit(call, reply); });
+}
+void PeerAccess::JobState(const std::string& address,
+                          const wire::JobStateCall& call, Millis timeout,
+                          Callback<wire::JobStateReply> done) {
+  Call<wire::JobStateReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { entry.OnState(call, reply); });
+}
+void PeerAccess::CancelJob(const std::string& address,
+                           const wire::CancelJobCall& call, Millis timeout,
+                           Callback<wire::CancelJobReply> done) {
+  Call<wire::CancelJobReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { entry.OnCancel(call, reply); });
+}
+void PeerAccess::PendingJobs(const std::string& address,
+                             const wire::PendingJobsCall& call, Millis timeout,
+                             Callback<wire::PendingJobsReply> done) {
+  Call<wire::PendingJobsReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { entry.OnPending(call, reply); });
+}
+void PeerAccess::Advise(const std::string& address, const wire::AdviseCall& call,
+                        Millis timeout, Callback<wire::AdviseReply> done) {
+  Call<wire::AdviseReply>(
+      address, timeout, std::move(done),
+      [call](auto& entry, auto reply) { entry.OnAdvise(call, reply); });
+}
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/job_cell.h
@@ -0,0 +1,123 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "src/jobentry/job_entry.h"
+#include "src/libs/metrics/metrics.h"
+#include "tests/jobsim/store_fake.h"
+#include "tests/jobsim/upstream_fake.h"
+
+namespace mimosarail::jobsim {
+
+class JobCell;
+
+/// One entry's way to the other entries of the cell.
+class PeerAccess final : public leadership::JobPeerPort {
+ public:
+  PeerAccess(JobCell& cell, Executor& executor, std::string self)
+      : cell_(cell), executor_(executor), self_(std::move(self)) {}
+
+  void Hello(const std::string& address, const wire::HelloCall& call,
+             Millis timeout, Callback<wire::HelloReply> done) override;
+  void Announce(const std::string& address, const wire::AnnounceCall& call,
+                Millis timeout, Callback<wire::AnnounceReply> done) override;
+  void SubmitJob(const std::string& address, const wire::SubmitJobCall& call,
+                 Millis timeout, Callback<wire::SubmitJobReply> done) override;
+  void JobState(const std::string& address, const wire::JobStateCall& call,
+                Millis timeout, Callback<wire::JobStateReply> done) override;
+  void CancelJob(const std::string& address, const wire::CancelJobCall& call,
+                 Millis timeout, Callback<wire::CancelJobReply> done) override;
+  void PendingJobs(const std::string& address,
+                   const wire::PendingJobsCall& call, Millis timeout,
+                   Callback<wire::PendingJobsReply> done) override;
+  void Advise(const std::string& address, const wire::AdviseCall& call,
+              Millis timeout, Callback<wire::AdviseReply> done) override;
+
+ private:
+  template <typename Reply>
+  void Call(const std::string& address, Millis timeout, Callback<Reply> done,
+            std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)>
+                serve);
+
+  JobCell& cell_;
+  Executor& executor_;
+  std::string self_;
+};
+
+struct CellOptions {
+  int entries = 4;
+  int upstreams = 6;
+  int32_t millicores = 8000;
+  int32_t memory_mb = 16000;
+};
+
+/// Whole entry instances over fakes of the platform and a manual clock.
+class JobCell {
+ public:
+  explicit JobCell(CellOptions options);
+  ~JobCell();
+
+  /// A process with no memory of an earlier one takes the entry's place.
+  void Restart(const std::string& entry);
+  void Kill(const std::string& entry);
+  void Pause(const std::string& entry);
+  void Resume(const std::string& entry);
+  /// Cuts the entry off from all other entries, both ways.
+  void Cut(const std::string& entry, bool cut);
+  /// The entry that believes to lead with the highest term; empty if none.
+  std::string Leader();
+  std::vector<std::string> names() const;
+  jobentry::JobEntry* entry(const std::string& name);
+
+  /// Hands a job in at an entry and keeps what became of it.
+  void Submit(const std::string& entry, wire::JobSpec spec);
+  /// Asks for cancelling and keeps whether that was acknowledged.
+  void Cancel(const std::string& entry, JobId id);
+  /// State as any live entry tells it now; empty if none does in time.
+  std::optional<JobState> State(JobId id);
+  bool accepted(JobId id) const { return accepted_.count(id) > 0; }
+  bool cancelled(JobId id) const { return cancelled_.count(id) > 0; }
+  /// Every answer was a refusal.
+  bool refused(JobId id) const;
+
+  void RunFor(Millis span) { clock_.RunFor(span); }
+  /// Until the job is final as told by an entry, or the time is over.
+  bool RunUntilFinal(JobId id, Millis limit);
+
+  sim::ManualClock& clock() { return clock_; }
+  StoreFake& store() { return store_; }
+  UpstreamsFake& upstreams() { return upstreams_; }
+  /// Rules broken, as upstreams and callers saw it.
+  std::vector<std::string> Broken() const;
+
+ private:
+  friend class PeerAccess;
+  struct Process;
+
+  void Start(const std::string& name);
+  void AddUpstream(int number);
+
+  CellOptions options_;
+  sim::ManualClock clock_;
+  StoreFake store_{clock_};
+  UpstreamsFake upstreams_{clock_};
+  std::map<std::string, std::unique_ptr<Process>> processes_;
+  /// Processes that were killed; their executors may still be pointed at.
+  std::vector<std::unique_ptr<Process>> ended_;
+  std::set<std::string> cut_;
+  std::set<JobId> accepted_;
+  std::set<JobId> cancelled_;
+  std::map<JobId, std::vector<coordinator::JobVerdict>> answers_;
+};
+
+/// A job of one step for the cell's only queue.
+wire::JobSpec OneStepJob(JobId id, int32_t tasks, int32_t millicores,
+                         bool gang = false);
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/store_fake.cc
@@ -0,0 +1,241 @@
+#include "tests/jobsim/store_fake.h"
+
+#include "src/libs/rpc/codec.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr Millis kDelay{4};
+constexpr size_t kPage = 500;
+
+ports::UpstreamEntry ToEntry(const std::string& id, const std::string& value) {
+  ports::UpstreamEntry out;
+  out.id = id;
+  out.listed = !value.empty();
+  wire::UpstreamRecord record;
+  if (!out.listed || !rpc::DecodeInto(value, record)) return out;
+  out.pool = record.pool;
+  out.address = record.address;
+  out.rack = record.rack;
+  out.capacity = {.millicores = record.millicores,
+                  .memory_mb = record.memory_mb};
+  out.draining = record.failure_domain == "draining";
+  return out;
+}
+
+}  // namespace
+
+void StoreFake::Put(const std::string& table, const std::string& key,
+                    const std::string& value) {
+  Table& t = tables_[table];
+  ++t.end;
+  t.history.push_back({key, value});
+  if (value.empty()) {
+    t.newest.erase(key);
+  } else {
+    t.newest[key] = value;
+  }
+}
+
+ports::AppendReply StoreFake::Append(const ports::AppendCall& call) {
+  using ports::AppendVerdict;
+  ++appends_;
+  Table& table = tables_[call.table];
+  if (call.only_at && *call.only_at != table.end) {
+    return {.verdict = AppendVerdict::kConflict, .end_offset = table.end};
+  }
+  if (call.writer) {
+    Writer& writer = table.writers[call.writer->name];
+    if (call.writer->epoch < writer.epoch) {
+      return {.verdict = AppendVerdict::kFenced};
+    }
+    if (call.writer->epoch > writer.epoch) {
+      writer = {.epoch = call.writer->epoch,
+                .sequence = call.writer->sequence - 1};
+    }
+    const auto repeated = writer.answers.find(call.writer->sequence);
+    if (repeated != writer.answers.end()) return repeated->second;
+    if (call.writer->sequence != writer.sequence + 1) {
+      return {.verdict = AppendVerdict::kOutOfSequence};
+    }
+    writer.sequence = call.writer->sequence;
+  }
+  for (const auto& record : call.records) {
+    Put(call.table, record.key, record.value);
+  }
+  const ports::AppendReply done{.verdict = AppendVerdict::kStored,
+                                .end_offset = table.end};
+  if (call.writer) {
+    table.writers[call.writer->name].answers[call.writer->sequence] = done;
+  }
+  return done;
+}
+
+ports::NewestPage StoreFake::Newest(const std::string& table,
+                                    const std::string& after) {
+  ports::NewestPage out;
+  const Table& t = tables_[table];
+  out.end_offset = t.end;
+  for (auto at = t.newest.upper_bound(after); at != t.newest.end(); ++at) {
+    if (out.records.size() == kPage) {
+      out.more = true;
+      break;
+    }
+    out.records.push_back({at->first, at->second});
+  }
+  return out;
+}
+
+Result<ports::TailReply> StoreFake::Tail(const std::string& table,
+                                         int64_t from) {
+  const Table& t = tables_[table];
+  if (from < t.first) return {Errc::kInvalid, "history is gone"};
+  ports::TailReply out;
+  out.start_offset = t.first;
+  out.end_offset = t.end;
+  for (auto at = static_cast<size_t>(from); at < t.history.size(); ++at) {
+    out.records.push_back(t.history[at]);
+  }
+  return out;
+}
+
+bool StoreAccess::Reachable() const {
+  const StoreFaults& faults = store_.faults();
+  return !faults.down && faults.turned_away.count(entry_) == 0;
+}
+
+void StoreAccess::Append(const ports::AppendCall& call, Millis timeout,
+                         std::function<void(ports::AppendReply)> done) {
+  if (!Reachable()) {
+    return executor_.RunAfter(timeout, [done] {
+      done({.verdict = ports::AppendVerdict::kUnknown, .detail = "no answer"});
+    });
+  }
+  StoreFaults& faults = store_.faults();
+  const auto lost = [this, done, timeout] {
+    executor_.RunAfter(timeout, [done] {
+      done({.verdict = ports::AppendVerdict::kUnknown, .detail = "lost"});
+    });
+  };
+  if (faults.late_appends > 0) {
+    --faults.late_appends;
+    store_.clock().At(store_.clock().now() + faults.late_by,
+                      [this, call] { store_.Append(call); });
+    return lost();
+  }
+  // The store acts whatever becomes of the caller meanwhile.
+  const bool silent = faults.lose_answers > 0;
+  if (silent) --faults.lose_answers;
+  auto reply = std::make_shared<ports::AppendReply>();
+  store_.clock().At(store_.clock().now() + kDelay / 2,
+                    [this, call, reply] { *reply = store_.Append(call); });
+  if (silent) return lost();
+  executor_.RunAfter(kDelay, [done, reply] { done(*reply); });
+}
+
+template <typename T>
+void StoreAccess::Answer(Millis timeout, Callback<T> done,
+                         std::function<Result<T>()> read, Millis delay) {
+  if (!Reachable()) {
+    return executor_.RunAfter(timeout, [done] {
+      done(Result<T>(Errc::kTimeout, "no answer"));
+    });
+  }
+  executor_.RunAfter(delay, [done, read] { done(read()); });
+}
+
+void StoreAccess::ReadNewest(const std::string& table, const std::string& after,
+                             Millis timeout, Callback<ports::NewestPage> done) {
+  Answer<ports::NewestPage>(
+      timeout, std::move(done),
+      [this, table, after]() -> Result<ports::NewestPage> {
+        return store_.Newest(table, after);
+      },
+      kDelay);
+}
+
+void StoreAccess::ReadTail(const std::string& table, int64_t from, Millis,
+                           Millis timeout, Callback<ports::TailReply> done) {
+  Answer<ports::TailReply>(
+      timeout, std::move(done),
+      [this, table, from] { return store_.Tail(table, from); }, kDelay);
+}
+
+void StoreAccess::ReadNewest(Millis timeout,
+                             Callback<ports::ConfigUpdate> done) {
+  Answer<ports::ConfigUpdate>(
+      timeout, std::move(done),
+      [this]() -> Result<ports::ConfigUpdate> {
+        const auto page = store_.Newest(kConfigTable, "");
+        return ports::ConfigUpdate{
+            .cursor = page.end_offset,
+            .document = page.records.empty() ? "" : page.records[0].value};
+      },
+      kDelay);
+}
+
+void StoreAccess::ReadChange(int64_t cursor, Millis, Millis timeout,
+                             Callback<ports::ConfigUpdate> done) {
+  constexpr Millis kLook{100};
+  Answer<ports::ConfigUpdate>(
+      timeout, std::move(done),
+      [this, cursor]() -> Result<ports::ConfigUpdate> {
+        const auto tail = store_.Tail(kConfigTable, cursor);
+        if (!tail.ok()) return tail.error();
+        const auto& records = tail.value().records;
+        return ports::ConfigUpdate{
+            .cursor = tail.value().end_offset,
+            .document = records.empty() ? "" : records.back().value};
+      },
+      kLook);
+}
+
+Result<ports::CellConfig> StoreAccess::Decode(
+    const std::string& document) const {
+  // The fake's documents are just their version; there is one queue.
+  ports::CellConfig out;
+  out.version = std::stoll(document);
+  ports::QueueConfig queue;
+  queue.host = "host";
+  queue.prefix = "/q/";
+  queue.policy.name = "q";
+  queue.policy.pool = "pool";
+  queue.policy.max_attempts = 2;
+  out.queues.push_back(queue);
+  return out;
+}
+
+void StoreAccess::ReadAll(Millis timeout,
+                          Callback<ports::UpstreamListUpdate> done) {
+  Answer<ports::UpstreamListUpdate>(
+      timeout, std::move(done),
+      [this]() -> Result<ports::UpstreamListUpdate> {
+        ports::UpstreamListUpdate out;
+        const auto page = store_.Newest(kUpstreamTable, "");
+        out.cursor = page.end_offset;
+        for (const auto& record : page.records) {
+          out.entries.push_back(ToEntry(record.key, record.value));
+        }
+        return out;
+      },
+      kDelay);
+}
+
+void StoreAccess::ReadChanges(int64_t cursor, Millis timeout,
+                              Callback<ports::UpstreamListUpdate> done) {
+  Answer<ports::UpstreamListUpdate>(
+      timeout, std::move(done),
+      [this, cursor]() -> Result<ports::UpstreamListUpdate> {
+        const auto tail = store_.Tail(kUpstreamTable, cursor);
+        if (!tail.ok()) return tail.error();
+        ports::UpstreamListUpdate out;
+        out.cursor = tail.value().end_offset;
+        for (const auto& record : tail.value().records) {
+          out.entries.push_back(ToEntry(record.key, record.value));
+        }
+        return out;
+      },
+      kDelay);
+}
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/store_fake.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/ports/cell_config_port.h"
+#include "src/ports/record_store_port.h"
+#include "src/ports/upstream_list_port.h"
+#include "tests/sim/manual_executor.h"
+
+namespace mimosarail::jobsim {
+
+/// Faults of the store, switched by tests. An entry is named as in its calls.
+struct StoreFaults {
+  bool down = false;
+  std::set<std::string> turned_away;
+  /// So many appends are done and not answered.
+  int lose_answers = 0;
+  /// So many appends are done this much later and not answered.
+  int late_appends = 0;
+  Millis late_by{2000};
+};
+
+/// The platform's store: tables whose newest record of a key counts, fenced
+/// writers, and the history that may be dropped.
+class StoreFake {
+ public:
+  explicit StoreFake(sim::ManualClock& clock) : clock_(clock) {}
+
+  ports::AppendReply Append(const ports::AppendCall& call);
+  ports::NewestPage Newest(const std::string& table, const std::string& after);
+  Result<ports::TailReply> Tail(const std::string& table, int64_t from);
+  void DropHistory() {
+    for (auto& [name, table] : tables_) table.first = table.end;
+  }
+
+  void Put(const std::string& table, const std::string& key,
+           const std::string& value);
+  const std::map<std::string, std::string>& Records(const std::string& table) {
+    return tables_[table].newest;
+  }
+  StoreFaults& faults() { return faults_; }
+  sim::ManualClock& clock() { return clock_; }
+  int64_t appends() const { return appends_; }
+
+ private:
+  struct Writer {
+    int64_t epoch = 0;
+    int64_t sequence = 0;
+    std::map<int64_t, ports::AppendReply> answers;
+  };
+  struct Table {
+    std::map<std::string, std::string> newest;
+    std::deque<ports::KeyedRecord> history;
+    int64_t first = 0;
+    int64_t end = 0;
+    std::map<std::string, Writer> writers;
+  };
+
+  sim::ManualClock& clock_;
+  StoreFaults faults_;
+  std::map<std::string, Table> tables_;
+  int64_t appends_ = 0;
+};
+
+/// One entry's way to the store.
+class StoreAccess final : public ports::RecordStorePort,
+                          public ports::CellConfigPort,
+                          public ports::UpstreamListPort {
+ public:
+  StoreAccess(StoreFake& store, Executor& executor, std::string entry)
+      : store_(store), executor_(executor), entry_(std::move(entry)) {}
+
+  void Append(const ports::AppendCall& call, Millis timeout,
+              std::function<void(ports::AppendReply)> done) override;
+  void ReadNewest(const std::string& table, const std::string& after,
+                  Millis timeout, Callback<ports::NewestPage> done) override;
+  void ReadTail(const std::string& table, int64_t from, Millis wait,
+                Millis timeout, Callback<ports::TailReply> done) override;
+  void ReadNewest(Millis timeout, Callback<ports::ConfigUpdate> done) override;
+  void ReadChange(int64_t cursor, Millis wait, Millis timeout,
+                  Callback<ports::ConfigUpdate> done) override;
+  Result<ports::CellConfig> Decode(const std::string& document) const override;
+  void ReadAll(Millis timeout,
+               Callback<ports::UpstreamListUpdate> done) override;
+  void ReadChanges(int64_t cursor, Millis timeout,
+                   Callback<ports::UpstreamListUpdate> done) override;
+
+ private:
+  bool Reachable() const;
+  /// Runs `answer` after the store's delay, or fails with the timeout.
+  template <typename T>
+  void Answer(Millis timeout, Callback<T> done, std::function<Result<T>()> read,
+              Millis delay);
+
+  StoreFake& store_;
+  Executor& executor_;
+  std::string entry_;
+};
+
+/// Tables of the fake that stand for the operators' and the upstreams' own.
+inline constexpr const char* kConfigTable = "config";
+inline constexpr const char* kUpstreamTable = "upstreams";
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/upstream_fake.cc
@@ -0,0 +1,376 @@
+#include "tests/jobsim/upstream_fake.h"
+
+#include <algorithm>
+#include <memory>
+
+namespace mimosarail::jobsim {
+namespace {
+
+using ports::CallVerdict;
+using ports::EndKind;
+
+constexpr Millis kWay{1};
+constexpr Millis kLongestLease{6000};
+constexpr Millis kStopTime{200};
+constexpr Millis kGangPatience{3000};
+/// A renewal that waits is answered with the next look.
+constexpr Millis kRenewLook{50};
+constexpr int kMaxAttempts = 2;
+
+}  // namespace
+
+void UpstreamsFake::Add(const std::string& id, int32_t millicores,
+                        int32_t memory_mb) {
+  Upstream& upstream = upstreams_[id];
+  upstream.millicores = millicores;
+  upstream.memory_mb = memory_mb;
+}
+
+void UpstreamsFake::Know(const wire::JobSpec& spec) {
+  specs_[static_cast<JobId>(spec.id)] = spec;
+}
+
+std::vector<std::string> UpstreamsFake::ids() const {
+  std::vector<std::string> out;
+  for (const auto& [id, upstream] : upstreams_) out.push_back(id);
+  return out;
+}
+
+const wire::StepSpec* UpstreamsFake::StepOf(const TaskId& task) const {
+  const auto spec = specs_.find(task.job);
+  if (spec == specs_.end()) return nullptr;
+  return &spec->second.steps[static_cast<size_t>(task.step)];
+}
+
+int64_t UpstreamsFake::ClockMs() const {
+  return std::chrono::duration_cast<Millis>(clock_.now().time_since_epoch())
+      .count();
+}
+
+bool UpstreamsFake::Reachable(const std::string& id) {
+  const auto found = upstreams_.find(id);
+  return found != upstreams_.end() && !found->second.faults.dead &&
+         !found->second.faults.cut;
+}
+
+std::string UpstreamsFake::Where(const TaskId& task) const {
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.running.count(task) > 0) return id;
+  }
+  return {};
+}
+
+int UpstreamsFake::DoneRuns(const TaskId& task) const {
+  const auto found = done_runs_.find(task);
+  return found == done_runs_.end() ? 0 : found->second;
+}
+
+void UpstreamsFake::ExtendLease(Upstream& upstream, int64_t until_ms) {
+  const TimePoint asked(Millis{until_ms});
+  const TimePoint most = clock_.now() + kLongestLease;
+  upstream.lease_end = std::max(upstream.lease_end, std::min(asked, most));
+}
+
+void UpstreamsFake::CheckStart(const std::string& id, const Upstream& upstream,
+                               const ports::StartTask& call) {
+  const std::string what = TaskIdText(call.task) + " on " + id;
+  int32_t cores = 0;
+  int32_t memory = 0;
+  const auto add = [&](const TaskId& task) {
+    const wire::StepSpec* step = StepOf(task);
+    if (step == nullptr) return;
+    cores += step->millicores;
+    memory += step->memory_mb;
+  };
+  add(call.task);
+  for (const auto& [task, run] : upstream.running) add(task);
+  if (cores > upstream.millicores || memory > upstream.memory_mb) {
+    broken_.push_back("room: " + what);
+  }
+  for (const auto& [other_id, other] : upstreams_) {
+    if (other.faults.dead) continue;
+    if (other.running.count(call.task) > 0) {
+      broken_.push_back("two runs: " + what + " and on " + other_id);
+    }
+  }
+  if (done_seen_.count(call.task) > 0) {
+    broken_.push_back("started after its end was taken note of: " + what);
+  }
+  if (failed_runs_[call.task] >= kMaxAttempts) {
+    broken_.push_back("too many attempts: " + what);
+  }
+  const wire::StepSpec* step = StepOf(call.task);
+  if (step == nullptr) {
+    broken_.push_back("nobody asked for it: " + what);
+    return;
+  }
+  for (const int32_t before : step->after) {
+    const auto& spec = specs_.at(call.task.job);
+    const wire::StepSpec& earlier = spec.steps[static_cast<size_t>(before)];
+    int done = 0;
+    for (int32_t i = 0; i < earlier.tasks; ++i) {
+      const TaskId task{call.task.job, call.task.occurrence, before, i};
+      done += DoneRuns(task) > 0 ? 1 : 0;
+    }
+    // The end of one member of a gang stands for all.
+    if (done < (earlier.gang ? 1 : earlier.tasks)) {
+      broken_.push_back("before its turn: " + what);
+    }
+  }
+}
+
+ports::CallReply UpstreamsFake::Start(const ports::UpstreamTarget& target,
+                                      const ports::StartTask& call) {
+  Upstream& upstream = upstreams_[target.id];
+  ports::CallReply reply{.clock_ms = ClockMs()};
+  if (call.fence < upstream.fence) {
+    reply.verdict = CallVerdict::kFenced;
+    return reply;
+  }
+  upstream.fence = call.fence;
+  if (call.lease_until_ms <= reply.clock_ms) {
+    reply.verdict = CallVerdict::kLeaseOver;
+    return reply;
+  }
+  int64_t& last = upstream.last_attempt[call.task];
+  if (call.attempt <= last) {
+    reply.verdict = CallVerdict::kStale;
+    return reply;
+  }
+  CheckStart(target.id, upstream, call);
+  last = call.attempt;
+  ++starts_;
+  ran_.insert(call.task.job);
+  const uint64_t run = ++last_run_;
+  upstream.running[call.task] = {.attempt = call.attempt, .id = run};
+  ExtendLease(upstream, call.lease_until_ms);
+  Lapse(target.id);
+  BeginWork(call.task, call.attempt);
+  const wire::StepSpec* step = StepOf(call.task);
+  if (step != nullptr && step->gang) {
+    clock_.At(clock_.now() + kGangPatience,
+              [this, id = target.id, task = call.task, run] {
+                const auto& running = upstreams_[id].running;
+                const auto found = running.find(task);
+                if (found == running.end() || found->second.id != run) return;
+                if (!found->second.working) End(id, task, run, EndKind::kAlone);
+              });
+  }
+  reply.verdict = CallVerdict::kDone;
+  return reply;
+}
+
+void UpstreamsFake::BeginWork(const TaskId& task, int64_t attempt) {
+  const wire::StepSpec* step = StepOf(task);
+  const bool gang = step != nullptr && step->gang;
+  std::vector<std::pair<std::string, TaskId>> members;
+  for (auto& [id, upstream] : upstreams_) {
+    for (auto& [other, run] : upstream.running) {
+      if (run.attempt != attempt || run.working || upstream.faults.dead) {
+        continue;
+      }
+      if (other == task || (gang && other.step_id() == task.step_id())) {
+        members.emplace_back(id, other);
+      }
+    }
+  }
+  if (gang && static_cast<int32_t>(members.size()) < step->tasks) return;
+  // The members of a gang end together, with the slowest; one that fails
+  // breaks the others.
+  Millis takes{0};
+  bool any_fails = false;
+  for (const auto& [id, member] : members) {
+    takes = std::max(takes, scripts_[member].takes);
+    any_fails = any_fails || failed_runs_[member] < scripts_[member].fails;
+  }
+  for (const auto& [id, member] : members) {
+    Run& run = upstreams_[id].running[member];
+    run.working = true;
+    run.working_since = clock_.now();
+    const bool fails = failed_runs_[member] < scripts_[member].fails;
+    if (any_fails && !fails) continue;
+    clock_.At(clock_.now() + takes,
+              [this, id = id, member = member, run = run.id, fails] {
+                End(id, member, run, fails ? EndKind::kFailed : EndKind::kDone);
+              });
+  }
+}
+
+void UpstreamsFake::End(const std::string& id, const TaskId& task, uint64_t run,
+                        EndKind kind) {
+  Upstream& upstream = upstreams_[id];
+  const auto found = upstream.running.find(task);
+  if (found == upstream.running.end() || found->second.id != run) return;
+  if (upstream.faults.dead) return;
+  const int64_t attempt = found->second.attempt;
+  upstream.running.erase(found);
+  upstream.ended.push_back({.number = ++upstream.last_end,
+                            .task = task,
+                            .attempt = attempt,
+                            .kind = kind});
+  if (kind == EndKind::kFailed) ++failed_runs_[task];
+  if (kind == EndKind::kDone) ++done_runs_[task];
+  const wire::StepSpec* step = StepOf(task);
+  if (step == nullptr || !step->gang || kind == EndKind::kDone) return;
+  for (auto& [other_id, other] : upstreams_) {
+    std::vector<std::pair<TaskId, uint64_t>> broken;
+    for (const auto& [member, member_run] : other.running) {
+      if (member.step_id() == task.step_id() && member_run.working &&
+          member_run.attempt == attempt) {
+        broken.emplace_back(member, member_run.id);
+      }
+    }
+    for (const auto& [member, member_run] : broken) {
+      End(other_id, member, member_run, EndKind::kBroken);
+    }
+  }
+}
+
+void UpstreamsFake::Lapse(const std::string& id) {
+  const TimePoint due = upstreams_[id].lease_end;
+  clock_.At(due, [this, id, due] {
+    Upstream& upstream = upstreams_[id];
+    if (upstream.lease_end > due) return;
+    std::vector<std::pair<TaskId, uint64_t>> all;
+    for (const auto& [task, run] : upstream.running) {
+      all.emplace_back(task, run.id);
+    }
+    for (const auto& [task, run] : all) End(id, task, run, EndKind::kLapsed);
+  });
+}
+
+ports::CallReply UpstreamsFake::Stop(const ports::UpstreamTarget& target,
+                                     const TaskId& task, int64_t attempt,
+                                     int64_t fence) {
+  Upstream& upstream = upstreams_[target.id];
+  ports::CallReply reply{.clock_ms = ClockMs()};
+  if (fence < upstream.fence) {
+    reply.verdict = CallVerdict::kFenced;
+    return reply;
+  }
+  upstream.fence = fence;
+  int64_t& last = upstream.last_attempt[task];
+  last = std::max(last, attempt);
+  const auto found = upstream.running.find(task);
+  if (found != upstream.running.end() && found->second.attempt <= attempt) {
+    clock_.At(clock_.now() + kStopTime,
+              [this, id = target.id, task, run = found->second.id] {
+                End(id, task, run, EndKind::kStopped);
+              });
+  }
+  reply.verdict = CallVerdict::kDone;
+  return reply;
+}
+
+ports::RenewReply UpstreamsFake::Renew(const ports::UpstreamTarget& target,
+                                       const ports::RenewCall& call) {
+  Upstream& upstream = upstreams_[target.id];
+  ports::RenewReply reply;
+  reply.call.clock_ms = ClockMs();
+  if (call.fence < upstream.fence) {
+    reply.call.verdict = CallVerdict::kFenced;
+    return reply;
+  }
+  upstream.fence = call.fence;
+  reply.call.verdict = CallVerdict::kDone;
+  if (call.lease_until_ms > 0) {
+    ExtendLease(upstream, call.lease_until_ms);
+    Lapse(target.id);
+  }
+  for (const ports::EndedTask& end : upstream.ended) {
+    if (end.number <= call.ends_seen && end.kind == EndKind::kDone) {
+      done_seen_.insert(end.task);
+    }
+  }
+  std::erase_if(upstream.ended, [&](const ports::EndedTask& end) {
+    return end.number <= call.ends_seen;
+  });
+  for (const auto& [task, run] : upstream.running) {
+    const auto worked = std::chrono::duration_cast<Millis>(
+        clock_.now() - run.working_since);
+    const int32_t percent =
+        run.working ? static_cast<int32_t>(100 * worked.count() /
+                                           scripts_[task].takes.count())
+                    : 0;
+    reply.running.push_back(
+        {.task = task, .attempt = run.attempt, .percent = percent});
+  }
+  reply.ended = upstream.ended;
+  return reply;
+}
+
+void TaskAccess::Start(const ports::UpstreamTarget& target,
+                       const ports::StartTask& call, Millis timeout,
+                       std::function<void(ports::CallReply)> done) {
+  UpstreamFaults& faults = upstreams_.faults(target.id);
+  const auto lost = [&] {
+    executor_.RunAfter(timeout, [done] {
+      done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
+    });
+  };
+  if (!upstreams_.Reachable(target.id)) return lost();
+  const auto act = [this, target, call] {
+    return upstreams_.Start(target, call);
+  };
+  if (faults.late_starts > 0) {
+    --faults.late_starts;
+    upstreams_.clock().At(upstreams_.clock().now() + faults.late_by, act);
+    return lost();
+  }
+  const bool silent = faults.lose_starts > 0;
+  if (silent) --faults.lose_starts;
+  auto reply = std::make_shared<ports::CallReply>();
+  upstreams_.clock().At(upstreams_.clock().now() + kWay,
+                        [act, reply] { *reply = act(); });
+  if (silent) return lost();
+  executor_.RunAfter(2 * kWay, [done, reply] { done(*reply); });
+}
+
+void TaskAccess::Stop(const ports::UpstreamTarget& target, const TaskId& task,
+                      int64_t attempt, int64_t fence, Millis timeout,
+                      std::function<void(ports::CallReply)> done) {
+  if (!upstreams_.Reachable(target.id)) {
+    return executor_.RunAfter(timeout, [done] {
+      done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
+    });
+  }
+  upstreams_.clock().At(upstreams_.clock().now() + kWay, [=, this] {
+    upstreams_.Stop(target, task, attempt, fence);
+  });
+  executor_.RunAfter(2 * kWay,
+                     [done] { done({.verdict = CallVerdict::kDone}); });
+}
+
+void TaskAccess::Renew(const ports::UpstreamTarget& target,
+                       const ports::RenewCall& call, Millis timeout,
+                       std::function<void(ports::RenewReply)> done) {
+  if (!upstreams_.Reachable(target.id)) {
+    return executor_.RunAfter(timeout, [done] {
+      ports::RenewReply reply;
+      reply.call = {.verdict = CallVerdict::kUnknown, .detail = "no answer"};
+      done(reply);
+    });
+  }
+  auto reply = std::make_shared<ports::RenewReply>();
+  const Millis delay = call.wait > Millis(0) ? kRenewLook : kWay;
+  upstreams_.clock().At(
+      upstreams_.clock().now() + delay,
+      [this, target, call, reply] { *reply = upstreams_.Renew(target, call); });
+  executor_.RunAfter(delay + kWay, [done, reply] { done(*reply); });
+}
+
+void TaskAccess::Ask(const StepId& step,
+                     const std::vector<std::string>& upstreams, Millis,
+                     Callback<ports::Advice> done) {
+  constexpr Millis kDecide{10};
+  ports::Advice advice;
+  advice.valid = Millis(1500);
+  for (const std::string& upstream : upstreams) {
+    const bool allowed =
+        std::hash<std::string>()(upstream + StepIdText(step)) % 3 != 0;
+    if (allowed) advice.allowed.push_back({upstream, "ticket"});
+  }
+  executor_.RunAfter(kDecide, [done, advice] { done(advice); });
+}
+
+}  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/jobsim/upstream_fake.h
@@ -0,0 +1,135 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "jobs_types.h"
+#include "src/ports/advice_port.h"
+#include "src/ports/task_port.h"
+#include "tests/sim/manual_executor.h"
+
+namespace mimosarail::jobsim {
+
+/// What one task of a test's job does when it runs.
+struct TaskScript {
+  Millis takes{500};
+  /// So many of its runs fail.
+  int fails = 0;
+};
+
+/// Faults of one upstream, switched by tests.
+struct UpstreamFaults {
+  /// Gone with all that it ran; never comes back under this id.
+  bool dead = false;
+  /// Runs on, but no call gets through.
+  bool cut = false;
+  /// So many starts are carried out and not answered.
+  int lose_starts = 0;
+  /// So many starts are carried out this much later and not answered.
+  int late_starts = 0;
+  Millis late_by{2500};
+};
+
+/// All upstreams of a test's cell, and the checks of what they see. They trust
+/// what they are told: room is not guarded.
+class UpstreamsFake {
+ public:
+  explicit UpstreamsFake(sim::ManualClock& clock) : clock_(clock) {}
+
+  void Add(const std::string& id, int32_t millicores, int32_t memory_mb);
+  UpstreamFaults& faults(const std::string& id) { return upstreams_[id].faults; }
+  /// The job that tasks belong to, and how its tasks behave.
+  void Know(const wire::JobSpec& spec);
+  TaskScript& script(const TaskId& task) { return scripts_[task]; }
+
+  ports::CallReply Start(const ports::UpstreamTarget& target,
+                         const ports::StartTask& call);
+  ports::CallReply Stop(const ports::UpstreamTarget& target, const TaskId& task,
+                        int64_t attempt, int64_t fence);
+  ports::RenewReply Renew(const ports::UpstreamTarget& target,
+                          const ports::RenewCall& call);
+  /// Whether a call gets there and back.
+  bool Reachable(const std::string& id);
+  sim::ManualClock& clock() { return clock_; }
+
+  /// Rules broken so far, each with what was seen.
+  const std::vector<std::string>& broken() const { return broken_; }
+  /// Runs that ended "done", by task.
+  int DoneRuns(const TaskId& task) const;
+  int starts() const { return starts_; }
+  /// The upstream that runs the task; empty if none does.
+  std::string Where(const TaskId& task) const;
+  bool Ran(JobId job) const { return ran_.count(job) > 0; }
+  std::vector<std::string> ids() const;
+
+ private:
+  struct Run {
+    int64_t attempt = 0;
+    uint64_t id = 0;
+    bool working = false;
+    TimePoint working_since{};
+  };
+  struct Upstream {
+    UpstreamFaults faults;
+    int32_t millicores = 0;
+    int32_t memory_mb = 0;
+    int64_t fence = 0;
+    int64_t last_end = 0;
+    TimePoint lease_end{};
+    std::map<TaskId, Run> running;
+    std::vector<ports::EndedTask> ended;
+    std::map<TaskId, int64_t> last_attempt;
+  };
+
+  int64_t ClockMs() const;
+  void ExtendLease(Upstream& upstream, int64_t until_ms);
+  void CheckStart(const std::string& id, const Upstream& upstream,
+                  const ports::StartTask& call);
+  void BeginWork(const TaskId& task, int64_t attempt);
+  void End(const std::string& id, const TaskId& task, uint64_t run,
+           ports::EndKind kind);
+  void Lapse(const std::string& id);
+  const wire::StepSpec* StepOf(const TaskId& task) const;
+
+  sim::ManualClock& clock_;
+  std::map<std::string, Upstream> upstreams_;
+  std::map<JobId, wire::JobSpec> specs_;
+  std::map<TaskId, TaskScript> scripts_;
+  std::map<TaskId, int> failed_runs_;
+  std::map<TaskId, int> done_runs_;
+  /// Ends "done" that a leader has taken note of, in tasks.
+  std::set<TaskId> done_seen_;
+  std::set<JobId> ran_;
+  std::vector<std::string> broken_;
+  uint64_t last_run_ = 0;
+  int starts_ = 0;
+};
+
+/// One entry's way to the upstreams.
+class TaskAccess final : public ports::TaskPort, public ports::AdvicePort {
+ public:
+  TaskAccess(UpstreamsFake& upstreams, Executor& executor)
+      : upstreams_(upstreams), executor_(executor) {}
+
+  void Start(const ports::UpstreamTarget& target, const ports::StartTask& call,
+             Millis timeout,
+             std::function<void(ports::CallReply)> done) override;
+  void Stop(const ports::UpstreamTarget& target, const TaskId& task,
+            int64_t attempt, int64_t fence, Millis timeout,
+            std::function<void(ports::CallReply)> done) override;
+  void Renew(const ports::UpstreamTarget& target, const ports::RenewCall& call,
+             Millis timeout,
+             std::function<void(ports::RenewReply)> done) override;
+  void Ask(const StepId& step, const std::vector<std::string>& upstreams,
+           Millis timeout, Callback<ports::Advice> done) override;
+
+ private:
+  UpstreamsFake& upstreams_;
+  Executor& executor_;
+};
+
+}  // namespace mimosarail::jobsim
