--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <random>
 
+#include "src/libs/logging/log.h"
 #include "tests/jobsim/job_cell.h"
 
 namespace mimosarail::jobsim {
@@ -164,6 +165,18 @@
 
 }  // namespace
 
+/// MIMOSARAIL_TRACE=1 prints the log lines of a run.
+struct Trace {
+  Trace() {
+    if (std::getenv("MIMOSARAIL_TRACE") != nullptr) {
+      logging::Start("schedule", logging::Level::kDebug);
+    }
+  }
+  ~Trace() { logging::Stop(); }
+};
+
+BOOST_TEST_GLOBAL_FIXTURE(Trace);
+
 BOOST_DATA_TEST_CASE(PromisesHoldThroughFaults,
                      boost::unit_test::data::make(Seeds()), seed) {
   BOOST_TEST_CONTEXT("seed " << seed) { Schedule(seed).Play(); }
