Fleet: Let leases of a silent upstream run out

Ruled out: lost stops, a stuck call for advice (both were answered in the log). Conclusion: retries only ask what runs there.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -81,10 +81,11 @@
   ++outstanding_;
   ++renewals_;
   const TimePoint sent = executor_.Now();
-  // The time until which a lease was asked for bounds what may run there, also
-  // when the answer is lost.
-  const bool clock_known = clock_ms_ > 0;
-  if (clock_known) {
+  // What was asked for bounds what may run there, also when the answer is
+  // lost. An upstream that stopped answering is only asked what runs there:
+  // with a lease in each of these calls its tasks would never count as ended.
+  const bool extend = clock_ms_ > 0 && failures_ < kUnreachableAfter;
+  if (extend) {
     leases_end_ = std::max(leases_end_, sent + Stretch(options_.lease));
   }
   const bool unsafe_ends = ends_safe_ < ends_reported_;
@@ -93,7 +94,7 @@
   tasks_.Renew(options_.target,
                {.fence = fence,
                 .ends_seen = ends_safe_,
-                .lease_until_ms = clock_known ? LeaseUntil() : 0,
+                .lease_until_ms = extend ? LeaseUntil() : 0,
                 .wait = waits},
                kPromptTimeout + waits,
                [weak = weak_from_this(), fence,
@@ -122,8 +123,9 @@
     default:
       return OnRenewFailed(reply.call);
   }
+  // After this answer the lease can be named again, and is at once.
+  const bool lease_due = clock_ms_ == 0 || failures_ >= kUnreachableAfter;
   failures_ = 0;
-  const bool first_clock = clock_ms_ == 0;
   NoteClock(reply.call.clock_ms, sent);
   emptied_ = false;
   inventoried_ = true;
@@ -137,7 +139,7 @@
   events_.OnReport(options_.index, reply.running, fresh);
   if (closed_) return;
   SetReachable(true);
-  if (first_clock) return Renew(Millis(0));  // now the lease can be named
+  if (lease_due) return Renew(Millis(0));
   const bool unsafe_ends = ends_safe_ < ends_reported_;
   // With ends that are not safe yet the answer would come at once again.
   RenewSoon(unsafe_ends ? kRenewWithoutStore : options_.gap);
