--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -386,6 +386,12 @@
   const auto id = static_cast<JobId>(spec.id);
   scheduler_.Add(spec, deps_.executor.Now(), deps_.executor.UnixMillis());
   deps_.metrics.Count({.name = "jobs_accepted"});
+  logging::Event(Level::kInfo, "job accepted",
+                 {{"job", JobIdText(id)},
+                  {"queue", spec.queue.name},
+                  {"priority", Text(spec.queue.priority)},
+                  {"steps", Text(static_cast<int64_t>(spec.steps.size()))},
+                  {"term", Text(options_.term)}});
   const auto waiting = arriving_.extract(id);
   if (!waiting.empty()) {
     for (auto& waiter : waiting.mapped().waiters) {
@@ -542,7 +548,7 @@
     const auto link = links_.find(start.upstream);
     if (link == links_.end()) continue;
     deps_.metrics.Count({.name = "task_starts"});
-    logging::Event(Level::kDebug, "start",
+    logging::Event(Level::kInfo, "start",
                    {{"task", TaskIdText(start.task)},
                     {"attempt", Text(start.attempt)},
                     {"upstream", scheduler_.pool().at(start.upstream).entry.id},
@@ -622,7 +628,7 @@
         }
         if (advice.ok()) {
           logging::Event(
-              Level::kDebug, "advice got",
+              Level::kInfo, "advice got",
               {{"step", StepIdText(order.step)},
                {"asked", Text(static_cast<int64_t>(order.upstreams.size()))},
                {"allowed",
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -107,8 +107,7 @@
       });
 }
 
-void UpstreamLink::OnRenewReply(int64_t fence,
-                                const ports::RenewReply& reply) {
+void UpstreamLink::OnRenewReply(int64_t fence, const ports::RenewReply& reply) {
   --outstanding_;
   switch (reply.call.verdict) {
     case CallVerdict::kDone:
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -75,6 +75,8 @@
   JobDone done;
   /// It may have taken effect at some leader.
   bool doubtful = false;
+  /// Asks and changes nothing, so that it is never in doubt.
+  bool read_only = false;
 };
 
 JobEntry::JobEntry(Dependencies deps, JobEntryOptions options)
@@ -221,7 +223,7 @@
               [again, answer, call](const Result<Reply>& reply) {
                 if (reply.ok()) return answer(reply.value());
                 if (reply.error().code != Errc::kUnavailable) {
-                  call->doubtful = true;
+                  call->doubtful = !call->read_only;
                 }
                 again();
               });
@@ -252,6 +254,7 @@
   wire::JobStateCall message;
   message.id = static_cast<int64_t>(id);
   auto call = std::make_shared<Forwarded<wire::JobStateReply>>();
+  call->read_only = true;
   call->what = "state " + JobIdText(id);
   call->limit = deps_.executor.Now() + limit;
   call->deadline = deps_.executor.Now() + std::min(limit, options_.patience);
@@ -297,6 +300,7 @@
   wire::PendingJobsCall message;
   message.queue = queue;
   auto call = std::make_shared<Forwarded<wire::PendingJobsReply>>();
+  call->read_only = true;
   call->what = "pending " + queue;
   call->limit = deps_.executor.Now() + limit;
   call->deadline = deps_.executor.Now() + std::min(limit, options_.patience);
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -355,7 +355,10 @@
   reply.term = term_;
   reply.leader = leader_;
   if (!leading()) return reply;
-  followers_[call.caller.name] = {call.caller, executor_.Now()};
+  // Operators' tools ask without an address of their own.
+  if (!call.caller.address.empty()) {
+    followers_[call.caller.name] = {call.caller, executor_.Now()};
+  }
   reply.store_reachable = store_reachable();
   reply.members = followers();
   reply.members.push_back(options_.member);
--- a/src/tool/commands.cc
+++ b/src/tool/commands.cc
@@ -12,6 +12,7 @@
 #include "src/configlog/config_fold.h"
 #include "src/rules/rule_set.h"
 #include "src/tool/api_client.h"
+#include "src/tool/job_commands.h"
 #include "src/tool/table.h"
 
 namespace mimosarail::tool {
@@ -366,7 +367,11 @@
          "  cancel ID... | cancel --team T --work W\n"
          "The cell, as the asked instance sees it:\n"
          "  instances | upstreams | queue | audit\n"
-         "  cost [--compare REVISION,REVISION]\n\n"
+         "  cost [--compare REVISION,REVISION]\n"
+         "Jobs on the users' platform (--peer IP:PORT names any entry):\n"
+         "  job leader\n"
+         "  job submit FILE|-\n"
+         "  job state ID | job cancel ID | job pending QUEUE\n\n"
          "Exit codes: 0 done, 1 refused or not run, 2 wrong usage, 3 no "
          "answer, 4 outcome unknown, 5 not ended yet.";
 }
@@ -388,6 +393,10 @@
       {"queue", plain(Queue)},
       {"audit", plain(Audit)},
       {"cost", plain(Cost)},
+      {"job",
+       [](const Words& all, const Options& o) {
+         return RunJob(Words(all.begin() + 1, all.end()), o);
+       }},
   };
   const auto found = commands.find(words[0]);
   if (found == commands.end()) {
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -26,6 +26,8 @@
   std::string team;
   std::string work;
   std::string compare;
+  /// Where an entry takes the calls of its peers; for `job`.
+  std::string peer;
 };
 
 /// Help for people who see the tool for the first time.
--- /dev/null
+++ b/src/tool/job_commands.cc
@@ -0,0 +1,178 @@
+#include "src/tool/job_commands.h"
+
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <iostream>
+#include <sstream>
+#include <thread>
+
+#include "src/coordinator/job_verdicts.h"
+#include "src/jobs/job_state.h"
+#include "src/jobs/task_id.h"
+#include "src/libs/rpc/asio.h"
+#include "src/libs/rpc/client.h"
+#include "src/tool/job_file.h"
+
+namespace mimosarail::tool {
+namespace {
+
+using coordinator::JobVerdict;
+
+constexpr Millis kCallTimeout{3000};
+
+/// Calls one entry and waits.
+class Caller {
+ public:
+  Caller()
+      : client_(io_),
+        work_(asio::make_work_guard(io_)),
+        thread_([this] { io_.run(); }) {}
+  ~Caller() {
+    io_.stop();
+    thread_.join();
+  }
+
+  template <typename Reply, typename Message>
+  Result<Reply> Call(const std::string& address, rpc::Method method,
+                     const Message& message) {
+    std::promise<Result<std::string>> promise;
+    auto future = promise.get_future();
+    client_.Call(address, method, rpc::Encode(message), kCallTimeout,
+                 [&promise](Result<std::string> bytes) {
+                   promise.set_value(std::move(bytes));
+                 });
+    const Result<std::string> bytes = future.get();
+    if (!bytes.ok()) return bytes.error();
+    return rpc::Decode<Reply>(bytes.value());
+  }
+
+ private:
+  asio::io_context io_;
+  rpc::Client client_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  std::thread thread_;
+};
+
+ExitCode CodeOf(JobVerdict verdict) {
+  switch (verdict) {
+    case JobVerdict::kDone:
+      return ExitCode::kOk;
+    case JobVerdict::kRefused:
+    case JobVerdict::kNoSuchJob:
+      return ExitCode::kRefused;
+    default:
+      return ExitCode::kUnknown;
+  }
+}
+
+ExitCode Unreachable(const std::string& address, const Error& error) {
+  std::fprintf(stderr, "mimosarail: %s does not answer: %s\n", address.c_str(),
+               error.message.c_str());
+  return ExitCode::kUnreachable;
+}
+
+/// Where the leader is, as the entry at `peer` knows it.
+Result<wire::HelloReply> AskLeader(Caller& caller, const std::string& peer) {
+  wire::HelloCall hello;
+  // A greeting without an address only asks.
+  hello.config_version = INT64_MAX;
+  return caller.Call<wire::HelloReply>(peer, rpc::Method::kHello, hello);
+}
+
+template <typename Reply, typename Message>
+ExitCode CallLeader(const Options& options, rpc::Method method,
+                    const Message& message, void (*print)(const Reply& reply)) {
+  Caller caller;
+  const auto hello = AskLeader(caller, options.peer);
+  if (!hello.ok()) return Unreachable(options.peer, hello.error());
+  const std::string leader = hello.value().leader.address;
+  if (leader.empty()) {
+    std::fprintf(stderr, "mimosarail: no leader is known at %s\n",
+                 options.peer.c_str());
+    return ExitCode::kUnknown;
+  }
+  const auto reply = caller.Call<Reply>(leader, method, message);
+  if (!reply.ok()) return Unreachable(leader, reply.error());
+  const auto verdict = static_cast<JobVerdict>(reply.value().verdict);
+  std::printf("%s",
+              std::string(coordinator::kJobVerdictNames.Name(verdict)).c_str());
+  if (verdict == JobVerdict::kDone && print != nullptr) print(reply.value());
+  std::printf("\n");
+  return CodeOf(verdict);
+}
+
+ExitCode Submit(const std::string& path, const Options& options) {
+  std::ostringstream text;
+  if (path == "-") {
+    text << std::cin.rdbuf();
+  } else {
+    text << std::ifstream(path).rdbuf();
+  }
+  Findings findings;
+  const auto job = ParseJobFile(text.str(), findings);
+  if (!job) {
+    std::fprintf(stderr, "%s: %zu findings\n%s", path.c_str(),
+                 findings.list().size(), findings.ToString().c_str());
+    return ExitCode::kUsage;
+  }
+  wire::SubmitJobCall call;
+  call.job = *job;
+  return CallLeader<wire::SubmitJobReply>(options, rpc::Method::kSubmitJob,
+                                          call, nullptr);
+}
+
+ExitCode Leader(const Options& options) {
+  Caller caller;
+  const auto hello = AskLeader(caller, options.peer);
+  if (!hello.ok()) return Unreachable(options.peer, hello.error());
+  std::printf("term %lld, leader %s at %s\n",
+              static_cast<long long>(hello.value().term),
+              hello.value().leader.name.c_str(),
+              hello.value().leader.address.c_str());
+  return ExitCode::kOk;
+}
+
+ExitCode Usage(const char* message) {
+  std::fprintf(stderr, "mimosarail: %s; see mimosarail --help\n", message);
+  return ExitCode::kUsage;
+}
+
+}  // namespace
+
+ExitCode RunJob(const std::vector<std::string>& words, const Options& options) {
+  if (options.peer.empty()) return Usage("job needs --peer IP:PORT");
+  if (words.size() == 1 && words[0] == "leader") return Leader(options);
+  if (words.size() != 2) return Usage("job takes a verb and its argument");
+  if (words[0] == "submit") return Submit(words[1], options);
+  if (words[0] == "pending") {
+    wire::PendingJobsCall call;
+    call.queue = words[1];
+    return CallLeader<wire::PendingJobsReply>(
+        options, rpc::Method::kPendingJobs, call,
+        [](const wire::PendingJobsReply& reply) {
+          std::printf(", %lld pending", static_cast<long long>(reply.pending));
+        });
+  }
+  const auto id = ParseJobId(words[1]);
+  if (!id) return Usage("a job's id is 16 lower-case hex digits");
+  if (words[0] == "state") {
+    wire::JobStateCall call;
+    call.id = static_cast<int64_t>(*id);
+    return CallLeader<wire::JobStateReply>(
+        options, rpc::Method::kJobState, call,
+        [](const wire::JobStateReply& reply) {
+          const auto state = static_cast<JobState>(reply.state);
+          std::printf(", %s", std::string(kJobStateNames.Name(state)).c_str());
+        });
+  }
+  if (words[0] == "cancel") {
+    wire::CancelJobCall call;
+    call.id = static_cast<int64_t>(*id);
+    return CallLeader<wire::CancelJobReply>(options, rpc::Method::kCancelJob,
+                                            call, nullptr);
+  }
+  return Usage("unknown verb of job");
+}
+
+}  // namespace mimosarail::tool
--- a/src/tool/main.cc
+++ b/src/tool/main.cc
@@ -12,6 +12,7 @@
 DEFINE_string(team, "", "cancel: requests of this team");
 DEFINE_string(work, "", "cancel: requests of this kind of work");
 DEFINE_string(compare, "", "cost: two revisions to compare, such as 3,4");
+DEFINE_string(peer, "", "job: ip:port where an entry takes its peers' calls");
 
 int main(int argc, char** argv) {
   gflags::SetUsageMessage(mimosarail::tool::Usage());
@@ -26,5 +27,6 @@
                                     .against = FLAGS_against,
                                     .team = FLAGS_team,
                                     .work = FLAGS_work,
-                                    .compare = FLAGS_compare}));
+                                    .compare = FLAGS_compare,
+                                    .peer = FLAGS_peer}));
 }
--- /dev/null
+++ b/tests/platform_test.cc
@@ -0,0 +1,309 @@
+// Messages of the users' platform, as tables: what is decoded, what is refused,
+// and what each answer to a call is taken for.
+
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+#include "platform/job_codec.h"
+#include "platform/store_codec.h"
+#include "platform/upstream_codec.h"
+#include "src/libs/http/client.h"
+#include "src/libs/http/parser.h"
+#include "src/libs/http/server.h"
+#include "src/libs/rpc/asio.h"
+#include "src/libs/settings/job_settings.h"
+
+namespace mimosarail::platform {
+namespace {
+
+using ports::AppendVerdict;
+using ports::CallVerdict;
+
+http::Response Answer(int status, const std::string& body = "{}") {
+  return {.status = status, .body = body};
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_CASE(TaskNamesReadBackWhole) {
+  const TaskId id{0x5c0e7a21d94b36f8, 0, 1, 17};
+  BOOST_TEST(TaskIdText(id) == "5c0e7a21d94b36f8.0.1.17");
+  BOOST_TEST((ParseTaskId(TaskIdText(id)) == id));
+  for (const char* bad :
+       {"", "5c0e7a21d94b36f8", "5c0e7a21d94b36f8.0.1", "x.0.1.2",
+        "5c0e7a21d94b36f8.0.1.2.3", "5c0e7a21d94b36f8.-1.1.2",
+        "5C0E7A21D94B36F8.0.1.2", "5c0e7a21d94b36f8.0.1.2 "}) {
+    BOOST_TEST(!ParseTaskId(bad).has_value(), bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AJobIsDecodedIntoItsSteps) {
+  Findings findings;
+  const wire::JobSpec job = DecodeJob(
+      R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900,
+      "dataRack":"r1-3","later":[1]},{"count":20,"cpu":2000,"memMb":1024,
+      "estMs":7000,"dependsOn":[0],"savesProgress":true,"gang":true,
+      "maxPerServer":2,"requiredLabel":"a"}],"times":3,"startAtMs":7,
+      "intervalMs":9,"unknown":{}
+})",
+      findings);
+  BOOST_TEST(findings.ToString() == "");
+  BOOST_TEST(job.payload == "text");
+  BOOST_REQUIRE_EQUAL(job.steps.size(), 2U);
+  BOOST_TEST(job.steps[0].tasks == 4);
+  BOOST_TEST(job.steps[0].data_rack == "r1-3");
+  BOOST_TEST(!job.steps[0].gang);
+  BOOST_TEST(job.steps[1].after.at(0) == 0);
+  BOOST_TEST(job.steps[1].checkpoints);
+  BOOST_TEST(job.steps[1].gang);
+  BOOST_TEST(job.steps[1].max_per_upstream == 2);
+  BOOST_TEST(job.steps[1].label == "a");
+  BOOST_TEST(job.occurrences == 3);
+  BOOST_TEST(job.first_due_ms == 7);
+  BOOST_TEST(job.interval_ms == 9);
+}
+
+BOOST_AUTO_TEST_CASE(MalformedJobsNameThePlace) {
+  struct Row {
+    const char* body;
+    const char* place;
+  };
+  for (const Row& row :
+       {Row{"", "body"}, Row{"[]", "body"},
+        Row{"{\"spec\":1,\"steps\":[{}]}", "spec"}, Row{"{}", "steps"},
+        Row{"{\"steps\":[1]}", "steps[0]"},
+        Row{"{\"steps\":[{\"cpu\":\"x\"}]}", "steps[0].cpu"},
+        Row{"{\"steps\":[{\"count\":0}]}", "steps[0].tasks"},
+        Row{"{\"steps\":[{\"dependsOn\":[0]}]}", "steps[0].after"},
+        Row{"{\"steps\":[{\"count\":99999}]}", "steps[0].tasks"}}) {
+    Findings findings;
+    const wire::JobSpec job = DecodeJob(row.body, findings);
+    CheckJob(job, findings);
+    BOOST_REQUIRE_MESSAGE(!findings.empty(), row.body);
+    BOOST_TEST(findings.list()[0].place == row.place, row.body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToAppends) {
+  struct Row {
+    int status;
+    const char* body;
+    AppendVerdict verdict;
+  };
+  for (const Row& row :
+       {Row{200, R"({"offset":840,"endOffset":842})", AppendVerdict::kStored},
+        Row{200, "cut", AppendVerdict::kUnknown},
+        Row{409, R"({"reason":"fenced"})", AppendVerdict::kFenced},
+        Row{409, R"({"reason":"seq","sequence":4})",
+            AppendVerdict::kOutOfSequence},
+        Row{412, R"({"endOffset":9})", AppendVerdict::kConflict},
+        Row{429, "", AppendVerdict::kRefused},
+        Row{503, "", AppendVerdict::kRefused},
+        Row{507, "", AppendVerdict::kRefused}}) {
+    BOOST_TEST((DecodeAppend(row.status, row.body).verdict == row.verdict),
+               row.status << " " << row.body);
+  }
+  BOOST_TEST(DecodeAppend(200, R"({"endOffset":842})").end_offset == 842);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsGoThereAndBack) {
+  const std::vector<ports::KeyedRecord> records{{"k", "value"}, {"gone", ""}};
+  const std::string body = std::string(7, '\0') + "\x05" +
+                           std::string(7, '\0') + "\x03" +
+                           EncodeRecords(records);
+  const auto tail = DecodeTail(body);
+  BOOST_REQUIRE(tail.ok());
+  BOOST_TEST(tail.value().end_offset == 5);
+  BOOST_TEST(tail.value().start_offset == 3);
+  BOOST_REQUIRE_EQUAL(tail.value().records.size(), 2U);
+  BOOST_TEST(tail.value().records[0].key == "k");
+  BOOST_TEST(tail.value().records[0].value == "value");
+  BOOST_TEST(tail.value().records[1].value == "");
+  for (size_t cut = 0; cut < body.size(); ++cut) {
+    const bool whole_record = cut == 16 || cut == 16 + 4 + 1 + 1 + 5;
+    BOOST_TEST(DecodeTail(body.substr(0, cut)).ok() == whole_record, cut);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NewestRecordsAreBase64) {
+  const auto page = DecodeNewest(
+      R"({"items":[{"key":"a","value":"AP+A","offset":4}],"hasMore":true,
+      "endOffset":6})");
+  BOOST_REQUIRE(page.ok());
+  BOOST_TEST(page.value().more);
+  BOOST_TEST(page.value().records[0].value == std::string("\0\xff\x80", 3));
+  BOOST_TEST(!DecodeNewest(R"({"items":[{"key":"a","value":"*"}]})").ok());
+  BOOST_TEST(!DecodeNewest("no").ok());
+}
+
+BOOST_AUTO_TEST_CASE(AnUpstreamEntryIsDecoded) {
+  const auto entry = DecodeUpstream(
+      "i-1",
+      R"({"service":"s","addr":"10.0.0.9:80","zone":"z","state":"draining",
+      "capacity":{"cpu":16000,"memMb":32768,"gpu":1},"labels":["a","r1-3"],
+      "remainingMs":700,"sequence":4})");
+  BOOST_REQUIRE(entry.ok());
+  BOOST_TEST(entry.value().draining);
+  BOOST_TEST(entry.value().rack == "r1-3");
+  BOOST_TEST(entry.value().capacity.accelerators == 1);
+  BOOST_TEST(entry.value().leaves_in_ms == 700);
+  BOOST_TEST(!DecodeUpstream("i-1", "").value().listed);
+  BOOST_TEST(!DecodeUpstream("i-1", R"({"addr":5})").ok());
+}
+
+BOOST_AUTO_TEST_CASE(AConfigurationIsDecoded) {
+  const auto config = DecodeConfig(
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+      "service":"s","priority":1,"maxAttempts":2,"slackFactor":2.2,
+      "targetDurationMs":1000,"advisor":{"decideMs":360.5,"periodMs":5.1,
+      "validMs":1500}},{"name":"q"}],"limits":{"maxBodyBytes":9}})");
+  BOOST_REQUIRE(config.ok());
+  BOOST_TEST(config.value().version == 7);
+  BOOST_REQUIRE_EQUAL(config.value().queues.size(), 2U);
+  const wire::QueuePolicy& policy = config.value().queues[0].policy;
+  BOOST_TEST(policy.advised);
+  BOOST_TEST(policy.advice_base_ms == 360.5);
+  BOOST_TEST(policy.max_attempts == 2);
+  BOOST_TEST(!config.value().queues[1].policy.advised);
+  BOOST_TEST(!DecodeConfig(R"({"routes":[]})").ok());
+}
+
+BOOST_AUTO_TEST_CASE(AnswersToOrders) {
+  struct Row {
+    int status;
+    const char* body;
+    CallVerdict verdict;
+  };
+  for (const Row& row :
+       {Row{200, R"({"clockMs":5})", CallVerdict::kDone},
+        Row{409, R"({"reason":"fence"})", CallVerdict::kFenced},
+        Row{409, R"({"reason":"old"})", CallVerdict::kStale},
+        Row{409, R"({"reason":"late"})", CallVerdict::kLeaseOver},
+        Row{409, R"({"reason":"room"})", CallVerdict::kNoRoom},
+        Row{409, R"({"reason":"ticket"})", CallVerdict::kBadTicket},
+        Row{421, "", CallVerdict::kGone}, Row{429, "", CallVerdict::kUnhealthy},
+        Row{503, "", CallVerdict::kUnhealthy},
+        Row{400, "", CallVerdict::kMalformed}}) {
+    BOOST_TEST(
+        (DecodeCall(Answer(row.status, row.body)).verdict == row.verdict),
+        row.status << " " << row.body);
+  }
+  using Failed = Result<http::Response>;
+  BOOST_TEST((DecodeCall(Failed(Errc::kUnavailable)).verdict ==
+              CallVerdict::kNotSent));
+  BOOST_TEST(
+      (DecodeCall(Failed(Errc::kTimeout)).verdict == CallVerdict::kUnknown));
+  BOOST_TEST((DecodeCall(Failed(Errc::kDisconnected)).verdict ==
+              CallVerdict::kUnknown));
+}
+
+/// A report that does not decode as a whole is no report: half an inventory
+/// would be taken for the whole, and tasks would start twice.
+BOOST_AUTO_TEST_CASE(AHalfReadableReportIsUnknown) {
+  const std::string good =
+      R"({"clockMs":5,"running":[["5c0e7a21d94b36f8.0.1.17",2,"c",41,3]],
+      "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"lapsed","d"]]})";
+  const auto report = DecodeRenew(Answer(200, good));
+  BOOST_TEST((report.call.verdict == CallVerdict::kDone));
+  BOOST_TEST(report.running.at(0).percent == 41);
+  BOOST_TEST((report.ended.at(0).kind == ports::EndKind::kLapsed));
+  BOOST_TEST(report.ended.at(0).number == 58);
+  for (const char* bad :
+       {R"({"running":[["x",2,"c",41]]})", R"({"running":[[1,2]]})",
+        R"({"finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"odd","d"]]})"}) {
+    BOOST_TEST(
+        (DecodeRenew(Answer(200, bad)).call.verdict == CallVerdict::kUnknown),
+        bad);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AdviceIsDecoded) {
+  const auto advice = DecodeAdvice(
+      Answer(200, R"({"allowed":[["i-1","t-1"]],"validMs":3000})"));
+  BOOST_REQUIRE(advice.ok());
+  BOOST_TEST(advice.value().allowed.at(0).ticket == "t-1");
+  BOOST_TEST(advice.value().valid.count() == 3000);
+  BOOST_TEST(!DecodeAdvice(Answer(429)).ok());
+  BOOST_TEST(!DecodeAdvice(Answer(200, R"({"allowed":[1]})")).ok());
+}
+
+BOOST_AUTO_TEST_CASE(SettingsAreCheckedWithTheirPlace) {
+  Findings findings;
+  BOOST_TEST(!settings::ParseJobSettings("{}", findings).has_value());
+  BOOST_TEST(findings.list().size() >= 6U);
+  const std::string base =
+      R"({"name":"n","failure_domain":"z","front_address":"1.2.3.4:1",
+      "ready_address":"1.2.3.4:2","peer_address":"1.2.3.4:3",
+      "store_address":"1.2.3.4:4")";
+  Findings none;
+  BOOST_TEST(settings::ParseJobSettings(base + "}", none).has_value());
+  BOOST_TEST(none.empty());
+  Findings clash;
+  BOOST_TEST(!settings::ParseJobSettings(base + R"(,"quiet_ms":100})", clash)
+                  .has_value());
+  Findings unknown;
+  BOOST_TEST(!settings::ParseJobSettings(base + R"(,"colour":1})", unknown)
+                  .has_value());
+}
+
+/// A parser must give the same messages however the bytes are cut.
+BOOST_AUTO_TEST_CASE(RequestsParseFromAnyCut) {
+  const std::string bytes =
+      "POST /q/1 HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n{}"
+      "GET /q/ HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n";
+  for (size_t cut = 1; cut < bytes.size(); ++cut) {
+    http::Parser parser({});
+    std::vector<http::ParsedMessage> got;
+    const auto take = [&](http::ParsedMessage message) {
+      got.push_back(std::move(message));
+    };
+    BOOST_TEST(parser.Feed(bytes.substr(0, cut), take));
+    BOOST_TEST(parser.Feed(bytes.substr(cut), take));
+    BOOST_REQUIRE_EQUAL(got.size(), 2U);
+    BOOST_TEST(got[0].request.body == "{}");
+    BOOST_TEST(got[0].keep_alive);
+    BOOST_TEST(got[1].request.target == "/q/");
+    BOOST_TEST(!got[1].keep_alive);
+  }
+}
+
+/// Calls wait for a connection because all are busy, and the busy ones break:
+/// the waiting calls must be answered all the same. Their starts once hung for
+/// good, and with them the tasks.
+BOOST_AUTO_TEST_CASE(WaitingCallsSurviveBrokenConnections) {
+  asio::io_context io;
+  asio::ip::tcp::acceptor acceptor(io,
+                                   {asio::ip::make_address("127.0.0.1"), 0});
+  int accepted = 0;
+  std::vector<asio::ip::tcp::socket> sockets;
+  std::function<void()> accept = [&] {
+    acceptor.async_accept(
+        [&](std::error_code error, asio::ip::tcp::socket socket) {
+          if (error) return;
+          // The first connection breaks before it answers; later ones answer.
+          if (accepted++ > 0) {
+            asio::write(socket, asio::buffer(std::string(
+                                    "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n"
+                                    "Connection: close\r\n\r\n")));
+            sockets.push_back(std::move(socket));
+          }
+          accept();
+        });
+  };
+  accept();
+  http::Client client(io, {.max_connections = 1});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  int answered = 0;
+  constexpr int kCalls = 3;
+  for (int i = 0; i < kCalls; ++i) {
+    client.Call(address, {}, Millis(5000), [&](const auto&) {
+      if (++answered == kCalls) io.stop();
+    });
+  }
+  io.run_for(std::chrono::seconds(20));
+  BOOST_TEST(answered == kCalls);
+}
+
+}  // namespace mimosarail::platform
--- /dev/null
+++ b/tests/scheduling_test.cc
@@ -0,0 +1,423 @@
+#define BOOST_TEST_MODULE scheduling
+#include <boost/test/unit_test.hpp>
+#include <map>
+
+#include "src/coordinator/advice_lanes.h"
+#include "src/scheduling/scheduler.h"
+
+namespace mimosarail::scheduling {
+namespace {
+
+using ports::CallVerdict;
+using ports::EndKind;
+
+constexpr AdviceBudget kPlenty{.any = 50, .urgent_only = 5, .long_calls = 50};
+
+wire::JobSpec Spec(JobId id, int32_t tasks, int32_t millicores) {
+  wire::JobSpec spec;
+  spec.id = static_cast<int64_t>(id);
+  spec.queue.name = "q";
+  spec.queue.pool = "pool";
+  spec.queue.max_attempts = 2;
+  spec.queue.slack_factor = 2;
+  wire::StepSpec step;
+  step.tasks = tasks;
+  step.millicores = millicores;
+  step.memory_mb = 100;
+  step.estimate_ms = 1000;
+  spec.steps.push_back(step);
+  return spec;
+}
+
+/// A scheduler over upstreams that do what they are told, with a hand clock.
+class Bench {
+ public:
+  explicit Bench(int upstreams, int32_t millicores = 16000) {
+    for (int i = 0; i < upstreams; ++i) {
+      ports::UpstreamEntry entry;
+      entry.id = "up-" + std::to_string(i);
+      entry.pool = "pool";
+      entry.rack = "r" + std::to_string(i / 8);
+      entry.capacity = {.millicores = millicores, .memory_mb = 32000};
+      const UpstreamIndex index = s.pool().Update(entry);
+      s.pool().at(index).reachable = true;
+    }
+    Orders none;
+    s.ResolveAll(now, none);
+  }
+
+  Orders Place(AdviceBudget budget = kPlenty) {
+    Orders orders;
+    s.Place(now, budget, orders);
+    for (const StartOrder& start : orders.starts) {
+      Orders more;
+      s.OnStartReply(start, CallVerdict::kDone, now, more);
+    }
+    return orders;
+  }
+  Orders End(const StartOrder& start, EndKind kind) {
+    Orders orders;
+    s.OnEnd(start.upstream,
+            {.number = ++ends,
+             .task = start.task,
+             .attempt = start.attempt,
+             .kind = kind},
+            now, orders);
+    return orders;
+  }
+
+  Scheduler s{SchedulerOptions{}};
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  int64_t ends = 0;
+};
+
+}  // namespace
+
+/// A step waits for the one before it, and the job is complete after the last.
+BOOST_AUTO_TEST_CASE(StepsRunInOrder) {
+  Bench b(1);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.steps.push_back(spec.steps[0]);
+  spec.steps[1].after = {0};
+  b.s.Add(spec, b.now, 0);
+  const Orders first = b.Place();
+  BOOST_REQUIRE_EQUAL(first.starts.size(), 1U);
+  BOOST_TEST(b.Place().starts.empty());
+  b.End(first.starts[0], EndKind::kDone);
+  const Orders second = b.Place();
+  BOOST_REQUIRE_EQUAL(second.starts.size(), 1U);
+  BOOST_TEST(second.starts[0].task.step == 1);
+  b.End(second.starts[0], EndKind::kDone);
+  BOOST_TEST((b.s.Find(1)->state() == JobState::kComplete));
+}
+
+/// Room is free when the end is listed: a stopped task still holds its own.
+BOOST_AUTO_TEST_CASE(AStoppedTaskHoldsItsRoomUntilItsEnd) {
+  Bench b(1);
+  b.s.Add(Spec(1, 1, 16000), b.now, 0);
+  const Orders first = b.Place();
+  b.s.Add(Spec(2, 1, 16000), b.now, 0);
+  Orders cancel;
+  BOOST_TEST(b.s.Cancel(1, b.now, cancel));
+  BOOST_REQUIRE_EQUAL(cancel.stops.size(), 1U);
+  BOOST_TEST(b.Place().starts.empty());
+  b.End(first.starts[0], EndKind::kStopped);
+  BOOST_TEST(b.Place().starts.size() == 1U);
+}
+
+/// A worker that fails all it starts looks idle. After two failures in a row it
+/// rests, and the second tries go to upstreams that have not failed.
+BOOST_AUTO_TEST_CASE(AFailingUpstreamDrawsNoMoreWork) {
+  Bench b(3);
+  std::map<UpstreamIndex, int> tries;
+  for (JobId id = 1; id <= 40; ++id) {
+    b.s.Add(Spec(id, 1, 1000), b.now, 0);
+    for (const StartOrder& start : b.Place().starts) {
+      ++tries[start.upstream];
+      b.End(start, start.upstream == 0 ? EndKind::kFailed : EndKind::kDone);
+    }
+    for (const StartOrder& start : b.Place().starts) {
+      BOOST_TEST(start.upstream != 0U);
+      b.End(start, EndKind::kDone);
+    }
+    b.now += Millis(20);
+  }
+  BOOST_TEST(tries[0] <= 3);
+}
+
+/// A job whose task has failed as often as allowed is failed, and starts no
+/// more. The same end told twice counts once.
+BOOST_AUTO_TEST_CASE(AttemptsAreCountedOnce) {
+  Bench b(2);
+  b.s.Add(Spec(1, 1, 1000), b.now, 0);
+  const Orders first = b.Place();
+  b.End(first.starts[0], EndKind::kFailed);
+  b.End(first.starts[0], EndKind::kFailed);
+  BOOST_TEST(!b.s.Find(1)->final());
+  const Orders second = b.Place();
+  BOOST_REQUIRE_EQUAL(second.starts.size(), 1U);
+  BOOST_TEST(second.starts[0].upstream != first.starts[0].upstream);
+  b.End(second.starts[0], EndKind::kFailed);
+  BOOST_TEST((b.s.Find(1)->state() == JobState::kFailed));
+  BOOST_TEST(b.Place().starts.empty());
+}
+
+/// A retry whose only allowed upstream is the one that failed it must still
+/// run some day: it goes back there when nothing else is left to ask about.
+BOOST_AUTO_TEST_CASE(ARetryWithNoOtherPlaceGoesBack) {
+  Bench b(2);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.queue.advised = true;
+  b.s.Add(spec, b.now, 0);
+  const auto answer = [&](const Orders& orders) {
+    ports::Advice advice{.allowed = {{"up-0", "t"}}, .valid = Millis(1500)};
+    for (const AdviceOrder& ask : orders.advice) {
+      b.s.OnAdvice(ask, &advice, b.now);
+    }
+  };
+  Orders orders;
+  for (int i = 0; i < 5 && orders.starts.empty(); ++i) {
+    orders = b.Place();
+    answer(orders);
+  }
+  BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+  b.End(orders.starts[0], EndKind::kFailed);
+  bool again = false;
+  for (int i = 0; i < 40 && !again; ++i) {
+    b.now += Millis(100);
+    const Orders next = b.Place();
+    answer(next);
+    again = !next.starts.empty();
+  }
+  BOOST_TEST(again);
+}
+
+/// A gang starts whole or not at all, and a stream of small jobs of lower
+/// priority may not eat up the room that it waits for.
+BOOST_AUTO_TEST_CASE(AGangIsNotStarvedBySmallJobs) {
+  Bench b(4);
+  std::vector<StartOrder> running;
+  const auto fill = [&](JobId id) {
+    wire::JobSpec spec = Spec(id, 1, 4000);
+    spec.queue.priority = 2;
+    b.s.Add(spec, b.now, 0);
+  };
+  JobId next = 100;
+  for (int i = 0; i < 16; ++i) fill(next++);
+  for (const auto& start : b.Place().starts) running.push_back(start);
+  wire::JobSpec gang = Spec(1, 2, 12000);
+  gang.steps[0].gang = true;
+  gang.queue.priority = 1;
+  b.s.Add(gang, b.now, 0);
+  size_t gang_starts = 0;
+  for (int i = 0; i < 30 && gang_starts == 0; ++i) {
+    fill(next++);
+    BOOST_REQUIRE(!running.empty());
+    b.End(running.front(), EndKind::kDone);
+    running.erase(running.begin());
+    b.now += Millis(50);
+    for (const auto& start : b.Place().starts) {
+      if (start.task.job == 1) {
+        ++gang_starts;
+      } else {
+        running.push_back(start);
+      }
+    }
+  }
+  BOOST_TEST(gang_starts == 2U);
+}
+
+/// Not every member of a gang could be started: the others are told to stop,
+/// and the gang starts anew only when all are gone, with a higher attempt.
+BOOST_AUTO_TEST_CASE(AHalfStartedGangIsTakenBack) {
+  Bench b(2);
+  wire::JobSpec spec = Spec(1, 2, 10000);
+  spec.steps[0].gang = true;
+  b.s.Add(spec, b.now, 0);
+  Orders orders;
+  b.s.Place(b.now, kPlenty, orders);
+  BOOST_REQUIRE_EQUAL(orders.starts.size(), 2U);
+  Orders more;
+  b.s.OnStartReply(orders.starts[0], CallVerdict::kDone, b.now, more);
+  b.s.OnStartReply(orders.starts[1], CallVerdict::kNotSent, b.now, more);
+  BOOST_REQUIRE_EQUAL(more.stops.size(), 1U);
+  BOOST_TEST(b.Place().starts.empty());
+  b.End(orders.starts[0], EndKind::kStopped);
+  const Orders anew = b.Place();
+  BOOST_REQUIRE_EQUAL(anew.starts.size(), 2U);
+  BOOST_TEST(anew.starts[0].attempt == anew.starts[1].attempt);
+  BOOST_TEST(anew.starts[0].attempt > orders.starts[0].attempt);
+}
+
+/// A task on an upstream that stands still holds room for ever: its percent
+/// does not move. It is stopped and runs elsewhere, without losing an attempt.
+BOOST_AUTO_TEST_CASE(ATaskThatStandsStillIsMoved) {
+  Bench b(2);
+  b.s.Add(Spec(1, 1, 1000), b.now, 0);
+  const StartOrder start = b.Place().starts.at(0);
+  const auto report = [&](int32_t percent) {
+    Orders orders;
+    b.s.OnRunning(
+        start.upstream,
+        {{.task = start.task, .attempt = start.attempt, .percent = percent}},
+        b.now, orders);
+    return orders.stops.size();
+  };
+  BOOST_TEST(report(10) == 0U);
+  b.now += Millis(1000);
+  BOOST_TEST(report(20) == 0U);
+  b.now += Millis(1400);
+  BOOST_TEST(report(20) == 0U);
+  b.now += Millis(200);
+  BOOST_TEST(report(20) == 1U);
+  b.End(start, EndKind::kStopped);
+  const Orders again = b.Place();
+  BOOST_REQUIRE_EQUAL(again.starts.size(), 1U);
+  BOOST_TEST(again.starts[0].upstream != start.upstream);
+}
+
+/// A new leader that has not heard every upstream starts nothing that an
+/// earlier one may have started; what it finds running it takes over.
+BOOST_AUTO_TEST_CASE(ATakeoverAdoptsWhatRuns) {
+  Scheduler s({.attempt_base = 200000});
+  ports::UpstreamEntry entry{.id = "up-0", .pool = "pool"};
+  entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+  const UpstreamIndex up = s.pool().Update(entry);
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  s.Load(Spec(1, 2, 1000), {}, now, 0);
+  s.pool().at(up).reachable = true;
+  Orders orders;
+  s.Place(now, kPlenty, orders);
+  BOOST_TEST(orders.starts.empty());
+  s.OnRunning(up, {{.task = {1, 0, 0, 0}, .attempt = 100001}}, now, orders);
+  s.ResolveAll(now, orders);
+  s.Place(now, kPlenty, orders);
+  BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+  BOOST_TEST(orders.starts[0].task.index == 1);
+  BOOST_TEST(orders.starts[0].attempt > 200000);
+}
+
+/// Two failures that two upstreams tell a new leader in the wrong order both
+/// count; with one of them lost the task would run a third time.
+BOOST_AUTO_TEST_CASE(FailuresToldOutOfOrderBothCount) {
+  Scheduler s({.attempt_base = 200000});
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (const char* id : {"up-0", "up-1"}) {
+    ports::UpstreamEntry entry{.id = id, .pool = "pool"};
+    entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+    s.pool().at(s.pool().Update(entry)).reachable = true;
+  }
+  s.Load(Spec(1, 1, 1000), {}, now, 0);
+  Orders orders;
+  const TaskId task{1, 0, 0, 0};
+  s.OnEnd(1, {.number = 1, .task = task, .attempt = 100002}, now, orders);
+  s.OnEnd(0, {.number = 1, .task = task, .attempt = 100001}, now, orders);
+  BOOST_TEST((s.Find(1)->state() == JobState::kFailed));
+}
+
+/// A failure of an earlier run counts also when a later run was adopted first.
+BOOST_AUTO_TEST_CASE(AFailureBeforeAnAdoptedRunCounts) {
+  Scheduler s({.attempt_base = 200000});
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (const char* id : {"up-0", "up-1"}) {
+    ports::UpstreamEntry entry{.id = id, .pool = "pool"};
+    s.pool().at(s.pool().Update(entry)).reachable = true;
+  }
+  s.Load(Spec(1, 1, 1000), {}, now, 0);
+  Orders orders;
+  const TaskId task{1, 0, 0, 0};
+  s.OnRunning(1, {{.task = task, .attempt = 100002}}, now, orders);
+  s.OnEnd(0, {.number = 1, .task = task, .attempt = 100001}, now, orders);
+  s.OnEnd(1, {.number = 1, .task = task, .attempt = 100002}, now, orders);
+  BOOST_TEST((s.Find(1)->state() == JobState::kFailed));
+}
+
+/// An occurrence does not start before its time, however much room there is.
+BOOST_AUTO_TEST_CASE(OccurrencesWaitForTheirTime) {
+  Bench b(1);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.occurrences = 2;
+  spec.first_due_ms = 5000;
+  spec.interval_ms = 1000;
+  b.s.Add(spec, b.now, 0);
+  b.s.Tick(b.now, 4999);
+  BOOST_TEST(b.Place().starts.empty());
+  b.s.Tick(b.now, 5000);
+  BOOST_TEST(b.Place().starts.size() == 1U);
+  b.s.Tick(b.now, 6000);
+  const Orders second = b.Place();
+  BOOST_REQUIRE_EQUAL(second.starts.size(), 1U);
+  BOOST_TEST(second.starts[0].task.occurrence == 1);
+}
+
+/// Labels, the bound per upstream and draining upstreams are kept to.
+BOOST_AUTO_TEST_CASE(PlacesThatAreRuledOutAreNotUsed) {
+  Bench b(3);
+  b.s.pool().at(0).entry.labels = {"a", "r0"};
+  b.s.pool().at(1).entry.labels = {"a", "r0"};
+  b.s.pool().at(1).entry.draining = true;
+  wire::JobSpec spec = Spec(1, 5, 1000);
+  spec.steps[0].label = "a";
+  spec.steps[0].max_per_upstream = 2;
+  b.s.Add(spec, b.now, 0);
+  const Orders orders = b.Place();
+  BOOST_TEST(orders.starts.size() == 2U);
+  for (const StartOrder& start : orders.starts) {
+    BOOST_TEST(start.upstream == 0U);
+  }
+}
+
+/// The heaviest load: renders in gangs, reports and pushes at some 110 % of all
+/// cores. Pushes go first: none waits longer than one pass while room is there,
+/// and no upstream is ever given more than it holds.
+BOOST_AUTO_TEST_CASE(UrgentWorkIsServedUnderOverload) {
+  Bench b(48);
+  struct Running {
+    StartOrder start;
+    TimePoint until;
+  };
+  std::vector<Running> running;
+  std::map<JobId, TimePoint> came;
+  Millis longest_push{0};
+  JobId next = 1;
+  const auto add = [&](int32_t priority, int32_t tasks, int32_t cores,
+                       int32_t ms, bool gang) {
+    wire::JobSpec spec = Spec(next, tasks, cores);
+    spec.queue.priority = priority;
+    spec.steps[0].estimate_ms = ms;
+    spec.steps[0].gang = gang;
+    came[next] = b.now;
+    b.s.Add(spec, b.now, 0);
+    ++next;
+  };
+  constexpr Millis kStep{20};
+  for (int i = 0; i < 1000; ++i) {
+    b.now += kStep;
+    if (i % 17 == 0) add(1, 8, 4500, 4000, true);
+    if (i % 7 == 0) add(2, 10, 1000, 2200, false);
+    add(0, 2, 1400, 800, false);
+    std::erase_if(running, [&](const Running& r) {
+      if (r.until > b.now) return false;
+      b.End(r.start, EndKind::kDone);
+      return true;
+    });
+    for (const StartOrder& start : b.Place().starts) {
+      const wire::StepSpec& step = b.s.Find(start.task.job)->step(0);
+      running.push_back({start, b.now + Millis(step.estimate_ms)});
+      if (b.s.Find(start.task.job)->queue().priority != 0) continue;
+      longest_push = std::max(longest_push, std::chrono::duration_cast<Millis>(
+                                                b.now - came[start.task.job]));
+    }
+    for (const UpstreamIndex up : b.s.pool().all()) {
+      BOOST_REQUIRE(b.s.pool().at(up).free[Dimension::kCores] >= 0);
+    }
+  }
+  BOOST_TEST(longest_push.count() <= 100);
+}
+
+/// Calls for urgent work find a lane while long calls hold all others.
+BOOST_AUTO_TEST_CASE(UrgentAdviceHasItsLanes) {
+  coordinator::AdviceLanes lanes;
+  lanes.SetEntries({"a", "b", "c", "d", "e", "f", "g"});
+  const TimePoint now{};
+  int taken = 0;
+  while (!lanes.Take(1, true, now).empty()) ++taken;
+  BOOST_TEST(taken == 5);
+  BOOST_TEST(lanes.Budget(now).any == 0);
+  BOOST_TEST(lanes.Budget(now).urgent_only == 2);
+  BOOST_TEST(!lanes.Take(0, false, now).empty());
+}
+
+/// An entry whose call failed is spared for a while, then used again.
+BOOST_AUTO_TEST_CASE(AFailedLaneRests) {
+  coordinator::AdviceLanes lanes;
+  lanes.SetEntries({"a"});
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  BOOST_TEST(lanes.Take(1, false, now) == "a");
+  lanes.Free("a", true, now);
+  BOOST_TEST(lanes.Take(1, false, now).empty());
+  now += coordinator::AdviceLanes::kRest;
+  BOOST_TEST(lanes.Take(1, false, now) == "a");
+}
+
+}  // namespace mimosarail::scheduling
