--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -36,18 +36,18 @@
 constexpr size_t kUpstreamConnections = 4;
 constexpr size_t kStoreConnections = 8;
 constexpr size_t kAdviserConnections = 4;
-/// A small machine lets larger ones claim first, by this much for each step
-/// between a full core and its own share.
-constexpr int64_t kClaimDelayMs = 120;
-constexpr int64_t kFullCorePercent = 100;
+/// A machine with less than a quarter of a core lets others claim first, by up
+/// to this much: leading 350 upstreams takes 0.2 of a core.
+constexpr int64_t kClaimDelayMs = 500;
+constexpr int64_t kEnoughPercent = 25;
 /// How often a shutdown looks whether all is answered.
 constexpr Millis kShutdownLook{50};
 /// How often the settings file is read again; it may change without a signal.
 constexpr Millis kSettingsLook{2000};
 
 Millis ClaimDelay(int64_t cpu_percent) {
-  const int64_t missing = std::max<int64_t>(0, kFullCorePercent - cpu_percent);
-  return Millis(kClaimDelayMs * missing / kFullCorePercent);
+  const int64_t missing = std::max<int64_t>(0, kEnoughPercent - cpu_percent);
+  return Millis(kClaimDelayMs * missing / kEnoughPercent);
 }
 
 jobentry::JobEntryOptions MakeOptions(const JobSettings& s) {
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -166,8 +166,8 @@
     finals_[id] = {
         .state = state, .since = now, .spec_kept = loaded_specs_.count(id) > 0};
   }
-  for (auto& [id, spec] : loaded_specs_) {
-    scheduler_.Load(std::move(spec), loaded_progress_[id], now, wall);
+  for (const auto& [id, spec] : loaded_specs_) {
+    scheduler_.Load(spec, loaded_progress_[id], now, wall);
   }
   logging::Event(Level::kInfo, "jobs loaded",
                  {{"term", Text(options_.term)},
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -229,10 +229,10 @@
               });
 }
 
-void JobEntry::Submit(wire::JobSpec spec, Millis limit, JobDone done) {
+void JobEntry::Submit(const wire::JobSpec& spec, Millis limit, JobDone done) {
   const auto id = static_cast<JobId>(spec.id);
   auto message = std::make_shared<wire::SubmitJobCall>();
-  message->job = std::move(spec);
+  message->job = spec;
   auto call = std::make_shared<Forwarded<wire::SubmitJobReply>>();
   call->what = "submit " + JobIdText(id);
   call->limit = deps_.executor.Now() + limit;
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -52,7 +52,7 @@
   void BeginShutdown();
 
   Route Find(const std::string& host, const std::string& path) override;
-  void Submit(wire::JobSpec spec, Millis limit, JobDone done) override;
+  void Submit(const wire::JobSpec& spec, Millis limit, JobDone done) override;
   void State(JobId id, Millis limit, JobDone done) override;
   void Cancel(JobId id, Millis limit, JobDone done) override;
   void Pending(const std::string& queue, Millis limit, JobDone done) override;
--- a/src/jobentry/job_service.h
+++ b/src/jobentry/job_service.h
@@ -40,7 +40,8 @@
   /// The queue with the longest prefix of the path at this host.
   virtual Route Find(const std::string& host, const std::string& path) = 0;
   /// Precondition: CheckJob() found nothing.
-  virtual void Submit(wire::JobSpec spec, Millis limit, JobDone done) = 0;
+  virtual void Submit(const wire::JobSpec& spec, Millis limit,
+                      JobDone done) = 0;
   virtual void State(JobId id, Millis limit, JobDone done) = 0;
   virtual void Cancel(JobId id, Millis limit, JobDone done) = 0;
   virtual void Pending(const std::string& queue, Millis limit,
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -20,8 +20,8 @@
   return last;
 }
 
-Job::Job(wire::JobSpec spec)
-    : spec_(std::move(spec)), occurrences_(std::max(1, spec_.occurrences)) {
+Job::Job(const wire::JobSpec& spec)
+    : spec_(spec), occurrences_(std::max(1, spec_.occurrences)) {
   for (const wire::StepSpec& step : spec_.steps) {
     first_task_.push_back(tasks_per_occurrence_);
     tasks_per_occurrence_ += static_cast<size_t>(step.tasks);
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -60,7 +60,7 @@
 class Job {
  public:
   /// Precondition: CheckJob() found nothing.
-  explicit Job(wire::JobSpec spec);
+  explicit Job(const wire::JobSpec& spec);
 
   JobId id() const { return static_cast<JobId>(spec_.id); }
   const wire::JobSpec& spec() const { return spec_; }
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -335,8 +335,9 @@
                       }
                       wire::AnnounceCall record;
                       for (const auto& kept : page.value().records) {
-                        if (kept.key == kLeaderKey)
+                        if (kept.key == kLeaderKey) {
                           rpc::DecodeInto(kept.value, record);
+                        }
                       }
                       if (record.term > term_) {
                         StepDown("the store names a later leader");
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -6,6 +6,7 @@
 namespace {
 
 using Number = NumberKey<JobSettings>;
+using Scaled = ScaledKey<JobSettings>;
 using Text = TextKey<JobSettings>;
 using List = ListKey<JobSettings>;
 
@@ -32,8 +33,9 @@
       {"log_level", Text{&S::log_level, false}, "",
        "least level of lines: debug (every start, every request), info, "
        "warning, error"},
-      {"cpu_percent", Number{&S::cpu_percent, {1, 6400}}, "% of a core",
-       "what this machine may use; larger ones claim the lead first"},
+      {"cpu_share", Scaled{&S::cpu_percent, {0, 64}}, "cores",
+       "what this machine may use; one with less than a quarter lets others "
+       "claim the lead first"},
       {"lease_ms", Number{&S::lease_ms, {1000, 60000}}, "ms",
        "how long tasks go on without a word from the leader"},
       {"hello_ms", Number{&S::hello_ms, kMs}, "ms",
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -22,6 +22,7 @@
   std::string adviser_address;
   std::vector<std::string> seeds;
   std::string log_level = "info";
+  /// Hundredths of a core.
   int64_t cpu_percent = 100;
   int64_t lease_ms = 4000;
   int64_t hello_ms = 200;
--- a/src/libs/settings/schema.h
+++ b/src/libs/settings/schema.h
@@ -20,6 +20,13 @@
   int64_t S::*field;
   Bounds bounds;
 };
+/// A number with a fraction, kept multiplied by `scale`.
+template <typename S>
+struct ScaledKey {
+  int64_t S::*field;
+  Bounds bounds;
+  int64_t scale = 100;
+};
 template <typename S>
 struct TextKey {
   std::string S::*field;
@@ -35,7 +42,7 @@
 template <typename S>
 struct Key {
   const char* name;
-  std::variant<NumberKey<S>, TextKey<S>, ListKey<S>> type;
+  std::variant<NumberKey<S>, ScaledKey<S>, TextKey<S>, ListKey<S>> type;
   const char* unit;
   const char* help;
 };
@@ -49,6 +56,10 @@
   if (const auto* number = std::get_if<NumberKey<S>>(&key.type)) {
     return reader.Read(key.name, out.*number->field, number->bounds);
   }
+  if (const auto* scaled = std::get_if<ScaledKey<S>>(&key.type)) {
+    return reader.ReadScaled(key.name, out.*scaled->field, scaled->bounds,
+                             scaled->scale);
+  }
   if (const auto* list = std::get_if<ListKey<S>>(&key.type)) {
     return reader.Read(key.name, out.*list->field);
   }
@@ -78,7 +89,12 @@
     }
     const json::Json value = std::visit(
         [&settings](const auto& type) {
-          return json::Json(settings.*type.field);
+          if constexpr (requires { type.scale; }) {
+            return json::Json(static_cast<double>(settings.*type.field) /
+                              static_cast<double>(type.scale));
+          } else {
+            return json::Json(settings.*type.field);
+          }
         },
         key.type);
     out += "\n  " + json::Json(key.name).dump() + ": " + value.dump();
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -38,14 +38,15 @@
   return found == jobs_.end() ? nullptr : &found->second->job;
 }
 
-Scheduler::Entry& Scheduler::Insert(wire::JobSpec spec, TimePoint now,
+Scheduler::Entry& Scheduler::Insert(const wire::JobSpec& spec, TimePoint now,
                                     int64_t wall_ms) {
   const auto id = static_cast<JobId>(spec.id);
   const int64_t age = std::max<int64_t>(0, wall_ms - spec.accepted_unix_ms);
   auto entry = std::make_unique<Entry>(spec);
   entry->accepted = now - Millis(age);
   const Job& job = entry->job;
-  entry->units.resize(static_cast<size_t>(job.occurrences() * job.steps()));
+  entry->units.resize(static_cast<size_t>(job.occurrences()) *
+                      static_cast<size_t>(job.steps()));
   if (job.timed()) {
     for (int32_t k = 0; k < job.occurrences(); ++k) {
       due_.emplace(job.spec().first_due_ms + k * job.spec().interval_ms,
@@ -57,14 +58,15 @@
   return *jobs_.insert_or_assign(id, std::move(entry)).first->second;
 }
 
-void Scheduler::Add(wire::JobSpec spec, TimePoint now, int64_t wall_ms) {
-  Entry& entry = Insert(std::move(spec), now, wall_ms);
+void Scheduler::Add(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms) {
+  Entry& entry = Insert(spec, now, wall_ms);
   RefreshAll(entry);
 }
 
-void Scheduler::Load(wire::JobSpec spec, const wire::ProgressRecord& progress,
-                     TimePoint now, int64_t wall_ms) {
-  Entry& entry = Insert(std::move(spec), now, wall_ms);
+void Scheduler::Load(const wire::JobSpec& spec,
+                     const wire::ProgressRecord& progress, TimePoint now,
+                     int64_t wall_ms) {
+  Entry& entry = Insert(spec, now, wall_ms);
   entry.job.Restore(progress);
   entry.uncertain = !resolved_ && !entry.job.final();
   RefreshAll(entry);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -88,10 +88,10 @@
   const UpstreamPool& pool() const { return pool_; }
 
   /// Takes a new job. Precondition: CheckJob() found nothing; id not known.
-  void Add(wire::JobSpec spec, TimePoint now, int64_t wall_ms);
+  void Add(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms);
   /// Takes a job that an earlier leader may have started: nothing of it starts
   /// until ResolveAll().
-  void Load(wire::JobSpec spec, const wire::ProgressRecord& progress,
+  void Load(const wire::JobSpec& spec, const wire::ProgressRecord& progress,
             TimePoint now, int64_t wall_ms);
   /// Every upstream has told what it runs, or cannot run anything any more.
   void ResolveAll(TimePoint now, Orders& orders);
@@ -145,6 +145,7 @@
     int32_t priority = 0;
     int64_t rank = 0;
     StepId id;
+    // NOLINTNEXTLINE(modernize-use-nullptr): the linter's view of a default
     friend auto operator<=>(const UnitKey&, const UnitKey&) = default;
   };
   struct Unit {
@@ -179,7 +180,7 @@
   using Reserved = std::unordered_map<UpstreamIndex, Amount>;
 
   Entry* FindEntry(JobId id);
-  Entry& Insert(wire::JobSpec spec, TimePoint now, int64_t wall_ms);
+  Entry& Insert(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms);
   void RefreshAll(Entry& entry);
   void Refresh(Entry& entry, int32_t occurrence, int32_t step);
   void Dequeue(Unit& unit);
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -82,7 +82,8 @@
 
 template <typename Reply, typename Message>
 ExitCode CallLeader(const Options& options, rpc::Method method,
-                    const Message& message, void (*print)(const Reply& reply)) {
+                    const Message& message,
+                    std::string (*describe)(const Reply& reply)) {
   Caller caller;
   const auto hello = AskLeader(caller, options.peer);
   if (!hello.ok()) return Unreachable(options.peer, hello.error());
@@ -95,10 +96,11 @@
   const auto reply = caller.Call<Reply>(leader, method, message);
   if (!reply.ok()) return Unreachable(leader, reply.error());
   const auto verdict = static_cast<JobVerdict>(reply.value().verdict);
-  std::printf("%s",
-              std::string(coordinator::kJobVerdictNames.Name(verdict)).c_str());
-  if (verdict == JobVerdict::kDone && print != nullptr) print(reply.value());
-  std::printf("\n");
+  std::string line(coordinator::kJobVerdictNames.Name(verdict));
+  if (verdict == JobVerdict::kDone && describe != nullptr) {
+    line += ", " + describe(reply.value());
+  }
+  std::puts(line.c_str());
   return CodeOf(verdict);
 }
 
@@ -126,10 +128,9 @@
   Caller caller;
   const auto hello = AskLeader(caller, options.peer);
   if (!hello.ok()) return Unreachable(options.peer, hello.error());
-  std::printf("term %lld, leader %s at %s\n",
-              static_cast<long long>(hello.value().term),
-              hello.value().leader.name.c_str(),
-              hello.value().leader.address.c_str());
+  std::puts(("term " + std::to_string(hello.value().term) + ", leader " +
+             hello.value().leader.name + " at " + hello.value().leader.address)
+                .c_str());
   return ExitCode::kOk;
 }
 
@@ -151,7 +152,7 @@
     return CallLeader<wire::PendingJobsReply>(
         options, rpc::Method::kPendingJobs, call,
         [](const wire::PendingJobsReply& reply) {
-          std::printf(", %lld pending", static_cast<long long>(reply.pending));
+          return std::to_string(reply.pending) + " pending";
         });
   }
   const auto id = ParseJobId(words[1]);
@@ -163,7 +164,7 @@
         options, rpc::Method::kJobState, call,
         [](const wire::JobStateReply& reply) {
           const auto state = static_cast<JobState>(reply.state);
-          std::printf(", %s", std::string(kJobStateNames.Name(state)).c_str());
+          return std::string(kJobStateNames.Name(state));
         });
   }
   if (words[0] == "cancel") {
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -63,8 +63,8 @@
   for (const auto& record : call.records) {
     Put(call.table, record.key, record.value);
   }
-  const ports::AppendReply done{.verdict = AppendVerdict::kStored,
-                                .end_offset = table.end};
+  ports::AppendReply done{.verdict = AppendVerdict::kStored,
+                          .end_offset = table.end};
   if (call.writer) {
     table.writers[call.writer->name].answers[call.writer->sequence] = done;
   }
