--- a/src/libs/settings/schema.h
+++ b/src/libs/settings/schema.h
@@ -78,12 +78,14 @@
 /// A setting's value as it stands in a file.
 template <typename K, typename S>
 json::Json ShownValue(const K& key, const S& settings) {
-  return json::Json(settings.*key.field);
+  json::Json value = settings.*key.field;
+  return value;
 }
 template <typename S>
 json::Json ShownValue(const ScaledKey<S>& key, const S& settings) {
-  return json::Json(static_cast<double>(settings.*key.field) /
-                    static_cast<double>(key.scale));
+  json::Json value =
+      static_cast<double>(settings.*key.field) / static_cast<double>(key.scale);
+  return value;
 }
 
 /// Every key with its value, unit, bounds and help, as commented JSON.
