Core: Remove state that nothing reads, say what the lane share does

Cause: a read of the whole change. The slowness of an upstream was weighed but never fed, so its term was always 0; a constant, three times and two accessors had no reader; the comment on long calls told of a bound that its value of 1 does not set.

--- a/src/coordinator/advice_lanes.h
+++ b/src/coordinator/advice_lanes.h
@@ -37,9 +37,9 @@
   /// Two lanes of seven kept late urgent work in bursts from 94 to 4 of 154
   /// jobs; none kept or half kept did worse.
   static constexpr double kUrgentShare = 2.0 / 7;
-  /// Part of the other lanes that long calls may take together. Left to their
-  /// priority alone, long calls held all of them, and steps that ask for 0.15 s
-  /// waited while 60 % of the cores were free.
+  /// Part of the other lanes that long calls may take together: all of them.
+  /// With three quarters, mean worth on a site with six lanes fell from 0.73 to
+  /// 0.64, since gangs, which ask long, found none.
   static constexpr double kLongShare = 1.0;
   /// A lane whose call failed is not used for this long.
   static constexpr Millis kRest{700};
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -21,9 +21,6 @@
 constexpr size_t kExplainedSteps = 4;
 /// What an adviser may take beyond what its queue says.
 constexpr Millis kAdviceSlack{600};
-/// An upstream that is missing from the list while the store answers is taken
-/// as gone after this; entries that lapsed with the store are back within 2 s.
-constexpr Millis kMissing{2500};
 /// Callers come back after this when the store is away.
 constexpr int64_t kRetryAfterMs = 1000;
 
@@ -208,7 +205,6 @@
 
 void Coordinator::OnList(const ports::UpstreamListUpdate& update, bool whole) {
   list_cursor_ = update.cursor;
-  list_read_at_ = deps_.executor.Now();
   if (whole) {
     // Whoever is not in it has left while nobody looked, or lapsed.
     for (const UpstreamIndex index : scheduler_.pool().all()) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -141,7 +141,6 @@
   std::vector<ports::UpstreamEntry> roster_;
   int64_t list_cursor_ = -1;
   bool list_known_ = false;
-  TimePoint list_read_at_{};
   TimePoint explained_at_{};
 };
 
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -81,7 +81,6 @@
   if (closed_) return;
   if (!events_.MayGiveOrders()) return RenewSoon(kRetry);
   ++outstanding_;
-  ++renewals_;
   const TimePoint sent = executor_.Now();
   // What was asked for bounds what may run there, also when the answer is
   // lost. An upstream that stopped answering is only asked what runs there:
@@ -136,7 +135,6 @@
     if (end.number > ends_reported_) fresh.push_back(end);
   }
   if (!fresh.empty()) ends_reported_ = fresh.back().number;
-  if (!fresh.empty()) ends_wait_since_ = executor_.Now();
   events_.OnReport(options_.index, reply.running, fresh);
   if (closed_) return;
   SetReachable(true);
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -75,8 +75,6 @@
 
   /// What runs there is known, or can't be anything any more.
   bool settled() const { return inventoried_ || emptied_; }
-  bool reachable() const { return reachable_; }
-  int64_t renewals() const { return renewals_; }
 
  private:
   struct Doubt {
@@ -111,7 +109,6 @@
   int outstanding_ = 0;
   bool renewal_due_ = false;
   int failures_ = 0;
-  int64_t renewals_ = 0;
   /// The upstream's clock and when it was read here.
   int64_t clock_ms_ = 0;
   TimePoint clock_at_{};
@@ -119,7 +116,6 @@
   TimePoint leases_end_{};
   int64_t ends_reported_ = 0;
   int64_t ends_safe_ = 0;
-  TimePoint ends_wait_since_{};
   std::map<std::pair<TaskId, int64_t>, Doubt> doubts_;
 };
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -31,7 +31,6 @@
   UpstreamIndex upstream = kNoUpstream;
   /// Where it failed last; a second try goes elsewhere.
   UpstreamIndex failed_at = kNoUpstream;
-  TimePoint started{};
   int32_t percent = 0;
   /// When the percent last moved.
   TimePoint moved{};
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -25,8 +25,6 @@
 /// Cost of standing outside of the rack of the data or of the gang, against
 /// at most 1.5 for the worst fit.
 constexpr double kOtherRackCost = 4;
-/// Cost of one multiple of slowness.
-constexpr double kSlownessCost = 2;
 constexpr double kMemoryWeight = 0.5;
 
 int32_t Times(const Amount& room, const Amount& size) {
@@ -71,7 +69,6 @@
   };
   double score =
       left(Dimension::kCores) + kMemoryWeight * left(Dimension::kMemory);
-  score += kSlownessCost * std::max(0.0, it.health.slowness - 1);
   if (!step.data_rack.empty() && it.entry.rack != step.data_rack) {
     score += kOtherRackCost;
   }
@@ -272,7 +269,6 @@
   Task& task = job.task(id);
   task.attempt = attempt;
   task.upstream = upstream;
-  task.started = now;
   task.moved = now;
   task.percent = 0;
   job.SetPhase(id, TaskPhase::kStarting);
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -281,7 +281,7 @@
       task.active() && task.attempt == end.attempt && task.upstream == upstream;
   const bool unseen =
       entry->uncertain && !task.active() && task.phase != TaskPhase::kDone;
-  if (end.kind == EndKind::kDone) pool_.NoteSuccess(upstream, now);
+  if (end.kind == EndKind::kDone) pool_.NoteSuccess(upstream);
   if (!present && !unseen) {
     // Only a failure still counts: a new leader may hear of it after it has
     // adopted a later run of the task.
@@ -319,7 +319,6 @@
   Task& task = job.task(running.task);
   task.attempt = running.attempt;
   task.upstream = upstream;
-  task.started = now;
   task.moved = now;
   task.percent = running.percent;
   job.SetPhase(running.task, TaskPhase::kRunning);
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -7,10 +7,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// Weight of one more result in the running mean of an upstream's slowness:
-/// some ten results forget a fault that is over.
-constexpr double kSpeedWeight = 0.2;
-
 constexpr int32_t kTrustedTrials = 1 << 20;
 
 Amount CapacityOf(const ports::UpstreamSize& size) {
@@ -96,13 +92,12 @@
   return count;
 }
 
-void UpstreamPool::NoteSuccess(UpstreamIndex index, TimePoint now) {
+void UpstreamPool::NoteSuccess(UpstreamIndex index) {
   UpstreamHealth& health = upstreams_[index].health;
   health.streak = 0;
   health.trials = 0;
   health.last_rest = Millis(0);
   health.rest_until = {};
-  health.last_success = now;
 }
 
 void UpstreamPool::NoteFailure(UpstreamIndex index, TimePoint now,
@@ -121,11 +116,6 @@
   ++upstreams_[index].health.trials;
 }
 
-void UpstreamPool::NoteSpeed(UpstreamIndex index, double ratio) {
-  double& slowness = upstreams_[index].health.slowness;
-  slowness += kSpeedWeight * (ratio - slowness);
-}
-
 bool UpstreamPool::Usable(UpstreamIndex index, TimePoint now) const {
   const Upstream& upstream = upstreams_[index];
   return upstream.reachable && upstream.listed && !upstream.entry.draining &&
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -23,11 +23,8 @@
   /// Nothing new before this.
   TimePoint rest_until{};
   Millis last_rest{0};
-  TimePoint last_success{};
   /// Starts since the last result; a suspect gets one at a time.
   int32_t trials = 0;
-  /// Run time against the estimate, relative to all upstreams; 1 is usual.
-  double slowness = 1;
 };
 
 struct Upstream {
@@ -66,12 +63,10 @@
   /// How many tasks of a step hold room there.
   int32_t HeldOf(UpstreamIndex index, const StepId& step) const;
 
-  void NoteSuccess(UpstreamIndex index, TimePoint now);
+  void NoteSuccess(UpstreamIndex index);
   /// `weight` 2 sends the upstream to rest at once.
   void NoteFailure(UpstreamIndex index, TimePoint now, int32_t weight = 1);
   void NoteStart(UpstreamIndex index);
-  /// Folds in how long a task took, as a multiple of what was expected.
-  void NoteSpeed(UpstreamIndex index, double ratio);
 
   /// Whether it may be given something new.
   bool Usable(UpstreamIndex index, TimePoint now) const;
