Daemon: Say at the end of a stop what is left open, and why a call had no answer

No logic changes: - 'request left unanswered' names each open request and its age, 'ending' counts requests and connections; - 'no answer from a leader' says how long ago the leader was heard of, how often it was tried and what the last try gave; - the decision when a stopping process ends stands alone (src/shutdown), so that it can be tested without a process.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -18,6 +18,7 @@
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
+#include "src/shutdown/shutdown_plan.h"
 
 namespace mimosarail::app {
 namespace {
@@ -152,16 +153,24 @@
   return metrics.ok() || tell(metrics.error());
 }
 
-/// Ends the control loop once all is answered and the balancer has noticed.
-void WaitForCallers(JobDaemon& daemon, const JobSettings& s, TimePoint since) {
-  const auto waited = std::chrono::duration_cast<Millis>(Clock::now() - since);
-  const bool quiet = daemon.front.open_requests() == 0;
-  if ((quiet && waited >= Millis(s.unready_ms)) ||
-      waited >= Millis(s.shutdown_ms)) {
+/// Ends the control loop when the plan of the shutdown says so.
+void WaitForCallers(JobDaemon& daemon, const shutdown::ShutdownOptions& options,
+                    TimePoint since) {
+  const shutdown::ShutdownView view{
+      .waited = std::chrono::duration_cast<Millis>(Clock::now() - since),
+      .open_requests = daemon.front.open_requests()};
+  if (shutdown::NextStep(options, view) == shutdown::ShutdownStep::kEnd) {
+    daemon.front.LogOpenRequests();
+    logging::Event(
+        Level::kInfo, "ending",
+        {{"waited_ms", std::to_string(view.waited.count())},
+         {"open_requests", std::to_string(daemon.front.open_requests())},
+         {"connections", std::to_string(daemon.front.connections())}});
     return daemon.control.stop();
   }
-  daemon.executor.RunAfter(
-      kShutdownLook, [&daemon, s, since] { WaitForCallers(daemon, s, since); });
+  daemon.executor.RunAfter(kShutdownLook, [&daemon, options, since] {
+    WaitForCallers(daemon, options, since);
+  });
 }
 
 std::string ReadText(const std::string& path) {
@@ -225,10 +234,16 @@
   asio::signal_set signals(daemon.control, SIGTERM, SIGINT);
   signals.async_wait([&](std::error_code error, int) {
     if (error) return;
-    logging::Event(Level::kInfo, "stopping");
+    logging::Event(
+        Level::kInfo, "stopping",
+        {{"open_requests", std::to_string(daemon.front.open_requests())},
+         {"connections", std::to_string(daemon.front.connections())}});
     daemon.entry.BeginShutdown();
     daemon.front.BeginShutdown();
-    WaitForCallers(daemon, settings, Clock::now());
+    WaitForCallers(daemon,
+                   {.unready = Millis(settings.unready_ms),
+                    .limit = Millis(settings.shutdown_ms)},
+                   Clock::now());
   });
   SettingsWatch watch(settings_path);
   asio::signal_set hangup(daemon.control, SIGHUP);
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -75,6 +75,9 @@
   JobDone done;
   /// It may have taken effect at some leader.
   bool doubtful = false;
+  int tries = 0;
+  /// What became of the last try, for the log.
+  std::string last_try = "none";
   /// Asks and changes nothing, so that it is never in doubt.
   bool read_only = false;
 };
@@ -192,6 +195,10 @@
                    {{"call", call->what},
                     {"term", std::to_string(leadership_.term())},
                     {"leader", leadership_.leader().name},
+                    {"leader_heard_ms", HeardAge()},
+                    {"tries", std::to_string(call->tries)},
+                    {"last_try", call->last_try},
+                    {"stopping", closing_ ? "yes" : "no"},
                     {"doubtful", call->doubtful ? "yes" : "no"}});
     return call->done({.verdict = call->doubtful ? JobVerdict::kUnknown
                                                  : JobVerdict::kRefused,
@@ -205,10 +212,9 @@
                             [this, call] { Forward(call); });
   };
   const auto answer = [this, again, later, call](const Reply& reply) {
-    if (static_cast<JobVerdict>(reply.verdict) == JobVerdict::kNotLeading) {
-      return again();
-    }
     JobAnswer out = ToAnswer(reply);
+    call->last_try = coordinator::kJobVerdictNames.Name(out.verdict);
+    if (out.verdict == JobVerdict::kNotLeading) return again();
     if (out.verdict == JobVerdict::kStoreAway) {
       // The store turns the leader away and serves this entry: somebody who can
       // write takes over within a second, and then the job is taken. Where the
@@ -233,14 +239,19 @@
     }
     call->done(out);
   };
+  ++call->tries;
   if (coordinator_) return call->here(answer);
   if (leadership_.leader().address.empty() || leadership_.leading()) {
+    call->last_try = "no leader known";
     return again();
   }
   call->there(leadership_.leader().address,
               std::min(left, options_.call_timeout),
               [again, answer, call](const Result<Reply>& reply) {
                 if (reply.ok()) return answer(reply.value());
+                call->last_try = reply.error().message.empty()
+                                     ? reply.error().code.message()
+                                     : reply.error().message;
                 if (reply.error().code != Errc::kUnavailable) {
                   call->doubtful = !call->read_only;
                 }
@@ -248,6 +259,12 @@
               });
 }
 
+std::string JobEntry::HeardAge() const {
+  if (heard_ == TimePoint{}) return "never";
+  const auto age = deps_.executor.Now() - heard_;
+  return std::to_string(std::chrono::duration_cast<Millis>(age).count());
+}
+
 void JobEntry::LookAtStore(std::function<void(bool served)> done) {
   const bool fresh =
       deps_.executor.Now() - store_looked_ < options_.store_look_age;
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -96,6 +96,8 @@
   void Lost();
   void RefreshLanes();
   void Remember(JobId id, JobState state);
+  /// How long ago the leader answered a greeting, in ms, for the log.
+  std::string HeardAge() const;
   /// Runs `done` when it is known whether the store serves this entry.
   void LookAtStore(std::function<void(bool served)> done);
   template <typename Reply>
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -243,4 +243,6 @@
 
 int64_t Server::open_requests() const { return d_->open_requests.load(); }
 
+size_t Server::connections() const { return d_->connections.load(); }
+
 }  // namespace mimosarail::http
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -48,6 +48,9 @@
   /// Requests read and not yet answered. Thread-safe.
   int64_t open_requests() const;
 
+  /// Connections accepted and not yet closed. Thread-safe.
+  size_t connections() const;
+
   /// Named here only for the helpers of the implementation.
   struct Private;
 
--- /dev/null
+++ b/src/shutdown/shutdown_plan.h
@@ -0,0 +1,41 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+
+#include "src/libs/base/enum_table.h"
+#include "src/libs/base/executor.h"
+
+namespace mimosarail::shutdown {
+
+struct ShutdownOptions {
+  /// How long callers still come after the balancer was told.
+  Millis unready{2600};
+  /// Longest that a graceful shutdown takes.
+  Millis limit{5200};
+};
+
+/// What a stopping process sees of its callers.
+struct ShutdownView {
+  /// Since the stop was asked for.
+  Millis waited{0};
+  /// Read and not yet answered.
+  int64_t open_requests = 0;
+};
+
+enum class ShutdownStep {
+  /// Take requests and answer them.
+  kServe,
+  /// End the process.
+  kEnd,
+};
+
+inline constexpr EnumTable kShutdownStepNames{std::array{
+    EnumName{ShutdownStep::kServe, "serve"},
+    EnumName{ShutdownStep::kEnd, "end"},
+}};
+
+/// What a stopping process does next. Thread-safe.
+ShutdownStep NextStep(const ShutdownOptions& options, const ShutdownView& view);
+
+}  // namespace mimosarail::shutdown
