Tests: Show requests unanswered at shutdown, failing on the code as it is

Three ways in which a stopping entry leaves callers without an answer, each with its story. ShutdownView and Server::EndIntake() are there for the tests and change nothing yet.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -241,6 +241,8 @@
 
 void Server::BeginShutdown() { d_->closing = true; }
 
+void Server::EndIntake() {}
+
 int64_t Server::open_requests() const { return d_->open_requests.load(); }
 
 size_t Server::connections() const { return d_->connections.load(); }
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -45,6 +45,11 @@
   /// From now on each response closes its connection. Thread-safe.
   void BeginShutdown();
 
+  /// No request is read any more, but for those of which a part has come:
+  /// further connections are refused, those without a request are closed.
+  /// Thread-safe.
+  void EndIntake();
+
   /// Requests read and not yet answered. Thread-safe.
   int64_t open_requests() const;
 
--- a/src/shutdown/shutdown_plan.h
+++ b/src/shutdown/shutdown_plan.h
@@ -21,17 +21,24 @@
   Millis waited{0};
   /// Read and not yet answered.
   int64_t open_requests = 0;
+  /// Accepted and not yet closed.
+  size_t connections = 0;
+  /// Whether kEndIntake was carried out.
+  bool intake_ended = false;
 };
 
 enum class ShutdownStep {
   /// Take requests and answer them.
   kServe,
+  /// Take no further request; answer those that were taken.
+  kEndIntake,
   /// End the process.
   kEnd,
 };
 
 inline constexpr EnumTable kShutdownStepNames{std::array{
     EnumName{ShutdownStep::kServe, "serve"},
+    EnumName{ShutdownStep::kEndIntake, "end intake"},
     EnumName{ShutdownStep::kEnd, "end"},
 }};
 
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -362,6 +362,69 @@
   BOOST_TEST(cell.answered(36));
 }
 
+/// Callers of an entry that is being stopped see their connections close
+/// without an answer. It led, and resigned while the store answered nobody, so
+/// that for a moment there was no leader; the entry that it greeted then still
+/// named it, and it followed itself. The next leader's announcement did not
+/// reach it, and every request that it took from then on was tried at itself.
+BOOST_AUTO_TEST_CASE(AStoppingLeaderFindsTheNextOne) {
+  JobCell cell({.seeds = {"entry-0", "entry-1", "entry-2"}});
+  cell.RunFor(Millis(2000));
+  const std::string stopping = cell.Leader();
+  cell.store().faults().down = true;
+  cell.entry(stopping)->BeginShutdown();
+  cell.RunFor(Millis(1300));
+  cell.Cut(stopping, true);
+  cell.store().faults().down = false;
+  while (cell.Leader().empty()) cell.RunFor(Millis(50));
+  BOOST_REQUIRE(cell.Leader() != stopping);
+  cell.RunFor(Millis(50));
+  cell.Cut(stopping, false);
+  cell.RunFor(Millis(500));
+  cell.Submit(stopping, OneStepJob(61, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.accepted(61));
+}
+
+/// A stopping entry takes a push and holds it until it is too late to ask
+/// elsewhere. Its leader had died, the next one's announcement was lost, and an
+/// entry that may not claim the lead looked for no other leader either.
+BOOST_AUTO_TEST_CASE(AStoppingFollowerLeavesADeadLeader) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  const std::string stopping = leader == "entry-0" ? "entry-1" : "entry-0";
+  cell.entry(stopping)->BeginShutdown();
+  cell.Cut(stopping, true);
+  cell.Kill(leader);
+  cell.RunFor(Millis(2000));
+  BOOST_REQUIRE(!cell.Leader().empty());
+  cell.Cut(stopping, false);
+  cell.RunFor(Millis(1000));
+  cell.Submit(stopping, OneStepJob(62, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.accepted(62));
+}
+
+/// An entry starts while the store turns it away, and the first of the entries
+/// that it may ask for the leader is gone for good. It asked that one again and
+/// again and never the next, and refused its callers for as long.
+BOOST_AUTO_TEST_CASE(ADeadSeedHidesNoOther) {
+  JobCell cell({.seeds = {"entry-0", "entry-1", "entry-2"}});
+  cell.RunFor(Millis(2000));
+  cell.Kill("entry-0");
+  cell.RunFor(Millis(3000));
+  BOOST_REQUIRE(!cell.Leader().empty());
+  const std::string started =
+      cell.Leader() == "entry-3" ? "entry-2" : "entry-3";
+  cell.store().faults().turned_away.insert(started);
+  cell.Restart(started);
+  cell.RunFor(Millis(3000));
+  cell.Submit(started, OneStepJob(63, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.accepted(63));
+}
+
 /// The store turns only the leader away. A job handed in right then is not
 /// refused: another entry takes the lead within its caller's patience.
 BOOST_AUTO_TEST_CASE(AJobOutlivesALeaderWithoutTheStore) {
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -29,18 +29,21 @@
                                              .adviser = tasks,
                                              .peers = peers,
                                              .metrics = metrics},
-            Options(name, cell.options_.fitness))) {
+            Options(name, cell.options_))) {
     entry->Start();
   }
 
-  static jobentry::JobEntryOptions Options(
-      const std::string& name, const std::map<std::string, int32_t>& fitness) {
+  static jobentry::JobEntryOptions Options(const std::string& name,
+                                           const CellOptions& cell) {
     jobentry::JobEntryOptions out;
     out.leadership.member.name = name;
-    if (fitness.count(name) > 0) {
-      out.leadership.member.fitness = fitness.at(name);
+    if (cell.fitness.count(name) > 0) {
+      out.leadership.member.fitness = cell.fitness.at(name);
     }
     out.leadership.member.address = AddressOf(name);
+    for (const std::string& seed : cell.seeds) {
+      out.leadership.seeds.push_back(AddressOf(seed));
+    }
     return out;
   }
 
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -57,6 +57,8 @@
   int32_t memory_mb = 16000;
   /// Processor share of an entry's machine in percent, by number; 100 else.
   std::map<std::string, int32_t> fitness{};
+  /// Names of entries that each one asks for the leader.
+  std::vector<std::string> seeds{};
 };
 
 /// Whole entry instances over fakes of the platform and a manual clock.
