Daemon: End the intake before the process; Leadership: Never follow oneself

Cause of requests left unanswered by a stopping entry, two that met: - the intake had no end. The process ended at the first look without an open request, or at its limit whatever was open; under steady callers there is no such moment, and what came last had less time than its answer needs; - a stopping entry lost the leader. Whoever it greeted still named it, so it followed itself; it looked for nobody else, since looking ended in a claim; and the first of several seeds was asked again and again.

Change: serve until the balancer has noticed (2.6 s), then close the listener and idle connections, answer what was taken, end when nothing is left. An entry ignores its own name as a leader, a resigned one goes on looking without claiming, seeds and members are asked in turn. A connection on which more was sent ahead is answered to the end.

Ruled out: a leader that did not answer (in the record 41 of 44 requests of that second were served in time elsewhere).

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -153,25 +153,66 @@
   return metrics.ok() || tell(metrics.error());
 }
 
-/// Ends the control loop when the plan of the shutdown says so.
-void WaitForCallers(JobDaemon& daemon, const shutdown::ShutdownOptions& options,
-                    TimePoint since) {
-  const shutdown::ShutdownView view{
-      .waited = std::chrono::duration_cast<Millis>(Clock::now() - since),
-      .open_requests = daemon.front.open_requests()};
-  if (shutdown::NextStep(options, view) == shutdown::ShutdownStep::kEnd) {
-    daemon.front.LogOpenRequests();
+/// Carries out the plan of the shutdown, step by step.
+class Stop {
+ public:
+  Stop(JobDaemon& daemon, shutdown::ShutdownOptions options)
+      : daemon_(daemon), options_(options) {}
+
+  void Begin() {
+    since_ = daemon_.executor.Now();
+    Tell("stopping");
+    daemon_.entry.BeginShutdown();
+    daemon_.front.BeginShutdown();
+    Look();
+  }
+
+ private:
+  void Look() {
+    const shutdown::ShutdownView view{
+        .waited = Waited(),
+        .open_requests = daemon_.front.open_requests(),
+        .connections = daemon_.front.connections(),
+        .intake_ended = intake_ended_};
+    switch (shutdown::NextStep(options_, view)) {
+      case shutdown::ShutdownStep::kServe:
+        break;
+      case shutdown::ShutdownStep::kEndIntake:
+        EndIntake();
+        break;
+      case shutdown::ShutdownStep::kEnd:
+        daemon_.front.LogOpenRequests();
+        Tell("ending");
+        return daemon_.control.stop();
+    }
+    daemon_.executor.RunAfter(kShutdownLook, [this] { Look(); });
+  }
+
+  void EndIntake() {
+    if (std::exchange(intake_ending_, true)) return;
+    Tell("intake ends");
+    daemon_.front.EndIntake(
+        [this] { daemon_.executor.Post([this] { intake_ended_ = true; }); });
+  }
+
+  void Tell(const char* what) {
     logging::Event(
-        Level::kInfo, "ending",
-        {{"waited_ms", std::to_string(view.waited.count())},
-         {"open_requests", std::to_string(daemon.front.open_requests())},
-         {"connections", std::to_string(daemon.front.connections())}});
-    return daemon.control.stop();
+        Level::kInfo, what,
+        {{"waited_ms", std::to_string(Waited().count())},
+         {"open_requests", std::to_string(daemon_.front.open_requests())},
+         {"connections", std::to_string(daemon_.front.connections())}});
+  }
+
+  Millis Waited() const {
+    return std::chrono::duration_cast<Millis>(daemon_.executor.Now() - since_);
   }
-  daemon.executor.RunAfter(kShutdownLook, [&daemon, options, since] {
-    WaitForCallers(daemon, options, since);
-  });
-}
+
+  JobDaemon& daemon_;
+  shutdown::ShutdownOptions options_;
+  TimePoint since_{};
+  bool intake_ending_ = false;
+  bool intake_ended_ = false;
+};
 
 std::string ReadText(const std::string& path) {
   std::ostringstream text;
@@ -232,18 +273,10 @@
   const auto traffic_work = asio::make_work_guard(daemon.traffic);
   std::thread traffic([&daemon] { daemon.traffic.run(); });
   asio::signal_set signals(daemon.control, SIGTERM, SIGINT);
+  Stop stop(daemon, {.unready = Millis(settings.unready_ms),
+                     .limit = Millis(settings.shutdown_ms)});
   signals.async_wait([&](std::error_code error, int) {
-    if (error) return;
-    logging::Event(
-        Level::kInfo, "stopping",
-        {{"open_requests", std::to_string(daemon.front.open_requests())},
-         {"connections", std::to_string(daemon.front.connections())}});
-    daemon.entry.BeginShutdown();
-    daemon.front.BeginShutdown();
-    WaitForCallers(daemon,
-                   {.unready = Millis(settings.unready_ms),
-                    .limit = Millis(settings.shutdown_ms)},
-                   Clock::now());
+    if (!error) stop.Begin();
   });
   SettingsWatch watch(settings_path);
   asio::signal_set hangup(daemon.control, SIGHUP);
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -18,6 +18,9 @@
 /// Refused connections in a row after which a leader is suspected.
 constexpr int kRefusals = 2;
 constexpr Millis kTick{50};
+/// Pause between two questions who leads: a take-over after a resignation takes
+/// some 30 ms, two steps of the clock.
+constexpr Millis kAskPeriod{100};
 /// A machine with no processor at all would let better ones claim first by this
 /// much, others by the part that they lack of enough.
 constexpr Millis kClaimDelay{500};
@@ -91,10 +94,7 @@
     return YieldIfWeak();
   }
   if (leader_.address.empty()) {
-    if (now < look_after_) return;
-    for (const std::string& seed : options_.seeds) {
-      if (seed != options_.member.address && !greeting_) Greet(seed);
-    }
+    AskAround();
     return Suspect(options_.quiet, "no leader known");
   }
   if (!greeting_ && now - last_heard_ >= options_.hello_period) {
@@ -105,6 +105,20 @@
   }
 }
 
+void Leadership::AskAround() {
+  const TimePoint now = executor_.Now();
+  if (greeting_ || now < ask_after_) return;
+  std::vector<std::string> others = options_.seeds;
+  for (const wire::Member& member : members_) others.push_back(member.address);
+  others.erase(
+      std::remove(others.begin(), others.end(), options_.member.address),
+      others.end());
+  if (others.empty()) return;
+  ask_after_ = now + kAskPeriod;
+  // In turn: one that is gone for good must not hide those that know.
+  Greet(others[asked_++ % others.size()]);
+}
+
 void Leadership::Greet(const std::string& address) {
   greeting_ = true;
   wire::HelloCall call;
@@ -157,6 +171,10 @@
   if (term < term_ || (term == term_ && leader.address == leader_.address)) {
     return;
   }
+  // Others name this entry until they know a later leader. One that follows
+  // itself greets nobody else and hands its callers to nobody; they waited in
+  // vain until it ended.
+  if (leader.address == options_.member.address) return;
   const bool led = role_ == Role::kLeading;
   term_ = term;
   leader_ = leader;
@@ -189,6 +207,7 @@
 }
 
 void Leadership::GiveUpOffice(Role role, const std::string& cause) {
+  members_ = followers();
   role_ = role;
   leader_ = {};
   look_after_ = executor_.Now() + kLookAfterYield;
@@ -235,14 +254,14 @@
 }
 
 void Leadership::Suspect(Millis quiet, const std::string& cause) {
-  if (role_ != Role::kFollowing || looking_) return;
+  if (role_ == Role::kLeading || looking_) return;
   if (executor_.Now() < look_after_) return;
   looking_ = true;
   suspected_term_ = term_;
   logging::Event(
       Level::kInfo, "leader suspected",
       {{"term", Text(term_)}, {"leader", leader_.name}, {"cause", cause}});
-  const Millis delay = ClaimDelay();
+  const Millis delay = role_ == Role::kResigned ? Millis(0) : ClaimDelay();
   if (delay == Millis(0)) return Look(quiet, std::nullopt);
   executor_.RunAfter(delay, [this, quiet] { Look(quiet, std::nullopt); });
 }
@@ -266,7 +285,7 @@
 void Leadership::OnLook(Millis quiet, std::optional<int64_t> seen_end,
                         TimePoint asked,
                         const Result<ports::NewestPage>& page) {
-  if (role_ != Role::kFollowing || term_ != suspected_term_) {
+  if (role_ == Role::kLeading || term_ != suspected_term_) {
     return EndLook(Millis(0));
   }
   if (!page.ok()) {
@@ -283,18 +302,20 @@
   }
   const int64_t end = page.value().end_offset;
   const TimePoint now = executor_.Now();
-  if (record.term == 0) return Claim(1, end);
+  const bool may_claim = role_ == Role::kFollowing;
+  if (record.term == 0 && may_claim) return Claim(1, end);
   if (record.term > term_ ||
       (record.term == term_ && leader_.address.empty())) {
     const bool own = record.leader.address == options_.member.address;
     // Its own record of an earlier life: nobody else leads.
-    if (own) {
+    if (own && may_claim) {
       term_ = record.term;
       return Claim(record.term + 1, end);
     }
     Follow(record.term, record.leader);
-    return EndLook(Millis(0));
+    return EndLook(own ? kLookAgain : Millis(0));
   }
+  if (!may_claim) return EndLook(kLookAgain);
   const bool certain = quiet == Millis(0);
   const bool admitted = quiet == options_.quiet_admitted;
   if (last_heard_ > asked && !certain && !admitted) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -68,7 +68,8 @@
              JobPeerPort& peers, LeadershipOptions options, Events events);
 
   void Start();
-  /// Tells the others to take over at once, and claims nothing any more.
+  /// Tells the others to take over at once, and claims nothing any more. Goes
+  /// on following whoever leads, so that callers are served to the end.
   void Resign();
   /// Steps down, since somebody else was found to lead.
   void StepDown(const std::string& cause);
@@ -90,12 +91,14 @@
   enum class Role { kFollowing, kLeading, kResigned };
 
   void Tick();
+  /// Greets another entry in turn, since no leader is known.
+  void AskAround();
   void Greet(const std::string& address);
   void OnHelloReply(const std::string& address,
                     const Result<wire::HelloReply>& reply);
   void Follow(int64_t term, const wire::Member& leader);
-  /// Looks at the store, and claims if the leader's record stands still for
-  /// `quiet`; at once if that is 0.
+  /// Looks at the store who leads. Claims if the leader's record stands still
+  /// for `quiet`, at once if that is 0; a resigned entry only looks.
   void Suspect(Millis quiet, const std::string& cause);
   void Look(Millis quiet, std::optional<int64_t> seen_end);
   void OnLook(Millis quiet, std::optional<int64_t> seen_end, TimePoint asked,
@@ -123,6 +126,8 @@
   wire::Member leader_;
   TimePoint last_heard_{};
   bool greeting_ = false;
+  TimePoint ask_after_{};
+  size_t asked_ = 0;
   bool looking_ = false;
   /// Term of the leader that is looked into.
   int64_t suspected_term_ = 0;
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -5,6 +5,7 @@
 #include <array>
 #include <atomic>
 #include <deque>
+#include <unordered_set>
 
 #include "src/libs/http/parser.h"
 #include "src/libs/logging/log.h"
@@ -21,6 +22,10 @@
 constexpr int kSilenceTimeoutMs = 5000;
 /// Pause after a failed accept (descriptors used up), in ms.
 constexpr Millis kAcceptPause{50};
+/// After the end of the intake, time for a request that was sent just before: a
+/// connection closed at once would break under a caller who is writing to it.
+/// Ten times the longest way to a caller in one region (a few ms), rounded up.
+constexpr Millis kLastRequestGrace{100};
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
@@ -50,6 +55,8 @@
   return out;
 }
 
+class Session;
+
 }  // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
@@ -61,6 +68,8 @@
         pause(io_in) {}
 
   void AcceptNext();
+  void StartSession(tcp::socket socket);
+  void EndIntake();
 
   asio::io_context& io;
   ServerOptions options;
@@ -70,6 +79,9 @@
   std::atomic<bool> closing{false};
   std::atomic<int64_t> open_requests{0};
   std::atomic<size_t> connections{0};
+  /// Thread of `io` only.
+  bool intake_ended = false;
+  std::unordered_set<Session*> sessions;
 };
 
 namespace {
@@ -84,8 +96,14 @@
         parser_({.kind = MessageKind::kRequest,
                  .max_body = server_->options.max_body}) {
     ++server_->connections;
+    server_->sessions.insert(this);
+  }
+  ~Session() {
+    server_->sessions.erase(this);
+    --server_->connections;
   }
-  ~Session() { --server_->connections; }
+  Session(const Session&) = delete;
+  Session& operator=(const Session&) = delete;
 
   void Start() {
     std::error_code ignored;  // an option that is refused only costs time
@@ -95,13 +113,21 @@
     ReadNext();
   }
 
+  /// A connection that waits for a request waits only a moment longer.
+  void OnIntakeEnded() {
+    if (reading_ && !parser_.inside_message()) Arm(kLastRequestGrace);
+  }
+
  private:
   void ReadNext() {
+    reading_ = true;
     Arm(parser_.inside_message() ? server_->options.request_timeout
+        : server_->intake_ended  ? kLastRequestGrace
                                  : server_->options.idle_timeout);
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t bytes) {
+          self->reading_ = false;
           self->timer_.cancel();
           if (error) return self->Close();
           self->OnBytes({self->buffer_.data(), bytes});
@@ -112,10 +138,18 @@
     timer_.expires_after(limit);
     timer_.async_wait([weak = weak_from_this()](std::error_code error) {
       auto self = weak.lock();
-      if (!error && self) self->Close();
+      if (!error && self) self->OnTimeout();
     });
   }
 
+  void OnTimeout() {
+    // A request that came in the last moment is read, not thrown away: the
+    // pending read is about to deliver it.
+    std::error_code error;
+    if (reading_ && socket_.available(error) > 0 && !error) return;
+    Close();
+  }
+
   void OnBytes(std::string_view bytes) {
     const bool good = parser_.Feed(bytes, [this](ParsedMessage message) {
       ++server_->open_requests;
@@ -142,7 +176,10 @@
   }
 
   void Write(const Response& response, bool counted) {
-    keep_alive_ = keep_alive_ && !server_->closing;
+    // A stopping server answers what a caller has sent ahead before it ends the
+    // connection; nothing that was read may go without an answer.
+    const bool more = !requests_.empty() || parser_.inside_message();
+    keep_alive_ = keep_alive_ && (!server_->closing || more);
     out_ = Serialize(response, keep_alive_);
     asio::async_write(
         socket_, asio::buffer(out_),
@@ -188,13 +225,36 @@
   Parser parser_;
   std::deque<ParsedMessage> requests_;
   bool keep_alive_ = true;
+  bool reading_ = false;
   std::string out_;
   std::array<char, kReadBytes> buffer_{};
 };
 
 }  // namespace
 
+void Server::Private::StartSession(tcp::socket socket) {
+  if (connections >= options.max_connections) return;
+  std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
+}
+
+void Server::Private::EndIntake() {
+  closing = true;
+  intake_ended = true;
+  // Callers whose connection the kernel has accepted already are served; those
+  // who come after the listener is closed are told at once, and go elsewhere.
+  std::error_code error;
+  acceptor.non_blocking(true, error);
+  while (!error) {
+    tcp::socket socket = acceptor.accept(error);
+    if (!error) StartSession(std::move(socket));
+  }
+  std::error_code ignored;  // it is gone either way
+  acceptor.close(ignored);
+  for (Session* session : sessions) session->OnIntakeEnded();
+}
+
 void Server::Private::AcceptNext() {
+  if (intake_ended) return;
   acceptor.async_accept(
       [self = shared_from_this()](std::error_code error, tcp::socket socket) {
         if (error == asio::error::operation_aborted) return;
@@ -206,9 +266,7 @@
             if (!stopped) self->AcceptNext();
           });
         }
-        if (self->connections < self->options.max_connections) {
-          std::make_shared<Session>(std::move(socket), self)->Start();
-        }
+        self->StartSession(std::move(socket));
         self->AcceptNext();
       });
 }
@@ -241,7 +299,12 @@
 
 void Server::BeginShutdown() { d_->closing = true; }
 
-void Server::EndIntake() {}
+void Server::EndIntake(std::function<void()> done) {
+  asio::post(d_->io, [d = d_, done = std::move(done)] {
+    d->EndIntake();
+    done();
+  });
+}
 
 int64_t Server::open_requests() const { return d_->open_requests.load(); }
 
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -45,10 +45,11 @@
   /// From now on each response closes its connection. Thread-safe.
   void BeginShutdown();
 
-  /// No request is read any more, but for those of which a part has come:
-  /// further connections are refused, those without a request are closed.
-  /// Thread-safe.
-  void EndIntake();
+  /// Takes no connection any more, and closes those on which no request is
+  /// under way. Requests that were read, or of which a part has come, are
+  /// answered, each connection's last one with its end. `done` runs on the
+  /// thread of `io` when further connections are refused. Thread-safe.
+  void EndIntake(std::function<void()> done = [] {});
 
   /// Requests read and not yet answered. Thread-safe.
   int64_t open_requests() const;
--- a/src/shutdown/shutdown_plan.cc
+++ b/src/shutdown/shutdown_plan.cc
@@ -5,9 +5,15 @@
 ShutdownStep NextStep(const ShutdownOptions& options,
                       const ShutdownView& view) {
   if (view.waited >= options.limit) return ShutdownStep::kEnd;
-  const bool quiet = view.open_requests == 0;
-  if (quiet && view.waited >= options.unready) return ShutdownStep::kEnd;
-  return ShutdownStep::kServe;
+  if (!view.intake_ended) {
+    return view.waited >= options.unready ? ShutdownStep::kEndIntake
+                                          : ShutdownStep::kServe;
+  }
+  // With the intake open a moment without open requests proves nothing: the
+  // next one comes before the process is gone, and its caller sees the
+  // connection close. After its end these counts only fall.
+  const bool all_answered = view.open_requests == 0 && view.connections == 0;
+  return all_answered ? ShutdownStep::kEnd : ShutdownStep::kServe;
 }
 
 }  // namespace mimosarail::shutdown
--- a/src/shutdown/shutdown_plan.h
+++ b/src/shutdown/shutdown_plan.h
@@ -42,7 +42,8 @@
     EnumName{ShutdownStep::kEnd, "end"},
 }};
 
-/// What a stopping process does next. Thread-safe.
+/// What a stopping process does next: it serves until the balancer has noticed,
+/// then takes nothing more, answers what it took, and ends. Thread-safe.
 ShutdownStep NextStep(const ShutdownOptions& options, const ShutdownView& view);
 
 }  // namespace mimosarail::shutdown
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -167,6 +167,115 @@
   std::vector<JobId> jobs_;
 };
 
+/// Entries are stopped in series, so that their stops overlap, while callers
+/// send to all of them and the leader, the store or links between entries fail.
+class StopsInSeries {
+ public:
+  explicit StopsInSeries(uint64_t seed) : random_(seed) {}
+
+  void Play() {
+    cell_.RunFor(Millis(2000));
+    for (const std::string& name : cell_.names()) {
+      BeginStop(name);
+      RunFor(Millis(500 + Pick(3000)));
+    }
+    RunFor(kShutdown);
+    cell_.store().faults() = {};
+    for (const auto& name : cell_.names()) cell_.Cut(name, false);
+    cell_.RunFor(Millis(25000));
+    for (const std::string& what : cell_.Broken()) BOOST_ERROR(what);
+    for (const JobId id : jobs_) {
+      if (!cell_.accepted(id)) continue;
+      const auto state = cell_.State(id);
+      BOOST_CHECK_MESSAGE(state && IsFinal(*state),
+                          "accepted and never ended: " << JobIdText(id));
+    }
+  }
+
+ private:
+  static constexpr Millis kUnready{2600};
+  static constexpr Millis kShutdown{5200};
+  static constexpr Millis kGap{100};
+
+  struct Stopping {
+    TimePoint since;
+    std::vector<JobId> taken;
+  };
+
+  uint64_t Pick(uint64_t below) { return random_() % below; }
+
+  void BeginStop(const std::string& name) {
+    cell_.entry(name)->BeginShutdown();
+    stopping_[name].since = cell_.clock().now();
+  }
+
+  void RunFor(Millis span) {
+    for (Millis passed{0}; passed < span; passed += kGap) {
+      for (const std::string& name : cell_.names()) SubmitAt(name);
+      if (Pick(100) < 12) Fault();
+      cell_.RunFor(kGap);
+      EndProcesses();
+    }
+  }
+
+  void SubmitAt(const std::string& name) {
+    const auto stopping = stopping_.find(name);
+    const TimePoint now = cell_.clock().now();
+    if (stopping != stopping_.end() &&
+        now - stopping->second.since >= kUnready) {
+      return;  // its intake has ended
+    }
+    const JobId id = 0xdef0000 + jobs_.size();
+    jobs_.push_back(id);
+    cell_.upstreams().script({id, 0, 0, 0}).takes = Millis(20 + Pick(100));
+    cell_.Submit(name, OneStepJob(id, 1, 500));
+    if (stopping != stopping_.end()) stopping->second.taken.push_back(id);
+  }
+
+  void EndProcesses() {
+    const TimePoint now = cell_.clock().now();
+    for (auto at = stopping_.begin(); at != stopping_.end();) {
+      if (now - at->second.since < kShutdown) {
+        ++at;
+        continue;
+      }
+      for (const JobId id : at->second.taken) {
+        BOOST_CHECK_MESSAGE(
+            cell_.answered(id),
+            "ended with a call open: " << JobIdText(id) << " at " << at->first);
+      }
+      cell_.Restart(at->first);
+      at = stopping_.erase(at);
+    }
+  }
+
+  void Fault() {
+    auto& store = cell_.store().faults();
+    const auto names = cell_.names();
+    const std::string& some = names[Pick(names.size())];
+    switch (Pick(5)) {
+      case 0:
+        store.down = !store.down;
+        return;
+      case 1:
+        return cell_.Cut(some, true);
+      case 2:
+        for (const auto& name : names) cell_.Cut(name, false);
+        return;
+      case 3:
+        store.turned_away.insert(some);
+        return;
+      default:
+        store = {};
+    }
+  }
+
+  std::mt19937_64 random_;
+  JobCell cell_{{.seeds = {"entry-0", "entry-1", "entry-2"}}};
+  std::vector<JobId> jobs_;
+  std::map<std::string, Stopping> stopping_;
+};
+
 }  // namespace
 
 /// MIMOSARAIL_TRACE=1 prints the log lines of a run.
@@ -186,6 +295,11 @@
   BOOST_TEST_CONTEXT("seed " << seed) { Schedule(seed).Play(); }
 }
 
+BOOST_DATA_TEST_CASE(StopsInSeriesAnswerAllTheyTook,
+                     boost::unit_test::data::xrange(SeedCount()), seed) {
+  BOOST_TEST_CONTEXT("seed " << seed) { StopsInSeries(seed).Play(); }
+}
+
 /// A caller sends one job. It is stored, runs once and is shown as complete.
 BOOST_AUTO_TEST_CASE(ACalmJobRunsOnce) {
   JobCell cell({});
