Tests: Show a cancel that is dropped with the leader's office, failing

Red on this code: both cancels have no answer, and a request whose responder is dropped sees its connection close.

--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -500,6 +500,45 @@
   BOOST_TEST(cell.accepted(61));
 }
 
+/// A caller cancels a report and sees the connection close without an answer.
+/// The entry that it asked led, and was stopped while the cancel's record was
+/// on its way to a slow store; with the office went all that waited for the
+/// record.
+BOOST_AUTO_TEST_CASE(ACancelAtAResigningLeaderIsAnswered) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  cell.upstreams().script({64, 0, 0, 0}).takes = Millis(9000);
+  cell.Submit(leader, OneStepJob(64, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_REQUIRE(cell.accepted(64));
+  cell.store().faults().down = true;
+  cell.Cancel(leader, 64);
+  cell.RunFor(Millis(50));
+  cell.entry(leader)->BeginShutdown();
+  cell.RunFor(Millis(5000));
+  BOOST_TEST(cell.cancel_answered(64));
+}
+
+/// A caller cancels a report while the store is silent. The leader's own
+/// callers were held for as long as that lasted, long past the time that they
+/// had.
+BOOST_AUTO_TEST_CASE(ACancelIsNotHeldPastItsTime) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  cell.upstreams().script({66, 0, 0, 0}).takes = Millis(9000);
+  cell.Submit(leader, OneStepJob(66, 1, 1000));
+  cell.RunFor(Millis(500));
+  cell.store().faults().down = true;
+  for (const auto& name : cell.names()) {
+    if (name != leader) cell.Kill(name);
+  }
+  cell.Cancel(leader, 66);
+  cell.RunFor(Millis(4000));
+  BOOST_TEST(cell.cancel_answered(66));
+}
+
 /// A stopping entry takes a push and holds it until it is too late to ask
 /// elsewhere. Its leader had died, the next one's announcement was lost, and an
 /// entry that may not claim the lead looked for no other leader either.
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -169,8 +169,10 @@
   auto& process = processes_[entry];
   if (!process) return;
   auto* target = process->entry.get();
+  ++cancels_[id];
   process->executor.Post([this, target, id] {
     target->Cancel(id, kCallerLimit, [this, id](jobentry::JobAnswer answer) {
+      ++cancel_answers_[id];
       if (answer.verdict == coordinator::JobVerdict::kDone) {
         cancelled_.insert(id);
       }
@@ -178,6 +180,13 @@
   });
 }
 
+bool JobCell::cancel_answered(JobId id) const {
+  const auto called = cancels_.find(id);
+  const auto answered = cancel_answers_.find(id);
+  return called != cancels_.end() && answered != cancel_answers_.end() &&
+         answered->second >= called->second;
+}
+
 std::optional<JobState> JobCell::State(JobId id) {
   // An answer may come after this has returned.
   struct Asked {
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -87,6 +87,8 @@
   std::optional<JobState> State(JobId id);
   bool accepted(JobId id) const { return accepted_.count(id) > 0; }
   bool cancelled(JobId id) const { return cancelled_.count(id) > 0; }
+  /// Every call for cancelling it had an answer, whatever it was.
+  bool cancel_answered(JobId id) const;
   /// Every call had an answer, whatever it was.
   bool answered(JobId id) const;
   /// Every answer was a refusal.
@@ -120,6 +122,9 @@
   std::set<JobId> accepted_;
   std::set<JobId> cancelled_;
   std::map<JobId, size_t> submits_;
+  /// Calls for cancelling that were made and that were answered.
+  std::map<JobId, size_t> cancels_;
+  std::map<JobId, size_t> cancel_answers_;
   std::map<JobId, std::vector<coordinator::JobVerdict>> answers_;
 };
 
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -84,6 +84,12 @@
     return held_.size();
   }
 
+  /// Loses the requests, as when what holds them goes.
+  void DropAll() {
+    std::lock_guard lock(mutex_);
+    held_.clear();
+  }
+
   void AnswerAll() {
     std::vector<http::Responder> held;
     {
@@ -196,4 +202,18 @@
   BOOST_TEST(held.server().open_requests() == 0);
 }
 
+/// A caller sees the connection close without an answer, and cannot know
+/// whether its request ran. What was to answer it had gone: the callbacks that
+/// waited for a lost office were dropped, and the connection with them.
+BOOST_AUTO_TEST_CASE(ADroppedRequestIsAnswered) {
+  HeldServer held;
+  std::error_code error;
+  tcp::socket caller = held.Connect(error);
+  BOOST_REQUIRE(!error);
+  Send(caller, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n");
+  held.WaitForHeld(1);
+  held.DropAll();
+  BOOST_TEST(ReadToEnd(caller).find("HTTP/1.1 504") == 0U);
+}
+
 }  // namespace mimosarail::shutdown
