--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -265,9 +265,9 @@
           .lease = options_.lease,
           .earlier_holder = options_.earlier_leader});
   links_[index] = link;
-  journal_->WhenStored([weak = weak_from_this(), link] {
+  journal_->WhenStored([weak = weak_from_this(), link](bool stored) {
     const auto self = weak.lock();
-    if (self && !self->closed_) link->Open();
+    if (stored && self && !self->closed_) link->Open();
   });
 }
 
@@ -366,24 +366,30 @@
     journal_->Put(SpecKey(id), rpc::Encode(stored));
     const int64_t number = ++hand_ins_;
     arriving_[id].number = number;
-    journal_->WhenStored([weak = weak_from_this(), stored, id, number] {
-      const auto self = weak.lock();
-      if (!self || self->closed_) return;
-      const auto still = self->arriving_.find(id);
-      if (still == self->arriving_.end()) return;
-      if (still->second.number == number) self->OnJobStored(stored);
-    });
+    journal_->WhenStored(
+        [weak = weak_from_this(), stored, id, number](bool kept) {
+          const auto self = weak.lock();
+          if (!kept || !self || self->closed_) return;
+          const auto still = self->arriving_.find(id);
+          if (still == self->arriving_.end()) return;
+          if (still->second.number == number) self->OnJobStored(stored);
+        });
   }
-  // The store may be slow: the caller hears that it is not known yet.
+  arriving_[id].waiters.push_back(AnswerInTime<wire::SubmitJobReply>(
+      std::move(done), SubmitReply(JobVerdict::kUnknown)));
+}
+
+template <typename Reply>
+std::function<void(Reply)> Coordinator::AnswerInTime(
+    std::function<void(Reply)> done, Reply late) {
   auto answered = std::make_shared<bool>(false);
-  auto once = [answered,
-               done = std::move(done)](const wire::SubmitJobReply& reply) {
+  auto once = [answered, done = std::move(done)](const Reply& reply) {
     if (std::exchange(*answered, true)) return;
     done(reply);
   };
-  arriving_[id].waiters.push_back(once);
   deps_.executor.RunAfter(options_.answer_limit,
-                          [once] { once(SubmitReply(JobVerdict::kUnknown)); });
+                          [once, late = std::move(late)] { once(late); });
+  return once;
 }
 
 void Coordinator::RefuseUnsent() {
@@ -464,8 +470,11 @@
   scheduler_.Cancel(id, deps_.executor.Now(), orders);
   deps_.metrics.Count({.name = "jobs_cancelled"});
   Pump(orders);
-  journal_->WhenStored(
-      [done = std::move(done)] { done(CancelReply(JobVerdict::kDone)); });
+  auto once = AnswerInTime<wire::CancelJobReply>(
+      std::move(done), CancelReply(JobVerdict::kUnknown));
+  journal_->WhenStored([once = std::move(once)](bool stored) {
+    once(CancelReply(stored ? JobVerdict::kDone : JobVerdict::kUnknown));
+  });
 }
 
 wire::PendingJobsReply Coordinator::Pending(const std::string& queue) const {
@@ -503,9 +512,9 @@
   if (ended.empty()) return;
   PlaceSoon();
   const int64_t last = ended.back().number;
-  journal_->WhenStored([weak = weak_from_this(), upstream, last] {
+  journal_->WhenStored([weak = weak_from_this(), upstream, last](bool stored) {
     const auto self = weak.lock();
-    if (!self || self->closed_) return;
+    if (!stored || !self || self->closed_) return;
     const auto link = self->links_.find(upstream);
     if (link != self->links_.end()) link->second->EndsSafe(last);
   });
@@ -590,10 +599,11 @@
     if (job == nullptr) continue;
     journal_->Put(ProgressKey(id), rpc::Encode(job->Progress()));
     if (!job->final() || finals_.count(id) > 0) continue;
-    journal_->WhenStored([weak = weak_from_this(), id, state = job->state()] {
-      const auto self = weak.lock();
-      if (self && !self->closed_) self->Finished(id, state);
-    });
+    journal_->WhenStored(
+        [weak = weak_from_this(), id, state = job->state()](bool stored) {
+          const auto self = weak.lock();
+          if (stored && self && !self->closed_) self->Finished(id, state);
+        });
   }
 }
 
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -38,7 +38,7 @@
   /// what the last append took: a store that is slow, at some 0.4 s an append,
   /// still takes them, one that is silent does not.
   Millis unsent_patience{700};
-  /// An accepted job's caller is told "unknown" after this.
+  /// A caller whose job or cancel is not stored is told "unknown" after this.
   Millis answer_limit{900};
   /// A final job's tasks may still be listed as running for this long.
   Millis keep_spec{15000};
@@ -69,7 +69,8 @@
   Coordinator(Dependencies deps, CoordinatorOptions options);
 
   void Start();
-  /// Gives no orders and answers nothing any more.
+  /// Gives no orders any more. Whoever waits for an answer is told that it is
+  /// not known, so that the next leader is asked.
   void Close();
 
   /// Entries that may be asked to call the adviser, this one among them.
@@ -121,6 +122,11 @@
   void DropFinalJobs();
   void ExplainWaiting();
 
+  /// A reply that is given once: by the returned function, or `late` when the
+  /// store has let the caller wait for `answer_limit`.
+  template <typename Reply>
+  std::function<void(Reply)> AnswerInTime(std::function<void(Reply)> done,
+                                          Reply late);
   void OnJobStored(const wire::JobSpec& spec);
   /// Refuses the jobs that wait for a store that does not answer.
   void RefuseUnsent();
--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -15,8 +15,9 @@
       options_(std::move(options)),
       lost_(std::move(lost)) {}
 
-void Journal::Open(Stored done) {
-  in_flight_.waiters.push_back([this, done = std::move(done)] {
+void Journal::Open(std::function<void()> done) {
+  in_flight_.waiters.push_back([this, done = std::move(done)](bool stored) {
+    if (!stored) return;
     open_ = true;
     done();
   });
@@ -25,8 +26,11 @@
 
 void Journal::Close() {
   closed_ = true;
-  waiters_.clear();
-  in_flight_.waiters.clear();
+  for (auto* waiters : {&in_flight_.waiters, &waiters_}) {
+    for (Stored& waiter : std::exchange(*waiters, {})) {
+      executor_.Post([waiter = std::move(waiter)] { waiter(false); });
+    }
+  }
 }
 
 void Journal::Put(const std::string& key, std::string value) {
@@ -45,12 +49,10 @@
 }
 
 void Journal::WhenStored(Stored done) {
-  if (pending_.empty() && !sending_) {
+  const bool stored = pending_.empty() && !sending_;
+  if (closed_ || stored) {
     // Keeps the order of callbacks: never inside the call.
-    return executor_.Post([weak = weak_from_this(), done = std::move(done)] {
-      const auto self = weak.lock();
-      if (self && !self->closed_) done();
-    });
+    return executor_.Post([stored, done = std::move(done)] { done(stored); });
   }
   if (pending_.empty()) return in_flight_.waiters.push_back(std::move(done));
   waiters_.push_back(std::move(done));
@@ -113,7 +115,7 @@
     sending_ = false;
     last_stored_ = executor_.Now();
     const Batch done = std::exchange(in_flight_, {});
-    for (const Stored& waiter : done.waiters) waiter();
+    for (const Stored& waiter : done.waiters) waiter(true);
     if (!closed_) ScheduleFlush();
     return;
   }
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -33,9 +33,10 @@
 /// Control thread only.
 class Journal : public std::enable_shared_from_this<Journal> {
  public:
-  /// Told once whether everything put before it was asked for is stored. Never
-  /// told when the journal is closed first.
-  using Stored = std::function<void()>;
+  /// Told once: whether all that was put before it was asked for is stored, or
+  /// the journal was closed first and it may be stored or not. A caller waits
+  /// for the answer, so that neither end may leave it out.
+  using Stored = std::function<void(bool stored)>;
 
   /// `lost` runs once, when another writer has taken over. The executor and
   /// store outlive the journal.
@@ -43,8 +44,8 @@
           JournalOptions options, std::function<void()> lost);
 
   /// Fences earlier writers; `done` runs when that has taken effect.
-  void Open(Stored done);
-  /// Nothing more is written or told.
+  void Open(std::function<void()> done);
+  /// Nothing more is written; all that waits is told so, after this call.
   void Close();
 
   void Put(const std::string& key, std::string value);
@@ -52,7 +53,7 @@
   /// Takes back what was put under this key; false if it is on its way to the
   /// store, or stored. Once true, no earlier Put() of it takes effect.
   bool Withdraw(const std::string& key);
-  /// Runs `done` when all that was put so far is stored.
+  /// Runs `done` when all that was put so far is stored, or never will be.
   void WhenStored(Stored done);
 
   TimePoint last_stored() const { return last_stored_; }
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -31,12 +31,20 @@
   switch (status) {
     case 200:
       return "OK";
+    case 400:
+      return "Bad Request";
     case 404:
       return "Not Found";
+    case 405:
+      return "Method Not Allowed";
+    case 410:
+      return "Gone";
     case 429:
       return "Too Many Requests";
     case 503:
       return "Service Unavailable";
+    case 504:
+      return "Gateway Timeout";
     default:
       return "Status";
   }
@@ -163,16 +171,43 @@
     HandleNext();
   }
 
+  /// The answer of one request. A handler that loses it, as when what the
+  /// request waited for has gone, would leave its caller with a connection that
+  /// closes without a word; the caller is told that the outcome is not known.
+  class Answer {
+   public:
+    explicit Answer(std::shared_ptr<Session> session)
+        : session_(std::move(session)) {}
+    ~Answer() {
+      if (!session_) return;
+      logging::Event(logging::Level::kError, "request dropped by its handler");
+      Give({.status = 504});
+    }
+    Answer(const Answer&) = delete;
+    Answer& operator=(const Answer&) = delete;
+
+    void Give(Response response) {
+      auto session = std::exchange(session_, nullptr);
+      if (!session) return;
+      auto& io = session->server_->io;
+      asio::post(
+          io, [session = std::move(session), response = std::move(response)] {
+            session->Write(response, true);
+          });
+    }
+
+   private:
+    std::shared_ptr<Session> session_;
+  };
+
   void HandleNext() {
     ParsedMessage message = std::move(requests_.front());
     requests_.pop_front();
     keep_alive_ = message.keep_alive;
-    server_->handler(std::move(message.request), [self = shared_from_this()](
-                                                     Response response) {
-      asio::post(self->server_->io, [self, response = std::move(response)] {
-        self->Write(response, true);
-      });
-    });
+    server_->handler(
+        std::move(message.request),
+        [answer = std::make_shared<Answer>(shared_from_this())](
+            Response response) { answer->Give(std::move(response)); });
   }
 
   void Write(const Response& response, bool counted) {
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -200,6 +200,7 @@
   struct Stopping {
     TimePoint since;
     std::vector<JobId> taken;
+    std::vector<JobId> cancelled;
   };
 
   uint64_t Pick(uint64_t below) { return random_() % below; }
@@ -230,6 +231,14 @@
     cell_.upstreams().script({id, 0, 0, 0}).takes = Millis(20 + Pick(100));
     cell_.Submit(name, OneStepJob(id, 1, 500));
     if (stopping != stopping_.end()) stopping->second.taken.push_back(id);
+    if (Pick(100) >= 15) return;
+    // No job is cancelled at two entries.
+    const JobId other = jobs_[Pick(jobs_.size())];
+    if (!cancelled_.insert(other).second) return;
+    cell_.Cancel(name, other);
+    if (stopping != stopping_.end()) {
+      stopping->second.cancelled.push_back(other);
+    }
   }
 
   void EndProcesses() {
@@ -244,6 +253,11 @@
             cell_.answered(id),
             "ended with a call open: " << JobIdText(id) << " at " << at->first);
       }
+      for (const JobId id : at->second.cancelled) {
+        BOOST_CHECK_MESSAGE(cell_.cancel_answered(id),
+                            "ended with a cancel open: "
+                                << JobIdText(id) << " at " << at->first);
+      }
       cell_.Restart(at->first);
       at = stopping_.erase(at);
     }
@@ -273,6 +287,7 @@
   std::mt19937_64 random_;
   JobCell cell_{{.seeds = {"entry-0", "entry-1", "entry-2"}}};
   std::vector<JobId> jobs_;
+  std::set<JobId> cancelled_;
   std::map<std::string, Stopping> stopping_;
 };
 
@@ -448,7 +463,7 @@
   clock.RunFor(Millis(100));
   journal->Put("second", "b");
   bool told = false;
-  journal->WhenStored([&told] { told = true; });
+  journal->WhenStored([&told](bool stored) { told = stored; });
   BOOST_TEST(!journal->Withdraw("first"));
   BOOST_TEST(journal->Withdraw("second"));
   clock.RunFor(Millis(3000));
