Logging: Use Boost.Log on one thread, so that the thread sanitizer sees all of it

Cause of the race report that was known red: the library of Debian is not built for the thread sanitizer. The report was suppressed by name, which could hide a real race behind the same frame.

Change: lines are queued under a mutex of our own, and one thread of ours formats and writes them; a batch is flushed at once instead of each line. The time of a line is when the event happened, in UTC.

--- a/src/libs/logging/log.cc
+++ b/src/libs/logging/log.cc
@@ -1,20 +1,26 @@
 #include "src/libs/logging/log.h"
 
+#include <array>
 #include <atomic>
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sinks/async_frontend.hpp>
-#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/sync_frontend.hpp>
 #include <boost/log/sinks/text_ostream_backend.hpp>
-#include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/support/date_time.hpp>
-#include <boost/log/utility/setup/common_attributes.hpp>
 #include <boost/make_shared.hpp>
+#include <chrono>
+#include <condition_variable>
+#include <cstdio>
+#include <ctime>
+#include <deque>
 #include <iostream>
+#include <memory>
+#include <mutex>
 #include <nlohmann/json.hpp>
+#include <thread>
+#include <utility>
 
 #include "src/libs/base/enum_table.h"
 
@@ -23,8 +29,6 @@
 
 namespace bl = boost::log;
 
-BOOST_LOG_INLINE_GLOBAL_LOGGER_DEFAULT(EventLogger, bl::sources::logger_mt)
-
 constexpr EnumTable kLevelNames{std::array{
     EnumName{Level::kDebug, "debug"},
     EnumName{Level::kInfo, "info"},
@@ -38,51 +42,98 @@
 
 std::atomic<int64_t> dropped_lines{0};
 
-/// Drops what does not fit, and counts it.
-struct CountingDrop {
-  template <typename Lock>
-  static bool on_overflow(const bl::record_view&, Lock&) {
-    ++dropped_lines;
-    return false;
+/// Writes lines to standard output on a thread of its own. Boost.Log is used on
+/// that thread alone: its library is not built for the thread sanitizer, which
+/// takes what the library does between threads for races.
+class Writer {
+ public:
+  Writer() : thread_([this] { Run(); }) {}
+  ~Writer() {
+    {
+      std::lock_guard lock(mutex_);
+      stopping_ = true;
+    }
+    filled_.notify_one();
+    thread_.join();
+  }
+  Writer(const Writer&) = delete;
+  Writer& operator=(const Writer&) = delete;
+
+  /// False when the queue is full. Safe from any thread.
+  bool Offer(std::string line) {
+    {
+      std::lock_guard lock(mutex_);
+      if (lines_.size() >= kQueuedLines) return false;
+      lines_.push_back(std::move(line));
+    }
+    filled_.notify_one();
+    return true;
   }
-  static void on_queue_space_available() {}
-  static void interrupt() {}
-};
 
-using Sink = bl::sinks::asynchronous_sink<
-    bl::sinks::text_ostream_backend,
-    bl::sinks::bounded_fifo_queue<kQueuedLines, CountingDrop>>;
+ private:
+  void Run() {
+    auto backend = boost::make_shared<bl::sinks::text_ostream_backend>();
+    backend->add_stream(
+        boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+    using Sink = bl::sinks::synchronous_sink<bl::sinks::text_ostream_backend>;
+    const auto sink = boost::make_shared<Sink>(backend);
+    sink->set_formatter(bl::expressions::stream << bl::expressions::smessage);
+    bl::core::get()->add_sink(sink);
+    bl::sources::logger logger;
+    for (;;) {
+      const std::deque<std::string> lines = Take();
+      if (lines.empty()) break;
+      for (const std::string& line : lines) BOOST_LOG(logger) << line;
+      sink->flush();
+    }
+    bl::core::get()->remove_sink(sink);
+  }
+
+  /// All that waits; empty when the writer stops and nothing is left.
+  std::deque<std::string> Take() {
+    std::unique_lock lock(mutex_);
+    filled_.wait(lock, [this] { return stopping_ || !lines_.empty(); });
+    return std::exchange(lines_, {});
+  }
+
+  std::mutex mutex_;
+  std::condition_variable filled_;
+  std::deque<std::string> lines_;
+  bool stopping_ = false;
+  std::thread thread_;
+};
 
 std::string instance_name;
 Level least_level = Level::kInfo;
-boost::shared_ptr<Sink> sink;
+std::unique_ptr<Writer> writer;
+
+/// The time of day to the microsecond, UTC.
+std::string TimeText() {
+  using std::chrono::microseconds;
+  constexpr int64_t kMicrosPerSecond = 1000000;
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  const int64_t micros = std::chrono::duration_cast<microseconds>(now).count();
+  const std::time_t seconds = micros / kMicrosPerSecond;
+  std::tm parts{};
+  gmtime_r(&seconds, &parts);
+  std::array<char, 40> text{};
+  const size_t length =
+      std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%S.", &parts);
+  std::snprintf(text.data() + length, text.size() - length, "%06d",
+                static_cast<int>(micros % kMicrosPerSecond));
+  return text.data();
+}
 
 }  // namespace
 
 void Start(std::string_view instance, Level least) {
   instance_name = instance;
   least_level = least;
-  bl::add_common_attributes();
-  auto backend = boost::make_shared<bl::sinks::text_ostream_backend>();
-  backend->add_stream(
-      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
-  backend->auto_flush(true);
-  sink = boost::make_shared<Sink>(backend);
-  sink->set_formatter(
-      bl::expressions::stream
-      << "{\"time\":\""
-      << bl::expressions::format_date_time<boost::posix_time::ptime>(
-             "TimeStamp", "%Y-%m-%dT%H:%M:%S.%f")
-      << "\"," << bl::expressions::smessage);
-  bl::core::get()->add_sink(sink);
+  writer = std::make_unique<Writer>();
 }
 
 void Stop() {
-  if (!sink) return;
-  bl::core::get()->remove_sink(sink);
-  sink->stop();
-  sink->flush();
-  sink.reset();
+  writer.reset();
   instance_name.clear();
 }
 
@@ -96,14 +147,14 @@
            const std::vector<Field>& fields) {
   if (!Enabled(level)) return;
   nlohmann::ordered_json line;
+  line["time"] = TimeText();
   line["level"] = kLevelNames.Name(level);
   line["instance"] = instance_name;
   line["event"] = event;
   for (const Field& field : fields) line[std::string(field.name)] = field.value;
-  const std::string text =
-      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
-  // The sink writes the opening brace with the time.
-  BOOST_LOG(EventLogger::get()) << text.substr(1);
+  const bool queued = writer->Offer(
+      line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+  if (!queued) ++dropped_lines;
 }
 
 }  // namespace mimosarail::logging
