--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -574,6 +574,59 @@
   BOOST_TEST(cell.accepted(62));
 }
 
+/// Callers of one entry are refused for as long as the store turns it away,
+/// though a leader is there and reachable. The leader that it followed had
+/// died, the next one's only announcement was lost, and it went on greeting the
+/// dead one: only an entry without any leader asked the others. Stopping or
+/// not, that is the same.
+BOOST_AUTO_TEST_CASE(AFollowerOfADeadLeaderAsksTheOthers) {
+  for (const bool stops : {false, true}) {
+    BOOST_TEST_CONTEXT((stops ? "stopping" : "serving")) {
+      JobCell cell({});
+      cell.RunFor(Millis(2000));
+      const std::string leader = cell.Leader();
+      const std::string follower = leader == "entry-0" ? "entry-1" : "entry-0";
+      if (stops) cell.entry(follower)->BeginShutdown();
+      cell.store().faults().turned_away.insert(follower);
+      cell.Cut(follower, true);
+      cell.Kill(leader);
+      cell.RunFor(Millis(2000));
+      BOOST_REQUIRE(!cell.Leader().empty());
+      cell.Cut(follower, false);
+      cell.RunFor(Millis(1000));
+      cell.Submit(follower, OneStepJob(67, 1, 1000));
+      cell.RunFor(Millis(500));
+      BOOST_TEST(cell.accepted(67));
+    }
+  }
+}
+
+/// Callers of the entry that led are refused for as long as the store turns it
+/// away, though another leads and is reachable: it took over while the first
+/// was cut off from the others too, and its only announcement was lost. Deposed
+/// by an upstream, the first had forgotten who its followers were and had
+/// nobody to ask; with no upstream to tell it, it went on as if it led.
+BOOST_AUTO_TEST_CASE(ALeaderThatMissedItsSuccessorFindsIt) {
+  for (const int upstreams : {6, 0}) {
+    BOOST_TEST_CONTEXT(upstreams << " upstreams") {
+      JobCell cell({.upstreams = upstreams});
+      cell.RunFor(Millis(2000));
+      const std::string first = cell.Leader();
+      cell.store().faults().turned_away.insert(first);
+      cell.Cut(first, true);
+      cell.RunFor(Millis(4000));
+      BOOST_REQUIRE(cell.Leader() != first);
+      cell.Cut(first, false);
+      cell.RunFor(Millis(1000));
+      BOOST_TEST(!cell.entry(first)->leadership().leading());
+      cell.Submit(first, OneStepJob(68, 1, 1000));
+      cell.RunFor(Millis(500));
+      BOOST_TEST(cell.accepted(68));
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
 /// An entry starts while the store turns it away, and the first of the entries
 /// that it may ask for the leader is gone for good. It asked that one again and
 /// again and never the next, and refused its callers for as long.
