Tests: Show a request sent ahead that a stopping entry throws away, failing

Seen in review. The server looks only at what it has parsed when it decides whether an answer ends its connection. A request that came while the one before was worked on stands in the kernel's buffer; after the end of the connection it was read and dropped. Red on this code: the second request has no answer.

--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -79,6 +79,15 @@
     while (held() < count) std::this_thread::sleep_for(Millis(1));
   }
 
+  /// Whether that many requests come into the handler's hands within seconds.
+  bool ComesToHold(size_t count) {
+    constexpr int kTries = 3000;
+    for (int i = 0; i < kTries && held() < count; ++i) {
+      std::this_thread::sleep_for(Millis(1));
+    }
+    return held() >= count;
+  }
+
   size_t held() {
     std::lock_guard lock(mutex_);
     return held_.size();
@@ -202,6 +211,26 @@
   BOOST_TEST(held.server().open_requests() == 0);
 }
 
+/// A caller sends its next request before it has the answer to the first, and
+/// sees the connection end after that one. The entry was stopped in between: it
+/// ended the connection with the first answer, read the second request, which
+/// had stood in the kernel's buffer, and threw it away.
+BOOST_AUTO_TEST_CASE(WhatStandsInTheBufferIsAnswered) {
+  HeldServer held;
+  std::error_code error;
+  tcp::socket caller = held.Connect(error);
+  BOOST_REQUIRE(!error);
+  Send(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  held.WaitForHeld(1);
+  Send(caller, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  held.server().BeginShutdown();
+  held.AnswerAll();
+  BOOST_REQUIRE(held.ComesToHold(1));
+  held.AnswerAll();
+  const std::string both = ReadToEnd(caller);
+  BOOST_TEST(both.find("whole") != both.rfind("whole"));
+}
+
 /// A caller sees the connection close without an answer, and cannot know
 /// whether its request ran. What was to answer it had gone: the callbacks that
 /// waited for a lost office were dropped, and the connection with them.
