Leadership: Ask the others also beside a silent leader, and as one without trust

Cause: a next leader announces itself once. An entry that misses that and has lost the store had no other way to hear of it. A follower asked others only when it knew no leader at all, not when the one it knew had died; a leader asked nobody, and once deposed had forgotten its followers.

Change: a silent leader is greeted by turns with the others; a leader that trusts itself no more greets them too, and follows a later term; former followers count as known.

Ruled out: stepping down as soon as trust is lost. A lone entry whose store is away would drop its jobs and load them again for nothing.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -1,6 +1,8 @@
 #include "src/leadership/leadership.h"
 
 #include <algorithm>
+#include <set>
+#include <utility>
 
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
@@ -91,34 +93,50 @@
   const TimePoint now = executor_.Now();
   if (role_ == Role::kLeading) {
     if (!renewing_ && now - last_renewed_ >= options_.renew_period) Renew();
+    // Another may have taken over while the announcement could not get here.
+    // With the store out of reach nothing else would tell of it, and callers
+    // here would be refused for as long.
+    if (!trusted()) AskAround();
     return YieldIfWeak();
   }
   if (leader_.address.empty()) {
     AskAround();
     return Suspect(options_.quiet, "no leader known");
   }
-  if (!greeting_ && now - last_heard_ >= options_.hello_period) {
-    Greet(leader_.address);
-  }
-  if (now - last_heard_ > options_.silence) {
-    Suspect(options_.quiet, "leader not heard of");
-  }
+  const bool silent = now - last_heard_ > options_.silence;
+  if (silent) Suspect(options_.quiet, "leader not heard of");
+  if (greeting_) return;
+  // A next leader announces itself once. An entry that missed that and has lost
+  // the store would greet a dead leader for ever, and refuse its callers though
+  // the others know the living one. By turns, since the leader may be back.
+  if (silent && std::exchange(others_next_, !others_next_)) return AskAround();
+  if (now - last_heard_ >= options_.hello_period) Greet(leader_.address);
 }
 
 void Leadership::AskAround() {
   const TimePoint now = executor_.Now();
   if (greeting_ || now < ask_after_) return;
-  std::vector<std::string> others = options_.seeds;
-  for (const wire::Member& member : members_) others.push_back(member.address);
-  others.erase(
-      std::remove(others.begin(), others.end(), options_.member.address),
-      others.end());
+  const std::vector<std::string> others = KnownAddresses();
   if (others.empty()) return;
   ask_after_ = now + kAskPeriod;
   // In turn: one that is gone for good must not hide those that know.
   Greet(others[asked_++ % others.size()]);
 }
 
+std::vector<std::string> Leadership::KnownAddresses() const {
+  std::set<std::string> out(options_.seeds.begin(), options_.seeds.end());
+  for (const wire::Member& member : members_) out.insert(member.address);
+  // However long ago they greeted: who led and lost its office while it was cut
+  // off has heard of nobody lately, and may know no other.
+  for (const auto& [name, follower] : followers_) {
+    out.insert(follower.member.address);
+  }
+  out.insert(leader_.address);
+  out.erase(options_.member.address);
+  out.erase("");
+  return {out.begin(), out.end()};
+}
+
 void Leadership::Greet(const std::string& address) {
   greeting_ = true;
   wire::HelloCall call;
@@ -134,7 +152,13 @@
 
 void Leadership::OnHelloReply(const std::string& address,
                               const Result<wire::HelloReply>& reply) {
-  if (role_ == Role::kLeading) return;
+  if (role_ == Role::kLeading) {
+    if (reply.ok() && reply.value().term > term_) {
+      StepDown("another entry knows a later term");
+      Follow(reply.value().term, reply.value().leader);
+    }
+    return;
+  }
   if (!reply.ok()) {
     if (address != leader_.address) return;
     // Nobody listens there any more: most likely the process has ended.
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -91,8 +91,11 @@
   enum class Role { kFollowing, kLeading, kResigned };
 
   void Tick();
-  /// Greets another entry in turn, since no leader is known.
+  /// Greets another entry in turn, since no leader is known, or none that still
+  /// answers.
   void AskAround();
+  /// Every entry that was ever heard of, without this one, each once.
+  std::vector<std::string> KnownAddresses() const;
   void Greet(const std::string& address);
   void OnHelloReply(const std::string& address,
                     const Result<wire::HelloReply>& reply);
@@ -128,6 +131,8 @@
   bool greeting_ = false;
   TimePoint ask_after_{};
   size_t asked_ = 0;
+  /// While the leader is silent: whether the next question goes to another.
+  bool others_next_ = true;
   bool looking_ = false;
   /// Term of the leader that is looked into.
   int64_t suspected_term_ = 0;
