Http: Answer also a request that stands unread when the server stops

Cause: whether an answer ends its connection was decided by what the parser had seen. A request sent while the one before was worked on was still in the kernel's buffer; it was read after the end of the connection, and thrown away.

Change: bytes that wait to be read keep the connection, as a request that was parsed already does. The same test serves the time-out of a read.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -153,8 +153,7 @@
   void OnTimeout() {
     // A request that came in the last moment is read, not thrown away: the
     // pending read is about to deliver it.
-    std::error_code error;
-    if (reading_ && socket_.available(error) > 0 && !error) return;
+    if (reading_ && BytesWait()) return;
     Close();
   }
 
@@ -213,7 +212,8 @@
   void Write(const Response& response, bool counted) {
     // A stopping server answers what a caller has sent ahead before it ends the
     // connection; nothing that was read may go without an answer.
-    const bool more = !requests_.empty() || parser_.inside_message();
+    const bool more =
+        !requests_.empty() || parser_.inside_message() || BytesWait();
     keep_alive_ = keep_alive_ && (!server_->closing || more);
     out_ = Serialize(response, keep_alive_);
     asio::async_write(
@@ -227,6 +227,12 @@
         });
   }
 
+  /// Whether the caller has sent what nobody has read yet.
+  bool BytesWait() const {
+    std::error_code error;
+    return socket_.available(error) > 0 && !error;
+  }
+
   /// Ends the sending side first: closing with unread bytes would reset the
   /// connection and could destroy the answer on its way.
   void Finish() {
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -223,6 +223,8 @@
   Send(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
   held.WaitForHeld(1);
   Send(caller, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  // Time to reach the buffer: nothing that a caller can see tells when.
+  std::this_thread::sleep_for(Millis(50));
   held.server().BeginShutdown();
   held.AnswerAll();
   BOOST_REQUIRE(held.ComesToHold(1));
