Rpc: Go on accepting after a failed accept

Cause: the accept loop returned at its first error. An instance that had no descriptor left for a moment served its callers on, and no other instance could reach it until it was started anew; as a leader it lost all its followers.

It ends when the listener is closed.

--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -4,6 +4,7 @@
 #include <deque>
 #include <unordered_map>
 
+#include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
@@ -13,6 +14,9 @@
 
 namespace {
 
+/// Pause after a failed accept.
+constexpr Millis kAcceptPause{50};
+
 using HandlerTable = std::unordered_map<int32_t, Handler>;
 
 /// One accepted connection; every member runs on its strand.
@@ -92,13 +96,16 @@
 }  // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
-  explicit Private(asio::io_context& io_in) : io(io_in), acceptor(io_in) {}
+  explicit Private(asio::io_context& io_in)
+      : io(io_in), acceptor(io_in), pause(io_in) {}
 
   void AcceptNext() {
+    if (!acceptor.is_open()) return;  // the server has ended
     acceptor.async_accept(asio::make_strand(io), [self = shared_from_this()](
                                                      std::error_code error,
                                                      tcp::socket socket) {
-      if (error) return;
+      if (error == asio::error::operation_aborted) return;
+      if (error) return self->AcceptLater(error);
       std::error_code ignored;
       socket.set_option(tcp::no_delay(true), ignored);
       std::make_shared<Session>(std::move(socket), self->handlers, self->bytes)
@@ -107,8 +114,21 @@
     });
   }
 
+  /// A failure passes, as when descriptors were used up for a moment. With no
+  /// further accept the other instances could not reach this one until it is
+  /// started anew.
+  void AcceptLater(std::error_code cause) {
+    logging::Event(logging::Level::kWarning, "accept failed",
+                   {{"cause", cause.message()}});
+    pause.expires_after(kAcceptPause);
+    pause.async_wait([self = shared_from_this()](std::error_code stopped) {
+      if (!stopped) self->AcceptNext();
+    });
+  }
+
   asio::io_context& io;
   tcp::acceptor acceptor;
+  asio::steady_timer pause;
   std::shared_ptr<HandlerTable> handlers = std::make_shared<HandlerTable>();
   std::shared_ptr<std::atomic<int64_t>> bytes =
       std::make_shared<std::atomic<int64_t>>(0);
