Tests: Show a job denied by a leader that stood still, failing

Seen in review. Red on this code: a cancel and a question that an entry reads first thing after 5 s of standing still are answered 'no such job', for a job that the next leader has taken. The caller takes its cancel for settled, and the job runs.

--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -403,6 +403,36 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// A caller cancels a push and is told that there is no such job; the push runs
+/// all the same. The entry that it asked had led and stood still; the job was
+/// taken by the next leader meanwhile. Awake, it answered from what it had
+/// known, before it had heard that it leads no more.
+BOOST_AUTO_TEST_CASE(AFrozenLeaderDeniesNoJob) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string frozen = cell.Leader();
+  cell.Pause(frozen);
+  cell.RunFor(Millis(5000));
+  cell.upstreams().script({69, 0, 0, 0}).takes = Millis(9000);
+  cell.Submit(cell.Leader(), OneStepJob(69, 1, 1000));
+  cell.RunFor(Millis(200));
+  BOOST_REQUIRE(cell.accepted(69));
+  std::vector<coordinator::JobVerdict> told;
+  const auto note = [&told](const jobentry::JobAnswer& answer) {
+    told.push_back(answer.verdict);
+  };
+  // What came while it stood still is read first.
+  cell.entry(frozen)->Cancel(69, Millis(3000), note);
+  cell.entry(frozen)->State(69, Millis(3000), note);
+  cell.Resume(frozen);
+  cell.RunFor(Millis(4000));
+  BOOST_REQUIRE_EQUAL(told.size(), 2U);
+  for (const auto verdict : told) {
+    BOOST_TEST((verdict == coordinator::JobVerdict::kDone));
+  }
+  BOOST_TEST(cell.Broken().empty());
+}
+
 /// The store is away: a new job is refused, and must then never run. Callers
 /// hear of it within the entry's patience instead of at their deadline.
 BOOST_AUTO_TEST_CASE(RefusedWhileTheStoreIsAwayNeverRuns) {
