Coordinator: Deny no job without trust in the own lead

Cause: a leader that stood still answered from what it had known before it had heard of its successor. A job that the successor took was 'no such job' to it; a cancel so answered passes for settled.

Change: of a job that is not known, such a leader says that it does not lead; the caller's entry asks again until its patience ends.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -434,6 +434,13 @@
   PlaceSoon();
 }
 
+JobVerdict Coordinator::VerdictOnUnknownJob() const {
+  // Without trust in itself this leader may have a successor, which took jobs
+  // that are not known here. Denied, a cancel would pass for settled while the
+  // job runs on. The caller's entry asks again, and finds who leads.
+  return deps_.trusted() ? JobVerdict::kNoSuchJob : JobVerdict::kNotLeading;
+}
+
 wire::JobStateReply Coordinator::State(JobId id) const {
   wire::JobStateReply reply;
   const auto answer = [&](JobVerdict verdict, JobState state) {
@@ -450,7 +457,7 @@
   if (job == nullptr) {
     // Its record is on the way to the store; the caller does not know yet.
     const bool coming = arriving_.count(id) > 0;
-    return answer(coming ? JobVerdict::kDone : JobVerdict::kNoSuchJob,
+    return answer(coming ? JobVerdict::kDone : VerdictOnUnknownJob(),
                   JobState::kQueued);
   }
   // A final state is shown only when it is stored.
@@ -464,7 +471,7 @@
   if (finals_.count(id) > 0) return done(CancelReply(JobVerdict::kDone));
   if (arriving_.count(id) > 0) return done(CancelReply(JobVerdict::kUnknown));
   if (scheduler_.Find(id) == nullptr) {
-    return done(CancelReply(JobVerdict::kNoSuchJob));
+    return done(CancelReply(VerdictOnUnknownJob()));
   }
   Orders orders;
   scheduler_.Cancel(id, deps_.executor.Now(), orders);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -127,6 +127,7 @@
   template <typename Reply>
   std::function<void(Reply)> AnswerInTime(std::function<void(Reply)> done,
                                           Reply late);
+  JobVerdict VerdictOnUnknownJob() const;
   void OnJobStored(const wire::JobSpec& spec);
   /// Refuses the jobs that wait for a store that does not answer.
   void RefuseUnsent();
