--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -433,6 +433,37 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// The same, but what came while the leader stood still is read before the
+/// cancel: greetings of the others from before they missed it, and at some
+/// moments the answer to a renewal. Dated when they were read, they gave the
+/// leader back its trust in itself, while the next leader's announcement was
+/// lost on the way.
+BOOST_AUTO_TEST_CASE(WhatWaitedForAFrozenLeaderGivesItNoTrust) {
+  constexpr int kMoments = 210;  // more than one period of renewals
+  for (int moment = 0; moment < kMoments; moment += 3) {
+    BOOST_TEST_CONTEXT("frozen after " << 2000 + moment << " ms") {
+      JobCell cell({});
+      cell.RunFor(Millis(2000 + moment));
+      const std::string frozen = cell.Leader();
+      cell.Pause(frozen);
+      cell.RunFor(Millis(600));
+      cell.Cut(frozen, true);
+      cell.RunFor(Millis(4400));
+      cell.Cut(frozen, false);
+      cell.upstreams().script({70, 0, 0, 0}).takes = Millis(9000);
+      cell.Submit(cell.Leader(), OneStepJob(70, 1, 1000));
+      cell.RunFor(Millis(200));
+      BOOST_REQUIRE(cell.accepted(70));
+      cell.Cancel(frozen, 70);
+      cell.RunFor(Millis(1));
+      cell.Resume(frozen);
+      cell.RunFor(Millis(4000));
+      BOOST_TEST(cell.cancelled(70));
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
 /// The store is away: a new job is refused, and must then never run. Callers
 /// hear of it within the entry's patience instead of at their deadline.
 BOOST_AUTO_TEST_CASE(RefusedWhileTheStoreIsAwayNeverRuns) {
