Leadership: Count no word that waited while the leader stood still

Cause: a leader's trust in itself was dated by when greetings and the answers to its renewals were read. After 5 s of standing still those that had waited in its buffers made it trust itself again, and it denied jobs of its successor; the bound on a suspended machine was dated the same way.

Change: a renewal is dated by when it was sent. After a standstill longer than the trust of a leader only a renewal sent since counts, or a greeting that comes later than one from before can (500 ms, its time-out).

Ruled out: the span after which another may lead (450 ms) as the limit. A slow leader's turns may be that far apart, and its leases would lapse.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -51,6 +51,7 @@
       events_(std::move(events)) {}
 
 void Leadership::Start() {
+  last_tick_ = executor_.Now();
   Suspect(options_.quiet, "start");
   RunEvery(executor_, kTick, [this] { Tick(); });
 }
@@ -82,17 +83,39 @@
   // somebody else may lead by now, which the next renewal tells.
   if (executor_.Suspended() - suspended_at_renewal_ > kSuspension) return false;
   const TimePoint now = executor_.Now();
-  TimePoint last = std::max(last_renewed_, events_.last_stored());
+  if (now - last_tick_ > options_.trust) return false;  // it just stood still
+  // What waited for a process that stood still says nothing of now: a renewal
+  // counts if it was sent since, a greeting if it can't have been under way.
+  const bool confirmed = confirmed_at_ >= awake_since_;
+  TimePoint last;
+  if (confirmed) last = std::max(last_renewed_, events_.last_stored());
   for (const auto& [name, follower] : followers_) {
-    last = std::max(last, follower.heard);
+    if (confirmed || follower.heard - awake_since_ >= options_.hello_timeout) {
+      last = std::max(last, follower.heard);
+    }
   }
   return now - last < options_.trust;
 }
 
+void Leadership::NoteStandstill() {
+  const TimePoint now = executor_.Now();
+  const TimePoint before = std::exchange(last_tick_, now);
+  // Less than that is within the trust of a leader, as any silence is.
+  if (now - before <= options_.trust) return;
+  logging::Event(
+      Level::kWarning, "stood still",
+      {{"for_ms",
+        Text(std::chrono::duration_cast<Millis>(now - before).count())}});
+  awake_since_ = now;
+}
+
 void Leadership::Tick() {
+  NoteStandstill();
   const TimePoint now = executor_.Now();
   if (role_ == Role::kLeading) {
-    if (!renewing_ && now - last_renewed_ >= options_.renew_period) Renew();
+    const bool due = now - last_renewed_ >= options_.renew_period ||
+                     confirmed_at_ < awake_since_;
+    if (due && !renewing_) Renew();
     // Another may have taken over while the announcement could not get here.
     // With the store out of reach nothing else would tell of it, and callers
     // here would be refused for as long.
@@ -382,6 +405,7 @@
   end_offset_ = end_offset;
   last_renewed_ = executor_.Now();
   leading_since_ = last_renewed_;
+  confirmed_at_ = last_renewed_;
   suspended_at_renewal_ = executor_.Suspended();
   followers_.clear();
   logging::Event(Level::kInfo, "leading", {{"term", Text(term)}});
@@ -400,20 +424,26 @@
 
 void Leadership::Renew() {
   renewing_ = true;
-  store_.Append({.table = options_.table,
-                 .records = {{kLeaderKey, Record(term_)}},
-                 .only_at = end_offset_},
-                kStoreTimeout,
-                [this](const ports::AppendReply& reply) { OnRenew(reply); });
+  store_.Append(
+      {.table = options_.table,
+       .records = {{kLeaderKey, Record(term_)}},
+       .only_at = end_offset_},
+      kStoreTimeout,
+      [this, sent = executor_.Now(),
+       suspended = executor_.Suspended()](const ports::AppendReply& reply) {
+        OnRenew(sent, suspended, reply);
+      });
 }
 
-void Leadership::OnRenew(const ports::AppendReply& reply) {
+void Leadership::OnRenew(TimePoint sent, Millis suspended,
+                         const ports::AppendReply& reply) {
   renewing_ = false;
   if (role_ != Role::kLeading) return;
   if (reply.verdict == ports::AppendVerdict::kStored) {
     end_offset_ = reply.end_offset;
     last_renewed_ = executor_.Now();
-    suspended_at_renewal_ = executor_.Suspended();
+    confirmed_at_ = sent;
+    suspended_at_renewal_ = suspended;
     return;
   }
   // A conflict is another's claim or an own renewal whose answer was lost.
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -91,6 +91,9 @@
   enum class Role { kFollowing, kLeading, kResigned };
 
   void Tick();
+  /// Notes that this process did not run for longer than
+  /// LeadershipOptions::trust.
+  void NoteStandstill();
   /// Greets another entry in turn, since no leader is known, or none that still
   /// answers.
   void AskAround();
@@ -115,7 +118,9 @@
   void EndLook(Millis pause);
   void Lead(int64_t term, int64_t end_offset);
   void Renew();
-  void OnRenew(const ports::AppendReply& reply);
+  /// `sent` and `suspended` are of the moment at which the renewal was sent.
+  void OnRenew(TimePoint sent, Millis suspended,
+               const ports::AppendReply& reply);
   void SettleRenewal();
   std::string Record(int64_t term) const;
 
@@ -142,7 +147,12 @@
   int64_t end_offset_ = 0;
   bool renewing_ = false;
   TimePoint last_renewed_{};
-  /// How long the machine had been suspended when last_renewed_ was set.
+  /// When the newest renewal that was stored had been sent.
+  TimePoint confirmed_at_{};
+  TimePoint last_tick_{};
+  /// End of the last time that this process stood still.
+  TimePoint awake_since_{};
+  /// How long the machine had been suspended when that renewal was sent.
   Millis suspended_at_renewal_{0};
   struct Follower {
     wire::Member member;
