Tests: Show a request dropped by a time-out that came with it, failing

Seen in review. Red on this code: the thread of the server stands still while the grace after the end of the intake runs out and a request comes. The read and the time-out are both due; the read's cancel comes too late for the time-out, which then closes the connection with the request in its handler's hands.

--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -74,6 +74,11 @@
     return socket;
   }
 
+  /// The server's thread stands still for this long, from about now on.
+  void Stall(Millis span) {
+    asio::post(io_, [span] { std::this_thread::sleep_for(span); });
+  }
+
   /// Blocks until as many requests are in the handler's hands.
   void WaitForHeld(size_t count) {
     while (held() < count) std::this_thread::sleep_for(Millis(1));
@@ -233,6 +238,31 @@
   BOOST_TEST(both.find("whole") != both.rfind("whole"));
 }
 
+/// A caller sends a request on an open connection, and sees it close without an
+/// answer. The entry was stopping and stood still for a moment. When it went
+/// on, the request was there and the time for it was over: it read the request
+/// and handed it on, and then closed the connection for want of one.
+BOOST_AUTO_TEST_CASE(WhatComesWithTheTimeoutIsAnswered) {
+  HeldServer held;
+  std::error_code error;
+  tcp::socket caller = held.Connect(error);
+  BOOST_REQUIRE(!error);
+  Send(caller, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  held.WaitForHeld(1);
+  held.AnswerAll();
+  std::this_thread::sleep_for(Millis(50));
+  held.server().EndIntake();
+  held.Stall(Millis(400));
+  std::this_thread::sleep_for(Millis(50));
+  Send(caller, "GET /2 HTTP/1.1\r\nHost: a\r\n\r\n");
+  BOOST_REQUIRE(held.ComesToHold(1));
+  std::this_thread::sleep_for(Millis(50));
+  held.server().BeginShutdown();
+  held.AnswerAll();
+  const std::string both = ReadToEnd(caller);
+  BOOST_TEST(both.find("whole") != both.rfind("whole"));
+}
+
 /// A caller sees the connection close without an answer, and cannot know
 /// whether its request ran. What was to answer it had gone: the callbacks that
 /// waited for a lost office were dropped, and the connection with them.
