Http: Let no time-out that is already due close under a request

Cause: a read cancels the connection's timer, but a time-out that is due by then runs all the same, and closed the connection with the request that had just been read in its handler's hands.

Change: each time-out knows for which wait it was armed, and one that no longer counts does nothing.

shutdown_test: red before, clean after.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -136,7 +136,7 @@
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t bytes) {
           self->reading_ = false;
-          self->timer_.cancel();
+          self->Disarm();
           if (error) return self->Close();
           self->OnBytes({self->buffer_.data(), bytes});
         });
@@ -144,10 +144,19 @@
 
   void Arm(Millis limit) {
     timer_.expires_after(limit);
-    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
-      auto self = weak.lock();
-      if (!error && self) self->OnTimeout();
-    });
+    timer_.async_wait(
+        [weak = weak_from_this(), armed = ++armed_](std::error_code error) {
+          auto self = weak.lock();
+          if (!error && self && self->armed_ == armed) self->OnTimeout();
+        });
+  }
+
+  /// Cancelling alone can't stop a time-out that is due already, as after the
+  /// process stood still. It would close the connection under a request that
+  /// was just read, and its caller would have no answer.
+  void Disarm() {
+    ++armed_;
+    timer_.cancel();
   }
 
   void OnTimeout() {
@@ -247,7 +256,7 @@
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t) {
-          self->timer_.cancel();
+          self->Disarm();
           if (error) return self->Close();
           self->Drain();
         });
@@ -262,6 +271,8 @@
 
   tcp::socket socket_;
   asio::steady_timer timer_;
+  /// Tells the time-out that counts from earlier ones.
+  uint64_t armed_ = 0;
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
   std::deque<ParsedMessage> requests_;
