Callers: Carry out nothing that was given up, and own what is carried out

Cause: a call to the control thread that was not answered in time was told to the caller as 503, and carried out later all the same. Three of the works referred to variables of the handler that had returned by then; with the control thread standing still for 5 s the process crashed, or submitted what lay there.

Change: a work that was not begun when its caller gives up never is; works own what they use. A submission is told 'not run' (503) only then, and else 'unknown' (500); one that was taken and can't be looked up in time is 'pending', with its id.

http_api_test: red before (invalid memory access), clean after.

--- a/src/callers/http_api.cc
+++ b/src/callers/http_api.cc
@@ -54,6 +54,19 @@
 
 }  // namespace
 
+/// What the control thread said to a call.
+template <typename T>
+struct Asked {
+  /// Empty if it did not answer in time.
+  std::optional<T> value{};
+  /// Without an answer: whether it may have carried the call out.
+  bool begun = false;
+
+  explicit operator bool() const { return value.has_value(); }
+  const T& operator*() const { return *value; }
+  const T* operator->() const { return &*value; }
+};
+
 struct HttpApi::Private {
   Private(instance::Instance& instance_in, Executor& control_in,
           metrics::Registry& metrics_in, HttpApiOptions options_in)
@@ -63,20 +76,25 @@
         options(std::move(options_in)) {}
 
   /// Runs `work` on the control thread and waits for the value it hands to its
-  /// argument; empty when the control thread does not answer in time.
+  /// argument. With no answer in time, work that was not begun never is. `work`
+  /// may run after this has returned, and must own all that it uses.
   template <typename T>
-  std::optional<T> Ask(std::function<void(std::function<void(T)>)> work,
-                       Millis extra = Millis(0)) {
+  Asked<T> Ask(std::function<void(std::function<void(T)>)> work,
+               Millis extra = Millis(0)) {
     auto promise = std::make_shared<std::promise<T>>();
     std::future<T> future = promise->get_future();
-    control.Post([work = std::move(work), promise] {
+    // Whoever sets it first, the control thread or the caller that gives up.
+    auto taken = std::make_shared<std::atomic<bool>>(false);
+    control.Post([work = std::move(work), promise, taken] {
+      // Its caller has been told that nothing ran, and may have gone elsewhere.
+      if (taken->exchange(true)) return;
       work([promise](T value) { promise->set_value(std::move(value)); });
     });
-    if (future.wait_for(options.control_timeout + extra) !=
+    if (future.wait_for(options.control_timeout + extra) ==
         std::future_status::ready) {
-      return std::nullopt;
+      return {.value = future.get()};
     }
-    return future.get();
+    return {.begun = taken->exchange(true)};
   }
 
   /// Ask() for what the control thread can tell at once.
@@ -93,6 +111,15 @@
           {{"verdict", "unknown"}, {"reason", "this instance is too busy"}});
   }
 
+  /// For a submission that got no answer in time.
+  void ReplyUnanswered(Response& response, const std::string& key, bool begun) {
+    wire::Outcome outcome;
+    outcome.verdict = begun ? wire::Verdict::kUnknown : wire::Verdict::kNotRun;
+    outcome.reason = "this instance is too busy";
+    outcome.retry_after_ms = begun ? 0 : kMillisPerSecond;
+    ReplyOutcome(response, key, outcome);
+  }
+
   /// How long this call may wait: a waiting call holds a thread, so at most
   /// half of them wait and the rest stay free for short calls.
   Millis AllowedWait(const Request& request) {
@@ -107,7 +134,10 @@
     return Millis(wait);
   }
 
-  void Await(Response& response, const std::string& id, Millis wait) {
+  /// `unanswered` is told if the control thread does not answer in time.
+  void Await(
+      Response& response, const std::string& id, Millis wait,
+      instance::LookupState unanswered = instance::LookupState::kUnreachable) {
     ++waiting;
     const auto result = Ask<instance::LookupResult>(
         [this, id, wait](auto done) {
@@ -115,7 +145,7 @@
         },
         wait);
     --waiting;
-    if (!result) return Busy(response);
+    if (!result) return ReplyLookup(response, id, {.state = unanswered});
     ReplyLookup(response, id, *result);
   }
 
@@ -160,14 +190,17 @@
         return ReplyFindings(response, findings);
       }
     }
-    const auto submitted = Ask<requests::Submitted>([this, &spec](auto done) {
-      instance.requests().Submit(std::move(*spec), std::move(done));
-    });
-    if (!submitted) return Busy(response);
+    const std::string key = spec->id;
+    const auto submitted =
+        Ask<requests::Submitted>([this, spec = std::move(*spec)](auto done) {
+          instance.requests().Submit(spec, std::move(done));
+        });
+    if (!submitted) return ReplyUnanswered(response, key, submitted.begun);
     if (!submitted->taken) {
       return ReplyOutcome(response, submitted->id, submitted->outcome);
     }
-    Await(response, submitted->id, AllowedWait(request));
+    Await(response, submitted->id, AllowedWait(request),
+          instance::LookupState::kPending);
   }
 
   void Cancel(const std::string& id, Response& response) {
@@ -198,7 +231,7 @@
     }
     reader.Finish();
     if (!findings.empty()) return ReplyFindings(response, findings);
-    const auto count = Ask<size_t>([&](auto done) {
+    const auto count = Ask<size_t>([this, ids, team, work](auto done) mutable {
       auto& requests = instance.requests();
       if (!team.empty() || !work.empty()) {
         for (std::string& id : requests.Select([&](const auto& record) {
@@ -236,7 +269,7 @@
     if (!findings.empty()) return ReplyFindings(response, findings);
     constexpr Millis kPublishWait{10000};
     const auto result = Ask<configlog::PublishResult>(
-        [&](auto done) {
+        [this, config, author, base](auto done) {
           instance.config().Publish(config, author, base, std::move(done));
         },
         kPublishWait);
