Tests: Show advice that is lost with a stopping entry, failing

Red on this code: a stopping entry does not count the calls for advice that it took, and takes them until its process is gone. EndIntake() and open_advice() are there for the test and change nothing yet.

--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -59,6 +59,11 @@
   void Start();
   /// Not ready any more; hands leadership over.
   void BeginShutdown();
+  /// Takes no call for advice of the leader any more; those that were taken are
+  /// answered.
+  void EndIntake() {}
+  /// Calls for advice that were taken and not yet answered.
+  int64_t open_advice() const { return 0; }
 
   Route Find(const std::string& host, const std::string& path) override;
   void Submit(const wire::JobSpec& spec, Millis limit, JobDone done) override;
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -707,6 +707,36 @@
   BOOST_TEST(cell.accepted(63));
 }
 
+/// A push starts late while entries are stopped in turn. The leader went on
+/// asking for advice through an entry that stopped, and its process ended with
+/// the call in hand: nobody saw that it waited for the adviser, and it took
+/// calls until it was gone. What the adviser had worked on was lost.
+BOOST_AUTO_TEST_CASE(AStoppingEntryGivesTheAdviceItTook) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string name = cell.Leader() == "entry-0" ? "entry-1" : "entry-0";
+  jobentry::JobEntry& stopping = *cell.entry(name);
+  wire::AdviseCall call;
+  call.upstreams = {"up-0"};
+  call.timeout_ms = 1000;
+  std::vector<int32_t> verdicts;
+  const auto note = [&verdicts](const wire::AdviseReply& reply) {
+    verdicts.push_back(reply.verdict);
+  };
+  stopping.BeginShutdown();
+  stopping.OnAdvise(call, note);
+  BOOST_TEST(stopping.open_advice() == 1);
+  stopping.EndIntake();
+  // The leader hears at once that it has to ask elsewhere.
+  stopping.OnAdvise(call, note);
+  BOOST_REQUIRE_EQUAL(verdicts.size(), 1U);
+  BOOST_TEST(verdicts[0] != 0);
+  cell.RunFor(Millis(100));
+  BOOST_REQUIRE_EQUAL(verdicts.size(), 2U);
+  BOOST_TEST(verdicts[1] == 0);
+  BOOST_TEST(stopping.open_advice() == 0);
+}
+
 /// The store turns only the leader away. A job handed in right then is not
 /// refused: another entry takes the lead within its caller's patience.
 BOOST_AUTO_TEST_CASE(AJobOutlivesALeaderWithoutTheStore) {
