Jobentry: End the intake of advice too, and give what was taken

Cause: a stopping entry goes on following, so the leader goes on asking for advice through it. The shutdown counted callers' requests only: the process ended with calls for advice in hand, and took further ones until it was gone.

Change: with the end of the intake it refuses such calls at once, and the process ends when those that were taken are answered, or at its limit.

Ruled out: refusing from the stop's begin on. Each refusal costs the step 150 ms, and in a row of stops the entries that stop are much of what can ask.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -171,7 +171,8 @@
   void Look() {
     const shutdown::ShutdownView view{
         .waited = Waited(),
-        .open_requests = daemon_.front.open_requests(),
+        .open_requests =
+            daemon_.front.open_requests() + daemon_.entry.open_advice(),
         .connections = daemon_.front.connections(),
         .intake_ended = intake_ended_};
     switch (shutdown::NextStep(options_, view)) {
@@ -191,6 +192,7 @@
   void EndIntake() {
     if (std::exchange(intake_ending_, true)) return;
     Tell("intake ends");
+    daemon_.entry.EndIntake();
     daemon_.front.EndIntake(
         [this] { daemon_.executor.Post([this] { intake_ended_ = true; }); });
   }
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -437,10 +437,15 @@
 
 void JobEntry::OnAdvise(const wire::AdviseCall& call,
                         std::function<void(wire::AdviseReply)> done) {
+  // The adviser takes up to a second; the process would be gone by then, and
+  // the step would have waited for nothing.
+  if (intake_ended_) return done(ToReply(Errc::kUnavailable));
+  ++open_advice_;
   deps_.adviser.Ask(
       {static_cast<JobId>(call.job), call.occurrence, call.step},
       call.upstreams, Millis(call.timeout_ms),
-      [done = std::move(done)](const Result<ports::Advice>& advice) {
+      [this, done = std::move(done)](const Result<ports::Advice>& advice) {
+        --open_advice_;
         done(ToReply(advice));
       });
 }
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -61,9 +61,9 @@
   void BeginShutdown();
   /// Takes no call for advice of the leader any more; those that were taken are
   /// answered.
-  void EndIntake() {}
+  void EndIntake() { intake_ended_ = true; }
   /// Calls for advice that were taken and not yet answered.
-  int64_t open_advice() const { return 0; }
+  int64_t open_advice() const { return open_advice_; }
 
   Route Find(const std::string& host, const std::string& path) override;
   void Submit(const wire::JobSpec& spec, Millis limit, JobDone done) override;
@@ -114,6 +114,8 @@
   leadership::Leadership leadership_;
   std::shared_ptr<coordinator::Coordinator> coordinator_;
   bool closing_ = false;
+  bool intake_ended_ = false;
+  int64_t open_advice_ = 0;
   /// When a stopping entry gives its last answers.
   TimePoint last_answers_ = TimePoint::max();
   bool store_serves_ = true;
--- a/src/shutdown/shutdown_plan.h
+++ b/src/shutdown/shutdown_plan.h
@@ -19,7 +19,7 @@
 struct ShutdownView {
   /// Since the stop was asked for.
   Millis waited{0};
-  /// Read and not yet answered.
+  /// Of callers and of the leader: read and not yet answered.
   int64_t open_requests = 0;
   /// Accepted and not yet closed.
   size_t connections = 0;
