--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -136,7 +136,7 @@
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t bytes) {
           self->reading_ = false;
-          self->timer_.cancel();
+          self->Disarm();
           if (error) return self->Close();
           self->OnBytes({self->buffer_.data(), bytes});
         });
@@ -144,17 +144,25 @@
 
   void Arm(Millis limit) {
     timer_.expires_after(limit);
-    timer_.async_wait([weak = weak_from_this()](std::error_code error) {
-      auto self = weak.lock();
-      if (!error && self) self->OnTimeout();
-    });
+    timer_.async_wait(
+        [weak = weak_from_this(), armed = ++armed_](std::error_code error) {
+          auto self = weak.lock();
+          if (!error && self && self->armed_ == armed) self->OnTimeout();
+        });
+  }
+
+  /// Cancelling alone can't stop a time-out that is due already, as after the
+  /// process stood still. It would close the connection under a request that
+  /// was just read, and its caller would have no answer.
+  void Disarm() {
+    ++armed_;
+    timer_.cancel();
   }
 
   void OnTimeout() {
     // A request that came in the last moment is read, not thrown away: the
     // pending read is about to deliver it.
-    std::error_code error;
-    if (reading_ && socket_.available(error) > 0 && !error) return;
+    if (reading_ && BytesWait()) return;
     Close();
   }
 
@@ -213,7 +221,8 @@
   void Write(const Response& response, bool counted) {
     // A stopping server answers what a caller has sent ahead before it ends the
     // connection; nothing that was read may go without an answer.
-    const bool more = !requests_.empty() || parser_.inside_message();
+    const bool more =
+        !requests_.empty() || parser_.inside_message() || BytesWait();
     keep_alive_ = keep_alive_ && (!server_->closing || more);
     out_ = Serialize(response, keep_alive_);
     asio::async_write(
@@ -227,6 +236,12 @@
         });
   }
 
+  /// Whether the caller has sent what nobody has read yet.
+  bool BytesWait() const {
+    std::error_code error;
+    return socket_.available(error) > 0 && !error;
+  }
+
   /// Ends the sending side first: closing with unread bytes would reset the
   /// connection and could destroy the answer on its way.
   void Finish() {
@@ -241,7 +256,7 @@
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t) {
-          self->timer_.cancel();
+          self->Disarm();
           if (error) return self->Close();
           self->Drain();
         });
@@ -256,6 +271,8 @@
 
   tcp::socket socket_;
   asio::steady_timer timer_;
+  /// Tells the time-out that counts from earlier ones.
+  uint64_t armed_ = 0;
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
   std::deque<ParsedMessage> requests_;
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -403,6 +403,67 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// A caller cancels a push and is told that there is no such job; the push runs
+/// all the same. The entry that it asked had led and stood still; the job was
+/// taken by the next leader meanwhile. Awake, it answered from what it had
+/// known, before it had heard that it leads no more.
+BOOST_AUTO_TEST_CASE(AFrozenLeaderDeniesNoJob) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string frozen = cell.Leader();
+  cell.Pause(frozen);
+  cell.RunFor(Millis(5000));
+  cell.upstreams().script({69, 0, 0, 0}).takes = Millis(9000);
+  cell.Submit(cell.Leader(), OneStepJob(69, 1, 1000));
+  cell.RunFor(Millis(200));
+  BOOST_REQUIRE(cell.accepted(69));
+  std::vector<coordinator::JobVerdict> told;
+  const auto note = [&told](const jobentry::JobAnswer& answer) {
+    told.push_back(answer.verdict);
+  };
+  // What came while it stood still is read first.
+  cell.entry(frozen)->Cancel(69, Millis(3000), note);
+  cell.entry(frozen)->State(69, Millis(3000), note);
+  cell.Resume(frozen);
+  cell.RunFor(Millis(4000));
+  BOOST_REQUIRE_EQUAL(told.size(), 2U);
+  for (const auto verdict : told) {
+    BOOST_TEST((verdict == coordinator::JobVerdict::kDone));
+  }
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The same, but what came while the leader stood still is read before the
+/// cancel: greetings of the others from before they missed it, and at some
+/// moments the answer to a renewal. Dated when they were read, they gave the
+/// leader back its trust in itself, while the next leader's announcement was
+/// lost on the way.
+BOOST_AUTO_TEST_CASE(WhatWaitedForAFrozenLeaderGivesItNoTrust) {
+  constexpr int kMoments = 210;  // more than one period of renewals
+  for (int moment = 0; moment < kMoments; moment += 3) {
+    BOOST_TEST_CONTEXT("frozen after " << 2000 + moment << " ms") {
+      JobCell cell({});
+      cell.RunFor(Millis(2000 + moment));
+      const std::string frozen = cell.Leader();
+      cell.Pause(frozen);
+      cell.RunFor(Millis(600));
+      cell.Cut(frozen, true);
+      cell.RunFor(Millis(4400));
+      cell.Cut(frozen, false);
+      cell.upstreams().script({70, 0, 0, 0}).takes = Millis(9000);
+      cell.Submit(cell.Leader(), OneStepJob(70, 1, 1000));
+      cell.RunFor(Millis(200));
+      BOOST_REQUIRE(cell.accepted(70));
+      cell.Cancel(frozen, 70);
+      cell.RunFor(Millis(1));
+      cell.Resume(frozen);
+      cell.RunFor(Millis(4000));
+      BOOST_TEST(cell.cancelled(70));
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
 /// The store is away: a new job is refused, and must then never run. Callers
 /// hear of it within the entry's patience instead of at their deadline.
 BOOST_AUTO_TEST_CASE(RefusedWhileTheStoreIsAwayNeverRuns) {
@@ -574,6 +635,59 @@
   BOOST_TEST(cell.accepted(62));
 }
 
+/// Callers of one entry are refused for as long as the store turns it away,
+/// though a leader is there and reachable. The leader that it followed had
+/// died, the next one's only announcement was lost, and it went on greeting the
+/// dead one: only an entry without any leader asked the others. Stopping or
+/// not, that is the same.
+BOOST_AUTO_TEST_CASE(AFollowerOfADeadLeaderAsksTheOthers) {
+  for (const bool stops : {false, true}) {
+    BOOST_TEST_CONTEXT((stops ? "stopping" : "serving")) {
+      JobCell cell({});
+      cell.RunFor(Millis(2000));
+      const std::string leader = cell.Leader();
+      const std::string follower = leader == "entry-0" ? "entry-1" : "entry-0";
+      if (stops) cell.entry(follower)->BeginShutdown();
+      cell.store().faults().turned_away.insert(follower);
+      cell.Cut(follower, true);
+      cell.Kill(leader);
+      cell.RunFor(Millis(2000));
+      BOOST_REQUIRE(!cell.Leader().empty());
+      cell.Cut(follower, false);
+      cell.RunFor(Millis(1000));
+      cell.Submit(follower, OneStepJob(67, 1, 1000));
+      cell.RunFor(Millis(500));
+      BOOST_TEST(cell.accepted(67));
+    }
+  }
+}
+
+/// Callers of the entry that led are refused for as long as the store turns it
+/// away, though another leads and is reachable: it took over while the first
+/// was cut off from the others too, and its only announcement was lost. Deposed
+/// by an upstream, the first had forgotten who its followers were and had
+/// nobody to ask; with no upstream to tell it, it went on as if it led.
+BOOST_AUTO_TEST_CASE(ALeaderThatMissedItsSuccessorFindsIt) {
+  for (const int upstreams : {6, 0}) {
+    BOOST_TEST_CONTEXT(upstreams << " upstreams") {
+      JobCell cell({.upstreams = upstreams});
+      cell.RunFor(Millis(2000));
+      const std::string first = cell.Leader();
+      cell.store().faults().turned_away.insert(first);
+      cell.Cut(first, true);
+      cell.RunFor(Millis(4000));
+      BOOST_REQUIRE(cell.Leader() != first);
+      cell.Cut(first, false);
+      cell.RunFor(Millis(1000));
+      BOOST_TEST(!cell.entry(first)->leadership().leading());
+      cell.Submit(first, OneStepJob(68, 1, 1000));
+      cell.RunFor(Millis(500));
+      BOOST_TEST(cell.accepted(68));
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
 /// An entry starts while the store turns it away, and the first of the entries
 /// that it may ask for the leader is gone for good. It asked that one again and
 /// again and never the next, and refused its callers for as long.
@@ -593,6 +707,36 @@
   BOOST_TEST(cell.accepted(63));
 }
 
+/// A push starts late while entries are stopped in turn. The leader went on
+/// asking for advice through an entry that stopped, and its process ended with
+/// the call in hand: nobody saw that it waited for the adviser, and it took
+/// calls until it was gone. What the adviser had worked on was lost.
+BOOST_AUTO_TEST_CASE(AStoppingEntryGivesTheAdviceItTook) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string name = cell.Leader() == "entry-0" ? "entry-1" : "entry-0";
+  jobentry::JobEntry& stopping = *cell.entry(name);
+  wire::AdviseCall call;
+  call.upstreams = {"up-0"};
+  call.timeout_ms = 1000;
+  std::vector<int32_t> verdicts;
+  const auto note = [&verdicts](const wire::AdviseReply& reply) {
+    verdicts.push_back(reply.verdict);
+  };
+  stopping.BeginShutdown();
+  stopping.OnAdvise(call, note);
+  BOOST_TEST(stopping.open_advice() == 1);
+  stopping.EndIntake();
+  // The leader hears at once that it has to ask elsewhere.
+  stopping.OnAdvise(call, note);
+  BOOST_REQUIRE_EQUAL(verdicts.size(), 1U);
+  BOOST_TEST(verdicts[0] != 0);
+  cell.RunFor(Millis(100));
+  BOOST_REQUIRE_EQUAL(verdicts.size(), 2U);
+  BOOST_TEST(verdicts[1] == 0);
+  BOOST_TEST(stopping.open_advice() == 0);
+}
+
 /// The store turns only the leader away. A job handed in right then is not
 /// refused: another entry takes the lead within its caller's patience.
 BOOST_AUTO_TEST_CASE(AJobOutlivesALeaderWithoutTheStore) {
