--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -352,9 +352,10 @@
 void Server::BeginShutdown() { d_->closing = true; }
 
 void Server::EndIntake(std::function<void()> done) {
-  asio::post(d_->io, [d = d_, done = std::move(done)] {
+  asio::post(d_->io, [d = d_, done = std::move(done)]() mutable {
     d->EndIntake();
-    done();
+    // Behind a connection whose accept was queued already: it counts by then.
+    asio::post(d->io, std::move(done));
   });
 }
 
