--- a/src/cellconfig/cell_config_follower.cc
+++ b/src/cellconfig/cell_config_follower.cc
@@ -10,10 +10,12 @@
 
 CellConfigFollower::CellConfigFollower(Executor& executor,
                                        ports::CellConfigPort& port,
+                                       faults::EntryFaults& faults,
                                        FollowerOptions options,
                                        std::function<void()> changed)
     : executor_(executor),
       port_(port),
+      faults_(faults),
       options_(options),
       changed_(std::move(changed)) {}
 
@@ -32,10 +34,10 @@
                        return Again(&CellConfigFollower::ReadNewest);
                      }
                      cursor_ = update.value().cursor;
-                     if (update.value().document.empty()) {
+                     if (update.value().documents.empty()) {
                        return Again(&CellConfigFollower::ReadNewest);
                      }
-                     Accept(update.value().document, "store");
+                     AcceptAll(update.value());
                      ReadChange();
                    });
 }
@@ -49,9 +51,7 @@
             logging::Event(Level::kInfo, "configuration followed again");
           }
           cursor_ = update.value().cursor;
-          if (!update.value().document.empty()) {
-            Accept(update.value().document, "store");
-          }
+          AcceptAll(update.value());
           return ReadChange();
         }
         // The history behind the cursor is gone: only the newest is left.
@@ -61,10 +61,21 @@
                          {{"cause", update.error().message},
                           {"version", std::to_string(config_.version)}});
         }
-        Again(&CellConfigFollower::ReadChange);
+        // A stream that nobody can read on from here would be read for ever.
+        const bool unreadable = update.error().code == Errc::kMalformed;
+        Again(unreadable ? &CellConfigFollower::ReadNewest
+                         : &CellConfigFollower::ReadChange);
       });
 }
 
+void CellConfigFollower::AcceptAll(const ports::ConfigUpdate& update) {
+  // A bad document may follow a good one that nobody here has seen: that one is
+  // in force then.
+  for (const std::string& document : update.documents) {
+    Accept(document, "store");
+  }
+}
+
 void CellConfigFollower::Offer(const std::string& document) {
   Accept(document, "leader");
 }
@@ -73,8 +84,8 @@
                                 const char* source) {
   Result<ports::CellConfig> decoded = port_.Decode(document);
   if (!decoded.ok()) {
-    return logging::Event(Level::kError, "configuration does not decode",
-                          {{"cause", decoded.error().message}});
+    return faults_.Tell(faults::EntrySource::kConfiguration, source,
+                        decoded.error().message);
   }
   if (decoded.value().version <= config_.version) return;
   logging::Event(Level::kInfo, "configuration in force",
--- a/src/cellconfig/cell_config_follower.h
+++ b/src/cellconfig/cell_config_follower.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "src/libs/base/executor.h"
+#include "src/libs/faults/entry_faults.h"
 #include "src/ports/cell_config_port.h"
 
 namespace mimosarail::cellconfig {
@@ -19,13 +20,15 @@
 };
 
 /// Keeps the newest configuration of the cell. It never goes back: an older
-/// version than the one known is ignored, wherever it comes from. Control
-/// thread only.
+/// version than the one known is ignored, wherever it comes from. A document
+/// that does not decode leaves the one in force. Control thread only.
 class CellConfigFollower {
  public:
-  /// `changed` runs after each new version. Executor and port outlive it.
+  /// `changed` runs after each new version. Executor, port and faults outlive
+  /// it.
   CellConfigFollower(Executor& executor, ports::CellConfigPort& port,
-                     FollowerOptions options, std::function<void()> changed);
+                     faults::EntryFaults& faults, FollowerOptions options,
+                     std::function<void()> changed);
 
   void Start();
   /// A document that another entry passed on.
@@ -40,11 +43,13 @@
  private:
   void ReadNewest();
   void ReadChange();
+  void AcceptAll(const ports::ConfigUpdate& update);
   void Accept(const std::string& document, const char* source);
   void Again(void (CellConfigFollower::*next)());
 
   Executor& executor_;
   ports::CellConfigPort& port_;
+  faults::EntryFaults& faults_;
   FollowerOptions options_;
   std::function<void()> changed_;
   ports::CellConfig config_;
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -121,56 +121,116 @@
             if (again && !again->closed_) again->Load(after);
           });
         }
-        self->OnPage(page.value());
+        self->OnPage(after, page.value());
       });
 }
 
-void Coordinator::OnPage(const ports::NewestPage& page) {
+void Coordinator::OnPage(const std::string& after,
+                         const ports::NewestPage& page) {
   for (const ports::KeyedRecord& record : page.records) LoadRecord(record);
-  if (page.more && !page.records.empty()) {
-    return Load(page.records.back().key);
+  if (page.more && !page.last_key.empty() && page.last_key != after) {
+    return Load(page.last_key);
   }
   OnLoaded();
 }
 
 void Coordinator::LoadRecord(const ports::KeyedRecord& record) {
-  if (record.key.empty() || record.value.empty()) return;
-  bool good = true;
-  if (record.key[0] == kUpstreamPrefix) {
-    wire::UpstreamRecord upstream;
-    good = rpc::DecodeInto(record.value, upstream);
-    if (good) roster_.push_back(FromRecord(upstream));
-  } else {
-    const auto id = ParseJobId(record.key.substr(1));
-    good = id.has_value();
-    if (good && record.key[0] == kSpecPrefix) {
-      good = rpc::DecodeInto(record.value, loaded_specs_[*id]);
-    } else if (good) {
-      good = rpc::DecodeInto(record.value, loaded_progress_[*id]);
-    }
+  const std::string cause = TakeRecord(record);
+  if (cause.empty()) return;
+  deps_.faults.Tell(faults::EntrySource::kJobs, record.key, cause);
+  // A job whose record can't be read is one all the same: handed in again as if
+  // it were new, it would overwrite that record and run a second time.
+  const bool of_job = !record.key.empty() && (record.key[0] == kSpecPrefix ||
+                                              record.key[0] == kProgressPrefix);
+  if (!of_job) return;
+  if (const auto id = ParseJobId(record.key.substr(1))) unreadable_.insert(*id);
+}
+
+std::string Coordinator::TakeRecord(const ports::KeyedRecord& record) {
+  if (!record.fault.empty()) return record.fault;
+  if (record.value.empty()) return {};
+  if (record.key.empty()) return "no key";
+  const char kind = record.key[0];
+  if (kind == kUpstreamPrefix) return TakeUpstream(record);
+  if (kind != kSpecPrefix && kind != kProgressPrefix) return "unknown kind";
+  const auto id = ParseJobId(record.key.substr(1));
+  if (!id) return "no id of a job";
+  return kind == kSpecPrefix ? TakeSpec(*id, record.value)
+                             : TakeProgress(*id, record.value);
+}
+
+std::string Coordinator::TakeUpstream(const ports::KeyedRecord& record) {
+  const auto upstream = rpc::Decode<wire::UpstreamRecord>(record.value);
+  if (upstream.ok() && record.key.substr(1) == upstream.value().id &&
+      !upstream.value().id.empty() && !upstream.value().address.empty()) {
+    roster_.push_back(FromRecord(upstream.value()));
+    return {};
+  }
+  // It may run something of ours, and only the end of its leases is certain.
+  resolved_after_ = deps_.executor.Now() + options_.earlier_leader +
+                    fleet::LongestLease(options_.lease);
+  return "does not decode";
+}
+
+std::string Coordinator::TakeSpec(JobId id, const std::string& value) {
+  auto spec = rpc::Decode<wire::JobSpec>(value);
+  if (!spec.ok()) return "does not decode";
+  Findings findings;
+  CheckStoredJob(spec.value(), findings);
+  if (static_cast<JobId>(spec.value().id) != id) {
+    findings.Add("id", "is not the key's");
   }
-  if (good) return;
-  logging::Event(Level::kError, "record does not decode",
-                 {{"table", options_.table}, {"key", record.key}});
+  if (findings.empty()) loaded_specs_[id] = std::move(spec.value());
+  return findings.ToString();
 }
 
-void Coordinator::OnLoaded() {
+std::string Coordinator::TakeProgress(JobId id, const std::string& value) {
+  auto progress = rpc::Decode<wire::ProgressRecord>(value);
+  if (!progress.ok()) return "does not decode";
+  Findings findings;
+  CheckProgress(progress.value(), findings);
+  if (findings.empty()) loaded_progress_[id] = std::move(progress.value());
+  return findings.ToString();
+}
+
+void Coordinator::LoadJobs() {
   const TimePoint now = deps_.executor.Now();
   const int64_t wall = deps_.executor.UnixMillis();
   for (const auto& [id, progress] : loaded_progress_) {
     const auto state = static_cast<JobState>(progress.state);
     if (!IsFinal(state)) continue;
+    // What became of it is known, whatever its other record holds.
+    unreadable_.erase(id);
     finals_[id] = {
         .state = state, .since = now, .spec_kept = loaded_specs_.count(id) > 0};
   }
   for (const auto& [id, spec] : loaded_specs_) {
-    scheduler_.Load(spec, loaded_progress_[id], now, wall);
+    if (unreadable_.count(id) > 0) continue;
+    const wire::ProgressRecord& progress = loaded_progress_[id];
+    Findings findings;
+    CheckProgressOf(spec, progress, findings);
+    if (!findings.empty()) {
+      deps_.faults.Tell(faults::EntrySource::kJobs, ProgressKey(id),
+                        findings.ToString());
+      unreadable_.insert(id);
+      continue;
+    }
+    job_pools_.insert(spec.queue.pool);
+    scheduler_.Load(spec, progress, now, wall);
   }
-  logging::Event(Level::kInfo, "jobs loaded",
-                 {{"term", Text(options_.term)},
-                  {"open", Text(static_cast<int64_t>(loaded_specs_.size()))},
-                  {"final", Text(static_cast<int64_t>(finals_.size()))},
-                  {"upstreams", Text(static_cast<int64_t>(roster_.size()))}});
+}
+
+void Coordinator::OnLoaded() {
+  const TimePoint now = deps_.executor.Now();
+  const int64_t wall = deps_.executor.UnixMillis();
+  LoadJobs();
+  logging::Event(
+      Level::kInfo, "jobs loaded",
+      {{"term", Text(options_.term)},
+       {"open", Text(static_cast<int64_t>(loaded_specs_.size()))},
+       {"final", Text(static_cast<int64_t>(finals_.size()))},
+       {"unreadable", Text(static_cast<int64_t>(unreadable_.size()))},
+       {"upstreams", Text(static_cast<int64_t>(roster_.size()))}});
   loaded_specs_.clear();
   loaded_progress_.clear();
   loaded_ = true;
@@ -190,7 +250,12 @@
     if (update.ok()) {
       self->OnList(update.value(), whole);
     } else {
-      if (update.error().code == Errc::kInvalid) self->list_cursor_ = -1;
+      // The history is gone, or nobody can read on from there: only the whole
+      // list is left.
+      const std::error_code& code = update.error().code;
+      if (code == Errc::kInvalid || code == Errc::kMalformed) {
+        self->list_cursor_ = -1;
+      }
       logging::Event(Level::kWarning, "upstream list not read",
                      {{"cause", update.error().message}});
     }
@@ -215,8 +280,10 @@
       if (!there) scheduler_.pool().at(index).listed = false;
     }
     list_known_ = true;
+    unnamed_.clear();
   }
   for (const ports::UpstreamEntry& entry : update.entries) OnEntry(entry);
+  KeepNamed();
   CheckResolved();
   PlaceSoon();
 }
@@ -224,7 +291,9 @@
 void Coordinator::OnEntry(const ports::UpstreamEntry& entry) {
   scheduling::UpstreamPool& pool = scheduler_.pool();
   const UpstreamIndex known = pool.Find(entry.id);
+  if (!entry.fault.empty()) return OnBadEntry(entry);
   if (!entry.listed) {
+    unnamed_.erase(entry.id);
     if (known == kNoUpstream) return;
     logging::Event(Level::kInfo, "upstream left the list",
                    {{"upstream", entry.id}});
@@ -241,7 +310,44 @@
     pool.Update(entry);
     return;
   }
-  KeepUpstream(entry);
+  unnamed_[entry.id] = entry;
+}
+
+void Coordinator::OnBadEntry(const ports::UpstreamEntry& entry) {
+  deps_.faults.Tell(faults::EntrySource::kUpstreamList, entry.id, entry.fault);
+  unnamed_.erase(entry.id);
+  scheduling::UpstreamPool& pool = scheduler_.pool();
+  const UpstreamIndex known = pool.Find(entry.id);
+  if (known == kNoUpstream) return;
+  // It names no upstream to use, and it has not left either: nothing new goes
+  // there, and what runs there stays under its leases, at the address that is
+  // known. Stopped or forgotten instead, its tasks would be lost to one odd
+  // entry.
+  pool.at(known).listed = true;
+  pool.at(known).withheld = true;
+}
+
+bool Coordinator::Named(const std::string& pool) const {
+  const std::set<std::string>* pools = deps_.pools();
+  return job_pools_.count(pool) > 0 ||
+         (pools != nullptr && pools->count(pool) > 0);
+}
+
+void Coordinator::KeepNamed() {
+  for (auto at = unnamed_.begin(); at != unnamed_.end();) {
+    const ports::UpstreamEntry& entry = at->second;
+    if (!Named(entry.pool)) {
+      // Looked at again with each read of the list: its configuration may come.
+      if (deps_.pools() != nullptr) {
+        deps_.faults.Tell(faults::EntrySource::kUpstreamList, entry.id,
+                          "nothing names its pool");
+      }
+      ++at;
+      continue;
+    }
+    KeepUpstream(entry);
+    at = unnamed_.erase(at);
+  }
 }
 
 void Coordinator::KeepUpstream(const ports::UpstreamEntry& entry) {
@@ -273,6 +379,7 @@
 
 void Coordinator::CheckResolved() {
   if (scheduler_.resolved() || !list_known_) return;
+  if (deps_.executor.Now() < resolved_after_) return;
   for (const auto& [index, link] : links_) {
     if (!link->settled()) return;
   }
@@ -347,6 +454,9 @@
   if (scheduler_.Find(id) != nullptr || finals_.count(id) > 0) {
     return done(SubmitReply(JobVerdict::kDone));
   }
+  if (unreadable_.count(id) > 0) {
+    return done(SubmitReply(JobVerdict::kUnreadable));
+  }
   const auto waiting = arriving_.find(id);
   if (waiting == arriving_.end()) {
     const bool store_away = journal_->stalled_for() > options_.store_patience;
@@ -416,6 +526,7 @@
 
 void Coordinator::OnJobStored(const wire::JobSpec& spec) {
   const auto id = static_cast<JobId>(spec.id);
+  job_pools_.insert(spec.queue.pool);
   scheduler_.Add(spec, deps_.executor.Now(), deps_.executor.UnixMillis());
   deps_.metrics.Count({.name = "jobs_accepted"});
   logging::Event(Level::kInfo, "job accepted",
@@ -446,6 +557,9 @@
   if (final != finals_.end()) {
     return answer(JobVerdict::kDone, final->second.state);
   }
+  if (unreadable_.count(id) > 0) {
+    return answer(JobVerdict::kUnreadable, JobState::kQueued);
+  }
   const Job* job = scheduler_.Find(id);
   if (job == nullptr) {
     // Its record is on the way to the store; the caller does not know yet.
@@ -463,6 +577,9 @@
   if (!loaded_) return done(CancelReply(JobVerdict::kNotLeading));
   if (finals_.count(id) > 0) return done(CancelReply(JobVerdict::kDone));
   if (arriving_.count(id) > 0) return done(CancelReply(JobVerdict::kUnknown));
+  if (unreadable_.count(id) > 0) {
+    return done(CancelReply(JobVerdict::kUnreadable));
+  }
   if (scheduler_.Find(id) == nullptr) {
     return done(CancelReply(JobVerdict::kNoSuchJob));
   }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -4,8 +4,10 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 #include "jobs_types.h"
@@ -13,6 +15,7 @@
 #include "src/coordinator/job_verdicts.h"
 #include "src/fleet/upstream_link.h"
 #include "src/journal/journal.h"
+#include "src/libs/faults/entry_faults.h"
 #include "src/libs/metrics/metrics.h"
 #include "src/ports/record_store_port.h"
 #include "src/ports/task_port.h"
@@ -60,6 +63,9 @@
     ports::TaskPort& tasks;
     AdviceCaller& advice;
     metrics::Registry& metrics;
+    faults::EntryFaults& faults;
+    /// Pools that the configuration names; null while none is known.
+    std::function<const std::set<std::string>*()> pools;
     /// Whether orders may be given now.
     std::function<bool()> trusted;
     /// Another leader was found.
@@ -109,12 +115,23 @@
   };
 
   void Load(const std::string& after);
-  void OnPage(const ports::NewestPage& page);
+  void OnPage(const std::string& after, const ports::NewestPage& page);
   void OnLoaded();
   void LoadRecord(const ports::KeyedRecord& record);
+  /// Takes one record into the maps of what is loaded; the cause if it can't.
+  std::string TakeRecord(const ports::KeyedRecord& record);
+  std::string TakeUpstream(const ports::KeyedRecord& record);
+  std::string TakeSpec(JobId id, const std::string& value);
+  std::string TakeProgress(JobId id, const std::string& value);
+  void LoadJobs();
   void ReadList();
   void OnList(const ports::UpstreamListUpdate& update, bool whole);
   void OnEntry(const ports::UpstreamEntry& entry);
+  void OnBadEntry(const ports::UpstreamEntry& entry);
+  /// Whether the configuration or a job names the pool.
+  bool Named(const std::string& pool) const;
+  /// Keeps the upstreams whose pool is named by now.
+  void KeepNamed();
   void KeepUpstream(const ports::UpstreamEntry& entry);
   void OpenLink(const ports::UpstreamEntry& entry);
   void CheckResolved();
@@ -154,6 +171,15 @@
   std::unordered_map<JobId, wire::JobSpec> loaded_specs_;
   std::unordered_map<JobId, wire::ProgressRecord> loaded_progress_;
   std::vector<ports::UpstreamEntry> roster_;
+  /// Jobs whose records were written in a form that this version can't read.
+  /// They are neither run nor written here.
+  std::unordered_set<JobId> unreadable_;
+  /// Pools that jobs name; the configuration may not name them any more.
+  std::set<std::string> job_pools_;
+  /// Listed upstreams of pools that nothing names: nobody calls them.
+  std::map<std::string, ports::UpstreamEntry> unnamed_;
+  /// Before this, an upstream whose record can't be read may run tasks.
+  TimePoint resolved_after_{};
   int64_t list_cursor_ = -1;
   bool list_known_ = false;
   TimePoint explained_at_{};
--- a/src/coordinator/job_verdicts.h
+++ b/src/coordinator/job_verdicts.h
@@ -20,6 +20,9 @@
   kNotLeading = 4,
   /// Refused since the leader cannot reach the store; nothing was done.
   kStoreAway = 5,
+  /// The job is stored in a form that this version does not read: it is neither
+  /// run nor refused here, and the same call again finds out no more.
+  kUnreadable = 6,
 };
 
 inline constexpr EnumTable kJobVerdictNames{std::array{
@@ -29,6 +32,13 @@
     EnumName{JobVerdict::kNoSuchJob, "no such job"},
     EnumName{JobVerdict::kNotLeading, "not leading"},
     EnumName{JobVerdict::kStoreAway, "store away"},
+    EnumName{JobVerdict::kUnreadable, "record not readable"},
 }};
 
+/// The verdict of a reply; one that this version does not know says nothing.
+constexpr JobVerdict ToJobVerdict(int32_t number) {
+  const auto verdict = static_cast<JobVerdict>(number);
+  return kJobVerdictNames.Has(verdict) ? verdict : JobVerdict::kUnknown;
+}
+
 }  // namespace mimosarail::coordinator
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -23,14 +23,14 @@
 /// A renewal that should be answered at once gets this long.
 constexpr Millis kPromptTimeout{600};
 
-Millis Stretch(Millis span) {
-  return Millis(static_cast<int64_t>(static_cast<double>(span.count()) *
+}  // namespace
+
+Millis LongestLease(Millis lease) {
+  return Millis(static_cast<int64_t>(static_cast<double>(lease.count()) *
                                      kSlowestClock)) +
          kLeaseSlack;
 }
 
-}  // namespace
-
 UpstreamLink::UpstreamLink(Executor& executor, ports::TaskPort& tasks,
                            UpstreamEvents& events, UpstreamLinkOptions options)
     : executor_(executor),
@@ -43,7 +43,7 @@
   // An earlier holder that was cut off from all else may have renewed leases
   // here, as long as ours, until it lost its trust in itself.
   leases_end_ =
-      executor_.Now() + options_.earlier_holder + Stretch(options_.lease);
+      executor_.Now() + options_.earlier_holder + LongestLease(options_.lease);
   Renew(Millis(0));
   CheckLeases();
 }
@@ -87,7 +87,7 @@
   // with a lease in each of these calls its tasks would never count as ended.
   const bool extend = clock_ms_ > 0 && failures_ < kUnreachableAfter;
   if (extend) {
-    leases_end_ = std::max(leases_end_, sent + Stretch(options_.lease));
+    leases_end_ = std::max(leases_end_, sent + LongestLease(options_.lease));
   }
   const bool unsafe_ends = ends_safe_ < ends_reported_;
   const Millis waits = unsafe_ends ? Millis(0) : wait;
@@ -191,7 +191,7 @@
         order, {.verdict = CallVerdict::kNotSent, .detail = "not reachable"});
   }
   leases_end_ =
-      std::max(leases_end_, executor_.Now() + Stretch(options_.lease));
+      std::max(leases_end_, executor_.Now() + LongestLease(options_.lease));
   const int64_t fence = fence_;
   tasks_.Start(
       options_.target,
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -36,6 +36,9 @@
 /// whose answer was lost.
 inline constexpr int64_t kFenceSpan = 1000000;
 
+/// The longest that a lease runs by our clock.
+Millis LongestLease(Millis lease);
+
 /// Told what one upstream says. Control thread only.
 class UpstreamEvents {
  public:
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using coordinator::JobVerdict;
+using coordinator::ToJobVerdict;
 using logging::Level;
 
 /// Without a word from a leader for this long an entry can't serve callers.
@@ -15,6 +16,12 @@
 /// Callers who were refused come back after this.
 constexpr Millis kRetryAfter{1000};
 constexpr Millis kLanesPeriod{200};
+/// Longest pause that another entry's refusal may ask callers for.
+constexpr Millis kLongestRetryAfter{60000};
+/// Longest call for advice that another entry may ask for, and longest time
+/// that its answer may be good for: 30 days, far above what queues name.
+constexpr Millis kLongestAdvice{60000};
+constexpr Millis kLongestValid{kMaxJobSpanMs};
 
 wire::AdviseReply ToReply(const Result<ports::Advice>& advice) {
   wire::AdviseReply reply;
@@ -38,7 +45,8 @@
     return {Errc::kUnavailable, "the entry got no advice"};
   }
   ports::Advice out;
-  out.valid = Millis(reply.value().valid_ms);
+  out.valid =
+      std::clamp(Millis(reply.value().valid_ms), Millis(0), kLongestValid);
   for (const wire::Ticket& ticket : reply.value().allowed) {
     out.allowed.push_back({ticket.upstream, ticket.ticket});
   }
@@ -46,19 +54,21 @@
 }
 
 JobAnswer ToAnswer(const wire::SubmitJobReply& reply) {
-  return {.verdict = static_cast<JobVerdict>(reply.verdict),
-          .retry_after = Millis(reply.retry_after_ms)};
+  return {.verdict = ToJobVerdict(reply.verdict),
+          .retry_after = std::clamp(Millis(reply.retry_after_ms), Millis(0),
+                                    kLongestRetryAfter)};
 }
 JobAnswer ToAnswer(const wire::JobStateReply& reply) {
-  return {.verdict = static_cast<JobVerdict>(reply.verdict),
+  if (!IsJobState(reply.state)) return {.verdict = JobVerdict::kUnknown};
+  return {.verdict = ToJobVerdict(reply.verdict),
           .state = static_cast<JobState>(reply.state)};
 }
 JobAnswer ToAnswer(const wire::CancelJobReply& reply) {
-  return {.verdict = static_cast<JobVerdict>(reply.verdict)};
+  return {.verdict = ToJobVerdict(reply.verdict)};
 }
 JobAnswer ToAnswer(const wire::PendingJobsReply& reply) {
-  return {.verdict = static_cast<JobVerdict>(reply.verdict),
-          .pending = reply.pending};
+  return {.verdict = ToJobVerdict(reply.verdict),
+          .pending = std::max<int64_t>(0, reply.pending)};
 }
 
 }  // namespace
@@ -85,9 +95,11 @@
 JobEntry::JobEntry(Dependencies deps, JobEntryOptions options)
     : deps_(deps),
       options_(std::move(options)),
-      config_(deps_.executor, deps_.config, options_.config, [] {}),
+      faults_(deps_.metrics),
+      config_(deps_.executor, deps_.config, faults_, options_.config, [] {}),
       leadership_(
-          deps_.executor, deps_.store, deps_.peers, options_.leadership,
+          deps_.executor, deps_.store, deps_.peers, faults_,
+          options_.leadership,
           {.lead = [this](int64_t term) { Lead(term); },
            .lost = [this] { Lost(); },
            .heard =
@@ -126,6 +138,8 @@
           .tasks = deps_.tasks,
           .advice = *this,
           .metrics = deps_.metrics,
+          .faults = faults_,
+          .pools = [this] { return KnownPools(); },
           .trusted = [this] { return leadership_.trusted(); },
           .deposed =
               [this](const std::string& cause) {
@@ -138,6 +152,10 @@
   RefreshLanes();
 }
 
+const std::set<std::string>* JobEntry::KnownPools() const {
+  return config_.known() ? &config_.config().pools : nullptr;
+}
+
 void JobEntry::Lost() {
   if (!coordinator_) return;
   coordinator_->Close();
@@ -401,8 +419,18 @@
 
 void JobEntry::OnSubmit(const wire::SubmitJobCall& call,
                         std::function<void(wire::SubmitJobReply)> done) {
-  if (coordinator_) return coordinator_->Submit(call.job, std::move(done));
   wire::SubmitJobReply reply;
+  Findings findings;
+  CheckStoredJob(call.job, findings);
+  if (!findings.empty()) {
+    // The entry that took the job has checked it; another version may not have.
+    faults_.Tell(faults::EntrySource::kPeer,
+                 JobIdText(static_cast<JobId>(call.job.id)),
+                 findings.ToString());
+    reply.verdict = static_cast<int32_t>(JobVerdict::kRefused);
+    return done(reply);
+  }
+  if (coordinator_) return coordinator_->Submit(call.job, std::move(done));
   reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
   done(reply);
 }
@@ -439,7 +467,8 @@
                         std::function<void(wire::AdviseReply)> done) {
   deps_.adviser.Ask(
       {static_cast<JobId>(call.job), call.occurrence, call.step},
-      call.upstreams, Millis(call.timeout_ms),
+      call.upstreams,
+      std::clamp(Millis(call.timeout_ms), Millis(0), kLongestAdvice),
       [done = std::move(done)](const Result<ports::Advice>& advice) {
         done(ToReply(advice));
       });
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 
@@ -95,6 +96,8 @@
   void Lead(int64_t term);
   void Lost();
   void RefreshLanes();
+  /// Pools that the configuration names; null while none is known.
+  const std::set<std::string>* KnownPools() const;
   void Remember(JobId id, JobState state);
   /// How long ago the leader answered a greeting, in ms, for the log.
   std::string HeardAge() const;
@@ -105,6 +108,7 @@
 
   Dependencies deps_;
   JobEntryOptions options_;
+  faults::EntryFaults faults_;
   cellconfig::CellConfigFollower config_;
   leadership::Leadership leadership_;
   std::shared_ptr<coordinator::Coordinator> coordinator_;
--- a/src/jobs/job_state.cc
+++ b/src/jobs/job_state.cc
@@ -2,17 +2,39 @@
 
 #include <algorithm>
 
+#include "src/libs/base/utf8.h"
+
 namespace mimosarail {
 namespace {
 
+void CheckSpan(const std::string& place, int64_t ms, Findings& findings) {
+  if (ms >= 0 && ms <= kMaxJobSpanMs) return;
+  findings.Add(place, "must be 0 to " + std::to_string(kMaxJobSpanMs));
+}
+
+/// Compares so that a value that is no number fails too.
+void CheckUpTo(const std::string& place, double value, double most,
+               Findings& findings) {
+  if (value >= 0 && value <= most) return;
+  findings.Add(place, "must be 0 to " + std::to_string(most));
+}
+
 void CheckStep(const wire::StepSpec& step, size_t at, Findings& findings) {
   const std::string place = "steps[" + std::to_string(at) + "]";
   if (step.tasks < 1 || step.tasks > kMaxStepTasks) {
     findings.Add(place + ".tasks",
                  "must be 1 to " + std::to_string(kMaxStepTasks));
   }
-  if (step.millicores < 0 || step.memory_mb < 0 || step.accelerators < 0) {
-    findings.Add(place, "sizes must not be negative");
+  for (const int32_t size :
+       {step.millicores, step.memory_mb, step.accelerators}) {
+    if (size >= 0 && size <= kMaxTaskSize) continue;
+    findings.Add(place, "sizes must be 0 to " + std::to_string(kMaxTaskSize));
+    break;
+  }
+  CheckSpan(place + ".estimate_ms", step.estimate_ms, findings);
+  CheckSpan(place + ".target_ms", step.target_ms, findings);
+  if (step.max_per_upstream < 0 || step.max_unavailable < 0) {
+    findings.Add(place, "bounds must not be negative");
   }
   for (const int32_t before : step.after) {
     if (before < 0 || before >= static_cast<int32_t>(at)) {
@@ -29,17 +51,81 @@
     findings.Add("payload",
                  "longer than " + std::to_string(kMaxPayloadBytes) + " bytes");
   }
-  if (spec.occurrences < 0) findings.Add("occurrences", "must be 0 or more");
+  if (!IsUtf8(spec.payload)) findings.Add("payload", "must be UTF-8");
+  if (spec.steps.size() > kMaxJobSteps) {
+    findings.Add("steps", "more than " + std::to_string(kMaxJobSteps));
+  }
+  if (spec.occurrences < 0 || spec.occurrences > kMaxJobTasks) {
+    findings.Add("occurrences", "must be 0 to " + std::to_string(kMaxJobTasks));
+  }
+  if (spec.first_due_ms < 0 || spec.first_due_ms > kMaxUnixMs) {
+    findings.Add("first_due_ms", "must be 0 to " + std::to_string(kMaxUnixMs));
+  }
+  CheckSpan("interval_ms", spec.interval_ms, findings);
   int64_t tasks = 0;
   for (size_t i = 0; i < spec.steps.size(); ++i) {
     CheckStep(spec.steps[i], i, findings);
-    tasks += spec.steps[i].tasks;
+    tasks += std::clamp(spec.steps[i].tasks, 0, kMaxStepTasks);
   }
-  tasks *= std::max<int64_t>(1, spec.occurrences);
+  tasks *= std::clamp(spec.occurrences, 1, kMaxJobTasks);
   if (tasks > kMaxJobTasks) {
     findings.Add("steps", "more than " + std::to_string(kMaxJobTasks) +
                               " tasks over all occurrences");
   }
 }
 
+void CheckStoredJob(const wire::JobSpec& spec, Findings& findings) {
+  CheckJob(spec, findings);
+  const wire::QueuePolicy& queue = spec.queue;
+  if (queue.pool.empty()) findings.Add("queue.pool", "is missing");
+  if (queue.max_attempts < 1) {
+    findings.Add("queue.max_attempts", "must be 1 or more");
+  }
+  CheckUpTo("queue.slack_factor", queue.slack_factor, kMaxJobSlack, findings);
+  CheckUpTo("queue.advice_base_ms", queue.advice_base_ms, kMaxJobAdviceMs,
+            findings);
+  CheckUpTo("queue.advice_each_ms", queue.advice_each_ms, kMaxJobAdviceMs,
+            findings);
+  CheckSpan("queue.target_ms", queue.target_ms, findings);
+  CheckSpan("queue.ticket_valid_ms", queue.ticket_valid_ms, findings);
+  if (spec.accepted_unix_ms < 0 || spec.accepted_unix_ms > kMaxUnixMs) {
+    findings.Add("accepted_unix_ms",
+                 "must be 0 to " + std::to_string(kMaxUnixMs));
+  }
+}
+
+void CheckProgress(const wire::ProgressRecord& record, Findings& findings) {
+  if (!IsJobState(record.state)) {
+    findings.Add("state", std::to_string(record.state) + " is no state");
+  }
+  for (const wire::TaskRecord& task : record.tasks) {
+    if (task.task < 0 || task.task >= kMaxJobTasks) {
+      findings.Add("tasks", "no task " + std::to_string(task.task));
+    }
+    if (std::any_of(task.failed_attempts.begin(), task.failed_attempts.end(),
+                    [](int64_t attempt) { return attempt < 1; })) {
+      findings.Add("tasks", "attempts must be 1 or more");
+    }
+  }
+}
+
+void CheckProgressOf(const wire::JobSpec& spec,
+                     const wire::ProgressRecord& record, Findings& findings) {
+  // A final state says it all, and a job that was never written has none.
+  if (record.done.empty() && record.tasks.empty()) return;
+  constexpr int64_t kBitsPerByte = 8;
+  int64_t tasks = 0;
+  for (const wire::StepSpec& step : spec.steps) tasks += step.tasks;
+  tasks *= std::max(1, spec.occurrences);
+  const int64_t bytes = (tasks + kBitsPerByte - 1) / kBitsPerByte;
+  if (static_cast<int64_t>(record.done.size()) != bytes) {
+    findings.Add("done", "must have " + std::to_string(bytes) + " bytes");
+  }
+  for (const wire::TaskRecord& task : record.tasks) {
+    if (task.task >= tasks) {
+      findings.Add("tasks", "no task " + std::to_string(task.task));
+    }
+  }
+}
+
 }  // namespace mimosarail
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -33,6 +33,11 @@
 /// of a leader.
 constexpr Millis kSuspension{200};
 
+/// Highest term that is believed. A term times a million is the upper part of a
+/// fencing token, which must stay a whole number in JSON (2^53).
+constexpr int64_t kMaxTerm = 9000000000;
+
+using faults::EntrySource;
 using logging::Level;
 
 std::string Text(int64_t value) { return std::to_string(value); }
@@ -40,11 +45,12 @@
 }  // namespace
 
 Leadership::Leadership(Executor& executor, ports::RecordStorePort& store,
-                       JobPeerPort& peers, LeadershipOptions options,
-                       Events events)
+                       JobPeerPort& peers, faults::EntryFaults& faults,
+                       LeadershipOptions options, Events events)
     : executor_(executor),
       store_(store),
       peers_(peers),
+      faults_(faults),
       options_(std::move(options)),
       events_(std::move(events)) {}
 
@@ -147,6 +153,7 @@
   }
   refused_ = 0;
   const wire::HelloReply& hello = reply.value();
+  if (!Plausible(hello.term, address)) return;
   if (hello.term > term_ || (hello.term == term_ && leader_.address.empty() &&
                              !hello.leader.address.empty())) {
     Follow(hello.term, hello.leader);
@@ -293,28 +300,26 @@
                    {{"cause", page.error().message}});
     return EndLook(kLookAgain);
   }
-  wire::AnnounceCall record;
-  for (const auto& kept : page.value().records) {
-    if (kept.key != kLeaderKey) continue;
-    if (!rpc::DecodeInto(kept.value, record)) {
-      logging::Event(Level::kError, "leader record does not decode");
-    }
-  }
+  const std::optional<wire::AnnounceCall> record = LeaderIn(page.value());
   const int64_t end = page.value().end_offset;
   const TimePoint now = executor_.Now();
   const bool may_claim = role_ == Role::kFollowing;
-  if (record.term == 0 && may_claim) return Claim(1, end);
-  if (record.term > term_ ||
-      (record.term == term_ && leader_.address.empty())) {
-    const bool own = record.leader.address == options_.member.address;
+  if (end == 0 && may_claim) return Claim(1, end);
+  if (record && (record->term > term_ ||
+                 (record->term == term_ && leader_.address.empty()))) {
+    const bool own = record->leader.address == options_.member.address;
     // Its own record of an earlier life: nobody else leads.
     if (own && may_claim) {
-      term_ = record.term;
-      return Claim(record.term + 1, end);
+      term_ = record->term;
+      return Claim(record->term + 1, end);
     }
-    Follow(record.term, record.leader);
+    Follow(record->term, record->leader);
     return EndLook(own ? kLookAgain : Millis(0));
   }
+  // Each claim takes one record of the table, so no term was ever above its
+  // end: where the record can't be read, a claim above that end is above every
+  // earlier term. One from 1 again would be fenced once for each of them.
+  const int64_t last_term = record ? record->term : std::max(term_, end);
   if (!may_claim) return EndLook(kLookAgain);
   const bool certain = quiet == Millis(0);
   const bool admitted = quiet == options_.quiet_admitted;
@@ -322,7 +327,7 @@
     return EndLook(kLookAgain);  // the leader was heard of meanwhile
   }
   if (certain || (seen_end && *seen_end == end)) {
-    return Claim(record.term + 1, end);
+    return Claim(last_term + 1, end);
   }
   if (seen_end) return EndLook(kLookAgain);  // it is alive at the store
   const auto delay = std::chrono::duration_cast<Millis>(now - asked);
@@ -330,6 +335,34 @@
                      [this, quiet, end] { Look(quiet, end); });
 }
 
+std::optional<wire::AnnounceCall> Leadership::LeaderIn(
+    const ports::NewestPage& page) {
+  std::optional<wire::AnnounceCall> out;
+  for (const ports::KeyedRecord& kept : page.records) {
+    if (kept.key != kLeaderKey) continue;
+    const auto record = rpc::Decode<wire::AnnounceCall>(kept.value);
+    if (!kept.fault.empty() || !record.ok()) {
+      faults_.Tell(EntrySource::kLeaders, kept.key, "does not decode");
+      continue;
+    }
+    const int64_t term = record.value().term;
+    if (term < 1 || term > std::min(kMaxTerm, page.end_offset) ||
+        record.value().leader.address.empty()) {
+      faults_.Tell(EntrySource::kLeaders, kept.key,
+                   "names no leader, or a term that nobody can have had");
+      continue;
+    }
+    out = record.value();
+  }
+  return out;
+}
+
+bool Leadership::Plausible(int64_t term, const std::string& peer) {
+  if (term >= 0 && term <= kMaxTerm) return true;
+  faults_.Tell(EntrySource::kPeer, peer, "names a term that nobody can have");
+  return false;
+}
+
 void Leadership::Claim(int64_t term, int64_t end_offset) {
   store_.Append({.table = options_.table,
                  .records = {{kLeaderKey, Record(term)}},
@@ -408,23 +441,20 @@
                                        {{"cause", page.error().message}});
                         return;
                       }
-                      wire::AnnounceCall record;
-                      for (const auto& kept : page.value().records) {
-                        if (kept.key == kLeaderKey) {
-                          rpc::DecodeInto(kept.value, record);
-                        }
-                      }
-                      if (record.term > term_) {
+                      const auto record = LeaderIn(page.value());
+                      if (record && record->term > term_) {
                         StepDown("the store names a later leader");
-                        return Follow(record.term, record.leader);
+                        return Follow(record->term, record->leader);
                       }
+                      // The next renewal overwrites what can't be read.
                       end_offset_ = page.value().end_offset;
                     });
 }
 
 wire::HelloReply Leadership::OnHello(const wire::HelloCall& call) {
   wire::HelloReply reply;
-  if (call.term > term_ && role_ == Role::kLeading) {
+  if (Plausible(call.term, call.caller.name) && call.term > term_ &&
+      role_ == Role::kLeading) {
     StepDown("a follower knows a later term");
   }
   reply.leading = leading();
@@ -451,6 +481,10 @@
 
 wire::AnnounceReply Leadership::OnAnnounce(const wire::AnnounceCall& call) {
   wire::AnnounceReply reply;
+  if (!Plausible(call.term, call.leader.name)) {
+    reply.term = term_;
+    return reply;
+  }
   if (call.resigned) {
     if (call.term == term_ && call.leader.address == leader_.address) {
       look_after_ = {};
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/leadership/job_peer_port.h"
+#include "src/libs/faults/entry_faults.h"
 #include "src/ports/record_store_port.h"
 
 namespace mimosarail::leadership {
@@ -65,7 +66,8 @@
 
   /// Everything given outlives it.
   Leadership(Executor& executor, ports::RecordStorePort& store,
-             JobPeerPort& peers, LeadershipOptions options, Events events);
+             JobPeerPort& peers, faults::EntryFaults& faults,
+             LeadershipOptions options, Events events);
 
   void Start();
   /// Tells the others to take over at once, and claims nothing any more. Goes
@@ -115,10 +117,16 @@
   void OnRenew(const ports::AppendReply& reply);
   void SettleRenewal();
   std::string Record(int64_t term) const;
+  /// The leader's record on a page of the table; empty if there is none that
+  /// can be true.
+  std::optional<wire::AnnounceCall> LeaderIn(const ports::NewestPage& page);
+  /// Whether a term from another process can be true; told if not.
+  bool Plausible(int64_t term, const std::string& peer);
 
   Executor& executor_;
   ports::RecordStorePort& store_;
   JobPeerPort& peers_;
+  faults::EntryFaults& faults_;
   LeadershipOptions options_;
   Events events_;
   Role role_ = Role::kFollowing;
--- a/src/libs/base/enum_table.h
+++ b/src/libs/base/enum_table.h
@@ -33,6 +33,13 @@
     return "?";
   }
 
+  constexpr bool Has(E value) const {
+    for (const auto& entry : names_) {
+      if (entry.value == value) return true;
+    }
+    return false;
+  }
+
   constexpr std::optional<E> Find(std::string_view name) const {
     for (const auto& entry : names_) {
       if (entry.name == name) return entry.value;
--- a/src/libs/base/findings.h
+++ b/src/libs/base/findings.h
@@ -13,11 +13,16 @@
   friend bool operator==(const Finding&, const Finding&) = default;
 };
 
-/// Collects every fault of an input, so that they are reported together.
-/// Not thread-safe.
+/// Collects the faults of an input, so that they are reported together. Not
+/// thread-safe.
 class Findings {
  public:
+  /// Faults that are kept; more tell a reader nothing. A body of 4 MB can hold
+  /// 300,000, which made one log line of 12 MB.
+  static constexpr size_t kMostKept = 100;
+
   void Add(std::string place, std::string message) {
+    if (list_.size() == kMostKept) return;
     list_.push_back({std::move(place), std::move(message)});
   }
   bool empty() const { return list_.empty(); }
--- /dev/null
+++ b/src/libs/base/utf8.h
@@ -0,0 +1,11 @@
+#pragma once
+
+#include <string_view>
+
+namespace mimosarail {
+
+/// Whether the bytes are whole UTF-8 sequences (RFC 3629: no overlong forms, no
+/// surrogates, nothing above U+10FFFF). Safe from any thread.
+bool IsUtf8(std::string_view bytes);
+
+}  // namespace mimosarail
--- /dev/null
+++ b/src/libs/faults/entry_faults.cc
@@ -0,0 +1,24 @@
+#include "src/libs/faults/entry_faults.h"
+
+#include "src/libs/logging/log.h"
+
+namespace mimosarail::faults {
+
+void EntryFaults::Tell(EntrySource source, std::string_view key,
+                       std::string_view cause) {
+  const auto [told, fresh] =
+      told_.emplace(source, std::string(key), std::string(cause));
+  if (!fresh) return;
+  order_.push_back(told);
+  if (order_.size() > kMostRemembered) {
+    told_.erase(order_.front());
+    order_.pop_front();
+  }
+  const std::string of(kEntrySourceNames.Name(source));
+  metrics_.Count({.name = "bad_entries", .labels = {{"of", of}}});
+  logging::Event(
+      logging::Level::kError, "entry not used",
+      {{"of", of}, {"key", std::string(key)}, {"cause", std::string(cause)}});
+}
+
+}  // namespace mimosarail::faults
--- a/src/ports/cell_config_port.h
+++ b/src/ports/cell_config_port.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -22,6 +23,8 @@
 struct CellConfig {
   int64_t version = 0;
   std::vector<QueueConfig> queues;
+  /// Every pool that the configuration names, with a queue or without.
+  std::set<std::string> pools;
   /// Largest body of a caller's request, in bytes.
   int64_t max_body_bytes = 0;
 };
@@ -30,8 +33,9 @@
 struct ConfigUpdate {
   /// Where to look on from.
   int64_t cursor = 0;
-  /// The newest document, as stored; empty if nothing is new.
-  std::string document;
+  /// New documents as stored, oldest first. Of several that came at once the
+  /// newest that decodes counts.
+  std::vector<std::string> documents;
 };
 
 /// The operators' configuration. Callbacks run on the control thread. Control
--- a/src/ports/record_store_port.h
+++ b/src/ports/record_store_port.h
@@ -15,6 +15,9 @@
 struct KeyedRecord {
   std::string key;
   std::string value;
+  /// Why nobody can read the record; empty for one that can be read. Key and
+  /// value are then what is known of them.
+  std::string fault{};
 };
 
 /// Identity under which a writer appends: an append of a lower epoch than one
@@ -50,7 +53,9 @@
 
 struct NewestPage {
   std::vector<KeyedRecord> records;
+  /// There are more records, after the key `last_key`.
   bool more = false;
+  std::string last_key{};
   int64_t end_offset = 0;
 };
 
--- a/src/ports/upstream_list_port.h
+++ b/src/ports/upstream_list_port.h
@@ -20,6 +20,9 @@
   std::string id;
   /// False when it has left the list; then only the id is set.
   bool listed = true;
+  /// Why the entry names no upstream to use; empty for one that does. Then only
+  /// the id is set, and `listed`.
+  std::string fault{};
   std::string pool;
   std::string address;
   std::string failure_domain;
@@ -46,7 +49,8 @@
   virtual ~UpstreamListPort() = default;
   /// Every upstream that is listed now.
   virtual void ReadAll(Millis timeout, Callback<UpstreamListUpdate> done) = 0;
-  /// What changed after `cursor`. Errc::kInvalid when the cursor is too old.
+  /// What changed after `cursor`. Errc::kInvalid when the cursor is too old,
+  /// Errc::kMalformed when nobody can read on from it.
   virtual void ReadChanges(int64_t cursor, Millis timeout,
                            Callback<UpstreamListUpdate> done) = 0;
 };
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -38,6 +38,7 @@
     upstream.capacity = capacity;
     upstream.entry = entry;
     upstream.listed = true;
+    upstream.withheld = false;
     return known->second;
   }
   const auto index = static_cast<UpstreamIndex>(upstreams_.size());
@@ -134,8 +135,8 @@
 
 bool UpstreamPool::Usable(UpstreamIndex index, TimePoint now) const {
   const Upstream& upstream = upstreams_[index];
-  return upstream.reachable && upstream.listed && !upstream.entry.draining &&
-         now >= upstream.health.rest_until && TrialsLeft(index) > 0;
+  return upstream.TakesWork() && now >= upstream.health.rest_until &&
+         TrialsLeft(index) > 0;
 }
 
 int32_t UpstreamPool::TrialsLeft(UpstreamIndex index) const {
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -42,10 +42,18 @@
   /// Answered its last renewal under our fence, and its tasks are known.
   bool reachable = false;
   bool listed = true;
+  /// Its newest entry can't be used: nothing new goes there until a later one
+  /// can be, and what runs there is held, listed and stopped as before.
+  bool withheld = false;
   UpstreamHealth health;
   /// What takes room there, by task and attempt. Freed only when the upstream
   /// has listed the end, or its leases have surely run out.
   std::map<std::pair<TaskId, int64_t>, HeldRoom> held;
+
+  /// Whether new work may go there as far as its entry and its answers say.
+  bool TakesWork() const {
+    return reachable && listed && !withheld && !entry.draining;
+  }
 };
 
 /// The upstreams, what is free on them and how far they are trusted. Decides
--- /dev/null
+++ b/tests/decoders_test.cc
@@ -0,0 +1,372 @@
+// What the platform's decoders make of entries and answers that another writer
+// may have left: one table a decoder.
+
+#define BOOST_TEST_MODULE decoders
+#include <boost/test/unit_test.hpp>
+
+#include "platform/job_codec.h"
+#include "platform/store_codec.h"
+#include "platform/upstream_codec.h"
+#include "src/jobs/job_state.h"
+
+namespace mimosarail::platform {
+namespace {
+
+using ports::CallVerdict;
+
+constexpr const char* kGoodUpstream =
+    R"({"service":"s","addr":"10.0.0.9:80","zone":"z","state":"ready",
+    "capacity":{"cpu":16000,"memMb":32768,"gpu":0},"labels":["a","r1-3"],
+    "coldLeftMs":0,"sequence":4})";
+
+std::string Replaced(std::string text, const std::string& from,
+                     const std::string& to) {
+  const size_t at = text.find(from);
+  BOOST_REQUIRE_MESSAGE(at != std::string::npos, from);
+  return text.replace(at, from.size(), to);
+}
+
+http::Response Answer(const std::string& body) {
+  return {.status = 200, .body = body};
+}
+
+std::string Nested(size_t levels) {
+  return std::string(levels, '[') + std::string(levels, ']');
+}
+
+}  // namespace
+
+/// Another writer leaves an entry in the list of upstreams. Taken for an
+/// upstream it would get a connection, a record in the roster and tasks; one
+/// with an address that nobody can call holds each new leader up for 6 s.
+BOOST_AUTO_TEST_CASE(AnEntryThatNamesNoUpstreamDoesNotDecode) {
+  BOOST_REQUIRE(DecodeUpstream("i-1", kGoodUpstream).ok());
+  struct Row {
+    const char* from;
+    const char* to;
+  };
+  for (const Row& row : {
+           Row{R"("service":"s",)", ""},
+           Row{R"("service":"s")", R"("service":"")"},
+           Row{R"("service":"s")", R"("service":null)"},
+           Row{R"("service":"s")", R"("service":["s"])"},
+           Row{R"("addr":"10.0.0.9:80",)", ""},
+           Row{R"("10.0.0.9:80")", R"("10.0.0.9")"},
+           Row{R"("10.0.0.9:80")", R"("10.0.0.9:0")"},
+           Row{R"("10.0.0.9:80")", R"("10.0.0.9:65536")"},
+           Row{R"("10.0.0.9:80")", R"("10.0.0.9:-1")"},
+           Row{R"("10.0.0.9:80")", R"("worker-7:80")"},
+           Row{R"("10.0.0.9:80")", R"("0.0.0.0:80")"},
+           Row{R"("10.0.0.9:80")", R"("224.0.0.1:80")"},
+           Row{R"("10.0.0.9:80")", R"({"ip":"10.0.0.9"})"},
+           Row{R"("state":"ready",)", ""},
+           Row{R"("ready")", R"("asleep")"},
+           Row{R"("ready")", R"("Ready")"},
+           Row{R"("ready")", "true"},
+           Row{R"("capacity":{"cpu":16000,"memMb":32768,"gpu":0},)", ""},
+           Row{R"({"cpu":16000,"memMb":32768,"gpu":0})", "16000"},
+           Row{R"({"cpu":16000,"memMb":32768,"gpu":0})", "[16000]"},
+           Row{R"("cpu":16000,)", ""},
+           Row{R"("cpu":16000)", R"("cpu":0)"},
+           Row{R"("cpu":16000)", R"("cpu":-16000)"},
+           Row{R"("cpu":16000)", R"("cpu":"16000")"},
+           Row{R"("cpu":16000)", R"("cpu":1e300)"},
+           Row{R"("cpu":16000)", R"("cpu":18446744073709551615)"},
+           Row{R"("cpu":16000)", R"("cpu":"NaN")"},
+           Row{R"("memMb":32768)", R"("memMb":-1)"},
+           Row{R"("memMb":32768)", R"("memMb":4294967297)"},
+           Row{R"("gpu":0)", R"("gpu":-1)"},
+           Row{R"(["a","r1-3"])", R"({"a":"r1-3"})"},
+           Row{R"(["a","r1-3"])", R"(["a",7])"},
+           Row{R"(["a","r1-3"])", "7"},
+           Row{R"("zone":"z")", R"("zone":7)"},
+           Row{R"("coldLeftMs":0)", R"("coldLeftMs":-1)"},
+           Row{R"("coldLeftMs":0)", R"("coldLeftMs":1e18)"},
+           Row{R"("coldLeftMs":0)", R"("coldLeftMs":"soon")"},
+       }) {
+    const std::string value = Replaced(kGoodUpstream, row.from, row.to);
+    BOOST_TEST(!DecodeUpstream("i-1", value).ok(), value);
+  }
+  const std::string good = kGoodUpstream;
+  for (const std::string& value :
+       {std::string("\xff\xfe"), std::string(1, '\0'), std::string("null"),
+        std::string("7"), std::string("[]"), std::string("{}"),
+        std::string("NaN"), good.substr(0, good.size() - 1), good + "}",
+        Replaced(good, "ready",
+                 "re\xff"
+                 "dy"),
+        R"({"deep":)" + Nested(100000) + "," + good.substr(1)}) {
+    BOOST_TEST(!DecodeUpstream("i-1", value).ok(), value.substr(0, 200));
+  }
+}
+
+/// An upstream's id goes into headers and bodies of calls. One with a line
+/// break would split a header, one that is not UTF-8 made the encoder throw
+/// and ended the process.
+BOOST_AUTO_TEST_CASE(AnIdThatNoCallCanCarryDoesNotDecode) {
+  for (const std::string& id :
+       {std::string(), std::string("a b"), std::string("a\r\nX-Y: 1"),
+        std::string("\xff\xfe"), std::string("a\0b", 3), std::string("\x7f")}) {
+    BOOST_TEST(!DecodeUpstream(id, kGoodUpstream).ok(), id);
+  }
+  BOOST_TEST(!EncodeAsk({1, 0, 0}, {"\xff"}).empty());
+  BOOST_TEST(!EncodeStart({.payload = "\xff"}).empty());
+}
+
+/// What an entry holds beside what is asked of it changes nothing.
+BOOST_AUTO_TEST_CASE(UnknownFieldsOfAnEntryAreIgnored) {
+  const std::string value =
+      Replaced(kGoodUpstream, R"("sequence":4)",
+               R"("":0,"later":{"a":[1,{}]},"sequence":"odd")");
+  BOOST_TEST(DecodeUpstream("i-1", value).ok());
+}
+
+/// A page of the list holds one record that nobody can read. The page was lost
+/// with it, and so every upstream that stands behind it.
+BOOST_AUTO_TEST_CASE(ABadItemLosesNoPage) {
+  for (const std::string& item :
+       {std::string(R"({"key":"b","value":"*"})"),
+        std::string(R"({"key":"b","value":7})"), std::string(R"({"key":"b"})"),
+        std::string(R"({"key":7,"value":"AP+A"})"),
+        std::string(R"({"value":"AP+A"})"), std::string("7"), std::string("[]"),
+        std::string("null"),
+        std::string("{\"key\":\"\xff\",\"value\":\"AP+A\"}")}) {
+    const auto page = DecodeNewest(
+        R"({"items":[{"key":"a","value":"AP+A"},)" + item +
+        R"(,{"key":"c","value":"AP+A"}],"hasMore":true,"endOffset":6})");
+    BOOST_REQUIRE_MESSAGE(page.ok(), item);
+    BOOST_TEST(page.value().end_offset == 6);
+    const auto& records = page.value().records;
+    BOOST_REQUIRE_MESSAGE(records.size() == 3, item);
+    BOOST_TEST(records[0].key == "a");
+    BOOST_TEST(records[2].key == "c");
+    BOOST_TEST(records[2].value == std::string("\0\xff\x80", 3));
+  }
+}
+
+/// A page whose frame is not what the page says is no page: its end would be
+/// taken for 0, and its records for all there are.
+BOOST_AUTO_TEST_CASE(APageWithoutItsFrameDoesNotDecode) {
+  for (const char* body :
+       {"{}", R"({"items":[]})", R"({"items":{},"endOffset":6})",
+        R"({"items":7,"endOffset":6})", R"({"items":[],"endOffset":-1})",
+        R"({"items":[],"endOffset":"6"})", R"({"items":[],"endOffset":1e300})",
+        R"({"items":[],"endOffset":6,"hasMore":"yes"})", "[]", ""}) {
+    BOOST_TEST(!DecodeNewest(body).ok(), body);
+  }
+}
+
+/// A record's key claims to be longer than the record. Every read from there on
+/// failed, for as long as the store kept it.
+BOOST_AUTO_TEST_CASE(ABadRecordLosesNoStream) {
+  const std::string head = std::string(7, '\0') + "\x09" + std::string(8, '\0');
+  const std::string good = EncodeRecords({{"k", "value"}});
+  for (const std::string& bad :
+       {std::string("\0\0\0\2\x7fk", 6), std::string("\0\0\0\1\xff", 5),
+        std::string("\0\0\0\0", 4)}) {
+    const auto tail = DecodeTail(head + good + bad + good);
+    BOOST_REQUIRE(tail.ok());
+    BOOST_REQUIRE_EQUAL(tail.value().records.size(), 3U);
+    BOOST_TEST(tail.value().records[0].key == "k");
+    BOOST_TEST(tail.value().records[1].key == "");
+    BOOST_TEST(tail.value().records[2].value == "value");
+  }
+}
+
+/// Lengths and offsets that cannot be true.
+BOOST_AUTO_TEST_CASE(AStreamWhoseFramesLieDoesNotDecode) {
+  const std::string head = std::string(7, '\0') + "\x09" + std::string(8, '\0');
+  const std::string good = EncodeRecords({{"k", "value"}});
+  BOOST_TEST(!DecodeTail(head + "\xff\xff\xff\xff" + good).ok());
+  BOOST_TEST(!DecodeTail(head + good + std::string("\0\0\1\0k", 5)).ok());
+  BOOST_TEST(!DecodeTail(std::string(16, '\xff') + good).ok());
+}
+
+/// A configuration decodes as a whole or leaves the one in force.
+BOOST_AUTO_TEST_CASE(ABadConfigurationDoesNotDecode) {
+  const std::string good =
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+      "service":"s","priority":1,"maxAttempts":2,"slackFactor":2.2,
+      "targetDurationMs":1000,"advisor":{"decideMs":360.5,"periodMs":5.1,
+      "validMs":1500}}],"limits":{"maxBodyBytes":9}})";
+  BOOST_REQUIRE(DecodeConfig(good).ok());
+  struct Row {
+    const char* from;
+    const char* to;
+  };
+  for (const Row& row : {
+           Row{R"("version":7,)", ""},
+           Row{R"("version":7)", R"("version":0)"},
+           Row{R"("version":7)", R"("version":-7)"},
+           Row{R"("version":7)", R"("version":"7")"},
+           Row{R"("version":7)", R"("version":1e300)"},
+           Row{R"("version":7)", R"("version":18446744073709551615)"},
+           Row{R"("routes")", R"("route")"},
+           Row{R"([{"name")", R"({"a":{"name")"},
+           Row{R"("name":"r",)", ""},
+           Row{R"("name":"r")", R"("name":"")"},
+           Row{R"("host":"h",)", ""},
+           Row{R"("host":"h")", R"("host":7)"},
+           Row{R"("prefix":"/p/",)", ""},
+           Row{R"("prefix":"/p/")", R"("prefix":"")"},
+           Row{R"("service":"s",)", ""},
+           Row{R"("service":"s")", R"("service":{})"},
+           Row{R"("priority":1)", R"("priority":1e12)"},
+           Row{R"("maxAttempts":2)", R"("maxAttempts":0)"},
+           Row{R"("maxAttempts":2)", R"("maxAttempts":-2)"},
+           Row{R"("slackFactor":2.2)", R"("slackFactor":-2.2)"},
+           Row{R"("slackFactor":2.2)", R"("slackFactor":1e300)"},
+           Row{R"("targetDurationMs":1000)", R"("targetDurationMs":-1)"},
+           Row{R"("targetDurationMs":1000)", R"("targetDurationMs":1e17)"},
+           Row{R"("decideMs":360.5)", R"("decideMs":-1)"},
+           Row{R"("periodMs":5.1)", R"("periodMs":1e300)"},
+           Row{R"("validMs":1500)", R"("validMs":1e17)"},
+           Row{R"({"decideMs":360.5,"periodMs":5.1,
+      "validMs":1500})",
+               "true"},
+           Row{R"({"maxBodyBytes":9})", "9"},
+           Row{R"("maxBodyBytes":9)", R"("maxBodyBytes":-9)"},
+       }) {
+    const std::string document = Replaced(good, row.from, row.to);
+    BOOST_TEST(!DecodeConfig(document).ok(), document);
+  }
+  for (const char* document :
+       {"", "\xff", "7", "[]", "{}", R"({"version":7,"routes":[7]})",
+        R"({"version":7,"routes":[null]})"}) {
+    BOOST_TEST(!DecodeConfig(document).ok(), document);
+  }
+}
+
+/// A report without one of its lists was taken for one that lists nothing: all
+/// that ran there was started again elsewhere.
+BOOST_AUTO_TEST_CASE(AReportWithoutAListIsUnknown) {
+  const std::string row = R"(["5c0e7a21d94b36f8.0.1.17",2,"c",41])";
+  const std::string end = R"([58,"5c0e7a21d94b36f8.0.1.9",1,"done","d"])";
+  const std::string good =
+      R"({"clockMs":5,"running":[)" + row + R"(],"finished":[)" + end + "]}";
+  BOOST_TEST((DecodeRenew(Answer(good)).call.verdict == CallVerdict::kDone));
+  struct Row {
+    const char* from;
+    const char* to;
+  };
+  for (const Row& r : {
+           Row{R"("running")", R"("runs")"},
+           Row{R"("finished")", R"("ends")"},
+           Row{R"("clockMs":5,)", ""},
+           Row{R"("clockMs":5)", R"("clockMs":-5)"},
+           Row{R"("clockMs":5)", R"("clockMs":1e300)"},
+           Row{R"("clockMs":5)", R"("clockMs":"5")"},
+           Row{R"("running":[)", R"("running":{"a":)"},
+           Row{R"(,2,"c")", R"(,1e300,"c")"},
+           Row{R"(,2,"c")", R"(,-2,"c")"},
+           Row{R"([58,)", "[0,"},
+           Row{R"([58,)", "[-58,"},
+           Row{R"([58,)", "[18446744073709551615,"},
+           Row{R"(,1,"done")", R"(,1e300,"done")"},
+           Row{R"("done")", R"("finished")"},
+       }) {
+    std::string body = Replaced(good, r.from, r.to);
+    if (std::string(r.to) == R"("running":{"a":)") {
+      body = Replaced(body, R"(41]],)", R"(41]},)");
+    }
+    BOOST_TEST(
+        (DecodeRenew(Answer(body)).call.verdict == CallVerdict::kUnknown),
+        body);
+  }
+  // Numbers of ends only grow; in another order some would never be told.
+  const std::string twice =
+      Replaced(good, end, end + "," + Replaced(end, "58", "57"));
+  BOOST_TEST(
+      (DecodeRenew(Answer(twice)).call.verdict == CallVerdict::kUnknown));
+  // A percent only serves to foresee an end: an odd one is no reason to lose
+  // sight of all that runs there.
+  const auto odd = DecodeRenew(Answer(Replaced(good, "41", "1e300")));
+  BOOST_TEST((odd.call.verdict == CallVerdict::kDone));
+  BOOST_REQUIRE_EQUAL(odd.running.size(), 1U);
+  BOOST_TEST(odd.running[0].percent == 100);
+}
+
+/// Advice without its list was taken for "none is allowed", which is remembered
+/// for as long as the step waits.
+BOOST_AUTO_TEST_CASE(AdviceWithoutItsListDoesNotDecode) {
+  for (const char* body :
+       {"{}", R"({"allowed":{}})", R"({"allowed":"i-1"})",
+        R"({"allowed":null})", R"({"allowed":[["i-1"]]})",
+        R"({"allowed":[["i-1",7]]})", R"({"allowed":[["i-1","t"],7]})",
+        R"({"allowed":[["i-1","t"]],"validMs":-1})",
+        R"({"allowed":[["i-1","t"]],"validMs":1e17})",
+        R"({"allowed":[["i-1","t"]],"validMs":"long"})"}) {
+    BOOST_TEST(!DecodeAdvice(Answer(body)).ok(), body);
+  }
+  BOOST_TEST(DecodeAdvice(Answer(R"({"allowed":[]})")).ok());
+}
+
+/// An answer to an append that does not say where the table ends is no answer:
+/// a leader that took the end for 0 would fail its next renewal.
+BOOST_AUTO_TEST_CASE(AnAppendWithoutItsEndIsUnknown) {
+  for (const char* body : {"{}", R"({"endOffset":"9"})", R"({"endOffset":-1})",
+                           R"({"endOffset":1e300})", R"({"endOffset":null})"}) {
+    BOOST_TEST(
+        (DecodeAppend(200, body).verdict == ports::AppendVerdict::kUnknown),
+        body);
+  }
+}
+
+/// A caller's body with numbers that no job has.
+BOOST_AUTO_TEST_CASE(AJobWithImpossibleNumbersHasFindings) {
+  const std::string good =
+      R"({"spec":"x","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900},
+      {"count":1,"dependsOn":[0]}],"times":1,"startAtMs":7,"intervalMs":9})";
+  struct Row {
+    const char* from;
+    const char* to;
+  };
+  for (const Row& row : {
+           Row{R"("count":4)", R"("count":1e300)"},
+           Row{R"("count":4)", R"("count":4294967297)"},
+           Row{R"("cpu":500)", R"("cpu":-1)"},
+           Row{R"("estMs":900)", R"("estMs":-1)"},
+           Row{R"("estMs":900)", R"("estMs":1e18)"},
+           Row{R"("estMs":900)", R"("estMs":9223372036854775807)"},
+           Row{R"("dependsOn":[0])", R"("dependsOn":[4294967296])"},
+           Row{R"("dependsOn":[0])", R"("dependsOn":["0"])"},
+           Row{R"("dependsOn":[0])", R"("dependsOn":0)"},
+           Row{R"("dependsOn":[0])", R"("dependsOn":{"a":0})"},
+           Row{R"("times":1)", R"("times":2147483647)"},
+           Row{R"("times":1)", R"("times":-1)"},
+           Row{R"("startAtMs":7)", R"("startAtMs":-7)"},
+           Row{R"("startAtMs":7)", R"("startAtMs":1e300)"},
+           Row{R"("intervalMs":9)", R"("intervalMs":-9)"},
+           Row{R"("intervalMs":9)", R"("intervalMs":9007199254740991)"},
+           Row{R"([{"count")", R"({"a":{"count")"},
+       }) {
+    std::string body = Replaced(good, row.from, row.to);
+    if (std::string(row.to) == R"({"a":{"count")") {
+      body = Replaced(body, R"(}],)", R"(}},)");
+      body = Replaced(body, R"(},
+      {)",
+                      R"(},"b":{)");
+    }
+    Findings findings;
+    CheckJob(DecodeJob(body, findings), findings);
+    BOOST_TEST(!findings.empty(), body);
+  }
+  Findings none;
+  CheckJob(DecodeJob(good, none), none);
+  BOOST_TEST(none.ToString() == "");
+}
+
+/// Every step of a large body is at fault. The findings of 300,000 steps made a
+/// log line of 20 MB.
+BOOST_AUTO_TEST_CASE(FindingsAreBounded) {
+  std::string body = R"({"steps":[)";
+  constexpr int kSteps = 300000;
+  for (int i = 0; i < kSteps; ++i) body += R"({"count":0},)";
+  body += "{}]}";
+  Findings findings;
+  CheckJob(DecodeJob(body, findings), findings);
+  BOOST_TEST(!findings.empty());
+  BOOST_TEST(findings.ToString().size() < 20000U);
+}
+
+}  // namespace mimosarail::platform
--- /dev/null
+++ b/tests/foreign_entries_test.cc
@@ -0,0 +1,364 @@
+// Whole entry instances that read what another writer has left in the store or
+// says as a peer.
+
+#define BOOST_TEST_MODULE foreign_entries
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+
+#include "src/libs/logging/log.h"
+#include "src/libs/rpc/codec.h"
+#include "tests/jobsim/job_cell.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr const char* kJobTable = "jobs";
+constexpr const char* kLeaderTable = "leaders";
+constexpr const char* kLeaderKey = "leader";
+const std::string kNoise = "\xff\xfe\x00\x01";
+
+/// What the leader has counted of entries that it can't use.
+bool Told(JobCell& cell, const std::string& of, int times) {
+  const std::string line =
+      "bad_entries{of=\"" + of + "\"} " + std::to_string(times) + "\n";
+  return cell.Metrics(cell.Leader()).find(line) != std::string::npos;
+}
+
+void KillAll(JobCell& cell) {
+  for (const auto& name : cell.names()) cell.Kill(name);
+}
+
+void RestartAll(JobCell& cell) {
+  for (const auto& name : cell.names()) cell.Restart(name);
+}
+
+int64_t ConfigVersion(JobCell& cell) {
+  return cell.entry(cell.Leader())->OnHello({}).config_version;
+}
+
+}  // namespace
+
+/// MIMOSARAIL_TRACE=1 prints the log lines of a run.
+struct Trace {
+  Trace() {
+    if (std::getenv("MIMOSARAIL_TRACE") != nullptr) {
+      logging::Start("foreign", logging::Level::kDebug);
+    }
+  }
+  ~Trace() { logging::Stop(); }
+};
+
+BOOST_TEST_GLOBAL_FIXTURE(Trace);
+
+/// Another writer puts entries into the list that nobody can read, again and
+/// again, while jobs run. The jobs go on; nobody calls what the entries name;
+/// each is told once, though the list is read four times a second and the
+/// entries come anew.
+BOOST_AUTO_TEST_CASE(BadEntriesDoNotHinderTheOthers) {
+  JobCell cell({});
+  cell.store().Put(kUpstreamTable, "up-bad", kNoise);
+  cell.store().Put(kUpstreamTable, kNoise, kNoise);
+  cell.RunFor(Millis(2000));
+  for (JobId id = 1; id <= 8; ++id) {
+    cell.Submit("entry-1", OneStepJob(id, 2, 2000));
+    cell.store().Put(kUpstreamTable, "up-bad", kNoise);
+    cell.RunFor(Millis(300));
+  }
+  for (JobId id = 1; id <= 8; ++id) {
+    BOOST_TEST(cell.RunUntilFinal(id, Millis(10000)));
+  }
+  BOOST_TEST(!cell.upstreams().Called("up-bad"));
+  BOOST_TEST(Told(cell, "upstream list", 2));
+  cell.store().DropHistory();
+  cell.RunFor(Millis(1000));
+  BOOST_TEST(Told(cell, "upstream list", 2));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The entry of an upstream that runs a task turns bad. Its task is neither
+/// lost nor run a second time; nothing new starts there until a later entry can
+/// be read, and then it is used again.
+BOOST_AUTO_TEST_CASE(AKnownUpstreamWhoseEntryTurnsBadKeepsItsTasks) {
+  JobCell cell({.upstreams = 1});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({1, 0, 0, 0}).takes = Millis(9000);
+  cell.Submit("entry-1", OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) == "up-0");
+  cell.store().Put(kUpstreamTable, "up-0", kNoise);
+  cell.RunFor(Millis(500));
+  cell.Submit("entry-1", OneStepJob(2, 1, 1000));
+  // Longer than any lease: it is renewed all the while.
+  cell.RunFor(Millis(8000));
+  BOOST_TEST(cell.accepted(2));
+  BOOST_TEST(!cell.upstreams().Ran(2));
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) == "up-0");
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(5000)));
+  BOOST_TEST(cell.upstreams().DoneRuns({1, 0, 0, 0}) == 1);
+  BOOST_TEST(!cell.upstreams().Ran(2));
+  cell.store().Put(kUpstreamTable, "up-0", rpc::Encode(cell.ListEntry(0)));
+  BOOST_TEST(cell.RunUntilFinal(2, Millis(5000)));
+  BOOST_TEST(cell.upstreams().starts() == 2);
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The same while the leader is lost: the next one holds the upstream by the
+/// address in the roster and finds the task there; a cancel reaches it.
+BOOST_AUTO_TEST_CASE(ANewLeaderHoldsAnUpstreamWhoseEntryIsBad) {
+  JobCell cell({.upstreams = 1});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({1, 0, 0, 0}).takes = Millis(20000);
+  cell.Submit("entry-1", OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(500));
+  cell.store().Put(kUpstreamTable, "up-0", kNoise);
+  cell.RunFor(Millis(300));
+  RestartAll(cell);
+  cell.RunFor(Millis(9000));
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) == "up-0");
+  BOOST_TEST(cell.upstreams().starts() == 1);
+  cell.Submit("entry-1", OneStepJob(2, 1, 1000));
+  cell.RunFor(Millis(1000));
+  BOOST_TEST(!cell.upstreams().Ran(2));
+  cell.Cancel("entry-0", 1);
+  cell.RunFor(Millis(2000));
+  BOOST_TEST(cell.cancelled(1));
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) == "");
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// An entry of a service that nothing names stands among the others. A call to
+/// it would be one to a stranger, and a new leader would wait 6 s for its
+/// inventory. It is used once a job or the configuration names its pool.
+BOOST_AUTO_TEST_CASE(AnUpstreamOfAPoolThatNothingNamesIsNotCalled) {
+  JobCell cell({.upstreams = 2});
+  wire::UpstreamRecord stranger = cell.ListEntry(7);
+  stranger.pool = "strange";
+  cell.upstreams().Add(stranger.id, 8000, 16000);
+  cell.store().Put(kUpstreamTable, stranger.id, rpc::Encode(stranger));
+  cell.RunFor(Millis(3000));
+  BOOST_TEST(!cell.upstreams().Called(stranger.id));
+  BOOST_TEST(Told(cell, "upstream list", 1));
+  wire::JobSpec job = OneStepJob(1, 1, 1000);
+  job.queue.pool = "strange";
+  cell.Submit("entry-1", job);
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(5000)));
+  BOOST_TEST(cell.upstreams().Called(stranger.id));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A configuration that nobody can read follows one that is in force, and comes
+/// in the same read as a good one. What was good is in force, and a later good
+/// one is taken.
+BOOST_AUTO_TEST_CASE(ABadConfigurationLeavesTheOneInForce) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  BOOST_TEST(ConfigVersion(cell) == 1);
+  for (int i = 0; i < 5; ++i) {
+    cell.store().Put(kConfigTable, "config", kNoise);
+    cell.RunFor(Millis(500));
+  }
+  BOOST_TEST(ConfigVersion(cell) == 1);
+  BOOST_TEST(Told(cell, "configuration", 1));
+  cell.store().Put(kConfigTable, "config", "2");
+  cell.store().Put(kConfigTable, "config", kNoise);
+  cell.RunFor(Millis(500));
+  BOOST_TEST(ConfigVersion(cell) == 2);
+  cell.store().Put(kConfigTable, "config", "3");
+  cell.RunFor(Millis(500));
+  BOOST_TEST(ConfigVersion(cell) == 3);
+  for (const auto& name : cell.names()) BOOST_TEST(cell.entry(name)->Ready());
+}
+
+/// Something overwrites the leader's record while it leads. It goes on in its
+/// term and writes its record anew.
+BOOST_AUTO_TEST_CASE(ALeaderOutlivesABadRecord) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  const int64_t term = cell.entry(leader)->leadership().term();
+  cell.store().Put(kLeaderTable, kLeaderKey, kNoise);
+  cell.RunFor(Millis(3000));
+  BOOST_TEST(cell.Leader() == leader);
+  BOOST_TEST(cell.entry(leader)->leadership().term() == term);
+  BOOST_TEST(cell.store().Records(kLeaderTable).at(kLeaderKey) != kNoise);
+  BOOST_TEST(Told(cell, "leaders", 1));
+}
+
+/// All entries lose power, and the leader's record can't be read when they are
+/// back, or names what no leader can be. One that started from the first term
+/// again was fenced once for each earlier term, or never claimed at all. The
+/// next leader is above all earlier ones at once, and the job goes on.
+BOOST_AUTO_TEST_CASE(ABadLeaderRecordIsSucceeded) {
+  const auto record = [](int64_t term, const std::string& address) {
+    wire::AnnounceCall out;
+    out.term = term;
+    out.leader.name = "stranger";
+    out.leader.address = address;
+    return rpc::Encode(out);
+  };
+  for (const std::string& bad :
+       {kNoise, std::string("x"), record(0, "stranger:1"),
+        record(-3, "stranger:1"), record(INT64_MAX, "stranger:1"),
+        record(1LL << 53, "stranger:1"), record(1000000, "stranger:1"),
+        record(3, "")}) {
+    JobCell cell({});
+    cell.RunFor(Millis(2000));
+    // Several terms, so that the first is far below the last.
+    for (int i = 0; i < 8; ++i) {
+      cell.Restart(cell.Leader());
+      cell.RunFor(Millis(2500));
+    }
+    const int64_t before = cell.entry(cell.Leader())->leadership().term();
+    cell.upstreams().script({1, 0, 0, 0}).takes = Millis(4000);
+    cell.Submit("entry-1", OneStepJob(1, 1, 1000));
+    cell.RunFor(Millis(300));
+    KillAll(cell);
+    cell.store().Put(kLeaderTable, kLeaderKey, bad);
+    RestartAll(cell);
+    cell.RunFor(Millis(2500));
+    BOOST_TEST_CONTEXT("record of " << bad.size() << " bytes") {
+      BOOST_REQUIRE(!cell.Leader().empty());
+      BOOST_TEST(cell.entry(cell.Leader())->leadership().term() > before);
+      BOOST_TEST(cell.RunUntilFinal(1, Millis(9000)));
+      BOOST_TEST(cell.upstreams().DoneRuns({1, 0, 0, 0}) == 1);
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
+/// A record of an accepted job, or of its progress, was written in a form that
+/// this version can't read. The job is neither run, nor forgotten, nor taken
+/// for new when its caller sends it again; its records stay as they are, and
+/// the other jobs run.
+BOOST_AUTO_TEST_CASE(AJobWhoseRecordIsBadIsNeitherLostNorRunTwice) {
+  const JobId bad_id = 1;
+  const JobId good_id = 2;
+  wire::JobSpec empty;
+  empty.id = static_cast<int64_t>(bad_id);
+  wire::JobSpec other = OneStepJob(9, 1, 1000);
+  wire::JobSpec huge = OneStepJob(bad_id, 1, 1000);
+  huge.steps[0].estimate_ms = INT64_MAX;
+  wire::ProgressRecord odd_state;
+  odd_state.state = 77;
+  wire::ProgressRecord odd_task;
+  odd_task.tasks.emplace_back().task = 5;
+  struct Row {
+    char kind;
+    std::string value;
+  };
+  for (const Row& row :
+       {Row{'s', kNoise}, Row{'s', rpc::Encode(empty)},
+        Row{'s', rpc::Encode(other)}, Row{'s', rpc::Encode(huge)},
+        Row{'p', kNoise}, Row{'p', rpc::Encode(odd_state)},
+        Row{'p', rpc::Encode(odd_task)}}) {
+    JobCell cell({});
+    cell.RunFor(Millis(2000));
+    for (const JobId id : {bad_id, good_id}) {
+      cell.upstreams().script({id, 0, 0, 0}).takes = Millis(1500);
+      cell.Submit("entry-1", OneStepJob(id, 1, 1000));
+    }
+    cell.RunFor(Millis(300));
+    BOOST_TEST(cell.accepted(bad_id));
+    KillAll(cell);
+    const std::string key = row.kind + JobIdText(bad_id);
+    cell.store().Put(kJobTable, key, row.value);
+    RestartAll(cell);
+    cell.RunFor(Millis(3000));
+    cell.Submit("entry-2", OneStepJob(bad_id, 1, 1000));
+    cell.Cancel("entry-3", bad_id);
+    BOOST_TEST_CONTEXT(row.kind << " of " << row.value.size() << " bytes") {
+      BOOST_TEST(cell.RunUntilFinal(good_id, Millis(9000)));
+      cell.RunFor(Millis(5000));
+      BOOST_TEST(cell.upstreams().DoneRuns({good_id, 0, 0, 0}) == 1);
+      BOOST_TEST(cell.upstreams().starts() == 2);
+      BOOST_TEST(cell.answered(bad_id));
+      BOOST_TEST(!cell.refused(bad_id));
+      BOOST_TEST(!cell.cancelled(bad_id));
+      BOOST_TEST(!cell.State(bad_id).has_value());
+      BOOST_TEST(cell.store().Records(kJobTable).at(key) == row.value);
+      BOOST_TEST(Told(cell, "jobs", 1));
+      BOOST_TEST(cell.Broken().empty());
+    }
+  }
+}
+
+/// A record of a kind that this version does not know stands beside a job's. It
+/// is told of and left alone; the job runs.
+BOOST_AUTO_TEST_CASE(ARecordOfAnUnknownKindIsLeftAlone) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({1, 0, 0, 0}).takes = Millis(1500);
+  cell.Submit("entry-1", OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(300));
+  KillAll(cell);
+  const std::string key = "x" + JobIdText(1);
+  cell.store().Put(kJobTable, key, kNoise);
+  cell.store().Put(kJobTable, "s", kNoise);
+  RestartAll(cell);
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(9000)));
+  BOOST_TEST(cell.upstreams().DoneRuns({1, 0, 0, 0}) == 1);
+  BOOST_TEST(cell.store().Records(kJobTable).at(key) == kNoise);
+  BOOST_TEST(Told(cell, "jobs", 2));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The roster's record of an upstream that runs a task can't be read, the
+/// upstream is cut off and its entry has lapsed. A new leader that counted on
+/// the rest of the roster would start the task a second time while its lease
+/// still runs there.
+BOOST_AUTO_TEST_CASE(ABadRosterRecordIsWaitedFor) {
+  JobCell cell({.upstreams = 2});
+  cell.RunFor(Millis(2000));
+  cell.upstreams().script({1, 0, 0, 0}).takes = Millis(20000);
+  cell.Submit("entry-1", OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(500));
+  const std::string where = cell.upstreams().Where({1, 0, 0, 0});
+  BOOST_REQUIRE(!where.empty());
+  KillAll(cell);
+  cell.upstreams().faults(where).cut = true;
+  cell.store().Put(kUpstreamTable, where, "");
+  cell.store().Put(kJobTable, "u" + where, kNoise);
+  RestartAll(cell);
+  cell.RunFor(Millis(9000));
+  BOOST_TEST(cell.upstreams().starts() == 2);
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) != where);
+  BOOST_TEST(cell.upstreams().Where({1, 0, 0, 0}) != "");
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A peer names terms that nobody can have, hands in jobs that no entry takes,
+/// and answers with verdicts and states that nobody knows.
+BOOST_AUTO_TEST_CASE(OddPeersMoveNobody) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  jobentry::JobEntry& entry = *cell.entry(leader);
+  const int64_t term = entry.leadership().term();
+  for (const int64_t odd :
+       {INT64_MIN, int64_t{-1}, int64_t{1} << 53, INT64_MAX}) {
+    wire::HelloCall hello;
+    hello.term = odd;
+    entry.OnHello(hello);
+    wire::AnnounceCall call;
+    call.term = odd;
+    call.leader.address = "stranger:1";
+    for (const auto& name : cell.names()) cell.entry(name)->OnAnnounce(call);
+  }
+  wire::SubmitJobCall job;
+  int32_t verdict = -1;
+  entry.OnSubmit(
+      job, [&](const wire::SubmitJobReply& reply) { verdict = reply.verdict; });
+  BOOST_TEST(verdict ==
+             static_cast<int32_t>(coordinator::JobVerdict::kRefused));
+  wire::AdviseCall advise;
+  advise.timeout_ms = INT64_MIN;
+  entry.OnAdvise(advise, [](const wire::AdviseReply&) {});
+  cell.RunFor(Millis(2000));
+  BOOST_TEST(cell.Leader() == leader);
+  BOOST_TEST(entry.leadership().term() == term);
+  BOOST_TEST(
+      (coordinator::ToJobVerdict(99) == coordinator::JobVerdict::kUnknown));
+  BOOST_TEST((coordinator::ToJobVerdict(0) == coordinator::JobVerdict::kDone));
+}
+
+}  // namespace mimosarail::jobsim
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -65,9 +65,8 @@
 
 JobCell::~JobCell() = default;
 
-void JobCell::AddUpstream(int number) {
+wire::UpstreamRecord JobCell::ListEntry(int number) const {
   const std::string id = "up-" + std::to_string(number);
-  upstreams_.Add(id, options_.millicores, options_.memory_mb);
   wire::UpstreamRecord record;
   record.id = id;
   record.pool = "pool";
@@ -75,7 +74,17 @@
   record.rack = "r" + std::to_string(number / 2);
   record.millicores = options_.millicores;
   record.memory_mb = options_.memory_mb;
-  store_.Put(kUpstreamTable, id, rpc::Encode(record));
+  return record;
+}
+
+void JobCell::AddUpstream(int number) {
+  const wire::UpstreamRecord record = ListEntry(number);
+  upstreams_.Add(record.id, options_.millicores, options_.memory_mb);
+  store_.Put(kUpstreamTable, record.id, rpc::Encode(record));
+}
+
+std::string JobCell::Metrics(const std::string& entry) const {
+  return processes_.at(entry)->metrics.Text();
 }
 
 void JobCell::Start(const std::string& name) {
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -78,6 +78,8 @@
   std::string Leader();
   std::vector<std::string> names() const;
   jobentry::JobEntry* entry(const std::string& name);
+  /// What the entry's process counts, as text. Precondition: it runs.
+  std::string Metrics(const std::string& entry) const;
 
   /// Hands a job in at an entry and keeps what became of it.
   void Submit(const std::string& entry, wire::JobSpec spec);
@@ -101,6 +103,8 @@
   sim::ManualClock& clock() { return clock_; }
   StoreFake& store() { return store_; }
   UpstreamsFake& upstreams() { return upstreams_; }
+  /// What the upstream's own entry in the list says.
+  wire::UpstreamRecord ListEntry(int number) const;
   /// Rules broken, as upstreams and callers saw it.
   std::vector<std::string> Broken() const;
 
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -1,5 +1,7 @@
 #include "tests/jobsim/store_fake.h"
 
+#include <charconv>
+
 #include "src/libs/rpc/codec.h"
 
 namespace mimosarail::jobsim {
@@ -13,7 +15,11 @@
   out.id = id;
   out.listed = !value.empty();
   wire::UpstreamRecord record;
-  if (!out.listed || !rpc::DecodeInto(value, record)) return out;
+  if (!out.listed) return out;
+  if (!rpc::DecodeInto(value, record) || record.address.empty()) {
+    out.fault = "does not decode";
+    return out;
+  }
   out.pool = record.pool;
   out.address = record.address;
   out.rack = record.rack;
@@ -23,6 +29,15 @@
   return out;
 }
 
+std::vector<std::string> ValuesOf(
+    const std::vector<ports::KeyedRecord>& records) {
+  std::vector<std::string> out;
+  for (const ports::KeyedRecord& record : records) {
+    out.push_back(record.value);
+  }
+  return out;
+}
+
 }  // namespace
 
 void StoreFake::Put(const std::string& table, const std::string& key,
@@ -82,6 +97,7 @@
       break;
     }
     out.records.push_back({at->first, at->second});
+    out.last_key = at->first;
   }
   return out;
 }
@@ -166,9 +182,8 @@
       timeout, std::move(done),
       [this]() -> Result<ports::ConfigUpdate> {
         const auto page = store_.Newest(kConfigTable, "");
-        return ports::ConfigUpdate{
-            .cursor = page.end_offset,
-            .document = page.records.empty() ? "" : page.records[0].value};
+        return ports::ConfigUpdate{.cursor = page.end_offset,
+                                   .documents = ValuesOf(page.records)};
       },
       kDelay);
 }
@@ -181,10 +196,8 @@
       [this, cursor]() -> Result<ports::ConfigUpdate> {
         const auto tail = store_.Tail(kConfigTable, cursor);
         if (!tail.ok()) return tail.error();
-        const auto& records = tail.value().records;
-        return ports::ConfigUpdate{
-            .cursor = tail.value().end_offset,
-            .document = records.empty() ? "" : records.back().value};
+        return ports::ConfigUpdate{.cursor = tail.value().end_offset,
+                                   .documents = ValuesOf(tail.value().records)};
       },
       kLook);
 }
@@ -193,7 +206,12 @@
     const std::string& document) const {
   // The fake's documents are just their version; there is one queue.
   ports::CellConfig out;
-  out.version = std::stoll(document);
+  const char* const end = document.data() + document.size();
+  const auto read = std::from_chars(document.data(), end, out.version);
+  if (read.ec != std::errc() || read.ptr != end || out.version < 1) {
+    return {Errc::kMalformed, "no version"};
+  }
+  out.pools = {"pool"};
   ports::QueueConfig queue;
   queue.host = "host";
   queue.prefix = "/q/";
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -50,6 +50,7 @@
 }
 
 bool UpstreamsFake::Reachable(const std::string& id) {
+  called_.insert(id);
   const auto found = upstreams_.find(id);
   return found != upstreams_.end() && !found->second.faults.dead &&
          !found->second.faults.cut;
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -63,6 +63,8 @@
   /// Runs that ended "done", by task.
   int DoneRuns(const TaskId& task) const;
   int starts() const { return starts_; }
+  /// Whether anybody ever called it.
+  bool Called(const std::string& id) const { return called_.count(id) > 0; }
   /// The upstream that runs the task; empty if none does.
   std::string Where(const TaskId& task) const;
   bool Ran(JobId job) const { return ran_.count(job) > 0; }
@@ -108,6 +110,7 @@
   /// Ends "done" that a leader has taken note of, in tasks.
   std::set<TaskId> done_seen_;
   std::set<JobId> ran_;
+  std::set<std::string> called_;
   std::vector<std::string> broken_;
   uint64_t last_run_ = 0;
   int starts_ = 0;
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -133,6 +133,13 @@
   BOOST_REQUIRE(page.ok());
   BOOST_TEST(page.value().more);
   BOOST_TEST(page.value().records[0].value == std::string("\0\xff\x80", 3));
+  // An item that can't be read is no record, and loses no other.
+  const auto odd =
+      DecodeNewest(R"({"items":[{"key":"a","value":"*"}],"endOffset":6})");
+  BOOST_REQUIRE(odd.ok());
+  BOOST_REQUIRE_EQUAL(odd.value().records.size(), 1U);
+  BOOST_TEST(!odd.value().records[0].fault.empty());
+  BOOST_TEST(odd.value().records[0].value.empty());
   BOOST_TEST(!DecodeNewest(R"({"items":[{"key":"a","value":"*"}]})").ok());
   BOOST_TEST(!DecodeNewest("no").ok());
 }
@@ -157,7 +164,8 @@
       R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
       "service":"s","priority":1,"maxAttempts":2,"slackFactor":2.2,
       "targetDurationMs":1000,"advisor":{"decideMs":360.5,"periodMs":5.1,
-      "validMs":1500}},{"name":"q"}],"limits":{"maxBodyBytes":9}})");
+      "validMs":1500}},{"name":"q","host":"h","prefix":"/q/",
+      "service":"t"}],"services":[{"name":"u"}],"limits":{"maxBodyBytes":9}})");
   BOOST_REQUIRE(config.ok());
   BOOST_TEST(config.value().version == 7);
   BOOST_REQUIRE_EQUAL(config.value().queues.size(), 2U);
@@ -166,6 +174,8 @@
   BOOST_TEST(policy.advice_base_ms == 360.5);
   BOOST_TEST(policy.max_attempts == 2);
   BOOST_TEST(!config.value().queues[1].policy.advised);
+  BOOST_TEST((config.value().pools == std::set<std::string>{"s", "t", "u"}));
+  BOOST_TEST(!DecodeConfig(R"({"version":7,"routes":[{"name":"q"}]})").ok());
   BOOST_TEST(!DecodeConfig(R"({"routes":[]})").ok());
 }
 
