Coordinator: Keep the ends of jobs whose records cannot be read

Cause: an upstream forgets an end once it is told of. Of a job whose record this version can't read the end was dropped, and a version that reads it ran the task a second time (foreign_entries_test: two runs done of one task). Change: such ends are kept in the table under a key of their own and put into the job's progress when it can be read again.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -1,6 +1,7 @@
 #include "src/coordinator/coordinator.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
@@ -24,15 +25,20 @@
 /// Callers come back after this when the store is away.
 constexpr int64_t kRetryAfterMs = 1000;
 
-/// Keys of the table: what a job is, how far it is, and which upstreams may
-/// run something of ours.
+/// Keys of the table: what a job is, how far it is, an end of one whose other
+/// records can't be read, and which upstreams may run something of ours.
 constexpr char kSpecPrefix = 's';
 constexpr char kProgressPrefix = 'p';
+constexpr char kEndPrefix = 'e';
 constexpr char kUpstreamPrefix = 'u';
 
 std::string SpecKey(JobId id) { return kSpecPrefix + JobIdText(id); }
 std::string ProgressKey(JobId id) { return kProgressPrefix + JobIdText(id); }
 
+std::string EndKey(const TaskId& task, int64_t attempt) {
+  return kEndPrefix + TaskIdText(task) + "." + std::to_string(attempt);
+}
+
 std::string Text(int64_t value) { return std::to_string(value); }
 
 wire::UpstreamRecord ToRecord(const ports::UpstreamEntry& entry) {
@@ -75,6 +81,27 @@
   return reply;
 }
 
+/// Puts a kept end into a job that was loaded again.
+void ApplyKeptEnd(Job& job, const TaskId& task, int64_t attempt, bool failed) {
+  if (job.final()) return;
+  const wire::StepSpec& step = job.step(task.step);
+  job.NoteStarted();
+  if (failed) {
+    const bool spent = job.CountFailure(task, attempt) && !step.lasting &&
+                       job.Failures(task) >= job.queue().max_attempts;
+    if (spent) job.SetState(JobState::kFailed);
+    return;
+  }
+  if (step.lasting) return;
+  // One member's end stands for its whole gang.
+  const int32_t first = step.gang ? 0 : task.index;
+  const int32_t last = step.gang ? step.tasks - 1 : task.index;
+  for (int32_t i = first; i <= last; ++i) {
+    job.SetPhase({task.job, task.occurrence, task.step, i}, TaskPhase::kDone);
+  }
+  if (job.AllDone()) job.SetState(JobState::kComplete);
+}
+
 constexpr int64_t kAttemptsPerTerm = 100000;
 
 }  // namespace
@@ -152,6 +179,7 @@
   if (record.key.empty()) return "no key";
   const char kind = record.key[0];
   if (kind == kUpstreamPrefix) return TakeUpstream(record);
+  if (kind == kEndPrefix) return TakeEnd(record);
   if (kind != kSpecPrefix && kind != kProgressPrefix) return "unknown kind";
   const auto id = ParseJobId(record.key.substr(1));
   if (!id) return "no id of a job";
@@ -193,9 +221,72 @@
   return findings.ToString();
 }
 
+std::string Coordinator::TakeEnd(const ports::KeyedRecord& record) {
+  const size_t dot = record.key.rfind('.');
+  const auto kept = rpc::Decode<wire::TaskRecord>(record.value);
+  if (dot == std::string::npos || !kept.ok()) return "does not decode";
+  const auto task =
+      ParseTaskId(std::string_view(record.key).substr(1, dot - 1));
+  const std::string_view digits = std::string_view(record.key).substr(dot + 1);
+  int64_t attempt = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), attempt);
+  if (!task || attempt < 1) return "names no attempt of a task";
+  loaded_ends_[task->job].push_back(
+      {.task = *task,
+       .attempt = attempt,
+       .failed = !kept.value().failed_attempts.empty()});
+  return {};
+}
+
+void Coordinator::KeepEnd(const ports::EndedTask& end) {
+  const bool failed = end.kind == ports::EndKind::kFailed;
+  if (unreadable_.count(end.task.job) == 0) return;
+  if (!failed && end.kind != ports::EndKind::kDone) return;
+  // The upstream forgets it once it is safe here. Nothing else would tell a
+  // version that reads the job's records not to run the task again.
+  wire::TaskRecord record;
+  record.task = end.task.index;
+  if (failed) record.failed_attempts = {end.attempt};
+  journal_->Put(EndKey(end.task, end.attempt), rpc::Encode(record));
+}
+
+void Coordinator::MergeEnds() {
+  std::vector<std::string> merged;
+  for (const auto& [id, ends] : std::exchange(loaded_ends_, {})) {
+    const auto spec = loaded_specs_.find(id);
+    if (spec == loaded_specs_.end() || unreadable_.count(id) > 0) continue;
+    Job job(spec->second);
+    job.Restore(loaded_progress_[id]);
+    for (const KeptEnd& end : ends) {
+      merged.push_back(EndKey(end.task, end.attempt));
+      if (job.Has(end.task))
+        ApplyKeptEnd(job, end.task, end.attempt, end.failed);
+    }
+    loaded_progress_[id] = job.Progress();
+    journal_->Put(ProgressKey(id), rpc::Encode(loaded_progress_[id]));
+  }
+  if (merged.empty()) return;
+  journal_->WhenStored([weak = weak_from_this(), merged](bool stored) {
+    const auto self = weak.lock();
+    if (!stored || !self || self->closed_) return;
+    for (const std::string& key : merged) self->journal_->Remove(key);
+  });
+}
+
 void Coordinator::LoadJobs() {
   const TimePoint now = deps_.executor.Now();
   const int64_t wall = deps_.executor.UnixMillis();
+  for (const auto& [id, spec] : loaded_specs_) {
+    const auto progress = loaded_progress_.find(id);
+    if (progress == loaded_progress_.end()) continue;
+    Findings findings;
+    CheckProgressOf(spec, progress->second, findings);
+    if (findings.empty()) continue;
+    deps_.faults.Tell(faults::EntrySource::kJobs, ProgressKey(id),
+                      findings.ToString());
+    unreadable_.insert(id);
+  }
+  MergeEnds();
   for (const auto& [id, progress] : loaded_progress_) {
     const auto state = static_cast<JobState>(progress.state);
     if (!IsFinal(state)) continue;
@@ -206,17 +297,8 @@
   }
   for (const auto& [id, spec] : loaded_specs_) {
     if (unreadable_.count(id) > 0) continue;
-    const wire::ProgressRecord& progress = loaded_progress_[id];
-    Findings findings;
-    CheckProgressOf(spec, progress, findings);
-    if (!findings.empty()) {
-      deps_.faults.Tell(faults::EntrySource::kJobs, ProgressKey(id),
-                        findings.ToString());
-      unreadable_.insert(id);
-      continue;
-    }
     job_pools_.insert(spec.queue.pool);
-    scheduler_.Load(spec, progress, now, wall);
+    scheduler_.Load(spec, loaded_progress_[id], now, wall);
   }
 }
 
@@ -622,6 +704,7 @@
            {"upstream", scheduler_.pool().at(upstream).entry.id},
            {"how", std::string(ports::kEndKindNames.Name(end.kind))}});
     }
+    KeepEnd(end);
     scheduler_.OnEnd(upstream, end, now, orders);
   }
   scheduler_.OnRunning(upstream, running, now, orders);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -108,6 +108,12 @@
     int64_t number = 0;
     std::vector<std::function<void(wire::SubmitJobReply)>> waiters;
   };
+  /// An end of a job whose records could not be read when it was told.
+  struct KeptEnd {
+    TaskId task;
+    int64_t attempt = 0;
+    bool failed = false;
+  };
   struct FinalJob {
     JobState state = JobState::kComplete;
     TimePoint since{};
@@ -123,6 +129,11 @@
   std::string TakeUpstream(const ports::KeyedRecord& record);
   std::string TakeSpec(JobId id, const std::string& value);
   std::string TakeProgress(JobId id, const std::string& value);
+  std::string TakeEnd(const ports::KeyedRecord& record);
+  /// Puts kept ends into the progress of jobs that can be read again.
+  void MergeEnds();
+  /// Keeps an end of a job whose records can't be read.
+  void KeepEnd(const ports::EndedTask& end);
   void LoadJobs();
   void ReadList();
   void OnList(const ports::UpstreamListUpdate& update, bool whole);
@@ -170,6 +181,7 @@
   /// While loading: records whose partner has not come yet.
   std::unordered_map<JobId, wire::JobSpec> loaded_specs_;
   std::unordered_map<JobId, wire::ProgressRecord> loaded_progress_;
+  std::unordered_map<JobId, std::vector<KeptEnd>> loaded_ends_;
   std::vector<ports::UpstreamEntry> roster_;
   /// Jobs whose records were written in a form that this version can't read.
   /// They are neither run nor written here.
