Rpc: Take no room for what a length only claims

Cause: a frame's announced length was allocated at once, and a list's announced size before its first element was read. Eight connections that announce 32 MB took 256 MB of the 260 MB of a process; one message of 8 MB took 1.4 GB. Change: a frame's buffer grows as bytes come; lists have at most 262,144 elements.

--- a/src/libs/rpc/codec.cc
+++ b/src/libs/rpc/codec.cc
@@ -4,6 +4,7 @@
 #include <thrift/protocol/TCompactProtocol.h>
 #include <thrift/transport/TBufferTransports.h>
 
+#include <algorithm>
 #include <memory>
 
 namespace mimosarail::rpc {
@@ -11,6 +12,14 @@
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
+namespace {
+
+/// Longest list of a message: a job has up to 100,000 tasks. A list of so many
+/// of the largest elements takes 65 MB.
+constexpr int32_t kMaxElements = 1 << 18;
+
+}  // namespace
+
 std::string Encode(const apache::thrift::TBase& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocol protocol(buffer);
@@ -24,9 +33,10 @@
       reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));  // NOLINT
   auto buffer = std::make_shared<TMemoryBuffer>(
       data, static_cast<uint32_t>(bytes.size()), TMemoryBuffer::OBSERVE);
-  // A corrupt length must not allocate more than the bytes that came.
+  // A corrupt length must not allocate more than the bytes that came. Elements
+  // are up to 250 times larger in memory than on the wire.
   const auto limit = static_cast<int32_t>(bytes.size()) + 1;
-  TCompactProtocol protocol(buffer, limit, limit);
+  TCompactProtocol protocol(buffer, limit, std::min(limit, kMaxElements));
   try {
     message.read(&protocol);
   } catch (const std::exception&) {
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -43,9 +43,12 @@
         if (error) return done(Error{error, error.message()});
         const uint32_t length = FrameLength(buffer);
         if (length > kMaxFrame) return done(Errc::kMalformed);
-        buffer.resize(length);
+        // Grows as the bytes come: a length alone, sent on eight connections,
+        // would otherwise take the 260 MB that a process has.
+        buffer.clear();
         asio::async_read(
-            socket, asio::buffer(buffer),
+            socket, asio::dynamic_buffer(buffer, length),
+            asio::transfer_exactly(length),
             [&buffer, done = std::move(done)](std::error_code body_error,
                                               size_t) {
               if (body_error) {
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -2,6 +2,8 @@
 // may have left: one table a decoder.
 
 #define BOOST_TEST_MODULE decoders
+#include <sys/resource.h>
+
 #include <boost/test/unit_test.hpp>
 
 #include "platform/job_codec.h"
@@ -9,6 +11,9 @@
 #include "platform/upstream_codec.h"
 #include "src/jobs/job_state.h"
 #include "src/libs/http/parser.h"
+#include "src/libs/rpc/asio.h"
+#include "src/libs/rpc/codec.h"
+#include "src/libs/rpc/server.h"
 
 namespace mimosarail::platform {
 namespace {
@@ -31,6 +36,14 @@
   return {.status = 200, .body = body};
 }
 
+/// Memory of this process, its most so far.
+int64_t ResidentMb() {
+  constexpr int64_t kKbPerMb = 1024;
+  rusage usage{};
+  getrusage(RUSAGE_SELF, &usage);
+  return usage.ru_maxrss / kKbPerMb;
+}
+
 std::string Nested(size_t levels) {
   return std::string(levels, '[') + std::string(levels, ']');
 }
@@ -416,4 +429,40 @@
   }
 }
 
+/// Peers announce frames of 32 MB and send nothing more. Room for each was made
+/// at once, and eight such connections took all memory that a process has.
+BOOST_AUTO_TEST_CASE(AFrameThatLiesTakesNoRoom) {
+  asio::io_context io;
+  rpc::Server server(io);
+  const auto port = server.Listen("127.0.0.1:0");
+  BOOST_REQUIRE(port.ok());
+  constexpr int kPeers = 8;
+  std::vector<asio::ip::tcp::socket> peers;
+  for (int i = 0; i < kPeers; ++i) {
+    peers.emplace_back(io).connect(
+        {asio::ip::make_address("127.0.0.1"), port.value()});
+    asio::write(peers.back(), asio::buffer(std::string("\x02\0\0\0x", 5)));
+  }
+  const int64_t before = ResidentMb();
+  io.run_for(std::chrono::milliseconds(300));
+  BOOST_TEST(ResidentMb() - before < 50);
+}
+
+/// A peer's list claims 8 million steps and its message is 8 MB long. Room for
+/// all of them was made before the first was read: some 2 GB.
+BOOST_AUTO_TEST_CASE(AListThatLiesTakesNoRoom) {
+  // The third field of a job is its list of steps (compact protocol: field 3 of
+  // type list; a long list of structs; its size).
+  std::string bytes = "\x39\xfc";
+  constexpr uint32_t kElements = 8 << 20;
+  for (uint32_t left = kElements; left > 0; left >>= 7U) {
+    const uint32_t more = left > 0x7fU ? 0x80U : 0;
+    bytes.push_back(static_cast<char>((left & 0x7fU) | more));
+  }
+  bytes += std::string(kElements, '\0');
+  const int64_t before = ResidentMb();
+  BOOST_TEST(!rpc::Decode<wire::JobSpec>(bytes).ok());
+  BOOST_TEST(ResidentMb() - before < 100);
+}
+
 }  // namespace mimosarail::platform
