--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -5,8 +5,8 @@
 #include <cstdlib>
 #include <random>
 
-#include "src/libs/logging/log.h"
 #include "tests/jobsim/job_cell.h"
+#include "tests/jobsim/trace.h"
 
 namespace mimosarail::jobsim {
 namespace {
@@ -293,16 +293,6 @@
 
 }  // namespace
 
-/// MIMOSARAIL_TRACE=1 prints the log lines of a run.
-struct Trace {
-  Trace() {
-    if (std::getenv("MIMOSARAIL_TRACE") != nullptr) {
-      logging::Start("schedule", logging::Level::kDebug);
-    }
-  }
-  ~Trace() { logging::Stop(); }
-};
-
 BOOST_TEST_GLOBAL_FIXTURE(Trace);
 
 BOOST_DATA_TEST_CASE(PromisesHoldThroughFaults,
