Scheduling: Stop at once what runs though nobody asked for it

A leader waited for an end after the first report of an unwanted run that it took for stopping. That held only if a stop had been ordered just then. It had not where (1) a new leader was asked to cancel before the upstream told what it runs, (2) a start was carried out seconds after the stop, by an upstream that was cut off meanwhile, whoever had sent it, (3) the stop was lost. Each cost two more reports, 2.06 s with renewals that wait 1 s, and the stop's own time.

The scheduler notes each stop when it orders it, by upstream and run, and drops the note with the run's end; a listed run without a note is stopped with the first report and told of once ("unasked run stopped", counter unasked_runs by cause). A stop that was not sent or not answered is due again with the next report. Notes of an upstream go when nothing runs there any more; before, they stayed for good.

Repeating lost stops inside the link: the list is the truth, and a stop of what is gone by itself would be sent. A shorter period of repeats: a stop takes up to 0.9 s, and what is slow to end would be told again and again.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -561,6 +561,11 @@
   if (reply.verdict != ports::CallVerdict::kDone) PlaceSoon();
 }
 
+void Coordinator::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                               int64_t attempt) {
+  scheduler_.OnStopFailed(upstream, task, attempt, deps_.executor.Now());
+}
+
 void Coordinator::OnFenced(UpstreamIndex upstream) {
   deps_.deposed("a higher fence at upstream " +
                 scheduler_.pool().at(upstream).entry.id);
@@ -571,12 +576,11 @@
   for (const scheduling::StopOrder& stop : orders.stops) {
     const auto link = links_.find(stop.upstream);
     if (link == links_.end()) continue;
-    logging::Event(
-        Level::kInfo, "stop",
-        {{"task", TaskIdText(stop.task)},
-         {"attempt", Text(stop.attempt)},
-         {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
-         {"why", std::string(scheduling::kStopReasonNames.Name(stop.reason))}});
+    if (stop.unasked) {
+      LogUnasked(stop);
+    } else {
+      LogStop(stop);
+    }
     link->second->Stop(stop.task, stop.attempt);
   }
   for (const scheduling::StartOrder& start : orders.starts) {
@@ -593,6 +597,40 @@
   for (const scheduling::AdviceOrder& ask : orders.advice) SendAdvice(ask);
 }
 
+void Coordinator::LogStop(const scheduling::StopOrder& stop) {
+  logging::Event(
+      Level::kInfo, "stop",
+      {{"task", TaskIdText(stop.task)},
+       {"attempt", Text(stop.attempt)},
+       {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
+       {"why", std::string(scheduling::kStopReasonNames.Name(stop.reason))}});
+}
+
+void Coordinator::LogUnasked(scheduling::StopOrder stop) {
+  // The tasks of a final job are forgotten before its state is.
+  const auto final = finals_.find(stop.task.job);
+  const bool forgotten = stop.reason == scheduling::StopReason::kUnknownJob &&
+                         final != finals_.end();
+  if (forgotten) {
+    stop.reason = scheduling::ReasonToStop(final->second.state);
+    if (final->second.ended_here) {
+      stop.since_end = std::chrono::duration_cast<Millis>(deps_.executor.Now() -
+                                                          final->second.since);
+    }
+  }
+  const std::string why(scheduling::kStopReasonNames.Name(stop.reason));
+  deps_.metrics.Count({.name = "unasked_runs", .labels = {{"why", why}}});
+  logging::Event(
+      Level::kWarning, "unasked run stopped",
+      {{"job", JobIdText(stop.task.job)},
+       {"task", TaskIdText(stop.task)},
+       {"attempt", Text(stop.attempt)},
+       {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
+       {"why", why},
+       {"job_ended_ms_ago",
+        stop.since_end ? Text(stop.since_end->count()) : "not known"}});
+}
+
 void Coordinator::StoreChanges() {
   for (const JobId id : scheduler_.TakeChanged()) {
     const Job* job = scheduler_.Find(id);
@@ -608,8 +646,10 @@
 }
 
 void Coordinator::Finished(JobId id, JobState state) {
-  finals_[id] = {
-      .state = state, .since = deps_.executor.Now(), .spec_kept = true};
+  finals_[id] = {.state = state,
+                 .since = deps_.executor.Now(),
+                 .spec_kept = true,
+                 .ended_here = true};
   deps_.metrics.Count(
       {.name = "jobs_ended",
        .labels = {{"state", std::string(kJobStateNames.Name(state))}}});
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -93,6 +93,8 @@
   void OnEmpty(UpstreamIndex upstream, bool gone) override;
   void OnStartReply(const scheduling::StartOrder& order,
                     const ports::CallReply& reply) override;
+  void OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                    int64_t attempt) override;
   void OnFenced(UpstreamIndex upstream) override;
 
  private:
@@ -106,6 +108,8 @@
     JobState state = JobState::kComplete;
     TimePoint since{};
     bool spec_kept = false;
+    /// It ended while this entry led; `since` is then when it did.
+    bool ended_here = false;
   };
 
   void Load(const std::string& after);
@@ -134,6 +138,9 @@
   /// Writes what has changed and carries the orders out.
   void Pump(scheduling::Orders& orders);
   void StoreChanges();
+  void LogStop(const scheduling::StopOrder& stop);
+  /// Tells of a run that nobody asked for and that is stopped now.
+  void LogUnasked(scheduling::StopOrder stop);
   void PlaceSoon();
   void PlaceNow();
   void SendAdvice(const scheduling::AdviceOrder& order);
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -261,16 +261,23 @@
 }
 
 void UpstreamLink::Stop(const TaskId& task, int64_t attempt) {
-  if (closed_ || !events_.MayGiveOrders()) return;
-  tasks_.Stop(options_.target, task, attempt, fence_, options_.call_timeout,
-              [id = options_.target.id, task](const ports::CallReply& reply) {
-                if (reply.verdict == CallVerdict::kDone) return;
-                // What still runs is told to stop again after its next report.
-                logging::Event(logging::Level::kInfo, "stop not confirmed",
-                               {{"upstream", id},
-                                {"task", TaskIdText(task)},
-                                {"cause", reply.detail}});
-              });
+  if (closed_) return;
+  if (!events_.MayGiveOrders()) {
+    return events_.OnStopFailed(options_.index, task, attempt);
+  }
+  tasks_.Stop(
+      options_.target, task, attempt, fence_, options_.call_timeout,
+      [weak = weak_from_this(), task, attempt](const ports::CallReply& reply) {
+        const auto self = weak.lock();
+        if (!self || self->closed_ || reply.verdict == CallVerdict::kDone) {
+          return;
+        }
+        logging::Event(logging::Level::kInfo, "stop not confirmed",
+                       {{"upstream", self->options_.target.id},
+                        {"task", TaskIdText(task)},
+                        {"cause", reply.detail}});
+        self->events_.OnStopFailed(self->options_.index, task, attempt);
+      });
 }
 
 }  // namespace mimosarail::fleet
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -52,6 +52,9 @@
   virtual void OnEmpty(UpstreamIndex upstream, bool gone) = 0;
   virtual void OnStartReply(const scheduling::StartOrder& order,
                             const ports::CallReply& reply) = 0;
+  /// A stop was not sent or not answered; the run may go on.
+  virtual void OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                            int64_t attempt) = 0;
   /// Somebody used a higher fencing token there.
   virtual void OnFenced(UpstreamIndex upstream) = 0;
 };
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -10,6 +10,9 @@
 /// A stop whose end is not listed after this is sent again; a stop takes up to
 /// 0.9 s where tasks are slow to end.
 constexpr Millis kRepeatStop{1200};
+/// A stop without an answer is sent again with the first report after this, so
+/// that an upstream that tells of many ends is not called with each.
+constexpr Millis kRetryStop{100};
 /// The members of a broken gang end by themselves; what still runs after this
 /// is told to stop.
 constexpr Millis kBrokenGangGrace{300};
@@ -35,8 +38,39 @@
   return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
 }
 
+/// Whether this is the run that the job is to go on with.
+bool Wanted(const Job& job, UpstreamIndex upstream,
+            const ports::RunningTask& running) {
+  const Task& task = job.task(running.task);
+  return !job.final() && task.active() && task.phase != TaskPhase::kStopping &&
+         task.attempt == running.attempt && task.upstream == upstream;
+}
+
+/// Whether the run of a task that is done ends without a stop: the members of
+/// a gang end together, and the end of one stands for all. What a caller has
+/// cancelled is not waited for.
+bool EndsByItself(const Job& job, const TaskId& id) {
+  return job.state() != JobState::kCancelled &&
+         job.task(id).phase == TaskPhase::kDone;
+}
+
 }  // namespace
 
+StopReason ReasonToStop(JobState state) {
+  switch (state) {
+    case JobState::kCancelled:
+      return StopReason::kCancelled;
+    case JobState::kFailed:
+      return StopReason::kJobFailed;
+    case JobState::kComplete:
+      return StopReason::kJobComplete;
+    case JobState::kQueued:
+    case JobState::kRunning:
+      break;
+  }
+  return StopReason::kStray;
+}
+
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now) {
   if (step.lasting) return TimePoint::max();
   const Millis estimate(step.estimate_ms);
@@ -143,37 +177,41 @@
   queue_.insert(unit.key);
 }
 
-bool Scheduler::Cancel(JobId id, TimePoint, Orders& orders) {
+bool Scheduler::Cancel(JobId id, TimePoint now, Orders& orders) {
   Entry* entry = FindEntry(id);
   if (entry == nullptr || entry->job.final()) return false;
-  Finish(*entry, JobState::kCancelled);
-  StopAll(*entry, StopReason::kCancelled, orders);
+  Finish(*entry, JobState::kCancelled, now);
+  StopAll(*entry, StopReason::kCancelled, now, orders);
   return true;
 }
 
-void Scheduler::Finish(Entry& entry, JobState state) {
+void Scheduler::Finish(Entry& entry, JobState state, TimePoint now) {
   entry.job.SetState(state);
+  entry.ended = now;
   Changed(entry);
   for (Unit& unit : entry.units) Dequeue(unit);
 }
 
-void Scheduler::StopAll(Entry& entry, StopReason reason, Orders& orders) {
+void Scheduler::StopAll(Entry& entry, StopReason reason, TimePoint now,
+                        Orders& orders) {
   const Job& job = entry.job;
   for (int32_t k = 0; k < job.occurrences(); ++k) {
     for (int32_t s = 0; s < job.steps(); ++s) {
       if (job.run(k, s).active == 0) continue;
       for (int32_t i = 0; i < job.step(s).tasks; ++i) {
-        StopTask(entry, {job.id(), k, s, i}, reason, orders);
+        StopTask(entry, {job.id(), k, s, i}, reason, now, orders);
       }
     }
   }
 }
 
 void Scheduler::StopTask(Entry& entry, const TaskId& id, StopReason reason,
-                         Orders& orders) {
+                         TimePoint now, Orders& orders) {
   Task& task = entry.job.task(id);
   if (!task.active() || task.phase == TaskPhase::kStopping) return;
   entry.job.SetPhase(id, TaskPhase::kStopping);
+  stops_[task.upstream][{id, task.attempt}] = {
+      .reason = reason, .ordered = true, .due = now + kRepeatStop};
   orders.stops.push_back({.upstream = task.upstream,
                           .task = id,
                           .attempt = task.attempt,
@@ -187,7 +225,7 @@
   unit.aborting = true;
   for (int32_t i = 0; i < entry.job.step(id.step).tasks; ++i) {
     StopTask(entry, {id.job, id.occurrence, id.step, i},
-             StopReason::kGangBroken, orders);
+             StopReason::kGangBroken, now, orders);
   }
 }
 
@@ -221,11 +259,13 @@
     entry->job.NoteStarted();
     const Unit& unit = entry->unit(order.task.occurrence, order.task.step);
     if (unit.aborting) {
-      StopTask(*entry, order.task, StopReason::kGangBroken, orders);
+      StopTask(*entry, order.task, StopReason::kGangBroken, now, orders);
     }
     return;
   }
   pool_.Release(order.upstream, order.task, order.attempt);
+  // Should it run all the same, it has not been told to stop.
+  stops_[order.upstream].erase({order.task, order.attempt});
   if (verdict == CallVerdict::kUnhealthy) {
     pool_.NoteFailure(order.upstream, now);
   } else {
@@ -243,7 +283,7 @@
   }
 }
 
-void Scheduler::TaskDone(Entry& entry, const TaskId& id) {
+void Scheduler::TaskDone(Entry& entry, const TaskId& id, TimePoint now) {
   Job& job = entry.job;
   const wire::StepSpec& step = job.step(id.step);
   if (step.gang) {
@@ -259,7 +299,7 @@
   }
   Changed(entry);
   Refresh(entry, id.occurrence, id.step);
-  if (job.AllDone()) return Finish(entry, JobState::kComplete);
+  if (job.AllDone()) return Finish(entry, JobState::kComplete, now);
   if (!job.StepDone(id.occurrence, id.step)) return;
   for (int32_t s = id.step + 1; s < job.steps(); ++s) {
     Refresh(entry, id.occurrence, s);
@@ -276,15 +316,15 @@
   pool_.NoteFailure(upstream, now);
   if (job.step(id.step).lasting) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
-  Finish(entry, JobState::kFailed);
-  StopAll(entry, StopReason::kJobFailed, orders);
+  Finish(entry, JobState::kFailed, now);
+  StopAll(entry, StopReason::kJobFailed, now, orders);
 }
 
 void Scheduler::OnEnd(UpstreamIndex upstream, const ports::EndedTask& end,
                       TimePoint now, Orders& orders) {
   using ports::EndKind;
   pool_.Release(upstream, end.task, end.attempt);
-  stops_sent_.erase({upstream, end.task, end.attempt});
+  stops_[upstream].erase({end.task, end.attempt});
   UpstreamHealth& health = pool_.at(upstream).health;
   if (end.kind != EndKind::kFailed) health.trials = 0;
   Entry* entry = FindEntry(end.task.job);
@@ -308,7 +348,7 @@
   if (end.kind == EndKind::kDone && !job.step(end.task.step).lasting) {
     if (!job.final()) {
       job.NoteStarted();
-      TaskDone(*entry, end.task);
+      TaskDone(*entry, end.task, now);
     } else {
       job.SetPhase(end.task, TaskPhase::kDone);
     }
@@ -347,45 +387,67 @@
                           TimePoint now, Orders& orders) {
   for (const ports::RunningTask& run : running) {
     Entry* entry = FindEntry(run.task.job);
-    const bool known = entry != nullptr && entry->job.Has(run.task);
-    if (known) {
-      // What runs takes room, whoever started it.
-      const wire::StepSpec& step = entry->job.step(run.task.step);
-      pool_.Hold(upstream, run.task, run.attempt,
-                 {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now)});
-      const Task& task = entry->job.task(run.task);
-      if (entry->uncertain && task.phase == TaskPhase::kWaiting) {
-        Adopt(*entry, upstream, run, now);
-      }
-    }
-    const bool present = known && entry->job.task(run.task).active() &&
-                         entry->job.task(run.task).attempt == run.attempt &&
-                         entry->job.task(run.task).upstream == upstream;
-    if (present && entry->job.task(run.task).phase != TaskPhase::kStopping &&
-        !entry->job.final()) {
+    if (entry != nullptr && !entry->job.Has(run.task)) entry = nullptr;
+    if (entry != nullptr) TakeIn(*entry, upstream, run, now);
+    if (entry != nullptr && Wanted(entry->job, upstream, run)) {
       CheckStall(*entry, upstream, run, now, orders);
-      continue;
-    }
-    TimePoint& last = stops_sent_[{upstream, run.task, run.attempt}];
-    if (last == TimePoint{} && present) {
-      last = now;  // told to stop when its phase changed
-      continue;
-    }
-    const bool done_gang =
-        known && entry->job.task(run.task).phase == TaskPhase::kDone;
-    if (last == TimePoint{} && done_gang) {
-      last = now;  // its own end is on its way
-      continue;
+    } else {
+      StopUnwanted(entry, upstream, run, now, orders);
     }
-    if (last != TimePoint{} && now - last < kRepeatStop) continue;
-    last = now;
-    orders.stops.push_back({.upstream = upstream,
-                            .task = run.task,
-                            .attempt = run.attempt,
-                            .reason = StopReason::kStray});
   }
 }
 
+void Scheduler::TakeIn(Entry& entry, UpstreamIndex upstream,
+                       const ports::RunningTask& running, TimePoint now) {
+  // What runs takes room, whoever started it.
+  const wire::StepSpec& step = entry.job.step(running.task.step);
+  pool_.Hold(upstream, running.task, running.attempt,
+             {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now)});
+  const Task& task = entry.job.task(running.task);
+  if (entry.uncertain && task.phase == TaskPhase::kWaiting) {
+    Adopt(entry, upstream, running, now);
+  }
+}
+
+void Scheduler::StopUnwanted(const Entry* entry, UpstreamIndex upstream,
+                             const ports::RunningTask& running, TimePoint now,
+                             Orders& orders) {
+  // Only a stop that was ordered may be waited for. A run that a new leader
+  // takes over after its job was cancelled, or that an upstream starts seconds
+  // after the order, was never told to stop, or before it was there: taken for
+  // stopping, it ran on for two more reports, 2 s and more.
+  const auto [at, found] =
+      stops_[upstream].try_emplace({running.task, running.attempt});
+  StopNote& note = at->second;
+  if (found) {
+    note.reason = entry == nullptr ? StopReason::kUnknownJob
+                                   : ReasonToStop(entry->job.state());
+  }
+  if (found && entry != nullptr && EndsByItself(entry->job, running.task)) {
+    note.due = now + kRepeatStop;
+  }
+  if (now < note.due) return;
+  StopOrder stop{.upstream = upstream,
+                 .task = running.task,
+                 .attempt = running.attempt,
+                 .reason = note.reason,
+                 .unasked = !note.ordered};
+  if (entry != nullptr && entry->ended) {
+    stop.since_end = std::chrono::duration_cast<Millis>(now - *entry->ended);
+  }
+  note.ordered = true;
+  note.due = now + kRepeatStop;
+  orders.stops.push_back(stop);
+}
+
+void Scheduler::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                             int64_t attempt, TimePoint now) {
+  const auto there = stops_.find(upstream);
+  if (there == stops_.end()) return;
+  const auto note = there->second.find({task, attempt});
+  if (note != there->second.end()) note->second.due = now + kRetryStop;
+}
+
 void Scheduler::CheckStall(Entry& entry, UpstreamIndex upstream,
                            const ports::RunningTask& running, TimePoint now,
                            Orders& orders) {
@@ -398,7 +460,7 @@
   if (!running.checkpoint.empty()) task.checkpoint = running.checkpoint;
   const Unit& unit = entry.unit(running.task.occurrence, running.task.step);
   if (unit.aborting && now - unit.abort_since > kBrokenGangGrace) {
-    return StopTask(entry, running.task, StopReason::kGangBroken, orders);
+    return StopTask(entry, running.task, StopReason::kGangBroken, now, orders);
   }
   const wire::StepSpec& step = job.step(running.task.step);
   if (running.percent != task.percent) {
@@ -419,7 +481,7 @@
   if (step.gang) {
     return AbortGang(entry, running.task.step_id(), now, orders);
   }
-  StopTask(entry, running.task, StopReason::kStalled, orders);
+  StopTask(entry, running.task, StopReason::kStalled, now, orders);
 }
 
 void Scheduler::ForeseeEnd(Entry& entry, UpstreamIndex upstream,
@@ -465,6 +527,7 @@
 
 void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, TimePoint now,
                                 Orders& orders) {
+  stops_.erase(upstream);
   const auto held = pool_.at(upstream).held;
   for (const auto& [run, room] : held) {
     const auto& [id, attempt] = run;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -3,9 +3,9 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -28,21 +28,39 @@
   std::string ticket;
 };
 
-enum class StopReason { kCancelled, kJobFailed, kGangBroken, kStalled, kStray };
+enum class StopReason {
+  kCancelled,
+  kJobFailed,
+  kJobComplete,
+  kGangBroken,
+  kStalled,
+  kUnknownJob,  ///< No such job is open, or its tasks are forgotten.
+  kStray,       ///< The job goes on, but not with this run.
+};
 
 inline constexpr EnumTable kStopReasonNames{std::array{
     EnumName{StopReason::kCancelled, "job cancelled"},
     EnumName{StopReason::kJobFailed, "job failed"},
+    EnumName{StopReason::kJobComplete, "job complete"},
     EnumName{StopReason::kGangBroken, "gang is not whole"},
     EnumName{StopReason::kStalled, "task stands still"},
+    EnumName{StopReason::kUnknownJob, "no such job"},
     EnumName{StopReason::kStray, "not a run of ours"},
 }};
 
+/// Why a run that a job in this state is not to go on with is stopped. Safe
+/// from any thread.
+StopReason ReasonToStop(JobState state);
+
 struct StopOrder {
   UpstreamIndex upstream = kNoUpstream;
   TaskId task;
   int64_t attempt = 0;
   StopReason reason = StopReason::kStray;
+  /// Found in the upstream's list without an earlier stop of it; once a run.
+  bool unasked = false;
+  /// How long the job has been final, where its end was seen here.
+  std::optional<Millis> since_end{};
 };
 
 enum class AdvicePurpose {
@@ -126,6 +144,10 @@
   void OnRunning(UpstreamIndex upstream,
                  const std::vector<ports::RunningTask>& running, TimePoint now,
                  Orders& orders);
+  /// A stop may not have got there: it is ordered again if a report that comes
+  /// a moment later still lists the run.
+  void OnStopFailed(UpstreamIndex upstream, const TaskId& task, int64_t attempt,
+                    TimePoint now);
   /// Nothing runs there any more, and nothing of it will be told.
   void OnUpstreamEmpty(UpstreamIndex upstream, TimePoint now, Orders& orders);
   /// `advice` null when the call failed; `asked` as ordered.
@@ -176,6 +198,8 @@
     /// When the present queue order counts it as accepted.
     TimePoint accepted{};
     bool uncertain = false;
+    /// When it became final; unset if it was loaded so.
+    std::optional<TimePoint> ended;
     /// Occurrences below this have come due.
     int32_t due = 0;
     std::vector<Unit> units;
@@ -205,15 +229,22 @@
   void Dequeue(Unit& unit);
   void Changed(const Entry& entry) { changed_.insert(entry.job.id()); }
 
-  void TaskDone(Entry& entry, const TaskId& id);
+  void TaskDone(Entry& entry, const TaskId& id, TimePoint now);
   void TaskFailed(Entry& entry, UpstreamIndex upstream, const TaskId& id,
                   int64_t attempt, TimePoint now, Orders& orders);
   void BackToWaiting(Entry& entry, const TaskId& id, TimePoint now);
   void AbortGang(Entry& entry, const StepId& id, TimePoint now, Orders& orders);
-  void StopAll(Entry& entry, StopReason reason, Orders& orders);
+  void StopAll(Entry& entry, StopReason reason, TimePoint now, Orders& orders);
   void StopTask(Entry& entry, const TaskId& id, StopReason reason,
-                Orders& orders);
-  void Finish(Entry& entry, JobState state);
+                TimePoint now, Orders& orders);
+  void Finish(Entry& entry, JobState state, TimePoint now);
+  /// Counts a listed run in, and takes it over where nothing is known of it.
+  void TakeIn(Entry& entry, UpstreamIndex upstream,
+              const ports::RunningTask& running, TimePoint now);
+  /// `entry` null when the job is not known.
+  void StopUnwanted(const Entry* entry, UpstreamIndex upstream,
+                    const ports::RunningTask& running, TimePoint now,
+                    Orders& orders);
   void CheckStall(Entry& entry, UpstreamIndex upstream,
                   const ports::RunningTask& running, TimePoint now,
                   Orders& orders);
@@ -314,8 +345,17 @@
   /// Free cores among that room, in thousandths.
   int64_t awaited_cores_ = 0;
   AllowanceRates rates_;
-  /// When a stop was last ordered, so that it is repeated but not at once.
-  std::map<std::tuple<UpstreamIndex, TaskId, int64_t>, TimePoint> stops_sent_;
+  /// What is known of the stop of one run.
+  struct StopNote {
+    StopReason reason = StopReason::kStray;
+    bool ordered = false;
+    /// It is ordered when a report lists the run at this time or later.
+    TimePoint due{};
+  };
+  /// By upstream, then by task and attempt. Dropped with the run's end.
+  std::unordered_map<UpstreamIndex,
+                     std::map<std::pair<TaskId, int64_t>, StopNote>>
+      stops_;
 };
 
 }  // namespace mimosarail::scheduling
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -9,6 +9,7 @@
 
 constexpr Millis kWay{1};
 constexpr Millis kCallerLimit{3000};
+constexpr Millis kWatch{100};
 
 std::string AddressOf(const std::string& name) { return name + ":1"; }
 
@@ -61,6 +62,7 @@
   for (int i = 0; i < options_.entries; ++i) {
     Start("entry-" + std::to_string(i));
   }
+  Watch();
 }
 
 JobCell::~JobCell() = default;
@@ -78,13 +80,40 @@
   store_.Put(kUpstreamTable, id, rpc::Encode(record));
 }
 
+void JobCell::Watch() {
+  if (Disturbed()) upstreams_.NoteDisturbance();
+  upstreams_.CheckCancelled();
+  clock_.At(clock_.now() + kWatch, [this] { Watch(); });
+}
+
+bool JobCell::Disturbed() const {
+  const StoreFaults& store = store_.faults();
+  if (store.down || !store.turned_away.empty() || store.lose_answers > 0 ||
+      store.late_appends > 0 || !cut_.empty()) {
+    return true;
+  }
+  const bool paused = std::any_of(
+      processes_.begin(), processes_.end(), [](const auto& process) {
+        return process.second && process.second->executor.paused();
+      });
+  return paused || upstreams_.Disturbed();
+}
+
+std::string JobCell::Metrics(const std::string& entry) const {
+  const auto found = processes_.find(entry);
+  if (found == processes_.end() || !found->second) return {};
+  return found->second->metrics.Text();
+}
+
 void JobCell::Start(const std::string& name) {
+  upstreams_.NoteDisturbance();
   processes_[name] = std::make_unique<Process>(*this, name);
 }
 
 void JobCell::Kill(const std::string& entry) {
   auto& process = processes_[entry];
   if (!process) return;
+  upstreams_.NoteDisturbance();
   process->executor.Kill();
   ended_.push_back(std::move(process));
 }
@@ -175,6 +204,7 @@
       ++cancel_answers_[id];
       if (answer.verdict == coordinator::JobVerdict::kDone) {
         cancelled_.insert(id);
+        upstreams_.NoteCancelled(id);
       }
     });
   });
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -94,6 +94,9 @@
   /// Every answer was a refusal.
   bool refused(JobId id) const;
 
+  /// Counters of the entry's process, as text.
+  std::string Metrics(const std::string& entry) const;
+
   void RunFor(Millis span) { clock_.RunFor(span); }
   /// Until the job is final as told by an entry, or the time is over.
   bool RunUntilFinal(JobId id, Millis limit);
@@ -110,6 +113,10 @@
 
   void Start(const std::string& name);
   void AddUpstream(int number);
+  /// Looks again and again whether anything is out of order, and whether what
+  /// was cancelled is gone.
+  void Watch();
+  bool Disturbed() const;
 
   CellOptions options_;
   sim::ManualClock clock_;
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -45,6 +45,7 @@
     return tables_[table].newest;
   }
   StoreFaults& faults() { return faults_; }
+  const StoreFaults& faults() const { return faults_; }
   sim::ManualClock& clock() { return clock_; }
   int64_t appends() const { return appends_; }
 
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -13,10 +13,12 @@
 
 constexpr Millis kWay{1};
 constexpr Millis kLongestLease{6000};
-constexpr Millis kStopTime{200};
 constexpr Millis kGangPatience{3000};
-/// A renewal that waits is answered with the next look.
-constexpr Millis kRenewLook{50};
+/// A cancelled job's tasks may start and run for this long, and a late one for
+/// this long after its start; then they have this long to be gone. Both bounds
+/// count anew from the last disturbance.
+constexpr Millis kCancelBound{3000};
+constexpr Millis kStopBound{900};
 constexpr int kMaxAttempts = 2;
 
 }  // namespace
@@ -55,6 +57,39 @@
          !found->second.faults.cut;
 }
 
+bool UpstreamsFake::Disturbed() const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [](const auto& upstream) {
+                       const UpstreamFaults& faults = upstream.second.faults;
+                       return faults.cut || faults.lose_starts > 0 ||
+                              faults.late_starts > 0 || faults.lose_stops > 0;
+                     });
+}
+
+void UpstreamsFake::CheckOrder(const TaskId& task) {
+  const auto cancelled = cancelled_at_.find(task.job);
+  if (cancelled == cancelled_at_.end()) return;
+  const TimePoint since = std::max(cancelled->second, disturbed_at_);
+  if (clock_.now() <= since + kCancelBound) return;
+  broken_.push_back("ordered after its cancelling: " + TaskIdText(task));
+}
+
+void UpstreamsFake::CheckCancelled() {
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.faults.dead) continue;
+    for (const auto& [task, run] : upstream.running) {
+      const auto cancelled = cancelled_at_.find(task.job);
+      if (cancelled == cancelled_at_.end()) continue;
+      const TimePoint since =
+          std::max({cancelled->second, run.started, disturbed_at_});
+      if (clock_.now() <= since + kCancelBound + kStopBound) continue;
+      if (!outlasting_.insert(run.id).second) continue;
+      broken_.push_back("runs on though cancelled: " + TaskIdText(task) +
+                        " on " + id);
+    }
+  }
+}
+
 std::string UpstreamsFake::Where(const TaskId& task) const {
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.running.count(task) > 0) return id;
@@ -144,7 +179,8 @@
   ++starts_;
   ran_.insert(call.task.job);
   const uint64_t run = ++last_run_;
-  upstream.running[call.task] = {.attempt = call.attempt, .id = run};
+  upstream.running[call.task] = {
+      .attempt = call.attempt, .id = run, .started = clock_.now()};
   ExtendLease(upstream, call.lease_until_ms);
   Lapse(target.id);
   BeginWork(call.task, call.attempt);
@@ -257,7 +293,7 @@
   last = std::max(last, attempt);
   const auto found = upstream.running.find(task);
   if (found != upstream.running.end() && found->second.attempt <= attempt) {
-    clock_.At(clock_.now() + kStopTime,
+    clock_.At(clock_.now() + upstream.faults.stop_time,
               [this, id = target.id, task, run = found->second.id] {
                 End(id, task, run, EndKind::kStopped);
               });
@@ -307,6 +343,7 @@
 void TaskAccess::Start(const ports::UpstreamTarget& target,
                        const ports::StartTask& call, Millis timeout,
                        std::function<void(ports::CallReply)> done) {
+  upstreams_.CheckOrder(call.task);
   UpstreamFaults& faults = upstreams_.faults(target.id);
   const auto lost = [&] {
     executor_.RunAfter(timeout, [done] {
@@ -334,7 +371,9 @@
 void TaskAccess::Stop(const ports::UpstreamTarget& target, const TaskId& task,
                       int64_t attempt, int64_t fence, Millis timeout,
                       std::function<void(ports::CallReply)> done) {
-  if (!upstreams_.Reachable(target.id)) {
+  int& lose_stops = upstreams_.faults(target.id).lose_stops;
+  if (!upstreams_.Reachable(target.id) || lose_stops > 0) {
+    lose_stops = std::max(0, lose_stops - 1);
     return executor_.RunAfter(timeout, [done] {
       done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
     });
@@ -357,7 +396,8 @@
     });
   }
   auto reply = std::make_shared<ports::RenewReply>();
-  const Millis delay = call.wait > Millis(0) ? kRenewLook : kWay;
+  const Millis delay =
+      call.wait > Millis(0) ? upstreams_.faults(target.id).look : kWay;
   upstreams_.clock().At(
       upstreams_.clock().now() + delay,
       [this, target, call, reply] { *reply = upstreams_.Renew(target, call); });
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -32,6 +32,11 @@
   /// So many starts are carried out this much later and not answered.
   int late_starts = 0;
   Millis late_by{2500};
+  /// So many stops never get there.
+  int lose_stops = 0;
+  /// How long a renewal that waits is held, and a stop takes.
+  Millis look{50};
+  Millis stop_time{200};
 };
 
 /// All upstreams of a test's cell, and the checks of what they see. They trust
@@ -44,6 +49,8 @@
   UpstreamFaults& faults(const std::string& id) {
     return upstreams_[id].faults;
   }
+  /// The highest fencing token that it has seen.
+  int64_t fence(const std::string& id) const { return upstreams_.at(id).fence; }
   /// The job that tasks belong to, and how its tasks behave.
   void Know(const wire::JobSpec& spec);
   TaskScript& script(const TaskId& task) { return scripts_[task]; }
@@ -54,6 +61,16 @@
                         int64_t attempt, int64_t fence);
   ports::RenewReply Renew(const ports::UpstreamTarget& target,
                           const ports::RenewCall& call);
+  /// Whoever asked was told that the job is cancelled, or that there is none.
+  void NoteCancelled(JobId job) { cancelled_at_.emplace(job, clock_.now()); }
+  /// Something is out of order now; time bounds begin anew.
+  void NoteDisturbance() { disturbed_at_ = clock_.now(); }
+  /// Some upstream is disturbed by its faults.
+  bool Disturbed() const;
+  /// An order to start is on its way: none of a job cancelled long ago.
+  void CheckOrder(const TaskId& task);
+  /// Nothing of a cancelled job runs on past its bound.
+  void CheckCancelled();
   /// Whether a call gets there and back.
   bool Reachable(const std::string& id);
   sim::ManualClock& clock() { return clock_; }
@@ -72,6 +89,7 @@
   struct Run {
     int64_t attempt = 0;
     uint64_t id = 0;
+    TimePoint started{};
     bool working = false;
     TimePoint working_since{};
   };
@@ -108,6 +126,10 @@
   /// Ends "done" that a leader has taken note of, in tasks.
   std::set<TaskId> done_seen_;
   std::set<JobId> ran_;
+  std::map<JobId, TimePoint> cancelled_at_;
+  TimePoint disturbed_at_{};
+  /// Runs that were found to outlast the cancelling of their job.
+  std::set<uint64_t> outlasting_;
   std::vector<std::string> broken_;
   uint64_t last_run_ = 0;
   int starts_ = 0;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -259,6 +259,69 @@
   BOOST_TEST(again.starts[0].upstream != start.upstream);
 }
 
+/// A job is cancelled while it waits, and room comes free at the same moment:
+/// the next pass starts nothing of it.
+BOOST_AUTO_TEST_CASE(ACancelledJobLeavesTheQueue) {
+  Bench b(1);
+  b.s.Add(Spec(1, 2, 1000), b.now, 0);
+  Orders orders;
+  BOOST_TEST(b.s.Cancel(1, b.now, orders));
+  BOOST_TEST(b.Place().starts.empty());
+  BOOST_TEST(b.s.waiting_units() == 0);
+}
+
+/// An upstream lists a run of a job that nobody knows. It is stopped with the
+/// first report and told of once, and the stop is repeated while the run stays:
+/// not with each report, and sooner where it is known to have been lost.
+BOOST_AUTO_TEST_CASE(AnUnknownRunIsStoppedAndToldOfOnce) {
+  Bench b(1);
+  const ports::RunningTask run{.task = {77, 0, 0, 0}, .attempt = 3};
+  int stops = 0;
+  int unasked = 0;
+  const auto report = [&](Millis later) {
+    b.now += later;
+    Orders orders;
+    b.s.OnRunning(0, {run}, b.now, orders);
+    for (const StopOrder& stop : orders.stops) {
+      ++stops;
+      unasked += stop.unasked ? 1 : 0;
+      BOOST_TEST((stop.reason == StopReason::kUnknownJob));
+    }
+  };
+  report(Millis(0));
+  BOOST_TEST(stops == 1);
+  BOOST_TEST(unasked == 1);
+  for (int i = 0; i < 11; ++i) report(Millis(100));
+  BOOST_TEST(stops == 1);
+  report(Millis(100));
+  BOOST_TEST(stops == 2);
+  b.s.OnStopFailed(0, run.task, run.attempt, b.now);
+  report(Millis(50));
+  BOOST_TEST(stops == 2);
+  report(Millis(50));
+  BOOST_TEST(stops == 3);
+  BOOST_TEST(unasked == 1);
+}
+
+/// A new leader is asked to cancel a job before the upstream has told what it
+/// runs. The first report stops the run, with the cancel as the reason.
+BOOST_AUTO_TEST_CASE(ARunToldOfAfterTheCancelIsStopped) {
+  Bench fresh(1);
+  Scheduler s{SchedulerOptions{}};
+  s.pool().Update(fresh.s.pool().at(0).entry);
+  s.Load(Spec(1, 1, 1000), {}, fresh.now, 0);
+  Orders orders;
+  BOOST_TEST(s.Cancel(1, fresh.now, orders));
+  BOOST_TEST(orders.stops.empty());
+  fresh.now += Millis(250);
+  s.OnRunning(0, {{.task = {1, 0, 0, 0}, .attempt = 1}}, fresh.now, orders);
+  BOOST_REQUIRE_EQUAL(orders.stops.size(), 1U);
+  const StopOrder& stop = orders.stops[0];
+  BOOST_TEST((stop.reason == StopReason::kCancelled));
+  BOOST_TEST(stop.unasked);
+  BOOST_TEST((stop.since_end == Millis(250)));
+}
+
 /// A user's render is broken off seconds from its end and starts anew, again
 /// and again. Members of a gang end together, so a fast one stands at 100 % for
 /// as long as the slowest needs; it was taken to stand still.
