Coordinator: Open a returning upstream above its fence

A link that was dropped (its upstream off the list and its leases run out) had raised its fence for starts in doubt. When the upstream's entry came back, a new link began with the term's first token; the upstream answered "fenced", and the leader took that for a later leader's and resigned.

The leader opens links above every token that a dropped one used.

The new case resigned its term (2 instead of 1); now it stays. Ruled out: keeping dropped links' fences by id, which grows for the length of a term; one number serves all.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -82,7 +82,8 @@
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
     : deps_(std::move(deps)),
       options_(std::move(options)),
-      scheduler_({.attempt_base = options_.term * kAttemptsPerTerm}) {
+      scheduler_({.attempt_base = options_.term * kAttemptsPerTerm}),
+      next_fence_(options_.term * fleet::kFenceSpan) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
       journal::JournalOptions{
@@ -261,7 +262,7 @@
       fleet::UpstreamLinkOptions{
           .index = index,
           .target = {.address = entry.address, .id = entry.id},
-          .first_fence = options_.term * fleet::kFenceSpan,
+          .first_fence = next_fence_,
           .lease = options_.lease,
           .earlier_holder = options_.earlier_leader});
   links_[index] = link;
@@ -536,6 +537,10 @@
     const std::string id = scheduler_.pool().at(upstream).entry.id;
     logging::Event(Level::kInfo, "upstream dropped", {{"upstream", id}});
     journal_->Remove(kUpstreamPrefix + id);
+    // It may come back under its id, and has then seen all tokens that this
+    // link used. Opened with an earlier one, it would answer as if another
+    // entry led, and this one would resign.
+    next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
     links_.at(upstream)->Close();
     links_.erase(upstream);
     scheduler_.pool().Remove(upstream);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -154,6 +154,8 @@
   bool loaded_ = false;
   bool place_due_ = false;
   std::map<UpstreamIndex, std::shared_ptr<fleet::UpstreamLink>> links_;
+  /// First fencing token of a link that is opened next.
+  int64_t next_fence_ = 0;
   std::unordered_map<JobId, Arriving> arriving_;
   int64_t hand_ins_ = 0;
   std::unordered_map<JobId, FinalJob> finals_;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -76,6 +76,8 @@
   /// Ends up to this number are safe: the upstream may forget them.
   void EndsSafe(int64_t number);
 
+  /// The highest token that it has used.
+  int64_t fence() const { return fence_; }
   /// What runs there is known, or can't be anything any more.
   bool settled() const { return inventoried_ || emptied_; }
 
--- a/tests/cancel_test.cc
+++ b/tests/cancel_test.cc
@@ -419,4 +419,31 @@
   BOOST_TEST(cell.GoneWithin(11, Millis(2900)));
 }
 
+/// Callers are refused for a second, over and over, while an upstream's entry
+/// lapses and comes back. Its fence had been raised for a start in doubt; the
+/// leader opened it anew with its first token, took the refusal for another
+/// leader's and gave its office up.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatComesBackDeposesNobody) {
+  SlowCell cell;
+  for (const auto& id : cell.upstreams().ids()) cell.faults(id).lose_starts = 1;
+  const std::string at = cell.StartLong(12);
+  BOOST_REQUIRE(!at.empty());
+  for (const auto& id : cell.upstreams().ids()) cell.faults(id).lose_starts = 0;
+  cell.RunFor(Millis(2000));
+  cell.Cancel(cell.Follower(), 12);
+  cell.RunFor(Millis(2000));
+  const std::string leader = cell.Leader();
+  const int64_t term = cell.entry(leader)->leadership().term();
+  const std::string record = cell.store().Records(kUpstreamTable).at(at);
+  cell.store().Put(kUpstreamTable, at, "");
+  cell.faults(at).cut = true;
+  cell.RunFor(Millis(7000));
+  cell.faults(at).cut = false;
+  cell.store().Put(kUpstreamTable, at, record);
+  cell.RunFor(Millis(4000));
+  BOOST_TEST(cell.Leader() == leader);
+  BOOST_TEST(cell.entry(leader)->leadership().term() == term);
+  BOOST_TEST(cell.Broken().empty());
+}
+
 }  // namespace mimosarail::jobsim
