Coordinator: Deny a job only while it surely leads

A leader that stood still for less than its trust (2 s) while another took over wakes up without the jobs that were accepted meanwhile. Asked to cancel one, it said that there is no such job; the caller took it for ended, and it ran for as long as it liked.

Before the denial something is appended under the leader's own term: the removal of a progress record that cannot exist. A fenced writer learns that it no longer leads, and the call goes on to the one who does.

Costs one append a cancel of an unknown job and none otherwise. Ruled out: trusting the leader's own clock (the case stays within the trust); a tombstone of the unknown job, which would be shown though nobody handed it in.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -464,9 +464,7 @@
   if (!loaded_) return done(CancelReply(JobVerdict::kNotLeading));
   if (finals_.count(id) > 0) return done(CancelReply(JobVerdict::kDone));
   if (arriving_.count(id) > 0) return done(CancelReply(JobVerdict::kUnknown));
-  if (scheduler_.Find(id) == nullptr) {
-    return done(CancelReply(JobVerdict::kNoSuchJob));
-  }
+  if (scheduler_.Find(id) == nullptr) return DenyJob(id, std::move(done));
   Orders orders;
   scheduler_.Cancel(id, deps_.executor.Now(), orders);
   deps_.metrics.Count({.name = "jobs_cancelled"});
@@ -478,6 +476,29 @@
   });
 }
 
+bool Coordinator::Knows(JobId id) const {
+  return scheduler_.Find(id) != nullptr || finals_.count(id) > 0 ||
+         arriving_.count(id) > 0;
+}
+
+void Coordinator::DenyJob(JobId id,
+                          std::function<void(wire::CancelJobReply)> done) {
+  // A leader that stood still wakes up without the jobs that its successor has
+  // taken. Its caller would take "no such job" for the end of one that runs on.
+  // Only an append under its own term shows that nobody has succeeded it; this
+  // one changes nothing, since there is no progress of such a job.
+  journal_->Remove(ProgressKey(id));
+  auto once = AnswerInTime<wire::CancelJobReply>(
+      std::move(done), CancelReply(JobVerdict::kUnknown));
+  journal_->WhenStored([weak = weak_from_this(), id,
+                        once = std::move(once)](bool stored) {
+    const auto self = weak.lock();
+    // Handed in meanwhile, it is there now: the caller asks again.
+    const bool denied = stored && self && !self->closed_ && !self->Knows(id);
+    once(CancelReply(denied ? JobVerdict::kNoSuchJob : JobVerdict::kUnknown));
+  });
+}
+
 wire::PendingJobsReply Coordinator::Pending(const std::string& queue) const {
   wire::PendingJobsReply reply;
   reply.verdict = static_cast<int32_t>(loaded_ ? JobVerdict::kDone
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -138,6 +138,11 @@
   /// Writes what has changed and carries the orders out.
   void Pump(scheduling::Orders& orders);
   void StoreChanges();
+  /// It is open, final or on its way to the store.
+  bool Knows(JobId id) const;
+  /// Answers that there is no such job, once it is sure that this entry still
+  /// leads.
+  void DenyJob(JobId id, std::function<void(wire::CancelJobReply)> done);
   void LogStop(const scheduling::StopOrder& stop);
   /// Tells of a run that nobody asked for and that is stopped now.
   void LogUnasked(scheduling::StopOrder stop);
--- a/tests/cancel_test.cc
+++ b/tests/cancel_test.cc
@@ -18,7 +18,9 @@
 /// 181 to 887: a run was taken over, or started late, after its job had been
 /// cancelled, and the leader waited for the end of a stop that nobody had
 /// ordered; or a stop was lost and the leader waited as long again.
-const std::vector<uint64_t> kFailedOnce{181, 277, 352, 425, 444, 490,
+/// 374: a cancel was answered "no such job" after the job, handed in a moment
+/// later, had been accepted.
+const std::vector<uint64_t> kFailedOnce{181, 277, 352, 374, 425, 444, 490,
                                         521, 608, 624, 653, 738, 752, 887};
 constexpr uint64_t kFreshSeeds = 60;
 /// Renewals and stops as slow as the slowest upstreams have them.
@@ -446,4 +448,43 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// A user is told that there is no such job, takes it for cancelled, and it
+/// runs for 20 s. The entry asked had led and stood still; it woke up with what
+/// it knew before, while another had taken the job and led.
+BOOST_AUTO_TEST_CASE(AFormerLeaderDeniesNoJob) {
+  SlowCell cell;
+  const std::string frozen = cell.Leader();
+  // The successor's announcement is lost.
+  cell.Cut(frozen, true);
+  cell.Pause(frozen);
+  for (int i = 0; i < 400 && cell.Leader().empty(); ++i) {
+    cell.RunFor(Millis(10));
+  }
+  BOOST_REQUIRE(cell.Leader() != frozen);
+  BOOST_REQUIRE(!cell.StartLong(13).empty());
+  cell.Cut(frozen, false);
+  cell.Resume(frozen);
+  cell.Cancel(frozen, 13);
+  cell.RunFor(Millis(4500));
+  BOOST_TEST(cell.cancelled(13));
+  BOOST_TEST(!cell.Runs(13));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A caller hands a job in and cancels it at another entry at the same time.
+/// The cancel came first and found no such job; by the time that its caller
+/// heard so, the job had been accepted, and it ran for 20 s.
+BOOST_AUTO_TEST_CASE(ACancelThatCrossesItsJobIsNoDenial) {
+  SlowCell cell;
+  cell.upstreams().script({14, 0, 0, 0}).takes = Millis(20000);
+  cell.Cancel(cell.Follower(), 14);
+  cell.RunFor(Millis(2));
+  cell.Submit(cell.Leader(), OneStepJob(14, 1, 1000));
+  cell.RunFor(Millis(4500));
+  BOOST_TEST(cell.accepted(14));
+  BOOST_TEST(cell.cancelled(14));
+  BOOST_TEST(!cell.Runs(14));
+  BOOST_TEST(cell.Broken().empty());
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -204,6 +204,12 @@
       ++cancel_answers_[id];
       if (answer.verdict == coordinator::JobVerdict::kDone) {
         cancelled_.insert(id);
+      }
+      // Told that there is no such job, the caller takes it for ended as well.
+      const bool ended =
+          answer.verdict == coordinator::JobVerdict::kNoSuchJob &&
+          accepted_.count(id) > 0;
+      if (ended || answer.verdict == coordinator::JobVerdict::kDone) {
         upstreams_.NoteCancelled(id);
       }
     });
