Fleet: Pass over a report that a newer one has overtaken

Two renewals are under way when the fence is raised for a start in doubt. The earlier one's answer may come later on its own connection: it lists tasks whose ends the later one has told already. Each was counted in again and held its room until the leader's term ended, since its end is told only once; and it was told to stop, as a run that nobody asked for.

An answer to an earlier renewal counts only if the upstream's clock says that it is no older than the newest report; one that waited there meanwhile does, so that ends are heard of as soon as before.

Ruled out: passing over every answer to an earlier renewal, which throws the news of one that waited away, up to 1 s of it; trusting the clock alone, which a step back would leave blind.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -92,6 +92,7 @@
   const bool unsafe_ends = ends_safe_ < ends_reported_;
   const Millis waits = unsafe_ends ? Millis(0) : wait;
   const int64_t fence = fence_;
+  const int64_t number = ++renewals_;
   tasks_.Renew(
       options_.target,
       {.fence = fence,
@@ -99,14 +100,15 @@
        .lease_until_ms = extend ? LeaseUntil() : 0,
        .wait = waits},
       kPromptTimeout + waits,
-      [weak = weak_from_this(), fence](const ports::RenewReply& reply) {
+      [weak = weak_from_this(), number, fence](const ports::RenewReply& reply) {
         const auto self = weak.lock();
         if (!self || self->closed_) return;
-        self->OnRenewReply(fence, reply);
+        self->OnRenewReply(number, fence, reply);
       });
 }
 
-void UpstreamLink::OnRenewReply(int64_t fence, const ports::RenewReply& reply) {
+void UpstreamLink::OnRenewReply(int64_t number, int64_t fence,
+                                const ports::RenewReply& reply) {
   --outstanding_;
   switch (reply.call.verdict) {
     case CallVerdict::kDone:
@@ -123,6 +125,13 @@
     default:
       return OnRenewFailed(reply.call);
   }
+  // An answer that a newer one has overtaken lists what has ended since: taken
+  // for the truth, it would hold room that no later end frees. One that waited
+  // at the upstream meanwhile is newer by the upstream's clock, and counts.
+  const bool overtaken =
+      number < newest_answered_ && reply.call.clock_ms < clock_ms_;
+  if (overtaken) return RenewSoon(options_.gap);
+  newest_answered_ = std::max(newest_answered_, number);
   // After this answer the lease can be named again, and is at once.
   const bool lease_due = clock_ms_ == 0 || failures_ >= kUnreachableAfter;
   failures_ = 0;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -90,7 +90,8 @@
 
   void RenewSoon(Millis delay);
   void Renew(Millis wait);
-  void OnRenewReply(int64_t fence, const ports::RenewReply& reply);
+  void OnRenewReply(int64_t number, int64_t fence,
+                    const ports::RenewReply& reply);
   void OnRenewFailed(const ports::CallReply& reply);
   void OnStartDone(const scheduling::StartOrder& order, int64_t fence,
                    ports::CallReply reply);
@@ -110,6 +111,9 @@
   bool inventoried_ = false;
   bool reachable_ = false;
   bool emptied_ = false;
+  /// Renewals sent, and the newest of them that was answered.
+  int64_t renewals_ = 0;
+  int64_t newest_answered_ = 0;
   /// Renewals without an answer yet; more than one when the fence was raised.
   int outstanding_ = 0;
   bool renewal_due_ = false;
--- a/tests/cancel_test.cc
+++ b/tests/cancel_test.cc
@@ -487,4 +487,27 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// A report waits for ever beside an idle upstream. The answer to a renewal had
+/// been overtaken by a later one: it still listed a task whose end had been
+/// told meanwhile, and what it listed was taken to hold its room.
+BOOST_AUTO_TEST_CASE(AnOvertakenReportHoldsNoRoom) {
+  JobCell cell({.upstreams = 1});
+  cell.RunFor(Millis(2000));
+  UpstreamFaults& faults = cell.upstreams().faults("up-0");
+  cell.upstreams().script({15, 0, 0, 0}).takes = Millis(1700);
+  cell.upstreams().script({16, 0, 0, 0}).takes = Millis(2000);
+  cell.Submit("entry-0", OneStepJob(15, 1, 4000));
+  cell.RunFor(Millis(1400));
+  faults.late_answers = 1;
+  // Its start is in doubt after 0.7 s, and a second renewal goes out.
+  faults.lose_starts = 1;
+  cell.Submit("entry-0", OneStepJob(16, 1, 1000));
+  cell.RunFor(Millis(3000));
+  cell.Submit("entry-0", OneStepJob(17, 1, 6000));
+  BOOST_TEST(cell.RunUntilFinal(17, Millis(5000)));
+  const std::string counters = cell.Metrics(cell.Leader());
+  BOOST_TEST(counters.find("unasked_runs") == std::string::npos);
+  BOOST_TEST(cell.Broken().empty());
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -396,12 +396,17 @@
     });
   }
   auto reply = std::make_shared<ports::RenewReply>();
-  const Millis delay =
-      call.wait > Millis(0) ? upstreams_.faults(target.id).look : kWay;
+  UpstreamFaults& faults = upstreams_.faults(target.id);
+  const Millis delay = call.wait > Millis(0) ? faults.look : kWay;
+  Millis back = kWay;
+  if (faults.late_answers > 0) {
+    --faults.late_answers;
+    back += faults.answer_late_by;
+  }
   upstreams_.clock().At(
       upstreams_.clock().now() + delay,
       [this, target, call, reply] { *reply = upstreams_.Renew(target, call); });
-  executor_.RunAfter(delay + kWay, [done, reply] { done(*reply); });
+  executor_.RunAfter(delay + back, [done, reply] { done(*reply); });
 }
 
 void TaskAccess::Ask(const StepId& step,
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -34,6 +34,9 @@
   Millis late_by{2500};
   /// So many stops never get there.
   int lose_stops = 0;
+  /// So many answers to renewals come this much after they were given.
+  int late_answers = 0;
+  Millis answer_late_by{1000};
   /// How long a renewal that waits is held, and a stop takes.
   Millis look{50};
   Millis stop_time{200};
