Platform: Take an odd answer to an order for doubt, not for a refusal

Any status that is not known (500, 502, 504, 204) counted as "the upstream does not take the call". The task went back to the queue and started elsewhere; had the first start been carried out, both ran until the first was found and stopped.

--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -169,6 +169,10 @@
   BOOST_TEST(!DecodeConfig(R"({"routes":[]})").ok());
 }
 
+/// A start is answered with a status that no refusal has (an upstream's own
+/// fault, or a proxy's word): it may have been carried out. Taken for refused,
+/// it was ordered elsewhere, and ran twice until the first was found and
+/// stopped.
 BOOST_AUTO_TEST_CASE(AnswersToOrders) {
   struct Row {
     int status;
@@ -184,7 +188,11 @@
         Row{409, R"({"reason":"ticket"})", CallVerdict::kBadTicket},
         Row{421, "", CallVerdict::kGone}, Row{429, "", CallVerdict::kUnhealthy},
         Row{503, "", CallVerdict::kUnhealthy},
-        Row{400, "", CallVerdict::kMalformed}}) {
+        Row{400, "", CallVerdict::kMalformed},
+        Row{500, "", CallVerdict::kUnknown},
+        Row{502, "", CallVerdict::kUnknown},
+        Row{504, "", CallVerdict::kUnknown},
+        Row{204, "", CallVerdict::kUnknown}}) {
     BOOST_TEST(
         (DecodeCall(Answer(row.status, row.body)).verdict == row.verdict),
         row.status << " " << row.body);
