Scheduling: Wait only for the members of a gang that is done

A listed run of any task that was done was taken for one whose end is on its way and left for 1.2 s. That holds for a gang's own members alone; a start that had been given up, carried out after its task was done elsewhere, ran on for as long.

Only the attempt that made its gang done is waited for.

The new case had no stop with the first report; now it has one.

--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -49,9 +49,11 @@
 /// Whether the run of a task that is done ends without a stop: the members of
 /// a gang end together, and the end of one stands for all. What a caller has
 /// cancelled is not waited for.
-bool EndsByItself(const Job& job, const TaskId& id) {
+bool EndsByItself(const Job& job, const ports::RunningTask& running) {
+  const Task& task = job.task(running.task);
   return job.state() != JobState::kCancelled &&
-         job.task(id).phase == TaskPhase::kDone;
+         job.step(running.task.step).gang && task.phase == TaskPhase::kDone &&
+         task.attempt == running.attempt;
 }
 
 }  // namespace
@@ -423,7 +425,7 @@
     note.reason = entry == nullptr ? StopReason::kUnknownJob
                                    : ReasonToStop(entry->job.state());
   }
-  if (found && entry != nullptr && EndsByItself(entry->job, running.task)) {
+  if (found && entry != nullptr && EndsByItself(entry->job, running)) {
     note.due = now + kRepeatStop;
   }
   if (now < note.due) return;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -303,6 +303,34 @@
   BOOST_TEST(unasked == 1);
 }
 
+/// A start that had been given up is carried out after all: the upstream lists
+/// another attempt than the one that counts. It alone is stopped, also once the
+/// task is done. Of a gang that is done, the members' ends are on their way.
+BOOST_AUTO_TEST_CASE(AnotherAttemptIsStopped) {
+  Bench b(2);
+  b.s.Add(Spec(1, 1, 1000), b.now, 0);
+  const StartOrder start = b.Place().starts.at(0);
+  StartOrder other = start;
+  other.upstream = 1 - start.upstream;
+  other.attempt = start.attempt + 7;
+  BOOST_TEST(b.Report(start, 10) == 0U);
+  BOOST_TEST(b.Report(other, 10) == 1U);
+  BOOST_TEST(b.Report(start, 20) == 0U);
+  b.End(start, EndKind::kDone);
+  other.attempt += 1;
+  BOOST_TEST(b.Report(other, 10) == 1U);
+
+  wire::JobSpec gang = Spec(2, 2, 1000);
+  gang.steps[0].gang = true;
+  b.s.Add(gang, b.now, 0);
+  const Orders both = b.Place();
+  BOOST_REQUIRE_EQUAL(both.starts.size(), 2U);
+  b.End(both.starts[0], EndKind::kDone);
+  BOOST_TEST(b.Report(both.starts[1], 100) == 0U);
+  b.now += Millis(1200);
+  BOOST_TEST(b.Report(both.starts[1], 100) == 1U);
+}
+
 /// A new leader is asked to cancel a job before the upstream has told what it
 /// runs. The first report stops the run, with the cancel as the reason.
 BOOST_AUTO_TEST_CASE(ARunToldOfAfterTheCancelIsStopped) {
