--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -109,7 +109,8 @@
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
     : deps_(std::move(deps)),
       options_(std::move(options)),
-      scheduler_({.attempt_base = options_.term * kAttemptsPerTerm}) {
+      scheduler_({.attempt_base = options_.term * kAttemptsPerTerm}),
+      next_fence_(options_.term * fleet::kFenceSpan) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
       journal::JournalOptions{
@@ -449,7 +450,7 @@
       fleet::UpstreamLinkOptions{
           .index = index,
           .target = {.address = entry.address, .id = entry.id},
-          .first_fence = options_.term * fleet::kFenceSpan,
+          .first_fence = next_fence_,
           .lease = options_.lease,
           .earlier_holder = options_.earlier_leader});
   links_[index] = link;
@@ -669,9 +670,7 @@
   if (unreadable_.count(id) > 0) {
     return done(CancelReply(JobVerdict::kUnreadable));
   }
-  if (scheduler_.Find(id) == nullptr) {
-    return done(CancelReply(VerdictOnUnknownJob()));
-  }
+  if (scheduler_.Find(id) == nullptr) return DenyJob(id, std::move(done));
   Orders orders;
   scheduler_.Cancel(id, deps_.executor.Now(), orders);
   deps_.metrics.Count({.name = "jobs_cancelled"});
@@ -683,6 +682,29 @@
   });
 }
 
+bool Coordinator::Knows(JobId id) const {
+  return scheduler_.Find(id) != nullptr || finals_.count(id) > 0 ||
+         arriving_.count(id) > 0;
+}
+
+void Coordinator::DenyJob(JobId id,
+                          std::function<void(wire::CancelJobReply)> done) {
+  // A leader that stood still wakes up without the jobs that its successor has
+  // taken. Its caller would take "no such job" for the end of one that runs on.
+  // Only an append under its own term shows that nobody has succeeded it; this
+  // one changes nothing, since there is no progress of such a job.
+  journal_->Remove(ProgressKey(id));
+  auto once = AnswerInTime<wire::CancelJobReply>(
+      std::move(done), CancelReply(JobVerdict::kUnknown));
+  journal_->WhenStored([weak = weak_from_this(), id,
+                        once = std::move(once)](bool stored) {
+    const auto self = weak.lock();
+    // Handed in meanwhile, it is there now: the caller asks again.
+    const bool denied = stored && self && !self->closed_ && !self->Knows(id);
+    once(CancelReply(denied ? JobVerdict::kNoSuchJob : JobVerdict::kUnknown));
+  });
+}
+
 wire::PendingJobsReply Coordinator::Pending(const std::string& queue) const {
   wire::PendingJobsReply reply;
   reply.verdict = static_cast<int32_t>(loaded_ ? JobVerdict::kDone
@@ -743,6 +765,10 @@
     const std::string id = scheduler_.pool().at(upstream).entry.id;
     logging::Event(Level::kInfo, "upstream dropped", {{"upstream", id}});
     journal_->Remove(kUpstreamPrefix + id);
+    // It may come back under its id, and has then seen all tokens that this
+    // link used. Opened with an earlier one, it would answer as if another
+    // entry led, and this one would resign.
+    next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
     links_.at(upstream)->Close();
     links_.erase(upstream);
     scheduler_.pool().Remove(upstream);
@@ -768,6 +794,11 @@
   if (reply.verdict != ports::CallVerdict::kDone) PlaceSoon();
 }
 
+void Coordinator::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                               int64_t attempt) {
+  scheduler_.OnStopFailed(upstream, task, attempt, deps_.executor.Now());
+}
+
 void Coordinator::OnFenced(UpstreamIndex upstream) {
   deps_.deposed("a higher fence at upstream " +
                 scheduler_.pool().at(upstream).entry.id);
@@ -778,12 +809,11 @@
   for (const scheduling::StopOrder& stop : orders.stops) {
     const auto link = links_.find(stop.upstream);
     if (link == links_.end()) continue;
-    logging::Event(
-        Level::kInfo, "stop",
-        {{"task", TaskIdText(stop.task)},
-         {"attempt", Text(stop.attempt)},
-         {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
-         {"why", std::string(scheduling::kStopReasonNames.Name(stop.reason))}});
+    if (stop.unasked) {
+      LogUnasked(stop);
+    } else {
+      LogStop(stop);
+    }
     link->second->Stop(stop.task, stop.attempt);
   }
   for (const scheduling::StartOrder& start : orders.starts) {
@@ -800,6 +830,40 @@
   for (const scheduling::AdviceOrder& ask : orders.advice) SendAdvice(ask);
 }
 
+void Coordinator::LogStop(const scheduling::StopOrder& stop) {
+  logging::Event(
+      Level::kInfo, "stop",
+      {{"task", TaskIdText(stop.task)},
+       {"attempt", Text(stop.attempt)},
+       {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
+       {"why", std::string(scheduling::kStopReasonNames.Name(stop.reason))}});
+}
+
+void Coordinator::LogUnasked(scheduling::StopOrder stop) {
+  // The tasks of a final job are forgotten before its state is.
+  const auto final = finals_.find(stop.task.job);
+  const bool forgotten = stop.reason == scheduling::StopReason::kUnknownJob &&
+                         final != finals_.end();
+  if (forgotten) {
+    stop.reason = scheduling::ReasonToStop(final->second.state);
+    if (final->second.ended_here) {
+      stop.since_end = std::chrono::duration_cast<Millis>(deps_.executor.Now() -
+                                                          final->second.since);
+    }
+  }
+  const std::string why(scheduling::kStopReasonNames.Name(stop.reason));
+  deps_.metrics.Count({.name = "unasked_runs", .labels = {{"why", why}}});
+  logging::Event(
+      Level::kWarning, "unasked run stopped",
+      {{"job", JobIdText(stop.task.job)},
+       {"task", TaskIdText(stop.task)},
+       {"attempt", Text(stop.attempt)},
+       {"upstream", scheduler_.pool().at(stop.upstream).entry.id},
+       {"why", why},
+       {"job_ended_ms_ago",
+        stop.since_end ? Text(stop.since_end->count()) : "not known"}});
+}
+
 void Coordinator::StoreChanges() {
   for (const JobId id : scheduler_.TakeChanged()) {
     const Job* job = scheduler_.Find(id);
@@ -815,8 +879,10 @@
 }
 
 void Coordinator::Finished(JobId id, JobState state) {
-  finals_[id] = {
-      .state = state, .since = deps_.executor.Now(), .spec_kept = true};
+  finals_[id] = {.state = state,
+                 .since = deps_.executor.Now(),
+                 .spec_kept = true,
+                 .ended_here = true};
   deps_.metrics.Count(
       {.name = "jobs_ended",
        .labels = {{"state", std::string(kJobStateNames.Name(state))}}});
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -99,6 +99,8 @@
   void OnEmpty(UpstreamIndex upstream, bool gone) override;
   void OnStartReply(const scheduling::StartOrder& order,
                     const ports::CallReply& reply) override;
+  void OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                    int64_t attempt) override;
   void OnFenced(UpstreamIndex upstream) override;
 
  private:
@@ -118,6 +120,8 @@
     JobState state = JobState::kComplete;
     TimePoint since{};
     bool spec_kept = false;
+    /// It ended while this entry led; `since` is then when it did.
+    bool ended_here = false;
   };
 
   void Load(const std::string& after);
@@ -163,6 +167,14 @@
   /// Writes what has changed and carries the orders out.
   void Pump(scheduling::Orders& orders);
   void StoreChanges();
+  /// It is open, final or on its way to the store.
+  bool Knows(JobId id) const;
+  /// Answers that there is no such job, once it is sure that this entry still
+  /// leads.
+  void DenyJob(JobId id, std::function<void(wire::CancelJobReply)> done);
+  void LogStop(const scheduling::StopOrder& stop);
+  /// Tells of a run that nobody asked for and that is stopped now.
+  void LogUnasked(scheduling::StopOrder stop);
   void PlaceSoon();
   void PlaceNow();
   void SendAdvice(const scheduling::AdviceOrder& order);
@@ -176,6 +188,8 @@
   bool loaded_ = false;
   bool place_due_ = false;
   std::map<UpstreamIndex, std::shared_ptr<fleet::UpstreamLink>> links_;
+  /// First fencing token of a link that is opened next.
+  int64_t next_fence_ = 0;
   std::unordered_map<JobId, Arriving> arriving_;
   int64_t hand_ins_ = 0;
   std::unordered_map<JobId, FinalJob> finals_;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -55,6 +55,9 @@
   virtual void OnEmpty(UpstreamIndex upstream, bool gone) = 0;
   virtual void OnStartReply(const scheduling::StartOrder& order,
                             const ports::CallReply& reply) = 0;
+  /// A stop was not sent or not answered; the run may go on.
+  virtual void OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                            int64_t attempt) = 0;
   /// Somebody used a higher fencing token there.
   virtual void OnFenced(UpstreamIndex upstream) = 0;
 };
@@ -76,6 +79,8 @@
   /// Ends up to this number are safe: the upstream may forget them.
   void EndsSafe(int64_t number);
 
+  /// The highest token that it has used.
+  int64_t fence() const { return fence_; }
   /// What runs there is known, or can't be anything any more.
   bool settled() const { return inventoried_ || emptied_; }
 
@@ -88,7 +93,8 @@
 
   void RenewSoon(Millis delay);
   void Renew(Millis wait);
-  void OnRenewReply(int64_t fence, const ports::RenewReply& reply);
+  void OnRenewReply(int64_t number, int64_t fence,
+                    const ports::RenewReply& reply);
   void OnRenewFailed(const ports::CallReply& reply);
   void OnStartDone(const scheduling::StartOrder& order, int64_t fence,
                    ports::CallReply reply);
@@ -108,6 +114,9 @@
   bool inventoried_ = false;
   bool reachable_ = false;
   bool emptied_ = false;
+  /// Renewals sent, and the newest of them that was answered.
+  int64_t renewals_ = 0;
+  int64_t newest_answered_ = 0;
   /// Renewals without an answer yet; more than one when the fence was raised.
   int outstanding_ = 0;
   bool renewal_due_ = false;
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -78,8 +78,6 @@
   std::string Leader();
   std::vector<std::string> names() const;
   jobentry::JobEntry* entry(const std::string& name);
-  /// What the entry's process counts, as text. Precondition: it runs.
-  std::string Metrics(const std::string& entry) const;
 
   /// Hands a job in at an entry and keeps what became of it.
   void Submit(const std::string& entry, wire::JobSpec spec);
@@ -96,6 +94,9 @@
   /// Every answer was a refusal.
   bool refused(JobId id) const;
 
+  /// Counters of the entry's process, as text; empty if none runs.
+  std::string Metrics(const std::string& entry) const;
+
   void RunFor(Millis span) { clock_.RunFor(span); }
   /// Until the job is final as told by an entry, or the time is over.
   bool RunUntilFinal(JobId id, Millis limit);
@@ -114,6 +115,10 @@
 
   void Start(const std::string& name);
   void AddUpstream(int number);
+  /// Looks again and again whether anything is out of order, and whether what
+  /// was cancelled is gone.
+  void Watch();
+  bool Disturbed() const;
 
   CellOptions options_;
   sim::ManualClock clock_;
