--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -222,12 +222,12 @@
 }
 
 std::string Coordinator::TakeEnd(const ports::KeyedRecord& record) {
-  const size_t dot = record.key.rfind('.');
+  const std::string_view key = record.key;
+  const size_t dot = key.rfind('.');
   const auto kept = rpc::Decode<wire::TaskRecord>(record.value);
   if (dot == std::string::npos || !kept.ok()) return "does not decode";
-  const auto task =
-      ParseTaskId(std::string_view(record.key).substr(1, dot - 1));
-  const std::string_view digits = std::string_view(record.key).substr(dot + 1);
+  const auto task = ParseTaskId(key.substr(1, dot - 1));
+  const std::string_view digits = key.substr(dot + 1);
   int64_t attempt = 0;
   std::from_chars(digits.data(), digits.data() + digits.size(), attempt);
   if (!task || attempt < 1) return "names no attempt of a task";
@@ -259,8 +259,8 @@
     job.Restore(loaded_progress_[id]);
     for (const KeptEnd& end : ends) {
       merged.push_back(EndKey(end.task, end.attempt));
-      if (job.Has(end.task))
-        ApplyKeptEnd(job, end.task, end.attempt, end.failed);
+      if (!job.Has(end.task)) continue;
+      ApplyKeptEnd(job, end.task, end.attempt, end.failed);
     }
     loaded_progress_[id] = job.Progress();
     journal_->Put(ProgressKey(id), rpc::Encode(loaded_progress_[id]));
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -14,6 +14,7 @@
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/codec.h"
 #include "src/libs/rpc/server.h"
+#include "src/tool/job_file.h"
 
 namespace mimosarail::platform {
 namespace {
@@ -415,12 +416,13 @@
                1, true},
            Row{"CONNECT h:80 HTTP/1.1\r\nHost: h\r\n\r\n" + next, 2, true},
        }) {
+    const std::string_view bytes = row.bytes;
     for (size_t step = 1; step <= row.bytes.size(); ++step) {
       http::Parser parser({});
       size_t messages = 0;
       bool good = true;
       for (size_t at = 0; at < row.bytes.size() && good; at += step) {
-        good = parser.Feed(std::string_view(row.bytes).substr(at, step),
+        good = parser.Feed(bytes.substr(at, step),
                            [&](const http::ParsedMessage&) { ++messages; });
       }
       BOOST_TEST(messages == row.messages, row.bytes << " by " << step);
@@ -429,6 +431,20 @@
   }
 }
 
+/// A job file names a step beyond 32 bits, which was taken for step 0.
+BOOST_AUTO_TEST_CASE(AJobFileNamesNoStepBeyondItsOwn) {
+  for (const char* after : {"4294967296", "18446744073709551615", "-1"}) {
+    Findings findings;
+    const auto job = tool::ParseJobFile(
+        std::string(
+            R"({"id":"5c0e7a21d94b36f8","payload":"x","steps":[{"tasks":1},
+        {"tasks":1,"after":[)") +
+            after + "]}]}",
+        findings);
+    BOOST_TEST(!job.has_value(), after);
+  }
+}
+
 /// Peers announce frames of 32 MB and send nothing more. Room for each was made
 /// at once, and eight such connections took all memory that a process has.
 BOOST_AUTO_TEST_CASE(AFrameThatLiesTakesNoRoom) {
--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -421,13 +421,13 @@
     std::vector<std::string> bodies;
     bool good = true;
   };
+  const std::string_view all = bytes;
   const auto feed = [&](size_t step) {
     Seen out;
     http::Parser parser({.kind = kind, .max_body = kMaxBody});
     for (size_t at = 0; at < bytes.size() && out.good; at += step) {
       out.good = parser.Feed(
-          std::string_view(bytes).substr(at, step),
-          [&](const http::ParsedMessage& message) {
+          all.substr(at, step), [&](const http::ParsedMessage& message) {
             out.bodies.push_back(message.request.body + message.response.body);
           });
     }
@@ -590,7 +590,7 @@
       "store_address":"1.2.3.4:4","seeds":["1.2.3.4:5"],"lease_ms":4000,
       "cpu_share":0.25 /* cores */})";
   static const std::string kJobFile =
-      R"({"payload":"text", // comment
+      R"({"id":"5c0e7a21d94b36f8","payload":"text", // comment
       "steps":[{"tasks":2,"millicores":500,"memory_mb":100}]})";
   static const std::vector<Target> kTargets{
       {"upstream entry", {kUpstream}, true, CheckUpstream},
