Scheduling: Clear an upstream ahead of its end

An upkeep of a host ends the upstream that it is, with all that runs there. Until now nothing could be kept off an upstream that is not draining, and no run was stopped to go on elsewhere.

- Upstreams can be withheld: no new work, plans of gangs included.
- A link tells whether the upstream has confirmed that it may forget every end that was reported: before that an end is lost with the upstream.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -92,21 +92,22 @@
   const bool unsafe_ends = ends_safe_ < ends_reported_;
   const Millis waits = unsafe_ends ? Millis(0) : wait;
   const int64_t fence = fence_;
-  tasks_.Renew(
-      options_.target,
-      {.fence = fence,
-       .ends_seen = ends_safe_,
-       .lease_until_ms = extend ? LeaseUntil() : 0,
-       .wait = waits},
-      kPromptTimeout + waits,
-      [weak = weak_from_this(), fence](const ports::RenewReply& reply) {
-        const auto self = weak.lock();
-        if (!self || self->closed_) return;
-        self->OnRenewReply(fence, reply);
-      });
+  tasks_.Renew(options_.target,
+               {.fence = fence,
+                .ends_seen = ends_safe_,
+                .lease_until_ms = extend ? LeaseUntil() : 0,
+                .wait = waits},
+               kPromptTimeout + waits,
+               [weak = weak_from_this(), fence,
+                ends_seen = ends_safe_](const ports::RenewReply& reply) {
+                 const auto self = weak.lock();
+                 if (!self || self->closed_) return;
+                 self->OnRenewReply(fence, ends_seen, reply);
+               });
 }
 
-void UpstreamLink::OnRenewReply(int64_t fence, const ports::RenewReply& reply) {
+void UpstreamLink::OnRenewReply(int64_t fence, int64_t ends_seen,
+                                const ports::RenewReply& reply) {
   --outstanding_;
   switch (reply.call.verdict) {
     case CallVerdict::kDone:
@@ -126,6 +127,7 @@
   // After this answer the lease can be named again, and is at once.
   const bool lease_due = clock_ms_ == 0 || failures_ >= kUnreachableAfter;
   failures_ = 0;
+  ends_noted_ = std::max(ends_noted_, ends_seen);
   NoteClock(reply.call.clock_ms);
   emptied_ = false;
   inventoried_ = true;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -75,6 +75,9 @@
 
   /// What runs there is known, or can't be anything any more.
   bool settled() const { return inventoried_ || emptied_; }
+  /// The upstream has confirmed that it may forget every end that was reported.
+  /// Before that an end is lost if the upstream ends, as if it had never been.
+  bool all_ends_noted() const { return ends_noted_ >= ends_reported_; }
 
  private:
   struct Doubt {
@@ -85,7 +88,8 @@
 
   void RenewSoon(Millis delay);
   void Renew(Millis wait);
-  void OnRenewReply(int64_t fence, const ports::RenewReply& reply);
+  void OnRenewReply(int64_t fence, int64_t ends_seen,
+                    const ports::RenewReply& reply);
   void OnRenewFailed(const ports::CallReply& reply);
   void OnStartDone(const scheduling::StartOrder& order, int64_t fence,
                    ports::CallReply reply);
@@ -116,6 +120,7 @@
   TimePoint leases_end_{};
   int64_t ends_reported_ = 0;
   int64_t ends_safe_ = 0;
+  int64_t ends_noted_ = 0;
   std::map<std::pair<TaskId, int64_t>, Doubt> doubts_;
 };
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -270,7 +270,7 @@
   int64_t elsewhere = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     const Upstream& it = pool_.at(upstream);
-    if (!it.reachable || !it.listed || it.entry.draining) continue;
+    if (!it.TakesWork()) continue;
     if (avoid(upstream) || !Suits(upstream, entry, step)) continue;
     const bool unknown =
         entry.job.queue().advised && advice.upstreams.count(upstream) == 0;
@@ -328,7 +328,7 @@
   std::vector<SlotTimes> slots;
   const auto consider = [&](UpstreamIndex upstream) {
     const Upstream& it = pool_.at(upstream);
-    if (!it.reachable || !it.listed || it.entry.draining) return;
+    if (!it.TakesWork()) return;
     if (avoided.count(upstream) > 0 || !Suits(upstream, entry, step)) return;
     const auto held_back = reserved.find(upstream);
     const Amount blocked =
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -28,13 +28,23 @@
   std::string ticket;
 };
 
-enum class StopReason { kCancelled, kJobFailed, kGangBroken, kStalled, kStray };
+enum class StopReason {
+  kCancelled,
+  kJobFailed,
+  kGangBroken,
+  kStalled,
+  kMoved,
+  kCleared,
+  kStray,
+};
 
 inline constexpr EnumTable kStopReasonNames{std::array{
     EnumName{StopReason::kCancelled, "job cancelled"},
     EnumName{StopReason::kJobFailed, "job failed"},
     EnumName{StopReason::kGangBroken, "gang is not whole"},
     EnumName{StopReason::kStalled, "task stands still"},
+    EnumName{StopReason::kMoved, "goes on elsewhere"},
+    EnumName{StopReason::kCleared, "its upstream is to end"},
     EnumName{StopReason::kStray, "not a run of ours"},
 }};
 
@@ -85,6 +95,16 @@
 /// When a run of this step that starts now is expected to end.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
 
+/// What stands in the way of taking an upstream out of service.
+struct UpstreamWork {
+  int32_t tasks = 0;
+  /// Lasting tasks of steps that bound how many may be away.
+  int32_t bound_tasks = 0;
+  /// When the last task that Vacate() leaves to its end is expected to end.
+  Millis empties_in{0};
+  int64_t millicores = 0;
+};
+
 struct SchedulerOptions {
   /// Attempts are numbered from here, above all that an earlier leader used.
   int64_t attempt_base = 0;
@@ -137,6 +157,14 @@
   /// Starts what fits, and asks for the advice that is missing.
   void Place(TimePoint now, AdviceBudget advice, Orders& orders);
 
+  /// What runs on an upstream. Precondition: the index is in use.
+  UpstreamWork WorkOn(UpstreamIndex upstream, TimePoint now) const;
+  /// Stops what goes on from its checkpoint elsewhere, and lasting tasks, of
+  /// these no more at a time than their step allows to be away. The rest is
+  /// left to its end, or with `all` stopped as well, its work lost. To be
+  /// called again until the upstream is empty.
+  void Vacate(UpstreamIndex upstream, bool all, TimePoint now, Orders& orders);
+
   /// Jobs whose progress has changed since the last call.
   std::vector<JobId> TakeChanged();
 
@@ -214,6 +242,16 @@
   void StopTask(Entry& entry, const TaskId& id, StopReason reason,
                 Orders& orders);
   void Finish(Entry& entry, JobState state);
+  /// How a run makes way for its upstream's upkeep.
+  enum class Leaving { kByItsEnd, kFromCheckpoint, kLasting, kBound };
+  static Leaving LeavingOf(const wire::StepSpec& step);
+  void VacateTask(Entry& entry, const TaskId& id, const HeldRoom& room,
+                  bool all, TimePoint now, Orders& orders);
+  void VacateGang(Entry& entry, const StepId& id, StopReason reason,
+                  TimePoint now, Orders& orders);
+  /// Other tasks of the same step that are not at work.
+  int32_t OthersAway(const Entry& entry, const TaskId& id) const;
+  bool RoomElsewhere(const Entry& entry, const TaskId& id, TimePoint now) const;
   void CheckStall(Entry& entry, UpstreamIndex upstream,
                   const ports::RunningTask& running, TimePoint now,
                   Orders& orders);
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -134,8 +134,8 @@
 
 bool UpstreamPool::Usable(UpstreamIndex index, TimePoint now) const {
   const Upstream& upstream = upstreams_[index];
-  return upstream.reachable && upstream.listed && !upstream.entry.draining &&
-         now >= upstream.health.rest_until && TrialsLeft(index) > 0;
+  return upstream.TakesWork() && now >= upstream.health.rest_until &&
+         TrialsLeft(index) > 0;
 }
 
 int32_t UpstreamPool::TrialsLeft(UpstreamIndex index) const {
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -42,10 +42,17 @@
   /// Answered its last renewal under our fence, and its tasks are known.
   bool reachable = false;
   bool listed = true;
+  /// Kept free of new work, since its host is to have its upkeep.
+  bool withheld = false;
   UpstreamHealth health;
   /// What takes room there, by task and attempt. Freed only when the upstream
   /// has listed the end, or its leases have surely run out.
   std::map<std::pair<TaskId, int64_t>, HeldRoom> held;
+
+  /// Whether new work may go there, its health aside.
+  bool TakesWork() const {
+    return reachable && listed && !withheld && !entry.draining;
+  }
 };
 
 /// The upstreams, what is free on them and how far they are trusted. Decides
