--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -34,6 +34,8 @@
   kJobComplete,
   kGangBroken,
   kStalled,
+  kMoved,
+  kCleared,
   kUnknownJob,  ///< No such job is open, or its tasks are forgotten.
   kStray,       ///< The job goes on, but not with this run.
 };
@@ -45,6 +47,8 @@
     EnumName{StopReason::kGangBroken, "gang is not whole"},
     EnumName{StopReason::kStalled, "task stands still"},
     EnumName{StopReason::kUnknownJob, "no such job"},
+    EnumName{StopReason::kMoved, "goes on elsewhere"},
+    EnumName{StopReason::kCleared, "its upstream is to end"},
     EnumName{StopReason::kStray, "not a run of ours"},
 }};
 
@@ -103,6 +107,16 @@
 /// When a run of this step that starts now is expected to end.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
 
+/// What stands in the way of taking an upstream out of service.
+struct UpstreamWork {
+  int32_t tasks = 0;
+  /// Lasting tasks of steps that bound how many may be away.
+  int32_t bound_tasks = 0;
+  /// When the last task that Vacate() leaves to its end is expected to end.
+  Millis empties_in{0};
+  int64_t millicores = 0;
+};
+
 struct SchedulerOptions {
   /// Attempts are numbered from here, above all that an earlier leader used.
   int64_t attempt_base = 0;
@@ -159,6 +173,14 @@
   /// Starts what fits, and asks for the advice that is missing.
   void Place(TimePoint now, AdviceBudget advice, Orders& orders);
 
+  /// What runs on an upstream. Precondition: the index is in use.
+  UpstreamWork WorkOn(UpstreamIndex upstream, TimePoint now) const;
+  /// Stops what goes on from its checkpoint elsewhere, and lasting tasks, of
+  /// these no more at a time than their step allows to be away. The rest is
+  /// left to its end, or with `all` stopped as well, its work lost. To be
+  /// called again until the upstream is empty.
+  void Vacate(UpstreamIndex upstream, bool all, TimePoint now, Orders& orders);
+
   /// Jobs whose progress has changed since the last call.
   std::vector<JobId> TakeChanged();
 
@@ -245,6 +267,16 @@
   void StopUnwanted(const Entry* entry, UpstreamIndex upstream,
                     const ports::RunningTask& running, TimePoint now,
                     Orders& orders);
+  /// How a run makes way for its upstream's upkeep.
+  enum class Leaving { kByItsEnd, kFromCheckpoint, kLasting, kBound };
+  static Leaving LeavingOf(const wire::StepSpec& step);
+  void VacateTask(Entry& entry, const TaskId& id, const HeldRoom& room,
+                  bool all, TimePoint now, Orders& orders);
+  void VacateGang(Entry& entry, const StepId& id, StopReason reason,
+                  TimePoint now, Orders& orders);
+  /// Other tasks of the same step that are not at work.
+  int32_t OthersAway(const Entry& entry, const TaskId& id) const;
+  bool RoomElsewhere(const Entry& entry, const TaskId& id, TimePoint now) const;
   void CheckStall(Entry& entry, UpstreamIndex upstream,
                   const ports::RunningTask& running, TimePoint now,
                   Orders& orders);
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -33,7 +33,7 @@
     const std::vector<ports::KeyedRecord>& records) {
   std::vector<std::string> out;
   for (const ports::KeyedRecord& record : records) {
-    out.push_back(record.value);
+    if (record.key == "config") out.push_back(record.value);
   }
   return out;
 }
@@ -52,6 +52,22 @@
   }
 }
 
+void StoreFake::AskWave(const ports::WaveRequest& wave) {
+  const std::string key = "wave/" + std::to_string(wave.wave);
+  waves_[key] = wave;
+  Put(kConfigTable, key, "asked");
+}
+
+std::vector<ports::WaveRequest> StoreFake::Waves(
+    const std::vector<ports::KeyedRecord>& records) const {
+  std::vector<ports::WaveRequest> out;
+  for (const auto& record : records) {
+    const auto found = waves_.find(record.key);
+    if (found != waves_.end()) out.push_back(found->second);
+  }
+  return out;
+}
+
 ports::AppendReply StoreFake::Append(const ports::AppendCall& call) {
   using ports::AppendVerdict;
   ++appends_;
@@ -183,7 +199,8 @@
       [this]() -> Result<ports::ConfigUpdate> {
         const auto page = store_.Newest(kConfigTable, "");
         return ports::ConfigUpdate{.cursor = page.end_offset,
-                                   .documents = ValuesOf(page.records)};
+                                   .documents = ValuesOf(page.records),
+                                   .waves = store_.Waves(page.records)};
       },
       kDelay);
 }
@@ -196,8 +213,10 @@
       [this, cursor]() -> Result<ports::ConfigUpdate> {
         const auto tail = store_.Tail(kConfigTable, cursor);
         if (!tail.ok()) return tail.error();
+        const auto& records = tail.value().records;
         return ports::ConfigUpdate{.cursor = tail.value().end_offset,
-                                   .documents = ValuesOf(tail.value().records)};
+                                   .documents = ValuesOf(records),
+                                   .waves = store_.Waves(records)};
       },
       kLook);
 }
