--- a/src/ports/cell_config_port.h
+++ b/src/ports/cell_config_port.h
@@ -9,6 +9,7 @@
 #include "jobs_types.h"
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
+#include "src/ports/host_port.h"
 
 namespace mimosarail::ports {
 
@@ -36,6 +37,9 @@
   /// New documents as stored, oldest first. Of several that came at once the
   /// newest that decodes counts.
   std::vector<std::string> documents;
+  /// Maintenance waves that stand beside it in the same log, so that following
+  /// them costs no call of its own.
+  std::vector<WaveRequest> waves{};
 };
 
 /// The operators' configuration. Callbacks run on the control thread. Control
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -45,6 +45,8 @@
   /// Its newest entry can't be used: nothing new goes there until a later one
   /// can be, and what runs there is held, listed and stopped as before.
   bool withheld = false;
+  /// Kept free of new work, since its host is to have its upkeep.
+  bool vacating = false;
   UpstreamHealth health;
   /// What takes room there, by task and attempt. Freed only when the upstream
   /// has listed the end, or its leases have surely run out.
@@ -52,7 +54,7 @@
 
   /// Whether new work may go there as far as its entry and its answers say.
   bool TakesWork() const {
-    return reachable && listed && !withheld && !entry.draining;
+    return reachable && listed && !withheld && !vacating && !entry.draining;
   }
 };
 
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -21,15 +21,19 @@
         store(cell.store_, executor, name),
         tasks(cell.upstreams_, executor),
         peers(cell, executor, name),
+        hosts(cell.hosts_, executor),
         entry(std::make_unique<jobentry::JobEntry>(
-            jobentry::JobEntry::Dependencies{.executor = executor,
-                                             .store = store,
-                                             .config = store,
-                                             .list = store,
-                                             .tasks = tasks,
-                                             .adviser = tasks,
-                                             .peers = peers,
-                                             .metrics = metrics},
+            jobentry::JobEntry::Dependencies{
+                .executor = executor,
+                .store = store,
+                .config = store,
+                .list = store,
+                .tasks = tasks,
+                .adviser = tasks,
+                .peers = peers,
+                .metrics = metrics,
+                .hosts = cell.options_.hosts ? &hosts : nullptr,
+                .wave_board = &hosts},
             Options(name, cell.options_))) {
     entry->Start();
   }
@@ -53,6 +57,7 @@
   StoreAccess store;
   TaskAccess tasks;
   PeerAccess peers;
+  HostAccess hosts;
   std::unique_ptr<jobentry::JobEntry> entry;
 };
 
@@ -83,6 +88,7 @@
   const wire::UpstreamRecord record = ListEntry(number);
   upstreams_.Add(record.id, options_.millicores, options_.memory_mb);
   store_.Put(kUpstreamTable, record.id, rpc::Encode(record));
+  hosts_.Add("host-" + std::to_string(number), record.id, record);
 }
 
 void JobCell::Watch() {
@@ -267,6 +273,7 @@
 
 std::vector<std::string> JobCell::Broken() const {
   std::vector<std::string> out = upstreams_.broken();
+  out.insert(out.end(), hosts_.broken().begin(), hosts_.broken().end());
   for (const auto& [id, answers] : answers_) {
     if (refused(id) && upstreams_.Ran(id)) {
       out.push_back("refused, and ran: " + JobIdText(id));
