--- a/tests/maintenance_test.cc
+++ b/tests/maintenance_test.cc
@@ -273,7 +273,7 @@
 BOOST_AUTO_TEST_CASE(SettingsOfTheHostApiAreChecked) {
   const auto read = [](const std::string& more) {
     Findings findings;
-    const auto out = settings::ParseJobSettings(
+    auto out = settings::ParseJobSettings(
         R"({"name": "e", "failure_domain": "d", "front_address": "1.2.3.4:1",)"
         R"("ready_address": "1.2.3.4:2", "peer_address": "1.2.3.4:3",)"
         R"("store_address": "1.2.3.4:4")" +
