Jobentry: Lay the start of a term out again

A merge was formatted while it still held its markers: JobEntry::Lead() kept a closing comment of the namespace in its middle, and lost its indentation. The formatter took it, since it builds. Behaviour as before.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -131,6 +131,10 @@
 void JobEntry::Lead(int64_t term) {
   options_.coordinator.term = term;
   options_.coordinator.holder = options_.leadership.member.name;
+  using Waves = maintenance::WaveKeeper::Waves;
+  const std::function<const Waves&()> waves = [this]() -> const Waves& {
+    return config_.waves();
+  };
   coordinator_ = std::make_shared<coordinator::Coordinator>(
       coordinator::Coordinator::Dependencies{
           .executor = deps_.executor,
@@ -140,24 +144,20 @@
           .advice = *this,
           .metrics = deps_.metrics,
           .faults = faults_,
-          .pools = [this] {
-    return KnownPools(); },
-          .trusted = [this] {
-    return leadership_.trusted(); },
+          .pools = [this] { return KnownPools(); },
+          .trusted = [this] { return leadership_.trusted(); },
           .deposed =
               [this](const std::string& cause) {
-    // Never inside a call of the coordinator itself.
-    deps_.executor.Post([this, cause] { leadership_.StepDown(cause); });
+                // Never inside a call of the coordinator itself.
+                deps_.executor.Post(
+                    [this, cause] { leadership_.StepDown(cause); });
               },
           .hosts = deps_.hosts,
           .wave_board = deps_.wave_board,
-          .waves = [this]() -> const auto& { return config_.waves();
-}
-}  // namespace mimosarail::jobentry
-,
+          .waves = waves},
       options_.coordinator);
-coordinator_->Start();
-RefreshLanes();
+  coordinator_->Start();
+  RefreshLanes();
 }
 
 const std::set<std::string>* JobEntry::KnownPools() const {
