--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1452,6 +1452,14 @@
 void UpstreamRecord::__set_accelerators(const int32_t val) {
   this->accelerators = val;
 }
+
+void UpstreamRecord::__set_closed(const bool val) {
+  this->closed = val;
+}
+
+void UpstreamRecord::__set_jobs(const std::vector<int64_t> & val) {
+  this->jobs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamRecord& obj)
 {
   obj.printTo(out);
@@ -1564,6 +1572,34 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 10:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->closed);
+          this->__isset.closed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->jobs.clear();
+            uint32_t _size49;
+            ::apache::thrift::protocol::TType _etype52;
+            xfer += iprot->readListBegin(_etype52, _size49);
+            this->jobs.resize(_size49);
+            uint32_t _i53;
+            for (_i53 = 0; _i53 < _size49; ++_i53)
+            {
+              xfer += iprot->readI64(this->jobs[_i53]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.jobs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1604,10 +1640,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter49;
-    for (_iter49 = this->labels.begin(); _iter49 != this->labels.end(); ++_iter49)
+    std::vector<std::string> ::const_iterator _iter54;
+    for (_iter54 = this->labels.begin(); _iter54 != this->labels.end(); ++_iter54)
     {
-      xfer += oprot->writeString((*_iter49));
+      xfer += oprot->writeString((*_iter54));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1625,6 +1661,22 @@
   xfer += oprot->writeI32(this->accelerators);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("closed", ::apache::thrift::protocol::T_BOOL, 10);
+  xfer += oprot->writeBool(this->closed);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 11);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->jobs.size()));
+    std::vector<int64_t> ::const_iterator _iter55;
+    for (_iter55 = this->jobs.begin(); _iter55 != this->jobs.end(); ++_iter55)
+    {
+      xfer += oprot->writeI64((*_iter55));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1641,57 +1693,67 @@
   swap(a.millicores, b.millicores);
   swap(a.memory_mb, b.memory_mb);
   swap(a.accelerators, b.accelerators);
+  swap(a.closed, b.closed);
+  swap(a.jobs, b.jobs);
   swap(a.__isset, b.__isset);
 }
 
-UpstreamRecord::UpstreamRecord(const UpstreamRecord& other50) {
-  id = other50.id;
-  pool = other50.pool;
-  address = other50.address;
-  failure_domain = other50.failure_domain;
-  rack = other50.rack;
-  labels = other50.labels;
-  millicores = other50.millicores;
-  memory_mb = other50.memory_mb;
-  accelerators = other50.accelerators;
-  __isset = other50.__isset;
-}
-UpstreamRecord::UpstreamRecord(UpstreamRecord&& other51) noexcept {
-  id = std::move(other51.id);
-  pool = std::move(other51.pool);
-  address = std::move(other51.address);
-  failure_domain = std::move(other51.failure_domain);
-  rack = std::move(other51.rack);
-  labels = std::move(other51.labels);
-  millicores = other51.millicores;
-  memory_mb = other51.memory_mb;
-  accelerators = other51.accelerators;
-  __isset = other51.__isset;
-}
-UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other52) {
-  id = other52.id;
-  pool = other52.pool;
-  address = other52.address;
-  failure_domain = other52.failure_domain;
-  rack = other52.rack;
-  labels = other52.labels;
-  millicores = other52.millicores;
-  memory_mb = other52.memory_mb;
-  accelerators = other52.accelerators;
-  __isset = other52.__isset;
+UpstreamRecord::UpstreamRecord(const UpstreamRecord& other56) {
+  id = other56.id;
+  pool = other56.pool;
+  address = other56.address;
+  failure_domain = other56.failure_domain;
+  rack = other56.rack;
+  labels = other56.labels;
+  millicores = other56.millicores;
+  memory_mb = other56.memory_mb;
+  accelerators = other56.accelerators;
+  closed = other56.closed;
+  jobs = other56.jobs;
+  __isset = other56.__isset;
+}
+UpstreamRecord::UpstreamRecord(UpstreamRecord&& other57) noexcept {
+  id = std::move(other57.id);
+  pool = std::move(other57.pool);
+  address = std::move(other57.address);
+  failure_domain = std::move(other57.failure_domain);
+  rack = std::move(other57.rack);
+  labels = std::move(other57.labels);
+  millicores = other57.millicores;
+  memory_mb = other57.memory_mb;
+  accelerators = other57.accelerators;
+  closed = other57.closed;
+  jobs = std::move(other57.jobs);
+  __isset = other57.__isset;
+}
+UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other58) {
+  id = other58.id;
+  pool = other58.pool;
+  address = other58.address;
+  failure_domain = other58.failure_domain;
+  rack = other58.rack;
+  labels = other58.labels;
+  millicores = other58.millicores;
+  memory_mb = other58.memory_mb;
+  accelerators = other58.accelerators;
+  closed = other58.closed;
+  jobs = other58.jobs;
+  __isset = other58.__isset;
   return *this;
 }
-UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other53) noexcept {
-  id = std::move(other53.id);
-  pool = std::move(other53.pool);
-  address = std::move(other53.address);
-  failure_domain = std::move(other53.failure_domain);
-  rack = std::move(other53.rack);
-  labels = std::move(other53.labels);
-  millicores = other53.millicores;
-  memory_mb = other53.memory_mb;
-  accelerators = other53.accelerators;
-  __isset = other53.__isset;
+UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other59) noexcept {
+  id = std::move(other59.id);
+  pool = std::move(other59.pool);
+  address = std::move(other59.address);
+  failure_domain = std::move(other59.failure_domain);
+  rack = std::move(other59.rack);
+  labels = std::move(other59.labels);
+  millicores = other59.millicores;
+  memory_mb = other59.memory_mb;
+  accelerators = other59.accelerators;
+  closed = other59.closed;
+  jobs = std::move(other59.jobs);
+  __isset = other59.__isset;
   return *this;
 }
 void UpstreamRecord::printTo(std::ostream& out) const {
@@ -1706,6 +1768,8 @@
   out << ", " << "millicores=" << to_string(millicores);
   out << ", " << "memory_mb=" << to_string(memory_mb);
   out << ", " << "accelerators=" << to_string(accelerators);
+  out << ", " << "closed=" << to_string(closed);
+  out << ", " << "jobs=" << to_string(jobs);
   out << ")";
 }
 
@@ -1819,30 +1883,30 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other54) {
-  name = other54.name;
-  address = other54.address;
-  fitness = other54.fitness;
-  __isset = other54.__isset;
+Member::Member(const Member& other60) {
+  name = other60.name;
+  address = other60.address;
+  fitness = other60.fitness;
+  __isset = other60.__isset;
 }
-Member::Member(Member&& other55) noexcept {
-  name = std::move(other55.name);
-  address = std::move(other55.address);
-  fitness = other55.fitness;
-  __isset = other55.__isset;
+Member::Member(Member&& other61) noexcept {
+  name = std::move(other61.name);
+  address = std::move(other61.address);
+  fitness = other61.fitness;
+  __isset = other61.__isset;
 }
-Member& Member::operator=(const Member& other56) {
-  name = other56.name;
-  address = other56.address;
-  fitness = other56.fitness;
-  __isset = other56.__isset;
+Member& Member::operator=(const Member& other62) {
+  name = other62.name;
+  address = other62.address;
+  fitness = other62.fitness;
+  __isset = other62.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other57) noexcept {
-  name = std::move(other57.name);
-  address = std::move(other57.address);
-  fitness = other57.fitness;
-  __isset = other57.__isset;
+Member& Member::operator=(Member&& other63) noexcept {
+  name = std::move(other63.name);
+  address = std::move(other63.address);
+  fitness = other63.fitness;
+  __isset = other63.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -1964,30 +2028,30 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloCall::HelloCall(const HelloCall& other58) {
-  caller = other58.caller;
-  term = other58.term;
-  config_version = other58.config_version;
-  __isset = other58.__isset;
+HelloCall::HelloCall(const HelloCall& other64) {
+  caller = other64.caller;
+  term = other64.term;
+  config_version = other64.config_version;
+  __isset = other64.__isset;
 }
-HelloCall::HelloCall(HelloCall&& other59) noexcept {
-  caller = std::move(other59.caller);
-  term = other59.term;
-  config_version = other59.config_version;
-  __isset = other59.__isset;
+HelloCall::HelloCall(HelloCall&& other65) noexcept {
+  caller = std::move(other65.caller);
+  term = other65.term;
+  config_version = other65.config_version;
+  __isset = other65.__isset;
 }
-HelloCall& HelloCall::operator=(const HelloCall& other60) {
-  caller = other60.caller;
-  term = other60.term;
-  config_version = other60.config_version;
-  __isset = other60.__isset;
+HelloCall& HelloCall::operator=(const HelloCall& other66) {
+  caller = other66.caller;
+  term = other66.term;
+  config_version = other66.config_version;
+  __isset = other66.__isset;
   return *this;
 }
-HelloCall& HelloCall::operator=(HelloCall&& other61) noexcept {
-  caller = std::move(other61.caller);
-  term = other61.term;
-  config_version = other61.config_version;
-  __isset = other61.__isset;
+HelloCall& HelloCall::operator=(HelloCall&& other67) noexcept {
+  caller = std::move(other67.caller);
+  term = other67.term;
+  config_version = other67.config_version;
+  __isset = other67.__isset;
   return *this;
 }
 void HelloCall::printTo(std::ostream& out) const {
@@ -2031,6 +2095,10 @@
 void HelloReply::__set_config(const std::string& val) {
   this->config = val;
 }
+
+void HelloReply::__set_leader_silent_ms(const int64_t val) {
+  this->leader_silent_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj)
 {
   obj.printTo(out);
@@ -2095,14 +2163,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size62;
-            ::apache::thrift::protocol::TType _etype65;
-            xfer += iprot->readListBegin(_etype65, _size62);
-            this->members.resize(_size62);
-            uint32_t _i66;
-            for (_i66 = 0; _i66 < _size62; ++_i66)
+            uint32_t _size68;
+            ::apache::thrift::protocol::TType _etype71;
+            xfer += iprot->readListBegin(_etype71, _size68);
+            this->members.resize(_size68);
+            uint32_t _i72;
+            for (_i72 = 0; _i72 < _size68; ++_i72)
             {
-              xfer += this->members[_i66].read(iprot);
+              xfer += this->members[_i72].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2127,6 +2195,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->leader_silent_ms);
+          this->__isset.leader_silent_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2163,10 +2239,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter67;
-    for (_iter67 = this->members.begin(); _iter67 != this->members.end(); ++_iter67)
+    std::vector<Member> ::const_iterator _iter73;
+    for (_iter73 = this->members.begin(); _iter73 != this->members.end(); ++_iter73)
     {
-      xfer += (*_iter67).write(oprot);
+      xfer += (*_iter73).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2180,6 +2256,10 @@
   xfer += oprot->writeBinary(this->config);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("leader_silent_ms", ::apache::thrift::protocol::T_I64, 8);
+  xfer += oprot->writeI64(this->leader_silent_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2194,49 +2274,54 @@
   swap(a.members, b.members);
   swap(a.config_version, b.config_version);
   swap(a.config, b.config);
+  swap(a.leader_silent_ms, b.leader_silent_ms);
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other68) {
-  leading = other68.leading;
-  term = other68.term;
-  leader = other68.leader;
-  store_reachable = other68.store_reachable;
-  members = other68.members;
-  config_version = other68.config_version;
-  config = other68.config;
-  __isset = other68.__isset;
-}
-HelloReply::HelloReply(HelloReply&& other69) noexcept {
-  leading = other69.leading;
-  term = other69.term;
-  leader = std::move(other69.leader);
-  store_reachable = other69.store_reachable;
-  members = std::move(other69.members);
-  config_version = other69.config_version;
-  config = std::move(other69.config);
-  __isset = other69.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other70) {
-  leading = other70.leading;
-  term = other70.term;
-  leader = other70.leader;
-  store_reachable = other70.store_reachable;
-  members = other70.members;
-  config_version = other70.config_version;
-  config = other70.config;
-  __isset = other70.__isset;
+HelloReply::HelloReply(const HelloReply& other74) {
+  leading = other74.leading;
+  term = other74.term;
+  leader = other74.leader;
+  store_reachable = other74.store_reachable;
+  members = other74.members;
+  config_version = other74.config_version;
+  config = other74.config;
+  leader_silent_ms = other74.leader_silent_ms;
+  __isset = other74.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other75) noexcept {
+  leading = other75.leading;
+  term = other75.term;
+  leader = std::move(other75.leader);
+  store_reachable = other75.store_reachable;
+  members = std::move(other75.members);
+  config_version = other75.config_version;
+  config = std::move(other75.config);
+  leader_silent_ms = other75.leader_silent_ms;
+  __isset = other75.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other76) {
+  leading = other76.leading;
+  term = other76.term;
+  leader = other76.leader;
+  store_reachable = other76.store_reachable;
+  members = other76.members;
+  config_version = other76.config_version;
+  config = other76.config;
+  leader_silent_ms = other76.leader_silent_ms;
+  __isset = other76.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other71) noexcept {
-  leading = other71.leading;
-  term = other71.term;
-  leader = std::move(other71.leader);
-  store_reachable = other71.store_reachable;
-  members = std::move(other71.members);
-  config_version = other71.config_version;
-  config = std::move(other71.config);
-  __isset = other71.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other77) noexcept {
+  leading = other77.leading;
+  term = other77.term;
+  leader = std::move(other77.leader);
+  store_reachable = other77.store_reachable;
+  members = std::move(other77.members);
+  config_version = other77.config_version;
+  config = std::move(other77.config);
+  leader_silent_ms = other77.leader_silent_ms;
+  __isset = other77.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -2249,6 +2334,7 @@
   out << ", " << "members=" << to_string(members);
   out << ", " << "config_version=" << to_string(config_version);
   out << ", " << "config=" << to_string(config);
+  out << ", " << "leader_silent_ms=" << to_string(leader_silent_ms);
   out << ")";
 }
 
@@ -2362,30 +2448,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceCall::AnnounceCall(const AnnounceCall& other72) {
-  term = other72.term;
-  leader = other72.leader;
-  resigned = other72.resigned;
-  __isset = other72.__isset;
+AnnounceCall::AnnounceCall(const AnnounceCall& other78) {
+  term = other78.term;
+  leader = other78.leader;
+  resigned = other78.resigned;
+  __isset = other78.__isset;
 }
-AnnounceCall::AnnounceCall(AnnounceCall&& other73) noexcept {
-  term = other73.term;
-  leader = std::move(other73.leader);
-  resigned = other73.resigned;
-  __isset = other73.__isset;
+AnnounceCall::AnnounceCall(AnnounceCall&& other79) noexcept {
+  term = other79.term;
+  leader = std::move(other79.leader);
+  resigned = other79.resigned;
+  __isset = other79.__isset;
 }
-AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other74) {
-  term = other74.term;
-  leader = other74.leader;
-  resigned = other74.resigned;
-  __isset = other74.__isset;
+AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other80) {
+  term = other80.term;
+  leader = other80.leader;
+  resigned = other80.resigned;
+  __isset = other80.__isset;
   return *this;
 }
-AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other75) noexcept {
-  term = other75.term;
-  leader = std::move(other75.leader);
-  resigned = other75.resigned;
-  __isset = other75.__isset;
+AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other81) noexcept {
+  term = other81.term;
+  leader = std::move(other81.leader);
+  resigned = other81.resigned;
+  __isset = other81.__isset;
   return *this;
 }
 void AnnounceCall::printTo(std::ostream& out) const {
@@ -2473,22 +2559,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceReply::AnnounceReply(const AnnounceReply& other76) noexcept {
-  term = other76.term;
-  __isset = other76.__isset;
+AnnounceReply::AnnounceReply(const AnnounceReply& other82) noexcept {
+  term = other82.term;
+  __isset = other82.__isset;
 }
-AnnounceReply::AnnounceReply(AnnounceReply&& other77) noexcept {
-  term = other77.term;
-  __isset = other77.__isset;
+AnnounceReply::AnnounceReply(AnnounceReply&& other83) noexcept {
+  term = other83.term;
+  __isset = other83.__isset;
 }
-AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other78) noexcept {
-  term = other78.term;
-  __isset = other78.__isset;
+AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other84) noexcept {
+  term = other84.term;
+  __isset = other84.__isset;
   return *this;
 }
-AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other79) noexcept {
-  term = other79.term;
-  __isset = other79.__isset;
+AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other85) noexcept {
+  term = other85.term;
+  __isset = other85.__isset;
   return *this;
 }
 void AnnounceReply::printTo(std::ostream& out) const {
@@ -2574,22 +2660,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other80) {
-  job = other80.job;
-  __isset = other80.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other86) {
+  job = other86.job;
+  __isset = other86.__isset;
 }
-SubmitJobCall::SubmitJobCall(SubmitJobCall&& other81) noexcept {
-  job = std::move(other81.job);
-  __isset = other81.__isset;
+SubmitJobCall::SubmitJobCall(SubmitJobCall&& other87) noexcept {
+  job = std::move(other87.job);
+  __isset = other87.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other82) {
-  job = other82.job;
-  __isset = other82.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other88) {
+  job = other88.job;
+  __isset = other88.__isset;
   return *this;
 }
-SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other83) noexcept {
-  job = std::move(other83.job);
-  __isset = other83.__isset;
+SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other89) noexcept {
+  job = std::move(other89.job);
+  __isset = other89.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -2692,26 +2778,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other84) noexcept {
-  verdict = other84.verdict;
-  retry_after_ms = other84.retry_after_ms;
-  __isset = other84.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other90) noexcept {
+  verdict = other90.verdict;
+  retry_after_ms = other90.retry_after_ms;
+  __isset = other90.__isset;
 }
-SubmitJobReply::SubmitJobReply(SubmitJobReply&& other85) noexcept {
-  verdict = other85.verdict;
-  retry_after_ms = other85.retry_after_ms;
-  __isset = other85.__isset;
+SubmitJobReply::SubmitJobReply(SubmitJobReply&& other91) noexcept {
+  verdict = other91.verdict;
+  retry_after_ms = other91.retry_after_ms;
+  __isset = other91.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other86) noexcept {
-  verdict = other86.verdict;
-  retry_after_ms = other86.retry_after_ms;
-  __isset = other86.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other92) noexcept {
+  verdict = other92.verdict;
+  retry_after_ms = other92.retry_after_ms;
+  __isset = other92.__isset;
   return *this;
 }
-SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other87) noexcept {
-  verdict = other87.verdict;
-  retry_after_ms = other87.retry_after_ms;
-  __isset = other87.__isset;
+SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other93) noexcept {
+  verdict = other93.verdict;
+  retry_after_ms = other93.retry_after_ms;
+  __isset = other93.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -2798,22 +2884,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other88) noexcept {
-  id = other88.id;
-  __isset = other88.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other94) noexcept {
+  id = other94.id;
+  __isset = other94.__isset;
 }
-JobStateCall::JobStateCall(JobStateCall&& other89) noexcept {
-  id = other89.id;
-  __isset = other89.__isset;
+JobStateCall::JobStateCall(JobStateCall&& other95) noexcept {
+  id = other95.id;
+  __isset = other95.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other90) noexcept {
-  id = other90.id;
-  __isset = other90.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other96) noexcept {
+  id = other96.id;
+  __isset = other96.__isset;
   return *this;
 }
-JobStateCall& JobStateCall::operator=(JobStateCall&& other91) noexcept {
-  id = other91.id;
-  __isset = other91.__isset;
+JobStateCall& JobStateCall::operator=(JobStateCall&& other97) noexcept {
+  id = other97.id;
+  __isset = other97.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -2916,26 +3002,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other92) noexcept {
-  verdict = other92.verdict;
-  state = other92.state;
-  __isset = other92.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other98) noexcept {
+  verdict = other98.verdict;
+  state = other98.state;
+  __isset = other98.__isset;
 }
-JobStateReply::JobStateReply(JobStateReply&& other93) noexcept {
-  verdict = other93.verdict;
-  state = other93.state;
-  __isset = other93.__isset;
+JobStateReply::JobStateReply(JobStateReply&& other99) noexcept {
+  verdict = other99.verdict;
+  state = other99.state;
+  __isset = other99.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other94) noexcept {
-  verdict = other94.verdict;
-  state = other94.state;
-  __isset = other94.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other100) noexcept {
+  verdict = other100.verdict;
+  state = other100.state;
+  __isset = other100.__isset;
   return *this;
 }
-JobStateReply& JobStateReply::operator=(JobStateReply&& other95) noexcept {
-  verdict = other95.verdict;
-  state = other95.state;
-  __isset = other95.__isset;
+JobStateReply& JobStateReply::operator=(JobStateReply&& other101) noexcept {
+  verdict = other101.verdict;
+  state = other101.state;
+  __isset = other101.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -3022,22 +3108,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other96) noexcept {
-  id = other96.id;
-  __isset = other96.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other102) noexcept {
+  id = other102.id;
+  __isset = other102.__isset;
 }
-CancelJobCall::CancelJobCall(CancelJobCall&& other97) noexcept {
-  id = other97.id;
-  __isset = other97.__isset;
+CancelJobCall::CancelJobCall(CancelJobCall&& other103) noexcept {
+  id = other103.id;
+  __isset = other103.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other98) noexcept {
-  id = other98.id;
-  __isset = other98.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other104) noexcept {
+  id = other104.id;
+  __isset = other104.__isset;
   return *this;
 }
-CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other99) noexcept {
-  id = other99.id;
-  __isset = other99.__isset;
+CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other105) noexcept {
+  id = other105.id;
+  __isset = other105.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -3123,22 +3209,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other100) noexcept {
-  verdict = other100.verdict;
-  __isset = other100.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other106) noexcept {
+  verdict = other106.verdict;
+  __isset = other106.__isset;
 }
-CancelJobReply::CancelJobReply(CancelJobReply&& other101) noexcept {
-  verdict = other101.verdict;
-  __isset = other101.__isset;
+CancelJobReply::CancelJobReply(CancelJobReply&& other107) noexcept {
+  verdict = other107.verdict;
+  __isset = other107.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other102) noexcept {
-  verdict = other102.verdict;
-  __isset = other102.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other108) noexcept {
+  verdict = other108.verdict;
+  __isset = other108.__isset;
   return *this;
 }
-CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other103) noexcept {
-  verdict = other103.verdict;
-  __isset = other103.__isset;
+CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other109) noexcept {
+  verdict = other109.verdict;
+  __isset = other109.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -3224,22 +3310,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other104) {
-  queue = other104.queue;
-  __isset = other104.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other110) {
+  queue = other110.queue;
+  __isset = other110.__isset;
 }
-PendingJobsCall::PendingJobsCall(PendingJobsCall&& other105) noexcept {
-  queue = std::move(other105.queue);
-  __isset = other105.__isset;
+PendingJobsCall::PendingJobsCall(PendingJobsCall&& other111) noexcept {
+  queue = std::move(other111.queue);
+  __isset = other111.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other106) {
-  queue = other106.queue;
-  __isset = other106.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other112) {
+  queue = other112.queue;
+  __isset = other112.__isset;
   return *this;
 }
-PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other107) noexcept {
-  queue = std::move(other107.queue);
-  __isset = other107.__isset;
+PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other113) noexcept {
+  queue = std::move(other113.queue);
+  __isset = other113.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -3342,26 +3428,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other108) noexcept {
-  verdict = other108.verdict;
-  pending = other108.pending;
-  __isset = other108.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other114) noexcept {
+  verdict = other114.verdict;
+  pending = other114.pending;
+  __isset = other114.__isset;
 }
-PendingJobsReply::PendingJobsReply(PendingJobsReply&& other109) noexcept {
-  verdict = other109.verdict;
-  pending = other109.pending;
-  __isset = other109.__isset;
+PendingJobsReply::PendingJobsReply(PendingJobsReply&& other115) noexcept {
+  verdict = other115.verdict;
+  pending = other115.pending;
+  __isset = other115.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other110) noexcept {
-  verdict = other110.verdict;
-  pending = other110.pending;
-  __isset = other110.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other116) noexcept {
+  verdict = other116.verdict;
+  pending = other116.pending;
+  __isset = other116.__isset;
   return *this;
 }
-PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other111) noexcept {
-  verdict = other111.verdict;
-  pending = other111.pending;
-  __isset = other111.__isset;
+PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other117) noexcept {
+  verdict = other117.verdict;
+  pending = other117.pending;
+  __isset = other117.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -3452,14 +3538,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size112;
-            ::apache::thrift::protocol::TType _etype115;
-            xfer += iprot->readListBegin(_etype115, _size112);
-            this->upstreams.resize(_size112);
-            uint32_t _i116;
-            for (_i116 = 0; _i116 < _size112; ++_i116)
+            uint32_t _size118;
+            ::apache::thrift::protocol::TType _etype121;
+            xfer += iprot->readListBegin(_etype121, _size118);
+            this->upstreams.resize(_size118);
+            uint32_t _i122;
+            for (_i122 = 0; _i122 < _size118; ++_i122)
             {
-              xfer += iprot->readString(this->upstreams[_i116]);
+              xfer += iprot->readString(this->upstreams[_i122]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3508,10 +3594,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter117;
-    for (_iter117 = this->upstreams.begin(); _iter117 != this->upstreams.end(); ++_iter117)
+    std::vector<std::string> ::const_iterator _iter123;
+    for (_iter123 = this->upstreams.begin(); _iter123 != this->upstreams.end(); ++_iter123)
     {
-      xfer += oprot->writeString((*_iter117));
+      xfer += oprot->writeString((*_iter123));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3536,38 +3622,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other118) {
-  job = other118.job;
-  occurrence = other118.occurrence;
-  step = other118.step;
-  upstreams = other118.upstreams;
-  timeout_ms = other118.timeout_ms;
-  __isset = other118.__isset;
-}
-AdviseCall::AdviseCall(AdviseCall&& other119) noexcept {
-  job = other119.job;
-  occurrence = other119.occurrence;
-  step = other119.step;
-  upstreams = std::move(other119.upstreams);
-  timeout_ms = other119.timeout_ms;
-  __isset = other119.__isset;
-}
-AdviseCall& AdviseCall::operator=(const AdviseCall& other120) {
-  job = other120.job;
-  occurrence = other120.occurrence;
-  step = other120.step;
-  upstreams = other120.upstreams;
-  timeout_ms = other120.timeout_ms;
-  __isset = other120.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other124) {
+  job = other124.job;
+  occurrence = other124.occurrence;
+  step = other124.step;
+  upstreams = other124.upstreams;
+  timeout_ms = other124.timeout_ms;
+  __isset = other124.__isset;
+}
+AdviseCall::AdviseCall(AdviseCall&& other125) noexcept {
+  job = other125.job;
+  occurrence = other125.occurrence;
+  step = other125.step;
+  upstreams = std::move(other125.upstreams);
+  timeout_ms = other125.timeout_ms;
+  __isset = other125.__isset;
+}
+AdviseCall& AdviseCall::operator=(const AdviseCall& other126) {
+  job = other126.job;
+  occurrence = other126.occurrence;
+  step = other126.step;
+  upstreams = other126.upstreams;
+  timeout_ms = other126.timeout_ms;
+  __isset = other126.__isset;
   return *this;
 }
-AdviseCall& AdviseCall::operator=(AdviseCall&& other121) noexcept {
-  job = other121.job;
-  occurrence = other121.occurrence;
-  step = other121.step;
-  upstreams = std::move(other121.upstreams);
-  timeout_ms = other121.timeout_ms;
-  __isset = other121.__isset;
+AdviseCall& AdviseCall::operator=(AdviseCall&& other127) noexcept {
+  job = other127.job;
+  occurrence = other127.occurrence;
+  step = other127.step;
+  upstreams = std::move(other127.upstreams);
+  timeout_ms = other127.timeout_ms;
+  __isset = other127.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -3674,26 +3760,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other122) {
-  upstream = other122.upstream;
-  ticket = other122.ticket;
-  __isset = other122.__isset;
+Ticket::Ticket(const Ticket& other128) {
+  upstream = other128.upstream;
+  ticket = other128.ticket;
+  __isset = other128.__isset;
 }
-Ticket::Ticket(Ticket&& other123) noexcept {
-  upstream = std::move(other123.upstream);
-  ticket = std::move(other123.ticket);
-  __isset = other123.__isset;
+Ticket::Ticket(Ticket&& other129) noexcept {
+  upstream = std::move(other129.upstream);
+  ticket = std::move(other129.ticket);
+  __isset = other129.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other124) {
-  upstream = other124.upstream;
-  ticket = other124.ticket;
-  __isset = other124.__isset;
+Ticket& Ticket::operator=(const Ticket& other130) {
+  upstream = other130.upstream;
+  ticket = other130.ticket;
+  __isset = other130.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other125) noexcept {
-  upstream = std::move(other125.upstream);
-  ticket = std::move(other125.ticket);
-  __isset = other125.__isset;
+Ticket& Ticket::operator=(Ticket&& other131) noexcept {
+  upstream = std::move(other131.upstream);
+  ticket = std::move(other131.ticket);
+  __isset = other131.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -3760,14 +3846,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size126;
-            ::apache::thrift::protocol::TType _etype129;
-            xfer += iprot->readListBegin(_etype129, _size126);
-            this->allowed.resize(_size126);
-            uint32_t _i130;
-            for (_i130 = 0; _i130 < _size126; ++_i130)
+            uint32_t _size132;
+            ::apache::thrift::protocol::TType _etype135;
+            xfer += iprot->readListBegin(_etype135, _size132);
+            this->allowed.resize(_size132);
+            uint32_t _i136;
+            for (_i136 = 0; _i136 < _size132; ++_i136)
             {
-              xfer += this->allowed[_i130].read(iprot);
+              xfer += this->allowed[_i136].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3808,10 +3894,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter131;
-    for (_iter131 = this->allowed.begin(); _iter131 != this->allowed.end(); ++_iter131)
+    std::vector<Ticket> ::const_iterator _iter137;
+    for (_iter137 = this->allowed.begin(); _iter137 != this->allowed.end(); ++_iter137)
     {
-      xfer += (*_iter131).write(oprot);
+      xfer += (*_iter137).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3834,30 +3920,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other132) {
-  verdict = other132.verdict;
-  allowed = other132.allowed;
-  valid_ms = other132.valid_ms;
-  __isset = other132.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other138) {
+  verdict = other138.verdict;
+  allowed = other138.allowed;
+  valid_ms = other138.valid_ms;
+  __isset = other138.__isset;
 }
-AdviseReply::AdviseReply(AdviseReply&& other133) noexcept {
-  verdict = other133.verdict;
-  allowed = std::move(other133.allowed);
-  valid_ms = other133.valid_ms;
-  __isset = other133.__isset;
+AdviseReply::AdviseReply(AdviseReply&& other139) noexcept {
+  verdict = other139.verdict;
+  allowed = std::move(other139.allowed);
+  valid_ms = other139.valid_ms;
+  __isset = other139.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other134) {
-  verdict = other134.verdict;
-  allowed = other134.allowed;
-  valid_ms = other134.valid_ms;
-  __isset = other134.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other140) {
+  verdict = other140.verdict;
+  allowed = other140.allowed;
+  valid_ms = other140.valid_ms;
+  __isset = other140.__isset;
   return *this;
 }
-AdviseReply& AdviseReply::operator=(AdviseReply&& other135) noexcept {
-  verdict = other135.verdict;
-  allowed = std::move(other135.allowed);
-  valid_ms = other135.valid_ms;
-  __isset = other135.__isset;
+AdviseReply& AdviseReply::operator=(AdviseReply&& other141) noexcept {
+  verdict = other141.verdict;
+  allowed = std::move(other141.allowed);
+  valid_ms = other141.valid_ms;
+  __isset = other141.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -621,7 +621,7 @@
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj);
 
 typedef struct _UpstreamRecord__isset {
-  _UpstreamRecord__isset() : id(false), pool(false), address(false), failure_domain(false), rack(false), labels(false), millicores(false), memory_mb(false), accelerators(false) {}
+  _UpstreamRecord__isset() : id(false), pool(false), address(false), failure_domain(false), rack(false), labels(false), millicores(false), memory_mb(false), accelerators(false), closed(false), jobs(false) {}
   bool id :1;
   bool pool :1;
   bool address :1;
@@ -631,6 +631,8 @@
   bool millicores :1;
   bool memory_mb :1;
   bool accelerators :1;
+  bool closed :1;
+  bool jobs :1;
 } _UpstreamRecord__isset;
 
 /**
@@ -651,7 +653,8 @@
                    rack(),
                    millicores(0),
                    memory_mb(0),
-                   accelerators(0) {
+                   accelerators(0),
+                   closed(0) {
   }
 
   virtual ~UpstreamRecord() noexcept;
@@ -664,6 +667,14 @@
   int32_t millicores;
   int32_t memory_mb;
   int32_t accelerators;
+  /**
+   * Nothing new starts there until a later record says otherwise.
+   */
+  bool closed;
+  /**
+   * While closed: the only jobs that may run something there.
+   */
+  std::vector<int64_t>  jobs;
 
   _UpstreamRecord__isset __isset;
 
@@ -685,6 +696,10 @@
 
   void __set_accelerators(const int32_t val);
 
+  void __set_closed(const bool val);
+
+  void __set_jobs(const std::vector<int64_t> & val);
+
   bool operator == (const UpstreamRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -705,6 +720,10 @@
       return false;
     if (!(accelerators == rhs.accelerators))
       return false;
+    if (!(closed == rhs.closed))
+      return false;
+    if (!(jobs == rhs.jobs))
+      return false;
     return true;
   }
   bool operator != (const UpstreamRecord &rhs) const {
@@ -847,7 +866,7 @@
 std::ostream& operator<<(std::ostream& out, const HelloCall& obj);
 
 typedef struct _HelloReply__isset {
-  _HelloReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false) {}
+  _HelloReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_silent_ms(false) {}
   bool leading :1;
   bool term :1;
   bool leader :1;
@@ -855,6 +874,7 @@
   bool members :1;
   bool config_version :1;
   bool config :1;
+  bool leader_silent_ms :1;
 } _HelloReply__isset;
 
 class HelloReply : public virtual ::apache::thrift::TBase {
@@ -869,7 +889,8 @@
                term(0),
                store_reachable(0),
                config_version(0),
-               config() {
+               config(),
+               leader_silent_ms(0) {
   }
 
   virtual ~HelloReply() noexcept;
@@ -886,6 +907,10 @@
    */
   int64_t config_version;
   std::string config;
+  /**
+   * How long a follower has not heard of its leader, in ms.
+   */
+  int64_t leader_silent_ms;
 
   _HelloReply__isset __isset;
 
@@ -903,6 +928,8 @@
 
   void __set_config(const std::string& val);
 
+  void __set_leader_silent_ms(const int64_t val);
+
   bool operator == (const HelloReply & rhs) const
   {
     if (!(leading == rhs.leading))
@@ -919,6 +946,8 @@
       return false;
     if (!(config == rhs.config))
       return false;
+    if (!(leader_silent_ms == rhs.leader_silent_ms))
+      return false;
     return true;
   }
   bool operator != (const HelloReply &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -94,6 +94,10 @@
   7: i32 millicores
   8: i32 memory_mb
   9: i32 accelerators
+  /** Nothing new starts there until a later record says otherwise. */
+  10: bool closed
+  /** While closed: the only jobs that may run something there. */
+  11: list<i64> jobs
 }
 
 struct Member {
@@ -120,6 +124,8 @@
   /** The newest configuration, if the caller's is older. */
   6: i64 config_version
   7: binary config
+  /** How long a follower has not heard of its leader, in ms. */
+  8: i64 leader_silent_ms
 }
 
 /** A new leader makes itself known. */
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -4,17 +4,13 @@
 #include <set>
 #include <utility>
 
+#include "src/leadership/leader_table.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
 
 namespace mimosarail::leadership {
 namespace {
 
-/// The one key of the table.
-constexpr const char* kLeaderKey = "leader";
-constexpr Millis kStoreTimeout{1000};
-/// Pause after a look that failed or a claim that was lost.
-constexpr Millis kLookAgain{150};
 /// A follower that has not greeted for this long is not counted on.
 constexpr Millis kFollowerSilence{1000};
 /// Refused connections in a row after which a leader is suspected.
@@ -23,22 +19,16 @@
 /// Pause between two questions who leads: a take-over after a resignation takes
 /// some 30 ms, two steps of the clock.
 constexpr Millis kAskPeriod{100};
-/// A machine with no processor at all would let better ones claim first by this
-/// much, others by the part that they lack of enough.
-constexpr Millis kClaimDelay{500};
-/// The same where nobody is known yet: processes of machines that get power
-/// together start within half a second of each other.
-constexpr Millis kFreshDelay{1500};
+/// Other followers are asked this often whether the leader answers them, so
+/// many at a time: with 40 entries more would be 6,000 calls a second.
+constexpr Millis kWitnessPeriod{250};
+constexpr size_t kWitnesses = 6;
 /// After handing over, time for the other to claim.
 constexpr Millis kLookAfterYield{1000};
 /// A suspension longer than this is noticed; shorter ones are within the trust
 /// of a leader.
 constexpr Millis kSuspension{200};
 
-/// Highest term that is believed. A term times a million is the upper part of a
-/// fencing token, which must stay a whole number in JSON (2^53).
-constexpr int64_t kMaxTerm = 9000000000;
-
 using faults::EntrySource;
 using logging::Level;
 
@@ -132,7 +122,8 @@
     AskAround();
     return Suspect(options_.quiet, "no leader known");
   }
-  const bool silent = now - last_heard_ > options_.silence;
+  if (now - answered_at_ > options_.unanswered) AskWitnesses();
+  const bool silent = now - answered_at_ > options_.silence;
   if (silent) Suspect(options_.quiet, "leader not heard of");
   if (greeting_) return;
   // A next leader announces itself once. An entry that missed that and has lost
@@ -152,6 +143,45 @@
   Greet(others[asked_++ % others.size()]);
 }
 
+void Leadership::AskWitnesses() {
+  const TimePoint now = executor_.Now();
+  if (role_ != Role::kFollowing || now < witnesses_after_) return;
+  witnesses_after_ = now + kWitnessPeriod;
+  wire::HelloCall call;
+  call.caller = options_.member;
+  call.term = term_;
+  call.config_version = events_.config_version();
+  const size_t count = std::min(kWitnesses, members_.size());
+  for (size_t i = 0; i < count; ++i) {
+    const std::string address =
+        members_[witnesses_asked_++ % members_.size()].address;
+    if (address == options_.member.address || address == leader_.address) {
+      continue;
+    }
+    peers_.Hello(address, call, options_.hello_timeout,
+                 [this, address](const Result<wire::HelloReply>& reply) {
+                   OnWitness(address, reply);
+                 });
+  }
+}
+
+void Leadership::OnWitness(const std::string& address,
+                           const Result<wire::HelloReply>& reply) {
+  if (role_ != Role::kFollowing || !reply.ok()) return;
+  const wire::HelloReply& hello = reply.value();
+  if (hello.term != term_ || hello.leading) {
+    return OnHelloReply(address, reply);
+  }
+  votes_.Note(address, executor_.Now(),
+              Millis(hello.leader_silent_ms) >= options_.unanswered);
+}
+
+bool Leadership::LeaderIsSlow() const {
+  const TimePoint now = executor_.Now();
+  return now - answered_at_ >= options_.unanswered &&
+         now - following_since_ >= options_.least_term && votes_.MostWait(now);
+}
+
 std::vector<std::string> Leadership::KnownAddresses() const {
   std::set<std::string> out(options_.seeds.begin(), options_.seeds.end());
   for (const wire::Member& member : members_) out.insert(member.address);
@@ -173,9 +203,12 @@
   call.term = term_;
   call.config_version = events_.config_version();
   peers_.Hello(address, call, options_.hello_timeout,
-               [this, address](const Result<wire::HelloReply>& reply) {
+               [this, address,
+                sent = executor_.Now()](const Result<wire::HelloReply>& reply) {
                  greeting_ = false;
+                 const TimePoint before = last_heard_;
                  OnHelloReply(address, reply);
+                 if (last_heard_ != before) answered_at_ = sent;
                });
 }
 
@@ -233,6 +266,9 @@
   term_ = term;
   leader_ = leader;
   last_heard_ = executor_.Now();
+  answered_at_ = last_heard_;
+  following_since_ = last_heard_;
+  votes_.Clear();
   refused_ = 0;
   logging::Event(Level::kInfo, "following",
                  {{"term", Text(term)},
@@ -280,20 +316,6 @@
   }
 }
 
-Millis Leadership::ClaimDelay() const {
-  const int32_t fitness = options_.member.fitness;
-  const int32_t missing = options_.enough_fitness - fitness;
-  if (missing <= 0) return Millis(0);
-  const auto better = [&](const wire::Member& other) {
-    return other.fitness > fitness && other.address != leader_.address;
-  };
-  if (members_.empty()) {
-    return kFreshDelay * missing / options_.enough_fitness;
-  }
-  if (std::none_of(members_.begin(), members_.end(), better)) return Millis(0);
-  return kClaimDelay * missing / options_.enough_fitness;
-}
-
 void Leadership::YieldIfWeak() {
   if (options_.member.fitness >= options_.enough_fitness) return;
   if (executor_.Now() - leading_since_ < options_.yield_after) return;
@@ -307,130 +329,12 @@
   }
 }
 
-void Leadership::Suspect(Millis quiet, const std::string& cause) {
-  if (role_ == Role::kLeading || looking_) return;
-  if (executor_.Now() < look_after_) return;
-  looking_ = true;
-  suspected_term_ = term_;
-  logging::Event(
-      Level::kInfo, "leader suspected",
-      {{"term", Text(term_)}, {"leader", leader_.name}, {"cause", cause}});
-  const Millis delay = role_ == Role::kResigned ? Millis(0) : ClaimDelay();
-  if (delay == Millis(0)) return Look(quiet, std::nullopt);
-  executor_.RunAfter(delay, [this, quiet] { Look(quiet, std::nullopt); });
-}
-
-void Leadership::Look(Millis quiet, std::optional<int64_t> seen_end) {
-  // Somebody else leads by now: the suspicion was of an earlier leader.
-  if (term_ != suspected_term_) return EndLook(Millis(0));
-  const TimePoint asked = executor_.Now();
-  store_.ReadNewest(
-      options_.table, "", kStoreTimeout,
-      [this, quiet, seen_end, asked](const Result<ports::NewestPage>& page) {
-        OnLook(quiet, seen_end, asked, page);
-      });
-}
-
-void Leadership::EndLook(Millis pause) {
-  looking_ = false;
-  look_after_ = executor_.Now() + pause;
-}
-
-void Leadership::OnLook(Millis quiet, std::optional<int64_t> seen_end,
-                        TimePoint asked,
-                        const Result<ports::NewestPage>& page) {
-  if (role_ == Role::kLeading || term_ != suspected_term_) {
-    return EndLook(Millis(0));
-  }
-  if (!page.ok()) {
-    logging::Event(Level::kWarning, "leader record not read",
-                   {{"cause", page.error().message}});
-    return EndLook(kLookAgain);
-  }
-  const std::optional<wire::AnnounceCall> record = LeaderIn(page.value());
-  const int64_t end = page.value().end_offset;
-  const TimePoint now = executor_.Now();
-  const bool may_claim = role_ == Role::kFollowing;
-  if (end == 0 && may_claim) return Claim(1, end);
-  if (record && (record->term > term_ ||
-                 (record->term == term_ && leader_.address.empty()))) {
-    const bool own = record->leader.address == options_.member.address;
-    // Its own record of an earlier life: nobody else leads.
-    if (own && may_claim) {
-      term_ = record->term;
-      return Claim(record->term + 1, end);
-    }
-    Follow(record->term, record->leader);
-    return EndLook(own ? kLookAgain : Millis(0));
-  }
-  // Each claim takes one record of the table, so no term was ever above its
-  // end: where the record can't be read, a claim above that end is above every
-  // earlier term. One from 1 again would be fenced once for each of them.
-  const int64_t last_term = record ? record->term : std::max(term_, end);
-  if (!may_claim) return EndLook(kLookAgain);
-  const bool certain = quiet == Millis(0);
-  const bool admitted = quiet == options_.quiet_admitted;
-  if (last_heard_ > asked && !certain && !admitted) {
-    return EndLook(kLookAgain);  // the leader was heard of meanwhile
-  }
-  if (certain || (seen_end && *seen_end == end)) {
-    return Claim(last_term + 1, end);
-  }
-  if (seen_end) return EndLook(kLookAgain);  // it is alive at the store
-  const auto delay = std::chrono::duration_cast<Millis>(now - asked);
-  executor_.RunAfter(quiet + 2 * delay,
-                     [this, quiet, end] { Look(quiet, end); });
-}
-
-std::optional<wire::AnnounceCall> Leadership::LeaderIn(
-    const ports::NewestPage& page) {
-  std::optional<wire::AnnounceCall> out;
-  for (const ports::KeyedRecord& kept : page.records) {
-    if (kept.key != kLeaderKey) continue;
-    const auto record = rpc::Decode<wire::AnnounceCall>(kept.value);
-    if (!kept.fault.empty() || !record.ok()) {
-      faults_.Tell(EntrySource::kLeaders, kept.key, "does not decode");
-      continue;
-    }
-    const int64_t term = record.value().term;
-    if (term < 1 || term > std::min(kMaxTerm, page.end_offset) ||
-        record.value().leader.address.empty()) {
-      faults_.Tell(EntrySource::kLeaders, kept.key,
-                   "names no leader, or a term that nobody can have had");
-      continue;
-    }
-    out = record.value();
-  }
-  return out;
-}
-
 bool Leadership::Plausible(int64_t term, const std::string& peer) {
   if (term >= 0 && term <= kMaxTerm) return true;
   faults_.Tell(EntrySource::kPeer, peer, "names a term that nobody can have");
   return false;
 }
 
-void Leadership::Claim(int64_t term, int64_t end_offset) {
-  store_.Append({.table = options_.table,
-                 .records = {{kLeaderKey, Record(term)}},
-                 .only_at = end_offset},
-                kStoreTimeout, [this, term](const ports::AppendReply& reply) {
-                  OnClaim(term, reply);
-                });
-}
-
-void Leadership::OnClaim(int64_t term, const ports::AppendReply& reply) {
-  if (reply.verdict != ports::AppendVerdict::kStored ||
-      role_ != Role::kFollowing || term <= term_) {
-    // Lost, or in doubt: the next look finds out, own record or not.
-    logging::Event(Level::kInfo, "claim not won",
-                   {{"term", Text(term)}, {"cause", reply.detail}});
-    return EndLook(kLookAgain);
-  }
-  EndLook(Millis(0));
-  Lead(term, reply.end_offset);
-}
-
 void Leadership::Lead(int64_t term, int64_t end_offset) {
   role_ = Role::kLeading;
   term_ = term;
@@ -514,7 +418,12 @@
   reply.leading = leading();
   reply.term = term_;
   reply.leader = leader_;
-  if (!leading()) return reply;
+  if (!leading()) {
+    const auto silent =
+        std::chrono::duration_cast<Millis>(executor_.Now() - answered_at_);
+    reply.leader_silent_ms = leader_.address.empty() ? 0 : silent.count();
+    return reply;
+  }
   // Operators' tools ask without an address of their own.
   if (!call.caller.address.empty()) {
     const TimePoint now = executor_.Now();
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/leadership/job_peer_port.h"
+#include "src/leadership/waiting_votes.h"
 #include "src/libs/faults/entry_faults.h"
 #include "src/ports/record_store_port.h"
 
@@ -30,6 +31,14 @@
   Millis quiet{450};
   /// The same for a leader that says itself that it has lost the store.
   Millis quiet_admitted{150};
+  /// A leader that answers most followers' greetings no more for this long is
+  /// replaced, though it renews its record in the store. Two greetings without
+  /// an answer; a machine that stands still for less is not worth a take-over.
+  Millis unanswered{800};
+  /// Not within this of the start of its term: where the load is too much for
+  /// any machine another leader does no better, and each take-over makes
+  /// callers wait for some 0.3 s.
+  Millis least_term{3000};
   /// A leader that had no success at the store for this long is replaced by
   /// somebody who can reach it.
   Millis store_silence{700};
@@ -99,6 +108,13 @@
   /// Greets another entry in turn, since no leader is known, or none that still
   /// answers.
   void AskAround();
+  /// Asks some other followers whether the leader answers them.
+  void AskWitnesses();
+  void OnWitness(const std::string& address,
+                 const Result<wire::HelloReply>& reply);
+  /// Whether the leader leaves this entry and most others waiting, late enough
+  /// in its term.
+  bool LeaderIsSlow() const;
   /// Every entry that was ever heard of, without this one, each once.
   std::vector<std::string> KnownAddresses() const;
   void Greet(const std::string& address);
@@ -141,9 +157,15 @@
   int64_t term_ = 0;
   wire::Member leader_;
   TimePoint last_heard_{};
+  /// When the newest greeting that the leader answered was sent.
+  TimePoint answered_at_{};
   bool greeting_ = false;
   TimePoint ask_after_{};
   size_t asked_ = 0;
+  WaitingVotes votes_;
+  TimePoint witnesses_after_{};
+  size_t witnesses_asked_ = 0;
+  TimePoint following_since_{};
   /// While the leader is silent: whether the next question goes to another.
   bool others_next_ = true;
   bool looking_ = false;
--- /dev/null
+++ b/src/leadership/waiting_votes.cc
@@ -0,0 +1,16 @@
+#include "src/leadership/waiting_votes.h"
+
+namespace mimosarail::leadership {
+
+bool WaitingVotes::MostWait(TimePoint now) const {
+  size_t heard = 0;
+  size_t waiting = 0;
+  for (const auto& [follower, vote] : votes_) {
+    if (now - vote.told > kAge) continue;
+    ++heard;
+    if (vote.waits) ++waiting;
+  }
+  return heard >= kFewest && 2 * waiting > heard;
+}
+
+}  // namespace mimosarail::leadership
--- /dev/null
+++ b/tests/slow_parts_test.cc
@@ -0,0 +1,161 @@
+#define BOOST_TEST_MODULE slow_parts
+#include <boost/test/unit_test.hpp>
+
+#include "src/leadership/waiting_votes.h"
+#include "tests/jobsim/job_cell.h"
+#include "tests/jobsim/trace.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+/// Each way to a slow entry: its answers to greetings come after 1 s, when
+/// those who greet wait no more.
+constexpr Millis kSlowWay{500};
+/// Settles who leads and lets its term grow old enough to be replaced.
+constexpr Millis kSettle{6000};
+/// The shortest steps in which an outcome is looked for.
+constexpr Millis kStep{10};
+
+/// How long it takes until the task has ended "done" once; `limit` if longer.
+Millis TimeToDone(JobCell& cell, const TaskId& task, Millis limit) {
+  Millis waited{0};
+  while (waited < limit && cell.upstreams().DoneRuns(task) == 0) {
+    cell.RunFor(kStep);
+    waited += kStep;
+  }
+  return waited;
+}
+
+/// How long it takes until the job is accepted; `limit` if longer.
+Millis TimeToAccept(JobCell& cell, JobId id, Millis limit) {
+  Millis waited{0};
+  while (waited < limit && !cell.accepted(id)) {
+    cell.RunFor(kStep);
+    waited += kStep;
+  }
+  return waited;
+}
+
+std::string SomeFollower(JobCell& cell, const std::string& leader) {
+  for (const std::string& name : cell.names()) {
+    if (name != leader) return name;
+  }
+  return {};
+}
+
+}  // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(Trace);
+
+/// The leader's machine turns several times slower. It still renews its record
+/// in the store in time, so looks at the record find it alive, while callers of
+/// all entries wait for its answers until they give up.
+BOOST_AUTO_TEST_CASE(ALeaderThatAnswersTooSlowlyIsReplaced) {
+  JobCell cell({});
+  cell.RunFor(kSettle);
+  const std::string slow = cell.Leader();
+  cell.Slow(slow, kSlowWay);
+  cell.RunFor(Millis(2500));
+  BOOST_TEST(cell.Leader() != slow);
+  BOOST_TEST(!cell.entry(slow)->leadership().leading());
+  cell.Submit(SomeFollower(cell, slow), OneStepJob(5, 1, 1000));
+  BOOST_TEST(TimeToAccept(cell, 5, Millis(1000)) < Millis(100));
+  BOOST_TEST(cell.RunUntilFinal(5, Millis(5000)));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// A follower's own machine turns slow. It waits long for the leader's answers
+/// too, but nobody else does: the leader stays.
+BOOST_AUTO_TEST_CASE(ASlowFollowerDoesNotReplaceTheLeader) {
+  JobCell cell({});
+  cell.RunFor(kSettle);
+  const std::string leader = cell.Leader();
+  const int64_t term = cell.entry(leader)->leadership().term();
+  cell.Slow(SomeFollower(cell, leader), kSlowWay);
+  cell.RunFor(Millis(6000));
+  BOOST_TEST(cell.Leader() == leader);
+  BOOST_TEST(cell.entry(leader)->leadership().term() == term);
+}
+
+/// Whoever leads is slow, as under a load that is too much for any machine.
+/// Another leader does no better, so take-overs must not follow each other
+/// closely: callers wait during each.
+BOOST_AUTO_TEST_CASE(WhereEveryLeaderIsSlowTakeOversAreRare) {
+  JobCell cell({});
+  cell.RunFor(kSettle);
+  const int64_t before = cell.entry(cell.Leader())->leadership().term();
+  constexpr int kSteps = 120;
+  for (int i = 0; i < kSteps; ++i) {
+    const std::string leader = cell.Leader();
+    for (const std::string& name : cell.names()) {
+      cell.Slow(name, name == leader ? kSlowWay : Millis(0));
+    }
+    cell.RunFor(Millis(100));
+  }
+  // One after 1 s, since the first term is old, and then one every 3 s.
+  const int64_t after = cell.entry(cell.Leader())->leadership().term();
+  BOOST_TEST(after - before >= 1);
+  BOOST_TEST(after - before <= 4);
+}
+
+/// Of those that were asked, more than half must wait; what was said long ago,
+/// or by one alone, decides nothing.
+BOOST_AUTO_TEST_CASE(VotesOfFollowers) {
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  leadership::WaitingVotes votes;
+  votes.Note("a", start, true);
+  BOOST_TEST(!votes.MostWait(start));
+  votes.Note("b", start, false);
+  BOOST_TEST(!votes.MostWait(start));
+  votes.Note("c", start, true);
+  BOOST_TEST(votes.MostWait(start));
+  BOOST_TEST(!votes.MostWait(start + Millis(800)));
+  votes.Note("b", start + Millis(800), true);
+  votes.Note("c", start + Millis(800), true);
+  BOOST_TEST(votes.MostWait(start + Millis(800)));
+  votes.Clear();
+  BOOST_TEST(!votes.MostWait(start + Millis(800)));
+}
+
+/// An upstream leaves an order to start unanswered and carries it out seconds
+/// later. The caller's urgent job should start again as soon as answers are
+/// overdue by what is usual there, not after a fixed 0.7 s.
+BOOST_AUTO_TEST_CASE(AnUnansweredStartIsSettledByTheUsualAnswerTime) {
+  JobCell cell({.upstreams = 1});
+  cell.RunFor(Millis(2000));
+  cell.Submit("entry-0", OneStepJob(1, 2, 1000));
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(5000)));
+  cell.upstreams().script({2, 0, 0, 0}).takes = Millis(300);
+  cell.upstreams().faults("up-0").late_starts = 1;
+  cell.Submit("entry-0", OneStepJob(2, 1, 1000));
+  const Millis took = TimeToDone(cell, {2, 0, 0, 0}, Millis(3000));
+  BOOST_TEST_MESSAGE("done after " << took.count() << " ms");
+  BOOST_TEST(took < Millis(300 + 300));
+  cell.RunFor(Millis(4000));
+  BOOST_TEST(cell.upstreams().DoneRuns({2, 0, 0, 0}) == 1);
+  BOOST_TEST(cell.Broken().empty());
+}
+
+/// The store takes 300 ms for an append. Jobs that come all the while must not
+/// wait for an append under way and then for their own.
+BOOST_AUTO_TEST_CASE(ASlowStoreHoldsAJobForOneAppend) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.store().faults().append_takes = Millis(300);
+  Millis longest{0};
+  constexpr JobId kJobs = 40;
+  for (JobId id = 100; id < 100 + kJobs; ++id) {
+    cell.Submit("entry-0", OneStepJob(id, 1, 100));
+    cell.RunFor(Millis(40));
+  }
+  for (JobId id = 200; id < 200 + kJobs / 4; ++id) {
+    cell.Submit("entry-0", OneStepJob(id, 1, 100));
+    longest = std::max(longest, TimeToAccept(cell, id, Millis(2000)));
+    cell.RunFor(Millis(70));
+  }
+  BOOST_TEST_MESSAGE("longest wait " << longest.count() << " ms");
+  BOOST_TEST(longest <= Millis(300 + 100));
+  BOOST_TEST(cell.Broken().empty());
+}
+
+}  // namespace mimosarail::jobsim
