--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -1,5 +1,6 @@
 #include "src/journal/journal.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "src/libs/logging/log.h"
@@ -16,21 +17,24 @@
       lost_(std::move(lost)) {}
 
 void Journal::Open(std::function<void()> done) {
-  in_flight_.waiters.push_back([this, done = std::move(done)](bool stored) {
+  Batch fence;
+  fence.waiters.push_back([this, done = std::move(done)](bool stored) {
     if (!stored) return;
     open_ = true;
     done();
   });
-  Send();
+  SendNew(std::move(fence));
 }
 
 void Journal::Close() {
   closed_ = true;
-  for (auto* waiters : {&in_flight_.waiters, &waiters_}) {
-    for (Stored& waiter : std::exchange(*waiters, {})) {
+  const auto tell = [this](std::vector<Stored>& waiters) {
+    for (Stored& waiter : std::exchange(waiters, {})) {
       executor_.Post([waiter = std::move(waiter)] { waiter(false); });
     }
-  }
+  };
+  for (Batch& batch : in_flight_) tell(batch.waiters);
+  tell(waiters_);
 }
 
 void Journal::Put(const std::string& key, std::string value) {
@@ -49,89 +53,139 @@
 }
 
 void Journal::WhenStored(Stored done) {
-  const bool stored = pending_.empty() && !sending_;
+  const bool stored = pending_.empty() && in_flight_.empty();
   if (closed_ || stored) {
     // Keeps the order of callbacks: never inside the call.
     return executor_.Post([stored, done = std::move(done)] { done(stored); });
   }
-  if (pending_.empty()) return in_flight_.waiters.push_back(std::move(done));
+  if (pending_.empty()) {
+    return in_flight_.back().waiters.push_back(std::move(done));
+  }
   waiters_.push_back(std::move(done));
 }
 
 Millis Journal::stalled_for() const {
-  if (!sending_) return Millis(0);
-  return std::chrono::duration_cast<Millis>(executor_.Now() - sending_since_);
+  if (in_flight_.empty()) return Millis(0);
+  return std::chrono::duration_cast<Millis>(executor_.Now() -
+                                            in_flight_.front().since);
+}
+
+bool Journal::MaySend() const {
+  if (in_flight_.empty()) return true;
+  // What is on its way can't be taken back and refused any more. So a store
+  // that has fallen silent gets no more than the one that it leaves unanswered.
+  return last_answer_ >= options_.slow && stalled_for() < 2 * last_answer_ &&
+         in_flight_.size() < options_.max_in_flight;
 }
 
 void Journal::ScheduleFlush() {
-  if (!open_ || closed_ || sending_ || flush_due_ || pending_.empty()) return;
+  if (!open_ || closed_ || pending_.empty() || !MaySend()) return;
+  const Millis spread =
+      last_answer_ / static_cast<Millis::rep>(options_.max_in_flight);
+  const Millis gap =
+      in_flight_.empty() ? options_.gap : std::max(options_.gap, spread);
+  const TimePoint now = executor_.Now();
+  const TimePoint at = std::max(now, last_flush_ + gap);
+  // One that waits for its turn beside others gives way once those are stored.
+  if (flush_due_ && flush_at_ <= at) return;
   flush_due_ = true;
-  const auto since =
-      std::chrono::duration_cast<Millis>(executor_.Now() - last_flush_);
-  const Millis wait = since >= options_.gap ? Millis(0) : options_.gap - since;
-  executor_.RunAfter(wait, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->Flush();
-  });
+  flush_at_ = at;
+  executor_.RunAfter(
+      std::chrono::ceil<Millis>(at - now), [weak = weak_from_this(), at] {
+        const auto self = weak.lock();
+        const bool due = self && self->flush_due_ && self->flush_at_ == at;
+        if (due) self->Flush();
+      });
 }
 
 void Journal::Flush() {
   flush_due_ = false;
-  if (closed_ || sending_ || pending_.empty()) return;
+  if (closed_ || pending_.empty() || !MaySend()) return;
+  Batch batch;
   size_t bytes = 0;
   while (!pending_.empty() && bytes < options_.max_bytes) {
     auto first = pending_.extract(pending_.begin());
     bytes += first.key().size() + first.mapped().size();
-    in_flight_.records.push_back(
+    batch.records.push_back(
         {std::move(first.key()), std::move(first.mapped())});
   }
   // With a part left over, what waits for all of it waits for the rest.
-  if (pending_.empty()) std::swap(in_flight_.waiters, waiters_);
-  Send();
+  if (pending_.empty()) std::swap(batch.waiters, waiters_);
+  SendNew(std::move(batch));
+  ScheduleFlush();
 }
 
-void Journal::Send() {
-  if (!sending_) {
-    ++sequence_;
-    sending_since_ = executor_.Now();
-  }
-  sending_ = true;
+void Journal::SendNew(Batch batch) {
+  batch.sequence = ++sequence_;
+  batch.since = executor_.Now();
+  in_flight_.push_back(std::move(batch));
+  Send(in_flight_.back());
+}
+
+void Journal::Send(Batch& batch) {
+  batch.next_in_line = &batch == &in_flight_.front();
   ++appends_;
   last_flush_ = executor_.Now();
   store_.Append({.table = options_.table,
-                 .records = in_flight_.records,
+                 .records = batch.records,
                  .writer = ports::WriterIdentity{.name = options_.writer,
                                                  .epoch = options_.epoch,
-                                                 .sequence = sequence_}},
+                                                 .sequence = batch.sequence}},
                 options_.timeout,
-                [weak = weak_from_this()](const ports::AppendReply& reply) {
-                  if (const auto self = weak.lock()) self->OnReply(reply);
+                [weak = weak_from_this(),
+                 sequence = batch.sequence](const ports::AppendReply& reply) {
+                  if (const auto self = weak.lock()) {
+                    self->OnReply(sequence, reply);
+                  }
                 });
 }
 
-void Journal::OnReply(const ports::AppendReply& reply) {
-  if (closed_) return;
-  if (reply.verdict == AppendVerdict::kStored) {
+Journal::Batch* Journal::Find(int64_t sequence) {
+  for (Batch& batch : in_flight_) {
+    if (batch.sequence == sequence) return &batch;
+  }
+  return nullptr;
+}
+
+void Journal::OnStored(int64_t sequence) {
+  // The store takes them in order: those before it are stored as well, though
+  // their answers may come later or never.
+  while (!closed_ && !in_flight_.empty() &&
+         in_flight_.front().sequence <= sequence) {
     last_took_ = stalled_for();
-    sending_ = false;
+    if (!in_flight_.front().repeated) last_answer_ = last_took_;
     last_stored_ = executor_.Now();
-    const Batch done = std::exchange(in_flight_, {});
+    const Batch done = std::move(in_flight_.front());
+    in_flight_.pop_front();
     for (const Stored& waiter : done.waiters) waiter(true);
-    if (!closed_) ScheduleFlush();
-    return;
   }
+  if (!closed_) ScheduleFlush();
+}
+
+void Journal::OnReply(int64_t sequence, const ports::AppendReply& reply) {
+  const Batch* batch = Find(sequence);
+  if (closed_ || batch == nullptr) return;
+  if (reply.verdict == AppendVerdict::kStored) return OnStored(sequence);
   logging::Event(logging::Level::kWarning, "journal append not stored",
                  {{"table", options_.table},
                   {"epoch", std::to_string(options_.epoch)},
-                  {"sequence", std::to_string(sequence_)},
+                  {"sequence", std::to_string(sequence)},
+                  {"under_way", std::to_string(in_flight_.size())},
                   {"cause", reply.detail}});
-  if (reply.verdict == AppendVerdict::kFenced ||
-      reply.verdict == AppendVerdict::kOutOfSequence) {
+  // One that overtook those before it is refused for its number, too.
+  const bool strange =
+      reply.verdict == AppendVerdict::kOutOfSequence && batch->next_in_line;
+  if (strange || reply.verdict == AppendVerdict::kFenced) {
     Close();
     return lost_();
   }
-  executor_.RunAfter(options_.retry, [weak = weak_from_this()] {
+  executor_.RunAfter(options_.retry, [weak = weak_from_this(), sequence] {
     const auto self = weak.lock();
-    if (self && !self->closed_) self->Send();
+    if (!self || self->closed_) return;
+    Batch* again = self->Find(sequence);
+    if (again == nullptr) return;
+    again->repeated = true;
+    self->Send(*again);
   });
 }
 
