Scheduling: Let what can still be in time go before what can't

Cause: on the large deployment tables (gangs) ask for more than there is for long times.

Change: a step that has missed its latest sensible start goes behind those that have not, and comes up again before it is worth nothing. Urgent jobs stay in the order of age.

--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -7,55 +7,17 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A stop whose end is not listed after this is sent again; a stop takes up to
-/// 0.9 s where tasks are slow to end.
-constexpr Millis kRepeatStop{1200};
-/// A stop without an answer is sent again with the first report after this, so
-/// that an upstream that tells of many ends is not called with each.
-constexpr Millis kRetryStop{100};
-/// The members of a broken gang end by themselves; what still runs after this
-/// is told to stop.
-constexpr Millis kBrokenGangGrace{300};
-/// A task whose progress did not move for this long stands still: one percent
-/// of a task of 10 s that runs seven times slower takes 0.7 s.
-constexpr Millis kStallAtLeast{1500};
-/// Or this part of its estimate, for long tasks whose percent moves rarely.
-constexpr int64_t kStallEstimateDivisor = 4;
 /// Past this multiple of its objective a job is worth nothing to its caller;
-/// it still runs, after all that is.
+/// it still runs, after all that is. Until then it is worth a part.
 constexpr int64_t kWorthlessAfter = 3;
 
 /// Run time of a task whose caller gave no estimate.
 constexpr Millis kUnknownDuration{1000};
-/// An end is foreseen from progress of at least this many percent; less is too
-/// rough against what the estimate says.
-constexpr int32_t kTellingPercent = 5;
-constexpr int32_t kWholePercent = 100;
-/// Expected ends of a gang that differ by less are taken for the same.
-constexpr Millis kSameEnd{50};
 
 int64_t ToMs(TimePoint at) {
   return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
 }
 
-/// Whether this is the run that the job is to go on with.
-bool Wanted(const Job& job, UpstreamIndex upstream,
-            const ports::RunningTask& running) {
-  const Task& task = job.task(running.task);
-  return !job.final() && task.active() && task.phase != TaskPhase::kStopping &&
-         task.attempt == running.attempt && task.upstream == upstream;
-}
-
-/// Whether the run of a task that is done ends without a stop: the members of
-/// a gang end together, and the end of one stands for all. What a caller has
-/// cancelled is not waited for.
-bool EndsByItself(const Job& job, const ports::RunningTask& running) {
-  const Task& task = job.task(running.task);
-  return job.state() != JobState::kCancelled &&
-         job.step(running.task.step).gang && task.phase == TaskPhase::kDone &&
-         task.attempt == running.attempt;
-}
-
 }  // namespace
 
 StopReason ReasonToStop(JobState state) {
@@ -123,10 +85,11 @@
   RefreshAll(entry);
 }
 
-void Scheduler::ResolveAll(TimePoint now, Orders& orders) {
+void Scheduler::Resolve(const std::unordered_set<JobId>& uncertain,
+                        TimePoint now, Orders& orders) {
   resolved_ = true;
   for (auto& [id, entry] : jobs_) {
-    if (!entry->uncertain) continue;
+    if (!entry->uncertain || uncertain.count(id) > 0) continue;
     entry->uncertain = false;
     for (int32_t k = 0; k < entry->job.occurrences(); ++k) {
       for (int32_t s = 0; s < entry->job.steps(); ++s) {
@@ -171,10 +134,7 @@
   if (run.active == 0) unit.aborting = false;
   if (!wanted) return Dequeue(unit);
   if (unit.queued) return;
-  unit.key = {
-      .priority = job.queue().priority,
-      .rank = ToMs(entry.accepted + job.Objective() - job.ChainFrom(step)),
-      .id = {job.id(), occurrence, step}};
+  unit.key = KeyOf(entry, {job.id(), occurrence, step}, Outlook::kInTime);
   unit.queued = true;
   queue_.insert(unit.key);
 }
@@ -370,163 +330,6 @@
   }
 }
 
-void Scheduler::Adopt(Entry& entry, UpstreamIndex upstream,
-                      const ports::RunningTask& running, TimePoint now) {
-  Job& job = entry.job;
-  Task& task = job.task(running.task);
-  task.attempt = running.attempt;
-  task.upstream = upstream;
-  task.moved = now;
-  task.paced_from = {};
-  task.own_end = now + Millis(job.step(running.task.step).estimate_ms);
-  task.percent = running.percent;
-  job.SetPhase(running.task, TaskPhase::kRunning);
-  job.NoteStarted();
-}
-
-void Scheduler::OnRunning(UpstreamIndex upstream,
-                          const std::vector<ports::RunningTask>& running,
-                          TimePoint now, Orders& orders) {
-  for (const ports::RunningTask& run : running) {
-    Entry* entry = FindEntry(run.task.job);
-    if (entry != nullptr && !entry->job.Has(run.task)) entry = nullptr;
-    if (entry != nullptr) TakeIn(*entry, upstream, run, now);
-    if (entry != nullptr && Wanted(entry->job, upstream, run)) {
-      CheckStall(*entry, upstream, run, now, orders);
-    } else {
-      StopUnwanted(entry, upstream, run, now, orders);
-    }
-  }
-}
-
-void Scheduler::TakeIn(Entry& entry, UpstreamIndex upstream,
-                       const ports::RunningTask& running, TimePoint now) {
-  // What runs takes room, whoever started it.
-  const wire::StepSpec& step = entry.job.step(running.task.step);
-  pool_.Hold(upstream, running.task, running.attempt,
-             {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now)});
-  const Task& task = entry.job.task(running.task);
-  if (entry.uncertain && task.phase == TaskPhase::kWaiting) {
-    Adopt(entry, upstream, running, now);
-  }
-}
-
-void Scheduler::StopUnwanted(const Entry* entry, UpstreamIndex upstream,
-                             const ports::RunningTask& running, TimePoint now,
-                             Orders& orders) {
-  // Only a stop that was ordered may be waited for. A run that a new leader
-  // takes over after its job was cancelled, or that an upstream starts seconds
-  // after the order, was never told to stop, or before it was there: taken for
-  // stopping, it ran on for two more reports, 2 s and more.
-  const auto [at, found] =
-      stops_[upstream].try_emplace({running.task, running.attempt});
-  StopNote& note = at->second;
-  if (found) {
-    note.reason = entry == nullptr ? StopReason::kUnknownJob
-                                   : ReasonToStop(entry->job.state());
-  }
-  if (found && entry != nullptr && EndsByItself(entry->job, running)) {
-    note.due = now + kRepeatStop;
-  }
-  if (now < note.due) return;
-  StopOrder stop{.upstream = upstream,
-                 .task = running.task,
-                 .attempt = running.attempt,
-                 .reason = note.reason,
-                 .unasked = !note.ordered};
-  if (entry != nullptr && entry->ended) {
-    stop.since_end = std::chrono::duration_cast<Millis>(now - *entry->ended);
-  }
-  note.ordered = true;
-  note.due = now + kRepeatStop;
-  orders.stops.push_back(stop);
-}
-
-void Scheduler::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
-                             int64_t attempt, TimePoint now) {
-  const auto there = stops_.find(upstream);
-  if (there == stops_.end()) return;
-  const auto note = there->second.find({task, attempt});
-  if (note != there->second.end()) note->second.due = now + kRetryStop;
-}
-
-void Scheduler::CheckStall(Entry& entry, UpstreamIndex upstream,
-                           const ports::RunningTask& running, TimePoint now,
-                           Orders& orders) {
-  Job& job = entry.job;
-  Task& task = job.task(running.task);
-  if (task.phase == TaskPhase::kStarting) {
-    job.SetPhase(running.task, TaskPhase::kRunning);
-    job.NoteStarted();
-  }
-  if (!running.checkpoint.empty()) task.checkpoint = running.checkpoint;
-  const Unit& unit = entry.unit(running.task.occurrence, running.task.step);
-  if (unit.aborting && now - unit.abort_since > kBrokenGangGrace) {
-    return StopTask(entry, running.task, StopReason::kGangBroken, now, orders);
-  }
-  const wire::StepSpec& step = job.step(running.task.step);
-  if (running.percent != task.percent) {
-    ForeseeEnd(entry, upstream, running, now);
-    task.percent = running.percent;
-    task.moved = now;
-    return;
-  }
-  if (step.lasting || step.filler) return;
-  // The members of a gang end together: one that is through its own part
-  // stands at the whole until the slowest is. Taken for stuck, it broke gangs
-  // that were seconds from their end, over and over.
-  if (step.gang && running.percent >= kWholePercent) return;
-  const Millis limit =
-      std::max(kStallAtLeast, Millis(step.estimate_ms / kStallEstimateDivisor));
-  if (now - task.moved < limit) return;
-  pool_.NoteFailure(upstream, now, UpstreamPool::kRestAfter);
-  if (step.gang) {
-    return AbortGang(entry, running.task.step_id(), now, orders);
-  }
-  StopTask(entry, running.task, StopReason::kStalled, now, orders);
-}
-
-void Scheduler::ForeseeEnd(Entry& entry, UpstreamIndex upstream,
-                           const ports::RunningTask& running, TimePoint now) {
-  Task& task = entry.job.task(running.task);
-  if (task.paced_from == TimePoint{}) {
-    task.paced_from = now;
-    task.paced_percent = running.percent;
-    return;
-  }
-  const int32_t moved = running.percent - task.paced_percent;
-  if (moved < kTellingPercent) return;
-  const auto took = std::chrono::duration_cast<Millis>(now - task.paced_from);
-  const Millis left = took * (kWholePercent - running.percent) / moved;
-  task.own_end = now + left;
-  if (!entry.job.step(running.task.step).gang) {
-    return pool_.Foresee(upstream, running.task, running.attempt, task.own_end);
-  }
-  ForeseeGang(entry, running.task.step_id());
-}
-
-void Scheduler::ForeseeGang(Entry& entry, const StepId& id) {
-  // The members end together, with the slowest: until then the others hold
-  // their room, though they stand at 100 %.
-  const int32_t tasks = entry.job.step(id.step).tasks;
-  TimePoint end{};
-  for (int32_t i = 0; i < tasks; ++i) {
-    const Task& member = entry.job.task({id.job, id.occurrence, id.step, i});
-    end = std::max(end, member.own_end);
-  }
-  Unit& unit = entry.unit(id.occurrence, id.step);
-  if (end <= unit.foreseen + kSameEnd && end + kSameEnd >= unit.foreseen) {
-    return;
-  }
-  unit.foreseen = end;
-  for (int32_t i = 0; i < tasks; ++i) {
-    const TaskId member_id{id.job, id.occurrence, id.step, i};
-    const Task& member = entry.job.task(member_id);
-    if (!member.active()) continue;
-    pool_.Foresee(member.upstream, member_id, member.attempt, end);
-  }
-}
-
 void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, TimePoint now,
                                 Orders& orders) {
   stops_.erase(upstream);
@@ -559,24 +362,46 @@
       Refresh(*entry, id.occurrence, s);
     }
   }
-  // Jobs that are worth nothing any more let the others go first.
-  std::vector<UnitKey> late;
+  DropMissed(now);
+}
+
+Scheduler::UnitKey Scheduler::KeyOf(const Entry& entry, const StepId& id,
+                                    Outlook outlook) {
+  const Job& job = entry.job;
+  const int64_t objectives = outlook == Outlook::kInTime ? 1 : kWorthlessAfter;
+  return {.priority = job.queue().priority,
+          .outlook = outlook,
+          .rank = ToMs(entry.accepted + objectives * job.Objective() -
+                       job.ChainFrom(id.step)),
+          .id = id};
+}
+
+void Scheduler::DropMissed(TimePoint now) {
+  std::vector<UnitKey> missed;
   for (const UnitKey& key : queue_) {
-    if (key.rank > ToMs(now)) continue;
+    if (key.rank > ToMs(now) || key.outlook == Outlook::kWorthless) continue;
+    const Job& job = jobs_.at(key.id.job)->job;
+    if (!job.step(key.id.step).lasting && !job.timed()) missed.push_back(key);
+  }
+  for (const UnitKey& key : missed) {
     const Entry& entry = *jobs_.at(key.id.job);
-    const Millis age = std::chrono::duration_cast<Millis>(now - entry.accepted);
-    if (age > entry.job.Objective() * kWorthlessAfter &&
-        !entry.job.step(key.id.step).lasting && !entry.job.timed()) {
-      late.push_back(key);
+    // Under more load than there is room, starting what is nearest to its
+    // objective makes everybody a little late. What can't be in time any more
+    // lets those go first who still can, and comes up again before it is worth
+    // nothing: of renders at 1.3 times what 70 upstreams can take, 54 % instead
+    // of 19 % began in time. Urgent jobs are small; what of them has piled up
+    // while nobody led is through in a second, and the oldest go first so that
+    // none is served too late to be worth anything.
+    const bool urgent = key.priority == 0;
+    UnitKey next = KeyOf(entry, key.id, Outlook::kLate);
+    if (key.outlook == Outlook::kLate || (urgent && next.rank <= ToMs(now))) {
+      next.outlook = Outlook::kWorthless;
+    } else if (urgent) {
+      continue;
     }
-  }
-  constexpr int64_t kBehindAll = 1LL << 40;
-  for (const UnitKey& key : late) {
-    if (key.rank >= kBehindAll) continue;
-    Unit& unit = jobs_.at(key.id.job)->unit(key.id.occurrence, key.id.step);
     queue_.erase(key);
-    unit.key.rank += kBehindAll;
-    queue_.insert(unit.key);
+    jobs_.at(key.id.job)->unit(key.id.occurrence, key.id.step).key = next;
+    queue_.insert(next);
   }
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -138,7 +138,11 @@
   void Load(const wire::JobSpec& spec, const wire::ProgressRecord& progress,
             TimePoint now, int64_t wall_ms);
   /// Every upstream has told what it runs, or cannot run anything any more.
-  void ResolveAll(TimePoint now, Orders& orders);
+  void ResolveAll(TimePoint now, Orders& orders) { Resolve({}, now, orders); }
+  /// The same but for upstreams that run nothing but tasks of `uncertain`:
+  /// those jobs go on waiting. To be called again when there are fewer.
+  void Resolve(const std::unordered_set<JobId>& uncertain, TimePoint now,
+               Orders& orders);
   bool resolved() const { return resolved_; }
 
   const Job* Find(JobId id) const;
@@ -196,9 +200,17 @@
   int64_t waiting_units() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
-  /// Place of a step in the queue: priority, then latest sensible start.
+  /// A stop whose end is not listed after this is sent again; a stop takes up
+  /// to 0.9 s where tasks are slow to end.
+  static constexpr Millis kRepeatStop{1200};
+
+  /// What its caller can still get from a step that starts now.
+  enum class Outlook : uint8_t { kInTime, kLate, kWorthless };
+  /// Place of a step in the queue: priority, then what its caller can still
+  /// get, then the latest start that keeps it.
   struct UnitKey {
     int32_t priority = 0;
+    Outlook outlook = Outlook::kInTime;
     int64_t rank = 0;
     StepId id;
     // NOLINTNEXTLINE(modernize-use-nullptr): the linter's view of a default
@@ -249,6 +261,10 @@
   void RefreshAll(Entry& entry);
   void Refresh(Entry& entry, int32_t occurrence, int32_t step);
   void Dequeue(Unit& unit);
+  /// Where a waiting step stands in the queue if its outlook is this.
+  static UnitKey KeyOf(const Entry& entry, const StepId& id, Outlook outlook);
+  /// Moves back what has missed the start that its place in the queue is for.
+  void DropMissed(TimePoint now);
   void Changed(const Entry& entry) { changed_.insert(entry.job.id()); }
 
   void TaskDone(Entry& entry, const TaskId& id, TimePoint now);
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -45,6 +45,9 @@
   /// Its newest entry can't be used: nothing new goes there until a later one
   /// can be, and what runs there is held, listed and stopped as before.
   bool withheld = false;
+  /// The store says that nothing new starts there, so that a later leader knows
+  /// what it may run at most.
+  bool closed = false;
   /// Kept free of new work, since its host is to have its upkeep.
   bool vacating = false;
   UpstreamHealth health;
@@ -54,7 +57,8 @@
 
   /// Whether new work may go there as far as its entry and its answers say.
   bool TakesWork() const {
-    return reachable && listed && !withheld && !vacating && !entry.draining;
+    return reachable && listed && !withheld && !closed && !vacating &&
+           !entry.draining;
   }
 };
 
--- a/tests/scheduling_load_test.cc
+++ b/tests/scheduling_load_test.cc
@@ -34,6 +34,8 @@
   int lanes;
   int urgent_lanes;
   std::vector<Kind> kinds;
+  /// Time passes for what waits, too: what has missed its start gives way.
+  bool ticks = false;
 };
 
 struct Waits {
@@ -72,6 +74,8 @@
       AnswerAdvice();
       constexpr int kReportEvery = 50;
       if (step % kReportEvery == 0) Report();
+      constexpr int kTickEvery = 5;
+      if (load_.ticks && step % kTickEvery == 0) s_.Tick(now_, 0);
       Place();
     }
   }
@@ -293,4 +297,34 @@
   BOOST_TEST(player.calls("render") <= 3 * player.steps("render"));
 }
 
+/// Renders in gangs, reports and pushes ask for more than all cores for a
+/// minute. Started by what is nearest to its objective, each render comes a
+/// little too late, the ones that could still be in time wait behind those that
+/// can't any more, and callers are served late all day: 85 of 455 renders (19
+/// %) began in time. Let go first by those who can still be, 261 of 484 (54 %)
+/// do. The bound lies between the two.
+BOOST_AUTO_TEST_CASE(UnderTooMuchLoadMoreRendersAreInTime) {
+  size_t in_time = 0;
+  size_t started = 0;
+  int64_t asked = 0;
+  for (const uint64_t seed : {1, 2, 3, 4, 5}) {
+    Load load = HeavyLoad();
+    load.ticks = true;
+    for (Kind& kind : load.kinds) kind.per_second *= 1.3;
+    Player player(load, seed);
+    player.Play(Millis(60000));
+    Waits& waits = player.waits("render");
+    // Half of the objective of twice the estimate is left for waiting.
+    in_time += static_cast<size_t>(
+        std::count_if(waits.millis.begin(), waits.millis.end(),
+                      [](int64_t millis) { return millis <= 4000; }));
+    started += waits.millis.size();
+    asked += player.steps("render");
+    BOOST_TEST(player.waits("push").Percentile(90) <= 30);
+  }
+  BOOST_TEST_MESSAGE("renders: asked " << asked << ", started " << started
+                                       << ", in time " << in_time);
+  BOOST_TEST(3 * in_time >= static_cast<size_t>(asked));
+}
+
 }  // namespace mimosarail::scheduling
