Coordinator: Keep in the store what a closed upstream may run

Cause: a leader that takes over waits until every upstream has told what it runs.

Change: an upstream that drains or does not answer is closed; its record names the jobs that may run something there, and a later leader lets only these wait. Nothing starts there before the reopening is stored.

Ruled out: taking a refused connection for the end of an upstream (a cut may refuse, too).

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
@@ -173,7 +174,14 @@
   void KeepNamed();
   void KeepUpstream(const ports::UpstreamEntry& entry);
   void OpenLink(const ports::UpstreamEntry& entry);
+  /// Stores that nothing new starts there, and what it may run at most.
+  void CloseUpstream(UpstreamIndex upstream);
+  /// Lets new work go there once that is stored.
+  void ReopenUpstream(UpstreamIndex upstream);
   void CheckResolved();
+  /// Jobs that upstreams which have not told what they run may run at most;
+  /// none if that is not known of one of them.
+  std::optional<std::unordered_set<JobId>> UncertainJobs() const;
   void Tick();
   void DropFinalJobs();
   void ExplainWaiting();
@@ -184,6 +192,9 @@
   std::function<void(Reply)> AnswerInTime(std::function<void(Reply)> done,
                                           Reply late);
   JobVerdict VerdictOnUnknownJob() const;
+  /// Tells all whose jobs are on their way to the store that it is not known
+  /// what becomes of them.
+  void LeaveCallers();
   void OnJobStored(const wire::JobSpec& spec);
   /// Refuses the jobs that wait for a store that does not answer.
   void RefuseUnsent();
@@ -227,6 +238,13 @@
   std::unordered_map<JobId, wire::ProgressRecord> loaded_progress_;
   std::unordered_map<JobId, std::vector<KeptEnd>> loaded_ends_;
   std::vector<ports::UpstreamEntry> roster_;
+  /// Closed upstreams as an earlier leader left them, with the jobs that they
+  /// may run at most, until they have told what they run.
+  std::map<std::string, std::unordered_set<JobId>> left_closed_;
+  /// How often each was closed, so that a reopening can be overtaken.
+  std::map<UpstreamIndex, int64_t> closings_;
+  /// Jobs that still waited for an upstream when that was last looked at.
+  size_t uncertain_ = 0;
   /// Jobs whose records were written in a form that this version can't read.
   /// They are neither run nor written here.
   std::unordered_set<JobId> unreadable_;
--- /dev/null
+++ b/src/coordinator/job_table.cc
@@ -0,0 +1,39 @@
+#include "src/coordinator/job_table.h"
+
+namespace mimosarail::coordinator {
+
+std::string SpecKey(JobId id) { return kSpecPrefix + JobIdText(id); }
+std::string ProgressKey(JobId id) { return kProgressPrefix + JobIdText(id); }
+
+std::string EndKey(const TaskId& task, int64_t attempt) {
+  return kEndPrefix + TaskIdText(task) + "." + std::to_string(attempt);
+}
+
+wire::UpstreamRecord ToRecord(const ports::UpstreamEntry& entry) {
+  wire::UpstreamRecord out;
+  out.id = entry.id;
+  out.pool = entry.pool;
+  out.address = entry.address;
+  out.failure_domain = entry.failure_domain;
+  out.rack = entry.rack;
+  out.labels = entry.labels;
+  out.millicores = entry.capacity.millicores;
+  out.memory_mb = entry.capacity.memory_mb;
+  out.accelerators = entry.capacity.accelerators;
+  return out;
+}
+
+ports::UpstreamEntry FromRecord(const wire::UpstreamRecord& record) {
+  return {.id = record.id,
+          .listed = false,
+          .pool = record.pool,
+          .address = record.address,
+          .failure_domain = record.failure_domain,
+          .rack = record.rack,
+          .labels = record.labels,
+          .capacity = {.millicores = record.millicores,
+                       .memory_mb = record.memory_mb,
+                       .accelerators = record.accelerators}};
+}
+
+}  // namespace mimosarail::coordinator
--- /dev/null
+++ b/src/coordinator/upstreams.cc
@@ -0,0 +1,377 @@
+// The part of Coordinator that knows the upstreams: the list, their links, what
+// they tell, and which of them are closed to new work.
+
+#include <algorithm>
+
+#include "src/coordinator/coordinator.h"
+#include "src/coordinator/job_table.h"
+#include "src/libs/logging/log.h"
+#include "src/libs/rpc/codec.h"
+
+namespace mimosarail::coordinator {
+namespace {
+
+using logging::Level;
+using scheduling::Orders;
+
+}  // namespace
+
+void Coordinator::ReadList() {
+  const bool whole = list_cursor_ < 0;
+  auto done = [weak = weak_from_this(),
+               whole](const Result<ports::UpstreamListUpdate>& update) {
+    const auto self = weak.lock();
+    if (!self || self->closed_) return;
+    if (update.ok()) {
+      self->OnList(update.value(), whole);
+    } else {
+      // The history is gone, or nobody can read on from there: only the whole
+      // list is left.
+      const std::error_code& code = update.error().code;
+      if (code == Errc::kInvalid || code == Errc::kMalformed) {
+        self->list_cursor_ = -1;
+      }
+      logging::Event(Level::kWarning, "upstream list not read",
+                     {{"cause", update.error().message}});
+    }
+    self->deps_.executor.RunAfter(self->options_.list_period, [weak] {
+      const auto again = weak.lock();
+      if (again && !again->closed_) again->ReadList();
+    });
+  };
+  if (whole) return deps_.list.ReadAll(kStoreTimeout, std::move(done));
+  deps_.list.ReadChanges(list_cursor_, kStoreTimeout, std::move(done));
+}
+
+void Coordinator::OnList(const ports::UpstreamListUpdate& update, bool whole) {
+  list_cursor_ = update.cursor;
+  if (whole) {
+    // Whoever is not in it has left while nobody looked, or lapsed.
+    for (const UpstreamIndex index : scheduler_.pool().all()) {
+      const std::string& id = scheduler_.pool().at(index).entry.id;
+      const bool there = std::any_of(
+          update.entries.begin(), update.entries.end(),
+          [&](const ports::UpstreamEntry& entry) { return entry.id == id; });
+      if (!there) scheduler_.pool().at(index).listed = false;
+    }
+    list_known_ = true;
+    unnamed_.clear();
+  }
+  for (const ports::UpstreamEntry& entry : update.entries) OnEntry(entry);
+  KeepNamed();
+  CheckResolved();
+  PlaceSoon();
+}
+
+void Coordinator::OnEntry(const ports::UpstreamEntry& entry) {
+  scheduling::UpstreamPool& pool = scheduler_.pool();
+  const UpstreamIndex known = pool.Find(entry.id);
+  if (!entry.fault.empty()) return OnBadEntry(entry);
+  if (ended_.count(entry.id) > 0) return;
+  if (!entry.listed) {
+    unnamed_.erase(entry.id);
+    if (known == kNoUpstream) return;
+    logging::Event(Level::kInfo, "upstream left the list",
+                   {{"upstream", entry.id}});
+    pool.at(known).listed = false;
+    return;
+  }
+  if (known != kNoUpstream) {
+    if (pool.at(known).entry.draining != entry.draining) {
+      logging::Event(Level::kInfo, "upstream drains",
+                     {{"upstream", entry.id},
+                      {"draining", entry.draining ? "yes" : "no"},
+                      {"leaves_in_ms", Text(entry.leaves_in_ms)}});
+    }
+    pool.Update(entry);
+    if (entry.draining && !pool.at(known).closed) CloseUpstream(known);
+    if (!entry.draining && pool.at(known).closed) ReopenUpstream(known);
+    return;
+  }
+  unnamed_[entry.id] = entry;
+}
+
+void Coordinator::OnBadEntry(const ports::UpstreamEntry& entry) {
+  deps_.faults.Tell(faults::EntrySource::kUpstreamList, entry.id, entry.fault);
+  unnamed_.erase(entry.id);
+  scheduling::UpstreamPool& pool = scheduler_.pool();
+  const UpstreamIndex known = pool.Find(entry.id);
+  if (known == kNoUpstream) return;
+  // It names no upstream to use, and it has not left either: nothing new goes
+  // there, and what runs there stays under its leases, at the address that is
+  // known. Stopped or forgotten instead, its tasks would be lost to one odd
+  // entry.
+  pool.at(known).listed = true;
+  pool.at(known).withheld = true;
+}
+
+bool Coordinator::Named(const std::string& pool) const {
+  const std::set<std::string>* pools = deps_.pools();
+  return job_pools_.count(pool) > 0 ||
+         (pools != nullptr && pools->count(pool) > 0);
+}
+
+void Coordinator::KeepNamed() {
+  for (auto at = unnamed_.begin(); at != unnamed_.end();) {
+    const ports::UpstreamEntry& entry = at->second;
+    if (!Named(entry.pool)) {
+      // Looked at again with each read of the list: its configuration may come.
+      if (deps_.pools() != nullptr) {
+        deps_.faults.Tell(faults::EntrySource::kUpstreamList, entry.id,
+                          "nothing names its pool");
+      }
+      ++at;
+      continue;
+    }
+    KeepUpstream(entry);
+    at = unnamed_.erase(at);
+  }
+}
+
+void Coordinator::KeepUpstream(const ports::UpstreamEntry& entry) {
+  // A later leader must know every upstream that may run something: an entry
+  // lapses while the store is away, though its tasks go on. So nothing starts
+  // there before the upstream's own record is stored.
+  journal_->Put(kUpstreamPrefix + entry.id, rpc::Encode(ToRecord(entry)));
+  OpenLink(entry);
+}
+
+void Coordinator::OpenLink(const ports::UpstreamEntry& entry) {
+  const UpstreamIndex index = scheduler_.pool().Update(entry);
+  scheduler_.pool().at(index).listed = entry.listed;
+  if (left_closed_.count(entry.id) > 0) {
+    scheduler_.pool().at(index).closed = true;
+  }
+  if (links_.count(index) > 0) return;
+  auto link = std::make_shared<fleet::UpstreamLink>(
+      deps_.executor, deps_.tasks, *this,
+      fleet::UpstreamLinkOptions{
+          .index = index,
+          .target = {.address = entry.address, .id = entry.id},
+          .first_fence = next_fence_,
+          .lease = options_.lease,
+          .earlier_holder = options_.earlier_leader});
+  links_[index] = link;
+  journal_->WhenStored([weak = weak_from_this(), link](bool stored) {
+    const auto self = weak.lock();
+    if (stored && self && !self->closed_) link->Open();
+  });
+}
+
+void Coordinator::CloseUpstream(UpstreamIndex upstream) {
+  // One that goes away while leaders change would hold up all that the next
+  // leader has loaded for 6 s, until its leases have surely run out: 20 of 119
+  // urgent jobs came too late after a loss of power beside one upstream that
+  // had left. What it may run at most is few jobs, and they alone need to wait.
+  // Before it has answered in this term an earlier leader could still start
+  // something there.
+  const auto link = links_.find(upstream);
+  if (link == links_.end() || !link->second->settled()) return;
+  scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  it.closed = true;
+  ++closings_[upstream];
+  wire::UpstreamRecord record = ToRecord(it.entry);
+  record.closed = true;
+  std::set<JobId> jobs;
+  for (const auto& [run, room] : it.held) jobs.insert(run.first.job);
+  for (const JobId id : jobs) record.jobs.push_back(static_cast<int64_t>(id));
+  logging::Event(Level::kInfo, "upstream closed",
+                 {{"upstream", it.entry.id},
+                  {"reachable", it.reachable ? "yes" : "no"},
+                  {"draining", it.entry.draining ? "yes" : "no"},
+                  {"jobs", Text(static_cast<int64_t>(jobs.size()))}});
+  journal_->Put(kUpstreamPrefix + it.entry.id, rpc::Encode(record));
+}
+
+void Coordinator::ReopenUpstream(UpstreamIndex upstream) {
+  const scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  if (!it.reachable || it.entry.draining) return;
+  // Nothing may start there while a later leader would still read that nothing
+  // does: it would start the same tasks elsewhere.
+  journal_->Put(kUpstreamPrefix + it.entry.id, rpc::Encode(ToRecord(it.entry)));
+  journal_->WhenStored([weak = weak_from_this(), upstream,
+                        closing = closings_[upstream]](bool stored) {
+    const auto self = weak.lock();
+    if (!stored || !self || self->closed_) return;
+    if (self->links_.count(upstream) == 0) return;
+    if (self->closings_[upstream] != closing) return;
+    scheduling::Upstream& reopened = self->scheduler_.pool().at(upstream);
+    reopened.closed = false;
+    logging::Event(Level::kInfo, "upstream open again",
+                   {{"upstream", reopened.entry.id}});
+    self->PlaceSoon();
+  });
+}
+
+std::optional<std::unordered_set<JobId>> Coordinator::UncertainJobs() const {
+  std::unordered_set<JobId> out;
+  for (const auto& [index, link] : links_) {
+    if (link->settled()) continue;
+    const auto left = left_closed_.find(scheduler_.pool().at(index).entry.id);
+    if (left == left_closed_.end()) return std::nullopt;
+    out.insert(left->second.begin(), left->second.end());
+  }
+  return out;
+}
+
+void Coordinator::CheckResolved() {
+  if (!list_known_ || deps_.executor.Now() < resolved_after_) return;
+  if (scheduler_.resolved() && uncertain_ == 0) return;
+  const auto uncertain = UncertainJobs();
+  if (!uncertain) return;
+  if (scheduler_.resolved() && uncertain->size() == uncertain_) return;
+  uncertain_ = uncertain->size();
+  logging::Event(Level::kInfo, "all upstreams have told what they run",
+                 {{"term", Text(options_.term)},
+                  {"upstreams", Text(static_cast<int64_t>(links_.size()))},
+                  {"jobs_uncertain", Text(static_cast<int64_t>(uncertain_))}});
+  Orders orders;
+  scheduler_.Resolve(*uncertain, deps_.executor.Now(), orders);
+  Pump(orders);
+}
+
+bool Coordinator::MayGiveOrders() { return !closed_ && deps_.trusted(); }
+
+void Coordinator::OnReport(UpstreamIndex upstream,
+                           const std::vector<ports::RunningTask>& running,
+                           const std::vector<ports::EndedTask>& ended) {
+  const TimePoint now = deps_.executor.Now();
+  Orders orders;
+  for (const ports::EndedTask& end : ended) {
+    deps_.metrics.Count(
+        {.name = "task_ends",
+         .labels = {
+             {"how", std::string(ports::kEndKindNames.Name(end.kind))}}});
+    if (end.kind != ports::EndKind::kDone) {
+      logging::Event(
+          Level::kInfo, "task ended early",
+          {{"task", TaskIdText(end.task)},
+           {"attempt", Text(end.attempt)},
+           {"upstream", scheduler_.pool().at(upstream).entry.id},
+           {"how", std::string(ports::kEndKindNames.Name(end.kind))}});
+    }
+    KeepEnd(end);
+    scheduler_.OnEnd(upstream, end, now, orders);
+  }
+  scheduler_.OnRunning(upstream, running, now, orders);
+  Pump(orders);
+  if (ended.empty()) return;
+  PlaceSoon();
+  const int64_t last = ended.back().number;
+  journal_->WhenStored([weak = weak_from_this(), upstream, last](bool stored) {
+    const auto self = weak.lock();
+    if (!stored || !self || self->closed_) return;
+    const auto link = self->links_.find(upstream);
+    if (link != self->links_.end()) link->second->EndsSafe(last);
+  });
+}
+
+void Coordinator::OnReachable(UpstreamIndex upstream, bool reachable) {
+  scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  it.reachable = reachable;
+  if (!reachable) {
+    if (!it.closed) CloseUpstream(upstream);
+    return;
+  }
+  left_closed_.erase(it.entry.id);
+  if (it.entry.draining && !it.closed) CloseUpstream(upstream);
+  if (!it.entry.draining && it.closed) ReopenUpstream(upstream);
+  CheckResolved();
+  PlaceSoon();
+}
+
+void Coordinator::OnEmpty(UpstreamIndex upstream, bool gone) {
+  Orders orders;
+  scheduler_.OnUpstreamEmpty(upstream, deps_.executor.Now(), orders);
+  Pump(orders);
+  const bool listed = scheduler_.pool().at(upstream).listed;
+  if (gone || !listed) {
+    const std::string id = scheduler_.pool().at(upstream).entry.id;
+    logging::Event(Level::kInfo, "upstream dropped", {{"upstream", id}});
+    journal_->Remove(kUpstreamPrefix + id);
+    // It may come back under its id, and has then seen all tokens that this
+    // link used. Opened with an earlier one, it would answer as if another
+    // entry led, and this one would resign.
+    next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
+    links_.at(upstream)->Close();
+    links_.erase(upstream);
+    scheduler_.pool().Remove(upstream);
+  }
+  CheckResolved();
+  PlaceSoon();
+}
+
+void Coordinator::OnStartReply(const scheduling::StartOrder& order,
+                               const ports::CallReply& reply) {
+  Orders orders;
+  if (reply.verdict != ports::CallVerdict::kDone) {
+    logging::Event(
+        Level::kInfo, "start refused",
+        {{"task", TaskIdText(order.task)},
+         {"attempt", Text(order.attempt)},
+         {"upstream", scheduler_.pool().at(order.upstream).entry.id},
+         {"verdict", std::string(ports::kCallVerdictNames.Name(reply.verdict))},
+         {"detail", reply.detail}});
+  }
+  scheduler_.OnStartReply(order, reply.verdict, deps_.executor.Now(), orders);
+  Pump(orders);
+  if (reply.verdict != ports::CallVerdict::kDone) PlaceSoon();
+}
+
+void Coordinator::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
+                               int64_t attempt) {
+  scheduler_.OnStopFailed(upstream, task, attempt, deps_.executor.Now());
+}
+
+void Coordinator::OnFenced(UpstreamIndex upstream) {
+  deps_.deposed("a higher fence at upstream " +
+                scheduler_.pool().at(upstream).entry.id);
+}
+
+maintenance::HostWork Coordinator::WorkOn(const std::string& upstream) {
+  const UpstreamIndex index = scheduler_.pool().Find(upstream);
+  if (index == kNoUpstream) return {.known = false};
+  const scheduling::Upstream& it = scheduler_.pool().at(index);
+  const auto work = scheduler_.WorkOn(index, deps_.executor.Now());
+  const auto link = links_.find(index);
+  const bool noted = link != links_.end() && link->second->all_ends_noted();
+  return {.known = it.listed && it.reachable && scheduler_.resolved() && noted,
+          .tasks = work.tasks,
+          .bound_tasks = work.bound_tasks,
+          .empties_in = work.empties_in,
+          .millicores = work.millicores};
+}
+
+int64_t Coordinator::FreeMillicores() {
+  const scheduling::UpstreamPool& pool = scheduler_.pool();
+  int64_t free = 0;
+  for (const UpstreamIndex index : pool.all()) {
+    if (!pool.at(index).TakesWork()) continue;
+    free += std::max(0, pool.at(index).free[scheduling::Dimension::kCores]);
+  }
+  return free;
+}
+
+void Coordinator::Withhold(const std::set<std::string>& upstreams) {
+  scheduling::UpstreamPool& pool = scheduler_.pool();
+  for (const UpstreamIndex index : pool.all()) {
+    pool.at(index).vacating = upstreams.count(pool.at(index).entry.id) > 0;
+  }
+  PlaceSoon();
+}
+
+void Coordinator::Vacate(const std::string& upstream, bool all) {
+  const UpstreamIndex index = scheduler_.pool().Find(upstream);
+  if (index == kNoUpstream || !scheduler_.resolved()) return;
+  Orders orders;
+  scheduler_.Vacate(index, all, deps_.executor.Now(), orders);
+  Pump(orders);
+}
+
+void Coordinator::LifeEnded(const std::string& upstream) {
+  const UpstreamIndex index = scheduler_.pool().Find(upstream);
+  ended_.insert(upstream);
+  if (index != kNoUpstream && links_.count(index) > 0) OnEmpty(index, true);
+}
+
+}  // namespace mimosarail::coordinator
