Scheduling: Let a gang that failed ask for other places

It had failed on both upstreams that it had asked and was allowed on. Placing avoids these while others are left, but asking counted on the ticket there, so it renewed that one and asked nobody else. Trials for suspects hide it until other jobs run well on such an upstream.

Change: tickets where the gang failed are not counted on. The test fails without it.

--- a/src/scheduling/asking.cc
+++ b/src/scheduling/asking.cc
@@ -134,8 +134,11 @@
            .failed = failed.count(upstream) > 0,
            .awaited = TakesAwaited(upstream, size),
            .option = {.fit = fit * Unclaimed(upstream), .rate = sure}});
-    } else if (coming || step.gang) {
-      // Single tasks have already used what good tickets have room for.
+    } else if ((coming || step.gang) && failed.count(upstream) == 0) {
+      // Single tasks have already used what good tickets have room for. Where a
+      // gang failed it starts again only with nothing else left: counted on,
+      // its ticket there kept it from asking about others, and it waited for
+      // ever.
       expected += sure * fit;
     }
   }
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -218,6 +218,37 @@
   BOOST_TEST(gang_starts == 2U);
 }
 
+/// A gang failed on the only upstream that it has a ticket for, which other
+/// jobs run well on since. Placing it again avoids that upstream as long as
+/// there are others; asking must not count on its ticket either, or the gang
+/// waits for ever beside upstreams that nobody has asked about.
+BOOST_AUTO_TEST_CASE(AGangThatFailedAsksForOtherPlaces) {
+  Bench b(10);
+  wire::JobSpec spec = Spec(1, 2, 1000);
+  spec.steps[0].gang = true;
+  spec.queue.advised = true;
+  spec.queue.max_attempts = 4;
+  b.s.Add(spec, b.now, 0);
+  const Orders asked = b.Place();
+  BOOST_REQUIRE_EQUAL(asked.advice.size(), 1U);
+  const std::string only = asked.advice[0].upstreams[0];
+  const ports::Advice advice{.allowed = {{only, "ticket"}},
+                             .valid = Millis(60000)};
+  b.s.OnAdvice(asked.advice[0], &advice, b.now);
+  const Orders first = b.Place();
+  BOOST_REQUIRE_EQUAL(first.starts.size(), 2U);
+  b.End(first.starts[0], EndKind::kFailed);
+  b.End(first.starts[1], EndKind::kBroken);
+  b.s.pool().NoteSuccess(first.starts[0].upstream);
+  b.now += Millis(500);
+  const Orders again = b.Place();
+  BOOST_TEST(again.starts.empty());
+  BOOST_REQUIRE_EQUAL(again.advice.size(), 1U);
+  for (const std::string& name : again.advice[0].upstreams) {
+    BOOST_TEST(name != only);
+  }
+}
+
 /// Not every member of a gang could be started: the others are told to stop,
 /// and the gang starts anew only when all are gone, with a higher attempt.
 BOOST_AUTO_TEST_CASE(AHalfStartedGangIsTakenBack) {
