--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -8,6 +8,7 @@
 namespace {
 
 using logging::Level;
+using logging::Text;
 using scheduling::Orders;
 
 constexpr Millis kTick{50};
--- a/src/coordinator/job_table.h
+++ b/src/coordinator/job_table.h
@@ -27,7 +27,4 @@
 /// An upstream as a record keeps it; not listed until the list names it.
 ports::UpstreamEntry FromRecord(const wire::UpstreamRecord& record);
 
-/// A number in a log line.
-inline std::string Text(int64_t value) { return std::to_string(value); }
-
 }  // namespace mimosarail::coordinator
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -11,6 +11,7 @@
 namespace {
 
 using logging::Level;
+using logging::Text;
 
 constexpr Millis kStoreRetry{150};
 
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -12,6 +12,7 @@
 namespace {
 
 using logging::Level;
+using logging::Text;
 using scheduling::Orders;
 
 }  // namespace
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -20,8 +20,7 @@
 
 using faults::EntrySource;
 using logging::Level;
-
-std::string Text(int64_t value) { return std::to_string(value); }
+using logging::Text;
 
 }  // namespace
 
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -31,8 +31,7 @@
 
 using faults::EntrySource;
 using logging::Level;
-
-std::string Text(int64_t value) { return std::to_string(value); }
+using logging::Text;
 
 }  // namespace
 
@@ -147,10 +146,7 @@
   const TimePoint now = executor_.Now();
   if (role_ != Role::kFollowing || now < witnesses_after_) return;
   witnesses_after_ = now + kWitnessPeriod;
-  wire::HelloCall call;
-  call.caller = options_.member;
-  call.term = term_;
-  call.config_version = events_.config_version();
+  const wire::HelloCall call = Greeting();
   const size_t count = std::min(kWitnesses, members_.size());
   for (size_t i = 0; i < count; ++i) {
     const std::string address =
@@ -196,12 +192,17 @@
   return {out.begin(), out.end()};
 }
 
-void Leadership::Greet(const std::string& address) {
-  greeting_ = true;
+wire::HelloCall Leadership::Greeting() const {
   wire::HelloCall call;
   call.caller = options_.member;
   call.term = term_;
   call.config_version = events_.config_version();
+  return call;
+}
+
+void Leadership::Greet(const std::string& address) {
+  greeting_ = true;
+  const wire::HelloCall call = Greeting();
   peers_.Hello(address, call, options_.hello_timeout,
                [this, address,
                 sent = executor_.Now()](const Result<wire::HelloReply>& reply) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -117,6 +117,8 @@
   bool LeaderIsSlow() const;
   /// Every entry that was ever heard of, without this one, each once.
   std::vector<std::string> KnownAddresses() const;
+  /// The greeting that this entry would send now.
+  wire::HelloCall Greeting() const;
   void Greet(const std::string& address);
   void OnHelloReply(const std::string& address,
                     const Result<wire::HelloReply>& reply);
--- a/src/libs/logging/log.h
+++ b/src/libs/logging/log.h
@@ -35,4 +35,7 @@
 void Event(Level level, std::string_view event,
            const std::vector<Field>& fields = {});
 
+/// A number in a log line. Safe from any thread.
+inline std::string Text(int64_t value) { return std::to_string(value); }
+
 }  // namespace mimosarail::logging
--- a/src/maintenance/wave_keeper.cc
+++ b/src/maintenance/wave_keeper.cc
@@ -9,6 +9,7 @@
 namespace {
 
 using logging::Level;
+using logging::Text;
 using ports::HostState;
 using ports::HostVerdict;
 using ports::WaveStatus;
@@ -33,7 +34,6 @@
 constexpr int kMissingForGood = 2;
 constexpr double kMsPerSecond = 1000;
 
-std::string Text(int64_t value) { return std::to_string(value); }
 std::string Text(size_t value) { return std::to_string(value); }
 
 std::string Joined(const std::vector<std::string>& names,
