Leadership: Let patience grow with each term that ended before it settled

Cause: loading holds the answers to renewals up for longer than the 0.45 s (0.15 s for one that says that it lost the store) after which a record that stands still is claimed. A fixed patience that is too short for a fleet's table, link or processor is too short for every leader after it: a livelock.

Change: the record tells whether its leader has settled (served for 3 s) and how many terms right before it had not. Behind an unsettled leader patience is the usual one doubled once for each of these, four times at most; it stays the usual one behind a leader that had settled, that has resigned, or whose address refuses connections. So the terms that are lost take as long together as the one that holds. The same for replacing a leader that is slow to answer.

Ruled out: a longer fixed patience (slows every take-over and only moves the size at which it falls over); loading before claiming (all entries would load at once, through the store's shared read rate).

--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2380,6 +2380,14 @@
 void AnnounceCall::__set_loading(const bool val) {
   this->loading = val;
 }
+
+void AnnounceCall::__set_settled(const bool val) {
+  this->settled = val;
+}
+
+void AnnounceCall::__set_unsettled_terms(const int32_t val) {
+  this->unsettled_terms = val;
+}
 std::ostream& operator<<(std::ostream& out, const AnnounceCall& obj)
 {
   obj.printTo(out);
@@ -2440,6 +2448,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->settled);
+          this->__isset.settled = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unsettled_terms);
+          this->__isset.unsettled_terms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2473,6 +2497,14 @@
   xfer += oprot->writeBool(this->loading);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("settled", ::apache::thrift::protocol::T_BOOL, 5);
+  xfer += oprot->writeBool(this->settled);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("unsettled_terms", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->unsettled_terms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2484,6 +2516,8 @@
   swap(a.leader, b.leader);
   swap(a.resigned, b.resigned);
   swap(a.loading, b.loading);
+  swap(a.settled, b.settled);
+  swap(a.unsettled_terms, b.unsettled_terms);
   swap(a.__isset, b.__isset);
 }
 
@@ -2492,6 +2526,8 @@
   leader = other78.leader;
   resigned = other78.resigned;
   loading = other78.loading;
+  settled = other78.settled;
+  unsettled_terms = other78.unsettled_terms;
   __isset = other78.__isset;
 }
 AnnounceCall::AnnounceCall(AnnounceCall&& other79) noexcept {
@@ -2499,6 +2535,8 @@
   leader = std::move(other79.leader);
   resigned = other79.resigned;
   loading = other79.loading;
+  settled = other79.settled;
+  unsettled_terms = other79.unsettled_terms;
   __isset = other79.__isset;
 }
 AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other80) {
@@ -2506,6 +2544,8 @@
   leader = other80.leader;
   resigned = other80.resigned;
   loading = other80.loading;
+  settled = other80.settled;
+  unsettled_terms = other80.unsettled_terms;
   __isset = other80.__isset;
   return *this;
 }
@@ -2514,6 +2554,8 @@
   leader = std::move(other81.leader);
   resigned = other81.resigned;
   loading = other81.loading;
+  settled = other81.settled;
+  unsettled_terms = other81.unsettled_terms;
   __isset = other81.__isset;
   return *this;
 }
@@ -2524,6 +2566,8 @@
   out << ", " << "leader=" << to_string(leader);
   out << ", " << "resigned=" << to_string(resigned);
   out << ", " << "loading=" << to_string(loading);
+  out << ", " << "settled=" << to_string(settled);
+  out << ", " << "unsettled_terms=" << to_string(unsettled_terms);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -977,11 +977,13 @@
 std::ostream& operator<<(std::ostream& out, const HelloReply& obj);
 
 typedef struct _AnnounceCall__isset {
-  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false) {}
+  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false), settled(false), unsettled_terms(false) {}
   bool term :1;
   bool leader :1;
   bool resigned :1;
   bool loading :1;
+  bool settled :1;
+  bool unsettled_terms :1;
 } _AnnounceCall__isset;
 
 /**
@@ -997,7 +999,9 @@
   AnnounceCall() noexcept
                : term(0),
                  resigned(0),
-                 loading(0) {
+                 loading(0),
+                 settled(0),
+                 unsettled_terms(0) {
   }
 
   virtual ~AnnounceCall() noexcept;
@@ -1011,6 +1015,14 @@
    * It still takes over what is stored, and takes no calls.
    */
   bool loading;
+  /**
+   * It has served for a while: the next leader is no reason for patience.
+   */
+  bool settled;
+  /**
+   * Terms right before this one, one after the other, that ended unsettled.
+   */
+  int32_t unsettled_terms;
 
   _AnnounceCall__isset __isset;
 
@@ -1022,6 +1034,10 @@
 
   void __set_loading(const bool val);
 
+  void __set_settled(const bool val);
+
+  void __set_unsettled_terms(const int32_t val);
+
   bool operator == (const AnnounceCall & rhs) const
   {
     if (!(term == rhs.term))
@@ -1032,6 +1048,10 @@
       return false;
     if (!(loading == rhs.loading))
       return false;
+    if (!(settled == rhs.settled))
+      return false;
+    if (!(unsettled_terms == rhs.unsettled_terms))
+      return false;
     return true;
   }
   bool operator != (const AnnounceCall &rhs) const {
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -38,7 +38,7 @@
   return kClaimDelay * missing / options_.enough_fitness;
 }
 
-void Leadership::Suspect(Millis quiet, const std::string& cause) {
+void Leadership::Suspect(Suspicion suspicion, const std::string& cause) {
   if (role_ == Role::kLeading || looking_) return;
   if (executor_.Now() < look_after_) return;
   looking_ = true;
@@ -47,19 +47,36 @@
       Level::kInfo, "leader suspected",
       {{"term", Text(term_)}, {"leader", leader_.name}, {"cause", cause}});
   const Millis delay = role_ == Role::kResigned ? Millis(0) : ClaimDelay();
-  if (delay == Millis(0)) return Look(quiet, std::nullopt);
-  executor_.RunAfter(delay, [this, quiet] { Look(quiet, std::nullopt); });
+  if (delay == Millis(0)) return Look(suspicion, std::nullopt);
+  executor_.RunAfter(delay,
+                     [this, suspicion] { Look(suspicion, std::nullopt); });
 }
 
-void Leadership::Look(Millis quiet, std::optional<int64_t> seen_end) {
+void Leadership::Look(Suspicion suspicion, std::optional<int64_t> seen_end) {
   // Somebody else leads by now: the suspicion was of an earlier leader.
   if (term_ != suspected_term_) return EndLook(Millis(0));
   const TimePoint asked = executor_.Now();
-  store_.ReadNewest(
-      options_.table, "", kStoreTimeout,
-      [this, quiet, seen_end, asked](const Result<ports::NewestPage>& page) {
-        OnLook(quiet, seen_end, asked, page);
-      });
+  store_.ReadNewest(options_.table, "", kStoreTimeout,
+                    [this, suspicion, seen_end,
+                     asked](const Result<ports::NewestPage>& page) {
+                      OnLook(suspicion, seen_end, asked, page);
+                    });
+}
+
+Millis Leadership::QuietFor(
+    Suspicion suspicion,
+    const std::optional<wire::AnnounceCall>& record) const {
+  switch (suspicion) {
+    case Suspicion::kSilent:
+      return Patience(options_.quiet, record);
+    case Suspicion::kCutFromStore:
+      return Patience(options_.quiet_admitted, record);
+    case Suspicion::kEnded:
+      return options_.quiet;
+    case Suspicion::kResigned:
+      break;
+  }
+  return Millis(0);
 }
 
 void Leadership::EndLook(Millis pause) {
@@ -67,7 +84,7 @@
   look_after_ = executor_.Now() + pause;
 }
 
-void Leadership::OnLook(Millis quiet, std::optional<int64_t> seen_end,
+void Leadership::OnLook(Suspicion suspicion, std::optional<int64_t> seen_end,
                         TimePoint asked,
                         const Result<ports::NewestPage>& page) {
   if (role_ == Role::kLeading || term_ != suspected_term_) {
@@ -82,14 +99,14 @@
   const int64_t end = page.value().end_offset;
   const TimePoint now = executor_.Now();
   const bool may_claim = role_ == Role::kFollowing;
-  if (end == 0 && may_claim) return Claim(1, end);
+  if (end == 0 && may_claim) return Claim(1, end, 0);
   if (record && (record->term > term_ ||
                  (record->term == term_ && leader_.address.empty()))) {
     const bool own = record->leader.address == options_.member.address;
     // Its own record of an earlier life: nobody else leads.
     if (own && may_claim) {
       term_ = record->term;
-      return Claim(record->term + 1, end);
+      return Claim(record->term + 1, end, UnsettledTerms(record));
     }
     Follow(record->term, record->leader, record->loading);
     return EndLook(own ? kLookAgain : Millis(0));
@@ -99,15 +116,19 @@
   // earlier term. One from 1 again would be fenced once for each of them.
   const int64_t last_term = record ? record->term : std::max(term_, end);
   if (!may_claim) return EndLook(kLookAgain);
-  const bool certain = quiet == Millis(0);
-  const bool admitted = quiet == options_.quiet_admitted;
+  const bool certain = suspicion == Suspicion::kResigned;
+  const bool admitted = suspicion == Suspicion::kCutFromStore;
+  // Who has ended or resigned was not replaced for want of patience.
+  const bool gone = certain || suspicion == Suspicion::kEnded;
+  const int32_t unsettled =
+      gone ? UnsettledTerms(record) : UnsettledTermsAfter(record);
   if (answered_at_ > asked && !certain && !admitted) {
     return EndLook(kLookAgain);  // the leader was heard of meanwhile
   }
   if (certain || (seen_end && *seen_end == end)) {
-    return Claim(last_term + 1, end);
+    return Claim(last_term + 1, end, unsettled);
   }
-  if (seen_end && LeaderIsSlow()) {
+  if (seen_end && LeaderIsSlow(record)) {
     // A machine that has turned slow renews its record all the same, while
     // callers wait for seconds: 608 of 20,835 requests came too late to be of
     // use, 93 with this. Its own clock does not show it, as the work queues up
@@ -117,12 +138,12 @@
                    {{"term", Text(term_)},
                     {"leader", leader_.name},
                     {"cause", "most entries wait for its answers"}});
-    return Claim(last_term + 1, end);
+    return Claim(last_term + 1, end, unsettled);
   }
   if (seen_end) return EndLook(kLookAgain);  // it is alive at the store
   const auto delay = std::chrono::duration_cast<Millis>(now - asked);
-  executor_.RunAfter(quiet + 2 * delay,
-                     [this, quiet, end] { Look(quiet, end); });
+  executor_.RunAfter(QuietFor(suspicion, record) + 2 * delay,
+                     [this, suspicion, end] { Look(suspicion, end); });
 }
 
 std::optional<wire::AnnounceCall> Leadership::LeaderIn(
@@ -147,16 +168,19 @@
   return out;
 }
 
-void Leadership::Claim(int64_t term, int64_t end_offset) {
+void Leadership::Claim(int64_t term, int64_t end_offset,
+                       int32_t unsettled_terms) {
   store_.Append({.table = options_.table,
-                 .records = {{kLeaderKey, Record(term)}},
+                 .records = {{kLeaderKey, Record(term, unsettled_terms)}},
                  .only_at = end_offset},
-                kStoreTimeout, [this, term](const ports::AppendReply& reply) {
-                  OnClaim(term, reply);
+                kStoreTimeout,
+                [this, term, unsettled_terms](const ports::AppendReply& reply) {
+                  OnClaim(term, unsettled_terms, reply);
                 });
 }
 
-void Leadership::OnClaim(int64_t term, const ports::AppendReply& reply) {
+void Leadership::OnClaim(int64_t term, int32_t unsettled_terms,
+                         const ports::AppendReply& reply) {
   if (reply.verdict != ports::AppendVerdict::kStored ||
       role_ != Role::kFollowing || term <= term_) {
     // Lost, or in doubt: the next look finds out, own record or not.
@@ -165,7 +189,7 @@
     return EndLook(kLookAgain);
   }
   EndLook(Millis(0));
-  Lead(term, reply.end_offset);
+  Lead(term, unsettled_terms, reply.end_offset);
 }
 
 }  // namespace mimosarail::leadership
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -47,18 +47,25 @@
 
 void Leadership::Start() {
   last_tick_ = executor_.Now();
-  Suspect(options_.quiet, "start");
+  Suspect(Suspicion::kSilent, "start");
   RunEvery(executor_, kTick, [this] { Tick(); });
 }
 
-std::string Leadership::Record(int64_t term) const {
+std::string Leadership::Record(int64_t term, int32_t unsettled_terms) const {
   wire::AnnounceCall record;
   record.term = term;
   record.leader = options_.member;
   record.loading = role_ != Role::kLeading || leader_loading_;
+  record.settled = settled();
+  record.unsettled_terms = unsettled_terms;
   return rpc::Encode(record);
 }
 
+bool Leadership::settled() const {
+  return role_ == Role::kLeading && !leader_loading_ &&
+         executor_.Now() - serving_since_ >= options_.settled_after;
+}
+
 std::vector<wire::Member> Leadership::followers() const {
   std::vector<wire::Member> out;
   const TimePoint now = executor_.Now();
@@ -120,11 +127,11 @@
   }
   if (leader_.address.empty()) {
     AskAround();
-    return Suspect(options_.quiet, "no leader known");
+    return Suspect(Suspicion::kSilent, "no leader known");
   }
   if (now - answered_at_ > options_.unanswered) AskWitnesses();
   const bool silent = now - answered_at_ > options_.silence;
-  if (silent) Suspect(options_.quiet, "leader not heard of");
+  if (silent) Suspect(Suspicion::kSilent, "leader not heard of");
   if (greeting_) return;
   // A next leader announces itself once. An entry that missed that and has lost
   // the store would greet a dead leader for ever, and refuse its callers though
@@ -173,10 +180,12 @@
               Millis(hello.leader_silent_ms) >= options_.unanswered);
 }
 
-bool Leadership::LeaderIsSlow() const {
+bool Leadership::LeaderIsSlow(
+    const std::optional<wire::AnnounceCall>& record) const {
   const TimePoint now = executor_.Now();
   return now - answered_at_ >= options_.unanswered &&
-         now - following_since_ >= options_.least_term && votes_.MostWait(now);
+         now - following_since_ >= Patience(options_.least_term, record) &&
+         votes_.MostWait(now);
 }
 
 std::vector<std::string> Leadership::KnownAddresses() const {
@@ -229,7 +238,7 @@
     const bool refused = reply.error().code == Errc::kUnavailable;
     refused_ = refused ? refused_ + 1 : 0;
     if (refused_ >= kRefusals) {
-      Suspect(options_.quiet, "leader refuses connections");
+      Suspect(Suspicion::kEnded, "leader refuses connections");
     }
     return;
   }
@@ -242,7 +251,8 @@
   }
   if (!hello.leading) {
     if (address == leader_.address) {
-      Suspect(Millis(0), "the leader's address says that it does not lead");
+      Suspect(Suspicion::kResigned,
+              "the leader's address says that it does not lead");
     }
     return;
   }
@@ -253,7 +263,7 @@
   members_ = hello.members;
   events_.heard(hello);
   if (!hello.store_reachable) {
-    Suspect(options_.quiet_admitted, "leader cannot reach the store");
+    Suspect(Suspicion::kCutFromStore, "leader cannot reach the store");
   }
 }
 
@@ -347,9 +357,11 @@
   return false;
 }
 
-void Leadership::Lead(int64_t term, int64_t end_offset) {
+void Leadership::Lead(int64_t term, int32_t unsettled_terms,
+                      int64_t end_offset) {
   role_ = Role::kLeading;
   term_ = term;
+  unsettled_terms_ = unsettled_terms;
   leader_ = options_.member;
   leader_loading_ = true;
   end_offset_ = end_offset;
@@ -358,14 +370,20 @@
   confirmed_at_ = last_renewed_;
   suspended_at_renewal_ = executor_.Suspended();
   followers_.clear();
-  logging::Event(Level::kInfo, "leading", {{"term", Text(term)}});
+  logging::Event(
+      Level::kInfo, "leading",
+      {{"term", Text(term)}, {"unsettled_terms", Text(unsettled_terms)}});
   AnnounceLead();
   events_.lead(term);
 }
 
 void Leadership::Serve() {
   if (role_ != Role::kLeading) return;
-  logging::Event(Level::kInfo, "serving", {{"term", Text(term_)}});
+  serving_since_ = executor_.Now();
+  const auto took =
+      std::chrono::duration_cast<Millis>(serving_since_ - leading_since_);
+  logging::Event(Level::kInfo, "serving",
+                 {{"term", Text(term_)}, {"loading_ms", Text(took.count())}});
   NoteLeaderServes();
   AnnounceLead();
 }
@@ -387,7 +405,7 @@
   renewing_ = true;
   store_.Append(
       {.table = options_.table,
-       .records = {{kLeaderKey, Record(term_)}},
+       .records = {{kLeaderKey, Record(term_, unsettled_terms_)}},
        .only_at = end_offset_},
       kStoreTimeout,
       [this, sent = executor_.Now(),
@@ -477,7 +495,7 @@
   if (call.resigned) {
     if (call.term == term_ && call.leader.address == leader_.address) {
       look_after_ = {};
-      Suspect(Millis(0), "the leader has resigned");
+      Suspect(Suspicion::kResigned, "the leader has resigned");
     }
   } else {
     Follow(call.term, call.leader, call.loading);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "src/leadership/job_peer_port.h"
+#include "src/leadership/take_over_patience.h"
 #include "src/leadership/waiting_votes.h"
 #include "src/libs/faults/entry_faults.h"
 #include "src/ports/record_store_port.h"
@@ -19,6 +20,8 @@
   std::string table = "leaders";
   /// Entries to ask for the leader while the store cannot be read.
   std::vector<std::string> seeds;
+  /// A leader that has served for this long is settled.
+  Millis settled_after{3000};
   /// How often a follower greets the leader.
   Millis hello_period{200};
   Millis hello_timeout{500};
@@ -124,7 +127,7 @@
                  const Result<wire::HelloReply>& reply);
   /// Whether the leader leaves this entry and most others waiting, late enough
   /// in its term.
-  bool LeaderIsSlow() const;
+  bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
   /// Every entry that was ever heard of, without this one, each once.
   std::vector<std::string> KnownAddresses() const;
   /// The greeting that this entry would send now.
@@ -138,26 +141,38 @@
   void NoteLeaderServes();
   /// Announces this leader to all that are known.
   void AnnounceLead();
+  /// What speaks against the leader.
+  enum class Suspicion {
+    kSilent,        ///< No answer of it was heard, or nobody is known to lead.
+    kCutFromStore,  ///< It says itself that it does not reach the store.
+    kEnded,         ///< Its address refuses connections.
+    kResigned,      ///< It says itself that it does not lead.
+  };
   /// Looks at the store who leads. Claims if the leader's record stands still
-  /// for `quiet`, at once if that is 0; a resigned entry only looks.
-  void Suspect(Millis quiet, const std::string& cause);
-  void Look(Millis quiet, std::optional<int64_t> seen_end);
-  void OnLook(Millis quiet, std::optional<int64_t> seen_end, TimePoint asked,
-              const Result<ports::NewestPage>& page);
+  /// for QuietFor(), at once if it has resigned; a resigned entry only looks.
+  void Suspect(Suspicion suspicion, const std::string& cause);
+  Millis QuietFor(Suspicion suspicion,
+                  const std::optional<wire::AnnounceCall>& record) const;
+  void Look(Suspicion suspicion, std::optional<int64_t> seen_end);
+  void OnLook(Suspicion suspicion, std::optional<int64_t> seen_end,
+              TimePoint asked, const Result<ports::NewestPage>& page);
   /// How long this entry lets better ones claim first.
   Millis ClaimDelay() const;
   void YieldIfWeak();
   void GiveUpOffice(Role role, const std::string& cause);
-  void Claim(int64_t term, int64_t end_offset);
-  void OnClaim(int64_t term, const ports::AppendReply& reply);
+  void Claim(int64_t term, int64_t end_offset, int32_t unsettled_terms);
+  void OnClaim(int64_t term, int32_t unsettled_terms,
+               const ports::AppendReply& reply);
   void EndLook(Millis pause);
-  void Lead(int64_t term, int64_t end_offset);
+  void Lead(int64_t term, int32_t unsettled_terms, int64_t end_offset);
+  /// Whether this leader has served for LeadershipOptions::settled_after.
+  bool settled() const;
   void Renew();
   /// `sent` and `suspended` are of the moment at which the renewal was sent.
   void OnRenew(TimePoint sent, Millis suspended,
                const ports::AppendReply& reply);
   void SettleRenewal();
-  std::string Record(int64_t term) const;
+  std::string Record(int64_t term, int32_t unsettled_terms) const;
   /// The leader's record on a page of the table; empty if there is none that
   /// can be true.
   std::optional<wire::AnnounceCall> LeaderIn(const ports::NewestPage& page);
@@ -192,6 +207,9 @@
   int64_t suspected_term_ = 0;
   TimePoint look_after_{};
   int refused_ = 0;
+  /// As leader: see AnnounceCall.
+  int32_t unsettled_terms_ = 0;
+  TimePoint serving_since_{};
   /// As leader: end of the table as this entry last wrote it.
   int64_t end_offset_ = 0;
   bool renewing_ = false;
