Scheduling: Place, ask and plan by one record of what a step is kept from

Cause: a gang that has failed is kept from upstreams that failed it and from those whose last task failed. Placing did so; asking left out only the first kind. It counted tickets of the others as places, asked about too few more, and about the same ones when those had run out. Second member of the class, found by fuzzing: where a gang needs its suspects, one trial each is too few.

Change: a record a waiting step, looked at again after 0.1 s or a failure, which placing, asking, learning and planning read; suspects get more than a trial each where there are too few others for the gang.

Ruled out: tickets that run out before the next ones come (1.5 s against calls of 0.5 to 1.1 s): the next round of calls then overlaps the last, and the gang starts.

--- a/src/scheduling/asking.cc
+++ b/src/scheduling/asking.cc
@@ -50,8 +50,7 @@
                                                     const StepId& id,
                                                     const GangPlan& plan,
                                                     TimePoint now) const {
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
   std::vector<UpstreamIndex> out;
   const TimePoint start = std::max(plan.ready, now) + kTicketMargin;
   for (const auto& [upstream, tasks] : plan.places) {
@@ -67,14 +66,16 @@
                                                     const StepId& id,
                                                     TimePoint now) const {
   const wire::StepSpec& step = entry.job.step(id.step);
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
   const double rate = std::max(kLeastRate, rates_.Rate(entry.job.queue().name));
   const TimePoint soon = now + kLearnAhead;
+  const std::set<UpstreamIndex>& avoided =
+      entry.unit(id.occurrence, id.step).restraint.avoided;
   std::vector<std::tuple<int32_t, int32_t, UpstreamIndex>> unknown;
   double known = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) continue;
+    if (avoided.count(upstream) > 0) continue;
     const int32_t whole = Fit(upstream, entry, id, pool_.at(upstream).capacity);
     if (whole == 0) continue;
     const auto said = advice.upstreams.find(upstream);
@@ -110,10 +111,10 @@
     const Entry& entry, const StepId& id, TimePoint now,
     const Reserved& reserved, double& expected) const {
   const wire::StepSpec& step = entry.job.step(id.step);
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
   const double rate = std::max(kLeastRate, rates_.Rate(entry.job.queue().name));
-  const std::set<UpstreamIndex> failed = FailedPlaces(entry, id);
+  const std::set<UpstreamIndex>& avoided =
+      entry.unit(id.occurrence, id.step).restraint.avoided;
   const Amount size = TaskRoom(step);
   std::vector<AskChoice> out;
   for (const UpstreamIndex upstream : pool_.all()) {
@@ -121,6 +122,7 @@
     const auto said = advice.upstreams.find(upstream);
     const bool known = said != advice.upstreams.end();
     if (known && !said->second.allowed) continue;
+    if (step.gang && avoided.count(upstream) > 0) continue;
     const Amount room =
         RoomFor(step, upstream, pool_.at(upstream).free, now, reserved);
     const int32_t fit = Fit(upstream, entry, id, room);
@@ -131,20 +133,17 @@
     if (!coming && !valid) {
       out.push_back(
           {.upstream = upstream,
-           .failed = failed.count(upstream) > 0,
+           .avoided = avoided.count(upstream) > 0,
            .awaited = TakesAwaited(upstream, size),
            .option = {.fit = fit * Unclaimed(upstream), .rate = sure}});
-    } else if ((coming || step.gang) && failed.count(upstream) == 0) {
-      // Single tasks have already used what good tickets have room for. Where a
-      // gang failed it starts again only with nothing else left: counted on,
-      // its ticket there kept it from asking about others, and it waited for
-      // ever.
+    } else if ((coming || step.gang) && avoided.count(upstream) == 0) {
+      // Single tasks have already used what good tickets have room for.
       expected += sure * fit;
     }
   }
   std::sort(out.begin(), out.end(), [](const AskChoice& a, const AskChoice& b) {
     const auto order = [](const AskChoice& c) {
-      return std::tuple(c.failed, c.awaited, -c.option.rate, -c.option.fit,
+      return std::tuple(c.avoided, c.awaited, -c.option.rate, -c.option.fit,
                         c.upstream);
     };
     return order(a) < order(b);
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -23,6 +23,9 @@
 /// Cost of taking room that a gang waits for; urgent work goes first but can
 /// mostly go elsewhere as well.
 constexpr double kAwaitedCost = 2;
+/// What a waiting step is kept from is looked at again after this. It changes
+/// with failures and answers of the adviser, which takes 0.1 s and more.
+constexpr Millis kRestraintAge{100};
 
 int32_t Times(const Amount& room, const Amount& size) {
   int32_t fit = kMaxStepTasks;
@@ -33,6 +36,12 @@
   return fit;
 }
 
+/// Tasks of a step that so much room takes at most.
+int32_t MostTasks(const wire::StepSpec& step, const Amount& room) {
+  const int32_t fit = Times(room, TaskRoom(step));
+  return step.max_per_upstream > 0 ? std::min(fit, step.max_per_upstream) : fit;
+}
+
 double Share(int32_t part, int32_t whole) {
   return whole <= 0 ? 0.0 : static_cast<double>(part) / whole;
 }
@@ -54,7 +63,10 @@
   if (step.max_per_upstream > 0 && fit > 0) {
     fit = std::min(fit, step.max_per_upstream - pool_.HeldOf(upstream, id));
   }
-  return std::max(0, std::min(fit, pool_.TrialsLeft(upstream)));
+  if (!entry.unit(id.occurrence, id.step).restraint.trusts_suspects) {
+    fit = std::min(fit, pool_.TrialsLeft(upstream));
+  }
+  return std::max(0, fit);
 }
 
 bool Scheduler::TakesAwaited(UpstreamIndex upstream, const Amount& size) const {
@@ -152,6 +164,7 @@
 bool Scheduler::PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
                           Reserved& reserved, Orders& orders) {
   const bool gang = entry.job.step(id.step).gang;
+  UpdateRestraint(entry, id, now);
   if (gang) {
     if (PlaceGang(entry, id, now, reserved, orders)) return true;
   } else {
@@ -186,7 +199,9 @@
                               room[pool_.at(b.upstream).entry.rack];
                      });
   }
-  AvoidFailures(entry, id, found);
+  std::erase_if(found, [&](const Candidate& c) {
+    return unit.restraint.avoided.count(c.upstream) > 0;
+  });
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fit;
   if (total < step.tasks) return false;
@@ -210,7 +225,9 @@
   std::vector<Candidate> found =
       Candidates(entry, id, unit.advice, now, reserved);
   std::vector<Candidate> retries = found;
-  AvoidFailures(entry, id, retries);
+  std::erase_if(retries, [&](const Candidate& c) {
+    return unit.restraint.avoided.count(c.upstream) > 0;
+  });
   const auto next = [](std::vector<Candidate>& from) -> Candidate* {
     for (Candidate& candidate : from) {
       if (candidate.fit > 0) return &candidate;
@@ -250,35 +267,38 @@
   return out;
 }
 
-void Scheduler::AvoidFailures(const Entry& entry, const StepId& id,
-                              std::vector<Candidate>& found) const {
+void Scheduler::UpdateRestraint(Entry& entry, const StepId& id, TimePoint now) {
   const wire::StepSpec& step = entry.job.step(id.step);
+  Unit& unit = entry.unit(id.occurrence, id.step);
+  if (now < unit.restraint.until) return;
   bool failed = false;
   for (int32_t i = 0; i < step.tasks && !failed; ++i) {
     failed = entry.job.task({id.job, id.occurrence, id.step, i}).failures() > 0;
   }
-  if (!failed) return;
-  const std::set<UpstreamIndex> failed_places = FailedPlaces(entry, id);
-  const auto avoid = [&](UpstreamIndex upstream) {
-    return pool_.at(upstream).health.streak > 0 ||
-           failed_places.count(upstream) > 0;
-  };
-  // With nothing better to be had, now or by asking, anything will do: a step
-  // that never tried again would wait for ever.
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  if (!failed && !step.gang) return;
+  unit.restraint = {.until = now + kRestraintAge};
+  std::set<UpstreamIndex> avoided = FailedPlaces(entry, id);
+  const bool advised = entry.job.queue().advised;
   int64_t elsewhere = 0;
+  int64_t with_trials = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     const Upstream& it = pool_.at(upstream);
-    if (!it.TakesWork()) continue;
-    if (avoid(upstream) || !Suits(upstream, entry, step)) continue;
-    const bool unknown =
-        entry.job.queue().advised && advice.upstreams.count(upstream) == 0;
-    const bool allowed = !entry.job.queue().advised || advice.Allowed(upstream);
-    if (unknown || allowed) elsewhere += Times(it.capacity, TaskRoom(step));
+    if (!it.TakesWork() || !Suits(upstream, entry, step)) continue;
+    const bool unknown = unit.advice.upstreams.count(upstream) == 0;
+    if (advised && !unknown && !unit.advice.Allowed(upstream)) continue;
+    const int32_t most = MostTasks(step, it.capacity);
+    const bool suspect = it.health.streak > 0;
+    with_trials += suspect ? std::min(most, 1) : most;
+    if (suspect) avoided.insert(upstream);
+    if (avoided.count(upstream) == 0) elsewhere += most;
   }
-  if (elsewhere < (step.gang ? step.tasks : 1)) return;
-  std::erase_if(found, [&](const Candidate& c) { return avoid(c.upstream); });
+  // With nothing better to be had, now or by asking, anything will do: a step
+  // that never tried again would wait for ever.
+  const int32_t needed = step.gang ? step.tasks : 1;
+  if (failed && elsewhere >= needed) {
+    unit.restraint.avoided = std::move(avoided);
+  }
+  unit.restraint.trusts_suspects = step.gang && with_trials < needed;
 }
 
 void Scheduler::StartTask(Entry& entry, const TaskId& id,
@@ -310,32 +330,24 @@
 
 GangPlan Scheduler::PlanFor(const Entry& entry, const StepId& id, TimePoint now,
                             const Reserved& reserved) const {
-  // What failed the step is planned with only where nothing else is left, as
-  // when placing: room held there would never be used.
-  const std::set<UpstreamIndex> failed = FailedPlaces(entry, id);
-  GangPlan plan = PlanWithout(failed, entry, id, now, reserved);
-  if (plan.found() || failed.empty()) return plan;
-  return PlanWithout({}, entry, id, now, reserved);
-}
-
-GangPlan Scheduler::PlanWithout(const std::set<UpstreamIndex>& avoided,
-                                const Entry& entry, const StepId& id,
-                                TimePoint now, const Reserved& reserved) const {
+  const Unit& unit = entry.unit(id.occurrence, id.step);
   const wire::StepSpec& step = entry.job.step(id.step);
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  const StepAdvice& advice = unit.advice;
   const Amount size = TaskRoom(step);
   std::vector<SlotTimes> slots;
   const auto consider = [&](UpstreamIndex upstream) {
     const Upstream& it = pool_.at(upstream);
     if (!it.TakesWork()) return;
-    if (avoided.count(upstream) > 0 || !Suits(upstream, entry, step)) return;
+    if (unit.restraint.avoided.count(upstream) > 0) return;
+    if (!Suits(upstream, entry, step)) return;
     const auto held_back = reserved.find(upstream);
     const Amount blocked =
         held_back == reserved.end() ? Amount{} : held_back->second.amount;
     int32_t most =
         step.max_per_upstream > 0 ? step.max_per_upstream : step.tasks;
-    most = std::min(most, std::max(1, pool_.TrialsLeft(upstream)));
+    if (!unit.restraint.trusts_suspects) {
+      most = std::min(most, std::max(1, pool_.TrialsLeft(upstream)));
+    }
     slots.push_back(FindSlots(pool_, upstream, size, blocked, most, now));
   };
   if (!entry.job.queue().advised) {
@@ -368,8 +380,7 @@
 std::string Scheduler::Explain(const Entry& entry, const StepId& id,
                                TimePoint now) const {
   const wire::StepSpec& step = entry.job.step(id.step);
-  const StepAdvice& advice =
-      jobs_.at(id.job)->unit(id.occurrence, id.step).advice;
+  const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
   int suits = 0;
   int usable = 0;
   int allowed = 0;
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -275,6 +275,7 @@
   if (!job.CountFailure(id, attempt)) return;
   Changed(entry);
   job.task(id).failed_at = upstream;
+  entry.unit(id.occurrence, id.step).restraint.until = {};
   pool_.NoteFailure(upstream, now);
   if (job.step(id.step).lasting) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -216,10 +216,25 @@
     // NOLINTNEXTLINE(modernize-use-nullptr): the linter's view of a default
     friend auto operator<=>(const UnitKey&, const UnitKey&) = default;
   };
+  /// What a waiting step is kept from. Placing, asking and planning go by the
+  /// same: where one of them counted on places that another left out, a gang
+  /// asked about too few others and waited for ever beside free upstreams (26
+  /// of 284 random pools).
+  struct Restraint {
+    /// Where a step that has failed before does not go: upstreams that failed
+    /// it, and those that fail others. Empty if the rest can't take it.
+    std::set<UpstreamIndex> avoided;
+    /// Suspects get more than one trial: else there are too few for the gang,
+    /// and with nothing else to run they would stay suspects.
+    bool trusts_suspects = false;
+    /// Of use until this.
+    TimePoint until{};
+  };
   struct Unit {
     bool queued = false;
     UnitKey key;
     StepAdvice advice;
+    Restraint restraint;
     /// The gang lost a member: the rest is to end before it starts anew.
     bool aborting = false;
     TimePoint abort_since{};
@@ -238,9 +253,15 @@
     int32_t due = 0;
     std::vector<Unit> units;
     Unit& unit(int32_t occurrence, int32_t step) {
-      return units[static_cast<size_t>(occurrence) *
-                       static_cast<size_t>(job.steps()) +
-                   static_cast<size_t>(step)];
+      return units[UnitAt(occurrence, step)];
+    }
+    const Unit& unit(int32_t occurrence, int32_t step) const {
+      return units[UnitAt(occurrence, step)];
+    }
+    size_t UnitAt(int32_t occurrence, int32_t step) const {
+      return static_cast<size_t>(occurrence) *
+                 static_cast<size_t>(job.steps()) +
+             static_cast<size_t>(step);
     }
   };
   struct Candidate {
@@ -320,9 +341,8 @@
                  const Reserved& reserved, Orders& orders);
   void PlaceTasks(Entry& entry, const StepId& id, TimePoint now,
                   const Reserved& reserved, Orders& orders);
-  /// Leaves out what failed the step before, and what fails others.
-  void AvoidFailures(const Entry& entry, const StepId& id,
-                     std::vector<Candidate>& found) const;
+  /// Looks anew at what a step is kept from, once that is due.
+  void UpdateRestraint(Entry& entry, const StepId& id, TimePoint now);
   void StartTask(Entry& entry, const TaskId& id, UpstreamIndex upstream,
                  int64_t attempt, TimePoint now, Orders& orders);
   /// Where and when a waiting gang could start, by what is known now.
@@ -332,9 +352,6 @@
   bool TakeWaitingRoom(const wire::StepSpec& step);
   static void ReserveForGang(const wire::StepSpec& step, const GangPlan& plan,
                              Reserved& reserved);
-  GangPlan PlanWithout(const std::set<UpstreamIndex>& avoided,
-                       const Entry& entry, const StepId& id, TimePoint now,
-                       const Reserved& reserved) const;
   /// Room for a step once what is held back from it is taken off.
   Amount RoomFor(const wire::StepSpec& step, UpstreamIndex upstream,
                  Amount room, TimePoint now, const Reserved& reserved) const;
@@ -348,8 +365,8 @@
   /// An upstream that a call to start a step could name.
   struct AskChoice {
     UpstreamIndex upstream = kNoUpstream;
-    /// A task of the step failed there.
-    bool failed = false;
+    /// See Restraint.
+    bool avoided = false;
     /// A gang waits for the room.
     bool awaited = false;
     AskOption option;
--- /dev/null
+++ b/tests/gang_waiting_test.cc
@@ -0,0 +1,182 @@
+#define BOOST_TEST_MODULE gang_waiting
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <optional>
+#include <random>
+#include <set>
+
+#include "src/scheduling/scheduler.h"
+
+namespace mimosarail::scheduling {
+namespace {
+
+using ports::CallVerdict;
+using ports::EndKind;
+
+constexpr uint64_t kFreshSeeds = 400;
+
+uint64_t SeedCount() {
+  const char* text = std::getenv("MIMOSARAIL_SEEDS");
+  return text == nullptr ? kFreshSeeds : 10 * std::strtoull(text, nullptr, 10);
+}
+
+/// One gang on otherwise idle upstreams, of which some have failed others
+/// before and some are not allowed; the gang itself fails a few times first.
+class LoneGang {
+ public:
+  explicit LoneGang(uint64_t seed) : random_(seed) {
+    const int upstreams = 4 + Pick(60);
+    for (int i = 0; i < upstreams; ++i) AddUpstream(i);
+    Orders none;
+    s_.ResolveAll(now_, none);
+    spec_.id = kJob;
+    spec_.queue.name = "q";
+    spec_.queue.pool = "pool";
+    spec_.queue.max_attempts = 10;
+    spec_.queue.advised = Chance(80);
+    spec_.queue.advice_base_ms = 100 + Pick(400);
+    spec_.queue.advice_each_ms = 1 + Pick(7);
+    wire::StepSpec step;
+    step.tasks = 2 + Pick(44);
+    step.millicores = 4000 + Pick(4000);
+    step.memory_mb = 100;
+    step.estimate_ms = 2000;
+    step.gang = true;
+    step.max_per_upstream = Chance(30) ? 1 + Pick(2) : 0;
+    spec_.steps.push_back(step);
+    fails_ = Pick(3);
+  }
+
+  /// Whether it fits once all that may run it is free.
+  bool CanRun() const {
+    const wire::StepSpec& step = spec_.steps[0];
+    int32_t fit = 0;
+    for (const UpstreamIndex up : s_.pool().all()) {
+      if (spec_.queue.advised && allowed_.count(up) == 0) continue;
+      const int32_t times = kMillicores / step.millicores;
+      fit += step.max_per_upstream > 0 ? std::min(times, step.max_per_upstream)
+                                       : times;
+    }
+    return fit >= step.tasks;
+  }
+
+  /// Longest time that the gang waited with all upstreams idle.
+  Millis LongestWait() {
+    s_.Add(spec_, now_, 0);
+    Millis longest{0};
+    while (true) {
+      const TimePoint since = now_;
+      std::vector<StartOrder> started;
+      while (started.empty() && now_ - since < kLimit) {
+        now_ += kStep;
+        started = Step();
+      }
+      longest =
+          std::max(longest, std::chrono::duration_cast<Millis>(now_ - since));
+      if (started.empty() || fails_-- == 0) return longest;
+      Fail(started);
+    }
+  }
+
+  static constexpr Millis kLimit{30000};
+
+ private:
+  static constexpr JobId kJob = 7;
+  static constexpr Millis kStep{20};
+  static constexpr Millis kValid{1500};
+  static constexpr int32_t kMillicores = 16000;
+
+  struct Call {
+    TimePoint answered;
+    AdviceOrder order;
+  };
+
+  int Pick(uint64_t below) { return static_cast<int>(random_() % below); }
+  bool Chance(uint64_t percent) { return random_() % 100 < percent; }
+
+  void AddUpstream(int number) {
+    ports::UpstreamEntry entry;
+    entry.id = "up-" + std::to_string(number);
+    entry.pool = "pool";
+    entry.rack = "r" + std::to_string(number / 8);
+    entry.capacity = {.millicores = kMillicores, .memory_mb = 32000};
+    const UpstreamIndex up = s_.pool().Update(entry);
+    s_.pool().at(up).reachable = true;
+    if (Chance(60)) allowed_.insert(up);
+    // The last task there failed, of its own fault or not, and none has run
+    // since.
+    if (Chance(25)) s_.pool().NoteFailure(up, now_);
+  }
+
+  std::vector<StartOrder> Step() {
+    std::erase_if(calls_, [&](const Call& call) {
+      if (call.answered > now_) return false;
+      ports::Advice advice{.valid = kValid};
+      for (const std::string& name : call.order.upstreams) {
+        const bool allowed = allowed_.count(s_.pool().Find(name)) > 0;
+        if (allowed) advice.allowed.push_back({name, "ticket"});
+      }
+      s_.OnAdvice(call.order, &advice, now_);
+      return true;
+    });
+    Orders orders;
+    s_.Place(now_, {.any = 20, .urgent_only = 4}, orders);
+    for (const AdviceOrder& order : orders.advice) {
+      calls_.push_back({now_ + order.expected, order});
+    }
+    for (const StartOrder& start : orders.starts) {
+      Orders none;
+      s_.OnStartReply(start, CallVerdict::kDone, now_, none);
+    }
+    return orders.starts;
+  }
+
+  /// One member fails, the others end with it.
+  void Fail(const std::vector<StartOrder>& started) {
+    const size_t failed = static_cast<size_t>(Pick(started.size()));
+    for (size_t i = 0; i < started.size(); ++i) {
+      Orders orders;
+      s_.OnEnd(started[i].upstream,
+               {.number = ++ends_,
+                .task = started[i].task,
+                .attempt = started[i].attempt,
+                .kind = i == failed ? EndKind::kFailed : EndKind::kBroken},
+               now_, orders);
+    }
+  }
+
+  std::mt19937_64 random_;
+  Scheduler s_{SchedulerOptions{}};
+  TimePoint now_ = TimePoint() + std::chrono::hours(1);
+  wire::JobSpec spec_;
+  std::set<UpstreamIndex> allowed_;
+  std::vector<Call> calls_;
+  int fails_ = 0;
+  int64_t ends_ = 0;
+};
+
+}  // namespace
+
+/// A render that failed once never ran again, with most of the upstreams free:
+/// asking counted on tickets of upstreams that had failed others, where placing
+/// would not start a gang that had failed itself; so it asked about too few,
+/// and about the same ones when their tickets had run out, for ever. Whatever
+/// has failed where, a gang that fits starts within a few calls for advice and
+/// the longest first rest of an upstream.
+BOOST_AUTO_TEST_CASE(AGangThatFitsStarts) {
+  constexpr Millis kBound{6000};
+  size_t played = 0;
+  for (uint64_t seed = 1; seed <= SeedCount(); ++seed) {
+    LoneGang gang(seed);
+    if (!gang.CanRun()) continue;
+    ++played;
+    const Millis waited = gang.LongestWait();
+    BOOST_TEST(waited <= kBound,
+               "seed " << seed << ": waited " << waited.count() << " ms");
+  }
+  BOOST_TEST_MESSAGE(played << " seeds played");
+  BOOST_TEST(played > 0U);
+}
+
+}  // namespace mimosarail::scheduling
