Scheduling: Ask for a gang's tickets so that they are good together

Cause: the gang's tickets had come at different times while other work came and went. Each was good for 1.5 s, was asked for again when it had run out, and was gone for the 0.5 s of a call; at any moment some were missing. Asking counted tickets as held that ran out before its answer came.

Change: for a gang a ticket counts if it is good when the answer comes; the others are renewed in the same call. Renewals go by the same. What a step is kept from is looked at every 0.5 s instead of 0.1 s (a failure makes it due at once): 540 upstreams are gone through for each waiting gang.

Test: TicketsThatCameOneByOneAreBroughtTogether: not started within 20 s before, after 3.3 s now (two calls after the last upstream is there).

Ruled out: failures (the job had none), refused starts (none), too few places (128 known, room for 162 to 215 tasks).

--- a/src/scheduling/asking.cc
+++ b/src/scheduling/asking.cc
@@ -56,7 +56,9 @@
                                                     TimePoint now) const {
   const StepAdvice& advice = entry.unit(id.occurrence, id.step).advice;
   std::vector<UpstreamIndex> out;
-  const TimePoint start = std::max(plan.ready, now) + kTicketMargin;
+  const TimePoint answered =
+      now + CallTime(entry.job.queue(), plan.places.size());
+  const TimePoint start = std::max(plan.ready, answered) + kTicketMargin;
   for (const auto& [upstream, tasks] : plan.places) {
     if (advice.Ticket(upstream, start) == nullptr) out.push_back(upstream);
   }
@@ -120,6 +122,15 @@
   const std::set<UpstreamIndex>& avoided =
       entry.unit(id.occurrence, id.step).restraint.avoided;
   const Amount size = TaskRoom(step);
+  // A gang starts when the answer comes, and needs all of its tickets then. One
+  // that has run out by then is renewed with what is missing: asked for when it
+  // had run out, each ticket was gone for 0.5 s of 2 s, another one at each
+  // moment, and a gang of 45 never held enough of them.
+  const Millis call =
+      step.gang
+          ? CallTime(entry.job.queue(), std::min<size_t>(step.tasks, kMaxAsked))
+          : Millis(0);
+  const TimePoint good_at = now + call + kTicketMargin;
   std::vector<AskChoice> out;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) continue;
@@ -132,7 +143,7 @@
     const int32_t fit = Fit(upstream, entry, id, room);
     if (fit == 0) continue;
     const bool coming = advice.pending.count(upstream) > 0;
-    const bool valid = advice.Ticket(upstream, now + kTicketMargin) != nullptr;
+    const bool valid = advice.Ticket(upstream, good_at) != nullptr;
     const double sure = known ? 1 : rate;
     if (!coming && !valid) {
       out.push_back(
@@ -140,7 +151,7 @@
            .avoided = avoided.count(upstream) > 0,
            .awaited = TakesAwaited(upstream, size),
            .option = {.fit = fit * Unclaimed(upstream), .rate = sure}});
-    } else if ((coming || step.gang) && avoided.count(upstream) == 0) {
+    } else if (coming || step.gang) {
       // Single tasks have already used what good tickets have room for.
       expected += sure * fit;
     }
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -29,8 +29,8 @@
 /// upstreams; with looks for what to ask about (kAskLook) 62 %.
 constexpr Millis kPlanAge{20};
 /// What a waiting step is kept from is looked at again after this. It changes
-/// with failures and answers of the adviser, which takes 0.1 s and more.
-constexpr Millis kRestraintAge{100};
+/// with failures, which make it due at once, and with answers of the adviser.
+constexpr Millis kRestraintAge{500};
 
 int32_t Times(const Amount& room, const Amount& size) {
   int32_t fit = kMaxStepTasks;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -249,6 +249,58 @@
   }
 }
 
+/// A render needs all of four upstreams, which come one after the other, and
+/// the adviser takes half as long as its tickets are good. Each ticket was
+/// asked for again only when it had run out, so that at any moment one was on
+/// its way, and a render waited for 20 s beside twice the room that it needs.
+/// Once all four are there, it starts within two calls.
+BOOST_AUTO_TEST_CASE(TicketsThatCameOneByOneAreBroughtTogether) {
+  constexpr Millis kValid{1500};
+  constexpr Millis kCall{800};
+  constexpr Millis kApart{575};
+  constexpr int kUpstreams = 4;
+  constexpr Millis kStep{5};
+  Bench b(0);
+  wire::JobSpec spec = Spec(1, kUpstreams, 10000);
+  spec.steps[0].gang = true;
+  spec.queue.advised = true;
+  spec.queue.advice_base_ms = kCall.count();
+  b.s.Add(spec, b.now, 0);
+  const TimePoint begin = b.now;
+  std::vector<std::pair<TimePoint, AdviceOrder>> calls;
+  size_t started = 0;
+  int there = 0;
+  while (started == 0 && b.now - begin < Millis(20000)) {
+    b.now += kStep;
+    if (there < kUpstreams && b.now - begin >= there * kApart) {
+      ports::UpstreamEntry entry;
+      entry.id = "up-" + std::to_string(there++);
+      entry.pool = "pool";
+      entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+      b.s.pool().at(b.s.pool().Update(entry)).reachable = true;
+    }
+    std::erase_if(calls, [&](const auto& call) {
+      if (call.first > b.now) return false;
+      ports::Advice advice{.valid = kValid};
+      for (const std::string& name : call.second.upstreams) {
+        advice.allowed.push_back({name, "ticket"});
+      }
+      b.s.OnAdvice(call.second, &advice, b.now);
+      return true;
+    });
+    const Orders orders = b.Place();
+    for (const AdviceOrder& order : orders.advice) {
+      calls.emplace_back(b.now + kCall, order);
+    }
+    started = orders.starts.size();
+  }
+  BOOST_TEST(started == static_cast<size_t>(kUpstreams));
+  const auto took = std::chrono::duration_cast<Millis>(b.now - begin);
+  BOOST_TEST_MESSAGE("started after " << took.count() << " ms");
+  // The last upstream and both answers are each seen with the next step.
+  BOOST_TEST(took <= (kUpstreams - 1) * kApart + 2 * kCall + 3 * kStep);
+}
+
 /// Not every member of a gang could be started: the others are told to stop,
 /// and the gang starts anew only when all are gone, with a higher attempt.
 BOOST_AUTO_TEST_CASE(AHalfStartedGangIsTakenBack) {
