--- a/src/jobentry/waiting_calls.h
+++ b/src/jobentry/waiting_calls.h
@@ -19,7 +19,6 @@
   void Wait(Millis longest, std::function<void()> resume);
   /// Resumes all that wait now, those that waited longest first.
   void ReleaseAll();
-  size_t size() const { return waiting_.size(); }
 
  private:
   Executor& executor_;
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -1051,7 +1051,8 @@
    */
   bool loading;
   /**
-   * It has served for a while: the next leader is no reason for patience.
+   * It has served for a while: should it fall silent, the next leader needs
+   * no more than the usual patience.
    */
   bool settled;
   /**
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -147,7 +147,8 @@
   3: bool resigned
   /** It still takes over what is stored, and takes no calls. */
   4: bool loading
-  /** It has served for a while: the next leader is no reason for patience. */
+  /** It has served for a while: should it fall silent, the next leader needs
+   *  no more than the usual patience. */
   5: bool settled
   /** Terms right before this one, one after the other, that ended unsettled. */
   6: i32 unsettled_terms
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -90,8 +90,8 @@
   void Resign();
   /// Steps down, since somebody else was found to lead.
   void StepDown(const std::string& cause);
-  /// What is stored has been taken over: tells the others that calls are taken.
-  /// Precondition: this entry leads.
+  /// What is stored has been taken over: tells the others that calls are taken
+  /// from now on. Does nothing if this entry doesn't lead any more.
   void Serve();
 
   bool leading() const { return role_ == Role::kLeading; }
