Coordinator: Tell which runs are lost with an upstream

A task that crashes its upstreams could be followed through the log only by its starts: 'upstream dropped' named no task, and nothing told whether a run had begun, had been listed since, or why its upstream counted as empty. So 'nobody counts it' and 'it is counted and forgotten' looked alike.

Each run that is lost is now told with its task, attempt and upstream, why (leases over, crashed, left, upkeep), and how long ago it began and was listed last; it is counted in runs_lost by cause.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -151,6 +151,22 @@
     link->second->Start(start);
   }
   for (const scheduling::AdviceOrder& ask : orders.advice) SendAdvice(ask);
+  for (const scheduling::LostRun& run : orders.lost) LogLost(run);
+}
+
+void Coordinator::LogLost(const scheduling::LostRun& run) {
+  const std::string why(scheduling::kUpstreamLossNames.Name(run.why));
+  const auto ago = [](const std::optional<Millis>& span) {
+    return span ? Text(span->count()) : "never";
+  };
+  deps_.metrics.Count({.name = "runs_lost", .labels = {{"why", why}}});
+  logging::Event(Level::kInfo, "run lost with its upstream",
+                 {{"task", TaskIdText(run.task)},
+                  {"attempt", Text(run.attempt)},
+                  {"upstream", scheduler_.pool().at(run.upstream).entry.id},
+                  {"why", why},
+                  {"began_ms_ago", ago(run.began_ago)},
+                  {"listed_ms_ago", ago(run.listed_ago)}});
 }
 
 void Coordinator::LogStop(const scheduling::StopOrder& stop) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -115,7 +115,7 @@
                 const std::vector<ports::RunningTask>& running,
                 const std::vector<ports::EndedTask>& ended) override;
   void OnReachable(UpstreamIndex upstream, bool reachable) override;
-  void OnEmpty(UpstreamIndex upstream, bool gone) override;
+  void OnEmpty(UpstreamIndex upstream, scheduling::UpstreamLoss why) override;
   void OnStartReply(const scheduling::StartOrder& order,
                     const ports::CallReply& reply) override;
   void OnStopFailed(UpstreamIndex upstream, const TaskId& task,
@@ -210,6 +210,7 @@
   /// leads.
   void DenyJob(JobId id, std::function<void(wire::CancelJobReply)> done);
   void LogStop(const scheduling::StopOrder& stop);
+  void LogLost(const scheduling::LostRun& run);
   /// Tells of a run that nobody asked for and that is stopped now.
   void LogUnasked(scheduling::StopOrder stop);
   void PlaceSoon();
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -14,6 +14,7 @@
 using logging::Level;
 using logging::Text;
 using scheduling::Orders;
+using scheduling::UpstreamLoss;
 
 }  // namespace
 
@@ -281,14 +282,21 @@
   PlaceSoon();
 }
 
-void Coordinator::OnEmpty(UpstreamIndex upstream, bool gone) {
+void Coordinator::OnEmpty(UpstreamIndex upstream, UpstreamLoss why) {
+  if (why == UpstreamLoss::kCrashed &&
+      scheduler_.pool().at(upstream).entry.draining) {
+    why = UpstreamLoss::kLeft;
+  }
   Orders orders;
-  scheduler_.OnUpstreamEmpty(upstream, deps_.executor.Now(), orders);
+  scheduler_.OnUpstreamEmpty(upstream, why, deps_.executor.Now(), orders);
   Pump(orders);
   const bool listed = scheduler_.pool().at(upstream).listed;
-  if (gone || !listed) {
+  if (why != UpstreamLoss::kLeasesOver || !listed) {
     const std::string id = scheduler_.pool().at(upstream).entry.id;
-    logging::Event(Level::kInfo, "upstream dropped", {{"upstream", id}});
+    logging::Event(
+        Level::kInfo, "upstream dropped",
+        {{"upstream", id},
+         {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
     journal_->Remove(kUpstreamPrefix + id);
     // It may come back under its id, and has then seen all tokens that this
     // link used. Opened with an earlier one, it would answer as if another
@@ -372,7 +380,9 @@
 void Coordinator::LifeEnded(const std::string& upstream) {
   const UpstreamIndex index = scheduler_.pool().Find(upstream);
   ended_.insert(upstream);
-  if (index != kNoUpstream && links_.count(index) > 0) OnEmpty(index, true);
+  if (index != kNoUpstream && links_.count(index) > 0) {
+    OnEmpty(index, UpstreamLoss::kUpkeep);
+  }
 }
 
 }  // namespace mimosarail::coordinator
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -124,7 +124,8 @@
                      {{"upstream", options_.target.id}});
       Close();
       emptied_ = true;
-      return events_.OnEmpty(options_.index, true);
+      return events_.OnEmpty(options_.index,
+                             scheduling::UpstreamLoss::kCrashed);
     case CallVerdict::kFenced:
       if (fence < fence_) return RenewSoon(Millis(0));
       return events_.OnFenced(options_.index);
@@ -184,7 +185,7 @@
                    {{"upstream", options_.target.id}});
     emptied_ = true;
     doubts_.clear();
-    events_.OnEmpty(options_.index, false);
+    events_.OnEmpty(options_.index, scheduling::UpstreamLoss::kLeasesOver);
   }
   constexpr Millis kCheck{100};
   executor_.RunAfter(kCheck, [weak = weak_from_this()] {
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -56,9 +56,10 @@
                         const std::vector<ports::RunningTask>& running,
                         const std::vector<ports::EndedTask>& ended) = 0;
   virtual void OnReachable(UpstreamIndex upstream, bool reachable) = 0;
-  /// Nothing that was started there runs any more. With `gone` the upstream
-  /// will never come back under this id.
-  virtual void OnEmpty(UpstreamIndex upstream, bool gone) = 0;
+  /// Nothing that was started there runs any more. Unless it is for its leases
+  /// the upstream will never come back under this id.
+  virtual void OnEmpty(UpstreamIndex upstream,
+                       scheduling::UpstreamLoss why) = 0;
   virtual void OnStartReply(const scheduling::StartOrder& order,
                             const ports::CallReply& reply) = 0;
   /// A stop was not sent or not answered; the run may go on.
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -85,11 +85,41 @@
   Amount claim;
 };
 
+/// Why nothing runs at an upstream any more.
+enum class UpstreamLoss {
+  kLeasesOver,  ///< It does not answer, and its leases have run out.
+  kCrashed,     ///< Another life answers in its place.
+  kLeft,        ///< The same, after it had said that it would leave.
+  kUpkeep,      ///< Its host was taken for its upkeep.
+};
+
+inline constexpr EnumTable kUpstreamLossNames{std::array{
+    EnumName{UpstreamLoss::kLeasesOver, "leases over"},
+    EnumName{UpstreamLoss::kCrashed, "crashed"},
+    EnumName{UpstreamLoss::kLeft, "left"},
+    EnumName{UpstreamLoss::kUpkeep, "upkeep"},
+}};
+
+/// A run that was lost with its upstream.
+struct LostRun {
+  UpstreamIndex upstream = kNoUpstream;
+  TaskId task;
+  int64_t attempt = 0;
+  UpstreamLoss why = UpstreamLoss::kLeasesOver;
+  /// How long ago its start was answered, or a report first listed it; unset if
+  /// neither ever came.
+  std::optional<Millis> began_ago{};
+  /// How long ago a report listed it last; unset if none did.
+  std::optional<Millis> listed_ago{};
+};
+
 /// What the scheduler wants done; the caller carries it out.
 struct Orders {
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::vector<AdviceOrder> advice;
+  /// Nothing to do about these: told so that they can be logged.
+  std::vector<LostRun> lost;
 };
 
 /// How many calls for advice may go out now. Those for urgent work may also use
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -81,6 +81,7 @@
   const wire::StepSpec& step = entry.job.step(running.task.step);
   pool_.Hold(upstream, running.task, running.attempt,
              {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now)});
+  pool_.NoteListed(upstream, running.task, running.attempt, now);
   const Task& task = entry.job.task(running.task);
   if (entry.uncertain && task.phase == TaskPhase::kWaiting) {
     Adopt(entry, upstream, running, now);
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -14,6 +14,11 @@
 /// Run time of a task whose caller gave no estimate.
 constexpr Millis kUnknownDuration{1000};
 
+std::optional<Millis> Since(const std::optional<TimePoint>& at, TimePoint now) {
+  if (!at) return std::nullopt;
+  return std::chrono::duration_cast<Millis>(now - *at);
+}
+
 int64_t ToMs(TimePoint at) {
   return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
 }
@@ -216,6 +221,7 @@
                     entry->job.task(order.task).attempt == order.attempt &&
                     entry->job.task(order.task).upstream == order.upstream;
   if (verdict == CallVerdict::kDone) {
+    pool_.NoteBegan(order.upstream, order.task, order.attempt, now);
     if (!ours) return;
     Task& task = entry->job.task(order.task);
     if (task.phase != TaskPhase::kStarting) return;
@@ -333,13 +339,19 @@
   }
 }
 
-void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, TimePoint now,
-                                Orders& orders) {
+void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, UpstreamLoss why,
+                                TimePoint now, Orders& orders) {
   stops_.erase(upstream);
   const auto held = pool_.at(upstream).held;
   for (const auto& [run, room] : held) {
     const auto& [id, attempt] = run;
     pool_.Release(upstream, id, attempt);
+    orders.lost.push_back({.upstream = upstream,
+                           .task = id,
+                           .attempt = attempt,
+                           .why = why,
+                           .began_ago = Since(room.began, now),
+                           .listed_ago = Since(room.listed, now)});
     Entry* entry = FindEntry(id.job);
     if (entry == nullptr || !entry->job.Has(id)) continue;
     const Task& task = entry->job.task(id);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -83,7 +83,8 @@
   void OnStopFailed(UpstreamIndex upstream, const TaskId& task, int64_t attempt,
                     TimePoint now);
   /// Nothing runs there any more, and nothing of it will be told.
-  void OnUpstreamEmpty(UpstreamIndex upstream, TimePoint now, Orders& orders);
+  void OnUpstreamEmpty(UpstreamIndex upstream, UpstreamLoss why, TimePoint now,
+                       Orders& orders);
   /// `advice` null when the call failed; `asked` as ordered.
   void OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                 TimePoint now);
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -72,6 +72,22 @@
   }
 }
 
+void UpstreamPool::NoteBegan(UpstreamIndex index, const TaskId& task,
+                             int64_t attempt, TimePoint now) {
+  auto& held = upstreams_[index].held;
+  const auto found = held.find({task, attempt});
+  if (found == held.end() || found->second.began) return;
+  found->second.began = now;
+}
+
+void UpstreamPool::NoteListed(UpstreamIndex index, const TaskId& task,
+                              int64_t attempt, TimePoint now) {
+  NoteBegan(index, task, attempt, now);
+  auto& held = upstreams_[index].held;
+  const auto found = held.find({task, attempt});
+  if (found != held.end()) found->second.listed = now;
+}
+
 void UpstreamPool::Foresee(UpstreamIndex index, const TaskId& task,
                            int64_t attempt, TimePoint ends) {
   auto& held = upstreams_[index].held;
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <utility>
@@ -33,6 +34,10 @@
   /// When the run is expected to end; an estimate that only serves to foresee
   /// room. The maximum for a run that lasts.
   TimePoint ends{};
+  /// When its start was answered, or a report first listed it.
+  std::optional<TimePoint> began{};
+  /// When a report listed it last.
+  std::optional<TimePoint> listed{};
 };
 
 struct Upstream {
@@ -80,6 +85,12 @@
   /// Takes room, even past the capacity: what runs there runs.
   void Hold(UpstreamIndex index, const TaskId& task, int64_t attempt,
             const HeldRoom& room);
+  /// The upstream has confirmed the start of a run.
+  void NoteBegan(UpstreamIndex index, const TaskId& task, int64_t attempt,
+                 TimePoint now);
+  /// A report lists the run.
+  void NoteListed(UpstreamIndex index, const TaskId& task, int64_t attempt,
+                  TimePoint now);
   /// Corrects when a run is expected to end; nothing if it holds no room.
   void Foresee(UpstreamIndex index, const TaskId& task, int64_t attempt,
                TimePoint ends);
