--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -152,6 +152,18 @@
   }
   for (const scheduling::AdviceOrder& ask : orders.advice) SendAdvice(ask);
   for (const scheduling::LostRun& run : orders.lost) LogLost(run);
+  for (const scheduling::GivenUpTask& task : orders.given_up) LogGivenUp(task);
+}
+
+void Coordinator::LogGivenUp(const scheduling::GivenUpTask& task) {
+  deps_.metrics.Count({.name = "tasks_given_up"});
+  logging::Event(
+      Level::kWarning, "task given up",
+      {{"job", JobIdText(task.task.job)},
+       {"task", TaskIdText(task.task)},
+       {"early_crashes", Text(static_cast<int64_t>(task.crashes.early.size()))},
+       {"other_crashes",
+        Text(static_cast<int64_t>(task.crashes.other.size()))}});
 }
 
 void Coordinator::LogLost(const scheduling::LostRun& run) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -142,6 +142,12 @@
     int64_t attempt = 0;
     bool failed = false;
   };
+  struct LeftClosed {
+    /// The only jobs that may run something there.
+    std::unordered_set<JobId> jobs;
+    /// What it may have crashed with.
+    scheduling::SilentRuns runs;
+  };
   struct FinalJob {
     JobState state = JobState::kComplete;
     TimePoint since{};
@@ -211,6 +217,7 @@
   void DenyJob(JobId id, std::function<void(wire::CancelJobReply)> done);
   void LogStop(const scheduling::StopOrder& stop);
   void LogLost(const scheduling::LostRun& run);
+  void LogGivenUp(const scheduling::GivenUpTask& task);
   /// Tells of a run that nobody asked for and that is stopped now.
   void LogUnasked(scheduling::StopOrder stop);
   void PlaceSoon();
@@ -241,9 +248,9 @@
   std::unordered_map<JobId, wire::ProgressRecord> loaded_progress_;
   std::unordered_map<JobId, std::vector<KeptEnd>> loaded_ends_;
   std::vector<ports::UpstreamEntry> roster_;
-  /// Closed upstreams as an earlier leader left them, with the jobs that they
-  /// may run at most, until they have told what they run.
-  std::map<std::string, std::unordered_set<JobId>> left_closed_;
+  /// Closed upstreams as an earlier leader left them, until they have told what
+  /// they run.
+  std::map<std::string, LeftClosed> left_closed_;
   /// How often each was closed, so that a reopening can be overtaken.
   std::map<UpstreamIndex, int64_t> closings_;
   /// Jobs that still waited for an upstream when that was last looked at.
--- a/src/coordinator/job_table.cc
+++ b/src/coordinator/job_table.cc
@@ -23,6 +23,27 @@
   return out;
 }
 
+std::vector<wire::RunRecord> ToRecords(const scheduling::SilentRuns& runs) {
+  std::vector<wire::RunRecord> out;
+  for (const auto& [run, early] : runs) {
+    wire::RunRecord& record = out.emplace_back();
+    record.task = TaskIdText(run.first);
+    record.attempt = run.second;
+    record.early = early;
+  }
+  return out;
+}
+
+scheduling::SilentRuns RunsFromRecord(const wire::UpstreamRecord& record) {
+  scheduling::SilentRuns out;
+  for (const wire::RunRecord& run : record.runs) {
+    const auto task = ParseTaskId(run.task);
+    if (!task || run.attempt < 1) continue;
+    out.emplace(std::pair(*task, run.attempt), run.early);
+  }
+  return out;
+}
+
 ports::UpstreamEntry FromRecord(const wire::UpstreamRecord& record) {
   return {.id = record.id,
           .listed = false,
--- a/src/coordinator/job_table.h
+++ b/src/coordinator/job_table.h
@@ -1,11 +1,13 @@
 #pragma once
 
 #include <string>
+#include <vector>
 
 #include "jobs_types.h"
 #include "src/jobs/task_id.h"
 #include "src/libs/base/executor.h"
 #include "src/ports/upstream_list_port.h"
+#include "src/scheduling/upstream_pool.h"
 
 namespace mimosarail::coordinator {
 
@@ -24,6 +26,9 @@
 std::string ProgressKey(JobId id);
 std::string EndKey(const TaskId& task, int64_t attempt);
 wire::UpstreamRecord ToRecord(const ports::UpstreamEntry& entry);
+std::vector<wire::RunRecord> ToRecords(const scheduling::SilentRuns& runs);
+/// The runs that the record keeps; those that can't be read are left out.
+scheduling::SilentRuns RunsFromRecord(const wire::UpstreamRecord& record);
 /// An upstream as a record keeps it; not listed until the list names it.
 ports::UpstreamEntry FromRecord(const wire::UpstreamRecord& record);
 
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -102,9 +102,14 @@
       !upstream.value().id.empty() && !upstream.value().address.empty()) {
     roster_.push_back(FromRecord(upstream.value()));
     if (upstream.value().closed) {
-      auto& jobs = left_closed_[upstream.value().id];
+      LeftClosed& left = left_closed_[upstream.value().id];
       for (const int64_t id : upstream.value().jobs) {
-        jobs.insert(static_cast<JobId>(id));
+        left.jobs.insert(static_cast<JobId>(id));
+      }
+      left.runs = RunsFromRecord(upstream.value());
+      if (left.runs.size() != upstream.value().runs.size()) {
+        deps_.faults.Tell(faults::EntrySource::kJobs, record.key,
+                          "names runs that are none");
       }
     }
     return {};
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -139,12 +139,15 @@
 }
 
 void Coordinator::OpenLink(const ports::UpstreamEntry& entry) {
-  const UpstreamIndex index = scheduler_.pool().Update(entry);
+  const UpstreamIndex index =
+      scheduler_.pool().Update(entry, deps_.executor.Now());
   scheduler_.pool().at(index).listed = entry.listed;
-  if (left_closed_.count(entry.id) > 0) {
-    scheduler_.pool().at(index).closed = true;
-  }
+  const auto left = left_closed_.find(entry.id);
+  if (left != left_closed_.end()) scheduler_.pool().at(index).closed = true;
   if (links_.count(index) > 0) return;
+  if (left != left_closed_.end()) {
+    scheduler_.NoteSilentRuns(index, left->second.runs);
+  }
   auto link = std::make_shared<fleet::UpstreamLink>(
       deps_.executor, deps_.tasks, *this,
       fleet::UpstreamLinkOptions{
@@ -177,6 +180,11 @@
   std::set<JobId> jobs;
   for (const auto& [run, room] : it.held) jobs.insert(run.first.job);
   for (const JobId id : jobs) record.jobs.push_back(static_cast<int64_t>(id));
+  if (!it.reachable) {
+    // A leader that takes over before it is known whether the upstream has
+    // crashed would not know with what.
+    record.runs = ToRecords(scheduler_.RunsOf(upstream, deps_.executor.Now()));
+  }
   logging::Event(Level::kInfo, "upstream closed",
                  {{"upstream", it.entry.id},
                   {"reachable", it.reachable ? "yes" : "no"},
@@ -211,7 +219,7 @@
     if (link->settled()) continue;
     const auto left = left_closed_.find(scheduler_.pool().at(index).entry.id);
     if (left == left_closed_.end()) return std::nullopt;
-    out.insert(left->second.begin(), left->second.end());
+    out.insert(left->second.jobs.begin(), left->second.jobs.end());
   }
   return out;
 }
@@ -270,7 +278,7 @@
 
 void Coordinator::OnReachable(UpstreamIndex upstream, bool reachable) {
   scheduling::Upstream& it = scheduler_.pool().at(upstream);
-  it.reachable = reachable;
+  scheduler_.pool().SetReachable(upstream, reachable, deps_.executor.Now());
   if (!reachable) {
     if (!it.closed) CloseUpstream(upstream);
     return;
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1098,6 +1098,14 @@
 void TaskRecord::__set_checkpoint(const std::string& val) {
   this->checkpoint = val;
 }
+
+void TaskRecord::__set_early_crashes(const std::vector<int64_t> & val) {
+  this->early_crashes = val;
+}
+
+void TaskRecord::__set_other_crashes(const std::vector<int64_t> & val) {
+  this->other_crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj)
 {
   obj.printTo(out);
@@ -1162,6 +1170,46 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->early_crashes.clear();
+            uint32_t _size29;
+            ::apache::thrift::protocol::TType _etype32;
+            xfer += iprot->readListBegin(_etype32, _size29);
+            this->early_crashes.resize(_size29);
+            uint32_t _i33;
+            for (_i33 = 0; _i33 < _size29; ++_i33)
+            {
+              xfer += iprot->readI64(this->early_crashes[_i33]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.early_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->other_crashes.clear();
+            uint32_t _size34;
+            ::apache::thrift::protocol::TType _etype37;
+            xfer += iprot->readListBegin(_etype37, _size34);
+            this->other_crashes.resize(_size34);
+            uint32_t _i38;
+            for (_i38 = 0; _i38 < _size34; ++_i38)
+            {
+              xfer += iprot->readI64(this->other_crashes[_i38]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.other_crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1186,10 +1234,10 @@
   xfer += oprot->writeFieldBegin("failed_attempts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->failed_attempts.size()));
-    std::vector<int64_t> ::const_iterator _iter29;
-    for (_iter29 = this->failed_attempts.begin(); _iter29 != this->failed_attempts.end(); ++_iter29)
+    std::vector<int64_t> ::const_iterator _iter39;
+    for (_iter39 = this->failed_attempts.begin(); _iter39 != this->failed_attempts.end(); ++_iter39)
     {
-      xfer += oprot->writeI64((*_iter29));
+      xfer += oprot->writeI64((*_iter39));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1199,6 +1247,30 @@
   xfer += oprot->writeString(this->checkpoint);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("early_crashes", ::apache::thrift::protocol::T_LIST, 4);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->early_crashes.size()));
+    std::vector<int64_t> ::const_iterator _iter40;
+    for (_iter40 = this->early_crashes.begin(); _iter40 != this->early_crashes.end(); ++_iter40)
+    {
+      xfer += oprot->writeI64((*_iter40));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("other_crashes", ::apache::thrift::protocol::T_LIST, 5);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->other_crashes.size()));
+    std::vector<int64_t> ::const_iterator _iter41;
+    for (_iter41 = this->other_crashes.begin(); _iter41 != this->other_crashes.end(); ++_iter41)
+    {
+      xfer += oprot->writeI64((*_iter41));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1209,33 +1281,43 @@
   swap(a.task, b.task);
   swap(a.failed_attempts, b.failed_attempts);
   swap(a.checkpoint, b.checkpoint);
+  swap(a.early_crashes, b.early_crashes);
+  swap(a.other_crashes, b.other_crashes);
   swap(a.__isset, b.__isset);
 }
 
-TaskRecord::TaskRecord(const TaskRecord& other30) {
-  task = other30.task;
-  failed_attempts = other30.failed_attempts;
-  checkpoint = other30.checkpoint;
-  __isset = other30.__isset;
+TaskRecord::TaskRecord(const TaskRecord& other42) {
+  task = other42.task;
+  failed_attempts = other42.failed_attempts;
+  checkpoint = other42.checkpoint;
+  early_crashes = other42.early_crashes;
+  other_crashes = other42.other_crashes;
+  __isset = other42.__isset;
 }
-TaskRecord::TaskRecord(TaskRecord&& other31) noexcept {
-  task = other31.task;
-  failed_attempts = std::move(other31.failed_attempts);
-  checkpoint = std::move(other31.checkpoint);
-  __isset = other31.__isset;
+TaskRecord::TaskRecord(TaskRecord&& other43) noexcept {
+  task = other43.task;
+  failed_attempts = std::move(other43.failed_attempts);
+  checkpoint = std::move(other43.checkpoint);
+  early_crashes = std::move(other43.early_crashes);
+  other_crashes = std::move(other43.other_crashes);
+  __isset = other43.__isset;
 }
-TaskRecord& TaskRecord::operator=(const TaskRecord& other32) {
-  task = other32.task;
-  failed_attempts = other32.failed_attempts;
-  checkpoint = other32.checkpoint;
-  __isset = other32.__isset;
+TaskRecord& TaskRecord::operator=(const TaskRecord& other44) {
+  task = other44.task;
+  failed_attempts = other44.failed_attempts;
+  checkpoint = other44.checkpoint;
+  early_crashes = other44.early_crashes;
+  other_crashes = other44.other_crashes;
+  __isset = other44.__isset;
   return *this;
 }
-TaskRecord& TaskRecord::operator=(TaskRecord&& other33) noexcept {
-  task = other33.task;
-  failed_attempts = std::move(other33.failed_attempts);
-  checkpoint = std::move(other33.checkpoint);
-  __isset = other33.__isset;
+TaskRecord& TaskRecord::operator=(TaskRecord&& other45) noexcept {
+  task = other45.task;
+  failed_attempts = std::move(other45.failed_attempts);
+  checkpoint = std::move(other45.checkpoint);
+  early_crashes = std::move(other45.early_crashes);
+  other_crashes = std::move(other45.other_crashes);
+  __isset = other45.__isset;
   return *this;
 }
 void TaskRecord::printTo(std::ostream& out) const {
@@ -1244,6 +1326,8 @@
   out << "task=" << to_string(task);
   out << ", " << "failed_attempts=" << to_string(failed_attempts);
   out << ", " << "checkpoint=" << to_string(checkpoint);
+  out << ", " << "early_crashes=" << to_string(early_crashes);
+  out << ", " << "other_crashes=" << to_string(other_crashes);
   out << ")";
 }
 
@@ -1311,14 +1395,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->tasks.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size46;
+            ::apache::thrift::protocol::TType _etype49;
+            xfer += iprot->readListBegin(_etype49, _size46);
+            this->tasks.resize(_size46);
+            uint32_t _i50;
+            for (_i50 = 0; _i50 < _size46; ++_i50)
             {
-              xfer += this->tasks[_i38].read(iprot);
+              xfer += this->tasks[_i50].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1355,10 +1439,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskRecord> ::const_iterator _iter39;
-    for (_iter39 = this->tasks.begin(); _iter39 != this->tasks.end(); ++_iter39)
+    std::vector<TaskRecord> ::const_iterator _iter51;
+    for (_iter51 = this->tasks.begin(); _iter51 != this->tasks.end(); ++_iter51)
     {
-      xfer += (*_iter39).write(oprot);
+      xfer += (*_iter51).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1377,30 +1461,30 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgressRecord::ProgressRecord(const ProgressRecord& other40) {
-  state = other40.state;
-  done = other40.done;
-  tasks = other40.tasks;
-  __isset = other40.__isset;
+ProgressRecord::ProgressRecord(const ProgressRecord& other52) {
+  state = other52.state;
+  done = other52.done;
+  tasks = other52.tasks;
+  __isset = other52.__isset;
 }
-ProgressRecord::ProgressRecord(ProgressRecord&& other41) noexcept {
-  state = other41.state;
-  done = std::move(other41.done);
-  tasks = std::move(other41.tasks);
-  __isset = other41.__isset;
+ProgressRecord::ProgressRecord(ProgressRecord&& other53) noexcept {
+  state = other53.state;
+  done = std::move(other53.done);
+  tasks = std::move(other53.tasks);
+  __isset = other53.__isset;
 }
-ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other42) {
-  state = other42.state;
-  done = other42.done;
-  tasks = other42.tasks;
-  __isset = other42.__isset;
+ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other54) {
+  state = other54.state;
+  done = other54.done;
+  tasks = other54.tasks;
+  __isset = other54.__isset;
   return *this;
 }
-ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other43) noexcept {
-  state = other43.state;
-  done = std::move(other43.done);
-  tasks = std::move(other43.tasks);
-  __isset = other43.__isset;
+ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other55) noexcept {
+  state = other55.state;
+  done = std::move(other55.done);
+  tasks = std::move(other55.tasks);
+  __isset = other55.__isset;
   return *this;
 }
 void ProgressRecord::printTo(std::ostream& out) const {
@@ -1413,6 +1497,151 @@
 }
 
 
+RunRecord::~RunRecord() noexcept {
+}
+
+
+void RunRecord::__set_task(const std::string& val) {
+  this->task = val;
+}
+
+void RunRecord::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
+
+void RunRecord::__set_early(const bool val) {
+  this->early = val;
+}
+std::ostream& operator<<(std::ostream& out, const RunRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t RunRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->task);
+          this->__isset.task = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->early);
+          this->__isset.early = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t RunRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("RunRecord");
+
+  xfer += oprot->writeFieldBegin("task", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->task);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("early", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->early);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(RunRecord &a, RunRecord &b) {
+  using ::std::swap;
+  swap(a.task, b.task);
+  swap(a.attempt, b.attempt);
+  swap(a.early, b.early);
+  swap(a.__isset, b.__isset);
+}
+
+RunRecord::RunRecord(const RunRecord& other56) {
+  task = other56.task;
+  attempt = other56.attempt;
+  early = other56.early;
+  __isset = other56.__isset;
+}
+RunRecord::RunRecord(RunRecord&& other57) noexcept {
+  task = std::move(other57.task);
+  attempt = other57.attempt;
+  early = other57.early;
+  __isset = other57.__isset;
+}
+RunRecord& RunRecord::operator=(const RunRecord& other58) {
+  task = other58.task;
+  attempt = other58.attempt;
+  early = other58.early;
+  __isset = other58.__isset;
+  return *this;
+}
+RunRecord& RunRecord::operator=(RunRecord&& other59) noexcept {
+  task = std::move(other59.task);
+  attempt = other59.attempt;
+  early = other59.early;
+  __isset = other59.__isset;
+  return *this;
+}
+void RunRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "RunRecord(";
+  out << "task=" << to_string(task);
+  out << ", " << "attempt=" << to_string(attempt);
+  out << ", " << "early=" << to_string(early);
+  out << ")";
+}
+
+
 UpstreamRecord::~UpstreamRecord() noexcept {
 }
 
@@ -1460,6 +1689,10 @@
 void UpstreamRecord::__set_jobs(const std::vector<int64_t> & val) {
   this->jobs = val;
 }
+
+void UpstreamRecord::__set_runs(const std::vector<RunRecord> & val) {
+  this->runs = val;
+}
 std::ostream& operator<<(std::ostream& out, const UpstreamRecord& obj)
 {
   obj.printTo(out);
@@ -1532,14 +1765,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size44;
-            ::apache::thrift::protocol::TType _etype47;
-            xfer += iprot->readListBegin(_etype47, _size44);
-            this->labels.resize(_size44);
-            uint32_t _i48;
-            for (_i48 = 0; _i48 < _size44; ++_i48)
+            uint32_t _size60;
+            ::apache::thrift::protocol::TType _etype63;
+            xfer += iprot->readListBegin(_etype63, _size60);
+            this->labels.resize(_size60);
+            uint32_t _i64;
+            for (_i64 = 0; _i64 < _size60; ++_i64)
             {
-              xfer += iprot->readString(this->labels[_i48]);
+              xfer += iprot->readString(this->labels[_i64]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1584,14 +1817,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size49;
-            ::apache::thrift::protocol::TType _etype52;
-            xfer += iprot->readListBegin(_etype52, _size49);
-            this->jobs.resize(_size49);
-            uint32_t _i53;
-            for (_i53 = 0; _i53 < _size49; ++_i53)
+            uint32_t _size65;
+            ::apache::thrift::protocol::TType _etype68;
+            xfer += iprot->readListBegin(_etype68, _size65);
+            this->jobs.resize(_size65);
+            uint32_t _i69;
+            for (_i69 = 0; _i69 < _size65; ++_i69)
             {
-              xfer += iprot->readI64(this->jobs[_i53]);
+              xfer += iprot->readI64(this->jobs[_i69]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1600,6 +1833,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->runs.clear();
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->runs.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
+            {
+              xfer += this->runs[_i74].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.runs = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1640,10 +1893,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter54;
-    for (_iter54 = this->labels.begin(); _iter54 != this->labels.end(); ++_iter54)
+    std::vector<std::string> ::const_iterator _iter75;
+    for (_iter75 = this->labels.begin(); _iter75 != this->labels.end(); ++_iter75)
     {
-      xfer += oprot->writeString((*_iter54));
+      xfer += oprot->writeString((*_iter75));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1668,10 +1921,22 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<int64_t> ::const_iterator _iter55;
-    for (_iter55 = this->jobs.begin(); _iter55 != this->jobs.end(); ++_iter55)
+    std::vector<int64_t> ::const_iterator _iter76;
+    for (_iter76 = this->jobs.begin(); _iter76 != this->jobs.end(); ++_iter76)
+    {
+      xfer += oprot->writeI64((*_iter76));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 12);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
+    std::vector<RunRecord> ::const_iterator _iter77;
+    for (_iter77 = this->runs.begin(); _iter77 != this->runs.end(); ++_iter77)
     {
-      xfer += oprot->writeI64((*_iter55));
+      xfer += (*_iter77).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1695,65 +1960,70 @@
   swap(a.accelerators, b.accelerators);
   swap(a.closed, b.closed);
   swap(a.jobs, b.jobs);
+  swap(a.runs, b.runs);
   swap(a.__isset, b.__isset);
 }
 
-UpstreamRecord::UpstreamRecord(const UpstreamRecord& other56) {
-  id = other56.id;
-  pool = other56.pool;
-  address = other56.address;
-  failure_domain = other56.failure_domain;
-  rack = other56.rack;
-  labels = other56.labels;
-  millicores = other56.millicores;
-  memory_mb = other56.memory_mb;
-  accelerators = other56.accelerators;
-  closed = other56.closed;
-  jobs = other56.jobs;
-  __isset = other56.__isset;
+UpstreamRecord::UpstreamRecord(const UpstreamRecord& other78) {
+  id = other78.id;
+  pool = other78.pool;
+  address = other78.address;
+  failure_domain = other78.failure_domain;
+  rack = other78.rack;
+  labels = other78.labels;
+  millicores = other78.millicores;
+  memory_mb = other78.memory_mb;
+  accelerators = other78.accelerators;
+  closed = other78.closed;
+  jobs = other78.jobs;
+  runs = other78.runs;
+  __isset = other78.__isset;
 }
-UpstreamRecord::UpstreamRecord(UpstreamRecord&& other57) noexcept {
-  id = std::move(other57.id);
-  pool = std::move(other57.pool);
-  address = std::move(other57.address);
-  failure_domain = std::move(other57.failure_domain);
-  rack = std::move(other57.rack);
-  labels = std::move(other57.labels);
-  millicores = other57.millicores;
-  memory_mb = other57.memory_mb;
-  accelerators = other57.accelerators;
-  closed = other57.closed;
-  jobs = std::move(other57.jobs);
-  __isset = other57.__isset;
+UpstreamRecord::UpstreamRecord(UpstreamRecord&& other79) noexcept {
+  id = std::move(other79.id);
+  pool = std::move(other79.pool);
+  address = std::move(other79.address);
+  failure_domain = std::move(other79.failure_domain);
+  rack = std::move(other79.rack);
+  labels = std::move(other79.labels);
+  millicores = other79.millicores;
+  memory_mb = other79.memory_mb;
+  accelerators = other79.accelerators;
+  closed = other79.closed;
+  jobs = std::move(other79.jobs);
+  runs = std::move(other79.runs);
+  __isset = other79.__isset;
 }
-UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other58) {
-  id = other58.id;
-  pool = other58.pool;
-  address = other58.address;
-  failure_domain = other58.failure_domain;
-  rack = other58.rack;
-  labels = other58.labels;
-  millicores = other58.millicores;
-  memory_mb = other58.memory_mb;
-  accelerators = other58.accelerators;
-  closed = other58.closed;
-  jobs = other58.jobs;
-  __isset = other58.__isset;
+UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other80) {
+  id = other80.id;
+  pool = other80.pool;
+  address = other80.address;
+  failure_domain = other80.failure_domain;
+  rack = other80.rack;
+  labels = other80.labels;
+  millicores = other80.millicores;
+  memory_mb = other80.memory_mb;
+  accelerators = other80.accelerators;
+  closed = other80.closed;
+  jobs = other80.jobs;
+  runs = other80.runs;
+  __isset = other80.__isset;
   return *this;
 }
-UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other59) noexcept {
-  id = std::move(other59.id);
-  pool = std::move(other59.pool);
-  address = std::move(other59.address);
-  failure_domain = std::move(other59.failure_domain);
-  rack = std::move(other59.rack);
-  labels = std::move(other59.labels);
-  millicores = other59.millicores;
-  memory_mb = other59.memory_mb;
-  accelerators = other59.accelerators;
-  closed = other59.closed;
-  jobs = std::move(other59.jobs);
-  __isset = other59.__isset;
+UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other81) noexcept {
+  id = std::move(other81.id);
+  pool = std::move(other81.pool);
+  address = std::move(other81.address);
+  failure_domain = std::move(other81.failure_domain);
+  rack = std::move(other81.rack);
+  labels = std::move(other81.labels);
+  millicores = other81.millicores;
+  memory_mb = other81.memory_mb;
+  accelerators = other81.accelerators;
+  closed = other81.closed;
+  jobs = std::move(other81.jobs);
+  runs = std::move(other81.runs);
+  __isset = other81.__isset;
   return *this;
 }
 void UpstreamRecord::printTo(std::ostream& out) const {
@@ -1770,6 +2040,7 @@
   out << ", " << "accelerators=" << to_string(accelerators);
   out << ", " << "closed=" << to_string(closed);
   out << ", " << "jobs=" << to_string(jobs);
+  out << ", " << "runs=" << to_string(runs);
   out << ")";
 }
 
@@ -1900,34 +2171,34 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other60) {
-  name = other60.name;
-  address = other60.address;
-  fitness = other60.fitness;
-  gone = other60.gone;
-  __isset = other60.__isset;
-}
-Member::Member(Member&& other61) noexcept {
-  name = std::move(other61.name);
-  address = std::move(other61.address);
-  fitness = other61.fitness;
-  gone = other61.gone;
-  __isset = other61.__isset;
-}
-Member& Member::operator=(const Member& other62) {
-  name = other62.name;
-  address = other62.address;
-  fitness = other62.fitness;
-  gone = other62.gone;
-  __isset = other62.__isset;
+Member::Member(const Member& other82) {
+  name = other82.name;
+  address = other82.address;
+  fitness = other82.fitness;
+  gone = other82.gone;
+  __isset = other82.__isset;
+}
+Member::Member(Member&& other83) noexcept {
+  name = std::move(other83.name);
+  address = std::move(other83.address);
+  fitness = other83.fitness;
+  gone = other83.gone;
+  __isset = other83.__isset;
+}
+Member& Member::operator=(const Member& other84) {
+  name = other84.name;
+  address = other84.address;
+  fitness = other84.fitness;
+  gone = other84.gone;
+  __isset = other84.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other63) noexcept {
-  name = std::move(other63.name);
-  address = std::move(other63.address);
-  fitness = other63.fitness;
-  gone = other63.gone;
-  __isset = other63.__isset;
+Member& Member::operator=(Member&& other85) noexcept {
+  name = std::move(other85.name);
+  address = std::move(other85.address);
+  fitness = other85.fitness;
+  gone = other85.gone;
+  __isset = other85.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -2067,34 +2338,34 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloCall::HelloCall(const HelloCall& other64) {
-  caller = other64.caller;
-  term = other64.term;
-  config_version = other64.config_version;
-  members_known = other64.members_known;
-  __isset = other64.__isset;
-}
-HelloCall::HelloCall(HelloCall&& other65) noexcept {
-  caller = std::move(other65.caller);
-  term = other65.term;
-  config_version = other65.config_version;
-  members_known = other65.members_known;
-  __isset = other65.__isset;
-}
-HelloCall& HelloCall::operator=(const HelloCall& other66) {
-  caller = other66.caller;
-  term = other66.term;
-  config_version = other66.config_version;
-  members_known = other66.members_known;
-  __isset = other66.__isset;
+HelloCall::HelloCall(const HelloCall& other86) {
+  caller = other86.caller;
+  term = other86.term;
+  config_version = other86.config_version;
+  members_known = other86.members_known;
+  __isset = other86.__isset;
+}
+HelloCall::HelloCall(HelloCall&& other87) noexcept {
+  caller = std::move(other87.caller);
+  term = other87.term;
+  config_version = other87.config_version;
+  members_known = other87.members_known;
+  __isset = other87.__isset;
+}
+HelloCall& HelloCall::operator=(const HelloCall& other88) {
+  caller = other88.caller;
+  term = other88.term;
+  config_version = other88.config_version;
+  members_known = other88.members_known;
+  __isset = other88.__isset;
   return *this;
 }
-HelloCall& HelloCall::operator=(HelloCall&& other67) noexcept {
-  caller = std::move(other67.caller);
-  term = other67.term;
-  config_version = other67.config_version;
-  members_known = other67.members_known;
-  __isset = other67.__isset;
+HelloCall& HelloCall::operator=(HelloCall&& other89) noexcept {
+  caller = std::move(other89.caller);
+  term = other89.term;
+  config_version = other89.config_version;
+  members_known = other89.members_known;
+  __isset = other89.__isset;
   return *this;
 }
 void HelloCall::printTo(std::ostream& out) const {
@@ -2215,14 +2486,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size68;
-            ::apache::thrift::protocol::TType _etype71;
-            xfer += iprot->readListBegin(_etype71, _size68);
-            this->members.resize(_size68);
-            uint32_t _i72;
-            for (_i72 = 0; _i72 < _size68; ++_i72)
+            uint32_t _size90;
+            ::apache::thrift::protocol::TType _etype93;
+            xfer += iprot->readListBegin(_etype93, _size90);
+            this->members.resize(_size90);
+            uint32_t _i94;
+            for (_i94 = 0; _i94 < _size90; ++_i94)
             {
-              xfer += this->members[_i72].read(iprot);
+              xfer += this->members[_i94].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2307,10 +2578,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter73;
-    for (_iter73 = this->members.begin(); _iter73 != this->members.end(); ++_iter73)
+    std::vector<Member> ::const_iterator _iter95;
+    for (_iter95 = this->members.begin(); _iter95 != this->members.end(); ++_iter95)
     {
-      xfer += (*_iter73).write(oprot);
+      xfer += (*_iter95).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2356,58 +2627,58 @@
   swap(a.__isset, b.__isset);
 }
 
-HelloReply::HelloReply(const HelloReply& other74) {
-  leading = other74.leading;
-  term = other74.term;
-  leader = other74.leader;
-  store_reachable = other74.store_reachable;
-  members = other74.members;
-  config_version = other74.config_version;
-  config = other74.config;
-  leader_silent_ms = other74.leader_silent_ms;
-  loading = other74.loading;
-  members_known = other74.members_known;
-  __isset = other74.__isset;
-}
-HelloReply::HelloReply(HelloReply&& other75) noexcept {
-  leading = other75.leading;
-  term = other75.term;
-  leader = std::move(other75.leader);
-  store_reachable = other75.store_reachable;
-  members = std::move(other75.members);
-  config_version = other75.config_version;
-  config = std::move(other75.config);
-  leader_silent_ms = other75.leader_silent_ms;
-  loading = other75.loading;
-  members_known = other75.members_known;
-  __isset = other75.__isset;
-}
-HelloReply& HelloReply::operator=(const HelloReply& other76) {
-  leading = other76.leading;
-  term = other76.term;
-  leader = other76.leader;
-  store_reachable = other76.store_reachable;
-  members = other76.members;
-  config_version = other76.config_version;
-  config = other76.config;
-  leader_silent_ms = other76.leader_silent_ms;
-  loading = other76.loading;
-  members_known = other76.members_known;
-  __isset = other76.__isset;
+HelloReply::HelloReply(const HelloReply& other96) {
+  leading = other96.leading;
+  term = other96.term;
+  leader = other96.leader;
+  store_reachable = other96.store_reachable;
+  members = other96.members;
+  config_version = other96.config_version;
+  config = other96.config;
+  leader_silent_ms = other96.leader_silent_ms;
+  loading = other96.loading;
+  members_known = other96.members_known;
+  __isset = other96.__isset;
+}
+HelloReply::HelloReply(HelloReply&& other97) noexcept {
+  leading = other97.leading;
+  term = other97.term;
+  leader = std::move(other97.leader);
+  store_reachable = other97.store_reachable;
+  members = std::move(other97.members);
+  config_version = other97.config_version;
+  config = std::move(other97.config);
+  leader_silent_ms = other97.leader_silent_ms;
+  loading = other97.loading;
+  members_known = other97.members_known;
+  __isset = other97.__isset;
+}
+HelloReply& HelloReply::operator=(const HelloReply& other98) {
+  leading = other98.leading;
+  term = other98.term;
+  leader = other98.leader;
+  store_reachable = other98.store_reachable;
+  members = other98.members;
+  config_version = other98.config_version;
+  config = other98.config;
+  leader_silent_ms = other98.leader_silent_ms;
+  loading = other98.loading;
+  members_known = other98.members_known;
+  __isset = other98.__isset;
   return *this;
 }
-HelloReply& HelloReply::operator=(HelloReply&& other77) noexcept {
-  leading = other77.leading;
-  term = other77.term;
-  leader = std::move(other77.leader);
-  store_reachable = other77.store_reachable;
-  members = std::move(other77.members);
-  config_version = other77.config_version;
-  config = std::move(other77.config);
-  leader_silent_ms = other77.leader_silent_ms;
-  loading = other77.loading;
-  members_known = other77.members_known;
-  __isset = other77.__isset;
+HelloReply& HelloReply::operator=(HelloReply&& other99) noexcept {
+  leading = other99.leading;
+  term = other99.term;
+  leader = std::move(other99.leader);
+  store_reachable = other99.store_reachable;
+  members = std::move(other99.members);
+  config_version = other99.config_version;
+  config = std::move(other99.config);
+  leader_silent_ms = other99.leader_silent_ms;
+  loading = other99.loading;
+  members_known = other99.members_known;
+  __isset = other99.__isset;
   return *this;
 }
 void HelloReply::printTo(std::ostream& out) const {
@@ -2587,42 +2858,42 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceCall::AnnounceCall(const AnnounceCall& other78) {
-  term = other78.term;
-  leader = other78.leader;
-  resigned = other78.resigned;
-  loading = other78.loading;
-  settled = other78.settled;
-  unsettled_terms = other78.unsettled_terms;
-  __isset = other78.__isset;
+AnnounceCall::AnnounceCall(const AnnounceCall& other100) {
+  term = other100.term;
+  leader = other100.leader;
+  resigned = other100.resigned;
+  loading = other100.loading;
+  settled = other100.settled;
+  unsettled_terms = other100.unsettled_terms;
+  __isset = other100.__isset;
 }
-AnnounceCall::AnnounceCall(AnnounceCall&& other79) noexcept {
-  term = other79.term;
-  leader = std::move(other79.leader);
-  resigned = other79.resigned;
-  loading = other79.loading;
-  settled = other79.settled;
-  unsettled_terms = other79.unsettled_terms;
-  __isset = other79.__isset;
+AnnounceCall::AnnounceCall(AnnounceCall&& other101) noexcept {
+  term = other101.term;
+  leader = std::move(other101.leader);
+  resigned = other101.resigned;
+  loading = other101.loading;
+  settled = other101.settled;
+  unsettled_terms = other101.unsettled_terms;
+  __isset = other101.__isset;
 }
-AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other80) {
-  term = other80.term;
-  leader = other80.leader;
-  resigned = other80.resigned;
-  loading = other80.loading;
-  settled = other80.settled;
-  unsettled_terms = other80.unsettled_terms;
-  __isset = other80.__isset;
+AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other102) {
+  term = other102.term;
+  leader = other102.leader;
+  resigned = other102.resigned;
+  loading = other102.loading;
+  settled = other102.settled;
+  unsettled_terms = other102.unsettled_terms;
+  __isset = other102.__isset;
   return *this;
 }
-AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other81) noexcept {
-  term = other81.term;
-  leader = std::move(other81.leader);
-  resigned = other81.resigned;
-  loading = other81.loading;
-  settled = other81.settled;
-  unsettled_terms = other81.unsettled_terms;
-  __isset = other81.__isset;
+AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other103) noexcept {
+  term = other103.term;
+  leader = std::move(other103.leader);
+  resigned = other103.resigned;
+  loading = other103.loading;
+  settled = other103.settled;
+  unsettled_terms = other103.unsettled_terms;
+  __isset = other103.__isset;
   return *this;
 }
 void AnnounceCall::printTo(std::ostream& out) const {
@@ -2713,22 +2984,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceReply::AnnounceReply(const AnnounceReply& other82) noexcept {
-  term = other82.term;
-  __isset = other82.__isset;
+AnnounceReply::AnnounceReply(const AnnounceReply& other104) noexcept {
+  term = other104.term;
+  __isset = other104.__isset;
 }
-AnnounceReply::AnnounceReply(AnnounceReply&& other83) noexcept {
-  term = other83.term;
-  __isset = other83.__isset;
+AnnounceReply::AnnounceReply(AnnounceReply&& other105) noexcept {
+  term = other105.term;
+  __isset = other105.__isset;
 }
-AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other84) noexcept {
-  term = other84.term;
-  __isset = other84.__isset;
+AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other106) noexcept {
+  term = other106.term;
+  __isset = other106.__isset;
   return *this;
 }
-AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other85) noexcept {
-  term = other85.term;
-  __isset = other85.__isset;
+AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other107) noexcept {
+  term = other107.term;
+  __isset = other107.__isset;
   return *this;
 }
 void AnnounceReply::printTo(std::ostream& out) const {
@@ -2814,22 +3085,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other86) {
-  job = other86.job;
-  __isset = other86.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other108) {
+  job = other108.job;
+  __isset = other108.__isset;
 }
-SubmitJobCall::SubmitJobCall(SubmitJobCall&& other87) noexcept {
-  job = std::move(other87.job);
-  __isset = other87.__isset;
+SubmitJobCall::SubmitJobCall(SubmitJobCall&& other109) noexcept {
+  job = std::move(other109.job);
+  __isset = other109.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other88) {
-  job = other88.job;
-  __isset = other88.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other110) {
+  job = other110.job;
+  __isset = other110.__isset;
   return *this;
 }
-SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other89) noexcept {
-  job = std::move(other89.job);
-  __isset = other89.__isset;
+SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other111) noexcept {
+  job = std::move(other111.job);
+  __isset = other111.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -2932,26 +3203,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other90) noexcept {
-  verdict = other90.verdict;
-  retry_after_ms = other90.retry_after_ms;
-  __isset = other90.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other112) noexcept {
+  verdict = other112.verdict;
+  retry_after_ms = other112.retry_after_ms;
+  __isset = other112.__isset;
 }
-SubmitJobReply::SubmitJobReply(SubmitJobReply&& other91) noexcept {
-  verdict = other91.verdict;
-  retry_after_ms = other91.retry_after_ms;
-  __isset = other91.__isset;
+SubmitJobReply::SubmitJobReply(SubmitJobReply&& other113) noexcept {
+  verdict = other113.verdict;
+  retry_after_ms = other113.retry_after_ms;
+  __isset = other113.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other92) noexcept {
-  verdict = other92.verdict;
-  retry_after_ms = other92.retry_after_ms;
-  __isset = other92.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other114) noexcept {
+  verdict = other114.verdict;
+  retry_after_ms = other114.retry_after_ms;
+  __isset = other114.__isset;
   return *this;
 }
-SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other93) noexcept {
-  verdict = other93.verdict;
-  retry_after_ms = other93.retry_after_ms;
-  __isset = other93.__isset;
+SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other115) noexcept {
+  verdict = other115.verdict;
+  retry_after_ms = other115.retry_after_ms;
+  __isset = other115.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -3038,22 +3309,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other94) noexcept {
-  id = other94.id;
-  __isset = other94.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other116) noexcept {
+  id = other116.id;
+  __isset = other116.__isset;
 }
-JobStateCall::JobStateCall(JobStateCall&& other95) noexcept {
-  id = other95.id;
-  __isset = other95.__isset;
+JobStateCall::JobStateCall(JobStateCall&& other117) noexcept {
+  id = other117.id;
+  __isset = other117.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other96) noexcept {
-  id = other96.id;
-  __isset = other96.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other118) noexcept {
+  id = other118.id;
+  __isset = other118.__isset;
   return *this;
 }
-JobStateCall& JobStateCall::operator=(JobStateCall&& other97) noexcept {
-  id = other97.id;
-  __isset = other97.__isset;
+JobStateCall& JobStateCall::operator=(JobStateCall&& other119) noexcept {
+  id = other119.id;
+  __isset = other119.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -3156,26 +3427,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other98) noexcept {
-  verdict = other98.verdict;
-  state = other98.state;
-  __isset = other98.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other120) noexcept {
+  verdict = other120.verdict;
+  state = other120.state;
+  __isset = other120.__isset;
 }
-JobStateReply::JobStateReply(JobStateReply&& other99) noexcept {
-  verdict = other99.verdict;
-  state = other99.state;
-  __isset = other99.__isset;
+JobStateReply::JobStateReply(JobStateReply&& other121) noexcept {
+  verdict = other121.verdict;
+  state = other121.state;
+  __isset = other121.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other100) noexcept {
-  verdict = other100.verdict;
-  state = other100.state;
-  __isset = other100.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other122) noexcept {
+  verdict = other122.verdict;
+  state = other122.state;
+  __isset = other122.__isset;
   return *this;
 }
-JobStateReply& JobStateReply::operator=(JobStateReply&& other101) noexcept {
-  verdict = other101.verdict;
-  state = other101.state;
-  __isset = other101.__isset;
+JobStateReply& JobStateReply::operator=(JobStateReply&& other123) noexcept {
+  verdict = other123.verdict;
+  state = other123.state;
+  __isset = other123.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -3262,22 +3533,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other102) noexcept {
-  id = other102.id;
-  __isset = other102.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other124) noexcept {
+  id = other124.id;
+  __isset = other124.__isset;
 }
-CancelJobCall::CancelJobCall(CancelJobCall&& other103) noexcept {
-  id = other103.id;
-  __isset = other103.__isset;
+CancelJobCall::CancelJobCall(CancelJobCall&& other125) noexcept {
+  id = other125.id;
+  __isset = other125.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other104) noexcept {
-  id = other104.id;
-  __isset = other104.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other126) noexcept {
+  id = other126.id;
+  __isset = other126.__isset;
   return *this;
 }
-CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other105) noexcept {
-  id = other105.id;
-  __isset = other105.__isset;
+CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other127) noexcept {
+  id = other127.id;
+  __isset = other127.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -3363,22 +3634,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other106) noexcept {
-  verdict = other106.verdict;
-  __isset = other106.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other128) noexcept {
+  verdict = other128.verdict;
+  __isset = other128.__isset;
 }
-CancelJobReply::CancelJobReply(CancelJobReply&& other107) noexcept {
-  verdict = other107.verdict;
-  __isset = other107.__isset;
+CancelJobReply::CancelJobReply(CancelJobReply&& other129) noexcept {
+  verdict = other129.verdict;
+  __isset = other129.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other108) noexcept {
-  verdict = other108.verdict;
-  __isset = other108.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other130) noexcept {
+  verdict = other130.verdict;
+  __isset = other130.__isset;
   return *this;
 }
-CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other109) noexcept {
-  verdict = other109.verdict;
-  __isset = other109.__isset;
+CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other131) noexcept {
+  verdict = other131.verdict;
+  __isset = other131.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -3464,22 +3735,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other110) {
-  queue = other110.queue;
-  __isset = other110.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other132) {
+  queue = other132.queue;
+  __isset = other132.__isset;
 }
-PendingJobsCall::PendingJobsCall(PendingJobsCall&& other111) noexcept {
-  queue = std::move(other111.queue);
-  __isset = other111.__isset;
+PendingJobsCall::PendingJobsCall(PendingJobsCall&& other133) noexcept {
+  queue = std::move(other133.queue);
+  __isset = other133.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other112) {
-  queue = other112.queue;
-  __isset = other112.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other134) {
+  queue = other134.queue;
+  __isset = other134.__isset;
   return *this;
 }
-PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other113) noexcept {
-  queue = std::move(other113.queue);
-  __isset = other113.__isset;
+PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other135) noexcept {
+  queue = std::move(other135.queue);
+  __isset = other135.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -3582,26 +3853,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other114) noexcept {
-  verdict = other114.verdict;
-  pending = other114.pending;
-  __isset = other114.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other136) noexcept {
+  verdict = other136.verdict;
+  pending = other136.pending;
+  __isset = other136.__isset;
 }
-PendingJobsReply::PendingJobsReply(PendingJobsReply&& other115) noexcept {
-  verdict = other115.verdict;
-  pending = other115.pending;
-  __isset = other115.__isset;
+PendingJobsReply::PendingJobsReply(PendingJobsReply&& other137) noexcept {
+  verdict = other137.verdict;
+  pending = other137.pending;
+  __isset = other137.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other116) noexcept {
-  verdict = other116.verdict;
-  pending = other116.pending;
-  __isset = other116.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other138) noexcept {
+  verdict = other138.verdict;
+  pending = other138.pending;
+  __isset = other138.__isset;
   return *this;
 }
-PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other117) noexcept {
-  verdict = other117.verdict;
-  pending = other117.pending;
-  __isset = other117.__isset;
+PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other139) noexcept {
+  verdict = other139.verdict;
+  pending = other139.pending;
+  __isset = other139.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -3692,14 +3963,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size118;
-            ::apache::thrift::protocol::TType _etype121;
-            xfer += iprot->readListBegin(_etype121, _size118);
-            this->upstreams.resize(_size118);
-            uint32_t _i122;
-            for (_i122 = 0; _i122 < _size118; ++_i122)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->upstreams.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->upstreams[_i122]);
+              xfer += iprot->readString(this->upstreams[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -3748,10 +4019,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter123;
-    for (_iter123 = this->upstreams.begin(); _iter123 != this->upstreams.end(); ++_iter123)
+    std::vector<std::string> ::const_iterator _iter145;
+    for (_iter145 = this->upstreams.begin(); _iter145 != this->upstreams.end(); ++_iter145)
     {
-      xfer += oprot->writeString((*_iter123));
+      xfer += oprot->writeString((*_iter145));
     }
     xfer += oprot->writeListEnd();
   }
@@ -3776,38 +4047,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other124) {
-  job = other124.job;
-  occurrence = other124.occurrence;
-  step = other124.step;
-  upstreams = other124.upstreams;
-  timeout_ms = other124.timeout_ms;
-  __isset = other124.__isset;
-}
-AdviseCall::AdviseCall(AdviseCall&& other125) noexcept {
-  job = other125.job;
-  occurrence = other125.occurrence;
-  step = other125.step;
-  upstreams = std::move(other125.upstreams);
-  timeout_ms = other125.timeout_ms;
-  __isset = other125.__isset;
-}
-AdviseCall& AdviseCall::operator=(const AdviseCall& other126) {
-  job = other126.job;
-  occurrence = other126.occurrence;
-  step = other126.step;
-  upstreams = other126.upstreams;
-  timeout_ms = other126.timeout_ms;
-  __isset = other126.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other146) {
+  job = other146.job;
+  occurrence = other146.occurrence;
+  step = other146.step;
+  upstreams = other146.upstreams;
+  timeout_ms = other146.timeout_ms;
+  __isset = other146.__isset;
+}
+AdviseCall::AdviseCall(AdviseCall&& other147) noexcept {
+  job = other147.job;
+  occurrence = other147.occurrence;
+  step = other147.step;
+  upstreams = std::move(other147.upstreams);
+  timeout_ms = other147.timeout_ms;
+  __isset = other147.__isset;
+}
+AdviseCall& AdviseCall::operator=(const AdviseCall& other148) {
+  job = other148.job;
+  occurrence = other148.occurrence;
+  step = other148.step;
+  upstreams = other148.upstreams;
+  timeout_ms = other148.timeout_ms;
+  __isset = other148.__isset;
   return *this;
 }
-AdviseCall& AdviseCall::operator=(AdviseCall&& other127) noexcept {
-  job = other127.job;
-  occurrence = other127.occurrence;
-  step = other127.step;
-  upstreams = std::move(other127.upstreams);
-  timeout_ms = other127.timeout_ms;
-  __isset = other127.__isset;
+AdviseCall& AdviseCall::operator=(AdviseCall&& other149) noexcept {
+  job = other149.job;
+  occurrence = other149.occurrence;
+  step = other149.step;
+  upstreams = std::move(other149.upstreams);
+  timeout_ms = other149.timeout_ms;
+  __isset = other149.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -3914,26 +4185,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other128) {
-  upstream = other128.upstream;
-  ticket = other128.ticket;
-  __isset = other128.__isset;
+Ticket::Ticket(const Ticket& other150) {
+  upstream = other150.upstream;
+  ticket = other150.ticket;
+  __isset = other150.__isset;
 }
-Ticket::Ticket(Ticket&& other129) noexcept {
-  upstream = std::move(other129.upstream);
-  ticket = std::move(other129.ticket);
-  __isset = other129.__isset;
+Ticket::Ticket(Ticket&& other151) noexcept {
+  upstream = std::move(other151.upstream);
+  ticket = std::move(other151.ticket);
+  __isset = other151.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other130) {
-  upstream = other130.upstream;
-  ticket = other130.ticket;
-  __isset = other130.__isset;
+Ticket& Ticket::operator=(const Ticket& other152) {
+  upstream = other152.upstream;
+  ticket = other152.ticket;
+  __isset = other152.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other131) noexcept {
-  upstream = std::move(other131.upstream);
-  ticket = std::move(other131.ticket);
-  __isset = other131.__isset;
+Ticket& Ticket::operator=(Ticket&& other153) noexcept {
+  upstream = std::move(other153.upstream);
+  ticket = std::move(other153.ticket);
+  __isset = other153.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -4000,14 +4271,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size132;
-            ::apache::thrift::protocol::TType _etype135;
-            xfer += iprot->readListBegin(_etype135, _size132);
-            this->allowed.resize(_size132);
-            uint32_t _i136;
-            for (_i136 = 0; _i136 < _size132; ++_i136)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->allowed.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->allowed[_i136].read(iprot);
+              xfer += this->allowed[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4048,10 +4319,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter137;
-    for (_iter137 = this->allowed.begin(); _iter137 != this->allowed.end(); ++_iter137)
+    std::vector<Ticket> ::const_iterator _iter159;
+    for (_iter159 = this->allowed.begin(); _iter159 != this->allowed.end(); ++_iter159)
     {
-      xfer += (*_iter137).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4074,30 +4345,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other138) {
-  verdict = other138.verdict;
-  allowed = other138.allowed;
-  valid_ms = other138.valid_ms;
-  __isset = other138.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other160) {
+  verdict = other160.verdict;
+  allowed = other160.allowed;
+  valid_ms = other160.valid_ms;
+  __isset = other160.__isset;
 }
-AdviseReply::AdviseReply(AdviseReply&& other139) noexcept {
-  verdict = other139.verdict;
-  allowed = std::move(other139.allowed);
-  valid_ms = other139.valid_ms;
-  __isset = other139.__isset;
+AdviseReply::AdviseReply(AdviseReply&& other161) noexcept {
+  verdict = other161.verdict;
+  allowed = std::move(other161.allowed);
+  valid_ms = other161.valid_ms;
+  __isset = other161.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other140) {
-  verdict = other140.verdict;
-  allowed = other140.allowed;
-  valid_ms = other140.valid_ms;
-  __isset = other140.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other162) {
+  verdict = other162.verdict;
+  allowed = other162.allowed;
+  valid_ms = other162.valid_ms;
+  __isset = other162.__isset;
   return *this;
 }
-AdviseReply& AdviseReply::operator=(AdviseReply&& other141) noexcept {
-  verdict = other141.verdict;
-  allowed = std::move(other141.allowed);
-  valid_ms = other141.valid_ms;
-  __isset = other141.__isset;
+AdviseReply& AdviseReply::operator=(AdviseReply&& other163) noexcept {
+  verdict = other163.verdict;
+  allowed = std::move(other163.allowed);
+  valid_ms = other163.valid_ms;
+  __isset = other163.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -31,6 +31,8 @@
 
 class ProgressRecord;
 
+class RunRecord;
+
 class UpstreamRecord;
 
 class Member;
@@ -489,10 +491,12 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _TaskRecord__isset {
-  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false) {}
+  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false), early_crashes(false), other_crashes(false) {}
   bool task :1;
   bool failed_attempts :1;
   bool checkpoint :1;
+  bool early_crashes :1;
+  bool other_crashes :1;
 } _TaskRecord__isset;
 
 /**
@@ -521,6 +525,12 @@
    */
   std::vector<int64_t>  failed_attempts;
   std::string checkpoint;
+  /**
+   * Attempts with which their upstream crashed: in their first moments, and
+   * others.
+   */
+  std::vector<int64_t>  early_crashes;
+  std::vector<int64_t>  other_crashes;
 
   _TaskRecord__isset __isset;
 
@@ -530,6 +540,10 @@
 
   void __set_checkpoint(const std::string& val);
 
+  void __set_early_crashes(const std::vector<int64_t> & val);
+
+  void __set_other_crashes(const std::vector<int64_t> & val);
+
   bool operator == (const TaskRecord & rhs) const
   {
     if (!(task == rhs.task))
@@ -538,6 +552,10 @@
       return false;
     if (!(checkpoint == rhs.checkpoint))
       return false;
+    if (!(early_crashes == rhs.early_crashes))
+      return false;
+    if (!(other_crashes == rhs.other_crashes))
+      return false;
     return true;
   }
   bool operator != (const TaskRecord &rhs) const {
@@ -620,8 +638,73 @@
 
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj);
 
+typedef struct _RunRecord__isset {
+  _RunRecord__isset() : task(false), attempt(false), early(false) {}
+  bool task :1;
+  bool attempt :1;
+  bool early :1;
+} _RunRecord__isset;
+
+/**
+ * A run that an upstream was given before it fell silent.
+ */
+class RunRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  RunRecord(const RunRecord&);
+  RunRecord(RunRecord&&) noexcept;
+  RunRecord& operator=(const RunRecord&);
+  RunRecord& operator=(RunRecord&&) noexcept;
+  RunRecord() noexcept
+            : task(),
+              attempt(0),
+              early(0) {
+  }
+
+  virtual ~RunRecord() noexcept;
+  std::string task;
+  int64_t attempt;
+  /**
+   * It had only just begun.
+   */
+  bool early;
+
+  _RunRecord__isset __isset;
+
+  void __set_task(const std::string& val);
+
+  void __set_attempt(const int64_t val);
+
+  void __set_early(const bool val);
+
+  bool operator == (const RunRecord & rhs) const
+  {
+    if (!(task == rhs.task))
+      return false;
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(early == rhs.early))
+      return false;
+    return true;
+  }
+  bool operator != (const RunRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const RunRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(RunRecord &a, RunRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const RunRecord& obj);
+
 typedef struct _UpstreamRecord__isset {
-  _UpstreamRecord__isset() : id(false), pool(false), address(false), failure_domain(false), rack(false), labels(false), millicores(false), memory_mb(false), accelerators(false), closed(false), jobs(false) {}
+  _UpstreamRecord__isset() : id(false), pool(false), address(false), failure_domain(false), rack(false), labels(false), millicores(false), memory_mb(false), accelerators(false), closed(false), jobs(false), runs(false) {}
   bool id :1;
   bool pool :1;
   bool address :1;
@@ -633,6 +716,7 @@
   bool accelerators :1;
   bool closed :1;
   bool jobs :1;
+  bool runs :1;
 } _UpstreamRecord__isset;
 
 /**
@@ -675,6 +759,10 @@
    * While closed: the only jobs that may run something there.
    */
   std::vector<int64_t>  jobs;
+  /**
+   * While closed for its silence: what it may have crashed with.
+   */
+  std::vector<RunRecord>  runs;
 
   _UpstreamRecord__isset __isset;
 
@@ -700,6 +788,8 @@
 
   void __set_jobs(const std::vector<int64_t> & val);
 
+  void __set_runs(const std::vector<RunRecord> & val);
+
   bool operator == (const UpstreamRecord & rhs) const
   {
     if (!(id == rhs.id))
@@ -724,6 +814,8 @@
       return false;
     if (!(jobs == rhs.jobs))
       return false;
+    if (!(runs == rhs.runs))
+      return false;
     return true;
   }
   bool operator != (const UpstreamRecord &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -109,6 +109,16 @@
   return true;
 }
 
+bool Job::CountCrash(const TaskId& id, int64_t attempt, bool early) {
+  CrashCounts& crashes = task(id).crashes;
+  const auto counted = [attempt](const std::vector<int64_t>& in) {
+    return std::find(in.begin(), in.end(), attempt) != in.end();
+  };
+  if (counted(crashes.early) || counted(crashes.other)) return false;
+  (early ? crashes.early : crashes.other).push_back(attempt);
+  return true;
+}
+
 int32_t Job::Failures(const TaskId& id) const {
   if (!step(id.step).gang) return task(id).failures();
   return task({id.job, id.occurrence, id.step, 0}).failures();
@@ -153,11 +163,16 @@
           (1U << (i % kBitsPerByte)));
       continue;
     }
-    if (task.failed_attempts.empty() && task.checkpoint.empty()) continue;
+    if (task.failed_attempts.empty() && task.checkpoint.empty() &&
+        task.crashes.total() == 0) {
+      continue;
+    }
     wire::TaskRecord record;
     record.task = static_cast<int32_t>(i);
     record.failed_attempts = task.failed_attempts;
     record.checkpoint = task.checkpoint;
+    record.early_crashes = task.crashes.early;
+    record.other_crashes = task.crashes.other;
     out.tasks.push_back(std::move(record));
   }
   return out;
@@ -171,6 +186,8 @@
     MR_EXPECT(at < tasks_.size(), continue);
     tasks_[at].failed_attempts = kept.failed_attempts;
     tasks_[at].checkpoint = kept.checkpoint;
+    tasks_[at].crashes = {.early = kept.early_crashes,
+                          .other = kept.other_crashes};
   }
   for (size_t i = 0; i < tasks_.size(); ++i) {
     if (i / kBitsPerByte >= record.done.size()) break;
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -22,12 +22,23 @@
   kDone,
 };
 
+/// Attempts of a task with which their upstreams crashed, each counted once.
+struct CrashCounts {
+  /// Those that had only just begun: the task is suspected to be the cause.
+  std::vector<int64_t> early;
+  std::vector<int64_t> other;
+
+  bool suspect() const { return !early.empty(); }
+  size_t total() const { return early.size() + other.size(); }
+};
+
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
   /// Number of the present or the last start.
   int64_t attempt = 0;
   /// Attempts that failed and count, in any order.
   std::vector<int64_t> failed_attempts;
+  CrashCounts crashes;
   UpstreamIndex upstream = kNoUpstream;
   /// Where it failed last; a second try goes elsewhere.
   UpstreamIndex failed_at = kNoUpstream;
@@ -101,6 +112,9 @@
   /// One run of a gang or of a task failed; false if that attempt had been
   /// counted before. Precondition: attempt > 0.
   bool CountFailure(const TaskId& id, int64_t attempt);
+  /// An upstream crashed with this run of a task; false if that attempt had
+  /// been counted before. Precondition: attempt > 0.
+  bool CountCrash(const TaskId& id, int64_t attempt, bool early);
   /// Failed runs of the task, or of its whole gang.
   int32_t Failures(const TaskId& id) const;
   /// Highest attempt of any task of the step.
--- a/src/jobs/job_state.cc
+++ b/src/jobs/job_state.cc
@@ -102,9 +102,12 @@
     if (task.task < 0 || task.task >= kMaxJobTasks) {
       findings.Add("tasks", "no task " + std::to_string(task.task));
     }
-    if (std::any_of(task.failed_attempts.begin(), task.failed_attempts.end(),
-                    [](int64_t attempt) { return attempt < 1; })) {
-      findings.Add("tasks", "attempts must be 1 or more");
+    for (const auto* attempts :
+         {&task.failed_attempts, &task.early_crashes, &task.other_crashes}) {
+      if (std::any_of(attempts->begin(), attempts->end(),
+                      [](int64_t attempt) { return attempt < 1; })) {
+        findings.Add("tasks", "attempts must be 1 or more");
+      }
     }
   }
 }
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -73,6 +73,10 @@
    *  those of two upstreams in any order. */
   2: list<i64> failed_attempts
   3: string checkpoint
+  /** Attempts with which their upstream crashed: in their first moments, and
+   *  others. */
+  4: list<i64> early_crashes
+  5: list<i64> other_crashes
 }
 
 /** All that must survive of a job's progress; rewritten whole. */
@@ -83,6 +87,14 @@
   3: list<TaskRecord> tasks
 }
 
+/** A run that an upstream was given before it fell silent. */
+struct RunRecord {
+  1: string task
+  2: i64 attempt
+  /** It had only just begun. */
+  3: bool early
+}
+
 /** An upstream that may run tasks; kept until nothing can run there. */
 struct UpstreamRecord {
   1: string id
@@ -98,6 +110,8 @@
   10: bool closed
   /** While closed: the only jobs that may run something there. */
   11: list<i64> jobs
+  /** While closed for its silence: what it may have crashed with. */
+  12: list<RunRecord> runs
 }
 
 struct Member {
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -113,6 +113,12 @@
   std::optional<Millis> listed_ago{};
 };
 
+/// A task that was given up, since its upstreams crash with it.
+struct GivenUpTask {
+  TaskId task;
+  CrashCounts crashes;
+};
+
 /// What the scheduler wants done; the caller carries it out.
 struct Orders {
   std::vector<StartOrder> starts;
@@ -120,6 +126,7 @@
   std::vector<AdviceOrder> advice;
   /// Nothing to do about these: told so that they can be logged.
   std::vector<LostRun> lost;
+  std::vector<GivenUpTask> given_up;
 };
 
 /// How many calls for advice may go out now. Those for urgent work may also use
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -119,6 +119,7 @@
   const bool advised = entry.job.queue().advised;
   const auto consider = [&](UpstreamIndex upstream) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) return;
+    if (pool_.OnTrialOfAnother(upstream, entry.job.id(), now)) return;
     const Amount room =
         RoomFor(step, upstream, pool_.at(upstream).free, now, reserved);
     const int32_t fit = Fit(upstream, entry, id, room);
@@ -207,6 +208,7 @@
   std::erase_if(found, [&](const Candidate& c) {
     return unit.restraint.avoided.count(c.upstream) > 0;
   });
+  if (HasSuspect(entry, id)) KeepForTrial(entry, step, found, now);
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fit;
   if (total < step.tasks) return false;
@@ -249,8 +251,11 @@
     const Task& task = entry.job.task(task_id);
     if (task.phase != TaskPhase::kWaiting) continue;
     const bool again = task.failures() > 0;
-    const Candidate* pick = next(again ? retries : found);
-    if (pick == nullptr && again) continue;
+    std::vector<Candidate>& from = again ? retries : found;
+    const bool suspect = task.crashes.suspect();
+    const Candidate* pick =
+        suspect ? PickForTrial(entry, from, now) : next(from);
+    if (pick == nullptr && (again || suspect)) continue;
     if (pick == nullptr) break;
     const UpstreamIndex upstream = pick->upstream;
     StartTask(entry, task_id, upstream,
@@ -319,7 +324,9 @@
   task.paced_from = {};
   task.own_end = ExpectedEnd(job.step(id.step), now);
   pool_.Hold(upstream, id, attempt,
-             {.amount = TaskRoom(job.step(id.step)), .ends = task.own_end});
+             {.amount = TaskRoom(job.step(id.step)),
+              .ends = task.own_end,
+              .since = now});
   pool_.NoteStart(upstream);
   StartOrder order{.upstream = upstream,
                    .task = id,
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -63,11 +63,14 @@
 void Scheduler::OnRunning(UpstreamIndex upstream,
                           const std::vector<ports::RunningTask>& running,
                           TimePoint now, Orders& orders) {
+  // It answers, so that it has not crashed with what it was given.
+  pool_.at(upstream).unexplained.clear();
   for (const ports::RunningTask& run : running) {
     Entry* entry = FindEntry(run.task.job);
     if (entry != nullptr && !entry->job.Has(run.task)) entry = nullptr;
     if (entry != nullptr) TakeIn(*entry, upstream, run, now);
     if (entry != nullptr && Wanted(entry->job, upstream, run)) {
+      Acquit(*entry, upstream, run);
       CheckStall(*entry, upstream, run, now, orders);
     } else {
       StopUnwanted(entry, upstream, run, now, orders);
@@ -79,8 +82,9 @@
                        const ports::RunningTask& running, TimePoint now) {
   // What runs takes room, whoever started it.
   const wire::StepSpec& step = entry.job.step(running.task.step);
-  pool_.Hold(upstream, running.task, running.attempt,
-             {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now)});
+  pool_.Hold(
+      upstream, running.task, running.attempt,
+      {.amount = TaskRoom(step), .ends = ExpectedEnd(step, now), .since = now});
   pool_.NoteListed(upstream, running.task, running.attempt, now);
   const Task& task = entry.job.task(running.task);
   if (entry.uncertain && task.phase == TaskPhase::kWaiting) {
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -14,11 +14,6 @@
 /// Run time of a task whose caller gave no estimate.
 constexpr Millis kUnknownDuration{1000};
 
-std::optional<Millis> Since(const std::optional<TimePoint>& at, TimePoint now) {
-  if (!at) return std::nullopt;
-  return std::chrono::duration_cast<Millis>(now - *at);
-}
-
 int64_t ToMs(TimePoint at) {
   return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
 }
@@ -339,32 +334,6 @@
   }
 }
 
-void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, UpstreamLoss why,
-                                TimePoint now, Orders& orders) {
-  stops_.erase(upstream);
-  const auto held = pool_.at(upstream).held;
-  for (const auto& [run, room] : held) {
-    const auto& [id, attempt] = run;
-    pool_.Release(upstream, id, attempt);
-    orders.lost.push_back({.upstream = upstream,
-                           .task = id,
-                           .attempt = attempt,
-                           .why = why,
-                           .began_ago = Since(room.began, now),
-                           .listed_ago = Since(room.listed, now)});
-    Entry* entry = FindEntry(id.job);
-    if (entry == nullptr || !entry->job.Has(id)) continue;
-    const Task& task = entry->job.task(id);
-    if (!task.active() || task.attempt != attempt) continue;
-    if (task.upstream != upstream) continue;
-    BackToWaiting(*entry, id, now);
-    if (entry->job.final() || !entry->job.step(id.step).gang) continue;
-    if (entry->job.run(id.occurrence, id.step).active > 0) {
-      AbortGang(*entry, id.step_id(), now, orders);
-    }
-  }
-}
-
 void Scheduler::Tick(TimePoint now, int64_t wall_ms) {
   while (!due_.empty() && due_.begin()->first <= wall_ms) {
     const StepId id = due_.begin()->second;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -85,6 +85,10 @@
   /// Nothing runs there any more, and nothing of it will be told.
   void OnUpstreamEmpty(UpstreamIndex upstream, UpstreamLoss why, TimePoint now,
                        Orders& orders);
+  /// What an upstream that has fallen silent may crash with.
+  SilentRuns RunsOf(UpstreamIndex upstream, TimePoint now) const;
+  /// What an earlier leader kept of it, before the upstream has reported.
+  void NoteSilentRuns(UpstreamIndex upstream, SilentRuns runs);
   /// `advice` null when the call failed; `asked` as ordered.
   void OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                 TimePoint now);
@@ -214,6 +218,13 @@
   void TaskFailed(Entry& entry, UpstreamIndex upstream, const TaskId& id,
                   int64_t attempt, TimePoint now, Orders& orders);
   void BackToWaiting(Entry& entry, const TaskId& id, TimePoint now);
+  /// Counts the crash of an upstream under what it ran, and gives up what is
+  /// taken for its cause.
+  void CountCrash(const SilentRuns& runs, TimePoint now, Orders& orders);
+  void GiveUp(Entry& entry, const TaskId& id, TimePoint now, Orders& orders);
+  /// A report lists the run: clears what it shows to be unfounded.
+  void Acquit(Entry& entry, UpstreamIndex upstream,
+              const ports::RunningTask& running);
   void AbortGang(Entry& entry, const StepId& id, TimePoint now, Orders& orders);
   void StopAll(Entry& entry, StopReason reason, TimePoint now, Orders& orders);
   void StopTask(Entry& entry, const TaskId& id, StopReason reason,
@@ -261,6 +272,17 @@
                  Reserved& reserved, Orders& orders);
   bool PlaceGang(Entry& entry, const StepId& id, TimePoint now,
                  const Reserved& reserved, Orders& orders);
+  bool HasSuspect(const Entry& entry, const StepId& id) const;
+  /// The candidate on which a suspected task starts now; null if it has to wait
+  /// until what has just begun there has shown that it does no harm.
+  Candidate* PickForTrial(const Entry& entry, std::vector<Candidate>& from,
+                          TimePoint now);
+  /// The same for a gang: leaves those on which it may start now, none if these
+  /// are too few for it.
+  void KeepForTrial(const Entry& entry, const wire::StepSpec& step,
+                    std::vector<Candidate>& found, TimePoint now);
+  /// Keeps what is new of other jobs away from an upstream for a while.
+  void BeginTrial(UpstreamIndex upstream, JobId job, TimePoint now);
   void PlaceTasks(Entry& entry, const StepId& id, TimePoint now,
                   const Reserved& reserved, Orders& orders);
   /// Looks anew at what a step is kept from, once that is due.
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -28,7 +28,8 @@
   return out;
 }
 
-UpstreamIndex UpstreamPool::Update(const ports::UpstreamEntry& entry) {
+UpstreamIndex UpstreamPool::Update(const ports::UpstreamEntry& entry,
+                                   TimePoint now) {
   const auto known = index_.find(entry.id);
   if (known != index_.end()) {
     Upstream& upstream = upstreams_[known->second];
@@ -43,8 +44,10 @@
   }
   const auto index = static_cast<UpstreamIndex>(upstreams_.size());
   const Amount capacity = CapacityOf(entry.capacity);
-  upstreams_.push_back(
-      {.entry = entry, .capacity = capacity, .free = capacity});
+  upstreams_.push_back({.entry = entry,
+                        .capacity = capacity,
+                        .free = capacity,
+                        .known_since = now});
   index_.emplace(entry.id, index);
   live_.push_back(index);
   return index;
@@ -55,6 +58,7 @@
   index_.erase(upstream.entry.id);
   std::erase(live_, index);
   upstream.held.clear();
+  upstream.unexplained.clear();
   upstream.listed = false;
   upstream.reachable = false;
 }
@@ -64,6 +68,14 @@
   return found == index_.end() ? kNoUpstream : found->second;
 }
 
+void UpstreamPool::SetReachable(UpstreamIndex index, bool reachable,
+                                TimePoint now) {
+  Upstream& upstream = upstreams_[index];
+  upstream.reachable = reachable;
+  upstream.silent_since.reset();
+  if (!reachable) upstream.silent_since = now;
+}
+
 void UpstreamPool::Hold(UpstreamIndex index, const TaskId& task,
                         int64_t attempt, const HeldRoom& room) {
   Upstream& upstream = upstreams_[index];
@@ -125,6 +137,20 @@
   return count;
 }
 
+bool UpstreamPool::OnTrialOfAnother(UpstreamIndex index, JobId job,
+                                    TimePoint now) const {
+  const auto& trial = upstreams_[index].trial;
+  return trial && trial->job != job && now < trial->until;
+}
+
+bool UpstreamPool::QuietFor(UpstreamIndex index, JobId job, Millis span,
+                            TimePoint now) const {
+  const HeldRuns& held = upstreams_[index].held;
+  return std::all_of(held.begin(), held.end(), [&](const auto& run) {
+    return run.first.first.job == job || now - run.second.since >= span;
+  });
+}
+
 void UpstreamPool::NoteSuccess(UpstreamIndex index) {
   UpstreamHealth& health = upstreams_[index].health;
   health.streak = 0;
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -34,12 +34,26 @@
   /// When the run is expected to end; an estimate that only serves to foresee
   /// room. The maximum for a run that lasts.
   TimePoint ends{};
+  /// When the start was ordered, or first heard of.
+  TimePoint since{};
   /// When its start was answered, or a report first listed it.
   std::optional<TimePoint> began{};
   /// When a report listed it last.
   std::optional<TimePoint> listed{};
 };
 
+/// What takes room at an upstream, by task and attempt.
+using HeldRuns = std::map<std::pair<TaskId, int64_t>, HeldRoom>;
+
+/// Runs of an upstream that fell silent, and whether they had only just begun.
+using SilentRuns = std::map<std::pair<TaskId, int64_t>, bool>;
+
+/// Nothing of other jobs starts at an upstream meanwhile.
+struct UpstreamTrial {
+  JobId job = 0;
+  TimePoint until{};
+};
+
 struct Upstream {
   ports::UpstreamEntry entry;
   Amount capacity;
@@ -56,9 +70,17 @@
   /// Kept free of new work, since its host is to have its upkeep.
   bool vacating = false;
   UpstreamHealth health;
-  /// What takes room there, by task and attempt. Freed only when the upstream
-  /// has listed the end, or its leases have surely run out.
-  std::map<std::pair<TaskId, int64_t>, HeldRoom> held;
+  /// Freed only when the upstream has listed the end, or its leases have surely
+  /// run out.
+  HeldRuns held;
+  /// What it ran when it fell silent or its leases ran out, until it is known
+  /// whether it has crashed.
+  SilentRuns unexplained;
+  std::optional<UpstreamTrial> trial{};
+  /// When it was first heard of.
+  TimePoint known_since{};
+  /// Since when it does not answer, if it has answered before.
+  std::optional<TimePoint> silent_since{};
 
   /// Whether new work may go there as far as its entry and its answers say.
   bool TakesWork() const {
@@ -72,7 +94,9 @@
 class UpstreamPool {
  public:
   /// Adds the upstream or takes over what its entry says now.
-  UpstreamIndex Update(const ports::UpstreamEntry& entry);
+  UpstreamIndex Update(const ports::UpstreamEntry& entry, TimePoint now = {});
+  /// Whether it answers, and since when not.
+  void SetReachable(UpstreamIndex index, bool reachable, TimePoint now);
   /// Forgets the upstream and all that it held. Its index is not used again.
   void Remove(UpstreamIndex index);
   UpstreamIndex Find(const std::string& id) const;
@@ -101,6 +125,12 @@
   /// How many tasks of a step hold room there.
   int32_t HeldOf(UpstreamIndex index, const StepId& step) const;
 
+  /// Whether another job has the upstream for a trial.
+  bool OnTrialOfAnother(UpstreamIndex index, JobId job, TimePoint now) const;
+  /// Whether all that other jobs run there began at least `span` ago.
+  bool QuietFor(UpstreamIndex index, JobId job, Millis span,
+                TimePoint now) const;
+
   void NoteSuccess(UpstreamIndex index);
   /// `weight` 2 sends the upstream to rest at once.
   void NoteFailure(UpstreamIndex index, TimePoint now, int32_t weight = 1);
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -108,9 +108,12 @@
   Upstream& upstream = upstreams_[id];
   if (upstream.life != Life::kAlive) return;
   upstream.life = Life::kCrashed;
-  for (const auto& [task, run] : upstream.running) ++crashes_[task];
-  upstream.running.clear();
+  const std::map<TaskId, Run> lost = std::exchange(upstream.running, {});
   LoseEnds(id);
+  for (const auto& [task, run] : lost) {
+    ++crashes_[task];
+    BreakGang(task, run.attempt);
+  }
   clock_.At(clock_.now() + kReborn, [this, id] {
     upstreams_[id].life = Life::kReplaced;
     if (reborn_) reborn_(id);
@@ -366,8 +369,12 @@
                             .kind = kind});
   if (kind == EndKind::kFailed) ++failed_runs_[task];
   if (kind == EndKind::kDone) ++done_runs_[task];
+  if (kind != EndKind::kDone) BreakGang(task, attempt);
+}
+
+void UpstreamsFake::BreakGang(const TaskId& task, int64_t attempt) {
   const wire::StepSpec* step = StepOf(task);
-  if (step == nullptr || !step->gang || kind == EndKind::kDone) return;
+  if (step == nullptr || !step->gang) return;
   for (auto& [other_id, other] : upstreams_) {
     std::vector<std::pair<TaskId, uint64_t>> broken;
     for (const auto& [member, member_run] : other.running) {
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -153,6 +153,8 @@
   void BeginWork(const TaskId& task, int64_t attempt);
   void End(const std::string& id, const TaskId& task, uint64_t run,
            ports::EndKind kind);
+  /// The other members that work end with one that ended early.
+  void BreakGang(const TaskId& task, int64_t attempt);
   void Lapse(const std::string& id);
   const wire::StepSpec* StepOf(const TaskId& task) const;
   bool AtWork(const TaskId& task) const;
