Requests: Give up requests that crash their upstreams, and keep that a task had begun

Losses were bounded by ten, whatever their kind, and then by retries. Now a task under which three upstreams were lost is taken for their cause. What ended with its lease by the upstream's own word is no such loss and has an end of its own.

A controller that gives an upstream up now says whether the task had begun, and then absence means that it is gone. The expectation of the session's test 'moved t' says the same, stricter: 'moved, had begun t'.

--- a/src/control/upstream_session.cc
+++ b/src/control/upstream_session.cc
@@ -390,7 +390,8 @@
   const std::map<std::string, Task> tasks = TakeTasks();
   UpdateUsable();
   for (const auto& [id, task] : tasks) {
-    listener_.OnMoved(listed_.name, task.spec);
+    listener_.OnMoved(listed_.name, task.spec,
+                      task.phase == TaskPhase::kRunning);
   }
 }
 
@@ -436,7 +437,7 @@
     listener_.OnLapseAssumed(listed_.name, task);
   }
   for (const wire::TaskSpec& task : doubtful) {
-    listener_.OnMoved(listed_.name, task);
+    listener_.OnMoved(listed_.name, task, false);
   }
 }
 
--- a/src/control/upstream_session.h
+++ b/src/control/upstream_session.h
@@ -44,9 +44,10 @@
   /// The upstream was silent past the lease; another controller may know more.
   virtual void OnLapseAssumed(const std::string& upstream,
                               const wire::TaskSpec& task) = 0;
-  /// Another controller has taken the upstream.
-  virtual void OnMoved(const std::string& upstream,
-                       const wire::TaskSpec& task) = 0;
+  /// Another controller has taken the upstream. `began`: the upstream had
+  /// confirmed the start.
+  virtual void OnMoved(const std::string& upstream, const wire::TaskSpec& task,
+                       bool began) = 0;
   /// Room came free, or the session became usable or unusable.
   virtual void OnRoomChanged() = 0;
 };
--- a/src/execution/execution.cc
+++ b/src/execution/execution.cc
@@ -29,8 +29,9 @@
       return TaskEnd::kFailed;
     case wire::TaskState::kStopped:
       return TaskEnd::kStopped;
-    case wire::TaskState::kRunning:
     case wire::TaskState::kLapsed:
+      return TaskEnd::kLapsed;
+    case wire::TaskState::kRunning:
       break;
   }
   return TaskEnd::kLost;
@@ -277,18 +278,18 @@
 void Execution::OnLapseAssumed(const std::string& upstream,
                                const wire::TaskSpec& task) {
   End(upstream, task, TaskEnd::kLapseAssumed, "upstream silent past the lease",
-      nullptr);
+      nullptr, true);
 }
 
-void Execution::OnMoved(const std::string& upstream,
-                        const wire::TaskSpec& task) {
+void Execution::OnMoved(const std::string& upstream, const wire::TaskSpec& task,
+                        bool began) {
   End(upstream, task, TaskEnd::kMoved, "another controller has the upstream",
-      nullptr);
+      nullptr, began);
 }
 
 void Execution::End(const std::string& upstream, const wire::TaskSpec& task,
                     TaskEnd::type end, const std::string& reason,
-                    const wire::TaskStatus* status) {
+                    const wire::TaskStatus* status, bool began) {
   Held& held = held_[task.task_id];
   if (held.ended && held.report.result == TaskEnd::kDone) return;
   if (held.task.task_id.empty()) {
@@ -309,6 +310,7 @@
   report.result = end;
   report.reason = reason;
   report.upstream = upstream;
+  report.began = began;
   held.kept_upstream = status != nullptr;
   report.owner_incarnation = held.context.owner_incarnation;
   if (status != nullptr) {
--- a/src/execution/execution.h
+++ b/src/execution/execution.h
@@ -73,8 +73,8 @@
   void OnLost(const std::string& upstream, const wire::TaskSpec& task) override;
   void OnLapseAssumed(const std::string& upstream,
                       const wire::TaskSpec& task) override;
-  void OnMoved(const std::string& upstream,
-               const wire::TaskSpec& task) override;
+  void OnMoved(const std::string& upstream, const wire::TaskSpec& task,
+               bool began) override;
   void OnRoomChanged() override { room_changed_(); }
 
  private:
@@ -101,7 +101,7 @@
                const std::vector<placement::RowId>& rows);
   void End(const std::string& upstream, const wire::TaskSpec& task,
            wire::TaskEnd::type end, const std::string& reason,
-           const wire::TaskStatus* status);
+           const wire::TaskStatus* status, bool began = false);
   void Report(const std::string& task_id);
   void OnReported(const std::string& task_id, uint64_t serial, bool taken);
   void Forget(const std::string& task_id);
--- a/src/requests/gen/requests_types.cpp
+++ b/src/requests/gen/requests_types.cpp
@@ -169,7 +169,11 @@
   /**
    * Another controller has the upstream now.
    */
-  TaskEnd::kMoved
+  TaskEnd::kMoved,
+  /**
+   * The upstream's word: its lease ran out, and it was ended.
+   */
+  TaskEnd::kLapsed
 };
 const char* _kTaskEndNames[] = {
   /**
@@ -199,9 +203,13 @@
   /**
    * Another controller has the upstream now.
    */
-  "kMoved"
+  "kMoved",
+  /**
+   * The upstream's word: its lease ran out, and it was ended.
+   */
+  "kLapsed"
 };
-const std::map<int, const char*> _TaskEnd_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(7, _kTaskEndValues, _kTaskEndNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
+const std::map<int, const char*> _TaskEnd_VALUES_TO_NAMES(::apache::thrift::TEnumIterator(8, _kTaskEndValues, _kTaskEndNames), ::apache::thrift::TEnumIterator(-1, nullptr, nullptr));
 
 std::ostream& operator<<(std::ostream& out, const TaskEnd::type& val) {
   std::map<int, const char*>::const_iterator it = _TaskEnd_VALUES_TO_NAMES.find(val);
@@ -1809,6 +1817,10 @@
 void ReportCall::__set_owner_incarnation(const int64_t val) {
   this->owner_incarnation = val;
 }
+
+void ReportCall::__set_began(const bool val) {
+  this->began = val;
+}
 std::ostream& operator<<(std::ostream& out, const ReportCall& obj)
 {
   obj.printTo(out);
@@ -1919,6 +1931,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 11:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->began);
+          this->__isset.began = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1976,6 +1996,10 @@
   xfer += oprot->writeI64(this->owner_incarnation);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("began", ::apache::thrift::protocol::T_BOOL, 11);
+  xfer += oprot->writeBool(this->began);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1993,6 +2017,7 @@
   swap(a.ran_ms, b.ran_ms);
   swap(a.upstream, b.upstream);
   swap(a.owner_incarnation, b.owner_incarnation);
+  swap(a.began, b.began);
   swap(a.__isset, b.__isset);
 }
 
@@ -2007,6 +2032,7 @@
   ran_ms = other47.ran_ms;
   upstream = other47.upstream;
   owner_incarnation = other47.owner_incarnation;
+  began = other47.began;
   __isset = other47.__isset;
 }
 ReportCall::ReportCall(ReportCall&& other48) noexcept {
@@ -2020,6 +2046,7 @@
   ran_ms = other48.ran_ms;
   upstream = std::move(other48.upstream);
   owner_incarnation = other48.owner_incarnation;
+  began = other48.began;
   __isset = other48.__isset;
 }
 ReportCall& ReportCall::operator=(const ReportCall& other49) {
@@ -2033,6 +2060,7 @@
   ran_ms = other49.ran_ms;
   upstream = other49.upstream;
   owner_incarnation = other49.owner_incarnation;
+  began = other49.began;
   __isset = other49.__isset;
   return *this;
 }
@@ -2047,6 +2075,7 @@
   ran_ms = other50.ran_ms;
   upstream = std::move(other50.upstream);
   owner_incarnation = other50.owner_incarnation;
+  began = other50.began;
   __isset = other50.__isset;
   return *this;
 }
@@ -2063,6 +2092,7 @@
   out << ", " << "ran_ms=" << to_string(ran_ms);
   out << ", " << "upstream=" << to_string(upstream);
   out << ", " << "owner_incarnation=" << to_string(owner_incarnation);
+  out << ", " << "began=" << to_string(began);
   out << ")";
 }
 
--- a/src/requests/gen/requests_types.h
+++ b/src/requests/gen/requests_types.h
@@ -112,7 +112,11 @@
     /**
      * Another controller has the upstream now.
      */
-    kMoved = 6
+    kMoved = 6,
+    /**
+     * The upstream's word: its lease ran out, and it was ended.
+     */
+    kLapsed = 7
   };
 };
 
@@ -749,7 +753,7 @@
 std::ostream& operator<<(std::ostream& out, const PlaceReply& obj);
 
 typedef struct _ReportCall__isset {
-  _ReportCall__isset() : request_id(false), attempt(false), index(false), result(false), reason(false), answer(false), digest(false), ran_ms(false), upstream(false), owner_incarnation(false) {}
+  _ReportCall__isset() : request_id(false), attempt(false), index(false), result(false), reason(false), answer(false), digest(false), ran_ms(false), upstream(false), owner_incarnation(false), began(false) {}
   bool request_id :1;
   bool attempt :1;
   bool index :1;
@@ -760,6 +764,7 @@
   bool ran_ms :1;
   bool upstream :1;
   bool owner_incarnation :1;
+  bool began :1;
 } _ReportCall__isset;
 
 class ReportCall : public virtual ::apache::thrift::TBase {
@@ -779,7 +784,8 @@
                digest(),
                ran_ms(0),
                upstream(),
-               owner_incarnation(0) {
+               owner_incarnation(0),
+               began(0) {
   }
 
   virtual ~ReportCall() noexcept;
@@ -797,6 +803,10 @@
   int64_t ran_ms;
   std::string upstream;
   int64_t owner_incarnation;
+  /**
+   * Where the result says nothing of it: the upstream had confirmed the start.
+   */
+  bool began;
 
   _ReportCall__isset __isset;
 
@@ -820,6 +830,8 @@
 
   void __set_owner_incarnation(const int64_t val);
 
+  void __set_began(const bool val);
+
   bool operator == (const ReportCall & rhs) const
   {
     if (!(request_id == rhs.request_id))
@@ -842,6 +854,8 @@
       return false;
     if (!(owner_incarnation == rhs.owner_incarnation))
       return false;
+    if (!(began == rhs.began))
+      return false;
     return true;
   }
   bool operator != (const ReportCall &rhs) const {
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -37,6 +37,8 @@
   std::string holder;
   int64_t holder_incarnation = 0;
   bool lapse_assumed = false;
+  /// Its upstream has confirmed the start, as its controller said.
+  bool began = false;
   /// Answers of this settlement round and earlier ones say nothing of it.
   int stale_round = 0;
   wire::ReportCall report;
@@ -56,6 +58,8 @@
   int32_t attempts = 0;
   int32_t retries_left = 0;
   int32_t losses = 0;
+  /// Upstreams that went with a running task of it, by the task's index.
+  std::map<int32_t, int32_t> crashes;
   bool cancelled = false;
   TimePoint submitted{};
   TimePoint placed{};
--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -171,6 +171,9 @@
   void SendStop(Record& record);
   void EvaluateAttempt(Record& record);
   void RetryOrGiveUp(Record& record);
+  /// Counts upstreams that were lost in this attempt; whether one task has lost
+  /// so many that it is taken for the cause.
+  bool CrashesUpstreams(Record& record);
   void NextAttempt(Record& record, Millis delay);
 
   void SetSettling(Record& record, TaskRecord& task);
--- a/src/requests/requests.thrift
+++ b/src/requests/requests.thrift
@@ -92,6 +92,8 @@
   kLapseAssumed = 5
   /** Another controller has the upstream now. */
   kMoved = 6
+  /** The upstream's word: its lease ran out, and it was ended. */
+  kLapsed = 7
 }
 struct ReportCall {
   1: string request_id
@@ -104,6 +106,8 @@
   8: i64 ran_ms
   9: string upstream
   10: i64 owner_incarnation
+  /** Where the result says nothing of it: the upstream had confirmed the start. */
+  11: bool began
 }
 struct ReportReply { 1: bool taken }
 
--- a/src/requests/requests_attempts.cc
+++ b/src/requests/requests_attempts.cc
@@ -13,6 +13,9 @@
 constexpr Millis kLongestBackoff{30000};
 constexpr Millis kNotStartedPause{50};
 constexpr int32_t kMaxLosses = 10;
+/// Upstreams that may be lost under one task. Each takes with it what others
+/// run there.
+constexpr int32_t kMaxCrashes = 3;
 
 }  // namespace
 
@@ -34,6 +37,7 @@
       report.result == wire::TaskEnd::kLapseAssumed) {
     // Not an end: only asking all entries tells where the task is now.
     SetSettling(record, task);
+    task.began |= report.began;
     task.lapse_assumed |= report.result == wire::TaskEnd::kLapseAssumed;
     return StartSettling(record);
   }
@@ -84,6 +88,15 @@
   RetryOrGiveUp(record);
 }
 
+bool Requests::CrashesUpstreams(Record& record) {
+  bool many = false;
+  for (size_t i = 0; i < record.tasks.size(); ++i) {
+    if (record.tasks[i].report.result != wire::TaskEnd::kLost) continue;
+    many |= ++record.crashes[static_cast<int32_t>(i)] >= kMaxCrashes;
+  }
+  return many;
+}
+
 void Requests::RetryOrGiveUp(Record& record) {
   bool ran = false;
   bool failed = false;
@@ -107,6 +120,12 @@
                "it started and did not finish, and may not be repeated (" +
                    reason + ")");
   }
+  if (CrashesUpstreams(record)) {
+    return End(record, wire::Verdict::kUnknown,
+               "upstreams were lost under it again and again: it may be what "
+               "crashes them (" +
+                   reason + ")");
+  }
   if (!failed && ++record.losses <= kMaxLosses) {
     // Lost with its upstream, or stopped to make way: not the request's fault.
     return NextAttempt(record, kFirstBackoff);
--- a/src/requests/requests_settling.cc
+++ b/src/requests/requests_settling.cc
@@ -142,6 +142,7 @@
     if (task.stale_round >= record->settle_round) continue;
     input.index = static_cast<int32_t>(i);
     input.lapse_proved = lease_over && task.lapse_assumed;
+    input.began = task.began;
     const Settlement result = Settle(input);
     wire::ReportCall report = result.report;
     report.request_id = id;
--- a/src/requests/settlement.cc
+++ b/src/requests/settlement.cc
@@ -37,9 +37,14 @@
 
 Settlement Settle(const SettlementInput& input) {
   Settlement out;
+  bool began = input.began;
   for (const auto& [entry, reply] : *input.answers) {
     const wire::TaskWord* word = FindWord(reply, input);
-    if (word == nullptr || SaysNothing(*word)) continue;
+    if (word == nullptr) continue;
+    if (SaysNothing(*word)) {
+      began |= word->report.began;
+      continue;
+    }
     if (word->ended) {
       out.result = SettlementResult::kEnded;
       out.report = word->report;
@@ -55,9 +60,10 @@
   if (UpstreamsCovered(input) && input.vanished_surely_lapsed) {
     // Ends stay in an upstream's inventory until the owner has taken them, so
     // absence everywhere means that it never started, unless an upstream
-    // took its inventory away with it.
-    out.result = input.upstream_vanished ? SettlementResult::kGone
-                                         : SettlementResult::kNotStarted;
+    // took its inventory away with it, or crashed and came back without.
+    out.result = input.upstream_vanished || began
+                     ? SettlementResult::kGone
+                     : SettlementResult::kNotStarted;
     return out;
   }
   if (input.lapse_proved) out.result = SettlementResult::kGone;
--- a/src/requests/settlement.h
+++ b/src/requests/settlement.h
@@ -27,6 +27,8 @@
   /// The controller gave the upstream up, and since every entry was fenced
   /// more than a lease and the longest delay have passed.
   bool lapse_proved = false;
+  /// Its upstream had confirmed the start.
+  bool began = false;
 };
 
 enum class SettlementResult {
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -278,8 +278,9 @@
   void OnLapseAssumed(const std::string&, const wire::TaskSpec& t) override {
     Note("lapse assumed", t);
   }
-  void OnMoved(const std::string&, const wire::TaskSpec& t) override {
-    Note("moved", t);
+  void OnMoved(const std::string&, const wire::TaskSpec& t,
+               bool began) override {
+    Note(began ? "moved, had begun" : "moved", t);
   }
   void OnRoomChanged() override {}
   void Note(const std::string& what, const wire::TaskSpec& task) {
@@ -492,8 +493,8 @@
                    control::UpstreamSession::GroupOf(TaskOf("u", 1)));
        b.session->Start(TaskOf("u", 1));
        b.clock.RunFor(Millis(5));
-       return b.listener.said == "not started u;moved t;" && b.RoomIsWhole() &&
-              !b.session->usable();
+       return b.listener.said == "not started u;moved, had begun t;" &&
+              b.RoomIsWhole() && !b.session->usable();
      }},
     {"a cut answer is collected until it is whole",
      [](SessionBench& b) {
@@ -621,6 +622,24 @@
 
 }  // namespace
 
+// A request that may be repeated crashes each upstream that starts it, which is
+// back after a second. It must not take down one upstream after another.
+BOOST_AUTO_TEST_CASE(a_request_that_crashes_its_upstreams_is_given_up) {
+  Cell cell({.seed = 6});
+  BOOST_REQUIRE(cell.Settle());
+  wire::RequestSpec spec = MakeSpec("part-check", 50);
+  spec.repeatable = true;
+  spec.payload = "crash=1";
+  const auto told = cell.Submit(0, spec);
+  cell.Run(Millis(60000));
+  int starts = 0;
+  for (const auto& e : cell.history().events()) starts += e["event"] == "start";
+  BOOST_TEST(told->answered);
+  BOOST_TEST(starts >= 2);
+  // Three upstreams have crashed under it then.
+  BOOST_TEST(starts <= 3);
+}
+
 // An owner has settled an attempt as never started, and started the next one
 // elsewhere. Its old placement call comes out of the network now.
 BOOST_AUTO_TEST_CASE(a_fenced_attempt_is_refused_for_good) {
--- a/tests/standins/upstream_standin.cc
+++ b/tests/standins/upstream_standin.cc
@@ -7,6 +7,11 @@
 namespace mimosarail::standins {
 namespace {
 
+/// A task that crashes the instance does so this long after its start, and the
+/// instance answers again this much later.
+constexpr Millis kCrash{10};
+constexpr Millis kBack{1000};
+
 constexpr Millis kTick{10};
 constexpr size_t kInlineAnswer = 16384;
 
@@ -158,6 +163,10 @@
         std::chrono::duration_cast<Millis>(task.ends - task.started),
         [this] { Tick(); });
     Log("start", call.task);
+    if (Parameter(call.task.payload, "crash", 0) != 0) {
+      executor_.RunAfter(kCrash, [this] { Die(); });
+      executor_.RunAfter(kCrash + kBack, [this] { Reborn(); });
+    }
   }
   reply.status = wire::CallStatus::kOk;
   if (faults_.drop_start_replies > 0) {
