Tests: Hold the bounds of crashes and of capacities that shrink

An upstream's capacity may shrink and grow while it runs. Both tests pass on the code as it is: what is free may fall below nothing, what is stopped holds its room until its end is listed, and a new leader takes capacities from the list before it starts anything. OnlyCrashesCountAgainstATask, WhatAnUpstreamHadBeforeItsCut... and ALongRunClears... say what must not be counted against a task.

--- a/tests/closed_upstreams_test.cc
+++ b/tests/closed_upstreams_test.cc
@@ -130,4 +130,27 @@
   BOOST_TEST(cell.Broken().empty());
 }
 
+/// All upstreams shrink to a quarter, and the leader dies. What they could take
+/// when they were first seen lies in the store; the next leader must not fill
+/// them by that.
+BOOST_AUTO_TEST_CASE(ANewLeaderFillsUpstreamsByWhatTheyCanTakeNow) {
+  constexpr int kUpstreams = 4;
+  constexpr int32_t kShrunk = 2000;
+  JobCell cell({.upstreams = kUpstreams});
+  cell.RunFor(kSettle);
+  for (int i = 0; i < kUpstreams; ++i) {
+    wire::UpstreamRecord entry = cell.ListEntry(i);
+    entry.millicores = kShrunk;
+    cell.store().Put(kUpstreamTable, entry.id, rpc::Encode(entry));
+    cell.upstreams().Resize(entry.id, kShrunk);
+  }
+  cell.Kill(cell.Leader());
+  cell.RunFor(kTakeOver);
+  constexpr int32_t kTasks = 40;
+  cell.Submit(cell.Leader(), OneStepJob(1, kTasks, 1000));
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(30000)));
+  BOOST_TEST((cell.State(1) == JobState::kComplete));
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -53,6 +53,10 @@
   explicit UpstreamsFake(sim::ManualClock& clock) : clock_(clock) {}
 
   void Add(const std::string& id, int32_t millicores, int32_t memory_mb);
+  /// What it may run changes while it runs.
+  void Resize(const std::string& id, int32_t millicores) {
+    upstreams_[id].millicores = millicores;
+  }
   UpstreamFaults& faults(const std::string& id) {
     return upstreams_[id].faults;
   }
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -116,6 +116,87 @@
   BOOST_TEST(b.Place().starts.size() == 1U);
 }
 
+/// An upstream's capacity shrinks below what it runs, and grows again: nothing
+/// new goes there until what runs fits, and what is being stopped counts.
+BOOST_AUTO_TEST_CASE(AnUpstreamThatHasShrunkIsNotOverfilled) {
+  Bench b(1);
+  b.s.Add(Spec(1, 4, 4000), b.now, 0);
+  const Orders first = b.Place();
+  BOOST_REQUIRE_EQUAL(first.starts.size(), 4U);
+  ports::UpstreamEntry entry = b.s.pool().at(0).entry;
+  entry.capacity.millicores = 8000;
+  b.s.pool().Update(entry);
+  b.s.Add(Spec(2, 2, 4000), b.now, 0);
+  b.End(first.starts[0], EndKind::kDone);
+  BOOST_TEST(b.Place().starts.empty());
+  Orders cancel;
+  BOOST_REQUIRE(b.s.Cancel(1, b.now, cancel));
+  BOOST_TEST(b.Place().starts.empty());
+  b.End(first.starts[1], EndKind::kStopped);
+  BOOST_TEST(b.Place().starts.empty());
+  b.End(first.starts[2], EndKind::kStopped);
+  BOOST_TEST(b.Place().starts.size() == 1U);
+  entry.capacity.millicores = 16000;
+  b.s.pool().Update(entry);
+  BOOST_TEST(b.Place().starts.size() == 1U);
+}
+
+/// A task loses one upstream after another, none of them by a crash: it is
+/// never given up, and starts again each time.
+BOOST_AUTO_TEST_CASE(OnlyCrashesCountAgainstATask) {
+  constexpr int kUpstreams = 12;
+  constexpr UpstreamLoss kOtherLosses[]{
+      UpstreamLoss::kLeft, UpstreamLoss::kUpkeep, UpstreamLoss::kLeasesOver};
+  Bench b(kUpstreams);
+  b.s.Add(Spec(1, 1, 1000), b.now, 0);
+  for (int i = 0; i < kUpstreams; ++i) {
+    const Orders orders = b.Place();
+    BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+    const UpstreamIndex lost = orders.starts[0].upstream;
+    Orders more;
+    b.s.OnUpstreamEmpty(lost, kOtherLosses[i % 3], b.now, more);
+    b.s.pool().at(lost).reachable = false;
+    b.now += Millis(3000);
+  }
+  BOOST_TEST(!b.s.Find(1)->final());
+}
+
+/// An upstream answers again under its id after its leases had run out: it was
+/// cut off, and its end much later counts for what it runs then.
+BOOST_AUTO_TEST_CASE(WhatAnUpstreamHadBeforeItsCutIsNotLostInItsCrash) {
+  Bench b(2);
+  b.s.Add(Spec(1, 1, 1000), b.now, 0);
+  const Orders first = b.Place();
+  BOOST_REQUIRE_EQUAL(first.starts.size(), 1U);
+  const UpstreamIndex cut = first.starts[0].upstream;
+  Orders more;
+  b.s.OnUpstreamEmpty(cut, UpstreamLoss::kLeasesOver, b.now, more);
+  b.s.OnRunning(cut, {}, b.now, more);
+  b.s.OnUpstreamEmpty(cut, UpstreamLoss::kCrashed, b.now, more);
+  BOOST_TEST(b.s.Find(1)->task({1, 0, 0, 0}).crashes.total() == 0U);
+}
+
+/// A long task is lost with upstreams that crash now and then. Once it has run
+/// for half a minute, what came before says nothing of it any more.
+BOOST_AUTO_TEST_CASE(ALongRunClearsATaskOfEarlierCrashes) {
+  constexpr int kCrashes = 12;
+  Bench b(kCrashes);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.steps[0].lasting = true;
+  b.s.Add(spec, b.now, 0);
+  for (int i = 0; i < kCrashes; ++i) {
+    const Orders orders = b.Place();
+    BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+    b.now += Millis(31000);
+    b.Report(orders.starts[0], 100);
+    const UpstreamIndex lost = orders.starts[0].upstream;
+    Orders more;
+    b.s.OnUpstreamEmpty(lost, UpstreamLoss::kCrashed, b.now, more);
+    b.s.pool().at(lost).reachable = false;
+  }
+  BOOST_TEST(!b.s.Find(1)->final());
+}
+
 /// A worker that fails all it starts looks idle. After two failures in a row it
 /// rests, and the second tries go to upstreams that have not failed.
 BOOST_AUTO_TEST_CASE(AFailingUpstreamDrawsNoMoreWork) {
