Scheduling: Keep one copy of what drops avoided candidates, and call a quarantine so

PlaceGang() and PlaceTasks() dropped avoided candidates by the same lines, and UpdateRestraint() went over a step's tasks twice; no change of behaviour. What keeps an upstream for a suspected task was called a trial, which here already means the one task that an upstream gets after a failure.

--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -10,15 +10,15 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A task that crashes its upstream does so as it starts: 10 ms after it, as
-/// seen. What has gone on for this long is no longer suspected.
+/// A task that crashes its upstream mostly does so as it starts. What has gone
+/// on for this long is no longer suspected.
 constexpr Millis kFirstMoments{300};
-/// A claim on an upstream lasts a little beyond the wait for it, so that the
-/// next pass of placing still finds it.
-constexpr Millis kClaim{400};
+/// Lasts a little beyond the wait for what began there last, so that a later
+/// pass of placing finds the upstream still kept.
+constexpr Millis kQuarantine{400};
 /// A run of this length shows that its task does not crash upstreams.
 constexpr Millis kHarmless{30000};
-/// Upstreams that have been there for so long go first for a trial: one that
+/// Upstreams that have been there for so long go first for a suspect: one that
 /// has just come back is more likely to go again for reasons of its own.
 constexpr Millis kEstablished{10000};
 /// Crashes in a run's first moments after which the task is given up, where
@@ -146,7 +146,7 @@
   Changed(entry);
 }
 
-bool Scheduler::HasSuspect(const Entry& entry, const StepId& id) const {
+bool Scheduler::HasCrashSuspect(const Entry& entry, const StepId& id) const {
   for (int32_t i = 0; i < entry.job.step(id.step).tasks; ++i) {
     const TaskId task{id.job, id.occurrence, id.step, i};
     if (entry.job.task(task).crashes.suspect()) return true;
@@ -154,13 +154,14 @@
   return false;
 }
 
-void Scheduler::BeginTrial(UpstreamIndex upstream, JobId job, TimePoint now) {
-  pool_.at(upstream).trial = {.job = job, .until = now + kClaim};
+void Scheduler::BeginQuarantine(UpstreamIndex upstream, JobId job,
+                                TimePoint now) {
+  pool_.at(upstream).quarantine = {.job = job, .until = now + kQuarantine};
 }
 
-Scheduler::Candidate* Scheduler::PickForTrial(const Entry& entry,
-                                              std::vector<Candidate>& from,
-                                              TimePoint now) {
+Scheduler::Candidate* Scheduler::PickForQuarantine(const Entry& entry,
+                                                   std::vector<Candidate>& from,
+                                                   TimePoint now) {
   Candidate* best = nullptr;
   // Quiet ones first, of these established ones, of these the one on which a
   // crash takes least with it.
@@ -176,13 +177,15 @@
     best_rank = rank;
   }
   if (best == nullptr) return nullptr;
-  BeginTrial(best->upstream, entry.job.id(), now);
+  BeginQuarantine(best->upstream, entry.job.id(), now);
   const bool quiet = !std::get<0>(best_rank);
   return quiet ? best : nullptr;
 }
 
-void Scheduler::KeepForTrial(const Entry& entry, const wire::StepSpec& step,
-                             std::vector<Candidate>& found, TimePoint now) {
+void Scheduler::KeepForQuarantine(const Entry& entry,
+                                  const wire::StepSpec& step,
+                                  std::vector<Candidate>& found,
+                                  TimePoint now) {
   const auto quiet = [&](const Candidate& candidate) {
     return pool_.QuietFor(candidate.upstream, entry.job.id(), kFirstMoments,
                           now);
@@ -201,7 +204,7 @@
   if (room < step.tasks) return found.clear();
   found.erase(end, found.end());
   for (const Candidate& candidate : found) {
-    BeginTrial(candidate.upstream, entry.job.id(), now);
+    BeginQuarantine(candidate.upstream, entry.job.id(), now);
   }
   if (!all_quiet) found.clear();
 }
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -119,7 +119,7 @@
   const bool advised = entry.job.queue().advised;
   const auto consider = [&](UpstreamIndex upstream) {
     if (!pool_.Usable(upstream, now) || !Suits(upstream, entry, step)) return;
-    if (pool_.OnTrialOfAnother(upstream, entry.job.id(), now)) return;
+    if (pool_.InQuarantineOfAnother(upstream, entry.job.id(), now)) return;
     const Amount room =
         RoomFor(step, upstream, pool_.at(upstream).free, now, reserved);
     const int32_t fit = Fit(upstream, entry, id, room);
@@ -188,6 +188,13 @@
   return false;
 }
 
+void Scheduler::DropAvoided(const Restraint& restraint,
+                            std::vector<Candidate>& candidates) {
+  std::erase_if(candidates, [&](const Candidate& candidate) {
+    return restraint.avoided.count(candidate.upstream) > 0;
+  });
+}
+
 bool Scheduler::PlaceGang(Entry& entry, const StepId& id, TimePoint now,
                           const Reserved& reserved, Orders& orders) {
   const wire::StepSpec& step = entry.job.step(id.step);
@@ -205,10 +212,8 @@
                               room[pool_.at(b.upstream).entry.rack];
                      });
   }
-  std::erase_if(found, [&](const Candidate& c) {
-    return unit.restraint.avoided.count(c.upstream) > 0;
-  });
-  if (HasSuspect(entry, id)) KeepForTrial(entry, step, found, now);
+  DropAvoided(unit.restraint, found);
+  if (HasCrashSuspect(entry, id)) KeepForQuarantine(entry, step, found, now);
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fit;
   if (total < step.tasks) return false;
@@ -232,9 +237,7 @@
   std::vector<Candidate> found =
       Candidates(entry, id, unit.advice, now, reserved);
   std::vector<Candidate> retries = found;
-  std::erase_if(retries, [&](const Candidate& c) {
-    return unit.restraint.avoided.count(c.upstream) > 0;
-  });
+  DropAvoided(unit.restraint, retries);
   const auto next = [](std::vector<Candidate>& from) -> Candidate* {
     for (Candidate& candidate : from) {
       if (candidate.fit > 0) return &candidate;
@@ -254,7 +257,7 @@
     std::vector<Candidate>& from = again ? retries : found;
     const bool suspect = task.crashes.suspect();
     const Candidate* pick =
-        suspect ? PickForTrial(entry, from, now) : next(from);
+        suspect ? PickForQuarantine(entry, from, now) : next(from);
     if (pick == nullptr && (again || suspect)) continue;
     if (pick == nullptr) break;
     const UpstreamIndex upstream = pick->upstream;
@@ -267,12 +270,13 @@
   Refresh(entry, id.occurrence, id.step);
 }
 
-std::set<UpstreamIndex> Scheduler::FailedPlaces(const Entry& entry,
-                                                const StepId& id) const {
-  std::set<UpstreamIndex> out;
+Scheduler::StepFailures Scheduler::FailuresOf(const Entry& entry,
+                                              const StepId& id) const {
+  StepFailures out;
   for (int32_t i = 0; i < entry.job.step(id.step).tasks; ++i) {
     const Task& task = entry.job.task({id.job, id.occurrence, id.step, i});
-    if (task.failed_at != kNoUpstream) out.insert(task.failed_at);
+    out.any = out.any || task.failures() > 0;
+    if (task.failed_at != kNoUpstream) out.places.insert(task.failed_at);
   }
   return out;
 }
@@ -281,13 +285,10 @@
   const wire::StepSpec& step = entry.job.step(id.step);
   Unit& unit = entry.unit(id.occurrence, id.step);
   if (now < unit.restraint.until) return;
-  bool failed = false;
-  for (int32_t i = 0; i < step.tasks && !failed; ++i) {
-    failed = entry.job.task({id.job, id.occurrence, id.step, i}).failures() > 0;
-  }
-  if (!failed && !step.gang) return;
+  StepFailures failures = FailuresOf(entry, id);
+  if (!failures.any && !step.gang) return;
   unit.restraint = {.until = now + kRestraintAge};
-  std::set<UpstreamIndex> avoided = FailedPlaces(entry, id);
+  std::set<UpstreamIndex>& avoided = failures.places;
   const bool advised = entry.job.queue().advised;
   int64_t elsewhere = 0;
   int64_t with_trials = 0;
@@ -305,7 +306,7 @@
   // With nothing better to be had, now or by asking, anything will do: a step
   // that never tried again would wait for ever.
   const int32_t needed = step.gang ? step.tasks : 1;
-  if (failed && elsewhere >= needed) {
+  if (failures.any && elsewhere >= needed) {
     unit.restraint.avoided = std::move(avoided);
   }
   unit.restraint.trusts_suspects = step.gang && with_trials < needed;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -270,19 +270,21 @@
   bool AdviceCallLeft(int32_t priority) const;
   bool PlaceUnit(Entry& entry, const StepId& id, TimePoint now,
                  Reserved& reserved, Orders& orders);
+  static void DropAvoided(const Restraint& restraint,
+                          std::vector<Candidate>& candidates);
   bool PlaceGang(Entry& entry, const StepId& id, TimePoint now,
                  const Reserved& reserved, Orders& orders);
-  bool HasSuspect(const Entry& entry, const StepId& id) const;
+  bool HasCrashSuspect(const Entry& entry, const StepId& id) const;
   /// The candidate on which a suspected task starts now; null if it has to wait
   /// until what has just begun there has shown that it does no harm.
-  Candidate* PickForTrial(const Entry& entry, std::vector<Candidate>& from,
-                          TimePoint now);
+  Candidate* PickForQuarantine(const Entry& entry, std::vector<Candidate>& from,
+                               TimePoint now);
   /// The same for a gang: leaves those on which it may start now, none if these
   /// are too few for it.
-  void KeepForTrial(const Entry& entry, const wire::StepSpec& step,
-                    std::vector<Candidate>& found, TimePoint now);
+  void KeepForQuarantine(const Entry& entry, const wire::StepSpec& step,
+                         std::vector<Candidate>& found, TimePoint now);
   /// Keeps what is new of other jobs away from an upstream for a while.
-  void BeginTrial(UpstreamIndex upstream, JobId job, TimePoint now);
+  void BeginQuarantine(UpstreamIndex upstream, JobId job, TimePoint now);
   void PlaceTasks(Entry& entry, const StepId& id, TimePoint now,
                   const Reserved& reserved, Orders& orders);
   /// Looks anew at what a step is kept from, once that is due.
@@ -302,9 +304,12 @@
   /// Room for a step once what is held back from it is taken off.
   Amount RoomFor(const wire::StepSpec& step, UpstreamIndex upstream,
                  Amount room, TimePoint now, const Reserved& reserved) const;
-  /// Upstreams where a task of the step failed last.
-  std::set<UpstreamIndex> FailedPlaces(const Entry& entry,
-                                       const StepId& id) const;
+  struct StepFailures {
+    bool any = false;
+    /// Upstreams where a task of the step failed last.
+    std::set<UpstreamIndex> places;
+  };
+  StepFailures FailuresOf(const Entry& entry, const StepId& id) const;
   /// `may_wait`: a gang without room enough may learn where to wait for it.
   void AskAdvice(Entry& entry, const StepId& id, TimePoint now, bool may_wait,
                  const GangPlan& plan, const Reserved& reserved,
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -137,10 +137,10 @@
   return count;
 }
 
-bool UpstreamPool::OnTrialOfAnother(UpstreamIndex index, JobId job,
-                                    TimePoint now) const {
-  const auto& trial = upstreams_[index].trial;
-  return trial && trial->job != job && now < trial->until;
+bool UpstreamPool::InQuarantineOfAnother(UpstreamIndex index, JobId job,
+                                         TimePoint now) const {
+  const auto& quarantine = upstreams_[index].quarantine;
+  return quarantine && quarantine->job != job && now < quarantine->until;
 }
 
 bool UpstreamPool::QuietFor(UpstreamIndex index, JobId job, Millis span,
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -48,8 +48,9 @@
 /// Runs of an upstream that fell silent, and whether they had only just begun.
 using SilentRuns = std::map<std::pair<TaskId, int64_t>, bool>;
 
-/// Nothing of other jobs starts at an upstream meanwhile.
-struct UpstreamTrial {
+/// Only this job's tasks start at an upstream meanwhile, since one of them is
+/// suspected to crash it.
+struct Quarantine {
   JobId job = 0;
   TimePoint until{};
 };
@@ -76,7 +77,7 @@
   /// What it ran when it fell silent or its leases ran out, until it is known
   /// whether it has crashed.
   SilentRuns unexplained;
-  std::optional<UpstreamTrial> trial{};
+  std::optional<Quarantine> quarantine{};
   /// When it was first heard of.
   TimePoint known_since{};
   /// Since when it does not answer, if it has answered before.
@@ -125,8 +126,9 @@
   /// How many tasks of a step hold room there.
   int32_t HeldOf(UpstreamIndex index, const StepId& step) const;
 
-  /// Whether another job has the upstream for a trial.
-  bool OnTrialOfAnother(UpstreamIndex index, JobId job, TimePoint now) const;
+  /// Whether the upstream is kept for a suspected task of another job.
+  bool InQuarantineOfAnother(UpstreamIndex index, JobId job,
+                             TimePoint now) const;
   /// Whether all that other jobs run there began at least `span` ago.
   bool QuietFor(UpstreamIndex index, JobId job, Millis span,
                 TimePoint now) const;
