--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -47,8 +47,20 @@
 
 void Scheduler::OnUpstreamEmpty(UpstreamIndex upstream, UpstreamLoss why,
                                 TimePoint now, Orders& orders) {
+  SilentRuns runs = std::exchange(pool_.at(upstream).unexplained, {});
+  runs.merge(RunsOf(upstream, now));
+  LoseRuns(upstream, why, now, orders);
+  // Whether it has crashed is told when another life answers; cut off, it runs
+  // on and answers again.
+  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
+  if (why == UpstreamLoss::kLeasesOver) {
+    pool_.at(upstream).unexplained = std::move(runs);
+  }
+}
+
+void Scheduler::LoseRuns(UpstreamIndex upstream, UpstreamLoss why,
+                         TimePoint now, Orders& orders) {
   stops_.erase(upstream);
-  SilentRuns held_then = RunsOf(upstream, now);
   const HeldRuns lost = pool_.at(upstream).held;
   for (const auto& [run, room] : lost) {
     const auto& [id, attempt] = run;
@@ -70,14 +82,6 @@
       AbortGang(*entry, id.step_id(), now, orders);
     }
   }
-  SilentRuns runs = std::exchange(pool_.at(upstream).unexplained, {});
-  runs.merge(std::move(held_then));
-  // Whether it has crashed is told when another life answers; cut off, it runs
-  // on and answers again.
-  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
-  if (why == UpstreamLoss::kLeasesOver) {
-    pool_.at(upstream).unexplained = std::move(runs);
-  }
 }
 
 SilentRuns Scheduler::RunsOf(UpstreamIndex upstream, TimePoint now) const {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -218,6 +218,9 @@
   void TaskFailed(Entry& entry, UpstreamIndex upstream, const TaskId& id,
                   int64_t attempt, TimePoint now, Orders& orders);
   void BackToWaiting(Entry& entry, const TaskId& id, TimePoint now);
+  /// What ran there waits for another start.
+  void LoseRuns(UpstreamIndex upstream, UpstreamLoss why, TimePoint now,
+                Orders& orders);
   /// Counts the crash of an upstream under what it ran, and gives up what is
   /// taken for its cause.
   void CountCrash(const SilentRuns& runs, TimePoint now, Orders& orders);
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -28,7 +28,7 @@
   int32_t trials = 0;
 };
 
-/// Room that one run takes.
+/// One run, by the room that it takes.
 struct HeldRoom {
   Amount amount;
   /// When the run is expected to end; an estimate that only serves to foresee
