--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -58,8 +58,6 @@
   int32_t attempts = 0;
   int32_t retries_left = 0;
   int32_t losses = 0;
-  /// Upstreams that went with a running task of it, by the task's index.
-  std::map<int32_t, int32_t> crashes;
   bool cancelled = false;
   TimePoint submitted{};
   TimePoint placed{};
@@ -75,6 +73,8 @@
   std::optional<int64_t> queue_key;
   std::string why;
   std::vector<TaskRecord> tasks;
+  /// Upstreams that went with a running task of it, by the task's index.
+  std::map<int32_t, int32_t> crashes;
   wire::Outcome outcome;
   TimePoint ended{};
   std::vector<OutcomeCallback> waiters;
