Coordinator: Keep a silent upstream until it is known whether it has crashed

An unlisted upstream with runs whose fate is open is now kept past its leases; when it has been silent for 5 s it is over, which counts as a crash. The same look ends links to upstreams that died for good after their leases had run out, which were called ten times a second for as long as the leader led.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -74,6 +74,7 @@
 void Coordinator::Tick() {
   if (closed_) return;
   scheduler_.Tick(deps_.executor.Now(), deps_.executor.UnixMillis());
+  EndSilentLives();
   CheckResolved();
   RefuseUnsent();
   DropFinalJobs();
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -32,6 +32,9 @@
   Millis lease{4000};
   /// How long an earlier leader may go on unseen.
   Millis earlier_leader{2000};
+  /// An upstream that is not listed and has not answered for this long, nor
+  /// within its leases, is over. Cut off until then, it may still come back.
+  Millis silent_is_over{5000};
   /// How often the list of upstreams is read. Nothing may start on a draining
   /// one 2 s after it said so.
   Millis list_period{250};
@@ -191,6 +194,9 @@
   /// none if that is not known of one of them.
   std::optional<std::unordered_set<JobId>> UncertainJobs() const;
   void Tick();
+  /// Ends the lives of upstreams that have been silent and unlisted for long.
+  void EndSilentLives();
+  void DropUpstream(UpstreamIndex upstream, scheduling::UpstreamLoss why);
   void DropFinalJobs();
   void ExplainWaiting();
 
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -298,26 +298,44 @@
   Orders orders;
   scheduler_.OnUpstreamEmpty(upstream, why, deps_.executor.Now(), orders);
   Pump(orders);
-  const bool listed = scheduler_.pool().at(upstream).listed;
-  if (why != UpstreamLoss::kLeasesOver || !listed) {
-    const std::string id = scheduler_.pool().at(upstream).entry.id;
-    logging::Event(
-        Level::kInfo, "upstream dropped",
-        {{"upstream", id},
-         {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
-    journal_->Remove(kUpstreamPrefix + id);
-    // It may come back under its id, and has then seen all tokens that this
-    // link used. Opened with an earlier one, it would answer as if another
-    // entry led, and this one would resign.
-    next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
-    links_.at(upstream)->Close();
-    links_.erase(upstream);
-    scheduler_.pool().Remove(upstream);
-  }
+  // One that left the list for its silence is kept until it is known whether it
+  // has crashed with what it ran.
+  const scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  const bool over = why != UpstreamLoss::kLeasesOver ||
+                    (!it.listed && it.unexplained.empty());
+  if (over) DropUpstream(upstream, why);
   CheckResolved();
   PlaceSoon();
 }
 
+void Coordinator::DropUpstream(UpstreamIndex upstream, UpstreamLoss why) {
+  const std::string id = scheduler_.pool().at(upstream).entry.id;
+  logging::Event(
+      Level::kInfo, "upstream dropped",
+      {{"upstream", id},
+       {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
+  journal_->Remove(kUpstreamPrefix + id);
+  // It may come back under its id, and has then seen all tokens that this link
+  // used. Opened with an earlier one, it would answer as if another entry led,
+  // and this one would resign.
+  next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
+  links_.at(upstream)->Close();
+  links_.erase(upstream);
+  scheduler_.pool().Remove(upstream);
+}
+
+void Coordinator::EndSilentLives() {
+  const TimePoint now = deps_.executor.Now();
+  std::vector<UpstreamIndex> over;
+  for (const auto& [index, link] : links_) {
+    const scheduling::Upstream& it = scheduler_.pool().at(index);
+    if (it.listed || !link->emptied()) continue;
+    const TimePoint since = it.silent_since.value_or(it.known_since);
+    if (now - since >= options_.silent_is_over) over.push_back(index);
+  }
+  for (const UpstreamIndex index : over) OnEmpty(index, UpstreamLoss::kCrashed);
+}
+
 void Coordinator::OnStartReply(const scheduling::StartOrder& order,
                                const ports::CallReply& reply) {
   Orders orders;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -88,6 +88,8 @@
 
   /// The highest token that it has used.
   int64_t fence() const { return fence_; }
+  /// It does not answer, and nothing can run there any more.
+  bool emptied() const { return emptied_; }
   /// What runs there is known, or can't be anything any more.
   bool settled() const { return inventoried_ || emptied_; }
   /// The upstream has confirmed that it may forget every end that was reported.
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -1,7 +1,8 @@
 // The part of Scheduler that tells which tasks crash their upstreams. A crash
-// is found when another life answers in an upstream's place; what ran there may
-// be its cause or its victim. What had only just begun is suspected, and starts
-// anew where nothing else is new, so that a second crash has one cause.
+// is found when another life answers in an upstream's place, or when it stays
+// away; what ran there may be its cause or its victim. What had only just begun
+// is suspected, and starts anew where nothing else is new, so that a second
+// crash has one cause.
 
 #include <algorithm>
 
@@ -50,8 +51,8 @@
   SilentRuns runs = std::exchange(pool_.at(upstream).unexplained, {});
   runs.merge(RunsOf(upstream, now));
   LoseRuns(upstream, why, now, orders);
-  // Whether it has crashed is told when another life answers; cut off, it runs
-  // on and answers again.
+  // Whether it has crashed is told later: cut off, it runs on and answers
+  // again.
   if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
   if (why == UpstreamLoss::kLeasesOver) {
     pool_.at(upstream).unexplained = std::move(runs);
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -88,7 +88,7 @@
 /// Why nothing runs at an upstream any more.
 enum class UpstreamLoss {
   kLeasesOver,  ///< It does not answer, and its leases have run out.
-  kCrashed,     ///< Another life answers in its place.
+  kCrashed,     ///< Another life answers, or it is silent and not listed.
   kLeft,        ///< The same, after it had said that it would leave.
   kUpkeep,      ///< Its host was taken for its upkeep.
 };
--- a/tests/crashing_tasks_test.cc
+++ b/tests/crashing_tasks_test.cc
@@ -77,7 +77,8 @@
 /// upstreams crash for reasons of their own or are cut off, and leaders die.
 class Day {
  public:
-  explicit Day(uint64_t seed) : random_(seed) {}
+  explicit Day(uint64_t seed, CellOptions options = {.upstreams = 10})
+      : random_(seed), cell_(options) {}
 
   void Play() {
     cell_.RunFor(kSettle);
@@ -123,7 +124,7 @@
 
   void Fault() {
     const auto ids = cell_.upstreams().ids();
-    const std::string upstream = ids[Pick(ids.size())];
+    const std::string& upstream = ids[Pick(ids.size())];
     const std::string leader = cell_.Leader();
     switch (Pick(3)) {
       case 0:
@@ -154,7 +155,7 @@
   }
 
   std::mt19937_64 random_;
-  JobCell cell_{{.upstreams = 10}};
+  JobCell cell_;
   std::map<JobId, Handed> jobs_;
 };
 
@@ -182,6 +183,27 @@
   callers.CheckAllComplete();
 }
 
+/// The upstream's next life comes when its entry has left the list and its
+/// leases have run out: its silence was all that could be seen until then.
+BOOST_AUTO_TEST_CASE(CrashesOfUpstreamsThatAreLongAwayAreCounted) {
+  JobCell cell({.upstreams = 16, .reborn = Millis(7000)});
+  cell.RunFor(kSettle);
+  MakeCrash(cell, {1, 0, 0, 0});
+  cell.Submit("entry-0", OneStepJob(1, 1, 1000));
+  cell.RunFor(kLong + kLong);
+  CheckGivenUp(cell, 1);
+}
+
+/// The next life comes at another address: nothing ever answers at the old one.
+BOOST_AUTO_TEST_CASE(CrashesOfUpstreamsThatNeverAnswerAgainAreCounted) {
+  JobCell cell({.upstreams = 16, .reborn_elsewhere = true});
+  cell.RunFor(kSettle);
+  MakeCrash(cell, {1, 0, 0, 0});
+  cell.Submit("entry-0", OneStepJob(1, 1, 1000));
+  cell.RunFor(kLong + kLong);
+  CheckGivenUp(cell, 1);
+}
+
 /// One member of a gang crashes its upstream; the others end with it.
 BOOST_AUTO_TEST_CASE(AGangWithACrashingMemberIsGivenUp) {
   JobCell cell({.upstreams = 12});
@@ -333,4 +355,17 @@
   Day(seed).Play();
 }
 
+/// The same, with upstreams that are away for longer than their leases and
+/// their entries last.
+BOOST_DATA_TEST_CASE(CrashesWithLongAbsences,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  Day(seed, {.upstreams = 16, .reborn = Millis(6000)}).Play();
+}
+
+/// The same, with next lives that never answer at the old address.
+BOOST_DATA_TEST_CASE(CrashesWithLivesElsewhere,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  Day(seed, {.upstreams = 16, .reborn_elsewhere = true}).Play();
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -71,6 +71,11 @@
 JobCell::JobCell(CellOptions options) : options_(options) {
   store_.Put(kConfigTable, "config", "1");
   for (int i = 0; i < options_.upstreams; ++i) AddUpstream(i);
+  upstreams_.SetReborn(options_.reborn, options_.reborn_elsewhere);
+  upstreams_.OnCrash([this](const std::string& id) {
+    clock_.At(clock_.now() + options_.entry_lapse,
+              [this, id] { store_.Put(kUpstreamTable, id, ""); });
+  });
   upstreams_.OnReborn([this](const std::string& id) { ReplaceUpstream(id); });
   for (int i = 0; i < options_.entries; ++i) {
     Start("entry-" + std::to_string(i));
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -65,6 +65,11 @@
   std::vector<std::string> seeds{};
   /// Hosts have an API: host-N is up-N at first.
   bool hosts = false;
+  /// After a crash of an upstream its entry leaves the list after this, if
+  /// another life has not taken its place before.
+  Millis entry_lapse{4000};
+  Millis reborn{3000};
+  bool reborn_elsewhere = false;
   /// Each way of an entry's link, and its processor.
   LinkRate link{};
   LinkRate processor{};
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -20,8 +20,6 @@
 constexpr Millis kCancelBound{3000};
 constexpr Millis kStopBound{900};
 constexpr int kMaxAttempts = 2;
-/// A crashed upstream's next life answers after this.
-constexpr Millis kReborn{3000};
 /// A task under which so many upstreams have crashed is started no more than so
 /// many times after it.
 constexpr int kCrashesBorne = 3;
@@ -114,8 +112,9 @@
     ++crashes_[task];
     BreakGang(task, run.attempt);
   }
-  clock_.At(clock_.now() + kReborn, [this, id] {
-    upstreams_[id].life = Life::kReplaced;
+  if (crash_) crash_(id);
+  clock_.At(clock_.now() + reborn_after_, [this, id] {
+    if (!reborn_elsewhere_) upstreams_[id].life = Life::kReplaced;
     if (reborn_) reborn_(id);
   });
 }
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -73,6 +73,15 @@
   void OnReborn(std::function<void(const std::string& id)> reborn) {
     reborn_ = std::move(reborn);
   }
+  void OnCrash(std::function<void(const std::string& id)> crash) {
+    crash_ = std::move(crash);
+  }
+  /// How long after a crash another life answers, and whether at the address of
+  /// the one before or elsewhere.
+  void SetReborn(Millis after, bool elsewhere) {
+    reborn_after_ = after;
+    reborn_elsewhere_ = elsewhere;
+  }
   /// Upstreams that have crashed while they ran the task.
   int Crashes(const TaskId& task) const;
   /// How often the task was started.
@@ -178,6 +187,9 @@
   /// Starts of tasks that crash their upstreams, after the third crash.
   std::map<TaskId, int> starts_after_crashes_;
   std::function<void(const std::string& id)> reborn_;
+  std::function<void(const std::string& id)> crash_;
+  Millis reborn_after_{3000};
+  bool reborn_elsewhere_ = false;
   /// Ends "done" that a leader has taken note of, in tasks.
   std::set<TaskId> done_seen_;
   std::set<JobId> ran_;
