--- a/tests/crashing_tasks_test.cc
+++ b/tests/crashing_tasks_test.cc
@@ -42,6 +42,17 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
+/// The upstream that runs the task, once one does; empty if none does in 10 s.
+std::string AwaitRun(JobCell& cell, const TaskId& task) {
+  constexpr int kLooks = 200;
+  std::string at;
+  for (int look = 0; look < kLooks && at.empty(); ++look) {
+    cell.RunFor(Millis(50));
+    at = cell.upstreams().Where(task);
+  }
+  return at;
+}
+
 /// Harmless jobs, one after another, beside what a test is about.
 class Callers {
  public:
@@ -306,11 +317,7 @@
   cell.Submit("entry-0", OneStepJob(1, 1, 1000));
   constexpr int kCuts = 5;
   for (int i = 0; i < kCuts; ++i) {
-    std::string at;
-    for (int wait = 0; wait < 200 && at.empty(); ++wait) {
-      cell.RunFor(Millis(50));
-      at = cell.upstreams().Where(task);
-    }
+    const std::string at = AwaitRun(cell, task);
     BOOST_REQUIRE(!at.empty());
     cell.upstreams().faults(at).cut = true;
     cell.RunFor(Millis(6500));
@@ -331,11 +338,7 @@
   cell.Submit("entry-0", OneStepJob(1, 1, 1000));
   constexpr int kLeaving = 5;
   for (int i = 0; i < kLeaving; ++i) {
-    std::string at;
-    for (int wait = 0; wait < 200 && at.empty(); ++wait) {
-      cell.RunFor(Millis(50));
-      at = cell.upstreams().Where(task);
-    }
+    const std::string at = AwaitRun(cell, task);
     BOOST_REQUIRE(!at.empty());
     wire::UpstreamRecord entry = cell.Listed(at);
     entry.failure_domain = "draining";
