Scheduling: Look for suspects only in gangs that have room, and drop a wrapper

PlaceGang() went over all tasks of each waiting gang in each pass, up to 500 a second, to see whether one is suspected; it now does so for a gang that could start, which also makes the look at its room in KeepForQuarantine() needless. NoteListed() searched the same map twice for each run of each report. NoteSilentRuns() only set a field that the coordinator sets directly elsewhere.

--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -146,7 +146,7 @@
   if (left != left_closed_.end()) scheduler_.pool().at(index).closed = true;
   if (links_.count(index) > 0) return;
   if (left != left_closed_.end()) {
-    scheduler_.NoteSilentRuns(index, left->second.runs);
+    scheduler_.pool().at(index).unexplained = left->second.runs;
   }
   auto link = std::make_shared<fleet::UpstreamLink>(
       deps_.executor, deps_.tasks, *this,
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -94,10 +94,6 @@
   return out;
 }
 
-void Scheduler::NoteSilentRuns(UpstreamIndex upstream, SilentRuns runs) {
-  pool_.at(upstream).unexplained = std::move(runs);
-}
-
 void Scheduler::CountCrash(const SilentRuns& runs, TimePoint now,
                            Orders& orders) {
   std::set<JobId> suspects;
@@ -187,7 +183,7 @@
   return quiet ? best : nullptr;
 }
 
-void Scheduler::KeepForQuarantine(const Entry& entry,
+bool Scheduler::KeepForQuarantine(const Entry& entry,
                                   const wire::StepSpec& step,
                                   std::vector<Candidate>& found,
                                   TimePoint now) {
@@ -206,12 +202,11 @@
     room += end->fit;
     all_quiet = all_quiet && quiet(*end);
   }
-  if (room < step.tasks) return found.clear();
   found.erase(end, found.end());
   for (const Candidate& candidate : found) {
     BeginQuarantine(candidate.upstream, entry.job.id(), now);
   }
-  if (!all_quiet) found.clear();
+  return all_quiet;
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -213,10 +213,13 @@
                      });
   }
   DropAvoided(unit.restraint, found);
-  if (HasCrashSuspect(entry, id)) KeepForQuarantine(entry, step, found, now);
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fit;
   if (total < step.tasks) return false;
+  if (HasCrashSuspect(entry, id) &&
+      !KeepForQuarantine(entry, step, found, now)) {
+    return false;
+  }
   const int64_t attempt =
       std::max(entry.job.LastAttempt(id), options_.attempt_base) + 1;
   int32_t index = 0;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -87,8 +87,6 @@
                        Orders& orders);
   /// What an upstream that has fallen silent may crash with.
   SilentRuns RunsOf(UpstreamIndex upstream, TimePoint now) const;
-  /// What an earlier leader kept of it, before the upstream has reported.
-  void NoteSilentRuns(UpstreamIndex upstream, SilentRuns runs);
   /// `advice` null when the call failed; `asked` as ordered.
   void OnAdvice(const AdviceOrder& asked, const ports::Advice* advice,
                 TimePoint now);
@@ -282,9 +280,9 @@
   /// until what has just begun there has shown that it does no harm.
   Candidate* PickForQuarantine(const Entry& entry, std::vector<Candidate>& from,
                                TimePoint now);
-  /// The same for a gang: leaves those on which it may start now, none if these
-  /// are too few for it.
-  void KeepForQuarantine(const Entry& entry, const wire::StepSpec& step,
+  /// The same for a gang: leaves those on which it is to start, and tells
+  /// whether it may now. Precondition: together they have room for the gang.
+  bool KeepForQuarantine(const Entry& entry, const wire::StepSpec& step,
                          std::vector<Candidate>& found, TimePoint now);
   /// Keeps what is new of other jobs away from an upstream for a while.
   void BeginQuarantine(UpstreamIndex upstream, JobId job, TimePoint now);
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -94,10 +94,11 @@
 
 void UpstreamPool::NoteListed(UpstreamIndex index, const TaskId& task,
                               int64_t attempt, TimePoint now) {
-  NoteBegan(index, task, attempt, now);
   auto& held = upstreams_[index].held;
   const auto found = held.find({task, attempt});
-  if (found != held.end()) found->second.listed = now;
+  if (found == held.end()) return;
+  if (!found->second.began) found->second.began = now;
+  found->second.listed = now;
 }
 
 void UpstreamPool::Foresee(UpstreamIndex index, const TaskId& task,
