--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -162,7 +162,8 @@
   void MakeWaveKeeper();
   void Load(const std::string& after);
   void OnPage(const std::string& after, const ports::NewestPage& page);
-  void OnLoaded();
+  /// `end_offset` is the end of the table when its last page was read.
+  void OnLoaded(int64_t end_offset);
   void LoadRecord(const ports::KeyedRecord& record);
   /// Takes one record into the maps of what is loaded; the cause if it can't.
   std::string TakeRecord(const ports::KeyedRecord& record);
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -62,7 +62,7 @@
   if (page.more && !page.last_key.empty() && page.last_key != after) {
     return Load(page.last_key);
   }
-  OnLoaded();
+  OnLoaded(page.end_offset);
 }
 
 void Coordinator::LoadRecord(const ports::KeyedRecord& record) {
@@ -222,13 +222,14 @@
   }
 }
 
-void Coordinator::OnLoaded() {
+void Coordinator::OnLoaded(int64_t end_offset) {
   const TimePoint now = deps_.executor.Now();
   const int64_t wall = deps_.executor.UnixMillis();
   LoadJobs();
   logging::Event(
       Level::kInfo, "jobs loaded",
       {{"term", Text(options_.term)},
+       {"end_offset", Text(end_offset)},
        {"open", Text(static_cast<int64_t>(loaded_specs_.size()))},
        {"final", Text(static_cast<int64_t>(finals_.size()))},
        {"unreadable", Text(static_cast<int64_t>(unreadable_.size()))},
--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -147,12 +147,27 @@
   return nullptr;
 }
 
-void Journal::OnStored(int64_t sequence) {
+void Journal::TellStored(const Batch& batch, Millis took, int64_t answered,
+                         int64_t end_offset) const {
+  const bool itself = batch.sequence == answered;
+  if (itself && took < options_.slow && batch.sequence > 1) return;
+  logging::Event(logging::Level::kInfo, "journal append stored",
+                 {{"table", options_.table},
+                  {"epoch", std::to_string(options_.epoch)},
+                  {"sequence", std::to_string(batch.sequence)},
+                  {"records", std::to_string(batch.records.size())},
+                  {"took_ms", std::to_string(took.count())},
+                  {"answered", std::to_string(answered)},
+                  {"end_offset", std::to_string(end_offset)}});
+}
+
+void Journal::OnStored(int64_t sequence, int64_t end_offset) {
   // The store takes them in order: those before it are stored as well, though
   // their answers may come later or never.
   while (!closed_ && !in_flight_.empty() &&
          in_flight_.front().sequence <= sequence) {
     last_took_ = stalled_for();
+    TellStored(in_flight_.front(), last_took_, sequence, end_offset);
     if (!in_flight_.front().repeated) last_answer_ = last_took_;
     last_stored_ = executor_.Now();
     const Batch done = std::move(in_flight_.front());
@@ -162,10 +177,25 @@
   if (!closed_) ScheduleFlush();
 }
 
+void Journal::OnLateReply(int64_t sequence,
+                          const ports::AppendReply& reply) const {
+  const bool denied = reply.verdict == AppendVerdict::kOutOfSequence ||
+                      reply.verdict == AppendVerdict::kFenced;
+  if (!denied) return;
+  logging::Event(logging::Level::kWarning, "stored append denied",
+                 {{"table", options_.table},
+                  {"epoch", std::to_string(options_.epoch)},
+                  {"sequence", std::to_string(sequence)},
+                  {"cause", reply.detail}});
+}
+
 void Journal::OnReply(int64_t sequence, const ports::AppendReply& reply) {
   const Batch* batch = Find(sequence);
-  if (closed_ || batch == nullptr) return;
-  if (reply.verdict == AppendVerdict::kStored) return OnStored(sequence);
+  if (closed_) return;
+  if (batch == nullptr) return OnLateReply(sequence, reply);
+  if (reply.verdict == AppendVerdict::kStored) {
+    return OnStored(sequence, reply.end_offset);
+  }
   logging::Event(logging::Level::kWarning, "journal append not stored",
                  {{"table", options_.table},
                   {"epoch", std::to_string(options_.epoch)},
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -101,7 +101,14 @@
   /// The batch under way with this number; null if it is stored by now.
   Batch* Find(int64_t sequence);
   void OnReply(int64_t sequence, const ports::AppendReply& reply);
-  void OnStored(int64_t sequence);
+  void OnStored(int64_t sequence, int64_t end_offset);
+  /// Logs a batch that is stored, if it was slow, is the first of its epoch or
+  /// was not answered itself but with the one numbered `answered`.
+  void TellStored(const Batch& batch, Millis took, int64_t answered,
+                  int64_t end_offset) const;
+  /// Logs an answer that denies what was taken for stored. Of a repeat that
+  /// came late it means nothing.
+  void OnLateReply(int64_t sequence, const ports::AppendReply& reply) const;
 
   Executor& executor_;
   ports::RecordStorePort& store_;
