Tests: Let the fake store take an empty append for none

The store's page says that an append without records sets the epoch and appends nothing, that a higher epoch may start at any sequence number, and that the last five appends are answered again when repeated. The fake counted the empty append of a writer that takes over as its first, held the numbers to it, and answered every earlier append again.

The page doesn't say whether the number of an empty append is checked once records of its epoch are stored; the fake refuses it then.

--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -9,6 +9,8 @@
 
 constexpr Millis kDelay{4};
 constexpr size_t kPage = 500;
+/// So many of a writer's newest appends are answered again when repeated.
+constexpr size_t kRepeats = 5;
 /// Of a call or an answer without records.
 constexpr size_t kMessageBytes = 200;
 
@@ -97,31 +99,39 @@
   }
   if (call.writer) {
     Writer& writer = table.writers[call.writer->name];
-    if (call.writer->epoch < writer.epoch) {
-      return {.verdict = AppendVerdict::kFenced};
-    }
-    if (call.writer->epoch > writer.epoch) {
-      writer = {.epoch = call.writer->epoch,
-                .sequence = call.writer->sequence - 1};
-    }
-    const auto repeated = writer.answers.find(call.writer->sequence);
-    if (repeated != writer.answers.end()) return repeated->second;
-    if (call.writer->sequence != writer.sequence + 1) {
-      return {.verdict = AppendVerdict::kOutOfSequence};
-    }
-    writer.sequence = call.writer->sequence;
+    if (const auto denied = Check(*call.writer, writer)) return *denied;
+    // An empty append sets the epoch and is none of the appends that are
+    // counted.
+    if (!call.records.empty()) writer.sequence = call.writer->sequence;
   }
   for (const auto& record : call.records) {
     Put(call.table, record.key, record.value);
   }
   ports::AppendReply done{.verdict = AppendVerdict::kStored,
                           .end_offset = table.end};
-  if (call.writer) {
-    table.writers[call.writer->name].answers[call.writer->sequence] = done;
+  if (call.writer && !call.records.empty()) {
+    auto& answers = table.writers[call.writer->name].answers;
+    answers[call.writer->sequence] = done;
+    if (answers.size() > kRepeats) answers.erase(answers.begin());
   }
   return done;
 }
 
+std::optional<ports::AppendReply> StoreFake::Check(
+    const ports::WriterIdentity& who, Writer& writer) {
+  using ports::AppendVerdict;
+  if (who.epoch < writer.epoch) {
+    return ports::AppendReply{.verdict = AppendVerdict::kFenced};
+  }
+  if (who.epoch > writer.epoch) writer = {.epoch = who.epoch};
+  const auto repeated = writer.answers.find(who.sequence);
+  if (repeated != writer.answers.end()) return repeated->second;
+  if (writer.sequence && who.sequence != *writer.sequence + 1) {
+    return ports::AppendReply{.verdict = AppendVerdict::kOutOfSequence};
+  }
+  return std::nullopt;
+}
+
 ports::NewestPage StoreFake::Newest(const std::string& table,
                                     const std::string& after) {
   ports::NewestPage out;
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -61,7 +61,9 @@
  private:
   struct Writer {
     int64_t epoch = 0;
-    int64_t sequence = 0;
+    /// Of the last append with records; none yet in this epoch, so that the
+    /// first may have any number.
+    std::optional<int64_t> sequence;
     std::map<int64_t, ports::AppendReply> answers;
   };
   struct Table {
@@ -72,6 +74,11 @@
     std::map<std::string, Writer> writers;
   };
 
+  /// The answer to a writer whose append is not to be done, or was done before;
+  /// nothing if it is to be done. Takes its epoch.
+  static std::optional<ports::AppendReply> Check(
+      const ports::WriterIdentity& who, Writer& writer);
+
   sim::ManualClock& clock_;
   StoreFaults faults_;
   std::map<std::string, Table> tables_;
