Tests: Show that an append is taken for stored by one that overtook it

What callers saw: jobs answered as accepted that nobody knows later. A writer that takes over sends an append without records, which sets the epoch and is no append of its own; the first append with records may then have any number.

--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <deque>
 #include <random>
 
 #include "tests/jobsim/store_fake.h"
@@ -57,6 +58,34 @@
   std::mt19937_64 random_;
 };
 
+/// A store that each append takes its own time to get to, in turn.
+class UnevenStore final : public ports::RecordStorePort {
+ public:
+  UnevenStore(sim::ManualClock& clock, StoreFake& store,
+              std::deque<Millis> ways)
+      : clock_(clock), store_(store), ways_(std::move(ways)) {}
+
+  void Append(const ports::AppendCall& call, Millis,
+              std::function<void(ports::AppendReply)> done) override {
+    const Millis there = ways_.empty() ? kWay : ways_.front();
+    if (!ways_.empty()) ways_.pop_front();
+    clock_.At(clock_.now() + there, [this, call, done] {
+      const ports::AppendReply reply = store_.Append(call);
+      clock_.At(clock_.now() + kWay, [done, reply] { done(reply); });
+    });
+  }
+  void ReadNewest(const std::string&, const std::string&, Millis,
+                  Callback<ports::NewestPage>) override {}
+  void ReadTail(const std::string&, int64_t, Millis, Millis,
+                Callback<ports::TailReply>) override {}
+
+ private:
+  static constexpr Millis kWay{2};
+  sim::ManualClock& clock_;
+  StoreFake& store_;
+  std::deque<Millis> ways_;
+};
+
 }  // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(Trace);
@@ -110,6 +139,38 @@
   BOOST_TEST(seeds_with_several > kSeeds * 9 / 10);
 }
 
+/// Guards against callers told of records as stored that are nowhere, as the
+/// second append of a term came to the store before the first.
+BOOST_AUTO_TEST_CASE(AnAppendIsNotStoredByOneThatOvertookIt) {
+  constexpr Millis kSlowFence{150};
+  constexpr Millis kLate{400};
+  constexpr Millis kFast{10};
+  sim::ManualClock clock;
+  sim::ManualExecutor executor(clock);
+  StoreFake fake(clock);
+  UnevenStore store(clock, fake, {kSlowFence, kLate, kFast});
+  const auto journal = std::make_shared<journal::Journal>(
+      executor, store,
+      journal::JournalOptions{.table = kTable, .writer = "w", .epoch = 1},
+      [] {});
+  journal->Open([] {});
+  clock.RunFor(2 * kSlowFence);
+  int told = 0;
+  for (const char* key : {"first", "second"}) {
+    journal->Put(key, "value");
+    journal->WhenStored([&fake, &told, key](bool stored) {
+      ++told;
+      BOOST_TEST(fake.Records(kTable).count(key) == (stored ? 1U : 0U));
+    });
+    clock.RunFor(kSlowFence);
+  }
+  clock.RunFor(Millis(5000));
+  BOOST_TEST(told == 2);
+  // The fence and two appends, of which one came too early.
+  BOOST_TEST(journal->appends() == 4);
+  BOOST_TEST(fake.Records(kTable).size() == 2U);
+}
+
 /// Another writer has taken over while several appends are under way: each of
 /// them is refused, the loss is told once, and whoever waits is told that it is
 /// not known what became of it.
