--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -7,6 +7,14 @@
 
 namespace mimosarail::journal {
 
+namespace {
+
+/// Key of the record that opens an epoch; without a value it leaves nothing
+/// behind.
+constexpr const char* kOpeningKey = "opening";
+
+}  // namespace
+
 using ports::AppendVerdict;
 
 Journal::Journal(Executor& executor, ports::RecordStorePort& store,
@@ -17,7 +25,11 @@
       lost_(std::move(lost)) {}
 
 void Journal::Open(std::function<void()> done) {
+  // An append without records sets the epoch, but the store counts it as none:
+  // the next one would be taken whatever its number, and one that overtakes the
+  // first would stand for both.
   Batch fence;
+  fence.records.push_back({.key = kOpeningKey});
   fence.waiters.push_back([this, done = std::move(done)](bool stored) {
     if (!stored) return;
     open_ = true;
