--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -324,4 +324,86 @@
   BOOST_TEST(answered == kCalls);
 }
 
+/// A peer refuses a long request before it has read it, as a store does whose
+/// partition is full. The next call must arrive whole and alone, not amid what
+/// is left of the first one's bytes: its answer would be that to another call.
+BOOST_AUTO_TEST_CASE(AnEarlyAnswerLeavesNoHalfRequestBehind) {
+  using asio::ip::tcp;
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  // More than the buffers of both ends take.
+  constexpr size_t kLongBody = 32 << 20;
+  constexpr Millis kTimeout{5000};
+  const std::string refusal = "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+  std::vector<http::ParsedMessage> read;
+  std::vector<std::shared_ptr<tcp::socket>> sockets;
+  bool malformed = false;
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](std::error_code error, tcp::socket accepted) {
+      if (error) return;
+      auto socket = std::make_shared<tcp::socket>(std::move(accepted));
+      sockets.push_back(socket);
+      auto parser = std::make_shared<http::Parser>(
+          http::ParserOptions{.max_body = kLongBody});
+      auto buffer = std::make_shared<std::vector<char>>(64 << 10);
+      auto early = std::make_shared<bool>(sockets.size() == 1);
+      auto next = std::make_shared<std::function<void()>>();
+      *next = [&, socket, parser, buffer, early, next] {
+        socket->async_read_some(
+            asio::buffer(*buffer), [&, socket, parser, buffer, early, next](
+                                       std::error_code ended, size_t bytes) {
+              if (ended) return;
+              std::error_code ignored;  // the client may have gone
+              if (std::exchange(*early, false)) {
+                asio::write(*socket, asio::buffer(refusal), ignored);
+              }
+              const auto answer = [&](http::ParsedMessage message) {
+                const bool refused = message.request.body.size() == kLongBody;
+                read.push_back(std::move(message));
+                if (refused) return;
+                asio::write(
+                    *socket,
+                    asio::buffer(std::string(
+                        "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+                    ignored);
+              };
+              if (!parser->Feed({buffer->data(), bytes}, answer)) {
+                malformed = true;
+                return;
+              }
+              (*next)();
+            });
+      };
+      // The first bytes are answered before the rest is read.
+      (*next)();
+      accept();
+    });
+  };
+  accept();
+  http::Client client(io, {});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  int first = 0;
+  int second = 0;
+  client.Call(
+      address,
+      {.method = "POST", .target = "/1", .body = std::string(kLongBody, 'x')},
+      kTimeout, [&](const Result<http::Response>& reply) {
+        first = reply.ok() ? reply.value().status : -1;
+        client.Call(address,
+                    {.method = "POST", .target = "/2", .body = "second"},
+                    kTimeout, [&](const Result<http::Response>& other) {
+                      second = other.ok() ? other.value().status : -1;
+                      io.stop();
+                    });
+      });
+  io.run_for(std::chrono::seconds(20));
+  BOOST_TEST(first == 503);
+  BOOST_TEST(second == 200);
+  BOOST_TEST(!malformed);
+  BOOST_REQUIRE(!read.empty());
+  BOOST_TEST(read.back().request.target == "/2");
+  BOOST_TEST(read.back().request.body == "second");
+}
+
 }  // namespace mimosarail::platform
