Http: Use no connection again whose last request is half sent

Callers would see the call after an early answer fail without cause, or get an answer that belongs to something else: a store or an upstream that refuses a long request (an append of up to 1 MB while its partition is full, say) answers before it has read it. The connection counted as free at once. The next call then took the place of the first one's bytes while the socket was still writing them, from memory that was given back, and its own bytes went out amid them.

Now a connection whose request is not wholly written when its answer comes is closed after that answer; the next call opens another. So no bytes of two requests share a connection unless the first has gone out whole.

AnEarlyAnswerLeavesNoHalfRequestBehind failed before: the second call ended without an answer.

--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -156,9 +156,11 @@
 
   void Send() {
     Arm(call_.deadline);
+    writing_ = true;
     asio::async_write(
         socket_, asio::buffer(call_.bytes),
         [self = shared_from_this()](std::error_code error, size_t) {
+          self->writing_ = false;
           if (!error || self->closed_) return;
           self->Fail(Errc::kDisconnected, error.message());
         });
@@ -191,7 +193,10 @@
     timer_.cancel();
     auto done = std::move(call_.done);
     busy_ = false;
-    if (!message_.keep_alive) {
+    // A peer that refuses a long request may answer before it has read it. The
+    // next call's bytes would go out amid the rest of it, whose buffer they
+    // take: the peer would read neither, or answer one as the other.
+    if (!message_.keep_alive || writing_) {
       Close();
     } else {
       Release();
@@ -230,6 +235,8 @@
   PendingCall call_;
   TimePoint idle_since_{};
   bool busy_ = false;
+  /// Bytes of the call are still to go out; they must stay where they are.
+  bool writing_ = false;
   bool connected_ = false;
   bool closed_ = false;
   std::array<char, kReadBytes> buffer_{};
