--- a/src/ports/task_port.h
+++ b/src/ports/task_port.h
@@ -105,6 +105,9 @@
   CallReply call;
   std::vector<RunningTask> running;
   std::vector<EndedTask> ended;
+  /// There may be more ends than are listed. A run that is in neither list may
+  /// have ended then, too.
+  bool more_ends = false;
 };
 
 /// Orders to upstreams. Callbacks run on the control thread. Control thread
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -236,6 +236,25 @@
   }
 }
 
+/// An upstream lists 500 ends at a time: an answer with so many may leave ends
+/// out, and what is in none of its lists may have ended all the same.
+BOOST_AUTO_TEST_CASE(AnAnswerFullOfEndsMayLeaveSomeOut) {
+  const auto ends = [](int count) {
+    std::string rows;
+    for (int i = 1; i <= count; ++i) {
+      rows += (i > 1 ? "," : "") + ("[" + std::to_string(i)) +
+              R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])";
+    }
+    return DecodeRenew(
+        Answer(200, R"({"clockMs":1,"running":[],"finished":[)" + rows + "]}"));
+  };
+  BOOST_REQUIRE((ends(499).call.verdict == CallVerdict::kDone));
+  BOOST_TEST(!ends(0).more_ends);
+  BOOST_TEST(!ends(499).more_ends);
+  BOOST_REQUIRE((ends(500).call.verdict == CallVerdict::kDone));
+  BOOST_TEST(ends(500).more_ends);
+}
+
 BOOST_AUTO_TEST_CASE(AdviceIsDecoded) {
   const auto advice = DecodeAdvice(
       Answer(200, R"({"allowed":[["i-1","t-1"]],"validMs":3000})"));
