Fleet: Take answers in the order of the upstream's clock, and part of the ends for no inventory

Two things that the link inferred and the upstream doesn't promise.

Callers would see a job wait though there is room for it: of two renewals, the one sent first may wait at the upstream and the later one, sent for a start without an answer, be answered at once; on two connections the answers may overtake each other. The link took an answer for overtaken only if its call was the older one, too, so the older list, in which a task still runs whose end has been told, came last and counted. No later end frees the room that it then holds. The upstream's own clock is in every answer and never goes back, so it alone tells which list is the newer.

Callers would see a task run twice: an upstream lists 500 ends at a time, and lists the same ones while the store is away and they can't be acknowledged. A run that had ended beyond them is in neither list. To a new leader it counted as never run, since the first answer was taken for the whole inventory, and a start without an answer was settled as not started; both start the task again elsewhere. An answer with 500 ends now says that there may be more: the upstream isn't settled, and such a start stays in doubt, until an answer with fewer.

All three cases of upstream_link_test failed before, and AnAnswerFullOfEndsMayLeaveSomeOut of platform_test. They pass now, as do closed_upstreams_test, cancel_test and jobs_schedule_test.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -133,10 +133,12 @@
       return OnRenewFailed(reply.call);
   }
   // An answer that a newer one has overtaken lists what has ended since: taken
-  // for the truth, it would hold room that no later end frees. One that waited
-  // at the upstream meanwhile is newer by the upstream's clock, and counts.
+  // for the truth, it would hold room that no later end frees. Which is newer
+  // the upstream's clock tells, whatever the order of the calls: one may have
+  // waited there while a later one was answered.
   const bool overtaken =
-      number < newest_answered_ && reply.call.clock_ms < clock_ms_;
+      reply.call.clock_ms < clock_ms_ ||
+      (reply.call.clock_ms == clock_ms_ && number < newest_answered_);
   if (overtaken) return RenewSoon(options_.gap);
   newest_answered_ = std::max(newest_answered_, number);
   // After this answer the lease can be named again, and is at once.
@@ -145,7 +147,9 @@
   ends_noted_ = std::max(ends_noted_, ends_seen);
   NoteClock(reply.call.clock_ms);
   emptied_ = false;
-  inventoried_ = true;
+  // With a part of the ends only, a run that is in neither list may have ended:
+  // taken for never started, it would run a second time.
+  if (!reply.more_ends) inventoried_ = true;
   SettleDoubts(fence, reply);
   std::vector<ports::EndedTask> fresh;
   for (const ports::EndedTask& end : reply.ended) {
@@ -272,6 +276,11 @@
     const bool there =
         std::any_of(reply.running.begin(), reply.running.end(), same) ||
         std::any_of(reply.ended.begin(), reply.ended.end(), same);
+    if (!there && reply.more_ends) {
+      // Its end may be among those that aren't listed yet.
+      ++at;
+      continue;
+    }
     const scheduling::StartOrder order = doubt.order;
     at = doubts_.erase(at);
     logging::Event(logging::Level::kInfo, "doubtful start settled",
