--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -26,7 +26,7 @@
   Process(JobCell& cell, const std::string& name)
       : executor(cell.clock_),
         store(cell.store_, executor, name, &cell.Machine(name)),
-        tasks(cell.upstreams_, executor),
+        tasks(cell.upstreams_, executor, name),
         peers(cell, executor, name),
         hosts(cell.hosts_, executor),
         entry(std::make_unique<jobentry::JobEntry>(
@@ -124,7 +124,8 @@
 bool JobCell::Disturbed() const {
   const StoreFaults& store = store_.faults();
   if (store.down || !store.turned_away.empty() || store.lose_answers > 0 ||
-      store.late_appends > 0 || !cut_.empty()) {
+      store.late_appends > 0 || !store.answers_late_by.empty() ||
+      !cut_.empty()) {
     return true;
   }
   const bool paused = std::any_of(
@@ -185,6 +186,18 @@
   }
 }
 
+void JobCell::Part(const std::set<std::string>& entries,
+                   const std::set<std::string>& upstreams) {
+  for (const std::string& entry : island_) {
+    store_.faults().turned_away.erase(entry);
+  }
+  island_ = entries;
+  store_.faults().turned_away.insert(entries.begin(), entries.end());
+  std::set<std::string> all = entries;
+  all.insert(upstreams.begin(), upstreams.end());
+  upstreams_.Part(std::move(all));
+}
+
 std::vector<std::string> JobCell::names() const {
   std::vector<std::string> out;
   for (const auto& [name, process] : processes_) out.push_back(name);
@@ -355,6 +368,7 @@
     done(Result<Reply>(Errc::kTimeout, "no answer"));
   });
   if (cell_.cut_.count(name) > 0 || cell_.cut_.count(self_) > 0) return;
+  if (cell_.island_.count(name) != cell_.island_.count(self_)) return;
   auto* process = found->second.get();
   const Millis way = kWay + cell_.slow_[name] + cell_.slow_[self_];
   MachineFake& here = cell_.Machine(self_);
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -88,6 +88,10 @@
   void Resume(const std::string& entry);
   /// Cuts the entry off from all other entries, both ways.
   void Cut(const std::string& entry, bool cut);
+  /// From now on these entries and upstreams reach each other only, and not the
+  /// store; with none, all reach all.
+  void Part(const std::set<std::string>& entries,
+            const std::set<std::string>& upstreams);
   /// Every call to or from the entry takes this much longer each way; its way
   /// to the store stays as it is.
   void Slow(const std::string& entry, Millis way) { slow_[entry] = way; }
@@ -159,6 +163,7 @@
   /// Processes that were killed; their executors may still be pointed at.
   std::vector<std::unique_ptr<Process>> ended_;
   std::set<std::string> cut_;
+  std::set<std::string> island_;
   std::map<std::string, Millis> slow_;
   /// What the list says of each life of an upstream.
   std::map<std::string, wire::UpstreamRecord> listed_;
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -214,7 +214,11 @@
   Send(RecordBytes(call.records), [this, call, way, give] {
     store_.clock().At(store_.clock().now() + way, [this, call, way, give] {
       const ports::AppendReply reply = store_.Append(call);
-      store_.clock().At(store_.clock().now() + way, [this, reply, give] {
+      const auto& late = store_.faults().answers_late_by;
+      const auto found = late.find(entry_);
+      const Millis back =
+          way + (found == late.end() ? Millis(0) : found->second);
+      store_.clock().At(store_.clock().now() + back, [this, reply, give] {
         Receive(kMessageBytes, [give, reply] { give(reply); });
       });
     });
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -27,6 +27,8 @@
   Millis late_by{2000};
   /// How long an append takes until it is answered; half of it there.
   Millis append_takes{4};
+  /// Answers to appends of these entries come so much later.
+  std::map<std::string, Millis> answers_late_by{};
 };
 
 /// The platform's store: tables whose newest record of a key counts, fenced
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -20,6 +20,8 @@
 constexpr Millis kCancelBound{3000};
 constexpr Millis kStopBound{900};
 constexpr int kMaxAttempts = 2;
+/// So many ends are listed in one answer.
+constexpr size_t kEndsAnAnswer = 500;
 /// A task under which so many upstreams have crashed is started no more than so
 /// many times after it.
 constexpr int kCrashesBorne = 3;
@@ -55,8 +57,9 @@
       .count();
 }
 
-bool UpstreamsFake::Reachable(const std::string& id) {
+bool UpstreamsFake::Reachable(const std::string& id, const std::string& entry) {
   called_.insert(id);
+  if (island_.count(id) != island_.count(entry)) return false;
   const auto found = upstreams_.find(id);
   return found != upstreams_.end() && !found->second.faults.dead &&
          !found->second.faults.cut;
@@ -462,7 +465,10 @@
     reply.running.push_back(
         {.task = task, .attempt = run.attempt, .percent = percent});
   }
-  reply.ended = upstream.ended;
+  const size_t listed = std::min(upstream.ended.size(), kEndsAnAnswer);
+  reply.ended.assign(upstream.ended.begin(),
+                     upstream.ended.begin() + static_cast<ptrdiff_t>(listed));
+  reply.more_ends = listed == kEndsAnAnswer;
   return reply;
 }
 
@@ -476,7 +482,7 @@
       done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
     });
   };
-  if (!upstreams_.Reachable(target.id)) return lost();
+  if (!upstreams_.Reachable(target.id, entry_)) return lost();
   if (const auto verdict = upstreams_.CrashVerdict(target.id)) {
     return executor_.RunAfter(2 * kWay, [done, verdict] {
       done({.verdict = *verdict, .detail = "Connection refused"});
@@ -505,7 +511,7 @@
                       int64_t attempt, int64_t fence, Millis timeout,
                       std::function<void(ports::CallReply)> done) {
   int& lose_stops = upstreams_.faults(target.id).lose_stops;
-  if (!upstreams_.Reachable(target.id) || lose_stops > 0) {
+  if (!upstreams_.Reachable(target.id, entry_) || lose_stops > 0) {
     lose_stops = std::max(0, lose_stops - 1);
     return executor_.RunAfter(timeout, [done] {
       done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
@@ -527,7 +533,7 @@
 void TaskAccess::Renew(const ports::UpstreamTarget& target,
                        const ports::RenewCall& call, Millis timeout,
                        std::function<void(ports::RenewReply)> done) {
-  if (!upstreams_.Reachable(target.id)) {
+  if (!upstreams_.Reachable(target.id, entry_)) {
     return executor_.RunAfter(timeout, [done] {
       ports::RenewReply reply;
       reply.call = {.verdict = CallVerdict::kUnknown, .detail = "no answer"};
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -117,8 +117,11 @@
   void CheckOrder(const TaskId& task);
   /// Nothing of a cancelled job runs on past its bound.
   void CheckCancelled();
-  /// Whether a call gets there and back.
-  bool Reachable(const std::string& id);
+  /// Whether a call of this entry gets there and back.
+  bool Reachable(const std::string& id, const std::string& entry);
+  /// The entries and upstreams named reach each other and nobody else does;
+  /// with none, all reach all.
+  void Part(std::set<std::string> island) { island_ = std::move(island); }
   /// What a call to an upstream that has crashed is answered; unset for others.
   std::optional<ports::CallVerdict> CrashVerdict(const std::string& id) const;
   sim::ManualClock& clock() { return clock_; }
@@ -203,13 +206,15 @@
   std::vector<std::string> broken_;
   uint64_t last_run_ = 0;
   int starts_ = 0;
+  std::set<std::string> island_;
 };
 
 /// One entry's way to the upstreams.
 class TaskAccess final : public ports::TaskPort, public ports::AdvicePort {
  public:
-  TaskAccess(UpstreamsFake& upstreams, Executor& executor)
-      : upstreams_(upstreams), executor_(executor) {}
+  /// Everything given outlives it.
+  TaskAccess(UpstreamsFake& upstreams, Executor& executor, std::string entry)
+      : upstreams_(upstreams), executor_(executor), entry_(std::move(entry)) {}
 
   void Start(const ports::UpstreamTarget& target, const ports::StartTask& call,
              Millis timeout,
@@ -226,6 +231,7 @@
  private:
   UpstreamsFake& upstreams_;
   Executor& executor_;
+  std::string entry_;
 };
 
 }  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/late_word_test.cc
@@ -0,0 +1,95 @@
+// What a leader takes for a sign that it still leads, while another has taken
+// its place: the word came late, or from an entry as cut off as itself.
+
+#define BOOST_TEST_MODULE late_word
+#include <boost/test/unit_test.hpp>
+
+#include "tests/jobsim/job_cell.h"
+#include "tests/jobsim/trace.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr Millis kSettle{5000};
+/// A next leader counts on it that the one before gives no order later than
+/// this after the next one's claim.
+constexpr Millis kEarlierLeader{2000};
+constexpr Millis kTakeOver{6000};
+constexpr Millis kLook{10};
+
+/// Runs until another entry leads; false if none does in time.
+bool RunUntilSucceeded(JobCell& cell, const std::string& before) {
+  const TimePoint limit = cell.clock().now() + kTakeOver;
+  while (cell.clock().now() < limit) {
+    const std::string leader = cell.Leader();
+    if (!leader.empty() && leader != before) return true;
+    cell.RunFor(kLook);
+  }
+  return false;
+}
+
+}  // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(Trace);
+
+/// A leader's append is stored, and its answer is under way for 1.45 s, as long
+/// as the leader waits for it. Meanwhile the others, who hear nothing of the
+/// leader, put another in its place. Dated when it was read, the answer lets
+/// the old leader renew leases of upstreams that only it reaches for longer
+/// than the next one waits for, and what they run runs at two places.
+BOOST_AUTO_TEST_CASE(ALateAnswerOfTheStoreIsAnOldOne) {
+  constexpr Millis kAnswerLateBy{1450};
+  constexpr int kMoments = 40;  // a period of renewals
+  constexpr Millis kStep{5};
+  for (int moment = 0; moment < kMoments; ++moment) {
+    BOOST_TEST_CONTEXT("cut off after " << moment << " steps") {
+      JobCell cell({});
+      cell.RunFor(kSettle + moment * kStep);
+      const std::string old = cell.Leader();
+      StoreFaults& store = cell.store().faults();
+      store.answers_late_by[old] = kAnswerLateBy;
+      cell.Cut(old, true);
+      std::set<std::string> island{old};
+      for (const std::string& id : cell.upstreams().ids()) island.insert(id);
+      cell.upstreams().Part(island);
+      cell.RunFor(Millis(500));
+      cell.Submit(old, OneStepJob(1, 1, 1000));
+      cell.RunFor(Millis(50));
+      store.turned_away.insert(old);
+      BOOST_REQUIRE(RunUntilSucceeded(cell, old));
+      cell.RunFor(kEarlierLeader);
+      BOOST_TEST(!cell.entry(old)->leadership().trusted());
+    }
+  }
+}
+
+/// A failure domain is cut off with the leader, another entry and an upstream.
+/// The other entry greets the leader as ever, which proves nothing: neither of
+/// them could hear that the rest of the cell has another leader. That one takes
+/// the upstream's tasks for over when their leases must have run out.
+BOOST_AUTO_TEST_CASE(AnEntryAsCutOffAsTheLeaderIsNoWitness) {
+  JobCell cell({});
+  cell.RunFor(kSettle);
+  const std::string old = cell.Leader();
+  const TaskId task{1, 0, 0, 0};
+  cell.upstreams().script(task).takes = Millis(30000);
+  cell.Submit(old, OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(500));
+  const std::string upstream = cell.upstreams().Where(task);
+  BOOST_REQUIRE(!upstream.empty());
+  std::string other;
+  for (const std::string& name : cell.names()) {
+    if (name != old) other = name;
+  }
+  cell.Part({old, other}, {upstream});
+  BOOST_REQUIRE(RunUntilSucceeded(cell, old));
+  cell.RunFor(Millis(20000));
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+  // The part of the cell that reaches the store goes on with the task.
+  BOOST_TEST(cell.upstreams().Starts(task) == 2);
+  cell.Part({}, {});
+  cell.RunFor(Millis(5000));
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+}
+
+}  // namespace mimosarail::jobsim
