Leadership: Date the store's word when it was asked, and ask most entries

Callers would see a task run at two places. A next leader gives upstreams that it can't reach the time in which the leader before may still renew their leases: 2 s after its own claim, LeadershipOptions::trust. Two things let the old leader go on for longer.

An answer of the store counted from when it was read. It now counts from when its call was sent, which is before whatever the store did after it; the same goes for the claim.

One greeting of any other entry counted as well. An entry in a domain that is cut off together with the leader greets it for ever, and neither can hear that the rest of the cell, which reaches the store, has another leader: the old one renewed the leases in its domain without end. Without the store's word more than half of the entries must greet the leader now. Those are counted that were there in the 30 s before the store last answered, however long ago that is. Where the store is away for all, nobody can take over, and a leader that most entries follow goes on as before. A part of the cell that holds more than half of the entries and not the store still goes on for as long as it is cut off; only the store's word could rule that out, and then each outage of the store would end all that runs.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -111,6 +111,10 @@
   wire::PendingJobsReply Pending(const std::string& queue) const;
 
   TimePoint last_stored() const { return journal_->last_stored(); }
+  /// When the append that was last stored had been sent for the first time.
+  TimePoint last_stored_sent() const {
+    return journal_->last_stored() - journal_->last_took();
+  }
   bool loaded() const { return loaded_; }
 
   bool MayGiveOrders() override;
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -127,6 +127,11 @@
                [this] {
                  return coordinator_ ? coordinator_->last_stored()
                                      : TimePoint{};
+               },
+           .last_stored_sent =
+               [this] {
+                 return coordinator_ ? coordinator_->last_stored_sent()
+                                     : TimePoint{};
                }}) {}
 
 JobEntry::~JobEntry() = default;
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -175,13 +175,14 @@
                  .records = {{kLeaderKey, Record(term, unsettled_terms)}},
                  .only_at = end_offset},
                 kStoreTimeout,
-                [this, term, unsettled_terms](const ports::AppendReply& reply) {
-                  OnClaim(term, unsettled_terms, reply);
+                [this, term, unsettled_terms,
+                 asked = AskedNow()](const ports::AppendReply& reply) {
+                  OnClaim(term, unsettled_terms, asked, reply);
                 });
 }
 
 void Leadership::OnClaim(int64_t term, int32_t unsettled_terms,
-                         const ports::AppendReply& reply) {
+                         const Asked& asked, const ports::AppendReply& reply) {
   if (reply.verdict != ports::AppendVerdict::kStored ||
       role_ != Role::kFollowing || term <= term_) {
     // Lost, or in doubt: the next look finds out, own record or not.
@@ -190,7 +191,7 @@
     return EndLook(kLookAgain);
   }
   EndLook(Millis(0));
-  Lead(term, unsettled_terms, reply.end_offset);
+  Lead(term, unsettled_terms, asked, reply.end_offset);
 }
 
 }  // namespace mimosarail::leadership
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -87,20 +87,41 @@
   if (role_ != Role::kLeading) return false;
   // A machine that was suspended has missed time that its clock does not show;
   // somebody else may lead by now, which the next renewal tells.
-  if (executor_.Suspended() - suspended_at_renewal_ > kSuspension) return false;
+  if (executor_.Suspended() - confirmed_.suspended > kSuspension) return false;
   const TimePoint now = executor_.Now();
   if (now - last_tick_ > options_.trust) return false;  // it just stood still
-  // What waited for a process that stood still says nothing of now: a renewal
-  // counts if it was sent since, a greeting if it can't have been under way.
-  const bool confirmed = confirmed_at_ >= awake_since_;
-  TimePoint last;
-  if (confirmed) last = std::max(last_renewed_, events_.last_stored());
+  const bool confirmed = confirmed_.sent >= awake_since_;
+  return (confirmed && now - last_proof() < options_.trust) || MostFollow();
+}
+
+TimePoint Leadership::last_proof() const {
+  // Dated when it was read, a word of the store that was under way for a second
+  // would count for longer than the next leader waits.
+  return std::max(confirmed_.sent, events_.last_stored_sent());
+}
+
+bool Leadership::MostFollow() const {
+  const TimePoint now = executor_.Now();
+  // What waited for a process that stood still says nothing of now: a greeting
+  // counts if the store has answered since, or if it can't have been under way.
+  const bool confirmed = confirmed_.sent >= awake_since_;
+  // Only while the store answers can an entry be counted out: one that is
+  // behind a cut may have taken over, however long ago it was heard of.
+  const TimePoint counted_from = last_proof() - options_.counted;
+  size_t entries = 1;
+  size_t following = 1;
   for (const auto& [name, follower] : followers_) {
-    if (confirmed || follower.heard - awake_since_ >= options_.hello_timeout) {
-      last = std::max(last, follower.heard);
-    }
+    if (follower.heard < counted_from) continue;
+    ++entries;
+    const bool fresh =
+        confirmed || follower.heard - awake_since_ >= options_.hello_timeout;
+    if (fresh && now - follower.heard < options_.trust) ++following;
   }
-  return now - last < options_.trust;
+  return following > 1 && 2 * following > entries;
+}
+
+Leadership::Asked Leadership::AskedNow() const {
+  return {.sent = executor_.Now(), .suspended = executor_.Suspended()};
 }
 
 void Leadership::NoteStandstill() {
@@ -120,7 +141,7 @@
   const TimePoint now = executor_.Now();
   if (role_ == Role::kLeading) {
     const bool due = now - last_renewed_ >= options_.renew_period ||
-                     confirmed_at_ < awake_since_;
+                     confirmed_.sent < awake_since_;
     if (due && !renewing_) Renew();
     // Another may have taken over while the announcement could not get here.
     // With the store out of reach nothing else would tell of it, and callers
@@ -377,7 +398,7 @@
   return false;
 }
 
-void Leadership::Lead(int64_t term, int32_t unsettled_terms,
+void Leadership::Lead(int64_t term, int32_t unsettled_terms, const Asked& asked,
                       int64_t end_offset) {
   role_ = Role::kLeading;
   term_ = term;
@@ -387,8 +408,7 @@
   end_offset_ = end_offset;
   last_renewed_ = executor_.Now();
   leading_since_ = last_renewed_;
-  confirmed_at_ = last_renewed_;
-  suspended_at_renewal_ = executor_.Suspended();
+  confirmed_ = asked;
   followers_.clear();
   changes_.Clear();
   changes_.Join(options_.member);
@@ -425,26 +445,22 @@
 
 void Leadership::Renew() {
   renewing_ = true;
-  store_.Append(
-      {.table = options_.table,
-       .records = {{kLeaderKey, Record(term_, unsettled_terms_)}},
-       .only_at = end_offset_},
-      kStoreTimeout,
-      [this, sent = executor_.Now(),
-       suspended = executor_.Suspended()](const ports::AppendReply& reply) {
-        OnRenew(sent, suspended, reply);
-      });
-}
-
-void Leadership::OnRenew(TimePoint sent, Millis suspended,
-                         const ports::AppendReply& reply) {
+  store_.Append({.table = options_.table,
+                 .records = {{kLeaderKey, Record(term_, unsettled_terms_)}},
+                 .only_at = end_offset_},
+                kStoreTimeout,
+                [this, asked = AskedNow()](const ports::AppendReply& reply) {
+                  OnRenew(asked, reply);
+                });
+}
+
+void Leadership::OnRenew(const Asked& asked, const ports::AppendReply& reply) {
   renewing_ = false;
   if (role_ != Role::kLeading) return;
   if (reply.verdict == ports::AppendVerdict::kStored) {
     end_offset_ = reply.end_offset;
     last_renewed_ = executor_.Now();
-    confirmed_at_ = sent;
-    suspended_at_renewal_ = suspended;
+    confirmed_ = asked;
     return;
   }
   // A conflict is another's claim or an own renewal whose answer was lost.
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -46,9 +46,13 @@
   /// A leader that had no success at the store for this long is replaced by
   /// somebody who can reach it.
   Millis store_silence{700};
-  /// Without a word from the store or a follower for this long, a leader gives
-  /// no orders any more: another may have taken over unseen.
+  /// Without a word from the store or most other entries for this long, a
+  /// leader gives no orders any more: another may have taken over unseen.
   Millis trust{2000};
+  /// An entry that had not been heard of for this long when the store last
+  /// answered is not counted among the others; another machine has taken its
+  /// place long since.
+  Millis counted{30000};
   /// Processor share, in percent of a core, with which an entry can lead any
   /// deployment; to lead 350 upstreams took 0.22 of a core.
   int32_t enough_fitness = 25;
@@ -77,6 +81,8 @@
     std::function<std::string()> config_document;
     /// When the leader's own journal was last stored.
     std::function<TimePoint()> last_stored;
+    /// When that append had been sent.
+    std::function<TimePoint()> last_stored_sent;
   };
 
   /// Everything given outlives it.
@@ -126,6 +132,12 @@
   void AskWitnesses();
   void OnWitness(const std::string& address,
                  const Result<wire::HelloReply>& reply);
+  /// As leader: whether more than half of the entries, this one among them, are
+  /// known to follow it still. One that is cut off as this one may greet it for
+  /// ever, while the rest of the cell has another leader.
+  bool MostFollow() const;
+  /// As leader: when the newest call that the store answered had been sent.
+  TimePoint last_proof() const;
   /// Whether the leader leaves this entry and most others waiting, late enough
   /// in its term.
   bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
@@ -164,16 +176,23 @@
   void NoteGoneFollowers();
   void GiveUpOffice(Role role, const std::string& cause);
   void Claim(int64_t term, int64_t end_offset, int32_t unsettled_terms);
-  void OnClaim(int64_t term, int32_t unsettled_terms,
+  /// What the store answers holds as of when it was asked: the answer may be
+  /// late, and another may lead by then.
+  struct Asked {
+    TimePoint sent{};
+    /// How long the machine had been suspended by then.
+    Millis suspended{0};
+  };
+  Asked AskedNow() const;
+  void OnClaim(int64_t term, int32_t unsettled_terms, const Asked& asked,
                const ports::AppendReply& reply);
   void EndLook(Millis pause);
-  void Lead(int64_t term, int32_t unsettled_terms, int64_t end_offset);
+  void Lead(int64_t term, int32_t unsettled_terms, const Asked& asked,
+            int64_t end_offset);
   /// Whether this leader has served for LeadershipOptions::settled_after.
   bool settled() const;
   void Renew();
-  /// `sent` and `suspended` are of the moment at which the renewal was sent.
-  void OnRenew(TimePoint sent, Millis suspended,
-               const ports::AppendReply& reply);
+  void OnRenew(const Asked& asked, const ports::AppendReply& reply);
   void SettleRenewal();
   std::string Record(int64_t term, int32_t unsettled_terms) const;
   /// The leader's record on a page of the table; empty if there is none that
@@ -217,13 +236,12 @@
   int64_t end_offset_ = 0;
   bool renewing_ = false;
   TimePoint last_renewed_{};
-  /// When the newest renewal that was stored had been sent.
-  TimePoint confirmed_at_{};
+  /// When the newest renewal that was stored, or the claim, had been sent, and
+  /// how long the machine had been suspended by then.
+  Asked confirmed_;
   TimePoint last_tick_{};
   /// End of the last time that this process stood still.
   TimePoint awake_since_{};
-  /// How long the machine had been suspended when that renewal was sent.
-  Millis suspended_at_renewal_{0};
   struct Follower {
     wire::Member member;
     TimePoint heard;
