--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -454,6 +454,25 @@
   }
 }
 
+/// A job's record is larger than the store takes. Its append would be refused
+/// each time, and with it all that waits behind it: no job would be taken any
+/// more, and no end kept, until another entry leads.
+BOOST_AUTO_TEST_CASE(AJobTooLargeForTheStoreHindersNoOther) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  wire::JobSpec large = OneStepJob(1, 1, 1000);
+  large.steps[0].data_rack = std::string(300 << 10, 'r');
+  cell.Submit("entry-1", large);
+  cell.RunFor(Millis(100));
+  cell.Submit("entry-2", OneStepJob(2, 1, 1000));
+  cell.RunFor(Millis(3000));
+  BOOST_TEST(cell.refused(1));
+  BOOST_TEST(!cell.upstreams().Ran(1));
+  BOOST_TEST(cell.accepted(2));
+  BOOST_TEST(cell.RunUntilFinal(2, Millis(3000)));
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+}
+
 /// The store is away: a new job is refused, and must then never run. Callers
 /// hear of it within the entry's patience instead of at their deadline.
 BOOST_AUTO_TEST_CASE(RefusedWhileTheStoreIsAwayNeverRuns) {
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -11,6 +11,9 @@
 constexpr size_t kPage = 500;
 /// So many of a writer's newest appends are answered again when repeated.
 constexpr size_t kRepeats = 5;
+/// Most bytes of a record and of all records of an append.
+constexpr size_t kMostRecordBytes = 256 << 10;
+constexpr size_t kMostAppendBytes = 2 << 20;
 /// Of a call or an answer without records.
 constexpr size_t kMessageBytes = 200;
 
@@ -51,6 +54,16 @@
   return out;
 }
 
+bool TooLarge(const std::vector<ports::KeyedRecord>& records) {
+  size_t total = 0;
+  for (const ports::KeyedRecord& record : records) {
+    const size_t bytes = 1 + record.key.size() + record.value.size();
+    if (bytes > kMostRecordBytes) return true;
+    total += bytes;
+  }
+  return total > kMostAppendBytes;
+}
+
 std::vector<std::string> ValuesOf(
     const std::vector<ports::KeyedRecord>& records) {
   std::vector<std::string> out;
@@ -93,6 +106,9 @@
 ports::AppendReply StoreFake::Append(const ports::AppendCall& call) {
   using ports::AppendVerdict;
   ++appends_;
+  if (TooLarge(call.records)) {
+    return {.verdict = AppendVerdict::kRefused, .detail = "too large"};
+  }
   Table& table = tables_[call.table];
   if (call.only_at && *call.only_at != table.end) {
     return {.verdict = AppendVerdict::kConflict, .end_offset = table.end};
--- /dev/null
+++ b/tests/leadership_test.cc
@@ -0,0 +1,143 @@
+// What one entry takes from the words of others about who leads.
+
+#define BOOST_TEST_MODULE leadership
+#include "src/leadership/leadership.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "src/leadership/leader_table.h"
+#include "src/libs/rpc/codec.h"
+#include "tests/jobsim/store_fake.h"
+#include "tests/jobsim/trace.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr Millis kSilence{750};
+
+/// Greetings to other entries, which the test answers when and as it likes.
+class HeldGreetings final : public leadership::JobPeerPort {
+ public:
+  using Done = Callback<wire::HelloReply>;
+
+  void Hello(const std::string& address, const wire::HelloCall&, Millis,
+             Done done) override {
+    held[address].push_back(std::move(done));
+  }
+  void Announce(const std::string&, const wire::AnnounceCall&, Millis,
+                Callback<wire::AnnounceReply>) override {}
+  void SubmitJob(const std::string&, const wire::SubmitJobCall&, Millis,
+                 Callback<wire::SubmitJobReply>) override {}
+  void JobState(const std::string&, const wire::JobStateCall&, Millis,
+                Callback<wire::JobStateReply>) override {}
+  void CancelJob(const std::string&, const wire::CancelJobCall&, Millis,
+                 Callback<wire::CancelJobReply>) override {}
+  void PendingJobs(const std::string&, const wire::PendingJobsCall&, Millis,
+                   Callback<wire::PendingJobsReply>) override {}
+  void Advise(const std::string&, const wire::AdviseCall&, Millis,
+              Callback<wire::AdviseReply>) override {}
+
+  /// Answers the oldest greeting to this address. Precondition: there is one.
+  void Answer(const std::string& address, Result<wire::HelloReply> reply) {
+    std::vector<Done>& waiting = held.at(address);
+    const Done done = std::move(waiting.front());
+    waiting.erase(waiting.begin());
+    done(std::move(reply));
+  }
+
+  std::map<std::string, std::vector<Done>> held;
+};
+
+wire::Member MemberAt(const std::string& name) {
+  wire::Member out;
+  out.name = name;
+  out.address = name + ":1";
+  out.fitness = 100;
+  return out;
+}
+
+wire::AnnounceCall Lead(int64_t term, const std::string& name) {
+  wire::AnnounceCall out;
+  out.term = term;
+  out.leader = MemberAt(name);
+  return out;
+}
+
+struct Fixture {
+  sim::ManualClock clock;
+  sim::ManualExecutor executor{clock};
+  StoreFake fake{clock};
+  StoreAccess store{fake, executor, "self"};
+  HeldGreetings peers;
+  metrics::Registry metrics;
+  faults::EntryFaults faults{metrics};
+  leadership::LeadershipOptions options{.member = MemberAt("self"),
+                                        .seeds = {"next:1"}};
+  leadership::Leadership self{executor,
+                              store,
+                              peers,
+                              faults,
+                              options,
+                              {.lead = [](int64_t) {},
+                               .lost = [] {},
+                               .serves = [] {},
+                               .heard = [](const wire::HelloReply&) {},
+                               .config_version = [] { return int64_t{0}; },
+                               .config_document = [] { return std::string(); },
+                               .last_stored = [] { return TimePoint{}; },
+                               .last_stored_sent = [] { return TimePoint{}; }}};
+
+  void Store(const wire::AnnounceCall& record) {
+    fake.Put(options.table, leadership::kLeaderKey, rpc::Encode(record));
+  }
+};
+
+}  // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(Trace);
+
+/// The leader is silent, so another entry is asked, which does not lead yet. It
+/// claims, announces itself, and its answer to the question from before comes
+/// after that. Taken for its resignation, the answer lets this entry claim at
+/// once: the cell changes its leader twice, and callers wait for both.
+BOOST_FIXTURE_TEST_CASE(AnAnswerFromBeforeTheClaimIsNoResignation, Fixture) {
+  Store(Lead(1, "old"));
+  self.Start();
+  clock.RunFor(Millis(100));
+  BOOST_REQUIRE_EQUAL(self.leader().name, "old");
+  clock.RunFor(kSilence);
+  // The greeting to the silent leader ends without an answer.
+  for (int i = 0; i < 10 && peers.held["next:1"].empty(); ++i) {
+    while (!peers.held["old:1"].empty()) {
+      peers.Answer("old:1", Result<wire::HelloReply>(Errc::kTimeout));
+    }
+    clock.RunFor(Millis(60));
+  }
+  BOOST_REQUIRE(!peers.held["next:1"].empty());
+  Store(Lead(2, "next"));
+  self.OnAnnounce(Lead(2, "next"));
+  BOOST_REQUIRE_EQUAL(self.leader().name, "next");
+  clock.RunFor(Millis(450));
+  wire::HelloReply before;
+  before.term = 1;
+  before.leader = MemberAt("old");
+  peers.Answer("next:1", before);
+  clock.RunFor(Millis(400));
+  BOOST_TEST(!self.leading());
+  BOOST_TEST(self.term() == 2);
+}
+
+/// The same words from a leader that was asked in its own term do tell that it
+/// has given up, or that another process has taken its place.
+BOOST_FIXTURE_TEST_CASE(AResignationIsFollowedByAClaim, Fixture) {
+  Store(Lead(1, "next"));
+  self.Start();
+  clock.RunFor(Millis(500));
+  BOOST_REQUIRE_EQUAL(self.leader().name, "next");
+  BOOST_REQUIRE(!peers.held["next:1"].empty());
+  peers.Answer("next:1", wire::HelloReply());
+  clock.RunFor(Millis(400));
+  BOOST_TEST(self.leading());
+}
+
+}  // namespace mimosarail::jobsim
