Leadership: Take no answer from before a leader's term for its resignation

Callers would wait for a second change of leaders right after the first: while the leader is silent another entry is asked, which doesn't lead yet; it claims, and its announcement, on a connection of its own, overtakes its answer to that question. "I don't lead", from the address of the leader, passed for a resignation, after which a claim needs no patience: a leader that was well was deposed, and all was loaded again.

An answer holds as of when it was asked.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -189,18 +189,19 @@
       continue;
     }
     peers_.Hello(address, call, options_.hello_timeout,
-                 [this, address](const Result<wire::HelloReply>& reply) {
-                   OnWitness(address, reply);
+                 [this, address, sent = executor_.Now()](
+                     const Result<wire::HelloReply>& reply) {
+                   OnWitness(address, sent, reply);
                  });
   }
 }
 
-void Leadership::OnWitness(const std::string& address,
+void Leadership::OnWitness(const std::string& address, TimePoint sent,
                            const Result<wire::HelloReply>& reply) {
   if (role_ != Role::kFollowing || !reply.ok()) return;
   const wire::HelloReply& hello = reply.value();
   if (hello.term != term_ || hello.leading) {
-    return OnHelloReply(address, reply);
+    return OnHelloReply(address, sent, reply);
   }
   votes_.Note(address, executor_.Now(),
               Millis(hello.leader_silent_ms) >= options_.unanswered);
@@ -247,12 +248,12 @@
                 sent = executor_.Now()](const Result<wire::HelloReply>& reply) {
                  greeting_ = false;
                  const TimePoint before = last_heard_;
-                 OnHelloReply(address, reply);
+                 OnHelloReply(address, sent, reply);
                  if (last_heard_ != before) answered_at_ = sent;
                });
 }
 
-void Leadership::OnHelloReply(const std::string& address,
+void Leadership::OnHelloReply(const std::string& address, TimePoint sent,
                               const Result<wire::HelloReply>& reply) {
   if (role_ == Role::kLeading) {
     if (reply.ok() && reply.value().term > term_) {
@@ -261,8 +262,11 @@
     }
     return;
   }
+  // What was asked before the leader was known may have been answered before it
+  // led: its announcement overtakes that answer.
+  const bool of_leader = address == leader_.address && sent >= following_since_;
   if (!reply.ok()) {
-    if (address != leader_.address) return;
+    if (!of_leader) return;
     // Nobody listens there any more: most likely the process has ended.
     const bool refused = reply.error().code == Errc::kUnavailable;
     refused_ = refused ? refused_ + 1 : 0;
@@ -279,7 +283,7 @@
     Follow(hello.term, hello.leader, hello.loading);
   }
   if (!hello.leading) {
-    if (address == leader_.address) {
+    if (of_leader) {
       Suspect(Suspicion::kResigned,
               "the leader's address says that it does not lead");
     }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -130,7 +130,7 @@
   void AskAround();
   /// Asks some other followers whether the leader answers them.
   void AskWitnesses();
-  void OnWitness(const std::string& address,
+  void OnWitness(const std::string& address, TimePoint sent,
                  const Result<wire::HelloReply>& reply);
   /// As leader: whether more than half of the entries, this one among them, are
   /// known to follow it still. One that is cut off as this one may greet it for
@@ -146,7 +146,8 @@
   /// The greeting that this entry would send now.
   wire::HelloCall Greeting() const;
   void Greet(const std::string& address);
-  void OnHelloReply(const std::string& address,
+  /// `sent` is when the greeting was.
+  void OnHelloReply(const std::string& address, TimePoint sent,
                     const Result<wire::HelloReply>& reply);
   void Follow(int64_t term, const wire::Member& leader, bool loading);
   /// The known leader has loaded. Within a term that stays so, whatever comes
