Coordinator: Refuse a job whose record the store doesn't take

Callers would see no job answered any more, and no end would be kept, from one job on whose record is above the 256 KB that the store takes: 1,000 steps that name many others, or a long label.

Such a job is refused before it is put, with a line in the log that names its size. It never runs.

The record of a job's progress, which grows with its checkpoints and failures, isn't bounded by this.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -25,6 +25,10 @@
   return reply;
 }
 
+bool Storable(const std::string& key, const std::string& value) {
+  return 1 + key.size() + value.size() <= kMaxRecordBytes;
+}
+
 wire::CancelJobReply CancelReply(JobVerdict verdict) {
   wire::CancelJobReply reply;
   reply.verdict = static_cast<int32_t>(verdict);
@@ -66,7 +70,16 @@
     }
     wire::JobSpec stored = spec;
     stored.accepted_unix_ms = deps_.executor.UnixMillis();
-    journal_->Put(SpecKey(id), rpc::Encode(stored));
+    std::string record = rpc::Encode(stored);
+    if (!Storable(SpecKey(id), record)) {
+      // The store would refuse each append with it, and so all behind it.
+      logging::Event(Level::kWarning, "job refused",
+                     {{"job", JobIdText(id)},
+                      {"cause", "its record is too large for the store"},
+                      {"bytes", Text(static_cast<int64_t>(record.size()))}});
+      return done(SubmitReply(JobVerdict::kRefused, kRetryAfterMs));
+    }
+    journal_->Put(SpecKey(id), std::move(record));
     const int64_t number = ++hand_ins_;
     arriving_[id].number = number;
     journal_->WhenStored(
--- a/src/coordinator/job_table.h
+++ b/src/coordinator/job_table.h
@@ -20,6 +20,8 @@
 
 /// Limit of one read of the store.
 inline constexpr Millis kStoreTimeout{1500};
+/// Most bytes of a record with its key that the store takes.
+inline constexpr size_t kMaxRecordBytes = 256 << 10;
 
 /// These build keys and records from values alone: safe from any thread.
 std::string SpecKey(JobId id);
