--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -6,12 +6,14 @@
 #include <thread>
 
 #include "platform/job_codec.h"
+#include "platform/store_client.h"
 #include "platform/store_codec.h"
 #include "platform/upstream_codec.h"
 #include "src/libs/http/client.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/server.h"
 #include "src/libs/rpc/asio.h"
+#include "src/libs/rpc/asio_executor.h"
 #include "src/libs/settings/job_settings.h"
 
 namespace mimosarail::platform {
@@ -425,4 +427,47 @@
   BOOST_TEST(read.back().request.body == "second");
 }
 
+/// The operators' topic holds more than a page: the configuration is on the
+/// second one. Taken from the first alone, no configuration would be known, or
+/// a wave on the second would never be carried out.
+BOOST_AUTO_TEST_CASE(TheConfigurationIsReadFromAllPages) {
+  asio::io_context io;
+  rpc::AsioExecutor executor(io);
+  std::vector<std::string> asked;
+  // Base64 of {"wave":7,"machines":["m"]} and of {}.
+  const std::string first =
+      R"({"items":[{"key":"a","value":"e30=","offset":0}],"hasMore":true,
+      "endOffset":5})";
+  const std::string second =
+      R"({"items":[{"key":"config","value":"e30=","offset":1},{"key":"wave/7",
+      "value":"eyJ3YXZlIjo3LCJtYWNoaW5lcyI6WyJtIl19","offset":2}],
+      "endOffset":6})";
+  http::Server server(
+      io, {},
+      [&](const http::Request& request, const http::Responder& respond) {
+        asked.push_back(request.target);
+        const bool more =
+            request.target.find("dependsOn=a") != std::string::npos;
+        respond({.status = 200, .body = more ? second : first});
+      });
+  const auto port = server.Listen("127.0.0.1:0");
+  BOOST_REQUIRE(port.ok());
+  http::Client client(io, {});
+  StoreClient store(client, executor,
+                    "127.0.0.1:" + std::to_string(port.value()));
+  std::optional<ports::ConfigUpdate> got;
+  store.ReadNewest(Millis(2000),
+                   [&](const Result<ports::ConfigUpdate>& update) {
+                     if (update.ok()) got = update.value();
+                     io.stop();
+                   });
+  io.run_for(std::chrono::seconds(10));
+  BOOST_REQUIRE(got.has_value());
+  BOOST_TEST(asked.size() == 2U);
+  BOOST_TEST(got->documents.size() == 1U);
+  BOOST_TEST(got->waves.size() == 1U);
+  // Pages are no snapshot: changes are read on from the end of the first.
+  BOOST_TEST(got->cursor == 5);
+}
+
 }  // namespace mimosarail::platform
