--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -454,6 +454,39 @@
   }
 }
 
+/// The store is slow right after a take-over, so the leader has two appends
+/// under way, and the second one gets there first. Nothing but the fence was
+/// before it, which is no append: the store takes it, and refuses the first one
+/// when that comes. A job of the first one must not pass for stored: its caller
+/// would believe so, and it would be gone with the leader.
+BOOST_AUTO_TEST_CASE(AnAppendThatIsOvertakenLosesNoAcceptedJob) {
+  JobCell cell({});
+  cell.RunFor(Millis(2000));
+  cell.store().faults().append_takes = Millis(200);
+  cell.Kill(cell.Leader());
+  cell.RunFor(Millis(3000));
+  const std::string leader = cell.Leader();
+  BOOST_REQUIRE(!leader.empty());
+  cell.store().faults().delays["jobs"] = {Millis(300), Millis(0)};
+  constexpr JobId kJobs = 6;
+  for (JobId id = 1; id <= kJobs; ++id) {
+    for (int32_t i = 0; i < 2; ++i) {
+      cell.upstreams().script({id, 0, 0, i}).takes = Millis(20000);
+    }
+    cell.Submit(leader, OneStepJob(id, 2, 1000));
+    cell.RunFor(Millis(60));
+  }
+  cell.RunFor(Millis(1500));
+  cell.store().faults().append_takes = Millis(4);
+  cell.Kill(leader);
+  cell.RunFor(Millis(4000));
+  for (JobId id = 1; id <= kJobs; ++id) {
+    if (!cell.accepted(id)) continue;
+    BOOST_TEST(cell.State(id).has_value(), "accepted and lost: " << id);
+  }
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+}
+
 /// A job's record is larger than the store takes. Its append would be refused
 /// each time, and with it all that waits behind it: no job would be taken any
 /// more, and no end kept, until another entry leads.
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -227,8 +227,14 @@
     });
   }
   const Millis way = faults.append_takes / 2;
-  Send(RecordBytes(call.records), [this, call, way, give] {
-    store_.clock().At(store_.clock().now() + way, [this, call, way, give] {
+  Millis there = way;
+  std::deque<Millis>& delays = faults.delays[call.table];
+  if (!delays.empty()) {
+    there += delays.front();
+    delays.pop_front();
+  }
+  Send(RecordBytes(call.records), [this, call, there, way, give] {
+    store_.clock().At(store_.clock().now() + there, [this, call, way, give] {
       const ports::AppendReply reply = store_.Append(call);
       const auto& late = store_.faults().answers_late_by;
       const auto found = late.find(entry_);
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -27,6 +27,9 @@
   Millis late_by{2000};
   /// How long an append takes until it is answered; half of it there.
   Millis append_takes{4};
+  /// The next appends to a table get there so much later, in turn: later ones
+  /// overtake them.
+  std::map<std::string, std::deque<Millis>> delays{};
   /// Answers to appends of these entries come so much later.
   std::map<std::string, Millis> answers_late_by{};
 };
