Metrics: Count bytes on an entry's link by message and direction

What fills a leader's link could only be told with trial code. The clients and servers of HTTP and of calls between entries count messages and bytes by kind: path (and topic, at the store), call, or the listener. Kinds are bounded. The daemon shows them with its metrics and logs, every 2 s, the kinds that carried the most since the last line.

Parts of a response that was cut off count as well: a page that never ended in time filled a link without being seen anywhere.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -47,6 +47,10 @@
 constexpr Millis kLastAnswers{700};
 /// How often a shutdown looks whether all is answered.
 constexpr Millis kShutdownLook{50};
+/// How often the log tells what the link carried.
+constexpr Millis kTrafficPeriod{2000};
+/// Most kinds of message in such a line: those that fill a link are few.
+constexpr size_t kTrafficKinds = 14;
 /// How often the settings file is read again; it may change without a signal.
 constexpr Millis kSettingsLook{2000};
 
@@ -80,17 +84,22 @@
 /// Everything of one running daemon, in the order of construction.
 struct JobDaemon {
   explicit JobDaemon(const JobSettings& s)
-      : store_http(traffic, {.max_connections = kStoreConnections}),
-        upstream_http(traffic, {.max_connections = kUpstreamConnections}),
-        adviser_http(traffic, {.max_connections = kAdviserConnections}),
-        hosts_http(traffic, {.max_connections = kHostsConnections}),
+      : store_http(traffic, {.max_connections = kStoreConnections,
+                             .traffic = &link,
+                             .traffic_kind = platform::StoreTrafficKind}),
+        upstream_http(traffic, {.max_connections = kUpstreamConnections,
+                                .traffic = &link}),
+        adviser_http(traffic, {.max_connections = kAdviserConnections,
+                               .traffic = &link}),
+        hosts_http(traffic,
+                   {.max_connections = kHostsConnections, .traffic = &link}),
         store(store_http, executor, s.store_address),
         upstreams(upstream_http, executor, {}),
         adviser(adviser_http, executor, s.adviser_address),
         hosts(hosts_http, executor, s.hosts_address),
-        peer_client(traffic),
+        peer_client(traffic, &link),
         peers(peer_client, executor),
-        peer_server(traffic),
+        peer_server(traffic, &link),
         entry({.executor = executor,
                .store = store,
                .config = store,
@@ -105,9 +114,10 @@
         front(traffic, executor, entry,
               {.address = s.front_address,
                .ready_address = s.ready_address,
-               .max_connections = static_cast<size_t>(s.max_connections)}),
+               .max_connections = static_cast<size_t>(s.max_connections),
+               .traffic = &link}),
         metrics_server(
-            traffic, {},
+            traffic, {.traffic = &link, .traffic_kind = "metrics"},
             [this](const http::Request&, const http::Responder& respond) {
               UpdateMetrics();
               respond({.headers = {{"Content-Type", "text/plain"}},
@@ -133,12 +143,27 @@
                 static_cast<double>(upstream_http.connections_opened()));
     metrics.Set({.name = "open_requests"},
                 static_cast<double>(front.open_requests()));
+    metrics::ShowTraffic(link, metrics);
+  }
+
+  /// What the link carried since the last line of this; control thread.
+  void LogTraffic() {
+    const std::vector<metrics::Traffic::Row> rows = link.TakeRecent();
+    if (rows.empty()) return;
+    logging::Event(
+        Level::kInfo, "traffic",
+        {{"bytes_in",
+          logging::Text(metrics::TrafficBytes(rows, metrics::Direction::kIn))},
+         {"bytes_out",
+          logging::Text(metrics::TrafficBytes(rows, metrics::Direction::kOut))},
+         {"most", metrics::DescribeTraffic(rows, kTrafficKinds)}});
   }
 
   asio::io_context control{1};
   asio::io_context traffic{1};
   rpc::AsioExecutor executor{control};
   metrics::Registry metrics;
+  metrics::Traffic link;
   http::Client store_http;
   http::Client upstream_http;
   http::Client adviser_http;
@@ -302,6 +327,7 @@
   asio::signal_set hangup(daemon.control, SIGHUP);
   WatchHangup(hangup, watch);
   RunEvery(daemon.executor, kSettingsLook, [&watch] { watch.Look("look"); });
+  RunEvery(daemon.executor, kTrafficPeriod, [&daemon] { daemon.LogTraffic(); });
   daemon.entry.Start();
   daemon.control.run();
   daemon.traffic.stop();
--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -19,6 +19,7 @@
 constexpr size_t kReadBytes = 16 << 10;
 
 struct PendingCall {
+  std::string kind;
   std::string bytes;
   TimePoint deadline;
   Callback<Response> done;
@@ -47,7 +48,7 @@
 
 struct Client::Private : std::enable_shared_from_this<Client::Private> {
   Private(asio::io_context& io_in, ClientOptions options_in)
-      : io(io_in), options(options_in) {}
+      : io(io_in), options(std::move(options_in)) {}
 
   asio::io_context& io;
   ClientOptions options;
@@ -157,6 +158,7 @@
   void Send() {
     Arm(call_.deadline);
     writing_ = true;
+    CountTraffic(metrics::Direction::kOut, call_.bytes.size(), 1);
     asio::async_write(
         socket_, asio::buffer(call_.bytes),
         [self = shared_from_this()](std::error_code error, size_t) {
@@ -182,6 +184,7 @@
       message_ = std::move(message);
       complete = true;
     });
+    CountTraffic(metrics::Direction::kIn, bytes.size(), complete ? 1 : 0);
     if (!good || (complete && !busy_)) {
       return Fail(Errc::kMalformed, "not an HTTP response");
     }
@@ -189,6 +192,12 @@
     if (!closed_) ReadNext();
   }
 
+  void CountTraffic(metrics::Direction direction, size_t bytes,
+                    int64_t messages) {
+    if (options_.traffic == nullptr) return;
+    options_.traffic->Count(call_.kind, direction, bytes, messages);
+  }
+
   void Finish() {
     timer_.cancel();
     auto done = std::move(call_.done);
@@ -270,13 +279,18 @@
 
 }  // namespace
 
+std::string PathOf(const Request& request) {
+  return request.target.substr(0, request.target.find('?'));
+}
+
 Client::Client(asio::io_context& io, ClientOptions options)
-    : d_(std::make_shared<Private>(io, options)) {}
+    : d_(std::make_shared<Private>(io, std::move(options))) {}
 Client::~Client() = default;
 
 void Client::Call(const std::string& address, Request request, Millis timeout,
                   Callback<Response> done) {
-  PendingCall call{.bytes = Serialize(address, request),
+  PendingCall call{.kind = d_->options.traffic_kind(request),
+                   .bytes = Serialize(address, request),
                    .deadline = Clock::now() + timeout,
                    .done = std::move(done)};
   asio::post(d_->io, [d = d_, address, call = std::move(call)]() mutable {
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -1,12 +1,14 @@
 #pragma once
 
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/metrics/traffic.h"
 
 namespace asio {
 class io_context;
@@ -14,6 +16,9 @@
 
 namespace mimosarail::http {
 
+/// Path of a request without its query.
+std::string PathOf(const Request& request);
+
 struct ClientOptions {
   /// Most connections to one address; calls beyond them wait their turn.
   size_t max_connections = 16;
@@ -26,6 +31,11 @@
   /// Unacknowledged data breaks a connection after this (TCP_USER_TIMEOUT).
   Millis silence_timeout{1500};
   size_t max_body = 4 << 20;
+  /// Requests and responses are counted here if it is not null; it outlives the
+  /// client.
+  metrics::Traffic* traffic = nullptr;
+  /// Names the kind of message that a request and its response are counted as.
+  std::function<std::string(const Request&)> traffic_kind = PathOf;
 };
 
 /// HTTP/1.1 client with reused connections. Every call has a timeout. Errors:
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -70,7 +70,7 @@
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
   Private(asio::io_context& io_in, ServerOptions options_in, Handler handler_in)
       : io(io_in),
-        options(options_in),
+        options(std::move(options_in)),
         handler(std::move(handler_in)),
         acceptor(io_in),
         pause(io_in) {}
@@ -167,10 +167,13 @@
   }
 
   void OnBytes(std::string_view bytes) {
-    const bool good = parser_.Feed(bytes, [this](ParsedMessage message) {
+    int64_t complete = 0;
+    const bool good = parser_.Feed(bytes, [&](ParsedMessage message) {
+      ++complete;
       ++server_->open_requests;
       requests_.push_back(std::move(message));
     });
+    CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
     if (!good) {
       keep_alive_ = false;
       return Write({.status = 400, .body = "not a request\n"}, false);
@@ -225,6 +228,7 @@
         !requests_.empty() || parser_.inside_message() || BytesWait();
     keep_alive_ = keep_alive_ && (!server_->closing || more);
     out_ = Serialize(response, keep_alive_);
+    CountTraffic(metrics::Direction::kOut, out_.size(), 1);
     asio::async_write(
         socket_, asio::buffer(out_),
         [self = shared_from_this(), counted](std::error_code error, size_t) {
@@ -236,6 +240,13 @@
         });
   }
 
+  void CountTraffic(metrics::Direction direction, size_t bytes,
+                    int64_t messages) {
+    const ServerOptions& options = server_->options;
+    if (options.traffic == nullptr) return;
+    options.traffic->Count(options.traffic_kind, direction, bytes, messages);
+  }
+
   /// Whether the caller has sent what nobody has read yet.
   bool BytesWait() const {
     std::error_code error;
@@ -324,7 +335,8 @@
 }
 
 Server::Server(asio::io_context& io, ServerOptions options, Handler handler)
-    : d_(std::make_shared<Private>(io, options, std::move(handler))) {}
+    : d_(std::make_shared<Private>(io, std::move(options),
+                                   std::move(handler))) {}
 
 Server::~Server() {
   std::error_code ignored;  // nothing is left to tell
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,7 @@
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/metrics/traffic.h"
 
 namespace asio {
 class io_context;
@@ -28,6 +29,10 @@
   /// A connection without a request is closed after this.
   Millis idle_timeout{60000};
   size_t max_body = 1 << 20;
+  /// Requests and responses are counted here as `traffic_kind`, if it is not
+  /// null; it outlives the server.
+  metrics::Traffic* traffic = nullptr;
+  std::string traffic_kind = "served";
 };
 
 /// HTTP/1.1 server. `handler` runs on the thread of `io`.
--- a/src/libs/rpc/client.cc
+++ b/src/libs/rpc/client.cc
@@ -16,8 +16,12 @@
 /// One connection; every member runs on its strand.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
-  Connection(asio::io_context& io, std::atomic<int64_t>& bytes)
-      : strand_(asio::make_strand(io)), socket_(strand_), bytes_(bytes) {}
+  Connection(asio::io_context& io, std::atomic<int64_t>& bytes,
+             metrics::Traffic* traffic)
+      : strand_(asio::make_strand(io)),
+        socket_(strand_),
+        bytes_(bytes),
+        traffic_(traffic) {}
 
   void Open(const tcp::endpoint& endpoint) {
     asio::post(strand_, [self = shared_from_this(), endpoint] {
@@ -44,7 +48,12 @@
   bool broken() const { return broken_.load(); }
 
  private:
+  struct Outgoing {
+    Method method;
+    std::string bytes;
+  };
   struct Pending {
+    Method method;
     Callback<std::string> done;
     std::unique_ptr<asio::steady_timer> timer;
   };
@@ -58,12 +67,12 @@
                        sent = Clock::now()](std::error_code error) {
       if (!error) self->OnTimeout(id, sent);
     });
-    pending_.emplace(id, Pending{std::move(done), std::move(timer)});
+    pending_.emplace(id, Pending{method, std::move(done), std::move(timer)});
     wire::Frame frame;
     frame.id = id;
     frame.method = static_cast<int32_t>(method);
     frame.body = std::move(body);
-    queue_.push_back(FrameBytes(frame));
+    queue_.push_back({method, FrameBytes(frame)});
     if (open_ && queue_.size() == 1) WriteNext();
   }
 
@@ -77,9 +86,12 @@
 
   void WriteNext() {
     if (queue_.empty()) return;
-    bytes_ += static_cast<int64_t>(queue_.front().size());
+    const Outgoing& next = queue_.front();
+    bytes_ += static_cast<int64_t>(next.bytes.size());
+    CountTraffic(kMethodNames.Name(next.method), metrics::Direction::kOut,
+                 next.bytes.size());
     asio::async_write(
-        socket_, asio::buffer(queue_.front()),
+        socket_, asio::buffer(next.bytes),
         [self = shared_from_this()](std::error_code error, size_t) {
           if (error) {
             return self->Fail(Errc::kDisconnected, error.message());
@@ -97,12 +109,28 @@
                                          frame.error().message);
                      }
                      self->bytes_ += static_cast<int64_t>(self->buffer_.size());
+                     self->CountReply(frame.value().id);
                      self->last_received_ = Clock::now();
                      self->Deliver(frame.value());
                      self->ReadNext();
                    });
   }
 
+  /// A reply that comes after its call has timed out fills the link as well.
+  void CountReply(int64_t id) {
+    const auto found = pending_.find(id);
+    const std::string_view name = found == pending_.end()
+                                      ? std::string_view("late")
+                                      : kMethodNames.Name(found->second.method);
+    CountTraffic(name, metrics::Direction::kIn, buffer_.size() + kLengthBytes);
+  }
+
+  void CountTraffic(std::string_view name, metrics::Direction direction,
+                    size_t bytes) {
+    if (traffic_ == nullptr) return;
+    traffic_->Count("ask " + std::string(name), direction, bytes);
+  }
+
   void Deliver(wire::Frame& frame) {
     if (frame.error != 0) {
       return Finish(frame.id,
@@ -134,20 +162,23 @@
   asio::strand<asio::io_context::executor_type> strand_;
   tcp::socket socket_;
   std::atomic<int64_t>& bytes_;
+  metrics::Traffic* traffic_;
   std::atomic<bool> broken_{false};
   bool open_ = false;
   TimePoint last_received_{};
   int64_t last_id_ = 0;
   std::string buffer_;
-  std::deque<std::string> queue_;
+  std::deque<Outgoing> queue_;
   std::unordered_map<int64_t, Pending> pending_;
 };
 
 }  // namespace
 
 struct Client::Private {
-  explicit Private(asio::io_context& io_in) : io(io_in) {}
+  Private(asio::io_context& io_in, metrics::Traffic* traffic_in)
+      : io(io_in), traffic(traffic_in) {}
   asio::io_context& io;
+  metrics::Traffic* traffic;
   std::atomic<int64_t> bytes{0};
   std::mutex mutex;
   std::unordered_map<std::string, std::shared_ptr<Connection>> connections;
@@ -157,14 +188,15 @@
     std::lock_guard lock(mutex);
     auto& slot = connections[address];
     if (!slot || slot->broken()) {
-      slot = std::make_shared<Connection>(io, bytes);
+      slot = std::make_shared<Connection>(io, bytes, traffic);
       slot->Open(endpoint);
     }
     return slot;
   }
 };
 
-Client::Client(asio::io_context& io) : d_(std::make_shared<Private>(io)) {}
+Client::Client(asio::io_context& io, metrics::Traffic* traffic)
+    : d_(std::make_shared<Private>(io, traffic)) {}
 Client::~Client() = default;
 
 void Client::Call(const std::string& address, Method method, std::string body,
--- a/src/libs/rpc/client.h
+++ b/src/libs/rpc/client.h
@@ -6,6 +6,7 @@
 
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
+#include "src/libs/metrics/traffic.h"
 #include "src/libs/rpc/codec.h"
 #include "src/libs/rpc/method.h"
 
@@ -19,8 +20,9 @@
 /// address. Thread-safe. A failed call says nothing about its effect.
 class Client {
  public:
-  /// `io` must outlive the client's last callback.
-  explicit Client(asio::io_context& io);
+  /// `io` and `traffic`, which may be null, must outlive the client's last
+  /// callback. Frames are counted there as "ask" and the call's name.
+  explicit Client(asio::io_context& io, metrics::Traffic* traffic = nullptr);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/src/libs/rpc/method.h
+++ b/src/libs/rpc/method.h
@@ -1,7 +1,10 @@
 #pragma once
 
+#include <array>
 #include <cstdint>
 
+#include "src/libs/base/enum_table.h"
+
 namespace mimosarail::rpc {
 
 /// Every call between processes; the numbers are the wire format.
@@ -31,4 +34,31 @@
   kAdvise = 56,
 };
 
+/// Names of the calls, for operators.
+inline constexpr EnumTable kMethodNames{std::array{
+    EnumName{Method::kList, "list"},
+    EnumName{Method::kAttach, "attach"},
+    EnumName{Method::kStart, "start"},
+    EnumName{Method::kRenew, "renew"},
+    EnumName{Method::kSteer, "steer"},
+    EnumName{Method::kInventory, "inventory"},
+    EnumName{Method::kUsage, "usage"},
+    EnumName{Method::kCollect, "collect"},
+    EnumName{Method::kAppend, "append"},
+    EnumName{Method::kRead, "read"},
+    EnumName{Method::kPlace, "place"},
+    EnumName{Method::kReport, "report"},
+    EnumName{Method::kFind, "find"},
+    EnumName{Method::kCancel, "cancel"},
+    EnumName{Method::kSubmit, "submit"},
+    EnumName{Method::kConfigFetch, "config_fetch"},
+    EnumName{Method::kHello, "hello"},
+    EnumName{Method::kAnnounce, "announce"},
+    EnumName{Method::kSubmitJob, "submit_job"},
+    EnumName{Method::kJobState, "job_state"},
+    EnumName{Method::kCancelJob, "cancel_job"},
+    EnumName{Method::kPendingJobs, "pending_jobs"},
+    EnumName{Method::kAdvise, "advise"},
+}};
+
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -23,37 +23,56 @@
 class Session : public std::enable_shared_from_this<Session> {
  public:
   Session(tcp::socket socket, std::shared_ptr<const HandlerTable> handlers,
-          std::shared_ptr<std::atomic<int64_t>> bytes)
+          std::shared_ptr<std::atomic<int64_t>> bytes,
+          metrics::Traffic* traffic)
       : socket_(std::move(socket)),
         handlers_(std::move(handlers)),
-        bytes_(std::move(bytes)) {}
+        bytes_(std::move(bytes)),
+        traffic_(traffic) {}
 
   void ReadNext() {
-    AsyncReadFrame(socket_, buffer_,
-                   [self = shared_from_this()](Result<wire::Frame> frame) {
-                     if (!frame.ok()) return self->Close();
-                     *self->bytes_ +=
-                         static_cast<int64_t>(self->buffer_.size());
-                     self->Dispatch(std::move(frame.value()));
-                     self->ReadNext();
-                   });
+    AsyncReadFrame(
+        socket_, buffer_,
+        [self = shared_from_this()](Result<wire::Frame> frame) {
+          if (!frame.ok()) return self->Close();
+          *self->bytes_ += static_cast<int64_t>(self->buffer_.size());
+          self->CountTraffic(frame.value().method, metrics::Direction::kIn,
+                             self->buffer_.size() + kLengthBytes);
+          self->Dispatch(std::move(frame.value()));
+          self->ReadNext();
+        });
   }
 
  private:
+  struct Outgoing {
+    int32_t method;
+    std::string bytes;
+  };
+
+  void CountTraffic(int32_t method, metrics::Direction direction,
+                    size_t bytes) {
+    if (traffic_ == nullptr) return;
+    const auto name = kMethodNames.Name(static_cast<Method>(method));
+    traffic_->Count("serve " + std::string(name), direction, bytes);
+  }
+
   void Dispatch(wire::Frame frame) {
     Responder respond = [weak = weak_from_this(),
-                         executor = socket_.get_executor(),
-                         id = frame.id](Result<std::string> reply) {
-      asio::post(executor, [weak, id, reply = std::move(reply)]() mutable {
-        if (auto self = weak.lock()) self->Send(id, std::move(reply));
-      });
+                         executor = socket_.get_executor(), id = frame.id,
+                         method = frame.method](Result<std::string> reply) {
+      asio::post(executor,
+                 [weak, id, method, reply = std::move(reply)]() mutable {
+                   if (auto self = weak.lock()) {
+                     self->Send(id, method, std::move(reply));
+                   }
+                 });
     };
     const auto handler = handlers_->find(frame.method);
     if (handler == handlers_->end()) return respond(Errc::kUnknownMethod);
     handler->second(std::move(frame.body), std::move(respond));
   }
 
-  void Send(int64_t id, Result<std::string> reply) {
+  void Send(int64_t id, int32_t method, Result<std::string> reply) {
     wire::Frame frame;
     frame.id = id;
     frame.reply = true;
@@ -65,15 +84,17 @@
       frame.error = ours ? code.value() : static_cast<int>(Errc::kUnavailable);
       frame.body = reply.error().message;
     }
-    queue_.push_back(FrameBytes(frame));
+    queue_.push_back({method, FrameBytes(frame)});
     if (queue_.size() == 1) WriteNext();
   }
 
   void WriteNext() {
     if (queue_.empty()) return;
-    *bytes_ += static_cast<int64_t>(queue_.front().size());
+    const Outgoing& next = queue_.front();
+    *bytes_ += static_cast<int64_t>(next.bytes.size());
+    CountTraffic(next.method, metrics::Direction::kOut, next.bytes.size());
     asio::async_write(
-        socket_, asio::buffer(queue_.front()),
+        socket_, asio::buffer(next.bytes),
         [self = shared_from_this()](std::error_code error, size_t) {
           if (error) return self->Close();
           self->queue_.pop_front();
@@ -89,29 +110,31 @@
   tcp::socket socket_;
   std::shared_ptr<const HandlerTable> handlers_;
   std::shared_ptr<std::atomic<int64_t>> bytes_;
+  metrics::Traffic* traffic_;
   std::string buffer_;
-  std::deque<std::string> queue_;
+  std::deque<Outgoing> queue_;
 };
 
 }  // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
-  explicit Private(asio::io_context& io_in)
-      : io(io_in), acceptor(io_in), pause(io_in) {}
+  Private(asio::io_context& io_in, metrics::Traffic* traffic_in)
+      : io(io_in), traffic(traffic_in), acceptor(io_in), pause(io_in) {}
 
   void AcceptNext() {
     if (!acceptor.is_open()) return;  // the server has ended
-    acceptor.async_accept(asio::make_strand(io), [self = shared_from_this()](
-                                                     std::error_code error,
-                                                     tcp::socket socket) {
-      if (error == asio::error::operation_aborted) return;
-      if (error) return self->AcceptLater(error);
-      std::error_code ignored;
-      socket.set_option(tcp::no_delay(true), ignored);
-      std::make_shared<Session>(std::move(socket), self->handlers, self->bytes)
-          ->ReadNext();
-      self->AcceptNext();
-    });
+    acceptor.async_accept(
+        asio::make_strand(io),
+        [self = shared_from_this()](std::error_code error, tcp::socket socket) {
+          if (error == asio::error::operation_aborted) return;
+          if (error) return self->AcceptLater(error);
+          std::error_code ignored;
+          socket.set_option(tcp::no_delay(true), ignored);
+          std::make_shared<Session>(std::move(socket), self->handlers,
+                                    self->bytes, self->traffic)
+              ->ReadNext();
+          self->AcceptNext();
+        });
   }
 
   /// A failure passes, as when descriptors were used up for a moment. With no
@@ -127,6 +150,7 @@
   }
 
   asio::io_context& io;
+  metrics::Traffic* traffic;
   tcp::acceptor acceptor;
   asio::steady_timer pause;
   std::shared_ptr<HandlerTable> handlers = std::make_shared<HandlerTable>();
@@ -134,7 +158,8 @@
       std::make_shared<std::atomic<int64_t>>(0);
 };
 
-Server::Server(asio::io_context& io) : d_(std::make_shared<Private>(io)) {}
+Server::Server(asio::io_context& io, metrics::Traffic* traffic)
+    : d_(std::make_shared<Private>(io, traffic)) {}
 
 Server::~Server() {
   std::error_code ignored;
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -6,6 +6,7 @@
 
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
+#include "src/libs/metrics/traffic.h"
 #include "src/libs/rpc/codec.h"
 #include "src/libs/rpc/method.h"
 
@@ -22,8 +23,9 @@
 /// Serves framed calls over TCP. Register handlers before Listen().
 class Server {
  public:
-  /// `io` must outlive the server.
-  explicit Server(asio::io_context& io);
+  /// `io` and `traffic`, which may be null, must outlive the server. Frames are
+  /// counted there as "serve" and the call's name.
+  explicit Server(asio::io_context& io, metrics::Traffic* traffic = nullptr);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
