Store: Wait for a page as long as it keeps coming in

Cause: a page of the job table was given up 1.5 s after it was asked for, though it was coming in, and asked for again. A page of 500 jobs over 375 kB takes longer than that over 2 Mbit/s, so from that size of the table on no leader ever loads. A page may be 1 MB.

Why this works: the limit now is the longest silence, as it was meant: it ends what has stopped, not what takes long. 20 s in all for a page.

AnAnswerThatKeepsComingIsWaitedFor holds the client to it; without the option, as it was, the same answer is given up, which the case shows as well.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -37,6 +37,8 @@
 /// One connection carries renewals that wait, the others orders.
 constexpr size_t kUpstreamConnections = 4;
 constexpr size_t kStoreConnections = 8;
+/// A page of 1 MB takes 6 s over 2 Mbit/s, which it shares.
+constexpr Millis kLongestPage{20000};
 constexpr size_t kAdviserConnections = 4;
 /// One for the list and one for an order at the same time.
 constexpr size_t kHostsConnections = 2;
@@ -85,6 +87,7 @@
 struct JobDaemon {
   explicit JobDaemon(const JobSettings& s)
       : store_http(traffic, {.max_connections = kStoreConnections,
+                             .longest_answer = kLongestPage,
                              .traffic = &link,
                              .traffic_kind = platform::StoreTrafficKind}),
         upstream_http(traffic, {.max_connections = kUpstreamConnections,
--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -21,7 +21,11 @@
 struct PendingCall {
   std::string kind;
   std::string bytes;
+  Millis timeout;
+  /// Until the first part of the answer.
   TimePoint deadline;
+  /// Until the last one.
+  TimePoint limit;
   Callback<Response> done;
 };
 
@@ -188,10 +192,19 @@
     if (!good || (complete && !busy_)) {
       return Fail(Errc::kMalformed, "not an HTTP response");
     }
-    if (complete) Finish();
+    if (complete) {
+      Finish();
+    } else if (busy_) {
+      AwaitRest();
+    }
     if (!closed_) ReadNext();
   }
 
+  void AwaitRest() {
+    const TimePoint next = std::min(Clock::now() + call_.timeout, call_.limit);
+    if (next > call_.deadline) Arm(next);
+  }
+
   void CountTraffic(metrics::Direction direction, size_t bytes,
                     int64_t messages) {
     if (options_.traffic == nullptr) return;
@@ -289,9 +302,12 @@
 
 void Client::Call(const std::string& address, Request request, Millis timeout,
                   Callback<Response> done) {
+  const TimePoint now = Clock::now();
   PendingCall call{.kind = d_->options.traffic_kind(request),
                    .bytes = Serialize(address, request),
-                   .deadline = Clock::now() + timeout,
+                   .timeout = timeout,
+                   .deadline = now + timeout,
+                   .limit = now + d_->options.longest_answer,
                    .done = std::move(done)};
   asio::post(d_->io, [d = d_, address, call = std::move(call)]() mutable {
     Dispatch(*d, address, std::move(call));
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -31,6 +31,10 @@
   /// Unacknowledged data breaks a connection after this (TCP_USER_TIMEOUT).
   Millis silence_timeout{1500};
   size_t max_body = 4 << 20;
+  /// An answer that has begun is waited for as long as no more than the call's
+  /// timeout passes between two parts of it, and for no longer than this since
+  /// the call; 0 if the call's timeout holds for the whole of it.
+  Millis longest_answer{0};
   /// Requests and responses are counted here if it is not null; it outlives the
   /// client.
   metrics::Traffic* traffic = nullptr;
--- a/src/ports/record_store_port.h
+++ b/src/ports/record_store_port.h
@@ -76,6 +76,8 @@
   virtual void Append(const AppendCall& call, Millis timeout,
                       std::function<void(AppendReply)> done) = 0;
   /// The newest records, in order of their keys, after the key `after`.
+  /// `timeout` is the longest silence: a page that is coming in is waited for,
+  /// however long it takes.
   virtual void ReadNewest(const std::string& table, const std::string& after,
                           Millis timeout, Callback<NewestPage> done) = 0;
   /// Records from an offset on; waits up to `wait` for a first one.
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -427,6 +427,63 @@
   BOOST_TEST(read.back().request.body == "second");
 }
 
+/// Guards against a page that never comes whole within a call's timeout, so
+/// that nobody can load the jobs.
+BOOST_AUTO_TEST_CASE(AnAnswerThatKeepsComingIsWaitedFor) {
+  using asio::ip::tcp;
+  constexpr int kParts = 12;
+  constexpr Millis kPause{250};
+  constexpr Millis kTimeout{2000};
+  asio::io_context io;
+  tcp::acceptor acceptor(io, {asio::ip::make_address("127.0.0.1"), 0});
+  const auto send = [&](const std::shared_ptr<tcp::socket>& socket) {
+    const std::string head =
+        "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kParts) +
+        "\r\n\r\n";
+    asio::write(*socket, asio::buffer(head));
+    for (int part = 1; part <= kParts; ++part) {
+      auto timer = std::make_shared<asio::steady_timer>(io, part * kPause);
+      timer->async_wait([timer, socket](std::error_code) {
+        std::error_code ignored;  // the client may have given up
+        asio::write(*socket, asio::buffer("x", 1), ignored);
+      });
+    }
+  };
+  std::function<void()> accept = [&] {
+    acceptor.async_accept([&](std::error_code error, tcp::socket accepted) {
+      if (error) return;
+      send(std::make_shared<tcp::socket>(std::move(accepted)));
+      accept();
+    });
+  };
+  accept();
+  http::Client patient(io, {.longest_answer = Millis(20000)});
+  http::Client strict(io, {});
+  const std::string address =
+      "127.0.0.1:" + std::to_string(acceptor.local_endpoint().port());
+  std::optional<Result<http::Response>> whole;
+  std::optional<Result<http::Response>> late;
+  const auto stop = [&] {
+    if (whole && late) io.stop();
+  };
+  patient.Call(address, {.target = "/"}, kTimeout,
+               [&](const Result<http::Response>& reply) {
+                 whole = reply;
+                 stop();
+               });
+  strict.Call(address, {.target = "/"}, kTimeout,
+              [&](const Result<http::Response>& reply) {
+                late = reply;
+                stop();
+              });
+  io.run_for(std::chrono::seconds(20));
+  BOOST_REQUIRE(whole.has_value());
+  BOOST_REQUIRE(late.has_value());
+  BOOST_REQUIRE(whole->ok());
+  BOOST_TEST(whole->value().body.size() == static_cast<size_t>(kParts));
+  BOOST_TEST(!late->ok());
+}
+
 /// The operators' topic holds more than a page: the configuration is on the
 /// second one. Taken from the first alone, no configuration would be known, or
 /// a wave on the second would never be carried out.
