--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -67,7 +67,8 @@
   sim::ManualClock clock;
   sim::ManualExecutor executor{clock};
   StoreFake fake{clock};
-  StoreAccess store{fake, executor, "self"};
+  MachineFake machine{clock};
+  StoreAccess store{fake, executor, "self", &machine};
   HeldGreetings peers;
   metrics::Registry metrics;
   faults::EntryFaults faults{metrics};
@@ -140,4 +141,39 @@
   BOOST_TEST(self.leading());
 }
 
+/// A leader's machine stands still for seconds. What waited for it meanwhile,
+/// greetings of others from before and at some moments the answer to a renewal,
+/// is read first. It must give the leader no trust in itself: another may lead
+/// by now, and two would give orders.
+BOOST_AUTO_TEST_CASE(WhatWaitedGivesNoTrust) {
+  constexpr int kMoments = 210;  // more than one period of renewals
+  for (int moment = 0; moment < kMoments; ++moment) {
+    BOOST_TEST_CONTEXT("stands still after " << moment << " ms") {
+      Fixture cell;
+      cell.self.Start();
+      cell.clock.RunFor(Millis(1000 + moment));
+      const auto greet_all = [&cell] {
+        for (const char* name : {"a", "b", "c"}) {
+          wire::HelloCall greeting;
+          greeting.caller = MemberAt(name);
+          greeting.term = 1;
+          cell.self.OnHello(greeting);
+        }
+      };
+      greet_all();
+      BOOST_REQUIRE(cell.self.trusted());
+      cell.executor.Pause();
+      cell.clock.RunFor(Millis(5000));
+      cell.fake.faults().down = true;
+      cell.executor.Resume();
+      greet_all();
+      BOOST_TEST(!cell.self.trusted());
+      cell.clock.RunFor(Millis(1));
+      BOOST_TEST(!cell.self.trusted());
+      greet_all();
+      BOOST_TEST(!cell.self.trusted());
+    }
+  }
+}
+
 }  // namespace mimosarail::jobsim
