Http: Let a client's idle connections go with its io_context

A client with an idle connection was never freed: the pool held the connection and the connection the pool. Callers see nothing of it, since a daemon's clients live as long as it does; platform_test fails under AddressSanitizer with the new cases, the first ones that leave a connection idle. The pool now only looks at them: an idle connection is kept by the read that it waits in, which the io_context frees.

platform_test under AddressSanitizer failed before ("detected memory leaks") and passes now, three runs; three without as well.

--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -69,7 +69,9 @@
 struct Pool {
   asio::ip::tcp::endpoint endpoint;
   std::deque<PendingCall> waiting;
-  std::vector<std::shared_ptr<Connection>> idle;
+  /// Kept by the reads that they wait in, until the io_context ends: held here,
+  /// they and this would keep each other for ever.
+  std::vector<std::weak_ptr<Connection>> idle;
   size_t open = 0;
 };
 
@@ -123,7 +125,9 @@
     if (closed_) return;
     closed_ = true;
     --pool_->open;
-    std::erase(pool_->idle, shared_from_this());
+    std::erase_if(pool_->idle, [this](const auto& idle) {
+      return idle.expired() || idle.lock().get() == this;
+    });
     timer_.cancel();
     std::error_code ignored;  // closing is all that is left to do
     socket_.close(ignored);
@@ -236,7 +240,7 @@
       call.done(Result<Response>(Errc::kUnavailable, "waited too long"));
     }
     idle_since_ = now;
-    pool_->idle.push_back(shared_from_this());
+    pool_->idle.push_back(weak_from_this());
   }
 
   void Fail(Errc code, const std::string& message) {
@@ -278,8 +282,9 @@
   const auto now = Clock::now();
   while (!pool->idle.empty()) {
     // The most recently used one is the least likely to be closing.
-    auto connection = pool->idle.back();
+    const auto connection = pool->idle.back().lock();
     pool->idle.pop_back();
+    if (!connection) continue;
     if (connection->usable(now)) return connection->Take(std::move(call));
     connection->Close();
   }
