Tests: Let calls to the fake store overtake one another, and keep each caller's call

Each way of a call may now take longer by chance, from a seed; appends may be refused by chance; and a test may give the next appends of a table their ways there.

The cell keeps every call of a caller with its answers, so that a test can hold that each gets one, and asks a given entry for a job's state.

--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -467,7 +467,7 @@
   cell.RunFor(Millis(3000));
   const std::string leader = cell.Leader();
   BOOST_REQUIRE(!leader.empty());
-  cell.store().faults().delays["jobs"] = {Millis(300), Millis(0)};
+  cell.store().faults().ways_there["jobs"] = {Millis(400), Millis(100)};
   constexpr JobId kJobs = 6;
   for (JobId id = 1; id <= kJobs; ++id) {
     for (int32_t i = 0; i < 2; ++i) {
--- a/tests/jobsim/job_cell.cc
+++ b/tests/jobsim/job_cell.cc
@@ -125,7 +125,7 @@
   const StoreFaults& store = store_.faults();
   if (store.down || !store.turned_away.empty() || store.lose_answers > 0 ||
       store.late_appends > 0 || !store.answers_late_by.empty() ||
-      !cut_.empty()) {
+      store.jitter > Millis(0) || store.refused_percent > 0 || !cut_.empty()) {
     return true;
   }
   const bool paused = std::any_of(
@@ -162,6 +162,12 @@
   if (!process) return;
   upstreams_.NoteDisturbance();
   process->executor.Kill();
+  for (CallerCall& call : calls_) {
+    const bool open = call.answers == 0 && !call.broken_off;
+    if (call.entry != entry || !open) continue;
+    call.broken_off = true;
+    call.ended = clock_.now();
+  }
   ended_.push_back(std::move(process));
 }
 
@@ -171,7 +177,11 @@
 }
 
 void JobCell::Pause(const std::string& entry) {
-  if (processes_[entry]) processes_[entry]->executor.Pause();
+  if (!processes_[entry]) return;
+  processes_[entry]->executor.Pause();
+  for (CallerCall& call : calls_) {
+    if (call.entry == entry && call.answers == 0) call.held_up = true;
+  }
 }
 
 void JobCell::Resume(const std::string& entry) {
@@ -222,20 +232,50 @@
   return best;
 }
 
+size_t JobCell::NoteCall(CallKind kind, const std::string& entry, JobId id) {
+  const auto& process = processes_[entry];
+  calls_.push_back({.kind = kind,
+                    .job = id,
+                    .entry = entry,
+                    .sent = clock_.now(),
+                    .broken_off = !process,
+                    .held_up = process && process->executor.paused()});
+  return calls_.size() - 1;
+}
+
+void JobCell::NoteAnswer(size_t call, coordinator::JobVerdict verdict) {
+  ++calls_[call].answers;
+  calls_[call].ended = clock_.now();
+  calls_[call].verdict = verdict;
+}
+
 void JobCell::Submit(const std::string& entry, wire::JobSpec spec) {
   upstreams_.Know(spec);
+  const auto id = static_cast<JobId>(spec.id);
+  const size_t call = NoteCall(CallKind::kSubmit, entry, id);
   auto& process = processes_[entry];
   if (!process) return;
-  const auto id = static_cast<JobId>(spec.id);
   ++submits_[id];
   auto* target = process->entry.get();
-  process->executor.Post([this, target, spec, id] {
-    target->Submit(spec, kCallerLimit, [this, id](jobentry::JobAnswer answer) {
-      answers_[id].push_back(answer.verdict);
-      if (answer.verdict == coordinator::JobVerdict::kDone) {
-        accepted_.insert(id);
-      }
-    });
+  process->executor.Post([this, target, spec, id, call] {
+    target->Submit(spec, kCallerLimit,
+                   [this, id, call](jobentry::JobAnswer answer) {
+                     NoteAnswer(call, answer.verdict);
+                     answers_[id].push_back(answer.verdict);
+                     if (answer.verdict == coordinator::JobVerdict::kDone) {
+                       accepted_.insert(id);
+                     }
+                   });
+  });
+}
+
+void JobCell::AskState(const std::string& entry, JobId id,
+                       std::function<void(jobentry::JobAnswer)> done) {
+  auto& process = processes_[entry];
+  if (!process) return;
+  auto* target = process->entry.get();
+  process->executor.Post([target, id, done = std::move(done)] {
+    target->State(id, kCallerLimit, done);
   });
 }
 
@@ -254,24 +294,28 @@
 }
 
 void JobCell::Cancel(const std::string& entry, JobId id) {
+  const size_t call = NoteCall(CallKind::kCancel, entry, id);
   auto& process = processes_[entry];
   if (!process) return;
   auto* target = process->entry.get();
   ++cancels_[id];
-  process->executor.Post([this, target, id] {
-    target->Cancel(id, kCallerLimit, [this, id](jobentry::JobAnswer answer) {
-      ++cancel_answers_[id];
-      if (answer.verdict == coordinator::JobVerdict::kDone) {
-        cancelled_.insert(id);
-      }
-      // Told that there is no such job, the caller takes it for ended as well.
-      const bool ended =
-          answer.verdict == coordinator::JobVerdict::kNoSuchJob &&
-          accepted_.count(id) > 0;
-      if (ended || answer.verdict == coordinator::JobVerdict::kDone) {
-        upstreams_.NoteCancelled(id);
-      }
-    });
+  process->executor.Post([this, target, id, call] {
+    target->Cancel(
+        id, kCallerLimit, [this, id, call](jobentry::JobAnswer answer) {
+          NoteAnswer(call, answer.verdict);
+          ++cancel_answers_[id];
+          if (answer.verdict == coordinator::JobVerdict::kDone) {
+            cancelled_.insert(id);
+          }
+          // Told that there is no such job, the caller takes it for ended as
+          // well.
+          const bool ended =
+              answer.verdict == coordinator::JobVerdict::kNoSuchJob &&
+              accepted_.count(id) > 0;
+          if (ended || answer.verdict == coordinator::JobVerdict::kDone) {
+            upstreams_.NoteCancelled(id);
+          }
+        });
   });
 }
 
--- a/tests/jobsim/job_cell.h
+++ b/tests/jobsim/job_cell.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <random>
@@ -75,6 +76,25 @@
   LinkRate processor{};
 };
 
+/// What a caller asked for.
+enum class CallKind { kSubmit, kCancel };
+
+/// One call of a caller, and what became of it.
+struct CallerCall {
+  CallKind kind = CallKind::kSubmit;
+  JobId job = 0;
+  std::string entry;
+  TimePoint sent{};
+  /// The entry's process ended before it had answered, or was not there.
+  bool broken_off = false;
+  /// The entry's process stood still meanwhile.
+  bool held_up = false;
+  int answers = 0;
+  /// When it was answered or broken off.
+  TimePoint ended{};
+  coordinator::JobVerdict verdict = coordinator::JobVerdict::kUnknown;
+};
+
 /// Whole entry instances over fakes of the platform and a manual clock.
 class JobCell {
  public:
@@ -106,7 +126,15 @@
   void Cancel(const std::string& entry, JobId id);
   /// State as any live entry tells it now; empty if none does in time.
   std::optional<JobState> State(JobId id);
+  /// Asks one entry for the job's state. `done` runs once unless the entry's
+  /// process ends before.
+  void AskState(const std::string& entry, JobId id,
+                std::function<void(jobentry::JobAnswer)> done);
+  /// All calls of callers so far, in order.
+  const std::vector<CallerCall>& calls() const { return calls_; }
   bool accepted(JobId id) const { return accepted_.count(id) > 0; }
+  /// Somebody has asked for cancelling it, whatever came of that.
+  bool cancel_called(JobId id) const { return cancels_.count(id) > 0; }
   bool cancelled(JobId id) const { return cancelled_.count(id) > 0; }
   /// Every call for cancelling it had an answer, whatever it was.
   bool cancel_answered(JobId id) const;
@@ -146,6 +174,9 @@
 
   void Start(const std::string& name);
   MachineFake& Machine(const std::string& entry);
+  /// Notes a call at an entry and tells its place among calls().
+  size_t NoteCall(CallKind kind, const std::string& entry, JobId id);
+  void NoteAnswer(size_t call, coordinator::JobVerdict verdict);
   void AddUpstream(int number);
   /// Lists the next life of an upstream that has crashed.
   void ReplaceUpstream(const std::string& crashed);
@@ -169,6 +200,7 @@
   std::map<std::string, wire::UpstreamRecord> listed_;
   int lives_ = 0;
   std::map<std::string, std::unique_ptr<MachineFake>> machines_;
+  std::vector<CallerCall> calls_;
   std::set<JobId> accepted_;
   std::set<JobId> cancelled_;
   std::map<JobId, size_t> submits_;
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -144,11 +144,22 @@
   const auto repeated = writer.answers.find(who.sequence);
   if (repeated != writer.answers.end()) return repeated->second;
   if (writer.sequence && who.sequence != *writer.sequence + 1) {
+    ++out_of_order_;
     return ports::AppendReply{.verdict = AppendVerdict::kOutOfSequence};
   }
   return std::nullopt;
 }
 
+Millis StoreFake::WayThere(const std::string& table) {
+  const auto given = faults_.ways_there.find(table);
+  if (given == faults_.ways_there.end() || given->second.empty()) {
+    return faults_.append_takes / 2 + Jitter();
+  }
+  const Millis way = given->second.front();
+  given->second.pop_front();
+  return way;
+}
+
 ports::NewestPage StoreFake::Newest(const std::string& table,
                                     const std::string& after) {
   ports::NewestPage out;
@@ -212,6 +223,11 @@
       done({.verdict = ports::AppendVerdict::kUnknown, .detail = "lost"});
     });
   };
+  if (store_.Refuses()) {
+    return executor_.RunAfter(kDelay, [done] {
+      done({.verdict = ports::AppendVerdict::kRefused, .detail = "refused"});
+    });
+  }
   if (faults.late_appends > 0) {
     --faults.late_appends;
     store_.clock().At(store_.clock().now() + faults.late_by,
@@ -231,24 +247,20 @@
       give({.verdict = ports::AppendVerdict::kUnknown, .detail = "no answer"});
     });
   }
-  const Millis way = faults.append_takes / 2;
-  Millis there = way;
-  std::deque<Millis>& delays = faults.delays[call.table];
-  if (!delays.empty()) {
-    there += delays.front();
-    delays.pop_front();
-  }
-  Send(RecordBytes(call.records), [this, call, there, way, give] {
-    store_.clock().At(store_.clock().now() + there, [this, call, way, give] {
-      const ports::AppendReply reply = store_.Append(call);
-      const auto& late = store_.faults().answers_late_by;
-      const auto found = late.find(entry_);
-      const Millis back =
-          way + (found == late.end() ? Millis(0) : found->second);
-      store_.clock().At(store_.clock().now() + back, [this, reply, give] {
-        Receive(kMessageBytes, [give, reply] { give(reply); });
-      });
-    });
+  const Millis there = store_.WayThere(call.table);
+  const Millis way_back = faults.append_takes / 2 + store_.Jitter();
+  Send(RecordBytes(call.records), [this, call, there, way_back, give] {
+    store_.clock().At(
+        store_.clock().now() + there, [this, call, way_back, give] {
+          const ports::AppendReply reply = store_.Append(call);
+          const auto& late = store_.faults().answers_late_by;
+          const auto found = late.find(entry_);
+          const Millis back =
+              way_back + (found == late.end() ? Millis(0) : found->second);
+          store_.clock().At(store_.clock().now() + back, [this, reply, give] {
+            Receive(kMessageBytes, [give, reply] { give(reply); });
+          });
+        });
   });
 }
 
@@ -259,7 +271,18 @@
     return executor_.RunAfter(
         timeout, [done] { done(Result<T>(Errc::kTimeout, "no answer")); });
   }
-  executor_.RunAfter(delay, [done, read] { done(read()); });
+  if (store_.faults().jitter == Millis(0)) {
+    return executor_.RunAfter(delay, [done, read] { done(read()); });
+  }
+  const Millis there = store_.Jitter();
+  const Millis back = delay + store_.Jitter();
+  if (there + back > timeout) {
+    return executor_.RunAfter(
+        timeout, [done] { done(Result<T>(Errc::kTimeout, "no answer")); });
+  }
+  store_.clock().At(store_.clock().now() + there, [this, done, read, back] {
+    executor_.RunAfter(back, [done, answer = read()] { done(answer); });
+  });
 }
 
 void StoreAccess::WatchSilence(Millis timeout, std::shared_ptr<TimePoint> heard,
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -4,6 +4,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <random>
 #include <set>
 #include <string>
 #include <vector>
@@ -27,9 +28,14 @@
   Millis late_by{2000};
   /// How long an append takes until it is answered; half of it there.
   Millis append_takes{4};
-  /// The next appends to a table get there so much later, in turn: later ones
-  /// overtake them.
-  std::map<std::string, std::deque<Millis>> delays{};
+  /// Each way of a call takes up to this much longer, by chance, so that calls
+  /// and answers overtake one another.
+  Millis jitter{0};
+  /// Of a hundred appends so many are refused, by chance: nothing is done.
+  uint64_t refused_percent = 0;
+  /// How long the next appends of a table are on their way to the store, in the
+  /// order in which they leave; as usual after these.
+  std::map<std::string, std::deque<Millis>> ways_there{};
   /// Answers to appends of these entries come so much later.
   std::map<std::string, Millis> answers_late_by{};
 };
@@ -62,6 +68,22 @@
   const StoreFaults& faults() const { return faults_; }
   sim::ManualClock& clock() { return clock_; }
   int64_t appends() const { return appends_; }
+  /// Appends refused for their numbers: they have overtaken others.
+  int64_t out_of_order() const { return out_of_order_; }
+  /// What is left to chance follows from the seed alone.
+  void Seed(uint64_t seed) { random_.seed(seed); }
+  /// What chance adds to one way of a call.
+  Millis Jitter() {
+    const auto most = static_cast<uint64_t>(faults_.jitter.count());
+    return Millis(most == 0 ? 0 : random_() % (most + 1));
+  }
+  /// Whether chance has the store refuse an append.
+  bool Refuses() {
+    return faults_.refused_percent > 0 &&
+           random_() % 100 < faults_.refused_percent;
+  }
+  /// How long an append is on its way to the store.
+  Millis WayThere(const std::string& table);
 
  private:
   struct Writer {
@@ -81,13 +103,15 @@
 
   /// The answer to a writer whose append is not to be done, or was done before;
   /// nothing if it is to be done. Takes its epoch.
-  static std::optional<ports::AppendReply> Check(
-      const ports::WriterIdentity& who, Writer& writer);
+  std::optional<ports::AppendReply> Check(const ports::WriterIdentity& who,
+                                          Writer& writer);
 
   sim::ManualClock& clock_;
   StoreFaults faults_;
+  std::mt19937_64 random_;
   std::map<std::string, Table> tables_;
   int64_t appends_ = 0;
+  int64_t out_of_order_ = 0;
   std::map<std::string, ports::WaveRequest> waves_;
 };
 
