--- a/tests/late_word_test.cc
+++ b/tests/late_word_test.cc
@@ -198,6 +198,45 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
+/// The answer to a claim is late. The others read in the store that an entry
+/// leads before that entry is told so itself; that it says meanwhile that it
+/// doesn't lead is no resignation. Taken for one, an entry that is well is
+/// deposed before it has begun.
+BOOST_AUTO_TEST_CASE(WhoDoesNotKnowYetThatItLeadsHasNotResigned) {
+  constexpr Millis kLate{850};  // less than a claim is waited for
+  int claimed = 0;
+  for (int number = 0; number < 6; ++number) {
+    BOOST_TEST_CONTEXT("entry " << number << " is answered late") {
+      JobCell cell({.entries = 6});
+      cell.RunFor(kSettle);
+      const std::string first = cell.Leader();
+      const int64_t term = cell.entry(first)->leadership().term();
+      const std::string claimer = cell.names()[static_cast<size_t>(number)];
+      if (claimer == first) continue;
+      cell.store().faults().answers_late_by[claimer] = kLate;
+      cell.Kill(first);
+      std::string follower;
+      const TimePoint limit = cell.clock().now() + kTakeOver;
+      while (follower.empty() && cell.clock().now() < limit) {
+        cell.RunFor(kLook);
+        for (const std::string& name : cell.names()) {
+          if (name == first || name == claimer) continue;
+          if (cell.entry(name)->leadership().term() > term) follower = name;
+        }
+      }
+      BOOST_REQUIRE(!follower.empty());
+      const wire::Member leader = cell.entry(follower)->leadership().leader();
+      if (leader.name != claimer) continue;  // another was faster
+      ++claimed;
+      cell.store().faults().answers_late_by.clear();
+      cell.RunFor(kSettle);
+      BOOST_TEST(cell.Leader() == claimer);
+      BOOST_TEST(cell.entry(claimer)->leadership().term() == term + 1);
+    }
+  }
+  BOOST_TEST(claimed > 0);
+}
+
 /// The store is away for all, and an entry has died. Nobody can take over then,
 /// and most entries still follow the leader: what runs must go on under its
 /// leases, or the work of the whole cell would be lost to one machine.
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -4,6 +4,7 @@
 
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_table.h"
+#include "src/libs/rpc/codec.h"
 #include "src/scheduling/ask_size.h"
 #include "src/scheduling/scheduler.h"
 
@@ -834,6 +835,35 @@
   BOOST_TEST(lanes.Budget(now).urgent_only == 0);
 }
 
+/// A task that lasts is restarted however often it fails. With each failure
+/// kept, the job's record outgrows what the store takes; then no append of any
+/// leader is stored any more, and no job is taken.
+BOOST_AUTO_TEST_CASE(FailuresOfTasksThatLastLeaveAJobStorable) {
+  constexpr int32_t kTasks = 100;
+  constexpr int64_t kFailures = 1000;  // of each, one a minute for 17 hours
+  wire::JobSpec spec = Spec(1, kTasks, 100);
+  spec.steps[0].lasting = true;
+  Job job(spec);
+  for (int32_t i = 0; i < kTasks; ++i) {
+    for (int64_t n = 1; n <= kFailures; ++n) {
+      job.CountFailure({1, 0, 0, i}, 300000 + n * kTasks + i);
+    }
+  }
+  BOOST_TEST(rpc::Encode(job.Progress()).size() <=
+             coordinator::kMaxRecordBytes);
+}
+
+/// Many tasks of one job are at work and have saved their progress. With more
+/// than the store takes in one record no append is stored any more.
+BOOST_AUTO_TEST_CASE(CheckpointsOfManyTasksLeaveAJobStorable) {
+  Job job(Spec(1, kMaxStepTasks, 100));
+  for (int32_t i = 0; i < kMaxStepTasks; ++i) {
+    job.task({1, 0, 0, i}).checkpoint = "00000bb87a21d94b";
+  }
+  BOOST_TEST(rpc::Encode(job.Progress()).size() <=
+             coordinator::kMaxRecordBytes);
+}
+
 /// An entry whose call failed is spared for a while, then used again.
 BOOST_AUTO_TEST_CASE(AFailedLaneRests) {
   coordinator::AdviceLanes lanes;
