--- a/tests/late_word_test.cc
+++ b/tests/late_word_test.cc
@@ -237,6 +237,25 @@
   BOOST_TEST(claimed > 0);
 }
 
+/// Appends are answered late for all, each within the time of a renewal. A
+/// leader whose every renewal is stored reaches the store; replaced for that,
+/// the next one is no better off, and all is loaded again and again.
+BOOST_AUTO_TEST_CASE(ALeaderWhoseRenewalsAreStoredLateIsNotReplaced) {
+  for (const Millis late : {Millis(500), Millis(700)}) {
+    BOOST_TEST_CONTEXT("appends are answered late by " << late.count()) {
+      JobCell cell({});
+      cell.RunFor(kSettle);
+      const std::string leader = cell.Leader();
+      const int64_t term = cell.entry(leader)->leadership().term();
+      for (const std::string& name : cell.names()) {
+        cell.store().faults().answers_late_by[name] = late;
+      }
+      cell.RunFor(Millis(20000));
+      BOOST_TEST(cell.entry(leader)->leadership().term() == term);
+    }
+  }
+}
+
 /// The store is away for all, and an entry has died. Nobody can take over then,
 /// and most entries still follow the leader: what runs must go on under its
 /// leases, or the work of the whole cell would be lost to one machine.
