Leadership: Count who has not greeted a new leader yet, and nobody who ended long since

A task ran at two places: a leader that is cut off with one neighbour right after its take-over had heard of nobody else, so that the two were most entries, and it went on for ever. The entries that were known when it claimed count now until they are heard of or 8 s are over.

A task was started anew though nothing was wrong: half of the entries had ended 10 s before an outage of the store, counted among the others for 30 s and took the leader's trust from it. 8 s are enough: a leader that most entries can't reach is replaced within some 5 s, so one that still has the store's word after that misses entries that have ended.

WhoHasNotGreetedANewLeaderYetIsAnEntryAllTheSame (22 checks) and EntriesThatStoppedBeforeAnOutageAreNotMissedInIt failed before and pass now.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -110,6 +110,7 @@
   const TimePoint counted_from = last_proof() - options_.counted;
   size_t entries = 1;
   size_t following = 1;
+  if (leading_since_ >= counted_from) entries += NotHeardOfYet();
   for (const auto& [name, follower] : followers_) {
     if (follower.heard < counted_from) continue;
     ++entries;
@@ -120,6 +121,15 @@
   return following > 1 && 2 * following > entries;
 }
 
+size_t Leadership::NotHeardOfYet() const {
+  const std::vector<wire::Member>& known = members_.all();
+  return static_cast<size_t>(
+      std::count_if(known.begin(), known.end(), [this](const auto& member) {
+        return member.name != options_.member.name &&
+               followers_.count(member.name) == 0;
+      }));
+}
+
 Leadership::Asked Leadership::AskedNow() const {
   return {.sent = executor_.Now(), .suspended = executor_.Suspended()};
 }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -50,9 +50,9 @@
   /// leader gives no orders any more: another may have taken over unseen.
   Millis trust{2000};
   /// An entry that had not been heard of for this long when the store last
-  /// answered is not counted among the others; another machine has taken its
-  /// place long since.
-  Millis counted{30000};
+  /// answered is not counted among the others: it has ended, since a leader
+  /// that most entries can't reach is replaced within some 5 s.
+  Millis counted{8000};
   /// Processor share, in percent of a core, with which an entry can lead any
   /// deployment; to lead 350 upstreams took 0.22 of a core.
   int32_t enough_fitness = 25;
@@ -136,6 +136,8 @@
   /// known to follow it still. One that is cut off as this one may greet it for
   /// ever, while the rest of the cell has another leader.
   bool MostFollow() const;
+  /// Entries that were known when this one claimed and have not greeted it.
+  size_t NotHeardOfYet() const;
   /// As leader: when the newest call that the store answered had been sent.
   TimePoint last_proof() const;
   /// Whether the leader leaves this entry and most others waiting, late enough
