Leadership: Keep a leader whose renewals are stored late

Callers would see one change of leaders after the other while the store is slow: a renewal that took 0.7 s of the second that it may take left more than 0.7 s between two answers, so the leader said that it couldn't reach the store, and the others replaced it without patience. The next one was no better off: term 7 after 20 s.

The time without an answer now follows what the last renewal took. A store that becomes slow at once still costs one leader, which can't tell it from being cut off.

ALeaderWhoseRenewalsAreStoredLateIsNotReplaced and AStoreThatIsSlowAtOnceCostsOneLeaderAtMost failed before and pass now.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -80,7 +80,9 @@
 
 bool Leadership::store_reachable() const {
   const TimePoint last = std::max(last_renewed_, events_.last_stored());
-  return executor_.Now() - last < options_.store_silence;
+  // While the store is slow for all, whoever leads next is no better off.
+  const Millis next = options_.renew_period + 2 * renewal_took_;
+  return executor_.Now() - last < std::max(options_.store_silence, next);
 }
 
 bool Leadership::trusted() const {
@@ -426,6 +428,8 @@
   end_offset_ = end_offset;
   last_renewed_ = executor_.Now();
   leading_since_ = last_renewed_;
+  renewal_took_ =
+      std::chrono::duration_cast<Millis>(last_renewed_ - asked.sent);
   confirmed_ = asked;
   followers_.clear();
   changes_.Clear();
@@ -478,6 +482,8 @@
   if (reply.verdict == ports::AppendVerdict::kStored) {
     end_offset_ = reply.end_offset;
     last_renewed_ = executor_.Now();
+    renewal_took_ =
+        std::chrono::duration_cast<Millis>(last_renewed_ - asked.sent);
     confirmed_ = asked;
     return;
   }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -239,6 +239,8 @@
   int64_t end_offset_ = 0;
   bool renewing_ = false;
   TimePoint last_renewed_{};
+  /// How long the last renewal took that was stored, or the claim.
+  Millis renewal_took_{0};
   /// When the newest renewal that was stored, or the claim, had been sent, and
   /// how long the machine had been suspended by then.
   Asked confirmed_;
