Coordinator: Deny a job only on the store's word

A caller would be told that there is no such job, though it had been accepted: a leader that most entries follow goes on without the store. Where these are cut off from the store together with it, the rest of the cell has another leader, and jobs that this one doesn't know.

An unknown job is now denied only by a leader that the store has confirmed within its trust; until then its entry asks again, as before without trust.

ALeaderWithoutTheStoreDeniesNoJob failed before and passes now.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -152,10 +152,10 @@
 }
 
 JobVerdict Coordinator::VerdictOnUnknownJob() const {
-  // Without trust in itself this leader may have a successor, which took jobs
-  // that are not known here. Denied, a cancel would pass for settled while the
-  // job runs on. The caller's entry asks again, and finds who leads.
-  return deps_.trusted() ? JobVerdict::kNoSuchJob : JobVerdict::kNotLeading;
+  // Without the store's word this leader may have a successor, which took jobs
+  // that are not known here, whatever other entries say. The caller's entry
+  // asks again, and finds who leads.
+  return deps_.confirmed() ? JobVerdict::kNoSuchJob : JobVerdict::kNotLeading;
 }
 
 wire::JobStateReply Coordinator::State(JobId id) const {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -84,6 +84,8 @@
     std::function<const std::set<std::string>*()> pools;
     /// Whether orders may be given now.
     std::function<bool()> trusted;
+    /// Whether the store has lately said that nobody else leads.
+    std::function<bool()> confirmed;
     /// What is stored has been taken over: calls are taken from now on.
     std::function<void()> loaded;
     /// Another leader was found.
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -160,6 +160,7 @@
           .faults = faults_,
           .pools = [this] { return KnownPools(); },
           .trusted = [this] { return leadership_.trusted(); },
+          .confirmed = [this] { return leadership_.confirmed(); },
           .loaded = [this] { leadership_.Serve(); },
           .deposed =
               [this](const std::string& cause) {
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -85,6 +85,11 @@
   return executor_.Now() - last < std::max(options_.store_silence, next);
 }
 
+bool Leadership::confirmed() const {
+  return trusted() && confirmed_.sent >= awake_since_ &&
+         executor_.Now() - last_proof() < options_.trust;
+}
+
 bool Leadership::trusted() const {
   if (role_ != Role::kLeading) return false;
   // A machine that was suspended has missed time that its clock does not show;
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -104,6 +104,9 @@
   int64_t term() const { return term_; }
   /// Whether orders may still be given; see LeadershipOptions::trust.
   bool trusted() const;
+  /// Whether the store itself has said so within that time: only then is it
+  /// sure that no other entry has taken jobs that are not known here.
+  bool confirmed() const;
   /// The leader as far as is known; empty address if none is.
   const wire::Member& leader() const { return leader_; }
   /// Whether the leader is known and takes calls. A call to one that still
