Jobs: Keep the newest failures only of a task that lasts

A job with such tasks would bring all jobs to a stop after some hours: each failure was kept in the job's record, without any limit that it counts towards, until the store took the record no more.

FailuresOfTasksThatLastLeaveAJobStorable failed before, with 301,357 bytes of 262,144, and passes now.

--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -11,6 +11,9 @@
 
 /// Upstreams that one call for advice is counted with.
 constexpr double kAdviceUpstreams = 30;
+/// Failures kept of a task that lasts, to which no limit applies: enough to
+/// know an end that is listed again.
+constexpr size_t kLastingFailuresKept = 8;
 
 }  // namespace
 
@@ -106,6 +109,9 @@
     return false;
   }
   counted.push_back(attempt);
+  if (step(id.step).lasting && counted.size() > kLastingFailuresKept) {
+    counted.erase(counted.begin());
+  }
   return true;
 }
 
