Tests: Add a soak of the jobs way with real processes

It starts entries of `mimosaraild jobs` beside a stand-in of the users' platform over HTTP (store, list, configuration, upstreams), lets 24 callers hand in, ask for and cancel jobs over kept connections, and kills, stops, freezes and restarts entries in series that overlap, the leader first. The store delays, loses, refuses and puts off calls; it holds up the second append of each writer's epoch, so that the third overtakes it. At the end it kills all entries at once and asks each, started anew, for every job. Its findings: an accepted job denied, an entry that disagrees, a changed final state, a task run twice or before its turn, a refused job that ran, an answer cut off by a graceful stop, a process that ends by itself, a job that does not end.

--- /dev/null
+++ b/tests/soak/entries.cc
@@ -0,0 +1,178 @@
+#include "tests/soak/entries.h"
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+#include <nlohmann/json.hpp>
+
+namespace mimosarail::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+/// The term of a line that tells of a new leader; 0 for any other line.
+int64_t TermLed(const std::string& line) {
+  if (line.find("\"event\":\"leading\"") == std::string::npos) return 0;
+  return std::stoll(Json::parse(line).value("term", "0"));
+}
+
+constexpr Millis kLook{20};
+constexpr Millis kShortestGap{600};
+constexpr Millis kLongestGap{2400};
+constexpr Millis kShortestRestart{100};
+constexpr Millis kLongestRestart{1500};
+constexpr Millis kShortestFreeze{300};
+constexpr Millis kLongestFreeze{3500};
+/// A process that was told to end is killed after this.
+constexpr Millis kGrace{6000};
+constexpr size_t kLeaderPercent = 75;
+/// Of what strikes an entry, and then of the rest; what is left freezes it.
+constexpr size_t kKillPercent = 45;
+constexpr size_t kTerminatePercent = 55;
+/// Another entry is struck in the same moment.
+constexpr size_t kSecondPercent = 20;
+constexpr size_t kAllPercent = 3;
+/// So many are left alone, but when all are killed.
+constexpr int64_t kFewestCalm = 2;
+
+}  // namespace
+
+std::string FreeAddress() {
+  return "127.0.0.1:" + std::to_string(scenarios::FreePort());
+}
+
+Entry::Entry(EntryOptions options) : options_(std::move(options)) {
+  const Json settings{
+      {"name", options_.name},           {"failure_domain", "zone-a"},
+      {"front_address", options_.front}, {"ready_address", FreeAddress()},
+      {"peer_address", options_.peer},   {"store_address", options_.store},
+      {"seeds", options_.seeds}};
+  std::ofstream(Path(".json")) << settings.dump(2) << "\n";
+}
+
+std::string Entry::Path(const char* suffix) const {
+  return options_.folder + "/" + options_.name + suffix;
+}
+
+void Entry::Start() {
+  process_ = std::make_unique<scenarios::Process>(
+      std::vector<std::string>{options_.daemon, "jobs", "--settings",
+                               Path(".json")},
+      Path(".log"));
+  ++life_;
+  stopped_ = told_to_end_ = killed_ = false;
+  disturbed_at_ = Clock::now();
+}
+
+void Entry::Signal(int signal) {
+  process_->Signal(signal);
+  if (signal == SIGSTOP) stopped_ = true;
+  if (signal == SIGCONT) stopped_ = false;
+  if (signal == SIGKILL) killed_ = true;
+  if (signal == SIGTERM) told_to_end_ = true;
+  if (signal != SIGTERM) disturbed_at_ = Clock::now();
+}
+
+std::string Entry::OwnEnd() {
+  const int code = process_->Wait();
+  if (killed_ || (told_to_end_ && code == 0)) return {};
+  return name() + " ended by itself, code " + std::to_string(code);
+}
+
+int64_t Entry::last_term_led() {
+  std::ifstream log(Path(".log"));
+  log.seekg(log_read_);
+  std::string line;
+  while (std::getline(log, line) && !log.eof()) {
+    log_read_ = log.tellg();
+    last_term_led_ = std::max(last_term_led_, TermLed(line));
+  }
+  return last_term_led_;
+}
+
+void FaultSeries::Start() {
+  RunEvery(executor_, kLook, [this] { Watch(); });
+  Next();
+}
+
+void FaultSeries::End() {
+  ending_ = true;
+  for (auto& entry : entries_) {
+    if (entry->stopped()) Signal(*entry, SIGCONT);
+  }
+}
+
+void FaultSeries::KillAll() {
+  for (auto& entry : entries_) Signal(*entry, SIGKILL);
+}
+
+Entry& FaultSeries::Leader() {
+  return **std::max_element(entries_.begin(), entries_.end(),
+                            [](const auto& a, const auto& b) {
+                              return a->last_term_led() < b->last_term_led();
+                            });
+}
+
+void FaultSeries::Watch() {
+  for (auto& entry : entries_) {
+    const bool ended = !entry->alive();
+    if (ended && restarting_.insert(entry.get()).second) Restart(*entry);
+  }
+}
+
+void FaultSeries::Restart(Entry& entry) {
+  const std::string own_end = entry.OwnEnd();
+  if (!own_end.empty()) ledger_.AddFinding(own_end);
+  executor_.RunAfter(dice_.Between(kShortestRestart, kLongestRestart),
+                     [this, &entry] {
+                       ledger_.Tell("start " + entry.name());
+                       entry.Start();
+                       restarting_.erase(&entry);
+                     });
+}
+
+void FaultSeries::Next() {
+  executor_.RunAfter(dice_.Between(kShortestGap, kLongestGap), [this] {
+    if (ending_) return;
+    if (dice_.Percent(kAllPercent)) {
+      KillAll();
+    } else {
+      Strike();
+      if (dice_.Percent(kSecondPercent)) Strike();
+    }
+    Next();
+  });
+}
+
+void FaultSeries::Strike() {
+  Entry& entry = dice_.Percent(kLeaderPercent)
+                     ? Leader()
+                     : *entries_[dice_.Below(entries_.size())];
+  const auto calm = std::count_if(entries_.begin(), entries_.end(),
+                                  [](const auto& one) { return one->calm(); });
+  if (entry.calm() && calm <= kFewestCalm) return;
+  if (dice_.Percent(kKillPercent)) return Signal(entry, SIGKILL);
+  if (dice_.Percent(kTerminatePercent)) {
+    Signal(entry, SIGTERM);
+    return SignalLater(entry, SIGKILL, kGrace);
+  }
+  if (entry.stopped()) return;
+  Signal(entry, SIGSTOP);
+  SignalLater(entry, SIGCONT, dice_.Between(kShortestFreeze, kLongestFreeze));
+}
+
+void FaultSeries::Signal(Entry& entry, int signal) {
+  if (!entry.alive()) return;
+  ++signals_;
+  ledger_.Tell("signal " + std::to_string(signal) + " to " + entry.name() +
+               (&entry == &Leader() ? ", which led last" : ""));
+  entry.Signal(signal);
+}
+
+void FaultSeries::SignalLater(Entry& entry, int signal, Millis delay) {
+  executor_.RunAfter(delay, [this, &entry, signal, life = entry.life()] {
+    if (entry.life() == life) Signal(entry, signal);
+  });
+}
+
+}  // namespace mimosarail::soak
--- /dev/null
+++ b/tests/soak/main.cc
@@ -0,0 +1,191 @@
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <cstdio>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+
+#include "src/libs/rpc/asio.h"
+#include "src/libs/rpc/asio_executor.h"
+#include "tests/soak/callers.h"
+#include "tests/soak/entries.h"
+#include "tests/soak/store_standin.h"
+#include "tests/soak/upstream_standin.h"
+
+DEFINE_uint64(seed, 1, "seed of faults and calls");
+DEFINE_int32(entries, 5, "entry instances, 3 to 20");
+DEFINE_int32(seconds, 20, "how long faults and calls go on, 1 to 3600");
+DEFINE_string(logs, "soak-logs", "folder; a run's logs are under seed-SEED");
+DEFINE_string(daemon, "", "program of the daemon, mimosaraild");
+
+namespace mimosarail::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr const char* kPool = "soak-pool";
+constexpr size_t kUpstreams = 4;
+constexpr size_t kCallers = 24;
+constexpr size_t kSeeds = 3;
+constexpr Millis kCallersLook{50};
+constexpr size_t kTopicSeeds = 100;
+
+/// A store that is slow enough for the journal to have two appends under way.
+constexpr CallFaultOptions kStoreFaults{.slow = 30, .longest_way = Millis(220)};
+constexpr CallFaultOptions kUpstreamFaults{.least_way = Millis(1),
+                                           .most_way = Millis(10),
+                                           .slow = 5,
+                                           .longest_way = Millis(150)};
+
+std::string Config() {
+  return Json{{"version", 1},
+              {"routes",
+               {{{"name", "soak"},
+                 {"host", FrontClient::kHost},
+                 {"prefix", FrontClient::kPrefix},
+                 {"service", kPool},
+                 {"maxAttempts", 3}}}},
+              {"services", {{{"name", kPool}}}}}
+      .dump();
+}
+
+/// One run: stand-ins and callers on one thread, entries as processes.
+class Soak {
+ public:
+  explicit Soak(const std::string& folder)
+      : folder_(folder),
+        ledger_(folder + "/run.log"),
+        store_(io_, executor_, kStoreFaults, Seed()),
+        client_(io_, ledger_) {}
+
+  bool Run() {
+    if (!StartPlatform()) return Report();
+    StartEntries();
+    callers_.Start(kCallers);
+    series_.Start();
+    executor_.RunAfter(std::chrono::seconds(FLAGS_seconds), [this] { End(); });
+    io_.run();
+    return Report();
+  }
+
+ private:
+  uint64_t Seed() { return FLAGS_seed * kTopicSeeds + ++seeds_drawn_; }
+
+  bool StartPlatform() {
+    store_address_ = store_.Start();
+    store_.log().Put("keyed.op", "config", Config());
+    for (size_t i = 0; i < kUpstreams; ++i) {
+      upstreams_.push_back(std::make_unique<UpstreamStandin>(
+          io_, executor_, ledger_, "upstream-" + std::to_string(i),
+          kUpstreamFaults, Seed()));
+      if (!upstreams_.back()->Start()) return false;
+      store_.log().Put("keyed.servers", upstreams_.back()->id(),
+                       upstreams_.back()->ListEntry(kPool));
+    }
+    return !store_address_.empty();
+  }
+
+  void StartEntries() {
+    std::vector<std::string> peers;
+    for (int i = 0; i < FLAGS_entries; ++i) peers.push_back(FreeAddress());
+    const std::vector<std::string> seeds(peers.begin(), peers.begin() + kSeeds);
+    for (const std::string& peer : peers) {
+      entries_.push_back(std::make_unique<Entry>(
+          EntryOptions{.name = "entry-" + std::to_string(entries_.size()),
+                       .daemon = FLAGS_daemon,
+                       .folder = folder_,
+                       .front = FreeAddress(),
+                       .peer = peer,
+                       .store = store_address_,
+                       .seeds = seeds}));
+      entries_.back()->Start();
+    }
+  }
+
+  void End() {
+    callers_.End();
+    series_.End();
+    if (callers_.at_work() > 0) {
+      return executor_.RunAfter(kCallersLook, [this] { End(); });
+    }
+    store_.faults().SetQuiet();
+    for (auto& upstream : upstreams_) upstream->faults().SetQuiet();
+    // What only a leader's memory held is gone with it.
+    series_.KillAll();
+    ledger_.Tell("closing check");
+    closing_.Start([this] { io_.stop(); });
+  }
+
+  bool Report() {
+    size_t accepted = 0;
+    size_t complete = 0;
+    for (const auto& [id, job] : ledger_.jobs()) {
+      accepted += job.accepted_by.empty() ? 0 : 1;
+      complete += job.final_state == "complete" ? 1 : 0;
+    }
+    int64_t terms = 0;
+    for (auto& entry : entries_) {
+      terms = std::max(terms, entry->last_term_led());
+    }
+    // A run in which nothing was at stake proves nothing.
+    if (accepted == 0 || terms < 2) ledger_.AddFinding("nothing was at stake");
+    std::printf(
+        "seed %lu: %zu jobs handed in, %zu accepted, %zu complete, %zu "
+        "signals, %ld terms, %ld appends out of sequence, %zu lost, %zu "
+        "findings\n",
+        FLAGS_seed, ledger_.jobs().size(), accepted, complete,
+        series_.signals(), terms, store_.log().out_of_sequence(),
+        closing_.lost(), ledger_.findings().size());
+    for (const std::string& finding : ledger_.findings()) {
+      std::printf("  %s\n", finding.c_str());
+    }
+    std::printf("logs: %s\n", folder_.c_str());
+    entries_.clear();  // ends their processes
+    return ledger_.findings().empty();
+  }
+
+  std::string folder_;
+  uint64_t seeds_drawn_ = 0;
+  asio::io_context io_{1};
+  rpc::AsioExecutor executor_{io_};
+  Ledger ledger_;
+  StoreStandin store_;
+  std::string store_address_;
+  std::vector<std::unique_ptr<UpstreamStandin>> upstreams_;
+  FrontClient client_;
+  Entries entries_;
+  Callers callers_{executor_, client_, ledger_, entries_, Seed()};
+  FaultSeries series_{executor_, ledger_, entries_, Seed()};
+  ClosingCheck closing_{executor_, client_, ledger_, entries_};
+};
+
+std::string MakeFolder() {
+  namespace fs = std::filesystem;
+  const fs::path folder =
+      fs::path(FLAGS_logs) / ("seed-" + std::to_string(FLAGS_seed));
+  std::error_code ignored;  // without a folder the run has no entries
+  fs::remove_all(folder, ignored);
+  fs::create_directories(folder, ignored);
+  return folder.string();
+}
+
+}  // namespace
+}  // namespace mimosarail::soak
+
+int main(int argc, char** argv) {
+  gflags::SetUsageMessage(
+      "runs entries as processes beside a stand-in of the platform, changes "
+      "their leader under load, and checks what callers were told");
+  gflags::ParseCommandLineFlags(&argc, &argv, true);
+  constexpr int kUsageError = 2;
+  if (FLAGS_entries < 3 || FLAGS_entries > 20 || FLAGS_seconds < 1 ||
+      FLAGS_seconds > 3600 || FLAGS_daemon.empty()) {
+    std::fprintf(stderr, "%s: see --help\n", argv[0]);
+    return kUsageError;
+  }
+  // Never destroyed: idle connections of an HTTP client outlive it.
+  using mimosarail::soak::Soak;
+  static Soak* const kept = new Soak(mimosarail::soak::MakeFolder());
+  return kept->Run() ? 0 : 1;
+}
--- /dev/null
+++ b/tests/soak/upstream_standin.cc
@@ -0,0 +1,172 @@
+#include "tests/soak/upstream_standin.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace mimosarail::soak {
+namespace {
+
+using Json = nlohmann::json;
+
+/// Room for all tasks at once.
+constexpr int64_t kCapacityMillicores = 64000;
+constexpr Millis kShortestTask{20};
+constexpr Millis kLongestTask{300};
+constexpr int64_t kLongestLeaseMs = 6000;
+constexpr int64_t kLongestWaitMs = 2000;
+constexpr Millis kLapseLook{50};
+/// How often a renewal that waits looks for an end.
+constexpr Millis kEndsLook{10};
+constexpr size_t kReportedEnds = 500;
+constexpr int kHalfWay = 50;
+
+int64_t ClockMs() {
+  return std::chrono::duration_cast<Millis>(Clock::now().time_since_epoch())
+      .count();
+}
+
+http::Response Answer(int status, Json body = Json::object()) {
+  body["clockMs"] = ClockMs();
+  return {.status = status,
+          .headers = {{"Content-Type", "application/json"}},
+          .body = body.dump()};
+}
+
+http::Response Refuse(const char* reason) {
+  return Answer(409, {{"reason", reason}});
+}
+
+}  // namespace
+
+UpstreamStandin::UpstreamStandin(asio::io_context& io, Executor& executor,
+                                 Ledger& ledger, std::string id,
+                                 CallFaultOptions faults, uint64_t seed)
+    : executor_(executor),
+      ledger_(ledger),
+      id_(std::move(id)),
+      faults_(executor, faults, seed),
+      dice_(seed),
+      server_(io, {},
+              [this](const http::Request& request, http::Responder respond) {
+                Take(request, std::move(respond));
+              }) {}
+
+bool UpstreamStandin::Start() {
+  const auto port = server_.Listen("127.0.0.1:0");
+  if (!port.ok()) return false;
+  address_ = "127.0.0.1:" + std::to_string(port.value());
+  RunEvery(executor_, kLapseLook, [this] { Lapse(); });
+  return true;
+}
+
+std::string UpstreamStandin::ListEntry(const std::string& pool) const {
+  return Json{{"service", pool},
+              {"addr", address_},
+              {"zone", "zone-a"},
+              {"state", "ready"},
+              {"sequence", 1},
+              {"labels", {"plain", "rack-" + id_}},
+              {"capacity", {{"cpu", kCapacityMillicores}}}}
+      .dump();
+}
+
+void UpstreamStandin::Take(const http::Request& request,
+                           http::Responder respond) {
+  const Json body = Json::parse(request.body, nullptr, false);
+  if (!body.is_object()) return respond(Answer(400));
+  if (http::FindHeader(request.headers, "X-Expect-Instance") != id_) {
+    return respond(Answer(421));
+  }
+  faults_.Carry(
+      [this, body, path = request.target](const http::Responder& back) {
+        if (path == "/hold") return Hold(body, back);
+        if (path == "/run-start") return back(StartTask(body));
+        back(path == "/run-stop" ? StopTask(body) : Answer(404));
+      },
+      std::move(respond));
+}
+
+bool UpstreamStandin::Obeys(const Json& body) {
+  const int64_t fence = body.value("fenceToken", int64_t{0});
+  if (fence < fence_) return false;
+  fence_ = fence;
+  const int64_t asked = body.value("deadlineMs", int64_t{0});
+  lease_end_ms_ =
+      std::max(lease_end_ms_, std::min(asked, ClockMs() + kLongestLeaseMs));
+  return true;
+}
+
+http::Response UpstreamStandin::StartTask(const Json& body) {
+  if (!Obeys(body)) return Refuse("fence");
+  if (body.value("deadlineMs", int64_t{0}) <= ClockMs()) return Refuse("late");
+  const std::string task = body.value("task", "");
+  const int64_t attempt = body.value("attempt", int64_t{0});
+  const auto id = ParseTaskId(task);
+  if (!id || attempt <= 0) return Answer(400);
+  const auto there = running_.find(task);
+  if (there != running_.end() && there->second == attempt) return Answer(200);
+  if (attempt <= last_attempt_[task]) return Refuse("old");
+  if (there != running_.end()) return Refuse("room");
+  last_attempt_[task] = attempt;
+  running_[task] = attempt;
+  ledger_.OnStart(id_, *id, body.value("spec", ""));
+  executor_.RunAfter(dice_.Between(kShortestTask, kLongestTask),
+                     [this, task, attempt] { Finish(task, attempt, "done"); });
+  return Answer(200);
+}
+
+http::Response UpstreamStandin::StopTask(const Json& body) {
+  if (!Obeys(body)) return Refuse("fence");
+  const std::string task = body.value("task", "");
+  const int64_t attempt = body.value("attempt", int64_t{0});
+  last_attempt_[task] = std::max(last_attempt_[task], attempt);
+  Finish(task, attempt, "stopped");
+  return Answer(200);
+}
+
+void UpstreamStandin::Finish(const std::string& task, int64_t attempt,
+                             const char* how) {
+  const auto there = running_.find(task);
+  if (there == running_.end() || there->second != attempt) return;
+  running_.erase(there);
+  ++last_end_;
+  ended_[last_end_] = {last_end_, task, attempt, how, ""};
+  const bool done = std::string_view(how) == "done";
+  ledger_.OnEnd(id_, *ParseTaskId(task), done ? last_end_ : 0);
+}
+
+void UpstreamStandin::Lapse() {
+  if (running_.empty() || ClockMs() < lease_end_ms_) return;
+  ledger_.OnLapse(id_);
+  const auto all = running_;
+  for (const auto& [task, attempt] : all) Finish(task, attempt, "lapsed");
+}
+
+void UpstreamStandin::Hold(const Json& body, const http::Responder& respond) {
+  if (!Obeys(body)) return respond(Refuse("fence"));
+  const int64_t noted =
+      std::min(body.value("ackCursor", int64_t{0}), last_end_);
+  ended_.erase(ended_.begin(), ended_.upper_bound(noted));
+  ledger_.OnNoted(id_, noted);
+  const int64_t wait =
+      std::min(body.value("waitMs", int64_t{0}), kLongestWaitMs);
+  Report(Clock::now() + Millis(wait), respond);
+}
+
+void UpstreamStandin::Report(TimePoint limit, const http::Responder& respond) {
+  if (ended_.empty() && Clock::now() < limit) {
+    return executor_.RunAfter(
+        kEndsLook, [this, limit, respond] { Report(limit, respond); });
+  }
+  Json running = Json::array();
+  for (const auto& [task, attempt] : running_) {
+    running.push_back({task, attempt, "", kHalfWay});
+  }
+  Json ended = Json::array();
+  for (const auto& [number, row] : ended_) {
+    if (ended.size() < kReportedEnds) ended.push_back(row);
+  }
+  respond(Answer(200, {{"running", running}, {"finished", ended}}));
+}
+
+}  // namespace mimosarail::soak
