--- a/tests/accepted_jobs_test.cc
+++ b/tests/accepted_jobs_test.cc
@@ -584,9 +584,7 @@
 
 BOOST_TEST_GLOBAL_FIXTURE(Trace);
 
-/// Days of leaders that lose their office and of a store that is slow, refuses
-/// and loses: no accepted job may be lost, run twice or end without cause, none
-/// that was refused may run.
+/// Guards against answers that a change of leaders or a bad store makes untrue.
 BOOST_DATA_TEST_CASE(WhatWasAnsweredHolds,
                      boost::unit_test::data::make(Seeds()), seed) {
   Day day(seed);
@@ -612,9 +610,7 @@
   BOOST_TEST(tally.out_of_order >= tally.days);
 }
 
-/// Jobs were answered as accepted and unknown to every entry from then on: the
-/// store took the second append with records of a term before the first one,
-/// and refused that one for its number.
+/// Guards against accepted jobs lost with an append that is overtaken.
 BOOST_AUTO_TEST_CASE(TheFirstAppendOfATermMayBeOvertaken) {
   constexpr Millis kUsual{75};
   constexpr Millis kLong{700};
@@ -635,8 +631,7 @@
   CheckPromises(cell);
 }
 
-/// A job ran twice or its caller got no answer: the leader died after the store
-/// had taken its record and before the answer came.
+/// Guards against a second run, or no answer, when a leader dies storing.
 BOOST_AUTO_TEST_CASE(AJobStoredByALeaderThatDiesIsAccepted) {
   constexpr JobId kJob = 0xfb0000;
   JobCell cell({});
@@ -657,8 +652,7 @@
   BOOST_TEST(cell.upstreams().Starts({kJob, 0, 0, 0}) == 1);
 }
 
-/// Accepted jobs were unknown after two leaders in a row had lost their office
-/// while they loaded, one killed and one that stood still and woke up.
+/// Guards against accepted jobs lost with leaders that only loaded.
 BOOST_AUTO_TEST_CASE(JobsOutliveLeadersThatOnlyLoaded) {
   constexpr Millis kStandstill{4000};
   for (const bool wakes : {false, true}) {
@@ -693,9 +687,7 @@
   }
 }
 
-/// A job ran twice, or a cancelled one came back: its caller repeated it at the
-/// next leader while the record that the earlier one had sent was still on its
-/// way to the store. The earlier one is gone, or stood still and wakes up.
+/// Guards against a repeat that runs twice with an earlier leader's append.
 BOOST_DATA_TEST_CASE(ARepeatMeetsALateAppend,
                      boost::unit_test::data::xrange(300, 4200, 300) *
                          boost::unit_test::data::make({false, true}),
@@ -732,10 +724,7 @@
   BOOST_TEST(cell.upstreams().Starts({kRepeated, 0, 0, 0}) == 1);
 }
 
-/// A caller was told on its cancel that there is no such job, and the job ran
-/// later: the leader that had sent its record stood still, and the record
-/// reached the store after the next leader had read what is stored and before
-/// its fence.
+/// Guards against a job that is denied, as it was stored late, and then runs.
 BOOST_DATA_TEST_CASE(WhatIsStoredBeforeTheFenceIsLoaded,
                      boost::unit_test::data::xrange(1000, 1600, 20), late_ms) {
   constexpr JobId kJob = 0xff0000;
--- a/tests/jobs_schedule_test.cc
+++ b/tests/jobs_schedule_test.cc
@@ -454,11 +454,7 @@
   }
 }
 
-/// The store is slow right after a take-over, so the leader has two appends
-/// under way, and the second one gets there first. Nothing but the fence was
-/// before it, which is no append: the store takes it, and refuses the first one
-/// when that comes. A job of the first one must not pass for stored: its caller
-/// would believe so, and it would be gone with the leader.
+/// Guards against accepted jobs lost as their append was overtaken.
 BOOST_AUTO_TEST_CASE(AnAppendThatIsOvertakenLosesNoAcceptedJob) {
   JobCell cell({});
   cell.RunFor(Millis(2000));
@@ -487,9 +483,7 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
-/// A job's record is larger than the store takes. Its append would be refused
-/// each time, and with it all that waits behind it: no job would be taken any
-/// more, and no end kept, until another entry leads.
+/// Guards against one job whose record is never stored holding up all others.
 BOOST_AUTO_TEST_CASE(AJobTooLargeForTheStoreHindersNoOther) {
   JobCell cell({});
   cell.RunFor(Millis(2000));
--- a/tests/journal_test.cc
+++ b/tests/journal_test.cc
@@ -139,8 +139,7 @@
   BOOST_TEST(seeds_with_several > kSeeds * 9 / 10);
 }
 
-/// Guards against callers told of records as stored that are nowhere, as the
-/// second append of a term came to the store before the first.
+/// Guards against records told as stored that an overtaken append lost.
 BOOST_AUTO_TEST_CASE(AnAppendIsNotStoredByOneThatOvertookIt) {
   constexpr Millis kSlowFence{150};
   constexpr Millis kLate{400};
--- a/tests/late_word_test.cc
+++ b/tests/late_word_test.cc
@@ -32,11 +32,7 @@
 
 BOOST_TEST_GLOBAL_FIXTURE(Trace);
 
-/// A leader's append is stored, and its answer is under way for 1.45 s, as long
-/// as the leader waits for it. Meanwhile the others, who hear nothing of the
-/// leader, put another in its place. Dated when it was read, the answer lets
-/// the old leader renew leases of upstreams that only it reaches for longer
-/// than the next one waits for, and what they run runs at two places.
+/// Guards against a leader that takes a late answer of the store for a new one.
 BOOST_AUTO_TEST_CASE(ALateAnswerOfTheStoreIsAnOldOne) {
   constexpr Millis kAnswerLateBy{1450};
   constexpr int kMoments = 40;  // a period of renewals
@@ -63,10 +59,7 @@
   }
 }
 
-/// A failure domain is cut off with the leader, another entry and an upstream.
-/// The other entry greets the leader as ever, which proves nothing: neither of
-/// them could hear that the rest of the cell has another leader. That one takes
-/// the upstream's tasks for over when their leases must have run out.
+/// Guards against a task at two places, as one other entry greets the leader.
 BOOST_AUTO_TEST_CASE(AnEntryAsCutOffAsTheLeaderIsNoWitness) {
   JobCell cell({});
   cell.RunFor(kSettle);
@@ -93,10 +86,7 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
-/// A leader is cut off with another entry right after its take-over, before the
-/// rest of the cell has greeted it. Who has not greeted it yet lives all the
-/// same and takes over: counted out, it leaves the two of them for most of the
-/// cell, and what runs on the upstream beside them runs at two places.
+/// Guards against the same right after a take-over, when few have greeted.
 BOOST_AUTO_TEST_CASE(WhoHasNotGreetedANewLeaderYetIsAnEntryAllTheSame) {
   constexpr Millis kStep{20};
   constexpr int kMoments = 15;  // beyond a period of greetings
@@ -129,8 +119,7 @@
   }
 }
 
-/// Guards against a task at two places: most entries are cut off from the store
-/// with the leader, and the rest of the cell takes over.
+/// Guards against the same with most entries cut off from the store.
 BOOST_AUTO_TEST_CASE(MostEntriesCutOffFromTheStoreAreNoWitness) {
   JobCell cell({});
   cell.RunFor(kSettle);
@@ -150,8 +139,7 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
-/// Guards against a job that is accepted and denied: by a leader that most
-/// entries follow, while another that reaches the store has taken it.
+/// Guards against a denied job that a leader nearer to the store has accepted.
 BOOST_AUTO_TEST_CASE(ALeaderWithoutTheStoreDeniesNoJob) {
   JobCell cell({});
   cell.RunFor(kSettle);
@@ -181,10 +169,7 @@
   BOOST_TEST((*told != coordinator::JobVerdict::kNoSuchJob));
 }
 
-/// Half of the entries stop for good, and the store answers for 10 s after
-/// that, so that nobody can have taken over before it goes away. Counted among
-/// the entries still, they would take the leader's trust from it, and with the
-/// leases all that runs.
+/// Guards against work lost in an outage, as entries have ended before it.
 BOOST_AUTO_TEST_CASE(EntriesThatStoppedBeforeAnOutageAreNotMissedInIt) {
   JobCell cell({});
   cell.RunFor(kSettle);
@@ -209,10 +194,7 @@
   for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
 }
 
-/// The answer to a claim is late. The others read in the store that an entry
-/// leads before that entry is told so itself; that it says meanwhile that it
-/// doesn't lead is no resignation. Taken for one, an entry that is well is
-/// deposed before it has begun.
+/// Guards against deposing a leader before it is told that it leads.
 BOOST_AUTO_TEST_CASE(WhoDoesNotKnowYetThatItLeadsHasNotResigned) {
   constexpr Millis kLate{850};  // less than a claim is waited for
   int claimed = 0;
@@ -248,8 +230,7 @@
   BOOST_TEST(claimed > 0);
 }
 
-/// Guards against a leader whose every renewal is stored giving way to others
-/// that are no better off, since the store has become slow for all.
+/// Guards against a change of leaders because the store is slow for all.
 BOOST_AUTO_TEST_CASE(ALeaderWhoseRenewalsAreStoredLateIsNotReplaced) {
   JobCell cell({});
   cell.RunFor(kSettle);
@@ -267,8 +248,7 @@
   BOOST_TEST(cell.entry(leader)->leadership().term() == term);
 }
 
-/// Guards against the same where the store becomes slow at once: that may cost
-/// one leader, which can't tell it from being cut off, and no second one.
+/// Guards against the same again and again where it becomes slow at once.
 BOOST_AUTO_TEST_CASE(AStoreThatIsSlowAtOnceCostsOneLeaderAtMost) {
   for (const Millis late : {Millis(500), Millis(700)}) {
     BOOST_TEST_CONTEXT("appends are answered late by " << late.count()) {
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -97,10 +97,7 @@
 
 BOOST_TEST_GLOBAL_FIXTURE(Trace);
 
-/// The leader is silent, so another entry is asked, which does not lead yet. It
-/// claims, announces itself, and its answer to the question from before comes
-/// after that. Taken for its resignation, the answer lets this entry claim at
-/// once: the cell changes its leader twice, and callers wait for both.
+/// Guards against deposing a leader by what it said before its claim.
 BOOST_FIXTURE_TEST_CASE(AnAnswerFromBeforeTheClaimIsNoResignation, Fixture) {
   Store(Lead(1, "old"));
   self.Start();
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -283,8 +283,7 @@
   }
 }
 
-/// An upstream lists 500 ends at a time: an answer with so many may leave ends
-/// out, and what is in none of its lists may have ended all the same.
+/// Guards against taking the ends that are listed for all of them.
 BOOST_AUTO_TEST_CASE(AnAnswerFullOfEndsMayLeaveSomeOut) {
   const auto ends = [](int count) {
     std::string rows;
@@ -390,9 +389,7 @@
   BOOST_TEST(answered == kCalls);
 }
 
-/// A peer refuses a long request before it has read it, as a store does whose
-/// partition is full. The next call must arrive whole and alone, not amid what
-/// is left of the first one's bytes: its answer would be that to another call.
+/// Guards against a call sent amid the rest of an earlier, refused one.
 BOOST_AUTO_TEST_CASE(AnEarlyAnswerLeavesNoHalfRequestBehind) {
   using asio::ip::tcp;
   asio::io_context io;
@@ -436,8 +433,7 @@
   BOOST_TEST(peers.back()->read.back().body == "second");
 }
 
-/// Guards against a page that never comes whole within a call's timeout, so
-/// that nobody can load the jobs.
+/// Guards against a page that is never read, as it takes long to come.
 BOOST_AUTO_TEST_CASE(AnAnswerThatKeepsComingIsWaitedFor) {
   using asio::ip::tcp;
   constexpr int kParts = 12;
@@ -493,9 +489,7 @@
   BOOST_TEST(!late->ok());
 }
 
-/// The operators' topic holds more than a page: the configuration is on the
-/// second one. Taken from the first alone, no configuration would be known, or
-/// a wave on the second would never be carried out.
+/// Guards against a configuration that is missed on a later page.
 BOOST_AUTO_TEST_CASE(TheConfigurationIsReadFromAllPages) {
   asio::io_context io;
   rpc::AsioExecutor executor(io);
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -835,9 +835,7 @@
   BOOST_TEST(lanes.Budget(now).urgent_only == 0);
 }
 
-/// A task that lasts is restarted however often it fails. With each failure
-/// kept, the job's record outgrows what the store takes; then no append of any
-/// leader is stored any more, and no job is taken.
+/// Guards against failures that make a job outgrow what the store takes.
 BOOST_AUTO_TEST_CASE(FailuresOfTasksThatLastLeaveAJobStorable) {
   constexpr int32_t kTasks = 100;
   constexpr int64_t kFailures = 1000;  // of each, one a minute for 17 hours
@@ -853,8 +851,7 @@
              coordinator::kMaxRecordBytes);
 }
 
-/// Many tasks of one job are at work and have saved their progress. With more
-/// than the store takes in one record no append is stored any more.
+/// Guards against checkpoints that make a job outgrow what the store takes.
 BOOST_AUTO_TEST_CASE(CheckpointsOfManyTasksLeaveAJobStorable) {
   Job job(Spec(1, kMaxStepTasks, 100));
   for (int32_t i = 0; i < kMaxStepTasks; ++i) {
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -60,8 +60,7 @@
   BOOST_TEST(Of(traffic, "hold", Direction::kIn).bytes == 1000);
 }
 
-/// A peer chooses what it sends: kinds without bound would take memory without
-/// bound, and nothing may go uncounted.
+/// Guards against memory taken by kinds of message that a peer makes up.
 BOOST_AUTO_TEST_CASE(KindsAreBounded) {
   Traffic traffic;
   constexpr size_t kKinds = 10 * Traffic::kMaxKinds;
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -104,11 +104,7 @@
 
 }  // namespace
 
-/// A renewal waits at the upstream while a later one, sent for a start without
-/// an answer, is answered at once; that answer comes last. It is the older one
-/// by the upstream's clock, though its call is the newer: its list holds a run
-/// whose end has been told already. Taken for the truth, the run's room stays
-/// held for good, since no later end frees it.
+/// Guards against room held for good by an older answer that comes last.
 BOOST_FIXTURE_TEST_CASE(TheClockTellsWhichAnswerIsOlder, Fixture) {
   link->Open();
   Answer(0, 1000, {}, {});
@@ -134,10 +130,7 @@
   BOOST_TEST((told.starts[0] == CallVerdict::kNotSent));
 }
 
-/// The store was away for long while an upstream ended one task after the
-/// other; then another entry leads. The upstream lists 500 ends at a time. What
-/// ended beyond them is in neither list: taken for never run, it would run a
-/// second time.
+/// Guards against a second run of a task that ended beyond the listed ends.
 BOOST_FIXTURE_TEST_CASE(APartOfTheEndsIsNoInventory, Fixture) {
   link->Open();
   Answer(0, 1000, {}, DoneEnds(1, kEndsAnAnswer), true);
@@ -154,8 +147,7 @@
   BOOST_TEST(link->settled());
 }
 
-/// The same for a start without an answer: its run has ended, and its end is
-/// beyond those that are listed. Told as not started, it would start elsewhere.
+/// Guards against a second start of a task that ended beyond them.
 BOOST_FIXTURE_TEST_CASE(AStartBeyondTheListedEndsStaysInDoubt, Fixture) {
   link->Open();
   Answer(0, 1000, {}, {});
