--- a/tests/late_word_test.cc
+++ b/tests/late_word_test.cc
@@ -1,6 +1,3 @@
-// What a leader takes for a sign that it still leads, while another has taken
-// its place: the word came late, or from an entry as cut off as itself.
-
 #define BOOST_TEST_MODULE late_word
 #include <boost/test/unit_test.hpp>
 
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -1,5 +1,3 @@
-// What one entry takes from the words of others about who leads.
-
 #define BOOST_TEST_MODULE leadership
 #include "src/leadership/leadership.h"
 
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -1,6 +1,3 @@
-// What the holder of one upstream takes from its answers: they may overtake
-// each other, and one may list a part of the ends only.
-
 #define BOOST_TEST_MODULE upstream_link
 #include "src/fleet/upstream_link.h"
 
