--- a/tests/accepted_jobs_test.cc
+++ b/tests/accepted_jobs_test.cc
@@ -481,7 +481,7 @@
   void SlowStore() {
     StoreFaults& store = cell_.store().faults();
     store.append_takes = Millis(60 + Pick(Chance(30) ? 940 : 240));
-    store.jitter = Millis(100 + Pick(400));
+    store.jitter = Millis(150 + Pick(500));
     store.refused_percent = Chance(30) ? Pick(30) : 0;
   }
 
