Tests: Bring two cases back that a rewrite of their neighbours had dropped

WhatWaitedGivesNoTrust and MostEntriesAreEnoughWhileTheStoreIsAway were cut off with the ends of their files when cases before them were written anew. Found by proving the guards: two passed without the code that they name. Both cases are as they were.

--- a/tests/late_word_test.cc
+++ b/tests/late_word_test.cc
@@ -262,4 +262,28 @@
   }
 }
 
+/// Guards against an outage of the store that ends what runs, with an entry
+/// dead.
+BOOST_AUTO_TEST_CASE(MostEntriesAreEnoughWhileTheStoreIsAway) {
+  JobCell cell({});
+  cell.RunFor(kSettle);
+  const std::string leader = cell.Leader();
+  const TaskId task{1, 0, 0, 0};
+  cell.upstreams().script(task).takes = Millis(15000);
+  cell.Submit(leader, OneStepJob(1, 1, 1000));
+  cell.RunFor(Millis(500));
+  BOOST_REQUIRE(!cell.upstreams().Where(task).empty());
+  cell.store().faults().down = true;
+  for (const std::string& name : cell.names()) {
+    if (name == leader) continue;
+    cell.Kill(name);
+    break;
+  }
+  cell.RunFor(Millis(16000));
+  cell.store().faults().down = false;
+  BOOST_TEST(cell.RunUntilFinal(1, Millis(5000)));
+  BOOST_TEST(cell.upstreams().Starts(task) == 1);
+  for (const std::string& what : cell.Broken()) BOOST_ERROR(what);
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -162,4 +162,37 @@
   BOOST_TEST(self.leading());
 }
 
+/// Guards against trust from greetings and renewals that waited for a frozen
+/// one.
+BOOST_AUTO_TEST_CASE(WhatWaitedGivesNoTrust) {
+  constexpr int kMoments = 210;  // more than one period of renewals
+  for (int moment = 0; moment < kMoments; ++moment) {
+    BOOST_TEST_CONTEXT("stands still after " << moment << " ms") {
+      Fixture cell;
+      cell.self.Start();
+      cell.clock.RunFor(Millis(1000 + moment));
+      const auto greet_all = [&cell] {
+        for (const char* name : {"a", "b", "c"}) {
+          wire::HelloCall greeting;
+          greeting.caller = MemberAt(name);
+          greeting.term = 1;
+          cell.self.OnHello(greeting);
+        }
+      };
+      greet_all();
+      BOOST_REQUIRE(cell.self.trusted());
+      cell.executor.Pause();
+      cell.clock.RunFor(Millis(5000));
+      cell.fake.faults().down = true;
+      cell.executor.Resume();
+      greet_all();
+      BOOST_TEST(!cell.self.trusted());
+      cell.clock.RunFor(Millis(1));
+      BOOST_TEST(!cell.self.trusted());
+      greet_all();
+      BOOST_TEST(!cell.self.trusted());
+    }
+  }
+}
+
 }  // namespace mimosarail::jobsim
