--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -73,7 +73,6 @@
   out.leadership.leader_lease = Millis(s.leader_lease_ms);
   out.leadership.member.fitness = static_cast<int32_t>(s.cpu_percent);
   out.coordinator.task_lease = Millis(s.lease_ms);
-  out.coordinator.previous_leader_timeout = Millis(s.leader_lease_ms);
   out.coordinator.upstream_list_period = Millis(s.upstream_list_period_ms);
   out.coordinator.maintenance_duration =
       Millis(s.maintenance_duration_centis * kMsPerCentisecond);
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -34,9 +34,6 @@
   /// Duration of the task leases at the upstreams, as opposed to the leader
   /// lease.
   Millis task_lease{4000};
-  /// How long an earlier leader may keep renewing task leases after this leader
-  /// has taken over: the duration of a leader lease.
-  Millis previous_leader_timeout{2000};
   /// An upstream counts as ended if it is not listed, has not answered for this
   /// long and has no valid lease. Before that it may be only unreachable and
   /// recover.
@@ -100,6 +97,8 @@
     std::function<bool()> leader_lease_valid;
     /// Whether the store has recently confirmed that no other entry leads.
     std::function<bool()> lease_confirmed_by_store;
+    /// When the leases of all earlier leaders end; unset while not known.
+    std::function<std::optional<TimePoint>()> predecessor_lease_end;
     /// Called when the stored state is loaded. Callers are served from then on.
     std::function<void()> on_loaded;
     /// Called when another leader is detected.
@@ -142,6 +141,9 @@
   bool loaded() const { return loaded_; }
 
   bool MaySendOrders() override;
+  std::optional<TimePoint> PredecessorLeaseEnd() override {
+    return deps_.predecessor_lease_end();
+  }
   void OnReport(UpstreamIndex upstream,
                 const std::vector<ports::RunningTask>& running,
                 const std::vector<ports::EndedTask>& ended) override;
@@ -238,6 +240,8 @@
   /// Tells the scheduler which jobs are uncertain, as soon as UncertainJobs()
   /// is known, and again when their number changes.
   void ResolveWhenRunningTasksKnown();
+  /// Whether an upstream whose record can't be read may run tasks.
+  bool UnreadableUpstreamMayRunTasks() const;
   /// Jobs that may have tasks on upstreams which have not reported their
   /// running tasks yet; nullopt if the jobs of one such upstream are unknown.
   std::optional<std::unordered_set<JobId>> UncertainJobs() const;
@@ -329,9 +333,9 @@
   /// Listed upstreams of pools that neither the configuration nor a job names.
   /// They are not called.
   std::map<std::string, ports::UpstreamEntry> unreferenced_upstreams_;
-  /// Time at which the last lease of an upstream whose record can't be read has
-  /// certainly expired. Until then it may run tasks.
-  TimePoint unreadable_leases_end_{};
+  /// The record of an upstream can't be read. It may run tasks until all leases
+  /// granted by earlier leaders have expired.
+  bool has_unreadable_upstream_ = false;
   /// Position in the changes of the upstream list; negative if the whole list
   /// has to be read.
   int64_t list_cursor_ = -1;
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -126,9 +126,7 @@
   }
   // The upstream may run tasks of this service. All that is certain is when its
   // leases will have expired.
-  unreadable_leases_end_ = deps_.executor.Now() +
-                           options_.previous_leader_timeout +
-                           fleet::MaxLeaseDuration(options_.task_lease);
+  has_unreadable_upstream_ = true;
   return "does not decode";
 }
 
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -167,8 +167,7 @@
           .index = index,
           .target = {.address = entry.address, .id = entry.id},
           .first_fence = next_fence_,
-          .lease = options_.task_lease,
-          .previous_leader_timeout = options_.previous_leader_timeout});
+          .lease = options_.task_lease});
   links_[index] = link;
   journal_->WhenStored([weak = weak_from_this(), link](bool stored) {
     const auto self = weak.lock();
@@ -243,8 +242,16 @@
   return out;
 }
 
+bool Coordinator::UnreadableUpstreamMayRunTasks() const {
+  if (!has_unreadable_upstream_) return false;
+  const std::optional<TimePoint> last_grant = deps_.predecessor_lease_end();
+  return !last_grant ||
+         deps_.executor.Now() <=
+             *last_grant + fleet::MaxLeaseDuration(options_.task_lease);
+}
+
 void Coordinator::ResolveWhenRunningTasksKnown() {
-  if (!list_known_ || deps_.executor.Now() < unreadable_leases_end_) return;
+  if (!list_known_ || UnreadableUpstreamMayRunTasks()) return;
   if (scheduler_.resolved() && uncertain_job_count_ == 0) return;
   const auto uncertain = UncertainJobs();
   if (!uncertain) return;
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -45,15 +45,22 @@
       adaptive_timeout_(options_.min_timeout, options_.max_timeout) {}
 
 void UpstreamLink::Open() {
-  // An earlier leader may be partitioned from everything except this upstream.
-  // It may renew the task leases until its leader lease expires. Its task
-  // leases are as long as those of this leader.
-  leases_end_ = executor_.Now() + options_.previous_leader_timeout +
-                MaxLeaseDuration(options_.lease);
   Renew(Millis(0));
   CheckLeaseExpiry();
 }
 
+bool UpstreamLink::LeasesExpired() const {
+  const TimePoint now = executor_.Now();
+  if (now <= leases_end_) return false;
+  // The upstream has replied to this leader, so it refuses earlier leaders.
+  if (upstream_clock_ms_ > 0) return true;
+  // An earlier leader may be partitioned together with this upstream. It may
+  // renew the task leases until its leader lease ends. Its task leases are as
+  // long as those of this leader.
+  const std::optional<TimePoint> last_grant = events_.PredecessorLeaseEnd();
+  return last_grant && now > *last_grant + MaxLeaseDuration(options_.lease);
+}
+
 int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
   const auto elapsed = std::chrono::duration_cast<Millis>(
       executor_.Now() - upstream_clock_received_at_);
@@ -165,6 +172,11 @@
   consecutive_failures_ = 0;
   last_acknowledged_completion_ =
       std::max(last_acknowledged_completion_, acked_completions);
+  if (upstream_clock_ms_ == 0) {
+    // An earlier leader may have granted a lease until now.
+    leases_end_ = std::max(leases_end_,
+                           executor_.Now() + MaxLeaseDuration(options_.lease));
+  }
   RecordUpstreamClock(reply.call.clock_ms);
   all_runs_ended_ = false;
   // With an incomplete list of completions, a run that is in neither list may
@@ -209,8 +221,7 @@
 
 void UpstreamLink::CheckLeaseExpiry() {
   if (closed_) return;
-  const TimePoint now = executor_.Now();
-  if (!reachable_ && now > leases_end_ && !all_runs_ended_) {
+  if (!reachable_ && !all_runs_ended_ && LeasesExpired()) {
     logging::Event(logging::Level::kWarning, "leases have run out",
                    {{"upstream", options_.target.id}});
     all_runs_ended_ = true;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -4,6 +4,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -26,9 +27,6 @@
   /// sooner. With a longer one, tasks survive a longer time without a leader or
   /// a connection.
   Millis lease{4000};
-  /// How long an earlier leader may keep renewing task leases after this leader
-  /// has taken over: the duration of a leader lease.
-  Millis previous_leader_timeout{2000};
   /// How long the upstream may delay its reply to a renewal, to wait for a
   /// completion.
   Millis completion_wait{1000};
@@ -58,6 +56,9 @@
   virtual ~UpstreamEvents() = default;
   /// Whether starts, stops and renewals may be sent now.
   virtual bool MaySendOrders() = 0;
+  /// When every earlier leader has stopped renewing task leases, at upstreams
+  /// that this leader does not reach; unset while that is not known.
+  virtual std::optional<TimePoint> PredecessorLeaseEnd() = 0;
   /// `running` lists all running tasks, `ended` the completions that were not
   /// reported before. If the upstream has more completions than fit into one
   /// reply, later reports contain the rest; reconciled() becomes true only
@@ -133,6 +134,9 @@
   void ResolveStartsInDoubt(int64_t fence, const ports::RenewReply& reply);
   void SetReachable(bool reachable);
   void CheckLeaseExpiry();
+  /// Whether all leases granted so far have expired, those granted by earlier
+  /// leaders included.
+  bool LeasesExpired() const;
   int64_t LeaseEndOnUpstreamClock() const;
   void RecordUpstreamClock(int64_t clock_ms);
 
@@ -158,7 +162,8 @@
   /// local time at which it was received.
   int64_t upstream_clock_ms_ = 0;
   TimePoint upstream_clock_received_at_{};
-  /// No lease granted so far lasts beyond this, on the local clock.
+  /// No lease granted by this leader, or known from the upstream's first reply,
+  /// lasts beyond this, on the local clock.
   TimePoint leases_end_{};
   /// Numbers of the newest completions that were reported, that are stored, and
   /// whose acknowledgement the upstream has confirmed.
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -45,6 +45,8 @@
 
 class AnnounceReply;
 
+class QuorumRecord;
+
 class SubmitJobCall;
 
 class SubmitJobReply;
@@ -911,11 +913,13 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _HeartbeatCall__isset {
-  _HeartbeatCall__isset() : caller(false), term(false), config_version(false), members_known(false) {}
+  _HeartbeatCall__isset() : caller(false), term(false), config_version(false), members_known(false), incarnation(false), leader_clock_ms(false) {}
   bool caller :1;
   bool term :1;
   bool config_version :1;
   bool members_known :1;
+  bool incarnation :1;
+  bool leader_clock_ms :1;
 } _HeartbeatCall__isset;
 
 /**
@@ -931,7 +935,9 @@
   HeartbeatCall() noexcept
                 : term(0),
                   config_version(0),
-                  members_known(0) {
+                  members_known(0),
+                  incarnation(0),
+                  leader_clock_ms(0) {
   }
 
   virtual ~HeartbeatCall() noexcept;
@@ -943,6 +949,16 @@
    * knows, in this term.
    */
   int64_t members_known;
+  /**
+   * Distinguishes this process of the caller from earlier ones of the same
+   * name.
+   */
+  int64_t incarnation;
+  /**
+   * `clock_ms` of the newest reply that the caller got from the leader of this
+   * term; 0 if there is none. The caller followed that leader then.
+   */
+  int64_t leader_clock_ms;
 
   _HeartbeatCall__isset __isset;
 
@@ -954,6 +970,10 @@
 
   void __set_members_known(const int64_t val);
 
+  void __set_incarnation(const int64_t val);
+
+  void __set_leader_clock_ms(const int64_t val);
+
   bool operator == (const HeartbeatCall & rhs) const
   {
     if (!(caller == rhs.caller))
@@ -964,6 +984,10 @@
       return false;
     if (!(members_known == rhs.members_known))
       return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(leader_clock_ms == rhs.leader_clock_ms))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatCall &rhs) const {
@@ -983,7 +1007,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatCall& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false) {}
+  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false), clock_ms(false) {}
   bool leading :1;
   bool term :1;
   bool leader :1;
@@ -994,6 +1018,7 @@
   bool leader_unresponsive_ms :1;
   bool loading :1;
   bool members_known :1;
+  bool clock_ms :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -1011,7 +1036,8 @@
                    config(),
                    leader_unresponsive_ms(0),
                    loading(0),
-                   members_known(0) {
+                   members_known(0),
+                   clock_ms(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -1044,6 +1070,10 @@
    * Number of the last change in `members`.
    */
   int64_t members_known;
+  /**
+   * The leader's steady clock when it replied.
+   */
+  int64_t clock_ms;
 
   _HeartbeatReply__isset __isset;
 
@@ -1067,6 +1097,8 @@
 
   void __set_members_known(const int64_t val);
 
+  void __set_clock_ms(const int64_t val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leading == rhs.leading))
@@ -1089,6 +1121,8 @@
       return false;
     if (!(members_known == rhs.members_known))
       return false;
+    if (!(clock_ms == rhs.clock_ms))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -1247,6 +1281,77 @@
 
 std::ostream& operator<<(std::ostream& out, const AnnounceReply& obj);
 
+typedef struct _QuorumRecord__isset {
+  _QuorumRecord__isset() : term(false), members(false), max_store_outage_ms(false) {}
+  bool term :1;
+  bool members :1;
+  bool max_store_outage_ms :1;
+} _QuorumRecord__isset;
+
+/**
+ * The entries of which a majority may confirm the leader while it gets no
+ * answer from the store.
+ */
+class QuorumRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuorumRecord(const QuorumRecord&);
+  QuorumRecord(QuorumRecord&&) noexcept;
+  QuorumRecord& operator=(const QuorumRecord&);
+  QuorumRecord& operator=(QuorumRecord&&) noexcept;
+  QuorumRecord() noexcept
+               : term(0),
+                 max_store_outage_ms(0) {
+  }
+
+  virtual ~QuorumRecord() noexcept;
+  /**
+   * Term of the leader that stored this record.
+   */
+  int64_t term;
+  /**
+   * Names of the entries, the leader included.
+   */
+  std::vector<std::string>  members;
+  /**
+   * How long after the store's last confirmation the entries may do so.
+   */
+  int64_t max_store_outage_ms;
+
+  _QuorumRecord__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_members(const std::vector<std::string> & val);
+
+  void __set_max_store_outage_ms(const int64_t val);
+
+  bool operator == (const QuorumRecord & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(max_store_outage_ms == rhs.max_store_outage_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuorumRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuorumRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuorumRecord &a, QuorumRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj);
+
 typedef struct _SubmitJobCall__isset {
   _SubmitJobCall__isset() : job(false) {}
   bool job :1;
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -135,6 +135,12 @@
   /** Number of the last change of the leader's member list that the caller
    *  knows, in this term. */
   4: i64 members_known
+  /** Distinguishes this process of the caller from earlier ones of the same
+   *  name. */
+  5: i64 incarnation
+  /** `clock_ms` of the newest reply that the caller got from the leader of this
+   *  term; 0 if there is none. The caller followed that leader then. */
+  6: i64 leader_clock_ms
 }
 
 struct HeartbeatReply {
@@ -155,6 +161,8 @@
   9: bool loading
   /** Number of the last change in `members`. */
   10: i64 members_known
+  /** The leader's steady clock when it replied. */
+  11: i64 clock_ms
 }
 
 /** A new leader announces itself, or a leader resigns. */
@@ -173,6 +181,17 @@
 }
 struct AnnounceReply { 1: i64 term }
 
+/** The entries of which a majority may confirm the leader while it gets no
+ *  answer from the store. */
+struct QuorumRecord {
+  /** Term of the leader that stored this record. */
+  1: i64 term
+  /** Names of the entries, the leader included. */
+  2: list<string> members
+  /** How long after the store's last confirmation the entries may do so. */
+  3: i64 max_store_outage_ms
+}
+
 struct SubmitJobCall { 1: JobSpec job }
 struct SubmitJobReply {
   1: i32 verdict
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -104,7 +104,9 @@
   const int64_t end = page.value().end_offset;
   const TimePoint now = executor_.Now();
   const bool may_claim = role_ == Role::kFollowing;
-  if (end == 0 && may_claim) return Claim(1, end, 0);
+  Candidacy candidacy{.term = 1, .end_offset = end};
+  if (end == 0 && may_claim) return Claim(candidacy);
+  candidacy.quorum = FindQuorum(page.value());
   if (record && (record->term > term_ ||
                  (record->term == term_ && leader_.address.empty()))) {
     const bool own = record->leader.address == options_.member.address;
@@ -112,7 +114,9 @@
     // leads.
     if (own && may_claim) {
       term_ = record->term;
-      return Claim(record->term + 1, end, UnstableTerms(record));
+      candidacy.term = record->term + 1;
+      candidacy.unstable_terms = UnstableTerms(record);
+      return Claim(candidacy);
     }
     Follow(record->term, record->leader, record->loading);
     return EndLeaderCheck(own ? kLeaderCheckRetry : Millis(0));
@@ -130,13 +134,14 @@
   // the next timeout.
   const bool ended_by_itself =
       not_leading || suspicion == Suspicion::kConnectionRefused;
-  const int32_t unstable_terms =
+  candidacy.term = last_term + 1;
+  candidacy.unstable_terms =
       ended_by_itself ? UnstableTerms(record) : UnstableTermsAfter(record);
   if (last_answered_sent_ > sent && !not_leading && !store_lost) {
     return EndLeaderCheck(kLeaderCheckRetry);  // The leader answered meanwhile.
   }
   if (not_leading || (end_at_first_read && *end_at_first_read == end)) {
-    return Claim(last_term + 1, end, unstable_terms);
+    return Claim(candidacy);
   }
   if (end_at_first_read && LeaderIsSlow(record)) {
     // A leader on a machine that has become slow still renews its record, while
@@ -149,7 +154,7 @@
                    {{"term", Text(term_)},
                     {"leader", leader_.name},
                     {"cause", "most entries get no answers in time"}});
-    return Claim(last_term + 1, end, unstable_terms);
+    return Claim(candidacy);
   }
   // The leader has renewed its record meanwhile.
   if (end_at_first_read) return EndLeaderCheck(kLeaderCheckRetry);
@@ -182,31 +187,46 @@
   return out;
 }
 
-void Leadership::Claim(int64_t term, int64_t end_offset,
-                       int32_t unstable_terms) {
+std::optional<wire::QuorumRecord> Leadership::FindQuorum(
+    const ports::NewestPage& page) {
+  for (const ports::KeyedRecord& row : page.records) {
+    if (row.key != kQuorumKey) continue;
+    auto quorum = rpc::Decode<wire::QuorumRecord>(row.value);
+    if (row.decode_error.empty() && quorum.ok() &&
+        !quorum.value().members.empty()) {
+      return std::move(quorum.value());
+    }
+    malformed_records_.Report(RecordSource::kLeaders, row.key,
+                              "does not decode or names no members");
+  }
+  return std::nullopt;
+}
+
+void Leadership::Claim(const Candidacy& candidacy) {
+  const std::string record =
+      EncodeRecord(candidacy.term, candidacy.unstable_terms);
   store_.Append({.table = options_.table,
-                 .records = {{kLeaderKey, EncodeRecord(term, unstable_terms)}},
-                 .expected_end_offset = end_offset},
+                 .records = {{kLeaderKey, record}},
+                 .expected_end_offset = candidacy.end_offset},
                 kStoreTimeout,
-                [this, term, unstable_terms,
+                [this, candidacy,
                  start = CallStartNow()](const ports::AppendReply& reply) {
-                  OnClaim(term, unstable_terms, start, reply);
+                  OnClaim(candidacy, start, reply);
                 });
 }
 
-void Leadership::OnClaim(int64_t term, int32_t unstable_terms,
-                         const CallStart& start,
+void Leadership::OnClaim(const Candidacy& candidacy, const CallStart& start,
                          const ports::AppendReply& reply) {
   if (reply.verdict != ports::AppendVerdict::kStored ||
-      role_ != Role::kFollowing || term <= term_) {
+      role_ != Role::kFollowing || candidacy.term <= term_) {
     // The claim was lost or is in doubt: the next check of the leader record
     // shows whether it was stored.
     logging::Event(Level::kInfo, "claim not won",
-                   {{"term", Text(term)}, {"cause", reply.detail}});
+                   {{"term", Text(candidacy.term)}, {"cause", reply.detail}});
     return EndLeaderCheck(kLeaderCheckRetry);
   }
   EndLeaderCheck(Millis(0));
-  BecomeLeader(term, unstable_terms, start, reply.end_offset);
+  BecomeLeader(candidacy, start, reply.end_offset);
 }
 
 }  // namespace mimosarail::leadership
--- /dev/null
+++ b/src/leadership/leader_quorum.h
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "src/libs/base/executor.h"
+
+namespace mimosarail::leadership {
+
+/// As leader: the entries of which a majority confirms the leader lease while
+/// the store does not answer. Not thread-safe.
+///
+/// A successor reads the stored quorum and takes lost tasks over only once at
+/// least half of its members follow the successor. A majority then no longer
+/// can confirm the leader, so a task does not run under both. This holds for
+/// three reasons: a majority is required of each set that the store may hold; a
+/// heartbeat counts from the time of the leader's reply that it answers to, not
+/// from its arrival; and only processes that followed the leader before the
+/// store's last confirmation count, since a restarted entry does not know that
+/// it has followed a successor.
+class LeaderQuorum {
+ public:
+  /// Begins a term of the entry named `self`. The store holds no quorum of this
+  /// term yet, so nothing but the store confirms the leader.
+  void BeginTerm(const std::string& self);
+  /// A process of the entry `name` followed the leader at `followed_at`.
+  void OnHeartbeat(const std::string& name, int64_t incarnation,
+                   TimePoint followed_at);
+  /// Notes that a quorum of these members is sent to the store, and may be
+  /// stored whatever the reply.
+  void OnSent(const std::vector<std::string>& members);
+  /// Notes that the quorum sent last is stored. Precondition: no other leader
+  /// has written to the table since.
+  void OnStored();
+  /// Whether the store is known to hold exactly these members.
+  bool IsStored(const std::vector<std::string>& members) const;
+  /// Number of members of the newest quorum sent; 0 if there is none.
+  size_t stored_size() const {
+    return possible_.empty() ? 0 : possible_.back().size();
+  }
+  /// Whether this entry and a process of another one form a majority of the
+  /// quorum, where each such process followed the leader at `since` or later
+  /// and also at `known_by` or before.
+  bool HasMajority(TimePoint since, TimePoint known_by) const;
+
+ private:
+  using Members = std::set<std::string>;
+  struct Process {
+    int64_t incarnation = 0;
+    TimePoint first_followed_at{};
+    TimePoint last_followed_at{};
+  };
+
+  std::string self_;
+  /// The members that the store may hold; the newest are the last.
+  std::vector<Members> possible_;
+  std::map<std::string, Process> processes_;
+};
+
+}  // namespace mimosarail::leadership
--- a/src/leadership/leader_table.h
+++ b/src/leadership/leader_table.h
@@ -6,8 +6,10 @@
 
 namespace mimosarail::leadership {
 
-/// The only key of the leader table.
+/// Keys of the leader table: the leader's record, and the quorum that may
+/// confirm a leader without the store.
 inline constexpr const char* kLeaderKey = "leader";
+inline constexpr const char* kQuorumKey = "quorum";
 /// Timeout of one call to the store.
 inline constexpr Millis kStoreTimeout{1000};
 /// Pause after a failed check of the leader record or a lost claim.
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -48,10 +48,13 @@
       peers_(peers),
       malformed_records_(malformed_records),
       options_(std::move(options)),
-      events_(std::move(events)) {}
+      events_(std::move(events)),
+      predecessors_({.leader_lease = options_.leader_lease,
+                     .max_store_outage = options_.max_store_outage}) {}
 
 void Leadership::Start() {
   last_tick_ = executor_.Now();
+  incarnation_ = last_tick_.time_since_epoch().count();
   Suspect(Suspicion::kUnresponsive, "start");
   RunEvery(executor_, kTick, [this] { Tick(); });
 }
@@ -67,6 +70,15 @@
   return rpc::Encode(record);
 }
 
+std::string Leadership::EncodeQuorum(
+    const std::vector<std::string>& members) const {
+  wire::QuorumRecord record;
+  record.term = term_;
+  record.members = members;
+  record.max_store_outage_ms = options_.max_store_outage.count();
+  return rpc::Encode(record);
+}
+
 bool Leadership::stable() const {
   return role_ == Role::kLeading && !leader_loading_ &&
          executor_.Now() - serving_since_ >= options_.stable_after;
@@ -121,37 +133,39 @@
 
 bool Leadership::HasFollowerQuorum() const {
   const TimePoint now = executor_.Now();
-  // Messages that were queued during a process pause say nothing about the
-  // present. A heartbeat counts if the store has answered since the pause, or
-  // if it was received too late to have been queued.
-  const bool confirmed = confirmed_.sent >= resumed_at_;
-  // An entry is left out of the count only if its last heartbeat (without one,
-  // the start of this leadership) was already older than member_expiry when the
-  // store last confirmed the lease. Without that confirmation, an entry may be
-  // partitioned and have taken over, however old its last heartbeat is.
-  const TimePoint counted_from = last_confirmation() - options_.member_expiry;
-  size_t entries = 1;
-  size_t following = 1;
-  if (leading_since_ >= counted_from) entries += MembersWithoutHeartbeat();
+  return now - last_confirmation() < options_.max_store_outage &&
+         quorum_.HasMajority(now - options_.leader_lease, confirmed_.sent);
+}
+
+std::vector<std::string> Leadership::QuorumMembers() const {
+  const TimePoint expired = executor_.Now() - options_.member_expiry;
+  std::vector<std::string> out{options_.member.name};
   for (const auto& [name, follower] : followers_) {
-    if (follower.last_heartbeat < counted_from) continue;
-    ++entries;
-    const bool fresh = confirmed || follower.last_heartbeat - resumed_at_ >=
-                                        options_.heartbeat_timeout;
-    if (fresh && now - follower.last_heartbeat < options_.leader_lease) {
-      ++following;
+    if (follower.last_heartbeat >= expired) out.push_back(name);
+  }
+  if (leading_since_ < expired) return out;
+  // An entry that has not sent this leader a heartbeat yet may follow another
+  // one.
+  for (const wire::Member& member : members_.all()) {
+    if (member.name != options_.member.name &&
+        followers_.count(member.name) == 0) {
+      out.push_back(member.name);
     }
   }
-  return following > 1 && 2 * following > entries;
+  return out;
 }
 
-size_t Leadership::MembersWithoutHeartbeat() const {
-  const std::vector<wire::Member>& known = members_.all();
-  return static_cast<size_t>(
-      std::count_if(known.begin(), known.end(), [this](const auto& member) {
-        return member.name != options_.member.name &&
-               followers_.count(member.name) == 0;
-      }));
+bool Leadership::QuorumChangeDue(
+    const std::vector<std::string>& members) const {
+  // Until then, the stored quorum is that of an earlier leader, which may rely
+  // on it.
+  return predecessors_.superseded(executor_.Now()) &&
+         !quorum_.IsStored(members);
+}
+
+int64_t Leadership::ClockMs() const {
+  return std::chrono::duration_cast<Millis>(executor_.Now().time_since_epoch())
+      .count();
 }
 
 Leadership::CallStart Leadership::CallStartNow() const {
@@ -182,6 +196,7 @@
     // and callers of this entry would be refused until then.
     if (!lease_valid()) QueryNextPeer();
     ReportExpiredFollowers();
+    LogWhenSuperseded();
     return HandOverIfUnfit();
   }
   if (leader_.address.empty()) {
@@ -285,6 +300,8 @@
   call.term = term_;
   call.config_version = events_.config_version();
   call.members_known = members_.last_number();
+  call.incarnation = incarnation_;
+  call.leader_clock_ms = leader_clock_ms_;
   return call;
 }
 
@@ -351,6 +368,7 @@
   if (answer.term < term_) return;
   const TimePoint now = executor_.Now();
   last_leader_answer_ = now;
+  leader_clock_ms_ = std::max(leader_clock_ms_, answer.clock_ms);
   if (!answer.loading) NoteLeaderReady();
   members_.Apply(answer.members, answer.members_known);
   // By then every live entry has sent a heartbeat to the new leader.
@@ -383,6 +401,7 @@
   last_leader_answer_ = executor_.Now();
   last_answered_sent_ = last_leader_answer_;
   following_since_ = last_leader_answer_;
+  leader_clock_ms_ = 0;
   members_.BeginTerm();
   votes_.Clear();
   refused_connections_ = 0;
@@ -464,11 +483,11 @@
   return false;
 }
 
-void Leadership::BecomeLeader(int64_t term, int32_t unstable_terms,
+void Leadership::BecomeLeader(const Candidacy& candidacy,
                               const CallStart& start, int64_t end_offset) {
   role_ = Role::kLeading;
-  term_ = term;
-  unstable_terms_ = unstable_terms;
+  term_ = candidacy.term;
+  unstable_terms_ = candidacy.unstable_terms;
   leader_ = options_.member;
   leader_loading_ = true;
   end_offset_ = end_offset;
@@ -480,16 +499,30 @@
   followers_.clear();
   changes_.Clear();
   changes_.Join(options_.member);
-  logging::Event(
-      Level::kInfo, "leading",
-      {{"term", Text(term)}, {"unsettled_terms", Text(unstable_terms)}});
+  superseded_logged_ = false;
+  quorum_.BeginTerm(options_.member.name);
+  if (candidacy.end_offset == 0) {
+    predecessors_.BeginFirstTerm();
+  } else {
+    predecessors_.BeginTerm(candidacy.quorum);
+  }
+  predecessors_.OnFollower(options_.member.name, last_renewed_);
+  const auto quorum_size =
+      candidacy.quorum
+          ? Text(static_cast<int64_t>(candidacy.quorum->members.size()))
+          : "not known";
+  logging::Event(Level::kInfo, "leading",
+                 {{"term", Text(term_)},
+                  {"unsettled_terms", Text(unstable_terms_)},
+                  {"predecessor_quorum", quorum_size}});
   AnnounceLeadership();
-  events_.on_elected(term);
+  events_.on_elected(term_);
 }
 
 void Leadership::MarkReady() {
   if (role_ != Role::kLeading) return;
   serving_since_ = executor_.Now();
+  predecessors_.OnFenced(serving_since_);
   const auto took =
       std::chrono::duration_cast<Millis>(serving_since_ - leading_since_);
   logging::Event(Level::kInfo, "serving",
@@ -513,26 +546,42 @@
 
 void Leadership::Renew() {
   renewing_ = true;
-  store_.Append(
-      {.table = options_.table,
-       .records = {{kLeaderKey, EncodeRecord(term_, unstable_terms_)}},
-       .expected_end_offset = end_offset_},
-      kStoreTimeout,
-      [this, start = CallStartNow()](const ports::AppendReply& reply) {
-        OnRenew(start, reply);
-      });
-}
-
-void Leadership::OnRenew(const CallStart& start,
+  std::vector<ports::KeyedRecord> records{
+      {kLeaderKey, EncodeRecord(term_, unstable_terms_)}};
+  const std::vector<std::string> members = QuorumMembers();
+  const Renewal renewal{.start = CallStartNow(),
+                        .term = term_,
+                        .has_quorum = QuorumChangeDue(members)};
+  if (renewal.has_quorum) {
+    quorum_.OnSent(members);
+    records.push_back({kQuorumKey, EncodeQuorum(members)});
+  }
+  store_.Append({.table = options_.table,
+                 .records = std::move(records),
+                 .expected_end_offset = end_offset_},
+                kStoreTimeout,
+                [this, renewal](const ports::AppendReply& reply) {
+                  OnRenew(renewal, reply);
+                });
+}
+
+void Leadership::OnRenew(const Renewal& renewal,
                          const ports::AppendReply& reply) {
   renewing_ = false;
-  if (role_ != Role::kLeading) return;
+  if (role_ != Role::kLeading || renewal.term != term_) return;
   if (reply.verdict == ports::AppendVerdict::kStored) {
+    if (renewal.has_quorum) {
+      quorum_.OnStored();
+      logging::Event(
+          Level::kInfo, "quorum stored",
+          {{"term", Text(term_)},
+           {"members", Text(static_cast<int64_t>(quorum_.stored_size()))}});
+    }
     end_offset_ = reply.end_offset;
     last_renewed_ = executor_.Now();
     renewal_duration_ =
-        std::chrono::duration_cast<Millis>(last_renewed_ - start.sent);
-    confirmed_ = start;
+        std::chrono::duration_cast<Millis>(last_renewed_ - renewal.start.sent);
+    confirmed_ = renewal.start;
     return;
   }
   // A conflict means that another entry has claimed, or that an earlier renewal
@@ -589,9 +638,11 @@
     }
     follower.member = call.caller;
     follower.last_heartbeat = now;
+    if (call.term == term_) NoteFollowing(call, now);
     changes_.Join(call.caller);
   }
   reply.store_reachable = store_reachable();
+  reply.clock_ms = ClockMs();
   reply.members_known = call.term == term_ ? call.members_known : 0;
   reply.members = changes_.After(reply.members_known);
   reply.config_version = events_.config_version();
@@ -601,6 +652,26 @@
   return reply;
 }
 
+void Leadership::NoteFollowing(const wire::HeartbeatCall& call, TimePoint now) {
+  predecessors_.OnFollower(call.caller.name, now);
+  const int64_t since_reply_ms = ClockMs() - call.leader_clock_ms;
+  if (call.leader_clock_ms <= 0 || since_reply_ms < 0) return;
+  quorum_.OnHeartbeat(call.caller.name, call.incarnation,
+                      now - Millis(since_reply_ms));
+}
+
+void Leadership::LogWhenSuperseded() {
+  const TimePoint now = executor_.Now();
+  if (superseded_logged_ || !predecessors_.superseded(now)) return;
+  superseded_logged_ = true;
+  const auto took = std::chrono::duration_cast<Millis>(now - leading_since_);
+  logging::Event(
+      Level::kInfo, "earlier leaders superseded",
+      {{"term", Text(term_)},
+       {"after_ms", Text(took.count())},
+       {"followers", Text(static_cast<int64_t>(followers().size()))}});
+}
+
 wire::AnnounceReply Leadership::OnAnnounce(const wire::AnnounceCall& call) {
   wire::AnnounceReply reply;
   if (!IsPlausibleTerm(call.term, call.leader.name)) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -9,8 +9,10 @@
 
 #include "src/leadership/election_timeout.h"
 #include "src/leadership/entry_client_port.h"
+#include "src/leadership/leader_quorum.h"
 #include "src/leadership/leader_timeout_votes.h"
 #include "src/leadership/member_list.h"
+#include "src/leadership/predecessor_leases.h"
 #include "src/libs/faults/malformed_record_reporter.h"
 #include "src/ports/record_store_port.h"
 
@@ -55,10 +57,13 @@
   /// other entries for this long gives no more orders: another entry may have
   /// taken over without its knowledge.
   Millis leader_lease{2000};
-  /// If an entry's last heartbeat is older than this at the last confirmation
-  /// by the store, the majority count omits the entry. The entry has ended: if
-  /// it and most other entries were alive but could not reach the leader,
-  /// another leader would have taken over within some 5 s.
+  /// A leader without an answer from the store for this long gives no more
+  /// orders, even if most other entries follow it. A successor that most
+  /// entries do not follow waits this long before it runs the tasks of lost
+  /// upstreams again.
+  Millis max_store_outage{30000};
+  /// An entry whose last heartbeat is older than this is left out of the quorum
+  /// that the leader stores next.
   Millis member_expiry{8000};
   /// Processor share, in percent of a core, with which an entry can lead any
   /// deployment. Leading 350 upstreams took 0.22 of a core.
@@ -121,6 +126,15 @@
   /// then is it certain that no other entry has accepted jobs that this leader
   /// does not know.
   bool lease_confirmed_by_store() const;
+  /// As leader: send time of the newest call by which the store confirmed that
+  /// no other entry leads.
+  TimePoint last_confirmation() const;
+  /// As leader: when the leases of all earlier leaders end; unset while that is
+  /// not known. May become earlier. An earlier leader may lead on for that long
+  /// in a part of the cell that the store does not answer.
+  std::optional<TimePoint> predecessor_lease_end() const {
+    return predecessors_.lease_end();
+  }
   /// The leader known to this entry; its address is empty if there is none.
   const wire::Member& leader() const { return leader_; }
   /// Whether the leader is known and takes calls. A leader that is still
@@ -154,16 +168,17 @@
   void SendIndirectProbes();
   void OnIndirectProbeReply(const std::string& address, TimePoint sent,
                             const Result<wire::HeartbeatReply>& reply);
-  /// As leader: whether more than half of the entries, including this one, are
-  /// known to still follow it. A single follower is not enough: an entry in the
-  /// same partition may send heartbeats indefinitely while the rest of the cell
-  /// has another leader.
+  /// As leader: whether more than half of the stored quorum, including this
+  /// entry, are known to still follow it. A single follower is not enough: an
+  /// entry in the same partition may send heartbeats indefinitely while the
+  /// rest of the cell has another leader.
   bool HasFollowerQuorum() const;
-  /// Number of entries that were known when this one claimed leadership and
-  /// have sent no heartbeat since.
-  size_t MembersWithoutHeartbeat() const;
-  /// As leader: send time of the newest call that the store answered.
-  TimePoint last_confirmation() const;
+  /// As leader: the entries that the stored quorum should consist of.
+  std::vector<std::string> QuorumMembers() const;
+  /// As leader: whether the stored quorum has to be replaced by `members`.
+  bool QuorumChangeDue(const std::vector<std::string>& members) const;
+  /// This process's steady clock, as sent in heartbeat replies.
+  int64_t ClockMs() const;
   /// Whether the leader leaves this entry and most others without answers, and
   /// its term has lasted long enough to replace it.
   bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
@@ -212,7 +227,16 @@
   /// Stops leading and asks the followers to take over at once. `next_role` is
   /// the role of this entry after that. Precondition: this entry leads.
   void Resign(Role next_role, const std::string& cause);
-  void Claim(int64_t term, int64_t end_offset, int32_t unstable_terms);
+  /// What a claim of leadership is based on.
+  struct Candidacy {
+    int64_t term = 0;
+    /// End of the table at which the claim is stored.
+    int64_t end_offset = 0;
+    int32_t unstable_terms = 0;
+    /// The stored quorum; absent if there is none or it is unreadable.
+    std::optional<wire::QuorumRecord> quorum;
+  };
+  void Claim(const Candidacy& candidacy);
   /// The moment at which a store call was sent. The answer confirms leadership
   /// as of this moment only: it may arrive late, when another entry leads.
   struct CallStart {
@@ -221,26 +245,43 @@
     Millis suspended{0};
   };
   CallStart CallStartNow() const;
-  void OnClaim(int64_t term, int32_t unstable_terms, const CallStart& start,
+  void OnClaim(const Candidacy& candidacy, const CallStart& start,
                const ports::AppendReply& reply);
   /// Ends the check of the leader record that Suspect() began. The next one
   /// begins after `pause` at the earliest.
   void EndLeaderCheck(Millis pause);
-  void BecomeLeader(int64_t term, int32_t unstable_terms,
-                    const CallStart& start, int64_t end_offset);
+  /// `end_offset` is the end of the table after the claim.
+  void BecomeLeader(const Candidacy& candidacy, const CallStart& start,
+                    int64_t end_offset);
   /// Whether this leader has served for LeadershipOptions::stable_after.
   bool stable() const;
   void Renew();
-  void OnRenew(const CallStart& start, const ports::AppendReply& reply);
+  struct Renewal {
+    CallStart start;
+    int64_t term = 0;
+    /// The renewal contains a quorum.
+    bool has_quorum = false;
+  };
+  void OnRenew(const Renewal& renewal, const ports::AppendReply& reply);
+  /// As leader: notes that the caller of a heartbeat follows this entry.
+  void NoteFollowing(const wire::HeartbeatCall& call, TimePoint now);
+  /// As leader: logs once in a term that no earlier leader can be confirmed any
+  /// more.
+  void LogWhenSuperseded();
   /// Reads the table to find out whether a renewal that was not confirmed was
   /// stored or lost to another entry's claim.
   void ResolveRenewal();
   /// The leader record that this entry writes, encoded.
   std::string EncodeRecord(int64_t term, int32_t unstable_terms) const;
+  /// The quorum record that this entry writes as leader, encoded.
+  std::string EncodeQuorum(const std::vector<std::string>& members) const;
   /// The leader's record on a page of the table; empty if there is none that is
   /// plausible.
   std::optional<wire::AnnounceCall> FindLeaderRecord(
       const ports::NewestPage& page);
+  /// The stored quorum on a page of the table; empty if there is none that is
+  /// readable.
+  std::optional<wire::QuorumRecord> FindQuorum(const ports::NewestPage& page);
   /// Whether a term received from another process is plausible; an implausible
   /// one is reported as malformed.
   bool IsPlausibleTerm(int64_t term, const std::string& peer);
@@ -261,7 +302,9 @@
   /// Send time of the newest heartbeat that the leader answered, or when this
   /// entry began to follow it.
   TimePoint last_answered_sent_{};
-  bool heartbeat_in_flight_ = false;
+  /// See wire::HeartbeatCall.
+  int64_t incarnation_ = 0;
+  int64_t leader_clock_ms_ = 0;
   TimePoint next_query_at_{};
   size_t queries_sent_ = 0;
   LeaderTimeoutVotes votes_;
@@ -271,6 +314,7 @@
   /// While the leader is unresponsive: whether the next heartbeat goes to
   /// another entry.
   bool query_peers_next_ = true;
+  bool heartbeat_in_flight_ = false;
   bool checking_leader_ = false;
   /// Term of the suspected leader.
   int64_t suspected_term_ = 0;
@@ -282,6 +326,8 @@
   /// As leader: end of the table as this entry last wrote it.
   int64_t end_offset_ = 0;
   bool renewing_ = false;
+  /// As leader: see LogWhenSuperseded().
+  bool superseded_logged_ = false;
   TimePoint last_renewed_{};
   /// Duration of the newest stored renewal, or of the claim.
   Millis renewal_duration_{0};
@@ -299,6 +345,8 @@
   };
   std::map<std::string, Follower> followers_;
   TimePoint leading_since_{};
+  LeaderQuorum quorum_;
+  PredecessorLeases predecessors_;
   /// As leader: changes of the followers, to be sent to all of them.
   MemberChanges changes_;
   /// Entries known from the leader's heartbeat answers.
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -198,4 +198,57 @@
   }
 }
 
+/// Guards against a quorum that counts as stored because of a late reply to a
+/// renewal of an earlier term.
+BOOST_FIXTURE_TEST_CASE(ReplyToRenewalOfEarlierTermIsIgnored, Fixture) {
+  self.Start();
+  clock.RunFor(Millis(1000));
+  fake.faults().append_reply_delays["self"] = Millis(900);
+  self.MarkReady();
+  clock.RunFor(Millis(300));
+  fake.faults().append_reply_delays.clear();
+  wire::HeartbeatCall later_term;
+  later_term.caller = MemberAt("a");
+  later_term.term = 5;
+  self.OnHeartbeat(later_term);
+  BOOST_REQUIRE(!self.leading());
+  clock.RunFor(Millis(500));
+  BOOST_REQUIRE(self.leading());
+  clock.RunFor(Millis(1000));
+  BOOST_TEST(self.leading());
+  BOOST_TEST(self.lease_confirmed_by_store());
+}
+
+/// Guards against a leader lease that is extended by heartbeats which were on
+/// their way for longer than the lease: a heartbeat counts from the reply that
+/// its sender had got before.
+BOOST_FIXTURE_TEST_CASE(DelayedHeartbeatsDoNotConfirmLeader, Fixture) {
+  constexpr Millis kHeartbeatInterval{200};
+  std::map<std::string, int64_t> last_reply;
+  const auto send_heartbeats = [&](Millis span, bool delayed) {
+    for (Millis past{0}; past < span; past += kHeartbeatInterval) {
+      for (const char* name : {"a", "b", "c"}) {
+        wire::HeartbeatCall heartbeat;
+        heartbeat.caller = MemberAt(name);
+        heartbeat.term = 1;
+        heartbeat.incarnation = 1;
+        heartbeat.leader_clock_ms = last_reply[name];
+        const wire::HeartbeatReply reply = self.OnHeartbeat(heartbeat);
+        if (!delayed) last_reply[name] = reply.clock_ms;
+      }
+      clock.RunFor(kHeartbeatInterval);
+    }
+  };
+  self.Start();
+  clock.RunFor(Millis(1000));
+  self.MarkReady();
+  send_heartbeats(Millis(2000), false);
+  fake.faults().down = true;
+  send_heartbeats(Millis(5000), false);
+  BOOST_TEST(self.lease_valid());
+  BOOST_TEST(!self.lease_confirmed_by_store());
+  send_heartbeats(Millis(3000), true);
+  BOOST_TEST(!self.lease_valid());
+}
+
 }  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/partition_fault_injection_test.cc
@@ -0,0 +1,218 @@
+#define BOOST_TEST_MODULE partition_fault_injection
+#include <boost/test/unit_test.hpp>
+
+#include "src/leadership/leader_quorum.h"
+#include "src/leadership/leadership.h"
+#include "src/leadership/predecessor_leases.h"
+#include "tests/jobsim/job_cluster.h"
+#include "tests/jobsim/log_fixture.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+using leadership::LeaderQuorum;
+using leadership::PredecessorLeases;
+
+constexpr Millis kStartupTime{5000};
+constexpr Millis kFailoverTimeout{6000};
+const Millis kMaxStoreOutage = leadership::LeadershipOptions{}.max_store_outage;
+/// Leader lease and task lease, with margins for clock drift and polling.
+constexpr Millis kLeasesEnd{8000};
+const TaskId kTask{1, 0, 0, 0};
+
+/// Starts a task that runs for longer than the test. Returns its upstream.
+std::string StartLongTask(JobCluster& cluster) {
+  cluster.upstreams().behavior(kTask).run_time = Millis(90000);
+  cluster.Submit(cluster.Leader(), OneStepJob(kTask.job, 1, 1000));
+  cluster.RunFor(Millis(500));
+  std::string upstream = cluster.upstreams().UpstreamRunning(kTask);
+  BOOST_REQUIRE(!upstream.empty());
+  return upstream;
+}
+
+/// Runs until an entry other than `old_leader` leads. Returns false if none
+/// does within kFailoverTimeout.
+bool RunUntilNewLeader(JobCluster& cluster, const std::string& old_leader) {
+  const TimePoint limit = cluster.clock().now() + kFailoverTimeout;
+  while (cluster.clock().now() < limit) {
+    const std::string leader = cluster.Leader();
+    if (!leader.empty() && leader != old_leader) return true;
+    cluster.RunFor(Millis(10));
+  }
+  return false;
+}
+
+/// The entries other than `leader`, at most `count` of them.
+std::set<std::string> Others(JobCluster& cluster, const std::string& leader,
+                             size_t count) {
+  std::set<std::string> out;
+  for (const std::string& name : cluster.names()) {
+    if (name != leader && out.size() < count) out.insert(name);
+  }
+  return out;
+}
+
+void CheckNoViolations(const JobCluster& cluster) {
+  for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
+}
+
+}  // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
+
+/// Guards against a task that runs at two upstreams, whichever entries are on
+/// the leader's side of a partition and whatever their number.
+BOOST_AUTO_TEST_CASE(EverySplitRunsTaskOnce) {
+  for (int entries = 2; entries <= 7; ++entries) {
+    for (size_t cut = 0; cut + 1 < static_cast<size_t>(entries); ++cut) {
+      BOOST_TEST_CONTEXT(entries << " entries, " << cut
+                                 << " partitioned with the leader") {
+        JobCluster cluster({.entries = entries});
+        cluster.RunFor(kStartupTime);
+        const std::string old_leader = cluster.Leader();
+        const std::string upstream = StartLongTask(cluster);
+        std::set<std::string> partition = Others(cluster, old_leader, cut);
+        partition.insert(old_leader);
+        cluster.SetPartition(partition, {upstream});
+        BOOST_REQUIRE(RunUntilNewLeader(cluster, old_leader));
+        cluster.RunFor(kMaxStoreOutage + 2 * kLeasesEnd);
+        CheckNoViolations(cluster);
+        BOOST_TEST(cluster.upstreams().Starts(kTask) == 2);
+        cluster.SetPartition({}, {});
+        cluster.RunFor(kStartupTime);
+        CheckNoViolations(cluster);
+      }
+    }
+  }
+}
+
+/// Guards against a partitioned leader that is confirmed by a restarted entry,
+/// which does not know that it has followed the new leader.
+BOOST_AUTO_TEST_CASE(RestartedEntryDoesNotConfirmFormerLeader) {
+  for (const Millis moment :
+       {Millis(100), Millis(400), Millis(1500), Millis(2500), Millis(4000)}) {
+    BOOST_TEST_CONTEXT("restarted after " << moment.count() << " ms") {
+      JobCluster cluster({.entries = 5});
+      cluster.RunFor(kStartupTime);
+      const std::string old_leader = cluster.Leader();
+      const std::string upstream = StartLongTask(cluster);
+      std::set<std::string> partition = Others(cluster, old_leader, 2);
+      const std::string moving = *partition.begin();
+      partition.erase(moving);
+      partition.insert(old_leader);
+      cluster.SetPartition(partition, {upstream});
+      BOOST_REQUIRE(RunUntilNewLeader(cluster, old_leader));
+      cluster.RunFor(moment);
+      cluster.Restart(moving);
+      partition.insert(moving);
+      cluster.SetPartition(partition, {upstream});
+      cluster.RunFor(Millis(15000));
+      CheckNoViolations(cluster);
+    }
+  }
+}
+
+/// Guards against a task that never runs again because most entries were lost
+/// together with its upstream.
+BOOST_AUTO_TEST_CASE(LastEntryRestartsLostTasks) {
+  JobCluster cluster({.entries = 6});
+  cluster.RunFor(kStartupTime);
+  const std::string last = cluster.names().front() == cluster.Leader()
+                               ? cluster.names().back()
+                               : cluster.names().front();
+  const std::string upstream = StartLongTask(cluster);
+  for (const std::string& name : cluster.names()) {
+    if (name != last) cluster.Kill(name);
+  }
+  cluster.upstreams().faults(upstream).unreachable = true;
+  cluster.RunFor(kFailoverTimeout + kMaxStoreOutage + kLeasesEnd);
+  BOOST_TEST(cluster.upstreams().Starts(kTask) == 2);
+  CheckNoViolations(cluster);
+}
+
+/// Guards against running tasks that are lost because the store is unavailable
+/// for longer than the leader lease, and against a leader that never gives up.
+BOOST_AUTO_TEST_CASE(LeaderOutlastsStoreOutageUpToLimit) {
+  JobCluster cluster({.entries = 5});
+  cluster.RunFor(kStartupTime);
+  const std::string leader = cluster.Leader();
+  const std::string upstream = StartLongTask(cluster);
+  cluster.store().faults().down = true;
+  cluster.RunFor(kMaxStoreOutage - Millis(1000));
+  BOOST_TEST(cluster.entry(leader)->leadership().lease_valid());
+  BOOST_TEST(cluster.upstreams().UpstreamRunning(kTask) == upstream);
+  cluster.RunFor(Millis(2000));
+  BOOST_TEST(!cluster.entry(leader)->leadership().lease_valid());
+  cluster.store().faults().down = false;
+  cluster.RunFor(kStartupTime);
+  BOOST_TEST(!cluster.upstreams().UpstreamRunning(kTask).empty());
+  CheckNoViolations(cluster);
+}
+
+/// Guards against a leader that is confirmed by the smaller of two quorums of
+/// which the store may hold either.
+BOOST_AUTO_TEST_CASE(QuorumInDoubtIsRequiredToo) {
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  LeaderQuorum quorum;
+  quorum.BeginTerm("a");
+  quorum.OnHeartbeat("b", 1, now);
+  BOOST_TEST(!quorum.HasMajority(now, now));
+  quorum.OnSent({"a", "b", "c", "d", "e"});
+  quorum.OnStored();
+  quorum.OnSent({"a", "b", "c"});
+  BOOST_TEST(!quorum.HasMajority(now, now));
+  quorum.OnHeartbeat("c", 1, now);
+  BOOST_TEST(quorum.HasMajority(now, now));
+  quorum.OnHeartbeat("c", 2, now + Millis(1));
+  BOOST_TEST(!quorum.HasMajority(now, now));
+  quorum.OnStored();
+  BOOST_TEST(quorum.IsStored({"c", "b", "a"}));
+  BOOST_TEST(quorum.HasMajority(now, now));
+}
+
+/// Guards against a leader that is confirmed by a heartbeat that was on its way
+/// for longer than the lease.
+BOOST_AUTO_TEST_CASE(HeartbeatCountsFromReplyThatItAnswers) {
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  LeaderQuorum quorum;
+  quorum.BeginTerm("a");
+  quorum.OnSent({"a", "b", "c"});
+  quorum.OnStored();
+  quorum.OnHeartbeat("b", 1, now - Millis(5000));
+  BOOST_TEST(!quorum.HasMajority(now - Millis(2000), now));
+  quorum.OnHeartbeat("b", 1, now - Millis(1000));
+  BOOST_TEST(quorum.HasMajority(now - Millis(2000), now));
+}
+
+/// Guards against a successor that takes tasks over before at least half of the
+/// quorum follows it, or from a quorum that it cannot read.
+BOOST_AUTO_TEST_CASE(SuccessorNeedsHalfOfStoredQuorum) {
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  const Millis lease{2000};
+  const Millis outage{30000};
+  wire::QuorumRecord quorum;
+  quorum.members = {"a", "b", "c", "d", "e"};
+  quorum.max_store_outage_ms = outage.count();
+  PredecessorLeases leases({.leader_lease = lease, .max_store_outage = outage});
+  leases.BeginTerm(quorum);
+  leases.OnFollower("b", now);
+  leases.OnFollower("b", now);
+  leases.OnFollower("new", now);
+  leases.OnFollower("c", now);
+  BOOST_TEST(!leases.lease_end().has_value());
+  leases.OnFenced(now);
+  BOOST_TEST(!leases.superseded(now + outage));
+  BOOST_TEST(leases.superseded(now + 2 * outage));
+  leases.OnFollower("d", now + Millis(500));
+  BOOST_TEST(leases.superseded(now + Millis(500)));
+  BOOST_TEST((leases.lease_end() == now + Millis(500) + lease));
+  leases.BeginTerm(std::nullopt);
+  leases.OnFollower("b", now);
+  leases.OnFenced(now);
+  BOOST_TEST(!leases.superseded(now + outage));
+  leases.BeginFirstTerm();
+  leases.OnFenced(now);
+  BOOST_TEST(leases.superseded(now));
+}
+
+}  // namespace mimosarail::jobsim
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -43,6 +43,7 @@
 class RecordedEvents final : public UpstreamEvents {
  public:
   bool MaySendOrders() override { return true; }
+  std::optional<TimePoint> PredecessorLeaseEnd() override { return {}; }
   void OnReport(UpstreamIndex,
                 const std::vector<ports::RunningTask>& running_now,
                 const std::vector<ports::EndedTask>& new_completions) override {
