Fleet: Conclude from silence only what the store has confirmed since

Callers saw: tasks that ran twice, and completed tasks that were started again, while the cell was split.

Cause: a leader that the store did not answer took the runs at an upstream that it could not reach for ended, because it had not renewed their leases, or because another process answered at the address. A new leader on the other side reaches that upstream: it renews those leases, or has stored what was completed there before the upstream crashed.

Ruled out: the new leader starting too early (it waits for each upstream that it has not heard from), and starts at upstreams that both reach (fenced).

Change: a run counts as ended by an expired lease or a replaced process only once the store has confirmed this leader since.

Why it works: until that confirmation no later leader had taken over, so nobody else renewed the lease or stored a completion.

ReplacedUpstreamDoesNotRestartCompletedTask failed before.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -97,6 +97,8 @@
     std::function<bool()> leader_lease_valid;
     /// Whether the store has recently confirmed that no other entry leads.
     std::function<bool()> lease_confirmed_by_store;
+    /// Newest known time at which the store has confirmed the lease.
+    std::function<TimePoint()> last_store_confirmation;
     /// When the leases of all earlier leaders end; unset while not known.
     std::function<std::optional<TimePoint>()> predecessor_lease_end;
     /// Called when the stored state is loaded. Callers are served from then on.
@@ -144,6 +146,9 @@
   std::optional<TimePoint> PredecessorLeaseEnd() override {
     return deps_.predecessor_lease_end();
   }
+  TimePoint LastStoreConfirmation() override {
+    return deps_.last_store_confirmation();
+  }
   void OnReport(UpstreamIndex upstream,
                 const std::vector<ports::RunningTask>& running,
                 const std::vector<ports::EndedTask>& ended) override;
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -46,19 +46,20 @@
 
 void UpstreamLink::Open() {
   Renew(Millis(0));
-  CheckLeaseExpiry();
+  CheckAllRunsEnded();
 }
 
 bool UpstreamLink::LeasesExpired() const {
-  const TimePoint now = executor_.Now();
-  if (now <= leases_end_) return false;
+  const TimePoint confirmed = events_.LastStoreConfirmation();
+  if (confirmed <= leases_end_) return false;
   // The upstream has replied to this leader, so it refuses earlier leaders.
   if (upstream_clock_ms_ > 0) return true;
   // An earlier leader may be partitioned together with this upstream. It may
   // renew the task leases until its leader lease ends. Its task leases are as
   // long as those of this leader.
   const std::optional<TimePoint> last_grant = events_.PredecessorLeaseEnd();
-  return last_grant && now > *last_grant + MaxLeaseDuration(options_.lease);
+  return last_grant &&
+         confirmed > *last_grant + MaxLeaseDuration(options_.lease);
 }
 
 int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
@@ -81,7 +82,8 @@
 void UpstreamLink::ScheduleRenewal(Millis delay) {
   // Only one renewal is scheduled at a time. While several are in flight, the
   // last reply schedules the next one.
-  if (renewal_scheduled_ || closed_ || renewals_in_flight_ > 0) return;
+  const bool ended = closed_ || replaced_at_.has_value();
+  if (renewal_scheduled_ || ended || renewals_in_flight_ > 0) return;
   renewal_scheduled_ = true;
   executor_.RunAfter(delay, [weak = weak_from_this()] {
     const auto self = weak.lock();
@@ -93,7 +95,7 @@
 }
 
 void UpstreamLink::Renew(Millis completion_wait) {
-  if (closed_) return;
+  if (closed_ || replaced_at_) return;
   if (!events_.MaySendOrders()) return ScheduleRenewal(kRetryDelay);
   ++renewals_in_flight_;
   const TimePoint sent = executor_.Now();
@@ -142,12 +144,7 @@
     case CallVerdict::kDone:
       break;
     case CallVerdict::kReplaced:
-      logging::Event(logging::Level::kInfo, "upstream gone",
-                     {{"upstream", options_.target.id}});
-      Close();
-      all_runs_ended_ = true;
-      return events_.OnAllRunsEnded(options_.index,
-                                    scheduling::UpstreamLoss::kCrashed);
+      return NoteReplaced();
     case CallVerdict::kFenced:
       if (fence < fence_) return ScheduleRenewal(Millis(0));
       return events_.OnFenced(options_.index);
@@ -219,8 +216,22 @@
   events_.OnReachable(options_.index, reachable);
 }
 
-void UpstreamLink::CheckLeaseExpiry() {
+void UpstreamLink::NoteReplaced() {
+  if (replaced_at_) return;
+  logging::Event(logging::Level::kInfo, "upstream gone",
+                 {{"upstream", options_.target.id}});
+  replaced_at_ = executor_.Now();
+  SetReachable(false);
+}
+
+void UpstreamLink::CheckAllRunsEnded() {
   if (closed_) return;
+  if (replaced_at_ && events_.LastStoreConfirmation() >= *replaced_at_) {
+    Close();
+    all_runs_ended_ = true;
+    return events_.OnAllRunsEnded(options_.index,
+                                  scheduling::UpstreamLoss::kCrashed);
+  }
   if (!reachable_ && !all_runs_ended_ && LeasesExpired()) {
     logging::Event(logging::Level::kWarning, "leases have run out",
                    {{"upstream", options_.target.id}});
@@ -229,9 +240,9 @@
     events_.OnAllRunsEnded(options_.index,
                            scheduling::UpstreamLoss::kLeasesExpired);
   }
-  constexpr Millis kLeaseCheckInterval{100};
-  executor_.RunAfter(kLeaseCheckInterval, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->CheckLeaseExpiry();
+  constexpr Millis kCheckInterval{100};
+  executor_.RunAfter(kCheckInterval, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->CheckAllRunsEnded();
   });
 }
 
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -59,6 +59,9 @@
   /// When every earlier leader has stopped renewing task leases, at upstreams
   /// that this leader does not reach; unset while that is not known.
   virtual std::optional<TimePoint> PredecessorLeaseEnd() = 0;
+  /// A time at which the store has confirmed that no other leader has taken
+  /// over, the newest known.
+  virtual TimePoint LastStoreConfirmation() = 0;
   /// `running` lists all running tasks, `ended` the completions that were not
   /// reported before. If the upstream has more completions than fit into one
   /// reply, later reports contain the rest; reconciled() becomes true only
@@ -101,7 +104,9 @@
   /// The highest fencing token in use.
   int64_t fence() const { return fence_; }
   /// No task that was started at the upstream can run any more: all leases have
-  /// expired, or the upstream has been replaced.
+  /// expired, or the upstream has been replaced. Known only once the store has
+  /// confirmed this leader since: a later leader that reaches the upstream
+  /// renews its leases, or may have stored what has ended there.
   bool all_runs_ended() const { return all_runs_ended_; }
   /// The set of runs at the upstream is known, or is known to be empty.
   bool reconciled() const { return inventory_received_ || all_runs_ended_; }
@@ -133,7 +138,9 @@
   void RaiseFence();
   void ResolveStartsInDoubt(int64_t fence, const ports::RenewReply& reply);
   void SetReachable(bool reachable);
-  void CheckLeaseExpiry();
+  /// Checks periodically whether all runs at the upstream have ended.
+  void CheckAllRunsEnded();
+  void NoteReplaced();
   /// Whether all leases granted so far have expired, those granted by earlier
   /// leaders included.
   bool LeasesExpired() const;
@@ -150,6 +157,8 @@
   bool inventory_received_ = false;
   bool reachable_ = false;
   bool all_runs_ended_ = false;
+  /// When another process was first found at the upstream's address.
+  std::optional<TimePoint> replaced_at_;
   /// Renewals are numbered from 1 in the order of sending.
   int64_t renewals_sent_ = 0;
   int64_t newest_answered_renewal_ = 0;
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -173,6 +173,8 @@
           .leader_lease_valid = [this] { return leadership_.lease_valid(); },
           .lease_confirmed_by_store =
               [this] { return leadership_.lease_confirmed_by_store(); },
+          .last_store_confirmation =
+              [this] { return leadership_.last_confirmation(); },
           .predecessor_lease_end =
               [this] { return leadership_.predecessor_lease_end(); },
           .on_loaded = [this] { leadership_.MarkReady(); },
--- a/tests/partition_fault_injection_test.cc
+++ b/tests/partition_fault_injection_test.cc
@@ -1,5 +1,9 @@
 #define BOOST_TEST_MODULE partition_fault_injection
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <random>
 
 #include "src/leadership/leader_quorum.h"
 #include "src/leadership/leadership.h"
@@ -20,6 +24,12 @@
 constexpr Millis kLeasesEnd{8000};
 const TaskId kTask{1, 0, 0, 0};
 
+uint64_t SeedCount() {
+  constexpr uint64_t kDefaultSeedCount = 60;
+  const char* text = std::getenv("MIMOSARAIL_SEEDS");
+  return text == nullptr ? kDefaultSeedCount : std::strtoull(text, nullptr, 10);
+}
+
 /// Starts a task that runs for longer than the test. Returns its upstream.
 std::string StartLongTask(JobCluster& cluster) {
   cluster.upstreams().behavior(kTask).run_time = Millis(90000);
@@ -56,10 +66,125 @@
   for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
 }
 
+/// Plays one random schedule: the network splits again and again, each time
+/// with the leader and other random entries and upstreams on the side that the
+/// store does not answer, while entries restart, pause and are lost. All faults
+/// are cleared before its end.
+class PartitionSchedule {
+ public:
+  explicit PartitionSchedule(uint64_t seed)
+      : random_(seed), cluster_({.entries = 3 + static_cast<int>(seed % 5)}) {}
+
+  void Play() {
+    cluster_.RunFor(kStartupTime);
+    constexpr int kSplits = 5;
+    for (int i = 0; i < kSplits; ++i) {
+      SubmitJobs();
+      Split();
+      const uint64_t faults = Pick(5);
+      for (uint64_t k = 0; k < faults; ++k) {
+        cluster_.RunFor(Millis(Pick(3000)));
+        InjectFault();
+        SubmitJobs();
+      }
+      cluster_.RunFor(Millis(Pick(15000)));
+      if (Chance(80)) cluster_.SetPartition({}, {});
+      for (const std::string& name : cluster_.names()) cluster_.Resume(name);
+      cluster_.RunFor(Millis(Pick(3000)));
+    }
+    Heal();
+    cluster_.RunFor(Millis(30000));
+    CheckNoViolations(cluster_);
+    for (const JobId id : jobs_) {
+      if (!cluster_.accepted(id)) continue;
+      const auto state = cluster_.State(id);
+      BOOST_TEST((state && IsFinal(*state)), "job " << id << " has not ended");
+    }
+  }
+
+ private:
+  uint64_t Pick(uint64_t below) { return random_() % below; }
+  bool Chance(uint64_t percent) { return Pick(100) < percent; }
+  std::string RandomEntry() {
+    const auto names = cluster_.names();
+    return names[Pick(names.size())];
+  }
+
+  void SubmitJobs() {
+    const uint64_t count = 1 + Pick(3);
+    for (uint64_t i = 0; i < count; ++i) {
+      const JobId id = 1 + jobs_.size();
+      const auto tasks = 1 + static_cast<int32_t>(Pick(3));
+      for (int32_t k = 0; k < tasks; ++k) {
+        cluster_.upstreams().behavior({id, 0, 0, k}).run_time =
+            Millis(500 + Pick(12000));
+      }
+      cluster_.Submit(RandomEntry(), OneStepJob(id, tasks, 1000, Chance(20)));
+      jobs_.push_back(id);
+    }
+  }
+
+  void Split() {
+    std::set<std::string> cut;
+    const std::string leader = cluster_.Leader();
+    if (!leader.empty()) cut.insert(leader);
+    for (const std::string& name : cluster_.names()) {
+      if (Chance(60)) cut.insert(name);
+    }
+    std::set<std::string> upstreams;
+    for (const std::string& id : cluster_.upstreams().ids()) {
+      if (Chance(50)) upstreams.insert(id);
+    }
+    cluster_.SetPartition(cut, upstreams);
+  }
+
+  void InjectFault() {
+    switch (Pick(7)) {
+      case 0:
+        return Split();
+      case 6: {
+        const auto ids = cluster_.upstreams().ids();
+        return cluster_.upstreams().Crash(ids[Pick(ids.size())]);
+      }
+      case 1:
+        return cluster_.Restart(RandomEntry());
+      case 2:
+        return cluster_.Pause(RandomEntry());
+      case 3:
+        return cluster_.Kill(RandomEntry());
+      case 4:
+        cluster_.store().faults().down = Chance(50);
+        return;
+      default:
+        cluster_.store().faults().drop_replies = static_cast<int>(Pick(4));
+    }
+  }
+
+  void Heal() {
+    cluster_.SetPartition({}, {});
+    cluster_.store().faults() = {};
+    for (const std::string& name : cluster_.names()) {
+      cluster_.Resume(name);
+      if (cluster_.entry(name) == nullptr) cluster_.Restart(name);
+    }
+  }
+
+  std::mt19937_64 random_;
+  JobCluster cluster_;
+  std::vector<JobId> jobs_;
+};
+
 }  // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
 
+/// Guards against tasks that run twice, and accepted jobs that never end, when
+/// the leader and other entries are cut off from the store.
+BOOST_DATA_TEST_CASE(SplitCellRunsNoTaskTwice,
+                     boost::unit_test::data::xrange(SeedCount()), seed) {
+  PartitionSchedule(seed).Play();
+}
+
 /// Guards against a task that runs at two upstreams, whichever entries are on
 /// the leader's side of a partition and whatever their number.
 BOOST_AUTO_TEST_CASE(EverySplitRunsTaskOnce) {
@@ -112,6 +237,33 @@
   }
 }
 
+/// Guards against a partitioned leader that starts a completed task again: the
+/// task's upstream was out of its reach when it completed the task for the new
+/// leader, and has crashed and been replaced since.
+BOOST_AUTO_TEST_CASE(ReplacedUpstreamDoesNotRestartCompletedTask) {
+  JobCluster cluster({.entries = 5});
+  cluster.RunFor(kStartupTime);
+  const std::string old_leader = cluster.Leader();
+  cluster.upstreams().behavior(kTask).run_time = Millis(6000);
+  cluster.Submit(old_leader, OneStepJob(kTask.job, 1, 1000));
+  cluster.RunFor(Millis(500));
+  const std::string upstream = cluster.upstreams().UpstreamRunning(kTask);
+  BOOST_REQUIRE(!upstream.empty());
+  const std::string other = upstream == "up-1" ? "up-2" : "up-1";
+  std::set<std::string> partition = Others(cluster, old_leader, 2);
+  partition.insert(old_leader);
+  cluster.SetPartition(partition, {other});
+  BOOST_REQUIRE(RunUntilNewLeader(cluster, old_leader));
+  cluster.RunFor(Millis(8000));
+  BOOST_REQUIRE_EQUAL(cluster.upstreams().DoneRuns(kTask), 1);
+  cluster.upstreams().Crash(upstream);
+  cluster.RunFor(Millis(3500));
+  cluster.SetPartition(partition, {other, upstream});
+  cluster.RunFor(Millis(10000));
+  BOOST_TEST(cluster.upstreams().Starts(kTask) == 1);
+  CheckNoViolations(cluster);
+}
+
 /// Guards against a task that never runs again because most entries were lost
 /// together with its upstream.
 BOOST_AUTO_TEST_CASE(LastEntryRestartsLostTasks) {
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -44,6 +44,7 @@
  public:
   bool MaySendOrders() override { return true; }
   std::optional<TimePoint> PredecessorLeaseEnd() override { return {}; }
+  TimePoint LastStoreConfirmation() override { return TimePoint::max(); }
   void OnReport(UpstreamIndex,
                 const std::vector<ports::RunningTask>& running_now,
                 const std::vector<ports::EndedTask>& new_completions) override {
