Maintenance: Order hosts only while the store confirms the leader

Operators would see: two entries order the same host in turns, and where hosts check no fencing tokens, both orders are carried out.

Cause: an order that is stored but was refused or unanswered is repeated without a further record. Orders needed a leader lease, which heartbeats alone can confirm while the store is away; another leader may order the same hosts by then.

Change: maintenance orders need the store's confirmation within the lease. A new order needs the store anyway.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -166,7 +166,10 @@
   void SetCordoned(const std::set<std::string>& upstreams) override;
   void EvictTasks(const std::string& upstream, bool all) override;
   void OnUpstreamEnded(const std::string& upstream) override;
-  bool MayOrderMaintenance() override { return loaded_ && MaySendOrders(); }
+  /// A later leader that the store answers may order the same hosts.
+  bool MayOrderMaintenance() override {
+    return loaded_ && !closed_ && deps_.lease_confirmed_by_store();
+  }
 
  private:
   /// A job whose record is not stored yet.
--- a/tests/maintenance_test.cc
+++ b/tests/maintenance_test.cc
@@ -546,6 +546,28 @@
   CheckNoViolations(cluster);
 }
 
+/// Guards against a leader that repeats a stored order while the store does not
+/// answer it: another leader may order the same host.
+BOOST_AUTO_TEST_CASE(LeaderWithoutStoreRepeatsNoOrders) {
+  constexpr Millis kLeaderLease{2000};
+  JobCluster cluster(WithHosts());
+  cluster.RunFor(Millis(3000));
+  cluster.hosts().RequestWave(Wave(kWave, kAllHosts, 1));
+  while (cluster.hosts().lists() < 2) cluster.RunFor(Millis(5));
+  cluster.hosts().faults().throttled_calls = 1000;
+  cluster.RunFor(Millis(600));
+  BOOST_REQUIRE(cluster.hosts().orders() > 0);
+  cluster.store().faults().down = true;
+  cluster.RunFor(kLeaderLease + Millis(100));
+  const int orders = cluster.hosts().orders();
+  cluster.RunFor(Millis(12000));
+  BOOST_TEST(cluster.hosts().orders() == orders);
+  cluster.store().faults().down = false;
+  cluster.hosts().faults() = {};
+  BOOST_TEST(RunUntilComplete(cluster, kWave, Millis(60000)));
+  CheckNoViolations(cluster);
+}
+
 /// The first host crashes between the reading of the list and its order, so
 /// that the order is refused. Its record is removed before the next host is
 /// ordered: a leader that found both records would treat both hosts as ordered.
