Coordinator: Store no record that the store cannot take

Ruled out: dropping the refused append (the ends in it would be acknowledged without being stored), and a denser encoding alone (enough for the listed job, not for longer checkpoints or 100,000 tasks).

Change: task states of a job with more than 256 tasks are stored in parts, of which only the changed ones are written. A record that is too large even so loses its checkpoints, never its failures, with a log line. The same class was sought elsewhere: the record of a closed upstream grows with the jobs there; if it is too large, the upstream is stored as open, and the next leader waits for it with every job. (The wait for upstreams whose record is unreadable now ends by the store's last confirmation too, as for the readable ones.)

Why it works: each record of the job table is built by a function that returns one that the store takes. Parts come before the progress in the order of keys, and are removed only once the final state is stored.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -27,10 +27,6 @@
   return reply;
 }
 
-bool IsStorable(const std::string& key, const std::string& value) {
-  return 1 + key.size() + value.size() <= kMaxRecordBytes;
-}
-
 wire::CancelJobReply CancelReply(JobVerdict verdict) {
   wire::CancelJobReply reply;
   reply.verdict = static_cast<int32_t>(verdict);
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -234,7 +234,7 @@
   for (const JobId id : scheduler_.TakeChangedJobs()) {
     const Job* job = scheduler_.Find(id);
     if (job == nullptr) continue;
-    journal_->Put(ProgressKey(id), rpc::Encode(job->Progress()));
+    StoreProgress(*job);
     if (!job->final() || final_jobs_.count(id) > 0) continue;
     journal_->WhenStored(
         [weak = weak_from_this(), id, state = job->state()](bool stored) {
@@ -244,11 +244,41 @@
   }
 }
 
+void Coordinator::StoreProgress(const Job& job) {
+  const JobId id = job.id();
+  if (!job.final() && job.progress_parts() > 0) {
+    std::vector<std::string>& parts = progress_parts_[id];
+    parts.resize(job.progress_parts());
+    for (size_t part = 0; part < parts.size(); ++part) {
+      const std::string key = ProgressPartKey(id, part);
+      const wire::ProgressRecord record = job.ProgressPart(part);
+      std::string value =
+          record.tasks.empty() ? "" : EncodeProgress(key, record);
+      if (value == parts[part]) continue;
+      journal_->Put(key, value);
+      parts[part] = std::move(value);
+    }
+  }
+  const std::string key = ProgressKey(id);
+  journal_->Put(key, EncodeProgress(key, job.Progress()));
+}
+
+void Coordinator::RemoveProgressParts(JobId id) {
+  const auto found = progress_parts_.find(id);
+  if (found == progress_parts_.end()) return;
+  for (size_t part = 0; part < found->second.size(); ++part) {
+    if (found->second[part].empty()) continue;
+    journal_->Remove(ProgressPartKey(id, part));
+  }
+  progress_parts_.erase(found);
+}
+
 void Coordinator::OnJobFinished(JobId id, JobState state) {
   final_jobs_[id] = {.state = state,
                      .final_since = deps_.executor.Now(),
                      .spec_stored = true,
                      .ended_in_this_term = true};
+  RemoveProgressParts(id);
   deps_.metrics.Count(
       {.name = "jobs_ended",
        .labels = {{"state", std::string(kJobStateNames.Name(state))}}});
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -218,6 +218,10 @@
   std::string DecodeUpstream(const ports::KeyedRecord& record);
   std::string DecodeSpec(JobId id, const std::string& value);
   std::string DecodeProgress(JobId id, const std::string& value);
+  std::string DecodeProgressPart(const ports::KeyedRecord& record);
+  /// Adds the loaded parts to the loaded progress of their jobs, and removes
+  /// those of jobs that have ended.
+  void MergeProgressParts();
   std::string DecodeUnmatchedCompletion(const ports::KeyedRecord& record);
   /// Merges unmatched completions into the progress of those jobs whose records
   /// can now be read.
@@ -283,6 +287,11 @@
   void ExecuteOrders(scheduling::Orders& orders);
   /// Stores the progress of the jobs that have changed.
   void StoreChanges();
+  /// Stores the job's progress, and those of its parts that have changed.
+  void StoreProgress(const Job& job);
+  /// Removes the parts of the job's progress. Precondition: its final state is
+  /// stored, or its spec is not.
+  void RemoveProgressParts(JobId id);
   /// Whether the job is open, final or about to be stored.
   bool IsJobKnown(JobId id) const;
   /// Replies that there is no such job, once the store has confirmed that this
@@ -319,9 +328,13 @@
   std::unordered_map<JobId, PendingSubmission> pending_submissions_;
   int64_t last_submission_number_ = 0;
   std::unordered_map<JobId, FinalJob> final_jobs_;
+  /// The stored parts of the progress of open jobs with many tasks, as last put
+  /// into the journal; empty strings for parts without a record.
+  std::unordered_map<JobId, std::vector<std::string>> progress_parts_;
   /// Records read so far while loading, matched by job in LoadJobs().
   std::unordered_map<JobId, wire::JobSpec> loaded_specs_;
   std::unordered_map<JobId, wire::ProgressRecord> loaded_progress_;
+  std::unordered_map<JobId, std::vector<wire::TaskRecord>> loaded_task_states_;
   std::unordered_map<JobId, std::vector<UnmatchedCompletion>>
       unmatched_completions_;
   std::vector<ports::UpstreamEntry> loaded_upstreams_;
--- a/src/coordinator/job_table.cc
+++ b/src/coordinator/job_table.cc
@@ -1,10 +1,79 @@
 #include "src/coordinator/job_table.h"
 
+#include <charconv>
+
+#include "src/libs/logging/log.h"
+#include "src/libs/rpc/codec.h"
+
 namespace mimosarail::coordinator {
+namespace {
+
+constexpr char kPartSeparator = '.';
+
+void LogShortened(const std::string& key, const std::string& value,
+                  const char* left_out) {
+  logging::Event(logging::Level::kWarning, "record shortened",
+                 {{"key", key},
+                  {"bytes", std::to_string(value.size())},
+                  {"limit", std::to_string(kMaxRecordBytes)},
+                  {"left_out", left_out}});
+}
+
+}  // namespace
+
+bool IsStorable(const std::string& key, const std::string& value) {
+  constexpr size_t kKeyLengthBytes = 1;
+  return kKeyLengthBytes + key.size() + value.size() <= kMaxRecordBytes;
+}
 
 std::string SpecKey(JobId id) { return kSpecPrefix + JobIdText(id); }
 std::string ProgressKey(JobId id) { return kProgressPrefix + JobIdText(id); }
 
+std::string ProgressPartKey(JobId id, size_t part) {
+  return kProgressPartPrefix + JobIdText(id) + kPartSeparator +
+         std::to_string(part);
+}
+
+std::optional<std::pair<JobId, size_t>> ParseProgressPartKey(
+    std::string_view key) {
+  const size_t separator = key.find(kPartSeparator);
+  if (separator == std::string_view::npos || key[0] != kProgressPartPrefix) {
+    return std::nullopt;
+  }
+  const auto id = ParseJobId(key.substr(1, separator - 1));
+  const std::string_view digits = key.substr(separator + 1);
+  const char* const end = digits.data() + digits.size();
+  size_t part = 0;
+  const auto parsed = std::from_chars(digits.data(), end, part);
+  constexpr size_t kMaxParts = kMaxJobTasks / kTasksPerProgressPart + 1;
+  const bool valid =
+      parsed.ec == std::errc() && parsed.ptr == end && part < kMaxParts;
+  if (!id || !valid) return std::nullopt;
+  return std::pair(*id, part);
+}
+
+std::string EncodeProgress(const std::string& key,
+                           wire::ProgressRecord record) {
+  std::string out = rpc::Encode(record);
+  if (IsStorable(key, out)) return out;
+  LogShortened(key, out, "checkpoints");
+  for (wire::TaskRecord& task : record.tasks) task.checkpoint.clear();
+  return rpc::Encode(record);
+}
+
+std::string EncodeUpstream(wire::UpstreamRecord record) {
+  const std::string key = UpstreamKey(record.id);
+  std::string out = rpc::Encode(record);
+  if (IsStorable(key, out)) return out;
+  LogShortened(key, out, "jobs and runs of a closed upstream");
+  record.closed = false;
+  record.jobs.clear();
+  record.runs.clear();
+  return rpc::Encode(record);
+}
+
+std::string UpstreamKey(const std::string& id) { return kUpstreamPrefix + id; }
+
 std::string CompletionKey(const TaskId& task, int64_t attempt) {
   return kCompletionPrefix + TaskIdText(task) + "." + std::to_string(attempt);
 }
--- a/src/coordinator/job_table.h
+++ b/src/coordinator/job_table.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include <optional>
 #include <string>
+#include <string_view>
+#include <utility>
 #include <vector>
 
 #include "jobs_types.h"
@@ -12,10 +15,14 @@
 namespace mimosarail::coordinator {
 
 /// Key prefixes of the job table, by kind of record: the spec of a job, its
-/// progress, the completion of a task whose job's records can't be read, and an
-/// upstream that may run tasks of this service.
+/// progress, a part of the progress of a job with many tasks, the completion of
+/// a task whose job's records can't be read, and an upstream that may run tasks
+/// of this service. The journal writes records in the order of their keys, so
+/// the parts of a job's progress are stored before the progress that leaves
+/// their tasks out.
 inline constexpr char kSpecPrefix = 's';
 inline constexpr char kProgressPrefix = 'p';
+inline constexpr char kProgressPartPrefix = 'n';
 inline constexpr char kCompletionPrefix = 'e';
 inline constexpr char kUpstreamPrefix = 'u';
 
@@ -27,7 +34,23 @@
 /// Pure functions that build and read keys and records. Thread-safe.
 std::string SpecKey(JobId id);
 std::string ProgressKey(JobId id);
+std::string ProgressPartKey(JobId id, size_t part);
+/// The job and the number of the part that the key names; empty if it is not
+/// the key of a part.
+std::optional<std::pair<JobId, size_t>> ParseProgressPartKey(
+    std::string_view key);
+std::string UpstreamKey(const std::string& id);
 std::string CompletionKey(const TaskId& task, int64_t attempt);
+/// Whether the store takes a record of this key and value.
+bool IsStorable(const std::string& key, const std::string& value);
+/// Encodes progress or a part of it. Leaves out the checkpoints if the store
+/// would not take the record with them; the tasks then start from their
+/// beginning after a takeover.
+std::string EncodeProgress(const std::string& key, wire::ProgressRecord record);
+/// Encodes the record of an upstream. If the store would not take the lists of
+/// a closed upstream, the record says that the upstream is open, so that the
+/// next leader treats every job as one that may have tasks there.
+std::string EncodeUpstream(wire::UpstreamRecord record);
 wire::UpstreamRecord ToUpstreamRecord(const ports::UpstreamEntry& entry);
 std::vector<wire::RunRecord> ToRunRecords(const scheduling::SuspectRuns& runs);
 /// Returns the runs that the record holds, without the malformed ones.
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -1,6 +1,8 @@
 // The part of Coordinator that loads the state stored by earlier leaders.
 
+#include <algorithm>
 #include <charconv>
+#include <utility>
 
 #include "src/coordinator/coordinator.h"
 #include "src/coordinator/job_table.h"
@@ -76,6 +78,10 @@
                                  cause);
   // A job whose record can't be read still exists. If it were accepted as new
   // when submitted again, it would overwrite that record and run a second time.
+  if (const auto part = ParseProgressPartKey(record.key)) {
+    unreadable_jobs_.insert(part->first);
+    return;
+  }
   const bool is_job_record =
       !record.key.empty() &&
       (record.key[0] == kSpecPrefix || record.key[0] == kProgressPrefix);
@@ -92,6 +98,7 @@
   const char kind = record.key[0];
   if (kind == kUpstreamPrefix) return DecodeUpstream(record);
   if (kind == kCompletionPrefix) return DecodeUnmatchedCompletion(record);
+  if (kind == kProgressPartPrefix) return DecodeProgressPart(record);
   if (kind == maintenance::kWaveKeyPrefix) {
     // Without a host API the record is left to a leader that has one.
     const bool valid = wave_manager_ == nullptr || wave_manager_->Load(record);
@@ -151,6 +158,41 @@
   return findings.ToString();
 }
 
+std::string Coordinator::DecodeProgressPart(const ports::KeyedRecord& record) {
+  const auto key = ParseProgressPartKey(record.key);
+  if (!key) return "key names no part of a job";
+  const auto& [id, part] = *key;
+  const auto progress = rpc::Decode<wire::ProgressRecord>(record.value);
+  if (!progress.ok()) return "does not decode";
+  Findings findings;
+  CheckProgress(progress.value(), findings);
+  if (!findings.empty()) return findings.ToString();
+  std::vector<std::string>& parts = progress_parts_[id];
+  parts.resize(std::max(parts.size(), part + 1));
+  parts[part] = record.value;
+  const auto& tasks = progress.value().tasks;
+  auto& loaded = loaded_task_states_[id];
+  loaded.insert(loaded.end(), tasks.begin(), tasks.end());
+  return {};
+}
+
+void Coordinator::MergeProgressParts() {
+  for (auto& [id, tasks] : std::exchange(loaded_task_states_, {})) {
+    if (unreadable_jobs_.count(id) > 0) continue;
+    const auto progress = loaded_progress_.find(id);
+    const bool open = progress != loaded_progress_.end() &&
+                      !IsFinal(static_cast<JobState>(progress->second.state));
+    if (!open) {
+      RemoveProgressParts(id);
+      continue;
+    }
+    // A version that does not know of parts has stored newer states in the
+    // progress itself.
+    if (!progress->second.tasks.empty()) continue;
+    progress->second.tasks = std::move(tasks);
+  }
+}
+
 std::string Coordinator::DecodeUnmatchedCompletion(
     const ports::KeyedRecord& record) {
   const std::string_view key = record.key;
@@ -197,8 +239,13 @@
       ApplyUnmatchedCompletion(job, completion.task, completion.attempt,
                                completion.failed);
     }
+    StoreProgress(job);
     loaded_progress_[id] = job.Progress();
-    journal_->Put(ProgressKey(id), rpc::Encode(loaded_progress_[id]));
+    for (size_t part = 0; part < job.progress_parts(); ++part) {
+      const auto& states = job.ProgressPart(part).tasks;
+      auto& tasks = loaded_progress_[id].tasks;
+      tasks.insert(tasks.end(), states.begin(), states.end());
+    }
   }
   if (merged_keys.empty()) return;
   journal_->WhenStored([weak = weak_from_this(), merged_keys](bool stored) {
@@ -211,6 +258,7 @@
 void Coordinator::LoadJobs() {
   const TimePoint now = deps_.executor.Now();
   const int64_t wall = deps_.executor.UnixMillis();
+  MergeProgressParts();
   for (const auto& [id, spec] : loaded_specs_) {
     const auto progress = loaded_progress_.find(id);
     if (progress == loaded_progress_.end()) continue;
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -6,7 +6,6 @@
 #include "src/coordinator/coordinator.h"
 #include "src/coordinator/job_table.h"
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/codec.h"
 
 namespace mimosarail::coordinator {
 namespace {
@@ -144,8 +143,7 @@
   // enough: an upstream's entry there expires while the store is unavailable,
   // although its tasks continue. So no task starts on the upstream before its
   // record in the job table is stored.
-  journal_->Put(kUpstreamPrefix + entry.id,
-                rpc::Encode(ToUpstreamRecord(entry)));
+  journal_->Put(UpstreamKey(entry.id), EncodeUpstream(ToUpstreamRecord(entry)));
   OpenLink(entry);
 }
 
@@ -206,7 +204,7 @@
                   {"reachable", it.reachable ? "yes" : "no"},
                   {"draining", it.entry.draining ? "yes" : "no"},
                   {"jobs", Text(static_cast<int64_t>(jobs.size()))}});
-  journal_->Put(kUpstreamPrefix + it.entry.id, rpc::Encode(record));
+  journal_->Put(UpstreamKey(it.entry.id), EncodeUpstream(std::move(record)));
 }
 
 void Coordinator::ReopenUpstream(UpstreamIndex upstream) {
@@ -214,8 +212,8 @@
   if (!it.reachable || it.entry.draining) return;
   // No task may start there while the stored record says that the upstream is
   // closed: a later leader would start the same tasks elsewhere.
-  journal_->Put(kUpstreamPrefix + it.entry.id,
-                rpc::Encode(ToUpstreamRecord(it.entry)));
+  journal_->Put(UpstreamKey(it.entry.id),
+                EncodeUpstream(ToUpstreamRecord(it.entry)));
   journal_->WhenStored([weak = weak_from_this(), upstream,
                         close_count = close_counts_[upstream]](bool stored) {
     const auto self = weak.lock();
@@ -246,7 +244,7 @@
   if (!has_unreadable_upstream_) return false;
   const std::optional<TimePoint> last_grant = deps_.predecessor_lease_end();
   return !last_grant ||
-         deps_.executor.Now() <=
+         deps_.last_store_confirmation() <=
              *last_grant + fleet::MaxLeaseDuration(options_.task_lease);
 }
 
@@ -348,7 +346,7 @@
       Level::kInfo, "upstream dropped",
       {{"upstream", id},
        {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
-  journal_->Remove(kUpstreamPrefix + id);
+  journal_->Remove(UpstreamKey(id));
   // The upstream may come back under the same id, and has then seen all fencing
   // tokens that this link used. A link opened with an earlier token would be
   // fenced as if another entry led, and this entry would step down.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -165,26 +165,42 @@
   if (final()) return out;
   out.done.assign((tasks_.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
   for (size_t i = 0; i < tasks_.size(); ++i) {
+    if (tasks_[i].phase != TaskPhase::kDone) continue;
+    out.done[i / kBitsPerByte] = static_cast<char>(
+        static_cast<unsigned char>(out.done[i / kBitsPerByte]) |
+        (1U << (i % kBitsPerByte)));
+  }
+  if (progress_parts() == 0) AppendTaskStates(0, tasks_.size(), out.tasks);
+  return out;
+}
+
+size_t Job::progress_parts() const {
+  if (tasks_.size() <= kTasksPerProgressPart) return 0;
+  return (tasks_.size() + kTasksPerProgressPart - 1) / kTasksPerProgressPart;
+}
+
+wire::ProgressRecord Job::ProgressPart(size_t part) const {
+  wire::ProgressRecord out;
+  const size_t begin = part * kTasksPerProgressPart;
+  const size_t end = std::min(begin + kTasksPerProgressPart, tasks_.size());
+  AppendTaskStates(begin, end, out.tasks);
+  return out;
+}
+
+void Job::AppendTaskStates(size_t begin, size_t end,
+                           std::vector<wire::TaskRecord>& out) const {
+  for (size_t i = begin; i < end; ++i) {
     const Task& task = tasks_[i];
-    if (task.phase == TaskPhase::kDone) {
-      out.done[i / kBitsPerByte] = static_cast<char>(
-          static_cast<unsigned char>(out.done[i / kBitsPerByte]) |
-          (1U << (i % kBitsPerByte)));
-      continue;
-    }
-    if (task.failed_attempts.empty() && task.checkpoint.empty() &&
-        task.crashes.total() == 0) {
-      continue;
-    }
-    wire::TaskRecord record;
+    const bool has_state = !task.failed_attempts.empty() ||
+                           !task.checkpoint.empty() || task.crashes.total() > 0;
+    if (task.phase == TaskPhase::kDone || !has_state) continue;
+    wire::TaskRecord& record = out.emplace_back();
     record.task = static_cast<int32_t>(i);
     record.failed_attempts = task.failed_attempts;
     record.checkpoint = task.checkpoint;
     record.early_crashes = task.crashes.early;
     record.other_crashes = task.crashes.other;
-    out.tasks.push_back(std::move(record));
   }
-  return out;
 }
 
 void Job::Restore(const wire::ProgressRecord& record) {
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -80,6 +80,9 @@
   int32_t done = 0;
 };
 
+/// Number of tasks whose states are stored in one record.
+inline constexpr size_t kTasksPerProgressPart = 256;
+
 /// The state of one accepted job and its tasks. Does not decide where and when
 /// tasks run. Not thread-safe.
 class Job {
@@ -144,8 +147,16 @@
   /// Returns the target duration of the whole job.
   Millis Objective() const;
 
-  /// Returns the progress to be stored.
+  /// Returns the progress to be stored. The states of the tasks of a job with
+  /// more than kTasksPerProgressPart tasks are not in it, but in the parts: the
+  /// store limits the size of a record.
   wire::ProgressRecord Progress() const;
+  /// Number of parts in which the states of the tasks are stored; 0 if
+  /// Progress() contains them.
+  size_t progress_parts() const;
+  /// Returns the states of the tasks of one part; only its `tasks` are set.
+  /// Precondition: part < progress_parts().
+  wire::ProgressRecord ProgressPart(size_t part) const;
   /// Takes over stored progress. Preconditions: the job is new, and
   /// CheckProgress() and CheckProgressMatchesJob() found nothing.
   void Restore(const wire::ProgressRecord& record);
@@ -156,6 +167,10 @@
            static_cast<size_t>(step);
   }
   size_t TaskIndex(const TaskId& id) const;
+  /// Appends the states of the tasks in this range that are not done and have
+  /// any state to be stored.
+  void AppendTaskStates(size_t begin, size_t end,
+                        std::vector<wire::TaskRecord>& out) const;
   /// Estimated duration of a step, including one advice call.
   Millis EstimatedStepTime(const wire::StepSpec& step) const;
 
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -235,6 +235,7 @@
 void UpstreamsFake::CheckStart(const std::string& id, const Upstream& upstream,
                                const ports::StartCall& call) {
   const std::string what = TaskIdText(call.task) + " on " + id;
+  started_from_[call.task] = call.checkpoint;
   int32_t cores = 0;
   int32_t memory = 0;
   const auto add = [&](const TaskId& task) {
@@ -483,8 +484,10 @@
                           100, 100 * worked.count() /
                                    behaviors_[task].run_time.count()))
                     : 0;
-    reply.running.push_back(
-        {.task = task, .attempt = run.attempt, .percent = percent});
+    reply.running.push_back({.task = task,
+                             .attempt = run.attempt,
+                             .checkpoint = behaviors_[task].checkpoint,
+                             .percent = percent});
   }
   const size_t listed =
       std::min(upstream.ended.size(), kMaxCompletionsPerReply);
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -23,6 +23,8 @@
   int failing_runs = 0;
   /// Each upstream that starts the task crashes after this delay.
   std::optional<Millis> crash_delay{};
+  /// The checkpoint that each run reports; empty for none.
+  std::string checkpoint{};
 };
 
 /// Faults of one upstream, set by tests.
@@ -143,6 +145,11 @@
   /// Number of successful runs of the task.
   int DoneRuns(const TaskId& task) const;
   int starts() const { return starts_; }
+  /// The checkpoint that the last start of the task carried.
+  std::string StartedFrom(const TaskId& task) const {
+    const auto found = started_from_.find(task);
+    return found == started_from_.end() ? "" : found->second;
+  }
   /// Whether any entry ever called the upstream.
   bool WasCalled(const std::string& id) const { return called_.count(id) > 0; }
   /// The upstream that runs the task; empty if there is none.
@@ -225,6 +232,7 @@
   /// them and that do not work again yet.
   std::set<TaskId> ended_by_order_;
   std::vector<std::string> violations_;
+  std::map<TaskId, std::string> started_from_;
   uint64_t last_run_ = 0;
   int starts_ = 0;
   std::set<std::string> partition_;
