--- a/tests/crashing_tasks_test.cc
+++ b/tests/crashing_tasks_test.cc
@@ -298,6 +298,27 @@
   CheckFailedPermanently(cluster, 1);
 }
 
+/// Guards against crashes that are forgotten, or tasks that run twice, because
+/// the store is unavailable when an upstream that crashed is replaced.
+BOOST_AUTO_TEST_CASE(CrashesAreCountedDuringStoreOutages) {
+  JobCluster cluster({.upstreams = 12});
+  cluster.RunFor(kStartupTime);
+  MakeCrash(cluster, {1, 0, 0, 0});
+  MakeCrash(cluster, {1, 0, 0, 1});
+  HarmlessJobs harmless_jobs(cluster);
+  cluster.Submit("entry-0", OneStepJob(1, 2, 1000));
+  harmless_jobs.SubmitFor(Millis(1000));
+  for (int outage = 0; outage < 3; ++outage) {
+    cluster.store().faults().down = true;
+    cluster.RunFor(Millis(5000));
+    cluster.store().faults().down = false;
+    cluster.RunFor(Millis(1500));
+  }
+  cluster.RunFor(kObservationTime);
+  CheckFailedPermanently(cluster, 1);
+  harmless_jobs.CheckAllComplete();
+}
+
 /// Harmless tasks are lost along with a crashing one and restart at the same
 /// moment. They must not fail permanently with it.
 BOOST_AUTO_TEST_CASE(TasksLostBesideACrashingTaskAreRetried) {
--- a/tests/upstream_takeover_test.cc
+++ b/tests/upstream_takeover_test.cc
@@ -157,4 +157,47 @@
   for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
 }
 
+/// Guards against tasks above the capacity of upstreams that shrink while they
+/// are busy, in a burst of jobs and over a takeover, and against jobs that wait
+/// on after the capacity has grown back.
+BOOST_AUTO_TEST_CASE(ShrunkUpstreamsAreNotOverloadedInABurst) {
+  constexpr int kUpstreams = 8;
+  constexpr int kShrinking = 4;
+  constexpr int32_t kMillicores = 8000;
+  constexpr int32_t kReducedMillicores = 4400;
+  constexpr JobId kJobs = 30;
+  JobCluster cluster({.upstreams = kUpstreams, .millicores = kMillicores});
+  cluster.RunFor(kStartupTime);
+  const auto resize = [&](int32_t millicores) {
+    for (int i = 0; i < kShrinking; ++i) {
+      wire::UpstreamRecord entry = cluster.ListEntry(i);
+      entry.millicores = millicores;
+      cluster.store().Put(kUpstreamTable, entry.id, rpc::Encode(entry));
+      cluster.upstreams().Resize(entry.id, millicores);
+    }
+  };
+  const auto submit = [&](JobId first, JobId last) {
+    for (JobId id = first; id <= last; ++id) {
+      cluster.Submit("entry-0", OneStepJob(id, 4, 1500, id % 5 == 0));
+      cluster.RunFor(Millis(50));
+    }
+  };
+  submit(1, kJobs / 3);
+  // Tasks in flight may still start by the former capacity.
+  cluster.RunFor(Millis(1000));
+  resize(kReducedMillicores);
+  cluster.RunFor(Millis(400));
+  submit(kJobs / 3 + 1, 2 * kJobs / 3);
+  cluster.Kill(cluster.Leader());
+  cluster.RunFor(kTakeoverTime);
+  submit(2 * kJobs / 3 + 1, kJobs);
+  resize(kMillicores);
+  for (JobId id = 1; id <= kJobs; ++id) {
+    if (!cluster.accepted(id)) continue;
+    BOOST_TEST(cluster.RunUntilFinal(id, Millis(20000)));
+    BOOST_TEST((cluster.State(id) == JobState::kComplete));
+  }
+  for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
+}
+
 }  // namespace mimosarail::jobsim
