--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -144,8 +144,9 @@
     if (follower.last_heartbeat >= expired) out.push_back(name);
   }
   if (leading_since_ < expired) return out;
-  // An entry that has not sent this leader a heartbeat yet may follow another
-  // one.
+  // The other entries send their first heartbeats only now. Without them, the
+  // quorum of a leader that is lost at once would be one that its successor
+  // does not get half of.
   for (const wire::Member& member : members_.all()) {
     if (member.name != options_.member.name &&
         followers_.count(member.name) == 0) {
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -158,12 +158,13 @@
   BOOST_TEST(stored.value().jobs.empty());
 }
 
-/// Guards against a job that runs a second time because a part of its progress
-/// cannot be read.
+/// Guards against a job that runs on with failures forgotten, or is accepted as
+/// a new one, because a part of its progress cannot be read.
 BOOST_AUTO_TEST_CASE(JobWithUnreadablePartIsKept) {
   const std::string key = coordinator::ProgressPartKey(kLargeJob, 0);
   JobCluster cluster({});
   cluster.RunFor(Millis(2000));
+  cluster.upstreams().behavior(LargeTask(0)).run_time = Millis(4000);
   cluster.Submit("entry-0", OneStepJob(kLargeJob, 1, 100));
   cluster.RunFor(Millis(200));
   BOOST_REQUIRE(cluster.accepted(kLargeJob));
@@ -174,6 +175,7 @@
   cluster.Submit("entry-1", OneStepJob(kLargeJob, 1, 100));
   cluster.RunFor(Millis(5000));
   BOOST_TEST(cluster.upstreams().starts() == 1);
+  BOOST_TEST(cluster.upstreams().DoneRuns(LargeTask(0)) == 0);
   BOOST_TEST(cluster.store().Records(kJobTable).count(key) == 1);
   for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
 }
--- a/tests/partition_fault_injection_test.cc
+++ b/tests/partition_fault_injection_test.cc
@@ -237,6 +237,27 @@
   }
 }
 
+/// Guards against a second successor that does not know on whom the partitioned
+/// leader relies, because the first one has replaced the stored quorum.
+BOOST_AUTO_TEST_CASE(SecondSuccessorWaitsForFirstLeader) {
+  constexpr Millis kUntilAbsentMembersExpire{9000};
+  JobCluster cluster({.entries = 6});
+  cluster.RunFor(kStartupTime);
+  const std::string first = cluster.Leader();
+  const std::string upstream = StartLongTask(cluster);
+  std::set<std::string> partition = Others(cluster, first, 3);
+  partition.insert(first);
+  cluster.SetPartition(partition, {upstream});
+  BOOST_REQUIRE(RunUntilNewLeader(cluster, first));
+  cluster.RunFor(kUntilAbsentMembersExpire);
+  const std::string second = cluster.Leader();
+  cluster.Kill(second);
+  BOOST_REQUIRE(RunUntilNewLeader(cluster, second));
+  cluster.RunFor(kMaxStoreOutage + 2 * kLeasesEnd);
+  CheckNoViolations(cluster);
+  BOOST_TEST(cluster.upstreams().Starts(kTask) == 2);
+}
+
 /// Guards against a partitioned leader that starts a completed task again: the
 /// task's upstream was out of its reach when it completed the task for the new
 /// leader, and has crashed and been replaced since.
