--- a/src/leadership/leader_quorum.h
+++ b/src/leadership/leader_quorum.h
@@ -29,21 +29,22 @@
   /// A process of the entry `name` followed the leader at `followed_at`.
   void OnHeartbeat(const std::string& name, int64_t incarnation,
                    TimePoint followed_at);
-  /// Notes that a quorum of these members is sent to the store, and may be
-  /// stored whatever the reply.
+  /// Notes that a quorum of these members is being sent to the store. From now
+  /// on the store may hold it, even if the reply is lost.
   void OnSent(const std::vector<std::string>& members);
   /// Notes that the quorum sent last is stored. Precondition: no other leader
   /// has written to the table since.
   void OnStored();
   /// Whether the store is known to hold exactly these members.
   bool IsStored(const std::vector<std::string>& members) const;
-  /// Number of members of the newest quorum sent; 0 if there is none.
-  size_t stored_size() const {
+  /// Number of members of the newest quorum that was sent; 0 if there is none.
+  size_t newest_size() const {
     return possible_.empty() ? 0 : possible_.back().size();
   }
-  /// Whether this entry and a process of another one form a majority of the
-  /// quorum, where each such process followed the leader at `since` or later
-  /// and also at `known_by` or before.
+  /// Whether this entry and at least one other, which confirm this one as the
+  /// leader, are a majority of the quorum. An entry confirms the leader if its
+  /// process has followed the leader at `since` or later, and already did at
+  /// `known_by`.
   bool HasMajority(TimePoint since, TimePoint known_by) const;
 
  private:
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -576,7 +576,7 @@
       logging::Event(
           Level::kInfo, "quorum stored",
           {{"term", Text(term_)},
-           {"members", Text(static_cast<int64_t>(quorum_.stored_size()))}});
+           {"members", Text(static_cast<int64_t>(quorum_.newest_size()))}});
     }
     end_offset_ = reply.end_offset;
     last_renewed_ = executor_.Now();
