--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -3076,171 +3076,6 @@
 }
 
 
-QuorumRecord::~QuorumRecord() noexcept {
-}
-
-
-void QuorumRecord::__set_term(const int64_t val) {
-  this->term = val;
-}
-
-void QuorumRecord::__set_members(const std::vector<std::string> & val) {
-  this->members = val;
-}
-
-void QuorumRecord::__set_max_store_outage_ms(const int64_t val) {
-  this->max_store_outage_ms = val;
-}
-std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj)
-{
-  obj.printTo(out);
-  return out;
-}
-
-
-uint32_t QuorumRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
-
-  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
-  uint32_t xfer = 0;
-  std::string fname;
-  ::apache::thrift::protocol::TType ftype;
-  int16_t fid;
-
-  xfer += iprot->readStructBegin(fname);
-
-  using ::apache::thrift::protocol::TProtocolException;
-
-
-  while (true)
-  {
-    xfer += iprot->readFieldBegin(fname, ftype, fid);
-    if (ftype == ::apache::thrift::protocol::T_STOP) {
-      break;
-    }
-    switch (fid)
-    {
-      case 1:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->term);
-          this->__isset.term = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 2:
-        if (ftype == ::apache::thrift::protocol::T_LIST) {
-          {
-            this->members.clear();
-            uint32_t _size108;
-            ::apache::thrift::protocol::TType _etype111;
-            xfer += iprot->readListBegin(_etype111, _size108);
-            this->members.resize(_size108);
-            uint32_t _i112;
-            for (_i112 = 0; _i112 < _size108; ++_i112)
-            {
-              xfer += iprot->readString(this->members[_i112]);
-            }
-            xfer += iprot->readListEnd();
-          }
-          this->__isset.members = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 3:
-        if (ftype == ::apache::thrift::protocol::T_I64) {
-          xfer += iprot->readI64(this->max_store_outage_ms);
-          this->__isset.max_store_outage_ms = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      default:
-        xfer += iprot->skip(ftype);
-        break;
-    }
-    xfer += iprot->readFieldEnd();
-  }
-
-  xfer += iprot->readStructEnd();
-
-  return xfer;
-}
-
-uint32_t QuorumRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
-  uint32_t xfer = 0;
-  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
-  xfer += oprot->writeStructBegin("QuorumRecord");
-
-  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
-  xfer += oprot->writeI64(this->term);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
-  {
-    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter113;
-    for (_iter113 = this->members.begin(); _iter113 != this->members.end(); ++_iter113)
-    {
-      xfer += oprot->writeString((*_iter113));
-    }
-    xfer += oprot->writeListEnd();
-  }
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("max_store_outage_ms", ::apache::thrift::protocol::T_I64, 3);
-  xfer += oprot->writeI64(this->max_store_outage_ms);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldStop();
-  xfer += oprot->writeStructEnd();
-  return xfer;
-}
-
-void swap(QuorumRecord &a, QuorumRecord &b) {
-  using ::std::swap;
-  swap(a.term, b.term);
-  swap(a.members, b.members);
-  swap(a.max_store_outage_ms, b.max_store_outage_ms);
-  swap(a.__isset, b.__isset);
-}
-
-QuorumRecord::QuorumRecord(const QuorumRecord& other114) {
-  term = other114.term;
-  members = other114.members;
-  max_store_outage_ms = other114.max_store_outage_ms;
-  __isset = other114.__isset;
-}
-QuorumRecord::QuorumRecord(QuorumRecord&& other115) noexcept {
-  term = other115.term;
-  members = std::move(other115.members);
-  max_store_outage_ms = other115.max_store_outage_ms;
-  __isset = other115.__isset;
-}
-QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other116) {
-  term = other116.term;
-  members = other116.members;
-  max_store_outage_ms = other116.max_store_outage_ms;
-  __isset = other116.__isset;
-  return *this;
-}
-QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other117) noexcept {
-  term = other117.term;
-  members = std::move(other117.members);
-  max_store_outage_ms = other117.max_store_outage_ms;
-  __isset = other117.__isset;
-  return *this;
-}
-void QuorumRecord::printTo(std::ostream& out) const {
-  using ::apache::thrift::to_string;
-  out << "QuorumRecord(";
-  out << "term=" << to_string(term);
-  out << ", " << "members=" << to_string(members);
-  out << ", " << "max_store_outage_ms=" << to_string(max_store_outage_ms);
-  out << ")";
-}
-
-
 SubmitJobCall::~SubmitJobCall() noexcept {
 }
 
@@ -3316,22 +3151,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other118) {
-  job = other118.job;
-  __isset = other118.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other108) {
+  job = other108.job;
+  __isset = other108.__isset;
 }
-SubmitJobCall::SubmitJobCall(SubmitJobCall&& other119) noexcept {
-  job = std::move(other119.job);
-  __isset = other119.__isset;
+SubmitJobCall::SubmitJobCall(SubmitJobCall&& other109) noexcept {
+  job = std::move(other109.job);
+  __isset = other109.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other120) {
-  job = other120.job;
-  __isset = other120.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other110) {
+  job = other110.job;
+  __isset = other110.__isset;
   return *this;
 }
-SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other121) noexcept {
-  job = std::move(other121.job);
-  __isset = other121.__isset;
+SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other111) noexcept {
+  job = std::move(other111.job);
+  __isset = other111.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -3434,26 +3269,26 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other122) noexcept {
-  verdict = other122.verdict;
-  retry_after_ms = other122.retry_after_ms;
-  __isset = other122.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other112) noexcept {
+  verdict = other112.verdict;
+  retry_after_ms = other112.retry_after_ms;
+  __isset = other112.__isset;
 }
-SubmitJobReply::SubmitJobReply(SubmitJobReply&& other123) noexcept {
-  verdict = other123.verdict;
-  retry_after_ms = other123.retry_after_ms;
-  __isset = other123.__isset;
+SubmitJobReply::SubmitJobReply(SubmitJobReply&& other113) noexcept {
+  verdict = other113.verdict;
+  retry_after_ms = other113.retry_after_ms;
+  __isset = other113.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other124) noexcept {
-  verdict = other124.verdict;
-  retry_after_ms = other124.retry_after_ms;
-  __isset = other124.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other114) noexcept {
+  verdict = other114.verdict;
+  retry_after_ms = other114.retry_after_ms;
+  __isset = other114.__isset;
   return *this;
 }
-SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other125) noexcept {
-  verdict = other125.verdict;
-  retry_after_ms = other125.retry_after_ms;
-  __isset = other125.__isset;
+SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other115) noexcept {
+  verdict = other115.verdict;
+  retry_after_ms = other115.retry_after_ms;
+  __isset = other115.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -3540,22 +3375,22 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other126) noexcept {
-  id = other126.id;
-  __isset = other126.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other116) noexcept {
+  id = other116.id;
+  __isset = other116.__isset;
 }
-JobStateCall::JobStateCall(JobStateCall&& other127) noexcept {
-  id = other127.id;
-  __isset = other127.__isset;
+JobStateCall::JobStateCall(JobStateCall&& other117) noexcept {
+  id = other117.id;
+  __isset = other117.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other128) noexcept {
-  id = other128.id;
-  __isset = other128.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other118) noexcept {
+  id = other118.id;
+  __isset = other118.__isset;
   return *this;
 }
-JobStateCall& JobStateCall::operator=(JobStateCall&& other129) noexcept {
-  id = other129.id;
-  __isset = other129.__isset;
+JobStateCall& JobStateCall::operator=(JobStateCall&& other119) noexcept {
+  id = other119.id;
+  __isset = other119.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -3658,26 +3493,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other130) noexcept {
-  verdict = other130.verdict;
-  state = other130.state;
-  __isset = other130.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other120) noexcept {
+  verdict = other120.verdict;
+  state = other120.state;
+  __isset = other120.__isset;
 }
-JobStateReply::JobStateReply(JobStateReply&& other131) noexcept {
-  verdict = other131.verdict;
-  state = other131.state;
-  __isset = other131.__isset;
+JobStateReply::JobStateReply(JobStateReply&& other121) noexcept {
+  verdict = other121.verdict;
+  state = other121.state;
+  __isset = other121.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other132) noexcept {
-  verdict = other132.verdict;
-  state = other132.state;
-  __isset = other132.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other122) noexcept {
+  verdict = other122.verdict;
+  state = other122.state;
+  __isset = other122.__isset;
   return *this;
 }
-JobStateReply& JobStateReply::operator=(JobStateReply&& other133) noexcept {
-  verdict = other133.verdict;
-  state = other133.state;
-  __isset = other133.__isset;
+JobStateReply& JobStateReply::operator=(JobStateReply&& other123) noexcept {
+  verdict = other123.verdict;
+  state = other123.state;
+  __isset = other123.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -3764,22 +3599,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other134) noexcept {
-  id = other134.id;
-  __isset = other134.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other124) noexcept {
+  id = other124.id;
+  __isset = other124.__isset;
 }
-CancelJobCall::CancelJobCall(CancelJobCall&& other135) noexcept {
-  id = other135.id;
-  __isset = other135.__isset;
+CancelJobCall::CancelJobCall(CancelJobCall&& other125) noexcept {
+  id = other125.id;
+  __isset = other125.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other136) noexcept {
-  id = other136.id;
-  __isset = other136.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other126) noexcept {
+  id = other126.id;
+  __isset = other126.__isset;
   return *this;
 }
-CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other137) noexcept {
-  id = other137.id;
-  __isset = other137.__isset;
+CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other127) noexcept {
+  id = other127.id;
+  __isset = other127.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -3865,22 +3700,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other138) noexcept {
-  verdict = other138.verdict;
-  __isset = other138.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other128) noexcept {
+  verdict = other128.verdict;
+  __isset = other128.__isset;
 }
-CancelJobReply::CancelJobReply(CancelJobReply&& other139) noexcept {
-  verdict = other139.verdict;
-  __isset = other139.__isset;
+CancelJobReply::CancelJobReply(CancelJobReply&& other129) noexcept {
+  verdict = other129.verdict;
+  __isset = other129.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other140) noexcept {
-  verdict = other140.verdict;
-  __isset = other140.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other130) noexcept {
+  verdict = other130.verdict;
+  __isset = other130.__isset;
   return *this;
 }
-CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other141) noexcept {
-  verdict = other141.verdict;
-  __isset = other141.__isset;
+CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other131) noexcept {
+  verdict = other131.verdict;
+  __isset = other131.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -3966,22 +3801,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other142) {
-  queue = other142.queue;
-  __isset = other142.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other132) {
+  queue = other132.queue;
+  __isset = other132.__isset;
 }
-PendingJobsCall::PendingJobsCall(PendingJobsCall&& other143) noexcept {
-  queue = std::move(other143.queue);
-  __isset = other143.__isset;
+PendingJobsCall::PendingJobsCall(PendingJobsCall&& other133) noexcept {
+  queue = std::move(other133.queue);
+  __isset = other133.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other144) {
-  queue = other144.queue;
-  __isset = other144.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other134) {
+  queue = other134.queue;
+  __isset = other134.__isset;
   return *this;
 }
-PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other145) noexcept {
-  queue = std::move(other145.queue);
-  __isset = other145.__isset;
+PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other135) noexcept {
+  queue = std::move(other135.queue);
+  __isset = other135.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -4084,26 +3919,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other146) noexcept {
-  verdict = other146.verdict;
-  pending = other146.pending;
-  __isset = other146.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other136) noexcept {
+  verdict = other136.verdict;
+  pending = other136.pending;
+  __isset = other136.__isset;
 }
-PendingJobsReply::PendingJobsReply(PendingJobsReply&& other147) noexcept {
-  verdict = other147.verdict;
-  pending = other147.pending;
-  __isset = other147.__isset;
+PendingJobsReply::PendingJobsReply(PendingJobsReply&& other137) noexcept {
+  verdict = other137.verdict;
+  pending = other137.pending;
+  __isset = other137.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other148) noexcept {
-  verdict = other148.verdict;
-  pending = other148.pending;
-  __isset = other148.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other138) noexcept {
+  verdict = other138.verdict;
+  pending = other138.pending;
+  __isset = other138.__isset;
   return *this;
 }
-PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other149) noexcept {
-  verdict = other149.verdict;
-  pending = other149.pending;
-  __isset = other149.__isset;
+PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other139) noexcept {
+  verdict = other139.verdict;
+  pending = other139.pending;
+  __isset = other139.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -4194,14 +4029,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size150;
-            ::apache::thrift::protocol::TType _etype153;
-            xfer += iprot->readListBegin(_etype153, _size150);
-            this->upstreams.resize(_size150);
-            uint32_t _i154;
-            for (_i154 = 0; _i154 < _size150; ++_i154)
+            uint32_t _size140;
+            ::apache::thrift::protocol::TType _etype143;
+            xfer += iprot->readListBegin(_etype143, _size140);
+            this->upstreams.resize(_size140);
+            uint32_t _i144;
+            for (_i144 = 0; _i144 < _size140; ++_i144)
             {
-              xfer += iprot->readString(this->upstreams[_i154]);
+              xfer += iprot->readString(this->upstreams[_i144]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4250,10 +4085,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter155;
-    for (_iter155 = this->upstreams.begin(); _iter155 != this->upstreams.end(); ++_iter155)
+    std::vector<std::string> ::const_iterator _iter145;
+    for (_iter145 = this->upstreams.begin(); _iter145 != this->upstreams.end(); ++_iter145)
     {
-      xfer += oprot->writeString((*_iter155));
+      xfer += oprot->writeString((*_iter145));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4278,38 +4113,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other156) {
-  job = other156.job;
-  occurrence = other156.occurrence;
-  step = other156.step;
-  upstreams = other156.upstreams;
-  timeout_ms = other156.timeout_ms;
-  __isset = other156.__isset;
-}
-AdviseCall::AdviseCall(AdviseCall&& other157) noexcept {
-  job = other157.job;
-  occurrence = other157.occurrence;
-  step = other157.step;
-  upstreams = std::move(other157.upstreams);
-  timeout_ms = other157.timeout_ms;
-  __isset = other157.__isset;
-}
-AdviseCall& AdviseCall::operator=(const AdviseCall& other158) {
-  job = other158.job;
-  occurrence = other158.occurrence;
-  step = other158.step;
-  upstreams = other158.upstreams;
-  timeout_ms = other158.timeout_ms;
-  __isset = other158.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other146) {
+  job = other146.job;
+  occurrence = other146.occurrence;
+  step = other146.step;
+  upstreams = other146.upstreams;
+  timeout_ms = other146.timeout_ms;
+  __isset = other146.__isset;
+}
+AdviseCall::AdviseCall(AdviseCall&& other147) noexcept {
+  job = other147.job;
+  occurrence = other147.occurrence;
+  step = other147.step;
+  upstreams = std::move(other147.upstreams);
+  timeout_ms = other147.timeout_ms;
+  __isset = other147.__isset;
+}
+AdviseCall& AdviseCall::operator=(const AdviseCall& other148) {
+  job = other148.job;
+  occurrence = other148.occurrence;
+  step = other148.step;
+  upstreams = other148.upstreams;
+  timeout_ms = other148.timeout_ms;
+  __isset = other148.__isset;
   return *this;
 }
-AdviseCall& AdviseCall::operator=(AdviseCall&& other159) noexcept {
-  job = other159.job;
-  occurrence = other159.occurrence;
-  step = other159.step;
-  upstreams = std::move(other159.upstreams);
-  timeout_ms = other159.timeout_ms;
-  __isset = other159.__isset;
+AdviseCall& AdviseCall::operator=(AdviseCall&& other149) noexcept {
+  job = other149.job;
+  occurrence = other149.occurrence;
+  step = other149.step;
+  upstreams = std::move(other149.upstreams);
+  timeout_ms = other149.timeout_ms;
+  __isset = other149.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -4416,26 +4251,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other160) {
-  upstream = other160.upstream;
-  ticket = other160.ticket;
-  __isset = other160.__isset;
+Ticket::Ticket(const Ticket& other150) {
+  upstream = other150.upstream;
+  ticket = other150.ticket;
+  __isset = other150.__isset;
 }
-Ticket::Ticket(Ticket&& other161) noexcept {
-  upstream = std::move(other161.upstream);
-  ticket = std::move(other161.ticket);
-  __isset = other161.__isset;
+Ticket::Ticket(Ticket&& other151) noexcept {
+  upstream = std::move(other151.upstream);
+  ticket = std::move(other151.ticket);
+  __isset = other151.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other162) {
-  upstream = other162.upstream;
-  ticket = other162.ticket;
-  __isset = other162.__isset;
+Ticket& Ticket::operator=(const Ticket& other152) {
+  upstream = other152.upstream;
+  ticket = other152.ticket;
+  __isset = other152.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other163) noexcept {
-  upstream = std::move(other163.upstream);
-  ticket = std::move(other163.ticket);
-  __isset = other163.__isset;
+Ticket& Ticket::operator=(Ticket&& other153) noexcept {
+  upstream = std::move(other153.upstream);
+  ticket = std::move(other153.ticket);
+  __isset = other153.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -4502,14 +4337,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->allowed.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->allowed.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += this->allowed[_i168].read(iprot);
+              xfer += this->allowed[_i158].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4550,10 +4385,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter169;
-    for (_iter169 = this->allowed.begin(); _iter169 != this->allowed.end(); ++_iter169)
+    std::vector<Ticket> ::const_iterator _iter159;
+    for (_iter159 = this->allowed.begin(); _iter159 != this->allowed.end(); ++_iter159)
     {
-      xfer += (*_iter169).write(oprot);
+      xfer += (*_iter159).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4576,30 +4411,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other170) {
-  verdict = other170.verdict;
-  allowed = other170.allowed;
-  valid_ms = other170.valid_ms;
-  __isset = other170.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other160) {
+  verdict = other160.verdict;
+  allowed = other160.allowed;
+  valid_ms = other160.valid_ms;
+  __isset = other160.__isset;
 }
-AdviseReply::AdviseReply(AdviseReply&& other171) noexcept {
-  verdict = other171.verdict;
-  allowed = std::move(other171.allowed);
-  valid_ms = other171.valid_ms;
-  __isset = other171.__isset;
+AdviseReply::AdviseReply(AdviseReply&& other161) noexcept {
+  verdict = other161.verdict;
+  allowed = std::move(other161.allowed);
+  valid_ms = other161.valid_ms;
+  __isset = other161.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other172) {
-  verdict = other172.verdict;
-  allowed = other172.allowed;
-  valid_ms = other172.valid_ms;
-  __isset = other172.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other162) {
+  verdict = other162.verdict;
+  allowed = other162.allowed;
+  valid_ms = other162.valid_ms;
+  __isset = other162.__isset;
   return *this;
 }
-AdviseReply& AdviseReply::operator=(AdviseReply&& other173) noexcept {
-  verdict = other173.verdict;
-  allowed = std::move(other173.allowed);
-  valid_ms = other173.valid_ms;
-  __isset = other173.__isset;
+AdviseReply& AdviseReply::operator=(AdviseReply&& other163) noexcept {
+  verdict = other163.verdict;
+  allowed = std::move(other163.allowed);
+  valid_ms = other163.valid_ms;
+  __isset = other163.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
@@ -4611,4 +4446,169 @@
   out << ")";
 }
 
+
+QuorumRecord::~QuorumRecord() noexcept {
+}
+
+
+void QuorumRecord::__set_term(const int64_t val) {
+  this->term = val;
+}
+
+void QuorumRecord::__set_members(const std::vector<std::string> & val) {
+  this->members = val;
+}
+
+void QuorumRecord::__set_max_store_outage_ms(const int64_t val) {
+  this->max_store_outage_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QuorumRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->term);
+          this->__isset.term = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->members.clear();
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->members.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
+            {
+              xfer += iprot->readString(this->members[_i168]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.members = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->max_store_outage_ms);
+          this->__isset.max_store_outage_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QuorumRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QuorumRecord");
+
+  xfer += oprot->writeFieldBegin("term", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->term);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
+    std::vector<std::string> ::const_iterator _iter169;
+    for (_iter169 = this->members.begin(); _iter169 != this->members.end(); ++_iter169)
+    {
+      xfer += oprot->writeString((*_iter169));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("max_store_outage_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->max_store_outage_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QuorumRecord &a, QuorumRecord &b) {
+  using ::std::swap;
+  swap(a.term, b.term);
+  swap(a.members, b.members);
+  swap(a.max_store_outage_ms, b.max_store_outage_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QuorumRecord::QuorumRecord(const QuorumRecord& other170) {
+  term = other170.term;
+  members = other170.members;
+  max_store_outage_ms = other170.max_store_outage_ms;
+  __isset = other170.__isset;
+}
+QuorumRecord::QuorumRecord(QuorumRecord&& other171) noexcept {
+  term = other171.term;
+  members = std::move(other171.members);
+  max_store_outage_ms = other171.max_store_outage_ms;
+  __isset = other171.__isset;
+}
+QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other172) {
+  term = other172.term;
+  members = other172.members;
+  max_store_outage_ms = other172.max_store_outage_ms;
+  __isset = other172.__isset;
+  return *this;
+}
+QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other173) noexcept {
+  term = other173.term;
+  members = std::move(other173.members);
+  max_store_outage_ms = other173.max_store_outage_ms;
+  __isset = other173.__isset;
+  return *this;
+}
+void QuorumRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QuorumRecord(";
+  out << "term=" << to_string(term);
+  out << ", " << "members=" << to_string(members);
+  out << ", " << "max_store_outage_ms=" << to_string(max_store_outage_ms);
+  out << ")";
+}
+
 }} // namespace
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -45,8 +45,6 @@
 
 class AnnounceReply;
 
-class QuorumRecord;
-
 class SubmitJobCall;
 
 class SubmitJobReply;
@@ -69,6 +67,8 @@
 
 class AdviseReply;
 
+class QuorumRecord;
+
 typedef struct _StepSpec__isset {
   _StepSpec__isset() : tasks(true), millicores(false), memory_mb(false), accelerators(false), estimate_ms(false), after(false), checkpoints(false), gang(false), one_rack(false), label(false), data_rack(false), max_per_upstream(false), speculative(false), long_running(false), image(false), target_ms(false), filler(false), max_unavailable(false) {}
   bool tasks :1;
@@ -1281,77 +1281,6 @@
 
 std::ostream& operator<<(std::ostream& out, const AnnounceReply& obj);
 
-typedef struct _QuorumRecord__isset {
-  _QuorumRecord__isset() : term(false), members(false), max_store_outage_ms(false) {}
-  bool term :1;
-  bool members :1;
-  bool max_store_outage_ms :1;
-} _QuorumRecord__isset;
-
-/**
- * The entries of which a majority may confirm the leader while it gets no
- * answer from the store.
- */
-class QuorumRecord : public virtual ::apache::thrift::TBase {
- public:
-
-  QuorumRecord(const QuorumRecord&);
-  QuorumRecord(QuorumRecord&&) noexcept;
-  QuorumRecord& operator=(const QuorumRecord&);
-  QuorumRecord& operator=(QuorumRecord&&) noexcept;
-  QuorumRecord() noexcept
-               : term(0),
-                 max_store_outage_ms(0) {
-  }
-
-  virtual ~QuorumRecord() noexcept;
-  /**
-   * Term of the leader that stored this record.
-   */
-  int64_t term;
-  /**
-   * Names of the entries, the leader included.
-   */
-  std::vector<std::string>  members;
-  /**
-   * How long after the store's last confirmation the entries may do so.
-   */
-  int64_t max_store_outage_ms;
-
-  _QuorumRecord__isset __isset;
-
-  void __set_term(const int64_t val);
-
-  void __set_members(const std::vector<std::string> & val);
-
-  void __set_max_store_outage_ms(const int64_t val);
-
-  bool operator == (const QuorumRecord & rhs) const
-  {
-    if (!(term == rhs.term))
-      return false;
-    if (!(members == rhs.members))
-      return false;
-    if (!(max_store_outage_ms == rhs.max_store_outage_ms))
-      return false;
-    return true;
-  }
-  bool operator != (const QuorumRecord &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const QuorumRecord & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(QuorumRecord &a, QuorumRecord &b);
-
-std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj);
-
 typedef struct _SubmitJobCall__isset {
   _SubmitJobCall__isset() : job(false) {}
   bool job :1;
@@ -1914,6 +1843,77 @@
 
 std::ostream& operator<<(std::ostream& out, const AdviseReply& obj);
 
+typedef struct _QuorumRecord__isset {
+  _QuorumRecord__isset() : term(false), members(false), max_store_outage_ms(false) {}
+  bool term :1;
+  bool members :1;
+  bool max_store_outage_ms :1;
+} _QuorumRecord__isset;
+
+/**
+ * The entries of which a majority may confirm the leader while it gets no
+ * answer from the store.
+ */
+class QuorumRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  QuorumRecord(const QuorumRecord&);
+  QuorumRecord(QuorumRecord&&) noexcept;
+  QuorumRecord& operator=(const QuorumRecord&);
+  QuorumRecord& operator=(QuorumRecord&&) noexcept;
+  QuorumRecord() noexcept
+               : term(0),
+                 max_store_outage_ms(0) {
+  }
+
+  virtual ~QuorumRecord() noexcept;
+  /**
+   * Term of the leader that stored this record.
+   */
+  int64_t term;
+  /**
+   * Names of the entries, the leader included.
+   */
+  std::vector<std::string>  members;
+  /**
+   * How long after the store's last confirmation the entries may do so.
+   */
+  int64_t max_store_outage_ms;
+
+  _QuorumRecord__isset __isset;
+
+  void __set_term(const int64_t val);
+
+  void __set_members(const std::vector<std::string> & val);
+
+  void __set_max_store_outage_ms(const int64_t val);
+
+  bool operator == (const QuorumRecord & rhs) const
+  {
+    if (!(term == rhs.term))
+      return false;
+    if (!(members == rhs.members))
+      return false;
+    if (!(max_store_outage_ms == rhs.max_store_outage_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QuorumRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QuorumRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QuorumRecord &a, QuorumRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj);
+
 }} // namespace
 
 #endif
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -181,17 +181,6 @@
 }
 struct AnnounceReply { 1: i64 term }
 
-/** The entries of which a majority may confirm the leader while it gets no
- *  answer from the store. */
-struct QuorumRecord {
-  /** Term of the leader that stored this record. */
-  1: i64 term
-  /** Names of the entries, the leader included. */
-  2: list<string> members
-  /** How long after the store's last confirmation the entries may do so. */
-  3: i64 max_store_outage_ms
-}
-
 struct SubmitJobCall { 1: JobSpec job }
 struct SubmitJobReply {
   1: i32 verdict
@@ -229,3 +218,14 @@
   2: list<Ticket> allowed
   3: i64 valid_ms
 }
+
+/** The entries of which a majority may confirm the leader while it gets no
+ *  answer from the store. */
+struct QuorumRecord {
+  /** Term of the leader that stored this record. */
+  1: i64 term
+  /** Names of the entries, the leader included. */
+  2: list<string> members
+  /** How long after the store's last confirmation the entries may do so. */
+  3: i64 max_store_outage_ms
+}
