--- a/src/leadership/predecessor_leases.cc
+++ b/src/leadership/predecessor_leases.cc
@@ -38,6 +38,8 @@
 
 void PredecessorLeases::OnFollower(const std::string& name, TimePoint now) {
   if (quorum_lost_at_ || members_.count(name) == 0) return;
+  // An earlier leader is confirmed by more than half of the quorum only. An
+  // entry that follows this leader never confirms an earlier one again.
   following_.insert(name);
   if (2 * following_.size() >= members_.size()) quorum_lost_at_ = now;
 }
--- a/src/maintenance/wave_manager.cc
+++ b/src/maintenance/wave_manager.cc
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include "src/libs/logging/log.h"
+#include "src/maintenance/host_calls.h"
 
 namespace mimosarail::maintenance {
 namespace {
@@ -11,12 +12,9 @@
 using logging::Level;
 using logging::Text;
 using ports::HostState;
-using ports::HostVerdict;
 using ports::WaveStatus;
 
 constexpr Millis kTick{100};
-/// The host API answers in about 20 ms, and in 1 s at its slowest.
-constexpr Millis kCallTimeout{2000};
 /// Minimum time between two readings of the host list while hosts are expected
 /// back from maintenance. It limits the cost of the readings.
 constexpr Millis kAwaitedListPeriod{500};
@@ -26,16 +24,10 @@
 /// Time between two readings while no change is expected. These readings only
 /// find hosts that have left or come up.
 constexpr Millis kIdleListPeriod{3000};
-/// Backoff after a refused or unanswered call; doubles up to the maximum.
-constexpr Millis kMinBackoff{250};
-constexpr Millis kMaxBackoff{4000};
-/// Delay before a busy host is ordered again.
-constexpr Millis kBusyRetryDelay{1000};
 /// Consecutive complete readings without a host after which it counts as
 /// permanently removed. One reading may miss a host, because its pages are not
 /// one snapshot.
 constexpr int kRemovedAfterReadings = 2;
-constexpr double kMsPerSecond = 1000;
 
 std::string Text(size_t value) { return std::to_string(value); }
 
@@ -48,12 +40,6 @@
   return out;
 }
 
-/// Returns the minimum time between two calls at `per_s` calls per second.
-Millis MinInterval(double per_s) {
-  constexpr double kMinRate = 0.1;
-  return Millis(static_cast<int64_t>(kMsPerSecond / std::max(kMinRate, per_s)));
-}
-
 }  // namespace
 
 WaveManager::WaveManager(Dependencies deps, WaveManagerOptions options)
@@ -356,49 +342,6 @@
   if (decision.status == WaveStatus::kComplete) ReportComplete(wave);
 }
 
-void WaveManager::ResetLostOrders(Wave& wave) {
-  const TimePoint now = deps_.executor.Now();
-  for (auto& [name, host] : wave.hosts) {
-    if (host.phase != HostMaintenancePhase::kRequested ||
-        host.operation_pending) {
-      continue;
-    }
-    const bool may_take_effect =
-        host.unanswered_at &&
-        now <= *host.unanswered_at + options_.max_order_delay;
-    // An order that was refused, or was stored but not sent, keeps its slot
-    // while the host is up, so that it can be sent again.
-    const HostState state = BuildHostView(name, host).state;
-    if (may_take_effect || (!host.unanswered_at && state == HostState::kUp)) {
-      continue;
-    }
-    logging::Event(
-        Level::kWarning, "maintenance order had no effect",
-        {{"wave", Text(wave.request.wave)},
-         {"host", name},
-         {"state", std::string(ports::kHostStateNames.Name(state))}});
-    ResetToPending(wave.request.wave, name);
-  }
-}
-
-void WaveManager::ResetToPending(int64_t wave, const std::string& name) {
-  Host& host = waves_.at(wave).hosts.at(name);
-  host.unanswered_at.reset();
-  host.operation_pending = true;
-  // The slot becomes free only after the record is removed. Otherwise a later
-  // leader could find the record beside that of the next host. It would treat
-  // both as ordered, order both again, and let one host too many be away.
-  deps_.journal->Remove(KeyOf({.wave = wave, .host = name}));
-  deps_.journal->WhenStored([weak = weak_from_this(), wave, name](bool stored) {
-    const auto self = weak.lock();
-    if (!stored || !self || self->closed_) return;
-    Host& host = self->waves_.at(wave).hosts.at(name);
-    host.operation_pending = false;
-    host.has_record = false;
-    host.phase = HostMaintenancePhase::kPending;
-  });
-}
-
 void WaveManager::ApplyDrains(Wave& wave, const WaveDecision& decision,
                               std::set<std::string>& cordoned) {
   const std::set<std::string> drain(decision.drain.begin(),
@@ -445,126 +388,6 @@
        {"waits", Join(decision.drain_blockers, ", ")}});
 }
 
-HostRecord WaveManager::RecordOf(const Wave& wave,
-                                 const std::string& name) const {
-  const Host& host = wave.hosts.at(name);
-  return {.wave = wave.request.wave,
-          .host = name,
-          .begun = host.phase == HostMaintenancePhase::kInProgress,
-          .upstream = host.upstream};
-}
-
-void WaveManager::OrderMaintenance(Wave& wave, const std::string& name) {
-  const TimePoint now = deps_.executor.Now();
-  if (now < next_order_at_) return;
-  next_order_at_ = now + MinInterval(options_.orders_per_s);
-  Host& host = wave.hosts.at(name);
-  const ListedHost* listed = FindListed(name);
-  const bool repeated = host.phase == HostMaintenancePhase::kRequested;
-  host.phase = HostMaintenancePhase::kRequested;
-  host.operation_pending = true;
-  if (listed != nullptr) host.upstream = listed->entry.upstream;
-  const int64_t number = wave.request.wave;
-  if (repeated) return SendOrder(number, name);
-  host.has_record = true;
-  // The order is stored before it can take effect. A later leader that did not
-  // know of it would treat the host as pending, and let one host too many be
-  // away.
-  const ports::KeyedRecord record = Encode(RecordOf(wave, name));
-  deps_.journal->Put(record.key, record.value);
-  deps_.journal->WhenStored(
-      [weak = weak_from_this(), number, name](bool stored) {
-        const auto self = weak.lock();
-        if (stored && self && !self->closed_) self->SendOrder(number, name);
-      });
-}
-
-void WaveManager::SendOrder(int64_t wave, const std::string& name) {
-  Host& host = waves_.at(wave).hosts.at(name);
-  const HostWork work = deps_.workload.WorkOn(host.upstream);
-  // Storing the order may have taken seconds, so the conditions are checked
-  // again.
-  const bool valid = !fenced_ && deps_.workload.MayOrderMaintenance() &&
-                     (host.upstream.empty() || work.known) && work.tasks == 0;
-  if (!valid) {
-    host.operation_pending = false;
-    return;
-  }
-  host.upstream_ended = false;
-  deps_.metrics.Count({.name = "upkeep_orders"});
-  logging::Event(Level::kInfo, "maintenance ordered",
-                 {{"wave", Text(wave)},
-                  {"host", name},
-                  {"upstream", host.upstream},
-                  {"tasks_there", Text(int64_t{work.tasks})},
-                  {"in_doubt", host.unanswered_at ? "yes" : "no"},
-                  {"fence", Text(options_.term)}});
-  deps_.hosts.BeginMaintenance(
-      {.host = name,
-       .wave = wave,
-       .holder = options_.holder,
-       .fence = options_.term},
-      kCallTimeout,
-      [weak = weak_from_this(), wave, name](const ports::HostReply& reply) {
-        const auto self = weak.lock();
-        if (self && !self->closed_) self->OnOrderReply(wave, name, reply);
-      });
-}
-
-void WaveManager::OnOrderReply(int64_t wave, const std::string& name,
-                               const ports::HostReply& reply) {
-  const TimePoint now = deps_.executor.Now();
-  Host& host = waves_.at(wave).hosts.at(name);
-  host.operation_pending = false;
-  const std::string verdict(ports::kHostVerdictNames.Name(reply.verdict));
-  deps_.metrics.Count(
-      {.name = "upkeep_answers", .labels = {{"verdict", verdict}}});
-  logging::Event(
-      reply.verdict == HostVerdict::kDone ? Level::kInfo : Level::kWarning,
-      "maintenance order answered",
-      {{"wave", Text(wave)},
-       {"host", name},
-       {"verdict", verdict},
-       {"detail", reply.detail}});
-  switch (reply.verdict) {
-    case HostVerdict::kDone: {
-      backoff_ = Millis(0);
-      host.phase = HostMaintenancePhase::kInProgress;
-      host.begun_at = now;
-      host.unanswered_at.reset();
-      const auto record = Encode(RecordOf(waves_.at(wave), name));
-      return deps_.journal->Put(record.key, record.value);
-    }
-    case HostVerdict::kFenced:
-      // A later leader has sent orders, so this token is never used again.
-      fenced_ = true;
-      return deps_.on_leadership_lost("a higher fencing token at host " + name);
-    case HostVerdict::kBusy:
-      host.retry_at = now + kBusyRetryDelay;
-      // This order had no effect. An earlier one without an answer may still
-      // take effect.
-      if (!host.unanswered_at) ResetToPending(wave, name);
-      return;
-    case HostVerdict::kNotInWave:
-    case HostVerdict::kNoSuchHost:
-      host.phase = HostMaintenancePhase::kExcluded;
-      return;
-    case HostVerdict::kRefused:
-      IncreaseBackoff();
-      break;
-    case HostVerdict::kUnknown:
-      IncreaseBackoff();
-      host.unanswered_at = now;
-      break;
-  }
-  next_order_at_ = std::max(next_order_at_, now + backoff_);
-}
-
-void WaveManager::IncreaseBackoff() {
-  backoff_ =
-      backoff_ == Millis(0) ? kMinBackoff : std::min(kMaxBackoff, 2 * backoff_);
-}
-
 journal::Journal& WaveManager::StatusJournal() {
   if (status_journal_) return *status_journal_;
   status_journal_ = std::make_shared<journal::Journal>(
