Fleet: Say what each guard on silence prevents

Comments and docs only: which failure the store's confirmation prevents, how it would show, and why it holds. The host list of maintenance is ruled out as a further place, with the reason.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -166,7 +166,8 @@
   void SetCordoned(const std::set<std::string>& upstreams) override;
   void EvictTasks(const std::string& upstream, bool all) override;
   void OnUpstreamEnded(const std::string& upstream) override;
-  /// A later leader that the store answers may order the same hosts.
+  /// A stored order may be repeated. Without the store's confirmation, a
+  /// successor may order the same host, and the two would order it in turns.
   bool MayOrderMaintenance() override {
     return loaded_ && !closed_ && deps_.lease_confirmed_by_store();
   }
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -50,6 +50,10 @@
 }
 
 bool UpstreamLink::LeasesExpired() const {
+  // While the store does not answer this leader, a successor may renew the
+  // leases here, and a task restarted elsewhere would run twice. If the store
+  // has confirmed this leader after the leases' end, no successor could have
+  // renewed them in time.
   const TimePoint confirmed = events_.LastStoreConfirmation();
   if (confirmed <= leases_end_) return false;
   // The upstream has replied to this leader, so it refuses earlier leaders.
@@ -226,6 +230,9 @@
 
 void UpstreamLink::CheckAllRunsEnded() {
   if (closed_) return;
+  // A successor that reached the upstream before its end may have stored
+  // completions that this leader never saw, and a completed task would start
+  // again. A leader that the store confirms now had no successor then.
   if (replaced_at_ && events_.LastStoreConfirmation() >= *replaced_at_) {
     Close();
     all_runs_ended_ = true;
