Shutdown: Defer signals while handlers do not exist

Callers saw: a connection closed without an answer when SIGTERM met an entry that had just begun to listen.

Cause: the handlers of SIGTERM, SIGINT and SIGHUP were installed after the listeners were open and the network thread ran, and removed before the process had exited. In between the default action ends the process.

With the settings file as a pipe, which holds the daemon in its start, -15 each time.

Ruled out: an exit of the daemon's own with a wrong code (-15 is the signal's). SIGHUP was sought elsewhere: the same fault, mended with it.

Change: main() defers the three signals before any thread exists. They are delivered once the handlers are installed, and deferred again before these are removed.

Why it works: a deferred signal stays pending in the kernel, is delivered when the handlers exist, and does nothing to a process that exits. Threads inherit the deferral, so no other thread can get the signal.

Before main(), while libraries are loaded, only the kernel acts on a signal; the process does not listen then.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -16,6 +16,7 @@
 #include "src/peers/rpc_peers.h"
 #include "src/peers/udp_heartbeats.h"
 #include "src/ports/rpc_platform.h"
+#include "src/shutdown/signal_deferral.h"
 
 namespace mimosarail::app {
 namespace {
@@ -174,6 +175,9 @@
       }).detach();
     });
   });
+  // Destroyed before the handlers: a repeated SIGTERM while the process exits
+  // would end it with an error.
+  const shutdown::SignalDelivery signal_delivery;
   daemon.instance.Start();
   daemon.control.run();
   daemon.network_io.stop();
--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -20,6 +20,7 @@
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/shutdown/shutdown_plan.h"
+#include "src/shutdown/signal_deferral.h"
 
 namespace mimosarail::app {
 namespace {
@@ -342,6 +343,9 @@
   SettingsWatcher watcher(settings_path);
   asio::signal_set hangup(daemon.control, SIGHUP);
   WatchHangup(hangup, watcher);
+  // Destroyed before the handlers: a repeated SIGTERM while the process exits
+  // would end it with an error.
+  const shutdown::SignalDelivery signal_delivery;
   RunEvery(daemon.executor, kSettingsCheckPeriod,
            [&watcher] { watcher.Check("look"); });
   RunEvery(daemon.executor, kTrafficPeriod, [&daemon] { daemon.LogTraffic(); });
--- a/src/app/main.cc
+++ b/src/app/main.cc
@@ -10,6 +10,7 @@
 #include "src/app/job_daemon.h"
 #include "src/libs/settings/job_settings.h"
 #include "src/libs/settings/settings.h"
+#include "src/shutdown/signal_deferral.h"
 
 DEFINE_string(settings, "", "settings file: JSON with comments");
 DEFINE_bool(check_settings, false, "check the settings file and exit");
@@ -49,6 +50,9 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+  // A signal during the start would end the process without an answer to
+  // callers that are already connected.
+  mimosarail::shutdown::DeferSignals();
   gflags::SetUsageMessage(
       "entry instance of the mimosarail cluster scheduler\n"
       "  mimosaraild --settings FILE\n"
