Soak: Allow for a SIGTERM before main() of an entry

The case is allowed: the process does not listen yet, so no caller is connected, and it is asked to end. From main() on, the signal cannot end it; daemon_signals_test holds that with a daemon that is kept in its start.

The check allows for the exit only if it is by SIGTERM, was requested, and the process has written nothing; every other exit is a finding as before.

--- a/tests/soak/entries.cc
+++ b/tests/soak/entries.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <filesystem>
 #include <fstream>
 #include <nlohmann/json.hpp>
 
@@ -58,6 +59,7 @@
 }
 
 void Entry::Start() {
+  log_size_at_start_ = LogSize();
   process_ = std::make_unique<scenarios::Process>(
       std::vector<std::string>{options_.daemon, "jobs", "--settings",
                                Path(".json")},
@@ -76,9 +78,21 @@
   if (signal != SIGTERM) last_fault_at_ = Clock::now();
 }
 
+std::uintmax_t Entry::LogSize() const {
+  std::error_code missing;
+  const std::uintmax_t size = std::filesystem::file_size(Path(".log"), missing);
+  return missing ? 0 : size;
+}
+
 std::string Entry::UnexpectedExit() {
-  const int code = process_->Wait();
+  const int code = exit_code();
   if (killed_ || (shutdown_requested_ && code == 0)) return {};
+  // Before main() begins, only the kernel can act on a SIGTERM. The entry does
+  // not listen yet, so no caller is affected. From main() on, SIGTERM does not
+  // end the process by itself.
+  const bool ended_before_main = shutdown_requested_ && code == -SIGTERM &&
+                                 LogSize() == log_size_at_start_;
+  if (ended_before_main) return {};
   return name() + " ended unexpectedly, exit code " + std::to_string(code);
 }
 
@@ -124,6 +138,8 @@
 }
 
 void ProcessFaultInjector::Restart(Entry& entry) {
+  checker_.Log(entry.name() + " ended, exit code " +
+               std::to_string(entry.exit_code()));
   const std::string unexpected_exit = entry.UnexpectedExit();
   if (!unexpected_exit.empty()) checker_.AddFinding(unexpected_exit);
   executor_.RunAfter(random_.Between(kMinRestartDelay, kMaxRestartDelay),
--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -40,6 +40,9 @@
   bool alive() { return process_->Alive(); }
   /// The process runs, is not paused, and was not asked to end.
   bool healthy() { return alive() && !paused_ && !shutdown_requested_; }
+  /// Exit code of the process, or the negative number of the signal that ended
+  /// it. Waits for the exit.
+  int exit_code() { return process_->Wait(); }
   /// Describes the last exit of the process if it was not requested; empty
   /// otherwise. Waits for the exit.
   std::string UnexpectedExit();
@@ -55,6 +58,9 @@
 
  private:
   std::string Path(const char* suffix) const;
+  /// Size of the log file, which all processes of the entry append to; 0 if
+  /// there is none yet.
+  std::uintmax_t LogSize() const;
 
   EntryOptions options_;
   std::unique_ptr<scenarios::Process> process_;
@@ -63,6 +69,7 @@
   bool shutdown_requested_ = false;
   bool killed_ = false;
   TimePoint last_fault_at_{};
+  std::uintmax_t log_size_at_start_ = 0;
   /// Offset up to which the log has been read.
   std::streamoff log_offset_ = 0;
   int64_t last_term_led_ = 0;
