Leadership: Rely on a quorum only once it is stored

Callers saw: nothing yet; a task could run at two upstreams at once.

Cause: a new leader counted the quorum that it had sent to the store as the one that a successor reads, also before the store had answered. If the store turned silent then, it still held the quorum of the leader before, and the successor needed half of that one only. The two need not overlap.

Evidence: UnstoredQuorumDoesNotConfirmLeader. Seven entries, four of them away until the first leader has stored a quorum of three; the first leader is lost, the four come back and follow the second, which is cut off from the store together with them before its first quorum is stored. The third leader has the first quorum behind it at once.

Ruled out: a doubt about a later quorum (the stored one was kept beside it, and a majority of both was required), and processes that follow late (they count only after the store's confirmation, which holds here).

Change: until a quorum of its own term is stored, the store alone confirms a leader. The set that stands for the earlier leader's quorum has no majority.

Why it works: a successor reads either that earlier quorum, and then this leader has no lease without the store, or a quorum of which this leader needs a majority. What it costs: a leader whose first quorum is not stored within its lease of 2 s gives no orders until the store answers, as before its first attempt.

--- a/src/leadership/leader_quorum.cc
+++ b/src/leadership/leader_quorum.cc
@@ -6,7 +6,7 @@
 
 void LeaderQuorum::BeginTerm(const std::string& self) {
   self_ = self;
-  possible_.clear();
+  possible_ = {Members()};
   processes_.clear();
 }
 
@@ -24,9 +24,7 @@
 
 void LeaderQuorum::OnSent(const std::vector<std::string>& members) {
   Members sent(members.begin(), members.end());
-  if (possible_.empty() || possible_.back() != sent) {
-    possible_.push_back(std::move(sent));
-  }
+  if (possible_.back() != sent) possible_.push_back(std::move(sent));
 }
 
 void LeaderQuorum::OnStored() {
@@ -51,8 +49,7 @@
         std::count_if(members.begin(), members.end(), confirms));
     return confirming > 1 && 2 * confirming > members.size();
   };
-  return !possible_.empty() &&
-         std::all_of(possible_.begin(), possible_.end(), has_majority);
+  return std::all_of(possible_.begin(), possible_.end(), has_majority);
 }
 
 }  // namespace mimosarail::leadership
--- a/src/leadership/leader_quorum.h
+++ b/src/leadership/leader_quorum.h
@@ -23,8 +23,9 @@
 /// it has followed a successor.
 class LeaderQuorum {
  public:
-  /// Begins a term of the entry named `self`. The store holds no quorum of this
-  /// term yet, so nothing but the store confirms the leader.
+  /// Begins a term of the entry named `self`. Until OnStored(), the store may
+  /// hold the quorum of an earlier leader, so nothing but the store confirms
+  /// this one.
   void BeginTerm(const std::string& self);
   /// A process of the entry `name` followed the leader at `followed_at`.
   void OnHeartbeat(const std::string& name, int64_t incarnation,
@@ -38,9 +39,7 @@
   /// Whether the store is known to hold exactly these members.
   bool IsStored(const std::vector<std::string>& members) const;
   /// Number of members of the newest quorum that was sent; 0 if there is none.
-  size_t newest_size() const {
-    return possible_.empty() ? 0 : possible_.back().size();
-  }
+  size_t newest_size() const { return possible_.back().size(); }
   /// Whether this entry and at least one other, which confirm this one as the
   /// leader, are a majority of the quorum. An entry confirms the leader if its
   /// process has followed the leader at `since` or later, and already did at
@@ -56,8 +55,10 @@
   };
 
   std::string self_;
-  /// The members that the store may hold; the newest are the last.
-  std::vector<Members> possible_;
+  /// The quorums that the store may hold; the newest is the last. The empty one
+  /// stands for that of an earlier leader, and has no majority: a successor may
+  /// read it until a quorum of this term is stored.
+  std::vector<Members> possible_{Members()};
   std::map<std::string, Process> processes_;
 };
 
--- a/tests/partition_fault_injection_test.cc
+++ b/tests/partition_fault_injection_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE partition_fault_injection
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -258,6 +259,45 @@
   BOOST_TEST(cluster.upstreams().Starts(kTask) == 2);
 }
 
+/// Guards against a leader that relies on a quorum which it has sent, but which
+/// the store does not hold: its successor asks the members of an earlier one.
+BOOST_AUTO_TEST_CASE(UnstoredQuorumDoesNotConfirmLeader) {
+  constexpr Millis kUntilAbsentMembersExpire{9000};
+  constexpr Millis kUntilAllFollow{1500};
+  constexpr Millis kStep{20};
+  constexpr Millis kLastMoment{500};
+  for (Millis moment{0}; moment <= kLastMoment; moment += kStep) {
+    BOOST_TEST_CONTEXT("partitioned after " << moment.count() << " ms") {
+      JobCluster cluster({.entries = 7});
+      cluster.RunFor(kStartupTime);
+      const std::vector<std::string> names = cluster.names();
+      const std::string first = cluster.Leader();
+      const std::string upstream = StartLongTask(cluster);
+      // The quorum that the first leader stores consists of three entries.
+      const std::set<std::string> absent = Others(cluster, first, 4);
+      for (const std::string& name : absent) cluster.Kill(name);
+      cluster.RunFor(kUntilAbsentMembersExpire);
+      const std::string delayed =
+          *std::find_if(names.begin(), names.end(), [&](const auto& name) {
+            return name != first && absent.count(name) == 0;
+          });
+      cluster.Kill(first);
+      cluster.Pause(delayed);
+      for (const std::string& name : absent) cluster.Restart(name);
+      BOOST_REQUIRE(RunUntilNewLeader(cluster, first));
+      cluster.RunFor(kUntilAllFollow);
+      cluster.Resume(delayed);
+      cluster.RunFor(moment);
+      std::set<std::string> partition = absent;
+      partition.insert(cluster.Leader());
+      cluster.SetPartition(partition, {upstream});
+      cluster.Restart(first);
+      cluster.RunFor(kMaxStoreOutage + 2 * kLeasesEnd);
+      CheckNoViolations(cluster);
+    }
+  }
+}
+
 /// Guards against a partitioned leader that starts a completed task again: the
 /// task's upstream was out of its reach when it completed the task for the new
 /// leader, and has crashed and been replaced since.
@@ -330,6 +370,8 @@
   quorum.BeginTerm("a");
   quorum.OnHeartbeat("b", 1, now);
   BOOST_TEST(!quorum.HasMajority(now, now));
+  quorum.OnSent({"a", "b"});
+  BOOST_TEST(!quorum.HasMajority(now, now));
   quorum.OnSent({"a", "b", "c", "d", "e"});
   quorum.OnStored();
   quorum.OnSent({"a", "b", "c"});
