Coordinator: Answer from memory only if no successor can have served

Cause: a leader whose process was paused answered what it knew as soon as it resumed. Its lease lasts 2 s, and a successor serves after 1.2 s, so the lease alone does not show that there is none.

Evidence: ResumedLeaderDoesNotAnswerFromOutdatedState.

Ruled out: the final states that other entries keep (they do not change), and cancels (they have asked the store before they answer "no such job").

Change: after a pause of more than the 0.7 s that the other entries wait before they suspect a leader, it reports only final states until the store or a majority of its quorum has confirmed it again. Otherwise the caller's entry repeats the call and finds the successor.

Why it works: a successor needs the pause to be longer than that; the store's answer to a call sent after the pause, or heartbeats that answer to replies sent after it, show that the entry still leads.

What gives way: a leader that is not paused answers as before while only the store does not answer, so `running` may be seconds old then; the alternative is to refuse all such calls in each outage.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -179,6 +179,12 @@
   if (final != final_jobs_.end()) {
     return answer(JobVerdict::kConfirmed, final->second.state);
   }
+  // A leader whose process was paused would report a job as running that its
+  // successor has completed, or not know one that it has accepted. Final states
+  // do not change.
+  if (!deps_.state_current()) {
+    return answer(JobVerdict::kNotLeading, JobState::kQueued);
+  }
   if (unreadable_jobs_.count(id) > 0) {
     return answer(JobVerdict::kUnreadable, JobState::kQueued);
   }
@@ -252,7 +258,8 @@
 wire::PendingJobsReply Coordinator::CountPending(
     const std::string& queue) const {
   wire::PendingJobsReply reply;
-  reply.verdict = static_cast<int32_t>(loaded_ ? JobVerdict::kConfirmed
+  const bool current = loaded_ && deps_.state_current();
+  reply.verdict = static_cast<int32_t>(current ? JobVerdict::kConfirmed
                                                : JobVerdict::kNotLeading);
   reply.pending = scheduler_.PendingJobs(queue);
   return reply;
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -97,6 +97,9 @@
     std::function<bool()> leader_lease_valid;
     /// Whether the store has recently confirmed that no other entry leads.
     std::function<bool()> lease_confirmed_by_store;
+    /// Whether no other entry can have taken over during a pause of this
+    /// process.
+    std::function<bool()> state_current;
     /// Newest known time at which the store has confirmed the lease.
     std::function<TimePoint()> last_store_confirmation;
     /// When the leases of all earlier leaders end; unset while not known.
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -173,6 +173,7 @@
           .leader_lease_valid = [this] { return leadership_.lease_valid(); },
           .lease_confirmed_by_store =
               [this] { return leadership_.lease_confirmed_by_store(); },
+          .state_current = [this] { return leadership_.state_current(); },
           .last_store_confirmation =
               [this] { return leadership_.last_confirmation(); },
           .predecessor_lease_end =
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -126,6 +126,10 @@
   /// then is it certain that no other entry has accepted jobs that this leader
   /// does not know.
   bool lease_confirmed_by_store() const;
+  /// As leader: whether the lease is valid and, if the process was paused for
+  /// long enough for another entry to take over, was confirmed again since.
+  /// Until then, jobs may have been accepted or completed under a successor.
+  bool state_current() const;
   /// As leader: send time of the newest call by which the store confirmed that
   /// no other entry leads.
   TimePoint last_confirmation() const;
@@ -336,6 +340,8 @@
   TimePoint last_tick_{};
   /// End of the last process pause.
   TimePoint resumed_at_{};
+  /// End of the last pause in which another entry may have taken over.
+  TimePoint replaceable_until_{};
   struct Follower {
     wire::Member member;
     TimePoint last_heartbeat;
--- a/src/leadership/lease.cc
+++ b/src/leadership/lease.cc
@@ -50,6 +50,15 @@
          HasFollowerQuorum();
 }
 
+bool Leadership::state_current() const {
+  // The first call after a pause may come before the first tick.
+  const bool paused =
+      executor_.Now() - last_tick_ > options_.leader_suspect_after;
+  if (paused || !lease_valid()) return false;
+  return last_confirmation() >= replaceable_until_ ||
+         quorum_.HasMajority(replaceable_until_, confirmed_.sent);
+}
+
 TimePoint Leadership::last_confirmation() const {
   // Counted from when the call was sent, not from when its answer was read: an
   // answer that was in flight for a second would otherwise confirm the lease
@@ -97,6 +106,7 @@
 void Leadership::NoteProcessPause() {
   const TimePoint now = executor_.Now();
   const TimePoint before = std::exchange(last_tick_, now);
+  if (now - before > options_.leader_suspect_after) replaceable_until_ = now;
   // A shorter pause is within the leader lease, like any other missing answer.
   if (now - before <= options_.leader_lease) return;
   logging::Event(
--- a/tests/job_durability_test.cc
+++ b/tests/job_durability_test.cc
@@ -719,6 +719,49 @@
   }
 }
 
+/// Guards against a former leader that answers from outdated state when its
+/// process resumes: it reports a completed job as running, or does not know a
+/// job that its successor has accepted.
+BOOST_DATA_TEST_CASE(ResumedLeaderDoesNotAnswerFromOutdatedState,
+                     boost::unit_test::data::xrange(1400, 3600, 100),
+                     paused_ms) {
+  constexpr JobId kCompletedJob = 0xfb0000;
+  constexpr JobId kNewJob = 0xfb0001;
+  JobCluster cluster({});
+  cluster.RunFor(kStartupTime);
+  const std::string first = cluster.Leader();
+  cluster.upstreams().behavior({kCompletedJob, 0, 0, 0}).run_time = Millis(900);
+  cluster.Submit(first, OneStepJob(kCompletedJob, 1, kMillicores));
+  cluster.RunFor(Millis(500));
+  // The successor's announcement is lost.
+  cluster.SetIsolated(first, true);
+  cluster.Pause(first);
+  const TimePoint resume_at = cluster.clock().now() + Millis(paused_ms);
+  while (cluster.Leader() == first || cluster.Leader().empty()) {
+    cluster.RunFor(kLeaderPollInterval);
+  }
+  const std::string second = cluster.Leader();
+  cluster.Submit(second, OneStepJob(kNewJob, 1, kMillicores));
+  while (cluster.clock().now() < resume_at) cluster.RunFor(Millis(10));
+  const auto state = cluster.State(kCompletedJob);
+  BOOST_REQUIRE((state && *state == JobState::kComplete));
+  const bool accepted = cluster.accepted(kNewJob);
+  std::map<JobId, jobentry::JobAnswer> answers;
+  for (const JobId id : {kCompletedJob, kNewJob}) {
+    cluster.QueryState(first, id, [&answers, id](const auto& answer) {
+      answers[id] = answer;
+    });
+  }
+  cluster.SetIsolated(first, false);
+  cluster.Resume(first);
+  cluster.RunFor(kStartupTime);
+  BOOST_REQUIRE_EQUAL(answers.size(), 2U);
+  BOOST_TEST((answers[kCompletedJob].state == JobState::kComplete));
+  if (accepted) {
+    BOOST_TEST((answers[kNewJob].verdict == JobVerdict::kConfirmed));
+  }
+}
+
 /// Guards against a second run of a resubmitted job when an append of an
 /// earlier leader takes effect late.
 BOOST_DATA_TEST_CASE(ResubmittedJobRunsOnceDespiteDelayedAppend,
