--- a/tests/maintenance_test.cc
+++ b/tests/maintenance_test.cc
@@ -6,11 +6,11 @@
 #include <random>
 
 #include "platform/host_codec.h"
-#include "src/libs/logging/log.h"
 #include "src/libs/settings/job_settings.h"
 #include "src/maintenance/wave_plan.h"
 #include "src/maintenance/wave_records.h"
 #include "tests/jobsim/job_cluster.h"
+#include "tests/jobsim/log_fixture.h"
 
 namespace mimosarail::jobsim {
 namespace {
@@ -59,15 +59,6 @@
   return out;
 }
 
-/// MIMOSARAIL_TRACE=1 prints the log lines of a run.
-struct LogFixture {
-  LogFixture() {
-    if (std::getenv("MIMOSARAIL_TRACE") != nullptr) {
-      logging::Start("maintenance", logging::Level::kDebug);
-    }
-  }
-  ~LogFixture() { logging::Stop(); }
-};
 BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
 
 /// Returns a wave of three hosts without tasks. One host may be away at a time,
--- a/tests/malformed_records_test.cc
+++ b/tests/malformed_records_test.cc
@@ -3,11 +3,10 @@
 
 #define BOOST_TEST_MODULE malformed_records
 #include <boost/test/unit_test.hpp>
-#include <cstdlib>
 
-#include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
 #include "tests/jobsim/job_cluster.h"
+#include "tests/jobsim/log_fixture.h"
 
 namespace mimosarail::jobsim {
 namespace {
@@ -44,16 +43,6 @@
 
 }  // namespace
 
-/// MIMOSARAIL_TRACE=1 prints the log lines of a run.
-struct LogFixture {
-  LogFixture() {
-    if (std::getenv("MIMOSARAIL_TRACE") != nullptr) {
-      logging::Start("foreign", logging::Level::kDebug);
-    }
-  }
-  ~LogFixture() { logging::Stop(); }
-};
-
 BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
 
 /// An external writer repeatedly puts unreadable records into the upstream list
