Leadership: Log pauses in which a successor may have taken over

They change what the leader answers, but only pauses beyond its lease of 2 s were logged. The condition for each of the two times is as before.

--- a/src/leadership/lease.cc
+++ b/src/leadership/lease.cc
@@ -106,14 +106,14 @@
 void Leadership::NoteProcessPause() {
   const TimePoint now = executor_.Now();
   const TimePoint before = std::exchange(last_tick_, now);
-  if (now - before > options_.leader_suspect_after) replaceable_until_ = now;
-  // A shorter pause is within the leader lease, like any other missing answer.
-  if (now - before <= options_.leader_lease) return;
+  if (now - before <= options_.leader_suspect_after) return;
+  replaceable_until_ = now;
   logging::Event(
       Level::kWarning, "process paused",
       {{"for_ms",
         Text(std::chrono::duration_cast<Millis>(now - before).count())}});
-  resumed_at_ = now;
+  // A shorter pause is within the leader lease, like any other missing answer.
+  if (now - before > options_.leader_lease) resumed_at_ = now;
 }
 
 std::string Leadership::EncodeRecord(int64_t term,
