--- a/src/leadership/lease.cc
+++ b/src/leadership/lease.cc
@@ -51,7 +51,11 @@
 }
 
 bool Leadership::state_current() const {
-  // The first call after a pause may come before the first tick.
+  // After a pause that was long enough for a successor to serve, this entry
+  // would report completed jobs as running and accepted ones as unknown. The
+  // store's reply to a later call, or heartbeats that answer to later replies,
+  // show that it still leads. The first call after a pause may come before the
+  // first tick.
   const bool paused =
       executor_.Now() - last_tick_ > options_.leader_suspect_after;
   if (paused || !lease_valid()) return false;
