--- a/src/leadership/leader_quorum.h
+++ b/src/leadership/leader_quorum.h
@@ -16,8 +16,8 @@
 /// A successor reads the stored quorum and takes lost tasks over only once at
 /// least half of its members follow the successor. A majority then no longer
 /// can confirm the leader, so a task does not run under both. This holds for
-/// three reasons: a majority is required of each set that the store may hold, and
-/// nobody but the store confirms the leader before it has stored one; a
+/// three reasons: a majority is required of each set that the store may hold,
+/// and nobody but the store confirms the leader before it has stored one; a
 /// heartbeat counts from the time of the leader's reply that it answers to, not
 /// from its arrival; and only processes that followed the leader before the
 /// store's last confirmation count, since a restarted entry does not know that
