Platform: Decode client accounts, keys, weights and limits

Callers saw: on the shifted deployment, whose configuration has accounts, all calls were served, whatever their key. Cause: the configuration's accounts and public queues were never decoded.

Change: CellConfig has the accounts, unset where the configuration has none, and each queue whether it is open. A key that two accounts have, a name that two have, empty keys, negative or mistyped limits are findings by place, without the key, since findings are logged. As before, a document that does not decode leaves the one in force.

Evidence: decoders_test MalformedAccountsLeaveTheConfigurationInForce, 15 malformed rows; it does not compile before, as there is nothing to decode into.

--- a/src/ports/cell_config_port.h
+++ b/src/ports/cell_config_port.h
@@ -19,6 +19,28 @@
   wire::QueuePolicy policy;
   std::string host;
   std::string prefix;
+  /// Calls need no key, and the queue's jobs belong to no account.
+  bool open = false;
+};
+
+/// What the tasks of one account may take at a time over all upstreams; 0 in a
+/// dimension for no limit.
+struct AccountLimit {
+  int64_t millicores = 0;
+  int64_t memory_mb = 0;
+  int64_t accelerators = 0;
+  friend bool operator==(const AccountLimit&, const AccountLimit&) = default;
+};
+
+/// A client account.
+struct AccountConfig {
+  std::string name;
+  /// Keys that authenticate the account's calls. Never logged.
+  std::vector<std::string> keys;
+  /// The account's share when all capacity is in use: jobs per second. 0 for
+  /// none.
+  double weight = 0;
+  AccountLimit limit;
 };
 
 /// A valid configuration of the cell.
@@ -27,6 +49,8 @@
   std::vector<QueueConfig> queues;
   /// All pools that the configuration names, with or without a queue.
   std::set<std::string> pools;
+  /// Unset if the cell has no accounts; calls then need no key.
+  std::optional<std::vector<AccountConfig>> accounts;
   /// Largest body of a caller's request, in bytes.
   int64_t max_body_bytes = 0;
 };
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -255,6 +255,53 @@
   }
 }
 
+/// Guards against keys that identify no single account, limits that are none,
+/// and keys in the findings, which are logged.
+BOOST_AUTO_TEST_CASE(MalformedAccountsLeaveTheConfigurationInForce) {
+  const std::string good =
+      R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
+      "service":"s","public":true}],"tenants":[
+      {"name":"a","apiKeys":["secret-1","secret-2"],"weight":38,
+       "maxCount":{"cpu":4346304,"memMb":12494416,"gpu":0}},
+      {"name":"b","apiKeys":["secret-3"]}]})";
+  const auto decoded = DecodeConfig(good);
+  BOOST_REQUIRE(decoded.ok());
+  BOOST_TEST(decoded.value().queues[0].open);
+  BOOST_REQUIRE(decoded.value().accounts);
+  const ports::AccountConfig& account = decoded.value().accounts->front();
+  BOOST_TEST(account.name == "a");
+  BOOST_TEST(account.keys.size() == 2U);
+  BOOST_TEST(account.weight == 38);
+  BOOST_TEST(account.limit.millicores == 4346304);
+  BOOST_TEST(account.limit.memory_mb == 12494416);
+  struct Row {
+    const char* from;
+    const char* to;
+  };
+  for (const Row& row : {
+           Row{R"("public":true)", R"("public":"yes")"},
+           Row{R"("name":"a",)", ""},
+           Row{R"("name":"a")", R"("name":7)"},
+           Row{R"("name":"b")", R"("name":"a")"},
+           Row{R"(["secret-3"])", R"("secret-3")"},
+           Row{R"(["secret-3"])", R"([3])"},
+           Row{R"(["secret-3"])", R"([""])"},
+           Row{R"("secret-3")", R"("secret-1")"},
+           Row{R"("weight":38)", R"("weight":-1)"},
+           Row{R"("weight":38)", R"("weight":"38")"},
+           Row{R"("cpu":4346304)", R"("cpu":-1)"},
+           Row{R"("cpu":4346304)", R"("cpu":1e300)"},
+           Row{R"("memMb":12494416)", R"("memMb":"1")"},
+           Row{R"("gpu":0)", R"("gpu":[])"},
+           Row{R"({"name":"b","apiKeys":["secret-3"]})", "7"},
+       }) {
+    const auto malformed = DecodeConfig(Replaced(good, row.from, row.to));
+    BOOST_REQUIRE_MESSAGE(!malformed.ok(), row.to);
+    BOOST_TEST(malformed.error().message.find("secret") == std::string::npos);
+  }
+  BOOST_TEST(!DecodeConfig(R"({"version":7,"routes":[]})").value().accounts);
+}
+
 /// Guards against treating a missing list of a report as an empty one: every
 /// task that runs on the upstream would be started again on another.
 BOOST_AUTO_TEST_CASE(AReportWithoutAListIsUnknown) {
