--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -83,6 +83,7 @@
       static_cast<double>(s.host_orders_per_100_s) / kHundredthsPerUnit;
   out.coordinator.host_holder_timeout = Millis(s.holder_lease_ms);
   out.coordinator.max_jobs = static_cast<size_t>(s.max_jobs);
+  out.access.revocation_timeout = Millis(s.revocation_timeout_ms);
   out.leader_wait_timeout = Millis(s.leader_wait_timeout_ms);
   out.shutdown_reply_timeout = Millis(s.shutdown_ms) - kLastAnswerTime;
   return out;
@@ -123,7 +124,8 @@
                    {.address = s.front_address,
                     .ready_address = s.ready_address,
                     .max_connections = static_cast<size_t>(s.max_connections),
-                    .traffic = &traffic_counters}),
+                    .traffic = &traffic_counters,
+                    .metrics = &metrics}),
         metrics_server(
             network_io,
             {.traffic = &traffic_counters, .traffic_kind = "metrics"},
--- a/src/cellconfig/cell_config_watcher.cc
+++ b/src/cellconfig/cell_config_watcher.cc
@@ -8,15 +8,24 @@
 
 using logging::Level;
 
+namespace {
+
+/// Number of accounts, for the log.
+std::string AccountCount(const ports::CellConfig& config) {
+  return config.accounts ? std::to_string(config.accounts->size()) : "none";
+}
+
+}  // namespace
+
 CellConfigWatcher::CellConfigWatcher(
     Executor& executor, ports::CellConfigPort& port,
     faults::MalformedRecordReporter& malformed_records,
-    CellConfigWatcherOptions options, std::function<void()> changed)
+    CellConfigWatcherOptions options, Events events)
     : executor_(executor),
       port_(port),
       malformed_records_(malformed_records),
       options_(options),
-      changed_(std::move(changed)) {}
+      events_(std::move(events)) {}
 
 void CellConfigWatcher::Start() { ReadNewest(); }
 
@@ -38,6 +47,7 @@
                        return RetryLater(&CellConfigWatcher::ReadNewest);
                      }
                      ApplyDocuments(update.value());
+                     events_.on_confirmed();
                      ReadChange();
                    });
 }
@@ -53,6 +63,7 @@
           cursor_ = update.value().cursor;
           ApplyWaves(update.value());
           ApplyDocuments(update.value());
+          events_.on_confirmed();
           return ReadChange();
         }
         // The history at the cursor has been removed: only the newest state can
@@ -90,8 +101,8 @@
   }
 }
 
-void CellConfigWatcher::Offer(const std::string& document) {
-  ApplyDocument(document, "leader");
+void CellConfigWatcher::Offer(const std::string& document, const char* source) {
+  ApplyDocument(document, source);
 }
 
 void CellConfigWatcher::ApplyDocument(const std::string& document,
@@ -106,10 +117,11 @@
                  {{"version", std::to_string(decoded.value().version)},
                   {"before", std::to_string(config_.version)},
                   {"queues", std::to_string(decoded.value().queues.size())},
+                  {"accounts", AccountCount(decoded.value())},
                   {"source", source}});
   config_ = std::move(decoded.value());
   document_ = document;
-  changed_();
+  events_.on_changed();
 }
 
 }  // namespace mimosarail::cellconfig
--- a/src/cellconfig/cell_config_watcher.h
+++ b/src/cellconfig/cell_config_watcher.h
@@ -27,16 +27,22 @@
 /// thread only.
 class CellConfigWatcher {
  public:
-  /// `changed` runs after each new version. The executor, the port and the
-  /// reporter outlive this object.
+  struct Events {
+    /// A new version is in force.
+    std::function<void()> on_changed;
+    /// The store has confirmed that there is no version that this entry does
+    /// not know.
+    std::function<void()> on_confirmed;
+  };
+
+  /// The executor, the port and the reporter outlive this object.
   CellConfigWatcher(Executor& executor, ports::CellConfigPort& port,
                     faults::MalformedRecordReporter& malformed_records,
-                    CellConfigWatcherOptions options,
-                    std::function<void()> changed);
+                    CellConfigWatcherOptions options, Events events);
 
   void Start();
   /// Puts a document that another entry passed on in force, if it is newer.
-  void Offer(const std::string& document);
+  void Offer(const std::string& document, const char* source);
 
   /// Whether the store answered this entry's last read for changes.
   bool reachable() const { return reachable_; }
@@ -61,7 +67,7 @@
   ports::CellConfigPort& port_;
   faults::MalformedRecordReporter& malformed_records_;
   CellConfigWatcherOptions options_;
-  std::function<void()> changed_;
+  Events events_;
   ports::CellConfig config_;
   std::string document_;
   std::map<int64_t, ports::WaveRequest> waves_;
--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -48,6 +48,9 @@
                          std::function<void(wire::SubmitJobReply)> done) {
   const auto id = static_cast<JobId>(spec.id);
   if (!loaded_) return done(SubmitReply(JobVerdict::kNotLeading));
+  if (!MayAccess(spec.account, id)) {
+    return done(SubmitReply(JobVerdict::kIdInUse));
+  }
   if (scheduler_.Find(id) != nullptr || final_jobs_.count(id) > 0) {
     return done(SubmitReply(JobVerdict::kConfirmed));
   }
@@ -84,6 +87,7 @@
     journal_->Put(SpecKey(id), std::move(record));
     const int64_t number = ++last_submission_number_;
     pending_submissions_[id].submission_number = number;
+    pending_submissions_[id].account = spec.account;
     journal_->WhenStored(
         [weak = weak_from_this(), stored_spec, id, number](bool stored) {
           const auto self = weak.lock();
@@ -145,6 +149,7 @@
   logging::Event(Level::kInfo, "job accepted",
                  {{"job", JobIdText(id)},
                   {"queue", spec.queue.name},
+                  {"account", spec.account},
                   {"priority", Text(spec.queue.priority)},
                   {"steps", Text(static_cast<int64_t>(spec.steps.size()))},
                   {"term", Text(options_.term)}});
@@ -167,7 +172,8 @@
                                           : JobVerdict::kNotLeading;
 }
 
-wire::JobStateReply Coordinator::QueryState(JobId id) const {
+wire::JobStateReply Coordinator::QueryState(
+    JobId id, const std::optional<std::string>& account) const {
   wire::JobStateReply reply;
   const auto answer = [&](JobVerdict verdict, JobState state) {
     reply.verdict = static_cast<int32_t>(verdict);
@@ -175,6 +181,10 @@
     return reply;
   };
   if (!loaded_) return answer(JobVerdict::kNotLeading, JobState::kQueued);
+  // The same answer as for an unknown job, so that a guessed id tells nothing.
+  if (!MayAccess(account, id)) {
+    return answer(VerdictOnUnknownJob(), JobState::kQueued);
+  }
   const auto final = final_jobs_.find(id);
   if (final != final_jobs_.end()) {
     return answer(JobVerdict::kConfirmed, final->second.state);
@@ -201,9 +211,12 @@
                 job->started() ? JobState::kRunning : JobState::kQueued);
 }
 
-void Coordinator::Cancel(JobId id,
+void Coordinator::Cancel(JobId id, const std::optional<std::string>& account,
                          std::function<void(wire::CancelJobReply)> done) {
   if (!loaded_) return done(CancelReply(JobVerdict::kNotLeading));
+  if (!MayAccess(account, id)) {
+    return done(CancelReply(VerdictOnUnknownJob()));
+  }
   if (final_jobs_.count(id) > 0) {
     return done(CancelReply(JobVerdict::kConfirmed));
   }
@@ -233,6 +246,22 @@
          pending_submissions_.count(id) > 0;
 }
 
+const std::string& Coordinator::OwnerOf(JobId id) const {
+  static const std::string kNoOwner;
+  if (const Job* job = scheduler_.Find(id)) return job->spec().account;
+  const auto final = final_jobs_.find(id);
+  if (final != final_jobs_.end()) return final->second.account;
+  const auto pending = pending_submissions_.find(id);
+  return pending == pending_submissions_.end() ? kNoOwner
+                                               : pending->second.account;
+}
+
+bool Coordinator::MayAccess(const std::optional<std::string>& account,
+                            JobId id) const {
+  const std::string& owner = OwnerOf(id);
+  return !account || owner.empty() || owner == *account;
+}
+
 void Coordinator::ReplyNoSuchJob(
     JobId id, std::function<void(wire::CancelJobReply)> done) {
   // A leader whose process was paused does not know the jobs that its successor
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -275,6 +275,7 @@
 
 void Coordinator::OnJobFinished(JobId id, JobState state) {
   final_jobs_[id] = {.state = state,
+                     .account = OwnerOf(id),
                      .final_since = deps_.executor.Now(),
                      .spec_stored = true,
                      .ended_in_this_term = true};
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -130,10 +130,14 @@
   /// stored.
   void Submit(const wire::JobSpec& spec,
               std::function<void(wire::SubmitJobReply)> done);
-  wire::JobStateReply QueryState(JobId id) const;
+  /// With an account, a job that belongs to another one is reported as unknown,
+  /// here and in Cancel().
+  wire::JobStateReply QueryState(
+      JobId id, const std::optional<std::string>& account) const;
   /// Cancels a job. `done` runs once, with kConfirmed only if a final state of
   /// the job is stored.
-  void Cancel(JobId id, std::function<void(wire::CancelJobReply)> done);
+  void Cancel(JobId id, const std::optional<std::string>& account,
+              std::function<void(wire::CancelJobReply)> done);
   /// Counts the accepted jobs of the queue of which no task has started.
   wire::PendingJobsReply CountPending(const std::string& queue) const;
 
@@ -182,6 +186,8 @@
   struct PendingSubmission {
     /// Distinguishes this submission from an earlier, withdrawn one of the job.
     int64_t submission_number = 0;
+    /// Account of the job.
+    std::string account;
     /// Reply functions of the callers that have submitted the job.
     std::vector<std::function<void(wire::SubmitJobReply)>> replies;
   };
@@ -201,6 +207,8 @@
   };
   struct FinalJob {
     JobState state = JobState::kComplete;
+    /// Account of the job; empty if it has no owner.
+    std::string account;
     /// When its final state was stored, or loaded if it ended in an earlier
     /// term.
     TimePoint final_since{};
@@ -300,6 +308,10 @@
   void RemoveProgressParts(JobId id);
   /// Whether the job is open, final or about to be stored.
   bool IsJobKnown(JobId id) const;
+  /// The account of a known job; empty if the job has none or is unknown.
+  const std::string& OwnerOf(JobId id) const;
+  /// Whether calls of this account may see the job, if it is known.
+  bool MayAccess(const std::optional<std::string>& account, JobId id) const;
   /// Replies that there is no such job, once the store has confirmed that this
   /// entry still leads.
   void ReplyNoSuchJob(JobId id, std::function<void(wire::CancelJobReply)> done);
--- a/src/coordinator/job_verdicts.h
+++ b/src/coordinator/job_verdicts.h
@@ -24,6 +24,8 @@
   /// The job is stored in a form that this version cannot read. It is neither
   /// run nor refused here, and repeating the call does not change that.
   kUnreadable = 6,
+  /// Refused: the id is that of a job of another account.
+  kIdInUse = 7,
 };
 
 inline constexpr EnumTable kJobVerdictNames{std::array{
@@ -34,6 +36,7 @@
     EnumName{JobVerdict::kNotLeading, "not leading"},
     EnumName{JobVerdict::kStoreUnavailable, "store away"},
     EnumName{JobVerdict::kUnreadable, "record not readable"},
+    EnumName{JobVerdict::kIdInUse, "id in use"},
 }};
 
 /// Returns the verdict of a reply. Numbers that this version does not know map
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -275,9 +275,13 @@
     if (!IsFinal(state)) continue;
     // The outcome is known, even if the job's spec cannot be read.
     unreadable_jobs_.erase(id);
+    const auto spec = loaded_specs_.find(id);
     final_jobs_[id] = {.state = state,
+                       .account = spec == loaded_specs_.end()
+                                      ? progress.account
+                                      : spec->second.account,
                        .final_since = now,
-                       .spec_stored = loaded_specs_.count(id) > 0};
+                       .spec_stored = spec != loaded_specs_.end()};
   }
   for (const auto& [id, spec] : loaded_specs_) {
     if (unreadable_jobs_.count(id) > 0) continue;
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -64,6 +64,14 @@
   return out;
 }
 
+/// The account on whose behalf the call is made. Entries of earlier versions
+/// and operators' tools set none.
+template <typename Call>
+CallerAccount AccountOf(const Call& call) {
+  if (!call.__isset.account) return std::nullopt;
+  return call.account;
+}
+
 JobAnswer ToAnswer(const wire::SubmitJobReply& reply) {
   return {.verdict = ToJobVerdict(reply.verdict),
           .retry_after = std::clamp(Millis(reply.retry_after_ms), Millis(0),
@@ -111,10 +119,12 @@
 JobEntry::JobEntry(Dependencies deps, JobEntryOptions options)
     : deps_(deps),
       options_(std::move(options)),
+      access_(options_.access),
       waiting_calls_(deps_.executor),
       malformed_records_(deps_.metrics),
       config_(deps_.executor, deps_.config, malformed_records_, options_.config,
-              [] {}),
+              {.on_changed = [this] { OnConfigChanged(); },
+               .on_confirmed = [this] { access_.Confirm(AccessTime()); }}),
       leadership_(
           deps_.executor, deps_.store, deps_.peers, malformed_records_,
           options_.leadership,
@@ -123,14 +133,7 @@
            .on_leader_ready = [this] { waiting_calls_.ReleaseAll(); },
            .on_heartbeat_reply =
                [this](const wire::HeartbeatReply& reply) {
-                 last_leader_reply_ = deps_.executor.Now();
-                 // A leader that cannot reach the store may have an outdated
-                 // configuration. An entry without a configuration does not
-                 // accept it; an entry with one accepts only a later version.
-                 const bool usable = reply.store_reachable || config_.known();
-                 if (!reply.config.empty() && usable) {
-                   config_.Offer(reply.config);
-                 }
+                 OnHeartbeatReply(reply);
                },
            .config_version = [this] { return config_.config().version; },
            .config_document = [this] { return config_.document(); },
@@ -147,6 +150,22 @@
 
 JobEntry::~JobEntry() = default;
 
+void JobEntry::OnHeartbeatReply(const wire::HeartbeatReply& reply) {
+  last_leader_reply_ = deps_.executor.Now();
+  // A leader that cannot reach the store may have an outdated configuration. An
+  // entry without a configuration does not accept it; an entry with one accepts
+  // only a later version.
+  const bool usable = reply.store_reachable || config_.known();
+  if (!reply.config.empty() && usable) config_.Offer(reply.config, "leader");
+  const bool newest = config_.config().version >= reply.config_version;
+  if (reply.store_reachable && newest) access_.Confirm(AccessTime());
+}
+
+void JobEntry::OnConfigChanged() {
+  access_.Publish(std::make_shared<const AccessTable>(config_.config()),
+                  AccessTime());
+}
+
 void JobEntry::Start() {
   config_.Start();
   leadership_.Start();
@@ -226,22 +245,6 @@
   return deps_.executor.Now() - last_leader_reply_ < kReadyTimeout;
 }
 
-Route JobEntry::FindRoute(const std::string& host, const std::string& path) {
-  Route out;
-  if (!config_.known()) return out;
-  out.kind = RouteKind::kNoQueue;
-  size_t longest = 0;
-  for (const ports::QueueConfig& queue : config_.config().queues) {
-    if (queue.host != host || queue.prefix.size() < longest) continue;
-    if (path.compare(0, queue.prefix.size(), queue.prefix) != 0) continue;
-    longest = queue.prefix.size();
-    out.kind = RouteKind::kFound;
-    out.queue = queue.policy;
-    out.path_suffix = path.substr(longest);
-  }
-  return out;
-}
-
 template <typename Reply>
 void JobEntry::Forward(std::shared_ptr<ForwardedCall<Reply>> call) {
   const TimePoint now = deps_.executor.Now();
@@ -388,13 +391,16 @@
   Forward(call);
 }
 
-void JobEntry::QueryState(JobId id, Millis caller_timeout, JobDone done) {
+void JobEntry::QueryState(JobId id, const CallerAccount& account,
+                          Millis caller_timeout, JobDone done) {
   const auto known = final_states_.find(id);
-  if (known != final_states_.end()) {
-    return done({.verdict = JobVerdict::kConfirmed, .state = known->second});
+  if (known != final_states_.end() && known->second.account == account) {
+    return done(
+        {.verdict = JobVerdict::kConfirmed, .state = known->second.state});
   }
   wire::JobStateCall message;
   message.id = static_cast<int64_t>(id);
+  if (account) message.__set_account(*account);
   auto call = std::make_shared<ForwardedCall<wire::JobStateReply>>();
   call->read_only = true;
   call->description = "state " + JobIdText(id);
@@ -409,26 +415,31 @@
                                auto reply) {
     deps_.peers.JobState(address, message, timeout, std::move(reply));
   };
-  call->done = [this, id, done = std::move(done)](const JobAnswer& answer) {
+  call->done = [this, id, account,
+                done = std::move(done)](const JobAnswer& answer) {
     if (answer.verdict == JobVerdict::kConfirmed && IsFinal(answer.state)) {
-      RememberFinalState(id, answer.state);
+      RememberFinalState(id, account, answer.state);
     }
     done(answer);
   };
   Forward(call);
 }
 
-void JobEntry::RememberFinalState(JobId id, JobState state) {
-  if (!final_states_.emplace(id, state).second) return;
+void JobEntry::RememberFinalState(JobId id, const CallerAccount& account,
+                                  JobState state) {
+  const FinalState final_state{.state = state, .account = account};
+  if (!final_states_.emplace(id, final_state).second) return;
   final_state_order_.push_back(id);
   if (final_state_order_.size() <= options_.max_final_states) return;
   final_states_.erase(final_state_order_.front());
   final_state_order_.pop_front();
 }
 
-void JobEntry::Cancel(JobId id, Millis caller_timeout, JobDone done) {
+void JobEntry::Cancel(JobId id, const CallerAccount& account,
+                      Millis caller_timeout, JobDone done) {
   wire::CancelJobCall message;
   message.id = static_cast<int64_t>(id);
+  if (account) message.__set_account(*account);
   auto call = std::make_shared<ForwardedCall<wire::CancelJobReply>>();
   call->description = "cancel " + JobIdText(id);
   call->caller_deadline = deps_.executor.Now() + caller_timeout;
@@ -517,7 +528,8 @@
 void JobEntry::OnQueryState(const wire::JobStateCall& call,
                             std::function<void(wire::JobStateReply)> done) {
   if (coordinator_) {
-    return done(coordinator_->QueryState(static_cast<JobId>(call.id)));
+    return done(
+        coordinator_->QueryState(static_cast<JobId>(call.id), AccountOf(call)));
   }
   wire::JobStateReply reply;
   reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
@@ -527,7 +539,8 @@
 void JobEntry::OnCancel(const wire::CancelJobCall& call,
                         std::function<void(wire::CancelJobReply)> done) {
   if (coordinator_) {
-    return coordinator_->Cancel(static_cast<JobId>(call.id), std::move(done));
+    return coordinator_->Cancel(static_cast<JobId>(call.id), AccountOf(call),
+                                std::move(done));
   }
   wire::CancelJobReply reply;
   reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -20,6 +20,7 @@
   leadership::LeadershipOptions leadership;
   coordinator::CoordinatorOptions coordinator;
   cellconfig::CellConfigWatcherOptions config;
+  AccessDirectoryOptions access;
   /// Longest time that a call waits for a leader's answer, unless its outcome
   /// is in doubt. A takeover takes about 1.2 s.
   Millis leader_wait_timeout{1300};
@@ -75,11 +76,13 @@
   /// Advice calls that were accepted and not yet answered.
   int64_t advice_in_flight() const { return advice_in_flight_; }
 
-  Route FindRoute(const std::string& host, const std::string& path) override;
+  AccessView Access() const override { return access_.View(AccessTime()); }
   void Submit(const wire::JobSpec& spec, Millis caller_timeout,
               JobDone done) override;
-  void QueryState(JobId id, Millis caller_timeout, JobDone done) override;
-  void Cancel(JobId id, Millis caller_timeout, JobDone done) override;
+  void QueryState(JobId id, const CallerAccount& account, Millis caller_timeout,
+                  JobDone done) override;
+  void Cancel(JobId id, const CallerAccount& account, Millis caller_timeout,
+              JobDone done) override;
   void CountPending(const std::string& queue, Millis caller_timeout,
                     JobDone done) override;
   bool Ready() override;
@@ -117,7 +120,16 @@
   void RefreshLanes();
   /// Pools that the configuration names; null while no configuration is known.
   const std::set<std::string>* ConfiguredPools() const;
-  void RememberFinalState(JobId id, JobState state);
+  /// A new version of the configuration is in force.
+  void OnConfigChanged();
+  void OnHeartbeatReply(const wire::HeartbeatReply& reply);
+  /// A clock that does not stop while the machine is suspended: keys may be
+  /// revoked meanwhile. Thread-safe.
+  TimePoint AccessTime() const {
+    return deps_.executor.Now() + deps_.executor.Suspended();
+  }
+  void RememberFinalState(JobId id, const CallerAccount& account,
+                          JobState state);
   /// Time since a leader last answered a heartbeat, in ms, for the log; "never"
   /// if none has.
   std::string LeaderHeartbeatAge() const;
@@ -130,8 +142,15 @@
   template <typename Reply>
   void Forward(std::shared_ptr<ForwardedCall<Reply>> call);
 
+  /// A final state that a leader has reported to calls of this account.
+  struct FinalState {
+    JobState state = JobState::kComplete;
+    CallerAccount account;
+  };
+
   Dependencies deps_;
   JobEntryOptions options_;
+  AccessDirectory access_;
   WaitingCalls waiting_calls_;
   faults::MalformedRecordReporter malformed_records_;
   cellconfig::CellConfigWatcher config_;
@@ -150,7 +169,7 @@
   TimePoint store_checked_at_{};
   std::vector<std::function<void(bool)>> store_check_waiters_;
   TimePoint last_leader_reply_{};
-  std::unordered_map<JobId, JobState> final_states_;
+  std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
 };
--- a/src/jobentry/job_service.h
+++ b/src/jobentry/job_service.h
@@ -2,32 +2,22 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 
 #include "jobs_types.h"
 #include "src/coordinator/job_verdicts.h"
+#include "src/jobentry/access_directory.h"
 #include "src/jobs/job_state.h"
 #include "src/jobs/task_id.h"
 #include "src/libs/base/executor.h"
 
 namespace mimosarail::jobentry {
 
-enum class RouteKind {
-  /// The entry has no configuration yet.
-  kNoConfig,
-  /// No queue has this host and a prefix of this path.
-  kNoQueue,
-  kFound,
-};
-
-/// Result of looking up the queue of a caller's request.
-struct Route {
-  RouteKind kind = RouteKind::kNoConfig;
-  /// With kFound: the queue.
-  wire::QueuePolicy queue;
-  /// The part of the path after the queue's prefix.
-  std::string path_suffix;
-};
+/// The account on whose behalf a call is made: empty for a queue whose calls
+/// need no key, unset if calls are not authenticated. Calls of one account
+/// can't see the jobs of another.
+using CallerAccount = std::optional<std::string>;
 
 /// Answer to a call of JobService.
 struct JobAnswer {
@@ -42,21 +32,22 @@
 
 using JobDone = std::function<void(JobAnswer)>;
 
-/// Operations that an entry offers to callers. Control thread only. `done` runs
-/// once, on the control thread, possibly within the call. It runs after
-/// `caller_timeout` at the latest, unless a try at this entry or a check of the
-/// store is under way then: that is awaited first.
+/// Operations that an entry offers to callers. Control thread only, except for
+/// Access(). `done` runs once, on the control thread, possibly within the call.
+/// It runs after `caller_timeout` at the latest, unless a try at this entry or
+/// a check of the store is under way then: that is awaited first.
 class JobService {
  public:
   virtual ~JobService() = default;
-  /// Finds the queue of this host whose prefix is the longest that matches the
-  /// path.
-  virtual Route FindRoute(const std::string& host, const std::string& path) = 0;
+  /// The queues and accounts that the entry knows now. Thread-safe.
+  virtual AccessView Access() const = 0;
   /// Precondition: CheckJob() found nothing.
   virtual void Submit(const wire::JobSpec& spec, Millis caller_timeout,
                       JobDone done) = 0;
-  virtual void QueryState(JobId id, Millis caller_timeout, JobDone done) = 0;
-  virtual void Cancel(JobId id, Millis caller_timeout, JobDone done) = 0;
+  virtual void QueryState(JobId id, const CallerAccount& account,
+                          Millis caller_timeout, JobDone done) = 0;
+  virtual void Cancel(JobId id, const CallerAccount& account,
+                      Millis caller_timeout, JobDone done) = 0;
   /// Counts the accepted jobs of the queue of which no task has started.
   virtual void CountPending(const std::string& queue, Millis caller_timeout,
                             JobDone done) = 0;
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -843,6 +843,10 @@
 void JobSpec::__set_accepted_unix_ms(const int64_t val) {
   this->accepted_unix_ms = val;
 }
+
+void JobSpec::__set_account(const std::string& val) {
+  this->account = val;
+}
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj)
 {
   obj.printTo(out);
@@ -947,6 +951,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1004,6 +1016,10 @@
   xfer += oprot->writeI64(this->accepted_unix_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 9);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1019,6 +1035,7 @@
   swap(a.first_due_ms, b.first_due_ms);
   swap(a.interval_ms, b.interval_ms);
   swap(a.accepted_unix_ms, b.accepted_unix_ms);
+  swap(a.account, b.account);
   swap(a.__isset, b.__isset);
 }
 
@@ -1031,6 +1048,7 @@
   first_due_ms = other20.first_due_ms;
   interval_ms = other20.interval_ms;
   accepted_unix_ms = other20.accepted_unix_ms;
+  account = other20.account;
   __isset = other20.__isset;
 }
 JobSpec::JobSpec(JobSpec&& other21) noexcept {
@@ -1042,6 +1060,7 @@
   first_due_ms = other21.first_due_ms;
   interval_ms = other21.interval_ms;
   accepted_unix_ms = other21.accepted_unix_ms;
+  account = std::move(other21.account);
   __isset = other21.__isset;
 }
 JobSpec& JobSpec::operator=(const JobSpec& other22) {
@@ -1053,6 +1072,7 @@
   first_due_ms = other22.first_due_ms;
   interval_ms = other22.interval_ms;
   accepted_unix_ms = other22.accepted_unix_ms;
+  account = other22.account;
   __isset = other22.__isset;
   return *this;
 }
@@ -1065,6 +1085,7 @@
   first_due_ms = other23.first_due_ms;
   interval_ms = other23.interval_ms;
   accepted_unix_ms = other23.accepted_unix_ms;
+  account = std::move(other23.account);
   __isset = other23.__isset;
   return *this;
 }
@@ -1079,6 +1100,7 @@
   out << ", " << "first_due_ms=" << to_string(first_due_ms);
   out << ", " << "interval_ms=" << to_string(interval_ms);
   out << ", " << "accepted_unix_ms=" << to_string(accepted_unix_ms);
+  out << ", " << "account=" << to_string(account);
   out << ")";
 }
 
@@ -1347,6 +1369,10 @@
 void ProgressRecord::__set_tasks(const std::vector<TaskRecord> & val) {
   this->tasks = val;
 }
+
+void ProgressRecord::__set_account(const std::string& val) {
+  this->account = val;
+}
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj)
 {
   obj.printTo(out);
@@ -1411,6 +1437,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1448,6 +1482,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 4);
+  xfer += oprot->writeString(this->account);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1458,6 +1496,7 @@
   swap(a.state, b.state);
   swap(a.done, b.done);
   swap(a.tasks, b.tasks);
+  swap(a.account, b.account);
   swap(a.__isset, b.__isset);
 }
 
@@ -1465,18 +1504,21 @@
   state = other52.state;
   done = other52.done;
   tasks = other52.tasks;
+  account = other52.account;
   __isset = other52.__isset;
 }
 ProgressRecord::ProgressRecord(ProgressRecord&& other53) noexcept {
   state = other53.state;
   done = std::move(other53.done);
   tasks = std::move(other53.tasks);
+  account = std::move(other53.account);
   __isset = other53.__isset;
 }
 ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other54) {
   state = other54.state;
   done = other54.done;
   tasks = other54.tasks;
+  account = other54.account;
   __isset = other54.__isset;
   return *this;
 }
@@ -1484,6 +1526,7 @@
   state = other55.state;
   done = std::move(other55.done);
   tasks = std::move(other55.tasks);
+  account = std::move(other55.account);
   __isset = other55.__isset;
   return *this;
 }
@@ -1493,6 +1536,7 @@
   out << "state=" << to_string(state);
   out << ", " << "done=" << to_string(done);
   out << ", " << "tasks=" << to_string(tasks);
+  out << ", " << "account=" << to_string(account);
   out << ")";
 }
 
@@ -2261,6 +2305,10 @@
 void HeartbeatCall::__set_leader_clock_ms(const int64_t val) {
   this->leader_clock_ms = val;
 }
+
+void HeartbeatCall::__set_config(const std::string& val) {
+  this->config = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatCall& obj)
 {
   obj.printTo(out);
@@ -2337,6 +2385,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readBinary(this->config);
+          this->__isset.config = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2378,6 +2434,10 @@
   xfer += oprot->writeI64(this->leader_clock_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config", ::apache::thrift::protocol::T_STRING, 7);
+  xfer += oprot->writeBinary(this->config);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2391,6 +2451,7 @@
   swap(a.members_known, b.members_known);
   swap(a.incarnation, b.incarnation);
   swap(a.leader_clock_ms, b.leader_clock_ms);
+  swap(a.config, b.config);
   swap(a.__isset, b.__isset);
 }
 
@@ -2401,6 +2462,7 @@
   members_known = other86.members_known;
   incarnation = other86.incarnation;
   leader_clock_ms = other86.leader_clock_ms;
+  config = other86.config;
   __isset = other86.__isset;
 }
 HeartbeatCall::HeartbeatCall(HeartbeatCall&& other87) noexcept {
@@ -2410,6 +2472,7 @@
   members_known = other87.members_known;
   incarnation = other87.incarnation;
   leader_clock_ms = other87.leader_clock_ms;
+  config = std::move(other87.config);
   __isset = other87.__isset;
 }
 HeartbeatCall& HeartbeatCall::operator=(const HeartbeatCall& other88) {
@@ -2419,6 +2482,7 @@
   members_known = other88.members_known;
   incarnation = other88.incarnation;
   leader_clock_ms = other88.leader_clock_ms;
+  config = other88.config;
   __isset = other88.__isset;
   return *this;
 }
@@ -2429,6 +2493,7 @@
   members_known = other89.members_known;
   incarnation = other89.incarnation;
   leader_clock_ms = other89.leader_clock_ms;
+  config = std::move(other89.config);
   __isset = other89.__isset;
   return *this;
 }
@@ -2441,6 +2506,7 @@
   out << ", " << "members_known=" << to_string(members_known);
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "leader_clock_ms=" << to_string(leader_clock_ms);
+  out << ", " << "config=" << to_string(config);
   out << ")";
 }
 
@@ -2492,6 +2558,10 @@
 void HeartbeatReply::__set_clock_ms(const int64_t val) {
   this->clock_ms = val;
 }
+
+void HeartbeatReply::__set_config_wanted(const bool val) {
+  this->config_wanted = val;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -2620,6 +2690,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 12:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->config_wanted);
+          this->__isset.config_wanted = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2689,6 +2767,10 @@
   xfer += oprot->writeI64(this->clock_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("config_wanted", ::apache::thrift::protocol::T_BOOL, 12);
+  xfer += oprot->writeBool(this->config_wanted);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2707,6 +2789,7 @@
   swap(a.loading, b.loading);
   swap(a.members_known, b.members_known);
   swap(a.clock_ms, b.clock_ms);
+  swap(a.config_wanted, b.config_wanted);
   swap(a.__isset, b.__isset);
 }
 
@@ -2722,6 +2805,7 @@
   loading = other96.loading;
   members_known = other96.members_known;
   clock_ms = other96.clock_ms;
+  config_wanted = other96.config_wanted;
   __isset = other96.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other97) noexcept {
@@ -2736,6 +2820,7 @@
   loading = other97.loading;
   members_known = other97.members_known;
   clock_ms = other97.clock_ms;
+  config_wanted = other97.config_wanted;
   __isset = other97.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other98) {
@@ -2750,6 +2835,7 @@
   loading = other98.loading;
   members_known = other98.members_known;
   clock_ms = other98.clock_ms;
+  config_wanted = other98.config_wanted;
   __isset = other98.__isset;
   return *this;
 }
@@ -2765,6 +2851,7 @@
   loading = other99.loading;
   members_known = other99.members_known;
   clock_ms = other99.clock_ms;
+  config_wanted = other99.config_wanted;
   __isset = other99.__isset;
   return *this;
 }
@@ -2782,6 +2869,7 @@
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "members_known=" << to_string(members_known);
   out << ", " << "clock_ms=" << to_string(clock_ms);
+  out << ", " << "config_wanted=" << to_string(config_wanted);
   out << ")";
 }
 
@@ -3329,6 +3417,11 @@
 void JobStateCall::__set_id(const int64_t val) {
   this->id = val;
 }
+
+void JobStateCall::__set_account(const std::string& val) {
+  this->account = val;
+__isset.account = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobStateCall& obj)
 {
   obj.printTo(out);
@@ -3365,6 +3458,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3386,6 +3487,11 @@
   xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.account) {
+    xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->account);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3394,24 +3500,29 @@
 void swap(JobStateCall &a, JobStateCall &b) {
   using ::std::swap;
   swap(a.id, b.id);
+  swap(a.account, b.account);
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other116) noexcept {
+JobStateCall::JobStateCall(const JobStateCall& other116) {
   id = other116.id;
+  account = other116.account;
   __isset = other116.__isset;
 }
 JobStateCall::JobStateCall(JobStateCall&& other117) noexcept {
   id = other117.id;
+  account = std::move(other117.account);
   __isset = other117.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other118) noexcept {
+JobStateCall& JobStateCall::operator=(const JobStateCall& other118) {
   id = other118.id;
+  account = other118.account;
   __isset = other118.__isset;
   return *this;
 }
 JobStateCall& JobStateCall::operator=(JobStateCall&& other119) noexcept {
   id = other119.id;
+  account = std::move(other119.account);
   __isset = other119.__isset;
   return *this;
 }
@@ -3419,6 +3530,7 @@
   using ::apache::thrift::to_string;
   out << "JobStateCall(";
   out << "id=" << to_string(id);
+  out << ", " << "account="; (__isset.account ? (out << to_string(account)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3553,6 +3665,11 @@
 void CancelJobCall::__set_id(const int64_t val) {
   this->id = val;
 }
+
+void CancelJobCall::__set_account(const std::string& val) {
+  this->account = val;
+__isset.account = true;
+}
 std::ostream& operator<<(std::ostream& out, const CancelJobCall& obj)
 {
   obj.printTo(out);
@@ -3589,6 +3706,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3610,6 +3735,11 @@
   xfer += oprot->writeI64(this->id);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.account) {
+    xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 2);
+    xfer += oprot->writeString(this->account);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3618,24 +3748,29 @@
 void swap(CancelJobCall &a, CancelJobCall &b) {
   using ::std::swap;
   swap(a.id, b.id);
+  swap(a.account, b.account);
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other124) noexcept {
+CancelJobCall::CancelJobCall(const CancelJobCall& other124) {
   id = other124.id;
+  account = other124.account;
   __isset = other124.__isset;
 }
 CancelJobCall::CancelJobCall(CancelJobCall&& other125) noexcept {
   id = other125.id;
+  account = std::move(other125.account);
   __isset = other125.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other126) noexcept {
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other126) {
   id = other126.id;
+  account = other126.account;
   __isset = other126.__isset;
   return *this;
 }
 CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other127) noexcept {
   id = other127.id;
+  account = std::move(other127.account);
   __isset = other127.__isset;
   return *this;
 }
@@ -3643,6 +3778,7 @@
   using ::apache::thrift::to_string;
   out << "CancelJobCall(";
   out << "id=" << to_string(id);
+  out << ", " << "account="; (__isset.account ? (out << to_string(account)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -394,7 +394,7 @@
 std::ostream& operator<<(std::ostream& out, const QueuePolicy& obj);
 
 typedef struct _JobSpec__isset {
-  _JobSpec__isset() : id(false), payload(false), steps(false), queue(false), occurrences(false), first_due_ms(false), interval_ms(false), accepted_unix_ms(false) {}
+  _JobSpec__isset() : id(false), payload(false), steps(false), queue(false), occurrences(false), first_due_ms(false), interval_ms(false), accepted_unix_ms(false), account(false) {}
   bool id :1;
   bool payload :1;
   bool steps :1;
@@ -403,6 +403,7 @@
   bool first_due_ms :1;
   bool interval_ms :1;
   bool accepted_unix_ms :1;
+  bool account :1;
 } _JobSpec__isset;
 
 class JobSpec : public virtual ::apache::thrift::TBase {
@@ -418,7 +419,8 @@
             occurrences(0),
             first_due_ms(0),
             interval_ms(0),
-            accepted_unix_ms(0) {
+            accepted_unix_ms(0),
+            account() {
   }
 
   virtual ~JobSpec() noexcept;
@@ -439,6 +441,10 @@
    * Wall clock of the leader at acceptance; used only to order work.
    */
   int64_t accepted_unix_ms;
+  /**
+   * Account that owns the job; empty if it has no owner.
+   */
+  std::string account;
 
   _JobSpec__isset __isset;
 
@@ -458,6 +464,8 @@
 
   void __set_accepted_unix_ms(const int64_t val);
 
+  void __set_account(const std::string& val);
+
   bool operator == (const JobSpec & rhs) const
   {
     if (!(id == rhs.id))
@@ -476,6 +484,8 @@
       return false;
     if (!(accepted_unix_ms == rhs.accepted_unix_ms))
       return false;
+    if (!(account == rhs.account))
+      return false;
     return true;
   }
   bool operator != (const JobSpec &rhs) const {
@@ -580,10 +590,11 @@
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj);
 
 typedef struct _ProgressRecord__isset {
-  _ProgressRecord__isset() : state(false), done(false), tasks(false) {}
+  _ProgressRecord__isset() : state(false), done(false), tasks(false), account(false) {}
   bool state :1;
   bool done :1;
   bool tasks :1;
+  bool account :1;
 } _ProgressRecord__isset;
 
 /**
@@ -598,7 +609,8 @@
   ProgressRecord& operator=(ProgressRecord&&) noexcept;
   ProgressRecord() noexcept
                  : state(0),
-                   done() {
+                   done(),
+                   account() {
   }
 
   virtual ~ProgressRecord() noexcept;
@@ -608,6 +620,10 @@
    */
   std::string done;
   std::vector<TaskRecord>  tasks;
+  /**
+   * In a final state: the account of the job, whose spec may be gone.
+   */
+  std::string account;
 
   _ProgressRecord__isset __isset;
 
@@ -617,6 +633,8 @@
 
   void __set_tasks(const std::vector<TaskRecord> & val);
 
+  void __set_account(const std::string& val);
+
   bool operator == (const ProgressRecord & rhs) const
   {
     if (!(state == rhs.state))
@@ -625,6 +643,8 @@
       return false;
     if (!(tasks == rhs.tasks))
       return false;
+    if (!(account == rhs.account))
+      return false;
     return true;
   }
   bool operator != (const ProgressRecord &rhs) const {
@@ -923,13 +943,14 @@
 std::ostream& operator<<(std::ostream& out, const Member& obj);
 
 typedef struct _HeartbeatCall__isset {
-  _HeartbeatCall__isset() : caller(false), term(false), config_version(false), members_known(false), incarnation(false), leader_clock_ms(false) {}
+  _HeartbeatCall__isset() : caller(false), term(false), config_version(false), members_known(false), incarnation(false), leader_clock_ms(false), config(false) {}
   bool caller :1;
   bool term :1;
   bool config_version :1;
   bool members_known :1;
   bool incarnation :1;
   bool leader_clock_ms :1;
+  bool config :1;
 } _HeartbeatCall__isset;
 
 /**
@@ -947,7 +968,8 @@
                   config_version(0),
                   members_known(0),
                   incarnation(0),
-                  leader_clock_ms(0) {
+                  leader_clock_ms(0),
+                  config() {
   }
 
   virtual ~HeartbeatCall() noexcept;
@@ -969,6 +991,11 @@
    * term; 0 if there is none. The caller followed that leader then.
    */
   int64_t leader_clock_ms;
+  /**
+   * The newest configuration that the caller knows, if the leader's last reply
+   * asked for it.
+   */
+  std::string config;
 
   _HeartbeatCall__isset __isset;
 
@@ -984,6 +1011,8 @@
 
   void __set_leader_clock_ms(const int64_t val);
 
+  void __set_config(const std::string& val);
+
   bool operator == (const HeartbeatCall & rhs) const
   {
     if (!(caller == rhs.caller))
@@ -998,6 +1027,8 @@
       return false;
     if (!(leader_clock_ms == rhs.leader_clock_ms))
       return false;
+    if (!(config == rhs.config))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatCall &rhs) const {
@@ -1017,7 +1048,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatCall& obj);
 
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false), clock_ms(false) {}
+  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false), clock_ms(false), config_wanted(false) {}
   bool leading :1;
   bool term :1;
   bool leader :1;
@@ -1029,6 +1060,7 @@
   bool loading :1;
   bool members_known :1;
   bool clock_ms :1;
+  bool config_wanted :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -1047,7 +1079,8 @@
                    leader_unresponsive_ms(0),
                    loading(0),
                    members_known(0),
-                   clock_ms(0) {
+                   clock_ms(0),
+                   config_wanted(0) {
   }
 
   virtual ~HeartbeatReply() noexcept;
@@ -1084,6 +1117,11 @@
    * The leader's steady clock when it replied.
    */
   int64_t clock_ms;
+  /**
+   * The leader's configuration is older than the caller's, which the next
+   * heartbeat should contain.
+   */
+  bool config_wanted;
 
   _HeartbeatReply__isset __isset;
 
@@ -1109,6 +1147,8 @@
 
   void __set_clock_ms(const int64_t val);
 
+  void __set_config_wanted(const bool val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leading == rhs.leading))
@@ -1133,6 +1173,8 @@
       return false;
     if (!(clock_ms == rhs.clock_ms))
       return false;
+    if (!(config_wanted == rhs.config_wanted))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
@@ -1388,32 +1430,45 @@
 std::ostream& operator<<(std::ostream& out, const SubmitJobReply& obj);
 
 typedef struct _JobStateCall__isset {
-  _JobStateCall__isset() : id(false) {}
+  _JobStateCall__isset() : id(false), account(false) {}
   bool id :1;
+  bool account :1;
 } _JobStateCall__isset;
 
+/**
+ * `account`: on whose behalf the call is made; empty for a queue whose calls
+ * need no key. Unset if calls are not authenticated.
+ */
 class JobStateCall : public virtual ::apache::thrift::TBase {
  public:
 
-  JobStateCall(const JobStateCall&) noexcept;
+  JobStateCall(const JobStateCall&);
   JobStateCall(JobStateCall&&) noexcept;
-  JobStateCall& operator=(const JobStateCall&) noexcept;
+  JobStateCall& operator=(const JobStateCall&);
   JobStateCall& operator=(JobStateCall&&) noexcept;
   JobStateCall() noexcept
-               : id(0) {
+               : id(0),
+                 account() {
   }
 
   virtual ~JobStateCall() noexcept;
   int64_t id;
+  std::string account;
 
   _JobStateCall__isset __isset;
 
   void __set_id(const int64_t val);
 
+  void __set_account(const std::string& val);
+
   bool operator == (const JobStateCall & rhs) const
   {
     if (!(id == rhs.id))
       return false;
+    if (__isset.account != rhs.__isset.account)
+      return false;
+    else if (__isset.account && !(account == rhs.account))
+      return false;
     return true;
   }
   bool operator != (const JobStateCall &rhs) const {
@@ -1485,32 +1540,41 @@
 std::ostream& operator<<(std::ostream& out, const JobStateReply& obj);
 
 typedef struct _CancelJobCall__isset {
-  _CancelJobCall__isset() : id(false) {}
+  _CancelJobCall__isset() : id(false), account(false) {}
   bool id :1;
+  bool account :1;
 } _CancelJobCall__isset;
 
 class CancelJobCall : public virtual ::apache::thrift::TBase {
  public:
 
-  CancelJobCall(const CancelJobCall&) noexcept;
+  CancelJobCall(const CancelJobCall&);
   CancelJobCall(CancelJobCall&&) noexcept;
-  CancelJobCall& operator=(const CancelJobCall&) noexcept;
+  CancelJobCall& operator=(const CancelJobCall&);
   CancelJobCall& operator=(CancelJobCall&&) noexcept;
   CancelJobCall() noexcept
-                : id(0) {
+                : id(0),
+                  account() {
   }
 
   virtual ~CancelJobCall() noexcept;
   int64_t id;
+  std::string account;
 
   _CancelJobCall__isset __isset;
 
   void __set_id(const int64_t val);
 
+  void __set_account(const std::string& val);
+
   bool operator == (const CancelJobCall & rhs) const
   {
     if (!(id == rhs.id))
       return false;
+    if (__isset.account != rhs.__isset.account)
+      return false;
+    else if (__isset.account && !(account == rhs.account))
+      return false;
     return true;
   }
   bool operator != (const CancelJobCall &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -162,7 +162,10 @@
   wire::ProgressRecord out;
   out.state = static_cast<int32_t>(state_);
   // The progress of a job in a final state is not needed any more.
-  if (final()) return out;
+  if (final()) {
+    out.account = spec_.account;
+    return out;
+  }
   out.done.assign((tasks_.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
   for (size_t i = 0; i < tasks_.size(); ++i) {
     if (tasks_[i].phase != TaskPhase::kDone) continue;
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -65,6 +65,8 @@
   7: i64 interval_ms
   /** Wall clock of the leader at acceptance; used only to order work. */
   8: i64 accepted_unix_ms
+  /** Account that owns the job; empty if it has no owner. */
+  9: string account
 }
 
 /** State of one task that is not done. */
@@ -88,6 +90,8 @@
   /** One bit per task, set when the task is done. */
   2: binary done
   3: list<TaskRecord> tasks
+  /** In a final state: the account of the job, whose spec may be gone. */
+  4: string account
 }
 
 /** A run that was started at an upstream before it stopped responding. */
@@ -143,6 +147,9 @@
   /** `clock_ms` of the newest reply that the caller got from the leader of this
    *  term; 0 if there is none. The caller followed that leader then. */
   6: i64 leader_clock_ms
+  /** The newest configuration that the caller knows, if the leader's last reply
+   *  asked for it. */
+  7: binary config
 }
 
 struct HeartbeatReply {
@@ -165,6 +172,9 @@
   10: i64 members_known
   /** The leader's steady clock when it replied. */
   11: i64 clock_ms
+  /** The leader's configuration is older than the caller's, which the next
+   *  heartbeat should contain. */
+  12: bool config_wanted
 }
 
 /** A new leader announces itself, or a leader resigns. */
@@ -189,13 +199,21 @@
   2: i64 retry_after_ms
 }
 
-struct JobStateCall { 1: i64 id }
+/** `account`: on whose behalf the call is made; empty for a queue whose calls
+ *  need no key. Unset if calls are not authenticated. */
+struct JobStateCall {
+  1: i64 id
+  2: optional string account
+}
 struct JobStateReply {
   1: i32 verdict
   2: i32 state
 }
 
-struct CancelJobCall { 1: i64 id }
+struct CancelJobCall {
+  1: i64 id
+  2: optional string account
+}
 struct CancelJobReply { 1: i32 verdict }
 
 struct PendingJobsCall { 1: string queue }
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -72,6 +72,10 @@
        "time between reads of the list of upstreams"},
       {"patience_ms", Number{&S::leader_wait_timeout_ms, kTimeBoundsMs}, "ms",
        "longest time that a caller waits for a leader"},
+      {"revocation_timeout_ms", Number{&S::revocation_timeout_ms, {0, 3600000}},
+       "ms",
+       "keys are refused after this time without confirmation that none was "
+       "revoked; 0 for never"},
       {"max_connections", Number{&S::max_connections, {10, 100000}},
        "connections", "maximum number of open connections of callers"},
       {"max_jobs", Number{&S::max_jobs, {1, 10000000}}, "jobs",
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -55,6 +55,9 @@
   int64_t upstream_list_period_ms = 250;
   /// Longest time that a caller waits for a leader.
   int64_t leader_wait_timeout_ms = 1300;
+  /// Keys are refused after this time without confirmation that none was
+  /// revoked; 0 for never.
+  int64_t revocation_timeout_ms = 0;
   int64_t max_connections = 2000;
   int64_t max_jobs = 20000;
   /// At shutdown: how long callers still arrive after the balancer was
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -61,6 +61,7 @@
     case JobVerdict::kRefused:
     case JobVerdict::kStoreUnavailable:
     case JobVerdict::kNoSuchJob:
+    case JobVerdict::kIdInUse:
       return ExitCode::kRefused;
     default:
       return ExitCode::kUnknown;
--- a/tests/callback_threads_test.cc
+++ b/tests/callback_threads_test.cc
@@ -70,16 +70,19 @@
 /// Answers each query immediately.
 class PromptJobService final : public jobentry::JobService {
  public:
-  jobentry::Route FindRoute(const std::string&, const std::string&) override {
-    return {.kind = jobentry::RouteKind::kFound,
-            .path_suffix = "00000000000000a1"};
+  jobentry::AccessView Access() const override {
+    ports::CellConfig config;
+    config.queues.push_back({.host = "h", .prefix = "/q/"});
+    return {.table = std::make_shared<const jobentry::AccessTable>(config)};
   }
   void Submit(const wire::JobSpec&, Millis, jobentry::JobDone) override {}
-  void QueryState(JobId, Millis, jobentry::JobDone done) override {
+  void QueryState(JobId, const jobentry::CallerAccount&, Millis,
+                  jobentry::JobDone done) override {
     answered = true;
     done({.verdict = coordinator::JobVerdict::kConfirmed});
   }
-  void Cancel(JobId, Millis, jobentry::JobDone) override {}
+  void Cancel(JobId, const jobentry::CallerAccount&, Millis,
+              jobentry::JobDone) override {}
   void CountPending(const std::string&, Millis, jobentry::JobDone) override {}
   bool Ready() override { return true; }
 
@@ -164,7 +167,8 @@
   tcp::socket caller(caller_io);
   caller.connect({asio::ip::address_v4::loopback(), port});
   asio::write(caller,
-              asio::buffer(std::string("GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")));
+              asio::buffer(std::string(
+                  "GET /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\n\r\n")));
   while (!service.answered) io.run_one();
   const std::string lines = log.Take();
   BOOST_TEST(lines.find("request left unanswered") == std::string::npos);
--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -16,10 +16,12 @@
 
 #include "frame_types.h"
 #include "jobs_types.h"
+#include "platform/authorization.h"
 #include "platform/job_codec.h"
 #include "platform/json_reader.h"
 #include "platform/store_codec.h"
 #include "platform/upstream_codec.h"
+#include "src/jobentry/access_table.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_state.h"
 #include "src/libs/http/parser.h"
@@ -316,6 +318,27 @@
     BOOST_TEST(findings.ToString() == "");
     BOOST_TEST(Job(job).Objective() >= Millis(0));
   }
+  const jobentry::AccessTable table(config.value());
+  BOOST_TEST(table.authenticates() == config.value().accounts.has_value());
+  if (!config.value().accounts) return;
+  for (const ports::AccountConfig& account : *config.value().accounts) {
+    BOOST_TEST(!account.name.empty());
+    BOOST_TEST(account.weight >= 0);
+    BOOST_TEST(account.limit.millicores >= 0);
+    for (const std::string& key : account.keys) {
+      const std::string* owner = table.FindAccount(key);
+      BOOST_TEST((owner != nullptr && *owner == account.name));
+    }
+  }
+}
+
+void CheckAuthorization(const std::string& bytes) {
+  const std::vector<http::Header> headers{{"authorization", bytes}};
+  const platform::RequestKey key = platform::ReadKey(headers);
+  BOOST_TEST(key.key.empty() == key.fault.has_value());
+  if (key.fault) return;
+  BOOST_TEST(bytes.ends_with(key.key));
+  BOOST_TEST((key.key.find_first_of(" \r\n\t") == std::string_view::npos));
 }
 
 void CheckJobBody(const std::string& bytes) {
@@ -558,7 +581,10 @@
       R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
       "service":"s","priority":1,"maxAttempts":2,"slackFactor":2.2,
       "targetDurationMs":1000,"advisor":{"decideMs":360.5,"periodMs":5.1,
-      "validMs":1500}}],"services":[{"name":"s"}],
+      "validMs":1500},"public":true}],"services":[{"name":"s"}],
+      "tenants":[{"name":"a","apiKeys":["k1","k2"],"weight":38,
+      "maxCount":{"cpu":4346304,"memMb":12494416,"gpu":1}},
+      {"name":"b","apiKeys":["k3"],"weight":1}],
       "limits":{"maxBodyBytes":9}})";
   static const std::string kJob =
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900,
@@ -599,6 +625,10 @@
       {"upstream entry", {kUpstream}, true, CheckUpstream},
       {"upstream id", {"i-7f3a91c2"}, false, CheckUpstreamId},
       {"configuration", {kConfig}, true, CheckConfig},
+      {"authorization",
+       {"Token gkcuyj8pjbvk9m68k7b2", "token  k", "Bearer k"},
+       false,
+       CheckAuthorization},
       {"job body", {kJob}, true, CheckJobBody},
       {"report", {kReport}, true, CheckRenew},
       {"answer to an order",
--- a/tests/job_fault_injection_test.cc
+++ b/tests/job_fault_injection_test.cc
@@ -421,8 +421,8 @@
     verdicts.push_back(answer.verdict);
   };
   // Messages that arrived during the pause are read first.
-  cluster.entry(paused)->Cancel(69, Millis(3000), note);
-  cluster.entry(paused)->QueryState(69, Millis(3000), note);
+  cluster.entry(paused)->Cancel(69, std::nullopt, Millis(3000), note);
+  cluster.entry(paused)->QueryState(69, std::nullopt, Millis(3000), note);
   cluster.Resume(paused);
   cluster.RunFor(Millis(4000));
   BOOST_REQUIRE_EQUAL(verdicts.size(), 2U);
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -288,12 +288,13 @@
 }
 
 void JobCluster::QueryState(const std::string& entry, JobId id,
-                            std::function<void(jobentry::JobAnswer)> done) {
+                            std::function<void(jobentry::JobAnswer)> done,
+                            const jobentry::CallerAccount& account) {
   auto& process = processes_[entry];
   if (!process) return;
   auto* target = process->entry.get();
-  process->executor.Post([target, id, done = std::move(done)] {
-    target->QueryState(id, kCallTimeout, done);
+  process->executor.Post([target, id, account, done = std::move(done)] {
+    target->QueryState(id, account, kCallTimeout, done);
   });
 }
 
@@ -312,15 +313,17 @@
   });
 }
 
-void JobCluster::Cancel(const std::string& entry, JobId id) {
+void JobCluster::Cancel(const std::string& entry, JobId id,
+                        const jobentry::CallerAccount& account) {
   const size_t call = RecordCall(CallKind::kCancel, entry, id);
   auto& process = processes_[entry];
   if (!process) return;
   auto* target = process->entry.get();
   ++cancel_calls_[id];
-  process->executor.Post([this, target, id, call] {
+  process->executor.Post([this, target, id, account, call] {
     target->Cancel(
-        id, kCallTimeout, [this, id, call](jobentry::JobAnswer answer) {
+        id, account, kCallTimeout,
+        [this, id, call](jobentry::JobAnswer answer) {
           RecordAnswer(call, answer.verdict);
           ++cancel_answers_[id];
           if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
@@ -356,12 +359,13 @@
     auto query = std::make_shared<Query>();
     auto* target = process->entry.get();
     process->executor.Post([query, target, id] {
-      target->QueryState(id, Millis(500), [query](jobentry::JobAnswer answer) {
-        query->answered = true;
-        if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
-          query->state = answer.state;
-        }
-      });
+      target->QueryState(
+          id, std::nullopt, Millis(500), [query](jobentry::JobAnswer answer) {
+            query->answered = true;
+            if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
+              query->state = answer.state;
+            }
+          });
     });
     constexpr int kMaxPolls = 350;
     for (int i = 0; i < kMaxPolls && !query->answered; ++i) {
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -131,14 +131,21 @@
   /// Submits a job to an entry and records the answer.
   void Submit(const std::string& entry, wire::JobSpec spec);
   /// Asks an entry to cancel the job and records the answer.
-  void Cancel(const std::string& entry, JobId id);
+  void Cancel(const std::string& entry, JobId id,
+              const jobentry::CallerAccount& account = std::nullopt);
   /// State of the job as reported by any running entry; empty if none answers
   /// in time.
   std::optional<JobState> State(JobId id);
   /// Asks one entry for the job's state. `done` runs once unless the entry's
   /// process ends before.
   void QueryState(const std::string& entry, JobId id,
-                  std::function<void(jobentry::JobAnswer)> done);
+                  std::function<void(jobentry::JobAnswer)> done,
+                  const jobentry::CallerAccount& account = std::nullopt);
+  /// Puts a configuration with these accounts in force.
+  void PublishAccounts(const std::vector<ports::AccountConfig>& accounts) {
+    store_.Put(kConfigTable, "config",
+               ConfigDocument(++config_version_, accounts));
+  }
   /// All calls of callers so far, in order.
   const std::vector<CallerCall>& calls() const { return calls_; }
   bool accepted(JobId id) const { return accepted_.count(id) > 0; }
@@ -210,6 +217,7 @@
   /// The list entry of each incarnation of an upstream.
   std::map<std::string, wire::UpstreamRecord> list_entries_;
   int replacements_created_ = 0;
+  int64_t config_version_ = 1;
   std::map<std::string, std::unique_ptr<MachineFake>> machines_;
   std::vector<CallerCall> calls_;
   std::set<JobId> accepted_;
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -1,6 +1,7 @@
 #include "tests/jobsim/store_fake.h"
 
 #include <charconv>
+#include <sstream>
 
 #include "src/libs/rpc/codec.h"
 
@@ -365,15 +366,41 @@
       kPollInterval);
 }
 
+std::string ConfigDocument(int64_t version,
+                           const std::vector<ports::AccountConfig>& accounts) {
+  std::ostringstream out;
+  out << version;
+  for (const ports::AccountConfig& account : accounts) {
+    out << "\n"
+        << account.name << ' ' << account.weight << ' '
+        << account.limit.millicores << ' ' << account.limit.memory_mb;
+    for (const std::string& key : account.keys) out << ' ' << key;
+  }
+  return out.str();
+}
+
 Result<ports::CellConfig> StoreClientFake::Decode(
     const std::string& document) const {
-  // A document of the fake contains only its version; pool and queue are fixed.
+  // A document of the fake contains its version and a line for each account;
+  // pool and queue are fixed.
   ports::CellConfig out;
-  const char* const end = document.data() + document.size();
-  const auto read = std::from_chars(document.data(), end, out.version);
+  std::istringstream lines(document);
+  std::string line;
+  std::getline(lines, line);
+  const char* const end = line.data() + line.size();
+  const auto read = std::from_chars(line.data(), end, out.version);
   if (read.ec != std::errc() || read.ptr != end || out.version < 1) {
     return {Errc::kMalformed, "no version"};
   }
+  while (std::getline(lines, line)) {
+    std::istringstream fields(line);
+    ports::AccountConfig account;
+    fields >> account.name >> account.weight >> account.limit.millicores >>
+        account.limit.memory_mb;
+    for (std::string key; fields >> key;) account.keys.push_back(key);
+    if (!out.accounts) out.accounts.emplace();
+    out.accounts->push_back(std::move(account));
+  }
   out.pools = {"pool"};
   ports::QueueConfig queue;
   queue.host = "host";
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -171,6 +171,10 @@
   MachineFake* machine_;
 };
 
+/// The document of a configuration with this version and these accounts.
+std::string ConfigDocument(int64_t version,
+                           const std::vector<ports::AccountConfig>& accounts);
+
 /// Tables that operators and upstreams write.
 inline constexpr const char* kConfigTable = "config";
 inline constexpr const char* kUpstreamTable = "upstreams";
--- a/tests/leader_partition_test.cc
+++ b/tests/leader_partition_test.cc
@@ -170,9 +170,9 @@
   BOOST_REQUIRE(cluster.accepted(2));
   std::optional<coordinator::JobVerdict> verdict;
   cluster.entry(old_leader)
-      ->QueryState(2, Millis(2000), [&](const jobentry::JobAnswer& it) {
-        verdict = it.verdict;
-      });
+      ->QueryState(
+          2, std::nullopt, Millis(2000),
+          [&](const jobentry::JobAnswer& it) { verdict = it.verdict; });
   cluster.RunFor(Millis(2500));
   BOOST_REQUIRE(verdict.has_value());
   BOOST_TEST((*verdict != coordinator::JobVerdict::kNoSuchJob));
