Scheduling: Keep what each account runs within its limit

Cause: the scheduler knew no account.

Change: AccountLedger sums up what an account's tasks take. A run is charged with its reservation, from the start order until its end is listed or certain, so starts in doubt, stops under way and upstreams that are cut off count. A new leader counts the waiting tasks of loaded jobs as running until all upstreams have reported; without a configuration it starts no account's task. A step without enough of the limit asks for no advice and reserves nothing, and its account's later steps wait behind it. Metrics and a log line for each waiting account.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -19,6 +19,10 @@
 /// is unavailable, there are too many jobs, or the job's record is too large.
 constexpr int64_t kRetryAfterMs = 1000;
 
+/// Time after which a caller retries a job that is too large for the limit of
+/// its account: only operators can raise the limit.
+constexpr int64_t kOverLimitRetryMs = 30000;
+
 wire::SubmitJobReply SubmitReply(JobVerdict verdict,
                                  int64_t retry_after_ms = 0) {
   wire::SubmitJobReply reply;
@@ -72,6 +76,13 @@
                                                 : JobVerdict::kRefused,
                               kRetryAfterMs));
     }
+    if (!FitsAccountLimit(spec)) {
+      logging::Event(Level::kWarning, "job refused",
+                     {{"job", JobIdText(id)},
+                      {"account", spec.account},
+                      {"cause", "never fits the limit of its account"}});
+      return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
+    }
     wire::JobSpec stored_spec = spec;
     stored_spec.accepted_unix_ms = deps_.executor.UnixMillis();
     std::string record = rpc::Encode(stored_spec);
@@ -262,6 +273,23 @@
   return !account || owner.empty() || owner == *account;
 }
 
+bool Coordinator::FitsAccountLimit(const wire::JobSpec& spec) {
+  scheduling::AccountLedger& accounts = scheduler_.pool().accounts();
+  const scheduling::AccountIndex account = accounts.IndexOf(spec.account);
+  return std::all_of(
+      spec.steps.begin(), spec.steps.end(), [&](const wire::StepSpec& step) {
+        return accounts.EverFits(account, scheduling::TaskCharge(step),
+                                 step.gang ? step.tasks : 1);
+      });
+}
+
+void Coordinator::OnAccountsChanged() {
+  if (deps_.configured_pools() == nullptr) return;
+  scheduler_.SetAccounts(
+      deps_.accounts().value_or(std::vector<ports::AccountConfig>()));
+  SchedulePlacement();
+}
+
 void Coordinator::ReplyNoSuchJob(
     JobId id, std::function<void(wire::CancelJobReply)> done) {
   // A leader whose process was paused does not know the jobs that its successor
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -1,5 +1,7 @@
 #include "src/coordinator/coordinator.h"
 
+#include <algorithm>
+
 #include "src/coordinator/job_table.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
@@ -19,6 +21,10 @@
 constexpr Millis kLoadLogPeriod{2000};
 /// Number of steps, those that have waited longest, whose reason is logged.
 constexpr size_t kMaxExplainedSteps = 4;
+/// Number of accounts, those with the most waiting steps, that are logged.
+constexpr size_t kMaxLoggedAccounts = 4;
+/// Number of accounts, the first ones by name, that have metrics.
+constexpr size_t kMaxAccountSeries = 50;
 /// Added to the expected duration of an adviser call to obtain its timeout.
 constexpr Millis kAdviceTimeoutMargin{600};
 
@@ -63,6 +69,7 @@
 }
 
 void Coordinator::Start() {
+  OnAccountsChanged();
   journal_->Open([weak = weak_from_this()] {
     const auto self = weak.lock();
     if (self && !self->closed_) self->LoadPage("");
@@ -104,6 +111,7 @@
                  {{"load", scheduler_.DescribeLoad()},
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
+  ReportAccounts();
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kMaxExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
@@ -111,6 +119,30 @@
   }
 }
 
+void Coordinator::ReportAccounts() {
+  std::vector<scheduling::AccountLoad> loads = scheduler_.AccountLoads();
+  for (size_t i = 0; i < std::min(loads.size(), kMaxLoggedAccounts); ++i) {
+    if (loads[i].waiting_steps == 0) break;
+    logging::Event(Level::kInfo, "account waits",
+                   {{"account", loads[i].name},
+                    {"millicores", Text(loads[i].millicores)},
+                    {"limit_millicores", Text(loads[i].limit_millicores)},
+                    {"waiting_steps", Text(loads[i].waiting_steps)}});
+  }
+  std::sort(loads.begin(), loads.end(),
+            [](const auto& a, const auto& b) { return a.name < b.name; });
+  if (loads.size() > kMaxAccountSeries) loads.resize(kMaxAccountSeries);
+  for (const scheduling::AccountLoad& load : loads) {
+    const std::map<std::string, std::string> labels{{"account", load.name}};
+    deps_.metrics.Set({.name = "account_millicores", .labels = labels},
+                      static_cast<double>(load.millicores));
+    deps_.metrics.Set({.name = "account_limit_millicores", .labels = labels},
+                      static_cast<double>(load.limit_millicores));
+    deps_.metrics.Set({.name = "account_waiting_steps", .labels = labels},
+                      static_cast<double>(load.waiting_steps));
+  }
+}
+
 void Coordinator::DropFinalJobs() {
   const TimePoint now = deps_.executor.Now();
   for (auto at = final_jobs_.begin(); at != final_jobs_.end();) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -26,6 +26,9 @@
 
 namespace mimosarail::coordinator {
 
+/// The accounts of the configuration; unset if it has none.
+using Accounts = std::optional<std::vector<ports::AccountConfig>>;
+
 struct CoordinatorOptions {
   /// Term of this leader.
   int64_t term = 0;
@@ -93,6 +96,8 @@
     /// Pools that the configuration names; null while no configuration is
     /// known.
     std::function<const std::set<std::string>*()> configured_pools;
+    /// The accounts of the newest known configuration.
+    std::function<const Accounts&()> accounts;
     /// Whether the leader lease is valid. Orders may be given only then.
     std::function<bool()> leader_lease_valid;
     /// Whether the store has recently confirmed that no other entry leads.
@@ -123,6 +128,9 @@
   /// kOutcomeUnknown, so that their calls are repeated at the next leader.
   void Close();
 
+  /// The accounts of the configuration have changed.
+  void OnAccountsChanged();
+
   /// Sets the entries that may call the adviser, including this one.
   void SetLanes(const std::vector<std::string>& addresses);
 
@@ -282,6 +290,7 @@
   void DropFinalJobs();
   /// Sets the metrics of the load; logs the load and why steps wait.
   void ReportLoad();
+  void ReportAccounts();
 
   /// Wraps `done` so that it runs once: with the first reply, or with
   /// `timeout_reply` if there is none within `reply_deadline`.
@@ -312,6 +321,8 @@
   const std::string& OwnerOf(JobId id) const;
   /// Whether calls of this account may see the job, if it is known.
   bool MayAccess(const std::optional<std::string>& account, JobId id) const;
+  /// Whether each step of the job could start under the limit of its account.
+  bool FitsAccountLimit(const wire::JobSpec& spec);
   /// Replies that there is no such job, once the store has confirmed that this
   /// entry still leads.
   void ReplyNoSuchJob(JobId id, std::function<void(wire::CancelJobReply)> done);
--- a/src/coordinator/job_verdicts.h
+++ b/src/coordinator/job_verdicts.h
@@ -26,6 +26,8 @@
   kUnreadable = 6,
   /// Refused: the id is that of a job of another account.
   kIdInUse = 7,
+  /// Refused: the job can never fit the limit of its account.
+  kOverLimit = 8,
 };
 
 inline constexpr EnumTable kJobVerdictNames{std::array{
@@ -37,6 +39,7 @@
     EnumName{JobVerdict::kStoreUnavailable, "store away"},
     EnumName{JobVerdict::kUnreadable, "record not readable"},
     EnumName{JobVerdict::kIdInUse, "id in use"},
+    EnumName{JobVerdict::kOverLimit, "over the account's limit"},
 }};
 
 /// Returns the verdict of a reply. Numbers that this version does not know map
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -164,6 +164,7 @@
 void JobEntry::OnConfigChanged() {
   access_.Publish(std::make_shared<const AccessTable>(config_.config()),
                   AccessTime());
+  if (coordinator_) coordinator_->OnAccountsChanged();
 }
 
 void JobEntry::Start() {
@@ -189,6 +190,9 @@
           .metrics = deps_.metrics,
           .malformed_records = malformed_records_,
           .configured_pools = [this] { return ConfiguredPools(); },
+          .accounts = [this]() -> const coordinator::Accounts& {
+            return config_.config().accounts;
+          },
           .leader_lease_valid = [this] { return leadership_.lease_valid(); },
           .lease_confirmed_by_store =
               [this] { return leadership_.lease_confirmed_by_store(); },
@@ -305,7 +309,9 @@
     }
     // A refusal of this try does not undo an earlier try that may have taken
     // effect.
-    if (out.verdict == JobVerdict::kRefused && call->in_doubt) {
+    const bool refused = out.verdict == JobVerdict::kRefused ||
+                         out.verdict == JobVerdict::kOverLimit;
+    if (refused && call->in_doubt) {
       out.verdict = JobVerdict::kOutcomeUnknown;
     }
     call->done(out);
--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -205,8 +205,7 @@
     candidates.push_back(it.candidate);
     max_expected_tasks += it.candidate.allow_probability * it.candidate.tasks;
   }
-  const double needed_tasks =
-      record.job.step_counts(id.occurrence, id.step).waiting;
+  const double needed_tasks = TasksWithinLimit(record, id);
   // Advice for a part of a gang is of no use.
   if (record.job.step(id.step).gang && max_expected_tasks < needed_tasks) {
     return {};
@@ -248,8 +247,7 @@
   AdviceOrder order{.purpose = purpose, .step = id, .priority = queue.priority};
   order.expected = EstimatedCallTime(queue, asked.size());
   const auto upstream_count = static_cast<int32_t>(asked.size());
-  const int32_t waiting =
-      record.job.step_counts(id.occurrence, id.step).waiting;
+  const int32_t waiting = TasksWithinLimit(record, id);
   const Amount size = TaskResources(step);
   for (size_t d = 0; d < placement::kDimensions; ++d) {
     order.claim.values[d] = static_cast<int32_t>(
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -159,8 +159,13 @@
   }
   reservable_millicores_ = static_cast<int64_t>(
       kMaxReservedShare * static_cast<double>(total_millicores));
+  accounts_at_limit_.clear();
   int visited = 0;
   for (auto at = queue_.begin(); at != queue_.end();) {
+    if (accounts_at_limit_.count(at->account) > 0) {
+      ++at;
+      continue;
+    }
     if (++visited > kMaxStepsPerPass) break;
     const StepId id = at->id;
     // Advances first: placing may remove this step, but no other one, from the
@@ -181,6 +186,7 @@
 bool Scheduler::PlaceStep(JobRecord& record, const StepId& id, TimePoint now,
                           PassReservations& reserved, Orders& orders) {
   const bool gang = record.job.step(id.step).gang;
+  if (AccountBlocks(record, id)) return false;
   UpdateExclusion(record, id, now);
   if (gang) {
     if (PlaceGang(record, id, now, reserved, orders)) return true;
@@ -202,6 +208,28 @@
   return false;
 }
 
+int32_t Scheduler::TasksWithinLimit(const JobRecord& record,
+                                    const StepId& id) const {
+  const int32_t waiting =
+      record.job.step_counts(id.occurrence, id.step).waiting;
+  return std::min(waiting,
+                  pool_.accounts().FreeTasks(
+                      record.account, TaskCharge(record.job.step(id.step))));
+}
+
+bool Scheduler::AccountBlocks(const JobRecord& record, const StepId& id) {
+  const wire::StepSpec& step = record.job.step(id.step);
+  const int32_t needed = step.gang ? step.tasks : 1;
+  if (TasksWithinLimit(record, id) >= needed) return false;
+  // The account's later steps wait too. Otherwise a wide gang would wait for as
+  // long as small steps of its account keep taking what becomes free. A step
+  // that never fits would block them forever.
+  if (pool_.accounts().EverFits(record.account, TaskCharge(step), needed)) {
+    accounts_at_limit_.insert(record.account);
+  }
+  return true;
+}
+
 void Scheduler::RemoveExcluded(const PlacementExclusion& exclusion,
                                std::vector<Candidate>& candidates) {
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -271,7 +299,8 @@
       if (candidate.upstream == upstream) --candidate.fitting_tasks;
     }
   };
-  for (int32_t i = 0; i < step.tasks; ++i) {
+  int32_t may_start = TasksWithinLimit(record, id);
+  for (int32_t i = 0; i < step.tasks && may_start > 0; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
     const Task& task = record.job.task(task_id);
     if (task.phase != TaskPhase::kWaiting) continue;
@@ -287,6 +316,7 @@
     StartTask(record, task_id, upstream,
               std::max(task.LastAttempt(), options_.attempt_base) + 1, now,
               orders);
+    --may_start;
     deduct_task(found, upstream);
     deduct_task(retry_candidates, upstream);
   }
@@ -355,6 +385,8 @@
   task.expected_end = ExpectedEnd(job.step(id.step), now);
   pool_.Reserve(upstream, id, attempt,
                 {.amount = TaskResources(job.step(id.step)),
+                 .account = record.account,
+                 .charge = TaskCharge(job.step(id.step)),
                  .expected_end = task.expected_end,
                  .reserved_at = now});
   pool_.NoteStartOrdered(upstream);
@@ -457,6 +489,8 @@
   const StepCounts& counts = record.job.step_counts(id.occurrence, id.step);
   std::string out = "waiting " + std::to_string(counts.waiting) + " of " +
                     std::to_string(step.tasks) + (step.gang ? " (gang)" : "") +
+                    ", within the limit of its account " +
+                    std::to_string(TasksWithinLimit(record, id)) +
                     ", upstreams " + std::to_string(matching) + ", usable " +
                     std::to_string(usable) + ", room for " +
                     std::to_string(fit_now);
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -57,6 +57,7 @@
   const auto id = static_cast<JobId>(spec.id);
   const int64_t age = std::max<int64_t>(0, wall_ms - spec.accepted_unix_ms);
   auto record = std::make_unique<JobRecord>(spec);
+  record->account = pool_.accounts().IndexOf(spec.account);
   record->accepted_at = now - Millis(age);
   const Job& job = record->job;
   record->step_states.resize(static_cast<size_t>(job.occurrences()) *
@@ -83,6 +84,10 @@
   JobRecord& record = Insert(spec, now, wall_ms);
   record.job.Restore(progress);
   record.may_have_unreported_runs = !resolved_ && !record.job.final();
+  // The stop of a cancelled or failed job may not have arrived everywhere.
+  record.counts_as_unreported =
+      !resolved_ && record.job.state() != JobState::kComplete;
+  has_unreported_runs_ = has_unreported_runs_ || record.counts_as_unreported;
   UpdateAllQueued(record);
 }
 
@@ -90,6 +95,7 @@
                         TimePoint now, Orders& orders) {
   resolved_ = true;
   for (auto& [id, record] : jobs_) {
+    if (uncertain.count(id) == 0) record->counts_as_unreported = false;
     if (!record->may_have_unreported_runs || uncertain.count(id) > 0) continue;
     record->may_have_unreported_runs = false;
     for (int32_t k = 0; k < record->job.occurrences(); ++k) {
@@ -104,6 +110,25 @@
       }
     }
   }
+  CountUnreportedRuns();
+}
+
+void Scheduler::CountUnreportedRuns() {
+  AccountLedger& accounts = pool_.accounts();
+  accounts.ClearUnreported();
+  has_unreported_runs_ = false;
+  for (const auto& [id, record] : jobs_) {
+    if (!record->counts_as_unreported) continue;
+    has_unreported_runs_ = true;
+    const Job& job = record->job;
+    for (int32_t k = 0; k < job.occurrences(); ++k) {
+      for (int32_t s = 0; s < job.steps(); ++s) {
+        if (!job.final() && !job.StepReady(k, s)) continue;
+        accounts.AddUnreported(record->account, TaskCharge(job.step(s)),
+                               job.step_counts(k, s).waiting);
+      }
+    }
+  }
 }
 
 bool Scheduler::CanRemove(JobId id) const {
@@ -360,6 +385,7 @@
     }
   }
   DemoteLateSteps(now);
+  if (has_unreported_runs_) CountUnreportedRuns();
 }
 
 Scheduler::QueueKey Scheduler::KeyOf(const JobRecord& record, const StepId& id,
@@ -372,7 +398,8 @@
           .latest_start_ms =
               ToMs(record.accepted_at + objectives * job.Objective() -
                    job.CriticalPathFrom(id.step)),
-          .id = id};
+          .id = id,
+          .account = record.account};
 }
 
 void Scheduler::DemoteLateSteps(TimePoint now) {
@@ -437,6 +464,23 @@
   return out;
 }
 
+std::vector<AccountLoad> Scheduler::AccountLoads() const {
+  const AccountLedger& accounts = pool_.accounts();
+  std::vector<AccountLoad> out(accounts.size());
+  for (AccountIndex i = 0; i < accounts.size(); ++i) {
+    out[i].name = accounts.name(i);
+    out[i].millicores = accounts.charged(i)[Dimension::kCores];
+    out[i].limit_millicores = accounts.limit(i).millicores;
+  }
+  for (const QueueKey& key : queue_) {
+    if (key.account != kNoAccount) ++out[key.account].waiting_steps;
+  }
+  std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
+    return a.waiting_steps > b.waiting_steps;
+  });
+  return out;
+}
+
 std::vector<JobId> Scheduler::TakeChangedJobs() {
   std::vector<JobId> out(changed_.begin(), changed_.end());
   changed_.clear();
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -38,6 +38,15 @@
   int64_t millicores = 0;
 };
 
+/// What the tasks of one account take, and how much of its work waits.
+struct AccountLoad {
+  std::string name;
+  int64_t millicores = 0;
+  /// 0 for no limit.
+  int64_t limit_millicores = 0;
+  int64_t waiting_steps = 0;
+};
+
 struct SchedulerOptions {
   /// Attempt numbers start above this value, which exceeds every attempt number
   /// of earlier leaders.
@@ -54,6 +63,11 @@
   UpstreamPool& pool() { return pool_; }
   const UpstreamPool& pool() const { return pool_; }
 
+  /// Takes over the limits of the accounts; in force from the next pass on.
+  void SetAccounts(const std::vector<ports::AccountConfig>& accounts) {
+    pool_.accounts().SetLimits(accounts);
+  }
+
   /// Adds a new job. Precondition: CheckJob() accepts the job, and its id is
   /// unknown.
   void Add(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms);
@@ -148,6 +162,9 @@
   /// Describes the utilization of the upstreams and the number of waiting steps
   /// by priority, for a log line.
   std::string DescribeLoad() const;
+  /// Returns the load of every account that has had a job in this term or is in
+  /// the configuration, those with the most waiting steps first.
+  std::vector<AccountLoad> AccountLoads() const;
   int64_t waiting_steps() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
@@ -165,6 +182,7 @@
     Timeliness timeliness = Timeliness::kInTime;
     int64_t latest_start_ms = 0;
     StepId id;
+    AccountIndex account = kNoAccount;
     // NOLINTNEXTLINE(modernize-use-nullptr): false positive on =default
     friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
   };
@@ -210,12 +228,15 @@
   struct JobRecord {
     explicit JobRecord(const wire::JobSpec& spec) : job(spec) {}
     Job job;
+    AccountIndex account = kNoAccount;
     /// When the job was accepted, or its first occurrence became due. The
     /// positions of its steps in the queue depend on it.
     TimePoint accepted_at{};
     /// Runs of this job may exist that no upstream has reported yet. No task of
     /// it starts.
     bool may_have_unreported_runs = false;
+    /// As may_have_unreported_runs, but also while the job is being stopped.
+    bool counts_as_unreported = false;
     /// When the job became final; unset if it was final when loaded.
     std::optional<TimePoint> ended_at;
     /// Number of occurrences that may start.
@@ -263,6 +284,14 @@
                         Timeliness timeliness);
   /// Moves steps back in the queue whose latest start has passed.
   void DemoteLateSteps(TimePoint now);
+  /// Sums up the tasks that may run without having been reported, for the
+  /// limits of their accounts.
+  void CountUnreportedRuns();
+  /// Returns how many waiting tasks of the step its account's limit permits.
+  int32_t TasksWithinLimit(const JobRecord& record, const StepId& id) const;
+  /// Whether the step has to wait because of its account's limit. If so, the
+  /// account's later steps wait as well in this pass.
+  bool AccountBlocks(const JobRecord& record, const StepId& id);
   /// The progress of the job has to be stored again.
   void MarkChanged(const JobRecord& record) {
     changed_.insert(record.job.id());
@@ -483,6 +512,10 @@
   bool resolved_ = false;
   std::unordered_map<JobId, std::unique_ptr<JobRecord>> jobs_;
   std::set<QueueKey> queue_;
+  /// Accounts whose steps wait for the limit in the current pass.
+  std::set<AccountIndex> accounts_at_limit_;
+  /// A job has JobRecord::counts_as_unreported set.
+  bool has_unreported_runs_ = false;
   /// Jobs whose progress has to be stored again.
   std::unordered_set<JobId> changed_;
   /// Occurrences that are not due yet, by their scheduled Unix time in ms.
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -28,6 +28,12 @@
   return out;
 }
 
+Amount TaskCharge(const wire::StepSpec& step) {
+  Amount out = TaskResources(step);
+  out[Dimension::kCores] = step.millicores;
+  return out;
+}
+
 UpstreamIndex UpstreamPool::Update(const ports::UpstreamEntry& entry,
                                    TimePoint now) {
   const auto known = index_by_id_.find(entry.id);
@@ -73,6 +79,9 @@
   Upstream& upstream = upstreams_[index];
   index_by_id_.erase(upstream.entry.id);
   std::erase(indexes_in_use_, index);
+  for (const auto& [run, reservation] : upstream.reservations) {
+    accounts_.Refund(reservation.account, reservation.charge);
+  }
   upstream.reservations.clear();
   upstream.suspect_runs.clear();
   upstream.listed = false;
@@ -98,6 +107,7 @@
   if (upstream.reservations.emplace(std::pair(task, attempt), reservation)
           .second) {
     upstream.free -= reservation.amount;
+    accounts_.Charge(reservation.account, reservation.charge);
   }
 }
 
@@ -140,6 +150,7 @@
   const auto found = upstream.reservations.find({task, attempt});
   if (found == upstream.reservations.end()) return false;
   upstream.free += found->second.amount;
+  accounts_.Refund(found->second.account, found->second.charge);
   upstream.reservations.erase(found);
   return true;
 }
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -11,12 +11,10 @@
 #include "src/jobs/job.h"
 #include "src/placement/amount.h"
 #include "src/ports/upstream_list_port.h"
+#include "src/scheduling/account_ledger.h"
 
 namespace mimosarail::scheduling {
 
-using placement::Amount;
-using placement::Dimension;
-
 /// Reliability of an upstream. It is judged only by the results of starts and
 /// tasks, because an upstream may report that it is healthy and still fail
 /// every task that it starts.
@@ -35,6 +33,9 @@
 /// Resources reserved by one run.
 struct Reservation {
   Amount amount;
+  /// The account that the run is charged to, and what it is charged.
+  AccountIndex account = kNoAccount;
+  Amount charge{};
   /// When the run is expected to end; an estimate that is used only to predict
   /// free capacity. TimePoint::max() for a long-running task.
   TimePoint expected_end{};
@@ -121,6 +122,10 @@
   void NoteRestarted(UpstreamIndex index, int64_t incarnation, TimePoint now);
   /// Removes the upstream with all its reservations. Its index is not reused.
   void Remove(UpstreamIndex index);
+  /// Every reservation is charged to its account.
+  AccountLedger& accounts() { return accounts_; }
+  const AccountLedger& accounts() const { return accounts_; }
+
   /// Returns kNoUpstream if there is no upstream with this id.
   UpstreamIndex Find(const std::string& id) const;
 
@@ -186,9 +191,14 @@
   std::vector<Upstream> upstreams_;
   std::vector<UpstreamIndex> indexes_in_use_;
   std::unordered_map<std::string, UpstreamIndex> index_by_id_;
+  AccountLedger accounts_;
 };
 
 /// The resources that a task of this step takes on an upstream.
 Amount TaskResources(const wire::StepSpec& step);
 
+/// What a task of this step counts towards the limit of its account. The cores
+/// of a filler count, although it reserves none: it may use them.
+Amount TaskCharge(const wire::StepSpec& step);
+
 }  // namespace mimosarail::scheduling
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -62,6 +62,7 @@
     case JobVerdict::kStoreUnavailable:
     case JobVerdict::kNoSuchJob:
     case JobVerdict::kIdInUse:
+    case JobVerdict::kOverLimit:
       return ExitCode::kRefused;
     default:
       return ExitCode::kUnknown;
--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -158,6 +158,177 @@
   std::thread thread_;
 };
 
+/// A scheduler with upstreams of 16 cores that accept every start.
+class LimitedScheduler {
+ public:
+  explicit LimitedScheduler(int64_t limit, int upstreams = 4) {
+    for (int i = 0; i < upstreams; ++i) {
+      ports::UpstreamEntry entry;
+      entry.id = "up-" + std::to_string(i);
+      entry.pool = "pool";
+      entry.capacity = {.millicores = 16000, .memory_mb = 320000};
+      const UpstreamIndex index = scheduler.pool().Update(entry);
+      scheduler.pool().at(index).reachable = true;
+    }
+    SetLimit(limit);
+  }
+  void SetLimit(int64_t limit) {
+    scheduler.SetAccounts({Account("alice", limit)});
+  }
+  void Resolve() {
+    scheduling::Orders none;
+    scheduler.ResolveAll(now, none);
+  }
+  std::vector<scheduling::StartOrder> Place() {
+    scheduling::Orders orders;
+    scheduler.Place(now, {.any = 50, .urgent_only = 5}, orders);
+    return orders.starts;
+  }
+  void End(const scheduling::StartOrder& start) {
+    scheduling::Orders orders;
+    scheduler.OnEnd(start.upstream,
+                    {.number = ++ends_,
+                     .task = start.task,
+                     .attempt = start.attempt,
+                     .kind = ports::EndKind::kDone},
+                    now, orders);
+  }
+  void Add(const wire::JobSpec& spec) { scheduler.Add(spec, now, 0); }
+
+  scheduling::Scheduler scheduler{scheduling::SchedulerOptions{}};
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+
+ private:
+  int64_t ends_ = 0;
+};
+
+std::vector<uint64_t> Seeds() {
+  constexpr uint64_t kDefaultCount = 60;
+  const char* text = std::getenv("MIMOSARAIL_SEEDS");
+  const uint64_t count =
+      text == nullptr ? kDefaultCount : std::strtoull(text, nullptr, 10);
+  std::vector<uint64_t> out;
+  for (uint64_t i = 0; i < count; ++i) out.push_back(3000 + i);
+  return out;
+}
+
+/// Plays one random schedule: two accounts submit more than their limits allow
+/// while entries, the store and upstreams fail.
+class LimitSchedule {
+ public:
+  explicit LimitSchedule(uint64_t seed)
+      : random_(seed),
+        cluster_({.restart_under_same_id = seed % 2 == 0,
+                  .crash_silently = seed % 4 == 1}) {}
+
+  void Play() {
+    cluster_.PublishAccounts(
+        {Account("alice", kAliceLimit), Account("bob", kBobLimit)});
+    cluster_.upstreams().SetAccountLimit("alice", kAliceLimit);
+    cluster_.upstreams().SetAccountLimit("bob", kBobLimit);
+    cluster_.RunFor(kSettleTime);
+    constexpr int kSteps = 60;
+    for (int i = 0; i < kSteps; ++i) {
+      SubmitRandomJob();
+      if (Chance(35)) InjectFault();
+      cluster_.RunFor(Millis(50 + Pick(400)));
+    }
+    Heal();
+    cluster_.RunFor(Millis(40000));
+    for (const std::string& what : cluster_.Violations()) BOOST_ERROR(what);
+    for (const JobId id : jobs_) {
+      if (!cluster_.accepted(id)) continue;
+      const auto state = cluster_.State(id);
+      BOOST_CHECK_MESSAGE(state && IsFinal(*state),
+                          "accepted but never finished: " << JobIdText(id));
+    }
+  }
+
+ private:
+  static constexpr int64_t kAliceLimit = 6000;
+  static constexpr int64_t kBobLimit = 3500;
+
+  uint64_t Pick(uint64_t below) { return random_() % below; }
+  bool Chance(uint64_t percent) { return Pick(100) < percent; }
+  std::string RandomEntry() {
+    const auto names = cluster_.names();
+    return names[Pick(names.size())];
+  }
+  std::string RandomUpstream() {
+    const auto ids = cluster_.upstreams().ids();
+    return ids[Pick(ids.size())];
+  }
+
+  void SubmitRandomJob() {
+    const JobId id = 0xacc0000 + jobs_.size();
+    const bool gang = Chance(25);
+    wire::JobSpec spec = JobOf(Chance(60) ? "alice" : "bob", id,
+                               1 + static_cast<int32_t>(Pick(4)),
+                               500 + 250 * static_cast<int32_t>(Pick(2)), gang);
+    if (Chance(30)) {
+      wire::StepSpec second = spec.steps[0];
+      second.gang = false;
+      second.after = {0};
+      spec.steps.push_back(second);
+    }
+    for (int32_t s = 0; s < static_cast<int32_t>(spec.steps.size()); ++s) {
+      for (int32_t i = 0; i < spec.steps[static_cast<size_t>(s)].tasks; ++i) {
+        auto& behavior = cluster_.upstreams().behavior({id, 0, s, i});
+        behavior.run_time = Millis(100 + Pick(1500));
+        behavior.failing_runs = Chance(4) ? 1 : 0;
+      }
+    }
+    jobs_.push_back(id);
+    cluster_.Submit(RandomEntry(), spec);
+    if (Chance(8)) cluster_.Cancel(RandomEntry(), jobs_[Pick(jobs_.size())]);
+  }
+
+  void InjectFault() {
+    const std::string leader = cluster_.Leader();
+    const std::string entry =
+        Chance(50) && !leader.empty() ? leader : RandomEntry();
+    switch (Pick(8)) {
+      case 0:
+        return cluster_.Restart(entry);
+      case 1:
+        return cluster_.Pause(entry);
+      case 2:
+        for (const auto& name : cluster_.names()) cluster_.Resume(name);
+        return;
+      case 3:
+        cluster_.store().faults().down = Chance(50);
+        return;
+      case 4:
+        if (Chance(60)) {
+          cluster_.store().faults().partitioned_entries.insert(entry);
+        } else {
+          cluster_.store().faults().partitioned_entries.clear();
+        }
+        return;
+      case 5:
+        cluster_.upstreams().faults(RandomUpstream()).drop_start_replies = 2;
+        cluster_.upstreams().faults(RandomUpstream()).delayed_starts = 1;
+        return;
+      case 6:
+        return cluster_.upstreams().Crash(RandomUpstream());
+      default:
+        cluster_.upstreams().faults(RandomUpstream()).unreachable = Chance(50);
+    }
+  }
+
+  void Heal() {
+    for (const auto& name : cluster_.names()) cluster_.Resume(name);
+    cluster_.store().faults() = {};
+    for (const auto& id : cluster_.upstreams().ids()) {
+      cluster_.upstreams().faults(id) = {};
+    }
+  }
+
+  std::mt19937_64 random_;
+  JobCluster cluster_;
+  std::vector<JobId> jobs_;
+};
+
 }  // namespace
 
 BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
@@ -323,4 +494,167 @@
   BOOST_TEST(progress.value().account == "");
 }
 
+/// Guards against tasks of an account beyond its limit: a wide step runs in
+/// waves, and the tasks of other accounts are not held up.
+BOOST_AUTO_TEST_CASE(WideStepRunsInWavesWithinTheLimit) {
+  LimitedScheduler test(3000);
+  test.Resolve();
+  test.Add(JobOf("alice", 1, 8, 1000));
+  test.Add(JobOf("bob", 2, 8, 1000));
+  auto starts = test.Place();
+  const auto of_alice = [&starts] {
+    return std::count_if(starts.begin(), starts.end(),
+                         [](const auto& it) { return it.task.job == 1; });
+  };
+  BOOST_TEST(of_alice() == 3);
+  BOOST_TEST(starts.size() == 11U);
+  BOOST_TEST(test.Place().empty());
+  const auto first = std::find_if(starts.begin(), starts.end(),
+                                  [](auto& it) { return it.task.job == 1; });
+  test.End(*first);
+  starts = test.Place();
+  BOOST_TEST(of_alice() == 1);
+}
+
+/// Guards against a gang that waits forever while small steps of its account
+/// take all that becomes free, and against one that never fits and blocks them.
+BOOST_AUTO_TEST_CASE(GangIsNotOvertakenByItsOwnAccount) {
+  LimitedScheduler test(4000);
+  test.Resolve();
+  test.Add(JobOf("alice", 1, 3, 1000));
+  auto small = test.Place();
+  BOOST_REQUIRE(small.size() == 3U);
+  test.Add(JobOf("alice", 2, 5, 1000, true));
+  test.Add(JobOf("alice", 3, 4, 1000, true));
+  test.Add(JobOf("alice", 4, 9, 1000));
+  BOOST_TEST(test.Place().empty());
+  for (const auto& start : small) test.End(start);
+  const auto gang = test.Place();
+  BOOST_REQUIRE(gang.size() == 4U);
+  for (const auto& start : gang) BOOST_TEST(start.task.job == 3U);
+  test.SetLimit(2000);
+  for (const auto& start : gang) test.End(start);
+  BOOST_TEST(test.Place().size() == 2U);
+}
+
+/// Guards against a new leader that starts tasks of an account whose tasks may
+/// run where the leader has not heard from yet.
+BOOST_AUTO_TEST_CASE(UnreportedRunsCountAgainstTheLimit) {
+  LimitedScheduler test(4000);
+  wire::ProgressRecord running;
+  running.state = static_cast<int32_t>(JobState::kRunning);
+  test.scheduler.Load(JobOf("alice", 1, 3, 1000), running, test.now, 0);
+  test.Add(JobOf("alice", 2, 4, 1000));
+  test.scheduler.Tick(test.now, 0);
+  BOOST_TEST(test.Place().size() == 1U);
+  scheduling::Orders orders;
+  test.scheduler.Resolve({1}, test.now, orders);
+  BOOST_TEST(test.Place().empty());
+  test.Resolve();
+  BOOST_TEST(test.Place().size() == 3U);
+  BOOST_TEST(test.Place().empty());
+}
+
+/// Guards against charges that remain after a run has ended, or that end before
+/// it, whatever order losses, duplicates and late ends come in.
+BOOST_AUTO_TEST_CASE(ChargesMatchTheReservations) {
+  constexpr int kSteps = 20000;
+  std::mt19937_64 random(7);
+  const auto pick = [&random](uint64_t below) { return random() % below; };
+  scheduling::UpstreamPool pool;
+  const std::vector<scheduling::AccountIndex> accounts{
+      pool.accounts().IndexOf("alice"), pool.accounts().IndexOf("bob"),
+      scheduling::kNoAccount};
+  using Key = std::tuple<UpstreamIndex, JobId, int64_t>;
+  std::map<Key, std::pair<size_t, int32_t>> expected;
+  std::vector<UpstreamIndex> upstreams;
+  const auto add_upstream = [&] {
+    ports::UpstreamEntry entry;
+    entry.id = "up-" + std::to_string(upstreams.size());
+    entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+    upstreams.push_back(pool.Update(entry));
+  };
+  for (int i = 0; i < 5; ++i) add_upstream();
+  for (int i = 0; i < kSteps; ++i) {
+    const UpstreamIndex upstream = upstreams[upstreams.size() - 1 - pick(5)];
+    const JobId job = pick(20);
+    const auto attempt = static_cast<int64_t>(1 + pick(3));
+    const TaskId task{job, 0, 0, 0};
+    if (pick(200) == 0) {
+      pool.Remove(upstreams[upstreams.size() - 5]);
+      std::erase_if(expected, [&](const auto& it) {
+        return std::get<0>(it.first) == upstreams[upstreams.size() - 5];
+      });
+      add_upstream();
+    } else if (pick(2) == 0) {
+      const auto millicores = static_cast<int32_t>(100 * (1 + job));
+      scheduling::Amount size;
+      size[scheduling::Dimension::kCores] = millicores;
+      pool.Reserve(
+          upstream, task, attempt,
+          {.amount = size, .account = accounts[job % 3], .charge = size});
+      expected.try_emplace({upstream, job, attempt}, job % 3, millicores);
+    } else {
+      pool.Release(upstream, task, attempt);
+      expected.erase({upstream, job, attempt});
+    }
+    for (size_t a = 0; a < 2; ++a) {
+      int64_t sum = 0;
+      for (const auto& [key, value] : expected) {
+        if (value.first == a) sum += value.second;
+      }
+      BOOST_REQUIRE_EQUAL(
+          pool.accounts().charged(accounts[a])[scheduling::Dimension::kCores],
+          sum);
+    }
+  }
+}
+
+/// Guards against a job that waits although it can never start.
+BOOST_AUTO_TEST_CASE(JobThatNeverFitsTheLimitIsRefusedAtOnce) {
+  JobCluster cluster({});
+  cluster.PublishAccounts({Account("alice", 2000)});
+  cluster.RunFor(kSettleTime);
+  const std::string entry = cluster.names().front();
+  cluster.Submit(entry, JobOf("alice", 1, 3, 1000, true));
+  cluster.Submit(entry, JobOf("alice", 2, 1, 3000));
+  cluster.Submit(entry, JobOf("alice", 3, 9, 1000));
+  cluster.RunFor(Millis(300));
+  BOOST_TEST((cluster.calls()[0].verdict == JobVerdict::kOverLimit));
+  BOOST_TEST((cluster.calls()[1].verdict == JobVerdict::kOverLimit));
+  BOOST_TEST(cluster.accepted(3));
+}
+
+/// Guards against a limit that was cut and does not hold at the leader, and
+/// against one that was raised and is not used.
+BOOST_AUTO_TEST_CASE(ChangedLimitIsInForceAtTheLeader) {
+  JobCluster cluster({});
+  cluster.PublishAccounts({Account("alice", 4000)});
+  cluster.RunFor(kSettleTime);
+  wire::JobSpec spec = JobOf("alice", 5, 40, 1000);
+  for (int32_t i = 0; i < 40; ++i) {
+    cluster.upstreams().behavior({5, 0, 0, i}).run_time = Millis(400);
+  }
+  cluster.Submit(cluster.names().front(), spec);
+  cluster.RunFor(Millis(300));
+  BOOST_TEST(cluster.upstreams().AccountMillicores("alice") == 4000);
+  cluster.PublishAccounts({Account("alice", 1000)});
+  cluster.RunFor(Millis(500));
+  cluster.upstreams().SetAccountLimit("alice", 1000);
+  cluster.RunFor(Millis(3000));
+  BOOST_TEST(cluster.upstreams().AccountMillicores("alice") == 1000);
+  cluster.upstreams().SetAccountLimit("alice", 8000);
+  cluster.PublishAccounts({Account("alice", 8000)});
+  cluster.RunFor(Millis(700));
+  BOOST_TEST(cluster.upstreams().AccountMillicores("alice") == 8000);
+  for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
+}
+
+/// Guards against an account that exceeds its limit, at any instant as the
+/// upstreams see it, while entries, the store and upstreams fail.
+BOOST_DATA_TEST_CASE(LimitHoldsUnderFaults,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  LimitSchedule(seed).Play();
+}
+
 }  // namespace mimosarail::jobsim
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -259,6 +259,34 @@
       std::max(upstream.lease_end, std::min(requested_end, max_end));
 }
 
+int64_t UpstreamsFake::AccountMillicores(const std::string& account) const {
+  int64_t sum = 0;
+  for (const auto& [id, upstream] : upstreams_) {
+    if (upstream.faults.terminated) continue;
+    for (const auto& [task, run] : upstream.running) {
+      const auto spec = specs_.find(task.job);
+      if (spec == specs_.end() || spec->second.account != account) continue;
+      sum += StepOf(task)->millicores;
+    }
+  }
+  return sum;
+}
+
+void UpstreamsFake::CheckAccountLimit(const ports::StartCall& call) {
+  const auto spec = specs_.find(call.task.job);
+  if (spec == specs_.end()) return;
+  const auto limit = account_limits_.find(spec->second.account);
+  if (limit == account_limits_.end()) return;
+  const int64_t sum =
+      AccountMillicores(limit->first) + StepOf(call.task)->millicores;
+  if (sum <= limit->second) return;
+  violations_.push_back(
+      "limit of account " + limit->first + " exceeded by " +
+      TaskIdText(call.task) + ": " + std::to_string(sum) + " of " +
+      std::to_string(limit->second) + " at " +
+      std::to_string(clock_.now().time_since_epoch() / Millis(1)));
+}
+
 void UpstreamsFake::CheckStart(const std::string& id, const Upstream& upstream,
                                const ports::StartCall& call) {
   const std::string what = TaskIdText(call.task) + " on " + id;
@@ -276,6 +304,7 @@
   if (cores > upstream.millicores || memory > upstream.memory_mb) {
     violations_.push_back("capacity exceeded: " + what);
   }
+  CheckAccountLimit(call);
   CheckCrashes(call.task);
   for (const auto& [other_id, other] : upstreams_) {
     if (other.faults.terminated) continue;
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -70,6 +70,13 @@
   int64_t fence(const std::string& id) const { return upstreams_.at(id).fence; }
   /// Registers the specification of a job, which the checks of its tasks use.
   void RegisterJob(const wire::JobSpec& spec);
+  /// A start that brings the account above this is recorded as a violation. No
+  /// other accounts have a limit.
+  void SetAccountLimit(const std::string& account, int64_t millicores) {
+    account_limits_[account] = millicores;
+  }
+  /// What the account's tasks take now over all upstreams.
+  int64_t AccountMillicores(const std::string& account) const;
   TaskBehavior& behavior(const TaskId& task) { return behaviors_[task]; }
 
   /// Ends this incarnation at once. Its runs and all completions that no leader
@@ -207,6 +214,7 @@
   void ExtendLease(Upstream& upstream, int64_t until_ms);
   void CheckStart(const std::string& id, const Upstream& upstream,
                   const ports::StartCall& call);
+  void CheckAccountLimit(const ports::StartCall& call);
   /// Lets the task work, or its whole gang once all members have started.
   void BeginWork(const TaskId& task, int64_t attempt);
   void End(const std::string& id, const TaskId& task, uint64_t run,
@@ -230,6 +238,7 @@
   sim::ManualClock& clock_;
   std::map<std::string, Upstream> upstreams_;
   std::map<JobId, wire::JobSpec> specs_;
+  std::map<std::string, int64_t> account_limits_;
   std::map<TaskId, TaskBehavior> behaviors_;
   std::map<TaskId, int> failed_runs_;
   std::map<TaskId, int> done_runs_;
