Leadership: Let followers pass a newer configuration to the leader

Callers would see: a leader that the store turns away leads on by its quorum for up to 30 s. It served keys that had been revoked and kept limits that had been cut, although its followers knew the newer configuration. Cause: versions passed from the leader to followers only. Found by reading.

Change: a leader that hears of a newer version asks that follower for it, one follower at a time, and the next heartbeat contains it. Pushed unasked, 37 followers would send a document of some 350 KB each.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -137,6 +137,11 @@
                },
            .config_version = [this] { return config_.config().version; },
            .config_document = [this] { return config_.document(); },
+           .on_config_offered =
+               [this](const std::string& document) {
+                 // As for a leader's configuration: it may be outdated.
+                 if (config_.known()) config_.Offer(document, "follower");
+               },
            .last_stored =
                [this] {
                  return coordinator_ ? coordinator_->last_stored()
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -29,6 +29,10 @@
 /// Pause after handing over, in which the other entry claims leadership.
 constexpr Millis kLeaderCheckAfterHandOver{1000};
 
+/// Interval at which a leader with an outdated configuration asks a follower
+/// for the newer one: two heartbeats and a margin for a large document.
+constexpr Millis kConfigRequestInterval{600};
+
 using faults::RecordSource;
 using logging::Level;
 using logging::Text;
@@ -199,7 +203,10 @@
 
 void Leadership::SendHeartbeat(const std::string& address) {
   heartbeat_in_flight_ = true;
-  const wire::HeartbeatCall call = MakeHeartbeat();
+  wire::HeartbeatCall call = MakeHeartbeat();
+  if (address == leader_.address && std::exchange(config_wanted_, false)) {
+    call.config = events_.config_document();
+  }
   peers_.Heartbeat(address, call, options_.heartbeat_timeout,
                    [this, address, sent = executor_.Now()](
                        const Result<wire::HeartbeatReply>& reply) {
@@ -262,6 +269,7 @@
   last_leader_answer_ = now;
   leader_clock_ms_ = std::max(leader_clock_ms_, answer.clock_ms);
   if (!answer.loading) NoteLeaderReady();
+  config_wanted_ = answer.config_wanted;
   members_.Apply(answer.members, answer.members_known);
   // By then every live entry has sent a heartbeat to the new leader.
   if (answer.members.empty() && now - following_since_ > kMemberDiscoveryTime) {
@@ -469,11 +477,26 @@
   reply.clock_ms = ClockMs();
   reply.members_known = call.term == term_ ? call.members_known : 0;
   reply.members = changes_.After(reply.members_known);
+  ExchangeConfig(call, reply);
+  return reply;
+}
+
+void Leadership::ExchangeConfig(const wire::HeartbeatCall& call,
+                                wire::HeartbeatReply& reply) {
+  if (!call.config.empty()) events_.on_config_offered(call.config);
   reply.config_version = events_.config_version();
   if (reply.config_version > call.config_version) {
     reply.config = events_.config_document();
   }
-  return reply;
+  // A leader that the store turns away would otherwise keep serving keys that
+  // were revoked, although its followers know the newer configuration. One
+  // follower at a time is asked, since the document may be large.
+  const TimePoint now = executor_.Now();
+  const bool caller_is_newer = !call.caller.address.empty() &&
+                               call.config_version > reply.config_version;
+  if (!caller_is_newer || now < next_config_request_at_) return;
+  next_config_request_at_ = now + kConfigRequestInterval;
+  reply.config_wanted = true;
 }
 
 wire::AnnounceReply Leadership::OnAnnounce(const wire::AnnounceCall& call) {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -92,6 +92,8 @@
     /// Version of the configuration that this entry has, and its document.
     std::function<int64_t()> config_version;
     std::function<std::string()> config_document;
+    /// As leader: a follower has passed on its configuration, which is newer.
+    std::function<void(const std::string& document)> on_config_offered;
     /// Time at which the newest stored append of the leader's own journal was
     /// confirmed.
     std::function<TimePoint()> last_stored;
@@ -189,6 +191,10 @@
   /// Addresses of all entries known to this one, without its own and without
   /// duplicates.
   std::vector<std::string> KnownAddresses() const;
+  /// As leader: gives the caller of a heartbeat the newest configuration, or
+  /// takes it over from the caller.
+  void ExchangeConfig(const wire::HeartbeatCall& call,
+                      wire::HeartbeatReply& reply);
   /// The heartbeat that this entry would send now.
   wire::HeartbeatCall MakeHeartbeat() const;
   void SendHeartbeat(const std::string& address);
@@ -309,6 +315,10 @@
   /// See wire::HeartbeatCall.
   int64_t incarnation_ = 0;
   int64_t leader_clock_ms_ = 0;
+  /// The leader asked for the configuration of this entry.
+  bool config_wanted_ = false;
+  /// As leader: a follower is not asked for its configuration before this time.
+  TimePoint next_config_request_at_{};
   TimePoint next_query_at_{};
   size_t queries_sent_ = 0;
   LeaderTimeoutVotes votes_;
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -19,8 +19,9 @@
  public:
   using Done = Callback<wire::HeartbeatReply>;
 
-  void Heartbeat(const std::string& address, const wire::HeartbeatCall&, Millis,
-                 Done done) override {
+  void Heartbeat(const std::string& address, const wire::HeartbeatCall& call,
+                 Millis, Done done) override {
+    sent[address].push_back(call);
     pending[address].push_back(std::move(done));
   }
   void Announce(const std::string&, const wire::AnnounceCall&, Millis,
@@ -44,6 +45,7 @@
     done(std::move(reply));
   }
 
+  std::map<std::string, std::vector<wire::HeartbeatCall>> sent;
   std::map<std::string, std::vector<Done>> pending;
 };
 
@@ -71,6 +73,9 @@
   ManualEntryClient peers;
   metrics::Registry metrics;
   faults::MalformedRecordReporter malformed_records{metrics};
+  int64_t config_version = 0;
+  /// Configurations that followers have passed on.
+  std::vector<std::string> offered;
   leadership::LeadershipOptions options{.member = MemberAt("self"),
                                         .seeds = {"next:1"}};
   leadership::Leadership self{
@@ -83,8 +88,10 @@
        .on_leadership_lost = [] {},
        .on_leader_ready = [] {},
        .on_heartbeat_reply = [](const wire::HeartbeatReply&) {},
-       .config_version = [] { return int64_t{0}; },
-       .config_document = [] { return std::string(); },
+       .config_version = [this] { return config_version; },
+       .config_document = [] { return std::string("document"); },
+       .on_config_offered =
+           [this](const std::string& document) { offered.push_back(document); },
        .last_stored = [] { return TimePoint{}; },
        .last_stored_sent = [] { return TimePoint{}; }}};
 
@@ -251,4 +258,50 @@
   BOOST_TEST(!self.lease_valid());
 }
 
+/// Guards against a leader that the store turns away and that never learns of
+/// the keys revoked since, although its followers know.
+BOOST_FIXTURE_TEST_CASE(LeaderAsksOneFollowerForItsNewerConfiguration,
+                        Fixture) {
+  self.Start();
+  clock.RunFor(Millis(2000));
+  BOOST_REQUIRE(self.leading());
+  wire::HeartbeatCall call;
+  call.caller = MemberAt("follower");
+  call.term = self.term();
+  BOOST_TEST(!self.OnHeartbeat(call).config_wanted);
+  call.config_version = 7;
+  BOOST_TEST(self.OnHeartbeat(call).config_wanted);
+  wire::HeartbeatCall other = call;
+  other.caller = MemberAt("other");
+  BOOST_TEST(!self.OnHeartbeat(other).config_wanted);
+  call.config = "newer";
+  self.OnHeartbeat(call);
+  BOOST_TEST((offered == std::vector<std::string>{"newer"}));
+  config_version = 7;
+  clock.RunFor(Millis(1000));
+  BOOST_TEST(!self.OnHeartbeat(other).config_wanted);
+}
+
+/// Guards against a follower that does not answer when the leader asks for its
+/// configuration, or that sends it with every heartbeat.
+BOOST_FIXTURE_TEST_CASE(FollowerSendsTheConfigurationThatIsWanted, Fixture) {
+  Store(LeaderRecord(1, "next"));
+  self.Start();
+  clock.RunFor(Millis(500));
+  BOOST_REQUIRE(!peers.pending["next:1"].empty());
+  wire::HeartbeatReply reply;
+  reply.leading = true;
+  reply.term = 1;
+  reply.leader = MemberAt("next");
+  reply.store_reachable = true;
+  reply.config_wanted = true;
+  peers.Answer("next:1", reply);
+  clock.RunFor(Millis(300));
+  BOOST_TEST(peers.sent["next:1"].back().config == "document");
+  reply.config_wanted = false;
+  peers.Answer("next:1", reply);
+  clock.RunFor(Millis(300));
+  BOOST_TEST(peers.sent["next:1"].back().config == "");
+}
+
 }  // namespace mimosarail::jobsim
