Entry: Count a confirmed configuration from when it was asked for

Cause, from the log (config_age_ms 0 and 41 at version 15, while 17 was in force): the entry read an answer of the store that had waited in its socket, and counted it as a confirmation of that moment. Ruled out: the store's delay, since the key had been in force for two rotations.

Change: an answer confirms the configuration as of when it was asked for, on a clock that counts suspended time; a heartbeat's answer likewise. The bound for "current" rises from 1.5 to 2.2 s, two waiting reads.

--- a/src/cellconfig/cell_config_watcher.cc
+++ b/src/cellconfig/cell_config_watcher.cc
@@ -35,7 +35,8 @@
 
 void CellConfigWatcher::ReadNewest() {
   port_.ReadNewest(options_.call_timeout + options_.read_wait,
-                   [this](const Result<ports::ConfigUpdate>& update) {
+                   [this, asked = TimeWithSuspension()](
+                       const Result<ports::ConfigUpdate>& update) {
                      if (!update.ok()) {
                        logging::Event(Level::kWarning, "configuration not read",
                                       {{"cause", update.error().message}});
@@ -47,7 +48,7 @@
                        return RetryLater(&CellConfigWatcher::ReadNewest);
                      }
                      ApplyDocuments(update.value());
-                     events_.on_confirmed();
+                     events_.on_confirmed(asked);
                      ReadChange();
                    });
 }
@@ -55,7 +56,8 @@
 void CellConfigWatcher::ReadChange() {
   port_.ReadChange(
       cursor_, options_.read_wait, options_.read_wait + options_.call_timeout,
-      [this](const Result<ports::ConfigUpdate>& update) {
+      [this, asked = TimeWithSuspension()](
+          const Result<ports::ConfigUpdate>& update) {
         if (update.ok()) {
           if (!std::exchange(reachable_, true)) {
             logging::Event(Level::kInfo, "configuration followed again");
@@ -63,7 +65,7 @@
           cursor_ = update.value().cursor;
           ApplyWaves(update.value());
           ApplyDocuments(update.value());
-          events_.on_confirmed();
+          events_.on_confirmed(asked);
           return ReadChange();
         }
         // The history at the cursor has been removed: only the newest state can
--- a/src/cellconfig/cell_config_watcher.h
+++ b/src/cellconfig/cell_config_watcher.h
@@ -30,9 +30,10 @@
   struct Events {
     /// A new version is in force.
     std::function<void()> on_changed;
-    /// The store has confirmed that there is no version that this entry does
-    /// not know.
-    std::function<void()> on_confirmed;
+    /// When the store was asked, there was no version that this entry does not
+    /// know by now. The time includes the time for which the machine was
+    /// suspended.
+    std::function<void(TimePoint asked)> on_confirmed;
   };
 
   /// The executor, the port and the reporter outlive this object.
@@ -61,6 +62,9 @@
   /// Puts a document in force if it decodes and is newer than the current one.
   void ApplyDocument(const std::string& document, const char* source);
   void ApplyWaves(const ports::ConfigUpdate& update);
+  TimePoint TimeWithSuspension() const {
+    return executor_.Now() + executor_.Suspended();
+  }
   void RetryLater(void (CellConfigWatcher::*next)());
 
   Executor& executor_;
--- a/src/jobentry/access_directory.cc
+++ b/src/jobentry/access_directory.cc
@@ -5,17 +5,15 @@
 
 namespace mimosarail::jobentry {
 
-void AccessDirectory::Publish(std::shared_ptr<const AccessTable> table,
-                              TimePoint now) {
+void AccessDirectory::Publish(std::shared_ptr<const AccessTable> table) {
   const std::lock_guard lock(mutex_);
   // The previous table is released after the lock.
   table_.swap(table);
-  confirmed_at_ = std::max(confirmed_at_, now);
 }
 
-void AccessDirectory::Confirm(TimePoint now) {
+void AccessDirectory::Confirm(TimePoint when) {
   const std::lock_guard lock(mutex_);
-  confirmed_at_ = std::max(confirmed_at_, now);
+  confirmed_at_ = std::max(confirmed_at_, when);
 }
 
 AccessView AccessDirectory::View(TimePoint now) const {
--- a/src/jobentry/access_directory.h
+++ b/src/jobentry/access_directory.h
@@ -10,8 +10,9 @@
 
 struct AccessDirectoryOptions {
   /// A configuration that was confirmed as the newest within this time counts
-  /// as current. Longer than one read for changes, 0.9 s and its timeout.
-  Millis current_for{1500};
+  /// as current. Longer than two reads for changes, each of which waits 0.9 s:
+  /// a read confirms as of when it was sent.
+  Millis current_for{2200};
   /// Keys are refused while the configuration has not been confirmed for this
   /// long, since they may have been revoked. With 0, an entry that learns of no
   /// revocation keeps accepting the keys that it knows.
@@ -38,10 +39,10 @@
   explicit AccessDirectory(AccessDirectoryOptions options)
       : options_(options) {}
 
-  /// Replaces the table, which counts as confirmed at `now`.
-  void Publish(std::shared_ptr<const AccessTable> table, TimePoint now);
-  /// The table was the newest one at `now`.
-  void Confirm(TimePoint now);
+  /// Replaces the table. It is not confirmed as the newest thereby.
+  void Publish(std::shared_ptr<const AccessTable> table);
+  /// The table was the newest one at this time.
+  void Confirm(TimePoint when);
   AccessView View(TimePoint now) const;
 
  private:
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -124,7 +124,8 @@
       malformed_records_(deps_.metrics),
       config_(deps_.executor, deps_.config, malformed_records_, options_.config,
               {.on_changed = [this] { OnConfigChanged(); },
-               .on_confirmed = [this] { access_.Confirm(AccessTime()); }}),
+               .on_confirmed =
+                   [this](TimePoint asked) { access_.Confirm(asked); }}),
       leadership_(
           deps_.executor, deps_.store, deps_.peers, malformed_records_,
           options_.leadership,
@@ -132,8 +133,8 @@
            .on_leadership_lost = [this] { OnLeadershipLost(); },
            .on_leader_ready = [this] { waiting_calls_.ReleaseAll(); },
            .on_heartbeat_reply =
-               [this](const wire::HeartbeatReply& reply) {
-                 OnHeartbeatReply(reply);
+               [this](const wire::HeartbeatReply& reply, TimePoint sent) {
+                 OnHeartbeatReply(reply, sent);
                },
            .config_version = [this] { return config_.config().version; },
            .config_document = [this] { return config_.document(); },
@@ -155,7 +156,8 @@
 
 JobEntry::~JobEntry() = default;
 
-void JobEntry::OnHeartbeatReply(const wire::HeartbeatReply& reply) {
+void JobEntry::OnHeartbeatReply(const wire::HeartbeatReply& reply,
+                                TimePoint sent) {
   last_leader_reply_ = deps_.executor.Now();
   // A leader that cannot reach the store may have an outdated configuration. An
   // entry without a configuration does not accept it; an entry with one accepts
@@ -163,12 +165,19 @@
   const bool usable = reply.store_reachable || config_.known();
   if (!reply.config.empty() && usable) config_.Offer(reply.config, "leader");
   const bool newest = config_.config().version >= reply.config_version;
-  if (reply.store_reachable && newest) access_.Confirm(AccessTime());
+  // A process that was paused reads replies that it got before the pause, or
+  // during it. Counted from their arrival, an entry would refuse keys for good
+  // that were added meanwhile.
+  const Millis suspended = deps_.executor.Suspended();
+  const bool was_suspended =
+      std::exchange(suspended_at_last_leader_reply_, suspended) != suspended;
+  if (reply.store_reachable && newest && !was_suspended) {
+    access_.Confirm(sent + suspended);
+  }
 }
 
 void JobEntry::OnConfigChanged() {
-  access_.Publish(std::make_shared<const AccessTable>(config_.config()),
-                  AccessTime());
+  access_.Publish(std::make_shared<const AccessTable>(config_.config()));
   if (coordinator_) coordinator_->OnAccountsChanged();
 }
 
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -122,7 +122,7 @@
   const std::set<std::string>* ConfiguredPools() const;
   /// A new version of the configuration is in force.
   void OnConfigChanged();
-  void OnHeartbeatReply(const wire::HeartbeatReply& reply);
+  void OnHeartbeatReply(const wire::HeartbeatReply& reply, TimePoint sent);
   /// A clock that does not stop while the machine is suspended: keys may be
   /// revoked meanwhile. Thread-safe.
   TimePoint AccessTime() const {
@@ -169,6 +169,8 @@
   TimePoint store_checked_at_{};
   std::vector<std::function<void(bool)>> store_check_waiters_;
   TimePoint last_leader_reply_{};
+  /// How long this machine had been suspended at that time.
+  Millis suspended_at_last_leader_reply_{0};
   std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -275,7 +275,7 @@
   if (answer.members.empty() && now - following_since_ > kMemberDiscoveryTime) {
     members_.RemoveFromEarlierTerms();
   }
-  events_.on_heartbeat_reply(answer);
+  events_.on_heartbeat_reply(answer, sent);
   if (!answer.store_reachable) {
     Suspect(Suspicion::kStoreUnreachable, "leader cannot reach the store");
   }
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -87,8 +87,9 @@
     std::function<void()> on_leadership_lost;
     /// The current leader, this entry or another one, now takes calls.
     std::function<void()> on_leader_ready;
-    /// A leader answered a heartbeat.
-    std::function<void(const wire::HeartbeatReply&)> on_heartbeat_reply;
+    /// A leader answered a heartbeat that was sent at `sent`.
+    std::function<void(const wire::HeartbeatReply&, TimePoint sent)>
+        on_heartbeat_reply;
     /// Version of the configuration that this entry has, and its document.
     std::function<int64_t()> config_version;
     std::function<std::string()> config_document;
