--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -28,13 +28,13 @@
 constexpr int kMaxRetries = 6;
 constexpr size_t kMaxSteps = 2;
 constexpr size_t kMaxTasks = 3;
-constexpr int kTaskMillicores = 400;
 constexpr int kEstimateMs = 200;
 /// Share of calls about accepted jobs; the rest submits new jobs.
 constexpr size_t kAcceptedJobPercent = 40;
 /// Shares among the calls about accepted jobs; the rest queries the state.
 constexpr size_t kCancelPercent = 10;
 constexpr size_t kResubmitPercent = 8;
+constexpr size_t kNotPermittedPercent = 15;
 /// Share of calls to a random entry instead of the caller's home entry.
 constexpr size_t kOtherEntryPercent = 15;
 /// Share of refused submissions that are not retried.
@@ -50,19 +50,45 @@
 
 }  // namespace
 
-CallerClient::CallerClient(asio::io_context& io, ConsistencyChecker& checker)
+CallerClient::CallerClient(asio::io_context& io, ConsistencyChecker& checker,
+                           const AccountKeys& keys)
     : checker_(checker),
+      keys_(keys),
       client_(io, {.max_connections = kMaxConnections, .max_idle = kMaxIdle}) {}
 
+std::vector<http::Header> CallerClient::Headers(
+    const CallerRequest& call) const {
+  std::vector<http::Header> out{
+      {"Host", kHost},
+      {"Content-Type", "application/json"},
+      {"X-Deadline-Ms", std::to_string(call.limit.count())}};
+  const std::string scheme = "Token ";
+  switch (call.key) {
+    case CallerKey::kOwner:
+      out.emplace_back("Authorization",
+                       scheme + keys_.Valid(AccountOf(call.job)));
+      break;
+    case CallerKey::kOtherAccount:
+      out.emplace_back("Authorization",
+                       scheme + keys_.Valid(OtherAccount(call.job)));
+      break;
+    case CallerKey::kRevoked:
+      out.emplace_back("Authorization",
+                       scheme + keys_.Revoked(AccountOf(call.job)));
+      break;
+    case CallerKey::kNone:
+      break;
+  }
+  return out;
+}
+
 void CallerClient::Call(Entry& entry, const CallerRequest& call,
                         std::function<void(CallerReply)> done) {
   client_.Call(
       entry.front(),
       {.method = call.method,
        .target = kPrefix + JobIdText(call.job),
-       .headers = {{"Host", kHost},
-                   {"Content-Type", "application/json"},
-                   {"X-Deadline-Ms", std::to_string(call.limit.count())}},
+       .headers = Headers(call),
        .body = call.body},
       call.limit,
       [this, &entry, call, sent = Clock::now(),
@@ -93,6 +119,10 @@
     return out;
   }
   out.status = response.value().status;
+  if (call.key != CallerKey::kOwner) {
+    CheckDenial(entry, call, sent, out.status);
+    return out;
+  }
   const bool submission_unknown = out.status == 410 && call.method == "POST";
   if (kStatuses.count(out.status) == 0 || submission_unknown) {
     checker_.AddFinding("status " + std::to_string(out.status) + ": " + what);
@@ -108,6 +138,21 @@
   return out;
 }
 
+void CallerClient::CheckDenial(const Entry& entry, const CallerRequest& call,
+                               TimePoint sent, int status) {
+  const bool no_answer = status == 503 || status == 504;
+  const int denial = call.key == CallerKey::kOtherAccount ? 410 : 401;
+  if (no_answer || status == denial) return;
+  // An entry that was stopped answers what it had read before it learns of the
+  // revocation.
+  const bool excused = call.key == CallerKey::kRevoked &&
+                       entry.last_fault_at() > sent - kRecoveryTime;
+  if (excused) return;
+  checker_.AddFinding("status " + std::to_string(status) + " instead of " +
+                      std::to_string(denial) + ": " + call.method + " " +
+                      JobIdText(call.job) + " at " + entry.name());
+}
+
 Entry& Callers::PickEntry(size_t caller) {
   const size_t at = random_.Percent(kOtherEntryPercent)
                         ? random_.Below(entries_.size())
@@ -137,9 +182,21 @@
   if (random_.Percent(kResubmitPercent)) {
     return Submit(caller, id, PickEntry(caller), kMaxRetries);
   }
+  if (random_.Percent(kNotPermittedPercent)) {
+    return QueryWithoutPermission(caller, id);
+  }
   QueryOrCancel(caller, id, random_.Percent(kCancelPercent));
 }
 
+void Callers::QueryWithoutPermission(size_t caller, JobId id) {
+  constexpr CallerKey kKeys[] = {CallerKey::kOtherAccount, CallerKey::kRevoked,
+                                 CallerKey::kNone};
+  client_.Call(
+      PickEntry(caller),
+      {.job = id, .key = kKeys[random_.Below(std::size(kKeys))]},
+      [this, caller](const CallerReply&) { ScheduleNextCall(caller); });
+}
+
 void Callers::SubmitNew(size_t caller) {
   const JobId id = random_.Any();
   JobRecord& job = checker_.jobs()[id];
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -9,18 +9,23 @@
 #include "src/jobs/task_id.h"
 #include "src/libs/base/executor.h"
 #include "src/libs/http/client.h"
+#include "tests/soak/account_keys.h"
 #include "tests/soak/consistency_checker.h"
 #include "tests/soak/entries.h"
 #include "tests/soak/faults.h"
 
 namespace mimosarail::soak {
 
+/// Whose key a call carries.
+enum class CallerKey { kOwner, kOtherAccount, kRevoked, kNone };
+
 struct CallerRequest {
   std::string method = "GET";
   JobId job = 0;
   std::string body{};
   /// How long the caller waits for an answer.
   Millis limit{3000};
+  CallerKey key = CallerKey::kOwner;
 };
 
 /// The answer of an entry to a caller.
@@ -44,7 +49,8 @@
   static constexpr const char* kHost = "soak.example";
   static constexpr const char* kPrefix = "/soak/";
 
-  CallerClient(asio::io_context& io, ConsistencyChecker& checker);
+  CallerClient(asio::io_context& io, ConsistencyChecker& checker,
+               const AccountKeys& keys);
   void Call(Entry& entry, const CallerRequest& call,
             std::function<void(CallerReply)> done);
 
@@ -52,7 +58,13 @@
   CallerReply Check(const Entry& entry, const CallerRequest& call,
                     TimePoint sent, const Result<http::Response>& response);
 
+  /// Checks the answer to a call that its key does not permit.
+  void CheckDenial(const Entry& entry, const CallerRequest& call,
+                   TimePoint sent, int status);
+  std::vector<http::Header> Headers(const CallerRequest& call) const;
+
   ConsistencyChecker& checker_;
+  const AccountKeys& keys_;
   http::Client client_;
 };
 
@@ -84,6 +96,8 @@
   void Submit(size_t caller, JobId id, Entry& entry, int retries);
   void OnSubmitReply(size_t caller, JobId id, Entry& entry, int retries,
                      const CallerReply& reply);
+  /// Queries an accepted job with a key that does not permit it.
+  void QueryWithoutPermission(size_t caller, JobId id);
   /// Queries or cancels an accepted job.
   void QueryOrCancel(size_t caller, JobId id, bool cancel);
   /// An entry reports an accepted job as unknown.
--- a/tests/soak/consistency_checker.cc
+++ b/tests/soak/consistency_checker.cc
@@ -2,6 +2,8 @@
 
 #include <iterator>
 
+#include "tests/soak/account_keys.h"
+
 namespace mimosarail::soak {
 
 std::string Payload(JobId id) { return "payload of " + JobIdText(id); }
@@ -89,7 +91,8 @@
   if (status.acknowledged) {
     AddFinding("started after its completion was acknowledged: " + what);
   }
-  status.runs_on.insert(upstream);
+  if (status.runs_on.insert(upstream).second) ++running_[AccountOf(task.job)];
+  CheckAccountLimit(task, what);
   if (!status.done) return;
   for (auto& [name, completions] : unacknowledged_) {
     for (auto& [number, completion] : completions) {
@@ -98,10 +101,19 @@
   }
 }
 
+void ConsistencyChecker::CheckAccountLimit(const TaskId& task,
+                                           const std::string& what) {
+  const std::string account = AccountOf(task.job);
+  const int millicores = running_[account] * kTaskMillicores;
+  if (millicores <= kAccountMillicores) return;
+  AddFinding("limit of account " + account + " exceeded by " + what + ": " +
+             std::to_string(millicores));
+}
+
 void ConsistencyChecker::OnEnd(const std::string& upstream, const TaskId& task,
                                int64_t completion_number) {
   TaskStatus& status = tasks_[task];
-  status.runs_on.erase(upstream);
+  if (status.runs_on.erase(upstream) > 0) --running_[AccountOf(task.job)];
   if (completion_number == 0) return;
   status.done = true;
   unacknowledged_[upstream][completion_number] = {.task = task};
--- a/tests/soak/consistency_checker.h
+++ b/tests/soak/consistency_checker.h
@@ -77,6 +77,9 @@
   }
 
  private:
+  /// Checks that the account of a started task is within its limit.
+  void CheckAccountLimit(const TaskId& task, const std::string& what);
+
   struct TaskStatus {
     std::set<std::string> runs_on;
     bool done = false;
@@ -97,6 +100,8 @@
   std::vector<std::string> findings_;
   std::map<JobId, JobRecord> jobs_;
   std::map<TaskId, TaskStatus> tasks_;
+  /// Number of running tasks by account.
+  std::map<std::string, int> running_;
   /// By upstream and completion number.
   std::map<std::string, std::map<int64_t, UnacknowledgedCompletion>>
       unacknowledged_;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -4,7 +4,6 @@
 #include <cstdio>
 #include <filesystem>
 #include <memory>
-#include <nlohmann/json.hpp>
 
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
@@ -22,8 +21,6 @@
 namespace mimosarail::soak {
 namespace {
 
-using Json = nlohmann::json;
-
 constexpr const char* kPool = "soak-pool";
 constexpr size_t kUpstreams = 4;
 constexpr size_t kCallers = 24;
@@ -47,18 +44,6 @@
 constexpr Millis kMinDowntime{450};
 constexpr Millis kMaxDowntime{2500};
 
-std::string Config() {
-  return Json{{"version", 1},
-              {"routes",
-               {{{"name", "soak"},
-                 {"host", CallerClient::kHost},
-                 {"prefix", CallerClient::kPrefix},
-                 {"service", kPool},
-                 {"maxAttempts", 3}}}},
-              {"services", {{{"name", kPool}}}}}
-      .dump();
-}
-
 /// One run: fakes of the platform and callers on one thread, entries as
 /// processes.
 class Soak {
@@ -67,7 +52,7 @@
       : folder_(folder),
         checker_(folder + "/run.log"),
         store_(io_, executor_, kStoreFaults, NextSeed()),
-        client_(io_, checker_) {}
+        client_(io_, checker_, keys_) {}
 
   bool Run() {
     if (!StartPlatform()) return Report();
@@ -85,7 +70,7 @@
 
   bool StartPlatform() {
     store_address_ = store_.Start();
-    store_.log().Put("keyed.op", "config", Config());
+    PublishKeys();
     for (size_t i = 0; i < kUpstreams; ++i) {
       upstreams_.push_back(std::make_unique<UpstreamServerFake>(
           io_, executor_, checker_, "upstream-" + std::to_string(i),
@@ -96,6 +81,16 @@
     return !store_address_.empty();
   }
 
+  void PublishKeys() {
+    store_.log().Put(
+        "keyed.op", "config",
+        keys_.Config(CallerClient::kHost, CallerClient::kPrefix, kPool));
+    executor_.RunAfter(kKeyRotationPeriod, [this] {
+      keys_.Rotate();
+      PublishKeys();
+    });
+  }
+
   void ListUpstream(const UpstreamServerFake& upstream) {
     store_.log().Put("keyed.servers", upstream.id(), upstream.ListEntry(kPool));
   }
@@ -190,6 +185,7 @@
   StoreServerFake store_;
   std::string store_address_;
   std::vector<std::unique_ptr<UpstreamServerFake>> upstreams_;
+  AccountKeys keys_;
   CallerClient client_;
   Entries entries_;
   Callers callers_{executor_, client_, checker_, entries_, NextSeed()};
