--- a/src/scheduling/account_ledger.h
+++ b/src/scheduling/account_ledger.h
@@ -55,8 +55,8 @@
     return all_[account].limit;
   }
 
-  /// Takes over the limits of these accounts; other accounts keep theirs. Before
-  /// the first call, no task of any account may start.
+  /// Takes over the limits of these accounts; other accounts keep theirs.
+  /// Before the first call, no task of any account may start.
   void SetLimits(const std::vector<ports::AccountConfig>& accounts);
 
   void Charge(AccountIndex account, const Amount& size);
