Fleet: Do not take a report that waited for a paused process for fresh

Callers saw: jobs that never end ("queued" for 60 s), or tasks that run again after their end was acknowledged.

Cause: a leader is stopped (SIGSTOP) while a report waits in its socket, and the upstream restarts meanwhile. When it resumes, the report counts as of now, so the next renewal, 25 ms later, carries the acknowledgement of the former incarnation, and the new one discards ends that nobody has seen.

Change: a report counts from when the upstream wrote it, by the upstream's clock. Upstreams that have a new id after a restart are not affected.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -76,6 +76,13 @@
   return upstream_clock_ms_ + elapsed.count() + options_.lease.count();
 }
 
+TimePoint UpstreamLink::ReportTime(int64_t clock_ms) const {
+  const TimePoint now = executor_.Now();
+  if (upstream_clock_ms_ == 0) return now;
+  return std::min(
+      now, upstream_clock_received_at_ + Millis(clock_ms - upstream_clock_ms_));
+}
+
 void UpstreamLink::RecordUpstreamClock(int64_t clock_ms) {
   // The upstream may have read its clock just before it replied, a second after
   // the call if the renewal waited for a completion. The clock reading is
@@ -199,8 +206,8 @@
     leases_end_ = std::max(leases_end_,
                            executor_.Now() + MaxLeaseDuration(options_.lease));
   }
+  last_report_at_ = ReportTime(reply.call.clock_ms);
   RecordUpstreamClock(reply.call.clock_ms);
-  last_report_at_ = executor_.Now();
   suspended_at_last_report_ = executor_.Suspended();
   call_unanswered_ = false;
   all_runs_ended_ = false;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -171,6 +171,10 @@
   bool LeasesExpired() const;
   int64_t LeaseEndOnUpstreamClock() const;
   void RecordUpstreamClock(int64_t clock_ms);
+  /// When the upstream wrote a report, by its clock. A process that was paused
+  /// reads reports that have waited for it: counted from their arrival, they
+  /// would make a restarted upstream discard completions that nobody has seen.
+  TimePoint ReportTime(int64_t clock_ms) const;
 
   Executor& executor_;
   ports::TaskPort& tasks_;
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -305,6 +305,19 @@
   BOOST_TEST(calls.renewals[before + 1].call.acked_completions == 0);
 }
 
+/// Guards against completions that are discarded unread: the leader was paused
+/// while a report waited for it, and the upstream has restarted.
+BOOST_FIXTURE_TEST_CASE(NothingIsAcknowledgedAfterAReportThatWaited,
+                        RestartFixture) {
+  clock.RunFor(Millis(3000));
+  Reply(last(), 5020, {}, {});
+  clock.RunFor(Millis(50));
+  BOOST_TEST(calls.renewals[last()].call.acked_completions == 0);
+  Reply(last(), 8100, {}, {});
+  clock.RunFor(Millis(50));
+  BOOST_TEST(calls.renewals[last()].call.acked_completions == 40);
+}
+
 /// Guards against completions that are discarded unread: those of the previous
 /// incarnation are stored only now.
 BOOST_FIXTURE_TEST_CASE(LateAcknowledgementIsOfThePreviousIncarnation,
