Scheduling: Count unreported runs of steps that are not ready yet

Users would see: an account above its limit for a moment after a change of the leader. The earlier leader starts a step as soon as the ends of its predecessor are reported, while their record is still on its way to the store. If it dies then, the next leader loads the step as one that can't have started, did not count its runs, and started others of the account. Found by reading the change.

Change: until all upstreams have reported, every waiting task of a loaded job counts, whatever its step waits for. It costs a moment's waiting in that time.

--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -123,7 +123,9 @@
     const Job& job = record->job;
     for (int32_t k = 0; k < job.occurrences(); ++k) {
       for (int32_t s = 0; s < job.steps(); ++s) {
-        if (!job.final() && !job.StepReady(k, s)) continue;
+        // Also steps whose predecessors are not done: their ends may have been
+        // reported to the earlier leader and not stored. It may have started
+        // such a step.
         accounts.AddUnreported(record->account, TaskCharge(job.step(s)),
                                job.step_counts(k, s).waiting);
       }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -235,7 +235,9 @@
     /// Runs of this job may exist that no upstream has reported yet. No task of
     /// it starts.
     bool may_have_unreported_runs = false;
-    /// As may_have_unreported_runs, but also while the job is being stopped.
+    /// Its waiting tasks are charged to the account as if they ran, since runs
+    /// of this job may exist that no upstream has reported yet. Unlike
+    /// may_have_unreported_runs, also set for cancelled and failed jobs.
     bool counts_as_unreported = false;
     /// When the job became final; unset if it was final when loaded.
     std::optional<TimePoint> ended_at;
--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -592,6 +592,23 @@
   BOOST_TEST(test.Place().empty());
 }
 
+/// Guards against a new leader that does not count the runs of a step whose
+/// predecessor had ended, since that end was not stored yet.
+BOOST_AUTO_TEST_CASE(UnreportedRunsOfLaterStepsCountAgainstTheLimit) {
+  LimitedScheduler test(4000);
+  wire::JobSpec spec = JobOf("alice", 1, 1, 500);
+  spec.steps.push_back(spec.steps[0]);
+  spec.steps[1].tasks = 3;
+  spec.steps[1].millicores = 1000;
+  spec.steps[1].after = {0};
+  wire::ProgressRecord running;
+  running.state = static_cast<int32_t>(JobState::kRunning);
+  test.scheduler.Load(spec, running, test.now, 0);
+  test.Add(JobOf("alice", 2, 4, 1000));
+  test.scheduler.Tick(test.now, 0);
+  BOOST_TEST(test.Place().empty());
+}
+
 /// Guards against charges that remain after a run has ended, or that end before
 /// it, whatever order losses, duplicates and late ends come in.
 BOOST_AUTO_TEST_CASE(ChargesMatchTheReservations) {
