--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -348,6 +348,8 @@
   };
   const std::vector<http::Header> good{{"authorization", "token  k-1"}};
   BOOST_TEST(platform::ReadKey(good).key == "k-1");
+  const std::vector<http::Header> padded{{"Authorization", "Token k-1 \t"}};
+  BOOST_TEST(platform::ReadKey(padded).key == "k-1");
   BOOST_TEST((read({}) == KeyFault::kMissing));
   BOOST_TEST((read({{"Authorization", "Token a"},
                     {"authorization", "Token a"}}) == KeyFault::kRepeated));
