Scheduling: Let no step hold up its account that waits for long-running tasks

Callers would see: all work of an account waits for as long as it has, for instance, services that take half of its limit and one gang that needs more than the other half. Found by reading the change.

Change: the ledger knows which runs don't end by themselves; a step holds up the others only if it fits beside those. What a run is charged is one value now.

Evidence: accounts_test GangThatWaitsForLongRunningTasksBlocksNoOther: no start instead of one without it; a guard.

--- a/src/scheduling/account_ledger.cc
+++ b/src/scheduling/account_ledger.cc
@@ -39,12 +39,11 @@
   }
 }
 
-void AccountLedger::Charge(AccountIndex account, const Amount& size) {
-  if (account != kNoAccount) all_[account].charged.Add(size);
-}
-
-void AccountLedger::Refund(AccountIndex account, const Amount& size) {
-  if (account != kNoAccount) all_[account].charged.Add(size, -1);
+void AccountLedger::Add(const RunCharge& run, int64_t count) {
+  if (run.account == kNoAccount) return;
+  Account& account = all_[run.account];
+  account.charged.Add(run.size, count);
+  if (run.long_running) account.long_running.Add(run.size, count);
 }
 
 void AccountLedger::ClearUnreported() {
@@ -75,4 +74,12 @@
          FitCount(all_[account].limit, {}, size) >= tasks;
 }
 
+bool AccountLedger::FitsBesideLongRunning(AccountIndex account,
+                                          const Amount& size,
+                                          int32_t tasks) const {
+  return account == kNoAccount ||
+         FitCount(all_[account].limit, all_[account].long_running, size) >=
+             tasks;
+}
+
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/account_ledger.h
+++ b/src/scheduling/account_ledger.h
@@ -34,6 +34,14 @@
   friend bool operator==(const AmountSum&, const AmountSum&) = default;
 };
 
+/// What one run counts towards the limit of its account.
+struct RunCharge {
+  AccountIndex account = kNoAccount;
+  Amount size{};
+  /// The run does not end by itself.
+  bool long_running = false;
+};
+
 /// What the tasks of each client account take over all upstreams, and how much
 /// more may start under the account's limit. A run is charged from its start
 /// order until it certainly has ended. Not thread-safe.
@@ -59,8 +67,8 @@
   /// Before the first call, no task of any account may start.
   void SetLimits(const std::vector<ports::AccountConfig>& accounts);
 
-  void Charge(AccountIndex account, const Amount& size);
-  void Refund(AccountIndex account, const Amount& size);
+  void Charge(const RunCharge& run) { Add(run, 1); }
+  void Refund(const RunCharge& run) { Add(run, -1); }
 
   /// Runs that an earlier leader may have started, and that no upstream has
   /// reported yet, count as well.
@@ -71,12 +79,20 @@
   int32_t FreeTasks(AccountIndex account, const Amount& size) const;
   /// Whether the limit permits this many tasks at once if nothing else runs.
   bool EverFits(AccountIndex account, const Amount& size, int32_t tasks) const;
+  /// Whether the limit permits this many tasks at once if, of what runs now,
+  /// only the long-running tasks remain.
+  bool FitsBesideLongRunning(AccountIndex account, const Amount& size,
+                             int32_t tasks) const;
 
  private:
+  void Add(const RunCharge& run, int64_t count);
+
   struct Account {
     std::string name;
     ports::AccountLimit limit;
     AmountSum charged;
+    /// The part of `charged` for long-running tasks.
+    AmountSum long_running;
     AmountSum unreported;
   };
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -208,6 +208,13 @@
   return false;
 }
 
+RunCharge Scheduler::ChargeOf(const JobRecord& record, int32_t step) {
+  const wire::StepSpec& spec = record.job.step(step);
+  return {.account = record.account,
+          .size = TaskCharge(spec),
+          .long_running = spec.long_running};
+}
+
 int32_t Scheduler::TasksWithinLimit(const JobRecord& record,
                                     const StepId& id) const {
   const int32_t waiting =
@@ -223,8 +230,10 @@
   if (TasksWithinLimit(record, id) >= needed) return false;
   // The account's later steps wait too. Otherwise a wide gang would wait for as
   // long as small steps of its account keep taking what becomes free. A step
-  // that never fits would block them forever.
-  if (pool_.accounts().EverFits(record.account, TaskCharge(step), needed)) {
+  // that does not fit even after all runs have ended that end by themselves
+  // would block them forever.
+  if (pool_.accounts().FitsBesideLongRunning(record.account, TaskCharge(step),
+                                             needed)) {
     accounts_at_limit_.insert(record.account);
   }
   return true;
@@ -385,8 +394,7 @@
   task.expected_end = ExpectedEnd(job.step(id.step), now);
   pool_.Reserve(upstream, id, attempt,
                 {.amount = TaskResources(job.step(id.step)),
-                 .account = record.account,
-                 .charge = TaskCharge(job.step(id.step)),
+                 .charge = ChargeOf(record, id.step),
                  .expected_end = task.expected_end,
                  .reserved_at = now});
   pool_.NoteStartOrdered(upstream);
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -89,8 +89,7 @@
   const wire::StepSpec& step = record.job.step(running.task.step);
   pool_.Reserve(upstream, running.task, running.attempt,
                 {.amount = TaskResources(step),
-                 .account = record.account,
-                 .charge = TaskCharge(step),
+                 .charge = ChargeOf(record, running.task.step),
                  .expected_end = ExpectedEnd(step, now),
                  .reserved_at = now});
   pool_.NoteListed(upstream, running.task, running.attempt, now);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -289,6 +289,8 @@
   /// Sums up the tasks that may run without having been reported, for the
   /// limits of their accounts.
   void CountUnreportedRuns();
+  /// Returns what each run of a task of the step is charged.
+  static RunCharge ChargeOf(const JobRecord& record, int32_t step);
   /// Returns how many waiting tasks of the step its account's limit permits.
   int32_t TasksWithinLimit(const JobRecord& record, const StepId& id) const;
   /// Whether the step has to wait because of its account's limit. If so, the
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -80,7 +80,7 @@
   index_by_id_.erase(upstream.entry.id);
   std::erase(indexes_in_use_, index);
   for (const auto& [run, reservation] : upstream.reservations) {
-    accounts_.Refund(reservation.account, reservation.charge);
+    accounts_.Refund(reservation.charge);
   }
   upstream.reservations.clear();
   upstream.suspect_runs.clear();
@@ -107,7 +107,7 @@
   if (upstream.reservations.emplace(std::pair(task, attempt), reservation)
           .second) {
     upstream.free -= reservation.amount;
-    accounts_.Charge(reservation.account, reservation.charge);
+    accounts_.Charge(reservation.charge);
   }
 }
 
@@ -150,7 +150,7 @@
   const auto found = upstream.reservations.find({task, attempt});
   if (found == upstream.reservations.end()) return false;
   upstream.free += found->second.amount;
-  accounts_.Refund(found->second.account, found->second.charge);
+  accounts_.Refund(found->second.charge);
   upstream.reservations.erase(found);
   return true;
 }
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -33,9 +33,7 @@
 /// Resources reserved by one run.
 struct Reservation {
   Amount amount;
-  /// The account that the run is charged to, and what it is charged.
-  AccountIndex account = kNoAccount;
-  Amount charge{};
+  RunCharge charge{};
   /// When the run is expected to end; an estimate that is used only to predict
   /// free capacity. TimePoint::max() for a long-running task.
   TimePoint expected_end{};
--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -611,6 +611,22 @@
   BOOST_TEST(test.Place().empty());
 }
 
+/// Guards against an account whose work waits forever behind a gang that does
+/// not fit beside the long-running tasks of the account.
+BOOST_AUTO_TEST_CASE(GangThatWaitsForLongRunningTasksBlocksNoOther) {
+  LimitedScheduler test(4000);
+  test.Resolve();
+  wire::JobSpec lasting = JobOf("alice", 1, 2, 1000);
+  lasting.steps[0].long_running = true;
+  test.Add(lasting);
+  BOOST_REQUIRE(test.Place().size() == 2U);
+  test.Add(JobOf("alice", 2, 3, 1000, true));
+  test.Add(JobOf("alice", 3, 1, 1000));
+  const auto starts = test.Place();
+  BOOST_REQUIRE(starts.size() == 1U);
+  BOOST_TEST(starts[0].task.job == 3U);
+}
+
 /// Guards against charges that remain after a run has ended, or that end before
 /// it, whatever order losses, duplicates and late ends come in.
 BOOST_AUTO_TEST_CASE(ChargesMatchTheReservations) {
@@ -646,9 +662,9 @@
       const auto millicores = static_cast<int32_t>(100 * (1 + job));
       scheduling::Amount size;
       size[scheduling::Dimension::kCores] = millicores;
-      pool.Reserve(
-          upstream, task, attempt,
-          {.amount = size, .account = accounts[job % 3], .charge = size});
+      pool.Reserve(upstream, task, attempt,
+                   {.amount = size,
+                    .charge = {.account = accounts[job % 3], .size = size}});
       expected.try_emplace({upstream, job, attempt}, job % 3, millicores);
     } else {
       pool.Release(upstream, task, attempt);
