Scheduling: Exempt jobs without an account from limits explicitly

It held before because a queued step always has a waiting task. If that ever failed, one such step would have held up all jobs of a deployment without accounts for a pass. No behaviour changes.

--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -225,6 +225,7 @@
 }
 
 bool Scheduler::AccountBlocks(const JobRecord& record, const StepId& id) {
+  if (record.account == kNoAccount) return false;
   const wire::StepSpec& step = record.job.step(id.step);
   const int32_t needed = step.gang ? step.tasks : 1;
   if (TasksWithinLimit(record, id) >= needed) return false;
