--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -49,6 +49,8 @@
 /// Fractional settings are stored as hundredths of their unit.
 constexpr double kHundredthsPerUnit = 100;
 constexpr int64_t kMsPerCentisecond = 10;
+/// 0.01 Mbit in bytes.
+constexpr int64_t kBytesPerCentiMbit = 1250;
 /// Time reserved at shutdown for the last answers to reach callers.
 constexpr Millis kLastAnswerTime{700};
 /// How often a shutdown checks whether all requests are answered.
@@ -61,6 +63,16 @@
 /// How often the settings file is read again; it may change without a SIGHUP.
 constexpr Millis kSettingsCheckPeriod{2000};
 
+scheduling::SchedulerOptions MakeSchedulerOptions(const JobSettings& s) {
+  return {.queue_order = scheduling::kQueueOrderNames.Find(s.queue_order)
+                             .value_or(scheduling::QueueOrder::kPriority),
+          .priority_price = static_cast<double>(s.priority_price_percent) /
+                            kHundredthsPerUnit,
+          .upstream_speed_spread =
+              static_cast<double>(s.upstream_speed_spread_percent) /
+              kHundredthsPerUnit};
+}
+
 jobentry::JobEntryOptions MakeOptions(const JobSettings& s) {
   jobentry::JobEntryOptions out;
   out.leadership.member.name = s.name;
@@ -73,6 +85,11 @@
   out.leadership.store_unreachable_after = Millis(s.store_unreachable_after_ms);
   out.leadership.leader_lease = Millis(s.leader_lease_ms);
   out.leadership.member.fitness = static_cast<int32_t>(s.cpu_percent);
+  out.coordinator.scheduler = MakeSchedulerOptions(s);
+  out.coordinator.admission =
+      coordinator::kAdmissionPolicyNames.Find(s.admission)
+          .value_or(coordinator::AdmissionPolicy::kCapacity);
+  out.coordinator.link_kb_per_s = s.link_centi_mbps * kBytesPerCentiMbit / 1000;
   out.coordinator.task_lease = Millis(s.lease_ms);
   out.coordinator.upstream_list_period = Millis(s.upstream_list_period_ms);
   out.coordinator.maintenance_duration =
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -32,12 +32,20 @@
 /// leader have higher numbers than all earlier ones.
 constexpr int64_t kAttemptsPerTerm = 100000;
 
+/// The scheduler's options for this term.
+scheduling::SchedulerOptions SchedulerOptionsFor(
+    const CoordinatorOptions& options) {
+  scheduling::SchedulerOptions out = options.scheduler;
+  out.attempt_base = options.term * kAttemptsPerTerm;
+  return out;
+}
+
 }  // namespace
 
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
     : deps_(std::move(deps)),
       options_(std::move(options)),
-      scheduler_({.attempt_base = options_.term * kAttemptsPerTerm}),
+      scheduler_(SchedulerOptionsFor(options_)),
       next_fence_(options_.term * fleet::kFenceSpan) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "jobs_types.h"
+#include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_verdicts.h"
 #include "src/fleet/upstream_link.h"
@@ -32,6 +33,11 @@
 struct CoordinatorOptions {
   /// Term of this leader.
   int64_t term = 0;
+  /// Its attempt_base is derived from the term.
+  scheduling::SchedulerOptions scheduler;
+  AdmissionPolicy admission = AdmissionPolicy::kCapacity;
+  /// Rate of this machine's link, in kilobytes per second; 0 if it is unknown.
+  int64_t link_kb_per_s = 0;
   /// Table of the store that holds the jobs.
   std::string table = "jobs";
   /// Duration of the task leases at the upstreams, as opposed to the leader
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -1,6 +1,8 @@
 #include "src/libs/settings/job_settings.h"
 
+#include "src/coordinator/admission_policy.h"
 #include "src/libs/settings/schema.h"
+#include "src/scheduling/queue_order.h"
 
 namespace mimosarail::settings {
 namespace {
@@ -52,6 +54,21 @@
       {"cpu_share", Scaled{&S::cpu_percent, {0, 64}}, "cores",
        "CPU that this machine may use; an entry instance with less than a "
        "quarter of a core lets others claim leadership first"},
+      {"link_mbps", Scaled{&S::link_centi_mbps, {0, 1000000}}, "Mbit/s",
+       "rate of this machine's link; 0 if it is unknown"},
+      {"queue_order", Text{&S::queue_order, false}, "",
+       "order of waiting work: priority, or delay_cost (what a delay costs "
+       "callers, by priority, deadline and work)"},
+      {"priority_price", Scaled{&S::priority_price_percent, {1, 100}}, "",
+       "with delay_cost: how many times as much a delay costs as at the next "
+       "lower priority"},
+      {"admission", Text{&S::admission, false}, "",
+       "which jobs are refused: capacity (those that can never run), or "
+       "deadline (also those that would end too late to be of value)"},
+      {"upstream_speed_spread",
+       Scaled{&S::upstream_speed_spread_percent, {0, 100}}, "",
+       "measured speeds of upstreams are used once the fast ones are this many "
+       "times as fast as the slow ones; 0 for never"},
       {"lease_ms", Number{&S::lease_ms, {1000, 60000}}, "ms",
        "how long tasks continue without contact from the leader"},
       {"hello_ms", Number{&S::heartbeat_interval_ms, kTimeBoundsMs}, "ms",
@@ -92,6 +109,14 @@
 
 /// Reports settings whose relation would break a safety rule of the design.
 void CheckConsistency(const JobSettings& s, json::ObjectReader& reader) {
+  if (!scheduling::kQueueOrderNames.Find(s.queue_order)) {
+    reader.Add("queue_order",
+               "must be one of " + scheduling::kQueueOrderNames.Choices());
+  }
+  if (!coordinator::kAdmissionPolicyNames.Find(s.admission)) {
+    reader.Add("admission", "must be one of " +
+                                coordinator::kAdmissionPolicyNames.Choices());
+  }
   if (s.leader_suspect_after_ms <= 2 * s.heartbeat_interval_ms) {
     reader.Add("silence_ms", "must be above twice hello_ms");
   }
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -36,6 +36,18 @@
   std::string log_level = "info";
   /// CPU that the machine may use, in hundredths of a core.
   int64_t cpu_percent = 100;
+  /// Rate of the machine's link, in hundredths of a Mbit/s; 0 if unknown.
+  int64_t link_centi_mbps = 0;
+  /// Name of a scheduling::QueueOrder.
+  std::string queue_order = "priority";
+  /// Hundredths of the factor by which the cost of a delay grows with each step
+  /// of priority.
+  int64_t priority_price_percent = 200;
+  /// Name of a coordinator::AdmissionPolicy.
+  std::string admission = "capacity";
+  /// Hundredths of the ratio of fast to slow upstreams from which on measured
+  /// speeds are used; 0 for never.
+  int64_t upstream_speed_spread_percent = 0;
   /// How long tasks continue without contact from the leader.
   int64_t lease_ms = 4000;
   /// Time between heartbeats to the leader.
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -16,6 +16,7 @@
 #include "src/scheduling/advice_state.h"
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/orders.h"
+#include "src/scheduling/queue_order.h"
 #include "src/scheduling/upstream_pool.h"
 
 namespace mimosarail::scheduling {
@@ -51,6 +52,13 @@
   /// Attempt numbers start above this value, which exceeds every attempt number
   /// of earlier leaders.
   int64_t attempt_base = 0;
+  QueueOrder queue_order = QueueOrder::kPriority;
+  /// With QueueOrder::kDelayCost: how many times as much a delay costs a job as
+  /// one of the next lower priority that needs the same resources.
+  double priority_price = 2;
+  /// Measured speeds of upstreams are used once the fast ones are at least this
+  /// many times as fast as the slow ones; 0 for never.
+  double upstream_speed_spread = 0;
 };
 
 /// Queues jobs and decides which tasks start where, and when. It does no I/O
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -358,6 +358,20 @@
   Findings unknown;
   BOOST_TEST(!settings::ParseJobSettings(base + R"(,"colour":1})", unknown)
                   .has_value());
+  Findings names;
+  BOOST_TEST(!settings::ParseJobSettings(
+                  base + R"(,"queue_order":"fifo","admission":"all"})", names)
+                  .has_value());
+  BOOST_TEST(names.list().size() == 2U);
+}
+
+/// A deployment that does not ask for them gets none of the new behaviours.
+BOOST_AUTO_TEST_CASE(NewBehavioursAreOffByDefault) {
+  const settings::JobSettings defaults;
+  BOOST_TEST(defaults.queue_order == "priority");
+  BOOST_TEST(defaults.admission == "capacity");
+  BOOST_TEST(defaults.upstream_speed_spread_percent == 0);
+  BOOST_TEST(defaults.link_centi_mbps == 0);
 }
 
 /// The parser must yield the same messages however the bytes are split.
