Scheduling: Place urgent tasks on fast upstreams and gangs on similar ones

Callers of urgent queues got late answers where upstreams run at 0.6, 1.0 and 1.6 times the usual speed: a task of 0.85 s with an objective of 1.575 s was placed on any upstream.

With upstream_speed_spread > 0, and once the measured spread is at least that, placement and the choice of upstreams for advice use the measured factors: urgent steps take the fast upstreams, others the slowest ones on which they are in time, a gang takes a range of speeds that wastes little. Expected ends and the stall limit use factor and observed duration. An urgent task that would be late waits up to 200 ms for a faster upstream that is about to be free. The line of a start states the factor.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -1,6 +1,7 @@
 #include "src/coordinator/coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "src/coordinator/job_table.h"
 #include "src/libs/logging/log.h"
@@ -40,6 +41,12 @@
   return out;
 }
 
+/// The factor in percent; empty while speeds are not in use.
+std::string SpeedPercent(const std::optional<double>& factor) {
+  constexpr double kPercent = 100;
+  return factor ? Text(std::llround(*factor * kPercent)) : "";
+}
+
 }  // namespace
 
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
@@ -194,7 +201,8 @@
                    {{"task", TaskIdText(start.task)},
                     {"attempt", Text(start.attempt)},
                     {"upstream", scheduler_.pool().at(start.upstream).entry.id},
-                    {"checkpoint", start.checkpoint}});
+                    {"checkpoint", start.checkpoint},
+                    {"speed_percent", SpeedPercent(start.speed_factor)}});
     link->second->Start(start);
   }
   for (const scheduling::AdviceOrder& order : orders.advice) {
--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -152,6 +152,7 @@
                       std::min<size_t>(step.tasks, kMaxUpstreamsPerCall))
                 : Millis(0);
   const TimePoint needed_at = now + call_time + kTicketMargin;
+  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
   std::vector<RankedCandidate> out;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
@@ -161,17 +162,21 @@
     const bool known = upstream_advice != advice.upstreams.end();
     if (known && !upstream_advice->second.allowed) continue;
     if (step.gang && excluded.count(upstream) > 0) continue;
-    const Amount free =
-        CapacityFor(step, upstream, pool_.at(upstream).free, now, reserved);
+    const Amount free = CapacityFor(record, id.step, upstream,
+                                    pool_.at(upstream).free, now, reserved);
     const int32_t fit = FittingTasks(upstream, record, id, free);
     if (fit == 0) continue;
     const bool pending = advice.pending.count(upstream) > 0;
     const bool valid = advice.Ticket(upstream, needed_at) != nullptr;
     const double probability = known ? 1 : allowance_rate;
     if (!pending && !valid) {
+      const SpeedRank speed =
+          needs ? RankSpeed(*needs, pool_.speeds().Factor(upstream))
+                : SpeedRank{};
       out.push_back({.upstream = upstream,
                      .excluded = excluded.count(upstream) > 0,
                      .gang_reserved = UsesGangReservation(upstream, size),
+                     .speed = speed,
                      .candidate = {.tasks = fit * UnclaimedFraction(upstream),
                                    .allow_probability = probability}});
     } else if (pending || step.gang) {
@@ -180,11 +185,14 @@
       expected_tasks += probability * fit;
     }
   }
+  if (needs && step.gang) {
+    RankForGangAdvice(*needs, step.tasks - expected_tasks, out);
+  }
   std::sort(out.begin(), out.end(),
             [](const RankedCandidate& a, const RankedCandidate& b) {
               const auto order = [](const RankedCandidate& c) {
-                return std::tuple(c.excluded, c.gang_reserved,
-                                  -c.candidate.allow_probability,
+                return std::tuple(c.excluded, c.speed.late, c.gang_reserved,
+                                  c.speed.rank, -c.candidate.allow_probability,
                                   -c.candidate.tasks, c.upstream);
               };
               return order(a) < order(b);
@@ -192,6 +200,22 @@
   return out;
 }
 
+void Scheduler::RankForGangAdvice(const SpeedNeeds& needs, double tasks,
+                                  std::vector<RankedCandidate>& ranked) const {
+  std::vector<GangOption> options;
+  options.reserve(ranked.size());
+  for (const RankedCandidate& it : ranked) {
+    options.push_back(
+        {.factor = pool_.speeds().Factor(it.upstream),
+         .tasks = it.candidate.allow_probability * it.candidate.tasks});
+  }
+  const double slowest = SlowestForGang(std::move(options), tasks, needs);
+  for (RankedCandidate& it : ranked) {
+    it.speed = {.rank =
+                    RankForGang(slowest, pool_.speeds().Factor(it.upstream))};
+  }
+}
+
 std::vector<UpstreamIndex> Scheduler::SelectForStart(
     const JobRecord& record, const StepId& id, TimePoint now,
     const PassReservations& reserved) const {
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -22,6 +22,9 @@
   std::string payload;
   std::string checkpoint;
   std::string ticket;
+  /// Estimated speed of the upstream, by which it was chosen; unset unless
+  /// speeds are in use.
+  std::optional<double> speed_factor{};
 };
 
 enum class StopReason {
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -106,14 +106,17 @@
   return score;
 }
 
-Amount Scheduler::CapacityFor(const wire::StepSpec& step,
+Amount Scheduler::CapacityFor(const JobRecord& record, int32_t step,
                               UpstreamIndex upstream, Amount free,
                               TimePoint now,
                               const PassReservations& reserved) const {
   const auto reservation = reserved.find(upstream);
   if (reservation == reserved.end()) return free;
   // A task that ends before the gang needs the capacity may use it meanwhile.
-  if (ExpectedEnd(step, now) <= reservation->second.needed_at) return free;
+  if (ExpectedEndOn(upstream, record, step, now) <=
+      reservation->second.needed_at) {
+    return free;
+  }
   free -= reservation->second.amount;
   return free;
 }
@@ -124,16 +127,19 @@
   std::vector<Candidate> out;
   const wire::StepSpec& step = record.job.step(id.step);
   const bool advised = record.job.queue().advised;
+  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
   const auto consider = [&](UpstreamIndex upstream) {
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
       return;
     }
     if (pool_.QuarantinedForOtherJob(upstream, record.job.id(), now)) return;
-    const Amount free =
-        CapacityFor(step, upstream, pool_.at(upstream).free, now, reserved);
+    const Amount free = CapacityFor(record, id.step, upstream,
+                                    pool_.at(upstream).free, now, reserved);
     const int32_t fit = FittingTasks(upstream, record, id, free);
     if (fit == 0) return;
-    out.push_back({upstream, fit, Score(upstream, record, step)});
+    double score = Score(upstream, record, step);
+    if (needs) score += SpeedCost(*needs, pool_.speeds().Factor(upstream));
+    out.push_back({upstream, fit, score});
   };
   if (!advised) {
     for (const UpstreamIndex upstream : pool_.all()) consider(upstream);
@@ -253,6 +259,8 @@
   StepState& step_state = record.step_state(id.occurrence, id.step);
   std::vector<Candidate> found =
       Candidates(record, id, step_state.advice, now, reserved);
+  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
+  if (needs) OrderBySpeed(step, *needs, found);
   if (step.one_rack) {
     // Uses the rack that fits the most tasks first, so that the gang normally
     // spans racks only if no single rack can take it.
@@ -309,6 +317,7 @@
       if (candidate.upstream == upstream) --candidate.fitting_tasks;
     }
   };
+  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
   int32_t may_start = TasksWithinLimit(record, id);
   for (int32_t i = 0; i < step.tasks && may_start > 0; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
@@ -323,6 +332,7 @@
     if (pick == nullptr && (retry || suspect)) continue;
     if (pick == nullptr) break;
     const UpstreamIndex upstream = pick->upstream;
+    if (needs && WaitsForFaster(record, id, *needs, upstream, now)) break;
     StartTask(record, task_id, upstream,
               std::max(task.LastAttempt(), options_.attempt_base) + 1, now,
               orders);
@@ -392,7 +402,7 @@
   task.percent = 0;
   job.SetPhase(id, TaskPhase::kStarting);
   task.rate_base_time = {};
-  task.expected_end = ExpectedEnd(job.step(id.step), now);
+  task.expected_end = ExpectedEndOn(upstream, record, id.step, now);
   pool_.Reserve(upstream, id, attempt,
                 {.amount = TaskResources(job.step(id.step)),
                  .charge = ChargeOf(record, id.step),
@@ -404,6 +414,7 @@
                    .attempt = attempt,
                    .payload = job.spec().payload,
                    .checkpoint = task.checkpoint};
+  if (speeds_active_) order.speed_factor = pool_.speeds().Factor(upstream);
   const StepAdvice& advice = record.step_state(id.occurrence, id.step).advice;
   if (const std::string* ticket = advice.Ticket(upstream, now)) {
     order.ticket = *ticket;
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -87,11 +87,12 @@
   // Every run takes resources, no matter which leader started it and whether
   // its job continues with it.
   const wire::StepSpec& step = record.job.step(running.task.step);
-  pool_.Reserve(upstream, running.task, running.attempt,
-                {.amount = TaskResources(step),
-                 .charge = ChargeOf(record, running.task.step),
-                 .expected_end = ExpectedEnd(step, now),
-                 .reserved_at = now});
+  pool_.Reserve(
+      upstream, running.task, running.attempt,
+      {.amount = TaskResources(step),
+       .charge = ChargeOf(record, running.task.step),
+       .expected_end = ExpectedEndOn(upstream, record, running.task.step, now),
+       .reserved_at = now});
   pool_.NoteListed(upstream, running.task, running.attempt, now);
   const Task& task = record.job.task(running.task);
   if (record.may_have_unreported_runs && task.phase == TaskPhase::kWaiting) {
@@ -158,6 +159,7 @@
     return StopTask(record, running.task, StopReason::kGangBroken, now, orders);
   }
   const wire::StepSpec& step = job.step(running.task.step);
+  ObserveProgress(record, upstream, running, now);
   if (running.percent != task.percent) {
     UpdateExpectedEnd(record, upstream, running, now);
     task.percent = running.percent;
@@ -169,8 +171,7 @@
   // stays at 100 % until the slowest one is done. If it were treated as
   // stalled, gangs would be broken seconds before their end, again and again.
   if (step.gang && running.percent >= kDonePercent) return;
-  const Millis limit =
-      std::max(kMinStallTime, Millis(step.estimate_ms / kStallEstimateDivisor));
+  const Millis limit = StallLimit(record, upstream, running.task.step, now);
   if (now - task.progressed_at < limit) return;
   pool_.NoteFailure(upstream, now, UpstreamPool::kBackoffAfterFailures);
   if (step.gang) {
@@ -179,6 +180,17 @@
   StopTask(record, running.task, StopReason::kStalled, now, orders);
 }
 
+Millis Scheduler::StallLimit(const JobRecord& record, UpstreamIndex upstream,
+                             int32_t step, TimePoint now) const {
+  const wire::StepSpec& spec = record.job.step(step);
+  const Millis by_estimate =
+      std::max(kMinStallTime, Millis(spec.estimate_ms / kStallEstimateDivisor));
+  if (!speeds_active_ || spec.long_running) return by_estimate;
+  const auto expected = std::chrono::duration_cast<Millis>(
+      ExpectedEndOn(upstream, record, step, now) - now);
+  return std::max(by_estimate, expected / kStallEstimateDivisor);
+}
+
 void Scheduler::UpdateExpectedEnd(JobRecord& record, UpstreamIndex upstream,
                                   const ports::RunningTask& running,
                                   TimePoint now) {
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -327,6 +327,10 @@
 void Scheduler::OnEnd(UpstreamIndex upstream, const ports::EndedTask& end,
                       TimePoint now, Orders& orders) {
   using ports::EndKind;
+  const JobRecord* known = FindJobRecord(end.task.job);
+  if (known != nullptr && known->job.Has(end.task)) {
+    ObserveEnd(*known, upstream, end, now);
+  }
   pool_.Release(upstream, end.task, end.attempt);
   stops_[upstream].erase({end.task, end.attempt});
   UpstreamHealth& health = pool_.at(upstream).health;
@@ -387,6 +391,7 @@
     }
   }
   DemoteLateSteps(now);
+  UpdateSpeeds(now);
   if (has_unreported_runs_) CountUnreportedRuns();
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -17,6 +17,8 @@
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/orders.h"
 #include "src/scheduling/queue_order.h"
+#include "src/scheduling/speed_choice.h"
+#include "src/scheduling/task_durations.h"
 #include "src/scheduling/upstream_pool.h"
 
 namespace mimosarail::scheduling {
@@ -463,8 +465,8 @@
                              PassReservations& reserved);
   /// Returns how much of the free capacity the step may use, given the
   /// reservations of gangs before it in the queue.
-  Amount CapacityFor(const wire::StepSpec& step, UpstreamIndex upstream,
-                     Amount free, TimePoint now,
+  Amount CapacityFor(const JobRecord& record, int32_t step,
+                     UpstreamIndex upstream, Amount free, TimePoint now,
                      const PassReservations& reserved) const;
   struct StepFailures {
     /// A task of the step has failed.
@@ -486,6 +488,8 @@
     bool excluded = false;
     /// The capacity there is reserved for a waiting gang.
     bool gang_reserved = false;
+    /// Default unless speeds are in use.
+    SpeedRank speed;
     AdviceCandidate candidate;
   };
   /// Returns the upstreams with free capacity about which to ask, best first.
@@ -494,6 +498,9 @@
   std::vector<RankedCandidate> RankAdviceCandidates(
       const JobRecord& record, const StepId& id, TimePoint now,
       const PassReservations& reserved, double& expected_tasks) const;
+  /// Ranks the speeds of upstreams for a gang that needs this many tasks.
+  void RankForGangAdvice(const SpeedNeeds& needs, double tasks,
+                         std::vector<RankedCandidate>& ranked) const;
   /// Returns the upstreams to ask about so that tasks can start; empty if no
   /// call is of use.
   std::vector<UpstreamIndex> SelectForStart(
@@ -519,7 +526,42 @@
   /// Sets the expected end of all members of a gang to that of the slowest one.
   void UpdateExpectedGangEnd(JobRecord& record, const StepId& id);
 
+  /// Updates the estimated speeds, and decides whether they are used.
+  void UpdateSpeeds(TimePoint now);
+  /// Observes the duration of a run. To be called before its reservation is
+  /// released.
+  void ObserveEnd(const JobRecord& record, UpstreamIndex upstream,
+                  const ports::EndedTask& end, TimePoint now);
+  /// Observes the rate of progress of a current run. To be called before the
+  /// new progress is stored.
+  void ObserveProgress(const JobRecord& record, UpstreamIndex upstream,
+                       const ports::RunningTask& running, TimePoint now);
+  /// Returns the expected run time of a task of the step at the usual speed;
+  /// the caller's estimate unless speeds are in use.
+  Millis ExpectedWork(const JobRecord& record, int32_t step) const;
+  /// Returns when a run that starts now is expected to end. The same as
+  /// ExpectedEnd() unless speeds are in use.
+  TimePoint ExpectedEndOn(UpstreamIndex upstream, const JobRecord& record,
+                          int32_t step, TimePoint now) const;
+  /// Returns for how long a run may make no progress before it is stalled.
+  Millis StallLimit(const JobRecord& record, UpstreamIndex upstream,
+                    int32_t step, TimePoint now) const;
+  /// Returns nullopt unless speeds are in use and matter to the step.
+  std::optional<SpeedNeeds> SpeedNeedsOf(const JobRecord& record,
+                                         const StepId& id, TimePoint now) const;
+  /// Orders the candidates for a gang so that it takes those of similar speed.
+  void OrderBySpeed(const wire::StepSpec& step, const SpeedNeeds& needs,
+                    std::vector<Candidate>& found) const;
+  /// Whether an urgent task that would be late on this upstream waits, since a
+  /// faster one is expected to be free soon.
+  bool WaitsForFaster(const JobRecord& record, const StepId& id,
+                      const SpeedNeeds& needs, UpstreamIndex upstream,
+                      TimePoint now) const;
+
   SchedulerOptions options_;
+  /// Speeds are in use; see SchedulerOptions::upstream_speed_spread.
+  bool speeds_active_ = false;
+  TaskDurations durations_;
   UpstreamPool pool_;
   bool resolved_ = false;
   std::unordered_map<JobId, std::unique_ptr<JobRecord>> jobs_;
--- /dev/null
+++ b/src/scheduling/speeds.cc
@@ -0,0 +1,178 @@
+// The part of Scheduler that observes the speeds of upstreams and derives from
+// them how long runs take and which upstreams suit a step.
+
+#include <algorithm>
+
+#include "src/scheduling/scheduler.h"
+
+namespace mimosarail::scheduling {
+namespace {
+
+/// Once in use, speeds are used until the spread is below this fraction of the
+/// setting, so that a spread near the setting doesn't switch them all the time.
+constexpr double kInactiveFraction = 0.85;
+/// The duration of a gang's task is extrapolated when it passes this progress:
+/// at its end it waits for the slowest member.
+constexpr int32_t kGangObservationPercent = 50;
+constexpr int32_t kDonePercent = 100;
+/// An urgent task that would be late on the upstreams with free capacity waits
+/// for a faster one that is expected to be free within this time.
+constexpr Millis kMaxWaitForFaster{200};
+
+Millis Scaled(Millis span, double factor) {
+  return Millis(
+      static_cast<int64_t>(static_cast<double>(span.count()) * factor));
+}
+
+}  // namespace
+
+void Scheduler::UpdateSpeeds(TimePoint now) {
+  if (options_.upstream_speed_spread <= 0) return;
+  UpstreamSpeeds& speeds = pool_.speeds();
+  speeds.Update(now);
+  const double needed =
+      options_.upstream_speed_spread * (speeds_active_ ? kInactiveFraction : 1);
+  speeds_active_ = speeds.spread() >= needed;
+}
+
+void Scheduler::ObserveEnd(const JobRecord& record, UpstreamIndex upstream,
+                           const ports::EndedTask& end, TimePoint now) {
+  if (options_.upstream_speed_spread <= 0) return;
+  const wire::StepSpec& step = record.job.step(end.task.step);
+  const Task& task = record.job.task(end.task);
+  if (end.kind != ports::EndKind::kDone || step.gang || step.long_running ||
+      step.filler || !task.checkpoint.empty()) {
+    return;
+  }
+  const Reservations& runs = pool_.at(upstream).reservations;
+  const auto run = runs.find({end.task, end.attempt});
+  if (run == runs.end() || !run->second.confirmed) return;
+  const auto duration =
+      std::chrono::duration_cast<Millis>(now - *run->second.started_at);
+  if (duration <= Millis(0)) return;
+  UpstreamSpeeds& speeds = pool_.speeds();
+  speeds.NoteCompleted({upstream, end.task, end.attempt}, duration, now);
+  durations_.Observe(record.job.queue().name,
+                     Scaled(duration, speeds.Factor(upstream)));
+}
+
+void Scheduler::ObserveProgress(const JobRecord& record, UpstreamIndex upstream,
+                                const ports::RunningTask& running,
+                                TimePoint now) {
+  if (options_.upstream_speed_spread <= 0) return;
+  const wire::StepSpec& step = record.job.step(running.task.step);
+  if (step.long_running || step.filler) return;
+  const Task& task = record.job.task(running.task);
+  const Reservations& runs = pool_.at(upstream).reservations;
+  const auto run = runs.find({running.task, running.attempt});
+  if (run == runs.end()) return;
+  // The start of a run that an earlier leader started is unknown, and one with
+  // a checkpoint may not have begun at 0 %.
+  const bool from_zero = task.checkpoint.empty() && run->second.confirmed;
+  const TimePoint started_at =
+      from_zero ? run->second.started_at.value_or(TimePoint{}) : TimePoint{};
+  UpstreamSpeeds& speeds = pool_.speeds();
+  speeds.NoteProgress({upstream, running.task, running.attempt},
+                      running.percent, started_at, now);
+  if (!step.gang || started_at == TimePoint{} ||
+      task.percent >= kGangObservationPercent ||
+      running.percent < kGangObservationPercent ||
+      running.percent >= kDonePercent) {
+    return;
+  }
+  const auto elapsed = std::chrono::duration_cast<Millis>(now - started_at);
+  const Millis duration = elapsed * kDonePercent / running.percent;
+  if (duration <= Millis(0)) return;
+  durations_.Observe(record.job.queue().name,
+                     Scaled(duration, speeds.Factor(upstream)));
+}
+
+Millis Scheduler::ExpectedWork(const JobRecord& record, int32_t step) const {
+  const wire::StepSpec& spec = record.job.step(step);
+  const auto estimate = std::chrono::duration_cast<Millis>(
+      ExpectedEnd(spec, TimePoint{}).time_since_epoch());
+  if (!speeds_active_ || spec.long_running) return estimate;
+  return durations_.Expected(record.job.queue().name, estimate);
+}
+
+TimePoint Scheduler::ExpectedEndOn(UpstreamIndex upstream,
+                                   const JobRecord& record, int32_t step,
+                                   TimePoint now) const {
+  const wire::StepSpec& spec = record.job.step(step);
+  if (!speeds_active_ || spec.long_running) return ExpectedEnd(spec, now);
+  return now + Scaled(ExpectedWork(record, step),
+                      1 / pool_.speeds().Factor(upstream));
+}
+
+std::optional<SpeedNeeds> Scheduler::SpeedNeedsOf(const JobRecord& record,
+                                                  const StepId& id,
+                                                  TimePoint now) const {
+  const wire::StepSpec& step = record.job.step(id.step);
+  if (!speeds_active_ || step.long_running || step.filler) return std::nullopt;
+  const Job& job = record.job;
+  const Millis work = ExpectedWork(record, id.step);
+  const auto estimate = std::chrono::duration_cast<Millis>(
+      ExpectedEnd(step, TimePoint{}).time_since_epoch());
+  // The objective follows from the caller's estimates. They are replaced by
+  // what is expected, on the assumption that the estimates of all steps are
+  // wrong by the same factor.
+  const double scale =
+      static_cast<double>(work.count()) /
+      static_cast<double>(std::max(Millis(1), estimate).count());
+  const Millis target(job.queue().target_ms);
+  const Millis later_steps = job.CriticalPathFrom(id.step) - estimate;
+  const Millis time_left =
+      Scaled(job.Objective() - target - later_steps, scale) + target -
+      std::chrono::duration_cast<Millis>(now - record.accepted_at);
+  return SpeedNeeds{.urgent = job.queue().priority == 0,
+                    .gang = step.gang,
+                    .work = work,
+                    .time_left = time_left};
+}
+
+void Scheduler::OrderBySpeed(const wire::StepSpec& step,
+                             const SpeedNeeds& needs,
+                             std::vector<Candidate>& found) const {
+  std::vector<GangOption> options;
+  options.reserve(found.size());
+  for (const Candidate& candidate : found) {
+    options.push_back({.factor = pool_.speeds().Factor(candidate.upstream),
+                       .tasks = static_cast<double>(candidate.fitting_tasks)});
+  }
+  const double slowest = SlowestForGang(std::move(options), step.tasks, needs);
+  std::stable_sort(
+      found.begin(), found.end(), [&](const auto& a, const auto& b) {
+        const auto order = [&](const Candidate& c) {
+          return RankForGang(slowest, pool_.speeds().Factor(c.upstream));
+        };
+        return order(a) < order(b);
+      });
+}
+
+bool Scheduler::WaitsForFaster(const JobRecord& record, const StepId& id,
+                               const SpeedNeeds& needs, UpstreamIndex upstream,
+                               TimePoint now) const {
+  if (!needs.urgent ||
+      !RankSpeed(needs, pool_.speeds().Factor(upstream)).late) {
+    return false;
+  }
+  SpeedNeeds after_wait = needs;
+  after_wait.time_left -= kMaxWaitForFaster;
+  const wire::StepSpec& step = record.job.step(id.step);
+  const Amount size = TaskResources(step);
+  const StepAdvice& advice = record.step_state(id.occurrence, id.step).advice;
+  const auto frees_soon = [&](UpstreamIndex other) {
+    return !LateAt(after_wait, pool_.speeds().Factor(other)) &&
+           pool_.Usable(other, now) && Matches(other, record, step) &&
+           size.FitsIn(pool_.FreeAt(other, now + kMaxWaitForFaster));
+  };
+  if (!record.job.queue().advised) {
+    return std::any_of(pool_.all().begin(), pool_.all().end(), frees_soon);
+  }
+  return std::any_of(advice.upstreams.begin(), advice.upstreams.end(),
+                     [&](const auto& it) {
+                       return it.second.allowed && frees_soon(it.first);
+                     });
+}
+
+}  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -40,6 +40,9 @@
   if (known != index_by_id_.end()) {
     Upstream& upstream = upstreams_[known->second];
     const Amount capacity = CapacityOf(entry.capacity);
+    if (capacity.values != upstream.capacity.values) {
+      speeds_.Reset(known->second);
+    }
     upstream.free += capacity;
     upstream.free -= upstream.capacity;
     upstream.capacity = capacity;
@@ -70,6 +73,7 @@
   Upstream& upstream = upstreams_[index];
   upstream.entry.incarnation = incarnation;
   upstream.health = {};
+  speeds_.Reset(index);
   upstream.quarantine.reset();
   upstream.predecessor_drained = false;
   upstream.known_since = now;
@@ -79,6 +83,7 @@
   Upstream& upstream = upstreams_[index];
   index_by_id_.erase(upstream.entry.id);
   std::erase(indexes_in_use_, index);
+  speeds_.Reset(index);
   for (const auto& [run, reservation] : upstream.reservations) {
     accounts_.Refund(reservation.charge);
   }
@@ -117,6 +122,7 @@
   const auto found = reservations.find({task, attempt});
   if (found == reservations.end() || found->second.started_at) return;
   found->second.started_at = now;
+  found->second.confirmed = true;
 }
 
 void UpstreamPool::NoteListed(UpstreamIndex index, const TaskId& task,
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -12,6 +12,7 @@
 #include "src/placement/amount.h"
 #include "src/ports/upstream_list_port.h"
 #include "src/scheduling/account_ledger.h"
+#include "src/scheduling/upstream_speeds.h"
 
 namespace mimosarail::scheduling {
 
@@ -41,6 +42,8 @@
   TimePoint reserved_at{};
   /// When the start was confirmed, or a report first listed the run.
   std::optional<TimePoint> started_at{};
+  /// The start was confirmed to this leader, so that `started_at` is accurate.
+  bool confirmed = false;
   /// When a report last listed the run.
   std::optional<TimePoint> last_listed_at{};
 };
@@ -123,6 +126,9 @@
   /// Every reservation is charged to its account.
   AccountLedger& accounts() { return accounts_; }
   const AccountLedger& accounts() const { return accounts_; }
+  /// What is known of an upstream is reset when it restarts or changes.
+  UpstreamSpeeds& speeds() { return speeds_; }
+  const UpstreamSpeeds& speeds() const { return speeds_; }
 
   /// Returns kNoUpstream if there is no upstream with this id.
   UpstreamIndex Find(const std::string& id) const;
@@ -190,6 +196,7 @@
   std::vector<UpstreamIndex> indexes_in_use_;
   std::unordered_map<std::string, UpstreamIndex> index_by_id_;
   AccountLedger accounts_;
+  UpstreamSpeeds speeds_;
 };
 
 /// The resources that a task of this step takes on an upstream.
