Scheduling: Plan gangs by speed, and reduce the cost of speeds

Gangs started on slow and fast upstreams together when only those had free capacity, and ended with the slow ones.

A gang's plan is the one with the earliest end among the ranges of speeds, and a gang that would be late on what is free waits while its plan is in time. It starts anyhow once the plan is late too. What a step needs is computed once in 20 ms, classes of speed once in an update. Factors are updated every 100 ms.

--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -152,7 +152,7 @@
                       std::min<size_t>(step.tasks, kMaxUpstreamsPerCall))
                 : Millis(0);
   const TimePoint needed_at = now + call_time + kTicketMargin;
-  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
+  const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
   std::vector<RankedCandidate> out;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
@@ -162,7 +162,7 @@
     const bool known = upstream_advice != advice.upstreams.end();
     if (known && !upstream_advice->second.allowed) continue;
     if (step.gang && excluded.count(upstream) > 0) continue;
-    const Amount free = CapacityFor(record, id.step, upstream,
+    const Amount free = CapacityFor(record, id, upstream,
                                     pool_.at(upstream).free, now, reserved);
     const int32_t fit = FittingTasks(upstream, record, id, free);
     if (fit == 0) continue;
@@ -171,7 +171,7 @@
     const double probability = known ? 1 : allowance_rate;
     if (!pending && !valid) {
       const SpeedRank speed =
-          needs ? RankSpeed(*needs, pool_.speeds().Factor(upstream))
+          needs ? RankSpeed(*needs, pool_.speeds().Speed(upstream))
                 : SpeedRank{};
       out.push_back({.upstream = upstream,
                      .excluded = excluded.count(upstream) > 0,
@@ -212,7 +212,7 @@
   const double slowest = SlowestForGang(std::move(options), tasks, needs);
   for (RankedCandidate& it : ranked) {
     it.speed = {.rank =
-                    RankForGang(slowest, pool_.speeds().Factor(it.upstream))};
+                    RankForGang(slowest, pool_.speeds().Speed(it.upstream))};
   }
 }
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -106,17 +106,18 @@
   return score;
 }
 
-Amount Scheduler::CapacityFor(const JobRecord& record, int32_t step,
+Amount Scheduler::CapacityFor(const JobRecord& record, const StepId& id,
                               UpstreamIndex upstream, Amount free,
                               TimePoint now,
                               const PassReservations& reserved) const {
   const auto reservation = reserved.find(upstream);
   if (reservation == reserved.end()) return free;
   // A task that ends before the gang needs the capacity may use it meanwhile.
-  if (ExpectedEndOn(upstream, record, step, now) <=
-      reservation->second.needed_at) {
-    return free;
-  }
+  const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
+  const TimePoint end =
+      needs ? now + needs->RunTime(pool_.speeds().Factor(upstream))
+            : ExpectedEnd(record.job.step(id.step), now);
+  if (end <= reservation->second.needed_at) return free;
   free -= reservation->second.amount;
   return free;
 }
@@ -127,18 +128,18 @@
   std::vector<Candidate> out;
   const wire::StepSpec& step = record.job.step(id.step);
   const bool advised = record.job.queue().advised;
-  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
+  const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
   const auto consider = [&](UpstreamIndex upstream) {
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
       return;
     }
     if (pool_.QuarantinedForOtherJob(upstream, record.job.id(), now)) return;
-    const Amount free = CapacityFor(record, id.step, upstream,
+    const Amount free = CapacityFor(record, id, upstream,
                                     pool_.at(upstream).free, now, reserved);
     const int32_t fit = FittingTasks(upstream, record, id, free);
     if (fit == 0) return;
     double score = Score(upstream, record, step);
-    if (needs) score += SpeedCost(*needs, pool_.speeds().Factor(upstream));
+    if (needs) score += SpeedCost(*needs, pool_.speeds().Speed(upstream));
     out.push_back({upstream, fit, score});
   };
   if (!advised) {
@@ -194,6 +195,7 @@
   const bool gang = record.job.step(id.step).gang;
   if (AccountBlocks(record, id)) return false;
   UpdateExclusion(record, id, now);
+  UpdateSpeedNeeds(record, id, now);
   if (gang) {
     if (PlaceGang(record, id, now, reserved, orders)) return true;
   } else {
@@ -259,7 +261,7 @@
   StepState& step_state = record.step_state(id.occurrence, id.step);
   std::vector<Candidate> found =
       Candidates(record, id, step_state.advice, now, reserved);
-  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
+  const auto& needs = step_state.speed_needs;
   if (needs) OrderBySpeed(step, *needs, found);
   if (step.one_rack) {
     // Uses the rack that fits the most tasks first, so that the gang normally
@@ -278,6 +280,9 @@
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fitting_tasks;
   if (total < step.tasks) return false;
+  if (needs && GangWaitsForFaster(record, id, found, now, reserved)) {
+    return false;
+  }
   if (HasCrashSuspect(record, id) &&
       !SelectForQuarantine(record, step, found, now)) {
     return false;
@@ -317,7 +322,7 @@
       if (candidate.upstream == upstream) --candidate.fitting_tasks;
     }
   };
-  const std::optional<SpeedNeeds> needs = SpeedNeedsOf(record, id, now);
+  const auto& needs = step_state.speed_needs;
   int32_t may_start = TasksWithinLimit(record, id);
   for (int32_t i = 0; i < step.tasks && may_start > 0; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
@@ -463,7 +468,9 @@
       if (upstream_advice.allowed) consider(upstream);
     }
   }
-  return EarliestPlan(slots, step.tasks);
+  return step_state.speed_needs
+             ? PlanBySpeed(slots, step.tasks, *step_state.speed_needs)
+             : EarliestPlan(slots, step.tasks);
 }
 
 bool Scheduler::UseReservationBudget(const wire::StepSpec& step) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -224,6 +224,10 @@
     /// `plan_valid_until`.
     GangPlan plan;
     TimePoint plan_valid_until{};
+    /// What the step needs of the speed of its upstreams; unset unless speeds
+    /// are in use. Computed again after `speed_needs_valid_until`.
+    std::optional<SpeedNeeds> speed_needs;
+    TimePoint speed_needs_valid_until{};
     /// Whether advice is needed is not checked again before this time.
     TimePoint next_advice_check{};
     /// A member of the gang could not start, ended without success, stalled,
@@ -465,7 +469,7 @@
                              PassReservations& reserved);
   /// Returns how much of the free capacity the step may use, given the
   /// reservations of gangs before it in the queue.
-  Amount CapacityFor(const JobRecord& record, int32_t step,
+  Amount CapacityFor(const JobRecord& record, const StepId& id,
                      UpstreamIndex upstream, Amount free, TimePoint now,
                      const PassReservations& reserved) const;
   struct StepFailures {
@@ -549,9 +553,22 @@
   /// Returns nullopt unless speeds are in use and matter to the step.
   std::optional<SpeedNeeds> SpeedNeedsOf(const JobRecord& record,
                                          const StepId& id, TimePoint now) const;
+  /// Updates StepState::speed_needs if it is too old.
+  void UpdateSpeedNeeds(JobRecord& record, const StepId& id, TimePoint now);
   /// Orders the candidates for a gang so that it takes those of similar speed.
   void OrderBySpeed(const wire::StepSpec& step, const SpeedNeeds& needs,
                     std::vector<Candidate>& found) const;
+  /// Returns the plan with the earliest expected end of a gang, which depends
+  /// on its slowest upstream.
+  GangPlan PlanBySpeed(const std::vector<SlotTimes>& slots, int32_t tasks,
+                       const SpeedNeeds& needs) const;
+  /// Returns the lowest speed factor in a plan. Precondition: plan.found().
+  double SlowestIn(const GangPlan& plan) const;
+  /// Whether a gang that could start on these candidates, taken in order, waits
+  /// instead: it would be late there, and its plan is in time.
+  bool GangWaitsForFaster(JobRecord& record, const StepId& id,
+                          const std::vector<Candidate>& found, TimePoint now,
+                          const PassReservations& reserved);
   /// Whether an urgent task that would be late on this upstream waits, since a
   /// faster one is expected to be free soon.
   bool WaitsForFaster(const JobRecord& record, const StepId& id,
--- a/src/scheduling/speed_choice.cc
+++ b/src/scheduling/speed_choice.cc
@@ -1,7 +1,6 @@
 #include "src/scheduling/speed_choice.h"
 
 #include <algorithm>
-#include <cmath>
 
 namespace mimosarail::scheduling {
 namespace {
@@ -10,14 +9,11 @@
 /// longest of 20 such runs takes about 1.35 times the usual time.
 constexpr double kRunTimeMargin = 1.15;
 constexpr double kGangRunTimeMargin = 1.4;
-/// Speeds whose logarithms differ by less than this count as equal: estimates
-/// have errors of about 10 %.
-constexpr double kLogRankWidth = 0.25;
 /// A step that is late on an upstream of this speed too is late on any.
 constexpr double kFastestFactor = 2;
-/// Cost of a speed that differs by a factor of e. The cost of the worst fit is
-/// 1.5 (placing.cc), a factor of 1.6 is to exceed it.
-constexpr double kLogSpeedCost = 4;
+/// Cost of a speed that is one class further off. Two classes, a factor of 1.6,
+/// cost more than the worst fit, which costs 1.5 (placing.cc).
+constexpr double kClassCost = 1;
 /// Cost of an upstream on which the step is late. Exceeds the cost of any other
 /// preference.
 constexpr double kLateCost = 12;
@@ -33,18 +29,17 @@
   return run_time > static_cast<double>(needs.time_left.count());
 }
 
-SpeedRank RankSpeed(const SpeedNeeds& needs, double factor) {
-  const auto rank =
-      static_cast<int32_t>(std::lround(std::log(factor) / kLogRankWidth));
+SpeedRank RankSpeed(const SpeedNeeds& needs, const UpstreamSpeed& speed) {
+  const int32_t rank = speed.speed_class;
   if (LateAt(needs, kFastestFactor)) return {.rank = rank};
-  const bool late = LateAt(needs, factor);
+  const bool late = LateAt(needs, speed.factor);
   return {.late = late, .rank = needs.urgent || late ? -rank : rank};
 }
 
-double SpeedCost(const SpeedNeeds& needs, double factor) {
-  const SpeedRank rank = RankSpeed(needs, factor);
+double SpeedCost(const SpeedNeeds& needs, const UpstreamSpeed& speed) {
+  const SpeedRank rank = RankSpeed(needs, speed);
   return (rank.late ? kLateCost : 0) +
-         kLogSpeedCost * kLogRankWidth * static_cast<double>(rank.rank);
+         kClassCost * static_cast<double>(rank.rank);
 }
 
 double SlowestForGang(std::vector<GangOption> options, double tasks,
@@ -82,11 +77,10 @@
   return best;
 }
 
-int32_t RankForGang(double slowest, double factor) {
+int32_t RankForGang(double slowest, const UpstreamSpeed& speed) {
   constexpr int32_t kBelow = 1000;
-  const auto rank =
-      static_cast<int32_t>(std::lround(std::log(factor) / kLogRankWidth));
-  return factor < slowest ? kBelow - rank : rank;
+  return speed.factor < slowest ? kBelow - speed.speed_class
+                                : speed.speed_class;
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/speed_choice.h
+++ b/src/scheduling/speed_choice.h
@@ -3,7 +3,7 @@
 #include <cstdint>
 #include <vector>
 
-#include "src/libs/base/executor.h"
+#include "src/scheduling/upstream_speeds.h"
 
 namespace mimosarail::scheduling {
 
@@ -16,6 +16,12 @@
   Millis work{0};
   /// Time until the task has to end so that its job is in time.
   Millis time_left{0};
+
+  /// Expected run time on an upstream with this speed factor.
+  Millis RunTime(double factor) const {
+    return Millis(
+        static_cast<int64_t>(static_cast<double>(work.count()) / factor));
+  }
 };
 
 /// Whether a task that starts now on an upstream with this speed factor is
@@ -33,10 +39,10 @@
   /// Lower is better. Upstreams of nearly the same speed have the same rank.
   int32_t rank = 0;
 };
-SpeedRank RankSpeed(const SpeedNeeds& needs, double factor);
+SpeedRank RankSpeed(const SpeedNeeds& needs, const UpstreamSpeed& speed);
 
 /// Returns the same as a cost to be added to that of a fit. Thread-safe.
-double SpeedCost(const SpeedNeeds& needs, double factor);
+double SpeedCost(const SpeedNeeds& needs, const UpstreamSpeed& speed);
 
 /// Upstreams on which tasks of a gang could start.
 struct GangOption {
@@ -56,6 +62,6 @@
 
 /// Returns the order in which a gang takes upstreams, lower first: those of its
 /// slowest speed and above, slowest first, then those below. Thread-safe.
-int32_t RankForGang(double slowest, double factor);
+int32_t RankForGang(double slowest, const UpstreamSpeed& speed);
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/speeds.cc
+++ b/src/scheduling/speeds.cc
@@ -2,6 +2,7 @@
 // them how long runs take and which upstreams suit a step.
 
 #include <algorithm>
+#include <limits>
 
 #include "src/scheduling/scheduler.h"
 
@@ -19,6 +20,10 @@
 /// for a faster one that is expected to be free within this time.
 constexpr Millis kMaxWaitForFaster{200};
 
+/// What a waiting step needs is computed again after this time, by which the
+/// time left is then too long. Run times are 0.6 s and more.
+constexpr Millis kSpeedNeedsMaxAge{20};
+
 Millis Scaled(Millis span, double factor) {
   return Millis(
       static_cast<int64_t>(static_cast<double>(span.count()) * factor));
@@ -130,6 +135,20 @@
                     .time_left = time_left};
 }
 
+void Scheduler::UpdateSpeedNeeds(JobRecord& record, const StepId& id,
+                                 TimePoint now) {
+  StepState& step_state = record.step_state(id.occurrence, id.step);
+  if (!speeds_active_) {
+    step_state.speed_needs.reset();
+    return;
+  }
+  if (step_state.speed_needs && now < step_state.speed_needs_valid_until) {
+    return;
+  }
+  step_state.speed_needs = SpeedNeedsOf(record, id, now);
+  step_state.speed_needs_valid_until = now + kSpeedNeedsMaxAge;
+}
+
 void Scheduler::OrderBySpeed(const wire::StepSpec& step,
                              const SpeedNeeds& needs,
                              std::vector<Candidate>& found) const {
@@ -143,17 +162,74 @@
   std::stable_sort(
       found.begin(), found.end(), [&](const auto& a, const auto& b) {
         const auto order = [&](const Candidate& c) {
-          return RankForGang(slowest, pool_.speeds().Factor(c.upstream));
+          return RankForGang(slowest, pool_.speeds().Speed(c.upstream));
         };
         return order(a) < order(b);
       });
 }
 
+double Scheduler::SlowestIn(const GangPlan& plan) const {
+  double slowest = std::numeric_limits<double>::max();
+  for (const auto& [upstream, tasks] : plan.tasks_by_upstream) {
+    slowest = std::min(slowest, pool_.speeds().Factor(upstream));
+  }
+  return slowest;
+}
+
+GangPlan Scheduler::PlanBySpeed(const std::vector<SlotTimes>& slots,
+                                int32_t tasks, const SpeedNeeds& needs) const {
+  std::vector<SlotTimes> usable = slots;
+  const auto speed_class = [&](const SlotTimes& slot) {
+    return pool_.speeds().Speed(slot.upstream).speed_class;
+  };
+  GangPlan best;
+  TimePoint best_end{};
+  // Leaves out the slowest class, then the next one, and so on.
+  while (!usable.empty()) {
+    const GangPlan plan = EarliestPlan(usable, tasks);
+    if (!plan.found()) break;
+    const TimePoint end = plan.ready_at + needs.RunTime(SlowestIn(plan));
+    if (!best.found() || end < best_end) {
+      best = plan;
+      best_end = end;
+    }
+    int32_t slowest = speed_class(usable.front());
+    for (const SlotTimes& slot : usable) {
+      slowest = std::min(slowest, speed_class(slot));
+    }
+    std::erase_if(usable, [&](const SlotTimes& slot) {
+      return speed_class(slot) == slowest;
+    });
+  }
+  return best;
+}
+
+bool Scheduler::GangWaitsForFaster(JobRecord& record, const StepId& id,
+                                   const std::vector<Candidate>& found,
+                                   TimePoint now,
+                                   const PassReservations& reserved) {
+  const StepState& step_state = record.step_state(id.occurrence, id.step);
+  const SpeedNeeds needs = *step_state.speed_needs;
+  double slowest = std::numeric_limits<double>::max();
+  int32_t left = record.job.step(id.step).tasks;
+  for (const Candidate& candidate : found) {
+    if (left <= 0) break;
+    left -= candidate.fitting_tasks;
+    slowest = std::min(slowest, pool_.speeds().Factor(candidate.upstream));
+  }
+  if (!LateAt(needs, slowest)) return false;
+  const GangPlan& plan = UpdatePlan(record, id, now, reserved);
+  if (!plan.found()) return false;
+  SpeedNeeds after_wait = needs;
+  after_wait.time_left -=
+      std::chrono::duration_cast<Millis>(plan.ready_at - now);
+  return !LateAt(after_wait, SlowestIn(plan));
+}
+
 bool Scheduler::WaitsForFaster(const JobRecord& record, const StepId& id,
                                const SpeedNeeds& needs, UpstreamIndex upstream,
                                TimePoint now) const {
-  if (!needs.urgent ||
-      !RankSpeed(needs, pool_.speeds().Factor(upstream)).late) {
+  if (!needs.urgent || !RankSpeed(needs, pool_.speeds().Speed(upstream)).late) {
     return false;
   }
   SpeedNeeds after_wait = needs;
--- a/src/scheduling/upstream_speeds.cc
+++ b/src/scheduling/upstream_speeds.cc
@@ -12,7 +12,7 @@
 constexpr size_t kWindow = 9;
 /// Runs that are kept in addition, since they have no estimate of their own
 /// until siblings are observed.
-constexpr size_t kMaxRuns = 32;
+constexpr size_t kMaxRuns = 24;
 /// Number of newest runs that have to agree on a change of speed. Two long runs
 /// in a row occur about once a second on 350 upstreams, three hardly ever.
 constexpr size_t kRunsOfChange = 3;
@@ -20,7 +20,7 @@
 /// of a step vary by 15 %, so that smaller ones are left to the median.
 constexpr double kMinLogChange = 0.5;
 /// Samples kept for each step, enough for a median.
-constexpr size_t kMaxSamplesPerStep = 64;
+constexpr size_t kMaxSamplesPerStep = 25;
 /// A rate of progress is measured over at least this time and this progress:
 /// percentages are integers.
 constexpr Millis kMinRateSpan{100};
@@ -32,7 +32,6 @@
 /// upstreams that are compared only with each other would swap their errors
 /// forever.
 constexpr double kFitStep = 0.6;
-constexpr int kFitsPerUpdate = 2;
 /// The estimate is reduced towards 1 as if this many runs of factor 1 had been
 /// observed.
 constexpr double kPriorWeight = 0.25;
@@ -49,6 +48,10 @@
 constexpr Millis kStepAge{10000};
 constexpr Millis kCleaningPeriod{1000};
 
+/// Speeds whose logarithms differ by less than this are of one class: estimates
+/// have errors of about 10 %.
+constexpr double kLogClassWidth = 0.25;
+
 double Median(std::vector<double>& values) {
   const auto middle =
       values.begin() + static_cast<std::ptrdiff_t>(values.size() / 2);
@@ -95,6 +98,7 @@
     step.samples[index] = sample;
   }
   step.last = now;
+  seen.step = &step;
   seen.log_duration = log_duration;
   seen.at = now;
   state.last = now;
@@ -179,50 +183,48 @@
   for (const auto& [value, from] : step.sorted) {
     if (from == upstream) continue;
     if (rank == low) sum += value;
-    if (rank == high) sum += value;
+    if (rank == high) {
+      sum += value;
+      break;
+    }
     ++rank;
   }
   work = sum / 2;
   return true;
 }
 
-bool UpstreamSpeeds::DropOutdated(UpstreamIndex upstream, TimePoint now) {
-  UpstreamState& state = upstreams_[upstream];
-  std::vector<Observation*> known;
-  for (Observation& seen : state.runs) {
-    if (seen.comparable) known.push_back(&seen);
-  }
-  if (known.size() < 2 * kRunsOfChange) return false;
-  std::vector<double> older;
-  for (size_t i = 0; i + kRunsOfChange < known.size(); ++i) {
-    older.push_back(known[i]->residual);
+bool UpstreamSpeeds::DropOutdated(UpstreamState& state,
+                                  const std::vector<Observation*>& newest,
+                                  TimePoint now) {
+  if (newest.size() < 2 * kRunsOfChange) return false;
+  const auto older = newest.begin() + kRunsOfChange;
+  std::vector<double> residuals;
+  for (auto at = older; at != newest.end(); ++at) {
+    residuals.push_back((*at)->residual);
   }
-  const double before = Median(older);
-  const auto newest = known.end() - kRunsOfChange;
-  const bool slower = std::all_of(newest, known.end(), [&](const auto* it) {
+  const double before = Median(residuals);
+  const bool slower = std::all_of(newest.begin(), older, [&](const auto* it) {
     return it->residual < before - kMinLogChange;
   });
-  const bool faster = std::all_of(newest, known.end(), [&](const auto* it) {
+  const bool faster = std::all_of(newest.begin(), older, [&](const auto* it) {
     return it->residual > before + kMinLogChange;
   });
+  if (!slower && !faster) return false;
   // Runs of one step share the error of its work, unless their own rates of
   // progress have changed.
   const bool independent =
-      std::any_of(newest, known.end(), [&](const auto* it) {
-        return it->task.step_id() != (*newest)->task.step_id() ||
+      std::any_of(newest.begin(), older, [&](const auto* it) {
+        return it->step != newest.front()->step ||
                std::abs(it->acceleration) > kMinLogChange;
       });
-  if (!(slower || faster) || !independent) return false;
+  if (!independent) return false;
   ++state.epoch;
   state.changed_at = now;
   std::vector<Observation> kept;
-  for (Observation& seen : state.runs) {
-    const bool is_new = std::find(newest, known.end(), &seen) != known.end();
-    if (!is_new) continue;
-    kept.push_back(seen);
-    const auto step = steps_.find(seen.task.step_id());
-    if (step == steps_.end() || seen.sample < 0) continue;
-    step->second.samples[static_cast<size_t>(seen.sample)].epoch = state.epoch;
+  for (auto at = older; at != newest.begin();) {
+    const Observation& seen = kept.emplace_back(**--at);
+    if (seen.sample < 0) continue;
+    seen.step->samples[static_cast<size_t>(seen.sample)].epoch = state.epoch;
   }
   state.runs = std::move(kept);
   return true;
@@ -230,24 +232,23 @@
 
 void UpstreamSpeeds::FitUpstream(UpstreamIndex upstream, TimePoint now) {
   UpstreamState& state = upstreams_[upstream];
-  for (Observation& seen : state.runs) {
-    seen.comparable = false;
-    if (seen.at == TimePoint{}) continue;
-    const auto step = steps_.find(seen.task.step_id());
-    if (step == steps_.end()) continue;
-    SortSamples(step->second);
-    double work = 0;
-    if (!WorkByOthers(step->second, upstream, work)) continue;
-    seen.residual = work - seen.log_duration;
-    seen.comparable = true;
-  }
-  const bool changed = DropOutdated(upstream, now);
+  std::vector<Observation*> newest;
+  newest.reserve(kWindow);
   std::vector<double> residuals;
+  residuals.reserve(kWindow);
   for (auto at = state.runs.rbegin();
-       at != state.runs.rend() && residuals.size() < kWindow; ++at) {
-    if (at->comparable) residuals.push_back(at->residual);
+       at != state.runs.rend() && newest.size() < kWindow; ++at) {
+    if (at->step == nullptr) continue;
+    SortSamples(*at->step);
+    double work = 0;
+    if (!WorkByOthers(*at->step, upstream, work)) continue;
+    at->residual = work - at->log_duration;
+    newest.push_back(&*at);
+    residuals.push_back(at->residual);
   }
-  if (residuals.empty()) return;
+  if (newest.empty()) return;
+  const bool changed = DropOutdated(state, newest, now);
+  if (changed) residuals.resize(kRunsOfChange);
   state.weight = static_cast<double>(residuals.size());
   const double target = Median(residuals);
   state.log_factor += (changed ? 1 : kFitStep) * (target - state.log_factor);
@@ -282,13 +283,16 @@
   if (now - updated_at_ < kUpdatePeriod) return;
   updated_at_ = now;
   DropOldSteps(now);
-  for (int i = 0; i < kFitsPerUpdate; ++i) Fit(now);
+  Fit(now);
   for (UpstreamState& state : upstreams_) {
     if (state.weight <= 0) continue;
     const std::chrono::duration<double> age = now - state.last;
     const double weight = state.weight * std::exp2(-(age / kHalfLife));
-    state.factor =
-        std::exp(state.log_factor * weight / (weight + kPriorWeight));
+    const double log_factor =
+        state.log_factor * weight / (weight + kPriorWeight);
+    state.speed = {.factor = std::exp(log_factor),
+                   .speed_class = static_cast<int32_t>(
+                       std::lround(log_factor / kLogClassWidth))};
   }
   UpdateSpread(now);
 }
@@ -317,22 +321,24 @@
   const double weight =
       state.weight *
       std::exp2(-(std::chrono::duration<double>(age) / kHalfLife));
-  return {
-      .factor = state.factor, .confidence = weight / (weight + 1), .age = age};
+  return {.factor = state.speed.factor,
+          .confidence = weight / (weight + 1),
+          .age = age};
 }
 
 void UpstreamSpeeds::DropOldSteps(TimePoint now) {
   if (now - cleaned_at_ < kCleaningPeriod) return;
   cleaned_at_ = now;
-  std::erase_if(
-      steps_, [&](const auto& it) { return now - it.second.last > kStepAge; });
-  // An observation has to go with its step: another step with the same id would
-  // have other samples.
+  const auto is_old = [&](const StepRuns& step) {
+    return now - step.last > kStepAge;
+  };
+  // Observations refer to their step.
   for (UpstreamState& state : upstreams_) {
     std::erase_if(state.runs, [&](const Observation& seen) {
-      return seen.at != TimePoint{} && steps_.count(seen.task.step_id()) == 0;
+      return seen.step != nullptr && is_old(*seen.step);
     });
   }
+  std::erase_if(steps_, [&](const auto& it) { return is_old(it.second); });
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_speeds.h
+++ b/src/scheduling/upstream_speeds.h
@@ -11,11 +11,20 @@
 
 namespace mimosarail::scheduling {
 
-/// What is known of the speed of one upstream.
-struct SpeedEstimate {
+/// The speed of one upstream, as placement uses it.
+struct UpstreamSpeed {
   /// Speed relative to the usual one: a run takes its usual time divided by
   /// this. Near 1 while little is known.
   double factor = 1;
+  /// Upstreams of about the same speed have the same class; 0 is the usual
+  /// speed, higher classes are faster.
+  int32_t speed_class = 0;
+};
+
+/// What is known of the speed of one upstream.
+struct SpeedEstimate {
+  /// See UpstreamSpeed.
+  double factor = 1;
   /// From 0 (nothing is known) to 1.
   double confidence = 0;
   /// Time since the last observation; Millis::max() without any.
@@ -58,8 +67,10 @@
   void Update(TimePoint now);
 
   /// Returns the factor as of the last update; 1 if nothing is known.
-  double Factor(UpstreamIndex upstream) const {
-    return upstream < upstreams_.size() ? upstreams_[upstream].factor : 1;
+  double Factor(UpstreamIndex upstream) const { return Speed(upstream).factor; }
+  UpstreamSpeed Speed(UpstreamIndex upstream) const {
+    return upstream < upstreams_.size() ? upstreams_[upstream].speed
+                                        : UpstreamSpeed{};
   }
   SpeedEstimate Estimate(UpstreamIndex upstream, TimePoint now) const;
   /// Returns how many times as fast the fast upstreams (90th percentile) are as
@@ -69,7 +80,7 @@
 
   /// An upstream that becomes slow or fast is to be noticed within 1 s, and a
   /// fit of 350 upstreams takes less than 1 ms.
-  static constexpr Millis kUpdatePeriod{50};
+  static constexpr Millis kUpdatePeriod{100};
 
  private:
   /// Normalised duration of one run of a step.
@@ -93,6 +104,9 @@
     int64_t attempt = 0;
     /// Index in StepRuns::samples; -1 until the duration is known.
     int32_t sample = -1;
+    /// The runs of its step; null until the duration is known. Dropped together
+    /// with the observation.
+    StepRuns* step = nullptr;
     double log_duration = 0;
     TimePoint at{};
     bool ended = false;
@@ -104,7 +118,6 @@
     double acceleration = 0;
     /// Estimate of the upstream's log factor by this run alone; valid in a fit.
     double residual = 0;
-    bool comparable = false;
   };
   struct UpstreamState {
     /// The newest observations, newest last.
@@ -116,7 +129,7 @@
     double log_factor = 0;
     /// Number of observations behind `log_factor`.
     double weight = 0;
-    double factor = 1;
+    UpstreamSpeed speed;
   };
 
   UpstreamState& StateOf(UpstreamIndex upstream);
@@ -136,8 +149,10 @@
   void Fit(TimePoint now);
   void FitUpstream(UpstreamIndex upstream, TimePoint now);
   /// Returns true if the newest runs agree that the speed has changed, and
-  /// drops the older ones.
-  bool DropOutdated(UpstreamIndex upstream, TimePoint now);
+  /// drops the older ones. `newest` begins with the newest observation.
+  static bool DropOutdated(UpstreamState& state,
+                           const std::vector<Observation*>& newest,
+                           TimePoint now);
   /// Makes the factors relative to the mean of the middle half.
   void Normalize();
   void UpdateSpread(TimePoint now);
--- a/tests/upstream_speeds_test.cc
+++ b/tests/upstream_speeds_test.cc
@@ -153,28 +153,37 @@
           .speeds = {0.6, 1.0, 1.6}};
 }
 
-struct Fractions {
-  double urgent = 0;
-  double gangs = 0;
-  double rollups = 0;
-};
-
-Fractions SimulateLoad(uint64_t seed, double spread) {
-  LoadSimulator simulator(TelematicsLoad(), seed,
-                          {.upstream_speed_spread = spread});
-  simulator.Simulate(Millis(10000));
-  simulator.CountFromNow();
-  simulator.Simulate(Millis(40000));
-  return {.urgent = simulator.punctuality("alert-check").fraction(),
-          .gangs = simulator.punctuality("field-replay").fraction(),
-          .rollups = simulator.punctuality("yield-rollup").fraction()};
+/// Fractions of jobs in time, by queue.
+std::map<std::string, double> SimulateLoad(double spread,
+                                           double tail_fraction) {
+  std::map<std::string, LoadSimulator::Punctuality> sums;
+  for (const uint64_t seed : {1, 2, 3, 4}) {
+    Load load = TelematicsLoad();
+    load.tail_fraction = tail_fraction;
+    LoadSimulator simulator(load, seed, {.upstream_speed_spread = spread});
+    simulator.Simulate(Millis(10000));
+    simulator.CountFromNow();
+    simulator.Simulate(Millis(40000));
+    for (const JobKind& kind : TelematicsLoad().kinds) {
+      const auto seen = simulator.punctuality(kind.queue);
+      sums[kind.queue].due += seen.due;
+      sums[kind.queue].in_time += seen.in_time;
+    }
+  }
+  std::map<std::string, double> out;
+  for (const auto& [queue, sum] : sums) {
+    BOOST_TEST_MESSAGE("spread " << spread << ", " << queue << ": in time "
+                                 << sum.in_time << " of " << sum.due);
+    out[queue] = sum.fraction();
+  }
+  return out;
 }
 
 }  // namespace
 
 /// Guards against an estimate that needs long to be of use, or that long runs
-/// distort. The 80th percentile of the errors after five runs is 13 to 17 %,
-/// its bound is one third above that.
+/// distort. After five runs the median error is 6 to 10 %, the 80th percentile
+/// 12 to 18 %. After 15 runs they are 5 to 6 % and 12 to 13 %.
 BOOST_AUTO_TEST_CASE(FactorsAreWithin15PercentAfterFiveRuns) {
   for (const uint64_t seed : {1, 2, 3}) {
     Runs runs(60, seed);
@@ -291,23 +300,27 @@
   BOOST_TEST(runs.factor() >= 0.7);
 }
 
-/// Guards against urgent jobs on slow upstreams, on which they are late: 16 to
-/// 19 % of them miss their objective, 3 % do so since one of their tasks takes
-/// 7 times as long. With the setting it is 3 to 4 %.
+/// Guards against urgent jobs on slow upstreams, on which they are late: 19 %
+/// miss their objective, and 5 % with the setting. 3 % are late in any case, as
+/// one of their tasks takes 7 times as long.
 BOOST_AUTO_TEST_CASE(UrgentJobsAvoidSlowUpstreams) {
-  for (const uint64_t seed : {1, 2, 3}) {
-    const Fractions off = SimulateLoad(seed, 0);
-    const Fractions on = SimulateLoad(seed, 2);
-    BOOST_TEST_MESSAGE("seed " << seed << ": in time off/on: alert-check "
-                               << off.urgent << "/" << on.urgent
-                               << ", field-replay " << off.gangs << "/"
-                               << on.gangs << ", yield-rollup " << off.rollups
-                               << "/" << on.rollups);
-    BOOST_TEST(on.urgent >= 0.93);
-    BOOST_TEST(off.urgent <= 0.88);
-    BOOST_TEST(on.gangs >= off.gangs);
-    BOOST_TEST(on.rollups >= off.rollups - 0.1);
-  }
+  const auto off = SimulateLoad(0, 0.01);
+  const auto on = SimulateLoad(2, 0.01);
+  BOOST_TEST(on.at("alert-check") >= 0.93);
+  BOOST_TEST(off.at("alert-check") <= 0.88);
+  BOOST_TEST(on.at("yield-rollup") >= off.at("yield-rollup") - 0.1);
+}
+
+/// Guards against gangs that wait for a member on a slow upstream: 57 % are in
+/// time, and 80 % with the setting. Without long runs, since a gang with one of
+/// them is late on any upstream.
+BOOST_AUTO_TEST_CASE(GangsTakeUpstreamsOfSimilarSpeed) {
+  const auto off = SimulateLoad(0, 0);
+  const auto on = SimulateLoad(2, 0);
+  BOOST_TEST(on.at("alert-check") >= 0.98);
+  BOOST_TEST(off.at("alert-check") <= 0.9);
+  BOOST_TEST(on.at("field-replay") >= off.at("field-replay") + 0.1);
+  BOOST_TEST(on.at("yield-rollup") >= 0.98);
 }
 
 }  // namespace mimosarail::scheduling
