Coordinator: Report the speeds of upstreams

Operators could not see which upstreams the leader takes for slow.

Adds gauges of the distribution of factors, the spread, whether speeds are in use and the ten lowest factors, and a log line with the ten slowest upstreams while speeds are in use. Only with upstream_speed_spread set.

Evidence: upstream_speeds_test, MetricsStateTheSlowestUpstreams.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include "src/coordinator/job_table.h"
+#include "src/coordinator/speed_report.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
 
@@ -127,6 +128,10 @@
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
   ReportAccounts();
+  if (options_.scheduler.upstream_speed_spread > 0) {
+    ReportSpeeds(scheduler_.pool(), scheduler_.speeds_in_use(), now,
+                 deps_.metrics);
+  }
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kMaxExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -175,6 +175,9 @@
   /// Returns the load of every account that has had a job in this term or is in
   /// the configuration, those with the most waiting steps first.
   std::vector<AccountLoad> AccountLoads() const;
+  /// Whether measured speeds are in use; see
+  /// SchedulerOptions::upstream_speed_spread.
+  bool speeds_in_use() const { return speeds_active_; }
   int64_t waiting_steps() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
--- a/tests/upstream_speeds_test.cc
+++ b/tests/upstream_speeds_test.cc
@@ -7,6 +7,7 @@
 #include <random>
 #include <vector>
 
+#include "src/coordinator/speed_report.h"
 #include "src/scheduling/speed_choice.h"
 #include "src/scheduling/task_durations.h"
 #include "tests/load_simulator.h"
@@ -264,6 +265,37 @@
   BOOST_TEST(pool.speeds().Factor(slow) == 1);
 }
 
+/// Guards against operators who can't see which upstreams are slow.
+BOOST_AUTO_TEST_CASE(MetricsStateTheSlowestUpstreams) {
+  UpstreamPool pool;
+  std::vector<UpstreamIndex> upstreams;
+  for (const char* id : {"slow", "usual-1", "usual-2", "idle"}) {
+    ports::UpstreamEntry entry;
+    entry.id = id;
+    upstreams.push_back(pool.Update(entry));
+  }
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  for (JobId job = 1; job <= 9; ++job) {
+    now += Millis(100);
+    for (int32_t i = 0; i < 3; ++i) {
+      pool.speeds().NoteCompleted({upstreams[i], {job, 0, 0, i}, 1},
+                                  Millis(i == 0 ? 2000 : 1000), now);
+    }
+    pool.speeds().Update(now);
+  }
+  metrics::Registry metrics;
+  coordinator::ReportSpeeds(pool, false, now, metrics);
+  const std::string text = metrics.Text();
+  BOOST_TEST_MESSAGE(text);
+  // The idle upstream has no known speed.
+  BOOST_TEST(text.find("upstream_speed{le=\"+Inf\"} 3") != std::string::npos);
+  BOOST_TEST(text.find("upstream_speed{le=\"0.9\"} 1") != std::string::npos);
+  BOOST_TEST(text.find("upstream_speed_slowest{rank=\"3\"} 0") ==
+             std::string::npos);
+  BOOST_TEST(text.find("upstream_speed_slowest{rank=\"4\"} 0") !=
+             std::string::npos);
+}
+
 /// Guards against callers' estimates that stay in force although runs have been
 /// observed.
 BOOST_AUTO_TEST_CASE(ObservedDurationsReplaceEstimates) {
