--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -1,8 +1,10 @@
 #include "src/coordinator/coordinator.h"
 
 #include <algorithm>
+#include <cmath>
 
 #include "src/coordinator/job_table.h"
+#include "src/coordinator/speed_report.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
 
@@ -40,6 +42,12 @@
   return out;
 }
 
+/// The factor in percent; empty while speeds are not in use.
+std::string SpeedPercent(const std::optional<double>& factor) {
+  constexpr double kPercent = 100;
+  return factor ? Text(std::llround(*factor * kPercent)) : "";
+}
+
 }  // namespace
 
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
@@ -120,6 +128,10 @@
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
   ReportAccounts();
+  if (options_.scheduler.upstream_speed_spread > 0) {
+    ReportSpeeds(scheduler_.pool(), scheduler_.speeds_in_use(), now,
+                 deps_.metrics);
+  }
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kMaxExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
@@ -194,7 +206,8 @@
                    {{"task", TaskIdText(start.task)},
                     {"attempt", Text(start.attempt)},
                     {"upstream", scheduler_.pool().at(start.upstream).entry.id},
-                    {"checkpoint", start.checkpoint}});
+                    {"checkpoint", start.checkpoint},
+                    {"speed_percent", SpeedPercent(start.speed_factor)}});
     link->second->Start(start);
   }
   for (const scheduling::AdviceOrder& order : orders.advice) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -17,6 +17,8 @@
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/orders.h"
 #include "src/scheduling/queue_order.h"
+#include "src/scheduling/speed_choice.h"
+#include "src/scheduling/task_durations.h"
 #include "src/scheduling/upstream_pool.h"
 
 namespace mimosarail::scheduling {
@@ -173,6 +175,9 @@
   /// Returns the load of every account that has had a job in this term or is in
   /// the configuration, those with the most waiting steps first.
   std::vector<AccountLoad> AccountLoads() const;
+  /// Whether measured speeds are in use; see
+  /// SchedulerOptions::upstream_speed_spread.
+  bool speeds_in_use() const { return speeds_active_; }
   int64_t waiting_steps() const { return static_cast<int64_t>(queue_.size()); }
 
  private:
@@ -222,6 +227,10 @@
     /// `plan_valid_until`.
     GangPlan plan;
     TimePoint plan_valid_until{};
+    /// What the step needs of the speed of its upstreams; unset unless speeds
+    /// are in use. Computed again after `speed_needs_valid_until`.
+    std::optional<SpeedNeeds> speed_needs;
+    TimePoint speed_needs_valid_until{};
     /// Whether advice is needed is not checked again before this time.
     TimePoint next_advice_check{};
     /// A member of the gang could not start, ended without success, stalled,
@@ -463,8 +472,8 @@
                              PassReservations& reserved);
   /// Returns how much of the free capacity the step may use, given the
   /// reservations of gangs before it in the queue.
-  Amount CapacityFor(const wire::StepSpec& step, UpstreamIndex upstream,
-                     Amount free, TimePoint now,
+  Amount CapacityFor(const JobRecord& record, const StepId& id,
+                     UpstreamIndex upstream, Amount free, TimePoint now,
                      const PassReservations& reserved) const;
   struct StepFailures {
     /// A task of the step has failed.
@@ -486,6 +495,8 @@
     bool excluded = false;
     /// The capacity there is reserved for a waiting gang.
     bool gang_reserved = false;
+    /// Default unless speeds are in use.
+    SpeedRank speed;
     AdviceCandidate candidate;
   };
   /// Returns the upstreams with free capacity about which to ask, best first.
@@ -494,6 +505,9 @@
   std::vector<RankedCandidate> RankAdviceCandidates(
       const JobRecord& record, const StepId& id, TimePoint now,
       const PassReservations& reserved, double& expected_tasks) const;
+  /// Ranks the speeds of upstreams for a gang that needs this many tasks.
+  void RankForGangAdvice(const SpeedNeeds& needs, double tasks,
+                         std::vector<RankedCandidate>& ranked) const;
   /// Returns the upstreams to ask about so that tasks can start; empty if no
   /// call is of use.
   std::vector<UpstreamIndex> SelectForStart(
@@ -519,7 +533,55 @@
   /// Sets the expected end of all members of a gang to that of the slowest one.
   void UpdateExpectedGangEnd(JobRecord& record, const StepId& id);
 
+  /// Updates the estimated speeds, and decides whether they are used.
+  void UpdateSpeeds(TimePoint now);
+  /// Observes the duration of a run. To be called before its reservation is
+  /// released.
+  void ObserveEnd(const JobRecord& record, UpstreamIndex upstream,
+                  const ports::EndedTask& end, TimePoint now);
+  /// Observes the rate of progress of a current run. To be called before the
+  /// new progress is stored.
+  void ObserveProgress(const JobRecord& record, UpstreamIndex upstream,
+                       const ports::RunningTask& running, TimePoint now);
+  /// Returns the expected run time of a task of the step at the usual speed;
+  /// the caller's estimate unless speeds are in use.
+  Millis ExpectedWork(const JobRecord& record, int32_t step) const;
+  /// Returns when a run that starts now is expected to end. The same as
+  /// ExpectedEnd() unless speeds are in use.
+  TimePoint ExpectedEndOn(UpstreamIndex upstream, const JobRecord& record,
+                          int32_t step, TimePoint now) const;
+  /// Returns for how long a run may make no progress before it is stalled.
+  Millis StallLimit(const JobRecord& record, UpstreamIndex upstream,
+                    int32_t step, TimePoint now) const;
+  /// Returns nullopt unless speeds are in use and matter to the step.
+  std::optional<SpeedNeeds> SpeedNeedsOf(const JobRecord& record,
+                                         const StepId& id, TimePoint now) const;
+  /// Updates StepState::speed_needs if it is too old.
+  void UpdateSpeedNeeds(JobRecord& record, const StepId& id, TimePoint now);
+  /// Orders the candidates for a gang so that it takes those of similar speed.
+  void OrderBySpeed(const wire::StepSpec& step, const SpeedNeeds& needs,
+                    std::vector<Candidate>& found) const;
+  /// Returns the plan with the earliest expected end of a gang, which depends
+  /// on its slowest upstream.
+  GangPlan PlanBySpeed(const std::vector<SlotTimes>& slots, int32_t tasks,
+                       const SpeedNeeds& needs) const;
+  /// Returns the lowest speed factor in a plan. Precondition: plan.found().
+  double SlowestIn(const GangPlan& plan) const;
+  /// Whether a gang that could start on these candidates, taken in order, waits
+  /// instead: it would be late there, and its plan is in time.
+  bool GangWaitsForFaster(JobRecord& record, const StepId& id,
+                          const std::vector<Candidate>& found, TimePoint now,
+                          const PassReservations& reserved);
+  /// Whether an urgent task that would be late on this upstream waits, since a
+  /// faster one is expected to be free soon.
+  bool WaitsForFaster(const JobRecord& record, const StepId& id,
+                      const SpeedNeeds& needs, UpstreamIndex upstream,
+                      TimePoint now) const;
+
   SchedulerOptions options_;
+  /// Speeds are in use; see SchedulerOptions::upstream_speed_spread.
+  bool speeds_active_ = false;
+  TaskDurations durations_;
   UpstreamPool pool_;
   bool resolved_ = false;
   std::unordered_map<JobId, std::unique_ptr<JobRecord>> jobs_;
