Leadership: Count the link in the fitness of a leader

Callers saw no answers for 6 s and longer after a leader was lost: entries with 0.3 core and 10 Mbit/s claimed leadership 3 ms before those with 0.5 core and 200 Mbit/s, and then loaded the stored jobs over their thin links. Fitness was the processor share alone, so both ranked as sufficient.

LeaderFitness() lowers the processor share of a machine whose link is too thin (below 87 Mbit/s) by the time that loading and leading would take; the daemon computes it from cpu_share and link_mbps. With an unknown or sufficient link it is the processor share as before. The existing claim delay then lets fitter entries claim first.

An unfit leader hands over as soon as a fit follower's heartbeat arrives (before: 1.5 s after its election and 0.7 s after the first heartbeat), and a fit entry sends one as soon as it learns of the leader. The resignation names the successor (a new optional field of AnnounceCall; earlier versions skip it), so that entries that do not know the successor let it claim first. A successor that does not claim is not named again for 10 s; without this, 13 terms passed in 9 s while the fit followers could not reach the store. "claiming" and "leading" state fitness and rank.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -14,6 +14,7 @@
 #include "platform/upstream_client.h"
 #include "src/jobentry/entry_rpc_handlers.h"
 #include "src/jobentry/job_entry.h"
+#include "src/leadership/leader_fitness.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
 #include "src/libs/logging/log.h"
@@ -84,7 +85,9 @@
   out.leadership.election_timeout = Millis(s.election_timeout_ms);
   out.leadership.store_unreachable_after = Millis(s.store_unreachable_after_ms);
   out.leadership.leader_lease = Millis(s.leader_lease_ms);
-  out.leadership.member.fitness = static_cast<int32_t>(s.cpu_percent);
+  out.leadership.member.fitness = leadership::LeaderFitness(
+      s.cpu_percent,
+      static_cast<double>(s.link_centi_mbps) / kHundredthsPerUnit);
   out.coordinator.scheduler = MakeSchedulerOptions(s);
   out.coordinator.admission =
       coordinator::kAdmissionPolicyNames.Find(s.admission)
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2925,6 +2925,11 @@
 void AnnounceCall::__set_unstable_terms(const int32_t val) {
   this->unstable_terms = val;
 }
+
+void AnnounceCall::__set_successor(const std::string& val) {
+  this->successor = val;
+__isset.successor = true;
+}
 std::ostream& operator<<(std::ostream& out, const AnnounceCall& obj)
 {
   obj.printTo(out);
@@ -3001,6 +3006,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3042,6 +3055,11 @@
   xfer += oprot->writeI32(this->unstable_terms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.successor) {
+    xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->successor);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3055,6 +3073,7 @@
   swap(a.loading, b.loading);
   swap(a.stable, b.stable);
   swap(a.unstable_terms, b.unstable_terms);
+  swap(a.successor, b.successor);
   swap(a.__isset, b.__isset);
 }
 
@@ -3065,6 +3084,7 @@
   loading = other100.loading;
   stable = other100.stable;
   unstable_terms = other100.unstable_terms;
+  successor = other100.successor;
   __isset = other100.__isset;
 }
 AnnounceCall::AnnounceCall(AnnounceCall&& other101) noexcept {
@@ -3074,6 +3094,7 @@
   loading = other101.loading;
   stable = other101.stable;
   unstable_terms = other101.unstable_terms;
+  successor = std::move(other101.successor);
   __isset = other101.__isset;
 }
 AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other102) {
@@ -3083,6 +3104,7 @@
   loading = other102.loading;
   stable = other102.stable;
   unstable_terms = other102.unstable_terms;
+  successor = other102.successor;
   __isset = other102.__isset;
   return *this;
 }
@@ -3093,6 +3115,7 @@
   loading = other103.loading;
   stable = other103.stable;
   unstable_terms = other103.unstable_terms;
+  successor = std::move(other103.successor);
   __isset = other103.__isset;
   return *this;
 }
@@ -3105,6 +3128,7 @@
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "stable=" << to_string(stable);
   out << ", " << "unstable_terms=" << to_string(unstable_terms);
+  out << ", " << "successor="; (__isset.successor ? (out << to_string(successor)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -1207,13 +1207,14 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj);
 
 typedef struct _AnnounceCall__isset {
-  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false), stable(false), unstable_terms(false) {}
+  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false), stable(false), unstable_terms(false), successor(false) {}
   bool term :1;
   bool leader :1;
   bool resigned :1;
   bool loading :1;
   bool stable :1;
   bool unstable_terms :1;
+  bool successor :1;
 } _AnnounceCall__isset;
 
 /**
@@ -1231,7 +1232,8 @@
                  resigned(0),
                  loading(0),
                  stable(0),
-                 unstable_terms(0) {
+                 unstable_terms(0),
+                 successor() {
   }
 
   virtual ~AnnounceCall() noexcept;
@@ -1254,6 +1256,10 @@
    * Number of consecutive terms right before this one that ended unstable.
    */
   int32_t unstable_terms;
+  /**
+   * In a resignation: the fitter follower that the leader hands over to.
+   */
+  std::string successor;
 
   _AnnounceCall__isset __isset;
 
@@ -1269,6 +1275,8 @@
 
   void __set_unstable_terms(const int32_t val);
 
+  void __set_successor(const std::string& val);
+
   bool operator == (const AnnounceCall & rhs) const
   {
     if (!(term == rhs.term))
@@ -1283,6 +1291,10 @@
       return false;
     if (!(unstable_terms == rhs.unstable_terms))
       return false;
+    if (__isset.successor != rhs.__isset.successor)
+      return false;
+    else if (__isset.successor && !(successor == rhs.successor))
+      return false;
     return true;
   }
   bool operator != (const AnnounceCall &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -193,6 +193,8 @@
   5: bool stable
   /** Number of consecutive terms right before this one that ended unstable. */
   6: i32 unstable_terms
+  /** In a resignation: the fitter follower that the leader hands over to. */
+  7: optional string successor
 }
 struct AnnounceReply { 1: i64 term }
 
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "src/leadership/leader_fitness.h"
 #include "src/leadership/leader_table.h"
 #include "src/leadership/leadership.h"
 #include "src/libs/logging/log.h"
@@ -11,9 +12,9 @@
 namespace mimosarail::leadership {
 namespace {
 
-/// Claim delay of an entry with no processor share at all, which lets fitter
-/// entries claim first. For other entries the delay is proportional to the
-/// share that they lack.
+/// Claim delay of an entry without any fitness, which lets fitter entries claim
+/// first. For other entries the delay is proportional to the fitness that they
+/// lack.
 constexpr Millis kClaimDelay{500};
 /// The same while no other entry is known: the processes of machines that are
 /// powered on together start within half a second of each other.
@@ -26,18 +27,18 @@
 }  // namespace
 
 Millis Leadership::ClaimDelay() const {
-  const int32_t fitness = options_.member.fitness;
-  const int32_t missing = options_.sufficient_fitness - fitness;
+  const int32_t missing = options_.sufficient_fitness - options_.member.fitness;
   if (missing <= 0) return Millis(0);
-  const auto fitter = [&](const wire::Member& other) {
-    return other.fitness > fitness && other.address != leader_.address;
-  };
+  const Millis delay = kClaimDelay * missing / options_.sufficient_fitness;
+  // The entry that the last leader has handed over to is fitter.
+  if (!successors_.current().empty()) return delay;
   const std::vector<wire::Member>& members = members_.all();
   if (members.empty()) {
     return kInitialClaimDelay * missing / options_.sufficient_fitness;
   }
-  if (std::none_of(members.begin(), members.end(), fitter)) return Millis(0);
-  return kClaimDelay * missing / options_.sufficient_fitness;
+  const bool fitter_known =
+      FitnessRank(options_.member, members, leader_.address) > 1;
+  return fitter_known ? delay : Millis(0);
 }
 
 void Leadership::Suspect(Suspicion suspicion, const std::string& cause) {
@@ -205,6 +206,14 @@
 void Leadership::Claim(const Candidacy& candidacy) {
   const std::string record =
       EncodeRecord(candidacy.term, candidacy.unstable_terms);
+  logging::Event(
+      Level::kInfo, "claiming",
+      {{"term", Text(candidacy.term)},
+       {"leader", leader_.name},
+       {"fitness", Text(options_.member.fitness)},
+       {"rank",
+        Text(FitnessRank(options_.member, members_.all(), leader_.address))},
+       {"entries", Text(static_cast<int64_t>(members_.all().size()))}});
   store_.Append({.table = options_.table,
                  .records = {{kLeaderKey, record}},
                  .expected_end_offset = candidacy.end_offset},
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -4,14 +4,13 @@
 #include <set>
 #include <utility>
 
+#include "src/leadership/leader_fitness.h"
 #include "src/leadership/leader_table.h"
 #include "src/libs/logging/log.h"
 
 namespace mimosarail::leadership {
 namespace {
 
-/// A follower whose last heartbeat is older than this is regarded as lost.
-constexpr Millis kFollowerTimeout{1000};
 /// Number of consecutive refused connections after which a leader is suspected.
 constexpr int kMaxRefusedConnections = 2;
 constexpr Millis kTick{50};
@@ -26,8 +25,6 @@
 /// Time after which a follower assumes that its leader knows all live entries:
 /// ten heartbeats of each.
 constexpr Millis kMemberDiscoveryTime{2000};
-/// Pause after handing over, in which the other entry claims leadership.
-constexpr Millis kLeaderCheckAfterHandOver{1000};
 
 /// Timeout of the call that passes a configuration to the leader: a document of
 /// 350 KB takes 1.4 s over a link of 2 Mbit/s. The leader asks one follower at
@@ -317,6 +314,7 @@
   leader_clock_ms_ = 0;
   members_.BeginTerm();
   votes_.Clear();
+  successors_.OnNewLeader();
   refused_connections_ = 0;
   logging::Event(Level::kInfo, "following",
                  {{"term", Text(term)},
@@ -328,6 +326,7 @@
     events_.on_leadership_lost();
   }
   if (!loading) NoteLeaderReady();
+  ReportToUnfitLeader();
 }
 
 void Leadership::StepDown(const std::string& cause) {
@@ -340,33 +339,6 @@
   events_.on_leadership_lost();
 }
 
-void Leadership::ResignForShutdown() {
-  if (role_ == Role::kLeading) {
-    return Resign(Role::kShuttingDown, "this entry stops");
-  }
-  role_ = Role::kShuttingDown;
-}
-
-void Leadership::Resign(Role next_role, const std::string& cause) {
-  members_.Assign(followers());
-  role_ = next_role;
-  leader_ = {};
-  next_check_at_ = executor_.Now() + kLeaderCheckAfterHandOver;
-  logging::Event(Level::kInfo, "leadership resigned",
-                 {{"term", Text(term_)}, {"cause", cause}});
-  events_.on_leadership_lost();
-  wire::AnnounceCall call;
-  call.term = term_;
-  call.leader = options_.member;
-  call.resigned = true;
-  for (const wire::Member& member : followers()) {
-    peers_.Announce(member.address, call, options_.heartbeat_timeout,
-                    [](const Result<wire::AnnounceReply>&) {
-                      // Entries that miss it learn of it by heartbeats.
-                    });
-  }
-}
-
 void Leadership::ReportExpiredFollowers() {
   const TimePoint now = executor_.Now();
   for (const auto& [name, follower] : followers_) {
@@ -374,22 +346,6 @@
   }
 }
 
-void Leadership::HandOverIfUnfit() {
-  if (options_.member.fitness >= options_.sufficient_fitness) return;
-  if (executor_.Now() - leading_since_ < options_.hand_over_after) return;
-  const TimePoint now = executor_.Now();
-  for (const auto& [name, follower] : followers_) {
-    if (follower.member.fitness < options_.sufficient_fitness) continue;
-    if (now - follower.last_heartbeat > kFollowerTimeout) continue;
-    // The other followers must know the fitter entry too, or they claim before
-    // it can.
-    if (now - follower.heartbeats_since < options_.leader_suspect_after) {
-      continue;
-    }
-    return Resign(Role::kFollowing, "a fitter entry is there");
-  }
-}
-
 bool Leadership::IsPlausibleTerm(int64_t term, const std::string& peer) {
   if (term >= 0 && term <= kMaxTerm) return true;
   malformed_records_.Report(RecordSource::kPeer, peer, "term out of range");
@@ -398,6 +354,8 @@
 
 void Leadership::BecomeLeader(const Candidacy& candidacy,
                               const CallStart& start, int64_t end_offset) {
+  const int32_t rank =
+      FitnessRank(options_.member, members_.all(), leader_.address);
   role_ = Role::kLeading;
   term_ = candidacy.term;
   unstable_terms_ = candidacy.unstable_terms;
@@ -410,6 +368,7 @@
       std::chrono::duration_cast<Millis>(last_renewed_ - start.sent);
   confirmed_ = start;
   followers_.clear();
+  successors_.OnNewLeader();
   changes_.Clear();
   changes_.Join(options_.member);
   superseded_logged_ = false;
@@ -427,6 +386,8 @@
   logging::Event(Level::kInfo, "leading",
                  {{"term", Text(term_)},
                   {"unsettled_terms", Text(unstable_terms_)},
+                  {"fitness", Text(options_.member.fitness)},
+                  {"rank", Text(rank)},
                   {"predecessor_quorum", quorum_size}});
   AnnounceLeadership();
   events_.on_elected(term_);
@@ -478,12 +439,10 @@
   if (!call.caller.address.empty()) {
     const TimePoint now = executor_.Now();
     auto& follower = followers_.try_emplace(call.caller.name).first->second;
-    if (now - follower.last_heartbeat > kFollowerTimeout) {
-      follower.heartbeats_since = now;
-    }
     follower.member = call.caller;
     follower.last_heartbeat = now;
-    if (call.term == term_) NoteFollowing(call, now);
+    follower.follows = call.term == term_;
+    if (follower.follows) NoteFollowing(call, now);
     changes_.Join(call.caller);
   }
   reply.store_reachable = store_reachable();
@@ -524,6 +483,9 @@
   if (call.resigned) {
     if (call.term == term_ && call.leader.address == leader_.address) {
       next_check_at_ = {};
+      if (call.__isset.successor) {
+        successors_.Note(call.successor, executor_.Now());
+      }
       Suspect(Suspicion::kNotLeading, "the leader has resigned");
     }
   } else {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -9,6 +9,7 @@
 
 #include "src/leadership/election_timeout.h"
 #include "src/leadership/entry_client_port.h"
+#include "src/leadership/hand_over.h"
 #include "src/leadership/leader_quorum.h"
 #include "src/leadership/leader_timeout_votes.h"
 #include "src/leadership/member_list.h"
@@ -65,16 +66,13 @@
   /// An entry whose last heartbeat is older than this is left out of the quorum
   /// that the leader stores next.
   Millis member_expiry{8000};
-  /// Processor share, in percent of a core, with which an entry can lead any
-  /// deployment. Leading 350 upstreams took 0.22 of a core.
+  /// Fitness with which an entry can lead any deployment; see LeaderFitness().
+  /// Leading 350 upstreams took 0.22 of a core.
   int32_t sufficient_fitness = 25;
   /// A leader whose configuration the store has not confirmed for this long
   /// takes over a newer one from a follower. Longer than two reads for changes,
   /// each of which waits 0.9 s.
   Millis config_stale_after{2200};
-  /// A leader with too small a processor share hands over to a sufficiently fit
-  /// entry after this time.
-  Millis hand_over_after{1500};
 };
 
 /// Elects the leader and tracks the current leader and its term. The end offset
@@ -240,12 +238,22 @@
                       const Result<ports::NewestPage>& page);
   /// Delay of this entry's claim, which lets fitter entries claim first.
   Millis ClaimDelay() const;
+  /// As leader that is not sufficiently fit: resigns as soon as a sufficiently
+  /// fit entry follows it, be it before the stored state is loaded.
   void HandOverIfUnfit();
+  /// Resigns in favour of this follower. Precondition: this entry leads.
+  void HandOver(const wire::Member& successor);
+  /// Sends a heartbeat to a new leader that is not sufficiently fit, if this
+  /// entry is, so that the leader hands over before it loads.
+  void ReportToUnfitLeader();
   /// Adds followers without recent heartbeats to the member changes as removed.
   void ReportExpiredFollowers();
-  /// Stops leading and asks the followers to take over at once. `next_role` is
-  /// the role of this entry after that. Precondition: this entry leads.
-  void Resign(Role next_role, const std::string& cause);
+  /// Stops leading and sends `call` as a resignation to `receivers`, so that
+  /// they take over at once. `next_role` is the role of this entry after that.
+  /// Precondition: this entry leads.
+  void Resign(Role next_role, const std::string& cause,
+              const std::vector<std::string>& receivers,
+              wire::AnnounceCall call);
   /// What a claim of leadership is based on.
   struct Candidacy {
     int64_t term = 0;
@@ -362,12 +370,12 @@
   struct Follower {
     wire::Member member;
     TimePoint last_heartbeat;
-    /// Time of the first heartbeat after the start of the term or after a gap
-    /// longer than the follower timeout.
-    TimePoint heartbeats_since;
+    /// Its newest heartbeat was of this leader's term.
+    bool follows = false;
   };
   std::map<std::string, Follower> followers_;
   TimePoint leading_since_{};
+  NamedSuccessors successors_;
   LeaderQuorum quorum_;
   PredecessorLeases predecessors_;
   /// As leader: changes of the followers, to be sent to all of them.
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -162,8 +162,11 @@
   auto& machine = machines_[entry];
   if (!machine) {
     machine = std::make_unique<MachineFake>(clock_);
-    machine->out.SetRate(options_.link);
-    machine->in.SetRate(options_.link);
+    const auto own = options_.links.find(entry);
+    const LinkRate link =
+        own == options_.links.end() ? options_.link : own->second;
+    machine->out.SetRate(link);
+    machine->in.SetRate(link);
     machine->processor.SetRate(options_.processor);
   }
   return *machine;
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -79,6 +79,8 @@
   bool crash_silently = false;
   /// Rates of each direction of an entry's link, and of its processor.
   LinkRate link{};
+  /// The same for the entries named here.
+  std::map<std::string, LinkRate> links{};
   LinkRate processor{};
 };
 
