RPC: Send heartbeats and announcements on connections of their own

On links of 2 Mbit/s the heartbeats of all followers waited behind submissions in the same connection, and all followers suspected the leader (120 heartbeats in 2 s fell to 63). RpcEntryClient now uses a second rpc::Client for heartbeats, indirect probes and announcements. A configuration that is passed to the leader goes with the bulk.

With link_mbps set to a thin link, the send buffers of connections to the store and of bulk between entries hold at most 50 ms of the link (16 kB at least), since what waits there is ahead of heartbeats and renewals on the link. Without link_mbps, or from 20.97 Mbit/s on, they are left to the system.

The effect of the send buffers is not measured.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -64,6 +65,20 @@
 /// How often the settings file is read again; it may change without a SIGHUP.
 constexpr Millis kSettingsCheckPeriod{2000};
 
+/// Size of the send buffers of connections that carry bulk, over a link of this
+/// rate; 0 leaves it to the system. What waits in these buffers is ahead of
+/// heartbeats and renewals on the link. The system lets a buffer grow to some
+/// megabytes, which a link of 2 Mbit/s takes seconds to send.
+int SendBufferBytes(const JobSettings& s) {
+  constexpr int64_t kBufferTimeMs = 50;
+  constexpr int64_t kMinBytes = 16 << 10;
+  constexpr int64_t kMaxBytes = 128 << 10;
+  const int64_t bytes =
+      s.link_centi_mbps * kBytesPerCentiMbit * kBufferTimeMs / 1000;
+  if (bytes == 0 || bytes > kMaxBytes) return 0;
+  return static_cast<int>(std::max(bytes, kMinBytes));
+}
+
 scheduling::SchedulerOptions MakeSchedulerOptions(const JobSettings& s) {
   return {.queue_order = scheduling::kQueueOrderNames.Find(s.queue_order)
                              .value_or(scheduling::QueueOrder::kPriority),
@@ -113,6 +128,7 @@
 struct JobDaemon {
   explicit JobDaemon(const JobSettings& s)
       : store_http(network_io, {.max_connections = kStoreConnections,
+                                .send_buffer_bytes = SendBufferBytes(s),
                                 .max_response_time = kMaxPageTime,
                                 .traffic = &traffic_counters,
                                 .traffic_kind = platform::StoreTrafficKind}),
@@ -126,9 +142,10 @@
         upstreams(upstream_http, executor, {}),
         adviser(adviser_http, executor, s.adviser_address),
         hosts(hosts_http, executor, s.hosts_address),
-        peer_client(network_io, &traffic_counters),
-        peers(peer_client, executor),
-        peer_server(network_io, &traffic_counters),
+        peer_client(network_io, &traffic_counters, SendBufferBytes(s)),
+        urgent_peer_client(network_io, &traffic_counters),
+        peers(peer_client, urgent_peer_client, executor),
+        peer_server(network_io, &traffic_counters, SendBufferBytes(s)),
         entry({.executor = executor,
                .store = store,
                .config = store,
@@ -205,6 +222,7 @@
   platform::UpstreamClient adviser;
   platform::HostClient hosts;
   rpc::Client peer_client;
+  rpc::Client urgent_peer_client;
   leadership::RpcEntryClient peers;
   rpc::Server peer_server;
   jobentry::JobEntry entry;
--- a/src/leadership/rpc_entry_client.cc
+++ b/src/leadership/rpc_entry_client.cc
@@ -7,7 +7,9 @@
 void RpcEntryClient::Heartbeat(const std::string& address,
                                const wire::HeartbeatCall& call, Millis timeout,
                                Callback<wire::HeartbeatReply> done) {
-  rpc::CallTyped<wire::HeartbeatReply>(client_, executor_, address,
+  // A configuration of up to 350 KB would delay the periodic heartbeats.
+  rpc::Client& client = call.config.empty() ? urgent_ : client_;
+  rpc::CallTyped<wire::HeartbeatReply>(client, executor_, address,
                                        rpc::Method::kHeartbeat, call, timeout,
                                        std::move(done));
 }
@@ -15,7 +17,7 @@
 void RpcEntryClient::Announce(const std::string& address,
                               const wire::AnnounceCall& call, Millis timeout,
                               Callback<wire::AnnounceReply> done) {
-  rpc::CallTyped<wire::AnnounceReply>(client_, executor_, address,
+  rpc::CallTyped<wire::AnnounceReply>(urgent_, executor_, address,
                                       rpc::Method::kAnnounce, call, timeout,
                                       std::move(done));
 }
--- a/src/leadership/rpc_entry_client.h
+++ b/src/leadership/rpc_entry_client.h
@@ -6,11 +6,16 @@
 namespace mimosarail::leadership {
 
 /// EntryClientPort over the RPC protocol between entries. Control thread only;
-/// the client and the executor outlive it.
+/// the clients and the executor outlive it.
+///
+/// Heartbeats and announcements use `urgent`, and all else uses `client`, each
+/// with connections of its own. On a shared connection, a heartbeat waits
+/// behind the submissions that are queued for the same entry, and a leader with
+/// a full link is suspected by all followers.
 class RpcEntryClient final : public EntryClientPort {
  public:
-  RpcEntryClient(rpc::Client& client, Executor& executor)
-      : client_(client), executor_(executor) {}
+  RpcEntryClient(rpc::Client& client, rpc::Client& urgent, Executor& executor)
+      : client_(client), urgent_(urgent), executor_(executor) {}
 
   void Heartbeat(const std::string& address, const wire::HeartbeatCall& call,
                  Millis timeout, Callback<wire::HeartbeatReply> done) override;
@@ -30,6 +35,7 @@
 
  private:
   rpc::Client& client_;
+  rpc::Client& urgent_;
   Executor& executor_;
 };
 
--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -149,6 +149,11 @@
   void SetSocketOptions() {
     std::error_code ignored;  // without the option, calls only take longer
     socket_.set_option(tcp::no_delay(true), ignored);
+    if (options_.send_buffer_bytes > 0) {
+      socket_.set_option(
+          asio::socket_base::send_buffer_size(options_.send_buffer_bytes),
+          ignored);
+    }
     const int timeout_ms =
         static_cast<int>(options_.unacked_data_timeout.count());
     setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
--- a/src/libs/http/client.h
+++ b/src/libs/http/client.h
@@ -31,6 +31,9 @@
   /// A connection is aborted when sent data remains unacknowledged for this
   /// long (TCP_USER_TIMEOUT).
   Millis unacked_data_timeout{1500};
+  /// Bounds what waits in the kernel on each connection; 0 leaves it to the
+  /// system.
+  int send_buffer_bytes = 0;
   size_t max_body = 4 << 20;
   /// Time limit for a complete response that arrives in parts, measured from
   /// the start of the call. Once the response has begun, the call's timeout
--- a/src/libs/rpc/client.cc
+++ b/src/libs/rpc/client.cc
@@ -17,18 +17,18 @@
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
   Connection(asio::io_context& io, std::atomic<int64_t>& bytes,
-             metrics::Traffic* traffic)
+             metrics::Traffic* traffic, int send_buffer_bytes)
       : strand_(asio::make_strand(io)),
         socket_(strand_),
         bytes_(bytes),
-        traffic_(traffic) {}
+        traffic_(traffic),
+        send_buffer_bytes_(send_buffer_bytes) {}
 
   void Open(const tcp::endpoint& endpoint) {
     asio::post(strand_, [self = shared_from_this(), endpoint] {
       self->socket_.async_connect(endpoint, [self](std::error_code error) {
         if (error) return self->Fail(Errc::kUnavailable, error.message());
-        std::error_code ignored;  // without the option, calls are slower
-        self->socket_.set_option(tcp::no_delay(true), ignored);
+        SetSocketOptions(self->socket_, self->send_buffer_bytes_);
         self->open_ = true;
         self->WriteNext();
         self->ReadNext();
@@ -166,6 +166,7 @@
   tcp::socket socket_;
   std::atomic<int64_t>& bytes_;
   metrics::Traffic* traffic_;
+  const int send_buffer_bytes_;
   std::atomic<bool> broken_{false};
   bool open_ = false;
   TimePoint last_received_{};
@@ -178,10 +179,14 @@
 }  // namespace
 
 struct Client::Private {
-  Private(asio::io_context& io_in, metrics::Traffic* traffic_in)
-      : io(io_in), traffic(traffic_in) {}
+  Private(asio::io_context& io_in, metrics::Traffic* traffic_in,
+          int send_buffer_bytes_in)
+      : io(io_in),
+        traffic(traffic_in),
+        send_buffer_bytes(send_buffer_bytes_in) {}
   asio::io_context& io;
   metrics::Traffic* traffic;
+  const int send_buffer_bytes;
   std::atomic<int64_t> bytes{0};
   std::mutex mutex;
   std::unordered_map<std::string, std::shared_ptr<Connection>> connections;
@@ -192,15 +197,17 @@
     std::lock_guard lock(mutex);
     auto& connection = connections[address];
     if (!connection || connection->broken()) {
-      connection = std::make_shared<Connection>(io, bytes, traffic);
+      connection =
+          std::make_shared<Connection>(io, bytes, traffic, send_buffer_bytes);
       connection->Open(endpoint);
     }
     return connection;
   }
 };
 
-Client::Client(asio::io_context& io, metrics::Traffic* traffic)
-    : d_(std::make_shared<Private>(io, traffic)) {}
+Client::Client(asio::io_context& io, metrics::Traffic* traffic,
+               int send_buffer_bytes)
+    : d_(std::make_shared<Private>(io, traffic, send_buffer_bytes)) {}
 Client::~Client() = default;
 
 void Client::Call(const std::string& address, Method method, std::string body,
--- a/src/libs/rpc/client.h
+++ b/src/libs/rpc/client.h
@@ -22,7 +22,10 @@
  public:
   /// `io` and `traffic`, which may be null, must outlive the client's last
   /// callback. `traffic` counts frames as "ask" and the name of the method.
-  explicit Client(asio::io_context& io, metrics::Traffic* traffic = nullptr);
+  /// `send_buffer_bytes` bounds what waits in the kernel on each connection; 0
+  /// leaves it to the system.
+  explicit Client(asio::io_context& io, metrics::Traffic* traffic = nullptr,
+                  int send_buffer_bytes = 0);
   ~Client();
   Client(const Client&) = delete;
   Client& operator=(const Client&) = delete;
--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -18,6 +18,14 @@
   return endpoint;
 }
 
+void SetSocketOptions(asio::ip::tcp::socket& socket, int send_buffer_bytes) {
+  std::error_code ignored;  // without the options, calls only take longer
+  socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+  if (send_buffer_bytes <= 0) return;
+  socket.set_option(asio::socket_base::send_buffer_size(send_buffer_bytes),
+                    ignored);
+}
+
 std::string FrameBytes(const wire::Frame& frame) {
   const std::string body = Encode(frame);
   const auto length = static_cast<uint32_t>(body.size());
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -26,6 +26,10 @@
 /// Parses "ip:port". Thread-safe.
 std::optional<Endpoint> ParseEndpoint(const std::string& text);
 
+/// Sets the options of a connected socket. `send_buffer_bytes` is as in Client.
+/// Thread-safe for different sockets.
+void SetSocketOptions(asio::ip::tcp::socket& socket, int send_buffer_bytes);
+
 /// Returns the length prefix and the encoded frame. Thread-safe.
 std::string FrameBytes(const wire::Frame& frame);
 
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -120,9 +120,11 @@
 }  // namespace
 
 struct Server::Private : std::enable_shared_from_this<Server::Private> {
-  Private(asio::io_context& io_in, metrics::Traffic* traffic_in)
+  Private(asio::io_context& io_in, metrics::Traffic* traffic_in,
+          int send_buffer_bytes_in)
       : io(io_in),
         traffic(traffic_in),
+        send_buffer_bytes(send_buffer_bytes_in),
         acceptor(io_in),
         accept_retry_timer(io_in) {}
 
@@ -133,8 +135,7 @@
         [self = shared_from_this()](std::error_code error, tcp::socket socket) {
           if (error == asio::error::operation_aborted) return;
           if (error) return self->RetryAcceptLater(error);
-          std::error_code ignored;  // without the option, replies are slower
-          socket.set_option(tcp::no_delay(true), ignored);
+          SetSocketOptions(socket, self->send_buffer_bytes);
           std::make_shared<Session>(std::move(socket), self->handlers,
                                     self->bytes, self->traffic)
               ->ReadNext();
@@ -157,6 +158,7 @@
 
   asio::io_context& io;
   metrics::Traffic* traffic;
+  const int send_buffer_bytes;
   tcp::acceptor acceptor;
   asio::steady_timer accept_retry_timer;
   std::shared_ptr<HandlerTable> handlers = std::make_shared<HandlerTable>();
@@ -164,8 +166,9 @@
       std::make_shared<std::atomic<int64_t>>(0);
 };
 
-Server::Server(asio::io_context& io, metrics::Traffic* traffic)
-    : d_(std::make_shared<Private>(io, traffic)) {}
+Server::Server(asio::io_context& io, metrics::Traffic* traffic,
+               int send_buffer_bytes)
+    : d_(std::make_shared<Private>(io, traffic, send_buffer_bytes)) {}
 
 Server::~Server() {
   std::error_code ignored;  // no consequence on destruction
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -24,8 +24,10 @@
 class Server {
  public:
   /// `io` and `traffic`, which may be null, must outlive the server. `traffic`
-  /// counts frames as "serve" and the name of the method.
-  explicit Server(asio::io_context& io, metrics::Traffic* traffic = nullptr);
+  /// counts frames as "serve" and the name of the method. `send_buffer_bytes`
+  /// is as in Client.
+  explicit Server(asio::io_context& io, metrics::Traffic* traffic = nullptr,
+                  int send_buffer_bytes = 0);
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- a/tests/callback_threads_test.cc
+++ b/tests/callback_threads_test.cc
@@ -119,7 +119,8 @@
   asio::io_context io;
   PromptControlThread control;
   rpc::Client client(io);
-  leadership::RpcEntryClient entries(client, control);
+  rpc::Client urgent(io);
+  leadership::RpcEntryClient entries(client, urgent, control);
   OwnedState state;
   entries.SubmitJob(kInvalidAddress, {}, kTimeout, state.MakeCallback());
   BOOST_TEST(state.released_once_on_control_thread());
