Leadership: Keep a leader whose link or processor is full

On links of 2 Mbit/s, and with 300 entries of 0.25 core, a leader that answered late because of its load was replaced by an equal one that failed in the same way: eight terms a minute, in which no caller was served.

An entry with link_mbps set compares its traffic and processor time with its settings, and a leader states in its record whether it is saturated. Followers do not claim because of slow answers from such a leader unless a fitter entry is known, and its record may stay unchanged for 1.8 s instead of 0.45 s. A machine that has become slow uses less than its share and is replaced as before.

Consecutive replacements of live leaders, which become stable in between, are counted in the record; from the third on, the time before the next one doubles. ElectionTimeout() did not cover them, since a stable term reset it. "leader is slow" and "leader replaced while alive" state the figures that decided.

tests/jobsim: heartbeats, announcements and calls for the leader table have connections of their own, so they wait for at most 32 kB of other messages.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -15,6 +15,7 @@
 #include "platform/upstream_client.h"
 #include "src/jobentry/entry_rpc_handlers.h"
 #include "src/jobentry/job_entry.h"
+#include "src/leadership/capacity_use.h"
 #include "src/leadership/leader_fitness.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
@@ -124,6 +125,14 @@
   return out;
 }
 
+/// Processor time of the process.
+double CpuSeconds(const rusage& usage) {
+  const auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
 /// Owns the components of a running daemon, in order of construction.
 struct JobDaemon {
   explicit JobDaemon(const JobSettings& s)
@@ -146,6 +155,9 @@
         urgent_peer_client(network_io, &traffic_counters),
         peers(peer_client, urgent_peer_client, executor),
         peer_server(network_io, &traffic_counters, SendBufferBytes(s)),
+        capacity_use(
+            {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
+             .cpu_percent = s.cpu_percent}),
         entry({.executor = executor,
                .store = store,
                .config = store,
@@ -155,7 +167,9 @@
                .peers = peers,
                .metrics = metrics,
                .hosts = s.hosts_address.empty() ? nullptr : &hosts,
-               .wave_status = &store},
+               .wave_status = &store,
+               .saturated =
+                   [this] { return capacity_use.saturated(executor.Now()); }},
               MakeOptions(s)),
         job_server(network_io, executor, entry,
                    {.address = s.front_address,
@@ -172,15 +186,22 @@
                        .body = metrics.Text()});
             }) {}
 
+  /// Measures the use of the link and the processor. Control thread only.
+  void MeasureCapacityUse() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const std::vector<metrics::Traffic::Row> rows = traffic_counters.Rows();
+    capacity_use.Update(
+        {.bytes_in = metrics::TrafficBytes(rows, metrics::Direction::kIn),
+         .bytes_out = metrics::TrafficBytes(rows, metrics::Direction::kOut),
+         .cpu = Millis(static_cast<int64_t>(CpuSeconds(usage) * 1000))},
+        executor.Now());
+  }
+
   void UpdateMetrics() {
     rusage usage{};
     getrusage(RUSAGE_SELF, &usage);
-    const auto seconds = [](const timeval& t) {
-      return static_cast<double>(t.tv_sec) +
-             static_cast<double>(t.tv_usec) / 1e6;
-    };
-    metrics.Set({.name = "cpu_seconds"},
-                seconds(usage.ru_utime) + seconds(usage.ru_stime));
+    metrics.Set({.name = "cpu_seconds"}, CpuSeconds(usage));
     metrics.Set({.name = "resident_max_kb"},
                 static_cast<double>(usage.ru_maxrss));
     metrics.Set({.name = "log_lines_dropped"},
@@ -225,6 +246,7 @@
   rpc::Client urgent_peer_client;
   leadership::RpcEntryClient peers;
   rpc::Server peer_server;
+  leadership::CapacityUse capacity_use;
   jobentry::JobEntry entry;
   platform::JobHttpServer job_server;
   http::Server metrics_server;
@@ -389,6 +411,8 @@
   RunEvery(daemon.executor, kSettingsCheckPeriod,
            [&watcher] { watcher.Check("look"); });
   RunEvery(daemon.executor, kTrafficPeriod, [&daemon] { daemon.LogTraffic(); });
+  RunEvery(daemon.executor, leadership::CapacityUse::kPeriod,
+           [&daemon] { daemon.MeasureCapacityUse(); });
   daemon.entry.Start();
   daemon.control.run();
   daemon.network_io.stop();
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -153,7 +153,8 @@
                [this] {
                  return coordinator_ ? coordinator_->last_stored_sent()
                                      : TimePoint{};
-               }}) {}
+               },
+           .saturated = deps_.saturated}) {}
 
 JobEntry::~JobEntry() = default;
 
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -62,6 +62,8 @@
     ports::HostPort* hosts = nullptr;
     /// Not null if `hosts` is not.
     ports::WaveStatusPort* wave_status = nullptr;
+    /// See leadership::CapacityUse; may be empty.
+    std::function<bool()> saturated{};
   };
 
   JobEntry(Dependencies deps, JobEntryOptions options);
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2930,6 +2930,14 @@
   this->successor = val;
 __isset.successor = true;
 }
+
+void AnnounceCall::__set_replaced_alive(const int32_t val) {
+  this->replaced_alive = val;
+}
+
+void AnnounceCall::__set_saturated(const bool val) {
+  this->saturated = val;
+}
 std::ostream& operator<<(std::ostream& out, const AnnounceCall& obj)
 {
   obj.printTo(out);
@@ -3014,6 +3022,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->replaced_alive);
+          this->__isset.replaced_alive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->saturated);
+          this->__isset.saturated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3060,6 +3084,14 @@
     xfer += oprot->writeString(this->successor);
     xfer += oprot->writeFieldEnd();
   }
+  xfer += oprot->writeFieldBegin("replaced_alive", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->replaced_alive);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("saturated", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->saturated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3074,6 +3106,8 @@
   swap(a.stable, b.stable);
   swap(a.unstable_terms, b.unstable_terms);
   swap(a.successor, b.successor);
+  swap(a.replaced_alive, b.replaced_alive);
+  swap(a.saturated, b.saturated);
   swap(a.__isset, b.__isset);
 }
 
@@ -3085,6 +3119,8 @@
   stable = other100.stable;
   unstable_terms = other100.unstable_terms;
   successor = other100.successor;
+  replaced_alive = other100.replaced_alive;
+  saturated = other100.saturated;
   __isset = other100.__isset;
 }
 AnnounceCall::AnnounceCall(AnnounceCall&& other101) noexcept {
@@ -3095,6 +3131,8 @@
   stable = other101.stable;
   unstable_terms = other101.unstable_terms;
   successor = std::move(other101.successor);
+  replaced_alive = other101.replaced_alive;
+  saturated = other101.saturated;
   __isset = other101.__isset;
 }
 AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other102) {
@@ -3105,6 +3143,8 @@
   stable = other102.stable;
   unstable_terms = other102.unstable_terms;
   successor = other102.successor;
+  replaced_alive = other102.replaced_alive;
+  saturated = other102.saturated;
   __isset = other102.__isset;
   return *this;
 }
@@ -3116,6 +3156,8 @@
   stable = other103.stable;
   unstable_terms = other103.unstable_terms;
   successor = std::move(other103.successor);
+  replaced_alive = other103.replaced_alive;
+  saturated = other103.saturated;
   __isset = other103.__isset;
   return *this;
 }
@@ -3129,6 +3171,8 @@
   out << ", " << "stable=" << to_string(stable);
   out << ", " << "unstable_terms=" << to_string(unstable_terms);
   out << ", " << "successor="; (__isset.successor ? (out << to_string(successor)) : (out << "<null>"));
+  out << ", " << "replaced_alive=" << to_string(replaced_alive);
+  out << ", " << "saturated=" << to_string(saturated);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -1207,7 +1207,7 @@
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj);
 
 typedef struct _AnnounceCall__isset {
-  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false), stable(false), unstable_terms(false), successor(false) {}
+  _AnnounceCall__isset() : term(false), leader(false), resigned(false), loading(false), stable(false), unstable_terms(false), successor(false), replaced_alive(false), saturated(false) {}
   bool term :1;
   bool leader :1;
   bool resigned :1;
@@ -1215,6 +1215,8 @@
   bool stable :1;
   bool unstable_terms :1;
   bool successor :1;
+  bool replaced_alive :1;
+  bool saturated :1;
 } _AnnounceCall__isset;
 
 /**
@@ -1233,7 +1235,9 @@
                  loading(0),
                  stable(0),
                  unstable_terms(0),
-                 successor() {
+                 successor(),
+                 replaced_alive(0),
+                 saturated(0) {
   }
 
   virtual ~AnnounceCall() noexcept;
@@ -1260,6 +1264,15 @@
    * In a resignation: the fitter follower that the leader hands over to.
    */
   std::string successor;
+  /**
+   * Number of consecutive terms right before this one whose leaders were
+   * replaced while alive, and which were shorter than a minute.
+   */
+  int32_t replaced_alive;
+  /**
+   * The leader uses its link or its processor share to the full.
+   */
+  bool saturated;
 
   _AnnounceCall__isset __isset;
 
@@ -1277,6 +1290,10 @@
 
   void __set_successor(const std::string& val);
 
+  void __set_replaced_alive(const int32_t val);
+
+  void __set_saturated(const bool val);
+
   bool operator == (const AnnounceCall & rhs) const
   {
     if (!(term == rhs.term))
@@ -1295,6 +1312,10 @@
       return false;
     else if (__isset.successor && !(successor == rhs.successor))
       return false;
+    if (!(replaced_alive == rhs.replaced_alive))
+      return false;
+    if (!(saturated == rhs.saturated))
+      return false;
     return true;
   }
   bool operator != (const AnnounceCall &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -195,6 +195,11 @@
   6: i32 unstable_terms
   /** In a resignation: the fitter follower that the leader hands over to. */
   7: optional string successor
+  /** Number of consecutive terms right before this one whose leaders were
+   *  replaced while alive, and which were shorter than a minute. */
+  8: i32 replaced_alive
+  /** The leader uses its link or its processor share to the full. */
+  9: bool saturated
 }
 struct AnnounceReply { 1: i64 term }
 
--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -49,7 +49,9 @@
   logging::Event(
       Level::kInfo, "leader suspected",
       {{"term", Text(term_)}, {"leader", leader_.name}, {"cause", cause}});
-  const Millis delay = role_ == Role::kShuttingDown ? Millis(0) : ClaimDelay();
+  const bool may_claim = role_ != Role::kShuttingDown;
+  const Millis delay = (may_claim ? ClaimDelay() : Millis(0)) +
+                       check_pacing_.FirstDelay(KnownEntries());
   if (delay == Millis(0)) return CheckLeaderRecord(suspicion, std::nullopt);
   executor_.RunAfter(
       delay, [this, suspicion] { CheckLeaderRecord(suspicion, std::nullopt); });
@@ -72,7 +74,7 @@
     const std::optional<wire::AnnounceCall>& record) const {
   switch (suspicion) {
     case Suspicion::kUnresponsive:
-      return ElectionTimeout(options_.election_timeout, record);
+      return UnresponsiveTimeout(options_.election_timeout, record);
     case Suspicion::kStoreUnreachable:
       return ElectionTimeout(options_.election_timeout_store_lost, record);
     case Suspicion::kConnectionRefused:
@@ -98,7 +100,7 @@
   if (!page.ok()) {
     logging::Event(Level::kWarning, "leader record not read",
                    {{"cause", page.error().message}});
-    return EndLeaderCheck(kLeaderCheckRetry);
+    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
   }
   const std::optional<wire::AnnounceCall> record =
       FindLeaderRecord(page.value());
@@ -127,7 +129,8 @@
   // above every earlier term. If terms started from 1 again, the fence would
   // refuse each leader whose term was already used, one after the other.
   const int64_t last_term = record ? record->term : std::max(term_, end);
-  if (!may_claim) return EndLeaderCheck(kLeaderCheckRetry);
+  if (!may_claim)
+    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
   const bool not_leading = suspicion == Suspicion::kNotLeading;
   const bool store_lost = suspicion == Suspicion::kStoreUnreachable;
   // A leader that no longer leads, or whose process has exited, was not
@@ -138,27 +141,25 @@
   candidacy.term = last_term + 1;
   candidacy.unstable_terms =
       ended_by_itself ? UnstableTerms(record) : UnstableTermsAfter(record);
+  candidacy.replaced_alive = ReplacementsBefore(record);
   if (last_answered_sent_ > sent && !not_leading && !store_lost) {
-    return EndLeaderCheck(kLeaderCheckRetry);  // The leader answered meanwhile.
+    return EndLeaderCheck(check_pacing_.NextPause(
+        KnownEntries()));  // The leader answered meanwhile.
   }
-  if (not_leading || (end_at_first_read && *end_at_first_read == end)) {
+  if (not_leading) return Claim(candidacy);
+  if (end_at_first_read && *end_at_first_read == end) {
+    if (!ended_by_itself && record) candidacy.predecessor = record->leader.name;
+    LogUnchangedRecord(suspicion, record);
     return Claim(candidacy);
   }
   if (end_at_first_read && LeaderIsSlow(record)) {
-    // A leader on a machine that has become slow still renews its record, while
-    // callers wait for seconds: 608 of 20,835 requests were answered too late
-    // to be of use, 93 with this rule. The leader cannot measure this itself,
-    // since the work queues up in its sockets; only the entries that wait for
-    // it can. A single entry may be partitioned or slow itself, so a majority
-    // of the followers asked is required. The claim is fenced like any other.
-    logging::Event(Level::kWarning, "leader is slow",
-                   {{"term", Text(term_)},
-                    {"leader", leader_.name},
-                    {"cause", "most entries get no answers in time"}});
+    ++candidacy.replaced_alive;
+    LogSlowLeader(record);
     return Claim(candidacy);
   }
   // The leader has renewed its record meanwhile.
-  if (end_at_first_read) return EndLeaderCheck(kLeaderCheckRetry);
+  if (end_at_first_read)
+    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
   const auto delay = std::chrono::duration_cast<Millis>(now - sent);
   executor_.RunAfter(
       ElectionTimeoutFor(suspicion, record) + 2 * delay,
@@ -204,8 +205,8 @@
 }
 
 void Leadership::Claim(const Candidacy& candidacy) {
-  const std::string record =
-      EncodeRecord(candidacy.term, candidacy.unstable_terms);
+  const std::string record = EncodeRecord(
+      candidacy.term, candidacy.unstable_terms, candidacy.replaced_alive);
   logging::Event(
       Level::kInfo, "claiming",
       {{"term", Text(candidacy.term)},
@@ -232,7 +233,7 @@
     // shows whether it was stored.
     logging::Event(Level::kInfo, "claim not won",
                    {{"term", Text(candidacy.term)}, {"cause", reply.detail}});
-    return EndLeaderCheck(kLeaderCheckRetry);
+    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
   }
   EndLeaderCheck(Millis(0));
   BecomeLeader(candidacy, start, reply.end_offset);
--- a/src/leadership/election_timeout.cc
+++ b/src/leadership/election_timeout.cc
@@ -2,11 +2,27 @@
 
 #include <algorithm>
 
+#include "src/leadership/live_replacements.h"
+
 namespace mimosarail::leadership {
+namespace {
+
+constexpr int kSaturatedFactor = 4;
+
+}  // namespace
 
 Millis ElectionTimeout(Millis base,
                        const std::optional<wire::AnnounceCall>& record) {
-  return base * (1 << UnstableTerms(record));
+  const int32_t doublings =
+      std::max(UnstableTerms(record), DoublingsAfterReplacements(record));
+  return base * (1 << doublings);
+}
+
+Millis UnresponsiveTimeout(Millis base,
+                           const std::optional<wire::AnnounceCall>& record) {
+  const Millis timeout = ElectionTimeout(base, record);
+  const bool saturated = record && record->saturated;
+  return saturated ? std::max(timeout, kSaturatedFactor * base) : timeout;
 }
 
 int32_t UnstableTerms(const std::optional<wire::AnnounceCall>& record) {
--- a/src/leadership/election_timeout.h
+++ b/src/leadership/election_timeout.h
@@ -23,10 +23,22 @@
 /// as the successful one, whatever the size of the table and the speed of the
 /// link and the processor.
 ///
+/// It also doubles with consecutive replacements of live leaders, even stable
+/// ones; see DoublingsAfterReplacements(). The greater number of doublings
+/// applies.
+///
 /// Thread-safe.
 Millis ElectionTimeout(Millis base,
                        const std::optional<wire::AnnounceCall>& record);
 
+/// The same for a leader that does not answer: at least four times `base` if it
+/// has stated that its link or its processor is full, since its renewals wait
+/// there. With the usual base that is 1.8 s, shorter than the leader lease. A
+/// leader that has ended is replaced after that time only if its address does
+/// not refuse connections.
+Millis UnresponsiveTimeout(Millis base,
+                           const std::optional<wire::AnnounceCall>& record);
+
 /// Number of consecutive unstable terms right before the term of this record;
 /// 0 if its leader has become stable.
 int32_t UnstableTerms(const std::optional<wire::AnnounceCall>& record);
--- a/src/leadership/leader_timeout_votes.h
+++ b/src/leadership/leader_timeout_votes.h
@@ -22,6 +22,8 @@
   /// Whether more than half of the recent votes call the leader unresponsive,
   /// and there are at least kMinVotes of them.
   bool HasMajority(TimePoint now) const;
+  /// Text "UNRESPONSIVE of RECENT" for a log line.
+  std::string Describe(TimePoint now) const;
 
   /// How long a vote counts. Followers are asked every 250 ms.
   static constexpr Millis kVoteLifetime{700};
@@ -33,6 +35,12 @@
     TimePoint received;
     bool leader_unresponsive = false;
   };
+  struct Count {
+    size_t recent = 0;
+    size_t unresponsive = 0;
+  };
+  Count CountRecent(TimePoint now) const;
+
   std::map<std::string, Vote> votes_;
 };
 
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -48,7 +48,8 @@
       options_(std::move(options)),
       events_(std::move(events)),
       predecessors_({.leader_lease = options_.leader_lease,
-                     .max_store_outage = options_.max_store_outage}) {}
+                     .max_store_outage = options_.max_store_outage}),
+      check_pacing_(options_.member.name) {}
 
 void Leadership::Start() {
   last_tick_ = executor_.Now();
@@ -162,15 +163,6 @@
       Millis(answer.leader_unresponsive_ms) >= options_.unresponsive_after);
 }
 
-bool Leadership::LeaderIsSlow(
-    const std::optional<wire::AnnounceCall>& record) const {
-  const TimePoint now = executor_.Now();
-  return now - last_answered_sent_ >= options_.unresponsive_after &&
-         now - following_since_ >=
-             ElectionTimeout(options_.min_term_duration, record) &&
-         votes_.HasMajority(now);
-}
-
 std::vector<std::string> Leadership::KnownAddresses() const {
   std::set<std::string> out(options_.seeds.begin(), options_.seeds.end());
   for (const wire::Member& member : members_.all()) {
@@ -277,6 +269,7 @@
   if (answer.term < term_) return;
   const TimePoint now = executor_.Now();
   last_leader_answer_ = now;
+  check_pacing_.Reset();
   leader_clock_ms_ = std::max(leader_clock_ms_, answer.clock_ms);
   if (!answer.loading) NoteLeaderReady();
   if (answer.config_wanted) SendConfig(address);
@@ -315,6 +308,7 @@
   members_.BeginTerm();
   votes_.Clear();
   successors_.OnNewLeader();
+  check_pacing_.Reset();
   refused_connections_ = 0;
   logging::Event(Level::kInfo, "following",
                  {{"term", Text(term)},
@@ -369,6 +363,8 @@
   confirmed_ = start;
   followers_.clear();
   successors_.OnNewLeader();
+  replacements_.BeginTerm(candidacy.predecessor, candidacy.replaced_alive,
+                          last_renewed_);
   changes_.Clear();
   changes_.Join(options_.member);
   superseded_logged_ = false;
@@ -386,6 +382,7 @@
   logging::Event(Level::kInfo, "leading",
                  {{"term", Text(term_)},
                   {"unsettled_terms", Text(unstable_terms_)},
+                  {"replaced_alive", Text(candidacy.replaced_alive)},
                   {"fitness", Text(options_.member.fitness)},
                   {"rank", Text(rank)},
                   {"predecessor_quorum", quorum_size}});
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -10,8 +10,10 @@
 #include "src/leadership/election_timeout.h"
 #include "src/leadership/entry_client_port.h"
 #include "src/leadership/hand_over.h"
+#include "src/leadership/leader_check_pacing.h"
 #include "src/leadership/leader_quorum.h"
 #include "src/leadership/leader_timeout_votes.h"
+#include "src/leadership/live_replacements.h"
 #include "src/leadership/member_list.h"
 #include "src/leadership/predecessor_leases.h"
 #include "src/libs/faults/malformed_record_reporter.h"
@@ -104,6 +106,9 @@
     std::function<TimePoint()> last_stored;
     /// Time at which that append was sent.
     std::function<TimePoint()> last_stored_sent;
+    /// Whether this process uses its capacity to the full; see CapacityUse. May
+    /// be empty.
+    std::function<bool()> saturated;
   };
 
   /// All arguments passed by reference outlive this object.
@@ -190,9 +195,8 @@
   bool QuorumChangeDue(const std::vector<std::string>& members) const;
   /// This process's steady clock, as sent in heartbeat replies.
   int64_t ClockMs() const;
-  /// Whether the leader leaves this entry and most others without answers, and
-  /// its term has lasted long enough to replace it.
-  bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
+  /// Number of entries that may check the leader's record at the same time.
+  size_t KnownEntries() const { return members_.all().size(); }
   /// Addresses of all entries known to this one, without its own and without
   /// duplicates.
   std::vector<std::string> KnownAddresses() const;
@@ -222,6 +226,22 @@
     kConnectionRefused,  ///< Its address refuses connections.
     kNotLeading,         ///< It has resigned or reports that it does not lead.
   };
+  /// Whether the leader leaves this entry and most others without answers, its
+  /// term has lasted long enough to replace it, and its successor would do
+  /// better: the leader does not state that it is saturated, or a fitter entry
+  /// is known.
+  bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
+  /// Logs the figures by which a slow leader is replaced.
+  void LogSlowLeader(const std::optional<wire::AnnounceCall>& record) const;
+  /// Logs the figures by which a leader is replaced that no longer renews its
+  /// record.
+  void LogUnchangedRecord(
+      Suspicion suspicion,
+      const std::optional<wire::AnnounceCall>& record) const;
+  /// Consecutive replacements of live leaders before a term that follows this
+  /// record; see LiveReplacementsBefore().
+  int32_t ReplacementsBefore(
+      const std::optional<wire::AnnounceCall>& record) const;
   /// Reads the leader record in the store. Claims leadership if the record
   /// stays unchanged for ElectionTimeoutFor(), or at once if the leader no
   /// longer leads. An entry that is shutting down only reads.
@@ -260,6 +280,9 @@
     /// End of the table at which the claim is stored.
     int64_t end_offset = 0;
     int32_t unstable_terms = 0;
+    /// See wire::AnnounceCall, and LiveReplacements::BeginTerm().
+    int32_t replaced_alive = 0;
+    std::string predecessor;
     /// The stored quorum; absent if there is none or it is unreadable.
     std::optional<wire::QuorumRecord> quorum;
   };
@@ -299,7 +322,8 @@
   /// stored or lost to another entry's claim.
   void ResolveRenewal();
   /// The leader record that this entry writes, encoded.
-  std::string EncodeRecord(int64_t term, int32_t unstable_terms) const;
+  std::string EncodeRecord(int64_t term, int32_t unstable_terms,
+                           int32_t replaced_alive) const;
   /// The quorum record that this entry writes as leader, encoded.
   std::string EncodeQuorum(const std::vector<std::string>& members) const;
   /// The leader's record on a page of the table; empty if there is none that is
@@ -376,8 +400,10 @@
   std::map<std::string, Follower> followers_;
   TimePoint leading_since_{};
   NamedSuccessors successors_;
+  LiveReplacements replacements_;
   LeaderQuorum quorum_;
   PredecessorLeases predecessors_;
+  LeaderCheckPacing check_pacing_;
   /// As leader: changes of the followers, to be sent to all of them.
   MemberChanges changes_;
   /// Entries known from the leader's heartbeat answers.
--- a/src/leadership/lease.cc
+++ b/src/leadership/lease.cc
@@ -120,14 +120,16 @@
   if (now - before > options_.leader_lease) resumed_at_ = now;
 }
 
-std::string Leadership::EncodeRecord(int64_t term,
-                                     int32_t unstable_terms) const {
+std::string Leadership::EncodeRecord(int64_t term, int32_t unstable_terms,
+                                     int32_t replaced_alive) const {
   wire::AnnounceCall record;
   record.term = term;
   record.leader = options_.member;
   record.loading = role_ != Role::kLeading || leader_loading_;
   record.stable = stable();
   record.unstable_terms = unstable_terms;
+  record.replaced_alive = replaced_alive;
+  record.saturated = events_.saturated && events_.saturated();
   return rpc::Encode(record);
 }
 
@@ -143,7 +145,8 @@
 void Leadership::Renew() {
   renewing_ = true;
   std::vector<ports::KeyedRecord> records{
-      {kLeaderKey, EncodeRecord(term_, unstable_terms_)}};
+      {kLeaderKey,
+       EncodeRecord(term_, unstable_terms_, replacements_.count())}};
   const std::vector<std::string> members = QuorumMembers();
   const Renewal renewal{.start = CallStartNow(),
                         .term = term_,
@@ -210,6 +213,18 @@
 
 void Leadership::NoteFollowing(const wire::HeartbeatCall& call, TimePoint now) {
   predecessors_.OnFollower(call.caller.name, now);
+  if (replacements_.OnHeartbeat(call.caller.name, now)) {
+    // "leader record unchanged" of this entry states for how long it was not.
+    logging::Event(
+        Level::kWarning, "leader replaced while alive",
+        {{"term", Text(term_)},
+         {"leader", call.caller.name},
+         {"cause", "its record was not renewed in time"},
+         {"heartbeat_after_ms",
+          Text(std::chrono::duration_cast<Millis>(now - leading_since_)
+                   .count())},
+         {"replaced_alive", Text(replacements_.count())}});
+  }
   const int64_t since_reply_ms = ClockMs() - call.leader_clock_ms;
   if (call.leader_clock_ms <= 0 || since_reply_ms < 0) return;
   quorum_.OnHeartbeat(call.caller.name, call.incarnation,
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -29,6 +29,11 @@
         tasks(cluster.upstreams_, executor, name),
         peers(cluster, executor, name),
         hosts(cluster.hosts_, executor),
+        capacity_use(
+            {.link_bytes_per_s =
+                 cluster.options_.link_rate_known
+                     ? static_cast<int64_t>(cluster.LinkOf(name).bytes_per_s)
+                     : 0}),
         entry(std::make_unique<jobentry::JobEntry>(
             jobentry::JobEntry::Dependencies{
                 .executor = executor,
@@ -40,8 +45,17 @@
                 .peers = peers,
                 .metrics = metrics,
                 .hosts = cluster.options_.hosts ? &hosts : nullptr,
-                .wave_status = &hosts},
+                .wave_status = &hosts,
+                .saturated =
+                    [this] { return capacity_use.saturated(executor.Now()); }},
             Options(name, cluster.options_))) {
+    RunEvery(executor, leadership::CapacityUse::kPeriod,
+             [this, &machine = cluster.Machine(name)] {
+               capacity_use.Update(
+                   {.bytes_in = machine.in.bytes_transferred(),
+                    .bytes_out = machine.out.bytes_transferred()},
+                   executor.Now());
+             });
     entry->Start();
   }
 
@@ -65,6 +79,7 @@
   UpstreamClientFake tasks;
   EntryClientFake peers;
   HostClientFake hosts;
+  leadership::CapacityUse capacity_use;
   std::unique_ptr<jobentry::JobEntry> entry;
 };
 
@@ -162,16 +177,18 @@
   auto& machine = machines_[entry];
   if (!machine) {
     machine = std::make_unique<MachineFake>(clock_);
-    const auto own = options_.links.find(entry);
-    const LinkRate link =
-        own == options_.links.end() ? options_.link : own->second;
-    machine->out.SetRate(link);
-    machine->in.SetRate(link);
+    machine->out.SetRate(LinkOf(entry));
+    machine->in.SetRate(LinkOf(entry));
     machine->processor.SetRate(options_.processor);
   }
   return *machine;
 }
 
+LinkRate JobCluster::LinkOf(const std::string& entry) const {
+  const auto own = options_.links.find(entry);
+  return own == options_.links.end() ? options_.link : own->second;
+}
+
 void JobCluster::Start(const std::string& name) {
   upstreams_.RecordFault();
   processes_[name] = std::make_unique<Process>(*this, name);
@@ -422,8 +439,8 @@
 void EntryClientFake::Call(
     const std::string& address, size_t bytes, Millis timeout,
     Callback<Reply> done,
-    std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)>
-        serve) {
+    std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)> serve,
+    Connections connections) {
   const std::string name = address.substr(0, address.find(':'));
   const auto found = cluster_.processes_.find(name);
   if (found == cluster_.processes_.end() || !found->second) {
@@ -453,22 +470,28 @@
     if (std::exchange(*answered, true)) return;
     done(reply);
   };
-  const auto answer = [this, &caller_machine, &callee_machine, deliver,
+  const bool urgent = connections == Connections::kUrgent;
+  const auto send = [urgent](MachineFake& from, MachineFake& to, size_t size,
+                             std::function<void()> received) {
+    const auto receive = [urgent, size, &to, received] {
+      if (urgent) return to.ReceiveUrgent(size, received);
+      to.Receive(size, received);
+    };
+    if (urgent) return from.out.TransferUrgent(size, receive);
+    from.out.Transfer(size, receive);
+  };
+  const auto answer = [this, &caller_machine, &callee_machine, deliver, send,
                        way](const Reply& reply) {
-    callee_machine.out.Transfer(
-        WireBytes(reply), [this, &caller_machine, deliver, way, reply] {
-          caller_machine.Receive(WireBytes(reply), [this, deliver, way, reply] {
-            executor_.RunAfter(way, [deliver, reply] { deliver(reply); });
-          });
-        });
+    send(callee_machine, caller_machine, WireBytes(reply),
+         [this, deliver, way, reply] {
+           executor_.RunAfter(way, [deliver, reply] { deliver(reply); });
+         });
   };
   const auto deliver_call = [process, serve, answer, way] {
     process->executor.RunAfter(
         way, [process, serve, answer] { serve(*process->entry, answer); });
   };
-  caller_machine.out.Transfer(bytes, [&callee_machine, bytes, deliver_call] {
-    callee_machine.Receive(bytes, deliver_call);
-  });
+  send(caller_machine, callee_machine, bytes, deliver_call);
 }
 
 void EntryClientFake::Heartbeat(const std::string& address,
@@ -476,14 +499,16 @@
                                 Callback<wire::HeartbeatReply> done) {
   Call<wire::HeartbeatReply>(
       address, WireBytes(call), timeout, std::move(done),
-      [call](auto& entry, auto reply) { reply(entry.OnHeartbeat(call)); });
+      [call](auto& entry, auto reply) { reply(entry.OnHeartbeat(call)); },
+      Connections::kUrgent);
 }
 void EntryClientFake::Announce(const std::string& address,
                                const wire::AnnounceCall& call, Millis timeout,
                                Callback<wire::AnnounceReply> done) {
   Call<wire::AnnounceReply>(
       address, WireBytes(call), timeout, std::move(done),
-      [call](auto& entry, auto reply) { reply(entry.OnAnnounce(call)); });
+      [call](auto& entry, auto reply) { reply(entry.OnAnnounce(call)); },
+      Connections::kUrgent);
 }
 void EntryClientFake::SubmitJob(const std::string& address,
                                 const wire::SubmitJobCall& call, Millis timeout,
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/jobentry/job_entry.h"
+#include "src/leadership/capacity_use.h"
 #include "src/libs/metrics/metrics.h"
 #include "tests/jobsim/host_fake.h"
 #include "tests/jobsim/link_fake.h"
@@ -43,13 +44,18 @@
               Millis timeout, Callback<wire::AdviseReply> done) override;
 
  private:
+  /// The connections that a call uses: those of heartbeats and announcements,
+  /// or those of all other calls.
+  enum class Connections { kUrgent, kBulk };
+
   /// Sends a call of `bytes` on the wire to the entry at `address`; `serve`
   /// handles it there.
   template <typename Reply>
   void Call(const std::string& address, size_t bytes, Millis timeout,
             Callback<Reply> done,
             std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)>
-                serve);
+                serve,
+            Connections connections = Connections::kBulk);
 
   JobCluster& cluster_;
   Executor& executor_;
@@ -82,6 +88,8 @@
   /// The same for the entries named here.
   std::map<std::string, LinkRate> links{};
   LinkRate processor{};
+  /// Entries know the rate of their links, as with the setting link_mbps.
+  bool link_rate_known = false;
 };
 
 enum class CallKind { kSubmit, kCancel };
@@ -172,6 +180,10 @@
   int64_t BytesSent(const std::string& entry) {
     return Machine(entry).out.bytes_transferred();
   }
+  /// Bytes that the entry has received in the same way.
+  int64_t BytesReceived(const std::string& entry) {
+    return Machine(entry).in.bytes_transferred();
+  }
 
   sim::ManualClock& clock() { return clock_; }
   StoreFake& store() { return store_; }
@@ -193,6 +205,8 @@
 
   void Start(const std::string& name);
   MachineFake& Machine(const std::string& entry);
+  /// Rate of each direction of the entry's link.
+  LinkRate LinkOf(const std::string& entry) const;
   /// Records a call at an entry and returns its index in calls().
   size_t RecordCall(CallKind kind, const std::string& entry, JobId id);
   void RecordAnswer(size_t call, coordinator::JobVerdict verdict);
--- a/tests/jobsim/link_fake.h
+++ b/tests/jobsim/link_fake.h
@@ -34,25 +34,42 @@
                  std::move(progress));
   }
 
+  /// Transfers a short message on a connection of its own: it waits for at most
+  /// kQueuedBytes of other messages, which are in send buffers already.
+  void TransferUrgent(size_t bytes, std::function<void()> done) {
+    bytes_transferred_ += static_cast<int64_t>(bytes);
+    const TimePoint now = clock_.now();
+    const TimePoint buffers_sent =
+        std::min(std::max(free_at_, now), now + TransmissionTime(kQueuedBytes));
+    const Clock::duration duration =
+        Clock::duration(rate_.per_message) + TransmissionTime(bytes);
+    urgent_free_at_ = std::max(urgent_free_at_, buffers_sent) + duration;
+    free_at_ = std::max(free_at_, now) + duration;
+    clock_.At(urgent_free_at_, std::move(done));
+  }
+
   /// Bytes of all transfers started so far.
   int64_t bytes_transferred() const { return bytes_transferred_; }
 
  private:
   /// Bytes that a connection may have in flight: the usual receive buffer.
   static constexpr size_t kChunkBytes = 212992;
+  /// Bytes of other connections that wait in send buffers of a thin link.
+  static constexpr size_t kQueuedBytes = 32768;
+
+  Clock::duration TransmissionTime(size_t bytes) const {
+    if (rate_.bytes_per_s <= 0) return {};
+    return std::chrono::duration_cast<Clock::duration>(
+        std::chrono::duration<double>(static_cast<double>(bytes) /
+                                      rate_.bytes_per_s));
+  }
 
   void TransferRest(size_t bytes, Clock::duration fixed,
                     std::function<void()> done,
                     std::function<void()> progress) {
     const size_t chunk = std::min(bytes, kChunkBytes);
-    Clock::duration duration = fixed;
-    if (rate_.bytes_per_s > 0) {
-      const std::chrono::duration<double> transmission_time(
-          static_cast<double>(chunk) / rate_.bytes_per_s);
-      duration +=
-          std::chrono::duration_cast<Clock::duration>(transmission_time);
-    }
-    free_at_ = std::max(free_at_, clock_.now()) + duration;
+    free_at_ =
+        std::max(free_at_, clock_.now()) + fixed + TransmissionTime(chunk);
     clock_.At(free_at_, [this, rest = bytes - chunk, done = std::move(done),
                          progress = std::move(progress)] {
       if (progress) progress();
@@ -64,6 +81,7 @@
   sim::ManualClock& clock_;
   LinkRate rate_;
   TimePoint free_at_{};
+  TimePoint urgent_free_at_{};
   int64_t bytes_transferred_ = 0;
 };
 
@@ -85,6 +103,14 @@
         progress);
   }
 
+  /// Receive() of a short message on a connection of its own. The processor
+  /// handles it in its turn.
+  void ReceiveUrgent(size_t bytes, std::function<void()> done) {
+    in.TransferUrgent(bytes, [this, bytes, done = std::move(done)]() mutable {
+      processor.Transfer(bytes, std::move(done));
+    });
+  }
+
   LinkFake out;
   LinkFake in;
   LinkFake processor;
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -18,6 +18,7 @@
 constexpr size_t kMaxAppendBytes = 2 << 20;
 /// Size of a call or a reply without records.
 constexpr size_t kMessageBytes = 200;
+constexpr const char* kLeaderTable = "leaders";
 
 /// Size of a page as text, in which a value takes four characters for three
 /// bytes.
@@ -198,11 +199,22 @@
   return !faults.down && faults.partitioned_entries.count(entry_) == 0;
 }
 
-void StoreClientFake::Send(size_t bytes, std::function<void()> done) {
+void StoreClientFake::Send(const std::string& table, size_t bytes,
+                           std::function<void()> done) {
   if (machine_ == nullptr) return done();
+  if (table == kLeaderTable) {
+    return machine_->out.TransferUrgent(bytes, std::move(done));
+  }
   machine_->out.Transfer(bytes, std::move(done));
 }
 
+void StoreClientFake::ReceiveReply(std::function<void()> done) {
+  if (machine_ == nullptr) return done();
+  machine_->ReceiveUrgent(kMessageBytes, [this, done = std::move(done)] {
+    executor_.RunAfter(Millis(0), done);
+  });
+}
+
 void StoreClientFake::Receive(size_t bytes, std::function<void()> done,
                               const std::function<void()>& progress) {
   if (machine_ == nullptr) return done();
@@ -252,22 +264,23 @@
   }
   const Millis request_delay = store_.NextAppendRequestDelay(call.table);
   const Millis reply_delay = faults.append_latency / 2 + store_.Jitter();
-  Send(RecordBytes(call.records), [this, call, request_delay, reply_delay,
-                                   deliver] {
-    store_.clock().At(store_.clock().now() + request_delay, [this, call,
-                                                             reply_delay,
-                                                             deliver] {
-      const ports::AppendReply reply = store_.Append(call);
-      const auto& reply_delays = store_.faults().append_reply_delays;
-      const auto found = reply_delays.find(entry_);
-      const Millis back =
-          reply_delay +
-          (found == reply_delays.end() ? Millis(0) : found->second);
-      store_.clock().At(store_.clock().now() + back, [this, reply, deliver] {
-        Receive(kMessageBytes, [deliver, reply] { deliver(reply); });
-      });
-    });
-  });
+  Send(call.table, RecordBytes(call.records),
+       [this, call, request_delay, reply_delay, deliver] {
+         store_.clock().At(
+             store_.clock().now() + request_delay,
+             [this, call, reply_delay, deliver] {
+               const ports::AppendReply reply = store_.Append(call);
+               const auto& reply_delays = store_.faults().append_reply_delays;
+               const auto found = reply_delays.find(entry_);
+               const Millis back =
+                   reply_delay +
+                   (found == reply_delays.end() ? Millis(0) : found->second);
+               store_.clock().At(
+                   store_.clock().now() + back, [this, reply, deliver] {
+                     ReceiveReply([deliver, reply] { deliver(reply); });
+                   });
+             });
+       });
 }
 
 template <typename T>
@@ -319,9 +332,11 @@
   if (machine_ != nullptr) WatchProgress(timeout, last_progress, deliver);
   Answer<ports::NewestPage>(
       timeout,
-      [this, deliver, last_progress](Result<ports::NewestPage> page) {
-        const size_t bytes =
-            page.ok() ? PageBytes(page.value().records) : kMessageBytes;
+      [this, table, deliver, last_progress](Result<ports::NewestPage> page) {
+        if (table == kLeaderTable || !page.ok()) {
+          return ReceiveReply([deliver, page] { deliver(page); });
+        }
+        const size_t bytes = PageBytes(page.value().records);
         Receive(
             bytes, [deliver, page] { deliver(page); },
             [this, last_progress] { *last_progress = executor_.Now(); });
--- a/tests/jobsim/store_fake.h
+++ b/tests/jobsim/store_fake.h
@@ -153,8 +153,12 @@
 
  private:
   bool Reachable() const;
-  /// Runs `done` when `bytes` have left the entry's machine.
-  void Send(size_t bytes, std::function<void()> done);
+  /// Runs `done` when a call of `bytes` for this table has left the entry's
+  /// machine. Each call has a connection of its own; the short ones for the
+  /// leader table do not wait for all records of jobs.
+  void Send(const std::string& table, size_t bytes, std::function<void()> done);
+  /// Runs `done` at the entry when a reply without records has arrived.
+  void ReceiveReply(std::function<void()> done);
   /// Runs `done` at the entry when `bytes` have arrived over its link.
   /// `progress` is as in LinkFake::Transfer().
   void Receive(size_t bytes, std::function<void()> done,
--- a/tests/leader_load_test.cc
+++ b/tests/leader_load_test.cc
@@ -3,7 +3,11 @@
 #include <boost/test/unit_test.hpp>
 
 #include "src/coordinator/job_table.h"
+#include "src/leadership/capacity_use.h"
+#include "src/leadership/election_timeout.h"
+#include "src/leadership/leader_check_pacing.h"
 #include "src/leadership/leader_fitness.h"
+#include "src/leadership/live_replacements.h"
 #include "src/libs/rpc/codec.h"
 #include "tests/jobsim/job_cluster.h"
 #include "tests/jobsim/log_fixture.h"
@@ -225,4 +229,192 @@
   BOOST_TEST(cluster.Violations().empty());
 }
 
+/// Callers' load on a cluster of 20 entries.
+struct ServedLoad {
+  int64_t terms = 0;
+  int submitted = 0;
+  int accepted = 0;
+  double leader_bytes_per_s = 0;
+};
+
+/// Submits jobs of 2 kB at followers for 60 s, 200 a second. All links carry
+/// `bytes_per_s`; 0 means no limit.
+ServedLoad ServeFor60Seconds(double bytes_per_s) {
+  constexpr int kEntries = 20;
+  constexpr int kJobsPerStep = 2;
+  JobCluster cluster({.entries = kEntries,
+                      .upstreams = 20,
+                      .link = {.bytes_per_s = bytes_per_s},
+                      .link_rate_known = true});
+  cluster.RunFor(Millis(6000));
+  const int64_t term_before = Term(cluster);
+  const std::string leader = cluster.Leader();
+  const int64_t bytes_before =
+      std::max(cluster.BytesSent(leader), cluster.BytesReceived(leader));
+  ServedLoad out;
+  JobId next = 1;
+  for (Millis past{0}; past < Millis(60000); past += kStep) {
+    for (int i = 0; i < kJobsPerStep; ++i) {
+      wire::JobSpec spec = OneStepJob(next, 1, 1000);
+      spec.payload = std::string(2000, 'x');
+      cluster.Submit("entry-" + std::to_string(next % kEntries), spec);
+      ++next;
+    }
+    cluster.RunFor(kStep);
+  }
+  out.terms = Term(cluster) - term_before;
+  out.leader_bytes_per_s =
+      static_cast<double>(
+          std::max(cluster.BytesSent(leader), cluster.BytesReceived(leader)) -
+          bytes_before) /
+      60;
+  for (JobId id = 1; id < next; ++id) {
+    ++out.submitted;
+    if (cluster.accepted(id)) ++out.accepted;
+  }
+  BOOST_TEST(cluster.Violations().empty());
+  return out;
+}
+
+/// Guards against replacing a leader whose link is full, again and again, by
+/// leaders that are as full.
+BOOST_AUTO_TEST_CASE(FullLeaderStaysLeader) {
+  const ServedLoad unlimited = ServeFor60Seconds(0);
+  BOOST_TEST(unlimited.terms == 0);
+  BOOST_TEST_MESSAGE("needs " << unlimited.leader_bytes_per_s << " B/s");
+  for (const double share : {1.0, 0.5, 0.3, 0.2}) {
+    BOOST_TEST_CONTEXT("link carries " << share << " of the need") {
+      const ServedLoad served =
+          ServeFor60Seconds(share * unlimited.leader_bytes_per_s);
+      BOOST_TEST_MESSAGE("link carries "
+                         << share << " of the need: " << served.terms
+                         << " further terms, accepted " << served.accepted
+                         << " of " << served.submitted);
+      BOOST_TEST(served.terms == 0);
+    }
+  }
+}
+
+/// Guards against replacing a leader that answers late because its link is
+/// full, unless a fitter entry is known. SlowLeaderIsReplaced in
+/// high_latency_test covers the leader on a machine that has become slow.
+BOOST_AUTO_TEST_CASE(SaturatedSlowLeaderIsReplacedOnlyByFitterEntry) {
+  // 20 submissions of 2 kB a second use more than 0.7 of this link.
+  constexpr LinkRate kUsedLink{.bytes_per_s = 55e3};
+  const auto stays_leader = [&](int32_t fitness_of_others) {
+    JobClusterOptions options{
+        .entries = 5, .link = kUsedLink, .link_rate_known = true};
+    for (int i = 0; i < 5; ++i) {
+      options.fitness["entry-" + std::to_string(i)] = fitness_of_others;
+    }
+    options.fitness["entry-0"] = 50;
+    JobCluster cluster(options);
+    JobId next = 1;
+    const auto run = [&](Millis span) {
+      for (Millis past{0}; past < span; past += Millis(50)) {
+        wire::JobSpec spec = OneStepJob(next, 1, 100);
+        spec.payload = std::string(2000, 'x');
+        cluster.Submit("entry-1", spec);
+        ++next;
+        cluster.RunFor(Millis(50));
+      }
+    };
+    run(Millis(6000));
+    BOOST_REQUIRE(cluster.Leader() == "entry-0");
+    cluster.SetPeerLatency("entry-0", Millis(500));
+    run(Millis(10000));
+    return cluster.Leader() == "entry-0";
+  };
+  BOOST_TEST(stays_leader(50));
+  BOOST_TEST(!stays_leader(100));
+}
+
+/// Guards against a leader that states to be full because of its load on a wide
+/// link, or that does not state it on a full one.
+BOOST_AUTO_TEST_CASE(CapacityUseComparesWithTheStatedLimits) {
+  const auto saturated_at = [](leadership::CapacityLimits limits,
+                               leadership::ResourceTotals per_s) {
+    leadership::CapacityUse use(limits);
+    const TimePoint start = TimePoint() + std::chrono::hours(1);
+    use.Update({}, start);
+    use.Update(per_s, start + Millis(1000));
+    BOOST_TEST(!use.saturated(start + Millis(3100)));
+    return use.saturated(start + Millis(1100));
+  };
+  const leadership::CapacityLimits thin{.link_bytes_per_s = 250000,
+                                        .cpu_percent = 25};
+  BOOST_TEST(saturated_at(thin, {.bytes_in = 180000}));
+  BOOST_TEST(saturated_at(thin, {.bytes_out = 180000}));
+  BOOST_TEST(!saturated_at(thin, {.bytes_in = 150000, .bytes_out = 150000}));
+  BOOST_TEST(saturated_at(thin, {.cpu = Millis(220)}));
+  BOOST_TEST(!saturated_at(thin, {.cpu = Millis(200)}));
+  BOOST_TEST(!saturated_at({.cpu_percent = 25},
+                           {.bytes_in = 1 << 30, .cpu = Millis(250)}));
+}
+
+/// Guards against hundreds of entries that read the record of the same
+/// suspected leader at the same time: at a fixed pause of 150 ms, 300 entries
+/// read it some 1,000 times a second here. A few entries read it as often as
+/// before.
+BOOST_AUTO_TEST_CASE(ReadsOfTheLeaderRecordAreSpread) {
+  constexpr Millis kElectionTimeout{450};
+  constexpr Millis kSpan{10000};
+  constexpr Millis kWindow{100};
+  const auto most_reads = [&](size_t entries, Millis from) {
+    std::map<int64_t, int> reads;  // by window
+    for (size_t i = 0; i < entries; ++i) {
+      leadership::LeaderCheckPacing pacing("entry-" + std::to_string(i));
+      Millis at = pacing.FirstDelay(entries);
+      while (at < kSpan) {
+        ++reads[at / kWindow];
+        ++reads[(at + kElectionTimeout) / kWindow];
+        at += kElectionTimeout + pacing.NextPause(entries);
+      }
+    }
+    int most = 0;
+    for (const auto& [window, count] : reads) {
+      if (window >= from / kWindow) most = std::max(most, count);
+    }
+    return most;
+  };
+  BOOST_TEST(most_reads(300, Millis(0)) <= 150);
+  BOOST_TEST(most_reads(300, Millis(2000)) <= 60);
+  leadership::LeaderCheckPacing few("entry-0");
+  BOOST_TEST(few.FirstDelay(32) == Millis(0));
+  BOOST_TEST(few.NextPause(32) == Millis(150));
+  BOOST_TEST(few.NextPause(32) == Millis(150));
+}
+
+/// Guards against live leaders, stable ones too, that are replaced one after
+/// the other at a constant rate. The first two replacements cost nothing.
+BOOST_AUTO_TEST_CASE(ReplacementsOfLiveLeadersBecomeRarer) {
+  constexpr Millis kBase{3000};
+  wire::AnnounceCall record;
+  record.stable = true;
+  const auto timeout = [&](int32_t replaced) {
+    record.replaced_alive = replaced;
+    return leadership::ElectionTimeout(kBase, record);
+  };
+  BOOST_TEST(timeout(0) == kBase);
+  BOOST_TEST(timeout(1) == kBase);
+  BOOST_TEST(timeout(2) == 2 * kBase);
+  BOOST_TEST(timeout(3) == 4 * kBase);
+  BOOST_TEST(timeout(1000) == 16 * kBase);
+  BOOST_TEST(timeout(-1000) == kBase);
+  record.replaced_alive = 3;
+  BOOST_TEST(leadership::LiveReplacementsBefore(record, Millis(59000)) == 3);
+  BOOST_TEST(leadership::LiveReplacementsBefore(record, Millis(60000)) == 0);
+
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  leadership::LiveReplacements replacements;
+  replacements.BeginTerm("old", 1, start);
+  BOOST_TEST(!replacements.OnHeartbeat("other", start));
+  BOOST_TEST(replacements.OnHeartbeat("old", start + Millis(500)));
+  BOOST_TEST(!replacements.OnHeartbeat("old", start + Millis(700)));
+  BOOST_TEST(replacements.count() == 2);
+  replacements.BeginTerm("old", 1, start);
+  BOOST_TEST(!replacements.OnHeartbeat("old", start + Millis(9000)));
+  BOOST_TEST(replacements.count() == 1);
+}
+
 }  // namespace mimosarail::jobsim
