Leadership: Pace the announcements of a new leader

A new leader announced itself to all entries at once, some 40 kB to 300 of them, in front of its first renewals and the jobs that it loads.

--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -402,19 +402,6 @@
   AnnounceLeadership();
 }
 
-void Leadership::AnnounceLeadership() {
-  wire::AnnounceCall call;
-  call.term = term_;
-  call.leader = options_.member;
-  call.loading = leader_loading_;
-  for (const std::string& address : KnownAddresses()) {
-    peers_.Announce(address, call, options_.heartbeat_timeout,
-                    [](const Result<wire::AnnounceReply>&) {
-                      // Entries that miss it read the leader record.
-                    });
-  }
-}
-
 wire::HeartbeatReply Leadership::OnHeartbeat(const wire::HeartbeatCall& call) {
   wire::HeartbeatReply reply;
   if (IsPlausibleTerm(call.term, call.caller.name) && call.term > term_ &&
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -219,6 +219,10 @@
   void NoteLeaderReady();
   /// Announces this leader to all known entries.
   void AnnounceLeadership();
+  /// Sends `call` to the receivers, a few at a time, while this entry leads in
+  /// the call's term.
+  void AnnounceInBatches(wire::AnnounceCall call,
+                         std::vector<std::string> receivers);
   /// Why the leader is suspected.
   enum class Suspicion {
     kUnresponsive,       ///< It does not answer, or no leader is known.
--- a/tests/leadership_test.cc
+++ b/tests/leadership_test.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <set>
 
 #include "src/leadership/leader_table.h"
 #include "src/libs/rpc/codec.h"
@@ -25,8 +26,10 @@
     sent[address].push_back(call);
     pending[address].push_back(std::move(done));
   }
-  void Announce(const std::string&, const wire::AnnounceCall&, Millis,
-                Callback<wire::AnnounceReply>) override {}
+  void Announce(const std::string& address, const wire::AnnounceCall&, Millis,
+                Callback<wire::AnnounceReply>) override {
+    announced.push_back(address);
+  }
   void SubmitJob(const std::string&, const wire::SubmitJobCall&, Millis,
                  Callback<wire::SubmitJobReply>) override {}
   void JobState(const std::string&, const wire::JobStateCall&, Millis,
@@ -48,6 +51,8 @@
 
   std::map<std::string, std::vector<wire::HeartbeatCall>> sent;
   std::map<std::string, std::vector<Done>> pending;
+  /// Receivers of announcements, in order.
+  std::vector<std::string> announced;
 };
 
 wire::Member MemberAt(const std::string& name) {
@@ -319,4 +324,29 @@
   BOOST_TEST(documents_sent() == 1);
 }
 
+/// Guards against announcements to hundreds of entries that fill the link of a
+/// new leader all at once, and against entries that get none.
+BOOST_FIXTURE_TEST_CASE(AnnouncementsToManyEntriesArePaced, Fixture) {
+  constexpr int kFollowers = 300;
+  self.Start();
+  clock.RunFor(Millis(1000));
+  BOOST_REQUIRE(self.leading());
+  for (int i = 0; i < kFollowers; ++i) {
+    wire::HeartbeatCall call;
+    call.caller = MemberAt("entry-" + std::to_string(i));
+    call.term = self.term();
+    self.OnHeartbeat(call);
+  }
+  peers.announced.clear();
+  self.MarkReady();
+  BOOST_TEST(peers.announced.size() <= 40);
+  clock.RunFor(Millis(50));
+  BOOST_TEST(peers.announced.size() <= 200);
+  clock.RunFor(Millis(150));
+  const std::set<std::string> receivers(peers.announced.begin(),
+                                        peers.announced.end());
+  BOOST_TEST(receivers.size() == kFollowers + 1);  // and the seed
+  BOOST_TEST(peers.announced.size() == kFollowers + 1);
+}
+
 }  // namespace mimosarail::jobsim
