--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <sys/resource.h>
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -14,6 +15,8 @@
 #include "platform/upstream_client.h"
 #include "src/jobentry/entry_rpc_handlers.h"
 #include "src/jobentry/job_entry.h"
+#include "src/leadership/capacity_use.h"
+#include "src/leadership/leader_fitness.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
 #include "src/libs/logging/log.h"
@@ -63,6 +66,20 @@
 /// How often the settings file is read again; it may change without a SIGHUP.
 constexpr Millis kSettingsCheckPeriod{2000};
 
+/// Size of the send buffers of connections that carry bulk, over a link of this
+/// rate; 0 leaves it to the system. What waits in these buffers is ahead of
+/// heartbeats and renewals on the link. The system lets a buffer grow to some
+/// megabytes, which a link of 2 Mbit/s takes seconds to send.
+int SendBufferBytes(const JobSettings& s) {
+  constexpr int64_t kBufferTimeMs = 50;
+  constexpr int64_t kMinBytes = 16 << 10;
+  constexpr int64_t kMaxBytes = 128 << 10;
+  const int64_t bytes =
+      s.link_centi_mbps * kBytesPerCentiMbit * kBufferTimeMs / 1000;
+  if (bytes == 0 || bytes > kMaxBytes) return 0;
+  return static_cast<int>(std::max(bytes, kMinBytes));
+}
+
 scheduling::SchedulerOptions MakeSchedulerOptions(const JobSettings& s) {
   return {.queue_order = scheduling::kQueueOrderNames.Find(s.queue_order)
                              .value_or(scheduling::QueueOrder::kPriority),
@@ -84,7 +101,9 @@
   out.leadership.election_timeout = Millis(s.election_timeout_ms);
   out.leadership.store_unreachable_after = Millis(s.store_unreachable_after_ms);
   out.leadership.leader_lease = Millis(s.leader_lease_ms);
-  out.leadership.member.fitness = static_cast<int32_t>(s.cpu_percent);
+  out.leadership.member.fitness = leadership::LeaderFitness(
+      s.cpu_percent,
+      static_cast<double>(s.link_centi_mbps) / kHundredthsPerUnit);
   out.coordinator.scheduler = MakeSchedulerOptions(s);
   out.coordinator.admission =
       coordinator::kAdmissionPolicyNames.Find(s.admission)
@@ -106,10 +125,19 @@
   return out;
 }
 
+/// Processor time of the process.
+double CpuSeconds(const rusage& usage) {
+  const auto seconds = [](const timeval& t) {
+    return static_cast<double>(t.tv_sec) + static_cast<double>(t.tv_usec) / 1e6;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
 /// Owns the components of a running daemon, in order of construction.
 struct JobDaemon {
   explicit JobDaemon(const JobSettings& s)
       : store_http(network_io, {.max_connections = kStoreConnections,
+                                .send_buffer_bytes = SendBufferBytes(s),
                                 .max_response_time = kMaxPageTime,
                                 .traffic = &traffic_counters,
                                 .traffic_kind = platform::StoreTrafficKind}),
@@ -123,9 +151,13 @@
         upstreams(upstream_http, executor, {}),
         adviser(adviser_http, executor, s.adviser_address),
         hosts(hosts_http, executor, s.hosts_address),
-        peer_client(network_io, &traffic_counters),
-        peers(peer_client, executor),
-        peer_server(network_io, &traffic_counters),
+        peer_client(network_io, &traffic_counters, SendBufferBytes(s)),
+        urgent_peer_client(network_io, &traffic_counters),
+        peers(peer_client, urgent_peer_client, executor),
+        peer_server(network_io, &traffic_counters, SendBufferBytes(s)),
+        capacity_use(
+            {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
+             .cpu_percent = s.cpu_percent}),
         entry({.executor = executor,
                .store = store,
                .config = store,
@@ -135,7 +167,9 @@
                .peers = peers,
                .metrics = metrics,
                .hosts = s.hosts_address.empty() ? nullptr : &hosts,
-               .wave_status = &store},
+               .wave_status = &store,
+               .saturated =
+                   [this] { return capacity_use.saturated(executor.Now()); }},
               MakeOptions(s)),
         job_server(network_io, executor, entry,
                    {.address = s.front_address,
@@ -152,15 +186,22 @@
                        .body = metrics.Text()});
             }) {}
 
+  /// Measures the use of the link and the processor. Control thread only.
+  void MeasureCapacityUse() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const std::vector<metrics::Traffic::Row> rows = traffic_counters.Rows();
+    capacity_use.Update(
+        {.bytes_in = metrics::TrafficBytes(rows, metrics::Direction::kIn),
+         .bytes_out = metrics::TrafficBytes(rows, metrics::Direction::kOut),
+         .cpu = Millis(static_cast<int64_t>(CpuSeconds(usage) * 1000))},
+        executor.Now());
+  }
+
   void UpdateMetrics() {
     rusage usage{};
     getrusage(RUSAGE_SELF, &usage);
-    const auto seconds = [](const timeval& t) {
-      return static_cast<double>(t.tv_sec) +
-             static_cast<double>(t.tv_usec) / 1e6;
-    };
-    metrics.Set({.name = "cpu_seconds"},
-                seconds(usage.ru_utime) + seconds(usage.ru_stime));
+    metrics.Set({.name = "cpu_seconds"}, CpuSeconds(usage));
     metrics.Set({.name = "resident_max_kb"},
                 static_cast<double>(usage.ru_maxrss));
     metrics.Set({.name = "log_lines_dropped"},
@@ -202,8 +243,10 @@
   platform::UpstreamClient adviser;
   platform::HostClient hosts;
   rpc::Client peer_client;
+  rpc::Client urgent_peer_client;
   leadership::RpcEntryClient peers;
   rpc::Server peer_server;
+  leadership::CapacityUse capacity_use;
   jobentry::JobEntry entry;
   platform::JobHttpServer job_server;
   http::Server metrics_server;
@@ -368,6 +411,8 @@
   RunEvery(daemon.executor, kSettingsCheckPeriod,
            [&watcher] { watcher.Check("look"); });
   RunEvery(daemon.executor, kTrafficPeriod, [&daemon] { daemon.LogTraffic(); });
+  RunEvery(daemon.executor, leadership::CapacityUse::kPeriod,
+           [&daemon] { daemon.MeasureCapacityUse(); });
   daemon.entry.Start();
   daemon.control.run();
   daemon.network_io.stop();
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2925,6 +2925,19 @@
 void AnnounceCall::__set_unstable_terms(const int32_t val) {
   this->unstable_terms = val;
 }
+
+void AnnounceCall::__set_successor(const std::string& val) {
+  this->successor = val;
+__isset.successor = true;
+}
+
+void AnnounceCall::__set_replaced_alive(const int32_t val) {
+  this->replaced_alive = val;
+}
+
+void AnnounceCall::__set_saturated(const bool val) {
+  this->saturated = val;
+}
 std::ostream& operator<<(std::ostream& out, const AnnounceCall& obj)
 {
   obj.printTo(out);
@@ -3001,6 +3014,30 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->successor);
+          this->__isset.successor = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->replaced_alive);
+          this->__isset.replaced_alive = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 9:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->saturated);
+          this->__isset.saturated = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3042,6 +3079,19 @@
   xfer += oprot->writeI32(this->unstable_terms);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.successor) {
+    xfer += oprot->writeFieldBegin("successor", ::apache::thrift::protocol::T_STRING, 7);
+    xfer += oprot->writeString(this->successor);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("replaced_alive", ::apache::thrift::protocol::T_I32, 8);
+  xfer += oprot->writeI32(this->replaced_alive);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("saturated", ::apache::thrift::protocol::T_BOOL, 9);
+  xfer += oprot->writeBool(this->saturated);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3055,6 +3105,9 @@
   swap(a.loading, b.loading);
   swap(a.stable, b.stable);
   swap(a.unstable_terms, b.unstable_terms);
+  swap(a.successor, b.successor);
+  swap(a.replaced_alive, b.replaced_alive);
+  swap(a.saturated, b.saturated);
   swap(a.__isset, b.__isset);
 }
 
@@ -3065,6 +3118,9 @@
   loading = other100.loading;
   stable = other100.stable;
   unstable_terms = other100.unstable_terms;
+  successor = other100.successor;
+  replaced_alive = other100.replaced_alive;
+  saturated = other100.saturated;
   __isset = other100.__isset;
 }
 AnnounceCall::AnnounceCall(AnnounceCall&& other101) noexcept {
@@ -3074,6 +3130,9 @@
   loading = other101.loading;
   stable = other101.stable;
   unstable_terms = other101.unstable_terms;
+  successor = std::move(other101.successor);
+  replaced_alive = other101.replaced_alive;
+  saturated = other101.saturated;
   __isset = other101.__isset;
 }
 AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other102) {
@@ -3083,6 +3142,9 @@
   loading = other102.loading;
   stable = other102.stable;
   unstable_terms = other102.unstable_terms;
+  successor = other102.successor;
+  replaced_alive = other102.replaced_alive;
+  saturated = other102.saturated;
   __isset = other102.__isset;
   return *this;
 }
@@ -3093,6 +3155,9 @@
   loading = other103.loading;
   stable = other103.stable;
   unstable_terms = other103.unstable_terms;
+  successor = std::move(other103.successor);
+  replaced_alive = other103.replaced_alive;
+  saturated = other103.saturated;
   __isset = other103.__isset;
   return *this;
 }
@@ -3105,6 +3170,9 @@
   out << ", " << "loading=" << to_string(loading);
   out << ", " << "stable=" << to_string(stable);
   out << ", " << "unstable_terms=" << to_string(unstable_terms);
+  out << ", " << "successor="; (__isset.successor ? (out << to_string(successor)) : (out << "<null>"));
+  out << ", " << "replaced_alive=" << to_string(replaced_alive);
+  out << ", " << "saturated=" << to_string(saturated);
   out << ")";
 }
 
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -9,8 +9,11 @@
 
 #include "src/leadership/election_timeout.h"
 #include "src/leadership/entry_client_port.h"
+#include "src/leadership/hand_over.h"
+#include "src/leadership/leader_check_pacing.h"
 #include "src/leadership/leader_quorum.h"
 #include "src/leadership/leader_timeout_votes.h"
+#include "src/leadership/live_replacements.h"
 #include "src/leadership/member_list.h"
 #include "src/leadership/predecessor_leases.h"
 #include "src/libs/faults/malformed_record_reporter.h"
@@ -65,16 +68,13 @@
   /// An entry whose last heartbeat is older than this is left out of the quorum
   /// that the leader stores next.
   Millis member_expiry{8000};
-  /// Processor share, in percent of a core, with which an entry can lead any
-  /// deployment. Leading 350 upstreams took 0.22 of a core.
+  /// Fitness with which an entry can lead any deployment; see LeaderFitness().
+  /// Leading 350 upstreams took 0.22 of a core.
   int32_t sufficient_fitness = 25;
   /// A leader whose configuration the store has not confirmed for this long
   /// takes over a newer one from a follower. Longer than two reads for changes,
   /// each of which waits 0.9 s.
   Millis config_stale_after{2200};
-  /// A leader with too small a processor share hands over to a sufficiently fit
-  /// entry after this time.
-  Millis hand_over_after{1500};
 };
 
 /// Elects the leader and tracks the current leader and its term. The end offset
@@ -106,6 +106,9 @@
     std::function<TimePoint()> last_stored;
     /// Time at which that append was sent.
     std::function<TimePoint()> last_stored_sent;
+    /// Whether this process uses its capacity to the full; see CapacityUse. May
+    /// be empty.
+    std::function<bool()> saturated;
   };
 
   /// All arguments passed by reference outlive this object.
@@ -192,9 +195,8 @@
   bool QuorumChangeDue(const std::vector<std::string>& members) const;
   /// This process's steady clock, as sent in heartbeat replies.
   int64_t ClockMs() const;
-  /// Whether the leader leaves this entry and most others without answers, and
-  /// its term has lasted long enough to replace it.
-  bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
+  /// Number of entries that may check the leader's record at the same time.
+  size_t KnownEntries() const { return members_.all().size(); }
   /// Addresses of all entries known to this one, without its own and without
   /// duplicates.
   std::vector<std::string> KnownAddresses() const;
@@ -217,6 +219,10 @@
   void NoteLeaderReady();
   /// Announces this leader to all known entries.
   void AnnounceLeadership();
+  /// Sends `call` to the receivers, a few at a time, while this entry leads in
+  /// the call's term.
+  void AnnounceInBatches(wire::AnnounceCall call,
+                         std::vector<std::string> receivers);
   /// Why the leader is suspected.
   enum class Suspicion {
     kUnresponsive,       ///< It does not answer, or no leader is known.
@@ -224,6 +230,22 @@
     kConnectionRefused,  ///< Its address refuses connections.
     kNotLeading,         ///< It has resigned or reports that it does not lead.
   };
+  /// Whether the leader leaves this entry and most others without answers, its
+  /// term has lasted long enough to replace it, and its successor would do
+  /// better: the leader does not state that it is saturated, or a fitter entry
+  /// is known.
+  bool LeaderIsSlow(const std::optional<wire::AnnounceCall>& record) const;
+  /// Logs the figures by which a slow leader is replaced.
+  void LogSlowLeader(const std::optional<wire::AnnounceCall>& record) const;
+  /// Logs the figures by which a leader is replaced that no longer renews its
+  /// record.
+  void LogUnchangedRecord(
+      Suspicion suspicion,
+      const std::optional<wire::AnnounceCall>& record) const;
+  /// Consecutive replacements of live leaders before a term that follows this
+  /// record; see LiveReplacementsBefore().
+  int32_t ReplacementsBefore(
+      const std::optional<wire::AnnounceCall>& record) const;
   /// Reads the leader record in the store. Claims leadership if the record
   /// stays unchanged for ElectionTimeoutFor(), or at once if the leader no
   /// longer leads. An entry that is shutting down only reads.
@@ -240,18 +262,31 @@
                       const Result<ports::NewestPage>& page);
   /// Delay of this entry's claim, which lets fitter entries claim first.
   Millis ClaimDelay() const;
+  /// As leader that is not sufficiently fit: resigns as soon as a sufficiently
+  /// fit entry follows it, be it before the stored state is loaded.
   void HandOverIfUnfit();
+  /// Resigns in favour of this follower. Precondition: this entry leads.
+  void HandOver(const wire::Member& successor);
+  /// Sends a heartbeat to a new leader that is not sufficiently fit, if this
+  /// entry is, so that the leader hands over before it loads.
+  void ReportToUnfitLeader();
   /// Adds followers without recent heartbeats to the member changes as removed.
   void ReportExpiredFollowers();
-  /// Stops leading and asks the followers to take over at once. `next_role` is
-  /// the role of this entry after that. Precondition: this entry leads.
-  void Resign(Role next_role, const std::string& cause);
+  /// Stops leading and sends `call` as a resignation to `receivers`, so that
+  /// they take over at once. `next_role` is the role of this entry after that.
+  /// Precondition: this entry leads.
+  void Resign(Role next_role, const std::string& cause,
+              const std::vector<std::string>& receivers,
+              wire::AnnounceCall call);
   /// What a claim of leadership is based on.
   struct Candidacy {
     int64_t term = 0;
     /// End of the table at which the claim is stored.
     int64_t end_offset = 0;
     int32_t unstable_terms = 0;
+    /// See wire::AnnounceCall, and LiveReplacements::BeginTerm().
+    int32_t replaced_alive = 0;
+    std::string predecessor;
     /// The stored quorum; absent if there is none or it is unreadable.
     std::optional<wire::QuorumRecord> quorum;
   };
@@ -291,7 +326,8 @@
   /// stored or lost to another entry's claim.
   void ResolveRenewal();
   /// The leader record that this entry writes, encoded.
-  std::string EncodeRecord(int64_t term, int32_t unstable_terms) const;
+  std::string EncodeRecord(int64_t term, int32_t unstable_terms,
+                           int32_t replaced_alive) const;
   /// The quorum record that this entry writes as leader, encoded.
   std::string EncodeQuorum(const std::vector<std::string>& members) const;
   /// The leader's record on a page of the table; empty if there is none that is
@@ -362,14 +398,16 @@
   struct Follower {
     wire::Member member;
     TimePoint last_heartbeat;
-    /// Time of the first heartbeat after the start of the term or after a gap
-    /// longer than the follower timeout.
-    TimePoint heartbeats_since;
+    /// Its newest heartbeat was of this leader's term.
+    bool follows = false;
   };
   std::map<std::string, Follower> followers_;
   TimePoint leading_since_{};
+  NamedSuccessors successors_;
+  LiveReplacements replacements_;
   LeaderQuorum quorum_;
   PredecessorLeases predecessors_;
+  LeaderCheckPacing check_pacing_;
   /// As leader: changes of the followers, to be sent to all of them.
   MemberChanges changes_;
   /// Entries known from the leader's heartbeat answers.
