--- a/src/scheduling/account_ledger.cc
+++ b/src/scheduling/account_ledger.cc
@@ -35,7 +35,9 @@
   limits_known_ = true;
   for (const ports::AccountConfig& account : accounts) {
     const AccountIndex index = IndexOf(account.name);
-    if (index != kNoAccount) all_[index].limit = account.limit;
+    if (index == kNoAccount) continue;
+    all_[index].limit = account.limit;
+    all_[index].weight = account.weight;
   }
 }
 
--- a/src/scheduling/account_ledger.h
+++ b/src/scheduling/account_ledger.h
@@ -62,9 +62,11 @@
   const ports::AccountLimit& limit(AccountIndex account) const {
     return all_[account].limit;
   }
+  /// 0 for none.
+  double weight(AccountIndex account) const { return all_[account].weight; }
 
-  /// Takes over the limits of these accounts; other accounts keep theirs.
-  /// Before the first call, no task of any account may start.
+  /// Takes over the limits and weights of these accounts; other accounts keep
+  /// theirs. Before the first call, no task of any account may start.
   void SetLimits(const std::vector<ports::AccountConfig>& accounts);
 
   void Charge(const RunCharge& run) { Add(run, 1); }
@@ -90,6 +92,7 @@
   struct Account {
     std::string name;
     ports::AccountLimit limit;
+    double weight = 0;
     AmountSum charged;
     /// The part of `charged` for long-running tasks.
     AmountSum long_running;
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -28,6 +28,15 @@
   return out;
 }
 
+int32_t FitCount(const Amount& free, const Amount& size) {
+  int32_t fit = kMaxStepTasks;
+  for (size_t d = 0; d < placement::kDimensions; ++d) {
+    if (size.values[d] <= 0) continue;
+    fit = std::min(fit, std::max(0, free.values[d]) / size.values[d]);
+  }
+  return fit;
+}
+
 Amount TaskCharge(const wire::StepSpec& step) {
   Amount out = TaskResources(step);
   out[Dimension::kCores] = step.millicores;
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -195,6 +195,9 @@
 /// The resources that a task of this step takes on an upstream.
 Amount TaskResources(const wire::StepSpec& step);
 
+/// Returns how many tasks of this size fit into the capacity.
+int32_t FitCount(const Amount& free, const Amount& size);
+
 /// What a task of this step counts towards the limit of its account. The cores
 /// of a filler count, although it reserves none: it may use them.
 Amount TaskCharge(const wire::StepSpec& step);
