Scheduling: Order waiting steps by cost of delay and by shares of accounts

Callers saw that late and worthless work of priority 1 displaced work of priority 2 that could be in time, that other accounts paid for the flood of one, and that steps beyond the first 300 were never looked at. Cause: the queue is ordered strictly by priority, accounts count only by their limits, and steps without room anywhere use up a pass.

With queue_order = delay_cost the queue is ordered by value, steps of accounts that take their share go after the others of the same value while capacity is short, and steps without room are passed over. Steps that waited 120 s longer than any value lasts go first, up to about a tenth of all cores. The queue's order is now in step_queue.cc, the new pass in placing_by_cost.cc.

--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -8,9 +8,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// Number of steps, from the front of the queue, that a pass examines. Bounds
-/// the duration of a pass when thousands of steps wait.
-constexpr int kMaxStepsPerPass = 300;
 /// Fraction of all cores that may be reserved for waiting gangs at a time.
 /// Gangs further back in the queue start only if there is free capacity for all
 /// their tasks at once. They make no advice call to find out where to wait,
@@ -35,16 +32,6 @@
 /// tasks, and on the adviser's answers.
 constexpr Millis kExclusionMaxAge{500};
 
-/// Returns how many tasks of this size fit into the capacity.
-int32_t FitCount(const Amount& free, const Amount& size) {
-  int32_t fit = kMaxStepTasks;
-  for (size_t d = 0; d < placement::kDimensions; ++d) {
-    if (size.values[d] <= 0) continue;
-    fit = std::min(fit, std::max(0, free.values[d]) / size.values[d]);
-  }
-  return fit;
-}
-
 /// Returns how many tasks of the step may use this capacity of one upstream.
 int32_t MaxTasks(const wire::StepSpec& step, const Amount& free) {
   const int32_t fit = FitCount(free, TaskResources(step));
@@ -160,6 +147,23 @@
   reservable_millicores_ = static_cast<int64_t>(
       kMaxReservedShare * static_cast<double>(total_millicores));
   accounts_at_limit_.clear();
+  if (options_.queue_order == QueueOrder::kDelayCost) {
+    PlaceByDelayCost(now, reserved, orders);
+  } else {
+    PlaceFromFront(now, reserved, orders);
+  }
+  gang_reserved_.clear();
+  gang_reserved_millicores_ = 0;
+  for (const auto& [upstream, reservation] : reserved) {
+    gang_reserved_.emplace(upstream, reservation.amount);
+    gang_reserved_millicores_ +=
+        std::clamp(reservation.amount[Dimension::kCores], 0,
+                   std::max(0, pool_.at(upstream).free[Dimension::kCores]));
+  }
+}
+
+void Scheduler::PlaceFromFront(TimePoint now, PassReservations& reserved,
+                               Orders& orders) {
   int visited = 0;
   for (auto at = queue_.begin(); at != queue_.end();) {
     if (accounts_at_limit_.count(at->account) > 0) {
@@ -173,14 +177,6 @@
     ++at;
     PlaceStep(*jobs_.at(id.job), id, now, reserved, orders);
   }
-  gang_reserved_.clear();
-  gang_reserved_millicores_ = 0;
-  for (const auto& [upstream, reservation] : reserved) {
-    gang_reserved_.emplace(upstream, reservation.amount);
-    gang_reserved_millicores_ +=
-        std::clamp(reservation.amount[Dimension::kCores], 0,
-                   std::max(0, pool_.at(upstream).free[Dimension::kCores]));
-  }
 }
 
 bool Scheduler::PlaceStep(JobRecord& record, const StepId& id, TimePoint now,
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -7,18 +7,9 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A job that ends within this multiple of its objective still has part of its
-/// value for the caller. A later one has none; it still runs, after all other
-/// work of its priority.
-constexpr int64_t kWorthlessMultiple = 3;
-
 /// Assumed run time of a task whose caller gave no estimate.
 constexpr Millis kDefaultEstimate{1000};
 
-int64_t ToMs(TimePoint at) {
-  return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
-}
-
 }  // namespace
 
 StopReason ReasonToStop(JobState state) {
@@ -94,6 +85,8 @@
 void Scheduler::Resolve(const std::unordered_set<JobId>& uncertain,
                         TimePoint now, Orders& orders) {
   resolved_ = true;
+  // Until now the shares were those of a scheduler without waiting steps.
+  shares_valid_until_ = {};
   for (auto& [id, record] : jobs_) {
     if (uncertain.count(id) == 0) record->counts_as_unreported = false;
     if (!record->may_have_unreported_runs || uncertain.count(id) > 0) continue;
@@ -390,58 +383,6 @@
   if (has_unreported_runs_) CountUnreportedRuns();
 }
 
-Scheduler::QueueKey Scheduler::KeyOf(const JobRecord& record, const StepId& id,
-                                     Timeliness timeliness) {
-  const Job& job = record.job;
-  const int64_t objectives =
-      timeliness == Timeliness::kInTime ? 1 : kWorthlessMultiple;
-  return {.priority = job.queue().priority,
-          .timeliness = timeliness,
-          .latest_start_ms =
-              ToMs(record.accepted_at + objectives * job.Objective() -
-                   job.CriticalPathFrom(id.step)),
-          .id = id,
-          .account = record.account};
-}
-
-void Scheduler::DemoteLateSteps(TimePoint now) {
-  std::vector<QueueKey> late;
-  for (const QueueKey& key : queue_) {
-    if (key.latest_start_ms > ToMs(now) ||
-        key.timeliness == Timeliness::kWorthless) {
-      continue;
-    }
-    const Job& job = jobs_.at(key.id.job)->job;
-    if (!job.step(key.id.step).long_running && !job.timed()) {
-      late.push_back(key);
-    }
-  }
-  for (const QueueKey& key : late) {
-    const JobRecord& record = *jobs_.at(key.id.job);
-    // Under overload, starting the steps nearest to their objective first would
-    // make all of them slightly late. Therefore a step that can no longer be in
-    // time goes after all steps of its priority that can. Late steps are
-    // ordered by the latest start with which they still have a value. In a
-    // simulation of 70 upstreams at slightly more load than all cores can take
-    // (scheduling_load_test), 54 % instead of 19 % of render jobs begin in
-    // time. Urgent steps are not moved when they become late, only when they
-    // become worthless. Urgent jobs are small: a backlog of them that built up
-    // without a leader is worked off within a second, the oldest first, so that
-    // none is served too late to have any value.
-    const bool urgent = key.priority == 0;
-    QueueKey next = KeyOf(record, key.id, Timeliness::kLate);
-    if (key.timeliness == Timeliness::kLate ||
-        (urgent && next.latest_start_ms <= ToMs(now))) {
-      next.timeliness = Timeliness::kWorthless;
-    } else if (urgent) {
-      continue;
-    }
-    queue_.erase(key);
-    jobs_.at(key.id.job)->step_state(key.id.occurrence, key.id.step).key = next;
-    queue_.insert(next);
-  }
-}
-
 std::string Scheduler::DescribeLoad() const {
   int64_t capacity = 0;
   int64_t free = 0;
@@ -477,6 +418,11 @@
   for (const QueueKey& key : queue_) {
     if (key.account != kNoAccount) ++out[key.account].waiting_steps;
   }
+  const AmountSum capacity = UsableCapacity();
+  for (AccountIndex i = 0; i < accounts.size(); ++i) {
+    if (i < shares_due_.size()) out[i].share_due = shares_due_[i];
+    out[i].share_taken = DominantShare(accounts.charged(i), capacity);
+  }
   std::stable_sort(out.begin(), out.end(), [](const auto& a, const auto& b) {
     return a.waiting_steps > b.waiting_steps;
   });
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -12,15 +12,22 @@
 
 #include "src/jobs/job.h"
 #include "src/ports/task_port.h"
+#include "src/scheduling/account_shares.h"
 #include "src/scheduling/advice_call_size.h"
 #include "src/scheduling/advice_state.h"
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/orders.h"
 #include "src/scheduling/queue_order.h"
+#include "src/scheduling/step_queue.h"
 #include "src/scheduling/upstream_pool.h"
 
 namespace mimosarail::scheduling {
 
+/// Number of steps that a pass examines, from the front of the queue unless
+/// QueueOrder::kDelayCost is set. Bounds the duration of a pass when thousands
+/// of steps wait.
+inline constexpr int kMaxStepsPerPass = 300;
+
 /// Returns when a run of this step that starts now is expected to end;
 /// TimePoint::max() if it is long-running. Thread-safe.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
@@ -46,6 +53,13 @@
   /// 0 for no limit.
   int64_t limit_millicores = 0;
   int64_t waiting_steps = 0;
+  /// The fraction of its dominant resource, of the cell's capacity, that the
+  /// account may take before its steps go after those of other accounts;
+  /// kUnlimitedShare unless QueueOrder::kDelayCost is set, accounts have
+  /// weights and capacity is short.
+  double share_due = kUnlimitedShare;
+  /// The fraction that its tasks take now.
+  double share_taken = 0;
 };
 
 struct SchedulerOptions {
@@ -71,9 +85,11 @@
   UpstreamPool& pool() { return pool_; }
   const UpstreamPool& pool() const { return pool_; }
 
-  /// Takes over the limits of the accounts; in force from the next pass on.
+  /// Takes over the limits and weights of the accounts; in force from the next
+  /// pass on.
   void SetAccounts(const std::vector<ports::AccountConfig>& accounts) {
     pool_.accounts().SetLimits(accounts);
+    shares_valid_until_ = {};
   }
 
   /// Adds a new job. Precondition: CheckJob() accepts the job, and its id is
@@ -180,20 +196,6 @@
   /// time. A stop takes up to 0.9 s where tasks are slow to end.
   static constexpr Millis kStopRetryInterval{1200};
 
-  /// The value that the result of a step still has for the caller if the step
-  /// starts now.
-  enum class Timeliness : uint8_t { kInTime, kLate, kWorthless };
-  /// Position of a step in the queue: by priority, then by timeliness, then by
-  /// the latest start with which the step keeps this timeliness.
-  struct QueueKey {
-    int32_t priority = 0;
-    Timeliness timeliness = Timeliness::kInTime;
-    int64_t latest_start_ms = 0;
-    StepId id;
-    AccountIndex account = kNoAccount;
-    // NOLINTNEXTLINE(modernize-use-nullptr): false positive on =default
-    friend auto operator<=>(const QueueKey&, const QueueKey&) = default;
-  };
   /// The upstreams on which a waiting gang, or a task that has failed, may not
   /// start. Placing, requesting advice and planning must apply the same
   /// exclusion to a gang. Otherwise the gang requests advice about too few
@@ -290,10 +292,17 @@
   void UpdateQueued(JobRecord& record, int32_t occurrence, int32_t step);
   void Dequeue(StepState& step_state);
   /// Returns the queue position of a waiting step with this timeliness.
-  static QueueKey KeyOf(const JobRecord& record, const StepId& id,
-                        Timeliness timeliness);
+  QueueKey KeyOf(const JobRecord& record, const StepId& id,
+                 Timeliness timeliness) const;
   /// Moves steps back in the queue whose latest start has passed.
   void DemoteLateSteps(TimePoint now);
+  /// Replaces the position of a waiting step in the queue.
+  void Requeue(const QueueKey& from, const QueueKey& to);
+  /// With QueueOrder::kDelayCost: moves the step to the front that has waited
+  /// longest beyond what any of its value needs, if it has waited too long.
+  void PromoteAgedStep(TimePoint now);
+  /// Returns when a waiting step has waited too long.
+  static TimePoint AgedAt(const JobRecord& record, const StepId& id);
   /// Sums up the tasks that may run without having been reported, for the
   /// limits of their accounts.
   void CountUnreportedRuns();
@@ -424,6 +433,21 @@
   /// Starts all tasks of the gang, or none. Returns whether they start.
   bool PlaceGang(JobRecord& record, const StepId& id, TimePoint now,
                  const PassReservations& reserved, Orders& orders);
+  /// Places steps from the front of the queue, up to a number of them.
+  void PlaceFromFront(TimePoint now, PassReservations& reserved,
+                      Orders& orders);
+  /// A pass with QueueOrder::kDelayCost (placing_by_cost.cc).
+  class DelayCostPass;
+  void PlaceByDelayCost(TimePoint now, PassReservations& reserved,
+                        Orders& orders);
+  /// Recomputes the shares due to the accounts if they are too old.
+  void UpdateShares(TimePoint now);
+  /// Returns what each account's tasks take and would take.
+  std::vector<AccountDemand> AccountDemands() const;
+  /// Returns the capacity of all upstreams that accept work.
+  AmountSum UsableCapacity() const;
+  /// Whether the account takes its share or more while capacity is short.
+  bool TakesItsShare(AccountIndex account) const;
   /// Whether any task of the step is suspected of crashing upstreams.
   bool HasCrashSuspect(const JobRecord& record, const StepId& id) const;
   /// Chooses the best candidate for a task that is suspected of crashing
@@ -526,6 +550,16 @@
   std::set<QueueKey> queue_;
   /// Accounts whose steps wait for the limit in the current pass.
   std::set<AccountIndex> accounts_at_limit_;
+  /// The share due to each account, as of the last UpdateShares(), and the
+  /// capacity of which it is a share.
+  std::vector<double> shares_due_;
+  AmountSum shared_capacity_;
+  TimePoint shares_valid_until_{};
+  /// The last step that the last pass looked at, unless it reached the end of
+  /// the queue.
+  std::optional<QueueKey> resume_after_;
+  /// No step is promoted by PromoteAgedStep() before this time.
+  TimePoint next_promotion_{};
   /// A job has JobRecord::counts_as_unreported set.
   bool has_unreported_runs_ = false;
   /// Jobs whose progress has to be stored again.
