--- a/bench/queue_bench.cc
+++ b/bench/queue_bench.cc
@@ -65,7 +65,8 @@
     Orders out;
     scheduler.Place(now, {}, out);
     for (const StartOrder& start : out.starts) {
-      order_hash = order_hash * 1099511628211U + start.upstream * 31U +
+      order_hash = order_hash * 1099511628211U +
+                   uint64_t{start.upstream} * 31U +
                    static_cast<uint64_t>(start.task.job) * 7U +
                    static_cast<uint64_t>(start.task.index);
       Orders none;
