Coordinator: Keep starts within a share of the leader's link

Callers saw: with links of 2 Mbit/s no caller is served. The leader's own starts and appends fill its link, heartbeats and renewals wait behind them, all followers suspect it, and the next leader is lost in the same way.

With link_kb_per_s set, a token bucket (order_budget.h) allows starts and appends 60 % of the link. Appends are charged as they are sent and always allowed; a placement pass gets what they leave as a StartBudget and ends at the first step that could start but does not fit, so the order of the queue decides who goes first and nothing is reserved for a start that waits. A gang larger than a full budget starts whole once the budget is full, and leads to a debt. Once starts have waited for 500 ms without interruption, a new job is refused if the starts before it (same or more urgent priority) need more than 3 s; its Retry-After is the time that the link needs for them.

With link_kb_per_s = 0 every decision is as before.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -83,6 +83,9 @@
                       {"cause", "never fits the limit of its account"}});
       return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
     }
+    if (const std::optional<Millis> retry = RefuseForLink(spec)) {
+      return done(SubmitReply(JobVerdict::kRefused, retry->count()));
+    }
     wire::JobSpec stored_spec = spec;
     stored_spec.accepted_unix_ms = deps_.executor.UnixMillis();
     std::string record = rpc::Encode(stored_spec);
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -46,6 +46,7 @@
     : deps_(std::move(deps)),
       options_(std::move(options)),
       scheduler_(SchedulerOptionsFor(options_)),
+      order_budget_(options_.link_kb_per_s),
       next_fence_(options_.term * fleet::kFenceSpan) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
@@ -341,7 +342,8 @@
   if (!MaySendOrders() || !loaded_) return;
   const TimePoint now = deps_.executor.Now();
   Orders orders;
-  scheduler_.Place(now, lanes_.Budget(now), orders);
+  scheduler_.Place(now, lanes_.Budget(now), orders, AvailableForStarts(now));
+  ChargeStarts(orders, now);
   ExecuteOrders(orders);
 }
 
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -15,9 +15,11 @@
 #include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_verdicts.h"
+#include "src/coordinator/order_budget.h"
 #include "src/fleet/upstream_link.h"
 #include "src/journal/journal.h"
 #include "src/libs/faults/malformed_record_reporter.h"
+#include "src/libs/logging/log.h"
 #include "src/libs/metrics/metrics.h"
 #include "src/maintenance/wave_manager.h"
 #include "src/ports/record_store_port.h"
@@ -36,7 +38,8 @@
   /// Its attempt_base is derived from the term.
   scheduling::SchedulerOptions scheduler;
   AdmissionPolicy admission = AdmissionPolicy::kCapacity;
-  /// Rate of this machine's link, in kilobytes per second; 0 if it is unknown.
+  /// Rate of each direction of this machine's link, in kilobytes per second; 0
+  /// if it is unknown. Starts use at most kOrderShare of it.
   int64_t link_kb_per_s = 0;
   /// Table of the store that holds the jobs.
   std::string table = "jobs";
@@ -340,6 +343,23 @@
   /// Schedules a placement pass after kPlacementDelay, unless one is scheduled.
   void SchedulePlacement();
   void RunPlacement();
+  /// Charges the bytes that are sent for a purpose to the budget of the link.
+  void ChargeLink(LinkPurpose purpose, int64_t bytes, TimePoint now);
+  /// Returns the starts that fit on the link now, after the appends since the
+  /// last call.
+  scheduling::StartBudget AvailableForStarts(TimePoint now);
+  /// Charges the starts of a placement pass. If others had to wait, schedules
+  /// the next pass for when the budget is refilled.
+  void ChargeStarts(const scheduling::Orders& orders, TimePoint now);
+  /// Starts do not wait for the budget any more.
+  void EndLinkLimit(TimePoint now);
+  /// The starts that go before those of a new job with this priority.
+  StartBacklog BacklogBefore(int32_t priority, TimePoint now);
+  /// The figures that decide on the limit, for a log line.
+  std::vector<logging::Field> LinkInputs(int32_t priority, TimePoint now);
+  /// Returns nothing if the starts of a new job can soon be sent. Otherwise
+  /// logs that it is refused, and returns the time after which to retry.
+  std::optional<Millis> RefuseForLink(const wire::JobSpec& spec);
   /// Calls the adviser through a free lane and passes its advice to the
   /// scheduler.
   void RequestAdvice(const scheduling::AdviceOrder& order);
@@ -351,6 +371,19 @@
   /// Null where hosts have no API.
   std::shared_ptr<maintenance::WaveManager> wave_manager_;
   AdviceLanes lanes_;
+  OrderBudget order_budget_;
+  /// Bytes of appends that were charged to the budget.
+  int64_t append_bytes_charged_ = 0;
+  /// Since when each pass has left starts waiting for the budget.
+  std::optional<TimePoint> starts_limited_since_;
+  /// Whether the last logged change is that the link limits starts.
+  bool link_full_ = false;
+  int64_t link_refusals_ = 0;
+  bool refill_scheduled_ = false;
+  /// Bytes of the waiting starts by priority, with those of jobs submitted
+  /// since they were summed up.
+  std::map<int32_t, int64_t> waiting_start_bytes_;
+  TimePoint backlog_summed_at_{};
   bool closed_ = false;
   bool loaded_ = false;
   bool placement_scheduled_ = false;
--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -143,6 +143,10 @@
 void Journal::Send(Batch& batch) {
   batch.next_in_line = &batch == &in_flight_.front();
   ++appends_;
+  for (const ports::KeyedRecord& record : batch.records) {
+    bytes_sent_ +=
+        static_cast<int64_t>(record.key.size() + record.value.size());
+  }
   last_sent_ = executor_.Now();
   store_.Append({.table = options_.table,
                  .records = batch.records,
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -85,6 +85,8 @@
   Millis last_append_duration() const { return last_append_duration_; }
   /// Number of appends sent, repeats included.
   int64_t appends() const { return appends_; }
+  /// Bytes of the records in these appends, with their keys.
+  int64_t bytes_sent() const { return bytes_sent_; }
   /// Number of appends that are not known to be stored yet.
   size_t in_flight() const { return in_flight_.size(); }
 
@@ -130,6 +132,7 @@
   TimePoint flush_at_{};
   int64_t sequence_ = 0;
   int64_t appends_ = 0;
+  int64_t bytes_sent_ = 0;
   /// When a batch was last sent, repeats included.
   TimePoint last_sent_{};
   TimePoint last_stored_{};
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <array>
 #include <cstdint>
 #include <optional>
@@ -126,11 +127,41 @@
   CrashCounts crashes;
 };
 
+/// Bytes of start requests that may be ordered now. Unlimited by default.
+struct StartBudget {
+  bool limited = false;
+  /// What is left; negative after a gang larger than this.
+  int64_t bytes = 0;
+  /// Upper bound of `bytes`. A start, or a gang, that needs more than this is
+  /// ordered once this much is left, and leads to a debt.
+  int64_t burst_bytes = 0;
+
+  /// How much has to be left for starts of `needed` bytes.
+  int64_t Required(int64_t needed) const {
+    return std::min(needed, burst_bytes);
+  }
+  /// Whether starts of `needed` bytes may be ordered now.
+  bool Permits(int64_t needed) const {
+    return !limited || bytes >= Required(needed);
+  }
+};
+
+/// Bytes of a start request in addition to the payload, the checkpoint and the
+/// ticket: the HTTP headers, the other fields of the body, and the headers of
+/// its packets.
+inline constexpr int64_t kStartOverheadBytes = 400;
+
+/// Returns the size of a start request on the wire. Thread-safe.
+int64_t StartBytes(const StartOrder& order);
+
 /// Actions that the scheduler decided on and its owner has to carry out.
 struct Orders {
   std::vector<StartOrder> starts;
   std::vector<StopOrder> stops;
   std::vector<AdviceOrder> advice;
+  /// Set if a pass ended because the budget for starts was used up: the bytes
+  /// that have to be available before the next start.
+  std::optional<int64_t> awaited_start_bytes{};
   /// Only to be logged; these require no action.
   std::vector<LostRun> lost;
   std::vector<PermanentlyFailedTask> permanently_failed;
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -51,12 +51,23 @@
   return step.max_per_upstream > 0 ? std::min(fit, step.max_per_upstream) : fit;
 }
 
+/// Returns the size of the start of a task, without checkpoint and ticket.
+int64_t TaskStartBytes(const Job& job) {
+  return kStartOverheadBytes + static_cast<int64_t>(job.spec().payload.size());
+}
+
 double Fraction(int32_t part, int32_t whole) {
   return whole <= 0 ? 0.0 : static_cast<double>(part) / whole;
 }
 
 }  // namespace
 
+int64_t StartBytes(const StartOrder& order) {
+  return kStartOverheadBytes +
+         static_cast<int64_t>(order.payload.size() + order.checkpoint.size() +
+                              order.ticket.size());
+}
+
 bool Scheduler::Matches(UpstreamIndex upstream, const JobRecord& record,
                         const wire::StepSpec& step) const {
   const ports::UpstreamEntry& it = pool_.at(upstream).entry;
@@ -150,8 +161,10 @@
   return out;
 }
 
-void Scheduler::Place(TimePoint now, AdviceBudget budget, Orders& orders) {
+void Scheduler::Place(TimePoint now, AdviceBudget budget, Orders& orders,
+                      StartBudget starts) {
   advice_left_ = budget;
+  starts_left_ = starts;
   PassReservations reserved;
   int64_t total_millicores = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
@@ -172,6 +185,7 @@
     // queue.
     ++at;
     PlaceStep(*jobs_.at(id.job), id, now, reserved, orders);
+    if (orders.awaited_start_bytes) break;
   }
   gang_reserved_.clear();
   gang_reserved_millicores_ = 0;
@@ -183,6 +197,25 @@
   }
 }
 
+bool Scheduler::StartsPermitted(const JobRecord& record, int32_t tasks,
+                                Orders& orders) {
+  const int64_t needed = tasks * TaskStartBytes(record.job);
+  if (starts_left_.Permits(needed)) return true;
+  orders.awaited_start_bytes = starts_left_.Required(needed);
+  return false;
+}
+
+std::map<int32_t, int64_t> Scheduler::WaitingStartBytes() const {
+  std::map<int32_t, int64_t> out;
+  for (const QueueKey& key : queue_) {
+    const Job& job = jobs_.at(key.id.job)->job;
+    out[job.queue().priority] +=
+        job.step_counts(key.id.occurrence, key.id.step).waiting *
+        TaskStartBytes(job);
+  }
+  return out;
+}
+
 bool Scheduler::PlaceStep(JobRecord& record, const StepId& id, TimePoint now,
                           PassReservations& reserved, Orders& orders) {
   const bool gang = record.job.step(id.step).gang;
@@ -196,6 +229,7 @@
       return true;
     }
   }
+  if (orders.awaited_start_bytes) return false;
   const wire::StepSpec& step = record.job.step(id.step);
   const bool may_wait = gang && UseReservationBudget(step);
   const GangPlan no_plan;
@@ -270,6 +304,7 @@
   int64_t total = 0;
   for (const Candidate& candidate : found) total += candidate.fitting_tasks;
   if (total < step.tasks) return false;
+  if (!StartsPermitted(record, step.tasks, orders)) return false;
   if (HasCrashSuspect(record, id) &&
       !SelectForQuarantine(record, step, found, now)) {
     return false;
@@ -317,6 +352,9 @@
     const bool retry = task.failures() > 0;
     std::vector<Candidate>& from = retry ? retry_candidates : found;
     const bool suspect = task.crashes.suspect();
+    if (first_fitting(from) != nullptr && !StartsPermitted(record, 1, orders)) {
+      break;
+    }
     const Candidate* pick =
         suspect ? PickForQuarantine(record, from, now) : first_fitting(from);
     // Other tasks may still find an upstream where this one found none.
@@ -408,6 +446,7 @@
   if (const std::string* ticket = advice.Ticket(upstream, now)) {
     order.ticket = *ticket;
   }
+  starts_left_.bytes -= StartBytes(order);
   orders.starts.push_back(std::move(order));
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -139,8 +139,14 @@
   /// regularly.
   void Tick(TimePoint now, int64_t wall_ms);
   /// Makes one pass over the queue: starts the waiting tasks that fit, and
-  /// orders the advice calls that are needed, within the budget.
-  void Place(TimePoint now, AdviceBudget budget, Orders& orders);
+  /// orders the advice calls that are needed, within the budget. The pass ends
+  /// at the first step that could start but exceeds `starts`, so that steps
+  /// further back do not use up what it waits for.
+  void Place(TimePoint now, AdviceBudget budget, Orders& orders,
+             StartBudget starts = {});
+
+  /// Returns the bytes of the starts that wait in the queue, by priority.
+  std::map<int32_t, int64_t> WaitingStartBytes() const;
 
   /// Summarizes what runs on an upstream. Precondition: the index is in use.
   UpstreamWork WorkOn(UpstreamIndex upstream, TimePoint now) const;
@@ -415,6 +421,9 @@
   /// Deducts one call from the budget of this pass; false if none is left.
   bool UseAdviceCall(int32_t priority);
   bool HasAdviceCallLeft(int32_t priority) const;
+  /// Whether `tasks` starts of the step may be ordered within the budget of the
+  /// current pass. If not, the pass ends.
+  bool StartsPermitted(const JobRecord& record, int32_t tasks, Orders& orders);
   /// Starts tasks of the step; orders advice and reserves capacity for those
   /// that can't start yet. Returns whether no task is left waiting.
   bool PlaceStep(JobRecord& record, const StepId& id, TimePoint now,
@@ -534,6 +543,8 @@
   std::multimap<int64_t, StepId> due_times_;
   /// Advice calls that may still be ordered in the current pass.
   AdviceBudget advice_left_;
+  /// Bytes of starts that may still be ordered in the current pass.
+  StartBudget starts_left_;
   /// Millicores that gangs may still reserve in the current pass.
   int64_t reservable_millicores_ = 0;
   /// Capacity that steps with pending advice calls are likely to take. Other
