--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -26,7 +26,9 @@
   Process(JobCluster& cluster, const std::string& name)
       : executor(cluster.clock_),
         store(cluster.store_, executor, name, &cluster.Machine(name)),
-        tasks(cluster.upstreams_, executor, name),
+        tasks(cluster.upstreams_, executor, name,
+              cluster.options_.upstream_calls_use_link ? &cluster.Machine(name)
+                                                       : nullptr),
         peers(cluster, executor, name),
         hosts(cluster.hosts_, executor),
         entry(std::make_unique<jobentry::JobEntry>(
@@ -53,6 +55,7 @@
       out.leadership.member.fitness = cluster.fitness.at(name);
     }
     out.leadership.member.address = AddressOf(name);
+    out.coordinator.link_kb_per_s = cluster.link_kb_per_s;
     for (const std::string& seed : cluster.seeds) {
       out.leadership.seeds.push_back(AddressOf(seed));
     }
@@ -169,6 +172,14 @@
   return *machine;
 }
 
+void JobCluster::SetLinkRate(LinkRate rate) {
+  options_.link = rate;
+  for (auto& [name, machine] : machines_) {
+    machine->out.SetRate(rate);
+    machine->in.SetRate(rate);
+  }
+}
+
 void JobCluster::Start(const std::string& name) {
   upstreams_.RecordFault();
   processes_[name] = std::make_unique<Process>(*this, name);
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -79,6 +79,10 @@
   bool crash_silently = false;
   /// Rates of each direction of an entry's link, and of its processor.
   LinkRate link{};
+  /// Calls to upstreams use the links, too.
+  bool upstream_calls_use_link = false;
+  /// The rate of its link that each entry is configured with; 0 for none.
+  int64_t link_kb_per_s = 0;
   LinkRate processor{};
 };
 
@@ -166,11 +170,15 @@
   /// Runs until an entry reports a final state of the job, or for `limit`.
   bool RunUntilFinal(JobId id, Millis limit);
 
-  /// Bytes that the entry has sent to other entries and to the store so far.
+  /// Bytes that the entry has sent so far to other entries, to the store and,
+  /// with upstream_calls_use_link, to upstreams.
   int64_t BytesSent(const std::string& entry) {
     return Machine(entry).out.bytes_transferred();
   }
 
+  /// Changes the rate of both directions of every entry's link.
+  void SetLinkRate(LinkRate rate);
+
   sim::ManualClock& clock() { return clock_; }
   StoreFake& store() { return store_; }
   UpstreamsFake& upstreams() { return upstreams_; }
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <utility>
 
 #include "src/libs/base/digest.h"
 
@@ -27,6 +28,16 @@
 /// started only kMaxStartsAfterCrashes more times.
 constexpr int kCrashLimit = 3;
 constexpr int kMaxStartsAfterCrashes = 2;
+/// Sizes on the wire, with headers: a call without its payload, a reply without
+/// its list of runs, and a row of that list.
+constexpr size_t kCallBytes = 400;
+constexpr size_t kReplyBytes = 250;
+constexpr size_t kRunBytes = 60;
+
+size_t ReplyBytes(const ports::CallReply&) { return kReplyBytes; }
+size_t ReplyBytes(const ports::RenewReply& reply) {
+  return kReplyBytes + kRunBytes * (reply.running.size() + reply.ended.size());
+}
 
 }  // namespace
 
@@ -561,10 +572,41 @@
   return reply;
 }
 
+template <typename Reply>
+void UpstreamClientFake::OverLink(
+    size_t bytes, Millis timeout, const Reply& time_out,
+    std::function<void(Reply)> done,
+    std::function<void(std::function<void(Reply)>)> call) {
+  if (machine_ == nullptr) return call(std::move(done));
+  auto answered = std::make_shared<bool>(false);
+  const auto deliver = [answered, done](const Reply& reply) {
+    if (!std::exchange(*answered, true)) done(reply);
+  };
+  executor_.RunAfter(timeout, [deliver, time_out] { deliver(time_out); });
+  const auto on_reply = [this, deliver](const Reply& reply) {
+    machine_->Receive(ReplyBytes(reply), [this, deliver, reply] {
+      executor_.RunAfter(Millis(0), [deliver, reply] { deliver(reply); });
+    });
+  };
+  machine_->out.Transfer(bytes, [call, on_reply] { call(on_reply); });
+}
+
 void UpstreamClientFake::Start(const ports::UpstreamTarget& target,
                                const ports::StartCall& call, Millis timeout,
                                std::function<void(ports::CallReply)> done) {
   upstreams_.CheckSentStart(call.task);
+  OverLink<ports::CallReply>(
+      kCallBytes + call.payload.size() + call.checkpoint.size() +
+          call.ticket.size(),
+      timeout, {.verdict = CallVerdict::kUnknown, .detail = "no answer"},
+      std::move(done), [this, target, call, timeout](const auto& reply) {
+        DoStart(target, call, timeout, reply);
+      });
+}
+
+void UpstreamClientFake::DoStart(
+    const ports::UpstreamTarget& target, const ports::StartCall& call,
+    Millis timeout, const std::function<void(ports::CallReply)>& done) {
   UpstreamFaults& faults = upstreams_.faults(target.id);
   const auto time_out = [&] {
     executor_.RunAfter(timeout, [done] {
@@ -603,6 +645,19 @@
                               const TaskId& task, int64_t attempt,
                               int64_t fence, Millis timeout,
                               std::function<void(ports::CallReply)> done) {
+  OverLink<ports::CallReply>(
+      kCallBytes, timeout,
+      {.verdict = CallVerdict::kUnknown, .detail = "no answer"},
+      std::move(done),
+      [this, target, task, attempt, fence, timeout](const auto& reply) {
+        DoStop(target, task, attempt, fence, timeout, reply);
+      });
+}
+
+void UpstreamClientFake::DoStop(
+    const ports::UpstreamTarget& target, const TaskId& task, int64_t attempt,
+    int64_t fence, Millis timeout,
+    const std::function<void(ports::CallReply)>& done) {
   int& drop_stops = upstreams_.faults(target.id).drop_stops;
   if (!upstreams_.Reachable(target.id, entry_) || drop_stops > 0) {
     drop_stops = std::max(0, drop_stops - 1);
@@ -626,6 +681,17 @@
 void UpstreamClientFake::Renew(const ports::UpstreamTarget& target,
                                const ports::RenewCall& call, Millis timeout,
                                std::function<void(ports::RenewReply)> done) {
+  ports::RenewReply time_out;
+  time_out.call = {.verdict = CallVerdict::kUnknown, .detail = "no answer"};
+  OverLink<ports::RenewReply>(kCallBytes, timeout, time_out, std::move(done),
+                              [this, target, call, timeout](const auto& reply) {
+                                DoRenew(target, call, timeout, reply);
+                              });
+}
+
+void UpstreamClientFake::DoRenew(
+    const ports::UpstreamTarget& target, const ports::RenewCall& call,
+    Millis timeout, const std::function<void(ports::RenewReply)>& done) {
   if (!upstreams_.Reachable(target.id, entry_)) {
     return executor_.RunAfter(timeout, [done] {
       ports::RenewReply reply;
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -12,6 +12,7 @@
 #include "jobs_types.h"
 #include "src/ports/advice_port.h"
 #include "src/ports/task_port.h"
+#include "tests/jobsim/link_fake.h"
 #include "tests/sim/manual_executor.h"
 
 namespace mimosarail::jobsim {
@@ -275,10 +276,14 @@
 class UpstreamClientFake final : public ports::TaskPort,
                                  public ports::AdvicePort {
  public:
-  /// All arguments must outlive the client.
+  /// All arguments must outlive the client. Without a machine, messages use no
+  /// link.
   UpstreamClientFake(UpstreamsFake& upstreams, Executor& executor,
-                     std::string entry)
-      : upstreams_(upstreams), executor_(executor), entry_(std::move(entry)) {}
+                     std::string entry, MachineFake* machine = nullptr)
+      : upstreams_(upstreams),
+        executor_(executor),
+        entry_(std::move(entry)),
+        machine_(machine) {}
 
   void Start(const ports::UpstreamTarget& target, const ports::StartCall& call,
              Millis timeout,
@@ -294,9 +299,26 @@
                      Callback<ports::Advice> done) override;
 
  private:
+  /// Sends `bytes` over the link, runs `call`, and receives the reply that it
+  /// passes on. `time_out` is the reply if that takes longer than `timeout`.
+  template <typename Reply>
+  void OverLink(size_t bytes, Millis timeout, const Reply& time_out,
+                std::function<void(Reply)> done,
+                std::function<void(std::function<void(Reply)>)> call);
+  void DoStart(const ports::UpstreamTarget& target,
+               const ports::StartCall& call, Millis timeout,
+               const std::function<void(ports::CallReply)>& done);
+  void DoStop(const ports::UpstreamTarget& target, const TaskId& task,
+              int64_t attempt, int64_t fence, Millis timeout,
+              const std::function<void(ports::CallReply)>& done);
+  void DoRenew(const ports::UpstreamTarget& target,
+               const ports::RenewCall& call, Millis timeout,
+               const std::function<void(ports::RenewReply)>& done);
+
   UpstreamsFake& upstreams_;
   Executor& executor_;
   std::string entry_;
+  MachineFake* machine_;
 };
 
 }  // namespace mimosarail::jobsim
--- /dev/null
+++ b/tests/link_load_test.cc
@@ -0,0 +1,168 @@
+#define BOOST_TEST_MODULE link_load
+#include <boost/test/unit_test.hpp>
+#include <cstdlib>
+#include <string>
+#include <vector>
+
+#include "tests/jobsim/job_cluster.h"
+#include "tests/jobsim/log_fixture.h"
+
+namespace mimosarail::jobsim {
+namespace {
+
+constexpr int kEntries = 8;
+constexpr int kUpstreams = 24;
+constexpr Millis kSettleTime{8000};
+constexpr Millis kLoadTime{60000};
+/// Time after the load for accepted jobs to end.
+constexpr Millis kDrainTime{15000};
+constexpr Millis kJobInterval{50};
+constexpr int32_t kTasksPerJob = 3;
+constexpr size_t kPayloadBytes = 1400;
+/// How long an upstream holds a renewal.
+constexpr Millis kLongPoll{300};
+constexpr JobId kFirstJob = 0xb00000;
+constexpr double kBytesPerKilobyte = 1000;
+
+/// What a cluster served, and what became of its leaders.
+struct LinkOutcome {
+  int submitted = 0;
+  int accepted = 0;
+  int refused = 0;
+  /// Jobs of which all tasks were done by the end of the load.
+  int served = 0;
+  /// The same, including the time after the load.
+  int ended = 0;
+  int64_t terms = 0;
+  int64_t lapsed_runs = 0;
+  /// Bytes that the first leader has sent in a second of load.
+  double bytes_per_s = 0;
+  std::vector<std::string> violations;
+};
+
+/// Returns the sum of the metrics whose lines begin with `prefix`, over all
+/// entries.
+int64_t SumOfMetric(const JobCluster& cluster, const std::string& prefix) {
+  int64_t sum = 0;
+  for (const std::string& name : cluster.names()) {
+    const std::string text = cluster.Metrics(name);
+    for (size_t at = text.find("\n" + prefix); at != std::string::npos;
+         at = text.find("\n" + prefix, at + 1)) {
+      const size_t end = text.find('\n', at + 1);
+      const std::string line = text.substr(at + 1, end - at - 1);
+      sum += std::atoll(line.substr(line.rfind(' ') + 1).c_str());
+    }
+  }
+  return sum;
+}
+
+bool AllTasksDone(JobCluster& cluster, JobId id) {
+  for (int32_t task = 0; task < kTasksPerJob; ++task) {
+    if (cluster.upstreams().DoneRuns({id, 0, 0, task}) == 0) return false;
+  }
+  return true;
+}
+
+int CountDone(JobCluster& cluster, int jobs) {
+  int done = 0;
+  for (int i = 0; i < jobs; ++i) {
+    if (AllTasksDone(cluster, kFirstJob + static_cast<JobId>(i))) ++done;
+  }
+  return done;
+}
+
+/// Runs the load with links of this rate (0 for no limit). With `budget`, the
+/// entries know the rate.
+LinkOutcome RunLoad(double bytes_per_s, bool budget, Millis load_time) {
+  JobCluster cluster(
+      {.entries = kEntries,
+       .upstreams = kUpstreams,
+       .millicores = 16000,
+       .memory_mb = 64000,
+       .upstream_calls_use_link = true,
+       .link_kb_per_s =
+           budget ? static_cast<int64_t>(bytes_per_s / kBytesPerKilobyte) : 0});
+  for (const std::string& id : cluster.upstreams().ids()) {
+    cluster.upstreams().faults(id).long_poll_wait = kLongPoll;
+  }
+  cluster.RunFor(kSettleTime);
+  const std::string leader = cluster.Leader();
+  BOOST_REQUIRE(!leader.empty());
+  const int64_t term = cluster.entry(leader)->leadership().term();
+  cluster.SetLinkRate({.bytes_per_s = bytes_per_s});
+  cluster.RunFor(Millis(2000));
+  const int64_t sent_before = cluster.BytesSent(leader);
+  LinkOutcome out;
+  const TimePoint end = cluster.clock().now() + load_time;
+  while (cluster.clock().now() < end) {
+    wire::JobSpec spec = OneStepJob(
+        kFirstJob + static_cast<JobId>(out.submitted), kTasksPerJob, 500);
+    spec.payload = std::string(kPayloadBytes, 'x');
+    cluster.Submit("entry-" + std::to_string(out.submitted % kEntries), spec);
+    ++out.submitted;
+    cluster.RunFor(kJobInterval);
+  }
+  const std::chrono::duration<double> span = load_time;
+  out.bytes_per_s =
+      static_cast<double>(cluster.BytesSent(leader) - sent_before) /
+      span.count();
+  out.served = CountDone(cluster, out.submitted);
+  cluster.RunFor(kDrainTime);
+  out.ended = CountDone(cluster, out.submitted);
+  for (int i = 0; i < out.submitted; ++i) {
+    const JobId id = kFirstJob + static_cast<JobId>(i);
+    if (cluster.accepted(id)) ++out.accepted;
+    if (cluster.refused(id)) ++out.refused;
+  }
+  const std::string last = cluster.Leader();
+  out.terms =
+      last.empty() ? -1 : cluster.entry(last)->leadership().term() - term;
+  out.lapsed_runs = SumOfMetric(cluster, "task_ends{how=\"lapsed\"}") +
+                    SumOfMetric(cluster, "runs_lost");
+  out.violations = cluster.Violations();
+  return out;
+}
+
+void Report(const std::string& name, const LinkOutcome& it) {
+  BOOST_TEST_MESSAGE(name << ": submitted " << it.submitted << ", accepted "
+                          << it.accepted << ", refused " << it.refused
+                          << ", served " << it.served << ", ended " << it.ended
+                          << ", terms " << it.terms << ", lapsed runs "
+                          << it.lapsed_runs << ", sent "
+                          << static_cast<int64_t>(it.bytes_per_s)
+                          << " B/s, violations " << it.violations.size());
+}
+
+}  // namespace
+
+BOOST_TEST_GLOBAL_FIXTURE(LogFixture);
+
+/// Guards against a leader that is replaced because its own starts delay its
+/// heartbeats and renewals. Its link carries a part of what the load needs.
+BOOST_AUTO_TEST_CASE(FullLinkKeepsItsLeader) {
+  const LinkOutcome free = RunLoad(0, false, Millis(20000));
+  Report("no limit", free);
+  BOOST_TEST(free.served > 0.95 * free.submitted);
+  double last_served = 1;
+  for (const double share : {1.0, 0.5, 0.3}) {
+    const LinkOutcome with = RunLoad(share * free.bytes_per_s, true, kLoadTime);
+    Report("with budget, share " + std::to_string(share), with);
+    const double served = static_cast<double>(with.served) / with.submitted;
+    BOOST_TEST(with.terms == 0);
+    BOOST_TEST(with.lapsed_runs == 0);
+    BOOST_TEST(with.violations.empty());
+    // Every accepted job ends.
+    BOOST_TEST(with.ended >= with.accepted);
+    BOOST_TEST(served >= 0.5 * share);
+    BOOST_TEST(served <= last_served + 0.05);
+    last_served = served;
+  }
+  // The same load without the budget, to show that it overloads the link.
+  const LinkOutcome without =
+      RunLoad(0.5 * free.bytes_per_s, false, Millis(20000));
+  Report("without budget, share 0.5", without);
+  BOOST_TEST(without.terms > 0);
+  BOOST_TEST(without.served < 0.25 * without.submitted);
+}
+
+}  // namespace mimosarail::jobsim
