Fleet: Renew idle upstreams less often where they would fill the link

On a link of 250 kB/s with 148 upstreams, renewals took 30 kB/s, whether anything ran there or not. If renewals of all upstreams would need more than a tenth of the link, those of upstreams without runs, starts and unacknowledged completions pause for up to 1 s. A start ends the pause, so ends are reported as early as before, and the clock estimate stays within the margin of MaxLeaseDuration. An idle upstream that fails is noticed up to 1 s later. link_kb_per_s = 0, 300 upstreams at 1,250 kB/s and 3,000 at 25,000 kB/s: no pause.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -351,6 +351,8 @@
   /// Charges the starts of a placement pass. If others had to wait, schedules
   /// the next pass for when the budget is refilled.
   void ChargeStarts(const scheduling::Orders& orders, TimePoint now);
+  /// Sets the pauses between renewals of idle upstreams by their number.
+  void UpdateIdleRenewals();
   /// Starts do not wait for the budget any more.
   void EndLinkLimit(TimePoint now);
   /// The starts that go before those of a new job with this priority.
--- a/src/coordinator/link_budget.cc
+++ b/src/coordinator/link_budget.cc
@@ -92,6 +92,14 @@
                   {"jobs_refused", Text(std::exchange(link_refusals_, 0))}});
 }
 
+void Coordinator::UpdateIdleRenewals() {
+  if (!order_budget_.limited()) return;
+  const Millis pause =
+      IdleRenewPause(options_.link_kb_per_s, links_.size(),
+                     fleet::UpstreamLinkOptions{}.completion_wait);
+  for (auto& [index, link] : links_) link->SetIdleRenewDelay(pause);
+}
+
 StartBacklog Coordinator::BacklogBefore(int32_t priority, TimePoint now) {
   StartBacklog out{.limited_for = Since(starts_limited_since_, now),
                    .bytes_per_s = order_budget_.StartBytesPerSecond(now)};
--- a/src/coordinator/order_budget.cc
+++ b/src/coordinator/order_budget.cc
@@ -84,6 +84,16 @@
   return TimeFor(static_cast<double>(bytes) - available_bytes_, bytes_per_s_);
 }
 
+Millis IdleRenewPause(int64_t link_kb_per_s, size_t upstreams, Millis wait) {
+  if (link_kb_per_s <= 0) return Millis(0);
+  const auto share = static_cast<int64_t>(
+      kIdleRenewalShare *
+      static_cast<double>(link_kb_per_s * kBytesPerKilobyte));
+  const Millis period =
+      TimeFor(static_cast<double>(upstreams) * kRenewalBytes, share);
+  return std::clamp(period - wait, Millis(0), kMaxIdleRenewPause);
+}
+
 Millis TimeToSend(const StartBacklog& backlog) {
   return TimeFor(static_cast<double>(backlog.waiting_bytes),
                  backlog.bytes_per_s);
--- a/src/coordinator/order_budget.h
+++ b/src/coordinator/order_budget.h
@@ -80,6 +80,21 @@
   TimePoint append_rate_at_{};
 };
 
+/// Fraction of the link that renewals of idle upstreams may use.
+inline constexpr double kIdleRenewalShare = 0.1;
+/// Bytes of a renewal with the headers of its packets.
+inline constexpr int64_t kRenewalBytes = 400;
+/// Longest pause between renewals of an idle upstream. The time of its clock is
+/// then known with an error that still fits into the margin of
+/// fleet::MaxLeaseDuration(), and its end is noticed at most this much later.
+inline constexpr Millis kMaxIdleRenewPause{1000};
+
+/// Returns how long to pause after a renewal of an upstream that runs nothing,
+/// so that `upstreams` idle ones, whose renewals wait for `wait` there, use at
+/// most kIdleRenewalShare of the link. No pause if the rate of the link is
+/// unknown. Thread-safe.
+Millis IdleRenewPause(int64_t link_kb_per_s, size_t upstreams, Millis wait);
+
 /// Starts have to wait this long without interruption before the link counts as
 /// full. Shorter waits are bursts, for which no job is refused.
 inline constexpr Millis kFullLinkDelay{500};
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -72,6 +72,7 @@
   }
   for (const ports::UpstreamEntry& entry : update.entries) OnListEntry(entry);
   AdoptReferencedUpstreams();
+  UpdateIdleRenewals();
   ResolveWhenRunningTasksKnown();
   SchedulePlacement();
 }
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -100,9 +100,9 @@
   const bool ended = closed_ || replaced_at_.has_value();
   if (renewal_scheduled_ || ended || renewals_in_flight_ > 0) return;
   renewal_scheduled_ = true;
-  executor_.RunAfter(delay, [weak = weak_from_this()] {
+  executor_.RunAfter(delay, [weak = weak_from_this(), pause = ended_pauses_] {
     const auto self = weak.lock();
-    if (!self || self->closed_) return;
+    if (!self || self->closed_ || self->ended_pauses_ != pause) return;
     self->renewal_scheduled_ = false;
     if (self->renewals_in_flight_ > 0) return;
     self->Renew(self->reachable_ ? self->options_.completion_wait : Millis(0));
@@ -228,11 +228,20 @@
   if (closed_) return;
   SetReachable(true);
   if (lease_due) return Renew(Millis(0));
-  const bool has_unstored_completions =
-      last_stored_completion_ < last_reported_completion_;
+  ScheduleRenewal(DelayAfter(reply));
+}
+
+Millis UpstreamLink::DelayAfter(const ports::RenewReply& reply) const {
   // While completions are not stored, the upstream answers without waiting.
-  ScheduleRenewal(has_unstored_completions ? kUnstoredCompletionsRenewPeriod
-                                           : options_.renew_delay);
+  if (last_stored_completion_ < last_reported_completion_) {
+    return kUnstoredCompletionsRenewPeriod;
+  }
+  // A run that starts during the pause is covered by the lease of its start,
+  // and Start() ends the pause.
+  const bool idle = reply.running.empty() && starts_in_flight_ == 0 &&
+                    starts_in_doubt_.empty() && all_completions_acknowledged();
+  return idle ? std::max(options_.renew_delay, options_.idle_renew_delay)
+              : options_.renew_delay;
 }
 
 bool UpstreamLink::CheckRestarted(const ports::CallReply& reply) {
@@ -397,6 +406,15 @@
   }
   leases_end_ =
       std::max(leases_end_, executor_.Now() + MaxLeaseDuration(options_.lease));
+  // A renewal has to wait at the upstream to report the end of this run.
+  const bool pausing = renewal_scheduled_ && starts_in_flight_ == 0 &&
+                       options_.idle_renew_delay > options_.renew_delay;
+  ++starts_in_flight_;
+  if (pausing) {
+    ++ended_pauses_;
+    renewal_scheduled_ = false;
+    ScheduleRenewal(options_.renew_delay);
+  }
   const int64_t fence = fence_;
   tasks_.Start(options_.target,
                {.task = order.task,
@@ -411,6 +429,7 @@
                 sent = executor_.Now()](const ports::CallReply& reply) {
                  const auto self = weak.lock();
                  if (!self || self->closed_) return;
+                 --self->starts_in_flight_;
                  self->RecordReplyTime(sent, reply.verdict);
                  self->HandleStartReply(order, fence, reply);
                });
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -35,6 +35,9 @@
   /// Usual delay between the reply to a renewal and the next renewal. It lets
   /// one reply report all completions of a burst.
   Millis renew_delay{25};
+  /// The same while nothing runs at the upstream and nothing was reported that
+  /// it still has to discard.
+  Millis idle_renew_delay{25};
   /// Bounds of the adaptive timeout of calls that the upstream answers at once.
   /// The minimum keeps a leader that is busy for two of its 50 ms ticks from
   /// treating its own calls as in doubt. The maximum suits a machine that has
@@ -105,6 +108,8 @@
 
   void Start(const scheduling::StartOrder& order);
   void Stop(const TaskId& task, int64_t attempt);
+  /// Sets UpstreamLinkOptions::idle_renew_delay, from the next renewal on.
+  void SetIdleRenewDelay(Millis delay) { options_.idle_renew_delay = delay; }
   /// The list of upstreams names this address and incarnation.
   void OnListed(const std::string& address, int64_t incarnation);
   /// Completions up to `number`, reported when the upstream had restarted
@@ -143,6 +148,8 @@
                         int64_t acked_completions,
                         const ports::RenewReply& reply);
   void HandleRenewFailure(const ports::CallReply& reply);
+  /// Delay before the renewal that follows this report.
+  Millis DelayAfter(const ports::RenewReply& reply) const;
   /// Whether the reply is that of a later incarnation than the one known. The
   /// link then starts over with that incarnation.
   bool CheckRestarted(const ports::CallReply& reply);
@@ -214,6 +221,11 @@
   /// not wait for the reply to the previous one.
   int renewals_in_flight_ = 0;
   bool renewal_scheduled_ = false;
+  /// Number of pauses that a start has ended. A renewal that was scheduled
+  /// before is not sent.
+  int64_t ended_pauses_ = 0;
+  /// Number of starts that were sent and not answered yet.
+  int starts_in_flight_ = 0;
   int consecutive_failures_ = 0;
   /// The newest time of the upstream's clock (0 until it is known), and the
   /// local time at which it was received.
--- a/tests/order_budget_test.cc
+++ b/tests/order_budget_test.cc
@@ -224,6 +224,19 @@
   BOOST_TEST(!orders.awaited_start_bytes.has_value());
 }
 
+/// Guards against renewals of idle upstreams that fill a thin link, and against
+/// pauses on links that carry them easily.
+BOOST_AUTO_TEST_CASE(IdleUpstreamsPauseOnThinLinksOnly) {
+  constexpr Millis kWait{1000};
+  BOOST_TEST(IdleRenewPause(0, 3000, kWait).count() == 0);
+  BOOST_TEST(IdleRenewPause(25000, 3000, kWait).count() == 0);
+  BOOST_TEST(IdleRenewPause(kUsualLink, 300, kWait).count() == 0);
+  // 100 renewals of 400 B take 1.6 s on a tenth of 250 kB/s.
+  BOOST_TEST(IdleRenewPause(kThinLink, 100, kWait).count() == 600);
+  BOOST_TEST(IdleRenewPause(kThinLink, 3000, kWait).count() ==
+             kMaxIdleRenewPause.count());
+}
+
 /// Guards against refusals on links that are not full, and against accepted
 /// jobs that wait longer for the link than their callers would.
 BOOST_AUTO_TEST_CASE(JobsAreRefusedOnlyBehindALongBacklog) {
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -362,4 +362,35 @@
   BOOST_TEST(link->restarts() == 1);
 }
 
+/// Guards against ends that are reported late: a task starts at an upstream
+/// between two renewals that are far apart, since nothing ran there.
+BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
+  link->SetIdleRenewDelay(Millis(1000));
+  link->Open();
+  Reply(0, 1000, {}, {});
+  Reply(1, 1010, {}, {});
+  clock.RunFor(Millis(500));
+  BOOST_REQUIRE_EQUAL(calls.renewals.size(), 2U);
+  link->Start({.upstream = kIndex, .task = TaskOf(1), .attempt = 1});
+  clock.RunFor(Millis(30));
+  BOOST_REQUIRE_EQUAL(calls.renewals.size(), 3U);
+  calls.starts.at(0)({.verdict = CallVerdict::kDone, .clock_ms = 1550});
+  // The upstream is not idle while the task runs, nor until it has discarded
+  // the completion.
+  Reply(2, 1600, {{.task = TaskOf(1), .attempt = 1}}, {});
+  clock.RunFor(Millis(30));
+  BOOST_REQUIRE_EQUAL(calls.renewals.size(), 4U);
+  Reply(3, 1700, {}, {DoneCompletion(1)});
+  link->AcknowledgeCompletions(0, 1);
+  clock.RunFor(Millis(30));
+  BOOST_REQUIRE_EQUAL(calls.renewals.size(), 5U);
+  BOOST_TEST(calls.renewals[4].call.acked_completions == 1);
+  clock.RunFor(Millis(300));
+  Reply(4, 2100, {}, {});
+  clock.RunFor(Millis(900));
+  BOOST_TEST(calls.renewals.size() == 5U);
+  clock.RunFor(Millis(200));
+  BOOST_TEST(calls.renewals.size() == 6U);
+}
+
 }  // namespace mimosarail::fleet
