Entry: Refuse jobs itself for 1 s after the leader's link was full

With a link that carries a fifth of what the load needs, submissions that were forwarded only to be refused filled the other direction of the leader's link: heartbeats to it were late, and it was lost (8 terms in 60 s). A refusal for the link now has refuse_for_ms (new field of SubmitJobReply; 0 from leaders of earlier versions). Until then the entry refuses jobs of the same or a less urgent priority without a call to the leader, for 1 s at most. The leader itself judges by its present backlog.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -84,7 +84,10 @@
       return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
     }
     if (const std::optional<Millis> retry = RefuseForLink(spec)) {
-      return done(SubmitReply(JobVerdict::kRefused, retry->count()));
+      wire::SubmitJobReply reply =
+          SubmitReply(JobVerdict::kRefused, retry->count());
+      reply.refuse_for_ms = kEntryRefusal.count();
+      return done(reply);
     }
     wire::JobSpec stored_spec = spec;
     stored_spec.accepted_unix_ms = deps_.executor.UnixMillis();
--- a/src/coordinator/order_budget.h
+++ b/src/coordinator/order_budget.h
@@ -106,6 +106,11 @@
 inline constexpr Millis kMinLinkRetry{1000};
 inline constexpr Millis kMaxLinkRetry{30000};
 
+/// How long an entry whose job was refused refuses further ones itself that are
+/// not more urgent. Shorter than kMaxStartBacklog, so that the link is not idle
+/// before the entry asks again.
+inline constexpr Millis kEntryRefusal{1000};
+
 /// What a new job would have to wait for.
 struct StartBacklog {
   /// How long starts have waited for the budget without interruption; 0 if they
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -392,8 +392,27 @@
       });
 }
 
+std::optional<Millis> JobEntry::RefuseForLink(const wire::JobSpec& spec) {
+  // The leader judges its own jobs by its present backlog.
+  if (coordinator_) return std::nullopt;
+  const int32_t priority = spec.queue.priority;
+  const std::optional<Millis> retry =
+      link_refusals_.RetryAfter(priority, deps_.executor.Now());
+  if (!retry) return std::nullopt;
+  deps_.metrics.Count({.name = "jobs_refused", .labels = {{"why", "link"}}});
+  logging::Event(Level::kWarning, "job refused",
+                 {{"job", JobIdText(static_cast<JobId>(spec.id))},
+                  {"cause", "the leader's link is full"},
+                  {"priority", std::to_string(priority)},
+                  {"retry_after_ms", std::to_string(retry->count())}});
+  return retry;
+}
+
 void JobEntry::Submit(const wire::JobSpec& spec, Millis caller_timeout,
                       JobDone done) {
+  if (const std::optional<Millis> retry = RefuseForLink(spec)) {
+    return done({.verdict = JobVerdict::kRefused, .retry_after = *retry});
+  }
   const auto id = static_cast<JobId>(spec.id);
   auto message = std::make_shared<wire::SubmitJobCall>();
   message->job = spec;
@@ -408,7 +427,17 @@
   };
   call->send = [this, message](const std::string& address, Millis timeout,
                                auto reply) {
-    deps_.peers.SubmitJob(address, *message, timeout, std::move(reply));
+    deps_.peers.SubmitJob(
+        address, *message, timeout,
+        [this, message, reply](const Result<wire::SubmitJobReply>& result) {
+          if (result.ok()) {
+            link_refusals_.Note(message->job.queue.priority,
+                                Millis(result.value().refuse_for_ms),
+                                ToAnswer(result.value()).retry_after,
+                                deps_.executor.Now());
+          }
+          reply(result);
+        });
   };
   call->done = std::move(done);
   Forward(call);
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -11,6 +11,7 @@
 #include "src/cellconfig/cell_config_watcher.h"
 #include "src/coordinator/coordinator.h"
 #include "src/jobentry/job_service.h"
+#include "src/jobentry/link_refusals.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
 
@@ -142,6 +143,10 @@
   template <typename Reply>
   void Forward(std::shared_ptr<ForwardedCall<Reply>> call);
 
+  /// Whether to refuse the job since the leader's link is full. Returns the
+  /// time after which to retry, or nothing if the job has to be forwarded.
+  std::optional<Millis> RefuseForLink(const wire::JobSpec& spec);
+
   /// A final state that a leader has reported to calls of this account.
   struct FinalState {
     JobState state = JobState::kComplete;
@@ -171,6 +176,7 @@
   TimePoint last_leader_reply_{};
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
+  LinkRefusals link_refusals_;
   std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -3322,6 +3322,9 @@
 void SubmitJobReply::__set_retry_after_ms(const int64_t val) {
   this->retry_after_ms = val;
 }
+void SubmitJobReply::__set_refuse_for_ms(const int64_t val) {
+  this->refuse_for_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const SubmitJobReply& obj)
 {
   obj.printTo(out);
@@ -3366,6 +3369,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->refuse_for_ms);
+          this->__isset.refuse_for_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -3391,6 +3402,10 @@
   xfer += oprot->writeI64(this->retry_after_ms);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("refuse_for_ms", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->refuse_for_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -3400,28 +3415,33 @@
   using ::std::swap;
   swap(a.verdict, b.verdict);
   swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.refuse_for_ms, b.refuse_for_ms);
   swap(a.__isset, b.__isset);
 }
 
 SubmitJobReply::SubmitJobReply(const SubmitJobReply& other112) noexcept {
   verdict = other112.verdict;
   retry_after_ms = other112.retry_after_ms;
+  refuse_for_ms = other112.refuse_for_ms;
   __isset = other112.__isset;
 }
 SubmitJobReply::SubmitJobReply(SubmitJobReply&& other113) noexcept {
   verdict = other113.verdict;
   retry_after_ms = other113.retry_after_ms;
+  refuse_for_ms = other113.refuse_for_ms;
   __isset = other113.__isset;
 }
 SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other114) noexcept {
   verdict = other114.verdict;
   retry_after_ms = other114.retry_after_ms;
+  refuse_for_ms = other114.refuse_for_ms;
   __isset = other114.__isset;
   return *this;
 }
 SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other115) noexcept {
   verdict = other115.verdict;
   retry_after_ms = other115.retry_after_ms;
+  refuse_for_ms = other115.refuse_for_ms;
   __isset = other115.__isset;
   return *this;
 }
@@ -3430,6 +3450,7 @@
   out << "SubmitJobReply(";
   out << "verdict=" << to_string(verdict);
   out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ", " << "refuse_for_ms=" << to_string(refuse_for_ms);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -1391,9 +1391,10 @@
 std::ostream& operator<<(std::ostream& out, const SubmitJobCall& obj);
 
 typedef struct _SubmitJobReply__isset {
-  _SubmitJobReply__isset() : verdict(false), retry_after_ms(false) {}
+  _SubmitJobReply__isset() : verdict(false), retry_after_ms(false), refuse_for_ms(false) {}
   bool verdict :1;
   bool retry_after_ms :1;
+  bool refuse_for_ms :1;
 } _SubmitJobReply__isset;
 
 class SubmitJobReply : public virtual ::apache::thrift::TBase {
@@ -1405,12 +1406,18 @@
   SubmitJobReply& operator=(SubmitJobReply&&) noexcept;
   SubmitJobReply() noexcept
                  : verdict(0),
-                   retry_after_ms(0) {
+                   retry_after_ms(0),
+                   refuse_for_ms(0) {
   }
 
   virtual ~SubmitJobReply() noexcept;
   int32_t verdict;
   int64_t retry_after_ms;
+  /**
+   * With a refusal for lack of capacity of the leader's link: how long, in ms,
+   * the calling entry refuses jobs that are not more urgent itself.
+   */
+  int64_t refuse_for_ms;
 
   _SubmitJobReply__isset __isset;
 
@@ -1418,12 +1425,16 @@
 
   void __set_retry_after_ms(const int64_t val);
 
+  void __set_refuse_for_ms(const int64_t val);
+
   bool operator == (const SubmitJobReply & rhs) const
   {
     if (!(verdict == rhs.verdict))
       return false;
     if (!(retry_after_ms == rhs.retry_after_ms))
       return false;
+    if (!(refuse_for_ms == rhs.refuse_for_ms))
+      return false;
     return true;
   }
   bool operator != (const SubmitJobReply &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -200,6 +200,9 @@
 struct SubmitJobReply {
   1: i32 verdict
   2: i64 retry_after_ms
+  /** With a refusal for lack of capacity of the leader's link: how long, in ms,
+   *  the calling entry refuses jobs that are not more urgent itself. */
+  3: i64 refuse_for_ms
 }
 
 /** `account`: on whose behalf the call is made; empty for a queue whose calls
--- a/tests/link_load_test.cc
+++ b/tests/link_load_test.cc
@@ -144,7 +144,7 @@
   Report("no limit", free);
   BOOST_TEST(free.served > 0.95 * free.submitted);
   double last_served = 1;
-  for (const double share : {1.0, 0.5, 0.3}) {
+  for (const double share : {1.0, 0.5, 0.3, 0.2}) {
     const LinkOutcome with = RunLoad(share * free.bytes_per_s, true, kLoadTime);
     Report("with budget, share " + std::to_string(share), with);
     const double served = static_cast<double>(with.served) / with.submitted;
--- a/tests/order_budget_test.cc
+++ b/tests/order_budget_test.cc
@@ -6,6 +6,7 @@
 #include <string>
 #include <vector>
 
+#include "src/jobentry/link_refusals.h"
 #include "src/scheduling/scheduler.h"
 
 namespace mimosarail::coordinator {
@@ -260,4 +261,19 @@
                   .has_value());
 }
 
+/// Guards against entries that refuse urgent jobs because of others, or refuse
+/// long after the leader's link is free again.
+BOOST_AUTO_TEST_CASE(EntriesRefuseOnlyLessUrgentJobsAndBriefly) {
+  jobentry::LinkRefusals refusals;
+  BOOST_TEST(!refusals.RetryAfter(0, kStart).has_value());
+  refusals.Note(1, Millis(0), Millis(4000), kStart);
+  BOOST_TEST(!refusals.RetryAfter(1, kStart).has_value());
+  refusals.Note(1, Millis(60000), Millis(4000), kStart);
+  BOOST_TEST(!refusals.RetryAfter(0, kStart + Millis(100)).has_value());
+  BOOST_REQUIRE(refusals.RetryAfter(1, kStart + Millis(100)).has_value());
+  BOOST_TEST(refusals.RetryAfter(1, kStart + Millis(100))->count() == 3900);
+  BOOST_TEST(refusals.RetryAfter(2, kStart + Millis(100))->count() == 3900);
+  BOOST_TEST(!refusals.RetryAfter(2, kStart + Millis(1000)).has_value());
+}
+
 }  // namespace mimosarail::coordinator
