Entry: Ask for the job before refusing it for the leader's link

An entry refused jobs for up to 1 s after the leader had refused one for its link. It did not know which ids the leader had accepted through other entries: a caller that got no answer and repeated its job could be told that it was not accepted, while it ran.

link_load_test summed up metrics under names without the prefix that they have, so that its check of lapsed runs always held; it reads them now. AcceptedJobIsNotRefusedByAnotherEntry fails with the refusal as it was.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -392,27 +392,53 @@
       });
 }
 
-std::optional<Millis> JobEntry::RefuseForLink(const wire::JobSpec& spec) {
+std::optional<Millis> JobEntry::LinkRetryAfter(
+    const wire::JobSpec& spec) const {
   // The leader judges its own jobs by its present backlog.
   if (coordinator_) return std::nullopt;
-  const int32_t priority = spec.queue.priority;
-  const std::optional<Millis> retry =
-      link_refusals_.RetryAfter(priority, deps_.executor.Now());
-  if (!retry) return std::nullopt;
+  return link_refusals_.RetryAfter(spec.queue.priority, deps_.executor.Now());
+}
+
+void JobEntry::RefuseForLinkUnlessKnown(const wire::JobSpec& spec,
+                                        Millis retry_after,
+                                        Millis caller_timeout, JobDone done) {
+  QueryState(
+      static_cast<JobId>(spec.id), std::nullopt, caller_timeout,
+      [this, spec, retry_after, caller_timeout,
+       done = std::move(done)](const JobAnswer& answer) {
+        if (answer.verdict == JobVerdict::kConfirmed) {
+          return ForwardSubmission(spec, caller_timeout, done);
+        }
+        // Without an answer the job can neither be refused nor sent: its bytes
+        // would add to those that delay the answers.
+        if (answer.verdict != JobVerdict::kNoSuchJob) {
+          return done({.verdict = JobVerdict::kOutcomeUnknown});
+        }
+        LogLinkRefusal(spec, retry_after);
+        done({.verdict = JobVerdict::kRefused, .retry_after = retry_after});
+      });
+}
+
+void JobEntry::LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after) {
   deps_.metrics.Count({.name = "jobs_refused", .labels = {{"why", "link"}}});
   logging::Event(Level::kWarning, "job refused",
                  {{"job", JobIdText(static_cast<JobId>(spec.id))},
                   {"cause", "the leader's link is full"},
-                  {"priority", std::to_string(priority)},
-                  {"retry_after_ms", std::to_string(retry->count())}});
-  return retry;
+                  {"priority", std::to_string(spec.queue.priority)},
+                  {"retry_after_ms", std::to_string(retry_after.count())}});
 }
 
 void JobEntry::Submit(const wire::JobSpec& spec, Millis caller_timeout,
                       JobDone done) {
-  if (const std::optional<Millis> retry = RefuseForLink(spec)) {
-    return done({.verdict = JobVerdict::kRefused, .retry_after = *retry});
+  if (const std::optional<Millis> retry = LinkRetryAfter(spec)) {
+    return RefuseForLinkUnlessKnown(spec, *retry, caller_timeout,
+                                    std::move(done));
   }
+  ForwardSubmission(spec, caller_timeout, std::move(done));
+}
+
+void JobEntry::ForwardSubmission(const wire::JobSpec& spec,
+                                 Millis caller_timeout, JobDone done) {
   const auto id = static_cast<JobId>(spec.id);
   auto message = std::make_shared<wire::SubmitJobCall>();
   message->job = spec;
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -143,9 +143,18 @@
   template <typename Reply>
   void Forward(std::shared_ptr<ForwardedCall<Reply>> call);
 
-  /// Whether to refuse the job since the leader's link is full. Returns the
-  /// time after which to retry, or nothing if the job has to be forwarded.
-  std::optional<Millis> RefuseForLink(const wire::JobSpec& spec);
+  /// Returns the time after which to retry if the job is to be refused since
+  /// the leader's link is full; nothing if the job has to be forwarded.
+  std::optional<Millis> LinkRetryAfter(const wire::JobSpec& spec) const;
+  /// Refuses the job unless the leader knows its id: a caller that got no
+  /// answer repeats a job that may have been accepted through another entry.
+  /// The query takes a fraction of the bytes of a submission.
+  void RefuseForLinkUnlessKnown(const wire::JobSpec& spec, Millis retry_after,
+                                Millis caller_timeout, JobDone done);
+  void LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after);
+  /// Submits the job to the leader.
+  void ForwardSubmission(const wire::JobSpec& spec, Millis caller_timeout,
+                         JobDone done);
 
   /// A final state that a leader has reported to calls of this account.
   struct FinalState {
--- a/tests/link_load_test.cc
+++ b/tests/link_load_test.cc
@@ -40,18 +40,26 @@
   std::vector<std::string> violations;
 };
 
-/// Returns the sum of the metrics whose lines begin with `prefix`, over all
-/// entries.
-int64_t SumOfMetric(const JobCluster& cluster, const std::string& prefix) {
+/// Returns the sum of the entry's metrics whose names begin with `name_prefix`.
+int64_t MetricOf(const JobCluster& cluster, const std::string& entry,
+                 const std::string& name_prefix) {
+  const std::string prefix = "\nmimosarail_" + name_prefix;
+  const std::string text = cluster.Metrics(entry);
+  int64_t sum = 0;
+  for (size_t at = text.find(prefix); at != std::string::npos;
+       at = text.find(prefix, at + 1)) {
+    const size_t end = text.find('\n', at + 1);
+    const std::string line = text.substr(at + 1, end - at - 1);
+    sum += std::atoll(line.substr(line.rfind(' ') + 1).c_str());
+  }
+  return sum;
+}
+
+/// Returns the same over all entries.
+int64_t SumOfMetric(const JobCluster& cluster, const std::string& name_prefix) {
   int64_t sum = 0;
   for (const std::string& name : cluster.names()) {
-    const std::string text = cluster.Metrics(name);
-    for (size_t at = text.find("\n" + prefix); at != std::string::npos;
-         at = text.find("\n" + prefix, at + 1)) {
-      const size_t end = text.find('\n', at + 1);
-      const std::string line = text.substr(at + 1, end - at - 1);
-      sum += std::atoll(line.substr(line.rfind(' ') + 1).c_str());
-    }
+    sum += MetricOf(cluster, name, name_prefix);
   }
   return sum;
 }
@@ -165,4 +173,45 @@
   BOOST_TEST(without.served < 0.25 * without.submitted);
 }
 
+/// Guards against "not accepted" for an accepted job: its caller got no answer
+/// and repeats it through an entry that refuses jobs itself meanwhile.
+BOOST_AUTO_TEST_CASE(AcceptedJobIsNotRefusedByAnotherEntry) {
+  JobCluster cluster({.entries = kEntries,
+                      .upstreams = kUpstreams,
+                      .millicores = 16000,
+                      .memory_mb = 64000,
+                      .upstream_calls_use_link = true,
+                      .link_kb_per_s = 60});
+  cluster.RunFor(kSettleTime);
+  const std::string leader = cluster.Leader();
+  BOOST_REQUIRE(!leader.empty());
+  cluster.SetLinkRate({.bytes_per_s = 60 * kBytesPerKilobyte});
+  const std::string refusing = leader == "entry-1" ? "entry-2" : "entry-1";
+  const auto submit = [&](JobId id) {
+    wire::JobSpec spec = OneStepJob(id, kTasksPerJob, 500);
+    spec.payload = std::string(kPayloadBytes, 'x');
+    cluster.Submit(refusing, spec);
+  };
+  const JobId first = kFirstJob;
+  submit(first);
+  cluster.RunFor(Millis(1000));
+  BOOST_REQUIRE(cluster.accepted(first));
+  const auto refused_there = [&] {
+    return MetricOf(cluster, refusing, "jobs_refused{why=\"link\"}");
+  };
+  JobId next = first + 1;
+  for (; next < first + 2000 && refused_there() == 0; ++next) {
+    submit(next);
+    cluster.RunFor(Millis(20));
+  }
+  BOOST_REQUIRE(refused_there() > 0);
+  // Its other calls are answered while it still refuses jobs.
+  cluster.RunFor(Millis(300));
+  const int64_t before = refused_there();
+  submit(first);
+  cluster.RunFor(Millis(300));
+  BOOST_TEST(refused_there() == before);
+  BOOST_TEST(cluster.refused(next - 1));
+}
+
 }  // namespace mimosarail::jobsim
