Coordinator: Derive the share of starts from what else the link carries

A fixed share of 0.6 is wrong at both ends: where renewals need a third of a thin link, 0.65 already loses the leader; where they need little, it refuses jobs that the link could carry. The share is now 1 - 1.3 x the estimated rate of renewals and heartbeats, between 0.5 and 0.75, and 0.6 until there is an estimate.

--- a/src/coordinator/advice_lanes.h
+++ b/src/coordinator/advice_lanes.h
@@ -32,6 +32,8 @@
   /// Sets the entries that may call the adviser. A lane that remains keeps its
   /// state.
   void SetEntries(const std::vector<std::string>& addresses, TimePoint now);
+  /// Number of entries.
+  size_t size() const { return lanes_.size(); }
   /// Number of lanes that can carry a call now.
   scheduling::AdviceBudget Budget(TimePoint now);
   /// Occupies a free lane and returns the address of its entry; empty if there
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -39,7 +39,7 @@
   scheduling::SchedulerOptions scheduler;
   AdmissionPolicy admission = AdmissionPolicy::kCapacity;
   /// Rate of each direction of this machine's link, in kilobytes per second; 0
-  /// if it is unknown. Starts use at most kOrderShare of it.
+  /// if it is unknown. Starts use only a part of it; see order_budget.h.
   int64_t link_kb_per_s = 0;
   /// Table of the store that holds the jobs.
   std::string table = "jobs";
@@ -351,6 +351,8 @@
   /// Charges the starts of a placement pass. If others had to wait, schedules
   /// the next pass for when the budget is refilled.
   void ChargeStarts(const scheduling::Orders& orders, TimePoint now);
+  /// Estimates the rate of the messages that no order causes.
+  void UpdateControlRate(TimePoint now);
   /// Sets the pauses between renewals of idle upstreams by their number.
   void UpdateIdleRenewals();
   /// Starts do not wait for the budget any more.
@@ -382,6 +384,11 @@
   bool link_full_ = false;
   int64_t link_refusals_ = 0;
   bool refill_scheduled_ = false;
+  /// When the rate of other messages was last estimated, the renewals sent
+  /// until then, and the estimate.
+  std::optional<TimePoint> control_rate_at_;
+  int64_t renewals_sent_ = 0;
+  std::optional<int64_t> control_bytes_per_s_;
   /// Bytes of the waiting starts by priority, with those of jobs submitted
   /// since they were summed up.
   std::map<int32_t, int64_t> waiting_start_bytes_;
--- a/src/coordinator/link_budget.cc
+++ b/src/coordinator/link_budget.cc
@@ -18,6 +18,8 @@
 /// Minimum time between two passes that only wait for the budget, so that they
 /// cost little processor time.
 constexpr Millis kMinRefillWait{10};
+/// Period of the estimate of the rate of other messages than orders.
+constexpr Millis kControlRatePeriod{1000};
 /// The backlog is summed up again after this time. A sum visits each waiting
 /// step.
 constexpr Millis kBacklogMaxAge{50};
@@ -92,8 +94,27 @@
                   {"jobs_refused", Text(std::exchange(link_refusals_, 0))}});
 }
 
+void Coordinator::UpdateControlRate(TimePoint now) {
+  const Millis elapsed = Since(control_rate_at_, now);
+  if (control_rate_at_ && elapsed < kControlRatePeriod) return;
+  int64_t renewals = 0;
+  for (const auto& [index, link] : links_) renewals += link->renewals_sent();
+  const int64_t sent =
+      std::max<int64_t>(0, renewals - std::exchange(renewals_sent_, renewals));
+  const bool first = !std::exchange(control_rate_at_, now);
+  if (first || elapsed <= Millis(0)) return;
+  constexpr int64_t kMillisPerSecond = 1000;
+  const int64_t rate =
+      sent * kRenewalBytes * kMillisPerSecond / elapsed.count() +
+      static_cast<int64_t>(lanes_.size()) * kHeartbeatsPerSecond *
+          kHeartbeatBytes;
+  control_bytes_per_s_ = (control_bytes_per_s_.value_or(rate) + rate) / 2;
+  order_budget_.SetControlRate(*control_bytes_per_s_, now);
+}
+
 void Coordinator::UpdateIdleRenewals() {
   if (!order_budget_.limited()) return;
+  UpdateControlRate(deps_.executor.Now());
   const Millis pause =
       IdleRenewPause(options_.link_kb_per_s, links_.size(),
                      fleet::UpstreamLinkOptions{}.completion_wait);
@@ -119,6 +140,7 @@
                                                     TimePoint now) {
   const StartBacklog backlog = BacklogBefore(priority, now);
   return {{"link_kb_per_s", Text(options_.link_kb_per_s)},
+          {"control_bytes_per_s", Text(control_bytes_per_s_.value_or(0))},
           {"budget_bytes_per_s", Text(order_budget_.bytes_per_s())},
           {"start_bytes_per_s", Text(backlog.bytes_per_s)},
           {"waiting_start_bytes", Text(backlog.waiting_bytes)},
--- a/src/coordinator/order_budget.cc
+++ b/src/coordinator/order_budget.cc
@@ -21,13 +21,31 @@
 
 }  // namespace
 
+double OrderShare(int64_t link_kb_per_s, int64_t control_bytes_per_s) {
+  const auto link = static_cast<double>(link_kb_per_s * kBytesPerKilobyte);
+  if (link <= 0) return kMaxOrderShare;
+  const double left =
+      1 - kControlMargin * static_cast<double>(control_bytes_per_s) / link;
+  return std::clamp(left, kMinOrderShare, kMaxOrderShare);
+}
+
 OrderBudget::OrderBudget(int64_t link_kb_per_s)
-    : bytes_per_s_(static_cast<int64_t>(
-          kOrderShare *
-          static_cast<double>(std::max<int64_t>(0, link_kb_per_s) *
-                              kBytesPerKilobyte))),
-      burst_bytes_(BytesIn(kOrderBurst)),
-      available_bytes_(static_cast<double>(burst_bytes_)) {}
+    : link_kb_per_s_(std::max<int64_t>(0, link_kb_per_s)) {
+  SetShare(kOrderShare);
+  available_bytes_ = static_cast<double>(burst_bytes_);
+}
+
+void OrderBudget::SetShare(double share) {
+  bytes_per_s_ = static_cast<int64_t>(
+      share * static_cast<double>(link_kb_per_s_ * kBytesPerKilobyte));
+  burst_bytes_ = BytesIn(kOrderBurst);
+}
+
+void OrderBudget::SetControlRate(int64_t bytes_per_s, TimePoint now) {
+  if (!limited()) return;
+  Refill(now);
+  SetShare(OrderShare(link_kb_per_s_, bytes_per_s));
+}
 
 int64_t OrderBudget::BytesIn(Millis span) const {
   return bytes_per_s_ * span.count() / kMillisPerSecond;
--- a/src/coordinator/order_budget.h
+++ b/src/coordinator/order_budget.h
@@ -21,15 +21,29 @@
     EnumName{LinkPurpose::kAppends, "appends"},
 }};
 
-/// Fraction of the link that starts and appends may use. The rest is left for
-/// heartbeats, renewals, completions, reads of the store and answers to
-/// callers. On a link of 2 Mbit/s with 21 entries and 148 upstreams, these took
-/// a fifth of the link; another fifth keeps their delay short.
+/// Fraction of the link that starts and appends may use while the rate of the
+/// other messages is unknown: heartbeats, renewals, reads of the store, answers
+/// to callers. On a link of 2 Mbit/s with 21 entries and 148 upstreams, these
+/// took a fifth of the link; another fifth keeps their delay short.
 inline constexpr double kOrderShare = 0.6;
+/// Bounds of that fraction once the rate of the other messages is known. With
+/// 0.8, a link that carries half of what its load needs lost its leader ten
+/// times in a minute (link_load_test), with 0.75 never.
+inline constexpr double kMinOrderShare = 0.5;
+inline constexpr double kMaxOrderShare = 0.75;
+/// How much of the link is left free, as a multiple of the estimated rate of
+/// the other messages. The estimate leaves out answers to callers and reads.
+inline constexpr double kControlMargin = 1.3;
+/// Bytes of the reply to a heartbeat, and heartbeats of a follower in a second.
+inline constexpr int64_t kHeartbeatBytes = 200;
+inline constexpr int64_t kHeartbeatsPerSecond = 5;
+
+/// Returns the fraction of the link that starts and appends may use.
+/// Thread-safe.
+double OrderShare(int64_t link_kb_per_s, int64_t control_bytes_per_s);
 /// Time for which unused budget accumulates. A burst of starts after an idle
-/// time occupies the link for kOrderShare of it, 150 ms. A heartbeat that waits
-/// behind the burst still arrives within the shortest timeouts of followers,
-/// 450 ms.
+/// time occupies the link for less than that. A heartbeat that waits behind the
+/// burst still arrives within the shortest timeouts of followers, 450 ms.
 inline constexpr Millis kOrderBurst{250};
 /// Limit of the debt that appends can cause, as a time of refilling. Starts
 /// continue after this time at the latest, however large an append was.
@@ -52,6 +66,8 @@
   explicit OrderBudget(int64_t link_kb_per_s);
 
   bool limited() const { return bytes_per_s_ > 0; }
+  /// Sets the estimated rate of all other messages of the leader.
+  void SetControlRate(int64_t bytes_per_s, TimePoint now);
   /// Rate at which the budget is refilled.
   int64_t bytes_per_s() const { return bytes_per_s_; }
   /// What may be ordered now; unlimited if the rate of the link is unknown.
@@ -69,11 +85,13 @@
   void Refill(TimePoint now);
   void DecayAppendRate(TimePoint now);
   int64_t BytesIn(Millis span) const;
+  void SetShare(double share);
 
-  int64_t bytes_per_s_;
-  int64_t burst_bytes_;
+  int64_t link_kb_per_s_;
+  int64_t bytes_per_s_ = 0;
+  int64_t burst_bytes_ = 0;
   /// Negative while there is a debt.
-  double available_bytes_;
+  double available_bytes_ = 0;
   TimePoint refilled_at_{};
   /// Moving average of the bytes of appends, over kAppendRateWindow.
   double append_bytes_per_s_ = 0;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -116,6 +116,8 @@
   /// `restarts` times, are stored: that incarnation may discard them.
   void AcknowledgeCompletions(int64_t restarts, int64_t number);
 
+  /// Number of renewals sent.
+  int64_t renewals_sent() const { return renewals_sent_; }
   /// How often the upstream has restarted under its id since the link exists.
   int64_t restarts() const { return restarts_; }
 
--- a/tests/order_budget_test.cc
+++ b/tests/order_budget_test.cc
@@ -105,6 +105,21 @@
   BOOST_TEST(share < 1.05 * kOrderShare);
 }
 
+/// Guards against a budget that leaves too little for renewals where these need
+/// much of the link, or uses less of it than it could where they need little.
+BOOST_AUTO_TEST_CASE(ShareDependsOnTheOtherMessages) {
+  BOOST_TEST(OrderShare(kUsualLink, 0) == kMaxOrderShare);
+  BOOST_TEST(OrderShare(kUsualLink, 1000000) == kMinOrderShare);
+  BOOST_TEST(OrderShare(kThinLink, 75000) > 0.609);
+  BOOST_TEST(OrderShare(kThinLink, 75000) < 0.611);
+  OrderBudget budget(kThinLink);
+  budget.SetControlRate(0, kStart);
+  BOOST_TEST(budget.bytes_per_s() == 187500);
+  OrderBudget unknown(0);
+  unknown.SetControlRate(1000000, kStart);
+  BOOST_TEST(!unknown.limited());
+}
+
 /// Guards against a gang larger than a full budget that never starts.
 BOOST_AUTO_TEST_CASE(LargeGangLeadsToDebt) {
   OrderBudget budget(kThinLink);
