--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -83,6 +83,12 @@
                       {"cause", "never fits the limit of its account"}});
       return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
     }
+    if (const std::optional<Millis> retry = RefuseForLink(spec)) {
+      wire::SubmitJobReply reply =
+          SubmitReply(JobVerdict::kRefused, retry->count());
+      reply.refuse_for_ms = kEntryRefusal.count();
+      return done(reply);
+    }
     wire::JobSpec stored_spec = spec;
     stored_spec.accepted_unix_ms = deps_.executor.UnixMillis();
     std::string record = rpc::Encode(stored_spec);
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -11,6 +11,7 @@
 #include "src/cellconfig/cell_config_watcher.h"
 #include "src/coordinator/coordinator.h"
 #include "src/jobentry/job_service.h"
+#include "src/jobentry/link_refusals.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
 
@@ -144,6 +145,19 @@
   template <typename Reply>
   void Forward(std::shared_ptr<ForwardedCall<Reply>> call);
 
+  /// Returns the time after which to retry if the job is to be refused since
+  /// the leader's link is full; nothing if the job has to be forwarded.
+  std::optional<Millis> LinkRetryAfter(const wire::JobSpec& spec) const;
+  /// Refuses the job unless the leader knows its id: a caller that got no
+  /// answer repeats a job that may have been accepted through another entry.
+  /// The query takes a fraction of the bytes of a submission.
+  void RefuseForLinkUnlessKnown(const wire::JobSpec& spec, Millis retry_after,
+                                Millis caller_timeout, JobDone done);
+  void LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after);
+  /// Submits the job to the leader.
+  void ForwardSubmission(const wire::JobSpec& spec, Millis caller_timeout,
+                         JobDone done);
+
   /// A final state that a leader has reported to calls of this account.
   struct FinalState {
     JobState state = JobState::kComplete;
@@ -173,6 +187,7 @@
   TimePoint last_leader_reply_{};
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
+  LinkRefusals link_refusals_;
   std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
--- a/src/scheduling/placing_by_cost.cc
+++ b/src/scheduling/placing_by_cost.cc
@@ -42,7 +42,8 @@
     s_.resume_after_.reset();
     WalkWindow(kMaxStepsPerPass);
     if (at_ != s_.queue_.end()) s_.resume_after_ = last_;
-    while (!put_aside_.empty() && visited_ < kMaxStepsPerPass) {
+    while (!put_aside_.empty() && visited_ < kMaxStepsPerPass &&
+           !orders_.awaited_start_bytes) {
       VisitFirstPutAside();
     }
   }
@@ -66,7 +67,7 @@
 
   void WalkWindow(int max_visited) {
     for (int n = 0; n < kWindowSteps && at_ != s_.queue_.end(); ++n) {
-      if (visited_ >= max_visited) return;
+      if (visited_ >= max_visited || orders_.awaited_start_bytes) return;
       if (!put_aside_.empty() && put_aside_.front().band < at_->band) {
         VisitFirstPutAside();
         continue;
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -26,7 +26,9 @@
   Process(JobCluster& cluster, const std::string& name)
       : executor(cluster.clock_),
         store(cluster.store_, executor, name, &cluster.Machine(name)),
-        tasks(cluster.upstreams_, executor, name),
+        tasks(cluster.upstreams_, executor, name,
+              cluster.options_.upstream_calls_use_link ? &cluster.Machine(name)
+                                                       : nullptr),
         peers(cluster, executor, name),
         hosts(cluster.hosts_, executor),
         capacity_use(
@@ -67,6 +69,7 @@
       out.leadership.member.fitness = cluster.fitness.at(name);
     }
     out.leadership.member.address = AddressOf(name);
+    out.coordinator.link_kb_per_s = cluster.link_kb_per_s;
     for (const std::string& seed : cluster.seeds) {
       out.leadership.seeds.push_back(AddressOf(seed));
     }
@@ -189,6 +192,14 @@
   return own == options_.links.end() ? options_.link : own->second;
 }
 
+void JobCluster::SetLinkRate(LinkRate rate) {
+  options_.link = rate;
+  for (auto& [name, machine] : machines_) {
+    machine->out.SetRate(rate);
+    machine->in.SetRate(rate);
+  }
+}
+
 void JobCluster::Start(const std::string& name) {
   upstreams_.RecordFault();
   processes_[name] = std::make_unique<Process>(*this, name);
@@ -437,8 +448,8 @@
 
 template <typename Reply>
 void EntryClientFake::Call(
-    const std::string& address, size_t bytes, Millis timeout,
-    Callback<Reply> done,
+    const std::string& kind, const std::string& address, size_t bytes,
+    Millis timeout, Callback<Reply> done,
     std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)> serve,
     Connections connections) {
   const std::string name = address.substr(0, address.find(':'));
@@ -471,8 +482,11 @@
     done(reply);
   };
   const bool urgent = connections == Connections::kUrgent;
-  const auto send = [urgent](MachineFake& from, MachineFake& to, size_t size,
+  const auto send = [urgent](const std::string& what, MachineFake& from,
+                             MachineFake& to, size_t size,
                              std::function<void()> received) {
+    from.traffic.Count(what, metrics::Direction::kOut, size);
+    to.traffic.Count(what, metrics::Direction::kIn, size);
     const auto receive = [urgent, size, &to, received] {
       if (urgent) return to.ReceiveUrgent(size, received);
       to.Receive(size, received);
@@ -480,9 +494,9 @@
     if (urgent) return from.out.TransferUrgent(size, receive);
     from.out.Transfer(size, receive);
   };
-  const auto answer = [this, &caller_machine, &callee_machine, deliver, send,
-                       way](const Reply& reply) {
-    send(callee_machine, caller_machine, WireBytes(reply),
+  const auto answer = [this, kind, &caller_machine, &callee_machine, deliver,
+                       send, way](const Reply& reply) {
+    send(kind + " reply", callee_machine, caller_machine, WireBytes(reply),
          [this, deliver, way, reply] {
            executor_.RunAfter(way, [deliver, reply] { deliver(reply); });
          });
@@ -491,14 +505,14 @@
     process->executor.RunAfter(
         way, [process, serve, answer] { serve(*process->entry, answer); });
   };
-  send(caller_machine, callee_machine, bytes, deliver_call);
+  send(kind, caller_machine, callee_machine, bytes, deliver_call);
 }
 
 void EntryClientFake::Heartbeat(const std::string& address,
                                 const wire::HeartbeatCall& call, Millis timeout,
                                 Callback<wire::HeartbeatReply> done) {
   Call<wire::HeartbeatReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "heartbeat", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { reply(entry.OnHeartbeat(call)); },
       Connections::kUrgent);
 }
@@ -506,7 +520,7 @@
                                const wire::AnnounceCall& call, Millis timeout,
                                Callback<wire::AnnounceReply> done) {
   Call<wire::AnnounceReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "announce", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { reply(entry.OnAnnounce(call)); },
       Connections::kUrgent);
 }
@@ -514,21 +528,21 @@
                                 const wire::SubmitJobCall& call, Millis timeout,
                                 Callback<wire::SubmitJobReply> done) {
   Call<wire::SubmitJobReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "submit", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { entry.OnSubmit(call, reply); });
 }
 void EntryClientFake::JobState(const std::string& address,
                                const wire::JobStateCall& call, Millis timeout,
                                Callback<wire::JobStateReply> done) {
   Call<wire::JobStateReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "job state", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { entry.OnQueryState(call, reply); });
 }
 void EntryClientFake::CancelJob(const std::string& address,
                                 const wire::CancelJobCall& call, Millis timeout,
                                 Callback<wire::CancelJobReply> done) {
   Call<wire::CancelJobReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "cancel", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { entry.OnCancel(call, reply); });
 }
 void EntryClientFake::PendingJobs(const std::string& address,
@@ -536,14 +550,14 @@
                                   Millis timeout,
                                   Callback<wire::PendingJobsReply> done) {
   Call<wire::PendingJobsReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "pending jobs", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { entry.OnCountPending(call, reply); });
 }
 void EntryClientFake::Advise(const std::string& address,
                              const wire::AdviseCall& call, Millis timeout,
                              Callback<wire::AdviseReply> done) {
   Call<wire::AdviseReply>(
-      address, WireBytes(call), timeout, std::move(done),
+      "advise", address, WireBytes(call), timeout, std::move(done),
       [call](auto& entry, auto reply) { entry.OnAdvise(call, reply); });
 }
 
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -51,8 +51,8 @@
   /// Sends a call of `bytes` on the wire to the entry at `address`; `serve`
   /// handles it there.
   template <typename Reply>
-  void Call(const std::string& address, size_t bytes, Millis timeout,
-            Callback<Reply> done,
+  void Call(const std::string& kind, const std::string& address, size_t bytes,
+            Millis timeout, Callback<Reply> done,
             std::function<void(jobentry::JobEntry&, std::function<void(Reply)>)>
                 serve,
             Connections connections = Connections::kBulk);
@@ -87,6 +87,10 @@
   LinkRate link{};
   /// The same for the entries named here.
   std::map<std::string, LinkRate> links{};
+  /// Calls to upstreams use the links, too.
+  bool upstream_calls_use_link = false;
+  /// The rate of its link that each entry is configured with; 0 for none.
+  int64_t link_kb_per_s = 0;
   LinkRate processor{};
   /// Entries know the rate of their links, as with the setting link_mbps.
   bool link_rate_known = false;
@@ -176,7 +180,8 @@
   /// Runs until an entry reports a final state of the job, or for `limit`.
   bool RunUntilFinal(JobId id, Millis limit);
 
-  /// Bytes that the entry has sent to other entries and to the store so far.
+  /// Bytes that the entry has sent so far to other entries, to the store and,
+  /// with upstream_calls_use_link, to upstreams.
   int64_t BytesSent(const std::string& entry) {
     return Machine(entry).out.bytes_transferred();
   }
@@ -185,6 +190,14 @@
     return Machine(entry).in.bytes_transferred();
   }
 
+  /// What has passed the entry's link so far, by kind of message.
+  std::vector<metrics::Traffic::Row> Traffic(const std::string& entry) {
+    return Machine(entry).traffic.Rows();
+  }
+
+  /// Changes the rate of both directions of every entry's link.
+  void SetLinkRate(LinkRate rate);
+
   sim::ManualClock& clock() { return clock_; }
   StoreFake& store() { return store_; }
   UpstreamsFake& upstreams() { return upstreams_; }
--- a/tests/jobsim/store_fake.cc
+++ b/tests/jobsim/store_fake.cc
@@ -264,6 +264,15 @@
   }
   const Millis request_delay = store_.NextAppendRequestDelay(call.table);
   const Millis reply_delay = faults.append_latency / 2 + store_.Jitter();
+  if (machine_ != nullptr) {
+    for (const ports::KeyedRecord& record : call.records) {
+      machine_->traffic.Count(
+          "append " + call.table + "/" + record.key.substr(0, 1),
+          metrics::Direction::kOut, record.key.size() + record.value.size());
+    }
+    machine_->traffic.Count("append header", metrics::Direction::kOut,
+                            kMessageBytes);
+  }
   Send(call.table, RecordBytes(call.records),
        [this, call, request_delay, reply_delay, deliver] {
          store_.clock().At(
@@ -337,6 +346,9 @@
           return ReceiveReply([deliver, page] { deliver(page); });
         }
         const size_t bytes = PageBytes(page.value().records);
+        if (machine_ != nullptr) {
+          machine_->traffic.Count("page read", metrics::Direction::kIn, bytes);
+        }
         Receive(
             bytes, [deliver, page] { deliver(page); },
             [this, last_progress] { *last_progress = executor_.Now(); });
