Scheduling: Move stragglers with checkpoints off slow upstreams

A task that runs on an upstream that has become slow stayed there to its end, although its step has checkpoints and other upstreams were free.

While speeds are in use, such a task is stopped to continue elsewhere if its rate of progress is measured, it is not in a gang, and it would end in half of the time on a faster upstream that may run it and has capacity. Only a current run is stopped, and its task starts again after the end of that run was reported, as for maintenance.

Evidence: upstream_speeds_test, StragglersWithCheckpointsMove: moved with the setting at 2, not without a checkpoint and not with the setting at 0.

--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -164,6 +164,9 @@
     UpdateExpectedEnd(record, upstream, running, now);
     task.percent = running.percent;
     task.progressed_at = now;
+    if (IsWorthMoving(record, upstream, running.task, now)) {
+      StopTask(record, running.task, StopReason::kMoved, now, orders);
+    }
     return;
   }
   if (step.long_running || step.filler) return;
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -561,6 +561,10 @@
   /// Orders the candidates for a gang so that it takes those of similar speed.
   void OrderBySpeed(const wire::StepSpec& step, const SpeedNeeds& needs,
                     std::vector<Candidate>& found) const;
+  /// Whether a running task has a checkpoint and would end much earlier on a
+  /// faster upstream that has capacity for it.
+  bool IsWorthMoving(const JobRecord& record, UpstreamIndex upstream,
+                     const TaskId& id, TimePoint now) const;
   /// Returns the plan with the earliest expected end of a gang, which depends
   /// on its slowest upstream.
   GangPlan PlanBySpeed(const std::vector<SlotTimes>& slots, int32_t tasks,
--- a/src/scheduling/speeds.cc
+++ b/src/scheduling/speeds.cc
@@ -24,6 +24,14 @@
 /// time left is then too long. Run times are 0.6 s and more.
 constexpr Millis kSpeedNeedsMaxAge{20};
 
+/// Stop, start elsewhere and restore of a moved task take 250 to 600 ms, and
+/// the start may have to wait for advice.
+constexpr Millis kMoveTime{1000};
+/// The rate of progress is known from this much progress on; see running.cc.
+constexpr int32_t kMinMeasuredPercent = 5;
+/// A task is moved if it then ends in at most this fraction of the time.
+constexpr double kMaxMovedFraction = 0.5;
+
 Millis Scaled(Millis span, double factor) {
   return Millis(
       static_cast<int64_t>(static_cast<double>(span.count()) * factor));
@@ -168,6 +176,39 @@
       });
 }
 
+bool Scheduler::IsWorthMoving(const JobRecord& record, UpstreamIndex upstream,
+                              const TaskId& id, TimePoint now) const {
+  const wire::StepSpec& step = record.job.step(id.step);
+  const Task& task = record.job.task(id);
+  if (!speeds_active_ || !step.checkpoints || step.gang || step.long_running ||
+      step.filler || task.checkpoint.empty() ||
+      task.phase != TaskPhase::kRunning) {
+    return false;
+  }
+  // Without a measured rate the expected end follows from the estimate.
+  if (task.rate_base_time == TimePoint{} ||
+      task.percent - task.rate_base_percent < kMinMeasuredPercent) {
+    return false;
+  }
+  const auto time_left =
+      std::chrono::duration_cast<Millis>(task.expected_end - now);
+  const double factor = pool_.speeds().Factor(upstream);
+  const StepId step_id = id.step_id();
+  const StepAdvice& advice =
+      record.step_state(step_id.occurrence, step_id.step).advice;
+  return std::any_of(
+      pool_.all().begin(), pool_.all().end(), [&](UpstreamIndex other) {
+        const Millis elsewhere =
+            Scaled(time_left, factor / pool_.speeds().Factor(other)) +
+            kMoveTime;
+        return elsewhere <= Scaled(time_left, kMaxMovedFraction) &&
+               (!record.job.queue().advised || advice.Allowed(other)) &&
+               pool_.Usable(other, now) && Matches(other, record, step) &&
+               !UsesGangReservation(other, TaskResources(step)) &&
+               FittingTasks(other, record, step_id, pool_.at(other).free) > 0;
+      });
+}
+
 double Scheduler::SlowestIn(const GangPlan& plan) const {
   double slowest = std::numeric_limits<double>::max();
   for (const auto& [upstream, tasks] : plan.tasks_by_upstream) {
--- a/tests/load_simulator.h
+++ b/tests/load_simulator.h
@@ -110,7 +110,8 @@
     int64_t due = 0;
     int64_t in_time = 0;
     double fraction() const {
-      return due == 0 ? 1 : static_cast<double>(in_time) / due;
+      return due == 0 ? 1
+                      : static_cast<double>(in_time) / static_cast<double>(due);
     }
   };
   Punctuality punctuality(const std::string& queue) {
--- a/tests/upstream_speeds_test.cc
+++ b/tests/upstream_speeds_test.cc
@@ -265,6 +265,82 @@
   BOOST_TEST(pool.speeds().Factor(slow) == 1);
 }
 
+/// Returns a scheduler with one slow upstream and seven usual ones, whose
+/// speeds are known and in use.
+void LearnSpeeds(Scheduler& scheduler, TimePoint& now) {
+  UpstreamPool& pool = scheduler.pool();
+  std::vector<UpstreamIndex> upstreams;
+  for (int i = 0; i < 8; ++i) {
+    ports::UpstreamEntry entry;
+    entry.id = "up-" + std::to_string(i);
+    entry.pool = "pool";
+    entry.capacity = {.millicores = 1000, .memory_mb = 1000};
+    upstreams.push_back(pool.Update(entry));
+    pool.at(upstreams.back()).reachable = true;
+  }
+  for (JobId job = 1000; job <= 1009; ++job) {
+    now += Millis(100);
+    for (int32_t i = 0; i < 8; ++i) {
+      pool.speeds().NoteCompleted(
+          {upstreams[static_cast<size_t>(i)], {job, 0, 0, i}, 1},
+          Millis(i == 0 ? 7000 : 1000), now);
+    }
+    scheduler.Tick(now, 0);
+  }
+}
+
+/// Returns the stops that are ordered when a task of 10 s on the slow upstream
+/// has done a fifth of its work, and seven upstreams are free.
+std::vector<StopOrder> StopsOfStraggler(double spread, bool checkpoints) {
+  Scheduler scheduler({.upstream_speed_spread = spread});
+  TimePoint now = TimePoint() + std::chrono::hours(1);
+  Orders orders;
+  scheduler.ResolveAll(now, orders);
+  LearnSpeeds(scheduler, now);
+  // Only the slow upstream has capacity at first.
+  for (UpstreamIndex i = 1; i < 8; ++i) scheduler.pool().at(i).closed = true;
+  wire::JobSpec spec;
+  spec.id = 1;
+  spec.queue.pool = "pool";
+  spec.queue.priority = 2;
+  spec.queue.max_attempts = 2;
+  spec.queue.slack_factor = 4;
+  wire::StepSpec step;
+  step.tasks = 1;
+  step.millicores = 1000;
+  step.memory_mb = 1;
+  step.estimate_ms = 1500;
+  step.checkpoints = checkpoints;
+  spec.steps.push_back(step);
+  scheduler.Add(spec, now, 0);
+  scheduler.Place(now, {}, orders);
+  BOOST_REQUIRE(orders.starts.size() == 1U);
+  BOOST_REQUIRE(orders.starts[0].upstream == 0U);
+  scheduler.OnStartReply(orders.starts[0], CallVerdict::kDone, now, orders);
+  for (UpstreamIndex i = 1; i < 8; ++i) scheduler.pool().at(i).closed = false;
+  for (int percent = 5; percent <= 20; percent += 5) {
+    now += Millis(500);
+    scheduler.Tick(now, 0);
+    scheduler.OnRunning(0,
+                        {{.task = orders.starts[0].task,
+                          .attempt = orders.starts[0].attempt,
+                          .checkpoint = checkpoints ? "c" : "",
+                          .percent = percent}},
+                        now, orders);
+  }
+  return orders.stops;
+}
+
+/// Guards against a task that stays on a slow upstream for minutes although it
+/// could go on elsewhere, and against one that loses its work by a move.
+BOOST_AUTO_TEST_CASE(StragglersWithCheckpointsMove) {
+  const std::vector<StopOrder> stops = StopsOfStraggler(2, true);
+  BOOST_REQUIRE(stops.size() == 1U);
+  BOOST_TEST((stops[0].reason == StopReason::kMoved));
+  BOOST_TEST(StopsOfStraggler(2, false).empty());
+  BOOST_TEST(StopsOfStraggler(0, true).empty());
+}
+
 /// Guards against operators who can't see which upstreams are slow.
 BOOST_AUTO_TEST_CASE(MetricsStateTheSlowestUpstreams) {
   UpstreamPool pool;
