Leadership: Name the retry of a leader check

Four places repeated the pause of an inconclusive check, two of them across a line break without braces, which clang-tidy rejects. No change of behaviour.

Evidence: leadership_test, leader_load_test, high_latency_test and leader_partition_test pass; clang-tidy is clean on claiming.cc.

--- a/src/leadership/claiming.cc
+++ b/src/leadership/claiming.cc
@@ -90,6 +90,10 @@
   next_check_at_ = executor_.Now() + pause;
 }
 
+void Leadership::RetryLeaderCheck() {
+  EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
+}
+
 void Leadership::OnLeaderRecord(Suspicion suspicion,
                                 std::optional<int64_t> end_at_first_read,
                                 TimePoint sent,
@@ -100,7 +104,7 @@
   if (!page.ok()) {
     logging::Event(Level::kWarning, "leader record not read",
                    {{"cause", page.error().message}});
-    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
+    return RetryLeaderCheck();
   }
   const std::optional<wire::AnnounceCall> record =
       FindLeaderRecord(page.value());
@@ -129,8 +133,7 @@
   // above every earlier term. If terms started from 1 again, the fence would
   // refuse each leader whose term was already used, one after the other.
   const int64_t last_term = record ? record->term : std::max(term_, end);
-  if (!may_claim)
-    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
+  if (!may_claim) return RetryLeaderCheck();
   const bool not_leading = suspicion == Suspicion::kNotLeading;
   const bool store_lost = suspicion == Suspicion::kStoreUnreachable;
   // A leader that no longer leads, or whose process has exited, was not
@@ -158,8 +161,7 @@
     return Claim(candidacy);
   }
   // The leader has renewed its record meanwhile.
-  if (end_at_first_read)
-    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
+  if (end_at_first_read) return RetryLeaderCheck();
   const auto delay = std::chrono::duration_cast<Millis>(now - sent);
   executor_.RunAfter(
       ElectionTimeoutFor(suspicion, record) + 2 * delay,
@@ -233,7 +235,7 @@
     // shows whether it was stored.
     logging::Event(Level::kInfo, "claim not won",
                    {{"term", Text(candidacy.term)}, {"cause", reply.detail}});
-    return EndLeaderCheck(check_pacing_.NextPause(KnownEntries()));
+    return RetryLeaderCheck();
   }
   EndLeaderCheck(Millis(0));
   BecomeLeader(candidacy, start, reply.end_offset);
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -304,6 +304,8 @@
   /// Ends the check of the leader record that Suspect() began. The next one
   /// begins after `pause` at the earliest.
   void EndLeaderCheck(Millis pause);
+  /// Ends an inconclusive check; the next one begins after a pause.
+  void RetryLeaderCheck();
   /// `end_offset` is the end of the table after the claim.
   void BecomeLeader(const Candidacy& candidacy, const CallStart& start,
                     int64_t end_offset);
