Jobs: Add the leader's load to the replies to heartbeats

An entry could not know how long new jobs of a queue wait at the leader, and so gave fixed times of return to the callers that it refused. HeartbeatReply gets an optional field, which leaders of earlier versions do not send.

--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2511,6 +2511,317 @@
 }
 
 
+QueueLoad::~QueueLoad() noexcept {
+}
+
+
+void QueueLoad::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void QueueLoad::__set_expected_wait_ms(const int64_t val) {
+  this->expected_wait_ms = val;
+}
+
+void QueueLoad::__set_refused(const bool val) {
+  this->refused = val;
+}
+
+void QueueLoad::__set_retry_after_ms(const int64_t val) {
+  this->retry_after_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueueLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueueLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_wait_ms);
+          this->__isset.expected_wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueueLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueueLoad");
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_wait_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected_wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueueLoad &a, QueueLoad &b) {
+  using ::std::swap;
+  swap(a.queue, b.queue);
+  swap(a.expected_wait_ms, b.expected_wait_ms);
+  swap(a.refused, b.refused);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QueueLoad::QueueLoad(const QueueLoad& other) {
+  queue = other.queue;
+  expected_wait_ms = other.expected_wait_ms;
+  refused = other.refused;
+  retry_after_ms = other.retry_after_ms;
+  __isset = other.__isset;
+}
+QueueLoad::QueueLoad(QueueLoad&& other) noexcept {
+  queue = std::move(other.queue);
+  expected_wait_ms = other.expected_wait_ms;
+  refused = other.refused;
+  retry_after_ms = other.retry_after_ms;
+  __isset = other.__isset;
+}
+QueueLoad& QueueLoad::operator=(const QueueLoad& other) {
+  queue = other.queue;
+  expected_wait_ms = other.expected_wait_ms;
+  refused = other.refused;
+  retry_after_ms = other.retry_after_ms;
+  __isset = other.__isset;
+  return *this;
+}
+QueueLoad& QueueLoad::operator=(QueueLoad&& other) noexcept {
+  queue = std::move(other.queue);
+  expected_wait_ms = other.expected_wait_ms;
+  refused = other.refused;
+  retry_after_ms = other.retry_after_ms;
+  __isset = other.__isset;
+  return *this;
+}
+void QueueLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueueLoad(";
+  out << "queue=" << to_string(queue);
+  out << ", " << "expected_wait_ms=" << to_string(expected_wait_ms);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ")";
+}
+
+
+LoadSummary::~LoadSummary() noexcept {
+}
+
+
+void LoadSummary::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void LoadSummary::__set_queues(const std::vector<QueueLoad> & val) {
+  this->queues = val;
+}
+
+std::ostream& operator<<(std::ostream& out, const LoadSummary& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->queues.clear();
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->queues.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
+            {
+              xfer += this->queues[_i158].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.queues = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadSummary");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
+    std::vector<QueueLoad> ::const_iterator _iter159;
+    for (_iter159 = this->queues.begin(); _iter159 != this->queues.end(); ++_iter159)
+    {
+      xfer += (*_iter159).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadSummary &a, LoadSummary &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.queues, b.queues);
+  swap(a.__isset, b.__isset);
+}
+
+LoadSummary::LoadSummary(const LoadSummary& other160) {
+  age_ms = other160.age_ms;
+  queues = other160.queues;
+  __isset = other160.__isset;
+}
+LoadSummary::LoadSummary(LoadSummary&& other161) noexcept {
+  age_ms = other161.age_ms;
+  queues = std::move(other161.queues);
+  __isset = other161.__isset;
+}
+LoadSummary& LoadSummary::operator=(const LoadSummary& other162) {
+  age_ms = other162.age_ms;
+  queues = other162.queues;
+  __isset = other162.__isset;
+  return *this;
+}
+LoadSummary& LoadSummary::operator=(LoadSummary&& other163) noexcept {
+  age_ms = other163.age_ms;
+  queues = std::move(other163.queues);
+  __isset = other163.__isset;
+  return *this;
+}
+void LoadSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadSummary(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "queues=" << to_string(queues);
+  out << ")";
+}
+
+
 HeartbeatReply::~HeartbeatReply() noexcept {
 }
 
@@ -2567,6 +2878,11 @@
   this->config_age_ms = val;
 __isset.config_age_ms = true;
 }
+
+void HeartbeatReply::__set_load(const LoadSummary& val) {
+  this->load = val;
+__isset.load = true;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -2711,6 +3027,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2789,6 +3113,11 @@
     xfer += oprot->writeI64(this->config_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2809,6 +3138,7 @@
   swap(a.clock_ms, b.clock_ms);
   swap(a.config_wanted, b.config_wanted);
   swap(a.config_age_ms, b.config_age_ms);
+  swap(a.load, b.load);
   swap(a.__isset, b.__isset);
 }
 
@@ -2826,6 +3156,7 @@
   clock_ms = other96.clock_ms;
   config_wanted = other96.config_wanted;
   config_age_ms = other96.config_age_ms;
+  load = other96.load;
   __isset = other96.__isset;
 }
 HeartbeatReply::HeartbeatReply(HeartbeatReply&& other97) noexcept {
@@ -2842,6 +3173,7 @@
   clock_ms = other97.clock_ms;
   config_wanted = other97.config_wanted;
   config_age_ms = other97.config_age_ms;
+  load = std::move(other97.load);
   __isset = other97.__isset;
 }
 HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other98) {
@@ -2858,6 +3190,7 @@
   clock_ms = other98.clock_ms;
   config_wanted = other98.config_wanted;
   config_age_ms = other98.config_age_ms;
+  load = other98.load;
   __isset = other98.__isset;
   return *this;
 }
@@ -2875,6 +3208,7 @@
   clock_ms = other99.clock_ms;
   config_wanted = other99.config_wanted;
   config_age_ms = other99.config_age_ms;
+  load = std::move(other99.load);
   __isset = other99.__isset;
   return *this;
 }
@@ -2894,6 +3228,7 @@
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "config_wanted=" << to_string(config_wanted);
   out << ", " << "config_age_ms="; (__isset.config_age_ms ? (out << to_string(config_age_ms)) : (out << "<null>"));
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -39,6 +39,10 @@
 
 class HeartbeatCall;
 
+class QueueLoad;
+
+class LoadSummary;
+
 class HeartbeatReply;
 
 class AnnounceCall;
@@ -1047,8 +1051,143 @@
 
 std::ostream& operator<<(std::ostream& out, const HeartbeatCall& obj);
 
+typedef struct _QueueLoad__isset {
+  _QueueLoad__isset() : queue(false), expected_wait_ms(false), refused(false), retry_after_ms(false) {}
+  bool queue :1;
+  bool expected_wait_ms :1;
+  bool refused :1;
+  bool retry_after_ms :1;
+} _QueueLoad__isset;
+
+/**
+ * What new jobs of one queue meet now.
+ */
+class QueueLoad : public virtual ::apache::thrift::TBase {
+ public:
+
+  QueueLoad(const QueueLoad&);
+  QueueLoad(QueueLoad&&) noexcept;
+  QueueLoad& operator=(const QueueLoad&);
+  QueueLoad& operator=(QueueLoad&&) noexcept;
+  QueueLoad() noexcept
+            : queue(),
+              expected_wait_ms(0),
+              refused(0),
+              retry_after_ms(0) {
+  }
+
+  virtual ~QueueLoad() noexcept;
+  std::string queue;
+  /**
+   * Expected time to the first start of a new job.
+   */
+  int64_t expected_wait_ms;
+  /**
+   * New jobs are refused, since they would end too late to be of value.
+   */
+  bool refused;
+  /**
+   * When to submit a refused job again.
+   */
+  int64_t retry_after_ms;
+
+  _QueueLoad__isset __isset;
+
+  void __set_queue(const std::string& val);
+
+  void __set_expected_wait_ms(const int64_t val);
+
+  void __set_refused(const bool val);
+
+  void __set_retry_after_ms(const int64_t val);
+
+  bool operator == (const QueueLoad & rhs) const
+  {
+    if (!(queue == rhs.queue))
+      return false;
+    if (!(expected_wait_ms == rhs.expected_wait_ms))
+      return false;
+    if (!(refused == rhs.refused))
+      return false;
+    if (!(retry_after_ms == rhs.retry_after_ms))
+      return false;
+    return true;
+  }
+  bool operator != (const QueueLoad &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const QueueLoad & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(QueueLoad &a, QueueLoad &b);
+
+std::ostream& operator<<(std::ostream& out, const QueueLoad& obj);
+
+typedef struct _LoadSummary__isset {
+  _LoadSummary__isset() : age_ms(false), queues(false) {}
+  bool age_ms :1;
+  bool queues :1;
+} _LoadSummary__isset;
+
+class LoadSummary : public virtual ::apache::thrift::TBase {
+ public:
+
+  LoadSummary(const LoadSummary&);
+  LoadSummary(LoadSummary&&) noexcept;
+  LoadSummary& operator=(const LoadSummary&);
+  LoadSummary& operator=(LoadSummary&&) noexcept;
+  LoadSummary() noexcept
+              : age_ms(0) {
+  }
+
+  virtual ~LoadSummary() noexcept;
+  /**
+   * How old the figures were when the leader replied.
+   */
+  int64_t age_ms;
+  /**
+   * At most 64 queues.
+   */
+  std::vector<QueueLoad>  queues;
+
+  _LoadSummary__isset __isset;
+
+  void __set_age_ms(const int64_t val);
+
+  void __set_queues(const std::vector<QueueLoad> & val);
+
+  bool operator == (const LoadSummary & rhs) const
+  {
+    if (!(age_ms == rhs.age_ms))
+      return false;
+    if (!(queues == rhs.queues))
+      return false;
+    return true;
+  }
+  bool operator != (const LoadSummary &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const LoadSummary & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(LoadSummary &a, LoadSummary &b);
+
+std::ostream& operator<<(std::ostream& out, const LoadSummary& obj);
+
 typedef struct _HeartbeatReply__isset {
-  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false), clock_ms(false), config_wanted(false), config_age_ms(false) {}
+  _HeartbeatReply__isset() : leading(false), term(false), leader(false), store_reachable(false), members(false), config_version(false), config(false), leader_unresponsive_ms(false), loading(false), members_known(false), clock_ms(false), config_wanted(false), config_age_ms(false), load(false) {}
   bool leading :1;
   bool term :1;
   bool leader :1;
@@ -1062,6 +1201,7 @@
   bool clock_ms :1;
   bool config_wanted :1;
   bool config_age_ms :1;
+  bool load :1;
 } _HeartbeatReply__isset;
 
 class HeartbeatReply : public virtual ::apache::thrift::TBase {
@@ -1129,6 +1269,10 @@
    * was the newest.
    */
   int64_t config_age_ms;
+  /**
+   * Unset unless the leader refuses jobs by deadline.
+   */
+  LoadSummary load;
 
   _HeartbeatReply__isset __isset;
 
@@ -1158,6 +1302,8 @@
 
   void __set_config_age_ms(const int64_t val);
 
+  void __set_load(const LoadSummary& val);
+
   bool operator == (const HeartbeatReply & rhs) const
   {
     if (!(leading == rhs.leading))
@@ -1188,6 +1334,10 @@
       return false;
     else if (__isset.config_age_ms && !(config_age_ms == rhs.config_age_ms))
       return false;
+    if (__isset.load != rhs.__isset.load)
+      return false;
+    else if (__isset.load && !(load == rhs.load))
+      return false;
     return true;
   }
   bool operator != (const HeartbeatReply &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -152,6 +152,24 @@
   7: binary config
 }
 
+/** What new jobs of one queue meet now. */
+struct QueueLoad {
+  1: string queue
+  /** Expected time to the first start of a new job. */
+  2: i64 expected_wait_ms
+  /** New jobs are refused, since they would end too late to be of value. */
+  3: bool refused
+  /** When to submit a refused job again. */
+  4: i64 retry_after_ms
+}
+
+struct LoadSummary {
+  /** How old the figures were when the leader replied. */
+  1: i64 age_ms
+  /** At most 64 queues. */
+  2: list<QueueLoad> queues
+}
+
 struct HeartbeatReply {
   1: bool leading
   2: i64 term
@@ -178,6 +196,8 @@
   /** How long ago, in ms, the store confirmed to the leader that config_version
    *  was the newest. */
   13: optional i64 config_age_ms
+  /** Unset unless the leader refuses jobs by deadline. */
+  14: optional LoadSummary load
 }
 
 /** A new leader announces itself, or a leader resigns. */
