Scheduling: Report the waiting steps in the order of the queue

For the decision which new jobs are accepted: what waits, with its value and its latest start, and whether a task of a job that is not accepted yet would fit into free capacity. kWorthlessMultiple moves to a header, since the decision needs the same deadline. No scheduling decision changes (scheduling_test).

--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -7,11 +7,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A job that ends within this multiple of its objective still has part of its
-/// value for the caller. A later one has none; it still runs, after all other
-/// work of its priority.
-constexpr int64_t kWorthlessMultiple = 3;
-
 /// Assumed run time of a task whose caller gave no estimate.
 constexpr Millis kDefaultEstimate{1000};
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -18,6 +18,7 @@
 #include "src/scheduling/orders.h"
 #include "src/scheduling/queue_order.h"
 #include "src/scheduling/upstream_pool.h"
+#include "src/scheduling/waiting_work.h"
 
 namespace mimosarail::scheduling {
 
@@ -174,6 +175,12 @@
   /// the configuration, those with the most waiting steps first.
   std::vector<AccountLoad> AccountLoads() const;
   int64_t waiting_steps() const { return static_cast<int64_t>(queue_.size()); }
+  /// Returns the waiting steps in the order of the queue.
+  std::vector<WaitingStep> WaitingSteps() const;
+  /// Whether tasks of a job that is not added yet could start now on free
+  /// capacity, apart from advice and from capacity reserved for waiting gangs:
+  /// one task, or a whole gang, of a step without predecessors.
+  bool HasFreeCapacityFor(const wire::JobSpec& spec, TimePoint now);
 
  private:
   /// A stop is ordered again if the end of the run is not reported within this
