Coordinator: Refuse jobs that cannot end while they have a value

Callers saw: under overload all jobs were accepted; many ended after three times their objective, without a value, and had taken the capacity of others. Cause: the leader refused only for lack of the store or of space in its table. Change: with admission = deadline, Admission estimates the wait from the work ahead of the job in the queue order, the rate at which its pool finishes work and the limit and share of its account. A job is refused if its end would be after its deadline even if estimates are wrong by 2.5, and nothing free fits it. A refusal is answered once the store has taken an append of this leader, so that it is true also if the process was paused and a successor accepted the job.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -72,17 +72,24 @@
           {{"job", JobIdText(id)},
            {"store_stalled_ms", Text(journal_->stalled_for().count())},
            {"jobs", Text(static_cast<int64_t>(scheduler_.job_count()))}});
-      return done(SubmitReply(store_unavailable ? JobVerdict::kStoreUnavailable
-                                                : JobVerdict::kRefused,
-                              kRetryAfterMs));
+      CountRefusedJob(store_unavailable ? "store unavailable" : "job table",
+                      spec.queue.name);
+      return done(store_unavailable
+                      ? SubmitReply(JobVerdict::kStoreUnavailable,
+                                    StoreRetryAfterMs(id))
+                      : SubmitReply(JobVerdict::kRefused, kRetryAfterMs));
     }
     if (!FitsAccountLimit(spec)) {
       logging::Event(Level::kWarning, "job refused",
                      {{"job", JobIdText(id)},
                       {"account", spec.account},
                       {"cause", "never fits the limit of its account"}});
+      CountRefusedJob("account limit", spec.queue.name);
       return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
     }
+    if (const auto retry_after = RefuseByDeadline(spec)) {
+      return ReplyRefused(id, *retry_after, std::move(done));
+    }
     wire::JobSpec stored_spec = spec;
     stored_spec.accepted_unix_ms = deps_.executor.UnixMillis();
     std::string record = rpc::Encode(stored_spec);
@@ -93,12 +100,15 @@
                      {{"job", JobIdText(id)},
                       {"cause", "its record is too large for the store"},
                       {"bytes", Text(static_cast<int64_t>(record.size()))}});
+      CountRefusedJob("record too large", spec.queue.name);
       return done(SubmitReply(JobVerdict::kRefused, kRetryAfterMs));
     }
     journal_->Put(SpecKey(id), std::move(record));
     const int64_t number = ++last_submission_number_;
     pending_submissions_[id].submission_number = number;
     pending_submissions_[id].account = spec.account;
+    pending_submissions_[id].queue = spec.queue.name;
+    NoteAdmitted(spec);
     journal_->WhenStored(
         [weak = weak_from_this(), stored_spec, id, number](bool stored) {
           const auto self = weak.lock();
@@ -144,10 +154,12 @@
         {{"job", JobIdText(at->first)},
          {"cause", "withdrawn before it was sent to the store"},
          {"store_stalled_ms", Text(journal_->stalled_for().count())}});
+    const JobId id = at->first;
+    CountRefusedJob("store unavailable", at->second.queue);
     const auto replies = std::move(at->second.replies);
     at = pending_submissions_.erase(at);
     for (const auto& reply : replies) {
-      reply(SubmitReply(JobVerdict::kStoreUnavailable, kRetryAfterMs));
+      reply(SubmitReply(JobVerdict::kStoreUnavailable, StoreRetryAfterMs(id)));
     }
   }
 }
@@ -312,6 +324,25 @@
       });
 }
 
+void Coordinator::ReplyRefused(JobId id, Millis retry_after,
+                               std::function<void(wire::SubmitJobReply)> done) {
+  // As in ReplyNoSuchJob(): a successor may have accepted this id, and then a
+  // refusal, which says that the job does not run, would be false.
+  journal_->Remove(ProgressKey(id));
+  auto once = WithReplyDeadline<wire::SubmitJobReply>(
+      std::move(done), SubmitReply(JobVerdict::kOutcomeUnknown));
+  journal_->WhenStored([weak = weak_from_this(), id, retry_after,
+                        once = std::move(once)](bool stored) {
+    const auto self = weak.lock();
+    // If the job was submitted again meanwhile and accepted, the caller has to
+    // repeat the call.
+    const bool refused =
+        stored && self && !self->closed_ && !self->IsJobKnown(id);
+    once(refused ? SubmitReply(JobVerdict::kRefused, retry_after.count())
+                 : SubmitReply(JobVerdict::kOutcomeUnknown));
+  });
+}
+
 wire::PendingJobsReply Coordinator::CountPending(
     const std::string& queue) const {
   wire::PendingJobsReply reply;
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -46,7 +46,9 @@
     : deps_(std::move(deps)),
       options_(std::move(options)),
       scheduler_(SchedulerOptionsFor(options_)),
-      next_fence_(options_.term * fleet::kFenceSpan) {
+      next_fence_(options_.term * fleet::kFenceSpan),
+      admission_(options_.scheduler.queue_order,
+                 options_.scheduler.priority_price) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
       journal::JournalOptions{
@@ -99,6 +101,7 @@
   ResolveWhenRunningTasksKnown();
   RefuseUnsentJobs();
   DropFinalJobs();
+  UpdateBacklog();
   ReportLoad();
   SchedulePlacement();
   deps_.executor.RunAfter(kTickPeriod, [weak = weak_from_this()] {
@@ -120,6 +123,7 @@
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
   ReportAccounts();
+  ReportBacklog();
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kMaxExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -12,6 +12,7 @@
 #include <vector>
 
 #include "jobs_types.h"
+#include "src/coordinator/admission.h"
 #include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_verdicts.h"
@@ -154,6 +155,9 @@
               std::function<void(wire::CancelJobReply)> done);
   /// Counts the accepted jobs of the queue of which no task has started.
   wire::PendingJobsReply CountPending(const std::string& queue) const;
+  /// What new jobs of each queue meet, for the other entries; nullopt unless
+  /// jobs are refused by deadline and the figures are known.
+  std::optional<wire::LoadSummary> SummarizeLoad() const;
 
   /// When the store last confirmed an append.
   TimePoint last_stored() const { return journal_->last_stored(); }
@@ -202,6 +206,10 @@
     int64_t submission_number = 0;
     /// Account of the job.
     std::string account;
+    std::string queue;
+    /// Its work, which is not in the scheduler's queue yet. Unset unless jobs
+    /// are refused by deadline.
+    std::optional<BacklogRow> waiting{};
     /// Reply functions of the callers that have submitted the job.
     std::vector<std::function<void(wire::SubmitJobReply)>> replies;
   };
@@ -329,6 +337,27 @@
   bool MayAccess(const std::optional<std::string>& account, JobId id) const;
   /// Whether each step of the job could start under the limit of its account.
   bool FitsAccountLimit(const wire::JobSpec& spec);
+  /// Returns when to retry a new job that is refused because it can't end while
+  /// it has a value; nullopt if it is not refused. Always nullopt with
+  /// AdmissionPolicy::kCapacity.
+  std::optional<Millis> RefuseByDeadline(const wire::JobSpec& spec);
+  /// Counts the work of a job that is about to be stored.
+  void NoteAdmitted(const wire::JobSpec& spec);
+  /// Replies that the job is refused, once the store has confirmed that this
+  /// entry still leads.
+  void ReplyRefused(JobId id, Millis retry_after,
+                    std::function<void(wire::SubmitJobReply)> done);
+  /// Passes the current backlog to admission_, unless that happened recently.
+  void UpdateBacklog();
+  /// Logs which queues began or ended to be refused.
+  void LogRefusedQueues();
+  /// Notes for admission_ how much work a successful run has done.
+  void NoteFinishedRun(UpstreamIndex upstream, const ports::EndedTask& end);
+  /// Sets the metrics of waiting work by queue and account, and logs them.
+  void ReportBacklog();
+  void CountRefusedJob(const std::string& reason, const std::string& queue);
+  /// When a caller refused for lack of the store should return, in ms.
+  int64_t StoreRetryAfterMs(JobId id);
   /// Replies that there is no such job, once the store has confirmed that this
   /// entry still leads.
   void ReplyNoSuchJob(JobId id, std::function<void(wire::CancelJobReply)> done);
@@ -398,6 +427,15 @@
   /// Whether the whole upstream list was read in this term.
   bool list_known_ = false;
   TimePoint load_logged_at_{};
+  Admission admission_;
+  TimePoint backlog_read_at_{};
+  /// The newest job of each queue, which stands for the next one.
+  std::map<std::string, NewJob> newest_jobs_;
+  /// Queues and accounts that have metrics of their waiting work.
+  std::set<std::pair<std::string, std::string>> reported_backlogs_;
+  /// Callers refused for lack of the store, over the last few seconds.
+  double store_refusals_ = 0;
+  TimePoint store_refused_at_{};
 };
 
 }  // namespace mimosarail::coordinator
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -309,6 +309,7 @@
            {"how", std::string(ports::kEndKindNames.Name(completion.kind))}});
     }
     StoreUnmatchedCompletion(completion);
+    NoteFinishedRun(upstream, completion);
     scheduler_.OnEnd(upstream, completion, now, orders);
   }
   scheduler_.OnRunning(upstream, running, now, orders);
