Jobentry: Spread the return of callers that are refused

Callers saw: all that were refused while the store was unavailable were told to return after 1 s, and did so at the same moment. Change: with admission = deadline, the leader and the entries spread the returns over a window that grows with the callers that were refused or wait. An entry gets the leader's load with each heartbeat, for its metrics and for Retry-After. It refuses nothing by it: it does not know which ids the leader has accepted through other entries, so that a refusal of its own could be false. ResumedLeaderDoesNotRefuseAJobOfItsSuccessor fails if a refusal is answered without the store's confirmation.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -1,6 +1,7 @@
 #include "src/jobentry/job_entry.h"
 
 #include <algorithm>
+#include <map>
 
 #include "src/libs/logging/log.h"
 
@@ -96,6 +97,8 @@
 struct JobEntry::ForwardedCall {
   /// The call's kind and its job or queue, for the log.
   std::string description;
+  /// Queue of the job; empty unless the call submits one.
+  std::string queue;
   /// Time at which an unanswered call is refused if it is not in doubt.
   TimePoint refusal_deadline;
   /// Time at which the caller stops waiting.
@@ -153,6 +156,11 @@
                [this] {
                  return coordinator_ ? coordinator_->last_stored_sent()
                                      : TimePoint{};
+               },
+           .load =
+               [this] {
+                 return coordinator_ ? coordinator_->SummarizeLoad()
+                                     : std::nullopt;
                }}) {}
 
 JobEntry::~JobEntry() = default;
@@ -177,6 +185,48 @@
     const Millis age(std::max<int64_t>(0, reply.config_age_ms));
     access_.Confirm(sent + suspended - age);
   }
+  if (was_suspended) {
+    load_.Clear();
+  } else {
+    UpdateLoad(reply, sent + suspended);
+  }
+}
+
+void JobEntry::UpdateLoad(const wire::HeartbeatReply& reply, TimePoint sent) {
+  if (!reply.__isset.load) return;
+  const auto set = [this](const wire::QueueLoad& row) {
+    const std::map<std::string, std::string> labels{{"queue", row.queue}};
+    deps_.metrics.Set({.name = "leader_expected_wait_ms", .labels = labels},
+                      static_cast<double>(row.expected_wait_ms));
+    deps_.metrics.Set({.name = "leader_refuses", .labels = labels},
+                      row.refused ? 1 : 0);
+  };
+  for (const auto& [queue, row] : load_.queues()) {
+    wire::QueueLoad gone;
+    gone.queue = queue;
+    set(gone);
+  }
+  load_.Update(reply.load, reply.term, sent);
+  for (const auto& [queue, row] : load_.queues()) set(row);
+}
+
+Millis JobEntry::RetryAfterWithoutAnswer(const std::string& queue) {
+  if (options_.coordinator.admission !=
+      coordinator::AdmissionPolicy::kDeadline) {
+    return kRetryAfter;
+  }
+  Millis first = kRetryAfter;
+  const auto load = load_.Find(queue, leadership_.term(), AccessTime());
+  if (load && load->refused) {
+    first = std::clamp(Millis(load->retry_after_ms), first, kMaxRetryAfter);
+  }
+  // Differs between entries, and between the callers of one entry.
+  constexpr uint64_t kOddFactor = 0x9e3779b97f4a7c15ULL;
+  const uint64_t seed =
+      std::hash<std::string>()(options_.leadership.member.address) ^
+      (++unanswered_refusals_ * kOddFactor);
+  return coordinator::SpreadReturnEvenly(
+      first, coordinator::ReturnWindow(waiting_calls_.size()), seed);
 }
 
 void JobEntry::OnConfigChanged() {
@@ -288,7 +338,7 @@
                     {"in_doubt", call->in_doubt ? "yes" : "no"}});
     return call->done({.verdict = call->in_doubt ? JobVerdict::kOutcomeUnknown
                                                  : JobVerdict::kRefused,
-                       .retry_after = kRetryAfter});
+                       .retry_after = RetryAfterWithoutAnswer(call->queue)});
   }
   const auto retry = [this, call, remaining] {
     const int doublings = std::clamp(call->tries - 1, 0, kMaxPauseDoublings);
@@ -399,6 +449,7 @@
   message->job = spec;
   auto call = std::make_shared<ForwardedCall<wire::SubmitJobReply>>();
   call->description = "submit " + JobIdText(id);
+  call->queue = spec.queue.name;
   call->caller_deadline = deps_.executor.Now() + caller_timeout;
   call->refusal_deadline =
       deps_.executor.Now() +
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -11,6 +11,7 @@
 #include "src/cellconfig/cell_config_watcher.h"
 #include "src/coordinator/coordinator.h"
 #include "src/jobentry/job_service.h"
+#include "src/jobentry/load_picture.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
 
@@ -123,6 +124,12 @@
   /// A new version of the configuration is in force.
   void OnConfigChanged();
   void OnHeartbeatReply(const wire::HeartbeatReply& reply, TimePoint sent);
+  /// Takes over the leader's load, and sets its metrics. `sent` is a time of
+  /// AccessTime().
+  void UpdateLoad(const wire::HeartbeatReply& reply, TimePoint sent);
+  /// When a caller should return that this entry refuses without an answer from
+  /// the leader. `queue` is empty unless the call submits a job.
+  Millis RetryAfterWithoutAnswer(const std::string& queue);
   /// A clock that does not stop while the machine is suspended: keys may be
   /// revoked meanwhile. Thread-safe.
   TimePoint AccessTime() const {
@@ -171,6 +178,9 @@
   TimePoint last_leader_reply_{};
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
+  LoadPicture load_;
+  /// Calls refused here without an answer from the leader.
+  uint64_t unanswered_refusals_ = 0;
   std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
--- a/src/jobentry/waiting_calls.h
+++ b/src/jobentry/waiting_calls.h
@@ -19,6 +19,7 @@
   void Wait(Millis timeout, std::function<void()> resume);
   /// Resumes all waiting calls, in the order of their Wait().
   void ReleaseAll();
+  int64_t size() const { return static_cast<int64_t>(waiting_.size()); }
 
  private:
   Executor& executor_;
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -491,6 +491,8 @@
   reply.members_known = call.term == term_ ? call.members_known : 0;
   reply.members = changes_.After(reply.members_known);
   ExchangeConfig(call, reply);
+  const auto load = events_.load ? events_.load() : std::nullopt;
+  if (load) reply.__set_load(*load);
   return reply;
 }
 
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -106,6 +106,8 @@
     std::function<TimePoint()> last_stored;
     /// Time at which that append was sent.
     std::function<TimePoint()> last_stored_sent;
+    /// As leader: the load, for followers. May be null.
+    std::function<std::optional<wire::LoadSummary>()> load{};
   };
 
   /// All arguments passed by reference outlive this object.
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -53,6 +53,7 @@
       out.leadership.member.fitness = cluster.fitness.at(name);
     }
     out.leadership.member.address = AddressOf(name);
+    out.coordinator.admission = cluster.admission;
     for (const std::string& seed : cluster.seeds) {
       out.leadership.seeds.push_back(AddressOf(seed));
     }
@@ -261,10 +262,11 @@
   return calls_.size() - 1;
 }
 
-void JobCluster::RecordAnswer(size_t call, coordinator::JobVerdict verdict) {
+void JobCluster::RecordAnswer(size_t call, const jobentry::JobAnswer& answer) {
   ++calls_[call].answers;
   calls_[call].ended = clock_.now();
-  calls_[call].verdict = verdict;
+  calls_[call].verdict = answer.verdict;
+  calls_[call].retry_after = answer.retry_after;
 }
 
 void JobCluster::Submit(const std::string& entry, wire::JobSpec spec) {
@@ -278,7 +280,7 @@
   process->executor.Post([this, target, spec, id, call] {
     target->Submit(
         spec, kCallTimeout, [this, id, call](jobentry::JobAnswer answer) {
-          RecordAnswer(call, answer.verdict);
+          RecordAnswer(call, answer);
           submission_answers_[id].push_back(answer.verdict);
           if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
             accepted_.insert(id);
@@ -324,7 +326,7 @@
     target->Cancel(
         id, account, kCallTimeout,
         [this, id, call](jobentry::JobAnswer answer) {
-          RecordAnswer(call, answer.verdict);
+          RecordAnswer(call, answer);
           ++cancel_answers_[id];
           if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
             cancelled_.insert(id);
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -80,6 +80,8 @@
   /// Rates of each direction of an entry's link, and of its processor.
   LinkRate link{};
   LinkRate processor{};
+  coordinator::AdmissionPolicy admission =
+      coordinator::AdmissionPolicy::kCapacity;
 };
 
 enum class CallKind { kSubmit, kCancel };
@@ -98,6 +100,8 @@
   /// When the call was answered or its connection was lost.
   TimePoint ended{};
   coordinator::JobVerdict verdict = coordinator::JobVerdict::kOutcomeUnknown;
+  /// When the caller was told to return; 0 unless refused.
+  Millis retry_after{0};
 };
 
 /// Complete entry instances over fakes of the platform and a manual clock.
@@ -193,7 +197,7 @@
   MachineFake& Machine(const std::string& entry);
   /// Records a call at an entry and returns its index in calls().
   size_t RecordCall(CallKind kind, const std::string& entry, JobId id);
-  void RecordAnswer(size_t call, coordinator::JobVerdict verdict);
+  void RecordAnswer(size_t call, const jobentry::JobAnswer& answer);
   void AddUpstream(int number);
   /// Lists the next incarnation of an upstream that has crashed.
   void ReplaceUpstream(const std::string& crashed);
