Coordinator: Cut the cost of a decision on admission

Each decision went over all rows of the backlog up to eight times, with a power for each row. It now selects the rows ahead once. Reading the backlog compares numbers instead of names.

--- a/src/coordinator/admission.cc
+++ b/src/coordinator/admission.cc
@@ -1,7 +1,6 @@
 #include "src/coordinator/admission.h"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace mimosarail::coordinator {
@@ -20,6 +19,8 @@
 constexpr Millis kEndAfter{1000};
 /// What late work is worth to its caller, compared with work in time.
 constexpr double kLateValue = 0.2;
+/// Lower priorities have the same price, which is close to 0.
+constexpr int32_t kMaxPricedPriority = 30;
 /// Number of parts into which the spread of returns is divided, one for each
 /// priority. Lower priorities share the last part.
 constexpr int32_t kPriorityParts = 3;
@@ -41,8 +42,18 @@
 
 double ValueOf(int32_t priority, Lateness lateness, double price) {
   if (lateness == Lateness::kWorthless) return 0;
-  return std::pow(price, -priority) *
-         (lateness == Lateness::kInTime ? 1 : kLateValue);
+  // Called for each row of a backlog; std::pow() took most of the time.
+  double value = lateness == Lateness::kInTime ? 1 : kLateValue;
+  for (int32_t i = 0; i < std::min(priority, kMaxPricedPriority); ++i) {
+    value /= price;
+  }
+  return value;
+}
+
+double SumOf(const std::vector<AccountDemand>& demands) {
+  double sum = 0;
+  for (const AccountDemand& demand : demands) sum += demand.work;
+  return sum;
 }
 
 /// Maps a seed to [0, 1). The finalizer of MurmurHash3 mixes seeds that differ
@@ -145,6 +156,35 @@
   for (const auto& [pool, cores] : backlog_.capacity) {
     rates_.Update(pool, backlog_.saturated.count(pool) > 0, now);
   }
+  factors_.clear();
+  shares_.clear();
+  account_indexes_.clear();
+  figures_.clear();
+  for (const BacklogRow& row : backlog_.rows) AddFigures(row);
+}
+
+void Admission::AddAccepted(const BacklogRow& row) {
+  backlog_.rows.push_back(row);
+  AddFigures(row);
+}
+
+size_t Admission::IndexOf(const std::string& account) {
+  const auto [found, added] =
+      account_indexes_.try_emplace(account, shares_.size());
+  if (added) {
+    const auto share = backlog_.accounts.find(account);
+    shares_.push_back(share == backlog_.accounts.end() ? AccountShare{}
+                                                       : share->second);
+  }
+  return found->second;
+}
+
+void Admission::AddFigures(const BacklogRow& row) {
+  const auto [factors, added] = factors_.try_emplace(row.queue);
+  if (added) factors->second = rates_.FactorsOf(row.queue);
+  figures_.push_back({.account = IndexOf(row.account),
+                      .expected_work = row.work * factors->second.expected,
+                      .least_work = row.work * factors->second.at_least});
 }
 
 double Admission::CapacityOf(const std::string& pool) const {
@@ -152,29 +192,31 @@
   return found == backlog_.capacity.end() ? 0 : found->second;
 }
 
+std::vector<size_t> Admission::RowsAhead(const NewJob& job) const {
+  std::vector<size_t> out;
+  for (size_t i = 0; i < backlog_.rows.size(); ++i) {
+    const BacklogRow& row = backlog_.rows[i];
+    if (row.pool == job.pool && IsAhead(row, job, order_, priority_price_)) {
+      out.push_back(i);
+    }
+  }
+  return out;
+}
+
 std::vector<AccountDemand> Admission::Demands(
-    const NewJob& job, bool lower_bound,
+    const std::vector<size_t>& rows, bool lower_bound,
     const std::function<bool(const BacklogRow&)>& matches) const {
-  std::map<std::string, AccountDemand> by_account;
-  std::map<std::string, WorkFactors> factors;
-  for (const BacklogRow& row : backlog_.rows) {
-    if (row.pool != job.pool || !matches(row)) continue;
-    auto known = factors.find(row.queue);
-    if (known == factors.end()) {
-      known = factors.emplace(row.queue, rates_.FactorsOf(row.queue)).first;
-    }
-    by_account[row.account].work +=
-        row.work *
-        (lower_bound ? known->second.at_least : known->second.expected);
+  std::vector<AccountDemand> out(shares_.size());
+  for (const size_t i : rows) {
+    if (!matches(backlog_.rows[i])) continue;
+    const RowFigures& figures = figures_[i];
+    out[figures.account].work +=
+        lower_bound ? figures.least_work : figures.expected_work;
   }
-  std::vector<AccountDemand> out;
-  for (auto& [name, demand] : by_account) {
-    const auto share = backlog_.accounts.find(name);
-    if (share != backlog_.accounts.end()) {
-      demand.limit_cores = share->second.limit_cores;
-    }
-    out.push_back(demand);
+  for (size_t i = 0; i < out.size(); ++i) {
+    out[i].limit_cores = shares_[i].limit_cores;
   }
+  std::erase_if(out, [](const auto& demand) { return demand.work <= 0; });
   return out;
 }
 
@@ -182,69 +224,56 @@
   if (order_ != QueueOrder::kDelayCost) return 0;
   const auto own = backlog_.accounts.find(job.account);
   if (own == backlog_.accounts.end() || own->second.weight <= 0) return 0;
-  std::set<std::string> active{job.account};
-  for (const BacklogRow& row : backlog_.rows) active.insert(row.account);
-  double weights = 0;
-  for (const std::string& name : active) {
-    const auto found = backlog_.accounts.find(name);
-    if (found != backlog_.accounts.end()) weights += found->second.weight;
-  }
+  double weights =
+      account_indexes_.count(job.account) > 0 ? 0 : own->second.weight;
+  for (const AccountShare& share : shares_) weights += share.weight;
   return rate * own->second.weight / weights;
 }
 
-double Admission::PoolWait(const NewJob& job, bool lower_bound,
-                           double rate) const {
-  const auto ahead = [&](const BacklogRow& row) {
-    return IsAhead(row, job, order_, priority_price_);
-  };
-  const double all =
-      TimeUntilCapacityLeft(Demands(job, lower_bound, ahead), rate);
+double Admission::PoolWait(const NewJob& job, const std::vector<size_t>& ahead,
+                           bool lower_bound, double rate) const {
+  const double all = TimeUntilCapacityLeft(
+      Demands(ahead, lower_bound, [](const BacklogRow&) { return true; }),
+      rate);
   const double share = ShareOf(job, rate);
-  if (share <= 0) return all;
+  if (share <= 0 || all <= 0) return all;
   // Accounts above their share are served after the others among work of the
   // same value, so that the job waits at most for work of higher value, and
   // for its own account's work at its share.
-  double own = 0;
-  for (const AccountDemand& demand :
-       Demands(job, lower_bound, [&](const BacklogRow& row) {
-         return ahead(row) && row.account == job.account &&
-                row.priority == job.priority;
-       })) {
-    own += demand.work;
-  }
-  const auto higher = [&](const BacklogRow& row) {
-    return ahead(row) && row.priority != job.priority;
-  };
-  return std::min(
-      all, TimeUntilCapacityLeft(Demands(job, lower_bound, higher), rate) +
-               own / share);
+  const double own =
+      SumOf(Demands(ahead, lower_bound, [&](const BacklogRow& row) {
+        return row.account == job.account && row.priority == job.priority;
+      }));
+  const std::vector<AccountDemand> higher = Demands(
+      ahead, lower_bound,
+      [&](const BacklogRow& row) { return row.priority != job.priority; });
+  return std::min(all, TimeUntilCapacityLeft(higher, rate) + own / share);
 }
 
-double Admission::AccountWait(const NewJob& job, bool lower_bound,
-                              double rate) const {
+double Admission::AccountWait(const NewJob& job,
+                              const std::vector<size_t>& ahead,
+                              bool lower_bound, double rate) const {
   const auto share = backlog_.accounts.find(job.account);
   if (share == backlog_.accounts.end()) return 0;
   const double limit = share->second.limit_cores;
   if (limit <= 0) return 0;
-  double work = 0;
-  for (const AccountDemand& demand :
-       Demands(job, lower_bound, [&](const BacklogRow& row) {
-         return row.account == job.account &&
-                IsAhead(row, job, order_, priority_price_);
-       })) {
-    work += demand.work;
-  }
+  const double work =
+      SumOf(Demands(ahead, lower_bound, [&](const BacklogRow& row) {
+        return row.account == job.account;
+      }));
   return work / std::min(limit, rate);
 }
 
 WaitEstimate Admission::EstimateWait(const NewJob& job) const {
   const double capacity = CapacityOf(job.pool);
   if (capacity <= 0) return {};
+  const std::vector<size_t> ahead = RowsAhead(job);
+  if (ahead.empty()) return {};
   const double rate = rates_.Rate(job.pool, capacity);
-  const double pool = PoolWait(job, false, rate);
-  const double account = AccountWait(job, false, rate);
-  const double at_least =
-      std::max(PoolWait(job, true, rate), AccountWait(job, true, rate));
+  const double pool = PoolWait(job, ahead, false, rate);
+  const double account = AccountWait(job, ahead, false, rate);
+  const double at_least = std::max(PoolWait(job, ahead, true, rate),
+                                   AccountWait(job, ahead, true, rate));
   WaitEstimate out{.expected = FromMs(std::max(pool, account)),
                    .at_least = FromMs(at_least)};
   if (out.expected > Millis(0)) {
--- a/src/coordinator/admission.h
+++ b/src/coordinator/admission.h
@@ -162,7 +162,7 @@
   void SetBacklog(Backlog backlog, TimePoint now);
   const Backlog& backlog() const { return backlog_; }
   /// Adds a job that was accepted and is not in the backlog yet.
-  void AddAccepted(const BacklogRow& row) { backlog_.rows.push_back(row); }
+  void AddAccepted(const BacklogRow& row);
 
   /// Returns how long the job would wait if it were accepted now.
   WaitEstimate EstimateWait(const NewJob& job) const;
@@ -184,14 +184,28 @@
   }
 
  private:
-  /// A demand of each account by the rows that match.
+  /// What is derived from one row of the backlog.
+  struct RowFigures {
+    /// Index in shares_.
+    size_t account = 0;
+    double expected_work = 0;
+    double least_work = 0;
+  };
+  /// Returns the index of the account in shares_.
+  size_t IndexOf(const std::string& account);
+  void AddFigures(const BacklogRow& row);
+  /// Indexes of the rows in the job's pool that are served before it.
+  std::vector<size_t> RowsAhead(const NewJob& job) const;
+  /// A demand of each account by those of these rows that match.
   std::vector<AccountDemand> Demands(
-      const NewJob& job, bool lower_bound,
+      const std::vector<size_t>& rows, bool lower_bound,
       const std::function<bool(const BacklogRow&)>& matches) const;
   /// Wait for the pool's capacity, in ms.
-  double PoolWait(const NewJob& job, bool lower_bound, double rate) const;
+  double PoolWait(const NewJob& job, const std::vector<size_t>& ahead,
+                  bool lower_bound, double rate) const;
   /// Wait for the limit of the job's account, in ms.
-  double AccountWait(const NewJob& job, bool lower_bound, double rate) const;
+  double AccountWait(const NewJob& job, const std::vector<size_t>& ahead,
+                     bool lower_bound, double rate) const;
   /// Returns the job's share of `rate` in cores; 0 if no shares apply.
   double ShareOf(const NewJob& job, double rate) const;
   Millis RetryAfter(const NewJob& job, const AdmissionDecision& decision) const;
@@ -202,6 +216,12 @@
   double priority_price_;
   WorkRates rates_;
   Backlog backlog_;
+  /// For each row of the backlog.
+  std::vector<RowFigures> figures_;
+  std::map<std::string, WorkFactors> factors_;
+  /// The accounts that have rows.
+  std::vector<AccountShare> shares_;
+  std::map<std::string, size_t> account_indexes_;
   /// Those that are refused, with the time of the last refusal.
   std::map<RefusedKey, TimePoint> refusing_;
   std::vector<std::pair<RefusedKey, bool>> changes_;
--- a/src/coordinator/admitting.cc
+++ b/src/coordinator/admitting.cc
@@ -3,8 +3,8 @@
 
 #include <algorithm>
 #include <cmath>
-#include <tuple>
 
+#include "src/coordinator/backlog_builder.h"
 #include "src/coordinator/coordinator.h"
 #include "src/libs/logging/log.h"
 
@@ -21,9 +21,6 @@
 /// Age from which the backlog is read again. Reading it costs as much as
 /// a short placement pass, and it changes by at most this much of wait.
 constexpr Millis kBacklogPeriod{100};
-/// Latest starts of waiting work are rounded up to a multiple of this, so that
-/// a long queue has few rows.
-constexpr int64_t kLatestStartStepMs = 250;
 /// Number of queues that are summarized for other entries. Their names take
 /// 2 KB of a heartbeat reply.
 constexpr size_t kMaxSummarizedQueues = 64;
@@ -40,11 +37,6 @@
   return std::chrono::duration_cast<Millis>(at.time_since_epoch()).count();
 }
 
-int64_t RoundUp(int64_t ms) {
-  return (ms + kLatestStartStepMs - 1) / kLatestStartStepMs *
-         kLatestStartStepMs;
-}
-
 double CoreSeconds(double core_ms) { return core_ms / kMsPerSecond; }
 
 /// Differs between the jobs of callers who number them one by one, and between
@@ -76,10 +68,6 @@
   return out;
 }
 
-/// The place of a row in the queue order, and whose work it is.
-using RowKey = std::tuple<std::string, std::string, std::string, int32_t,
-                          scheduling::Lateness, int64_t>;
-
 }  // namespace
 
 void Coordinator::UpdateBacklog() {
@@ -89,29 +77,19 @@
   backlog_read_at_ = now;
   Backlog backlog;
   scheduling::AccountLedger& accounts = scheduler_.pool().accounts();
-  std::map<RowKey, double> rows;
+  BacklogBuilder builder;
   for (const scheduling::WaitingStep& waiting : scheduler_.WaitingSteps()) {
+    builder.Add(waiting);
     const wire::JobSpec& spec = waiting.job->spec();
+    if (backlog.saturated.count(spec.queue.pool) > 0) continue;
     const wire::StepSpec& step = waiting.job->step(waiting.step);
-    rows[{spec.queue.pool, spec.queue.name, spec.account, spec.queue.priority,
-          waiting.lateness, RoundUp(waiting.latest_start_ms)}] +=
-        scheduling::EstimatedWork(step, waiting.tasks);
     const int32_t permitted = accounts.FreeTasks(accounts.IndexOf(spec.account),
                                                  scheduling::TaskCharge(step));
     if (permitted >= (step.gang ? step.tasks : 1)) {
       backlog.saturated.insert(spec.queue.pool);
     }
   }
-  for (const auto& [key, work] : rows) {
-    const auto& [pool, queue, account, priority, lateness, latest] = key;
-    backlog.rows.push_back({.pool = pool,
-                            .queue = queue,
-                            .account = account,
-                            .priority = priority,
-                            .lateness = lateness,
-                            .latest_start_ms = latest,
-                            .work = work});
-  }
+  backlog.rows = builder.Rows();
   for (const auto& [id, submission] : pending_submissions_) {
     if (submission.waiting) backlog.rows.push_back(*submission.waiting);
   }
