Operations: Answer why a job was refused or late while another ran

The line of a refusal for lack of the store or of space in the job table names its cause. `work waits` and `queue refused` are about the account whose own backlog refuses its jobs.

--- a/src/coordinator/admission.h
+++ b/src/coordinator/admission.h
@@ -178,9 +178,12 @@
   /// Returns those that began or ended to be refused since the last call, with
   /// whether they are refused now.
   std::vector<std::pair<RefusedKey, bool>> TakeChanges(TimePoint now);
-  /// Whether jobs of the queue are refused because of the pool's backlog.
-  bool Refuses(const std::string& queue) const {
-    return refusing_.count({queue, ""}) > 0;
+  /// Whether jobs of the queue are refused because of the pool's backlog or,
+  /// with an account, because of that account's.
+  bool Refuses(const std::string& queue,
+               const std::string& account = "") const {
+    return refusing_.count({queue, ""}) > 0 ||
+           refusing_.count({queue, account}) > 0;
   }
 
  private:
--- a/src/coordinator/admitting.cc
+++ b/src/coordinator/admitting.cc
@@ -158,9 +158,12 @@
   for (const auto& [key, refused] : admission_.TakeChanges(now)) {
     const auto& [queue, account] = key;
     const auto newest = newest_jobs_.find(queue);
-    const WaitEstimate wait = newest == newest_jobs_.end()
-                                  ? WaitEstimate{}
-                                  : admission_.EstimateWait(newest->second);
+    WaitEstimate wait;
+    if (newest != newest_jobs_.end()) {
+      NewJob job = newest->second;
+      if (!account.empty()) job.account = account;
+      wait = admission_.EstimateWait(job);
+    }
     double waiting = 0;
     for (const BacklogRow& row : admission_.backlog().rows) {
       const bool own = account.empty() || row.account == account;
@@ -247,7 +250,8 @@
          {"account", pair.second},
          {"waiting_core_s", Text(std::llround(CoreSeconds(amount)))},
          {"expected_wait_ms", Text(wait.count())},
-         {"refused", admission_.Refuses(pair.first) ? "yes" : "no"}});
+         {"refused",
+          admission_.Refuses(pair.first, pair.second) ? "yes" : "no"}});
   }
 }
 
--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -70,6 +70,9 @@
       logging::Event(
           Level::kWarning, "job refused",
           {{"job", JobIdText(id)},
+           {"queue", spec.queue.name},
+           {"cause", store_unavailable ? "the store does not answer"
+                                       : "the job table is full"},
            {"store_stalled_ms", Text(journal_->stalled_for().count())},
            {"jobs", Text(static_cast<int64_t>(scheduler_.job_count()))}});
       CountRefusedJob(store_unavailable ? "store unavailable" : "job table",
--- a/tests/admission_paths_test.cc
+++ b/tests/admission_paths_test.cc
@@ -100,6 +100,39 @@
   cluster.CheckNoViolations();
 }
 
+// Guards against a flood of one account that lets jobs of others be refused.
+BOOST_AUTO_TEST_CASE(FloodOfOneAccountRefusesOnlyItsOwnJobs) {
+  AdmissionCluster cluster;
+  cluster.PublishAccounts({{.name = "flood", .limit = {.millicores = 16000}},
+                           {.name = "other", .limit = {.millicores = 32000}}});
+  cluster.RunFor(Millis(2000));
+  constexpr JobId kOther = 10000;
+  for (JobId i = 1; i <= 240; ++i) {
+    wire::JobSpec job = AdmissionCluster::Job(i);
+    job.account = "flood";
+    cluster.Submit(cluster.names()[i % cluster.names().size()], job);
+    if (i % 10 == 0) {
+      job = AdmissionCluster::Job(kOther + i);
+      job.account = "other";
+      cluster.Submit(cluster.Follower(), job);
+    }
+    cluster.RunFor(Millis(33));
+  }
+  cluster.RunFor(kAnswerTime);
+  int refused = 0;
+  for (JobId i = 1; i <= 240; ++i) {
+    refused += cluster.refused(i) ? 1 : 0;
+    if (i % 10 == 0) BOOST_TEST(cluster.accepted(kOther + i));
+  }
+  BOOST_TEST_MESSAGE("refused " << refused << " of 240 of the flood");
+  BOOST_TEST(refused > 60);
+  BOOST_TEST(
+      cluster.Metrics(cluster.Leader())
+          .find("jobs_refused{queue=\"q\",reason=\"account backlog\"}") !=
+      std::string::npos);
+  cluster.CheckNoViolations();
+}
+
 // Guards against refusals at a load that the pool can serve.
 BOOST_AUTO_TEST_CASE(NothingIsRefusedBelowCapacity) {
   AdmissionCluster cluster;
