--- a/tests/admission_paths_test.cc
+++ b/tests/admission_paths_test.cc
@@ -151,6 +151,49 @@
   BOOST_TEST(metrics.find("expected_wait_ms") == std::string::npos);
 }
 
+// Guards against refusals of jobs that have no deadline.
+BOOST_AUTO_TEST_CASE(JobsWithSetTimesOrLongRunningTasksAreAccepted) {
+  AdmissionCluster cluster;
+  cluster.SubmitForSeconds(8, 30);
+  BOOST_REQUIRE(cluster.CountRefused() > 0);
+  constexpr JobId kExempt = 400000;
+  for (JobId i = 1; i <= 20; ++i) {
+    cluster.SubmitForSeconds(1, 30);
+    wire::JobSpec job = AdmissionCluster::Job(kExempt + i);
+    if (i % 2 == 0) {
+      job.steps[0].long_running = true;
+    } else {
+      job.occurrences = 2;
+      job.interval_ms = 1000;
+      job.first_due_ms = 1;
+    }
+    cluster.Submit(cluster.Follower(), job);
+    cluster.RunFor(Millis(200));
+    BOOST_TEST(cluster.accepted(kExempt + i));
+    if (i % 2 == 0) cluster.Cancel(cluster.Follower(), kExempt + i);
+  }
+  BOOST_TEST(cluster.CountRefused() > 150);
+}
+
+// Guards against a burst that is accepted as a whole, since its jobs are not in
+// the scheduler's queue before they are stored.
+BOOST_AUTO_TEST_CASE(BurstIsRefusedInPartWhileItIsStored) {
+  AdmissionCluster cluster;
+  cluster.SubmitForSeconds(2, 24);
+  cluster.store().faults().append_latency = Millis(300);
+  const JobId before = cluster.last_id();
+  cluster.SubmitForSeconds(1, 200);
+  cluster.store().faults().append_latency = Millis(4);
+  cluster.RunFor(kAnswerTime);
+  int refused = 0;
+  for (JobId id = before + 1; id <= cluster.last_id(); ++id) {
+    refused += cluster.refused(id) ? 1 : 0;
+  }
+  BOOST_TEST_MESSAGE("refused " << refused << " of a burst of 200");
+  BOOST_TEST(refused > 100);
+  cluster.CheckNoViolations();
+}
+
 // Guards against a refused job that runs, or that can't be submitted again.
 BOOST_AUTO_TEST_CASE(RefusedJobNeverStartsAndIsAcceptedLater) {
   AdmissionCluster cluster;
@@ -225,6 +268,21 @@
   cluster.CheckNoViolations();
 }
 
+// Guards against other times of return with the default policy.
+BOOST_AUTO_TEST_CASE(DefaultPolicyLetsAllCallersReturnAfterASecond) {
+  AdmissionCluster cluster(AdmissionPolicy::kCapacity);
+  cluster.store().faults().down = true;
+  cluster.RunFor(Millis(600));
+  cluster.SubmitForSeconds(3, 50);
+  cluster.store().faults().down = false;
+  cluster.RunFor(kAnswerTime);
+  BOOST_TEST(cluster.CountRefused() > 20);
+  for (const CallerCall& call : cluster.calls()) {
+    if (call.verdict != JobVerdict::kRefused) continue;
+    BOOST_TEST(call.retry_after.count() == 1000);
+  }
+}
+
 // Guards against false refusals and lost jobs when the leader is lost during a
 // flood. Its successor knows no rates.
 BOOST_AUTO_TEST_CASE(LeaderLostInAFlood) {
--- a/tests/admission_test.cc
+++ b/tests/admission_test.cc
@@ -98,18 +98,22 @@
  private:
   static constexpr int64_t kStep = 10;
 
+  bool HasFreeCore() const {
+    return static_cast<double>(running_.size()) < kCores;
+  }
   void StartJobs() {
     for (size_t i = 0; i < running_.size();) {
       if (running_[i].first > now_) {
         ++i;
         continue;
       }
-      admission_.rates().NoteFinished("pool", "urgent", running_[i].second,
+      admission_.rates().NoteFinished("pool", "urgent",
+                                      static_cast<double>(running_[i].second),
                                       static_cast<double>(kEstimate.count()));
       running_[i] = running_.back();
       running_.pop_back();
     }
-    while (!waiting_.empty() && running_.size() < kCores) {
+    while (!waiting_.empty() && HasFreeCore()) {
       Replayed& job = jobs_[waiting_.front()];
       waiting_.pop_front();
       job.started = now_;
@@ -128,8 +132,7 @@
                      error_() * static_cast<double>(kEstimate.count()))};
     const size_t index = jobs_.size();
     const auto decision = admission_.Decide(
-        UrgentJob(At(now_)), [this] { return running_.size() < kCores; },
-        At(now_));
+        UrgentJob(At(now_)), [this] { return HasFreeCore(); }, At(now_));
     job.refused = !decision.admit;
     if (job.refused) {
       refused_behind_.emplace_back(index, waiting_.back());
