--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -540,6 +540,9 @@
   out.term = 7;
   out.members.resize(3);
   out.config = "{}";
+  wire::LoadSummary load;
+  load.queues.resize(2);
+  out.__set_load(load);
   return rpc::Encode(out);
 }
 
