--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -55,7 +55,9 @@
       options_(std::move(options)),
       scheduler_(SchedulerOptionsFor(options_)),
       order_budget_(options_.link_kb_per_s),
-      next_fence_(options_.term * fleet::kFenceSpan) {
+      next_fence_(options_.term * fleet::kFenceSpan),
+      admission_(options_.scheduler.queue_order,
+                 options_.scheduler.priority_price) {
   journal_ = std::make_shared<journal::Journal>(
       deps_.executor, deps_.store,
       journal::JournalOptions{
@@ -108,6 +110,7 @@
   ResolveWhenRunningTasksKnown();
   RefuseUnsentJobs();
   DropFinalJobs();
+  UpdateBacklog();
   ReportLoad();
   SchedulePlacement();
   deps_.executor.RunAfter(kTickPeriod, [weak = weak_from_this()] {
@@ -133,6 +136,7 @@
     ReportSpeeds(scheduler_.pool(), scheduler_.speeds_in_use(), now,
                  deps_.metrics);
   }
+  ReportBacklog();
   for (const auto& [step, why] :
        scheduler_.ExplainWaiting(kMaxExplainedSteps, now)) {
     logging::Event(Level::kInfo, "step waits",
--- a/src/coordinator/link_budget.cc
+++ b/src/coordinator/link_budget.cc
@@ -159,7 +159,7 @@
     return std::nullopt;
   }
   ++link_refusals_;
-  deps_.metrics.Count({.name = "jobs_refused", .labels = {{"why", "link"}}});
+  CountRefusedJob("link", spec.queue.name);
   std::vector<logging::Field> fields{
       {"job", JobIdText(static_cast<JobId>(spec.id))},
       {"cause", "its starts would wait too long for the leader's link"},
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -2511,6 +2511,316 @@
 }
 
 
+QueueLoad::~QueueLoad() noexcept {
+}
+
+
+void QueueLoad::__set_queue(const std::string& val) {
+  this->queue = val;
+}
+
+void QueueLoad::__set_expected_wait_ms(const int64_t val) {
+  this->expected_wait_ms = val;
+}
+
+void QueueLoad::__set_refused(const bool val) {
+  this->refused = val;
+}
+
+void QueueLoad::__set_retry_after_ms(const int64_t val) {
+  this->retry_after_ms = val;
+}
+std::ostream& operator<<(std::ostream& out, const QueueLoad& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t QueueLoad::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->queue);
+          this->__isset.queue = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->expected_wait_ms);
+          this->__isset.expected_wait_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->refused);
+          this->__isset.refused = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t QueueLoad::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("QueueLoad");
+
+  xfer += oprot->writeFieldBegin("queue", ::apache::thrift::protocol::T_STRING, 1);
+  xfer += oprot->writeString(this->queue);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("expected_wait_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->expected_wait_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("refused", ::apache::thrift::protocol::T_BOOL, 3);
+  xfer += oprot->writeBool(this->refused);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(QueueLoad &a, QueueLoad &b) {
+  using ::std::swap;
+  swap(a.queue, b.queue);
+  swap(a.expected_wait_ms, b.expected_wait_ms);
+  swap(a.refused, b.refused);
+  swap(a.retry_after_ms, b.retry_after_ms);
+  swap(a.__isset, b.__isset);
+}
+
+QueueLoad::QueueLoad(const QueueLoad& other90) {
+  queue = other90.queue;
+  expected_wait_ms = other90.expected_wait_ms;
+  refused = other90.refused;
+  retry_after_ms = other90.retry_after_ms;
+  __isset = other90.__isset;
+}
+QueueLoad::QueueLoad(QueueLoad&& other91) noexcept {
+  queue = std::move(other91.queue);
+  expected_wait_ms = other91.expected_wait_ms;
+  refused = other91.refused;
+  retry_after_ms = other91.retry_after_ms;
+  __isset = other91.__isset;
+}
+QueueLoad& QueueLoad::operator=(const QueueLoad& other92) {
+  queue = other92.queue;
+  expected_wait_ms = other92.expected_wait_ms;
+  refused = other92.refused;
+  retry_after_ms = other92.retry_after_ms;
+  __isset = other92.__isset;
+  return *this;
+}
+QueueLoad& QueueLoad::operator=(QueueLoad&& other93) noexcept {
+  queue = std::move(other93.queue);
+  expected_wait_ms = other93.expected_wait_ms;
+  refused = other93.refused;
+  retry_after_ms = other93.retry_after_ms;
+  __isset = other93.__isset;
+  return *this;
+}
+void QueueLoad::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "QueueLoad(";
+  out << "queue=" << to_string(queue);
+  out << ", " << "expected_wait_ms=" << to_string(expected_wait_ms);
+  out << ", " << "refused=" << to_string(refused);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
+  out << ")";
+}
+
+
+LoadSummary::~LoadSummary() noexcept {
+}
+
+
+void LoadSummary::__set_age_ms(const int64_t val) {
+  this->age_ms = val;
+}
+
+void LoadSummary::__set_queues(const std::vector<QueueLoad> & val) {
+  this->queues = val;
+}
+std::ostream& operator<<(std::ostream& out, const LoadSummary& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t LoadSummary::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->age_ms);
+          this->__isset.age_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->queues.clear();
+            uint32_t _size94;
+            ::apache::thrift::protocol::TType _etype97;
+            xfer += iprot->readListBegin(_etype97, _size94);
+            this->queues.resize(_size94);
+            uint32_t _i98;
+            for (_i98 = 0; _i98 < _size94; ++_i98)
+            {
+              xfer += this->queues[_i98].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.queues = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t LoadSummary::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("LoadSummary");
+
+  xfer += oprot->writeFieldBegin("age_ms", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->age_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
+    std::vector<QueueLoad> ::const_iterator _iter99;
+    for (_iter99 = this->queues.begin(); _iter99 != this->queues.end(); ++_iter99)
+    {
+      xfer += (*_iter99).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(LoadSummary &a, LoadSummary &b) {
+  using ::std::swap;
+  swap(a.age_ms, b.age_ms);
+  swap(a.queues, b.queues);
+  swap(a.__isset, b.__isset);
+}
+
+LoadSummary::LoadSummary(const LoadSummary& other100) {
+  age_ms = other100.age_ms;
+  queues = other100.queues;
+  __isset = other100.__isset;
+}
+LoadSummary::LoadSummary(LoadSummary&& other101) noexcept {
+  age_ms = other101.age_ms;
+  queues = std::move(other101.queues);
+  __isset = other101.__isset;
+}
+LoadSummary& LoadSummary::operator=(const LoadSummary& other102) {
+  age_ms = other102.age_ms;
+  queues = other102.queues;
+  __isset = other102.__isset;
+  return *this;
+}
+LoadSummary& LoadSummary::operator=(LoadSummary&& other103) noexcept {
+  age_ms = other103.age_ms;
+  queues = std::move(other103.queues);
+  __isset = other103.__isset;
+  return *this;
+}
+void LoadSummary::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "LoadSummary(";
+  out << "age_ms=" << to_string(age_ms);
+  out << ", " << "queues=" << to_string(queues);
+  out << ")";
+}
+
+
 HeartbeatReply::~HeartbeatReply() noexcept {
 }
 
@@ -2567,6 +2877,11 @@
   this->config_age_ms = val;
 __isset.config_age_ms = true;
 }
+
+void HeartbeatReply::__set_load(const LoadSummary& val) {
+  this->load = val;
+__isset.load = true;
+}
 std::ostream& operator<<(std::ostream& out, const HeartbeatReply& obj)
 {
   obj.printTo(out);
@@ -2631,14 +2946,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size90;
-            ::apache::thrift::protocol::TType _etype93;
-            xfer += iprot->readListBegin(_etype93, _size90);
-            this->members.resize(_size90);
-            uint32_t _i94;
-            for (_i94 = 0; _i94 < _size90; ++_i94)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->members.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->members[_i94].read(iprot);
+              xfer += this->members[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2711,6 +3026,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 14:
+        if (ftype == ::apache::thrift::protocol::T_STRUCT) {
+          xfer += this->load.read(iprot);
+          this->__isset.load = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2747,10 +3070,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter95;
-    for (_iter95 = this->members.begin(); _iter95 != this->members.end(); ++_iter95)
+    std::vector<Member> ::const_iterator _iter109;
+    for (_iter109 = this->members.begin(); _iter109 != this->members.end(); ++_iter109)
     {
-      xfer += (*_iter95).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2789,6 +3112,11 @@
     xfer += oprot->writeI64(this->config_age_ms);
     xfer += oprot->writeFieldEnd();
   }
+  if (this->__isset.load) {
+    xfer += oprot->writeFieldBegin("load", ::apache::thrift::protocol::T_STRUCT, 14);
+    xfer += this->load.write(oprot);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2809,73 +3137,78 @@
   swap(a.clock_ms, b.clock_ms);
   swap(a.config_wanted, b.config_wanted);
   swap(a.config_age_ms, b.config_age_ms);
+  swap(a.load, b.load);
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other96) {
-  leading = other96.leading;
-  term = other96.term;
-  leader = other96.leader;
-  store_reachable = other96.store_reachable;
-  members = other96.members;
-  config_version = other96.config_version;
-  config = other96.config;
-  leader_unresponsive_ms = other96.leader_unresponsive_ms;
-  loading = other96.loading;
-  members_known = other96.members_known;
-  clock_ms = other96.clock_ms;
-  config_wanted = other96.config_wanted;
-  config_age_ms = other96.config_age_ms;
-  __isset = other96.__isset;
-}
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other97) noexcept {
-  leading = other97.leading;
-  term = other97.term;
-  leader = std::move(other97.leader);
-  store_reachable = other97.store_reachable;
-  members = std::move(other97.members);
-  config_version = other97.config_version;
-  config = std::move(other97.config);
-  leader_unresponsive_ms = other97.leader_unresponsive_ms;
-  loading = other97.loading;
-  members_known = other97.members_known;
-  clock_ms = other97.clock_ms;
-  config_wanted = other97.config_wanted;
-  config_age_ms = other97.config_age_ms;
-  __isset = other97.__isset;
-}
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other98) {
-  leading = other98.leading;
-  term = other98.term;
-  leader = other98.leader;
-  store_reachable = other98.store_reachable;
-  members = other98.members;
-  config_version = other98.config_version;
-  config = other98.config;
-  leader_unresponsive_ms = other98.leader_unresponsive_ms;
-  loading = other98.loading;
-  members_known = other98.members_known;
-  clock_ms = other98.clock_ms;
-  config_wanted = other98.config_wanted;
-  config_age_ms = other98.config_age_ms;
-  __isset = other98.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other110) {
+  leading = other110.leading;
+  term = other110.term;
+  leader = other110.leader;
+  store_reachable = other110.store_reachable;
+  members = other110.members;
+  config_version = other110.config_version;
+  config = other110.config;
+  leader_unresponsive_ms = other110.leader_unresponsive_ms;
+  loading = other110.loading;
+  members_known = other110.members_known;
+  clock_ms = other110.clock_ms;
+  config_wanted = other110.config_wanted;
+  config_age_ms = other110.config_age_ms;
+  load = other110.load;
+  __isset = other110.__isset;
+}
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other111) noexcept {
+  leading = other111.leading;
+  term = other111.term;
+  leader = std::move(other111.leader);
+  store_reachable = other111.store_reachable;
+  members = std::move(other111.members);
+  config_version = other111.config_version;
+  config = std::move(other111.config);
+  leader_unresponsive_ms = other111.leader_unresponsive_ms;
+  loading = other111.loading;
+  members_known = other111.members_known;
+  clock_ms = other111.clock_ms;
+  config_wanted = other111.config_wanted;
+  config_age_ms = other111.config_age_ms;
+  load = std::move(other111.load);
+  __isset = other111.__isset;
+}
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other112) {
+  leading = other112.leading;
+  term = other112.term;
+  leader = other112.leader;
+  store_reachable = other112.store_reachable;
+  members = other112.members;
+  config_version = other112.config_version;
+  config = other112.config;
+  leader_unresponsive_ms = other112.leader_unresponsive_ms;
+  loading = other112.loading;
+  members_known = other112.members_known;
+  clock_ms = other112.clock_ms;
+  config_wanted = other112.config_wanted;
+  config_age_ms = other112.config_age_ms;
+  load = other112.load;
+  __isset = other112.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other99) noexcept {
-  leading = other99.leading;
-  term = other99.term;
-  leader = std::move(other99.leader);
-  store_reachable = other99.store_reachable;
-  members = std::move(other99.members);
-  config_version = other99.config_version;
-  config = std::move(other99.config);
-  leader_unresponsive_ms = other99.leader_unresponsive_ms;
-  loading = other99.loading;
-  members_known = other99.members_known;
-  clock_ms = other99.clock_ms;
-  config_wanted = other99.config_wanted;
-  config_age_ms = other99.config_age_ms;
-  __isset = other99.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other113) noexcept {
+  leading = other113.leading;
+  term = other113.term;
+  leader = std::move(other113.leader);
+  store_reachable = other113.store_reachable;
+  members = std::move(other113.members);
+  config_version = other113.config_version;
+  config = std::move(other113.config);
+  leader_unresponsive_ms = other113.leader_unresponsive_ms;
+  loading = other113.loading;
+  members_known = other113.members_known;
+  clock_ms = other113.clock_ms;
+  config_wanted = other113.config_wanted;
+  config_age_ms = other113.config_age_ms;
+  load = std::move(other113.load);
+  __isset = other113.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -2894,6 +3227,7 @@
   out << ", " << "clock_ms=" << to_string(clock_ms);
   out << ", " << "config_wanted=" << to_string(config_wanted);
   out << ", " << "config_age_ms="; (__isset.config_age_ms ? (out << to_string(config_age_ms)) : (out << "<null>"));
+  out << ", " << "load="; (__isset.load ? (out << to_string(load)) : (out << "<null>"));
   out << ")";
 }
 
@@ -3111,54 +3445,54 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceCall::AnnounceCall(const AnnounceCall& other100) {
-  term = other100.term;
-  leader = other100.leader;
-  resigned = other100.resigned;
-  loading = other100.loading;
-  stable = other100.stable;
-  unstable_terms = other100.unstable_terms;
-  successor = other100.successor;
-  replaced_alive = other100.replaced_alive;
-  saturated = other100.saturated;
-  __isset = other100.__isset;
+AnnounceCall::AnnounceCall(const AnnounceCall& other114) {
+  term = other114.term;
+  leader = other114.leader;
+  resigned = other114.resigned;
+  loading = other114.loading;
+  stable = other114.stable;
+  unstable_terms = other114.unstable_terms;
+  successor = other114.successor;
+  replaced_alive = other114.replaced_alive;
+  saturated = other114.saturated;
+  __isset = other114.__isset;
 }
-AnnounceCall::AnnounceCall(AnnounceCall&& other101) noexcept {
-  term = other101.term;
-  leader = std::move(other101.leader);
-  resigned = other101.resigned;
-  loading = other101.loading;
-  stable = other101.stable;
-  unstable_terms = other101.unstable_terms;
-  successor = std::move(other101.successor);
-  replaced_alive = other101.replaced_alive;
-  saturated = other101.saturated;
-  __isset = other101.__isset;
+AnnounceCall::AnnounceCall(AnnounceCall&& other115) noexcept {
+  term = other115.term;
+  leader = std::move(other115.leader);
+  resigned = other115.resigned;
+  loading = other115.loading;
+  stable = other115.stable;
+  unstable_terms = other115.unstable_terms;
+  successor = std::move(other115.successor);
+  replaced_alive = other115.replaced_alive;
+  saturated = other115.saturated;
+  __isset = other115.__isset;
 }
-AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other102) {
-  term = other102.term;
-  leader = other102.leader;
-  resigned = other102.resigned;
-  loading = other102.loading;
-  stable = other102.stable;
-  unstable_terms = other102.unstable_terms;
-  successor = other102.successor;
-  replaced_alive = other102.replaced_alive;
-  saturated = other102.saturated;
-  __isset = other102.__isset;
+AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other116) {
+  term = other116.term;
+  leader = other116.leader;
+  resigned = other116.resigned;
+  loading = other116.loading;
+  stable = other116.stable;
+  unstable_terms = other116.unstable_terms;
+  successor = other116.successor;
+  replaced_alive = other116.replaced_alive;
+  saturated = other116.saturated;
+  __isset = other116.__isset;
   return *this;
 }
-AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other103) noexcept {
-  term = other103.term;
-  leader = std::move(other103.leader);
-  resigned = other103.resigned;
-  loading = other103.loading;
-  stable = other103.stable;
-  unstable_terms = other103.unstable_terms;
-  successor = std::move(other103.successor);
-  replaced_alive = other103.replaced_alive;
-  saturated = other103.saturated;
-  __isset = other103.__isset;
+AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other117) noexcept {
+  term = other117.term;
+  leader = std::move(other117.leader);
+  resigned = other117.resigned;
+  loading = other117.loading;
+  stable = other117.stable;
+  unstable_terms = other117.unstable_terms;
+  successor = std::move(other117.successor);
+  replaced_alive = other117.replaced_alive;
+  saturated = other117.saturated;
+  __isset = other117.__isset;
   return *this;
 }
 void AnnounceCall::printTo(std::ostream& out) const {
@@ -3252,22 +3586,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceReply::AnnounceReply(const AnnounceReply& other104) noexcept {
-  term = other104.term;
-  __isset = other104.__isset;
+AnnounceReply::AnnounceReply(const AnnounceReply& other118) noexcept {
+  term = other118.term;
+  __isset = other118.__isset;
 }
-AnnounceReply::AnnounceReply(AnnounceReply&& other105) noexcept {
-  term = other105.term;
-  __isset = other105.__isset;
+AnnounceReply::AnnounceReply(AnnounceReply&& other119) noexcept {
+  term = other119.term;
+  __isset = other119.__isset;
 }
-AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other106) noexcept {
-  term = other106.term;
-  __isset = other106.__isset;
+AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other120) noexcept {
+  term = other120.term;
+  __isset = other120.__isset;
   return *this;
 }
-AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other107) noexcept {
-  term = other107.term;
-  __isset = other107.__isset;
+AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other121) noexcept {
+  term = other121.term;
+  __isset = other121.__isset;
   return *this;
 }
 void AnnounceReply::printTo(std::ostream& out) const {
@@ -3353,22 +3687,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other108) {
-  job = other108.job;
-  __isset = other108.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other122) {
+  job = other122.job;
+  __isset = other122.__isset;
 }
-SubmitJobCall::SubmitJobCall(SubmitJobCall&& other109) noexcept {
-  job = std::move(other109.job);
-  __isset = other109.__isset;
+SubmitJobCall::SubmitJobCall(SubmitJobCall&& other123) noexcept {
+  job = std::move(other123.job);
+  __isset = other123.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other110) {
-  job = other110.job;
-  __isset = other110.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other124) {
+  job = other124.job;
+  __isset = other124.__isset;
   return *this;
 }
-SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other111) noexcept {
-  job = std::move(other111.job);
-  __isset = other111.__isset;
+SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other125) noexcept {
+  job = std::move(other125.job);
+  __isset = other125.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -3488,30 +3822,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other112) noexcept {
-  verdict = other112.verdict;
-  retry_after_ms = other112.retry_after_ms;
-  refuse_for_ms = other112.refuse_for_ms;
-  __isset = other112.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other126) noexcept {
+  verdict = other126.verdict;
+  retry_after_ms = other126.retry_after_ms;
+  refuse_for_ms = other126.refuse_for_ms;
+  __isset = other126.__isset;
 }
-SubmitJobReply::SubmitJobReply(SubmitJobReply&& other113) noexcept {
-  verdict = other113.verdict;
-  retry_after_ms = other113.retry_after_ms;
-  refuse_for_ms = other113.refuse_for_ms;
-  __isset = other113.__isset;
+SubmitJobReply::SubmitJobReply(SubmitJobReply&& other127) noexcept {
+  verdict = other127.verdict;
+  retry_after_ms = other127.retry_after_ms;
+  refuse_for_ms = other127.refuse_for_ms;
+  __isset = other127.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other114) noexcept {
-  verdict = other114.verdict;
-  retry_after_ms = other114.retry_after_ms;
-  refuse_for_ms = other114.refuse_for_ms;
-  __isset = other114.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other128) noexcept {
+  verdict = other128.verdict;
+  retry_after_ms = other128.retry_after_ms;
+  refuse_for_ms = other128.refuse_for_ms;
+  __isset = other128.__isset;
   return *this;
 }
-SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other115) noexcept {
-  verdict = other115.verdict;
-  retry_after_ms = other115.retry_after_ms;
-  refuse_for_ms = other115.refuse_for_ms;
-  __isset = other115.__isset;
+SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other129) noexcept {
+  verdict = other129.verdict;
+  retry_after_ms = other129.retry_after_ms;
+  refuse_for_ms = other129.refuse_for_ms;
+  __isset = other129.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -3618,26 +3952,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other116) {
-  id = other116.id;
-  account = other116.account;
-  __isset = other116.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other130) {
+  id = other130.id;
+  account = other130.account;
+  __isset = other130.__isset;
 }
-JobStateCall::JobStateCall(JobStateCall&& other117) noexcept {
-  id = other117.id;
-  account = std::move(other117.account);
-  __isset = other117.__isset;
+JobStateCall::JobStateCall(JobStateCall&& other131) noexcept {
+  id = other131.id;
+  account = std::move(other131.account);
+  __isset = other131.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other118) {
-  id = other118.id;
-  account = other118.account;
-  __isset = other118.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other132) {
+  id = other132.id;
+  account = other132.account;
+  __isset = other132.__isset;
   return *this;
 }
-JobStateCall& JobStateCall::operator=(JobStateCall&& other119) noexcept {
-  id = other119.id;
-  account = std::move(other119.account);
-  __isset = other119.__isset;
+JobStateCall& JobStateCall::operator=(JobStateCall&& other133) noexcept {
+  id = other133.id;
+  account = std::move(other133.account);
+  __isset = other133.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -3741,26 +4075,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other120) noexcept {
-  verdict = other120.verdict;
-  state = other120.state;
-  __isset = other120.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other134) noexcept {
+  verdict = other134.verdict;
+  state = other134.state;
+  __isset = other134.__isset;
 }
-JobStateReply::JobStateReply(JobStateReply&& other121) noexcept {
-  verdict = other121.verdict;
-  state = other121.state;
-  __isset = other121.__isset;
+JobStateReply::JobStateReply(JobStateReply&& other135) noexcept {
+  verdict = other135.verdict;
+  state = other135.state;
+  __isset = other135.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other122) noexcept {
-  verdict = other122.verdict;
-  state = other122.state;
-  __isset = other122.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other136) noexcept {
+  verdict = other136.verdict;
+  state = other136.state;
+  __isset = other136.__isset;
   return *this;
 }
-JobStateReply& JobStateReply::operator=(JobStateReply&& other123) noexcept {
-  verdict = other123.verdict;
-  state = other123.state;
-  __isset = other123.__isset;
+JobStateReply& JobStateReply::operator=(JobStateReply&& other137) noexcept {
+  verdict = other137.verdict;
+  state = other137.state;
+  __isset = other137.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -3866,26 +4200,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other124) {
-  id = other124.id;
-  account = other124.account;
-  __isset = other124.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other138) {
+  id = other138.id;
+  account = other138.account;
+  __isset = other138.__isset;
 }
-CancelJobCall::CancelJobCall(CancelJobCall&& other125) noexcept {
-  id = other125.id;
-  account = std::move(other125.account);
-  __isset = other125.__isset;
+CancelJobCall::CancelJobCall(CancelJobCall&& other139) noexcept {
+  id = other139.id;
+  account = std::move(other139.account);
+  __isset = other139.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other126) {
-  id = other126.id;
-  account = other126.account;
-  __isset = other126.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other140) {
+  id = other140.id;
+  account = other140.account;
+  __isset = other140.__isset;
   return *this;
 }
-CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other127) noexcept {
-  id = other127.id;
-  account = std::move(other127.account);
-  __isset = other127.__isset;
+CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other141) noexcept {
+  id = other141.id;
+  account = std::move(other141.account);
+  __isset = other141.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -3972,22 +4306,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other128) noexcept {
-  verdict = other128.verdict;
-  __isset = other128.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other142) noexcept {
+  verdict = other142.verdict;
+  __isset = other142.__isset;
 }
-CancelJobReply::CancelJobReply(CancelJobReply&& other129) noexcept {
-  verdict = other129.verdict;
-  __isset = other129.__isset;
+CancelJobReply::CancelJobReply(CancelJobReply&& other143) noexcept {
+  verdict = other143.verdict;
+  __isset = other143.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other130) noexcept {
-  verdict = other130.verdict;
-  __isset = other130.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other144) noexcept {
+  verdict = other144.verdict;
+  __isset = other144.__isset;
   return *this;
 }
-CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other131) noexcept {
-  verdict = other131.verdict;
-  __isset = other131.__isset;
+CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other145) noexcept {
+  verdict = other145.verdict;
+  __isset = other145.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -4073,22 +4407,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other132) {
-  queue = other132.queue;
-  __isset = other132.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other146) {
+  queue = other146.queue;
+  __isset = other146.__isset;
 }
-PendingJobsCall::PendingJobsCall(PendingJobsCall&& other133) noexcept {
-  queue = std::move(other133.queue);
-  __isset = other133.__isset;
+PendingJobsCall::PendingJobsCall(PendingJobsCall&& other147) noexcept {
+  queue = std::move(other147.queue);
+  __isset = other147.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other134) {
-  queue = other134.queue;
-  __isset = other134.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other148) {
+  queue = other148.queue;
+  __isset = other148.__isset;
   return *this;
 }
-PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other135) noexcept {
-  queue = std::move(other135.queue);
-  __isset = other135.__isset;
+PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other149) noexcept {
+  queue = std::move(other149.queue);
+  __isset = other149.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -4191,26 +4525,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other136) noexcept {
-  verdict = other136.verdict;
-  pending = other136.pending;
-  __isset = other136.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other150) noexcept {
+  verdict = other150.verdict;
+  pending = other150.pending;
+  __isset = other150.__isset;
 }
-PendingJobsReply::PendingJobsReply(PendingJobsReply&& other137) noexcept {
-  verdict = other137.verdict;
-  pending = other137.pending;
-  __isset = other137.__isset;
+PendingJobsReply::PendingJobsReply(PendingJobsReply&& other151) noexcept {
+  verdict = other151.verdict;
+  pending = other151.pending;
+  __isset = other151.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other138) noexcept {
-  verdict = other138.verdict;
-  pending = other138.pending;
-  __isset = other138.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other152) noexcept {
+  verdict = other152.verdict;
+  pending = other152.pending;
+  __isset = other152.__isset;
   return *this;
 }
-PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other139) noexcept {
-  verdict = other139.verdict;
-  pending = other139.pending;
-  __isset = other139.__isset;
+PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other153) noexcept {
+  verdict = other153.verdict;
+  pending = other153.pending;
+  __isset = other153.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -4301,14 +4635,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size140;
-            ::apache::thrift::protocol::TType _etype143;
-            xfer += iprot->readListBegin(_etype143, _size140);
-            this->upstreams.resize(_size140);
-            uint32_t _i144;
-            for (_i144 = 0; _i144 < _size140; ++_i144)
+            uint32_t _size154;
+            ::apache::thrift::protocol::TType _etype157;
+            xfer += iprot->readListBegin(_etype157, _size154);
+            this->upstreams.resize(_size154);
+            uint32_t _i158;
+            for (_i158 = 0; _i158 < _size154; ++_i158)
             {
-              xfer += iprot->readString(this->upstreams[_i144]);
+              xfer += iprot->readString(this->upstreams[_i158]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4357,10 +4691,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter145;
-    for (_iter145 = this->upstreams.begin(); _iter145 != this->upstreams.end(); ++_iter145)
+    std::vector<std::string> ::const_iterator _iter159;
+    for (_iter159 = this->upstreams.begin(); _iter159 != this->upstreams.end(); ++_iter159)
     {
-      xfer += oprot->writeString((*_iter145));
+      xfer += oprot->writeString((*_iter159));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4385,38 +4719,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other146) {
-  job = other146.job;
-  occurrence = other146.occurrence;
-  step = other146.step;
-  upstreams = other146.upstreams;
-  timeout_ms = other146.timeout_ms;
-  __isset = other146.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other160) {
+  job = other160.job;
+  occurrence = other160.occurrence;
+  step = other160.step;
+  upstreams = other160.upstreams;
+  timeout_ms = other160.timeout_ms;
+  __isset = other160.__isset;
 }
-AdviseCall::AdviseCall(AdviseCall&& other147) noexcept {
-  job = other147.job;
-  occurrence = other147.occurrence;
-  step = other147.step;
-  upstreams = std::move(other147.upstreams);
-  timeout_ms = other147.timeout_ms;
-  __isset = other147.__isset;
+AdviseCall::AdviseCall(AdviseCall&& other161) noexcept {
+  job = other161.job;
+  occurrence = other161.occurrence;
+  step = other161.step;
+  upstreams = std::move(other161.upstreams);
+  timeout_ms = other161.timeout_ms;
+  __isset = other161.__isset;
 }
-AdviseCall& AdviseCall::operator=(const AdviseCall& other148) {
-  job = other148.job;
-  occurrence = other148.occurrence;
-  step = other148.step;
-  upstreams = other148.upstreams;
-  timeout_ms = other148.timeout_ms;
-  __isset = other148.__isset;
+AdviseCall& AdviseCall::operator=(const AdviseCall& other162) {
+  job = other162.job;
+  occurrence = other162.occurrence;
+  step = other162.step;
+  upstreams = other162.upstreams;
+  timeout_ms = other162.timeout_ms;
+  __isset = other162.__isset;
   return *this;
 }
-AdviseCall& AdviseCall::operator=(AdviseCall&& other149) noexcept {
-  job = other149.job;
-  occurrence = other149.occurrence;
-  step = other149.step;
-  upstreams = std::move(other149.upstreams);
-  timeout_ms = other149.timeout_ms;
-  __isset = other149.__isset;
+AdviseCall& AdviseCall::operator=(AdviseCall&& other163) noexcept {
+  job = other163.job;
+  occurrence = other163.occurrence;
+  step = other163.step;
+  upstreams = std::move(other163.upstreams);
+  timeout_ms = other163.timeout_ms;
+  __isset = other163.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -4523,26 +4857,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other150) {
-  upstream = other150.upstream;
-  ticket = other150.ticket;
-  __isset = other150.__isset;
+Ticket::Ticket(const Ticket& other164) {
+  upstream = other164.upstream;
+  ticket = other164.ticket;
+  __isset = other164.__isset;
 }
-Ticket::Ticket(Ticket&& other151) noexcept {
-  upstream = std::move(other151.upstream);
-  ticket = std::move(other151.ticket);
-  __isset = other151.__isset;
+Ticket::Ticket(Ticket&& other165) noexcept {
+  upstream = std::move(other165.upstream);
+  ticket = std::move(other165.ticket);
+  __isset = other165.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other152) {
-  upstream = other152.upstream;
-  ticket = other152.ticket;
-  __isset = other152.__isset;
+Ticket& Ticket::operator=(const Ticket& other166) {
+  upstream = other166.upstream;
+  ticket = other166.ticket;
+  __isset = other166.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other153) noexcept {
-  upstream = std::move(other153.upstream);
-  ticket = std::move(other153.ticket);
-  __isset = other153.__isset;
+Ticket& Ticket::operator=(Ticket&& other167) noexcept {
+  upstream = std::move(other167.upstream);
+  ticket = std::move(other167.ticket);
+  __isset = other167.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -4609,14 +4943,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->allowed.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size168;
+            ::apache::thrift::protocol::TType _etype171;
+            xfer += iprot->readListBegin(_etype171, _size168);
+            this->allowed.resize(_size168);
+            uint32_t _i172;
+            for (_i172 = 0; _i172 < _size168; ++_i172)
             {
-              xfer += this->allowed[_i158].read(iprot);
+              xfer += this->allowed[_i172].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -4657,10 +4991,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter159;
-    for (_iter159 = this->allowed.begin(); _iter159 != this->allowed.end(); ++_iter159)
+    std::vector<Ticket> ::const_iterator _iter173;
+    for (_iter173 = this->allowed.begin(); _iter173 != this->allowed.end(); ++_iter173)
     {
-      xfer += (*_iter159).write(oprot);
+      xfer += (*_iter173).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -4683,30 +5017,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other160) {
-  verdict = other160.verdict;
-  allowed = other160.allowed;
-  valid_ms = other160.valid_ms;
-  __isset = other160.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other174) {
+  verdict = other174.verdict;
+  allowed = other174.allowed;
+  valid_ms = other174.valid_ms;
+  __isset = other174.__isset;
 }
-AdviseReply::AdviseReply(AdviseReply&& other161) noexcept {
-  verdict = other161.verdict;
-  allowed = std::move(other161.allowed);
-  valid_ms = other161.valid_ms;
-  __isset = other161.__isset;
+AdviseReply::AdviseReply(AdviseReply&& other175) noexcept {
+  verdict = other175.verdict;
+  allowed = std::move(other175.allowed);
+  valid_ms = other175.valid_ms;
+  __isset = other175.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other162) {
-  verdict = other162.verdict;
-  allowed = other162.allowed;
-  valid_ms = other162.valid_ms;
-  __isset = other162.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other176) {
+  verdict = other176.verdict;
+  allowed = other176.allowed;
+  valid_ms = other176.valid_ms;
+  __isset = other176.__isset;
   return *this;
 }
-AdviseReply& AdviseReply::operator=(AdviseReply&& other163) noexcept {
-  verdict = other163.verdict;
-  allowed = std::move(other163.allowed);
-  valid_ms = other163.valid_ms;
-  __isset = other163.__isset;
+AdviseReply& AdviseReply::operator=(AdviseReply&& other177) noexcept {
+  verdict = other177.verdict;
+  allowed = std::move(other177.allowed);
+  valid_ms = other177.valid_ms;
+  __isset = other177.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
@@ -4774,14 +5108,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size164;
-            ::apache::thrift::protocol::TType _etype167;
-            xfer += iprot->readListBegin(_etype167, _size164);
-            this->members.resize(_size164);
-            uint32_t _i168;
-            for (_i168 = 0; _i168 < _size164; ++_i168)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->members.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += iprot->readString(this->members[_i168]);
+              xfer += iprot->readString(this->members[_i182]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4822,10 +5156,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter169;
-    for (_iter169 = this->members.begin(); _iter169 != this->members.end(); ++_iter169)
+    std::vector<std::string> ::const_iterator _iter183;
+    for (_iter183 = this->members.begin(); _iter183 != this->members.end(); ++_iter183)
     {
-      xfer += oprot->writeString((*_iter169));
+      xfer += oprot->writeString((*_iter183));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4848,30 +5182,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuorumRecord::QuorumRecord(const QuorumRecord& other170) {
-  term = other170.term;
-  members = other170.members;
-  max_store_outage_ms = other170.max_store_outage_ms;
-  __isset = other170.__isset;
+QuorumRecord::QuorumRecord(const QuorumRecord& other184) {
+  term = other184.term;
+  members = other184.members;
+  max_store_outage_ms = other184.max_store_outage_ms;
+  __isset = other184.__isset;
 }
-QuorumRecord::QuorumRecord(QuorumRecord&& other171) noexcept {
-  term = other171.term;
-  members = std::move(other171.members);
-  max_store_outage_ms = other171.max_store_outage_ms;
-  __isset = other171.__isset;
+QuorumRecord::QuorumRecord(QuorumRecord&& other185) noexcept {
+  term = other185.term;
+  members = std::move(other185.members);
+  max_store_outage_ms = other185.max_store_outage_ms;
+  __isset = other185.__isset;
 }
-QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other172) {
-  term = other172.term;
-  members = other172.members;
-  max_store_outage_ms = other172.max_store_outage_ms;
-  __isset = other172.__isset;
+QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other186) {
+  term = other186.term;
+  members = other186.members;
+  max_store_outage_ms = other186.max_store_outage_ms;
+  __isset = other186.__isset;
   return *this;
 }
-QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other173) noexcept {
-  term = other173.term;
-  members = std::move(other173.members);
-  max_store_outage_ms = other173.max_store_outage_ms;
-  __isset = other173.__isset;
+QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other187) noexcept {
+  term = other187.term;
+  members = std::move(other187.members);
+  max_store_outage_ms = other187.max_store_outage_ms;
+  __isset = other187.__isset;
   return *this;
 }
 void QuorumRecord::printTo(std::ostream& out) const {
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -109,6 +109,8 @@
     /// Whether this process uses its capacity to the full; see CapacityUse. May
     /// be empty.
     std::function<bool()> saturated;
+    /// As leader: the load, for followers. May be null.
+    std::function<std::optional<wire::LoadSummary>()> load{};
   };
 
   /// All arguments passed by reference outlive this object.
