Scheduling: Order by observed durations instead of callers' estimates

With estimates that are wrong by up to 2.5, a job whose estimate was too short counted as late or worthless early, and waited for all work in time.

TaskDurations fits how much the estimates of a queue say about the durations of its runs (least squares on logarithms); the order uses the objective and the critical path that follow. Exact estimates keep their weight, random ones lose it.

--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -586,6 +586,21 @@
   /// Returns the expected run time of a task of the step at the usual speed;
   /// the caller's estimate unless speeds are in use.
   Millis ExpectedWork(const JobRecord& record, int32_t step) const;
+  /// Whether the durations of runs are observed.
+  bool MeasuresRuns() const;
+  /// Returns the expected run time of a task of the step by the runs of its
+  /// queue.
+  Millis ObservedWork(const JobRecord& record, int32_t step) const;
+  struct StepTimes {
+    /// See Job::Objective() and Job::CriticalPathFrom().
+    Millis objective;
+    Millis path;
+  };
+  /// Returns the job's objective and its critical path from the step. They
+  /// follow from the caller's estimates, which are replaced by what was
+  /// observed, on the assumption that those of all steps are wrong by the same
+  /// factor.
+  StepTimes ObservedTimes(const JobRecord& record, int32_t step) const;
   /// Returns when a run that starts now is expected to end. The same as
   /// ExpectedEnd() unless speeds are in use.
   TimePoint ExpectedEndOn(UpstreamIndex upstream, const JobRecord& record,
--- a/src/scheduling/speeds.cc
+++ b/src/scheduling/speeds.cc
@@ -32,6 +32,12 @@
 /// A task is moved if it then ends in at most this fraction of the time.
 constexpr double kMaxMovedFraction = 0.5;
 
+/// The caller's estimate, or the default if there is none.
+Millis EstimateOf(const wire::StepSpec& step) {
+  return std::chrono::duration_cast<Millis>(
+      ExpectedEnd(step, TimePoint{}).time_since_epoch());
+}
+
 Millis Scaled(Millis span, double factor) {
   return Millis(
       static_cast<int64_t>(static_cast<double>(span.count()) * factor));
@@ -50,7 +56,7 @@
 
 void Scheduler::ObserveEnd(const JobRecord& record, UpstreamIndex upstream,
                            const ports::EndedTask& end, TimePoint now) {
-  if (options_.upstream_speed_spread <= 0) return;
+  if (!MeasuresRuns()) return;
   const wire::StepSpec& step = record.job.step(end.task.step);
   const Task& task = record.job.task(end.task);
   if (end.kind != ports::EndKind::kDone || step.gang || step.long_running ||
@@ -65,14 +71,14 @@
   if (duration <= Millis(0)) return;
   UpstreamSpeeds& speeds = pool_.speeds();
   speeds.NoteCompleted({upstream, end.task, end.attempt}, duration, now);
-  durations_.Observe(record.job.queue().name,
+  durations_.Observe(record.job.queue().name, EstimateOf(step),
                      Scaled(duration, speeds.Factor(upstream)));
 }
 
 void Scheduler::ObserveProgress(const JobRecord& record, UpstreamIndex upstream,
                                 const ports::RunningTask& running,
                                 TimePoint now) {
-  if (options_.upstream_speed_spread <= 0) return;
+  if (!MeasuresRuns()) return;
   const wire::StepSpec& step = record.job.step(running.task.step);
   if (step.long_running || step.filler) return;
   const Task& task = record.job.task(running.task);
@@ -96,16 +102,36 @@
   const auto elapsed = std::chrono::duration_cast<Millis>(now - started_at);
   const Millis duration = elapsed * kDonePercent / running.percent;
   if (duration <= Millis(0)) return;
-  durations_.Observe(record.job.queue().name,
+  durations_.Observe(record.job.queue().name, EstimateOf(step),
                      Scaled(duration, speeds.Factor(upstream)));
 }
 
-Millis Scheduler::ExpectedWork(const JobRecord& record, int32_t step) const {
+bool Scheduler::MeasuresRuns() const {
+  return options_.upstream_speed_spread > 0 ||
+         options_.queue_order == QueueOrder::kDelayCost;
+}
+
+Millis Scheduler::ObservedWork(const JobRecord& record, int32_t step) const {
   const wire::StepSpec& spec = record.job.step(step);
-  const auto estimate = std::chrono::duration_cast<Millis>(
-      ExpectedEnd(spec, TimePoint{}).time_since_epoch());
-  if (!speeds_active_ || spec.long_running) return estimate;
-  return durations_.Expected(record.job.queue().name, estimate);
+  if (spec.long_running) return EstimateOf(spec);
+  return durations_.Expected(record.job.queue().name, EstimateOf(spec));
+}
+
+Millis Scheduler::ExpectedWork(const JobRecord& record, int32_t step) const {
+  if (!speeds_active_) return EstimateOf(record.job.step(step));
+  return ObservedWork(record, step);
+}
+
+Scheduler::StepTimes Scheduler::ObservedTimes(const JobRecord& record,
+                                              int32_t step) const {
+  const Job& job = record.job;
+  const double scale =
+      static_cast<double>(ObservedWork(record, step).count()) /
+      static_cast<double>(
+          std::max(Millis(1), EstimateOf(job.step(step))).count());
+  const Millis target(job.queue().target_ms);
+  return {.objective = Scaled(job.Objective() - target, scale) + target,
+          .path = Scaled(job.CriticalPathFrom(step), scale)};
 }
 
 TimePoint Scheduler::ExpectedEndOn(UpstreamIndex upstream,
@@ -124,18 +150,10 @@
   if (!speeds_active_ || step.long_running || step.filler) return std::nullopt;
   const Job& job = record.job;
   const Millis work = ExpectedWork(record, id.step);
-  const auto estimate = std::chrono::duration_cast<Millis>(
-      ExpectedEnd(step, TimePoint{}).time_since_epoch());
-  // The objective follows from the caller's estimates. They are replaced by
-  // what is expected, on the assumption that the estimates of all steps are
-  // wrong by the same factor.
-  const double scale =
-      static_cast<double>(work.count()) /
-      static_cast<double>(std::max(Millis(1), estimate).count());
-  const Millis target(job.queue().target_ms);
-  const Millis later_steps = job.CriticalPathFrom(id.step) - estimate;
+  const StepTimes times = ObservedTimes(record, id.step);
+  const Millis later_steps = times.path - work;
   const Millis time_left =
-      Scaled(job.Objective() - target - later_steps, scale) + target -
+      times.objective - later_steps -
       std::chrono::duration_cast<Millis>(now - record.accepted_at);
   return SpeedNeeds{.urgent = job.queue().priority == 0,
                     .gang = step.gang,
--- a/src/scheduling/step_queue.cc
+++ b/src/scheduling/step_queue.cc
@@ -41,16 +41,22 @@
       timeliness == Timeliness::kInTime ? 1 : kWorthlessMultiple;
   const int32_t priority = job.queue().priority;
   const bool by_cost = options_.queue_order == QueueOrder::kDelayCost;
-  return {.band = by_cost ? DelayCostBand(priority, timeliness,
-                                          options_.priority_price)
-                          : PriorityBand(priority, timeliness),
-          .latest_start_ms =
-              ToMs(record.accepted_at + objectives * job.Objective() -
-                   job.CriticalPathFrom(id.step)),
-          .id = id,
-          .account = record.account,
-          .priority = priority,
-          .timeliness = timeliness};
+  // A job whose caller's estimate is too short would count as late, and wait
+  // for other work, while it could still be in time.
+  const StepTimes times =
+      by_cost && !job.step(id.step).long_running
+          ? ObservedTimes(record, id.step)
+          : StepTimes{job.Objective(), job.CriticalPathFrom(id.step)};
+  return {
+      .band = by_cost
+                  ? DelayCostBand(priority, timeliness, options_.priority_price)
+                  : PriorityBand(priority, timeliness),
+      .latest_start_ms =
+          ToMs(record.accepted_at + objectives * times.objective - times.path),
+      .id = id,
+      .account = record.account,
+      .priority = priority,
+      .timeliness = timeliness};
 }
 
 void Scheduler::DemoteLateSteps(TimePoint now) {
--- a/tests/upstream_speeds_test.cc
+++ b/tests/upstream_speeds_test.cc
@@ -383,7 +383,7 @@
   for (int i = 0; i < 100; ++i) {
     const double tail = i % 33 == 0 ? 7 : 1;
     durations.Observe(
-        "queue",
+        "queue", wrong,
         Millis(static_cast<int64_t>(1000 * tail * std::exp(noise(random)))));
   }
   const auto expected = durations.Expected("queue", wrong).count();
@@ -392,6 +392,30 @@
   BOOST_TEST(durations.Expected("other", wrong).count() == 2500);
 }
 
+/// Guards against estimates that are ignored although they are right, and
+/// against those that decide although they say nothing.
+BOOST_AUTO_TEST_CASE(EstimatesCountAsFarAsTheyAreRight) {
+  TaskDurations durations;
+  std::mt19937_64 random(1);
+  std::uniform_real_distribution<double> spread(-0.9, 0.9);
+  const auto around_1_s = [&] {
+    return Millis(static_cast<int64_t>(1000 * std::exp(spread(random))));
+  };
+  for (int i = 0; i < 1000; ++i) {
+    const Millis duration = around_1_s();
+    durations.Observe("right", duration, duration);
+    durations.Observe("random", around_1_s(), duration);
+  }
+  const auto expected = [&](const char* queue, int64_t estimate) {
+    return static_cast<double>(
+        durations.Expected(queue, Millis(estimate)).count());
+  };
+  BOOST_TEST(std::abs(expected("right", 400) - 400) <= 40);
+  BOOST_TEST(std::abs(expected("right", 2500) - 2500) <= 250);
+  BOOST_TEST(std::abs(expected("random", 400) - 1000) <= 100);
+  BOOST_TEST(std::abs(expected("random", 2500) - 1000) <= 100);
+}
+
 /// Guards against placements and predictions by outdated speeds: an upstream
 /// slows down by 7.5 for 5 s, and is as fast as before afterwards.
 BOOST_AUTO_TEST_CASE(SlowUpstreamAndItsRecoveryAreNoticedWithinASecond) {
