--- a/src/scheduling/task_durations.cc
+++ b/src/scheduling/task_durations.cc
@@ -23,8 +23,8 @@
 constexpr double kPriorVariance = 0.25;
 
 /// A run counts as at most this much longer or shorter than expected, in
-/// logarithms: a factor of 2.7. Some percent of runs take 7 times as long.
-constexpr double kMaxDeviation = 1;
+/// logarithms: a factor of 2. Some percent of runs take 7 times as long.
+constexpr double kMaxDeviation = 0.7;
 /// Deviations are limited from this many runs on, so that a queue whose
 /// estimates are far off is learned quickly.
 constexpr double kMinRunsToLimit = 10;
