Coordinator: Refuse jobs that would wait for the link until they are late

A longer backlog serves no more jobs. New jobs are now refused while the starts before theirs need more than the job's own slack, 0.25 s to 3 s, and an entry refuses by itself for a quarter of the Retry-After at most.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -93,7 +93,7 @@
     if (const std::optional<Millis> retry = RefuseForLink(spec)) {
       wire::SubmitJobReply reply =
           SubmitReply(JobVerdict::kRefused, retry->count());
-      reply.refuse_for_ms = kEntryRefusal.count();
+      reply.refuse_for_ms = EntryRefusalTime(*retry).count();
       return done(reply);
     }
     if (const auto retry_after = RefuseByDeadline(spec)) {
--- a/src/coordinator/link_budget.cc
+++ b/src/coordinator/link_budget.cc
@@ -152,8 +152,9 @@
   if (!order_budget_.limited()) return std::nullopt;
   const TimePoint now = deps_.executor.Now();
   const int32_t priority = spec.queue.priority;
-  const std::optional<Millis> retry =
-      RetryAfterBacklog(BacklogBefore(priority, now));
+  const Job job(spec);
+  const std::optional<Millis> retry = RetryAfterBacklog(
+      BacklogBefore(priority, now), job.Objective() - job.CriticalPathFrom(0));
   if (!retry) {
     waiting_start_bytes_[priority] += FirstStartBytes(spec);
     return std::nullopt;
--- a/src/coordinator/order_budget.cc
+++ b/src/coordinator/order_budget.cc
@@ -117,11 +117,18 @@
                  backlog.bytes_per_s);
 }
 
-std::optional<Millis> RetryAfterBacklog(const StartBacklog& backlog) {
+std::optional<Millis> RetryAfterBacklog(const StartBacklog& backlog,
+                                        Millis slack) {
   if (backlog.limited_for < kFullLinkDelay) return std::nullopt;
   const Millis needed = TimeToSend(backlog);
-  if (needed <= kMaxStartBacklog) return std::nullopt;
+  if (needed <= std::clamp(slack, kMinStartBacklog, kMaxStartBacklog)) {
+    return std::nullopt;
+  }
   return std::clamp(needed, kMinLinkRetry, kMaxLinkRetry);
 }
 
+Millis EntryRefusalTime(Millis retry_after) {
+  return std::min(kEntryRefusal, retry_after / 4);
+}
+
 }  // namespace mimosarail::coordinator
--- a/src/coordinator/order_budget.h
+++ b/src/coordinator/order_budget.h
@@ -116,17 +116,19 @@
 /// Starts have to wait this long without interruption before the link counts as
 /// full. Shorter waits are bursts, for which no job is refused.
 inline constexpr Millis kFullLinkDelay{500};
-/// New jobs are refused while the starts that go before theirs need more than
-/// this time on the link. An urgent job that waits longer is late, and callers
+/// New jobs are refused while the starts that go before theirs need more time
+/// on the link than the job can wait and still be in time, within these bounds.
+/// A longer backlog serves no more jobs, but makes all of them late; callers
 /// whose jobs are refused at once can still be served by a retry.
+inline constexpr Millis kMinStartBacklog{250};
 inline constexpr Millis kMaxStartBacklog{3000};
 /// Bounds of the time after which a caller retries a job that was refused.
 inline constexpr Millis kMinLinkRetry{1000};
 inline constexpr Millis kMaxLinkRetry{30000};
 
 /// How long an entry whose job was refused refuses further ones itself that are
-/// not more urgent. Shorter than kMaxStartBacklog, so that the link is not idle
-/// before the entry asks again.
+/// not more urgent, at most. Shorter than the backlog, so that the link is not
+/// idle before the entry asks again.
 inline constexpr Millis kEntryRefusal{1000};
 
 /// What a new job would have to wait for.
@@ -143,9 +145,14 @@
 /// Returns the time that the link needs for the backlog. Thread-safe.
 Millis TimeToSend(const StartBacklog& backlog);
 
-/// Returns nothing if a new job may be accepted. Otherwise returns the time
-/// after which its caller should retry: when the link has worked off the
-/// backlog. Thread-safe.
-std::optional<Millis> RetryAfterBacklog(const StartBacklog& backlog);
+/// Returns nothing if a new job may be accepted that would be in time after
+/// waiting for `slack`. Otherwise returns the time after which its caller
+/// should retry: when the link has worked off the backlog. Thread-safe.
+std::optional<Millis> RetryAfterBacklog(const StartBacklog& backlog,
+                                        Millis slack = kMaxStartBacklog);
+
+/// Returns how long an entry may refuse jobs itself after such a refusal.
+/// Thread-safe.
+Millis EntryRefusalTime(Millis retry_after);
 
 }  // namespace mimosarail::coordinator
--- a/tests/order_budget_test.cc
+++ b/tests/order_budget_test.cc
@@ -276,6 +276,21 @@
                   .has_value());
 }
 
+/// Guards against a backlog in which every urgent job is late.
+BOOST_AUTO_TEST_CASE(JobsThatWouldBeLateAreRefused) {
+  const StartBacklog backlog{.limited_for = Millis(2000),
+                             .waiting_bytes = 100000,
+                             .bytes_per_s = 100000};
+  BOOST_TEST(RetryAfterBacklog(backlog, Millis(700)).has_value());
+  BOOST_TEST(!RetryAfterBacklog(backlog, Millis(1100)).has_value());
+  BOOST_TEST(!RetryAfterBacklog(backlog, Millis(60000)).has_value());
+  // A job without any slack is accepted while little waits.
+  const StartBacklog small{.limited_for = Millis(2000),
+                           .waiting_bytes = 20000,
+                           .bytes_per_s = 100000};
+  BOOST_TEST(!RetryAfterBacklog(small, Millis(0)).has_value());
+}
+
 /// Guards against entries that refuse urgent jobs because of others, or refuse
 /// long after the leader's link is free again.
 BOOST_AUTO_TEST_CASE(EntriesRefuseOnlyLessUrgentJobsAndBriefly) {
