Tool: Add config check

Checks a configuration document and compares it with the one in force. Reading an input file moves into a file of its own, since two commands need it.

--- a/src/tool/commands.cc
+++ b/src/tool/commands.cc
@@ -1,17 +1,16 @@
 #include "src/tool/commands.h"
 
 #include <cstdio>
-#include <fstream>
 #include <functional>
-#include <iostream>
 #include <map>
 #include <optional>
-#include <sstream>
 
 #include "src/callers/request_json.h"
 #include "src/configlog/config_replica.h"
 #include "src/rules/rule_set.h"
 #include "src/tool/api_client.h"
+#include "src/tool/config_commands.h"
+#include "src/tool/input_file.h"
 #include "src/tool/job_commands.h"
 #include "src/tool/table.h"
 
@@ -27,21 +26,6 @@
 
 using Args = std::vector<std::string>;
 
-std::optional<std::string> ReadFile(const std::string& path) {
-  std::ostringstream text;
-  if (path == "-") {
-    text << std::cin.rdbuf();
-    return text.str();
-  }
-  const std::ifstream file(path);
-  if (!file) {
-    std::fprintf(stderr, "mimosarail: cannot read %s\n", path.c_str());
-    return std::nullopt;
-  }
-  text << file.rdbuf();
-  return text.str();
-}
-
 ExitCode UsageError(const std::string& message) {
   std::fprintf(stderr, "mimosarail: %s; see mimosarail --help\n",
                message.c_str());
@@ -112,7 +96,7 @@
 
 /// Prints, for each request in `file`, the rule that it matches.
 ExitCode ExplainRequests(const rules::RuleSet& rules, const std::string& file) {
-  const auto text = ReadFile(file);
+  const auto text = ReadInputFile(file);
   if (!text) return ExitCode::kUsage;
   Findings findings;
   const auto parsed = json::ParseText(*text, findings);
@@ -146,7 +130,7 @@
 
 ExitCode RulesCheck(const Args& args, const Options& options) {
   if (args.size() < 3) return UsageError("rules check needs a file");
-  const auto text = ReadFile(args[2]);
+  const auto text = ReadInputFile(args[2]);
   if (!text) return ExitCode::kUsage;
   Findings findings;
   const auto rules = rules::RuleSet::Parse(*text, findings);
@@ -174,7 +158,7 @@
 ExitCode RulesPublish(const Args& args, const Options& options) {
   if (args.size() < 3) return UsageError("rules publish needs a file");
   if (options.author.empty()) return UsageError("rules publish needs --author");
-  const auto text = ReadFile(args[2]);
+  const auto text = ReadInputFile(args[2]);
   if (!text) return ExitCode::kUsage;
   if (options.base < 0) {
     return UsageError(
@@ -204,7 +188,7 @@
 
 ExitCode RulesDiff(const Args& args, const Options& options) {
   if (args.size() < 3) return UsageError("rules diff needs a file");
-  const auto text = ReadFile(args[2]);
+  const auto text = ReadInputFile(args[2]);
   if (!text) return ExitCode::kUsage;
   const auto rules = FetchRules(options);
   if (!rules) return ExitCode::kUnreachable;
@@ -235,7 +219,7 @@
 
 ExitCode Submit(const Args& args, const Options& options) {
   if (args.size() < 2) return UsageError("submit needs a file, or -");
-  const auto text = ReadFile(args[1]);
+  const auto text = ReadInputFile(args[1]);
   if (!text) return ExitCode::kUsage;
   Findings findings;
   if (!callers::ParseRequest(*text, findings)) {
@@ -375,7 +359,14 @@
          "Jobs on the users' platform (--peer IP:PORT names any entry):\n"
          "  job leader\n"
          "  job submit FILE|-\n"
-         "  job state ID | job cancel ID | job pending QUEUE\n\n"
+         "  job state ID | job cancel ID | job pending QUEUE\n"
+         "Configuration of the users' platform (calls no entry):\n"
+         "  config check FILE|- [--against FILE]    check a configuration "
+         "document; show\n"
+         "                                          what differs from the one "
+         "in force\n"
+         "    example: mimosarail config check new.json --against current.json"
+         "\n\n"
          "Exit codes: 0 done, 1 refused or not run, 2 wrong usage, 3 no "
          "answer, 4 outcome unknown, 5 not ended yet.";
 }
@@ -397,6 +388,10 @@
       {"queue", without_args(Queue)},
       {"audit", without_args(Audit)},
       {"cost", without_args(Cost)},
+      {"config",
+       [](const Args& all, const Options& o) {
+         return RunConfig(Args(all.begin() + 1, all.end()), o);
+       }},
       {"job",
        [](const Args& all, const Options& o) {
          return RunJob(Args(all.begin() + 1, all.end()), o);
--- a/src/tool/commands.h
+++ b/src/tool/commands.h
@@ -22,6 +22,7 @@
   std::string author;
   int64_t base = -1;
   int64_t wait_ms = 0;
+  /// A file of requests for `rules check`, of a document for `config check`.
   std::string against;
   std::string team;
   std::string work;
--- a/src/tool/main.cc
+++ b/src/tool/main.cc
@@ -3,12 +3,14 @@
 #include "src/tool/commands.h"
 
 DEFINE_string(server, "127.0.0.1:8080", "ip:port of an entry instance's HTTP");
-DEFINE_bool(json, false, "print JSON as the instance sent it");
+DEFINE_bool(json, false, "print JSON, for replies as the instance sent it");
 DEFINE_string(author, "", "who publishes, for the audit trail");
 DEFINE_int64(base, -1, "revision that the published rules were edited from");
 DEFINE_int64(wait_ms, 0, "how long to wait for the outcome");
-DEFINE_string(against, "",
-              "file with an array of requests to try the rules on");
+DEFINE_string(
+    against, "",
+    "rules: file with an array of requests to try the rules on; config: "
+    "document in force");
 DEFINE_string(team, "", "cancel: requests of this team");
 DEFINE_string(work, "", "cancel: requests of this kind of work");
 DEFINE_string(compare, "", "cost: two revisions to compare, such as 3,4");
