--- a/tests/fuzz_test.cc
+++ b/tests/fuzz_test.cc
@@ -17,10 +17,13 @@
 #include "frame_types.h"
 #include "jobs_types.h"
 #include "platform/authorization.h"
+#include "platform/config_format.h"
 #include "platform/job_codec.h"
 #include "platform/json_reader.h"
 #include "platform/store_codec.h"
 #include "platform/upstream_codec.h"
+#include "src/configcheck/config_check.h"
+#include "src/configcheck/config_difference.h"
 #include "src/jobentry/access_table.h"
 #include "src/jobs/job.h"
 #include "src/jobs/job_state.h"
@@ -301,9 +304,37 @@
   BOOST_TEST((bytes.find_first_of("\r\n") == std::string::npos));
 }
 
+/// The check of a configuration must end normally for all that decodes, and a
+/// configuration must not differ from itself.
+void CheckFindings(const ports::CellConfig& config) {
+  const platform::ConfigFormat format;
+  for (const auto& finding : configcheck::CheckConfig(config, format)) {
+    BOOST_TEST(!finding.place.empty());
+    BOOST_TEST(!finding.reason.empty());
+  }
+  const auto differences = configcheck::CompareConfigs(config, config, format);
+  BOOST_TEST(differences.size() == 1U);
+  BOOST_TEST(!configcheck::HasErrors(differences));
+  ports::CellConfig next = config;
+  next.version += 1;
+  next.queues.clear();
+  next.accounts.reset();
+  for (const auto& finding :
+       configcheck::CompareConfigs(next, config, format)) {
+    BOOST_TEST(!finding.reason.empty());
+  }
+}
+
 void CheckConfig(const std::string& bytes) {
   const auto config = platform::DecodeConfig(bytes);
+  Findings decode_findings;
+  const auto partial = platform::DecodeConfig(bytes, decode_findings);
+  BOOST_TEST(config.ok() == (partial.ok() && decode_findings.empty()));
+  if (partial.ok()) {
+    configcheck::CheckKeyOwners(partial.value(), platform::ConfigFormat());
+  }
   if (!config.ok()) return;
+  CheckFindings(config.value());
   BOOST_TEST(config.value().version >= 1);
   for (const ports::QueueConfig& queue : config.value().queues) {
     BOOST_TEST(!queue.host.empty());
@@ -586,6 +617,17 @@
       "maxCount":{"cpu":4346304,"memMb":12494416,"gpu":1}},
       {"name":"b","apiKeys":["k3"],"weight":1}],
       "limits":{"maxBodyBytes":9}})";
+  // Accounts without keys, limits or weights, keys that no call can carry, and
+  // queues of one host and prefix.
+  static const std::string kOddConfig =
+      R"({"version":9,"routes":[{"name":"r","host":"h","prefix":"/p/",
+      "service":"s","slackFactor":0},{"name":"r","host":"h","prefix":"/p/",
+      "service":"s","slackFactor":0.5,"advisor":{"decideMs":80,"periodMs":9,
+      "validMs":70}},{"name":"q","host":" H","prefix":"p?","service":"t"}],
+      "tenants":[{"name":"a","apiKeys":[],"weight":3},{"name":"k 1",
+      "apiKeys":["k 1","k 1"],"maxCount":{"cpu":1,"memMb":0}},{"name":"c",
+      "apiKeys":["k2"],"weight":0,"maxCount":{"cpu":1,"memMb":9007199254740991}}
+      ]})";
   static const std::string kJob =
       R"({"spec":"text","steps":[{"count":4,"cpu":500,"memMb":256,"estMs":900,
       "dataRack":"r1-3"},{"count":20,"cpu":2000,"memMb":1024,"estMs":7000,
@@ -624,7 +666,7 @@
   static const std::vector<Target> kTargets{
       {"upstream entry", {kUpstream}, true, CheckUpstream},
       {"upstream id", {"i-7f3a91c2"}, false, CheckUpstreamId},
-      {"configuration", {kConfig}, true, CheckConfig},
+      {"configuration", {kConfig, kOddConfig}, true, CheckConfig},
       {"authorization",
        {"Token gkcuyj8pjbvk9m68k7b2", "token  k", "Bearer k"},
        false,
