--- a/src/libs/base/digest.cc
+++ b/src/libs/base/digest.cc
@@ -28,9 +28,9 @@
   const char* data = bytes.data();
   if (data == nullptr) data = "";
   std::array<char, 9> text{};
-  std::snprintf(text.data(), text.size(), "%08" PRIx64,
-                static_cast<uint64_t>(XXH64(data, bytes.size(), 0)) >>
-                    kDroppedBits);
+  std::snprintf(
+      text.data(), text.size(), "%08" PRIx64,
+      static_cast<uint64_t>(XXH64(data, bytes.size(), 0)) >> kDroppedBits);
   return text.data();
 }
 
