--- a/src/coordinator/backlog_builder.h
+++ b/src/coordinator/backlog_builder.h
@@ -20,7 +20,7 @@
   std::vector<BacklogRow> Rows() const;
 
  private:
-  /// Numbers names, since comparing them took most of the time.
+  /// Numbers names, since comparing numbers is cheaper.
   class Names {
    public:
     int32_t IndexOf(const std::string& name);
--- a/src/coordinator/order_budget.h
+++ b/src/coordinator/order_budget.h
@@ -26,9 +26,8 @@
 /// to callers. On a link of 2 Mbit/s with 21 entries and 148 upstreams, these
 /// took a fifth of the link; another fifth keeps their delay short.
 inline constexpr double kOrderShare = 0.6;
-/// Bounds of that fraction once the rate of the other messages is known. With
-/// 0.8, a link that carries half of what its load needs lost its leader ten
-/// times in a minute (link_load_test), with 0.75 never.
+/// Bounds of that fraction once the rate of the other messages is known. A
+/// higher one delays heartbeats on a full link until the leader is suspected.
 inline constexpr double kMinOrderShare = 0.5;
 inline constexpr double kMaxOrderShare = 0.75;
 /// How much of the link is left free, as a multiple of the estimated rate of
--- a/src/coordinator/work_rates.cc
+++ b/src/coordinator/work_rates.cc
@@ -23,8 +23,9 @@
 /// follows changes within some hundred runs.
 constexpr int64_t kMaxRuns = 400;
 /// Margin of a measured ratio: more than twice the standard deviation of its
-/// error and that of the waiting work together. With 1.5, urgent jobs at twice
-/// the capacity were not refused, since their backlog stays below it.
+/// error and that of the waiting work together. A larger one
+/// would refuse no urgent jobs at twice the capacity, since their backlog stays
+/// below it.
 constexpr double kMeasuredMargin = 1.25;
 
 double ToMs(Clock::duration span) {
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -11,8 +11,8 @@
 #include "src/cellconfig/cell_config_watcher.h"
 #include "src/coordinator/coordinator.h"
 #include "src/jobentry/job_service.h"
+#include "src/jobentry/leader_load.h"
 #include "src/jobentry/link_refusals.h"
-#include "src/jobentry/load_picture.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
 
@@ -195,7 +195,7 @@
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
   LinkRefusals link_refusals_;
-  LoadPicture load_;
+  LeaderLoad load_;
   /// Calls refused here without an answer from the leader.
   uint64_t unanswered_refusals_ = 0;
   std::unordered_map<JobId, FinalState> final_states_;
--- a/src/jobentry/load_picture.h
+++ b/src/jobentry/leader_load.h
@@ -14,9 +14,9 @@
 /// heartbeats. Used for Retry-After and metrics only, never to refuse a job:
 /// an entry does not know which ids the leader has accepted through other
 /// entries. Not thread-safe.
-class LoadPicture {
+class LeaderLoad {
  public:
-  /// A picture older than this is not used. Five heartbeats.
+  /// An older summary is not used. Five heartbeats.
   static constexpr Millis kMaxAge{1000};
   /// Rows beyond this are ignored.
   static constexpr size_t kMaxQueues = 64;
@@ -24,14 +24,14 @@
   /// Takes over the summary of a leader of this term. The heartbeat was sent at
   /// `sent`. All times are of a clock that counts suspensions of the machine.
   void Update(const wire::LoadSummary& summary, int64_t term, TimePoint sent);
-  /// Forgets the picture, which may be from before a pause of this process.
+  /// Forgets the summary, which may be from before a pause of this process.
   void Clear() { queues_.clear(); }
 
   /// The load of a queue; nullopt unless it is known from the leader of `term`
   /// and not too old.
   std::optional<wire::QueueLoad> Find(const std::string& queue, int64_t term,
                                       TimePoint now) const;
-  /// The queues of the newest picture, whatever its age.
+  /// The queues of the newest summary, whatever its age.
   const std::map<std::string, wire::QueueLoad>& queues() const {
     return queues_;
   }
--- a/src/leadership/hand_over.h
+++ b/src/leadership/hand_over.h
@@ -30,8 +30,8 @@
   /// Whether the entry was named within kRetryAfter.
   bool NamedRecently(const std::string& name, TimePoint now) const;
 
-  /// How long an entry is not named again. Longer than the outages of the store
-  /// on the users' days (9 s), in which it can't claim.
+  /// How long an entry is not named again. An entry that the store turns away
+  /// can't claim, and an outage lasts up to 9 s.
   static constexpr Millis kRetryAfter{10000};
 
  private:
--- a/src/scheduling/step_queue.cc
+++ b/src/scheduling/step_queue.cc
@@ -81,14 +81,12 @@
     // Under overload, starting the steps nearest to their objective first would
     // make all of them slightly late. Therefore a step that can no longer be in
     // time goes after all steps of its priority that can. Late steps are
-    // ordered by the latest start with which they still have a value. In a
-    // simulation of 70 upstreams at slightly more load than all cores can take
-    // (scheduling_load_test), 54 % instead of 19 % of render jobs begin in
-    // time. Urgent steps are not moved when they become late, only when they
-    // become worthless. Urgent jobs are small: a backlog of them that built up
-    // without a leader is worked off within a second, the oldest first, so that
-    // none is served too late to have any value.
-    // With QueueOrder::kDelayCost, late urgent steps go after those in time.
+    // ordered by the latest start with which they still have a value. Urgent
+    // steps are not moved when they become late, only when they become
+    // worthless. Urgent jobs are small: a backlog of them that built up without
+    // a leader is worked off within a second, the oldest first, so that none is
+    // served too late to have any value. With QueueOrder::kDelayCost, late
+    // urgent steps go after those in time.
     const bool urgent = key.priority == 0;
     QueueKey next = KeyOf(record, key.id, Timeliness::kLate);
     if (key.timeliness == Timeliness::kLate ||
--- a/tests/admission_paths_test.cc
+++ b/tests/admission_paths_test.cc
@@ -7,7 +7,7 @@
 #include <string>
 
 #include "src/coordinator/job_table.h"
-#include "src/jobentry/load_picture.h"
+#include "src/jobentry/leader_load.h"
 #include "src/libs/rpc/codec.h"
 #include "tests/jobsim/job_cluster.h"
 #include "tests/jobsim/log_fixture.h"
@@ -324,7 +324,7 @@
 }
 
 // Guards against an entry that does not learn the leader's load, or keeps an
-// old picture when it is cut off.
+// old summary when it is cut off.
 BOOST_AUTO_TEST_CASE(EntryCutOffFromTheLeaderStillAnswers) {
   AdmissionCluster cluster;
   cluster.SubmitForSeconds(8, 30);
@@ -360,38 +360,38 @@
   return out;
 }
 
-// Guards against a picture that is used for longer than 1 s, or although it is
+// Guards against a summary that is used for longer than 1 s, or although it is
 // of an earlier leader.
 BOOST_AUTO_TEST_CASE(IsUsedOnlyWhileFreshAndOfTheCurrentTerm) {
   const TimePoint sent = TimePoint{} + Millis(100000);
-  jobentry::LoadPicture picture;
-  BOOST_TEST(!picture.Find("q", 3, sent));
-  picture.Update(Summary(100), 3, sent);
-  BOOST_TEST(picture.Find("q", 3, sent + Millis(899)).has_value());
-  BOOST_TEST(!picture.Find("q", 3, sent + Millis(900)));
-  BOOST_TEST(!picture.Find("q", 4, sent));
-  BOOST_TEST(!picture.Find("other", 3, sent));
+  jobentry::LeaderLoad load;
+  BOOST_TEST(!load.Find("q", 3, sent));
+  load.Update(Summary(100), 3, sent);
+  BOOST_TEST(load.Find("q", 3, sent + Millis(899)).has_value());
+  BOOST_TEST(!load.Find("q", 3, sent + Millis(900)));
+  BOOST_TEST(!load.Find("q", 4, sent));
+  BOOST_TEST(!load.Find("other", 3, sent));
   // A reply that was overtaken, of this leader or an earlier one.
-  picture.Update(Summary(0, 1), 3, sent - Millis(200));
-  picture.Update(Summary(0, 1), 2, sent + Millis(200));
-  BOOST_TEST(picture.Find("q", 3, sent)->retry_after_ms == 5000);
-  picture.Clear();
-  BOOST_TEST(!picture.Find("q", 3, sent));
+  load.Update(Summary(0, 1), 3, sent - Millis(200));
+  load.Update(Summary(0, 1), 2, sent + Millis(200));
+  BOOST_TEST(load.Find("q", 3, sent)->retry_after_ms == 5000);
+  load.Clear();
+  BOOST_TEST(!load.Find("q", 3, sent));
 }
 
 // Guards against a peer that sends an unbounded summary, or an age that would
 // make an old one look new.
 BOOST_AUTO_TEST_CASE(BoundsWhatAPeerSends) {
   const TimePoint sent = TimePoint{} + Millis(100000);
-  jobentry::LoadPicture picture;
+  jobentry::LeaderLoad load;
   wire::LoadSummary large = Summary(-1000000);
   for (int i = 0; i < 1000; ++i) {
     large.queues.push_back(large.queues.front());
     large.queues.back().queue = "q" + std::to_string(i);
   }
-  picture.Update(large, 3, sent);
-  BOOST_TEST(picture.queues().size() == jobentry::LoadPicture::kMaxQueues);
-  BOOST_TEST(!picture.Find("q", 3, sent + Millis(1000)));
+  load.Update(large, 3, sent);
+  BOOST_TEST(load.queues().size() == jobentry::LeaderLoad::kMaxQueues);
+  BOOST_TEST(!load.Find("q", 3, sent + Millis(1000)));
 }
 
 // Guards against fields of the heartbeat reply that the codec does not carry,
