--- a/tests/soak/entries.cc
+++ b/tests/soak/entries.cc
@@ -49,11 +49,17 @@
 }
 
 Entry::Entry(EntryOptions options) : options_(std::move(options)) {
-  const Json settings{
+  Json settings{
       {"name", options_.name},           {"failure_domain", "zone-a"},
       {"front_address", options_.front}, {"ready_address", FreeAddress()},
       {"peer_address", options_.peer},   {"store_address", options_.store},
       {"seeds", options_.seeds}};
+  if (options_.overload_settings) {
+    settings.update({{"queue_order", "delay_cost"},
+                     {"admission", "deadline"},
+                     {"upstream_speed_spread", 2},
+                     {"link_mbps", 100}});
+  }
   std::ofstream(Path(".json")) << settings.dump(2) << "\n";
 }
 
--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -23,6 +23,9 @@
   std::string peer;
   std::string store;
   std::vector<std::string> seeds;
+  /// Turns on what is off by default: the order by cost of delay, admission by
+  /// deadline, speeds of upstreams, and the rate of the link.
+  bool overload_settings = false;
 };
 
 /// "ip:port" that is reserved for this process and its children.
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -126,7 +126,8 @@
                        .front = FreeAddress(),
                        .peer = peer,
                        .store = store_address_,
-                       .seeds = seeds}));
+                       .seeds = seeds,
+                       .overload_settings = FLAGS_seed % 2 == 1}));
       entries_.back()->Start();
     }
   }
