--- a/src/leadership/slow_leader.cc
+++ b/src/leadership/slow_leader.cc
@@ -25,9 +25,10 @@
 // followers asked is required. The claim is fenced like any other.
 //
 // A leader whose link or processor is full answers as late. An equal entry
-// would do no better, and each takeover loads all jobs over that link again: on
-// links of 2 Mbit/s, eight terms a minute served nobody. Such a leader uses the
-// capacity that its settings state; a machine that has become slow uses less.
+// would do no better, and each takeover loads all jobs over that link again,
+// so that takeovers follow each other and no caller is served. Such a leader
+// uses the capacity that its settings state; a machine that has become slow
+// uses less.
 bool Leadership::LeaderIsSlow(
     const std::optional<wire::AnnounceCall>& record) const {
   const TimePoint now = executor_.Now();
--- a/src/scheduling/room_table.h
+++ b/src/scheduling/room_table.h
@@ -8,9 +8,9 @@
 
 namespace mimosarail::scheduling {
 
-/// The free capacity of the upstreams that may take tasks, in one array: the
-/// check whether a waiting step has room anywhere costs less than 1 us, where
-/// a full search for candidates costs more than 10 us. Not thread-safe.
+/// The free capacity of the upstreams that may take tasks, in one array: it
+/// shows whether a waiting step fits anywhere without a full search for
+/// candidates. Not thread-safe.
 class RoomTable {
  public:
   struct Row {
