--- a/review/standins/cell.py
+++ b/review/standins/cell.py
@@ -7,6 +7,7 @@
 import asyncio
 import json
 import os
+import random
 import re
 import shutil
 import signal
@@ -33,10 +34,20 @@
     pass
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(taken=set()):
+    """Returns a free port below those that the system gives to outgoing connections,
+    which could otherwise take it before the entry listens."""
+    while True:
+        port = random.randrange(10000, 30000)
+        if port in taken:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken.add(port)
+        return port
 
 
 def lookup(fields, path):
@@ -121,13 +132,14 @@
 class Cell:
     """Entries, a store, workers and a client. `record` writes to record.txt."""
 
-    def __init__(self, case_folder, entries=7, workers=8, cores=16):
+    def __init__(self, case_folder, entries=7, workers=8, cores=16, of_kind_b=0):
         self.file = open(os.path.join(case_folder, "record.txt"), "w", encoding="utf-8",
                          buffering=1)
         self.began = time.monotonic()
         self.entry_count = entries
         self.worker_count = workers
         self.cores = cores
+        self.of_kind_b = of_kind_b  # so many workers, the last ones, have this label
         self.entries = []
         self.workers = []
         self.tries = {}
@@ -170,8 +182,9 @@
     async def new_worker(self, slot, port=0):
         """Starts a new life of a worker in this slot, with a new id."""
         self.lives += 1
+        kind = "b" if slot >= self.worker_count - self.of_kind_b else "a"
         worker = Worker("i-%06x" % (0xa000 + self.lives), self.store, self.record, self.tries,
-                        self.starts, rack="r%d" % (slot // 4), cores=self.cores)
+                        self.starts, rack="r%d" % (slot // 4), cores=self.cores, kind=kind)
         await worker.start(port)
         return worker
 
@@ -248,14 +261,17 @@
         return sorted((task, worker.id) for worker in self.workers if worker.alive
                       for task in worker.running if task.startswith(job + "."))
 
-    def free_workers(self, cores_of, needed):
-        """Returns the workers with `needed` cores free, and the share of all cores
-        in use. `cores_of` names the cores that a task of each job takes."""
+    def free_workers(self, cores_of, needed, kind=None):
+        """Returns the workers, of this kind if one is named, with `needed` cores free,
+        and the share of all cores in use. `cores_of` names the cores that a task of
+        each job takes."""
         free = []
         used_by_all = 0
         for worker in self.workers:
             used = sum(cores_of.get(task.split(".")[0], 0) for task in worker.running)
             used_by_all += used
+            if kind is not None and worker.kind != kind:
+                continue
             if worker.alive and worker.cores - used >= needed:
                 free.append(worker.id)
         return free, used_by_all / sum(worker.cores for worker in self.workers)
@@ -305,6 +321,8 @@
     signal.signal(signal.SIGTERM, interrupted)
 
     async def main():
+        # Connections that are open at the end are of no interest.
+        asyncio.get_running_loop().set_exception_handler(lambda loop, context: None)
         cell = Cell(case_folder, **options)
         try:
             cell.record("TROUBLE=%d" % trouble)
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -164,7 +164,10 @@
             return self._answer(409, reason="old")
         if present is not None:
             return self._answer(409, reason="room")
-        plan = json.loads(body.get("spec", "{}"))
+        try:
+            plan = json.loads(body.get("spec", ""))
+        except ValueError:
+            plan = {}
         self.tries[task] = self.tries.get(task, 0) + 1
         run = Run(task, attempt, plan, self.loop.time())
         self.running[task] = run
