--- a/review/3/scenario.py
+++ b/review/left-out/cancelled-job/scenario.py
@@ -6,7 +6,7 @@
 import sys
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
-sys.path.insert(0, os.path.join(FOLDER, "..", "standins"))
+sys.path.insert(0, os.path.join(FOLDER, "..", "..", "standins"))
 
 from cell import PREFIX, run_case  # noqa: E402
 
