--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -27,17 +27,6 @@
 /// of the time of a leader of 540 upstreams, and 62 % together with the checks
 /// for missing advice (kAdviceCheckInterval).
 constexpr Millis kPlanMaxAge{20};
-/// The exclusion of a waiting step is recomputed after this time. It depends on
-/// the step's own failures, which expire it at once, on failures of other
-/// tasks, and on the adviser's answers.
-constexpr Millis kExclusionMaxAge{500};
-
-/// Returns how many tasks of the step may use this capacity of one upstream.
-int32_t MaxTasks(const wire::StepSpec& step, const Amount& free) {
-  const int32_t fit = FitCount(free, TaskResources(step));
-  return step.max_per_upstream > 0 ? std::min(fit, step.max_per_upstream) : fit;
-}
-
 /// Returns the size of the start of a task, without checkpoint and ticket.
 int64_t TaskStartBytes(const Job& job) {
   return kStartOverheadBytes + static_cast<int64_t>(job.spec().payload.size());
@@ -278,13 +267,6 @@
   return true;
 }
 
-void Scheduler::RemoveExcluded(const PlacementExclusion& exclusion,
-                               std::vector<Candidate>& candidates) {
-  std::erase_if(candidates, [&](const Candidate& candidate) {
-    return exclusion.excluded.count(candidate.upstream) > 0;
-  });
-}
-
 bool Scheduler::PlaceGang(JobRecord& record, const StepId& id, TimePoint now,
                           const PassReservations& reserved, Orders& orders) {
   const wire::StepSpec& step = record.job.step(id.step);
@@ -386,54 +368,6 @@
   UpdateQueued(record, id.occurrence, id.step);
 }
 
-Scheduler::StepFailures Scheduler::FailuresOf(const JobRecord& record,
-                                              const StepId& id) const {
-  StepFailures out;
-  for (int32_t i = 0; i < record.job.step(id.step).tasks; ++i) {
-    const Task& task = record.job.task({id.job, id.occurrence, id.step, i});
-    out.any = out.any || task.failures() > 0;
-    if (task.failed_upstream != kNoUpstream) {
-      out.upstreams.insert(task.failed_upstream);
-    }
-  }
-  return out;
-}
-
-void Scheduler::UpdateExclusion(JobRecord& record, const StepId& id,
-                                TimePoint now) {
-  const wire::StepSpec& step = record.job.step(id.step);
-  StepState& step_state = record.step_state(id.occurrence, id.step);
-  if (now < step_state.exclusion.valid_until) return;
-  StepFailures failures = FailuresOf(record, id);
-  if (!failures.any && !step.gang) return;
-  step_state.exclusion = {.valid_until = now + kExclusionMaxAge};
-  std::set<UpstreamIndex>& excluded = failures.upstreams;
-  const bool advised = record.job.queue().advised;
-  // Tasks that fit on the upstreams if empty: on those not excluded, and on all
-  // if each suspect one gets a single probe start.
-  int64_t fit_elsewhere = 0;
-  int64_t fit_with_probes = 0;
-  for (const UpstreamIndex upstream : pool_.all()) {
-    const Upstream& it = pool_.at(upstream);
-    if (!it.AcceptsWork() || !Matches(upstream, record, step)) continue;
-    const bool asked = step_state.advice.upstreams.count(upstream) > 0;
-    if (advised && asked && !step_state.advice.Allowed(upstream)) continue;
-    const int32_t fit = MaxTasks(step, it.capacity);
-    const bool suspect = it.health.consecutive_failures > 0;
-    fit_with_probes += suspect ? std::min(fit, 1) : fit;
-    if (suspect) excluded.insert(upstream);
-    if (excluded.count(upstream) == 0) fit_elsewhere += fit;
-  }
-  // Excludes upstreams only if the others, allowed or not asked about yet,
-  // could take the gang when empty, or one task if the step is no gang.
-  // Otherwise a step without an alternative would wait forever.
-  const int32_t needed = step.gang ? step.tasks : 1;
-  if (failures.any && fit_elsewhere >= needed) {
-    step_state.exclusion.excluded = std::move(excluded);
-  }
-  step_state.exclusion.allows_suspects = step.gang && fit_with_probes < needed;
-}
-
 void Scheduler::StartTask(JobRecord& record, const TaskId& id,
                           UpstreamIndex upstream, int64_t attempt,
                           TimePoint now, Orders& orders) {
@@ -530,57 +464,4 @@
   }
 }
 
-std::string Scheduler::Explain(const JobRecord& record, const StepId& id,
-                               TimePoint now) const {
-  const wire::StepSpec& step = record.job.step(id.step);
-  const StepAdvice& advice = record.step_state(id.occurrence, id.step).advice;
-  int matching = 0;
-  int usable = 0;
-  int allowed = 0;
-  int tickets = 0;
-  int64_t fit_now = 0;
-  int64_t fit_allowed = 0;
-  for (const UpstreamIndex upstream : pool_.all()) {
-    if (!Matches(upstream, record, step)) continue;
-    ++matching;
-    if (!pool_.Usable(upstream, now)) continue;
-    ++usable;
-    const int32_t fit =
-        FittingTasks(upstream, record, id, pool_.at(upstream).free);
-    fit_now += fit;
-    if (!advice.Allowed(upstream)) continue;
-    ++allowed;
-    fit_allowed += fit;
-    if (advice.Ticket(upstream, now) != nullptr) ++tickets;
-  }
-  const StepCounts& counts = record.job.step_counts(id.occurrence, id.step);
-  std::string out = "waiting " + std::to_string(counts.waiting) + " of " +
-                    std::to_string(step.tasks) + (step.gang ? " (gang)" : "") +
-                    ", within the limit of its account " +
-                    std::to_string(TasksWithinLimit(record, id)) +
-                    ", upstreams " + std::to_string(matching) + ", usable " +
-                    std::to_string(usable) + ", room for " +
-                    std::to_string(fit_now);
-  if (!record.job.queue().advised) return out;
-  return out + ", asked " + std::to_string(advice.upstreams.size()) +
-         ", allowed " + std::to_string(allowed) + " with room for " +
-         std::to_string(fit_allowed) + ", tickets " + std::to_string(tickets) +
-         (advice.calls_in_flight > 0 ? ", asking" : "");
-}
-
-std::vector<std::pair<StepId, std::string>> Scheduler::ExplainWaiting(
-    size_t max_steps, TimePoint now) const {
-  std::vector<QueueKey> oldest(queue_.begin(), queue_.end());
-  std::sort(oldest.begin(), oldest.end(), [&](const auto& a, const auto& b) {
-    return std::pair(jobs_.at(a.id.job)->accepted_at, a.id) <
-           std::pair(jobs_.at(b.id.job)->accepted_at, b.id);
-  });
-  if (oldest.size() > max_steps) oldest.resize(max_steps);
-  std::vector<std::pair<StepId, std::string>> out;
-  for (const QueueKey& key : oldest) {
-    out.emplace_back(key.id, Explain(*jobs_.at(key.id.job), key.id, now));
-  }
-  return out;
-}
-
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -388,30 +388,6 @@
   if (has_unreported_runs_) CountUnreportedRuns();
 }
 
-std::string Scheduler::DescribeLoad() const {
-  int64_t capacity = 0;
-  int64_t free = 0;
-  for (const UpstreamIndex upstream : pool_.all()) {
-    if (!pool_.at(upstream).listed) continue;
-    capacity += pool_.at(upstream).capacity[Dimension::kCores];
-    free += std::max(0, pool_.at(upstream).free[Dimension::kCores]);
-  }
-  std::map<int32_t, int32_t> waiting;
-  for (const QueueKey& key : queue_) ++waiting[key.priority];
-  constexpr int64_t kPercent = 100;
-  const int64_t used =
-      capacity == 0 ? 0 : kPercent - kPercent * free / capacity;
-  std::string out =
-      "cores in use " + std::to_string(used) + " %, free for waiting gangs " +
-      std::to_string(
-          capacity == 0 ? 0 : kPercent * gang_reserved_millicores_ / capacity) +
-      " %, steps waiting by priority";
-  for (const auto& [priority, steps] : waiting) {
-    out += " " + std::to_string(priority) + ":" + std::to_string(steps);
-  }
-  return out;
-}
-
 std::vector<AccountLoad> Scheduler::AccountLoads() const {
   const AccountLedger& accounts = pool_.accounts();
   std::vector<AccountLoad> out(accounts.size());
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -17,6 +17,7 @@
 #include "src/scheduling/advice_state.h"
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/orders.h"
+#include "src/scheduling/placement_exclusion.h"
 #include "src/scheduling/queue_order.h"
 #include "src/scheduling/speed_choice.h"
 #include "src/scheduling/step_queue.h"
@@ -214,23 +215,6 @@
   /// time. A stop takes up to 0.9 s where tasks are slow to end.
   static constexpr Millis kStopRetryInterval{1200};
 
-  /// The upstreams on which a waiting gang, or a task that has failed, may not
-  /// start. Placing, requesting advice and planning must apply the same
-  /// exclusion to a gang. Otherwise the gang requests advice about too few
-  /// upstreams and waits forever although others are free (26 of 284 random
-  /// pools).
-  struct PlacementExclusion {
-    /// Upstreams that a step with failures avoids: those where it failed, and
-    /// those with consecutive failures of any tasks. Empty if the other
-    /// upstreams could not take the step.
-    std::set<UpstreamIndex> excluded;
-    /// The gang may start more than one task on an upstream with consecutive
-    /// failures. Otherwise too few upstreams would be left for the gang, and
-    /// with nothing else to run they would stay suspect.
-    bool allows_suspects = false;
-    /// The exclusion is computed again after this time.
-    TimePoint valid_until{};
-  };
   /// Scheduling state of one step of one occurrence.
   struct StepState {
     bool queued = false;
@@ -518,12 +502,6 @@
   Amount CapacityFor(const JobRecord& record, const StepId& id,
                      UpstreamIndex upstream, Amount free, TimePoint now,
                      const PassReservations& reserved) const;
-  struct StepFailures {
-    /// A task of the step has failed.
-    bool any = false;
-    /// For each task that has failed, the upstream of its last failure.
-    std::set<UpstreamIndex> upstreams;
-  };
   StepFailures FailuresOf(const JobRecord& record, const StepId& id) const;
   /// Orders an advice call for the step if one is needed and permitted. With
   /// `may_wait`, a gang without sufficient free capacity may ask on which
