Scheduling: Show why upstreams get no starts

An operator could not tell from the logs why an accepted job waits beside free cores: `step waits` said "usable 0" for an upstream that cannot be reached, one in backoff and one whose probe start has no result. UpstreamPool now has one state for each, `step waits` and the metric `upstreams` count them, and a line `upstream health` (counted in `upstream_health_changes`) names the task that changed the health of an upstream. What is known of an upstream's failures is a class of its own, UpstreamHealth; what it decides is unchanged.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -131,6 +131,7 @@
                  {{"load", scheduler_.DescribeLoad()},
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
+  ReportUpstreams(now);
   ReportAccounts();
   if (options_.scheduler.upstream_speed_spread > 0) {
     ReportSpeeds(scheduler_.pool(), scheduler_.speeds_in_use(), now,
@@ -144,6 +145,17 @@
   }
 }
 
+void Coordinator::ReportUpstreams(TimePoint now) {
+  const scheduling::UpstreamPool& pool = scheduler_.pool();
+  std::map<scheduling::UpstreamState, int64_t> counts;
+  for (const UpstreamIndex index : pool.all()) ++counts[pool.State(index, now)];
+  for (const auto& [state, name] : scheduling::kUpstreamStateNames) {
+    deps_.metrics.Set(
+        {.name = "upstreams", .labels = {{"state", std::string(name)}}},
+        static_cast<double>(counts[state]));
+  }
+}
+
 void Coordinator::ReportAccounts() {
   std::vector<scheduling::AccountLoad> loads = scheduler_.AccountLoads();
   for (size_t i = 0; i < std::min(loads.size(), kMaxLoggedAccounts); ++i) {
@@ -223,6 +235,21 @@
        orders.permanently_failed) {
     LogPermanentlyFailed(task);
   }
+  for (const scheduling::HealthEvent& event : orders.health) {
+    LogHealthChange(event);
+  }
+}
+
+void Coordinator::LogHealthChange(const scheduling::HealthEvent& event) {
+  const std::string change(scheduling::kHealthChangeNames.Name(event.change));
+  deps_.metrics.Count(
+      {.name = "upstream_health_changes", .labels = {{"to", change}}});
+  logging::Event(Level::kInfo, "upstream health",
+                 {{"upstream", scheduler_.pool().at(event.upstream).entry.id},
+                  {"health", change},
+                  {"task", TaskIdText(event.task)},
+                  {"failures", Text(static_cast<int64_t>(event.failures))},
+                  {"backoff_ms", Text(event.backoff.count())}});
 }
 
 void Coordinator::LogPermanentlyFailed(
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -307,6 +307,8 @@
   void DropFinalJobs();
   /// Sets the metrics of the load; logs the load and why steps wait.
   void ReportLoad();
+  /// Sets the metrics of how many upstreams may get starts.
+  void ReportUpstreams(TimePoint now);
   void ReportAccounts();
 
   /// Wraps `done` so that it runs once: with the first reply, or with
@@ -367,6 +369,7 @@
   void LogStop(const scheduling::StopOrder& stop);
   void LogLostRun(const scheduling::LostRun& run);
   void LogPermanentlyFailed(const scheduling::PermanentlyFailedTask& task);
+  void LogHealthChange(const scheduling::HealthEvent& event);
   /// Logs the stop of an orphaned run, which no valid order accounts for.
   void LogOrphanedRun(scheduling::StopOrder stop);
   /// Schedules a placement pass after kPlacementDelay, unless one is scheduled.
--- a/src/libs/base/enum_table.h
+++ b/src/libs/base/enum_table.h
@@ -58,6 +58,10 @@
     return out;
   }
 
+  /// The entries, in the order of the table.
+  constexpr auto begin() const { return names_.begin(); }
+  constexpr auto end() const { return names_.end(); }
+
  private:
   std::array<EnumName<E>, N> names_;
 };
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -1,5 +1,5 @@
-// The part of Scheduler that keeps steps with failures off the upstreams that
-// are likely to fail them again.
+// The part of Scheduler that judges upstreams by their failures, and keeps
+// steps with failures off the upstreams that are likely to fail them again.
 
 #include <algorithm>
 
@@ -21,6 +21,36 @@
 
 }  // namespace
 
+void Scheduler::NoteUpstreamFailure(UpstreamIndex upstream, const TaskId& task,
+                                    TimePoint now, int weight, Orders& orders) {
+  UpstreamHealth& health = pool_.at(upstream).health;
+  const bool was_suspect = health.suspect();
+  const bool was_in_backoff = health.InBackoff(now);
+  health.NoteFailure(now, weight);
+  HealthEvent event{
+      .upstream = upstream, .task = task, .failures = health.failures()};
+  if (!was_in_backoff && health.InBackoff(now)) {
+    event.change = HealthChange::kBackoff;
+    event.backoff =
+        std::chrono::duration_cast<Millis>(health.backoff_until() - now);
+  } else if (was_suspect) {
+    return;
+  }
+  orders.health.push_back(event);
+}
+
+void Scheduler::NoteUpstreamSuccess(UpstreamIndex upstream, const TaskId& task,
+                                    Orders& orders) {
+  UpstreamHealth& health = pool_.at(upstream).health;
+  if (health.suspect()) {
+    orders.health.push_back({.upstream = upstream,
+                             .change = HealthChange::kHealthy,
+                             .task = task,
+                             .failures = health.failures()});
+  }
+  health.NoteSuccess();
+}
+
 void Scheduler::RemoveExcluded(const PlacementExclusion& exclusion,
                                std::vector<Candidate>& candidates) {
   std::erase_if(candidates, [&](const Candidate& candidate) {
@@ -61,7 +91,7 @@
     const bool asked = step_state.advice.upstreams.count(upstream) > 0;
     if (advised && asked && !step_state.advice.Allowed(upstream)) continue;
     const int32_t fit = MaxTasks(step, it.capacity);
-    const bool suspect = it.health.consecutive_failures > 0;
+    const bool suspect = it.health.suspect();
     fit_with_probes += suspect ? std::min(fit, 1) : fit;
     if (suspect) excluded.insert(upstream);
     if (excluded.count(upstream) == 0) fit_elsewhere += fit;
--- a/src/scheduling/explaining.cc
+++ b/src/scheduling/explaining.cc
@@ -6,6 +6,21 @@
 #include "src/scheduling/scheduler.h"
 
 namespace mimosarail::scheduling {
+namespace {
+
+std::string DescribeStates(const std::map<UpstreamState, int>& upstreams) {
+  int total = 0;
+  std::string states;
+  for (const auto& [state, count] : upstreams) {
+    total += count;
+    states += (states.empty() ? "" : " ") +
+              std::string(kUpstreamStateNames.Name(state)) + ":" +
+              std::to_string(count);
+  }
+  return std::to_string(total) + " (" + states + ")";
+}
+
+}  // namespace
 
 std::string Scheduler::DescribeLoad() const {
   int64_t capacity = 0;
@@ -34,18 +49,21 @@
 std::string Scheduler::Explain(const JobRecord& record, const StepId& id,
                                TimePoint now) const {
   const wire::StepSpec& step = record.job.step(id.step);
-  const StepAdvice& advice = record.step_state(id.occurrence, id.step).advice;
-  int matching = 0;
-  int usable = 0;
+  const StepState& step_state = record.step_state(id.occurrence, id.step);
+  const StepAdvice& advice = step_state.advice;
+  const PlacementExclusion& exclusion = step_state.exclusion;
+  std::map<UpstreamState, int> matching;
+  int excluded = 0;
   int allowed = 0;
   int tickets = 0;
   int64_t fit_now = 0;
   int64_t fit_allowed = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     if (!Matches(upstream, record, step)) continue;
-    ++matching;
-    if (!pool_.Usable(upstream, now)) continue;
-    ++usable;
+    const UpstreamState state = pool_.State(upstream, now);
+    ++matching[state];
+    if (state != UpstreamState::kOpen) continue;
+    excluded += static_cast<int>(exclusion.excluded.count(upstream));
     const int32_t fit =
         FittingTasks(upstream, record, id, pool_.at(upstream).free);
     fit_now += fit;
@@ -59,8 +77,8 @@
                     std::to_string(step.tasks) + (step.gang ? " (gang)" : "") +
                     ", within the limit of its account " +
                     std::to_string(TasksWithinLimit(record, id)) +
-                    ", upstreams " + std::to_string(matching) + ", usable " +
-                    std::to_string(usable) + ", room for " +
+                    ", upstreams " + DescribeStates(matching) + ", excluded " +
+                    std::to_string(excluded) + ", room for " +
                     std::to_string(fit_now);
   if (!record.job.queue().advised) return out;
   return out + ", asked " + std::to_string(advice.upstreams.size()) +
--- a/src/scheduling/gang_plan.cc
+++ b/src/scheduling/gang_plan.cc
@@ -18,7 +18,7 @@
   SlotTimes out{.upstream = upstream};
   Amount free = it.free;
   free -= blocked;
-  const TimePoint earliest = std::max(now, it.health.backoff_until);
+  const TimePoint earliest = std::max(now, it.health.backoff_until());
   const auto add_slots = [&](TimePoint when) {
     while (static_cast<int32_t>(out.times.size()) < max_tasks &&
            size.FitsIn(free)) {
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -10,6 +10,7 @@
 #include "src/jobs/job.h"
 #include "src/libs/base/enum_table.h"
 #include "src/placement/amount.h"
+#include "src/scheduling/upstream_health.h"
 
 namespace mimosarail::scheduling {
 
@@ -130,6 +131,18 @@
   CrashCounts crashes;
 };
 
+/// A change of an upstream's health.
+struct HealthEvent {
+  UpstreamIndex upstream = kNoUpstream;
+  HealthChange change = HealthChange::kSuspect;
+  /// The task whose end, stall or rejected start caused it.
+  TaskId task;
+  /// See UpstreamHealth::failures().
+  int failures = 0;
+  /// Time until the next start is permitted; 0 unless in backoff.
+  Millis backoff{0};
+};
+
 /// Bytes of start requests that may be ordered now. Unlimited by default.
 struct StartBudget {
   bool limited = false;
@@ -168,6 +181,7 @@
   /// Only to be logged; these require no action.
   std::vector<LostRun> lost;
   std::vector<PermanentlyFailedTask> permanently_failed;
+  std::vector<HealthEvent> health;
 };
 
 /// Number of advice calls that may be made now.
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -61,7 +61,7 @@
                    step.max_per_upstream - pool_.ReservedTasks(upstream, id));
   }
   if (!record.step_state(id.occurrence, id.step).exclusion.allows_suspects) {
-    fit = std::min(fit, pool_.ProbesLeft(upstream));
+    fit = std::min(fit, pool_.StartsPermitted(upstream));
   }
   return std::max(0, fit);
 }
@@ -386,7 +386,7 @@
                  .expected_end = task.expected_end,
                  .reserved_at = now,
                  .resumed = !task.checkpoint.empty()});
-  pool_.NoteStartOrdered(upstream);
+  pool_.at(upstream).health.NoteStartOrdered();
   StartOrder order{.upstream = upstream,
                    .task = id,
                    .attempt = attempt,
@@ -431,7 +431,8 @@
     int32_t max_tasks =
         step.max_per_upstream > 0 ? step.max_per_upstream : step.tasks;
     if (!step_state.exclusion.allows_suspects) {
-      max_tasks = std::min(max_tasks, std::max(1, pool_.ProbesLeft(upstream)));
+      max_tasks =
+          std::min(max_tasks, std::max(1, pool_.StartsPermitted(upstream)));
     }
     slots.push_back(FindSlots(pool_, upstream, size, blocked, max_tasks, now));
   };
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -176,7 +176,8 @@
   if (step.gang && running.percent >= kDonePercent) return;
   const Millis limit = StallLimit(record, upstream, running.task.step, now);
   if (now - task.progressed_at < limit) return;
-  pool_.NoteFailure(upstream, now, UpstreamPool::kBackoffAfterFailures);
+  NoteUpstreamFailure(upstream, running.task, now,
+                      UpstreamHealth::kBackoffAfterFailures, orders);
   if (step.gang) {
     return BreakGang(record, running.task.step_id(), now, orders);
   }
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -260,9 +260,9 @@
   // If the run exists in spite of the reply, no stop has reached it.
   stops_[order.upstream].erase({order.task, order.attempt});
   if (verdict == CallVerdict::kUnhealthy) {
-    pool_.NoteFailure(order.upstream, now);
+    NoteUpstreamFailure(order.upstream, order.task, now, 1, orders);
   } else {
-    pool_.at(order.upstream).health.starts_since_result = 0;
+    pool_.at(order.upstream).health.NoteProbeWithoutResult();
   }
   if (!current || !record->job.task(order.task).active()) return;
   StepState& step_state =
@@ -310,7 +310,7 @@
   MarkChanged(record);
   job.task(id).failed_upstream = upstream;
   record.step_state(id.occurrence, id.step).exclusion.valid_until = {};
-  pool_.NoteFailure(upstream, now);
+  NoteUpstreamFailure(upstream, id, now, 1, orders);
   if (job.step(id.step).long_running) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
   FinishJob(record, JobState::kFailed, now);
@@ -326,8 +326,9 @@
   }
   pool_.Release(upstream, end.task, end.attempt);
   stops_[upstream].erase({end.task, end.attempt});
-  UpstreamHealth& health = pool_.at(upstream).health;
-  if (end.kind != EndKind::kFailed) health.starts_since_result = 0;
+  if (end.kind != EndKind::kFailed) {
+    pool_.at(upstream).health.NoteProbeWithoutResult();
+  }
   JobRecord* record = FindJobRecord(end.task.job);
   if (record == nullptr || !record->job.Has(end.task)) return;
   Job& job = record->job;
@@ -338,7 +339,9 @@
   const bool ended_before_adoption = record->may_have_unreported_runs &&
                                      !task.active() &&
                                      task.phase != TaskPhase::kDone;
-  if (end.kind == EndKind::kDone) pool_.NoteSuccess(upstream);
+  if (end.kind == EndKind::kDone) {
+    NoteUpstreamSuccess(upstream, end.task, orders);
+  }
   if (!current && !ended_before_adoption) {
     // Of an earlier run only a failure counts. A new leader may learn of it
     // after it has adopted a later run of the task.
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -333,6 +333,12 @@
   /// left.
   void TaskFailed(JobRecord& record, UpstreamIndex upstream, const TaskId& id,
                   int64_t attempt, TimePoint now, Orders& orders);
+  /// A run of the task, or its start, shows that the upstream fails; see
+  /// UpstreamHealth::NoteFailure().
+  void NoteUpstreamFailure(UpstreamIndex upstream, const TaskId& task,
+                           TimePoint now, int weight, Orders& orders);
+  void NoteUpstreamSuccess(UpstreamIndex upstream, const TaskId& task,
+                           Orders& orders);
   /// The task has no run any more and waits for another start.
   void ReturnToWaiting(JobRecord& record, const TaskId& id, TimePoint now);
   /// Releases the reservations on the upstream, except those of the runs in
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -7,8 +7,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-constexpr int32_t kUnlimitedProbes = 1 << 20;
-
 Amount CapacityOf(const ports::UpstreamSize& size) {
   Amount out;
   out[Dimension::kCores] = size.millicores;
@@ -198,43 +196,12 @@
                      });
 }
 
-void UpstreamPool::NoteSuccess(UpstreamIndex index) {
-  UpstreamHealth& health = upstreams_[index].health;
-  health.consecutive_failures = 0;
-  health.starts_since_result = 0;
-  health.last_backoff = Millis(0);
-  health.backoff_until = {};
-}
-
-void UpstreamPool::NoteFailure(UpstreamIndex index, TimePoint now,
-                               int32_t weight) {
-  UpstreamHealth& health = upstreams_[index].health;
-  health.consecutive_failures += weight;
-  health.starts_since_result = 0;
-  if (health.consecutive_failures < kBackoffAfterFailures ||
-      now < health.backoff_until) {
-    return;
-  }
-  health.last_backoff = health.last_backoff == Millis(0)
-                            ? kInitialBackoff
-                            : std::min(kMaxBackoff, health.last_backoff * 2);
-  health.backoff_until = now + health.last_backoff;
-}
-
-void UpstreamPool::NoteStartOrdered(UpstreamIndex index) {
-  ++upstreams_[index].health.starts_since_result;
-}
-
-bool UpstreamPool::Usable(UpstreamIndex index, TimePoint now) const {
+UpstreamState UpstreamPool::State(UpstreamIndex index, TimePoint now) const {
   const Upstream& upstream = upstreams_[index];
-  return upstream.AcceptsWork() && now >= upstream.health.backoff_until &&
-         ProbesLeft(index) > 0;
-}
-
-int32_t UpstreamPool::ProbesLeft(UpstreamIndex index) const {
-  const UpstreamHealth& health = upstreams_[index].health;
-  if (health.consecutive_failures == 0) return kUnlimitedProbes;
-  return std::max(0, 1 - health.starts_since_result);
+  if (!upstream.AcceptsWork()) return UpstreamState::kClosed;
+  if (upstream.health.InBackoff(now)) return UpstreamState::kBackoff;
+  return StartsPermitted(index) > 0 ? UpstreamState::kOpen
+                                    : UpstreamState::kProbed;
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <array>
 #include <map>
 #include <optional>
 #include <set>
@@ -9,28 +10,30 @@
 #include <vector>
 
 #include "src/jobs/job.h"
+#include "src/libs/base/enum_table.h"
 #include "src/placement/amount.h"
 #include "src/ports/upstream_list_port.h"
 #include "src/scheduling/account_ledger.h"
+#include "src/scheduling/upstream_health.h"
 #include "src/scheduling/upstream_speeds.h"
 
 namespace mimosarail::scheduling {
 
-/// Reliability of an upstream. It is judged only by the results of starts and
-/// tasks, because an upstream may report that it is healthy and still fail
-/// every task that it starts.
-struct UpstreamHealth {
-  /// Failed tasks and failed starts since the last success; a stalled task
-  /// counts as kBackoffAfterFailures.
-  int32_t consecutive_failures = 0;
-  /// No task starts before this time.
-  TimePoint backoff_until{};
-  Millis last_backoff{0};
-  /// Starts ordered since the last result, on a healthy upstream too. After a
-  /// failure, an upstream gets one start at a time until a task succeeds.
-  int32_t starts_since_result = 0;
+/// Whether an upstream may get starts now and, if not, why.
+enum class UpstreamState {
+  kOpen,
+  kProbed,   ///< It is suspect, and its probe start has had no result yet.
+  kBackoff,  ///< It has failed repeatedly; see UpstreamHealth.
+  kClosed,   ///< It accepts no work, whatever its health.
 };
 
+inline constexpr EnumTable kUpstreamStateNames{std::array{
+    EnumName{UpstreamState::kOpen, "open"},
+    EnumName{UpstreamState::kProbed, "probed"},
+    EnumName{UpstreamState::kBackoff, "backoff"},
+    EnumName{UpstreamState::kClosed, "closed"},
+}};
+
 /// Resources reserved by one run.
 struct Reservation {
   Amount amount;
@@ -170,28 +173,15 @@
   bool HasNoRecentStarts(UpstreamIndex index, JobId job, Millis span,
                          TimePoint now) const;
 
-  /// A task has succeeded there.
-  void NoteSuccess(UpstreamIndex index);
-  /// A task or a start has failed there. A `weight` of kBackoffAfterFailures
-  /// puts the upstream into backoff at once.
-  void NoteFailure(UpstreamIndex index, TimePoint now, int32_t weight = 1);
-  /// A start was ordered there.
-  void NoteStartOrdered(UpstreamIndex index);
-
+  UpstreamState State(UpstreamIndex index, TimePoint now) const;
   /// Whether tasks may start there now.
-  bool Usable(UpstreamIndex index, TimePoint now) const;
-  /// Number of tasks that the upstream's health permits to start now.
-  int32_t ProbesLeft(UpstreamIndex index) const;
-
-  /// First backoff of a failing upstream; each further one is twice as long.
-  /// Machine faults last seconds, so a longer first backoff would cost more
-  /// capacity than the few tasks that fail in probe starts.
-  static constexpr Millis kInitialBackoff{1000};
-  static constexpr Millis kMaxBackoff{8000};
-  /// Number of consecutive failures that puts an upstream into backoff. A
-  /// single failure is often the task's own fault: 1 to 5 % of tasks fail on
-  /// any upstream.
-  static constexpr int32_t kBackoffAfterFailures = 2;
+  bool Usable(UpstreamIndex index, TimePoint now) const {
+    return State(index, now) == UpstreamState::kOpen;
+  }
+  /// See UpstreamHealth::StartsPermitted().
+  int32_t StartsPermitted(UpstreamIndex index) const {
+    return upstreams_[index].health.StartsPermitted();
+  }
 
  private:
   std::vector<Upstream> upstreams_;
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -360,7 +360,7 @@
   BOOST_REQUIRE_EQUAL(first.starts.size(), 2U);
   harness.EndRun(first.starts[0], EndKind::kFailed);
   harness.EndRun(first.starts[1], EndKind::kGangFailed);
-  harness.scheduler.pool().NoteSuccess(first.starts[0].upstream);
+  harness.scheduler.pool().at(first.starts[0].upstream).health.NoteSuccess();
   harness.now += Millis(500);
   const Orders again = harness.Place();
   BOOST_TEST(again.starts.empty());
