Scheduling: Let no run keep its upstream closed to other work

Cause: after a failure an upstream got one start at a time until a task there ended "done", and that start counted until it had a result. The restarted task was that start; a long-running task has no result. A long ordinary task closed its upstream for as long as it ran, a start that was never answered nor listed closed it until another result, and where only services run nothing cleared the suspicion at all.

Ruled out with the states that `step waits` now shows (probed:16, none closed or in backoff, 0 excluded): backoff, unreachable or closed upstreams, reservations not released, exclusions, account limits and the link's budget.

Change: each state of UpstreamHealth ends after a bounded time. A probe start delays the next one for at most 2 s. A run that began after the last failure, makes progress or serves, and has lasted twice as long as the longest one that failed (5 s to 60 s) ends the suspicion. It has to outlast the failed ones, since an upstream may fail all that it runs only after seconds. Probe starts no longer count as unusable upstreams, so a gang that may start several tasks on suspect upstreams does not wait for their probes.

--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -96,7 +96,7 @@
     }
     if (excluded.count(upstream) > 0) continue;
     const int32_t fit_if_empty =
-        FittingTasks(upstream, record, id, pool_.at(upstream).capacity);
+        FittingTasks(upstream, record, id, pool_.at(upstream).capacity, now);
     if (fit_if_empty == 0) continue;
     const auto upstream_advice = advice.upstreams.find(upstream);
     if (upstream_advice != advice.upstreams.end()) {
@@ -105,7 +105,7 @@
       allowed_tasks += allowance_rate * fit_if_empty;
     } else {
       const int32_t fit_soon =
-          FittingTasks(upstream, record, id, pool_.FreeAt(upstream, soon));
+          FittingTasks(upstream, record, id, pool_.FreeAt(upstream, soon), now);
       not_asked.emplace_back(-fit_soon, -fit_if_empty, upstream);
     }
   }
@@ -164,7 +164,7 @@
     if (step.gang && excluded.count(upstream) > 0) continue;
     const Amount free = CapacityFor(record, id, upstream,
                                     pool_.at(upstream).free, now, reserved);
-    const int32_t fit = FittingTasks(upstream, record, id, free);
+    const int32_t fit = FittingTasks(upstream, record, id, free, now);
     if (fit == 0) continue;
     const bool pending = advice.pending.count(upstream) > 0;
     const bool valid = advice.Ticket(upstream, needed_at) != nullptr;
--- a/src/scheduling/evicting.cc
+++ b/src/scheduling/evicting.cc
@@ -14,8 +14,6 @@
 /// The corresponding time for a gang, which restarts as a whole and may have to
 /// wait for capacity first.
 constexpr Millis kMinGangTimeLeftToMove{3000};
-/// A long-running task that reports this percentage is ready to serve.
-constexpr int32_t kReadyPercent = 100;
 
 Millis TimeLeft(TimePoint end, TimePoint now) {
   return std::max(Millis(0), std::chrono::duration_cast<Millis>(end - now));
@@ -132,7 +130,7 @@
       pool_.all().begin(), pool_.all().end(), [&](UpstreamIndex upstream) {
         return pool_.Usable(upstream, now) && Matches(upstream, record, step) &&
                FittingTasks(upstream, record, id.step_id(),
-                            pool_.at(upstream).free) > 0;
+                            pool_.at(upstream).free, now) > 0;
       });
 }
 
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -21,14 +21,15 @@
 
 }  // namespace
 
-void Scheduler::NoteUpstreamFailure(UpstreamIndex upstream, const TaskId& task,
-                                    TimePoint now, int weight, Orders& orders) {
-  UpstreamHealth& health = pool_.at(upstream).health;
+void Scheduler::NoteUpstreamFailure(const FailedRun& run, TimePoint now,
+                                    int weight, Orders& orders) {
+  UpstreamHealth& health = pool_.at(run.upstream).health;
   const bool was_suspect = health.suspect();
   const bool was_in_backoff = health.InBackoff(now);
-  health.NoteFailure(now, weight);
-  HealthEvent event{
-      .upstream = upstream, .task = task, .failures = health.failures()};
+  health.NoteFailure(now, run.lasted, weight);
+  HealthEvent event{.upstream = run.upstream,
+                    .task = run.task,
+                    .failures = health.failures()};
   if (!was_in_backoff && health.InBackoff(now)) {
     event.change = HealthChange::kBackoff;
     event.backoff =
@@ -51,6 +52,23 @@
   health.NoteSuccess();
 }
 
+void Scheduler::NoteRunAtWork(const JobRecord& record, UpstreamIndex upstream,
+                              const ports::RunningTask& running, TimePoint now,
+                              Orders& orders) {
+  UpstreamHealth& health = pool_.at(upstream).health;
+  const bool starts_up = record.job.step(running.task.step).long_running &&
+                         running.percent < kReadyPercent;
+  if (!health.suspect() || starts_up) return;
+  const int failures = health.failures();
+  const Millis lasted =
+      pool_.RunTime(upstream, running.task, running.attempt, now);
+  if (!health.NoteAtWork(now - lasted, now)) return;
+  orders.health.push_back({.upstream = upstream,
+                           .change = HealthChange::kHealthy,
+                           .task = running.task,
+                           .failures = failures});
+}
+
 void Scheduler::RemoveExcluded(const PlacementExclusion& exclusion,
                                std::vector<Candidate>& candidates) {
   std::erase_if(candidates, [&](const Candidate& candidate) {
--- a/src/scheduling/explaining.cc
+++ b/src/scheduling/explaining.cc
@@ -65,7 +65,7 @@
     if (state != UpstreamState::kOpen) continue;
     excluded += static_cast<int>(exclusion.excluded.count(upstream));
     const int32_t fit =
-        FittingTasks(upstream, record, id, pool_.at(upstream).free);
+        FittingTasks(upstream, record, id, pool_.at(upstream).free, now);
     fit_now += fit;
     if (!advice.Allowed(upstream)) continue;
     ++allowed;
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -53,7 +53,8 @@
 }
 
 int32_t Scheduler::FittingTasks(UpstreamIndex upstream, const JobRecord& record,
-                                const StepId& id, const Amount& free) const {
+                                const StepId& id, const Amount& free,
+                                TimePoint now) const {
   const wire::StepSpec& step = record.job.step(id.step);
   int32_t fit = FitCount(free, TaskResources(step));
   if (step.max_per_upstream > 0 && fit > 0) {
@@ -61,7 +62,7 @@
                    step.max_per_upstream - pool_.ReservedTasks(upstream, id));
   }
   if (!record.step_state(id.occurrence, id.step).exclusion.allows_suspects) {
-    fit = std::min(fit, pool_.StartsPermitted(upstream));
+    fit = std::min(fit, pool_.MaxStarts(upstream, now));
   }
   return std::max(0, fit);
 }
@@ -123,7 +124,7 @@
     if (pool_.QuarantinedForOtherJob(upstream, record.job.id(), now)) return;
     const Amount free = CapacityFor(record, id, upstream,
                                     pool_.at(upstream).free, now, reserved);
-    const int32_t fit = FittingTasks(upstream, record, id, free);
+    const int32_t fit = FittingTasks(upstream, record, id, free, now);
     if (fit == 0) return;
     double score = Score(upstream, record, step);
     if (needs) score += SpeedCost(*needs, pool_.speeds().Speed(upstream));
@@ -386,7 +387,7 @@
                  .expected_end = task.expected_end,
                  .reserved_at = now,
                  .resumed = !task.checkpoint.empty()});
-  pool_.at(upstream).health.NoteStartOrdered();
+  pool_.at(upstream).health.NoteStartOrdered(now);
   StartOrder order{.upstream = upstream,
                    .task = id,
                    .attempt = attempt,
@@ -432,7 +433,7 @@
         step.max_per_upstream > 0 ? step.max_per_upstream : step.tasks;
     if (!step_state.exclusion.allows_suspects) {
       max_tasks =
-          std::min(max_tasks, std::max(1, pool_.StartsPermitted(upstream)));
+          std::min(max_tasks, std::max(1, pool_.MaxStarts(upstream, now)));
     }
     slots.push_back(FindSlots(pool_, upstream, size, blocked, max_tasks, now));
   };
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -164,20 +164,27 @@
     UpdateExpectedEnd(record, upstream, running, now);
     task.percent = running.percent;
     task.progressed_at = now;
+    NoteRunAtWork(record, upstream, running, now, orders);
     if (IsWorthMoving(record, upstream, running.task, now)) {
       StopTask(record, running.task, StopReason::kMoved, now, orders);
     }
     return;
   }
-  if (step.long_running || step.filler) return;
+  if (step.long_running || step.filler) {
+    return NoteRunAtWork(record, upstream, running, now, orders);
+  }
   // The members of a gang end together: a member that has done its own part
   // stays at 100 % until the slowest one is done. If it were treated as
   // stalled, gangs would be broken seconds before their end, again and again.
   if (step.gang && running.percent >= kDonePercent) return;
   const Millis limit = StallLimit(record, upstream, running.task.step, now);
   if (now - task.progressed_at < limit) return;
-  NoteUpstreamFailure(upstream, running.task, now,
-                      UpstreamHealth::kBackoffAfterFailures, orders);
+  NoteUpstreamFailure(
+      {.upstream = upstream,
+       .task = running.task,
+       .attempt = running.attempt,
+       .lasted = pool_.RunTime(upstream, running.task, running.attempt, now)},
+      now, UpstreamHealth::kBackoffAfterFailures, orders);
   if (step.gang) {
     return BreakGang(record, running.task.step_id(), now, orders);
   }
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -260,7 +260,10 @@
   // If the run exists in spite of the reply, no stop has reached it.
   stops_[order.upstream].erase({order.task, order.attempt});
   if (verdict == CallVerdict::kUnhealthy) {
-    NoteUpstreamFailure(order.upstream, order.task, now, 1, orders);
+    NoteUpstreamFailure({.upstream = order.upstream,
+                         .task = order.task,
+                         .attempt = order.attempt},
+                        now, 1, orders);
   } else {
     pool_.at(order.upstream).health.NoteProbeWithoutResult();
   }
@@ -302,15 +305,15 @@
   }
 }
 
-void Scheduler::TaskFailed(JobRecord& record, UpstreamIndex upstream,
-                           const TaskId& id, int64_t attempt, TimePoint now,
-                           Orders& orders) {
+void Scheduler::TaskFailed(JobRecord& record, const FailedRun& run,
+                           TimePoint now, Orders& orders) {
   Job& job = record.job;
-  if (!job.CountFailure(id, attempt)) return;
+  const TaskId& id = run.task;
+  if (!job.CountFailure(id, run.attempt)) return;
   MarkChanged(record);
-  job.task(id).failed_upstream = upstream;
+  job.task(id).failed_upstream = run.upstream;
   record.step_state(id.occurrence, id.step).exclusion.valid_until = {};
-  NoteUpstreamFailure(upstream, id, now, 1, orders);
+  NoteUpstreamFailure(run, now, 1, orders);
   if (job.step(id.step).long_running) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
   FinishJob(record, JobState::kFailed, now);
@@ -324,6 +327,11 @@
   if (known != nullptr && known->job.Has(end.task)) {
     ObserveEnd(*known, upstream, end, now);
   }
+  const FailedRun failed_run{
+      .upstream = upstream,
+      .task = end.task,
+      .attempt = end.attempt,
+      .lasted = pool_.RunTime(upstream, end.task, end.attempt, now)};
   pool_.Release(upstream, end.task, end.attempt);
   stops_[upstream].erase({end.task, end.attempt});
   if (end.kind != EndKind::kFailed) {
@@ -346,7 +354,7 @@
     // Of an earlier run only a failure counts. A new leader may learn of it
     // after it has adopted a later run of the task.
     if (end.kind == EndKind::kFailed && !job.final()) {
-      TaskFailed(*record, upstream, end.task, end.attempt, now, orders);
+      TaskFailed(*record, failed_run, now, orders);
     }
     return;
   }
@@ -367,7 +375,7 @@
   if (job.final()) return;
   job.NoteStarted();
   if (end.kind == EndKind::kFailed) {
-    TaskFailed(*record, upstream, end.task, end.attempt, now, orders);
+    TaskFailed(*record, failed_run, now, orders);
   } else {
     MarkChanged(*record);
   }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -32,6 +32,9 @@
 /// of steps wait.
 inline constexpr int kMaxStepsPerPass = 300;
 
+/// A long-running task that reports this percentage is ready to serve.
+inline constexpr int32_t kReadyPercent = 100;
+
 /// Returns when a run of this step that starts now is expected to end;
 /// TimePoint::max() if it is long-running. Thread-safe.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
@@ -290,6 +293,15 @@
   };
   using PassReservations = std::unordered_map<UpstreamIndex, PassReservation>;
 
+  /// A run that failed or stalled, or whose start failed.
+  struct FailedRun {
+    UpstreamIndex upstream = kNoUpstream;
+    TaskId task;
+    int64_t attempt = 0;
+    /// How long it is known to have run.
+    Millis lasted{0};
+  };
+
   JobRecord* FindJobRecord(JobId id);
   /// Adds the job, without queueing its steps.
   JobRecord& Insert(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms);
@@ -331,14 +343,19 @@
   void TaskDone(JobRecord& record, const TaskId& id, TimePoint now);
   /// Counts a failed run. Fails the job if none of its permitted attempts is
   /// left.
-  void TaskFailed(JobRecord& record, UpstreamIndex upstream, const TaskId& id,
-                  int64_t attempt, TimePoint now, Orders& orders);
-  /// A run of the task, or its start, shows that the upstream fails; see
+  void TaskFailed(JobRecord& record, const FailedRun& run, TimePoint now,
+                  Orders& orders);
+  /// A run, or its start, shows that the upstream fails; see
   /// UpstreamHealth::NoteFailure().
-  void NoteUpstreamFailure(UpstreamIndex upstream, const TaskId& task,
-                           TimePoint now, int weight, Orders& orders);
+  void NoteUpstreamFailure(const FailedRun& run, TimePoint now, int weight,
+                           Orders& orders);
   void NoteUpstreamSuccess(UpstreamIndex upstream, const TaskId& task,
                            Orders& orders);
+  /// A report lists the current run of a task. If it has lasted long enough,
+  /// its upstream is healthy.
+  void NoteRunAtWork(const JobRecord& record, UpstreamIndex upstream,
+                     const ports::RunningTask& running, TimePoint now,
+                     Orders& orders);
   /// The task has no run any more and waits for another start.
   void ReturnToWaiting(JobRecord& record, const TaskId& id, TimePoint now);
   /// Releases the reservations on the upstream, except those of the runs in
@@ -416,7 +433,8 @@
   /// Returns how many tasks of the step may start with `free` capacity, given
   /// its limit per upstream and the upstream's health.
   int32_t FittingTasks(UpstreamIndex upstream, const JobRecord& record,
-                       const StepId& id, const Amount& free) const;
+                       const StepId& id, const Amount& free,
+                       TimePoint now) const;
   /// Whether the upstream belongs to the pool of the queue and has the label
   /// that the step requires.
   bool Matches(UpstreamIndex upstream, const JobRecord& record,
--- a/src/scheduling/speeds.cc
+++ b/src/scheduling/speeds.cc
@@ -226,7 +226,8 @@
                (!record.job.queue().advised || advice.Allowed(other)) &&
                pool_.Usable(other, now) && Matches(other, record, step) &&
                !UsesGangReservation(other, TaskResources(step)) &&
-               FittingTasks(other, record, step_id, pool_.at(other).free) > 0;
+               FittingTasks(other, record, step_id, pool_.at(other).free, now) >
+                   0;
       });
 }
 
@@ -304,7 +305,8 @@
   const StepAdvice& advice = record.step_state(id.occurrence, id.step).advice;
   const auto frees_soon = [&](UpstreamIndex other) {
     return !LateAt(after_wait, pool_.speeds().Factor(other)) &&
-           pool_.Usable(other, now) && Matches(other, record, step) &&
+           pool_.State(other, now) == UpstreamState::kOpen &&
+           Matches(other, record, step) &&
            size.FitsIn(pool_.FreeAt(other, now + kMaxWaitForFaster));
   };
   if (!record.job.queue().advised) {
--- a/src/scheduling/upstream_health.cc
+++ b/src/scheduling/upstream_health.cc
@@ -5,9 +5,11 @@
 
 namespace mimosarail::scheduling {
 
-void UpstreamHealth::NoteFailure(TimePoint now, int weight) {
+void UpstreamHealth::NoteFailure(TimePoint now, Millis lasted, int weight) {
   failures_ += weight;
-  starts_since_result_ = 0;
+  last_failure_ = now;
+  longest_failed_run_ = std::max(longest_failed_run_, lasted);
+  probe_until_ = {};
   if (failures_ < kBackoffAfterFailures || InBackoff(now)) return;
   last_backoff_ = last_backoff_ == Millis(0)
                       ? kInitialBackoff
@@ -15,9 +17,18 @@
   backoff_until_ = now + last_backoff_;
 }
 
-int UpstreamHealth::StartsPermitted() const {
+bool UpstreamHealth::NoteAtWork(TimePoint started_at, TimePoint now) {
+  if (!suspect() || started_at < last_failure_) return false;
+  const Millis proof_time = std::clamp(kProofFactor * longest_failed_run_,
+                                       kMinProofTime, kMaxProofTime);
+  if (now - started_at < proof_time) return false;
+  NoteSuccess();
+  return true;
+}
+
+int UpstreamHealth::MaxStarts(TimePoint now) const {
   if (!suspect()) return std::numeric_limits<int>::max();
-  return std::max(0, 1 - starts_since_result_);
+  return now < probe_until_ ? 0 : 1;
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_health.h
+++ b/src/scheduling/upstream_health.h
@@ -11,34 +11,41 @@
 /// tasks, because an upstream may report that it is healthy and still fail
 /// every task that it starts.
 ///
-/// After a failure the upstream is suspect, and gets one start at a time until
-/// a task succeeds. After further failures it gets no starts for a while. Not
-/// thread-safe.
+/// After a failure the upstream is suspect, and gets probe starts until a task
+/// succeeds or a run has proved it. After further failures it gets no starts
+/// for a while. Each of these states ends after a bounded time, since a
+/// long-running task has no result. Not thread-safe.
 class UpstreamHealth {
  public:
   /// A task has succeeded.
   void NoteSuccess() { *this = {}; }
-  /// A task or a start has failed. A `weight` of kBackoffAfterFailures starts a
-  /// backoff at once.
-  void NoteFailure(TimePoint now, int weight = 1);
+  /// A task that ran for `lasted`, or a start, has failed. A `weight` of
+  /// kBackoffAfterFailures starts a backoff at once.
+  void NoteFailure(TimePoint now, Millis lasted, int weight = 1);
   /// A start was ordered.
-  void NoteStartOrdered() { ++starts_since_result_; }
+  void NoteStartOrdered(TimePoint now) { probe_until_ = now + kProbeTimeout; }
   /// A start was rejected, or a run has ended in a way that says nothing about
   /// the upstream. The next probe need not wait for it.
-  void NoteProbeWithoutResult() { starts_since_result_ = 0; }
+  void NoteProbeWithoutResult() { probe_until_ = {}; }
+  /// A run that started at `started_at` makes progress, or serves. Returns
+  /// whether it proves the upstream, which then is no longer suspect.
+  bool NoteAtWork(TimePoint started_at, TimePoint now);
 
-  /// Whether tasks or starts have failed since the last success.
+  /// Whether tasks or starts have failed since the last success or proof.
   bool suspect() const { return failures_ > 0; }
-  /// Failures since the last success; a stalled task counts as
+  /// Failures since the last success or proof; a stalled task counts as
   /// kBackoffAfterFailures.
   int failures() const { return failures_; }
   /// No task starts before this time.
   TimePoint backoff_until() const { return backoff_until_; }
   bool InBackoff(TimePoint now) const { return now < backoff_until_; }
-  /// Returns the number of starts that the results so far permit, apart
-  /// from a backoff.
-  int StartsPermitted() const;
+  /// Returns how many starts the results so far permit now, apart from a
+  /// backoff.
+  int MaxStarts(TimePoint now) const;
 
+  /// A probe that has given no result for this time does not delay the next
+  /// one. Longer than a stalled task usually takes to be noticed.
+  static constexpr Millis kProbeTimeout{2000};
   /// First backoff of a failing upstream; each further one is twice as long.
   /// Machine faults last seconds, so a longer first backoff would cost more
   /// capacity than the few tasks that fail in probe starts.
@@ -47,13 +54,21 @@
   /// Number of failures that puts an upstream into backoff. A single failure is
   /// often the task's own fault: 1 to 5 % of tasks fail on any upstream.
   static constexpr int kBackoffAfterFailures = 2;
+  /// A run proves the upstream once it has lasted this many times as long as
+  /// the longest one that failed, within these bounds.
+  static constexpr int kProofFactor = 2;
+  static constexpr Millis kMinProofTime{5000};
+  static constexpr Millis kMaxProofTime{60000};
 
  private:
   int failures_ = 0;
+  TimePoint last_failure_{};
+  /// Duration of the longest run that has failed since the last success.
+  Millis longest_failed_run_{0};
   TimePoint backoff_until_{};
   Millis last_backoff_{0};
-  /// Starts ordered since the last result, on a healthy upstream too.
-  int starts_since_result_ = 0;
+  /// Until this time, the last start takes the place of the next probe.
+  TimePoint probe_until_{};
 };
 
 /// What an upstream's health has changed to.
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -196,12 +196,22 @@
                      });
 }
 
+Millis UpstreamPool::RunTime(UpstreamIndex index, const TaskId& task,
+                             int64_t attempt, TimePoint now) const {
+  const Reservations& reservations = upstreams_[index].reservations;
+  const auto found = reservations.find({task, attempt});
+  if (found == reservations.end() || !found->second.started_at) {
+    return Millis(0);
+  }
+  return std::chrono::duration_cast<Millis>(now - *found->second.started_at);
+}
+
 UpstreamState UpstreamPool::State(UpstreamIndex index, TimePoint now) const {
   const Upstream& upstream = upstreams_[index];
   if (!upstream.AcceptsWork()) return UpstreamState::kClosed;
   if (upstream.health.InBackoff(now)) return UpstreamState::kBackoff;
-  return StartsPermitted(index) > 0 ? UpstreamState::kOpen
-                                    : UpstreamState::kProbed;
+  return MaxStarts(index, now) > 0 ? UpstreamState::kOpen
+                                   : UpstreamState::kProbed;
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -22,7 +22,7 @@
 /// Whether an upstream may get starts now and, if not, why.
 enum class UpstreamState {
   kOpen,
-  kProbed,   ///< It is suspect, and its probe start has had no result yet.
+  kProbed,   ///< It is suspect, and its last probe start is too recent.
   kBackoff,  ///< It has failed repeatedly; see UpstreamHealth.
   kClosed,   ///< It accepts no work, whatever its health.
 };
@@ -173,14 +173,20 @@
   bool HasNoRecentStarts(UpstreamIndex index, JobId job, Millis span,
                          TimePoint now) const;
 
+  /// Returns for how long the run has been known to run; 0 without a
+  /// reservation.
+  Millis RunTime(UpstreamIndex index, const TaskId& task, int64_t attempt,
+                 TimePoint now) const;
+
   UpstreamState State(UpstreamIndex index, TimePoint now) const;
-  /// Whether tasks may start there now.
+  /// Whether tasks may start there now, MaxStarts() of them.
   bool Usable(UpstreamIndex index, TimePoint now) const {
-    return State(index, now) == UpstreamState::kOpen;
+    const UpstreamState state = State(index, now);
+    return state == UpstreamState::kOpen || state == UpstreamState::kProbed;
   }
-  /// See UpstreamHealth::StartsPermitted().
-  int32_t StartsPermitted(UpstreamIndex index) const {
-    return upstreams_[index].health.StartsPermitted();
+  /// See UpstreamHealth::MaxStarts().
+  int32_t MaxStarts(UpstreamIndex index, TimePoint now) const {
+    return upstreams_[index].health.MaxStarts(now);
   }
 
  private:
--- a/src/scheduling/waiting_work.cc
+++ b/src/scheduling/waiting_work.cc
@@ -77,7 +77,7 @@
       const Upstream& upstream = pool_.at(index);
       if (!MayRunOn(upstream, spec.queue, step)) continue;
       if (!pool_.Usable(index, now)) continue;
-      int32_t most = needed - fitting;
+      int32_t most = std::min(needed - fitting, pool_.MaxStarts(index, now));
       if (step.max_per_upstream > 0) {
         most = std::min(most, step.max_per_upstream);
       }
