Scheduling: Charge a step that fails everywhere, not its upstreams

Callers of jobs of lower priority would wait for ever, beside more than half of the cores free, while a long-running service fails after each start.

Cause: each failure counted against its upstream.

Change: a task's first two failures in a row, and a step's first four, count against upstreams. A run that ends done, or that outlasts the failed ones, ends the row.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -238,6 +238,17 @@
   for (const scheduling::HealthEvent& event : orders.health) {
     LogHealthChange(event);
   }
+  for (const scheduling::DelayedRestart& restart : orders.delayed_restarts) {
+    LogDelayedRestart(restart);
+  }
+}
+
+void Coordinator::LogDelayedRestart(const scheduling::DelayedRestart& restart) {
+  deps_.metrics.Count({.name = "restarts_delayed"});
+  logging::Event(Level::kInfo, "restart delayed",
+                 {{"task", TaskIdText(restart.task)},
+                  {"failures", Text(static_cast<int64_t>(restart.failures))},
+                  {"delay_ms", Text(restart.delay.count())}});
 }
 
 void Coordinator::LogHealthChange(const scheduling::HealthEvent& event) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -370,6 +370,7 @@
   void LogLostRun(const scheduling::LostRun& run);
   void LogPermanentlyFailed(const scheduling::PermanentlyFailedTask& task);
   void LogHealthChange(const scheduling::HealthEvent& event);
+  void LogDelayedRestart(const scheduling::DelayedRestart& restart);
   /// Logs the stop of an orphaned run, which no valid order accounts for.
   void LogOrphanedRun(scheduling::StopOrder stop);
   /// Schedules a placement pass after kPlacementDelay, unless one is scheduled.
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -102,11 +102,12 @@
   adjust_counts(phase, 1);
 }
 
+TaskId Job::FailureKeeper(const TaskId& id) const {
+  return {id.job, id.occurrence, id.step, step(id.step).gang ? 0 : id.index};
+}
+
 bool Job::CountFailure(const TaskId& id, int64_t attempt) {
-  // A gang fails as a whole; its failures are stored with its first task.
-  const TaskId counted_task{id.job, id.occurrence, id.step,
-                            step(id.step).gang ? 0 : id.index};
-  auto& counted = task(counted_task).failed_attempts;
+  auto& counted = task(FailureKeeper(id)).failed_attempts;
   if (std::find(counted.begin(), counted.end(), attempt) != counted.end()) {
     return false;
   }
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "jobs_types.h"
+#include "src/jobs/failure_streak.h"
 #include "src/jobs/job_state.h"
 #include "src/jobs/task_id.h"
 #include "src/libs/base/executor.h"
@@ -42,6 +43,11 @@
   /// Attempts that were counted as failures, in any order. For a long-running
   /// task only the last few.
   std::vector<int64_t> failed_attempts;
+  /// Failures since a run of the task succeeded or outlasted the failed ones.
+  /// For a gang, those of all members, kept with the first one.
+  FailureStreak failure_streak;
+  /// The task does not start before this time.
+  TimePoint earliest_start{};
   CrashCounts crashes;
   /// Upstream of the current run; kNoUpstream while the task waits.
   UpstreamIndex upstream = kNoUpstream;
@@ -130,6 +136,9 @@
   /// that attempt was already counted. `early`: the run had only just started.
   /// Precondition: attempt > 0.
   bool CountCrash(const TaskId& id, int64_t attempt, bool early);
+  /// Returns the task that keeps the failures of this one: the first member of
+  /// its gang, since a gang fails as a whole, otherwise the task itself.
+  TaskId FailureKeeper(const TaskId& id) const;
   /// Returns the number of failed runs of the task or of its whole gang.
   int32_t Failures(const TaskId& id) const;
   /// Returns the highest attempt number used by any task of the step.
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -19,8 +19,72 @@
   return step.max_per_upstream > 0 ? std::min(fit, step.max_per_upstream) : fit;
 }
 
+/// Failures in a row of a task, and of all tasks of a step, that count against
+/// their upstreams. What still fails is more likely to be at fault itself.
+constexpr int kUpstreamFailuresPerTask = 2;
+constexpr int kUpstreamFailuresPerStep = 4;
+/// Delay of the restart of a long-running task after its first failure beyond
+/// kUpstreamFailuresPerTask; each further one is twice as long. With the
+/// maximum, the task runs again well before it has been down for 6 s.
+constexpr Millis kInitialRestartDelay{500};
+constexpr Millis kMaxRestartDelay{4000};
+
+Millis RestartDelay(int failures_in_a_row) {
+  Millis delay = kInitialRestartDelay;
+  for (int i = kUpstreamFailuresPerTask + 1;
+       i < failures_in_a_row && delay < kMaxRestartDelay; ++i) {
+    delay *= 2;
+  }
+  return std::min(delay, kMaxRestartDelay);
+}
+
 }  // namespace
 
+void Scheduler::BlameForFailure(JobRecord& record, const FailedRun& run,
+                                TimePoint now, Orders& orders) {
+  const StepId step = run.task.step_id();
+  FailureStreak& step_streak =
+      record.step_state(step.occurrence, step.step).failure_streak;
+  Task& keeper = record.job.task(record.job.FailureKeeper(run.task));
+  step_streak.NoteFailure(run.lasted);
+  keeper.failure_streak.NoteFailure(run.lasted);
+  const int failures = keeper.failure_streak.length();
+  // Otherwise a service that never stops failing would keep all its upstreams
+  // in backoff, and take each start that they get.
+  if (failures <= kUpstreamFailuresPerTask && !IsAtFault(record, step)) {
+    NoteUpstreamFailure(run, now, 1, orders);
+  } else {
+    pool_.at(run.upstream).health.NoteFailureOfFaultyStep(step, now);
+  }
+  if (failures <= kUpstreamFailuresPerTask ||
+      !record.job.step(step.step).long_running) {
+    return;
+  }
+  keeper.earliest_start = now + RestartDelay(failures);
+  orders.delayed_restarts.push_back({.task = run.task,
+                                     .failures = failures,
+                                     .delay = RestartDelay(failures)});
+}
+
+bool Scheduler::IsAtFault(const JobRecord& record, const StepId& id) const {
+  return record.step_state(id.occurrence, id.step).failure_streak.length() >
+         kUpstreamFailuresPerStep;
+}
+
+int32_t Scheduler::DelayedRestarts(const JobRecord& record, const StepId& id,
+                                   TimePoint now) const {
+  const Job& job = record.job;
+  if (!job.step(id.step).long_running) return 0;
+  int32_t delayed = 0;
+  for (int32_t i = 0; i < job.step(id.step).tasks; ++i) {
+    const TaskId task{id.job, id.occurrence, id.step, i};
+    const bool waits = job.task(task).phase == TaskPhase::kWaiting;
+    const Task& keeper = job.task(job.FailureKeeper(task));
+    if (waits && now < keeper.earliest_start) ++delayed;
+  }
+  return delayed;
+}
+
 void Scheduler::NoteUpstreamFailure(const FailedRun& run, TimePoint now,
                                     int weight, Orders& orders) {
   UpstreamHealth& health = pool_.at(run.upstream).health;
@@ -52,16 +116,23 @@
   health.NoteSuccess();
 }
 
-void Scheduler::NoteRunAtWork(const JobRecord& record, UpstreamIndex upstream,
+void Scheduler::NoteRunAtWork(JobRecord& record, UpstreamIndex upstream,
                               const ports::RunningTask& running, TimePoint now,
                               Orders& orders) {
   UpstreamHealth& health = pool_.at(upstream).health;
   const bool starts_up = record.job.step(running.task.step).long_running &&
                          running.percent < kReadyPercent;
-  if (!health.suspect() || starts_up) return;
-  const int failures = health.failures();
+  if (starts_up) return;
   const Millis lasted =
       pool_.RunTime(upstream, running.task, running.attempt, now);
+  const TaskId keeper = record.job.FailureKeeper(running.task);
+  FailureStreak& task_streak = record.job.task(keeper).failure_streak;
+  if (task_streak.IsOverAfter(lasted)) task_streak.Reset();
+  FailureStreak& step_streak =
+      record.step_state(running.task.occurrence, running.task.step)
+          .failure_streak;
+  if (step_streak.IsOverAfter(lasted)) step_streak.Reset();
+  const int failures = health.failures();
   if (!health.NoteAtWork(now - lasted, now)) return;
   orders.health.push_back({.upstream = upstream,
                            .change = HealthChange::kHealthy,
--- a/src/scheduling/explaining.cc
+++ b/src/scheduling/explaining.cc
@@ -80,6 +80,8 @@
                     ", upstreams " + DescribeStates(matching) + ", excluded " +
                     std::to_string(excluded) + ", room for " +
                     std::to_string(fit_now);
+  const int32_t delayed = DelayedRestarts(record, id, now);
+  if (delayed > 0) out += ", restarts delayed " + std::to_string(delayed);
   if (!record.job.queue().advised) return out;
   return out + ", asked " + std::to_string(advice.upstreams.size()) +
          ", allowed " + std::to_string(allowed) + " with room for " +
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -143,6 +143,15 @@
   Millis backoff{0};
 };
 
+/// A task that has to wait before its next start, because it fails again and
+/// again.
+struct DelayedRestart {
+  TaskId task;
+  /// See Task::failure_streak.
+  int failures = 0;
+  Millis delay{0};
+};
+
 /// Bytes of start requests that may be ordered now. Unlimited by default.
 struct StartBudget {
   bool limited = false;
@@ -182,6 +191,7 @@
   std::vector<LostRun> lost;
   std::vector<PermanentlyFailedTask> permanently_failed;
   std::vector<HealthEvent> health;
+  std::vector<DelayedRestart> delayed_restarts;
 };
 
 /// Number of advice calls that may be made now.
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -61,6 +61,7 @@
     fit = std::min(fit,
                    step.max_per_upstream - pool_.ReservedTasks(upstream, id));
   }
+  if (pool_.at(upstream).health.HoldsBack(id, now)) return 0;
   if (!record.step_state(id.occurrence, id.step).exclusion.allows_suspects) {
     fit = std::min(fit, pool_.MaxStarts(upstream, now));
   }
@@ -213,6 +214,10 @@
                           PassReservations& reserved, Orders& orders) {
   const bool gang = record.job.step(id.step).gang;
   if (AccountBlocks(record, id)) return false;
+  if (DelayedRestarts(record, id, now) ==
+      record.job.step_counts(id.occurrence, id.step).waiting) {
+    return false;
+  }
   UpdateExclusion(record, id, now);
   UpdateSpeedNeeds(record, id, now);
   if (gang) {
@@ -341,7 +346,9 @@
   for (int32_t i = 0; i < step.tasks && may_start > 0; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
     const Task& task = record.job.task(task_id);
-    if (task.phase != TaskPhase::kWaiting) continue;
+    if (task.phase != TaskPhase::kWaiting || now < task.earliest_start) {
+      continue;
+    }
     const bool retry = task.failures() > 0;
     std::vector<Candidate>& from = retry ? retry_candidates : found;
     const bool suspect = task.crashes.suspect();
@@ -387,7 +394,12 @@
                  .expected_end = task.expected_end,
                  .reserved_at = now,
                  .resumed = !task.checkpoint.empty()});
-  pool_.at(upstream).health.NoteStartOrdered(now);
+  UpstreamHealth& health = pool_.at(upstream).health;
+  if (IsAtFault(record, id.step_id())) {
+    health.NoteStartOfFaultyStep(id.step_id(), now);
+  } else {
+    health.NoteStartOrdered(now);
+  }
   StartOrder order{.upstream = upstream,
                    .task = id,
                    .attempt = attempt,
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -313,7 +313,7 @@
   MarkChanged(record);
   job.task(id).failed_upstream = run.upstream;
   record.step_state(id.occurrence, id.step).exclusion.valid_until = {};
-  NoteUpstreamFailure(run, now, 1, orders);
+  BlameForFailure(record, run, now, orders);
   if (job.step(id.step).long_running) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
   FinishJob(record, JobState::kFailed, now);
@@ -349,6 +349,9 @@
                                      task.phase != TaskPhase::kDone;
   if (end.kind == EndKind::kDone) {
     NoteUpstreamSuccess(upstream, end.task, orders);
+    record->step_state(end.task.occurrence, end.task.step)
+        .failure_streak.Reset();
+    job.task(job.FailureKeeper(end.task)).failure_streak.Reset();
   }
   if (!current && !ended_before_adoption) {
     // Of an earlier run only a failure counts. A new leader may learn of it
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -225,6 +225,9 @@
     QueueKey key;
     StepAdvice advice;
     PlacementExclusion exclusion;
+    /// Failures of all tasks since a run of the step succeeded or outlasted the
+    /// failed ones.
+    FailureStreak failure_streak;
     /// For a waiting gang: where and when it could start. Computed again after
     /// `plan_valid_until`.
     GangPlan plan;
@@ -351,9 +354,22 @@
                            Orders& orders);
   void NoteUpstreamSuccess(UpstreamIndex upstream, const TaskId& task,
                            Orders& orders);
+  /// Decides whether a failure of a task counts against its upstream, or
+  /// whether the task or its step has failed so often that it is at fault
+  /// itself. Delays the restart of a long-running task that fails again and
+  /// again.
+  void BlameForFailure(JobRecord& record, const FailedRun& run, TimePoint now,
+                       Orders& orders);
+  /// Whether the step has failed so often that its failures do not count
+  /// against upstreams.
+  bool IsAtFault(const JobRecord& record, const StepId& id) const;
+  /// Returns how many waiting tasks of the step may not start yet; see
+  /// Task::earliest_start.
+  int32_t DelayedRestarts(const JobRecord& record, const StepId& id,
+                          TimePoint now) const;
   /// A report lists the current run of a task. If it has lasted long enough,
-  /// its upstream is healthy.
-  void NoteRunAtWork(const JobRecord& record, UpstreamIndex upstream,
+  /// its upstream is healthy, and the task no longer fails.
+  void NoteRunAtWork(JobRecord& record, UpstreamIndex upstream,
                      const ports::RunningTask& running, TimePoint now,
                      Orders& orders);
   /// The task has no run any more and waits for another start.
--- a/src/scheduling/upstream_health.cc
+++ b/src/scheduling/upstream_health.cc
@@ -6,22 +6,36 @@
 namespace mimosarail::scheduling {
 
 void UpstreamHealth::NoteFailure(TimePoint now, Millis lasted, int weight) {
-  failures_ += weight;
+  streak_.NoteFailure(lasted, weight);
   last_failure_ = now;
-  longest_failed_run_ = std::max(longest_failed_run_, lasted);
   probe_until_ = {};
-  if (failures_ < kBackoffAfterFailures || InBackoff(now)) return;
+  if (failures() < kBackoffAfterFailures || InBackoff(now)) return;
   last_backoff_ = last_backoff_ == Millis(0)
                       ? kInitialBackoff
                       : std::min(kMaxBackoff, last_backoff_ * 2);
   backoff_until_ = now + last_backoff_;
 }
 
+void UpstreamHealth::NoteStartOfFaultyStep(const StepId& step, TimePoint now) {
+  if (suspect()) HoldBack(step, now);
+}
+
+void UpstreamHealth::NoteFailureOfFaultyStep(const StepId& step,
+                                             TimePoint now) {
+  NoteProbeWithoutResult();
+  HoldBack(step, now);
+}
+
+void UpstreamHealth::HoldBack(const StepId& step, TimePoint now) {
+  held_step_ = step;
+
+  step_held_until_ = now + kStepHoldTime;
+}
+
 bool UpstreamHealth::NoteAtWork(TimePoint started_at, TimePoint now) {
   if (!suspect() || started_at < last_failure_) return false;
-  const Millis proof_time = std::clamp(kProofFactor * longest_failed_run_,
-                                       kMinProofTime, kMaxProofTime);
-  if (now - started_at < proof_time) return false;
+  const auto lasted = std::chrono::duration_cast<Millis>(now - started_at);
+  if (!streak_.IsOverAfter(lasted)) return false;
   NoteSuccess();
   return true;
 }
--- a/tests/failing_upstreams_test.cc
+++ b/tests/failing_upstreams_test.cc
@@ -78,6 +78,12 @@
                  JobState::kFailed;
         }));
   }
+  /// The longest time from the end of a run of the job to the next start of
+  /// the same task.
+  Millis longest_restart(JobId job) const {
+    const auto found = longest_restarts_.find(job);
+    return found == longest_restarts_.end() ? Millis(0) : found->second;
+  }
   SchedulerHarness& harness() { return harness_; }
 
  private:
@@ -105,10 +111,19 @@
       ++total_starts_;
       ++starts_by_job_[start.task.job];
       ++starts_by_upstream_[start.upstream];
+      NoteRestart(start);
       runs_.push_back({start, plan_(start), harness_.now});
     }
   }
 
+  void NoteRestart(const StartOrder& start) {
+    const auto ended = ended_at_.find(start.task);
+    if (ended == ended_at_.end()) return;
+    Millis& longest = longest_restarts_[start.task.job];
+    longest = std::max(longest, std::chrono::duration_cast<Millis>(
+                                    harness_.now - ended->second));
+  }
+
   void EndRuns() {
     const std::vector<Run> before = std::move(runs_);
     runs_.clear();
@@ -118,6 +133,7 @@
         runs_.push_back(run);
       } else {
         harness_.EndRun(run.order, run.plan.how);
+        ended_at_[run.order.task] = harness_.now;
       }
     }
   }
@@ -141,6 +157,8 @@
   std::map<JobId, TimePoint> added_;
   std::map<JobId, int> starts_by_job_;
   std::map<UpstreamIndex, int> starts_by_upstream_;
+  std::map<TaskId, TimePoint> ended_at_;
+  std::map<JobId, Millis> longest_restarts_;
   int total_starts_ = 0;
   int steps_ = 0;
 };
@@ -209,7 +227,7 @@
   for (const UpstreamIndex upstream : cell.harness().scheduler.pool().all()) {
     BOOST_TEST(cell.harness().scheduler.pool().at(upstream).health.suspect());
   }
-  cell.Play(kFailsAfter * UpstreamHealth::kProofFactor + Millis(1000));
+  cell.Play(kFailsAfter * FailureStreak::kProofFactor + Millis(1000));
   for (const UpstreamIndex upstream : cell.harness().scheduler.pool().all()) {
     BOOST_TEST(!cell.harness().scheduler.pool().at(upstream).health.suspect());
   }
@@ -227,10 +245,10 @@
       if (health.NoteAtWork(run, run + lasted)) return lasted;
     }
   };
-  BOOST_TEST((proof_time(Millis(100)) == UpstreamHealth::kMinProofTime));
+  BOOST_TEST((proof_time(Millis(100)) == FailureStreak::kMinProofTime));
   BOOST_TEST((proof_time(Millis(10000)) == Millis(20000)));
   BOOST_TEST(
-      (proof_time(std::chrono::hours(5)) == UpstreamHealth::kMaxProofTime));
+      (proof_time(std::chrono::hours(5)) == FailureStreak::kMaxProofTime));
 }
 
 /// Guards against a run from before the last failure, or one whose task stands
@@ -246,12 +264,12 @@
   harness.now += Millis(100);
   harness.EndRun(first.starts[1], EndKind::kFailed);
   const UpstreamHealth& health = harness.scheduler.pool().at(0).health;
-  harness.now += UpstreamHealth::kMaxProofTime;
+  harness.now += FailureStreak::kMaxProofTime;
   harness.ReportProgress(first.starts[0], 10);
   BOOST_TEST(health.suspect());
   const Orders second = harness.Place();
   BOOST_REQUIRE_EQUAL(second.starts.size(), 1U);
-  harness.now += UpstreamHealth::kMaxProofTime;
+  harness.now += FailureStreak::kMaxProofTime;
   harness.ReportProgress(second.starts[0], 0);
   BOOST_TEST(health.suspect());
   harness.ReportProgress(second.starts[0], 1);
@@ -311,4 +329,56 @@
   BOOST_TEST(cell.failed_jobs() == 0);
 }
 
+/// Guards against a service that never stops failing and keeps its upstreams in
+/// backoff, or takes each start that they get before jobs of lower priority.
+BOOST_DATA_TEST_CASE(ServiceThatAlwaysFailsLeavesRoomForJobs,
+                     boost::unit_test::data::make({1, 4, 16}) *
+                         boost::unit_test::data::make({100, 2500, 7000}) *
+                         boost::unit_test::data::make({false, true}),
+                     upstreams, fails_after_ms, many) {
+  PlayedUpstreams cell(upstreams, [&](const StartOrder& start) {
+    return start.task.job == kService ? FailsAfter(Millis(fails_after_ms))
+                                      : DoneAfter(Millis(500));
+  });
+  wire::JobSpec service = Service(many ? 75 * upstreams : upstreams);
+  if (many) service.steps[0].max_per_upstream = 0;
+  if (many) service.steps[0].millicores = 100;
+  cell.Add(service);
+  Millis longest_wait{0};
+  for (JobId job = 1; job <= 40; ++job) {
+    wire::JobSpec spec = Spec(job, 1, 1000);
+    spec.queue.priority = 1;
+    cell.Play(Millis(3000));
+    cell.Add(spec);
+    const TimePoint since = cell.harness().now;
+    cell.PlayUntilStarted(job, Millis(20000));
+    const auto waited =
+        std::chrono::duration_cast<Millis>(cell.harness().now - since);
+    longest_wait = std::max(longest_wait, waited);
+  }
+  BOOST_TEST(longest_wait.count() <= kMaxIdleWait.count());
+}
+
+/// Guards against an upstream that fails all tasks and uses up the attempts of
+/// a job with many of them, whose first tasks fail before any has succeeded.
+BOOST_DATA_TEST_CASE(FailingUpstreamGetsFewTasksOfOneJob,
+                     boost::unit_test::data::make({1000, 10000}), run_time_ms) {
+  constexpr UpstreamIndex kFailing = 0;
+  constexpr int kUpstreams = 4;
+  constexpr int kTasks = 400;
+  PlayedUpstreams cell(kUpstreams, [&](const StartOrder& start) {
+    return start.upstream == kFailing ? FailsAfter(Millis(100))
+                                      : DoneAfter(Millis(run_time_ms));
+  });
+  wire::JobSpec spec = Spec(1, kTasks, 1000);
+  spec.steps[0].estimate_ms = run_time_ms;
+  cell.Add(spec);
+  cell.Play(Millis(run_time_ms * 15));
+  // Beside the tasks that start there at once, before any has failed.
+  constexpr int kAtOnce = 16;
+  constexpr int kShare = kTasks / kUpstreams;
+  BOOST_TEST(cell.starts_on(kFailing) - kAtOnce <= kShare / 5);
+  BOOST_TEST(cell.failed_jobs() == 0);
+}
+
 }  // namespace mimosarail::scheduling
