Scheduling: Bound the time for which a failed task avoids upstreams

Cause: a step with failures avoids the upstreams where it failed and suspect ones if others could take it. These were counted as if empty, though a long-running task fills one for ever, and without the limit per upstream. The exclusion had no end.

Ruled out: the probe start and the backoff of the upstream; with the former mended the case still failed, and one failure starts none of the latter.

Change: what long-running tasks hold, and the places that a service's own tasks take, are no alternative. An exclusion keeps a failed task or a waiting gang off an upstream with room for at most 2 s, or 20 s while half of the pool is in use; after that other upstreams still come first. With 2 s in both cases two jobs of the tests used up their attempts on an upstream that fails everything.

Tests, failing_upstreams_test: FailedTaskReturnsToTheOnlyUpstreamWithRoom failed before in 4 of 4 cases, ServiceThatAlwaysFailsLeavesRoomForJobs in 1 of 18 (a task down for 11.5 s, the bound is 9 s).

--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -48,6 +48,9 @@
   FailureStreak failure_streak;
   /// The task does not start before this time.
   TimePoint earliest_start{};
+  /// When the task could have started again after its last failure. For a
+  /// bounded time from then on, it avoids upstreams where tasks have failed.
+  TimePoint avoids_since{};
   CrashCounts crashes;
   /// Upstream of the current run; kNoUpstream while the task waits.
   UpstreamIndex upstream = kNoUpstream;
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -13,10 +13,25 @@
 /// tasks, and on the adviser's answers.
 constexpr Millis kExclusionMaxAge{500};
 
-/// Returns how many tasks of the step may use this capacity of one upstream.
-int32_t MaxTasks(const wire::StepSpec& step, const Amount& free) {
+/// Longest time for which failures keep a gang, or a task that has failed, off
+/// upstreams that have capacity for it.
+constexpr Millis kMaxAvoidance{2000};
+/// The same while half of the pool is in use, so that other upstreams are only
+/// busy. A failing upstream, which looks idle, would otherwise use up the
+/// attempts of tasks that wait their turn.
+constexpr Millis kMaxAvoidanceIfBusy{20000};
+
+/// Returns how many waiting tasks of the step the upstream could run once all
+/// tasks there have ended that end by themselves.
+int32_t TasksInTheLongRun(const UpstreamPool& pool, UpstreamIndex upstream,
+                          const wire::StepSpec& step, const StepId& id) {
+  const Upstream& it = pool.at(upstream);
+  Amount free = it.capacity;
+  free -= it.held_long;
   const int32_t fit = FitCount(free, TaskResources(step));
-  return step.max_per_upstream > 0 ? std::min(fit, step.max_per_upstream) : fit;
+  if (step.max_per_upstream <= 0) return fit;
+  const int32_t held = step.long_running ? pool.ReservedTasks(upstream, id) : 0;
+  return std::clamp(step.max_per_upstream - held, 0, fit);
 }
 
 /// Failures in a row of a task, and of all tasks of a step, that count against
@@ -56,11 +71,13 @@
   } else {
     pool_.at(run.upstream).health.NoteFailureOfFaultyStep(step, now);
   }
+  keeper.avoids_since = now;
   if (failures <= kUpstreamFailuresPerTask ||
       !record.job.step(step.step).long_running) {
     return;
   }
   keeper.earliest_start = now + RestartDelay(failures);
+  keeper.avoids_since = keeper.earliest_start;
   orders.delayed_restarts.push_back({.task = run.task,
                                      .failures = failures,
                                      .delay = RestartDelay(failures)});
@@ -164,35 +181,50 @@
                                 TimePoint now) {
   const wire::StepSpec& step = record.job.step(id.step);
   StepState& step_state = record.step_state(id.occurrence, id.step);
+  if (!step_state.waits_since) step_state.waits_since = now;
   if (now < step_state.exclusion.valid_until) return;
   StepFailures failures = FailuresOf(record, id);
   if (!failures.any && !step.gang) return;
   step_state.exclusion = {.valid_until = now + kExclusionMaxAge};
   std::set<UpstreamIndex>& excluded = failures.upstreams;
   const bool advised = record.job.queue().advised;
-  // Tasks that fit on the upstreams if empty: on those not excluded, and on all
+  // Tasks that fit in the long run: on the upstreams not excluded, and on all
   // if each suspect one gets a single probe start.
   int64_t fit_elsewhere = 0;
   int64_t fit_with_probes = 0;
+  int64_t pool_millicores = 0;
+  int64_t free_millicores = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     const Upstream& it = pool_.at(upstream);
-    if (!it.AcceptsWork() || !Matches(upstream, record, step)) continue;
+    if (!it.AcceptsWork()) continue;
+    if (it.entry.pool == record.job.queue().pool) {
+      pool_millicores += it.capacity[Dimension::kCores];
+      free_millicores += it.free[Dimension::kCores];
+    }
+    if (!Matches(upstream, record, step)) continue;
     const bool asked = step_state.advice.upstreams.count(upstream) > 0;
     if (advised && asked && !step_state.advice.Allowed(upstream)) continue;
-    const int32_t fit = MaxTasks(step, it.capacity);
+    const int32_t fit = TasksInTheLongRun(pool_, upstream, step, id);
     const bool suspect = it.health.suspect();
     fit_with_probes += suspect ? std::min(fit, 1) : fit;
     if (suspect) excluded.insert(upstream);
     if (excluded.count(upstream) == 0) fit_elsewhere += fit;
   }
   // Excludes upstreams only if the others, allowed or not asked about yet,
-  // could take the gang when empty, or one task if the step is no gang.
-  // Otherwise a step without an alternative would wait forever.
+  // could take the gang in the long run, or one task if the step is no gang.
+  // Otherwise a step without an alternative would wait for nothing.
   const int32_t needed = step.gang ? step.tasks : 1;
-  if (failures.any && fit_elsewhere >= needed) {
+  const bool busy = 2 * free_millicores <= pool_millicores;
+  const Millis max_avoidance =
+      busy && !step.long_running ? kMaxAvoidanceIfBusy : kMaxAvoidance;
+  const bool gave_up =
+      step.gang && now - *step_state.waits_since >= max_avoidance;
+  step_state.exclusion.max_avoidance = max_avoidance;
+  if (failures.any && fit_elsewhere >= needed && !gave_up) {
     step_state.exclusion.excluded = std::move(excluded);
   }
-  step_state.exclusion.allows_suspects = step.gang && fit_with_probes < needed;
+  step_state.exclusion.allows_suspects =
+      step.gang && (gave_up || fit_with_probes < needed);
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -350,7 +350,11 @@
       continue;
     }
     const bool retry = task.failures() > 0;
-    std::vector<Candidate>& from = retry ? retry_candidates : found;
+    const bool must_avoid =
+        now < task.avoids_since + step_state.exclusion.max_avoidance;
+    const bool avoids =
+        retry && (must_avoid || first_fitting(retry_candidates) != nullptr);
+    std::vector<Candidate>& from = avoids ? retry_candidates : found;
     const bool suspect = task.crashes.suspect();
     if (first_fitting(from) != nullptr && !StartsPermitted(record, 1, orders)) {
       break;
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -162,6 +162,7 @@
   step_state.key =
       KeyOf(record, {job.id(), occurrence, step}, Timeliness::kInTime);
   step_state.queued = true;
+  step_state.waits_since.reset();
   step_state.plan_valid_until = {};
   step_state.next_advice_check = {};
   queue_.insert(step_state.key);
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -225,6 +225,8 @@
     QueueKey key;
     StepAdvice advice;
     PlacementExclusion exclusion;
+    /// When the step was first placed since it was queued; unset before.
+    std::optional<TimePoint> waits_since{};
     /// Failures of all tasks since a run of the step succeeded or outlasted the
     /// failed ones.
     FailureStreak failure_streak;
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -119,6 +119,9 @@
   if (upstream.reservations.emplace(std::pair(task, attempt), reservation)
           .second) {
     upstream.free -= reservation.amount;
+    if (reservation.charge.long_running) {
+      upstream.held_long += reservation.amount;
+    }
     accounts_.Charge(reservation.charge);
   }
 }
@@ -163,6 +166,9 @@
   const auto found = upstream.reservations.find({task, attempt});
   if (found == upstream.reservations.end()) return false;
   upstream.free += found->second.amount;
+  if (found->second.charge.long_running) {
+    upstream.held_long -= found->second.amount;
+  }
   accounts_.Refund(found->second.charge);
   upstream.reservations.erase(found);
   return true;
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -76,6 +76,8 @@
   ports::UpstreamEntry entry;
   Amount capacity;
   Amount free;
+  /// What long-running tasks have reserved: it does not become free by itself.
+  Amount held_long;
   /// The upstream answered the last lease renewal that carried this leader's
   /// fence, and has reported its tasks.
   bool reachable = false;
--- a/tests/failing_upstreams_test.cc
+++ b/tests/failing_upstreams_test.cc
@@ -19,6 +19,10 @@
 /// capacity for it twice over.
 constexpr Millis kMaxIdleWait{3000};
 
+/// A long-running task must not be down for longer than this while upstreams
+/// that may run it have capacity for it twice over.
+constexpr Millis kMaxServiceDown{9000};
+
 /// How a run goes.
 struct RunPlan {
   /// When the run ends; nullopt if it lasts.
@@ -357,6 +361,7 @@
     longest_wait = std::max(longest_wait, waited);
   }
   BOOST_TEST(longest_wait.count() <= kMaxIdleWait.count());
+  BOOST_TEST(cell.longest_restart(kService).count() <= kMaxServiceDown.count());
 }
 
 /// Guards against an upstream that fails all tasks and uses up the attempts of
@@ -381,4 +386,50 @@
   BOOST_TEST(cell.failed_jobs() == 0);
 }
 
+/// Guards against a failed task that never runs again: the upstream of its
+/// failure is free, and the other one is filled by a task that runs for long or
+/// for ever.
+BOOST_DATA_TEST_CASE(FailedTaskReturnsToTheOnlyUpstreamWithRoom,
+                     boost::unit_test::data::make({true, false}) *
+                         boost::unit_test::data::make({1, 2}),
+                     filler_lasts, gang_tasks) {
+  constexpr JobId kFiller = 1;
+  constexpr JobId kJob = 2;
+  const bool gang = gang_tasks > 1;
+  PlayedUpstreams cell(1 + gang_tasks, [&](const StartOrder& start) {
+    if (start.task.job == kFiller) return Lasts();
+    if (start.attempt > 1) return DoneAfter(Millis(500));
+    return start.task.index == 0 ? FailsAfter(Millis(300))
+                                 : RunPlan{Millis(300), EndKind::kGangFailed};
+  });
+  wire::JobSpec filler = Spec(kFiller, 1, 15000);
+  filler.steps[0].long_running = filler_lasts;
+  filler.steps[0].estimate_ms = 600000;
+  cell.Add(filler);
+  cell.Play(Millis(1000));
+  wire::JobSpec job = Spec(kJob, gang_tasks, 2000);
+  job.steps[0].gang = gang;
+  job.steps[0].max_per_upstream = 1;
+  cell.Add(job);
+  cell.Play(Millis(500) + kMaxIdleWait);
+  BOOST_TEST(cell.starts(kJob) == 2 * gang_tasks);
+}
+
+/// Guards against a task of a service that is no longer started after some
+/// failures, because the upstreams of the other tasks count as alternatives.
+BOOST_AUTO_TEST_CASE(FailingTaskOfAServiceRunsAgainEachTime) {
+  constexpr int kTasks = 4;
+  constexpr int kFailures = 10;
+  int failed = 0;
+  PlayedUpstreams cell(2 * kTasks, [&](const StartOrder& start) {
+    const bool fails = start.task.index == 0 && failed++ < kFailures;
+    return fails ? FailsAfter(Millis(3000)) : Lasts();
+  });
+  cell.Add(Service(kTasks));
+  cell.Play(kFailures * (kMaxServiceDown + Millis(3000)));
+  BOOST_TEST(failed > kFailures);
+  BOOST_TEST(cell.running(kService) == kTasks);
+  BOOST_TEST(cell.longest_restart(kService).count() <= kMaxServiceDown.count());
+}
+
 }  // namespace mimosarail::scheduling
