--- a/src/jobs/failure_streak.cc
+++ b/src/jobs/failure_streak.cc
@@ -10,8 +10,8 @@
 }
 
 bool FailureStreak::IsOverAfter(Millis lasted) const {
-  return lasted >= std::clamp(kProofFactor * longest_run_, kMinProofTime,
-                              kMaxProofTime);
+  return lasted >=
+         std::clamp(kProofFactor * longest_run_, kMinProofTime, kMaxProofTime);
 }
 
 }  // namespace mimosarail
