--- a/tests/failing_upstreams_test.cc
+++ b/tests/failing_upstreams_test.cc
@@ -324,8 +324,9 @@
     spec.steps[0].estimate_ms = run_time.count();
     cell.Add(spec);
     cell.Play(kArrivalInterval);
-    if (kArrivalInterval * id < run_time)
+    if (kArrivalInterval * id < run_time) {
       first_starts = cell.starts_on(kFailing);
+    }
   }
   // Once its first tasks have failed, it gets at most a tenth of its share.
   const int share = cell.total_starts() / kUpstreams;
--- a/tests/gang_starvation_test.cc
+++ b/tests/gang_starvation_test.cc
@@ -109,8 +109,9 @@
     if (Chance(60)) allowed_.insert(up);
     // The last task there failed, through its own fault or the upstream's, and
     // none has run since.
-    if (Chance(25))
+    if (Chance(25)) {
       scheduler_.pool().at(up).health.NoteFailure(now_, Millis(0));
+    }
   }
 
   std::vector<StartOrder> Step() {
