--- a/tests/failing_upstreams_test.cc
+++ b/tests/failing_upstreams_test.cc
@@ -12,7 +12,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-using ports::CallVerdict;
 using ports::EndKind;
 
 /// A job must not wait longer than this while upstreams that may run it have
@@ -143,8 +142,9 @@
   }
 
   void Report() {
-    for (const Run& run : runs_)
+    for (const Run& run : runs_) {
       harness_.ReportProgress(run.order, Percent(run));
+    }
   }
 
   int32_t Percent(const Run& run) const {
