--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -64,8 +64,8 @@
   step_streak.NoteFailure(run.lasted);
   keeper.failure_streak.NoteFailure(run.lasted);
   const int failures = keeper.failure_streak.length();
-  // Otherwise a service that never stops failing would keep all its upstreams
-  // in backoff, and take each start that they get.
+  // If all failures counted against upstreams, a service that never stops
+  // failing would keep them in backoff and take each start that they get.
   if (failures <= kUpstreamFailuresPerTask && !IsAtFault(record, step)) {
     NoteUpstreamFailure(run, now, 1, orders);
   } else {
--- a/src/scheduling/upstream_health.cc
+++ b/src/scheduling/upstream_health.cc
@@ -28,7 +28,6 @@
 
 void UpstreamHealth::HoldBack(const StepId& step, TimePoint now) {
   held_step_ = step;
-
   step_held_until_ = now + kStepHoldTime;
 }
 
