--- a/tests/failing_upstreams_test.cc
+++ b/tests/failing_upstreams_test.cc
@@ -245,9 +245,12 @@
     UpstreamHealth health;
     health.NoteFailure(start, failed_after);
     const TimePoint run = start + Millis(1);
-    for (Millis lasted{0};; lasted += Millis(1000)) {
-      if (health.NoteAtWork(run, run + lasted)) return lasted;
+    Millis lasted{0};
+    while (lasted <= 2 * FailureStreak::kMaxProofTime &&
+           !health.NoteAtWork(run, run + lasted)) {
+      lasted += Millis(1000);
     }
+    return lasted;
   };
   BOOST_TEST((proof_time(Millis(100)) == FailureStreak::kMinProofTime));
   BOOST_TEST((proof_time(Millis(10000)) == Millis(20000)));
