Review: Show that a gang starts with different checkpoints

The stand-ins take their ports below the range of outgoing connections: three runs of scripts ended with exit 2 because a port was taken.

--- a/review/parts-2/cell.py
+++ b/review/parts-2/cell.py
@@ -7,6 +7,7 @@
 import base64
 import json
 import os
+import random
 import re
 import signal
 import socket
@@ -16,6 +17,7 @@
 import tempfile
 import time
 import urllib.parse
+import zlib
 
 ROOT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 
@@ -30,10 +32,20 @@
 HEARTBEAT_MS = 1500
 
 
-def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+def free_port(taken=set()):
+    """A free port below the range from which the kernel takes the ports of
+    outgoing connections, so that none of these takes it meanwhile."""
+    while True:
+        port = random.randrange(12000, 30000)
+        if port in taken:
+            continue
+        taken.add(port)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        return port
 
 
 def steady_ms():
@@ -69,6 +81,7 @@
         self.port = 0
 
     async def start(self, port=0):
+        port = port or free_port()
         self.server = await asyncio.start_server(
             self._serve, "127.0.0.1", port, reuse_address=True)
         self.port = self.server.sockets[0].getsockname()[1]
@@ -274,9 +287,60 @@
 # --- A worker -----------------------------------------------------------------
 
 
+class Gang:
+    """One run of a gang that saves its progress. It works from the moment when
+    all members are present; its members end together. Its saved value is the
+    same for all members at any moment: progress in ms, then a digest of the
+    step and the run."""
+
+    SAVE_MS = 500  # bounds.checkpointS
+
+    def __init__(self, step, attempt, size, work_ms):
+        self.step, self.attempt = step, attempt
+        self.size, self.work_ms = size, work_ms
+        self.members = {}  # task -> (life, checkpoint of its start)
+        self.created = steady_ms()
+        self.began = None
+        self.base = 0
+        self.over = False
+
+    def join(self, life, task, checkpoint):
+        self.members[task] = (life, checkpoint)
+        if len(self.members) == self.size:
+            self.began = steady_ms()
+            # Work goes on from the least advanced of the values.
+            self.base = min(int(c[:8], 16) if c else 0
+                            for _, c in self.members.values())
+
+    def progress(self):
+        if self.began is None:
+            return 0
+        return self.base + steady_ms() - self.began
+
+    def percent(self):
+        return min(100, 100 * self.progress() // self.work_ms)
+
+    def saved(self, checkpoint):
+        if self.began is None or self.progress() - self.base < self.SAVE_MS:
+            return checkpoint
+        at = self.progress() // self.SAVE_MS * self.SAVE_MS
+        digest = zlib.crc32(f"{self.step} {self.attempt} {at}".encode())
+        return f"{at:08x}{digest:08x}"
+
+    def end(self, how, but=None):
+        """Ends all members, but for one that has ended already."""
+        if self.over:
+            return
+        self.over = True
+        for task, (life, _) in self.members.items():
+            if task != but and life.alive and task in life.running:
+                life._end(task, how)
+
+
 class Life:
     """One life of a worker. What it runs follows from `spec`: "work MS" ends
-    done after MS ms of work, "last" runs until it is stopped."""
+    done after MS ms of work, "last" runs until it is stopped, "gang N MS" is a
+    member of a gang of N."""
 
     STOP_S = 0.05
     STARTUP_MS = 400
@@ -313,11 +377,14 @@
 
     def crash(self):
         self.alive = False
-        for task, run in self.running.items():
+        lost, self.running = self.running, {}
+        for task, run in lost.items():
             self.cell.record.line(
                 f"worker {self.id} crashed under {task} run {run['attempt']}")
-        self.running = {}
         self.server.abort()
+        for task, run in lost.items():
+            if run["gang"]:
+                run["gang"].end("broken", but=task)
 
     async def _watch(self):
         while self.alive:
@@ -331,11 +398,24 @@
                     self._end(task, "stopped")
                 elif run["end"] is not None and now >= run["end"]:
                     self._end(task, "done")
+                elif run["gang"] and run["gang"].progress() >= (
+                        run["gang"].work_ms):
+                    run["gang"].end("done")
+                elif run["gang"] and run["gang"].began is None and (
+                        steady_ms() - run["gang"].created >
+                        BOUNDS["gangTimeoutMs"]):
+                    run["gang"].end("alone")
 
     def _end(self, task, how):
-        run = self.running.pop(task)
+        run = self.running.pop(task, None)
+        if run is None:
+            return
+        saved = "" if how == "done" else self._saved(run)
         self.last_number += 1
-        self.finished.append([self.last_number, task, run["attempt"], how, ""])
+        self.finished.append(
+            [self.last_number, task, run["attempt"], how, saved])
+        if run["gang"] and how != "done":
+            run["gang"].end("broken", but=task)
         self.cell.on_end(self, task, run["attempt"], how)
         changed, self.changed = self.changed, asyncio.Event()
         changed.set()
@@ -343,7 +423,13 @@
     def _answer(self, status, **more):
         return status, to_json({"clockMs": self.clock(), **more})
 
+    @staticmethod
+    def _saved(run):
+        return run["gang"].saved(run["checkpoint"]) if run["gang"] else ""
+
     def _percent(self, run):
+        if run["gang"]:
+            return run["gang"].percent()
         worked = self.clock() - run["start"]
         if run["end"] is None:
             return 100 if worked >= self.STARTUP_MS else 50
@@ -385,9 +471,21 @@
         self.last_attempt[task] = attempt
         work = call["spec"].split()
         end = now + int(work[1]) if work[0] == "work" else None
+        gang = None
+        checkpoint = call.get("checkpoint", "")
+        if work[0] == "gang":
+            step = task.rsplit(".", 1)[0]
+            gang = self.cell.gangs.setdefault(
+                (step, attempt), Gang(step, attempt, int(work[1]),
+                                      int(work[2])))
         self.running[task] = {"attempt": attempt, "start": now, "end": end,
-                              "stop_at": None}
+                              "stop_at": None, "gang": gang,
+                              "checkpoint": checkpoint}
         self.cell.on_start(self, task, attempt)
+        if gang:
+            self.cell.record.line(
+                f"  {task} run {attempt} carries checkpoint '{checkpoint}'")
+            gang.join(self, task, checkpoint)
         return self._answer(200)
 
     def _stop(self, call, now):
@@ -408,7 +506,7 @@
                                        limit - time.monotonic())
             except asyncio.TimeoutError:
                 break
-        running = [[t, r["attempt"], "", self._percent(r)]
+        running = [[t, r["attempt"], self._saved(r), self._percent(r)]
                    for t, r in self.running.items()]
         return self._answer(200, running=running, finished=self.finished[:500])
 
@@ -598,6 +696,7 @@
         self.places = []
         self.starts = []  # (time, worker id, task, attempt)
         self.ends = []  # (time, worker id, task, attempt, how)
+        self.gangs = {}  # (step, attempt) -> Gang
         self.turn = 0
 
     async def _advise(self, method, target, headers, body):
@@ -730,6 +829,8 @@
     none, and 2 if it could not run."""
 
     async def run():
+        # Connections that are open when the case ends are no news.
+        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         cell = Cell(case_folder, entries)
         try:
             findings = await asyncio.wait_for(case(cell), seconds)
