--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -6,7 +6,7 @@
 cd "$(dirname "$0")"
 out=$(mktemp -d)
 trap 'rm -rf "$out"' EXIT
-for file in parts-2/*.py [4-8]/*.py; do
+for file in parts-2/*.py [4-8]/*.py left-out-2/*/*.py; do
   PYTHONPYCACHEPREFIX="$out" python3 -m py_compile "$file"
 done
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))' ||
--- a/review/parts-2/cell.py
+++ b/review/parts-2/cell.py
@@ -339,8 +339,8 @@
 
 class Life:
     """One life of a worker. What it runs follows from `spec`: "work MS" ends
-    done after MS ms of work, "last" runs until it is stopped, "gang N MS" is a
-    member of a gang of N."""
+    done after MS ms of work, "fail MS" ends failed, "last" runs until it is
+    stopped, "gang N MS" is a member of a gang of N."""
 
     STOP_S = 0.05
     STARTUP_MS = 400
@@ -397,7 +397,7 @@
                 if run["stop_at"] is not None and now >= run["stop_at"]:
                     self._end(task, "stopped")
                 elif run["end"] is not None and now >= run["end"]:
-                    self._end(task, "done")
+                    self._end(task, run["how"])
                 elif run["gang"] and run["gang"].progress() >= (
                         run["gang"].work_ms):
                     run["gang"].end("done")
@@ -470,7 +470,7 @@
             return self._answer(409, reason="late")
         self.last_attempt[task] = attempt
         work = call["spec"].split()
-        end = now + int(work[1]) if work[0] == "work" else None
+        end = now + int(work[1]) if work[0] in ("work", "fail") else None
         gang = None
         checkpoint = call.get("checkpoint", "")
         if work[0] == "gang":
@@ -480,6 +480,7 @@
                                       int(work[2])))
         self.running[task] = {"attempt": attempt, "start": now, "end": end,
                               "stop_at": None, "gang": gang,
+                              "how": "failed" if work[0] == "fail" else "done",
                               "checkpoint": checkpoint}
         self.cell.on_start(self, task, attempt)
         if gang:
