--- a/review/parts-2/cell.py
+++ b/review/parts-2/cell.py
@@ -340,7 +340,8 @@
 class Life:
     """One life of a worker. What it runs follows from `spec`: "work MS" ends
     done after MS ms of work, "fail MS" ends failed, "last" runs until it is
-    stopped, "gang N MS" is a member of a gang of N."""
+    stopped, "last MS" does so too, but that its first run ends failed after MS
+    ms, "gang N MS" is a member of a gang of N."""
 
     STOP_S = 0.05
     STARTUP_MS = 400
@@ -470,7 +471,11 @@
             return self._answer(409, reason="late")
         self.last_attempt[task] = attempt
         work = call["spec"].split()
-        end = now + int(work[1]) if work[0] in ("work", "fail") else None
+        first = task not in self.cell.started
+        self.cell.started.add(task)
+        ends = work[0] in ("work", "fail") or (
+            work[0] == "last" and len(work) > 1 and first)
+        end = now + int(work[1]) if ends else None
         gang = None
         checkpoint = call.get("checkpoint", "")
         if work[0] == "gang":
@@ -480,7 +485,7 @@
                                       int(work[2])))
         self.running[task] = {"attempt": attempt, "start": now, "end": end,
                               "stop_at": None, "gang": gang,
-                              "how": "failed" if work[0] == "fail" else "done",
+                              "how": "done" if work[0] == "work" else "failed",
                               "checkpoint": checkpoint}
         self.cell.on_start(self, task, attempt)
         if gang:
@@ -698,6 +703,7 @@
         self.starts = []  # (time, worker id, task, attempt)
         self.ends = []  # (time, worker id, task, attempt, how)
         self.gangs = {}  # (step, attempt) -> Gang
+        self.started = set()  # tasks that have run
         self.turn = 0
 
     async def _advise(self, method, target, headers, body):
