--- a/review/parts-2/cell.py
+++ b/review/parts-2/cell.py
@@ -841,11 +841,15 @@
 
     async def run():
         # Connections that are open when the case ends are no news.
-        asyncio.get_running_loop().set_exception_handler(lambda *_: None)
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda *_: None)
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, asyncio.current_task().cancel)
         cell = Cell(case_folder, entries)
         try:
             findings = await asyncio.wait_for(case(cell), seconds)
-        except (Skip, asyncio.TimeoutError, OSError) as e:
+        except (Exception, asyncio.CancelledError) as e:
+            # Whatever ends the case before its verdict is no broken rule.
             cell.record.line(f"could not run: {type(e).__name__} {e}")
             print(f"could not run: {type(e).__name__} {e}")
             return 2
