--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1128,6 +1128,10 @@
 void TaskRecord::__set_other_crashes(const std::vector<int64_t> & val) {
   this->other_crashes = val;
 }
+
+void TaskRecord::__set_unlisted_failures(const int32_t val) {
+  this->unlisted_failures = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj)
 {
   obj.printTo(out);
@@ -1232,6 +1236,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->unlisted_failures);
+          this->__isset.unlisted_failures = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1293,6 +1305,10 @@
   }
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("unlisted_failures", ::apache::thrift::protocol::T_I32, 6);
+  xfer += oprot->writeI32(this->unlisted_failures);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1305,6 +1321,7 @@
   swap(a.checkpoint, b.checkpoint);
   swap(a.early_crashes, b.early_crashes);
   swap(a.other_crashes, b.other_crashes);
+  swap(a.unlisted_failures, b.unlisted_failures);
   swap(a.__isset, b.__isset);
 }
 
@@ -1314,6 +1331,7 @@
   checkpoint = other42.checkpoint;
   early_crashes = other42.early_crashes;
   other_crashes = other42.other_crashes;
+  unlisted_failures = other42.unlisted_failures;
   __isset = other42.__isset;
 }
 TaskRecord::TaskRecord(TaskRecord&& other43) noexcept {
@@ -1322,6 +1340,7 @@
   checkpoint = std::move(other43.checkpoint);
   early_crashes = std::move(other43.early_crashes);
   other_crashes = std::move(other43.other_crashes);
+  unlisted_failures = other43.unlisted_failures;
   __isset = other43.__isset;
 }
 TaskRecord& TaskRecord::operator=(const TaskRecord& other44) {
@@ -1330,6 +1349,7 @@
   checkpoint = other44.checkpoint;
   early_crashes = other44.early_crashes;
   other_crashes = other44.other_crashes;
+  unlisted_failures = other44.unlisted_failures;
   __isset = other44.__isset;
   return *this;
 }
@@ -1339,6 +1359,7 @@
   checkpoint = std::move(other45.checkpoint);
   early_crashes = std::move(other45.early_crashes);
   other_crashes = std::move(other45.other_crashes);
+  unlisted_failures = other45.unlisted_failures;
   __isset = other45.__isset;
   return *this;
 }
@@ -1350,6 +1371,7 @@
   out << ", " << "checkpoint=" << to_string(checkpoint);
   out << ", " << "early_crashes=" << to_string(early_crashes);
   out << ", " << "other_crashes=" << to_string(other_crashes);
+  out << ", " << "unlisted_failures=" << to_string(unlisted_failures);
   out << ")";
 }
 
@@ -2130,6 +2152,10 @@
 void Member::__set_removed(const bool val) {
   this->removed = val;
 }
+
+void Member::__set_memory_mb(const int32_t val) {
+  this->memory_mb = val;
+}
 std::ostream& operator<<(std::ostream& out, const Member& obj)
 {
   obj.printTo(out);
@@ -2190,6 +2216,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->memory_mb);
+          this->__isset.memory_mb = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -2223,6 +2257,10 @@
   xfer += oprot->writeBool(this->removed);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("memory_mb", ::apache::thrift::protocol::T_I32, 5);
+  xfer += oprot->writeI32(this->memory_mb);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -2234,6 +2272,7 @@
   swap(a.address, b.address);
   swap(a.fitness, b.fitness);
   swap(a.removed, b.removed);
+  swap(a.memory_mb, b.memory_mb);
   swap(a.__isset, b.__isset);
 }
 
@@ -2242,6 +2281,7 @@
   address = other82.address;
   fitness = other82.fitness;
   removed = other82.removed;
+  memory_mb = other82.memory_mb;
   __isset = other82.__isset;
 }
 Member::Member(Member&& other83) noexcept {
@@ -2249,6 +2289,7 @@
   address = std::move(other83.address);
   fitness = other83.fitness;
   removed = other83.removed;
+  memory_mb = other83.memory_mb;
   __isset = other83.__isset;
 }
 Member& Member::operator=(const Member& other84) {
@@ -2256,6 +2297,7 @@
   address = other84.address;
   fitness = other84.fitness;
   removed = other84.removed;
+  memory_mb = other84.memory_mb;
   __isset = other84.__isset;
   return *this;
 }
@@ -2264,6 +2306,7 @@
   address = std::move(other85.address);
   fitness = other85.fitness;
   removed = other85.removed;
+  memory_mb = other85.memory_mb;
   __isset = other85.__isset;
   return *this;
 }
@@ -2274,6 +2317,7 @@
   out << ", " << "address=" << to_string(address);
   out << ", " << "fitness=" << to_string(fitness);
   out << ", " << "removed=" << to_string(removed);
+  out << ", " << "memory_mb=" << to_string(memory_mb);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -509,12 +509,13 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _TaskRecord__isset {
-  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false), early_crashes(false), other_crashes(false) {}
+  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false), early_crashes(false), other_crashes(false), unlisted_failures(false) {}
   bool task :1;
   bool failed_attempts :1;
   bool checkpoint :1;
   bool early_crashes :1;
   bool other_crashes :1;
+  bool unlisted_failures :1;
 } _TaskRecord__isset;
 
 /**
@@ -529,7 +530,8 @@
   TaskRecord& operator=(TaskRecord&&) noexcept;
   TaskRecord() noexcept
              : task(0),
-               checkpoint() {
+               checkpoint(),
+               unlisted_failures(0) {
   }
 
   virtual ~TaskRecord() noexcept;
@@ -550,6 +552,10 @@
    */
   std::vector<int64_t>  early_crashes;
   std::vector<int64_t>  other_crashes;
+  /**
+   * Number of earlier failures that are not in failed_attempts.
+   */
+  int32_t unlisted_failures;
 
   _TaskRecord__isset __isset;
 
@@ -563,6 +569,8 @@
 
   void __set_other_crashes(const std::vector<int64_t> & val);
 
+  void __set_unlisted_failures(const int32_t val);
+
   bool operator == (const TaskRecord & rhs) const
   {
     if (!(task == rhs.task))
@@ -575,6 +583,8 @@
       return false;
     if (!(other_crashes == rhs.other_crashes))
       return false;
+    if (!(unlisted_failures == rhs.unlisted_failures))
+      return false;
     return true;
   }
   bool operator != (const TaskRecord &rhs) const {
@@ -875,11 +885,12 @@
 std::ostream& operator<<(std::ostream& out, const UpstreamRecord& obj);
 
 typedef struct _Member__isset {
-  _Member__isset() : name(false), address(false), fitness(true), removed(false) {}
+  _Member__isset() : name(false), address(false), fitness(true), removed(false), memory_mb(false) {}
   bool name :1;
   bool address :1;
   bool fitness :1;
   bool removed :1;
+  bool memory_mb :1;
 } _Member__isset;
 
 class Member : public virtual ::apache::thrift::TBase {
@@ -893,7 +904,8 @@
          : name(),
            address(),
            fitness(100),
-           removed(0) {
+           removed(0),
+           memory_mb(0) {
   }
 
   virtual ~Member() noexcept;
@@ -907,6 +919,10 @@
    * In a list of changes: the member no longer sends heartbeats.
    */
   bool removed;
+  /**
+   * Memory that its process may take, in MB; 0 if it is not known.
+   */
+  int32_t memory_mb;
 
   _Member__isset __isset;
 
@@ -918,6 +934,8 @@
 
   void __set_removed(const bool val);
 
+  void __set_memory_mb(const int32_t val);
+
   bool operator == (const Member & rhs) const
   {
     if (!(name == rhs.name))
@@ -928,6 +946,8 @@
       return false;
     if (!(removed == rhs.removed))
       return false;
+    if (!(memory_mb == rhs.memory_mb))
+      return false;
     return true;
   }
   bool operator != (const Member &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/jobs/job_memory.h"
 #include "src/libs/base/soft_assert.h"
 
 namespace mimosarail {
@@ -16,6 +17,39 @@
 /// recognize an end that is reported twice, since such a task may fail any
 /// number of times.
 constexpr size_t kLongRunningFailuresKept = 8;
+/// The same for other tasks, whose further failures are only counted. The
+/// states of kTasksPerProgressPart tasks then fit into one record of the store.
+constexpr size_t kFailuresKept = 64;
+
+/// Returns the state of all tasks that have none of their own.
+const Task& TaskWithoutState(TaskPhase phase) {
+  static const Task kWaitingTask;
+  static const Task kDoneTask{.phase = TaskPhase::kDone};
+  return phase == TaskPhase::kDone ? kDoneTask : kWaitingTask;
+}
+
+bool HasStateToStore(const Task& task) {
+  return task.failures() > 0 || !task.checkpoint.empty() ||
+         task.crashes.total() > 0;
+}
+
+/// Bytes that the task takes in addition to kTaskBytes.
+size_t HeldBytes(const Task& task) {
+  return task.checkpoint.capacity() +
+         sizeof(int64_t) *
+             (task.failed_attempts.capacity() + task.crashes.early.capacity() +
+              task.crashes.other.capacity());
+}
+
+/// Only counts the oldest failures if there are too many to be listed.
+void DropOldFailures(Task& task) {
+  std::vector<int64_t>& listed = task.failed_attempts;
+  if (listed.size() <= kFailuresKept) return;
+  std::sort(listed.begin(), listed.end());
+  const size_t dropped = listed.size() - kFailuresKept;
+  task.unlisted_failures += static_cast<int32_t>(dropped);
+  listed.erase(listed.begin(), listed.begin() + static_cast<int64_t>(dropped));
+}
 
 }  // namespace
 
@@ -31,12 +65,7 @@
     first_task_.push_back(tasks_per_occurrence_);
     tasks_per_occurrence_ += static_cast<size_t>(step.tasks);
   }
-  tasks_.resize(tasks_per_occurrence_ * static_cast<size_t>(occurrences_));
-  for (int32_t k = 0; k < occurrences_; ++k) {
-    for (const wire::StepSpec& step : spec_.steps) {
-      step_counts_.push_back({.waiting = step.tasks});
-    }
-  }
+  total_tasks_ = tasks_per_occurrence_ * static_cast<size_t>(occurrences_);
   critical_path_.resize(spec_.steps.size());
   for (size_t i = spec_.steps.size(); i-- > 0;) {
     Millis longest_after{0};
@@ -72,6 +101,116 @@
          static_cast<size_t>(id.index);
 }
 
+StepId Job::StepAt(size_t step_index) const {
+  return {.job = id(),
+          .occurrence = static_cast<int32_t>(step_index / spec_.steps.size()),
+          .step = static_cast<int32_t>(step_index % spec_.steps.size())};
+}
+
+size_t Job::FirstTaskIndex(size_t step_index) const {
+  return step_index / spec_.steps.size() * tasks_per_occurrence_ +
+         first_task_[step_index % spec_.steps.size()];
+}
+
+bool Job::IsDone(size_t task_index) const {
+  if (task_index / kBitsPerByte >= done_bits_.size()) return false;
+  const auto byte =
+      static_cast<unsigned char>(done_bits_[task_index / kBitsPerByte]);
+  return (byte >> (task_index % kBitsPerByte) & 1U) != 0;
+}
+
+void Job::MarkDone(size_t task_index) {
+  const size_t at = task_index / kBitsPerByte;
+  if (at >= done_bits_.size()) done_bits_.resize(at + 1, '\0');
+  done_bits_[at] =
+      static_cast<char>(static_cast<unsigned char>(done_bits_[at]) |
+                        (1U << (task_index % kBitsPerByte)));
+}
+
+const Task& Job::task(const TaskId& id) const {
+  const auto open = open_steps_.find(StepIndex(id.occurrence, id.step));
+  if (open != open_steps_.end()) {
+    const auto& task = open->second.tasks[static_cast<size_t>(id.index)];
+    if (task != nullptr) return *task;
+  }
+  return TaskWithoutState(IsDone(TaskIndex(id)) ? TaskPhase::kDone
+                                                : TaskPhase::kWaiting);
+}
+
+Job::StepTasks& Job::OpenStep(int32_t occurrence, int32_t step_index) {
+  const size_t at = StepIndex(occurrence, step_index);
+  const auto found = open_steps_.find(at);
+  if (found != open_steps_.end()) return found->second;
+  const StepCounts counts = step_counts(occurrence, step_index);
+  StepTasks& opened = open_steps_[at];
+  opened.counts = counts;
+  opened.tasks.resize(static_cast<size_t>(step(step_index).tasks));
+  return opened;
+}
+
+Task& Job::MutableTask(const TaskId& id) {
+  StepTasks& open = OpenStep(id.occurrence, id.step);
+  std::unique_ptr<Task>& task = open.tasks[static_cast<size_t>(id.index)];
+  if (task == nullptr) {
+    task = std::make_unique<Task>(TaskWithoutState(
+        IsDone(TaskIndex(id)) ? TaskPhase::kDone : TaskPhase::kWaiting));
+    ++open.allocated;
+  }
+  return *task;
+}
+
+void Job::ReleaseTask(const TaskId& id) {
+  const auto found = open_steps_.find(StepIndex(id.occurrence, id.step));
+  if (found == open_steps_.end() || !IsDone(TaskIndex(id))) return;
+  auto& task = found->second.tasks[static_cast<size_t>(id.index)];
+  if (task == nullptr) return;
+  task.reset();
+  --found->second.allocated;
+  CloseStepIfDone(id.occurrence, id.step);
+}
+
+void Job::CloseStepIfDone(int32_t occurrence, int32_t step_index) {
+  const auto found = open_steps_.find(StepIndex(occurrence, step_index));
+  if (found == open_steps_.end() || found->second.allocated > 0) return;
+  if (StepDone(occurrence, step_index)) open_steps_.erase(found);
+}
+
+StepCounts Job::step_counts(int32_t occurrence, int32_t step_index) const {
+  const size_t at = StepIndex(occurrence, step_index);
+  const auto open = open_steps_.find(at);
+  if (open != open_steps_.end()) return open->second.counts;
+  // The tasks of a step that is not open are all waiting or all done.
+  const int32_t tasks = step(step_index).tasks;
+  if (IsDone(FirstTaskIndex(at))) return {.done = tasks};
+  return {.waiting = tasks};
+}
+
+std::vector<StepId> Job::OpenSteps() const {
+  std::vector<StepId> out;
+  for (const auto& [at, tasks] : open_steps_) out.push_back(StepAt(at));
+  return out;
+}
+
+bool Job::OccurrenceDone(int32_t occurrence) const {
+  for (int32_t s = 0; s < steps(); ++s) {
+    if (!StepDone(occurrence, s)) return false;
+  }
+  return true;
+}
+
+size_t Job::MemoryBytes() const {
+  size_t bytes = sizeof(Job) + SpecMemoryBytes(spec_) + done_bits_.capacity();
+  for (const auto& [at, open] : open_steps_) {
+    bytes += kOpenStepBytes + open.tasks.capacity() * sizeof(void*) +
+             static_cast<size_t>(open.allocated) * kTaskBytes;
+    if (open.allocated == 0) continue;
+    for (const auto& task : open.tasks) {
+      if (task != nullptr) bytes += HeldBytes(*task);
+    }
+  }
+  return bytes;
+}
+
 bool Job::StepDone(int32_t occurrence, int32_t step_index) const {
   return step_counts(occurrence, step_index).done == step(step_index).tasks;
 }
@@ -84,8 +223,8 @@
 }
 
 void Job::SetPhase(const TaskId& id, TaskPhase phase) {
-  Task& task = this->task(id);
-  StepCounts& counts = step_counts_[StepIndex(id.occurrence, id.step)];
+  Task& task = MutableTask(id);
+  StepCounts& counts = OpenStep(id.occurrence, id.step).counts;
   const auto adjust_counts = [&](TaskPhase counted_phase, int32_t change) {
     if (counted_phase == TaskPhase::kWaiting) {
       counts.waiting += change;
@@ -100,6 +239,7 @@
   adjust_counts(task.phase, -1);
   task.phase = phase;
   adjust_counts(phase, 1);
+  if (phase == TaskPhase::kDone) MarkDone(TaskIndex(id));
 }
 
 TaskId Job::FailureKeeper(const TaskId& id) const {
@@ -107,19 +247,33 @@
 }
 
 bool Job::CountFailure(const TaskId& id, int64_t attempt) {
-  auto& counted = task(FailureKeeper(id)).failed_attempts;
+  const TaskId keeper = FailureKeeper(id);
+  // The failures of a task that is done say nothing about its job.
+  if (task(keeper).phase == TaskPhase::kDone) return false;
+  Task& counting = MutableTask(keeper);
+  auto& counted = counting.failed_attempts;
   if (std::find(counted.begin(), counted.end(), attempt) != counted.end()) {
     return false;
   }
-  counted.push_back(attempt);
-  if (step(id.step).long_running && counted.size() > kLongRunningFailuresKept) {
-    counted.erase(counted.begin());
+  const bool long_running = step(id.step).long_running;
+  const size_t kept = long_running ? kLongRunningFailuresKept : kFailuresKept;
+  if (counted.size() < kept) {
+    counted.push_back(attempt);
+    return true;
   }
+  const auto oldest = long_running
+                          ? counted.begin()
+                          : std::min_element(counted.begin(), counted.end());
+  // An attempt before all listed ones is one that is no longer listed.
+  if (!long_running && attempt < *oldest) return false;
+  if (!long_running) ++counting.unlisted_failures;
+  counted.erase(oldest);
+  counted.push_back(attempt);
   return true;
 }
 
 bool Job::CountCrash(const TaskId& id, int64_t attempt, bool early) {
-  CrashCounts& crashes = task(id).crashes;
+  CrashCounts& crashes = MutableTask(id).crashes;
   const auto counted = [attempt](const std::vector<int64_t>& in) {
     return std::find(in.begin(), in.end(), attempt) != in.end();
   };
@@ -167,74 +321,82 @@
     out.account = spec_.account;
     return out;
   }
-  out.done.assign((tasks_.size() + kBitsPerByte - 1) / kBitsPerByte, '\0');
-  for (size_t i = 0; i < tasks_.size(); ++i) {
-    if (tasks_[i].phase != TaskPhase::kDone) continue;
-    out.done[i / kBitsPerByte] = static_cast<char>(
-        static_cast<unsigned char>(out.done[i / kBitsPerByte]) |
-        (1U << (i % kBitsPerByte)));
-  }
-  if (progress_parts() == 0) AppendTaskStates(0, tasks_.size(), out.tasks);
+  out.done = done_bits_;
+  out.done.resize((total_tasks_ + kBitsPerByte - 1) / kBitsPerByte, '\0');
+  if (progress_parts() == 0) AppendTaskStates(0, total_tasks_, out.tasks);
   return out;
 }
 
 size_t Job::progress_parts() const {
-  if (tasks_.size() <= kTasksPerProgressPart) return 0;
-  return (tasks_.size() + kTasksPerProgressPart - 1) / kTasksPerProgressPart;
+  if (total_tasks_ <= kTasksPerProgressPart) return 0;
+  return (total_tasks_ + kTasksPerProgressPart - 1) / kTasksPerProgressPart;
 }
 
 wire::ProgressRecord Job::ProgressPart(size_t part) const {
   wire::ProgressRecord out;
   const size_t begin = part * kTasksPerProgressPart;
-  const size_t end = std::min(begin + kTasksPerProgressPart, tasks_.size());
+  const size_t end = std::min(begin + kTasksPerProgressPart, total_tasks_);
   AppendTaskStates(begin, end, out.tasks);
   return out;
 }
 
 void Job::AppendTaskStates(size_t begin, size_t end,
                            std::vector<wire::TaskRecord>& out) const {
-  for (size_t i = begin; i < end; ++i) {
-    const Task& task = tasks_[i];
-    const bool has_state = !task.failed_attempts.empty() ||
-                           !task.checkpoint.empty() || task.crashes.total() > 0;
-    if (task.phase == TaskPhase::kDone || !has_state) continue;
-    wire::TaskRecord& record = out.emplace_back();
-    record.task = static_cast<int32_t>(i);
-    record.failed_attempts = task.failed_attempts;
-    record.checkpoint = task.checkpoint;
-    record.early_crashes = task.crashes.early;
-    record.other_crashes = task.crashes.other;
+  for (const auto& [step_index, open] : open_steps_) {
+    const size_t first = FirstTaskIndex(step_index);
+    if (first >= end) break;
+    if (open.allocated == 0) continue;
+    const size_t to = std::min(end, first + open.tasks.size());
+    for (size_t i = std::max(begin, first); i < to; ++i) {
+      const Task* task = open.tasks[i - first].get();
+      if (task == nullptr || task->phase == TaskPhase::kDone) continue;
+      if (!HasStateToStore(*task)) continue;
+      wire::TaskRecord& record = out.emplace_back();
+      record.task = static_cast<int32_t>(i);
+      record.failed_attempts = task->failed_attempts;
+      record.unlisted_failures = task->unlisted_failures;
+      record.checkpoint = task->checkpoint;
+      record.early_crashes = task->crashes.early;
+      record.other_crashes = task->crashes.other;
+    }
   }
 }
 
+TaskId Job::TaskAt(size_t task_index) const {
+  const size_t in_occurrence = task_index % tasks_per_occurrence_;
+  const auto after =
+      std::upper_bound(first_task_.begin(), first_task_.end(), in_occurrence);
+  const auto step = static_cast<size_t>(after - first_task_.begin()) - 1;
+  return {
+      .job = id(),
+      .occurrence = static_cast<int32_t>(task_index / tasks_per_occurrence_),
+      .step = static_cast<int32_t>(step),
+      .index = static_cast<int32_t>(in_occurrence - first_task_[step])};
+}
+
 void Job::Restore(const wire::ProgressRecord& record) {
   state_ = static_cast<JobState>(record.state);
   started_ = state_ != JobState::kQueued;
+  for (size_t i = 0; i < total_tasks_; ++i) {
+    if (i / kBitsPerByte >= record.done.size()) break;
+    const auto byte = static_cast<unsigned char>(record.done[i / kBitsPerByte]);
+    if ((byte >> (i % kBitsPerByte) & 1U) == 0) continue;
+    const TaskId id = TaskAt(i);
+    SetPhase(id, TaskPhase::kDone);
+    ReleaseTask(id);
+  }
   for (const wire::TaskRecord& stored : record.tasks) {
     const auto index = static_cast<size_t>(stored.task);
-    MR_EXPECT(index < tasks_.size(), continue);
-    Task& task = tasks_[index];
+    MR_EXPECT(index < total_tasks_, continue);
+    if (IsDone(index)) continue;
+    Task& task = MutableTask(TaskAt(index));
     task.failed_attempts = stored.failed_attempts;
+    task.unlisted_failures = stored.unlisted_failures;
+    DropOldFailures(task);
     task.checkpoint = stored.checkpoint;
     task.crashes = {.early = stored.early_crashes,
                     .other = stored.other_crashes};
   }
-  for (size_t i = 0; i < tasks_.size(); ++i) {
-    if (i / kBitsPerByte >= record.done.size()) break;
-    const auto byte = static_cast<unsigned char>(record.done[i / kBitsPerByte]);
-    if ((byte >> (i % kBitsPerByte) & 1U) == 0) continue;
-    TaskId id{.job = this->id(),
-              .occurrence = static_cast<int32_t>(i / tasks_per_occurrence_)};
-    const size_t index_in_occurrence = i % tasks_per_occurrence_;
-    while (id.step + 1 < steps() &&
-           first_task_[static_cast<size_t>(id.step) + 1] <=
-               index_in_occurrence) {
-      ++id.step;
-    }
-    id.index = static_cast<int32_t>(index_in_occurrence -
-                                    first_task_[static_cast<size_t>(id.step)]);
-    SetPhase(id, TaskPhase::kDone);
-  }
 }
 
 }  // namespace mimosarail
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -40,9 +42,11 @@
   TaskPhase phase = TaskPhase::kWaiting;
   /// Number of the current or the last start.
   int64_t attempt = 0;
-  /// Attempts that were counted as failures, in any order. For a long-running
-  /// task only the last few.
+  /// The newest attempts that were counted as failures, in any order.
   std::vector<int64_t> failed_attempts;
+  /// Number of attempts counted as failures that are no longer listed; always 0
+  /// for a long-running task.
+  int32_t unlisted_failures = 0;
   /// Failures since a run of the task succeeded or outlasted the failed ones.
   /// For a gang, those of all members, kept with the first one.
   FailureStreak failure_streak;
@@ -71,7 +75,7 @@
   std::string checkpoint;
 
   int32_t failures() const {
-    return static_cast<int32_t>(failed_attempts.size());
+    return unlisted_failures + static_cast<int32_t>(failed_attempts.size());
   }
   /// Returns the highest attempt number that is known to have been used.
   int64_t LastAttempt() const;
@@ -93,7 +97,9 @@
 inline constexpr size_t kTasksPerProgressPart = 256;
 
 /// The state of one accepted job and its tasks. Does not decide where and when
-/// tasks run. Not thread-safe.
+/// tasks run. Takes memory for the steps that are in progress and for the tasks
+/// that have started, and one bit for each task that is done, but none for
+/// tasks and occurrences that have not begun. Not thread-safe.
 class Job {
  public:
   /// Precondition: CheckJob() found nothing.
@@ -117,12 +123,22 @@
 
   /// Whether the job has such a task.
   bool Has(const TaskId& id) const;
-  /// Precondition: Has(id).
-  Task& task(const TaskId& id) { return tasks_[TaskIndex(id)]; }
-  const Task& task(const TaskId& id) const { return tasks_[TaskIndex(id)]; }
-  const StepCounts& step_counts(int32_t occurrence, int32_t step) const {
-    return step_counts_[StepIndex(occurrence, step)];
-  }
+  /// Returns the state of the task; valid until a function that is not const is
+  /// called for the same task. Precondition: Has(id).
+  const Task& task(const TaskId& id) const;
+  /// The same, to be changed. Allocates the state of a task that has none yet.
+  /// The reference stays valid until the task is released.
+  Task& MutableTask(const TaskId& id);
+  /// Releases the state of a task that is done. Does nothing for other tasks.
+  void ReleaseTask(const TaskId& id);
+  StepCounts step_counts(int32_t occurrence, int32_t step) const;
+  /// The steps in progress: those with a task that is done or has any state,
+  /// except the steps whose tasks are all done and released.
+  std::vector<StepId> OpenSteps() const;
+  /// Whether all tasks of the occurrence are done.
+  bool OccurrenceDone(int32_t occurrence) const;
+  /// Bytes of memory that the job takes now, apart from constant overhead.
+  size_t MemoryBytes() const;
   /// Number of active tasks of the job.
   int32_t active() const { return active_; }
 
@@ -151,7 +167,7 @@
   /// A task has started.
   void NoteStarted();
   /// Whether all tasks of all occurrences are done.
-  bool AllDone() const { return done_ == tasks_.size(); }
+  bool AllDone() const { return done_ == total_tasks_; }
 
   /// Returns the estimated time from the start of a step to the end of the
   /// longest chain of steps that depend on it, including advice calls.
@@ -178,7 +194,24 @@
     return static_cast<size_t>(occurrence) * spec_.steps.size() +
            static_cast<size_t>(step);
   }
+  /// The tasks of one step of one occurrence.
+  struct StepTasks {
+    StepCounts counts;
+    /// Null for a task without state.
+    std::vector<std::unique_ptr<Task>> tasks;
+    int32_t allocated = 0;
+  };
+
   size_t TaskIndex(const TaskId& id) const;
+  TaskId TaskAt(size_t task_index) const;
+  StepId StepAt(size_t step_index) const;
+  size_t FirstTaskIndex(size_t step_index) const;
+  bool IsDone(size_t task_index) const;
+  void MarkDone(size_t task_index);
+  /// Returns the step's tasks; allocates them if the step is not open.
+  StepTasks& OpenStep(int32_t occurrence, int32_t step);
+  /// Releases the step's tasks once all of them are done and released.
+  void CloseStepIfDone(int32_t occurrence, int32_t step);
   /// Appends the states of the tasks in this range that are not done and have
   /// any state to be stored.
   void AppendTaskStates(size_t begin, size_t end,
@@ -195,8 +228,11 @@
   /// Index of a step's first task within an occurrence.
   std::vector<size_t> first_task_;
   size_t tasks_per_occurrence_ = 0;
-  std::vector<Task> tasks_;
-  std::vector<StepCounts> step_counts_;
+  size_t total_tasks_ = 0;
+  /// One bit for each task, set when it is done; without trailing zero bytes.
+  std::string done_bits_;
+  /// By step index.
+  std::map<size_t, StepTasks> open_steps_;
   /// For each step, the duration of the longest chain that begins with it.
   std::vector<Millis> critical_path_;
 };
--- a/src/jobs/job_state.cc
+++ b/src/jobs/job_state.cc
@@ -104,6 +104,11 @@
       findings.Add("tasks", "task index " + std::to_string(task.task) +
                                 " is out of range");
     }
+    if (task.unlisted_failures < 0 ||
+        task.unlisted_failures > kMaxUnlistedFailures) {
+      findings.Add("tasks", "unlisted failures must be 0 to " +
+                                std::to_string(kMaxUnlistedFailures));
+    }
     for (const auto* attempts :
          {&task.failed_attempts, &task.early_crashes, &task.other_crashes}) {
       if (std::any_of(attempts->begin(), attempts->end(),
--- a/src/jobs/job_state.h
+++ b/src/jobs/job_state.h
@@ -45,6 +45,8 @@
 inline constexpr int64_t kMaxSpecDurationMs = int64_t{30} * 24 * 3600 * 1000;
 /// Latest Unix time that a job may specify: the end of the year 9999.
 inline constexpr int64_t kMaxUnixMs = 253402300799999;
+/// Largest number of a task's failures that a record only counts.
+inline constexpr int32_t kMaxUnlistedFailures = 1000000000;
 /// Largest factor by which a queue may multiply the duration of a job's chain.
 inline constexpr double kMaxSlackFactor = 1000;
 /// Largest base time, and largest time for each upstream, that a queue may
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -82,6 +82,8 @@
    *  begun, and others. */
   4: list<i64> early_crashes
   5: list<i64> other_crashes
+  /** Number of earlier failures that are not in failed_attempts. */
+  6: i32 unlisted_failures
 }
 
 /** The durable state of a job's progress; always rewritten as a whole. */
@@ -131,6 +133,8 @@
   3: i32 fitness = 100
   /** In a list of changes: the member no longer sends heartbeats. */
   4: bool removed
+  /** Memory that its process may take, in MB; 0 if it is not known. */
+  5: i32 memory_mb
 }
 
 /** Heartbeat of an entry to the entry that it believes to be the leader. */
--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -295,8 +295,11 @@
   }
   JobRecord* record = FindJobRecord(order.step.job);
   if (record == nullptr) return;
-  StepState& step_state =
-      record->step_state(order.step.occurrence, order.step.step);
+  const auto step = record->step_states.find(
+      record->StepStateIndex(order.step.occurrence, order.step.step));
+  // The job has ended meanwhile.
+  if (step == record->step_states.end()) return;
+  StepState& step_state = step->second;
   step_state.plan_valid_until = {};
   step_state.next_advice_check = {};
   StepAdvice& known = step_state.advice;
@@ -327,6 +330,9 @@
     upstream_advice.valid_until = now + advice->valid;
   }
   allowance_rates_.Add(record->job.queue().name, first_answers, first_allowed);
+  if (record->job.StepDone(order.step.occurrence, order.step.step)) {
+    ReleaseStep(*record, order.step.occurrence, order.step.step);
+  }
 }
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -90,7 +90,7 @@
 void Scheduler::DropAdvice(UpstreamIndex upstream) {
   for (auto& [id, record] : jobs_) {
     if (record->job.final()) continue;
-    for (StepState& step_state : record->step_states) {
+    for (auto& [index, step_state] : record->step_states) {
       step_state.advice.upstreams.erase(upstream);
     }
   }
@@ -114,6 +114,7 @@
          .since_last_listed = TimeSince(reservation.last_listed_at, now)});
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id)) continue;
+    record->job.ReleaseTask(id);
     const Task& task = record->job.task(id);
     if (!task.active() || task.attempt != attempt) continue;
     if (task.upstream != upstream) continue;
@@ -172,8 +173,8 @@
 
 void Scheduler::ClearSuspicion(JobRecord& record, UpstreamIndex upstream,
                                const ports::RunningTask& running) {
-  CrashCounts& crashes = record.job.task(running.task).crashes;
-  if (crashes.total() == 0) return;
+  if (record.job.task(running.task).crashes.total() == 0) return;
+  CrashCounts& crashes = record.job.MutableTask(running.task).crashes;
   const Reservations& reservations = pool_.at(upstream).reservations;
   const auto run = reservations.find({running.task, running.attempt});
   if (run == reservations.end() || !run->second.started_at) return;
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -60,7 +60,7 @@
   const StepId step = run.task.step_id();
   FailureStreak& step_streak =
       record.step_state(step.occurrence, step.step).failure_streak;
-  Task& keeper = record.job.task(record.job.FailureKeeper(run.task));
+  Task& keeper = record.job.MutableTask(record.job.FailureKeeper(run.task));
   step_streak.NoteFailure(run.lasted);
   keeper.failure_streak.NoteFailure(run.lasted);
   const int failures = keeper.failure_streak.length();
@@ -143,8 +143,10 @@
   const Millis lasted =
       pool_.RunTime(upstream, running.task, running.attempt, now);
   const TaskId keeper = record.job.FailureKeeper(running.task);
-  FailureStreak& task_streak = record.job.task(keeper).failure_streak;
-  if (task_streak.IsOverAfter(lasted)) task_streak.Reset();
+  const FailureStreak& task_streak = record.job.task(keeper).failure_streak;
+  if (task_streak.length() > 0 && task_streak.IsOverAfter(lasted)) {
+    record.job.MutableTask(keeper).failure_streak.Reset();
+  }
   FailureStreak& step_streak =
       record.step_state(running.task.occurrence, running.task.step)
           .failure_streak;
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -384,7 +384,7 @@
                           UpstreamIndex upstream, int64_t attempt,
                           TimePoint now, Orders& orders) {
   Job& job = record.job;
-  Task& task = job.task(id);
+  Task& task = job.MutableTask(id);
   task.attempt = attempt;
   task.upstream = upstream;
   task.progressed_at = now;
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -52,7 +52,7 @@
 void Scheduler::AdoptRun(JobRecord& record, UpstreamIndex upstream,
                          const ports::RunningTask& running, TimePoint now) {
   Job& job = record.job;
-  Task& task = job.task(running.task);
+  Task& task = job.MutableTask(running.task);
   task.attempt = running.attempt;
   task.upstream = upstream;
   task.progressed_at = now;
@@ -147,7 +147,7 @@
                                  const ports::RunningTask& running,
                                  TimePoint now, Orders& orders) {
   Job& job = record.job;
-  Task& task = job.task(running.task);
+  Task& task = job.MutableTask(running.task);
   if (task.phase == TaskPhase::kStarting) {
     job.SetPhase(running.task, TaskPhase::kRunning);
     job.NoteStarted();
@@ -205,7 +205,7 @@
 void Scheduler::UpdateExpectedEnd(JobRecord& record, UpstreamIndex upstream,
                                   const ports::RunningTask& running,
                                   TimePoint now) {
-  Task& task = record.job.task(running.task);
+  Task& task = record.job.MutableTask(running.task);
   if (task.rate_base_time == TimePoint{}) {
     task.rate_base_time = now;
     task.rate_base_percent = running.percent;
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/jobs/job_memory.h"
 #include "src/libs/base/soft_assert.h"
 
 namespace mimosarail::scheduling {
@@ -51,16 +52,13 @@
   record->account = pool_.accounts().IndexOf(spec.account);
   record->accepted_at = now - Millis(age);
   const Job& job = record->job;
-  record->step_states.resize(static_cast<size_t>(job.occurrences()) *
-                             static_cast<size_t>(job.steps()));
   if (job.timed()) {
-    for (int32_t k = 0; k < job.occurrences(); ++k) {
-      due_times_.emplace(job.spec().first_due_ms + k * job.spec().interval_ms,
-                         StepId{id, k, 0});
-    }
+    due_times_.insert(NextDue(job, 0));
   } else {
     record->due_occurrences = 1;
   }
+  record->memory_bytes = EstimatedJobBytes(spec);
+  memory_bytes_ += record->memory_bytes;
   return *jobs_.insert_or_assign(id, std::move(record)).first->second;
 }
 
@@ -91,17 +89,16 @@
     if (uncertain.count(id) == 0) record->counts_as_unreported = false;
     if (!record->may_have_unreported_runs || uncertain.count(id) > 0) continue;
     record->may_have_unreported_runs = false;
-    for (int32_t k = 0; k < record->job.occurrences(); ++k) {
-      for (int32_t s = 0; s < record->job.steps(); ++s) {
-        const StepCounts& counts = record->job.step_counts(k, s);
-        // The running members of a gang would wait forever for a missing one.
-        if (record->job.step(s).gang && counts.active > 0 &&
-            counts.waiting > 0) {
-          BreakGang(*record, {id, k, s}, now, orders);
-        }
-        UpdateQueued(*record, k, s);
+    for (const StepId& step : record->job.OpenSteps()) {
+      const StepCounts counts =
+          record->job.step_counts(step.occurrence, step.step);
+      // The running members of a gang would wait forever for a missing one.
+      if (record->job.step(step.step).gang && counts.active > 0 &&
+          counts.waiting > 0) {
+        BreakGang(*record, step, now, orders);
       }
     }
+    UpdateAllQueued(*record);
   }
   CountUnreportedRuns();
 }
@@ -114,7 +111,8 @@
     if (!record->counts_as_unreported) continue;
     has_unreported_runs_ = true;
     const Job& job = record->job;
-    for (int32_t k = 0; k < job.occurrences(); ++k) {
+    for (int32_t k = record->done_occurrences; k < record->due_occurrences;
+         ++k) {
       for (int32_t s = 0; s < job.steps(); ++s) {
         // Also steps whose predecessors are not done: their ends may have been
         // reported to the earlier leader and not stored. It may have started
@@ -126,39 +124,92 @@
   }
 }
 
+Scheduler::DueTime Scheduler::NextDue(const Job& job, int32_t occurrence) {
+  const wire::JobSpec& spec = job.spec();
+  return {.unix_ms = spec.first_due_ms + occurrence * spec.interval_ms,
+          .job = job.id()};
+}
+
 bool Scheduler::CanRemove(JobId id) const {
   const Job* job = Find(id);
   return job != nullptr && job->final() && job->active() == 0;
 }
 
-void Scheduler::Remove(JobId id) { jobs_.erase(id); }
+void Scheduler::Remove(JobId id) {
+  const auto found = jobs_.find(id);
+  if (found == jobs_.end()) return;
+  const JobRecord& record = *found->second;
+  memory_bytes_ -= record.memory_bytes;
+  due_times_.erase(NextDue(record.job, record.due_occurrences));
+  jobs_.erase(found);
+}
+
+void Scheduler::UpdateMemory(JobId id) {
+  JobRecord* record = FindJobRecord(id);
+  if (record == nullptr) return;
+  size_t bytes =
+      record->job.MemoryBytes() + record->step_states.size() * kQueuedStepBytes;
+  if (!record->job.final()) {
+    bytes = std::max(bytes, EstimatedJobBytes(record->job.spec()));
+  }
+  memory_bytes_ += bytes - record->memory_bytes;
+  record->memory_bytes = bytes;
+}
 
 void Scheduler::UpdateAllQueued(JobRecord& record) {
-  for (int32_t k = 0; k < record.job.occurrences(); ++k) {
-    for (int32_t s = 0; s < record.job.steps(); ++s) UpdateQueued(record, k, s);
+  for (int32_t k = record.done_occurrences; k < record.due_occurrences; ++k) {
+    UpdateOccurrence(record, k);
   }
 }
 
-void Scheduler::Dequeue(StepState& step_state) {
+void Scheduler::UpdateOccurrence(JobRecord& record, int32_t occurrence) {
+  for (int32_t s = 0; s < record.job.steps(); ++s) {
+    UpdateQueued(record, occurrence, s);
+  }
+}
+
+void Scheduler::Dequeue(JobRecord& record, StepState& step_state) {
   if (!step_state.queued) return;
   queue_.erase(step_state.key);
   step_state.queued = false;
+  if (record.job.step(step_state.key.id.step).after.empty()) {
+    --record.queued_first_steps;
+  }
+}
+
+void Scheduler::ReleaseStep(JobRecord& record, int32_t occurrence,
+                            int32_t step) {
+  const auto found =
+      record.step_states.find(record.StepStateIndex(occurrence, step));
+  if (found == record.step_states.end()) return;
+  const StepState& state = found->second;
+  if (!state.queued && state.advice.calls_in_flight == 0) {
+    record.step_states.erase(found);
+  }
 }
 
 void Scheduler::UpdateQueued(JobRecord& record, int32_t occurrence,
                              int32_t step) {
-  StepState& step_state = record.step_state(occurrence, step);
   Job& job = record.job;
-  const StepCounts& counts = job.step_counts(occurrence, step);
+  const StepCounts counts = job.step_counts(occurrence, step);
   // A gang starts only after all its earlier runs have ended.
   const bool may_start_gang = !job.step(step).gang || counts.active == 0;
   const bool may_start = !record.may_have_unreported_runs && !job.final() &&
                          occurrence < record.due_occurrences &&
                          counts.waiting > 0 && may_start_gang &&
                          job.StepReady(occurrence, step);
-  if (counts.active == 0) step_state.broken = false;
-  if (!may_start) return Dequeue(step_state);
+  const auto known =
+      record.step_states.find(record.StepStateIndex(occurrence, step));
+  const bool is_new = known == record.step_states.end();
+  if (!is_new && counts.active == 0) known->second.broken = false;
+  if (!may_start) {
+    if (!is_new) Dequeue(record, known->second);
+    return;
+  }
+  StepState& step_state =
+      is_new ? record.step_state(occurrence, step) : known->second;
   if (step_state.queued) return;
+  if (job.step(step).after.empty()) ++record.queued_first_steps;
   step_state.key =
       KeyOf(record, {job.id(), occurrence, step}, Timeliness::kInTime);
   step_state.queued = true;
@@ -180,25 +231,29 @@
   record.job.SetState(state);
   record.ended_at = now;
   MarkChanged(record);
-  for (StepState& step_state : record.step_states) Dequeue(step_state);
+  for (auto& [index, step_state] : record.step_states) {
+    Dequeue(record, step_state);
+  }
+  record.step_states.clear();
+  due_times_.erase(NextDue(record.job, record.due_occurrences));
+  UpdateMemory(record.job.id());
 }
 
 void Scheduler::StopAll(JobRecord& record, StopReason reason, TimePoint now,
                         Orders& orders) {
   const Job& job = record.job;
-  for (int32_t k = 0; k < job.occurrences(); ++k) {
-    for (int32_t s = 0; s < job.steps(); ++s) {
-      if (job.step_counts(k, s).active == 0) continue;
-      for (int32_t i = 0; i < job.step(s).tasks; ++i) {
-        StopTask(record, {job.id(), k, s, i}, reason, now, orders);
-      }
+  for (const StepId& step : job.OpenSteps()) {
+    if (job.step_counts(step.occurrence, step.step).active == 0) continue;
+    for (int32_t i = 0; i < job.step(step.step).tasks; ++i) {
+      StopTask(record, {job.id(), step.occurrence, step.step, i}, reason, now,
+               orders);
     }
   }
 }
 
 void Scheduler::StopTask(JobRecord& record, const TaskId& id, StopReason reason,
                          TimePoint now, Orders& orders) {
-  Task& task = record.job.task(id);
+  const Task& task = record.job.task(id);
   if (!task.active() || task.phase == TaskPhase::kStopping) return;
   record.job.SetPhase(id, TaskPhase::kStopping);
   stops_[task.upstream][{id, task.attempt}] = {
@@ -222,9 +277,8 @@
 
 void Scheduler::ReturnToWaiting(JobRecord& record, const TaskId& id,
                                 TimePoint now) {
-  Task& task = record.job.task(id);
-  if (!task.active()) return;
-  task.upstream = kNoUpstream;
+  if (!record.job.task(id).active()) return;
+  record.job.MutableTask(id).upstream = kNoUpstream;
   record.job.SetPhase(id, TaskPhase::kWaiting);
   StepState& step_state = record.step_state(id.occurrence, id.step);
   if (record.job.step(id.step).gang && !step_state.broken) {
@@ -246,7 +300,7 @@
   if (verdict == CallVerdict::kDone) {
     pool_.NoteStartConfirmed(order.upstream, order.task, order.attempt, now);
     if (!current) return;
-    Task& task = record->job.task(order.task);
+    const Task& task = record->job.task(order.task);
     if (task.phase != TaskPhase::kStarting) return;
     record->job.SetPhase(order.task, TaskPhase::kRunning);
     record->job.NoteStarted();
@@ -290,17 +344,22 @@
     // each member are released when its own end is reported.
     for (int32_t i = 0; i < step.tasks; ++i) {
       const TaskId member{id.job, id.occurrence, id.step, i};
-      job.task(member).checkpoint.clear();
       job.SetPhase(member, TaskPhase::kDone);
+      job.MutableTask(member).checkpoint.clear();
     }
   } else {
-    job.task(id).checkpoint.clear();
     job.SetPhase(id, TaskPhase::kDone);
   }
+  job.ReleaseTask(id);
   MarkChanged(record);
   UpdateQueued(record, id.occurrence, id.step);
   if (job.AllDone()) return FinishJob(record, JobState::kComplete, now);
   if (!job.StepDone(id.occurrence, id.step)) return;
+  ReleaseStep(record, id.occurrence, id.step);
+  while (record.done_occurrences < record.due_occurrences &&
+         job.OccurrenceDone(record.done_occurrences)) {
+    ++record.done_occurrences;
+  }
   for (int32_t s = id.step + 1; s < job.steps(); ++s) {
     UpdateQueued(record, id.occurrence, s);
   }
@@ -312,7 +371,7 @@
   const TaskId& id = run.task;
   if (!job.CountFailure(id, run.attempt)) return;
   MarkChanged(record);
-  job.task(id).failed_upstream = run.upstream;
+  job.MutableTask(id).failed_upstream = run.upstream;
   record.step_state(id.occurrence, id.step).exclusion.valid_until = {};
   BlameForFailure(record, run, now, orders);
   if (job.step(id.step).long_running) return;
@@ -321,6 +380,15 @@
   StopAll(record, StopReason::kJobFailed, now, orders);
 }
 
+void Scheduler::ResetFailureStreaks(JobRecord& record, const TaskId& id) {
+  const auto step =
+      record.step_states.find(record.StepStateIndex(id.occurrence, id.step));
+  if (step != record.step_states.end()) step->second.failure_streak.Reset();
+  const TaskId keeper = record.job.FailureKeeper(id);
+  if (record.job.task(keeper).failure_streak.length() == 0) return;
+  record.job.MutableTask(keeper).failure_streak.Reset();
+}
+
 void Scheduler::OnEnd(UpstreamIndex upstream, const ports::EndedTask& end,
                       TimePoint now, Orders& orders) {
   using ports::EndKind;
@@ -341,7 +409,7 @@
   JobRecord* record = FindJobRecord(end.task.job);
   if (record == nullptr || !record->job.Has(end.task)) return;
   Job& job = record->job;
-  Task& task = job.task(end.task);
+  const Task& task = job.task(end.task);
   // The end of an earlier run of the task says nothing about its current one.
   const bool current =
       task.active() && task.attempt == end.attempt && task.upstream == upstream;
@@ -350,10 +418,9 @@
                                      task.phase != TaskPhase::kDone;
   if (end.kind == EndKind::kDone) {
     NoteUpstreamSuccess(upstream, end.task, orders);
-    record->step_state(end.task.occurrence, end.task.step)
-        .failure_streak.Reset();
-    job.task(job.FailureKeeper(end.task)).failure_streak.Reset();
+    ResetFailureStreaks(*record, end.task);
   }
+  if (task.phase == TaskPhase::kDone) job.ReleaseTask(end.task);
   if (!current && !ended_before_adoption) {
     // Of an earlier run only a failure counts. A new leader may learn of it
     // after it has adopted a later run of the task.
@@ -368,11 +435,12 @@
       TaskDone(*record, end.task, now);
     } else {
       job.SetPhase(end.task, TaskPhase::kDone);
+      job.ReleaseTask(end.task);
     }
     return;
   }
   if (!end.checkpoint.empty()) {
-    task.checkpoint = end.checkpoint;
+    job.MutableTask(end.task).checkpoint = end.checkpoint;
     MarkChanged(*record);
   }
   if (current) ReturnToWaiting(*record, end.task, now);
@@ -385,19 +453,42 @@
   }
 }
 
-void Scheduler::Tick(TimePoint now, int64_t wall_ms) {
-  while (!due_times_.empty() && due_times_.begin()->first <= wall_ms) {
-    const StepId id = due_times_.begin()->second;
+void Scheduler::OpenDueOccurrences(JobRecord& record, int64_t wall_ms) {
+  const wire::JobSpec& spec = record.job.spec();
+  int32_t& next = record.due_occurrences;
+  while (next < record.job.occurrences() &&
+         record.queued_first_steps < kMaxQueuedOccurrences) {
+    const int64_t due_ms = spec.first_due_ms + next * spec.interval_ms;
+    if (due_ms > wall_ms) break;
+    ++next;
+    UpdateOccurrence(record, next - 1);
+  }
+  while (record.done_occurrences < next &&
+         record.job.OccurrenceDone(record.done_occurrences)) {
+    ++record.done_occurrences;
+  }
+  const bool further = !record.job.final() && next < record.job.occurrences();
+  if (further) due_times_.insert(NextDue(record.job, next));
+}
+
+void Scheduler::OpenDueOccurrences(TimePoint now, int64_t wall_ms) {
+  // A job that may not open all its due occurrences comes back with a time that
+  // is reached, for the next call.
+  std::vector<JobId> due;
+  while (!due_times_.empty() && due_times_.begin()->unix_ms <= wall_ms) {
+    due.push_back(due_times_.begin()->job);
     due_times_.erase(due_times_.begin());
-    JobRecord* record = FindJobRecord(id.job);
+  }
+  for (const JobId id : due) {
+    JobRecord* record = FindJobRecord(id);
     if (record == nullptr) continue;
-    record->due_occurrences =
-        std::max(record->due_occurrences, id.occurrence + 1);
-    if (id.occurrence == 0) record->accepted_at = now;
-    for (int32_t s = 0; s < record->job.steps(); ++s) {
-      UpdateQueued(*record, id.occurrence, s);
-    }
+    if (record->due_occurrences == 0) record->accepted_at = now;
+    OpenDueOccurrences(*record, wall_ms);
   }
+}
+
+void Scheduler::Tick(TimePoint now, int64_t wall_ms) {
+  OpenDueOccurrences(now, wall_ms);
   DemoteLateSteps(now);
   UpdateSpeeds(now);
   if (has_unreported_runs_) CountUnreportedRuns();
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -119,6 +120,11 @@
 
   /// Returns null if the job is unknown.
   const Job* Find(JobId id) const;
+  /// Bytes of memory that the jobs take or are expected to take while they are
+  /// open. What a job really takes replaces its estimate if it is more.
+  size_t memory_bytes() const { return memory_bytes_; }
+  /// Updates memory_bytes() for a job whose tasks have changed.
+  void UpdateMemory(JobId id);
   size_t job_count() const { return jobs_.size(); }
   /// Whether the job is final and no task of it is active.
   bool CanRemove(JobId id) const;
@@ -267,14 +273,26 @@
     bool counts_as_unreported = false;
     /// When the job became final; unset if it was final when loaded.
     std::optional<TimePoint> ended_at;
-    /// Number of occurrences that may start.
+    /// Number of occurrences whose steps may be queued. Further ones may be
+    /// due; see OpenDueOccurrences().
     int32_t due_occurrences = 0;
-    std::vector<StepState> step_states;
+    /// All occurrences before this one are done.
+    int32_t done_occurrences = 0;
+    /// Number of steps without predecessors that are queued.
+    int32_t queued_first_steps = 0;
+    /// Bytes of memory that the job counts with; see Scheduler::memory_bytes().
+    size_t memory_bytes = 0;
+    /// By step index. A step has a state from when it is first queued until it
+    /// is done.
+    std::unordered_map<size_t, StepState> step_states;
+    /// Allocates the state of a step that has none.
     StepState& step_state(int32_t occurrence, int32_t step) {
       return step_states[StepStateIndex(occurrence, step)];
     }
     const StepState& step_state(int32_t occurrence, int32_t step) const {
-      return step_states[StepStateIndex(occurrence, step)];
+      static const StepState kNewStep;
+      const auto found = step_states.find(StepStateIndex(occurrence, step));
+      return found == step_states.end() ? kNewStep : found->second;
     }
     size_t StepStateIndex(int32_t occurrence, int32_t step) const {
       return static_cast<size_t>(occurrence) *
@@ -282,6 +300,13 @@
              static_cast<size_t>(step);
     }
   };
+  /// When the next occurrence of a job is due.
+  struct DueTime {
+    int64_t unix_ms = 0;
+    JobId job{};
+
+    auto operator<=>(const DueTime&) const = default;
+  };
   /// An upstream on which tasks of a step could start now.
   struct Candidate {
     UpstreamIndex upstream = kNoUpstream;
@@ -310,12 +335,23 @@
   JobRecord* FindJobRecord(JobId id);
   /// Adds the job, without queueing its steps.
   JobRecord& Insert(const wire::JobSpec& spec, TimePoint now, int64_t wall_ms);
-  /// Calls UpdateQueued() for all steps of the job.
+  /// Calls UpdateQueued() for all steps of the job that may be queued.
   void UpdateAllQueued(JobRecord& record);
+  /// Calls UpdateQueued() for the steps of one occurrence.
+  void UpdateOccurrence(JobRecord& record, int32_t occurrence);
+  /// Makes occurrences available whose scheduled time is reached, as long as
+  /// few first steps of the job are queued: those of a job that can't start
+  /// would take memory for each missed time. Then notes when to call again.
+  void OpenDueOccurrences(JobRecord& record, int64_t wall_ms);
+  /// Calls OpenDueOccurrences() for the jobs whose next occurrence is due.
+  void OpenDueOccurrences(TimePoint now, int64_t wall_ms);
+  static DueTime NextDue(const Job& job, int32_t occurrence);
+  /// Releases what is known of a step that is done.
+  static void ReleaseStep(JobRecord& record, int32_t occurrence, int32_t step);
   /// Queues the step if tasks of it may start, otherwise removes it from the
   /// queue. Call after each change that may affect this.
   void UpdateQueued(JobRecord& record, int32_t occurrence, int32_t step);
-  void Dequeue(StepState& step_state);
+  void Dequeue(JobRecord& record, StepState& step_state);
   /// Returns the queue position of a waiting step with this timeliness.
   QueueKey KeyOf(const JobRecord& record, const StepId& id,
                  Timeliness timeliness) const;
@@ -374,6 +410,8 @@
   void NoteRunAtWork(JobRecord& record, UpstreamIndex upstream,
                      const ports::RunningTask& running, TimePoint now,
                      Orders& orders);
+  /// A run of the task has succeeded.
+  static void ResetFailureStreaks(JobRecord& record, const TaskId& id);
   /// The task has no run any more and waits for another start.
   void ReturnToWaiting(JobRecord& record, const TaskId& id, TimePoint now);
   /// Releases the reservations on the upstream, except those of the runs in
@@ -684,8 +722,9 @@
   bool has_unreported_runs_ = false;
   /// Jobs whose progress has to be stored again.
   std::unordered_set<JobId> changed_;
-  /// Occurrences that are not due yet, by their scheduled Unix time in ms.
-  std::multimap<int64_t, StepId> due_times_;
+  /// The jobs that have further occurrences, by the time of the next one.
+  std::set<DueTime> due_times_;
+  size_t memory_bytes_ = 0;
   /// Advice calls that may still be ordered in the current pass.
   AdviceBudget advice_left_;
   /// Bytes of starts that may still be ordered in the current pass.
--- a/tests/large_jobs_test.cc
+++ b/tests/large_jobs_test.cc
@@ -52,7 +52,7 @@
   Job out(spec);
   for (int32_t i = 0; i < kTasks; ++i) {
     const TaskId id = LargeTask(i);
-    if (i % 3 == 0) out.task(id).checkpoint = kCheckpoint;
+    if (i % 3 == 0) out.MutableTask(id).checkpoint = kCheckpoint;
     if (i % 5 == 0) out.CountFailure(id, 100000 + i);
     if (i % 7 == 0) out.CountCrash(id, 200000 + i, i % 2 == 0);
     if (i % 11 == 0) out.SetPhase(id, TaskPhase::kDone);
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -834,7 +834,7 @@
 BOOST_AUTO_TEST_CASE(CheckpointsOfManyTasksLeaveAJobStorable) {
   Job job(Spec(1, kMaxStepTasks, 100));
   for (int32_t i = 0; i < kMaxStepTasks; ++i) {
-    job.task({1, 0, 0, i}).checkpoint = "00000bb87a21d94b";
+    job.MutableTask({1, 0, 0, i}).checkpoint = "00000bb87a21d94b";
   }
   BOOST_TEST(rpc::Encode(job.Progress()).size() <=
              coordinator::kMaxRecordBytes);
