App: Never destroy the daemon

Cause, by the trace: at exit a handler that is pending in the control context owns the heartbeats' socket and strand. It is destroyed with that context, after the network context whose mutex the strand uses.

Change: the daemon is never destroyed, as the job daemon for the same reason.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -145,7 +145,11 @@
 int RunDaemon(const Settings& settings) {
   logging::Start(settings.name);
   const int64_t incarnation = MakeIncarnation();
-  Daemon daemon(settings, incarnation);
+  // Never destroyed: handlers that are pending at exit own connections of one
+  // io_context and run on the other. Whichever is destroyed first leaves those
+  // of the other with dangling references.
+  static Daemon* const never_destroyed = new Daemon(settings, incarnation);
+  Daemon& daemon = *never_destroyed;
   if (!Listen(daemon, settings)) return 1;
   const auto http = daemon.http.Start();
   if (!http.ok()) {
