Coordinator: Keep the state of jobs within a budget of bytes

Callers saw: jobs were accepted by their number, up to 20,000 of any size, until the leader and each of its successors exceeded their memory.

Change: a new job is refused if the estimate of its memory does not fit what is left of a quarter of the memory of the smallest machine among the leader and its followers. Entries send their memory with their heartbeats; where one does not say, 120 MB count. The refusal has a cause, and a Retry-After by the recent rate of release. A job that never fits, and one whose record the store refuses, get a final error (413); the latter was told to come back in 1 s. Loading no longer holds each spec twice. A log line and a metric hold the estimate against the budget and what the process has allocated.

The harness counts the new final refusal as one: it too says that the job does not run.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -19,6 +19,7 @@
 #include "src/leadership/leader_fitness.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
+#include "src/libs/base/heap_use.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
@@ -94,6 +95,7 @@
   jobentry::JobEntryOptions out;
   out.leadership.member.name = s.name;
   out.leadership.member.address = s.peer_address;
+  out.leadership.member.memory_mb = static_cast<int32_t>(s.memory_mb);
   out.leadership.seeds = s.seeds;
   out.leadership.heartbeat_interval = Millis(s.heartbeat_interval_ms);
   out.leadership.leader_suspect_after = Millis(s.leader_suspect_after_ms);
@@ -169,7 +171,8 @@
                .hosts = s.hosts_address.empty() ? nullptr : &hosts,
                .wave_status = &store,
                .saturated =
-                   [this] { return capacity_use.saturated(executor.Now()); }},
+                   [this] { return capacity_use.saturated(executor.Now()); },
+               .heap_bytes = AllocatedHeapBytes},
               MakeOptions(s)),
         job_server(network_io, executor, entry,
                    {.address = s.front_address,
--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -5,6 +5,7 @@
 
 #include "src/coordinator/coordinator.h"
 #include "src/coordinator/job_table.h"
+#include "src/jobs/job_memory.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
 
@@ -16,7 +17,7 @@
 using scheduling::Orders;
 
 /// Time after which a caller retries a job that was refused because the store
-/// is unavailable, there are too many jobs, or the job's record is too large.
+/// is unavailable or there are too many jobs.
 constexpr int64_t kRetryAfterMs = 1000;
 
 /// Time after which a caller retries a job that is too large for the limit of
@@ -46,6 +47,7 @@
     }
   }
   pending_submissions_.clear();
+  pending_bytes_ = 0;
 }
 
 void Coordinator::Submit(const wire::JobSpec& spec,
@@ -90,6 +92,9 @@
       CountRefusedJob("account limit", spec.queue.name);
       return done(SubmitReply(JobVerdict::kOverLimit, kOverLimitRetryMs));
     }
+    if (const auto refusal = RefuseForMemory(spec)) {
+      return ReplyRefused(id, *refusal, std::move(done));
+    }
     if (const std::optional<Millis> retry = RefuseForLink(spec)) {
       wire::SubmitJobReply reply =
           SubmitReply(JobVerdict::kRefused, retry->count());
@@ -112,13 +117,15 @@
                       {"cause", "its record is too large for the store"},
                       {"bytes", Text(static_cast<int64_t>(record.size()))}});
       CountRefusedJob("record too large", spec.queue.name);
-      return done(SubmitReply(JobVerdict::kRefused, kRetryAfterMs));
+      return done(SubmitReply(JobVerdict::kTooLarge));
     }
     journal_->Put(SpecKey(id), std::move(record));
     const int64_t number = ++last_submission_number_;
     pending_submissions_[id].submission_number = number;
     pending_submissions_[id].account = spec.account;
     pending_submissions_[id].queue = spec.queue.name;
+    pending_submissions_[id].memory_bytes = EstimatedJobBytes(spec);
+    pending_bytes_ += pending_submissions_[id].memory_bytes;
     NoteAdmitted(spec);
     journal_->WhenStored(
         [weak = weak_from_this(), stored_spec, id, number](bool stored) {
@@ -168,6 +175,7 @@
     const JobId id = at->first;
     CountRefusedJob("store unavailable", at->second.queue);
     const auto replies = std::move(at->second.replies);
+    pending_bytes_ -= at->second.memory_bytes;
     at = pending_submissions_.erase(at);
     for (const auto& reply : replies) {
       reply(SubmitReply(JobVerdict::kStoreUnavailable, StoreRetryAfterMs(id)));
@@ -189,6 +197,7 @@
                   {"term", Text(options_.term)}});
   const auto submission = pending_submissions_.extract(id);
   if (!submission.empty()) {
+    pending_bytes_ -= submission.mapped().memory_bytes;
     for (auto& reply : submission.mapped().replies) {
       reply(SubmitReply(JobVerdict::kConfirmed));
     }
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -110,6 +110,7 @@
   ResolveWhenRunningTasksKnown();
   RefuseUnsentJobs();
   DropFinalJobs();
+  UpdateMemoryBudget();
   UpdateBacklog();
   ReportLoad();
   SchedulePlacement();
@@ -131,6 +132,7 @@
                  {{"load", scheduler_.DescribeLoad()},
                   {"lanes_free", Text(lanes.any)},
                   {"urgent_lanes_free", Text(lanes.urgent_only)}});
+  ReportMemory();
   ReportUpstreams(now);
   ReportAccounts();
   if (options_.scheduler.upstream_speed_spread > 0) {
@@ -331,6 +333,7 @@
     const Job* job = scheduler_.Find(id);
     if (job == nullptr) continue;
     StoreProgress(*job);
+    scheduler_.UpdateMemory(id);
     if (!job->final() || final_jobs_.count(id) > 0) continue;
     journal_->WhenStored(
         [weak = weak_from_this(), id, state = job->state()](bool stored) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -16,6 +16,7 @@
 #include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_verdicts.h"
+#include "src/coordinator/memory_budget.h"
 #include "src/coordinator/order_budget.h"
 #include "src/fleet/upstream_link.h"
 #include "src/journal/journal.h"
@@ -56,7 +57,8 @@
   /// has reported that it drains.
   Millis upstream_list_period{250};
   /// Maximum number of jobs kept in memory, including those not stored yet.
-  /// Further jobs are refused. A job takes about 4 KB.
+  /// Further jobs are refused. MemoryBudget limits
+  /// their bytes.
   size_t max_jobs = 20000;
   /// New jobs are refused once the store has not answered an append for this
   /// long.
@@ -129,6 +131,11 @@
     ports::WaveStatusPort* wave_status = nullptr;
     /// Returns the waves that operators have requested, as known now.
     std::function<const maintenance::WaveManager::Waves&()> requested_waves{};
+    /// Memory of the smallest machine that may lead, in MB; 0 if unknown. May
+    /// be empty, like the next one.
+    std::function<int64_t()> smallest_memory_mb{};
+    /// Bytes that this process has allocated.
+    std::function<size_t()> heap_bytes{};
   };
 
   Coordinator(Dependencies deps, CoordinatorOptions options);
@@ -213,6 +220,8 @@
     /// Its work, which is not in the scheduler's queue yet. Unset unless jobs
     /// are refused by deadline.
     std::optional<BacklogRow> waiting{};
+    /// Bytes of memory that the job is counted with.
+    size_t memory_bytes = 0;
     /// Reply functions of the callers that have submitted the job.
     std::vector<std::function<void(wire::SubmitJobReply)>> replies;
   };
@@ -346,6 +355,14 @@
   /// it has a value; nullopt if it is not refused. Always nullopt with
   /// AdmissionPolicy::kCapacity.
   std::optional<Millis> RefuseByDeadline(const wire::JobSpec& spec);
+  /// Bytes of memory that all jobs take or are expected to take.
+  size_t StateBytes() const;
+  void UpdateMemoryBudget();
+  /// Returns nothing if the job fits the memory that is left. Otherwise logs
+  /// that it is refused, and returns the reply.
+  std::optional<wire::SubmitJobReply> RefuseForMemory(
+      const wire::JobSpec& spec);
+  void ReportMemory();
   /// Counts the work of a job that is about to be stored.
   void NoteAdmitted(const wire::JobSpec& spec);
   /// Replies that the job is refused, once the store has confirmed that this
@@ -407,6 +424,9 @@
   std::shared_ptr<journal::Journal> journal_;
   /// Null where hosts have no API.
   std::shared_ptr<maintenance::WaveManager> wave_manager_;
+  MemoryBudget memory_budget_;
+  /// Bytes of memory of the jobs that are not stored yet.
+  size_t pending_bytes_ = 0;
   AdviceLanes lanes_;
   OrderBudget order_budget_;
   /// Bytes of appends that were charged to the budget.
@@ -448,6 +468,7 @@
   std::unordered_map<JobId, std::vector<UnmatchedCompletion>>
       unmatched_completions_;
   std::vector<ports::UpstreamEntry> loaded_upstreams_;
+  size_t open_jobs_loaded_ = 0;
   /// Closures by earlier leaders, by upstream id. Each one is kept until the
   /// upstream is reachable.
   std::map<std::string, InheritedClosure> inherited_closures_;
--- a/src/coordinator/job_verdicts.h
+++ b/src/coordinator/job_verdicts.h
@@ -28,6 +28,9 @@
   kIdInUse = 7,
   /// Refused: the job can never fit the limit of its account.
   kOverLimit = 8,
+  /// Refused for good: the job never fits the memory of a leader, or its record
+  /// the store.
+  kTooLarge = 9,
 };
 
 inline constexpr EnumTable kJobVerdictNames{std::array{
@@ -40,6 +43,7 @@
     EnumName{JobVerdict::kUnreadable, "record not readable"},
     EnumName{JobVerdict::kIdInUse, "id in use"},
     EnumName{JobVerdict::kOverLimit, "over the account's limit"},
+    EnumName{JobVerdict::kTooLarge, "too large"},
 }};
 
 /// Returns the verdict of a reply. Numbers that this version does not know map
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -283,10 +283,16 @@
                        .final_since = now,
                        .spec_stored = spec != loaded_specs_.end()};
   }
-  for (const auto& [id, spec] : loaded_specs_) {
+  open_jobs_loaded_ = loaded_specs_.size();
+  while (!loaded_specs_.empty()) {
+    // Taken out one by one, so that no two copies of all jobs are in memory.
+    const auto loaded = loaded_specs_.extract(loaded_specs_.begin());
+    const JobId id = loaded.key();
     if (unreadable_jobs_.count(id) > 0) continue;
+    const wire::JobSpec& spec = loaded.mapped();
     job_pools_.insert(spec.queue.pool);
     scheduler_.Load(spec, loaded_progress_[id], now, wall);
+    loaded_progress_.erase(id);
   }
 }
 
@@ -294,13 +300,16 @@
   const TimePoint now = deps_.executor.Now();
   const int64_t wall = deps_.executor.UnixMillis();
   LoadJobs();
+  UpdateMemoryBudget();
   logging::Event(
       Level::kInfo, "jobs loaded",
       {{"term", Text(options_.term)},
        {"end_offset", Text(end_offset)},
-       {"open", Text(static_cast<int64_t>(loaded_specs_.size()))},
+       {"open", Text(static_cast<int64_t>(open_jobs_loaded_))},
        {"final", Text(static_cast<int64_t>(final_jobs_.size()))},
        {"unreadable", Text(static_cast<int64_t>(unreadable_jobs_.size()))},
+       {"state_bytes", Text(static_cast<int64_t>(StateBytes()))},
+       {"budget_bytes", Text(static_cast<int64_t>(memory_budget_.bytes()))},
        {"upstreams", Text(static_cast<int64_t>(loaded_upstreams_.size()))}});
   loaded_specs_.clear();
   loaded_progress_.clear();
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -279,7 +279,10 @@
               },
           .hosts = deps_.hosts,
           .wave_status = deps_.wave_status,
-          .requested_waves = waves},
+          .requested_waves = waves,
+          .smallest_memory_mb =
+              [this] { return leadership_.SmallestMemoryMb(); },
+          .heap_bytes = deps_.heap_bytes},
       options_.coordinator);
   coordinator_->Start();
   RefreshLanes();
@@ -378,7 +381,8 @@
     // A refusal of this try does not undo an earlier try that may have taken
     // effect.
     const bool refused = out.verdict == JobVerdict::kRefused ||
-                         out.verdict == JobVerdict::kOverLimit;
+                         out.verdict == JobVerdict::kOverLimit ||
+                         out.verdict == JobVerdict::kTooLarge;
     if (refused && call->in_doubt) {
       out.verdict = JobVerdict::kOutcomeUnknown;
     }
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -66,6 +66,8 @@
     ports::WaveStatusPort* wave_status = nullptr;
     /// See leadership::CapacityUse; may be empty.
     std::function<bool()> saturated{};
+    /// Bytes that this process has allocated; may be empty.
+    std::function<size_t()> heap_bytes{};
   };
 
   JobEntry(Dependencies deps, JobEntryOptions options);
--- a/src/journal/journal.cc
+++ b/src/journal/journal.cc
@@ -51,12 +51,18 @@
 }
 
 void Journal::Put(const std::string& key, std::string value) {
-  pending_[key] = std::move(value);
+  const auto [at, is_new] = pending_.try_emplace(key);
+  queued_bytes_ += is_new ? key.size() : 0;
+  queued_bytes_ += value.size() - at->second.size();
+  at->second = std::move(value);
   ScheduleFlush();
 }
 
 bool Journal::Withdraw(const std::string& key) {
-  if (pending_.erase(key) == 0) return false;
+  const auto found = pending_.find(key);
+  if (found == pending_.end()) return false;
+  queued_bytes_ -= found->first.size() + found->second.size();
+  pending_.erase(found);
   if (!pending_.empty()) return true;
   // Nothing is left to append, so no answer would ever run these callbacks.
   for (StoredCallback& waiter : std::exchange(waiters_, {})) {
@@ -127,6 +133,7 @@
     batch.records.push_back(
         {std::move(first.key()), std::move(first.mapped())});
   }
+  batch.bytes = bytes;
   // Callbacks that wait for all pending records belong to the last batch.
   if (pending_.empty()) std::swap(batch.waiters, waiters_);
   SendNew(std::move(batch));
@@ -199,6 +206,7 @@
     last_stored_ = executor_.Now();
     const Batch done = std::move(in_flight_.front());
     in_flight_.pop_front();
+    queued_bytes_ -= done.bytes;
     for (const StoredCallback& waiter : done.waiters) waiter(true);
   }
   if (!closed_) ScheduleFlush();
--- a/src/journal/journal.h
+++ b/src/journal/journal.h
@@ -87,6 +87,8 @@
   int64_t appends() const { return appends_; }
   /// Bytes of the records in these appends, with their keys.
   int64_t bytes_sent() const { return bytes_sent_; }
+  /// Bytes of the records that are not known to be stored yet.
+  size_t queued_bytes() const { return queued_bytes_; }
   /// Number of appends that are not known to be stored yet.
   size_t in_flight() const { return in_flight_.size(); }
 
@@ -95,6 +97,7 @@
     int64_t sequence = 0;
     std::vector<ports::KeyedRecord> records;
     std::vector<StoredCallback> waiters;
+    size_t bytes = 0;
     TimePoint first_sent{};
     /// Whether all batches before it were stored when it was last sent.
     bool next_in_line = false;
@@ -144,6 +147,7 @@
   std::deque<Batch> in_flight_;
   /// Newest pending value of each key, in key order.
   std::map<std::string, std::string> pending_;
+  size_t queued_bytes_ = 0;
   std::vector<StoredCallback> waiters_;
 };
 
--- a/src/leadership/leadership.cc
+++ b/src/leadership/leadership.cc
@@ -342,6 +342,14 @@
   }
 }
 
+int64_t Leadership::SmallestMemoryMb() const {
+  int64_t smallest = options_.member.memory_mb;
+  for (const auto& [name, follower] : followers_) {
+    smallest = std::min<int64_t>(smallest, follower.member.memory_mb);
+  }
+  return std::max<int64_t>(0, smallest);
+}
+
 bool Leadership::IsPlausibleTerm(int64_t term, const std::string& peer) {
   if (term >= 0 && term <= kMaxTerm) return true;
   malformed_records_.Report(RecordSource::kPeer, peer, "term out of range");
--- a/src/leadership/leadership.h
+++ b/src/leadership/leadership.h
@@ -133,6 +133,9 @@
 
   bool leading() const { return role_ == Role::kLeading; }
   int64_t term() const { return term_; }
+  /// Memory of the smallest machine among this entry and its followers, in MB;
+  /// 0 if one of them does not say how much it has.
+  int64_t SmallestMemoryMb() const;
   /// Whether this leader may still give orders; see
   /// LeadershipOptions::leader_lease.
   bool lease_valid() const;
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -56,6 +56,8 @@
        "quarter of a core lets others claim leadership first"},
       {"link_mbps", Scaled{&S::link_centi_mbps, {0, 1000000}}, "Mbit/s",
        "rate of this machine's link; 0 if it is unknown"},
+      {"memory_mb", Number{&S::memory_mb, {0, 1 << 20}}, "MB",
+       "memory that this process may take; 0 if it is unknown"},
       {"queue_order", Text{&S::queue_order, false}, "",
        "order of waiting work: priority, or delay_cost (what a delay costs "
        "callers, by priority, deadline and work)"},
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -38,6 +38,8 @@
   int64_t cpu_percent = 100;
   /// Rate of the machine's link, in hundredths of a Mbit/s; 0 if unknown.
   int64_t link_centi_mbps = 0;
+  /// Memory that the process may take, in MB; 0 if unknown.
+  int64_t memory_mb = 0;
   /// Name of a scheduling::QueueOrder.
   std::string queue_order = "priority";
   /// Hundredths of the factor by which the cost of a delay grows with each step
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -140,6 +140,7 @@
   if (found == jobs_.end()) return;
   const JobRecord& record = *found->second;
   memory_bytes_ -= record.memory_bytes;
+  released_bytes_ += record.memory_bytes;
   due_times_.erase(NextDue(record.job, record.due_occurrences));
   jobs_.erase(found);
 }
@@ -152,6 +153,9 @@
   if (!record->job.final()) {
     bytes = std::max(bytes, EstimatedJobBytes(record->job.spec()));
   }
+  if (bytes < record->memory_bytes) {
+    released_bytes_ += record->memory_bytes - bytes;
+  }
   memory_bytes_ += bytes - record->memory_bytes;
   record->memory_bytes = bytes;
 }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -123,6 +123,8 @@
   /// Bytes of memory that the jobs take or are expected to take while they are
   /// open. What a job really takes replaces its estimate if it is more.
   size_t memory_bytes() const { return memory_bytes_; }
+  /// Bytes by which memory_bytes() has ever been reduced, in all.
+  size_t released_bytes() const { return released_bytes_; }
   /// Updates memory_bytes() for a job whose tasks have changed.
   void UpdateMemory(JobId id);
   size_t job_count() const { return jobs_.size(); }
@@ -725,6 +727,7 @@
   /// The jobs that have further occurrences, by the time of the next one.
   std::set<DueTime> due_times_;
   size_t memory_bytes_ = 0;
+  size_t released_bytes_ = 0;
   /// Advice calls that may still be ordered in the current pass.
   AdviceBudget advice_left_;
   /// Bytes of starts that may still be ordered in the current pass.
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -63,6 +63,7 @@
     case JobVerdict::kNoSuchJob:
     case JobVerdict::kIdInUse:
     case JobVerdict::kOverLimit:
+    case JobVerdict::kTooLarge:
       return ExitCode::kRefused;
     default:
       return ExitCode::kUnknown;
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -174,7 +174,8 @@
   bool cancel_answered(JobId id) const;
   /// Whether every submission of the job was answered, whatever the answer.
   bool answered(JobId id) const;
-  /// Whether every submission of the job was answered by a refusal.
+  /// Whether every submission of the job was answered by a refusal,
+  /// final or not.
   bool refused(JobId id) const;
 
   /// Metrics of the entry's process as text; empty if it does not run.
