--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -1,12 +1,12 @@
 #pragma once
 
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <memory>
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -307,7 +307,9 @@
     int64_t unix_ms = 0;
     JobId job{};
 
-    auto operator<=>(const DueTime&) const = default;
+    bool operator<(const DueTime& other) const {
+      return std::tie(unix_ms, job) < std::tie(other.unix_ms, other.job);
+    }
   };
   /// An upstream on which tasks of a step could start now.
   struct Candidate {
--- a/tests/job_memory_test.cc
+++ b/tests/job_memory_test.cc
@@ -35,7 +35,7 @@
 namespace mimosarail::scheduling {
 namespace {
 
-constexpr int64_t kHourMs = 3600 * 1000;
+constexpr int64_t kHourMs = 3600000;
 constexpr int32_t kOccurrences = 1008;
 constexpr int64_t kFirstDueMs = 1000;
 constexpr size_t kMaxJobBytes = 8 << 10;
