Scheduling: Open few missed occurrences while runs are unreported

A new leader opened all missed occurrences of a recurring job while its steps could not be queued yet, and queued all of them once the upstreams had reported. That memory is not in the job's estimate: jobs whose occurrences were missed could exceed the memory of each new leader.

Evidence: MissedOccurrencesTakeLittleMemoryAfterTakeover fails before the change and passes now; job_memory_test and scheduling_test pass.

--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -462,15 +462,20 @@
   int32_t& next = record.due_occurrences;
   while (next < record.job.occurrences() &&
          record.queued_first_steps < kMaxQueuedOccurrences) {
+    while (record.done_occurrences < next &&
+           record.job.OccurrenceDone(record.done_occurrences)) {
+      ++record.done_occurrences;
+    }
+    // Nothing of the job is queued yet; all that is opened would be at once.
+    if (record.may_have_unreported_runs &&
+        next - record.done_occurrences >= kMaxQueuedOccurrences) {
+      break;
+    }
     const int64_t due_ms = spec.first_due_ms + next * spec.interval_ms;
     if (due_ms > wall_ms) break;
     ++next;
     UpdateOccurrence(record, next - 1);
   }
-  while (record.done_occurrences < next &&
-         record.job.OccurrenceDone(record.done_occurrences)) {
-    ++record.done_occurrences;
-  }
   const bool further = !record.job.final() && next < record.job.occurrences();
   if (further) due_times_.insert(NextDue(record.job, next));
 }
--- a/tests/job_memory_test.cc
+++ b/tests/job_memory_test.cc
@@ -88,6 +88,21 @@
   BOOST_TEST(QueuedSteps(harness.scheduler) > 0);
 }
 
+/// Guards against a new leader that queues all missed occurrences at once as
+/// soon as the upstreams have reported what they run.
+BOOST_AUTO_TEST_CASE(MissedOccurrencesTakeLittleMemoryAfterTakeover) {
+  Scheduler scheduler({});
+  const TimePoint now{Millis(1000)};
+  scheduler.Load(HourlyJob(1), {}, now, 0);
+  const size_t before = allocated_bytes;
+  scheduler.Tick(now, kFirstDueMs + kOccurrences * kHourMs);
+  Orders orders;
+  scheduler.ResolveAll(now, orders);
+  scheduler.Tick(now, kFirstDueMs + kOccurrences * kHourMs);
+  BOOST_TEST(allocated_bytes - before < 4 * kMaxJobBytes);
+  BOOST_TEST(QueuedSteps(scheduler) > 0);
+}
+
 /// Guards against occurrences that are forgotten because others of their job
 /// were queued when they became due.
 BOOST_AUTO_TEST_CASE(EachMissedOccurrenceRuns) {
