App: Measure how far the threads are behind

Each process now measures every 100 ms how long work waits for the network thread and for the control thread, and logs this with its processor time every 2 s (event "processor", metric queue_delay_ms).

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -20,6 +20,7 @@
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
 #include "src/libs/base/heap_use.h"
+#include "src/libs/base/thread_delays.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
@@ -218,6 +219,26 @@
     metrics::ExportTraffic(traffic_counters, metrics);
   }
 
+  /// Logs how far the threads are behind and the processor time since the
+  /// previous call. Control thread only.
+  void LogProcessorUse() {
+    rusage usage{};
+    getrusage(RUSAGE_SELF, &usage);
+    const double cpu = CpuSeconds(usage);
+    const auto cpu_ms = static_cast<int64_t>(
+        (cpu - std::exchange(logged_cpu_seconds, cpu)) * 1000);
+    const QueueDelays delays = thread_delays.TakeMax();
+    metrics.Observe({.name = "queue_delay_ms", .labels = {{"of", "control"}}},
+                    static_cast<double>(delays.control.count()));
+    metrics.Observe({.name = "queue_delay_ms", .labels = {{"of", "network"}}},
+                    static_cast<double>(delays.network.count()));
+    logging::Event(
+        Level::kInfo, "processor",
+        {{"cpu_ms", logging::Text(cpu_ms)},
+         {"control_delay_ms", logging::Text(delays.control.count())},
+         {"network_delay_ms", logging::Text(delays.network.count())}});
+  }
+
   /// Logs the traffic since the previous call. Control thread only.
   void LogTraffic() {
     const std::vector<metrics::Traffic::Row> rows =
@@ -235,6 +256,9 @@
   asio::io_context control{1};
   asio::io_context network_io{1};
   rpc::AsioExecutor executor{control};
+  rpc::AsioExecutor network_executor{network_io};
+  ThreadDelays thread_delays{executor, network_executor};
+  double logged_cpu_seconds = 0;
   metrics::Registry metrics;
   metrics::Traffic traffic_counters;
   http::Client store_http;
@@ -413,7 +437,11 @@
   const shutdown::SignalDelivery signal_delivery;
   RunEvery(daemon.executor, kSettingsCheckPeriod,
            [&watcher] { watcher.Check("look"); });
-  RunEvery(daemon.executor, kTrafficPeriod, [&daemon] { daemon.LogTraffic(); });
+  RunEvery(daemon.executor, kTrafficPeriod, [&daemon] {
+    daemon.LogProcessorUse();
+    daemon.LogTraffic();
+  });
+  daemon.thread_delays.Start();
   RunEvery(daemon.executor, leadership::CapacityUse::kPeriod,
            [&daemon] { daemon.MeasureCapacityUse(); });
   daemon.entry.Start();
