RPC: Keep connections to a busy leader, and serve all that wait

Cause: a call between entries that timed out without any frame received since closed the connection, and with it failed all other calls there, in doubt. They were repeated on a new connection. A busy server accepted one connection and read half a frame per turn of its event loop (15 to 40 ms at a full processor), so the connections of 85 entries that reconnected each second waited longer than 1 s, and it went on serving those that their entries had given up. A restart of all processes leads to the same state, since all entries connect at once.

Ruled out by trials: queues of the leader (10 to 30 ms), the store, the upstreams (half of the cores free), the order of steps (2 to 20 waiting).

Change: half a timeout after the last frame, the caller sends a ping, which the peer's connection answers by itself; only a connection without any answer is closed. An earlier version answers that it does not know the method, which is an answer as well. The server accepts all waiting connections at once, and both sides read and write all frames that are there at once. The HTTP server accepts in the same way.

Tests: with the client and server before, LateAnswersKeepTheConnection sees 6 connections instead of 1 and EntriesThatReconnectTogetherAreServed 216 turns instead of at most 25 for 97 entries.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -351,6 +351,11 @@
               });
         }
         self->StartSession(std::move(socket));
+        rpc::AcceptWaiting(
+            self->acceptor, [&self] { return self->io.get_executor(); },
+            [&self](tcp::socket waiting) {
+              self->StartSession(std::move(waiting));
+            });
         self->AcceptNext();
       });
 }
@@ -378,6 +383,7 @@
     d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) return Error{error, address + ": " + error.message()};
+  d_->acceptor.non_blocking(true, error);
   d_->AcceptNext();
   return d_->acceptor.local_endpoint().port();
 }
--- a/src/libs/rpc/client.cc
+++ b/src/libs/rpc/client.cc
@@ -1,7 +1,6 @@
 #include "src/libs/rpc/client.h"
 
 #include <atomic>
-#include <deque>
 #include <mutex>
 #include <unordered_map>
 
@@ -22,7 +21,8 @@
         socket_(strand_),
         bytes_(bytes),
         traffic_(traffic),
-        send_buffer_bytes_(send_buffer_bytes) {}
+        send_buffer_bytes_(send_buffer_bytes),
+        watch_timer_(strand_) {}
 
   void Open(const tcp::endpoint& endpoint) {
     asio::post(strand_, [self = shared_from_this(), endpoint] {
@@ -48,10 +48,6 @@
   bool broken() const { return broken_.load(); }
 
  private:
-  struct Outgoing {
-    Method method;
-    std::string bytes;
-  };
   struct Pending {
     Method method;
     Callback<std::string> done;
@@ -68,63 +64,88 @@
       if (!error) self->OnTimeout(id, sent);
     });
     pending_.emplace(id, Pending{method, std::move(done), std::move(timer)});
+    Send(id, method, std::move(body));
+    WatchForSilence(timeout / 2);
+  }
+
+  void Send(int64_t id, Method method, std::string body) {
     wire::Frame frame;
     frame.id = id;
     frame.method = static_cast<int32_t>(method);
     frame.body = std::move(body);
-    queue_.push_back({method, FrameBytes(frame)});
-    if (open_ && queue_.size() == 1) WriteNext();
+    queue_.Push(frame.method, FrameBytes(frame));
+    if (open_) WriteNext();
+  }
+
+  /// Sends a ping if no frame is received for `silence` while calls wait. The
+  /// other process answers it before it handles any call, so that a connection
+  /// to a process that is slow does not look unresponsive.
+  void WatchForSilence(Millis silence) {
+    if (std::exchange(watching_, true)) return;
+    watch_timer_.expires_after(silence);
+    watch_timer_.async_wait([self = shared_from_this(),
+                             since = Clock::now()](std::error_code error) {
+      self->watching_ = false;
+      if (error || self->broken_ || self->pending_.empty()) return;
+      if (self->last_received_ < since) {
+        self->Send(++self->last_id_, Method::kPing, {});
+      }
+    });
   }
 
   /// Fails a call that has timed out. Also closes the connection if no frame
-  /// has been received since the call was sent, so that the next call opens a
-  /// new one: a connection can stop delivering data without a reset, and every
-  /// later call on it would time out.
+  /// has been received since the call was sent, not even the reply to a ping,
+  /// so that the next call opens a new one: a connection can stop delivering
+  /// data without a reset, and every later call on it would time out.
   void OnTimeout(int64_t id, TimePoint sent) {
     Finish(id, Errc::kTimeout);
     if (last_received_ < sent) Fail(Errc::kTimeout, "connection unresponsive");
   }
 
   void WriteNext() {
-    if (queue_.empty()) return;
-    const Outgoing& next = queue_.front();
-    bytes_ += static_cast<int64_t>(next.bytes.size());
-    CountTraffic(kMethodNames.Name(next.method), metrics::Direction::kOut,
-                 next.bytes.size());
+    if (!queue_.CanSend()) return;
+    const auto& batch = queue_.TakeBatch();
+    for (const SendQueue::Outgoing& frame : batch) {
+      bytes_ += static_cast<int64_t>(frame.bytes.size());
+      CountTraffic(kMethodNames.Name(static_cast<Method>(frame.method)),
+                   metrics::Direction::kOut, frame.bytes.size());
+    }
     asio::async_write(
-        socket_, asio::buffer(next.bytes),
+        socket_, Buffers(batch),
         [self = shared_from_this()](std::error_code error, size_t) {
           if (error) {
             return self->Fail(Errc::kDisconnected, error.message());
           }
-          self->queue_.pop_front();
+          self->queue_.OnSent();
           self->WriteNext();
         });
   }
 
   void ReadNext() {
-    AsyncReadFrame(socket_, buffer_,
-                   [self = shared_from_this()](Result<wire::Frame> frame) {
-                     if (!frame.ok()) {
-                       return self->Fail(Errc::kDisconnected,
-                                         frame.error().message);
-                     }
-                     self->bytes_ += static_cast<int64_t>(self->buffer_.size());
-                     self->CountReply(frame.value().id);
-                     self->last_received_ = Clock::now();
-                     self->Deliver(frame.value());
-                     self->ReadNext();
-                   });
+    AsyncReadFrames(
+        socket_, reader_,
+        [self = shared_from_this()](wire::Frame frame, size_t bytes) {
+          self->bytes_ += static_cast<int64_t>(bytes);
+          self->CountReply(frame, bytes);
+          self->last_received_ = Clock::now();
+          self->Deliver(frame);
+        },
+        [self = shared_from_this()](const Error& error) {
+          if (error.code) {
+            return self->Fail(Errc::kDisconnected, error.message);
+          }
+          self->ReadNext();
+        });
   }
 
   /// Counts a received reply under the method of its call. A reply that arrives
   /// after its call has timed out uses the link too, and is counted as "late".
-  void CountReply(int64_t id) {
-    const auto found = pending_.find(id);
+  void CountReply(const wire::Frame& frame, size_t bytes) {
+    const auto found = pending_.find(frame.id);
     const std::string_view name = found == pending_.end()
                                       ? std::string_view("late")
                                       : kMethodNames.Name(found->second.method);
-    CountTraffic(name, metrics::Direction::kIn, buffer_.size() + kLengthBytes);
+    CountTraffic(name, metrics::Direction::kIn, bytes);
   }
 
   void CountTraffic(std::string_view name, metrics::Direction direction,
@@ -155,6 +176,7 @@
     if (broken_.exchange(true)) return;
     std::error_code ignored;  // an error on closing has no consequence
     socket_.close(ignored);
+    watch_timer_.cancel();
     auto pending = std::move(pending_);
     pending_.clear();
     for (auto& [id, call] : pending) {
@@ -171,8 +193,11 @@
   bool open_ = false;
   TimePoint last_received_{};
   int64_t last_id_ = 0;
-  std::string buffer_;
-  std::deque<Outgoing> queue_;
+  FrameReader reader_;
+  SendQueue queue_;
+  /// Runs while it is awaited whether frames arrive; see WatchForSilence().
+  asio::steady_timer watch_timer_;
+  bool watching_ = false;
   std::unordered_map<int64_t, Pending> pending_;
 };
 
--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -1,8 +1,32 @@
 #include "src/libs/rpc/framing.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace mimosarail::rpc {
+namespace {
+
+/// Size of the length prefix of a frame.
+constexpr size_t kLengthBytes = 4;
+/// Bounds of the bytes that are read at once. The lower one takes dozens of
+/// usual calls, and is what an idle connection keeps allocated.
+constexpr size_t kMinReadBytes = 4 << 10;
+constexpr size_t kMaxReadBytes = 64 << 10;
+/// Bounds of one write, unless its first frame is larger. On a thin link, the
+/// frames of a write delay those of other connections.
+constexpr size_t kMaxBatchBytes = 16 << 10;
+constexpr size_t kMaxBatchFrames = 32;
+
+/// The length given by the first kLengthBytes bytes.
+uint32_t FrameLength(std::string_view bytes) {
+  uint32_t length = 0;
+  for (size_t i = 0; i < kLengthBytes; ++i) {
+    length = (length << 8U) | static_cast<uint8_t>(bytes[i]);
+  }
+  return length;
+}
+
+}  // namespace
 
 std::optional<Endpoint> ParseEndpoint(const std::string& text) {
   const size_t colon = text.rfind(':');
@@ -37,12 +61,54 @@
   return out + body;
 }
 
-uint32_t FrameLength(const std::string& buffer) {
-  uint32_t length = 0;
-  for (size_t i = 0; i < kLengthBytes; ++i) {
-    length = (length << 8U) | static_cast<uint8_t>(buffer[i]);
+asio::mutable_buffer FrameReader::Prepare() {
+  buffer_.erase(0, std::exchange(consumed_, 0));
+  received_ = buffer_.size();
+  const size_t chunk = std::clamp(received_, kMinReadBytes, kMaxReadBytes);
+  buffer_.resize(received_ + chunk);
+  return asio::buffer(buffer_.data() + received_, chunk);
+}
+
+void FrameReader::Commit(size_t bytes) {
+  received_ += bytes;
+  buffer_.resize(received_);
+}
+
+Result<std::optional<wire::Frame>> FrameReader::Next() {
+  const std::string_view rest =
+      std::string_view(buffer_).substr(consumed_, received_ - consumed_);
+  if (rest.size() < kLengthBytes) return std::optional<wire::Frame>();
+  const uint32_t length = FrameLength(rest);
+  if (length > kMaxFrameBytes) return Errc::kMalformed;
+  if (rest.size() - kLengthBytes < length) return std::optional<wire::Frame>();
+  last_frame_bytes_ = kLengthBytes + length;
+  consumed_ += last_frame_bytes_;
+  Result<wire::Frame> frame =
+      Decode<wire::Frame>(rest.substr(kLengthBytes, length));
+  if (!frame.ok()) return frame.error();
+  return std::optional<wire::Frame>(std::move(frame.value()));
+}
+
+const std::vector<SendQueue::Outgoing>& SendQueue::TakeBatch() {
+  size_t bytes = 0;
+  while (
+      !waiting_.empty() && in_flight_.size() < kMaxBatchFrames &&
+      (bytes == 0 || bytes + waiting_.front().bytes.size() <= kMaxBatchBytes)) {
+    bytes += waiting_.front().bytes.size();
+    in_flight_.push_back(std::move(waiting_.front()));
+    waiting_.pop_front();
   }
-  return length;
+  return in_flight_;
+}
+
+std::vector<asio::const_buffer> Buffers(
+    const std::vector<SendQueue::Outgoing>& frames) {
+  std::vector<asio::const_buffer> out;
+  out.reserve(frames.size());
+  for (const SendQueue::Outgoing& frame : frames) {
+    out.push_back(asio::buffer(frame.bytes));
+  }
+  return out;
 }
 
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -1,9 +1,10 @@
 #pragma once
 
-#include <array>
-#include <functional>
+#include <deque>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "frame_types.h"
 #include "src/libs/base/result.h"
@@ -14,8 +15,6 @@
 
 /// Maximum size of a frame that either side accepts.
 inline constexpr uint32_t kMaxFrameBytes = 32U << 20U;
-/// Size of the length prefix of a frame.
-inline constexpr size_t kLengthBytes = 4;
 
 /// An IP address and a port.
 struct Endpoint {
@@ -33,37 +32,101 @@
 /// Returns the length prefix and the encoded frame. Thread-safe.
 std::string FrameBytes(const wire::Frame& frame);
 
-/// Returns the length given by the first kLengthBytes bytes.
-uint32_t FrameLength(const std::string& buffer);
-
-/// Reads one frame into `buffer` and passes it to `done`, or an error. `socket`
-/// and `buffer` must outlive the read.
-template <typename Socket>
-void AsyncReadFrame(Socket& socket, std::string& buffer,
-                    std::function<void(Result<wire::Frame>)> done) {
-  buffer.resize(kLengthBytes);
-  asio::async_read(
-      socket, asio::buffer(buffer),
-      [&socket, &buffer, done = std::move(done)](std::error_code error,
-                                                 size_t) mutable {
+/// Extracts frames from the bytes received on a connection, so that one read
+/// can deliver many of them. Not thread-safe.
+class FrameReader {
+ public:
+  /// Returns where to store the next bytes received. Valid until the next call
+  /// of this or of Next().
+  asio::mutable_buffer Prepare();
+  /// Notes that this many bytes were stored there.
+  void Commit(size_t bytes);
+  /// Returns the next complete frame, nothing if more bytes are needed, or
+  /// Errc::kMalformed if the bytes are not frames. After an error, nothing more
+  /// can be read.
+  Result<std::optional<wire::Frame>> Next();
+  /// Size on the wire of the frame that Next() returned last.
+  size_t last_frame_bytes() const { return last_frame_bytes_; }
+
+ private:
+  /// The buffer grows with the bytes that arrive, not with the length that a
+  /// frame announces: a sender could otherwise use up the 260 MB of memory of
+  /// a process by sending only length prefixes of kMaxFrameBytes.
+  std::string buffer_;
+  /// Bytes of `buffer_` that were received, and those of them that belong to
+  /// frames already returned.
+  size_t received_ = 0;
+  size_t consumed_ = 0;
+  size_t last_frame_bytes_ = 0;
+};
+
+/// Reads bytes from `socket` until they contain a complete frame, and passes
+/// all complete frames to `on_frame` in order, with the size of each on the
+/// wire. Then runs `done` with an error if the connection has ended or its
+/// bytes are not frames. `socket` and `reader` must outlive the read.
+template <typename Socket, typename OnFrame, typename Done>
+void AsyncReadFrames(Socket& socket, FrameReader& reader, OnFrame on_frame,
+                     Done done) {
+  socket.async_read_some(
+      reader.Prepare(),
+      [&reader, on_frame = std::move(on_frame), done = std::move(done)](
+          std::error_code error, size_t bytes) mutable {
         if (error) return done(Error{error, error.message()});
-        const uint32_t length = FrameLength(buffer);
-        if (length > kMaxFrameBytes) return done(Errc::kMalformed);
-        // The buffer grows as bytes arrive. If it were allocated at once, a
-        // sender could use up the 260 MB of memory of a process by sending only
-        // the length prefix kMaxFrameBytes on each of eight connections.
-        buffer.clear();
-        asio::async_read(
-            socket, asio::dynamic_buffer(buffer, length),
-            asio::transfer_exactly(length),
-            [&buffer, done = std::move(done)](std::error_code body_error,
-                                              size_t) {
-              if (body_error) {
-                return done(Error{body_error, body_error.message()});
-              }
-              done(Decode<wire::Frame>(buffer));
-            });
+        reader.Commit(bytes);
+        for (;;) {
+          Result<std::optional<wire::Frame>> frame = reader.Next();
+          if (!frame.ok()) return done(frame.error());
+          if (!frame.value()) return done(Error{});
+          on_frame(std::move(*frame.value()), reader.last_frame_bytes());
+        }
       });
 }
 
+/// Frames that wait to be sent on one connection. Not thread-safe.
+class SendQueue {
+ public:
+  /// A frame and the method that it belongs to.
+  struct Outgoing {
+    int32_t method;
+    std::string bytes;
+  };
+
+  void Push(int32_t method, std::string bytes) {
+    waiting_.push_back({method, std::move(bytes)});
+  }
+  /// Whether frames wait and none is being sent.
+  bool CanSend() const { return in_flight_.empty() && !waiting_.empty(); }
+  /// Returns the frames to send next, in one write. They are valid until
+  /// OnSent(). Precondition: CanSend().
+  const std::vector<Outgoing>& TakeBatch();
+  /// The frames of the last batch have been sent.
+  void OnSent() { in_flight_.clear(); }
+
+ private:
+  std::deque<Outgoing> waiting_;
+  std::vector<Outgoing> in_flight_;
+};
+
+/// Returns the buffers of the frames, for one write.
+std::vector<asio::const_buffer> Buffers(
+    const std::vector<SendQueue::Outgoing>& frames);
+
+/// Accepts all connections that wait at `acceptor`, and passes each to
+/// `on_socket`. A listener that accepts one connection for each turn of a busy
+/// event loop falls behind callers that reconnect, and then serves only
+/// connections that they have given up. Precondition: `acceptor` is
+/// non-blocking.
+template <typename MakeExecutor, typename OnSocket>
+void AcceptWaiting(asio::ip::tcp::acceptor& acceptor,
+                   MakeExecutor make_executor, OnSocket on_socket) {
+  constexpr int kMaxAtOnce = 256;
+  for (int i = 0; i < kMaxAtOnce; ++i) {
+    std::error_code error;
+    asio::ip::tcp::socket socket = acceptor.accept(make_executor(), error);
+    // A failure shows again at the next wait.
+    if (error) return;
+    on_socket(std::move(socket));
+  }
+}
+
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/method.h
+++ b/src/libs/rpc/method.h
@@ -32,6 +32,9 @@
   kCancelJob = 54,
   kPendingJobs = 55,
   kAdvise = 56,
+  /// Answered by the connection itself; an earlier version answers that it does
+  /// not know the method, which shows as well that the connection works.
+  kPing = 57,
 };
 
 /// Names of the calls as shown to operators.
@@ -59,6 +62,7 @@
     EnumName{Method::kCancelJob, "cancel_job"},
     EnumName{Method::kPendingJobs, "pending_jobs"},
     EnumName{Method::kAdvise, "advise"},
+    EnumName{Method::kPing, "ping"},
 }};
 
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -1,7 +1,6 @@
 #include "src/libs/rpc/server.h"
 
 #include <atomic>
-#include <deque>
 #include <unordered_map>
 
 #include "src/libs/logging/log.h"
@@ -31,24 +30,20 @@
         traffic_(traffic) {}
 
   void ReadNext() {
-    AsyncReadFrame(
-        socket_, buffer_,
-        [self = shared_from_this()](Result<wire::Frame> frame) {
-          if (!frame.ok()) return self->Close();
-          *self->bytes_ += static_cast<int64_t>(self->buffer_.size());
-          self->CountTraffic(frame.value().method, metrics::Direction::kIn,
-                             self->buffer_.size() + kLengthBytes);
-          self->Dispatch(std::move(frame.value()));
+    AsyncReadFrames(
+        socket_, reader_,
+        [self = shared_from_this()](wire::Frame frame, size_t bytes) {
+          *self->bytes_ += static_cast<int64_t>(bytes);
+          self->CountTraffic(frame.method, metrics::Direction::kIn, bytes);
+          self->Dispatch(std::move(frame));
+        },
+        [self = shared_from_this()](const Error& error) {
+          if (error.code) return self->Close();
           self->ReadNext();
         });
   }
 
  private:
-  struct Outgoing {
-    int32_t method;
-    std::string bytes;
-  };
-
   void CountTraffic(int32_t method, metrics::Direction direction,
                     size_t bytes) {
     if (traffic_ == nullptr) return;
@@ -58,6 +53,9 @@
 
   /// Passes a call to the handler of its method.
   void Dispatch(wire::Frame frame) {
+    if (frame.method == static_cast<int32_t>(Method::kPing)) {
+      return Send(frame.id, frame.method, std::string());
+    }
     Responder respond = [weak = weak_from_this(),
                          executor = socket_.get_executor(), id = frame.id,
                          method = frame.method](Result<std::string> reply) {
@@ -86,20 +84,22 @@
           is_errc ? code.value() : static_cast<int>(Errc::kUnavailable);
       frame.body = reply.error().message;
     }
-    queue_.push_back({method, FrameBytes(frame)});
-    if (queue_.size() == 1) WriteNext();
+    queue_.Push(method, FrameBytes(frame));
+    WriteNext();
   }
 
   void WriteNext() {
-    if (queue_.empty()) return;
-    const Outgoing& next = queue_.front();
-    *bytes_ += static_cast<int64_t>(next.bytes.size());
-    CountTraffic(next.method, metrics::Direction::kOut, next.bytes.size());
+    if (!queue_.CanSend()) return;
+    const auto& batch = queue_.TakeBatch();
+    for (const SendQueue::Outgoing& frame : batch) {
+      *bytes_ += static_cast<int64_t>(frame.bytes.size());
+      CountTraffic(frame.method, metrics::Direction::kOut, frame.bytes.size());
+    }
     asio::async_write(
-        socket_, asio::buffer(next.bytes),
+        socket_, Buffers(batch),
         [self = shared_from_this()](std::error_code error, size_t) {
           if (error) return self->Close();
-          self->queue_.pop_front();
+          self->queue_.OnSent();
           self->WriteNext();
         });
   }
@@ -113,8 +113,8 @@
   std::shared_ptr<const HandlerTable> handlers_;
   std::shared_ptr<std::atomic<int64_t>> bytes_;
   metrics::Traffic* traffic_;
-  std::string buffer_;
-  std::deque<Outgoing> queue_;
+  FrameReader reader_;
+  SendQueue queue_;
 };
 
 }  // namespace
@@ -135,14 +135,22 @@
         [self = shared_from_this()](std::error_code error, tcp::socket socket) {
           if (error == asio::error::operation_aborted) return;
           if (error) return self->RetryAcceptLater(error);
-          SetSocketOptions(socket, self->send_buffer_bytes);
-          std::make_shared<Session>(std::move(socket), self->handlers,
-                                    self->bytes, self->traffic)
-              ->ReadNext();
+          self->StartSession(std::move(socket));
+          AcceptWaiting(
+              self->acceptor, [&self] { return asio::make_strand(self->io); },
+              [&self](tcp::socket waiting) {
+                self->StartSession(std::move(waiting));
+              });
           self->AcceptNext();
         });
   }
 
+  void StartSession(tcp::socket socket) {
+    SetSocketOptions(socket, send_buffer_bytes);
+    std::make_shared<Session>(std::move(socket), handlers, bytes, traffic)
+        ->ReadNext();
+  }
+
   /// Accepts again after a pause. The cause of a failure may be transient, such
   /// as a lack of file descriptors. If the server no longer accepted, the other
   /// instances could not reach this one until it is restarted.
@@ -193,6 +201,7 @@
     d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
   if (error) return Error{error, address + ": " + error.message()};
+  d_->acceptor.non_blocking(true, error);
   d_->AcceptNext();
   return d_->acceptor.local_endpoint().port();
 }
--- a/tests/entry_connections_test.cc
+++ b/tests/entry_connections_test.cc
@@ -35,7 +35,8 @@
   struct Connection {
     explicit Connection(tcp::socket socket_in) : socket(std::move(socket_in)) {}
     tcp::socket socket;
-    std::string buffer;
+    rpc::FrameReader reader;
+    bool reading = true;
   };
 
   void AcceptNext() {
@@ -48,23 +49,25 @@
   }
 
   void ReadNext(Connection& connection) {
-    rpc::AsyncReadFrame(
-        connection.socket, connection.buffer,
-        [this, &connection](const Result<wire::Frame>& frame) {
-          if (!frame.ok()) return;
-          const auto method = static_cast<rpc::Method>(frame.value().method);
+    rpc::AsyncReadFrames(
+        connection.socket, connection.reader,
+        [&connection](const wire::Frame& frame, size_t) {
+          const auto method = static_cast<rpc::Method>(frame.method);
           if (method != rpc::Method::kHeartbeat &&
               method != rpc::Method::kAnnounce) {
+            connection.reading = false;
             return;
           }
           wire::Frame reply;
-          reply.id = frame.value().id;
+          reply.id = frame.id;
           reply.reply = true;
           reply.body = method == rpc::Method::kHeartbeat
                            ? rpc::Encode(wire::HeartbeatReply())
                            : rpc::Encode(wire::AnnounceReply());
           asio::write(connection.socket, asio::buffer(rpc::FrameBytes(reply)));
-          ReadNext(connection);
+        },
+        [this, &connection](const Error& error) {
+          if (!error.code && connection.reading) ReadNext(connection);
         });
   }
 
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -7,6 +7,7 @@
 
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/client.h"
+#include "src/libs/rpc/framing.h"
 #include "src/libs/rpc/server.h"
 
 namespace mimosarail::rpc {
@@ -70,6 +71,103 @@
   std::thread thread_;
 };
 
+/// What a fake peer answers.
+enum class Answers {
+  kNothing,   ///< A connection that has stopped delivering data.
+  kPings,     ///< A process that is far behind with its calls.
+  kUnknowns,  ///< The same, of a version that does not know pings.
+};
+
+/// A peer that accepts connections, and answers no calls.
+class FakePeer {
+ public:
+  FakePeer(asio::io_context& io, Answers answers)
+      : answers_(answers),
+        acceptor_(io, {asio::ip::address_v4::loopback(), 0}) {
+    AcceptNext();
+  }
+
+  std::string address() const {
+    return "127.0.0.1:" + std::to_string(acceptor_.local_endpoint().port());
+  }
+  size_t connections() const { return connections_.size(); }
+
+ private:
+  struct Connection {
+    explicit Connection(tcp::socket socket_in) : socket(std::move(socket_in)) {}
+    tcp::socket socket;
+    FrameReader reader;
+  };
+
+  void AcceptNext() {
+    acceptor_.async_accept([this](std::error_code error, tcp::socket socket) {
+      if (error) return;
+      connections_.push_back(std::make_unique<Connection>(std::move(socket)));
+      ReadNext(*connections_.back());
+      AcceptNext();
+    });
+  }
+
+  void ReadNext(Connection& connection) {
+    AsyncReadFrames(
+        connection.socket, connection.reader,
+        [this, &connection](const wire::Frame& frame, size_t) {
+          const bool ping = frame.method == static_cast<int32_t>(Method::kPing);
+          if (!ping || answers_ == Answers::kNothing) return;
+          wire::Frame reply;
+          reply.id = frame.id;
+          reply.reply = true;
+          if (answers_ == Answers::kUnknowns) {
+            reply.error = static_cast<int32_t>(Errc::kUnknownMethod);
+          }
+          asio::write(connection.socket, asio::buffer(FrameBytes(reply)));
+        },
+        [this, &connection](const Error& error) {
+          if (!error.code) ReadNext(connection);
+        });
+  }
+
+  const Answers answers_;
+  tcp::acceptor acceptor_;
+  std::vector<std::unique_ptr<Connection>> connections_;
+};
+
+/// Makes calls that time out one after the other, and returns how many
+/// connections the peer has seen.
+size_t ConnectionsAfterTimeouts(Answers answers) {
+  constexpr int kCalls = 6;
+  constexpr Millis kTimeout{60};
+  asio::io_context io;
+  FakePeer peer(io, answers);
+  Client client(io);
+  for (int i = 0; i < kCalls; ++i) {
+    bool done = false;
+    client.Call(peer.address(), Method::kSubmitJob, "", kTimeout,
+                [&done](const Result<std::string>& reply) {
+                  BOOST_TEST(!reply.ok());
+                  done = true;
+                });
+    while (!done) io.run_one();
+  }
+  return peer.connections();
+}
+
+/// Counts the turns of an event loop that always has other work.
+class BusyLoop {
+ public:
+  explicit BusyLoop(asio::io_context& io) : io_(io) { Turn(); }
+  int turns() const { return turns_; }
+
+ private:
+  void Turn() {
+    ++turns_;
+    asio::post(io_, [this] { Turn(); });
+  }
+
+  asio::io_context& io_;
+  int turns_ = 0;
+};
+
 }  // namespace
 
 /// Guards against an entry that other entries cannot reach until it is
@@ -92,4 +190,56 @@
   BOOST_TEST(reply.value() == "text");
 }
 
+/// Guards against callers that close the connection to a peer which answers
+/// late: their calls are lost, and all of them reconnect again and again.
+BOOST_AUTO_TEST_CASE(LateAnswersKeepTheConnection) {
+  BOOST_TEST(ConnectionsAfterTimeouts(Answers::kPings) == 1U);
+  BOOST_TEST(ConnectionsAfterTimeouts(Answers::kUnknowns) == 1U);
+}
+
+/// Guards against a connection that is used on although it has stopped
+/// delivering data without a reset.
+BOOST_AUTO_TEST_CASE(SilentConnectionIsReplaced) {
+  BOOST_TEST(ConnectionsAfterTimeouts(Answers::kNothing) > 2U);
+}
+
+/// Guards against a busy server that accepts one connection, and reads one
+/// call of each, per turn of its event loop: it serves entries that reconnect
+/// together only after they have given up.
+BOOST_AUTO_TEST_CASE(EntriesThatReconnectTogetherAreServed) {
+  constexpr int kEntries = 97;
+  constexpr int kCallsPerEntry = 30;
+  // The timeout of a call, 1 s, at 40 ms for a turn of a leader with a full
+  // processor.
+  constexpr int kMaxTurns = 25;
+  asio::io_context io;
+  Server server(io);
+  int served = 0;
+  server.Handle(Method::kSubmitJob, [&](std::string, const Responder& respond) {
+    ++served;
+    respond(std::string());
+  });
+  const auto port = server.Listen("127.0.0.1:0");
+  BOOST_REQUIRE(port.ok());
+  wire::Frame frame;
+  frame.method = static_cast<int32_t>(Method::kSubmitJob);
+  std::string calls;
+  for (int i = 0; i < kCallsPerEntry; ++i) {
+    frame.id = i + 1;
+    calls += FrameBytes(frame);
+  }
+  std::vector<tcp::socket> entries;
+  for (int i = 0; i < kEntries; ++i) {
+    entries.emplace_back(io).connect(
+        {asio::ip::address_v4::loopback(), port.value()});
+    asio::write(entries.back(), asio::buffer(calls));
+  }
+  const BusyLoop loop(io);
+  while (served < kEntries * kCallsPerEntry && loop.turns() < 100 * kMaxTurns) {
+    io.run_one();
+  }
+  BOOST_TEST(served == kEntries * kCallsPerEntry);
+  BOOST_TEST(loop.turns() <= kMaxTurns);
+}
+
 }  // namespace mimosarail::rpc
