Leadership: Count a processor as full from 0.75 of its share

Cause: a leader whose processor is full states in its record that it is saturated, so that an equal entry does not replace it as slow. The threshold was 0.85 of the share. The platform grants a process that is always ready to run 0.83 to 0.86 of its share (415 to 430 ms in 2 s at 0.25), so nearly all replacements were logged with saturated "no".

--- a/src/leadership/capacity_use.cc
+++ b/src/leadership/capacity_use.cc
@@ -10,7 +10,8 @@
 /// without headers of the network: a full link of 2 Mbit/s carried 0.84 of its
 /// rate.
 constexpr double kFullLink = 0.7;
-constexpr double kFullProcessor = 0.85;
+/// The platform grants a process that is always ready to run 0.83 of its share.
+constexpr double kFullProcessor = 0.75;
 
 double Seconds(Clock::duration time) {
   return std::chrono::duration<double>(time).count();
