Coordinator: Keep the cost of a backlog from the control thread

Cause, by a profile of the leader: half of the control thread's time goes into placement passes, which run 2 ms after any change however long the last one took, and a third of that into the choice of upstreams to ask advice about, which looks at all 540 and sorts them. With thousands of open jobs, each call for the number of pending jobs of a queue visits all jobs (0.65 ms with 6,500, some 200 calls a second), and so does each tick while a run is unreported.

Change: the pause after a pass is three times its duration, 40 ms at most. Upstreams without room are skipped first, only as many as a call can name are sorted, and their future is computed only if more advice is needed: the choice is the same. Pending jobs are counted once in 300 ms for each queue. The tick visits only the jobs that may have unreported runs.

Tried and taken back: looking for advice less often while none is found. scheduling_load_test went from under 11 s to 15.8 s for the wait of gangs.

Test: PlacementPassesLeaveTimeForOtherWork. It guards the new rule; there was none before.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -24,6 +24,12 @@
 /// its account: only operators can raise the limit.
 constexpr int64_t kOverLimitRetryMs = 30000;
 
+/// Time for which a count of pending jobs is reused: it visits all jobs, and
+/// callers ask for it more often the longer the queue is.
+constexpr Millis kPendingCountMaxAge{300};
+/// Number of queues whose counts are kept.
+constexpr size_t kMaxPendingCounts = 1000;
+
 wire::SubmitJobReply SubmitReply(JobVerdict verdict,
                                  int64_t retry_after_ms = 0) {
   wire::SubmitJobReply reply;
@@ -362,13 +368,18 @@
   });
 }
 
-wire::PendingJobsReply Coordinator::CountPending(
-    const std::string& queue) const {
+wire::PendingJobsReply Coordinator::CountPending(const std::string& queue) {
   wire::PendingJobsReply reply;
   const bool current = loaded_ && deps_.state_current();
   reply.verdict = static_cast<int32_t>(current ? JobVerdict::kConfirmed
                                                : JobVerdict::kNotLeading);
-  reply.pending = scheduler_.PendingJobs(queue);
+  const TimePoint now = deps_.executor.Now();
+  if (pending_counts_.size() > kMaxPendingCounts) pending_counts_.clear();
+  PendingCount& count = pending_counts_[queue];
+  if (now - count.counted_at >= kPendingCountMaxAge) {
+    count = {.jobs = scheduler_.PendingJobs(queue), .counted_at = now};
+  }
+  reply.pending = count.jobs;
   return reply;
 }
 
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -16,9 +16,6 @@
 using scheduling::Orders;
 
 constexpr Millis kTickPeriod{50};
-/// Delay of a placement pass, so that changes shortly after each other share
-/// one pass.
-constexpr Millis kPlacementDelay{2};
 /// Interval at which the load is logged, with the reasons why steps wait.
 constexpr Millis kLoadLogPeriod{2000};
 /// Number of steps, those that have waited longest, whose reason is logged.
@@ -390,9 +387,11 @@
 void Coordinator::SchedulePlacement() {
   if (placement_scheduled_ || closed_) return;
   placement_scheduled_ = true;
-  deps_.executor.RunAfter(kPlacementDelay, [weak = weak_from_this()] {
-    if (const auto self = weak.lock()) self->RunPlacement();
-  });
+  deps_.executor.RunAfter(placement_pacing_.DelayAt(deps_.executor.Now()),
+                          [weak = weak_from_this()] {
+                            if (const auto self = weak.lock())
+                              self->RunPlacement();
+                          });
 }
 
 void Coordinator::RunPlacement() {
@@ -403,6 +402,7 @@
   scheduler_.Place(now, lanes_.Budget(now), orders, AvailableForStarts(now));
   ChargeStarts(orders, now);
   ExecuteOrders(orders);
+  placement_pacing_.NotePass(now, deps_.executor.Now());
 }
 
 void Coordinator::RequestAdvice(const scheduling::AdviceOrder& order) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -18,6 +18,7 @@
 #include "src/coordinator/job_verdicts.h"
 #include "src/coordinator/memory_budget.h"
 #include "src/coordinator/order_budget.h"
+#include "src/coordinator/placement_pacing.h"
 #include "src/fleet/upstream_link.h"
 #include "src/journal/journal.h"
 #include "src/libs/faults/malformed_record_reporter.h"
@@ -164,7 +165,7 @@
   void Cancel(JobId id, const std::optional<std::string>& account,
               std::function<void(wire::CancelJobReply)> done);
   /// Counts the accepted jobs of the queue of which no task has started.
-  wire::PendingJobsReply CountPending(const std::string& queue) const;
+  wire::PendingJobsReply CountPending(const std::string& queue);
   /// What new jobs of each queue meet, for the other entries; nullopt unless
   /// jobs are refused by deadline and the figures are known.
   std::optional<wire::LoadSummary> SummarizeLoad() const;
@@ -390,7 +391,7 @@
   void LogDelayedRestart(const scheduling::DelayedRestart& restart);
   /// Logs the stop of an orphaned run, which no valid order accounts for.
   void LogOrphanedRun(scheduling::StopOrder stop);
-  /// Schedules a placement pass after kPlacementDelay, unless one is scheduled.
+  /// Schedules a placement pass, unless one is scheduled.
   void SchedulePlacement();
   void RunPlacement();
   /// Charges the bytes that are sent for a purpose to the budget of the link.
@@ -449,6 +450,7 @@
   bool closed_ = false;
   bool loaded_ = false;
   bool placement_scheduled_ = false;
+  PlacementPacing placement_pacing_;
   std::map<UpstreamIndex, std::shared_ptr<fleet::UpstreamLink>> links_;
   /// First fencing token of the next link to be opened.
   int64_t next_fence_ = 0;
@@ -500,6 +502,12 @@
   std::map<std::string, NewJob> newest_jobs_;
   /// Queues and accounts that have metrics of their waiting work.
   std::set<std::pair<std::string, std::string>> reported_backlogs_;
+  /// Results of CountPending() by queue.
+  struct PendingCount {
+    int64_t jobs = 0;
+    TimePoint counted_at{};
+  };
+  std::map<std::string, PendingCount> pending_counts_;
   /// Callers refused for lack of the store, over the last few seconds.
   double store_refusals_ = 0;
   TimePoint store_refused_at_{};
--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -83,14 +83,19 @@
   const TimePoint soon = now + kLearnHorizon;
   const std::set<UpstreamIndex>& excluded =
       record.step_state(id.occurrence, id.step).exclusion.excluded;
-  // Upstreams that no call has asked about. The numbers of tasks that fit soon
-  // and that would fit if the upstream were empty are negated, so that sorting
-  // puts the highest first.
-  std::vector<std::tuple<int32_t, int32_t, UpstreamIndex>> not_asked;
+  const Amount size = TaskResources(step);
+  /// An upstream that no call has asked about.
+  struct NotAsked {
+    UpstreamIndex upstream = kNoUpstream;
+    int32_t fit_if_empty = 0;
+    int32_t fit_soon = 0;
+  };
+  std::vector<NotAsked> not_asked;
   // Number of tasks that the allowed upstreams could run if empty, plus the
   // expected number for the upstreams whose answer is pending.
   double allowed_tasks = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
+    if (FitCount(pool_.at(upstream).capacity, size) == 0) continue;
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
       continue;
     }
@@ -104,19 +109,29 @@
     } else if (advice.pending.count(upstream) > 0) {
       allowed_tasks += allowance_rate * fit_if_empty;
     } else {
-      const int32_t fit_soon =
-          FittingTasks(upstream, record, id, pool_.FreeAt(upstream, soon), now);
-      not_asked.emplace_back(-fit_soon, -fit_if_empty, upstream);
+      not_asked.push_back({.upstream = upstream, .fit_if_empty = fit_if_empty});
     }
   }
   std::vector<UpstreamIndex> out;
   if (allowed_tasks >= kLearnCapacityFactor * step.tasks) return out;
-  std::sort(not_asked.begin(), not_asked.end());
-  if (not_asked.size() > kMaxUpstreamsPerCall) {
-    not_asked.resize(kMaxUpstreamsPerCall);
+  for (NotAsked& it : not_asked) {
+    it.fit_soon = FittingTasks(it.upstream, record, id,
+                               pool_.FreeAt(it.upstream, soon), now);
   }
-  for (const auto& [fit_soon, fit_if_empty, upstream] : not_asked) {
-    out.push_back(upstream);
+  const auto most =
+      not_asked.begin() +
+      std::min<std::ptrdiff_t>(static_cast<std::ptrdiff_t>(not_asked.size()),
+                               kMaxUpstreamsPerCall);
+  std::partial_sort(not_asked.begin(), most, not_asked.end(),
+                    [](const NotAsked& a, const NotAsked& b) {
+                      const auto order = [](const NotAsked& it) {
+                        return std::tuple(-it.fit_soon, -it.fit_if_empty,
+                                          it.upstream);
+                      };
+                      return order(a) < order(b);
+                    });
+  for (auto at = not_asked.begin(); at != most; ++at) {
+    out.push_back(at->upstream);
   }
   return out;
 }
@@ -155,6 +170,8 @@
   const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
   std::vector<RankedCandidate> out;
   for (const UpstreamIndex upstream : pool_.all()) {
+    // Most upstreams of a busy pool have no room, so this goes first.
+    if (FitCount(pool_.at(upstream).free, size) == 0) continue;
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
       continue;
     }
@@ -188,15 +205,20 @@
   if (needs && step.gang) {
     RankForGangAdvice(*needs, step.tasks - expected_tasks, out);
   }
-  std::sort(out.begin(), out.end(),
-            [](const RankedCandidate& a, const RankedCandidate& b) {
-              const auto order = [](const RankedCandidate& c) {
-                return std::tuple(c.excluded, c.speed.late, c.gang_reserved,
-                                  c.speed.rank, -c.candidate.allow_probability,
-                                  -c.candidate.tasks, c.upstream);
-              };
-              return order(a) < order(b);
-            });
+  // No call names more of them.
+  const auto named = out.begin() + std::min<std::ptrdiff_t>(
+                                       static_cast<std::ptrdiff_t>(out.size()),
+                                       kMaxUpstreamsPerCall);
+  std::partial_sort(out.begin(), named, out.end(),
+                    [](const RankedCandidate& a, const RankedCandidate& b) {
+                      const auto order = [](const RankedCandidate& c) {
+                        return std::tuple(c.excluded, c.speed.late,
+                                          c.gang_reserved, c.speed.rank,
+                                          -c.candidate.allow_probability,
+                                          -c.candidate.tasks, c.upstream);
+                      };
+                      return order(a) < order(b);
+                    });
   return out;
 }
 
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -118,7 +118,9 @@
   const wire::StepSpec& step = record.job.step(id.step);
   const bool advised = record.job.queue().advised;
   const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
+  const Amount size = TaskResources(step);
   const auto consider = [&](UpstreamIndex upstream) {
+    if (FitCount(pool_.at(upstream).free, size) == 0) return;
     if (!pool_.Usable(upstream, now) || !Matches(upstream, record, step)) {
       return;
     }
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -76,7 +76,7 @@
   // The stop of a cancelled or failed job may not have arrived everywhere.
   record.counts_as_unreported =
       !resolved_ && record.job.state() != JobState::kComplete;
-  has_unreported_runs_ = has_unreported_runs_ || record.counts_as_unreported;
+  if (record.counts_as_unreported) unreported_jobs_.insert(record.job.id());
   UpdateAllQueued(record);
 }
 
@@ -106,10 +106,12 @@
 void Scheduler::CountUnreportedRuns() {
   AccountLedger& accounts = pool_.accounts();
   accounts.ClearUnreported();
-  has_unreported_runs_ = false;
-  for (const auto& [id, record] : jobs_) {
-    if (!record->counts_as_unreported) continue;
-    has_unreported_runs_ = true;
+  std::erase_if(unreported_jobs_, [this](JobId id) {
+    const JobRecord* record = FindJobRecord(id);
+    return record == nullptr || !record->counts_as_unreported;
+  });
+  for (const JobId id : unreported_jobs_) {
+    const JobRecord* record = FindJobRecord(id);
     const Job& job = record->job;
     for (int32_t k = record->done_occurrences; k < record->due_occurrences;
          ++k) {
@@ -500,7 +502,7 @@
   OpenDueOccurrences(now, wall_ms);
   DemoteLateSteps(now);
   UpdateSpeeds(now);
-  if (has_unreported_runs_) CountUnreportedRuns();
+  if (!unreported_jobs_.empty()) CountUnreportedRuns();
 }
 
 std::vector<AccountLoad> Scheduler::AccountLoads() const {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -604,9 +604,10 @@
     SpeedRank speed;
     AdviceCandidate candidate;
   };
-  /// Returns the upstreams with free capacity about which to ask, best first.
-  /// Adds to `expected_tasks` how many tasks pending answers will probably
-  /// allow, and for a gang also how many tasks valid tickets allow.
+  /// Returns the upstreams with free capacity about which to ask. As many as
+  /// one call can name are in order, the best first; the others follow. Adds to
+  /// `expected_tasks` how many tasks pending answers will probably allow, and
+  /// for a gang also how many tasks valid tickets allow.
   std::vector<RankedCandidate> RankAdviceCandidates(
       const JobRecord& record, const StepId& id, TimePoint now,
       const PassReservations& reserved, double& expected_tasks) const;
@@ -722,8 +723,9 @@
   std::optional<QueueKey> resume_after_;
   /// No step is promoted by PromoteAgedStep() before this time.
   TimePoint next_promotion_{};
-  /// A job has JobRecord::counts_as_unreported set.
-  bool has_unreported_runs_ = false;
+  /// The jobs with JobRecord::counts_as_unreported set. Some may have been
+  /// removed, or have it no longer.
+  std::unordered_set<JobId> unreported_jobs_;
   /// Jobs whose progress has to be stored again.
   std::unordered_set<JobId> changed_;
   /// The jobs that have further occurrences, by the time of the next one.
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -4,6 +4,7 @@
 
 #include "src/coordinator/advice_lanes.h"
 #include "src/coordinator/job_table.h"
+#include "src/coordinator/placement_pacing.h"
 #include "src/libs/rpc/codec.h"
 #include "src/scheduling/advice_call_size.h"
 #include "src/scheduling/scheduler.h"
@@ -852,4 +853,18 @@
   BOOST_TEST(lanes.Acquire(1, now) == "a");
 }
 
+/// Guards against placement passes that take the whole control thread.
+BOOST_AUTO_TEST_CASE(PlacementPassesLeaveTimeForOtherWork) {
+  const TimePoint start = TimePoint() + std::chrono::hours(1);
+  coordinator::PlacementPacing pacing;
+  BOOST_TEST((pacing.DelayAt(start) == coordinator::PlacementPacing::kDelay));
+  pacing.NotePass(start, start + Millis(10));
+  BOOST_TEST((pacing.DelayAt(start + Millis(10)) == Millis(30)));
+  BOOST_TEST((pacing.DelayAt(start + Millis(25)) == Millis(15)));
+  BOOST_TEST((pacing.DelayAt(start + Millis(100)) ==
+              coordinator::PlacementPacing::kDelay));
+  pacing.NotePass(start, start + Millis(900));
+  BOOST_TEST((pacing.DelayAt(start + Millis(900)) == Millis(40)));
+}
+
 }  // namespace mimosarail::scheduling
