Job entry: Shed submissions that a busy leader cannot handle in time

Cause: submissions were handled in their turn with reports, advice and renewals, also when their entry had given up after 1 s and repeated them.

Change: SubmissionIntake hands them to the coordinator, the most urgent first, in 0.3 of the control thread's time while other work waits. What has waited for 500 ms since this process received it is answered with the new verdict kOverloaded; the entry passes it on as a refusal with a Retry-After spread over 3 s, and does not repeat the call. "Not run" stays true: the verdict is given only for an id that the leader does not know while the store confirms its lease, and an entry refuses only if no try of it is in doubt.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -368,6 +368,20 @@
   });
 }
 
+JobVerdict Coordinator::VerdictOnUnhandled(const wire::JobSpec& spec) const {
+  const auto id = static_cast<JobId>(spec.id);
+  if (!loaded_) return JobVerdict::kNotLeading;
+  if (!MayAccess(spec.account, id)) return JobVerdict::kIdInUse;
+  if (scheduler_.Find(id) != nullptr || final_jobs_.count(id) > 0) {
+    return JobVerdict::kConfirmed;
+  }
+  if (unreadable_jobs_.count(id) > 0) return JobVerdict::kUnreadable;
+  if (pending_submissions_.count(id) > 0) return JobVerdict::kOutcomeUnknown;
+  // See VerdictOnUnknownJob().
+  return deps_.lease_confirmed_by_store() ? JobVerdict::kOverloaded
+                                          : JobVerdict::kNotLeading;
+}
+
 wire::PendingJobsReply Coordinator::CountPending(const std::string& queue) {
   wire::PendingJobsReply reply;
   const bool current = loaded_ && deps_.state_current();
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -156,6 +156,8 @@
   /// stored.
   void Submit(const wire::JobSpec& spec,
               std::function<void(wire::SubmitJobReply)> done);
+  /// Verdict on a submission that the leader has no time to handle.
+  JobVerdict VerdictOnUnhandled(const wire::JobSpec& spec) const;
   /// With an account, a job that belongs to another one is reported as unknown,
   /// here and in Cancel().
   wire::JobStateReply QueryState(
--- a/src/coordinator/job_verdicts.h
+++ b/src/coordinator/job_verdicts.h
@@ -31,6 +31,9 @@
   /// Refused for good: the job never fits the memory of a leader, or its record
   /// the store.
   kTooLarge = 9,
+  /// The leader is behind with its work and has not handled the call, which has
+  /// changed nothing.
+  kOverloaded = 10,
 };
 
 inline constexpr EnumTable kJobVerdictNames{std::array{
@@ -44,6 +47,7 @@
     EnumName{JobVerdict::kIdInUse, "id in use"},
     EnumName{JobVerdict::kOverLimit, "over the account's limit"},
     EnumName{JobVerdict::kTooLarge, "too large"},
+    EnumName{JobVerdict::kOverloaded, "leader overloaded"},
 }};
 
 /// Returns the verdict of a reply. Numbers that this version does not know map
--- a/src/jobentry/entry_rpc_handlers.cc
+++ b/src/jobentry/entry_rpc_handlers.cc
@@ -35,7 +35,12 @@
   ServeSync(server, executor, Method::kHeartbeat, entry,
             &JobEntry::OnHeartbeat);
   ServeSync(server, executor, Method::kAnnounce, entry, &JobEntry::OnAnnounce);
-  ServeAsync(server, executor, Method::kSubmitJob, entry, &JobEntry::OnSubmit);
+  rpc::HandleTimed<wire::SubmitJobCall, wire::SubmitJobReply>(
+      server, executor, Method::kSubmitJob,
+      [&entry](wire::SubmitJobCall call, TimePoint received,
+               std::function<void(wire::SubmitJobReply)> reply) {
+        entry.OnSubmit(std::move(call), received, std::move(reply));
+      });
   ServeAsync(server, executor, Method::kJobState, entry,
              &JobEntry::OnQueryState);
   ServeAsync(server, executor, Method::kCancelJob, entry, &JobEntry::OnCancel);
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -17,6 +17,8 @@
 constexpr Millis kReadyTimeout{2500};
 /// Callers retry a refused call after this.
 constexpr Millis kRetryAfter{1000};
+/// The return of callers refused by an overloaded leader is spread over this.
+constexpr Millis kOverloadReturnWindow{3000};
 /// Interval between updates of the coordinator's list of lanes.
 constexpr Millis kLaneRefreshPeriod{200};
 /// A call that the leader has not answered is retried after
@@ -124,6 +126,15 @@
       options_(std::move(options)),
       access_(options_.access),
       waiting_calls_(deps_.executor),
+      intake_(deps_.executor, {},
+              {.handle =
+                   [this](SubmissionIntake::Submission submission) {
+                     HandleSubmission(std::move(submission));
+                   },
+               .drop =
+                   [this](const SubmissionIntake::Submission& submission) {
+                     DropSubmission(submission);
+                   }}),
       malformed_records_(deps_.metrics),
       config_(deps_.executor, deps_.config, malformed_records_, options_.config,
               {.on_changed = [this] { OnConfigChanged(); },
@@ -211,6 +222,12 @@
   for (const auto& [queue, row] : load_.queues()) set(row);
 }
 
+Millis JobEntry::OverloadRetryAfter() {
+  constexpr uint64_t kOddFactor = 0x9e3779b97f4a7c15ULL;
+  return coordinator::SpreadReturnEvenly(kRetryAfter, kOverloadReturnWindow,
+                                         ++overload_refusals_ * kOddFactor);
+}
+
 Millis JobEntry::RetryAfterWithoutAnswer(const std::string& queue) {
   if (options_.coordinator.admission !=
       coordinator::AdmissionPolicy::kDeadline) {
@@ -378,6 +395,11 @@
       call->in_doubt = true;
       return retry();
     }
+    if (out.verdict == JobVerdict::kOverloaded) {
+      // More tries would keep the leader behind.
+      if (call->in_doubt) return retry();
+      out.verdict = JobVerdict::kRefused;
+    }
     // A refusal of this try does not undo an earlier try that may have taken
     // effect.
     const bool refused = out.verdict == JobVerdict::kRefused ||
@@ -511,7 +533,7 @@
       deps_.executor.Now() +
       std::min(caller_timeout, options_.leader_wait_timeout);
   call->run_locally = [this, message](auto reply) {
-    OnSubmit(*message, reply);
+    OnSubmit(*message, deps_.executor.Now(), reply);
   };
   call->send = [this, message](const std::string& address, Millis timeout,
                                auto reply) {
@@ -646,7 +668,7 @@
   return leadership_.OnAnnounce(call);
 }
 
-void JobEntry::OnSubmit(const wire::SubmitJobCall& call,
+void JobEntry::OnSubmit(wire::SubmitJobCall call, TimePoint received,
                         std::function<void(wire::SubmitJobReply)> done) {
   wire::SubmitJobReply reply;
   Findings findings;
@@ -660,9 +682,46 @@
     reply.verdict = static_cast<int32_t>(JobVerdict::kRefused);
     return done(reply);
   }
-  if (coordinator_) return coordinator_->Submit(call.job, std::move(done));
+  if (!coordinator_) {
+    reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
+    return done(reply);
+  }
+  intake_.Add(
+      {.call = std::move(call), .done = std::move(done), .received = received});
+}
+
+void JobEntry::HandleSubmission(SubmissionIntake::Submission submission) {
+  if (coordinator_) {
+    return coordinator_->Submit(submission.call.job,
+                                std::move(submission.done));
+  }
+  wire::SubmitJobReply reply;
   reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
-  done(reply);
+  submission.done(reply);
+}
+
+void JobEntry::DropSubmission(const SubmissionIntake::Submission& submission) {
+  const wire::JobSpec& job = submission.call.job;
+  const JobVerdict verdict = coordinator_
+                                 ? coordinator_->VerdictOnUnhandled(job)
+                                 : JobVerdict::kNotLeading;
+  wire::SubmitJobReply reply;
+  reply.verdict = static_cast<int32_t>(verdict);
+  if (verdict != JobVerdict::kOverloaded) return submission.done(reply);
+  reply.retry_after_ms = OverloadRetryAfter().count();
+  const auto waited = std::chrono::duration_cast<Millis>(deps_.executor.Now() -
+                                                         submission.received);
+  deps_.metrics.Count(
+      {.name = "jobs_refused",
+       .labels = {{"reason", "leader overloaded"}, {"queue", job.queue.name}}});
+  logging::Event(Level::kWarning, "job refused",
+                 {{"job", JobIdText(static_cast<JobId>(job.id))},
+                  {"cause", "the leader is behind with its work"},
+                  {"priority", std::to_string(job.queue.priority)},
+                  {"waited_ms", std::to_string(waited.count())},
+                  {"waiting", std::to_string(intake_.size())},
+                  {"retry_after_ms", std::to_string(reply.retry_after_ms)}});
+  submission.done(reply);
 }
 
 void JobEntry::OnQueryState(const wire::JobStateCall& call,
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -13,6 +13,7 @@
 #include "src/jobentry/job_service.h"
 #include "src/jobentry/leader_load.h"
 #include "src/jobentry/link_refusals.h"
+#include "src/jobentry/submission_intake.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
 
@@ -100,7 +101,8 @@
   /// Handlers of calls from other entries.
   wire::HeartbeatReply OnHeartbeat(const wire::HeartbeatCall& call);
   wire::AnnounceReply OnAnnounce(const wire::AnnounceCall& call);
-  void OnSubmit(const wire::SubmitJobCall& call,
+  /// `received` is when this process received the call.
+  void OnSubmit(wire::SubmitJobCall call, TimePoint received,
                 std::function<void(wire::SubmitJobReply)> done);
   void OnQueryState(const wire::JobStateCall& call,
                     std::function<void(wire::JobStateReply)> done);
@@ -140,6 +142,8 @@
   TimePoint AccessTime() const {
     return deps_.executor.Now() + deps_.executor.Suspended();
   }
+  /// When a caller should return that an overloaded leader refuses.
+  Millis OverloadRetryAfter();
   void RememberFinalState(JobId id, const CallerAccount& account,
                           JobState state);
   /// Time since a leader last answered a heartbeat, in ms, for the log; "never"
@@ -163,6 +167,11 @@
   void RefuseForLinkUnlessKnown(const wire::JobSpec& spec, Millis retry_after,
                                 Millis caller_timeout, JobDone done);
   void LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after);
+  /// Handles a submission as the leader, or rejects it.
+  void HandleSubmission(SubmissionIntake::Submission submission);
+  /// Answers a submission for which the leader has no time. A caller that
+  /// repeats a job which is already accepted must not be told otherwise.
+  void DropSubmission(const SubmissionIntake::Submission& submission);
   /// Submits the job to the leader.
   void ForwardSubmission(const wire::JobSpec& spec, Millis caller_timeout,
                          JobDone done);
@@ -177,6 +186,7 @@
   JobEntryOptions options_;
   AccessDirectory access_;
   WaitingCalls waiting_calls_;
+  SubmissionIntake intake_;
   faults::MalformedRecordReporter malformed_records_;
   cellconfig::CellConfigWatcher config_;
   leadership::Leadership leadership_;
@@ -200,6 +210,8 @@
   LeaderLoad load_;
   /// Calls refused here without an answer from the leader.
   uint64_t unanswered_refusals_ = 0;
+  /// Submissions refused here as an overloaded leader.
+  uint64_t overload_refusals_ = 0;
   std::unordered_map<JobId, FinalState> final_states_;
   /// Keys of final_states_, oldest first.
   std::deque<JobId> final_state_order_;
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -47,18 +47,21 @@
 };
 
 /// Server::Handle() with typed messages: `handle` runs on `executor` and
-/// receives the call and a function that sends the reply.
+/// receives the call, the time at which it was received, and a function that
+/// sends the reply.
 template <typename Message, typename Reply>
-void HandleTyped(
+void HandleTimed(
     Server& server, Executor& executor, Method method,
-    std::function<void(Message, std::function<void(Reply)>)> handle) {
+    std::function<void(Message, TimePoint, std::function<void(Reply)>)>
+        handle) {
   server.Handle(method, [&executor, handle = std::move(handle)](
                             std::string body, Responder respond) {
     Result<Message> call = Decode<Message>(body);
     if (!call.ok()) return respond(call.error());
     executor.Post([handle, respond = std::move(respond),
+                   received = executor.Now(),
                    call = std::move(call.value())]() mutable {
-      handle(std::move(call),
+      handle(std::move(call), received,
              [respond = std::move(respond)](const Reply& reply) {
                respond(Encode(reply));
              });
@@ -66,4 +69,17 @@
   });
 }
 
+/// HandleTimed() for calls that are handled whenever they were received.
+template <typename Message, typename Reply>
+void HandleTyped(
+    Server& server, Executor& executor, Method method,
+    std::function<void(Message, std::function<void(Reply)>)> handle) {
+  HandleTimed<Message, Reply>(
+      server, executor, method,
+      [handle = std::move(handle)](Message call, TimePoint /*received*/,
+                                   std::function<void(Reply)> reply) {
+        handle(std::move(call), std::move(reply));
+      });
+}
+
 }  // namespace mimosarail::rpc
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -530,9 +530,11 @@
 void EntryClientFake::SubmitJob(const std::string& address,
                                 const wire::SubmitJobCall& call, Millis timeout,
                                 Callback<wire::SubmitJobReply> done) {
-  Call<wire::SubmitJobReply>(
-      "submit", address, WireBytes(call), timeout, std::move(done),
-      [call](auto& entry, auto reply) { entry.OnSubmit(call, reply); });
+  Call<wire::SubmitJobReply>("submit", address, WireBytes(call), timeout,
+                             std::move(done),
+                             [this, call](auto& entry, auto reply) {
+                               entry.OnSubmit(call, executor_.Now(), reply);
+                             });
 }
 void EntryClientFake::JobState(const std::string& address,
                                const wire::JobStateCall& call, Millis timeout,
--- a/tests/malformed_records_test.cc
+++ b/tests/malformed_records_test.cc
@@ -396,7 +396,8 @@
   wire::SubmitJobCall job;
   int32_t verdict = -1;
   entry.OnSubmit(
-      job, [&](const wire::SubmitJobReply& reply) { verdict = reply.verdict; });
+      job, cluster.clock().now(),
+      [&](const wire::SubmitJobReply& reply) { verdict = reply.verdict; });
   BOOST_TEST(verdict ==
              static_cast<int32_t>(coordinator::JobVerdict::kRefused));
   wire::AdviseCall advise;
--- a/tests/thread_delays_test.cc
+++ b/tests/thread_delays_test.cc
@@ -2,35 +2,12 @@
 #include "src/libs/base/thread_delays.h"
 
 #include <boost/test/unit_test.hpp>
-#include <deque>
+
+#include "tests/queueing_executor.h"
 
 namespace mimosarail {
 namespace {
 
-/// Queues posted work until the test runs it, and shares a clock with others.
-class QueueingExecutor final : public Executor {
- public:
-  explicit QueueingExecutor(TimePoint& now) : now_(now) {}
-  TimePoint Now() const override { return now_; }
-  int64_t UnixMillis() const override { return 0; }
-  void Post(std::function<void()> work) override {
-    posted_.push_back(std::move(work));
-  }
-  void RunAfter(Millis /*delay*/, std::function<void()> work) override {
-    delayed_.push_back(std::move(work));
-  }
-  void RunPosted() { RunAll(posted_); }
-  void RunDelayed() { RunAll(delayed_); }
-
- private:
-  static void RunAll(std::deque<std::function<void()>>& queue) {
-    for (auto& work : std::exchange(queue, {})) work();
-  }
-  TimePoint& now_;
-  std::deque<std::function<void()>> posted_;
-  std::deque<std::function<void()>> delayed_;
-};
-
 struct Fixture {
   TimePoint now = TimePoint() + std::chrono::hours(1);
   QueueingExecutor control{now};
