--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -29,28 +29,10 @@
 constexpr Millis kLeaderWaitPeriod{500};
 /// Longest retry pause that is accepted in another entry's refusal.
 constexpr Millis kMaxRetryAfter{60000};
-/// Longest timeout of an advice call that another entry may request.
-constexpr Millis kMaxAdviceTimeout{60000};
 /// Longest validity that is accepted in an advice reply: 30 days, far above the
 /// values of queues.
 constexpr Millis kMaxAdviceValidity{kMaxSpecDurationMs};
 
-wire::AdviseReply ToReply(const Result<ports::Advice>& advice) {
-  wire::AdviseReply reply;
-  if (!advice.ok()) {
-    reply.verdict = static_cast<int32_t>(JobVerdict::kOutcomeUnknown);
-    return reply;
-  }
-  reply.valid_ms = advice.value().valid.count();
-  for (const ports::AdviceTicket& ticket : advice.value().allowed) {
-    wire::Ticket out;
-    out.upstream = ticket.upstream;
-    out.ticket = ticket.ticket;
-    reply.allowed.push_back(std::move(out));
-  }
-  return reply;
-}
-
 Result<ports::Advice> FromReply(const Result<wire::AdviseReply>& reply) {
   if (!reply.ok()) return reply.error();
   if (reply.value().verdict != 0) {
@@ -65,14 +47,6 @@
   return out;
 }
 
-/// The account on whose behalf the call is made. Entries of earlier versions
-/// and operators' tools set none.
-template <typename Call>
-CallerAccount AccountOf(const Call& call) {
-  if (!call.__isset.account) return std::nullopt;
-  return call.account;
-}
-
 JobAnswer ToAnswer(const wire::SubmitJobReply& reply) {
   return {.verdict = ToJobVerdict(reply.verdict),
           .retry_after = std::clamp(Millis(reply.retry_after_ms), Millis(0),
@@ -124,6 +98,15 @@
       options_(std::move(options)),
       access_(options_.access),
       waiting_calls_(deps_.executor),
+      intake_(deps_.executor, {},
+              {.handle =
+                   [this](SubmissionIntake::Submission submission) {
+                     HandleSubmission(std::move(submission));
+                   },
+               .drop =
+                   [this](const SubmissionIntake::Submission& submission) {
+                     DropSubmission(submission);
+                   }}),
       malformed_records_(deps_.metrics),
       config_(deps_.executor, deps_.config, malformed_records_, options_.config,
               {.on_changed = [this] { OnConfigChanged(); },
@@ -378,6 +361,11 @@
       call->in_doubt = true;
       return retry();
     }
+    if (out.verdict == JobVerdict::kOverloaded) {
+      // More tries would keep the leader behind.
+      if (call->in_doubt) return retry();
+      out.verdict = JobVerdict::kRefused;
+    }
     // A refusal of this try does not undo an earlier try that may have taken
     // effect.
     const bool refused = out.verdict == JobVerdict::kRefused ||
@@ -511,7 +499,7 @@
       deps_.executor.Now() +
       std::min(caller_timeout, options_.leader_wait_timeout);
   call->run_locally = [this, message](auto reply) {
-    OnSubmit(*message, reply);
+    OnSubmit(*message, deps_.executor.Now(), reply);
   };
   call->send = [this, message](const std::string& address, Millis timeout,
                                auto reply) {
@@ -638,78 +626,4 @@
       });
 }
 
-wire::HeartbeatReply JobEntry::OnHeartbeat(const wire::HeartbeatCall& call) {
-  return leadership_.OnHeartbeat(call);
-}
-
-wire::AnnounceReply JobEntry::OnAnnounce(const wire::AnnounceCall& call) {
-  return leadership_.OnAnnounce(call);
-}
-
-void JobEntry::OnSubmit(const wire::SubmitJobCall& call,
-                        std::function<void(wire::SubmitJobReply)> done) {
-  wire::SubmitJobReply reply;
-  Findings findings;
-  CheckStoredJob(call.job, findings);
-  if (!findings.empty()) {
-    // The entry that accepted the job has checked it, but an entry of another
-    // version may apply other rules.
-    malformed_records_.Report(faults::RecordSource::kPeer,
-                              JobIdText(static_cast<JobId>(call.job.id)),
-                              findings.ToString());
-    reply.verdict = static_cast<int32_t>(JobVerdict::kRefused);
-    return done(reply);
-  }
-  if (coordinator_) return coordinator_->Submit(call.job, std::move(done));
-  reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
-  done(reply);
-}
-
-void JobEntry::OnQueryState(const wire::JobStateCall& call,
-                            std::function<void(wire::JobStateReply)> done) {
-  if (coordinator_) {
-    return done(
-        coordinator_->QueryState(static_cast<JobId>(call.id), AccountOf(call)));
-  }
-  wire::JobStateReply reply;
-  reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
-  done(reply);
-}
-
-void JobEntry::OnCancel(const wire::CancelJobCall& call,
-                        std::function<void(wire::CancelJobReply)> done) {
-  if (coordinator_) {
-    return coordinator_->Cancel(static_cast<JobId>(call.id), AccountOf(call),
-                                std::move(done));
-  }
-  wire::CancelJobReply reply;
-  reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
-  done(reply);
-}
-
-void JobEntry::OnCountPending(
-    const wire::PendingJobsCall& call,
-    std::function<void(wire::PendingJobsReply)> done) {
-  if (coordinator_) return done(coordinator_->CountPending(call.queue));
-  wire::PendingJobsReply reply;
-  reply.verdict = static_cast<int32_t>(JobVerdict::kNotLeading);
-  done(reply);
-}
-
-void JobEntry::OnAdvise(const wire::AdviseCall& call,
-                        std::function<void(wire::AdviseReply)> done) {
-  // The adviser takes up to a second. This process would have exited by then,
-  // and the step would have waited in vain.
-  if (accepting_stopped_) return done(ToReply(Errc::kUnavailable));
-  ++advice_in_flight_;
-  deps_.adviser.RequestAdvice(
-      {static_cast<JobId>(call.job), call.occurrence, call.step},
-      call.upstreams,
-      std::clamp(Millis(call.timeout_ms), Millis(0), kMaxAdviceTimeout),
-      [this, done = std::move(done)](const Result<ports::Advice>& advice) {
-        --advice_in_flight_;
-        done(ToReply(advice));
-      });
-}
-
 }  // namespace mimosarail::jobentry
