RPC: Ping for as long as calls wait on a silent connection

The silence was watched once for several calls: a call that was sent shortly after an answer, while the watch of an earlier call was still running, had none of its own. If it was answered late, the connection was closed as before.

The watch now goes on while calls wait, at a third of the shortest timeout, so that a ping has time to be answered whenever the call was sent. A listener that can't be made non-blocking is an error, since waiting connections are accepted without waiting.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -382,8 +382,8 @@
   if (!error) {
     d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
   }
+  if (!error) d_->acceptor.non_blocking(true, error);
   if (error) return Error{error, address + ": " + error.message()};
-  d_->acceptor.non_blocking(true, error);
   d_->AcceptNext();
   return d_->acceptor.local_endpoint().port();
 }
--- a/src/libs/rpc/client.cc
+++ b/src/libs/rpc/client.cc
@@ -1,5 +1,6 @@
 #include "src/libs/rpc/client.h"
 
+#include <algorithm>
 #include <atomic>
 #include <mutex>
 #include <unordered_map>
@@ -12,6 +13,10 @@
 
 using asio::ip::tcp;
 
+/// Bounds of the time without a frame after which a ping is sent.
+constexpr Millis kMinSilence{20};
+constexpr Millis kMaxSilence{1000};
+
 /// A connection to one address; its private members run on its strand.
 class Connection : public std::enable_shared_from_this<Connection> {
  public:
@@ -65,7 +70,10 @@
     });
     pending_.emplace(id, Pending{method, std::move(done), std::move(timer)});
     Send(id, method, std::move(body));
-    WatchForSilence(timeout / 2);
+    // A ping is then sent, and has time to be answered, before the call times
+    // out, whenever it was sent within an interval.
+    silence_ = std::min(silence_, std::max(timeout / 3, kMinSilence));
+    WatchForSilence();
   }
 
   void Send(int64_t id, Method method, std::string body) {
@@ -77,12 +85,12 @@
     if (open_) WriteNext();
   }
 
-  /// Sends a ping if no frame is received for `silence` while calls wait. The
-  /// other process answers it before it handles any call, so that a connection
-  /// to a process that is slow does not look unresponsive.
-  void WatchForSilence(Millis silence) {
+  /// While calls wait, sends a ping whenever no frame was received for
+  /// `silence_`. The other process answers it before it handles any call, so
+  /// that a connection to a process that is slow does not look unresponsive.
+  void WatchForSilence() {
     if (std::exchange(watching_, true)) return;
-    watch_timer_.expires_after(silence);
+    watch_timer_.expires_after(silence_);
     watch_timer_.async_wait([self = shared_from_this(),
                              since = Clock::now()](std::error_code error) {
       self->watching_ = false;
@@ -90,6 +98,7 @@
       if (self->last_received_ < since) {
         self->Send(++self->last_id_, Method::kPing, {});
       }
+      self->WatchForSilence();
     });
   }
 
@@ -198,6 +207,8 @@
   /// Runs while it is awaited whether frames arrive; see WatchForSilence().
   asio::steady_timer watch_timer_;
   bool watching_ = false;
+  /// A third of the shortest timeout of all calls so far.
+  Millis silence_ = kMaxSilence;
   std::unordered_map<int64_t, Pending> pending_;
 };
 
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 #include <future>
+#include <optional>
 #include <thread>
 
 #include "src/libs/rpc/asio.h"
@@ -74,11 +75,12 @@
 /// What a fake peer answers.
 enum class Answers {
   kNothing,   ///< A connection that has stopped delivering data.
-  kPings,     ///< A process that is far behind with its calls.
+  kPings,     ///< A process that is far behind with its calls, but not with
+              ///< heartbeats.
   kUnknowns,  ///< The same, of a version that does not know pings.
 };
 
-/// A peer that accepts connections, and answers no calls.
+/// A peer that accepts connections, and answers only what `Answers` says.
 class FakePeer {
  public:
   FakePeer(asio::io_context& io, Answers answers)
@@ -113,11 +115,14 @@
         connection.socket, connection.reader,
         [this, &connection](const wire::Frame& frame, size_t) {
           const bool ping = frame.method == static_cast<int32_t>(Method::kPing);
-          if (!ping || answers_ == Answers::kNothing) return;
+          const bool heartbeat =
+              frame.method == static_cast<int32_t>(Method::kHeartbeat);
+          if (!ping && !heartbeat) return;
+          if (answers_ == Answers::kNothing) return;
           wire::Frame reply;
           reply.id = frame.id;
           reply.reply = true;
-          if (answers_ == Answers::kUnknowns) {
+          if (ping && answers_ == Answers::kUnknowns) {
             reply.error = static_cast<int32_t>(Errc::kUnknownMethod);
           }
           asio::write(connection.socket, asio::buffer(FrameBytes(reply)));
@@ -136,7 +141,7 @@
 /// connections the peer has seen.
 size_t ConnectionsAfterTimeouts(Answers answers) {
   constexpr int kCalls = 6;
-  constexpr Millis kTimeout{60};
+  constexpr Millis kTimeout{300};
   asio::io_context io;
   FakePeer peer(io, answers);
   Client client(io);
@@ -197,6 +202,26 @@
   BOOST_TEST(ConnectionsAfterTimeouts(Answers::kUnknowns) == 1U);
 }
 
+/// Guards against a connection that is closed because its last answer, to an
+/// earlier call, came shortly before the call that is answered late.
+BOOST_AUTO_TEST_CASE(LateAnswerAfterAPromptOneKeepsTheConnection) {
+  constexpr Millis kTimeout{300};
+  asio::io_context io;
+  FakePeer peer(io, Answers::kPings);
+  Client client(io);
+  for (int i = 0; i < 5; ++i) {
+    for (const Method method : {Method::kHeartbeat, Method::kSubmitJob}) {
+      std::optional<bool> answered;
+      client.Call(
+          peer.address(), method, "", kTimeout,
+          [&](const Result<std::string>& reply) { answered = reply.ok(); });
+      while (!answered) io.run_one();
+      BOOST_TEST(*answered == (method == Method::kHeartbeat));
+    }
+  }
+  BOOST_TEST(peer.connections() == 1U);
+}
+
 /// Guards against a connection that is used on although it has stopped
 /// delivering data without a reset.
 BOOST_AUTO_TEST_CASE(SilentConnectionIsReplaced) {
