--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -387,11 +387,10 @@
 void Coordinator::SchedulePlacement() {
   if (placement_scheduled_ || closed_) return;
   placement_scheduled_ = true;
-  deps_.executor.RunAfter(placement_pacing_.DelayAt(deps_.executor.Now()),
-                          [weak = weak_from_this()] {
-                            if (const auto self = weak.lock())
-                              self->RunPlacement();
-                          });
+  const Millis delay = placement_pacing_.DelayAt(deps_.executor.Now());
+  deps_.executor.RunAfter(delay, [weak = weak_from_this()] {
+    if (const auto self = weak.lock()) self->RunPlacement();
+  });
 }
 
 void Coordinator::RunPlacement() {
--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -75,8 +75,8 @@
 }
 
 Result<std::optional<wire::Frame>> FrameReader::Next() {
-  const std::string_view rest =
-      std::string_view(buffer_).substr(consumed_, received_ - consumed_);
+  const std::string_view received = buffer_;
+  const std::string_view rest = received.substr(consumed_);
   if (rest.size() < kLengthBytes) return std::optional<wire::Frame>();
   const uint32_t length = FrameLength(rest);
   if (length > kMaxFrameBytes) return Errc::kMalformed;
