--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -45,6 +45,19 @@
   return factor ? Text(std::llround(*factor * kPercent)) : "";
 }
 
+/// One run that is evidence that its task crashes upstreams, for a log line.
+std::vector<logging::Field> DescribeCrash(const TaskId& task,
+                                          const SuspectedCrash& crash) {
+  return {{"task", TaskIdText(task)},
+          {"attempt", Text(crash.attempt)},
+          {"upstream", crash.upstream},
+          {"incarnation", Text(crash.incarnation)},
+          {"fate", std::string(kUpstreamFateNames.Name(crash.fate))},
+          {"last_seen_ms", Text(crash.last_seen.count())},
+          {"silent_after_ms", Text(crash.silent_after.count())},
+          {"sole_suspect", crash.sole_suspect ? "yes" : "no"}};
+}
+
 }  // namespace
 
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
@@ -230,6 +243,9 @@
     RequestAdvice(order);
   }
   for (const scheduling::LostRun& run : orders.lost) LogLostRun(run);
+  for (const scheduling::EvidenceEvent& event : orders.evidence) {
+    LogEvidence(event);
+  }
   for (const scheduling::PermanentlyFailedTask& task :
        orders.permanently_failed) {
     LogPermanentlyFailed(task);
@@ -265,13 +281,28 @@
 void Coordinator::LogPermanentlyFailed(
     const scheduling::PermanentlyFailedTask& task) {
   deps_.metrics.Count({.name = "tasks_given_up"});
-  logging::Event(
-      Level::kWarning, "task given up",
-      {{"job", JobIdText(task.task.job)},
-       {"task", TaskIdText(task.task)},
-       {"early_crashes", Text(static_cast<int64_t>(task.crashes.early.size()))},
-       {"other_crashes",
-        Text(static_cast<int64_t>(task.crashes.other.size()))}});
+  const auto early =
+      std::count_if(task.crashes.begin(), task.crashes.end(),
+                    [](const SuspectedCrash& it) { return it.early(); });
+  logging::Event(Level::kWarning, "task given up",
+                 {{"job", JobIdText(task.task.job)},
+                  {"task", TaskIdText(task.task)},
+                  {"early_crashes", Text(early)},
+                  {"other_crashes",
+                   Text(static_cast<int64_t>(task.crashes.size()) - early)}});
+  for (const SuspectedCrash& crash : task.crashes) {
+    logging::Event(Level::kWarning, "crash counted",
+                   DescribeCrash(task.task, crash));
+  }
+}
+
+void Coordinator::LogEvidence(const scheduling::EvidenceEvent& event) {
+  const std::string change(scheduling::kEvidenceChangeNames.Name(event.change));
+  deps_.metrics.Count(
+      {.name = "crash_evidence", .labels = {{"change", change}}});
+  std::vector<logging::Field> fields = DescribeCrash(event.task, event.crash);
+  fields.push_back({"change", change});
+  logging::Event(Level::kInfo, "crash evidence", fields);
 }
 
 void Coordinator::LogLostRun(const scheduling::LostRun& run) {
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -388,6 +388,7 @@
   void ReplyNoSuchJob(JobId id, std::function<void(wire::CancelJobReply)> done);
   void LogStop(const scheduling::StopOrder& stop);
   void LogLostRun(const scheduling::LostRun& run);
+  void LogEvidence(const scheduling::EvidenceEvent& event);
   void LogPermanentlyFailed(const scheduling::PermanentlyFailedTask& task);
   void LogHealthChange(const scheduling::HealthEvent& event);
   void LogDelayedRestart(const scheduling::DelayedRestart& restart);
--- a/src/coordinator/job_table.cc
+++ b/src/coordinator/job_table.cc
@@ -19,6 +19,17 @@
                   {"left_out", left_out}});
 }
 
+/// A record of an earlier version tells only whether the run had just begun.
+scheduling::SuspectRun ToSuspectRun(const wire::RunRecord& run) {
+  if (run.silent_after_ms >= 0) {
+    scheduling::SuspectRun out{.silent_after = Millis(run.silent_after_ms)};
+    if (run.last_seen_ms >= 0) out.last_seen = Millis(run.last_seen_ms);
+    return out;
+  }
+  if (run.early) return {.last_seen = Millis(0), .silent_after = Millis(0)};
+  return {.silent_after = CrashEvidence::kHarmlessRunTime};
+}
+
 }  // namespace
 
 bool IsStorable(const std::string& key, const std::string& value) {
@@ -95,11 +106,14 @@
 
 std::vector<wire::RunRecord> ToRunRecords(const scheduling::SuspectRuns& runs) {
   std::vector<wire::RunRecord> out;
-  for (const auto& [run, early] : runs) {
+  for (const auto& [run, suspect] : runs) {
     wire::RunRecord& record = out.emplace_back();
     record.task = TaskIdText(run.first);
     record.attempt = run.second;
-    record.early = early;
+    record.early =
+        suspect.last_seen && suspect.silent_after < CrashEvidence::kEarlyWindow;
+    if (suspect.last_seen) record.last_seen_ms = suspect.last_seen->count();
+    record.silent_after_ms = suspect.silent_after.count();
   }
   return out;
 }
@@ -109,7 +123,7 @@
   for (const wire::RunRecord& run : record.runs) {
     const auto task = ParseTaskId(run.task);
     if (!task || run.attempt < 1) continue;
-    out.emplace(std::pair(*task, run.attempt), run.early);
+    out.emplace(std::pair(*task, run.attempt), ToSuspectRun(run));
   }
   return out;
 }
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -352,11 +352,11 @@
   Orders orders;
   scheduler_.OnAllRunsEnded(upstream, why, deps_.executor.Now(), orders);
   ExecuteOrders(orders);
-  // An upstream whose leases expired is kept while it is listed, or while its
-  // runs may still turn out to have ended in a crash.
+  // An upstream whose leases expired is kept while it is listed, or while one
+  // of its runs may have crashed it.
   const scheduling::Upstream& it = scheduler_.pool().at(upstream);
   const bool ended = why != UpstreamLoss::kLeasesExpired ||
-                     (!it.listed && it.suspect_runs.empty());
+                     (!it.listed && !scheduler_.AwaitsFate(it.entry.id));
   if (ended) DropUpstream(upstream, why);
   ResolveWhenRunningTasksKnown();
   SchedulePlacement();
@@ -393,17 +393,21 @@
 
 void Coordinator::DropUnresponsiveUpstreams() {
   const TimePoint now = deps_.executor.Now();
+  Orders orders;
+  scheduler_.CheckMissingUpstreams(now, orders);
+  ExecuteOrders(orders);
   std::vector<UpstreamIndex> ended;
   for (const auto& [index, link] : links_) {
     const scheduling::Upstream& it = scheduler_.pool().at(index);
     if (it.listed || !link->all_runs_ended()) continue;
+    if (scheduler_.AwaitsFate(it.entry.id)) continue;
     const TimePoint since = it.unresponsive_since.value_or(it.known_since);
     if (now - since >= options_.unresponsive_upstream_timeout) {
       ended.push_back(index);
     }
   }
   for (const UpstreamIndex index : ended) {
-    OnAllRunsEnded(index, UpstreamLoss::kCrashed);
+    OnAllRunsEnded(index, UpstreamLoss::kUnreachable);
   }
 }
 
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1105,6 +1105,239 @@
 }
 
 
+CrashRecord::~CrashRecord() noexcept {
+}
+
+
+void CrashRecord::__set_attempt(const int64_t val) {
+  this->attempt = val;
+}
+
+void CrashRecord::__set_upstream(const std::string& val) {
+  this->upstream = val;
+}
+
+void CrashRecord::__set_incarnation(const int64_t val) {
+  this->incarnation = val;
+}
+
+void CrashRecord::__set_last_seen_ms(const int64_t val) {
+  this->last_seen_ms = val;
+}
+
+void CrashRecord::__set_silent_after_ms(const int64_t val) {
+  this->silent_after_ms = val;
+}
+
+void CrashRecord::__set_sole_suspect(const bool val) {
+  this->sole_suspect = val;
+}
+
+void CrashRecord::__set_fate(const int32_t val) {
+  this->fate = val;
+}
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CrashRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->attempt);
+          this->__isset.attempt = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->upstream);
+          this->__isset.upstream = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->incarnation);
+          this->__isset.incarnation = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_seen_ms);
+          this->__isset.last_seen_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->silent_after_ms);
+          this->__isset.silent_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 6:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sole_suspect);
+          this->__isset.sole_suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_I32) {
+          xfer += iprot->readI32(this->fate);
+          this->__isset.fate = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CrashRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CrashRecord");
+
+  xfer += oprot->writeFieldBegin("attempt", ::apache::thrift::protocol::T_I64, 1);
+  xfer += oprot->writeI64(this->attempt);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("upstream", ::apache::thrift::protocol::T_STRING, 2);
+  xfer += oprot->writeString(this->upstream);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("incarnation", ::apache::thrift::protocol::T_I64, 3);
+  xfer += oprot->writeI64(this->incarnation);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("last_seen_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->last_seen_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_after_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->silent_after_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("sole_suspect", ::apache::thrift::protocol::T_BOOL, 6);
+  xfer += oprot->writeBool(this->sole_suspect);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("fate", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeI32(this->fate);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CrashRecord &a, CrashRecord &b) {
+  using ::std::swap;
+  swap(a.attempt, b.attempt);
+  swap(a.upstream, b.upstream);
+  swap(a.incarnation, b.incarnation);
+  swap(a.last_seen_ms, b.last_seen_ms);
+  swap(a.silent_after_ms, b.silent_after_ms);
+  swap(a.sole_suspect, b.sole_suspect);
+  swap(a.fate, b.fate);
+  swap(a.__isset, b.__isset);
+}
+
+CrashRecord::CrashRecord(const CrashRecord& other24) {
+  attempt = other24.attempt;
+  upstream = other24.upstream;
+  incarnation = other24.incarnation;
+  last_seen_ms = other24.last_seen_ms;
+  silent_after_ms = other24.silent_after_ms;
+  sole_suspect = other24.sole_suspect;
+  fate = other24.fate;
+  __isset = other24.__isset;
+}
+CrashRecord::CrashRecord(CrashRecord&& other25) noexcept {
+  attempt = other25.attempt;
+  upstream = std::move(other25.upstream);
+  incarnation = other25.incarnation;
+  last_seen_ms = other25.last_seen_ms;
+  silent_after_ms = other25.silent_after_ms;
+  sole_suspect = other25.sole_suspect;
+  fate = other25.fate;
+  __isset = other25.__isset;
+}
+CrashRecord& CrashRecord::operator=(const CrashRecord& other26) {
+  attempt = other26.attempt;
+  upstream = other26.upstream;
+  incarnation = other26.incarnation;
+  last_seen_ms = other26.last_seen_ms;
+  silent_after_ms = other26.silent_after_ms;
+  sole_suspect = other26.sole_suspect;
+  fate = other26.fate;
+  __isset = other26.__isset;
+  return *this;
+}
+CrashRecord& CrashRecord::operator=(CrashRecord&& other27) noexcept {
+  attempt = other27.attempt;
+  upstream = std::move(other27.upstream);
+  incarnation = other27.incarnation;
+  last_seen_ms = other27.last_seen_ms;
+  silent_after_ms = other27.silent_after_ms;
+  sole_suspect = other27.sole_suspect;
+  fate = other27.fate;
+  __isset = other27.__isset;
+  return *this;
+}
+void CrashRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CrashRecord(";
+  out << "attempt=" << to_string(attempt);
+  out << ", " << "upstream=" << to_string(upstream);
+  out << ", " << "incarnation=" << to_string(incarnation);
+  out << ", " << "last_seen_ms=" << to_string(last_seen_ms);
+  out << ", " << "silent_after_ms=" << to_string(silent_after_ms);
+  out << ", " << "sole_suspect=" << to_string(sole_suspect);
+  out << ", " << "fate=" << to_string(fate);
+  out << ")";
+}
+
+
 TaskRecord::~TaskRecord() noexcept {
 }
 
@@ -1132,6 +1365,10 @@
 void TaskRecord::__set_unlisted_failures(const int32_t val) {
   this->unlisted_failures = val;
 }
+
+void TaskRecord::__set_crashes(const std::vector<CrashRecord> & val) {
+  this->crashes = val;
+}
 std::ostream& operator<<(std::ostream& out, const TaskRecord& obj)
 {
   obj.printTo(out);
@@ -1172,14 +1409,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->failed_attempts.clear();
-            uint32_t _size24;
-            ::apache::thrift::protocol::TType _etype27;
-            xfer += iprot->readListBegin(_etype27, _size24);
-            this->failed_attempts.resize(_size24);
-            uint32_t _i28;
-            for (_i28 = 0; _i28 < _size24; ++_i28)
+            uint32_t _size28;
+            ::apache::thrift::protocol::TType _etype31;
+            xfer += iprot->readListBegin(_etype31, _size28);
+            this->failed_attempts.resize(_size28);
+            uint32_t _i32;
+            for (_i32 = 0; _i32 < _size28; ++_i32)
             {
-              xfer += iprot->readI64(this->failed_attempts[_i28]);
+              xfer += iprot->readI64(this->failed_attempts[_i32]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1200,14 +1437,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->early_crashes.clear();
-            uint32_t _size29;
-            ::apache::thrift::protocol::TType _etype32;
-            xfer += iprot->readListBegin(_etype32, _size29);
-            this->early_crashes.resize(_size29);
-            uint32_t _i33;
-            for (_i33 = 0; _i33 < _size29; ++_i33)
+            uint32_t _size33;
+            ::apache::thrift::protocol::TType _etype36;
+            xfer += iprot->readListBegin(_etype36, _size33);
+            this->early_crashes.resize(_size33);
+            uint32_t _i37;
+            for (_i37 = 0; _i37 < _size33; ++_i37)
             {
-              xfer += iprot->readI64(this->early_crashes[_i33]);
+              xfer += iprot->readI64(this->early_crashes[_i37]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1220,14 +1457,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->other_crashes.clear();
-            uint32_t _size34;
-            ::apache::thrift::protocol::TType _etype37;
-            xfer += iprot->readListBegin(_etype37, _size34);
-            this->other_crashes.resize(_size34);
-            uint32_t _i38;
-            for (_i38 = 0; _i38 < _size34; ++_i38)
+            uint32_t _size38;
+            ::apache::thrift::protocol::TType _etype41;
+            xfer += iprot->readListBegin(_etype41, _size38);
+            this->other_crashes.resize(_size38);
+            uint32_t _i42;
+            for (_i42 = 0; _i42 < _size38; ++_i42)
             {
-              xfer += iprot->readI64(this->other_crashes[_i38]);
+              xfer += iprot->readI64(this->other_crashes[_i42]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1244,6 +1481,26 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->crashes.clear();
+            uint32_t _size43;
+            ::apache::thrift::protocol::TType _etype46;
+            xfer += iprot->readListBegin(_etype46, _size43);
+            this->crashes.resize(_size43);
+            uint32_t _i47;
+            for (_i47 = 0; _i47 < _size43; ++_i47)
+            {
+              xfer += this->crashes[_i47].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.crashes = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1268,10 +1525,10 @@
   xfer += oprot->writeFieldBegin("failed_attempts", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->failed_attempts.size()));
-    std::vector<int64_t> ::const_iterator _iter39;
-    for (_iter39 = this->failed_attempts.begin(); _iter39 != this->failed_attempts.end(); ++_iter39)
+    std::vector<int64_t> ::const_iterator _iter48;
+    for (_iter48 = this->failed_attempts.begin(); _iter48 != this->failed_attempts.end(); ++_iter48)
     {
-      xfer += oprot->writeI64((*_iter39));
+      xfer += oprot->writeI64((*_iter48));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1284,10 +1541,10 @@
   xfer += oprot->writeFieldBegin("early_crashes", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->early_crashes.size()));
-    std::vector<int64_t> ::const_iterator _iter40;
-    for (_iter40 = this->early_crashes.begin(); _iter40 != this->early_crashes.end(); ++_iter40)
+    std::vector<int64_t> ::const_iterator _iter49;
+    for (_iter49 = this->early_crashes.begin(); _iter49 != this->early_crashes.end(); ++_iter49)
     {
-      xfer += oprot->writeI64((*_iter40));
+      xfer += oprot->writeI64((*_iter49));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1296,10 +1553,10 @@
   xfer += oprot->writeFieldBegin("other_crashes", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->other_crashes.size()));
-    std::vector<int64_t> ::const_iterator _iter41;
-    for (_iter41 = this->other_crashes.begin(); _iter41 != this->other_crashes.end(); ++_iter41)
+    std::vector<int64_t> ::const_iterator _iter50;
+    for (_iter50 = this->other_crashes.begin(); _iter50 != this->other_crashes.end(); ++_iter50)
     {
-      xfer += oprot->writeI64((*_iter41));
+      xfer += oprot->writeI64((*_iter50));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1309,6 +1566,18 @@
   xfer += oprot->writeI32(this->unlisted_failures);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("crashes", ::apache::thrift::protocol::T_LIST, 7);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->crashes.size()));
+    std::vector<CrashRecord> ::const_iterator _iter51;
+    for (_iter51 = this->crashes.begin(); _iter51 != this->crashes.end(); ++_iter51)
+    {
+      xfer += (*_iter51).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1322,45 +1591,50 @@
   swap(a.early_crashes, b.early_crashes);
   swap(a.other_crashes, b.other_crashes);
   swap(a.unlisted_failures, b.unlisted_failures);
+  swap(a.crashes, b.crashes);
   swap(a.__isset, b.__isset);
 }
 
-TaskRecord::TaskRecord(const TaskRecord& other42) {
-  task = other42.task;
-  failed_attempts = other42.failed_attempts;
-  checkpoint = other42.checkpoint;
-  early_crashes = other42.early_crashes;
-  other_crashes = other42.other_crashes;
-  unlisted_failures = other42.unlisted_failures;
-  __isset = other42.__isset;
-}
-TaskRecord::TaskRecord(TaskRecord&& other43) noexcept {
-  task = other43.task;
-  failed_attempts = std::move(other43.failed_attempts);
-  checkpoint = std::move(other43.checkpoint);
-  early_crashes = std::move(other43.early_crashes);
-  other_crashes = std::move(other43.other_crashes);
-  unlisted_failures = other43.unlisted_failures;
-  __isset = other43.__isset;
-}
-TaskRecord& TaskRecord::operator=(const TaskRecord& other44) {
-  task = other44.task;
-  failed_attempts = other44.failed_attempts;
-  checkpoint = other44.checkpoint;
-  early_crashes = other44.early_crashes;
-  other_crashes = other44.other_crashes;
-  unlisted_failures = other44.unlisted_failures;
-  __isset = other44.__isset;
+TaskRecord::TaskRecord(const TaskRecord& other52) {
+  task = other52.task;
+  failed_attempts = other52.failed_attempts;
+  checkpoint = other52.checkpoint;
+  early_crashes = other52.early_crashes;
+  other_crashes = other52.other_crashes;
+  unlisted_failures = other52.unlisted_failures;
+  crashes = other52.crashes;
+  __isset = other52.__isset;
+}
+TaskRecord::TaskRecord(TaskRecord&& other53) noexcept {
+  task = other53.task;
+  failed_attempts = std::move(other53.failed_attempts);
+  checkpoint = std::move(other53.checkpoint);
+  early_crashes = std::move(other53.early_crashes);
+  other_crashes = std::move(other53.other_crashes);
+  unlisted_failures = other53.unlisted_failures;
+  crashes = std::move(other53.crashes);
+  __isset = other53.__isset;
+}
+TaskRecord& TaskRecord::operator=(const TaskRecord& other54) {
+  task = other54.task;
+  failed_attempts = other54.failed_attempts;
+  checkpoint = other54.checkpoint;
+  early_crashes = other54.early_crashes;
+  other_crashes = other54.other_crashes;
+  unlisted_failures = other54.unlisted_failures;
+  crashes = other54.crashes;
+  __isset = other54.__isset;
   return *this;
 }
-TaskRecord& TaskRecord::operator=(TaskRecord&& other45) noexcept {
-  task = other45.task;
-  failed_attempts = std::move(other45.failed_attempts);
-  checkpoint = std::move(other45.checkpoint);
-  early_crashes = std::move(other45.early_crashes);
-  other_crashes = std::move(other45.other_crashes);
-  unlisted_failures = other45.unlisted_failures;
-  __isset = other45.__isset;
+TaskRecord& TaskRecord::operator=(TaskRecord&& other55) noexcept {
+  task = other55.task;
+  failed_attempts = std::move(other55.failed_attempts);
+  checkpoint = std::move(other55.checkpoint);
+  early_crashes = std::move(other55.early_crashes);
+  other_crashes = std::move(other55.other_crashes);
+  unlisted_failures = other55.unlisted_failures;
+  crashes = std::move(other55.crashes);
+  __isset = other55.__isset;
   return *this;
 }
 void TaskRecord::printTo(std::ostream& out) const {
@@ -1372,6 +1646,7 @@
   out << ", " << "early_crashes=" << to_string(early_crashes);
   out << ", " << "other_crashes=" << to_string(other_crashes);
   out << ", " << "unlisted_failures=" << to_string(unlisted_failures);
+  out << ", " << "crashes=" << to_string(crashes);
   out << ")";
 }
 
@@ -1443,14 +1718,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->tasks.clear();
-            uint32_t _size46;
-            ::apache::thrift::protocol::TType _etype49;
-            xfer += iprot->readListBegin(_etype49, _size46);
-            this->tasks.resize(_size46);
-            uint32_t _i50;
-            for (_i50 = 0; _i50 < _size46; ++_i50)
+            uint32_t _size56;
+            ::apache::thrift::protocol::TType _etype59;
+            xfer += iprot->readListBegin(_etype59, _size56);
+            this->tasks.resize(_size56);
+            uint32_t _i60;
+            for (_i60 = 0; _i60 < _size56; ++_i60)
             {
-              xfer += this->tasks[_i50].read(iprot);
+              xfer += this->tasks[_i60].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1495,10 +1770,10 @@
   xfer += oprot->writeFieldBegin("tasks", ::apache::thrift::protocol::T_LIST, 3);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->tasks.size()));
-    std::vector<TaskRecord> ::const_iterator _iter51;
-    for (_iter51 = this->tasks.begin(); _iter51 != this->tasks.end(); ++_iter51)
+    std::vector<TaskRecord> ::const_iterator _iter61;
+    for (_iter61 = this->tasks.begin(); _iter61 != this->tasks.end(); ++_iter61)
     {
-      xfer += (*_iter51).write(oprot);
+      xfer += (*_iter61).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -1522,34 +1797,34 @@
   swap(a.__isset, b.__isset);
 }
 
-ProgressRecord::ProgressRecord(const ProgressRecord& other52) {
-  state = other52.state;
-  done = other52.done;
-  tasks = other52.tasks;
-  account = other52.account;
-  __isset = other52.__isset;
-}
-ProgressRecord::ProgressRecord(ProgressRecord&& other53) noexcept {
-  state = other53.state;
-  done = std::move(other53.done);
-  tasks = std::move(other53.tasks);
-  account = std::move(other53.account);
-  __isset = other53.__isset;
-}
-ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other54) {
-  state = other54.state;
-  done = other54.done;
-  tasks = other54.tasks;
-  account = other54.account;
-  __isset = other54.__isset;
+ProgressRecord::ProgressRecord(const ProgressRecord& other62) {
+  state = other62.state;
+  done = other62.done;
+  tasks = other62.tasks;
+  account = other62.account;
+  __isset = other62.__isset;
+}
+ProgressRecord::ProgressRecord(ProgressRecord&& other63) noexcept {
+  state = other63.state;
+  done = std::move(other63.done);
+  tasks = std::move(other63.tasks);
+  account = std::move(other63.account);
+  __isset = other63.__isset;
+}
+ProgressRecord& ProgressRecord::operator=(const ProgressRecord& other64) {
+  state = other64.state;
+  done = other64.done;
+  tasks = other64.tasks;
+  account = other64.account;
+  __isset = other64.__isset;
   return *this;
 }
-ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other55) noexcept {
-  state = other55.state;
-  done = std::move(other55.done);
-  tasks = std::move(other55.tasks);
-  account = std::move(other55.account);
-  __isset = other55.__isset;
+ProgressRecord& ProgressRecord::operator=(ProgressRecord&& other65) noexcept {
+  state = other65.state;
+  done = std::move(other65.done);
+  tasks = std::move(other65.tasks);
+  account = std::move(other65.account);
+  __isset = other65.__isset;
   return *this;
 }
 void ProgressRecord::printTo(std::ostream& out) const {
@@ -1578,6 +1853,14 @@
 void RunRecord::__set_early(const bool val) {
   this->early = val;
 }
+
+void RunRecord::__set_last_seen_ms(const int64_t val) {
+  this->last_seen_ms = val;
+}
+
+void RunRecord::__set_silent_after_ms(const int64_t val) {
+  this->silent_after_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const RunRecord& obj)
 {
   obj.printTo(out);
@@ -1630,6 +1913,22 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 4:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->last_seen_ms);
+          this->__isset.last_seen_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 5:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->silent_after_ms);
+          this->__isset.silent_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1659,6 +1958,14 @@
   xfer += oprot->writeBool(this->early);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("last_seen_ms", ::apache::thrift::protocol::T_I64, 4);
+  xfer += oprot->writeI64(this->last_seen_ms);
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldBegin("silent_after_ms", ::apache::thrift::protocol::T_I64, 5);
+  xfer += oprot->writeI64(this->silent_after_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1669,33 +1976,43 @@
   swap(a.task, b.task);
   swap(a.attempt, b.attempt);
   swap(a.early, b.early);
+  swap(a.last_seen_ms, b.last_seen_ms);
+  swap(a.silent_after_ms, b.silent_after_ms);
   swap(a.__isset, b.__isset);
 }
 
-RunRecord::RunRecord(const RunRecord& other56) {
-  task = other56.task;
-  attempt = other56.attempt;
-  early = other56.early;
-  __isset = other56.__isset;
-}
-RunRecord::RunRecord(RunRecord&& other57) noexcept {
-  task = std::move(other57.task);
-  attempt = other57.attempt;
-  early = other57.early;
-  __isset = other57.__isset;
-}
-RunRecord& RunRecord::operator=(const RunRecord& other58) {
-  task = other58.task;
-  attempt = other58.attempt;
-  early = other58.early;
-  __isset = other58.__isset;
+RunRecord::RunRecord(const RunRecord& other66) {
+  task = other66.task;
+  attempt = other66.attempt;
+  early = other66.early;
+  last_seen_ms = other66.last_seen_ms;
+  silent_after_ms = other66.silent_after_ms;
+  __isset = other66.__isset;
+}
+RunRecord::RunRecord(RunRecord&& other67) noexcept {
+  task = std::move(other67.task);
+  attempt = other67.attempt;
+  early = other67.early;
+  last_seen_ms = other67.last_seen_ms;
+  silent_after_ms = other67.silent_after_ms;
+  __isset = other67.__isset;
+}
+RunRecord& RunRecord::operator=(const RunRecord& other68) {
+  task = other68.task;
+  attempt = other68.attempt;
+  early = other68.early;
+  last_seen_ms = other68.last_seen_ms;
+  silent_after_ms = other68.silent_after_ms;
+  __isset = other68.__isset;
   return *this;
 }
-RunRecord& RunRecord::operator=(RunRecord&& other59) noexcept {
-  task = std::move(other59.task);
-  attempt = other59.attempt;
-  early = other59.early;
-  __isset = other59.__isset;
+RunRecord& RunRecord::operator=(RunRecord&& other69) noexcept {
+  task = std::move(other69.task);
+  attempt = other69.attempt;
+  early = other69.early;
+  last_seen_ms = other69.last_seen_ms;
+  silent_after_ms = other69.silent_after_ms;
+  __isset = other69.__isset;
   return *this;
 }
 void RunRecord::printTo(std::ostream& out) const {
@@ -1704,6 +2021,8 @@
   out << "task=" << to_string(task);
   out << ", " << "attempt=" << to_string(attempt);
   out << ", " << "early=" << to_string(early);
+  out << ", " << "last_seen_ms=" << to_string(last_seen_ms);
+  out << ", " << "silent_after_ms=" << to_string(silent_after_ms);
   out << ")";
 }
 
@@ -1835,14 +2154,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->labels.clear();
-            uint32_t _size60;
-            ::apache::thrift::protocol::TType _etype63;
-            xfer += iprot->readListBegin(_etype63, _size60);
-            this->labels.resize(_size60);
-            uint32_t _i64;
-            for (_i64 = 0; _i64 < _size60; ++_i64)
+            uint32_t _size70;
+            ::apache::thrift::protocol::TType _etype73;
+            xfer += iprot->readListBegin(_etype73, _size70);
+            this->labels.resize(_size70);
+            uint32_t _i74;
+            for (_i74 = 0; _i74 < _size70; ++_i74)
             {
-              xfer += iprot->readString(this->labels[_i64]);
+              xfer += iprot->readString(this->labels[_i74]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1887,14 +2206,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->jobs.clear();
-            uint32_t _size65;
-            ::apache::thrift::protocol::TType _etype68;
-            xfer += iprot->readListBegin(_etype68, _size65);
-            this->jobs.resize(_size65);
-            uint32_t _i69;
-            for (_i69 = 0; _i69 < _size65; ++_i69)
+            uint32_t _size75;
+            ::apache::thrift::protocol::TType _etype78;
+            xfer += iprot->readListBegin(_etype78, _size75);
+            this->jobs.resize(_size75);
+            uint32_t _i79;
+            for (_i79 = 0; _i79 < _size75; ++_i79)
             {
-              xfer += iprot->readI64(this->jobs[_i69]);
+              xfer += iprot->readI64(this->jobs[_i79]);
             }
             xfer += iprot->readListEnd();
           }
@@ -1907,14 +2226,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->runs.clear();
-            uint32_t _size70;
-            ::apache::thrift::protocol::TType _etype73;
-            xfer += iprot->readListBegin(_etype73, _size70);
-            this->runs.resize(_size70);
-            uint32_t _i74;
-            for (_i74 = 0; _i74 < _size70; ++_i74)
+            uint32_t _size80;
+            ::apache::thrift::protocol::TType _etype83;
+            xfer += iprot->readListBegin(_etype83, _size80);
+            this->runs.resize(_size80);
+            uint32_t _i84;
+            for (_i84 = 0; _i84 < _size80; ++_i84)
             {
-              xfer += this->runs[_i74].read(iprot);
+              xfer += this->runs[_i84].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -1971,10 +2290,10 @@
   xfer += oprot->writeFieldBegin("labels", ::apache::thrift::protocol::T_LIST, 6);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->labels.size()));
-    std::vector<std::string> ::const_iterator _iter75;
-    for (_iter75 = this->labels.begin(); _iter75 != this->labels.end(); ++_iter75)
+    std::vector<std::string> ::const_iterator _iter85;
+    for (_iter85 = this->labels.begin(); _iter85 != this->labels.end(); ++_iter85)
     {
-      xfer += oprot->writeString((*_iter75));
+      xfer += oprot->writeString((*_iter85));
     }
     xfer += oprot->writeListEnd();
   }
@@ -1999,10 +2318,10 @@
   xfer += oprot->writeFieldBegin("jobs", ::apache::thrift::protocol::T_LIST, 11);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->jobs.size()));
-    std::vector<int64_t> ::const_iterator _iter76;
-    for (_iter76 = this->jobs.begin(); _iter76 != this->jobs.end(); ++_iter76)
+    std::vector<int64_t> ::const_iterator _iter86;
+    for (_iter86 = this->jobs.begin(); _iter86 != this->jobs.end(); ++_iter86)
     {
-      xfer += oprot->writeI64((*_iter76));
+      xfer += oprot->writeI64((*_iter86));
     }
     xfer += oprot->writeListEnd();
   }
@@ -2011,10 +2330,10 @@
   xfer += oprot->writeFieldBegin("runs", ::apache::thrift::protocol::T_LIST, 12);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->runs.size()));
-    std::vector<RunRecord> ::const_iterator _iter77;
-    for (_iter77 = this->runs.begin(); _iter77 != this->runs.end(); ++_iter77)
+    std::vector<RunRecord> ::const_iterator _iter87;
+    for (_iter87 = this->runs.begin(); _iter87 != this->runs.end(); ++_iter87)
     {
-      xfer += (*_iter77).write(oprot);
+      xfer += (*_iter87).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2047,70 +2366,70 @@
   swap(a.__isset, b.__isset);
 }
 
-UpstreamRecord::UpstreamRecord(const UpstreamRecord& other78) {
-  id = other78.id;
-  pool = other78.pool;
-  address = other78.address;
-  failure_domain = other78.failure_domain;
-  rack = other78.rack;
-  labels = other78.labels;
-  millicores = other78.millicores;
-  memory_mb = other78.memory_mb;
-  accelerators = other78.accelerators;
-  closed = other78.closed;
-  jobs = other78.jobs;
-  runs = other78.runs;
-  incarnation = other78.incarnation;
-  __isset = other78.__isset;
-}
-UpstreamRecord::UpstreamRecord(UpstreamRecord&& other79) noexcept {
-  id = std::move(other79.id);
-  pool = std::move(other79.pool);
-  address = std::move(other79.address);
-  failure_domain = std::move(other79.failure_domain);
-  rack = std::move(other79.rack);
-  labels = std::move(other79.labels);
-  millicores = other79.millicores;
-  memory_mb = other79.memory_mb;
-  accelerators = other79.accelerators;
-  closed = other79.closed;
-  jobs = std::move(other79.jobs);
-  runs = std::move(other79.runs);
-  incarnation = other79.incarnation;
-  __isset = other79.__isset;
-}
-UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other80) {
-  id = other80.id;
-  pool = other80.pool;
-  address = other80.address;
-  failure_domain = other80.failure_domain;
-  rack = other80.rack;
-  labels = other80.labels;
-  millicores = other80.millicores;
-  memory_mb = other80.memory_mb;
-  accelerators = other80.accelerators;
-  closed = other80.closed;
-  jobs = other80.jobs;
-  runs = other80.runs;
-  incarnation = other80.incarnation;
-  __isset = other80.__isset;
+UpstreamRecord::UpstreamRecord(const UpstreamRecord& other88) {
+  id = other88.id;
+  pool = other88.pool;
+  address = other88.address;
+  failure_domain = other88.failure_domain;
+  rack = other88.rack;
+  labels = other88.labels;
+  millicores = other88.millicores;
+  memory_mb = other88.memory_mb;
+  accelerators = other88.accelerators;
+  closed = other88.closed;
+  jobs = other88.jobs;
+  runs = other88.runs;
+  incarnation = other88.incarnation;
+  __isset = other88.__isset;
+}
+UpstreamRecord::UpstreamRecord(UpstreamRecord&& other89) noexcept {
+  id = std::move(other89.id);
+  pool = std::move(other89.pool);
+  address = std::move(other89.address);
+  failure_domain = std::move(other89.failure_domain);
+  rack = std::move(other89.rack);
+  labels = std::move(other89.labels);
+  millicores = other89.millicores;
+  memory_mb = other89.memory_mb;
+  accelerators = other89.accelerators;
+  closed = other89.closed;
+  jobs = std::move(other89.jobs);
+  runs = std::move(other89.runs);
+  incarnation = other89.incarnation;
+  __isset = other89.__isset;
+}
+UpstreamRecord& UpstreamRecord::operator=(const UpstreamRecord& other90) {
+  id = other90.id;
+  pool = other90.pool;
+  address = other90.address;
+  failure_domain = other90.failure_domain;
+  rack = other90.rack;
+  labels = other90.labels;
+  millicores = other90.millicores;
+  memory_mb = other90.memory_mb;
+  accelerators = other90.accelerators;
+  closed = other90.closed;
+  jobs = other90.jobs;
+  runs = other90.runs;
+  incarnation = other90.incarnation;
+  __isset = other90.__isset;
   return *this;
 }
-UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other81) noexcept {
-  id = std::move(other81.id);
-  pool = std::move(other81.pool);
-  address = std::move(other81.address);
-  failure_domain = std::move(other81.failure_domain);
-  rack = std::move(other81.rack);
-  labels = std::move(other81.labels);
-  millicores = other81.millicores;
-  memory_mb = other81.memory_mb;
-  accelerators = other81.accelerators;
-  closed = other81.closed;
-  jobs = std::move(other81.jobs);
-  runs = std::move(other81.runs);
-  incarnation = other81.incarnation;
-  __isset = other81.__isset;
+UpstreamRecord& UpstreamRecord::operator=(UpstreamRecord&& other91) noexcept {
+  id = std::move(other91.id);
+  pool = std::move(other91.pool);
+  address = std::move(other91.address);
+  failure_domain = std::move(other91.failure_domain);
+  rack = std::move(other91.rack);
+  labels = std::move(other91.labels);
+  millicores = other91.millicores;
+  memory_mb = other91.memory_mb;
+  accelerators = other91.accelerators;
+  closed = other91.closed;
+  jobs = std::move(other91.jobs);
+  runs = std::move(other91.runs);
+  incarnation = other91.incarnation;
+  __isset = other91.__isset;
   return *this;
 }
 void UpstreamRecord::printTo(std::ostream& out) const {
@@ -2276,38 +2595,38 @@
   swap(a.__isset, b.__isset);
 }
 
-Member::Member(const Member& other82) {
-  name = other82.name;
-  address = other82.address;
-  fitness = other82.fitness;
-  removed = other82.removed;
-  memory_mb = other82.memory_mb;
-  __isset = other82.__isset;
-}
-Member::Member(Member&& other83) noexcept {
-  name = std::move(other83.name);
-  address = std::move(other83.address);
-  fitness = other83.fitness;
-  removed = other83.removed;
-  memory_mb = other83.memory_mb;
-  __isset = other83.__isset;
-}
-Member& Member::operator=(const Member& other84) {
-  name = other84.name;
-  address = other84.address;
-  fitness = other84.fitness;
-  removed = other84.removed;
-  memory_mb = other84.memory_mb;
-  __isset = other84.__isset;
+Member::Member(const Member& other92) {
+  name = other92.name;
+  address = other92.address;
+  fitness = other92.fitness;
+  removed = other92.removed;
+  memory_mb = other92.memory_mb;
+  __isset = other92.__isset;
+}
+Member::Member(Member&& other93) noexcept {
+  name = std::move(other93.name);
+  address = std::move(other93.address);
+  fitness = other93.fitness;
+  removed = other93.removed;
+  memory_mb = other93.memory_mb;
+  __isset = other93.__isset;
+}
+Member& Member::operator=(const Member& other94) {
+  name = other94.name;
+  address = other94.address;
+  fitness = other94.fitness;
+  removed = other94.removed;
+  memory_mb = other94.memory_mb;
+  __isset = other94.__isset;
   return *this;
 }
-Member& Member::operator=(Member&& other85) noexcept {
-  name = std::move(other85.name);
-  address = std::move(other85.address);
-  fitness = other85.fitness;
-  removed = other85.removed;
-  memory_mb = other85.memory_mb;
-  __isset = other85.__isset;
+Member& Member::operator=(Member&& other95) noexcept {
+  name = std::move(other95.name);
+  address = std::move(other95.address);
+  fitness = other95.fitness;
+  removed = other95.removed;
+  memory_mb = other95.memory_mb;
+  __isset = other95.__isset;
   return *this;
 }
 void Member::printTo(std::ostream& out) const {
@@ -2499,46 +2818,46 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatCall::HeartbeatCall(const HeartbeatCall& other86) {
-  caller = other86.caller;
-  term = other86.term;
-  config_version = other86.config_version;
-  members_known = other86.members_known;
-  incarnation = other86.incarnation;
-  leader_clock_ms = other86.leader_clock_ms;
-  config = other86.config;
-  __isset = other86.__isset;
-}
-HeartbeatCall::HeartbeatCall(HeartbeatCall&& other87) noexcept {
-  caller = std::move(other87.caller);
-  term = other87.term;
-  config_version = other87.config_version;
-  members_known = other87.members_known;
-  incarnation = other87.incarnation;
-  leader_clock_ms = other87.leader_clock_ms;
-  config = std::move(other87.config);
-  __isset = other87.__isset;
-}
-HeartbeatCall& HeartbeatCall::operator=(const HeartbeatCall& other88) {
-  caller = other88.caller;
-  term = other88.term;
-  config_version = other88.config_version;
-  members_known = other88.members_known;
-  incarnation = other88.incarnation;
-  leader_clock_ms = other88.leader_clock_ms;
-  config = other88.config;
-  __isset = other88.__isset;
+HeartbeatCall::HeartbeatCall(const HeartbeatCall& other96) {
+  caller = other96.caller;
+  term = other96.term;
+  config_version = other96.config_version;
+  members_known = other96.members_known;
+  incarnation = other96.incarnation;
+  leader_clock_ms = other96.leader_clock_ms;
+  config = other96.config;
+  __isset = other96.__isset;
+}
+HeartbeatCall::HeartbeatCall(HeartbeatCall&& other97) noexcept {
+  caller = std::move(other97.caller);
+  term = other97.term;
+  config_version = other97.config_version;
+  members_known = other97.members_known;
+  incarnation = other97.incarnation;
+  leader_clock_ms = other97.leader_clock_ms;
+  config = std::move(other97.config);
+  __isset = other97.__isset;
+}
+HeartbeatCall& HeartbeatCall::operator=(const HeartbeatCall& other98) {
+  caller = other98.caller;
+  term = other98.term;
+  config_version = other98.config_version;
+  members_known = other98.members_known;
+  incarnation = other98.incarnation;
+  leader_clock_ms = other98.leader_clock_ms;
+  config = other98.config;
+  __isset = other98.__isset;
   return *this;
 }
-HeartbeatCall& HeartbeatCall::operator=(HeartbeatCall&& other89) noexcept {
-  caller = std::move(other89.caller);
-  term = other89.term;
-  config_version = other89.config_version;
-  members_known = other89.members_known;
-  incarnation = other89.incarnation;
-  leader_clock_ms = other89.leader_clock_ms;
-  config = std::move(other89.config);
-  __isset = other89.__isset;
+HeartbeatCall& HeartbeatCall::operator=(HeartbeatCall&& other99) noexcept {
+  caller = std::move(other99.caller);
+  term = other99.term;
+  config_version = other99.config_version;
+  members_known = other99.members_known;
+  incarnation = other99.incarnation;
+  leader_clock_ms = other99.leader_clock_ms;
+  config = std::move(other99.config);
+  __isset = other99.__isset;
   return *this;
 }
 void HeartbeatCall::printTo(std::ostream& out) const {
@@ -2681,34 +3000,34 @@
   swap(a.__isset, b.__isset);
 }
 
-QueueLoad::QueueLoad(const QueueLoad& other90) {
-  queue = other90.queue;
-  expected_wait_ms = other90.expected_wait_ms;
-  refused = other90.refused;
-  retry_after_ms = other90.retry_after_ms;
-  __isset = other90.__isset;
+QueueLoad::QueueLoad(const QueueLoad& other100) {
+  queue = other100.queue;
+  expected_wait_ms = other100.expected_wait_ms;
+  refused = other100.refused;
+  retry_after_ms = other100.retry_after_ms;
+  __isset = other100.__isset;
 }
-QueueLoad::QueueLoad(QueueLoad&& other91) noexcept {
-  queue = std::move(other91.queue);
-  expected_wait_ms = other91.expected_wait_ms;
-  refused = other91.refused;
-  retry_after_ms = other91.retry_after_ms;
-  __isset = other91.__isset;
+QueueLoad::QueueLoad(QueueLoad&& other101) noexcept {
+  queue = std::move(other101.queue);
+  expected_wait_ms = other101.expected_wait_ms;
+  refused = other101.refused;
+  retry_after_ms = other101.retry_after_ms;
+  __isset = other101.__isset;
 }
-QueueLoad& QueueLoad::operator=(const QueueLoad& other92) {
-  queue = other92.queue;
-  expected_wait_ms = other92.expected_wait_ms;
-  refused = other92.refused;
-  retry_after_ms = other92.retry_after_ms;
-  __isset = other92.__isset;
+QueueLoad& QueueLoad::operator=(const QueueLoad& other102) {
+  queue = other102.queue;
+  expected_wait_ms = other102.expected_wait_ms;
+  refused = other102.refused;
+  retry_after_ms = other102.retry_after_ms;
+  __isset = other102.__isset;
   return *this;
 }
-QueueLoad& QueueLoad::operator=(QueueLoad&& other93) noexcept {
-  queue = std::move(other93.queue);
-  expected_wait_ms = other93.expected_wait_ms;
-  refused = other93.refused;
-  retry_after_ms = other93.retry_after_ms;
-  __isset = other93.__isset;
+QueueLoad& QueueLoad::operator=(QueueLoad&& other103) noexcept {
+  queue = std::move(other103.queue);
+  expected_wait_ms = other103.expected_wait_ms;
+  refused = other103.refused;
+  retry_after_ms = other103.retry_after_ms;
+  __isset = other103.__isset;
   return *this;
 }
 void QueueLoad::printTo(std::ostream& out) const {
@@ -2773,14 +3092,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->queues.clear();
-            uint32_t _size94;
-            ::apache::thrift::protocol::TType _etype97;
-            xfer += iprot->readListBegin(_etype97, _size94);
-            this->queues.resize(_size94);
-            uint32_t _i98;
-            for (_i98 = 0; _i98 < _size94; ++_i98)
+            uint32_t _size104;
+            ::apache::thrift::protocol::TType _etype107;
+            xfer += iprot->readListBegin(_etype107, _size104);
+            this->queues.resize(_size104);
+            uint32_t _i108;
+            for (_i108 = 0; _i108 < _size104; ++_i108)
             {
-              xfer += this->queues[_i98].read(iprot);
+              xfer += this->queues[_i108].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -2813,10 +3132,10 @@
   xfer += oprot->writeFieldBegin("queues", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->queues.size()));
-    std::vector<QueueLoad> ::const_iterator _iter99;
-    for (_iter99 = this->queues.begin(); _iter99 != this->queues.end(); ++_iter99)
+    std::vector<QueueLoad> ::const_iterator _iter109;
+    for (_iter109 = this->queues.begin(); _iter109 != this->queues.end(); ++_iter109)
     {
-      xfer += (*_iter99).write(oprot);
+      xfer += (*_iter109).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -2834,26 +3153,26 @@
   swap(a.__isset, b.__isset);
 }
 
-LoadSummary::LoadSummary(const LoadSummary& other100) {
-  age_ms = other100.age_ms;
-  queues = other100.queues;
-  __isset = other100.__isset;
+LoadSummary::LoadSummary(const LoadSummary& other110) {
+  age_ms = other110.age_ms;
+  queues = other110.queues;
+  __isset = other110.__isset;
 }
-LoadSummary::LoadSummary(LoadSummary&& other101) noexcept {
-  age_ms = other101.age_ms;
-  queues = std::move(other101.queues);
-  __isset = other101.__isset;
+LoadSummary::LoadSummary(LoadSummary&& other111) noexcept {
+  age_ms = other111.age_ms;
+  queues = std::move(other111.queues);
+  __isset = other111.__isset;
 }
-LoadSummary& LoadSummary::operator=(const LoadSummary& other102) {
-  age_ms = other102.age_ms;
-  queues = other102.queues;
-  __isset = other102.__isset;
+LoadSummary& LoadSummary::operator=(const LoadSummary& other112) {
+  age_ms = other112.age_ms;
+  queues = other112.queues;
+  __isset = other112.__isset;
   return *this;
 }
-LoadSummary& LoadSummary::operator=(LoadSummary&& other103) noexcept {
-  age_ms = other103.age_ms;
-  queues = std::move(other103.queues);
-  __isset = other103.__isset;
+LoadSummary& LoadSummary::operator=(LoadSummary&& other113) noexcept {
+  age_ms = other113.age_ms;
+  queues = std::move(other113.queues);
+  __isset = other113.__isset;
   return *this;
 }
 void LoadSummary::printTo(std::ostream& out) const {
@@ -2990,14 +3309,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size104;
-            ::apache::thrift::protocol::TType _etype107;
-            xfer += iprot->readListBegin(_etype107, _size104);
-            this->members.resize(_size104);
-            uint32_t _i108;
-            for (_i108 = 0; _i108 < _size104; ++_i108)
+            uint32_t _size114;
+            ::apache::thrift::protocol::TType _etype117;
+            xfer += iprot->readListBegin(_etype117, _size114);
+            this->members.resize(_size114);
+            uint32_t _i118;
+            for (_i118 = 0; _i118 < _size114; ++_i118)
             {
-              xfer += this->members[_i108].read(iprot);
+              xfer += this->members[_i118].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -3114,10 +3433,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 5);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->members.size()));
-    std::vector<Member> ::const_iterator _iter109;
-    for (_iter109 = this->members.begin(); _iter109 != this->members.end(); ++_iter109)
+    std::vector<Member> ::const_iterator _iter119;
+    for (_iter119 = this->members.begin(); _iter119 != this->members.end(); ++_iter119)
     {
-      xfer += (*_iter109).write(oprot);
+      xfer += (*_iter119).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -3185,74 +3504,74 @@
   swap(a.__isset, b.__isset);
 }
 
-HeartbeatReply::HeartbeatReply(const HeartbeatReply& other110) {
-  leading = other110.leading;
-  term = other110.term;
-  leader = other110.leader;
-  store_reachable = other110.store_reachable;
-  members = other110.members;
-  config_version = other110.config_version;
-  config = other110.config;
-  leader_unresponsive_ms = other110.leader_unresponsive_ms;
-  loading = other110.loading;
-  members_known = other110.members_known;
-  clock_ms = other110.clock_ms;
-  config_wanted = other110.config_wanted;
-  config_age_ms = other110.config_age_ms;
-  load = other110.load;
-  __isset = other110.__isset;
+HeartbeatReply::HeartbeatReply(const HeartbeatReply& other120) {
+  leading = other120.leading;
+  term = other120.term;
+  leader = other120.leader;
+  store_reachable = other120.store_reachable;
+  members = other120.members;
+  config_version = other120.config_version;
+  config = other120.config;
+  leader_unresponsive_ms = other120.leader_unresponsive_ms;
+  loading = other120.loading;
+  members_known = other120.members_known;
+  clock_ms = other120.clock_ms;
+  config_wanted = other120.config_wanted;
+  config_age_ms = other120.config_age_ms;
+  load = other120.load;
+  __isset = other120.__isset;
 }
-HeartbeatReply::HeartbeatReply(HeartbeatReply&& other111) noexcept {
-  leading = other111.leading;
-  term = other111.term;
-  leader = std::move(other111.leader);
-  store_reachable = other111.store_reachable;
-  members = std::move(other111.members);
-  config_version = other111.config_version;
-  config = std::move(other111.config);
-  leader_unresponsive_ms = other111.leader_unresponsive_ms;
-  loading = other111.loading;
-  members_known = other111.members_known;
-  clock_ms = other111.clock_ms;
-  config_wanted = other111.config_wanted;
-  config_age_ms = other111.config_age_ms;
-  load = std::move(other111.load);
-  __isset = other111.__isset;
+HeartbeatReply::HeartbeatReply(HeartbeatReply&& other121) noexcept {
+  leading = other121.leading;
+  term = other121.term;
+  leader = std::move(other121.leader);
+  store_reachable = other121.store_reachable;
+  members = std::move(other121.members);
+  config_version = other121.config_version;
+  config = std::move(other121.config);
+  leader_unresponsive_ms = other121.leader_unresponsive_ms;
+  loading = other121.loading;
+  members_known = other121.members_known;
+  clock_ms = other121.clock_ms;
+  config_wanted = other121.config_wanted;
+  config_age_ms = other121.config_age_ms;
+  load = std::move(other121.load);
+  __isset = other121.__isset;
 }
-HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other112) {
-  leading = other112.leading;
-  term = other112.term;
-  leader = other112.leader;
-  store_reachable = other112.store_reachable;
-  members = other112.members;
-  config_version = other112.config_version;
-  config = other112.config;
-  leader_unresponsive_ms = other112.leader_unresponsive_ms;
-  loading = other112.loading;
-  members_known = other112.members_known;
-  clock_ms = other112.clock_ms;
-  config_wanted = other112.config_wanted;
-  config_age_ms = other112.config_age_ms;
-  load = other112.load;
-  __isset = other112.__isset;
+HeartbeatReply& HeartbeatReply::operator=(const HeartbeatReply& other122) {
+  leading = other122.leading;
+  term = other122.term;
+  leader = other122.leader;
+  store_reachable = other122.store_reachable;
+  members = other122.members;
+  config_version = other122.config_version;
+  config = other122.config;
+  leader_unresponsive_ms = other122.leader_unresponsive_ms;
+  loading = other122.loading;
+  members_known = other122.members_known;
+  clock_ms = other122.clock_ms;
+  config_wanted = other122.config_wanted;
+  config_age_ms = other122.config_age_ms;
+  load = other122.load;
+  __isset = other122.__isset;
   return *this;
 }
-HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other113) noexcept {
-  leading = other113.leading;
-  term = other113.term;
-  leader = std::move(other113.leader);
-  store_reachable = other113.store_reachable;
-  members = std::move(other113.members);
-  config_version = other113.config_version;
-  config = std::move(other113.config);
-  leader_unresponsive_ms = other113.leader_unresponsive_ms;
-  loading = other113.loading;
-  members_known = other113.members_known;
-  clock_ms = other113.clock_ms;
-  config_wanted = other113.config_wanted;
-  config_age_ms = other113.config_age_ms;
-  load = std::move(other113.load);
-  __isset = other113.__isset;
+HeartbeatReply& HeartbeatReply::operator=(HeartbeatReply&& other123) noexcept {
+  leading = other123.leading;
+  term = other123.term;
+  leader = std::move(other123.leader);
+  store_reachable = other123.store_reachable;
+  members = std::move(other123.members);
+  config_version = other123.config_version;
+  config = std::move(other123.config);
+  leader_unresponsive_ms = other123.leader_unresponsive_ms;
+  loading = other123.loading;
+  members_known = other123.members_known;
+  clock_ms = other123.clock_ms;
+  config_wanted = other123.config_wanted;
+  config_age_ms = other123.config_age_ms;
+  load = std::move(other123.load);
+  __isset = other123.__isset;
   return *this;
 }
 void HeartbeatReply::printTo(std::ostream& out) const {
@@ -3489,54 +3808,54 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceCall::AnnounceCall(const AnnounceCall& other114) {
-  term = other114.term;
-  leader = other114.leader;
-  resigned = other114.resigned;
-  loading = other114.loading;
-  stable = other114.stable;
-  unstable_terms = other114.unstable_terms;
-  successor = other114.successor;
-  replaced_alive = other114.replaced_alive;
-  saturated = other114.saturated;
-  __isset = other114.__isset;
-}
-AnnounceCall::AnnounceCall(AnnounceCall&& other115) noexcept {
-  term = other115.term;
-  leader = std::move(other115.leader);
-  resigned = other115.resigned;
-  loading = other115.loading;
-  stable = other115.stable;
-  unstable_terms = other115.unstable_terms;
-  successor = std::move(other115.successor);
-  replaced_alive = other115.replaced_alive;
-  saturated = other115.saturated;
-  __isset = other115.__isset;
-}
-AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other116) {
-  term = other116.term;
-  leader = other116.leader;
-  resigned = other116.resigned;
-  loading = other116.loading;
-  stable = other116.stable;
-  unstable_terms = other116.unstable_terms;
-  successor = other116.successor;
-  replaced_alive = other116.replaced_alive;
-  saturated = other116.saturated;
-  __isset = other116.__isset;
+AnnounceCall::AnnounceCall(const AnnounceCall& other124) {
+  term = other124.term;
+  leader = other124.leader;
+  resigned = other124.resigned;
+  loading = other124.loading;
+  stable = other124.stable;
+  unstable_terms = other124.unstable_terms;
+  successor = other124.successor;
+  replaced_alive = other124.replaced_alive;
+  saturated = other124.saturated;
+  __isset = other124.__isset;
+}
+AnnounceCall::AnnounceCall(AnnounceCall&& other125) noexcept {
+  term = other125.term;
+  leader = std::move(other125.leader);
+  resigned = other125.resigned;
+  loading = other125.loading;
+  stable = other125.stable;
+  unstable_terms = other125.unstable_terms;
+  successor = std::move(other125.successor);
+  replaced_alive = other125.replaced_alive;
+  saturated = other125.saturated;
+  __isset = other125.__isset;
+}
+AnnounceCall& AnnounceCall::operator=(const AnnounceCall& other126) {
+  term = other126.term;
+  leader = other126.leader;
+  resigned = other126.resigned;
+  loading = other126.loading;
+  stable = other126.stable;
+  unstable_terms = other126.unstable_terms;
+  successor = other126.successor;
+  replaced_alive = other126.replaced_alive;
+  saturated = other126.saturated;
+  __isset = other126.__isset;
   return *this;
 }
-AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other117) noexcept {
-  term = other117.term;
-  leader = std::move(other117.leader);
-  resigned = other117.resigned;
-  loading = other117.loading;
-  stable = other117.stable;
-  unstable_terms = other117.unstable_terms;
-  successor = std::move(other117.successor);
-  replaced_alive = other117.replaced_alive;
-  saturated = other117.saturated;
-  __isset = other117.__isset;
+AnnounceCall& AnnounceCall::operator=(AnnounceCall&& other127) noexcept {
+  term = other127.term;
+  leader = std::move(other127.leader);
+  resigned = other127.resigned;
+  loading = other127.loading;
+  stable = other127.stable;
+  unstable_terms = other127.unstable_terms;
+  successor = std::move(other127.successor);
+  replaced_alive = other127.replaced_alive;
+  saturated = other127.saturated;
+  __isset = other127.__isset;
   return *this;
 }
 void AnnounceCall::printTo(std::ostream& out) const {
@@ -3630,22 +3949,22 @@
   swap(a.__isset, b.__isset);
 }
 
-AnnounceReply::AnnounceReply(const AnnounceReply& other118) noexcept {
-  term = other118.term;
-  __isset = other118.__isset;
+AnnounceReply::AnnounceReply(const AnnounceReply& other128) noexcept {
+  term = other128.term;
+  __isset = other128.__isset;
 }
-AnnounceReply::AnnounceReply(AnnounceReply&& other119) noexcept {
-  term = other119.term;
-  __isset = other119.__isset;
+AnnounceReply::AnnounceReply(AnnounceReply&& other129) noexcept {
+  term = other129.term;
+  __isset = other129.__isset;
 }
-AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other120) noexcept {
-  term = other120.term;
-  __isset = other120.__isset;
+AnnounceReply& AnnounceReply::operator=(const AnnounceReply& other130) noexcept {
+  term = other130.term;
+  __isset = other130.__isset;
   return *this;
 }
-AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other121) noexcept {
-  term = other121.term;
-  __isset = other121.__isset;
+AnnounceReply& AnnounceReply::operator=(AnnounceReply&& other131) noexcept {
+  term = other131.term;
+  __isset = other131.__isset;
   return *this;
 }
 void AnnounceReply::printTo(std::ostream& out) const {
@@ -3731,22 +4050,22 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobCall::SubmitJobCall(const SubmitJobCall& other122) {
-  job = other122.job;
-  __isset = other122.__isset;
+SubmitJobCall::SubmitJobCall(const SubmitJobCall& other132) {
+  job = other132.job;
+  __isset = other132.__isset;
 }
-SubmitJobCall::SubmitJobCall(SubmitJobCall&& other123) noexcept {
-  job = std::move(other123.job);
-  __isset = other123.__isset;
+SubmitJobCall::SubmitJobCall(SubmitJobCall&& other133) noexcept {
+  job = std::move(other133.job);
+  __isset = other133.__isset;
 }
-SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other124) {
-  job = other124.job;
-  __isset = other124.__isset;
+SubmitJobCall& SubmitJobCall::operator=(const SubmitJobCall& other134) {
+  job = other134.job;
+  __isset = other134.__isset;
   return *this;
 }
-SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other125) noexcept {
-  job = std::move(other125.job);
-  __isset = other125.__isset;
+SubmitJobCall& SubmitJobCall::operator=(SubmitJobCall&& other135) noexcept {
+  job = std::move(other135.job);
+  __isset = other135.__isset;
   return *this;
 }
 void SubmitJobCall::printTo(std::ostream& out) const {
@@ -3866,30 +4185,30 @@
   swap(a.__isset, b.__isset);
 }
 
-SubmitJobReply::SubmitJobReply(const SubmitJobReply& other126) noexcept {
-  verdict = other126.verdict;
-  retry_after_ms = other126.retry_after_ms;
-  refuse_for_ms = other126.refuse_for_ms;
-  __isset = other126.__isset;
+SubmitJobReply::SubmitJobReply(const SubmitJobReply& other136) noexcept {
+  verdict = other136.verdict;
+  retry_after_ms = other136.retry_after_ms;
+  refuse_for_ms = other136.refuse_for_ms;
+  __isset = other136.__isset;
 }
-SubmitJobReply::SubmitJobReply(SubmitJobReply&& other127) noexcept {
-  verdict = other127.verdict;
-  retry_after_ms = other127.retry_after_ms;
-  refuse_for_ms = other127.refuse_for_ms;
-  __isset = other127.__isset;
+SubmitJobReply::SubmitJobReply(SubmitJobReply&& other137) noexcept {
+  verdict = other137.verdict;
+  retry_after_ms = other137.retry_after_ms;
+  refuse_for_ms = other137.refuse_for_ms;
+  __isset = other137.__isset;
 }
-SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other128) noexcept {
-  verdict = other128.verdict;
-  retry_after_ms = other128.retry_after_ms;
-  refuse_for_ms = other128.refuse_for_ms;
-  __isset = other128.__isset;
+SubmitJobReply& SubmitJobReply::operator=(const SubmitJobReply& other138) noexcept {
+  verdict = other138.verdict;
+  retry_after_ms = other138.retry_after_ms;
+  refuse_for_ms = other138.refuse_for_ms;
+  __isset = other138.__isset;
   return *this;
 }
-SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other129) noexcept {
-  verdict = other129.verdict;
-  retry_after_ms = other129.retry_after_ms;
-  refuse_for_ms = other129.refuse_for_ms;
-  __isset = other129.__isset;
+SubmitJobReply& SubmitJobReply::operator=(SubmitJobReply&& other139) noexcept {
+  verdict = other139.verdict;
+  retry_after_ms = other139.retry_after_ms;
+  refuse_for_ms = other139.refuse_for_ms;
+  __isset = other139.__isset;
   return *this;
 }
 void SubmitJobReply::printTo(std::ostream& out) const {
@@ -3996,26 +4315,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateCall::JobStateCall(const JobStateCall& other130) {
-  id = other130.id;
-  account = other130.account;
-  __isset = other130.__isset;
+JobStateCall::JobStateCall(const JobStateCall& other140) {
+  id = other140.id;
+  account = other140.account;
+  __isset = other140.__isset;
 }
-JobStateCall::JobStateCall(JobStateCall&& other131) noexcept {
-  id = other131.id;
-  account = std::move(other131.account);
-  __isset = other131.__isset;
+JobStateCall::JobStateCall(JobStateCall&& other141) noexcept {
+  id = other141.id;
+  account = std::move(other141.account);
+  __isset = other141.__isset;
 }
-JobStateCall& JobStateCall::operator=(const JobStateCall& other132) {
-  id = other132.id;
-  account = other132.account;
-  __isset = other132.__isset;
+JobStateCall& JobStateCall::operator=(const JobStateCall& other142) {
+  id = other142.id;
+  account = other142.account;
+  __isset = other142.__isset;
   return *this;
 }
-JobStateCall& JobStateCall::operator=(JobStateCall&& other133) noexcept {
-  id = other133.id;
-  account = std::move(other133.account);
-  __isset = other133.__isset;
+JobStateCall& JobStateCall::operator=(JobStateCall&& other143) noexcept {
+  id = other143.id;
+  account = std::move(other143.account);
+  __isset = other143.__isset;
   return *this;
 }
 void JobStateCall::printTo(std::ostream& out) const {
@@ -4119,26 +4438,26 @@
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other134) noexcept {
-  verdict = other134.verdict;
-  state = other134.state;
-  __isset = other134.__isset;
+JobStateReply::JobStateReply(const JobStateReply& other144) noexcept {
+  verdict = other144.verdict;
+  state = other144.state;
+  __isset = other144.__isset;
 }
-JobStateReply::JobStateReply(JobStateReply&& other135) noexcept {
-  verdict = other135.verdict;
-  state = other135.state;
-  __isset = other135.__isset;
+JobStateReply::JobStateReply(JobStateReply&& other145) noexcept {
+  verdict = other145.verdict;
+  state = other145.state;
+  __isset = other145.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other136) noexcept {
-  verdict = other136.verdict;
-  state = other136.state;
-  __isset = other136.__isset;
+JobStateReply& JobStateReply::operator=(const JobStateReply& other146) noexcept {
+  verdict = other146.verdict;
+  state = other146.state;
+  __isset = other146.__isset;
   return *this;
 }
-JobStateReply& JobStateReply::operator=(JobStateReply&& other137) noexcept {
-  verdict = other137.verdict;
-  state = other137.state;
-  __isset = other137.__isset;
+JobStateReply& JobStateReply::operator=(JobStateReply&& other147) noexcept {
+  verdict = other147.verdict;
+  state = other147.state;
+  __isset = other147.__isset;
   return *this;
 }
 void JobStateReply::printTo(std::ostream& out) const {
@@ -4244,26 +4563,26 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobCall::CancelJobCall(const CancelJobCall& other138) {
-  id = other138.id;
-  account = other138.account;
-  __isset = other138.__isset;
+CancelJobCall::CancelJobCall(const CancelJobCall& other148) {
+  id = other148.id;
+  account = other148.account;
+  __isset = other148.__isset;
 }
-CancelJobCall::CancelJobCall(CancelJobCall&& other139) noexcept {
-  id = other139.id;
-  account = std::move(other139.account);
-  __isset = other139.__isset;
+CancelJobCall::CancelJobCall(CancelJobCall&& other149) noexcept {
+  id = other149.id;
+  account = std::move(other149.account);
+  __isset = other149.__isset;
 }
-CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other140) {
-  id = other140.id;
-  account = other140.account;
-  __isset = other140.__isset;
+CancelJobCall& CancelJobCall::operator=(const CancelJobCall& other150) {
+  id = other150.id;
+  account = other150.account;
+  __isset = other150.__isset;
   return *this;
 }
-CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other141) noexcept {
-  id = other141.id;
-  account = std::move(other141.account);
-  __isset = other141.__isset;
+CancelJobCall& CancelJobCall::operator=(CancelJobCall&& other151) noexcept {
+  id = other151.id;
+  account = std::move(other151.account);
+  __isset = other151.__isset;
   return *this;
 }
 void CancelJobCall::printTo(std::ostream& out) const {
@@ -4350,22 +4669,22 @@
   swap(a.__isset, b.__isset);
 }
 
-CancelJobReply::CancelJobReply(const CancelJobReply& other142) noexcept {
-  verdict = other142.verdict;
-  __isset = other142.__isset;
+CancelJobReply::CancelJobReply(const CancelJobReply& other152) noexcept {
+  verdict = other152.verdict;
+  __isset = other152.__isset;
 }
-CancelJobReply::CancelJobReply(CancelJobReply&& other143) noexcept {
-  verdict = other143.verdict;
-  __isset = other143.__isset;
+CancelJobReply::CancelJobReply(CancelJobReply&& other153) noexcept {
+  verdict = other153.verdict;
+  __isset = other153.__isset;
 }
-CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other144) noexcept {
-  verdict = other144.verdict;
-  __isset = other144.__isset;
+CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other154) noexcept {
+  verdict = other154.verdict;
+  __isset = other154.__isset;
   return *this;
 }
-CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other145) noexcept {
-  verdict = other145.verdict;
-  __isset = other145.__isset;
+CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other155) noexcept {
+  verdict = other155.verdict;
+  __isset = other155.__isset;
   return *this;
 }
 void CancelJobReply::printTo(std::ostream& out) const {
@@ -4451,22 +4770,22 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsCall::PendingJobsCall(const PendingJobsCall& other146) {
-  queue = other146.queue;
-  __isset = other146.__isset;
+PendingJobsCall::PendingJobsCall(const PendingJobsCall& other156) {
+  queue = other156.queue;
+  __isset = other156.__isset;
 }
-PendingJobsCall::PendingJobsCall(PendingJobsCall&& other147) noexcept {
-  queue = std::move(other147.queue);
-  __isset = other147.__isset;
+PendingJobsCall::PendingJobsCall(PendingJobsCall&& other157) noexcept {
+  queue = std::move(other157.queue);
+  __isset = other157.__isset;
 }
-PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other148) {
-  queue = other148.queue;
-  __isset = other148.__isset;
+PendingJobsCall& PendingJobsCall::operator=(const PendingJobsCall& other158) {
+  queue = other158.queue;
+  __isset = other158.__isset;
   return *this;
 }
-PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other149) noexcept {
-  queue = std::move(other149.queue);
-  __isset = other149.__isset;
+PendingJobsCall& PendingJobsCall::operator=(PendingJobsCall&& other159) noexcept {
+  queue = std::move(other159.queue);
+  __isset = other159.__isset;
   return *this;
 }
 void PendingJobsCall::printTo(std::ostream& out) const {
@@ -4569,26 +4888,26 @@
   swap(a.__isset, b.__isset);
 }
 
-PendingJobsReply::PendingJobsReply(const PendingJobsReply& other150) noexcept {
-  verdict = other150.verdict;
-  pending = other150.pending;
-  __isset = other150.__isset;
+PendingJobsReply::PendingJobsReply(const PendingJobsReply& other160) noexcept {
+  verdict = other160.verdict;
+  pending = other160.pending;
+  __isset = other160.__isset;
 }
-PendingJobsReply::PendingJobsReply(PendingJobsReply&& other151) noexcept {
-  verdict = other151.verdict;
-  pending = other151.pending;
-  __isset = other151.__isset;
+PendingJobsReply::PendingJobsReply(PendingJobsReply&& other161) noexcept {
+  verdict = other161.verdict;
+  pending = other161.pending;
+  __isset = other161.__isset;
 }
-PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other152) noexcept {
-  verdict = other152.verdict;
-  pending = other152.pending;
-  __isset = other152.__isset;
+PendingJobsReply& PendingJobsReply::operator=(const PendingJobsReply& other162) noexcept {
+  verdict = other162.verdict;
+  pending = other162.pending;
+  __isset = other162.__isset;
   return *this;
 }
-PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other153) noexcept {
-  verdict = other153.verdict;
-  pending = other153.pending;
-  __isset = other153.__isset;
+PendingJobsReply& PendingJobsReply::operator=(PendingJobsReply&& other163) noexcept {
+  verdict = other163.verdict;
+  pending = other163.pending;
+  __isset = other163.__isset;
   return *this;
 }
 void PendingJobsReply::printTo(std::ostream& out) const {
@@ -4679,14 +4998,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->upstreams.clear();
-            uint32_t _size154;
-            ::apache::thrift::protocol::TType _etype157;
-            xfer += iprot->readListBegin(_etype157, _size154);
-            this->upstreams.resize(_size154);
-            uint32_t _i158;
-            for (_i158 = 0; _i158 < _size154; ++_i158)
+            uint32_t _size164;
+            ::apache::thrift::protocol::TType _etype167;
+            xfer += iprot->readListBegin(_etype167, _size164);
+            this->upstreams.resize(_size164);
+            uint32_t _i168;
+            for (_i168 = 0; _i168 < _size164; ++_i168)
             {
-              xfer += iprot->readString(this->upstreams[_i158]);
+              xfer += iprot->readString(this->upstreams[_i168]);
             }
             xfer += iprot->readListEnd();
           }
@@ -4735,10 +5054,10 @@
   xfer += oprot->writeFieldBegin("upstreams", ::apache::thrift::protocol::T_LIST, 4);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->upstreams.size()));
-    std::vector<std::string> ::const_iterator _iter159;
-    for (_iter159 = this->upstreams.begin(); _iter159 != this->upstreams.end(); ++_iter159)
+    std::vector<std::string> ::const_iterator _iter169;
+    for (_iter169 = this->upstreams.begin(); _iter169 != this->upstreams.end(); ++_iter169)
     {
-      xfer += oprot->writeString((*_iter159));
+      xfer += oprot->writeString((*_iter169));
     }
     xfer += oprot->writeListEnd();
   }
@@ -4763,38 +5082,38 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseCall::AdviseCall(const AdviseCall& other160) {
-  job = other160.job;
-  occurrence = other160.occurrence;
-  step = other160.step;
-  upstreams = other160.upstreams;
-  timeout_ms = other160.timeout_ms;
-  __isset = other160.__isset;
-}
-AdviseCall::AdviseCall(AdviseCall&& other161) noexcept {
-  job = other161.job;
-  occurrence = other161.occurrence;
-  step = other161.step;
-  upstreams = std::move(other161.upstreams);
-  timeout_ms = other161.timeout_ms;
-  __isset = other161.__isset;
-}
-AdviseCall& AdviseCall::operator=(const AdviseCall& other162) {
-  job = other162.job;
-  occurrence = other162.occurrence;
-  step = other162.step;
-  upstreams = other162.upstreams;
-  timeout_ms = other162.timeout_ms;
-  __isset = other162.__isset;
+AdviseCall::AdviseCall(const AdviseCall& other170) {
+  job = other170.job;
+  occurrence = other170.occurrence;
+  step = other170.step;
+  upstreams = other170.upstreams;
+  timeout_ms = other170.timeout_ms;
+  __isset = other170.__isset;
+}
+AdviseCall::AdviseCall(AdviseCall&& other171) noexcept {
+  job = other171.job;
+  occurrence = other171.occurrence;
+  step = other171.step;
+  upstreams = std::move(other171.upstreams);
+  timeout_ms = other171.timeout_ms;
+  __isset = other171.__isset;
+}
+AdviseCall& AdviseCall::operator=(const AdviseCall& other172) {
+  job = other172.job;
+  occurrence = other172.occurrence;
+  step = other172.step;
+  upstreams = other172.upstreams;
+  timeout_ms = other172.timeout_ms;
+  __isset = other172.__isset;
   return *this;
 }
-AdviseCall& AdviseCall::operator=(AdviseCall&& other163) noexcept {
-  job = other163.job;
-  occurrence = other163.occurrence;
-  step = other163.step;
-  upstreams = std::move(other163.upstreams);
-  timeout_ms = other163.timeout_ms;
-  __isset = other163.__isset;
+AdviseCall& AdviseCall::operator=(AdviseCall&& other173) noexcept {
+  job = other173.job;
+  occurrence = other173.occurrence;
+  step = other173.step;
+  upstreams = std::move(other173.upstreams);
+  timeout_ms = other173.timeout_ms;
+  __isset = other173.__isset;
   return *this;
 }
 void AdviseCall::printTo(std::ostream& out) const {
@@ -4901,26 +5220,26 @@
   swap(a.__isset, b.__isset);
 }
 
-Ticket::Ticket(const Ticket& other164) {
-  upstream = other164.upstream;
-  ticket = other164.ticket;
-  __isset = other164.__isset;
+Ticket::Ticket(const Ticket& other174) {
+  upstream = other174.upstream;
+  ticket = other174.ticket;
+  __isset = other174.__isset;
 }
-Ticket::Ticket(Ticket&& other165) noexcept {
-  upstream = std::move(other165.upstream);
-  ticket = std::move(other165.ticket);
-  __isset = other165.__isset;
+Ticket::Ticket(Ticket&& other175) noexcept {
+  upstream = std::move(other175.upstream);
+  ticket = std::move(other175.ticket);
+  __isset = other175.__isset;
 }
-Ticket& Ticket::operator=(const Ticket& other166) {
-  upstream = other166.upstream;
-  ticket = other166.ticket;
-  __isset = other166.__isset;
+Ticket& Ticket::operator=(const Ticket& other176) {
+  upstream = other176.upstream;
+  ticket = other176.ticket;
+  __isset = other176.__isset;
   return *this;
 }
-Ticket& Ticket::operator=(Ticket&& other167) noexcept {
-  upstream = std::move(other167.upstream);
-  ticket = std::move(other167.ticket);
-  __isset = other167.__isset;
+Ticket& Ticket::operator=(Ticket&& other177) noexcept {
+  upstream = std::move(other177.upstream);
+  ticket = std::move(other177.ticket);
+  __isset = other177.__isset;
   return *this;
 }
 void Ticket::printTo(std::ostream& out) const {
@@ -4987,14 +5306,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->allowed.clear();
-            uint32_t _size168;
-            ::apache::thrift::protocol::TType _etype171;
-            xfer += iprot->readListBegin(_etype171, _size168);
-            this->allowed.resize(_size168);
-            uint32_t _i172;
-            for (_i172 = 0; _i172 < _size168; ++_i172)
+            uint32_t _size178;
+            ::apache::thrift::protocol::TType _etype181;
+            xfer += iprot->readListBegin(_etype181, _size178);
+            this->allowed.resize(_size178);
+            uint32_t _i182;
+            for (_i182 = 0; _i182 < _size178; ++_i182)
             {
-              xfer += this->allowed[_i172].read(iprot);
+              xfer += this->allowed[_i182].read(iprot);
             }
             xfer += iprot->readListEnd();
           }
@@ -5035,10 +5354,10 @@
   xfer += oprot->writeFieldBegin("allowed", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->allowed.size()));
-    std::vector<Ticket> ::const_iterator _iter173;
-    for (_iter173 = this->allowed.begin(); _iter173 != this->allowed.end(); ++_iter173)
+    std::vector<Ticket> ::const_iterator _iter183;
+    for (_iter183 = this->allowed.begin(); _iter183 != this->allowed.end(); ++_iter183)
     {
-      xfer += (*_iter173).write(oprot);
+      xfer += (*_iter183).write(oprot);
     }
     xfer += oprot->writeListEnd();
   }
@@ -5061,30 +5380,30 @@
   swap(a.__isset, b.__isset);
 }
 
-AdviseReply::AdviseReply(const AdviseReply& other174) {
-  verdict = other174.verdict;
-  allowed = other174.allowed;
-  valid_ms = other174.valid_ms;
-  __isset = other174.__isset;
+AdviseReply::AdviseReply(const AdviseReply& other184) {
+  verdict = other184.verdict;
+  allowed = other184.allowed;
+  valid_ms = other184.valid_ms;
+  __isset = other184.__isset;
 }
-AdviseReply::AdviseReply(AdviseReply&& other175) noexcept {
-  verdict = other175.verdict;
-  allowed = std::move(other175.allowed);
-  valid_ms = other175.valid_ms;
-  __isset = other175.__isset;
+AdviseReply::AdviseReply(AdviseReply&& other185) noexcept {
+  verdict = other185.verdict;
+  allowed = std::move(other185.allowed);
+  valid_ms = other185.valid_ms;
+  __isset = other185.__isset;
 }
-AdviseReply& AdviseReply::operator=(const AdviseReply& other176) {
-  verdict = other176.verdict;
-  allowed = other176.allowed;
-  valid_ms = other176.valid_ms;
-  __isset = other176.__isset;
+AdviseReply& AdviseReply::operator=(const AdviseReply& other186) {
+  verdict = other186.verdict;
+  allowed = other186.allowed;
+  valid_ms = other186.valid_ms;
+  __isset = other186.__isset;
   return *this;
 }
-AdviseReply& AdviseReply::operator=(AdviseReply&& other177) noexcept {
-  verdict = other177.verdict;
-  allowed = std::move(other177.allowed);
-  valid_ms = other177.valid_ms;
-  __isset = other177.__isset;
+AdviseReply& AdviseReply::operator=(AdviseReply&& other187) noexcept {
+  verdict = other187.verdict;
+  allowed = std::move(other187.allowed);
+  valid_ms = other187.valid_ms;
+  __isset = other187.__isset;
   return *this;
 }
 void AdviseReply::printTo(std::ostream& out) const {
@@ -5152,14 +5471,14 @@
         if (ftype == ::apache::thrift::protocol::T_LIST) {
           {
             this->members.clear();
-            uint32_t _size178;
-            ::apache::thrift::protocol::TType _etype181;
-            xfer += iprot->readListBegin(_etype181, _size178);
-            this->members.resize(_size178);
-            uint32_t _i182;
-            for (_i182 = 0; _i182 < _size178; ++_i182)
+            uint32_t _size188;
+            ::apache::thrift::protocol::TType _etype191;
+            xfer += iprot->readListBegin(_etype191, _size188);
+            this->members.resize(_size188);
+            uint32_t _i192;
+            for (_i192 = 0; _i192 < _size188; ++_i192)
             {
-              xfer += iprot->readString(this->members[_i182]);
+              xfer += iprot->readString(this->members[_i192]);
             }
             xfer += iprot->readListEnd();
           }
@@ -5200,10 +5519,10 @@
   xfer += oprot->writeFieldBegin("members", ::apache::thrift::protocol::T_LIST, 2);
   {
     xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRING, static_cast<uint32_t>(this->members.size()));
-    std::vector<std::string> ::const_iterator _iter183;
-    for (_iter183 = this->members.begin(); _iter183 != this->members.end(); ++_iter183)
+    std::vector<std::string> ::const_iterator _iter193;
+    for (_iter193 = this->members.begin(); _iter193 != this->members.end(); ++_iter193)
     {
-      xfer += oprot->writeString((*_iter183));
+      xfer += oprot->writeString((*_iter193));
     }
     xfer += oprot->writeListEnd();
   }
@@ -5226,30 +5545,30 @@
   swap(a.__isset, b.__isset);
 }
 
-QuorumRecord::QuorumRecord(const QuorumRecord& other184) {
-  term = other184.term;
-  members = other184.members;
-  max_store_outage_ms = other184.max_store_outage_ms;
-  __isset = other184.__isset;
+QuorumRecord::QuorumRecord(const QuorumRecord& other194) {
+  term = other194.term;
+  members = other194.members;
+  max_store_outage_ms = other194.max_store_outage_ms;
+  __isset = other194.__isset;
 }
-QuorumRecord::QuorumRecord(QuorumRecord&& other185) noexcept {
-  term = other185.term;
-  members = std::move(other185.members);
-  max_store_outage_ms = other185.max_store_outage_ms;
-  __isset = other185.__isset;
+QuorumRecord::QuorumRecord(QuorumRecord&& other195) noexcept {
+  term = other195.term;
+  members = std::move(other195.members);
+  max_store_outage_ms = other195.max_store_outage_ms;
+  __isset = other195.__isset;
 }
-QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other186) {
-  term = other186.term;
-  members = other186.members;
-  max_store_outage_ms = other186.max_store_outage_ms;
-  __isset = other186.__isset;
+QuorumRecord& QuorumRecord::operator=(const QuorumRecord& other196) {
+  term = other196.term;
+  members = other196.members;
+  max_store_outage_ms = other196.max_store_outage_ms;
+  __isset = other196.__isset;
   return *this;
 }
-QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other187) noexcept {
-  term = other187.term;
-  members = std::move(other187.members);
-  max_store_outage_ms = other187.max_store_outage_ms;
-  __isset = other187.__isset;
+QuorumRecord& QuorumRecord::operator=(QuorumRecord&& other197) noexcept {
+  term = other197.term;
+  members = std::move(other197.members);
+  max_store_outage_ms = other197.max_store_outage_ms;
+  __isset = other197.__isset;
   return *this;
 }
 void QuorumRecord::printTo(std::ostream& out) const {
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -27,6 +27,8 @@
 
 class JobSpec;
 
+class CrashRecord;
+
 class TaskRecord;
 
 class ProgressRecord;
@@ -508,14 +510,121 @@
 
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
+typedef struct _CrashRecord__isset {
+  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), sole_suspect(false), fate(false) {}
+  bool attempt :1;
+  bool upstream :1;
+  bool incarnation :1;
+  bool last_seen_ms :1;
+  bool silent_after_ms :1;
+  bool sole_suspect :1;
+  bool fate :1;
+} _CrashRecord__isset;
+
+/**
+ * A run of a task during which its upstream may have crashed.
+ */
+class CrashRecord : public virtual ::apache::thrift::TBase {
+ public:
+
+  CrashRecord(const CrashRecord&);
+  CrashRecord(CrashRecord&&) noexcept;
+  CrashRecord& operator=(const CrashRecord&);
+  CrashRecord& operator=(CrashRecord&&) noexcept;
+  CrashRecord() noexcept
+              : attempt(0),
+                upstream(),
+                incarnation(0),
+                last_seen_ms(0),
+                silent_after_ms(0),
+                sole_suspect(0),
+                fate(0) {
+  }
+
+  virtual ~CrashRecord() noexcept;
+  int64_t attempt;
+  /**
+   * The upstream, and when its incarnation was started, in Unix ms; 0 if not
+   * reported.
+   */
+  std::string upstream;
+  int64_t incarnation;
+  /**
+   * How long the run had lasted when the upstream last confirmed it.
+   */
+  int64_t last_seen_ms;
+  /**
+   * Time from the order to start until the upstream stopped responding.
+   */
+  int64_t silent_after_ms;
+  /**
+   * No run of another job there had only just begun.
+   */
+  bool sole_suspect;
+  /**
+   * 0: unknown; 1: another incarnation answered; 2: away for long.
+   */
+  int32_t fate;
+
+  _CrashRecord__isset __isset;
+
+  void __set_attempt(const int64_t val);
+
+  void __set_upstream(const std::string& val);
+
+  void __set_incarnation(const int64_t val);
+
+  void __set_last_seen_ms(const int64_t val);
+
+  void __set_silent_after_ms(const int64_t val);
+
+  void __set_sole_suspect(const bool val);
+
+  void __set_fate(const int32_t val);
+
+  bool operator == (const CrashRecord & rhs) const
+  {
+    if (!(attempt == rhs.attempt))
+      return false;
+    if (!(upstream == rhs.upstream))
+      return false;
+    if (!(incarnation == rhs.incarnation))
+      return false;
+    if (!(last_seen_ms == rhs.last_seen_ms))
+      return false;
+    if (!(silent_after_ms == rhs.silent_after_ms))
+      return false;
+    if (!(sole_suspect == rhs.sole_suspect))
+      return false;
+    if (!(fate == rhs.fate))
+      return false;
+    return true;
+  }
+  bool operator != (const CrashRecord &rhs) const {
+    return !(*this == rhs);
+  }
+
+  bool operator < (const CrashRecord & ) const;
+
+  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
+  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
+
+  virtual void printTo(std::ostream& out) const;
+};
+
+void swap(CrashRecord &a, CrashRecord &b);
+
+std::ostream& operator<<(std::ostream& out, const CrashRecord& obj);
+
 typedef struct _TaskRecord__isset {
-  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false), early_crashes(false), other_crashes(false), unlisted_failures(false) {}
+  _TaskRecord__isset() : task(false), failed_attempts(false), checkpoint(false), early_crashes(false), other_crashes(false), unlisted_failures(false), crashes(false) {}
   bool task :1;
   bool failed_attempts :1;
   bool checkpoint :1;
   bool early_crashes :1;
   bool other_crashes :1;
   bool unlisted_failures :1;
+  bool crashes :1;
 } _TaskRecord__isset;
 
 /**
@@ -547,8 +656,8 @@
   std::vector<int64_t>  failed_attempts;
   std::string checkpoint;
   /**
-   * Attempts during which their upstream crashed: those that had only just
-   * begun, and others.
+   * Written by earlier versions, and ignored: attempts during which their
+   * upstream was believed to have crashed.
    */
   std::vector<int64_t>  early_crashes;
   std::vector<int64_t>  other_crashes;
@@ -556,6 +665,7 @@
    * Number of earlier failures that are not in failed_attempts.
    */
   int32_t unlisted_failures;
+  std::vector<CrashRecord>  crashes;
 
   _TaskRecord__isset __isset;
 
@@ -571,6 +681,8 @@
 
   void __set_unlisted_failures(const int32_t val);
 
+  void __set_crashes(const std::vector<CrashRecord> & val);
+
   bool operator == (const TaskRecord & rhs) const
   {
     if (!(task == rhs.task))
@@ -585,6 +697,8 @@
       return false;
     if (!(unlisted_failures == rhs.unlisted_failures))
       return false;
+    if (!(crashes == rhs.crashes))
+      return false;
     return true;
   }
   bool operator != (const TaskRecord &rhs) const {
@@ -678,10 +792,12 @@
 std::ostream& operator<<(std::ostream& out, const ProgressRecord& obj);
 
 typedef struct _RunRecord__isset {
-  _RunRecord__isset() : task(false), attempt(false), early(false) {}
+  _RunRecord__isset() : task(false), attempt(false), early(false), last_seen_ms(true), silent_after_ms(true) {}
   bool task :1;
   bool attempt :1;
   bool early :1;
+  bool last_seen_ms :1;
+  bool silent_after_ms :1;
 } _RunRecord__isset;
 
 /**
@@ -697,7 +813,9 @@
   RunRecord() noexcept
             : task(),
               attempt(0),
-              early(0) {
+              early(0),
+              last_seen_ms(-1LL),
+              silent_after_ms(-1LL) {
   }
 
   virtual ~RunRecord() noexcept;
@@ -707,6 +825,11 @@
    * The run had only just begun.
    */
   bool early;
+  /**
+   * As in CrashRecord. Negative if not known: the start was not confirmed.
+   */
+  int64_t last_seen_ms;
+  int64_t silent_after_ms;
 
   _RunRecord__isset __isset;
 
@@ -716,6 +839,10 @@
 
   void __set_early(const bool val);
 
+  void __set_last_seen_ms(const int64_t val);
+
+  void __set_silent_after_ms(const int64_t val);
+
   bool operator == (const RunRecord & rhs) const
   {
     if (!(task == rhs.task))
@@ -724,6 +851,10 @@
       return false;
     if (!(early == rhs.early))
       return false;
+    if (!(last_seen_ms == rhs.last_seen_ms))
+      return false;
+    if (!(silent_after_ms == rhs.silent_after_ms))
+      return false;
     return true;
   }
   bool operator != (const RunRecord &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -30,15 +30,43 @@
 
 bool HasStateToStore(const Task& task) {
   return task.failures() > 0 || !task.checkpoint.empty() ||
-         task.crashes.total() > 0;
+         !task.crashes.empty();
 }
 
 /// Bytes that the task takes in addition to kTaskBytes.
 size_t HeldBytes(const Task& task) {
   return task.checkpoint.capacity() +
-         sizeof(int64_t) *
-             (task.failed_attempts.capacity() + task.crashes.early.capacity() +
-              task.crashes.other.capacity());
+         sizeof(int64_t) * task.failed_attempts.capacity() +
+         task.crashes.HeldBytes();
+}
+
+std::vector<wire::CrashRecord> ToCrashRecords(const CrashEvidence& evidence) {
+  std::vector<wire::CrashRecord> out;
+  for (const SuspectedCrash& crash : evidence.list()) {
+    wire::CrashRecord& record = out.emplace_back();
+    record.attempt = crash.attempt;
+    record.upstream = crash.upstream;
+    record.incarnation = crash.incarnation;
+    record.last_seen_ms = crash.last_seen.count();
+    record.silent_after_ms = crash.silent_after.count();
+    record.sole_suspect = crash.sole_suspect;
+    record.fate = static_cast<int32_t>(crash.fate);
+  }
+  return out;
+}
+
+CrashEvidence FromCrashRecords(const std::vector<wire::CrashRecord>& records) {
+  CrashEvidence out;
+  for (const wire::CrashRecord& record : records) {
+    out.Add({.attempt = record.attempt,
+             .upstream = record.upstream,
+             .incarnation = record.incarnation,
+             .last_seen = Millis(record.last_seen_ms),
+             .silent_after = Millis(record.silent_after_ms),
+             .sole_suspect = record.sole_suspect,
+             .fate = static_cast<UpstreamFate>(record.fate)});
+  }
+  return out;
 }
 
 /// Only counts the oldest failures if there are too many to be listed.
@@ -272,16 +300,6 @@
   return true;
 }
 
-bool Job::CountCrash(const TaskId& id, int64_t attempt, bool early) {
-  CrashCounts& crashes = MutableTask(id).crashes;
-  const auto counted = [attempt](const std::vector<int64_t>& in) {
-    return std::find(in.begin(), in.end(), attempt) != in.end();
-  };
-  if (counted(crashes.early) || counted(crashes.other)) return false;
-  (early ? crashes.early : crashes.other).push_back(attempt);
-  return true;
-}
-
 int32_t Job::Failures(const TaskId& id) const {
   if (!step(id.step).gang) return task(id).failures();
   return task({id.job, id.occurrence, id.step, 0}).failures();
@@ -356,8 +374,7 @@
       record.failed_attempts = task->failed_attempts;
       record.unlisted_failures = task->unlisted_failures;
       record.checkpoint = task->checkpoint;
-      record.early_crashes = task->crashes.early;
-      record.other_crashes = task->crashes.other;
+      record.crashes = ToCrashRecords(task->crashes);
     }
   }
 }
@@ -394,8 +411,7 @@
     task.unlisted_failures = stored.unlisted_failures;
     DropOldFailures(task);
     task.checkpoint = stored.checkpoint;
-    task.crashes = {.early = stored.early_crashes,
-                    .other = stored.other_crashes};
+    task.crashes = FromCrashRecords(stored.crashes);
   }
 }
 
--- a/src/jobs/job.h
+++ b/src/jobs/job.h
@@ -7,6 +7,7 @@
 #include <vector>
 
 #include "jobs_types.h"
+#include "src/jobs/crash_evidence.h"
 #include "src/jobs/failure_streak.h"
 #include "src/jobs/job_state.h"
 #include "src/jobs/task_id.h"
@@ -25,18 +26,6 @@
   kDone,
 };
 
-/// The attempts of a task during which its upstream crashed, each once.
-struct CrashCounts {
-  /// Attempts that had only just started: the task is suspected to be the
-  /// cause.
-  std::vector<int64_t> early;
-  /// All other attempts.
-  std::vector<int64_t> other;
-
-  bool suspect() const { return !early.empty(); }
-  size_t total() const { return early.size() + other.size(); }
-};
-
 /// State of one task.
 struct Task {
   TaskPhase phase = TaskPhase::kWaiting;
@@ -55,7 +44,7 @@
   /// When the task could have started again after its last failure. For a
   /// bounded time from then on, it avoids upstreams where tasks have failed.
   TimePoint avoids_since{};
-  CrashCounts crashes;
+  CrashEvidence crashes;
   /// Upstream of the current run; kNoUpstream while the task waits.
   UpstreamIndex upstream = kNoUpstream;
   /// Upstream of the last failure. The next attempt avoids it if possible.
@@ -151,10 +140,6 @@
   /// Counts a failed run of a task or of its gang. Returns false if that
   /// attempt was already counted. Precondition: attempt > 0.
   bool CountFailure(const TaskId& id, int64_t attempt);
-  /// Counts a crash of the upstream during this run of a task. Returns false if
-  /// that attempt was already counted. `early`: the run had only just started.
-  /// Precondition: attempt > 0.
-  bool CountCrash(const TaskId& id, int64_t attempt, bool early);
   /// Returns the task that keeps the failures of this one: the first member of
   /// its gang, since a gang fails as a whole, otherwise the task itself.
   TaskId FailureKeeper(const TaskId& id) const;
--- a/src/jobs/job_state.cc
+++ b/src/jobs/job_state.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 
+#include "src/jobs/crash_evidence.h"
 #include "src/libs/base/utf8.h"
 
 namespace mimosarail {
@@ -12,6 +13,17 @@
   findings.Add(field, "must be 0 to " + std::to_string(kMaxSpecDurationMs));
 }
 
+void CheckCrash(const wire::CrashRecord& crash, Findings& findings) {
+  if (crash.attempt < 1) findings.Add("crashes", "attempts must be 1 or more");
+  if (crash.upstream.empty()) findings.Add("crashes", "upstream is missing");
+  CheckDuration("crashes.last_seen_ms", crash.last_seen_ms, findings);
+  CheckDuration("crashes.silent_after_ms", crash.silent_after_ms, findings);
+  if (crash.fate < 0 ||
+      crash.fate > static_cast<int32_t>(UpstreamFate::kMissing)) {
+    findings.Add("crashes", std::to_string(crash.fate) + " is not a fate");
+  }
+}
+
 /// The comparison rejects NaN as well.
 void CheckUpTo(const std::string& field, double value, double max,
                Findings& findings) {
@@ -116,6 +128,9 @@
         findings.Add("tasks", "attempts must be 1 or more");
       }
     }
+    for (const wire::CrashRecord& crash : task.crashes) {
+      CheckCrash(crash, findings);
+    }
   }
 }
 
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -69,6 +69,23 @@
   9: string account
 }
 
+/** A run of a task during which its upstream may have crashed. */
+struct CrashRecord {
+  1: i64 attempt
+  /** The upstream, and when its incarnation was started, in Unix ms; 0 if not
+   *  reported. */
+  2: string upstream
+  3: i64 incarnation
+  /** How long the run had lasted when the upstream last confirmed it. */
+  4: i64 last_seen_ms
+  /** Time from the order to start until the upstream stopped responding. */
+  5: i64 silent_after_ms
+  /** No run of another job there had only just begun. */
+  6: bool sole_suspect
+  /** 0: unknown; 1: another incarnation answered; 2: away for long. */
+  7: i32 fate
+}
+
 /** State of one task that is not done. */
 struct TaskRecord {
   /** Index among all tasks of the job. */
@@ -78,12 +95,13 @@
    *  order. */
   2: list<i64> failed_attempts
   3: string checkpoint
-  /** Attempts during which their upstream crashed: those that had only just
-   *  begun, and others. */
+  /** Written by earlier versions, and ignored: attempts during which their
+   *  upstream was believed to have crashed. */
   4: list<i64> early_crashes
   5: list<i64> other_crashes
   /** Number of earlier failures that are not in failed_attempts. */
   6: i32 unlisted_failures
+  7: list<CrashRecord> crashes
 }
 
 /** The durable state of a job's progress; always rewritten as a whole. */
@@ -102,6 +120,9 @@
   2: i64 attempt
   /** The run had only just begun. */
   3: bool early
+  /** As in CrashRecord. Negative if not known: the start was not confirmed. */
+  4: i64 last_seen_ms = -1
+  5: i64 silent_after_ms = -1
 }
 
 /** An upstream that may run tasks; stored until no task can run there. */
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -1,9 +1,9 @@
-// The part of Scheduler that determines which tasks crash their upstreams. A
-// crash is detected when a new incarnation answers at an upstream's address, or
-// when the upstream stays unresponsive and is no longer listed. Each run there
-// may be the cause or a victim. Runs that had only just begun are suspected,
-// and restart where nothing else is new, so that a second crash has a single
-// possible cause.
+// The part of Scheduler that determines which tasks crash their upstreams. An
+// upstream that stops responding may have crashed, or may only be unreachable,
+// which shows later: it answers again, a later incarnation answers in its
+// place, or it stays away. Only a crash counts against the tasks that ran
+// there. Runs that had only just begun are suspected, and restart where nothing
+// else is new, so that a second crash has a single possible cause.
 
 #include <algorithm>
 
@@ -12,29 +12,19 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A task that crashes its upstream usually does so as it starts. A run that
-/// lasts this long is not suspected if the upstream crashes later.
-constexpr Millis kEarlyWindow{300};
+constexpr Millis kEarlyWindow = CrashEvidence::kEarlyWindow;
 /// Duration of a quarantine. A suspect task starts only kEarlyWindow after the
 /// newest start on the upstream. The quarantine is slightly longer, so that it
 /// still holds when the task starts.
 constexpr Millis kQuarantineDuration{400};
-/// A run of this length shows that its task does not crash upstreams.
-constexpr Millis kHarmlessRunTime{30000};
 /// A suspect task prefers upstreams that have been known for this long. One
 /// that has just come back is more likely to crash again for reasons of its
 /// own.
 constexpr Millis kEstablishedAge{10000};
-/// Number of early crashes after which a task fails permanently. An early crash
-/// is one in the early window of a run. kSoleSuspectLimit applies if the last
-/// crash was in the early window of the task's run and of no run of another
-/// job; otherwise kEarlyLimit applies.
-constexpr size_t kSoleSuspectLimit = 2;
-constexpr size_t kEarlyLimit = 3;
-/// Number of crashes, early or not, after which a task fails permanently. Three
-/// upstreams lost to a task and two more starts of it are acceptable, five in
-/// all. The limit of four leaves one for a crash that no leader recorded.
-constexpr size_t kTotalLimit = 4;
+/// An upstream that is unresponsive for this long and not listed is assumed to
+/// have crashed. Much longer than it takes to be listed again after an outage
+/// of the store.
+constexpr Millis kMissingTime{20000};
 
 std::optional<Millis> TimeSince(const std::optional<TimePoint>& when,
                                 TimePoint now) {
@@ -42,15 +32,23 @@
   return std::chrono::duration_cast<Millis>(now - *when);
 }
 
-/// Whether the run is known to have started, and was still in its early window
-/// when its upstream became unresponsive.
-bool InEarlyWindow(const Reservation& run, TimePoint unresponsive_since) {
-  if (!run.started_at) return false;
-  if (run.last_listed_at &&
-      *run.last_listed_at - *run.started_at >= kEarlyWindow) {
-    return false;
+bool IsEarly(const SuspectRun& run) { return run.silent_after < kEarlyWindow; }
+
+SuspectRun ToSuspectRun(const Reservation& run, TimePoint unresponsive_since) {
+  SuspectRun out{.silent_after = std::chrono::duration_cast<Millis>(
+                     unresponsive_since - run.reserved_at)};
+  if (!run.confirmed) return out;
+  const TimePoint last_seen = run.last_listed_at.value_or(*run.started_at);
+  out.last_seen =
+      std::chrono::duration_cast<Millis>(last_seen - *run.started_at);
+  return out;
+}
+
+void AppendEvents(EvidenceChange change, const TaskId& task,
+                  const CrashEvidence::List& crashes, Orders& orders) {
+  for (const SuspectedCrash& crash : crashes) {
+    orders.evidence.push_back({.task = task, .change = change, .crash = crash});
   }
-  return unresponsive_since - *run.started_at < kEarlyWindow;
 }
 
 }  // namespace
@@ -60,11 +58,19 @@
   SuspectRuns runs = std::exchange(pool_.at(upstream).suspect_runs, {});
   runs.merge(SuspectRunsOn(upstream, now));
   ReleaseLostRuns(upstream, why, {}, now, orders);
-  // Whether the upstream has crashed is known only later: if it was
-  // partitioned, it keeps running and answers again.
-  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
-  if (why == UpstreamLoss::kLeasesExpired) {
-    pool_.at(upstream).suspect_runs = std::move(runs);
+  const ports::UpstreamEntry& entry = pool_.at(upstream).entry;
+  switch (why) {
+    case UpstreamLoss::kCrashed:
+      AddEvidence(upstream, runs, UpstreamFate::kReplaced, now, orders);
+      return ConfirmCrash(entry.id, UpstreamFate::kReplaced, now, orders);
+    case UpstreamLoss::kLeasesExpired:
+      if (entry.draining) return;
+      return AddEvidence(upstream, runs, UpstreamFate::kUnknown, now, orders);
+    case UpstreamLoss::kLeft:
+    case UpstreamLoss::kMaintenance:
+      return WithdrawEvidence(entry.id, now, orders);
+    case UpstreamLoss::kUnreachable:
+      return;
   }
 }
 
@@ -82,7 +88,12 @@
   std::erase_if(
       runs, [&](const auto& run) { return remaining.count(run.first) > 0; });
   ReleaseLostRuns(upstream, why, remaining, now, orders);
-  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
+  if (drained) {
+    WithdrawEvidence(it.entry.id, now, orders);
+  } else {
+    AddEvidence(upstream, runs, UpstreamFate::kReplaced, now, orders);
+    ConfirmCrash(it.entry.id, UpstreamFate::kReplaced, now, orders);
+  }
   pool_.NoteRestarted(upstream, incarnation, now);
   DropAdvice(upstream);
 }
@@ -129,67 +140,194 @@
 SuspectRuns Scheduler::SuspectRunsOn(UpstreamIndex upstream,
                                      TimePoint now) const {
   const Upstream& it = pool_.at(upstream);
+  const TimePoint unresponsive_since = it.unresponsive_since.value_or(now);
   SuspectRuns out;
   for (const auto& [run, reservation] : it.reservations) {
-    out.emplace(
-        run, InEarlyWindow(reservation, it.unresponsive_since.value_or(now)));
+    out.emplace(run, ToSuspectRun(reservation, unresponsive_since));
   }
   return out;
 }
 
-void Scheduler::CountCrash(const SuspectRuns& runs, TimePoint now,
-                           Orders& orders) {
-  std::set<JobId> suspects;
-  for (const auto& [run, early] : runs) {
-    if (early) suspects.insert(run.first.job);
+void Scheduler::AddEvidence(UpstreamIndex upstream, const SuspectRuns& runs,
+                            UpstreamFate fate, TimePoint now, Orders& orders) {
+  const Upstream& it = pool_.at(upstream);
+  std::set<JobId> new_jobs;
+  for (const auto& [run, suspect] : runs) {
+    if (IsEarly(suspect)) new_jobs.insert(run.first.job);
   }
-  for (const auto& [run, early] : runs) {
+  for (const auto& [run, suspect] : runs) {
     const auto& [id, attempt] = run;
+    // A run that is not known to have started is not shown to be the cause.
+    if (!suspect.last_seen) continue;
+    // Once the leases have expired, the upstream may crash without the run.
+    // Only the first moments of a run say that its start was the cause.
+    if (fate == UpstreamFate::kUnknown && *suspect.last_seen >= kEarlyWindow) {
+      continue;
+    }
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
     }
-    const Task& task = record->job.task(id);
-    if (task.phase == TaskPhase::kDone) continue;
-    if (!record->job.CountCrash(id, attempt, early)) continue;
+    if (record->job.task(id).phase == TaskPhase::kDone) continue;
+    const SuspectedCrash crash{
+        .attempt = attempt,
+        .upstream = it.entry.id,
+        .incarnation = it.entry.incarnation,
+        .last_seen = *suspect.last_seen,
+        .silent_after = suspect.silent_after,
+        .sole_suspect = IsEarly(suspect) && new_jobs.size() == 1,
+        .fate = fate};
+    if (!record->job.MutableTask(id).crashes.Add(crash)) continue;
     MarkChanged(*record);
-    const bool sole_suspect = early && suspects.size() == 1;
-    const size_t limit = sole_suspect ? kSoleSuspectLimit : kEarlyLimit;
-    if (task.crashes.early.size() < limit &&
-        task.crashes.total() < kTotalLimit) {
+    AppendEvents(EvidenceChange::kAdded, id, {crash}, orders);
+    if (fate == UpstreamFate::kUnknown) {
+      const TimePoint since = it.unresponsive_since.value_or(now);
+      silent_upstreams_.try_emplace(it.entry.id, SilentUpstream{.since = since})
+          .first->second.tasks.insert(id);
+    }
+    FailIfCrashing(*record, id, now, orders);
+  }
+}
+
+void Scheduler::UpdateEvidence(const std::string& upstream,
+                               const FateUpdate& update, TimePoint now,
+                               Orders& orders) {
+  const auto found = silent_upstreams_.find(upstream);
+  if (found == silent_upstreams_.end()) return;
+  for (const TaskId& id : found->second.tasks) {
+    JobRecord* record = FindJobRecord(id.job);
+    if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
     }
-    FailPermanently(*record, id, now, orders);
+    if (record->job.task(id).crashes.empty()) continue;
+    update(record->job.MutableTask(id).crashes, id);
+    MarkChanged(*record);
+    FailIfCrashing(*record, id, now, orders);
+  }
+}
+
+void Scheduler::ConfirmCrash(const std::string& upstream, UpstreamFate fate,
+                             TimePoint now, Orders& orders) {
+  UpdateEvidence(
+      upstream,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kConfirmed, id,
+                     crashes.SetFate(upstream, fate), orders);
+      },
+      now, orders);
+  if (fate == UpstreamFate::kReplaced) silent_upstreams_.erase(upstream);
+}
+
+void Scheduler::WithdrawEvidence(const std::string& upstream, TimePoint now,
+                                 Orders& orders) {
+  UpdateEvidence(
+      upstream,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kWithdrawn, id, crashes.Withdraw(upstream),
+                     orders);
+      },
+      now, orders);
+  silent_upstreams_.erase(upstream);
+}
+
+void Scheduler::NoteAnswer(UpstreamIndex upstream, TimePoint now,
+                           Orders& orders) {
+  Upstream& it = pool_.at(upstream);
+  it.suspect_runs.clear();
+  const std::string& name = it.entry.id;
+  if (silent_upstreams_.count(name) == 0) return;
+  UpdateEvidence(
+      name,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kWithdrawn, id,
+                     crashes.NoteAnswer(name, it.entry.incarnation), orders);
+      },
+      now, orders);
+  silent_upstreams_.erase(name);
+}
+
+void Scheduler::RegisterEvidence(const JobRecord& record, TimePoint now) {
+  if (record.job.final()) return;
+  for (const StepId& step : record.job.OpenSteps()) {
+    for (int32_t i = 0; i < record.job.step(step.step).tasks; ++i) {
+      const TaskId id{step.job, step.occurrence, step.step, i};
+      for (const SuspectedCrash& crash : record.job.task(id).crashes.list()) {
+        if (crash.fate == UpstreamFate::kReplaced) continue;
+        silent_upstreams_
+            .try_emplace(crash.upstream, SilentUpstream{.since = now})
+            .first->second.tasks.insert(id);
+      }
+    }
+  }
+}
+
+bool Scheduler::AwaitsFate(const std::string& upstream) const {
+  const auto found = silent_upstreams_.find(upstream);
+  return found != silent_upstreams_.end() && !found->second.assumed_crashed;
+}
+
+bool Scheduler::IsListed(const std::string& upstream) const {
+  const UpstreamIndex index = pool_.Find(upstream);
+  return index != kNoUpstream && pool_.at(index).listed;
+}
+
+bool Scheduler::HasEvidence(const TaskId& id) const {
+  const Job* job = Find(id.job);
+  return job != nullptr && !job->final() && job->Has(id) &&
+         !job->task(id).crashes.empty();
+}
+
+void Scheduler::CheckMissingUpstreams(TimePoint now, Orders& orders) {
+  for (auto& [upstream, silent] : silent_upstreams_) {
+    std::erase_if(silent.tasks,
+                  [this](const TaskId& id) { return !HasEvidence(id); });
+  }
+  std::erase_if(silent_upstreams_, [](const auto& silent) {
+    return silent.second.tasks.empty();
+  });
+  for (auto& [upstream, silent] : silent_upstreams_) {
+    if (silent.assumed_crashed || now - silent.since < kMissingTime) continue;
+    if (IsListed(upstream)) continue;
+    silent.assumed_crashed = true;
+    ConfirmCrash(upstream, UpstreamFate::kMissing, now, orders);
   }
 }
 
-void Scheduler::FailPermanently(JobRecord& record, const TaskId& id,
-                                TimePoint now, Orders& orders) {
+void Scheduler::FailIfCrashing(JobRecord& record, const TaskId& id,
+                               TimePoint now, Orders& orders) {
+  if (record.job.final()) return;
+  const CrashEvidence& crashes = record.job.task(id).crashes;
+  if (!crashes.ShowsCause(IsConfirmed)) return;
+  CrashEvidence::List counted = crashes.list();
+  std::erase_if(counted,
+                [](const SuspectedCrash& it) { return !IsConfirmed(it); });
   orders.permanently_failed.push_back(
-      {.task = id, .crashes = record.job.task(id).crashes});
+      {.task = id, .crashes = std::move(counted)});
   FinishJob(record, JobState::kFailed, now);
   StopAll(record, StopReason::kJobFailed, now, orders);
 }
 
-void Scheduler::ClearSuspicion(JobRecord& record, UpstreamIndex upstream,
-                               const ports::RunningTask& running) {
-  if (record.job.task(running.task).crashes.total() == 0) return;
-  CrashCounts& crashes = record.job.MutableTask(running.task).crashes;
+bool Scheduler::AwaitsEvidence(const Task& task) const {
+  if (task.crashes.empty()) return false;
+  return task.crashes.ShowsCause([this](const SuspectedCrash& crash) {
+    return IsConfirmed(crash) || !IsListed(crash.upstream);
+  });
+}
+
+void Scheduler::RemoveOutlastedEvidence(JobRecord& record,
+                                        UpstreamIndex upstream,
+                                        const ports::RunningTask& running,
+                                        Orders& orders) {
+  if (record.job.task(running.task).crashes.empty()) return;
   const Reservations& reservations = pool_.at(upstream).reservations;
   const auto run = reservations.find({running.task, running.attempt});
   if (run == reservations.end() || !run->second.started_at) return;
-  const auto lasted = *run->second.last_listed_at - *run->second.started_at;
-  if (lasted >= kHarmlessRunTime) {
-    crashes = {};
-  } else if (lasted >= kEarlyWindow && crashes.suspect()) {
-    // The task does not crash upstreams as it starts, but may still do so
-    // later.
-    crashes.other.insert(crashes.other.end(), crashes.early.begin(),
-                         crashes.early.end());
-    crashes.early.clear();
-  } else {
-    return;
-  }
+  const auto lasted = std::chrono::duration_cast<Millis>(
+      *run->second.last_listed_at - *run->second.started_at);
+  const CrashEvidence::List outlasted =
+      record.job.MutableTask(running.task).crashes.RemoveOutlasted(lasted);
+  if (outlasted.empty()) return;
+  AppendEvents(EvidenceChange::kOutlasted, running.task, outlasted, orders);
   MarkChanged(record);
 }
 
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -91,13 +91,18 @@
 int32_t Scheduler::DelayedRestarts(const JobRecord& record, const StepId& id,
                                    TimePoint now) const {
   const Job& job = record.job;
-  if (!job.step(id.step).long_running) return 0;
+  const wire::StepSpec& step = job.step(id.step);
+  if (!step.long_running && silent_upstreams_.empty()) return 0;
+  const int32_t waiting = job.step_counts(id.occurrence, id.step).waiting;
   int32_t delayed = 0;
-  for (int32_t i = 0; i < job.step(id.step).tasks; ++i) {
-    const TaskId task{id.job, id.occurrence, id.step, i};
-    const bool waits = job.task(task).phase == TaskPhase::kWaiting;
-    const Task& keeper = job.task(job.FailureKeeper(task));
-    if (waits && now < keeper.earliest_start) ++delayed;
+  for (int32_t i = 0; i < step.tasks; ++i) {
+    const TaskId id_of_task{id.job, id.occurrence, id.step, i};
+    const Task& task = job.task(id_of_task);
+    if (task.phase != TaskPhase::kWaiting) continue;
+    const Task& keeper = job.task(job.FailureKeeper(id_of_task));
+    if (now >= keeper.earliest_start && !AwaitsEvidence(task)) continue;
+    if (step.gang) return waiting;
+    ++delayed;
   }
   return delayed;
 }
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -100,9 +100,10 @@
 /// Why all runs on an upstream have ended.
 enum class UpstreamLoss {
   kLeasesExpired,  ///< Unresponsive, and its leases have expired.
-  kCrashed,        ///< Replaced, or unresponsive and not listed.
+  kCrashed,        ///< A later incarnation answers in its place.
   kLeft,           ///< As kCrashed, but it was listed as draining.
   kMaintenance,    ///< Its host was taken out of service for maintenance.
+  kUnreachable,    ///< As kLeasesExpired, and it is not listed any more.
 };
 
 inline constexpr EnumTable kUpstreamLossNames{std::array{
@@ -110,6 +111,7 @@
     EnumName{UpstreamLoss::kCrashed, "crashed"},
     EnumName{UpstreamLoss::kLeft, "left"},
     EnumName{UpstreamLoss::kMaintenance, "upkeep"},
+    EnumName{UpstreamLoss::kUnreachable, "unreachable"},
 }};
 
 /// A run that was lost with its upstream.
@@ -128,7 +130,30 @@
 /// A task that failed permanently because upstreams crashed while running it.
 struct PermanentlyFailedTask {
   TaskId task;
-  CrashCounts crashes;
+  /// The crashes that show it.
+  CrashEvidence::List crashes;
+};
+
+/// Why the evidence that a task crashes upstreams has changed.
+enum class EvidenceChange {
+  kAdded,      ///< A run was lost with its upstream.
+  kConfirmed,  ///< The upstream is now known or assumed to have crashed.
+  kWithdrawn,  ///< The upstream has not crashed.
+  kOutlasted,  ///< A later run lasted longer than the lost one.
+};
+
+inline constexpr EnumTable kEvidenceChangeNames{std::array{
+    EnumName{EvidenceChange::kAdded, "added"},
+    EnumName{EvidenceChange::kConfirmed, "confirmed"},
+    EnumName{EvidenceChange::kWithdrawn, "withdrawn"},
+    EnumName{EvidenceChange::kOutlasted, "outlasted"},
+}};
+
+/// A change of the evidence that a task crashes upstreams.
+struct EvidenceEvent {
+  TaskId task;
+  EvidenceChange change = EvidenceChange::kAdded;
+  SuspectedCrash crash;
 };
 
 /// A change of an upstream's health.
@@ -190,6 +215,7 @@
   /// Only to be logged; these require no action.
   std::vector<LostRun> lost;
   std::vector<PermanentlyFailedTask> permanently_failed;
+  std::vector<EvidenceEvent> evidence;
   std::vector<HealthEvent> health;
   std::vector<DelayedRestart> delayed_restarts;
 };
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -348,7 +348,8 @@
   for (int32_t i = 0; i < step.tasks && may_start > 0; ++i) {
     const TaskId task_id{id.job, id.occurrence, id.step, i};
     const Task& task = record.job.task(task_id);
-    if (task.phase != TaskPhase::kWaiting || now < task.earliest_start) {
+    if (task.phase != TaskPhase::kWaiting || now < task.earliest_start ||
+        AwaitsEvidence(task)) {
       continue;
     }
     const bool retry = task.failures() > 0;
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -66,14 +66,13 @@
 void Scheduler::OnRunning(UpstreamIndex upstream,
                           const std::vector<ports::RunningTask>& running,
                           TimePoint now, Orders& orders) {
-  // The upstream answers, so it has not crashed with its runs.
-  pool_.at(upstream).suspect_runs.clear();
+  NoteAnswer(upstream, now, orders);
   for (const ports::RunningTask& run : running) {
     JobRecord* record = FindJobRecord(run.task.job);
     if (record != nullptr && !record->job.Has(run.task)) record = nullptr;
     if (record != nullptr) AccountForRun(*record, upstream, run, now);
     if (record != nullptr && IsCurrentRun(record->job, upstream, run)) {
-      ClearSuspicion(*record, upstream, run);
+      RemoveOutlastedEvidence(*record, upstream, run, orders);
       UpdateCurrentRun(*record, upstream, run, now, orders);
     } else {
       StopUnwanted(record, upstream, run, now, orders);
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -77,6 +77,7 @@
   record.counts_as_unreported =
       !resolved_ && record.job.state() != JobState::kComplete;
   if (record.counts_as_unreported) unreported_jobs_.insert(record.job.id());
+  RegisterEvidence(record, now);
   UpdateAllQueued(record);
 }
 
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -158,9 +158,14 @@
   /// their results will not be reported, except those in `remaining`.
   void OnRestarted(UpstreamIndex upstream, int64_t incarnation,
                    const RunSet& remaining, TimePoint now, Orders& orders);
-  /// Returns the runs on the upstream, each with whether it started only just
-  /// before the upstream became unresponsive.
+  /// Returns the runs that a crash of the upstream ended or would end.
   SuspectRuns SuspectRunsOn(UpstreamIndex upstream, TimePoint now) const;
+  /// Whether the upstream may have been crashed by a task, and its fate is not
+  /// known.
+  bool AwaitsFate(const std::string& upstream) const;
+  /// Assumes that upstreams have crashed that have been missing for long. Call
+  /// regularly.
+  void CheckMissingUpstreams(TimePoint now, Orders& orders);
   /// The call for `order` has ended. `advice` is null if it failed.
   void OnAdvice(const AdviceOrder& order, const ports::Advice* advice,
                 TimePoint now);
@@ -425,16 +430,47 @@
   /// Forgets the adviser's answers about the upstream: tickets are valid for
   /// one incarnation only.
   void DropAdvice(UpstreamIndex upstream);
-  /// Counts the crash of an upstream against its runs, and fails the jobs whose
-  /// tasks are considered its cause.
-  void CountCrash(const SuspectRuns& runs, TimePoint now, Orders& orders);
-  /// Fails the job because of a task that crashes upstreams.
-  void FailPermanently(JobRecord& record, const TaskId& id, TimePoint now,
-                       Orders& orders);
-  /// Clears crashes of the task that no longer count, now that a report lists a
-  /// run that has lasted long enough.
-  void ClearSuspicion(JobRecord& record, UpstreamIndex upstream,
-                      const ports::RunningTask& running);
+  /// An upstream that may have crashed, and the tasks that may be the cause.
+  struct SilentUpstream {
+    /// Since when it is unresponsive, or when this leader learned of it.
+    TimePoint since{};
+    bool assumed_crashed = false;
+    std::set<TaskId> tasks;
+  };
+  /// What is learned of the fate of an upstream changes the evidence.
+  using FateUpdate = std::function<void(CrashEvidence&, const TaskId&)>;
+
+  /// Adds the loss of these runs to the evidence against their tasks.
+  void AddEvidence(UpstreamIndex upstream, const SuspectRuns& runs,
+                   UpstreamFate fate, TimePoint now, Orders& orders);
+  /// Applies the update to the evidence against each task that ran on the
+  /// upstream when it became unresponsive.
+  void UpdateEvidence(const std::string& upstream, const FateUpdate& update,
+                      TimePoint now, Orders& orders);
+  /// The upstream is known or assumed to have crashed.
+  void ConfirmCrash(const std::string& upstream, UpstreamFate fate,
+                    TimePoint now, Orders& orders);
+  /// The upstream has left as planned.
+  void WithdrawEvidence(const std::string& upstream, TimePoint now,
+                        Orders& orders);
+  /// The upstream answers as the incarnation that the pool knows.
+  void NoteAnswer(UpstreamIndex upstream, TimePoint now, Orders& orders);
+  /// Registers the evidence of a job that an earlier leader has stored.
+  void RegisterEvidence(const JobRecord& record, TimePoint now);
+  bool IsListed(const std::string& upstream) const;
+  /// Whether there is any evidence against the task, and its job is not final.
+  bool HasEvidence(const TaskId& id) const;
+  /// Fails the job if the task is shown to crash its upstreams.
+  void FailIfCrashing(JobRecord& record, const TaskId& id, TimePoint now,
+                      Orders& orders);
+  /// Whether a start of the task has to wait until the fate of its earlier
+  /// upstreams is known: it would be shown to crash them.
+  bool AwaitsEvidence(const Task& task) const;
+  /// A report lists a run of the task. What happened sooner after a start no
+  /// longer counts.
+  void RemoveOutlastedEvidence(JobRecord& record, UpstreamIndex upstream,
+                               const ports::RunningTask& running,
+                               Orders& orders);
   /// Stops all members of a gang that can't succeed, so that it restarts as a
   /// whole.
   void BreakGang(JobRecord& record, const StepId& id, TimePoint now,
@@ -759,6 +795,8 @@
   std::unordered_map<UpstreamIndex,
                      std::map<std::pair<TaskId, int64_t>, StopState>>
       stops_;
+  /// By upstream id. Upstreams that no evidence names are removed later.
+  std::map<std::string, SilentUpstream> silent_upstreams_;
 };
 
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -59,10 +59,19 @@
 /// Runs, by task and attempt.
 using RunSet = std::set<std::pair<TaskId, int64_t>>;
 
-/// The runs on an unresponsive upstream, by task and attempt. The value is true
-/// if the run is known to have started less than kEarlyWindow (crashes.cc)
-/// before the upstream became unresponsive.
-using SuspectRuns = std::map<std::pair<TaskId, int64_t>, bool>;
+/// A run on an upstream that may have crashed.
+struct SuspectRun {
+  /// How long the run had lasted when the upstream last confirmed it. Unset if
+  /// its start was never confirmed to the leader that ordered it.
+  std::optional<Millis> last_seen{};
+  /// Time from the order to start until the upstream became unresponsive.
+  Millis silent_after{0};
+
+  bool operator==(const SuspectRun&) const = default;
+};
+
+/// The runs on an unresponsive upstream, by task and attempt.
+using SuspectRuns = std::map<std::pair<TaskId, int64_t>, SuspectRun>;
 
 /// A time during which only tasks of one job start on an upstream, because one
 /// of them is suspected of crashing upstreams.
@@ -96,8 +105,8 @@
   /// A reservation is released only when the upstream has listed the end of the
   /// run, or its leases have certainly expired.
   Reservations reservations;
-  /// Runs that existed when the upstream became unresponsive or its leases
-  /// expired. Kept until it is known whether it has crashed.
+  /// Runs that existed when the upstream became unresponsive under an earlier
+  /// leader. Kept until it answers, has crashed, or its leases have expired.
   SuspectRuns suspect_runs;
   std::optional<Quarantine> quarantine{};
   /// The list entry of the previous incarnation said that it drains. Unset once
