Jobs: Let a crash after the leases count less than one with the run

What callers saw: a job failed after one crash under its task.

Change: the evidence says whether the leases had expired before the fate was known. Such crashes never decide as the second one, only as the third.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -55,7 +55,8 @@
           {"fate", std::string(kUpstreamFateNames.Name(crash.fate))},
           {"last_seen_ms", Text(crash.last_seen.count())},
           {"silent_after_ms", Text(crash.silent_after.count())},
-          {"sole_suspect", crash.sole_suspect ? "yes" : "no"}};
+          {"sole_suspect", crash.sole_suspect ? "yes" : "no"},
+          {"lapsed", crash.lapsed ? "yes" : "no"}};
 }
 
 }  // namespace
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -6,8 +6,9 @@
 namespace mimosarail {
 namespace {
 
-/// Number of early crashes that show the cause. kSoleSuspectLimit applies if no
-/// other job can have caused the last one, otherwise kEarlyLimit.
+/// Number of early crashes that show the cause. kSoleSuspectLimit applies to
+/// crashes that certainly ended a run if no other job can have caused the last
+/// of them, otherwise kEarlyLimit.
 constexpr size_t kSoleSuspectLimit = 2;
 constexpr size_t kEarlyLimit = 3;
 /// Number of crashes at about the same time after the start that show the
@@ -96,6 +97,7 @@
 
 bool CrashEvidence::ShowsCause(const Filter& counts) const {
   size_t early = 0;
+  size_t early_with_run = 0;
   bool last_is_sole_suspect = false;
   std::vector<Millis> last_seen;
   std::vector<Millis> silent_after;
@@ -105,11 +107,12 @@
     silent_after.push_back(it.silent_after);
     if (!it.early()) continue;
     ++early;
+    if (it.lapsed) continue;
+    ++early_with_run;
     last_is_sole_suspect = it.sole_suspect;
   }
-  if (early >= (last_is_sole_suspect ? kSoleSuspectLimit : kEarlyLimit)) {
-    return true;
-  }
+  if (early >= kEarlyLimit) return true;
+  if (last_is_sole_suspect && early_with_run >= kSoleSuspectLimit) return true;
   return std::max(LargestGroup(std::move(last_seen)),
                   LargestGroup(std::move(silent_after))) >= kSameTimeLimit;
 }
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -36,6 +36,9 @@
   Millis silent_after{0};
   /// No run of another job there had only just started.
   bool sole_suspect = false;
+  /// The leases expired before the fate was known: the upstream may have
+  /// crashed after the run had ended.
+  bool lapsed = false;
   UpstreamFate fate = UpstreamFate::kUnknown;
 
   /// Whether the upstream became unresponsive as the run started.
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1136,6 +1136,10 @@
 void CrashRecord::__set_fate(const int32_t val) {
   this->fate = val;
 }
+
+void CrashRecord::__set_lapsed(const bool val) {
+  this->lapsed = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -1220,6 +1224,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 8:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->lapsed);
+          this->__isset.lapsed = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1265,6 +1277,10 @@
   xfer += oprot->writeI32(this->fate);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("lapsed", ::apache::thrift::protocol::T_BOOL, 8);
+  xfer += oprot->writeBool(this->lapsed);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1279,6 +1295,7 @@
   swap(a.silent_after_ms, b.silent_after_ms);
   swap(a.sole_suspect, b.sole_suspect);
   swap(a.fate, b.fate);
+  swap(a.lapsed, b.lapsed);
   swap(a.__isset, b.__isset);
 }
 
@@ -1290,6 +1307,7 @@
   silent_after_ms = other24.silent_after_ms;
   sole_suspect = other24.sole_suspect;
   fate = other24.fate;
+  lapsed = other24.lapsed;
   __isset = other24.__isset;
 }
 CrashRecord::CrashRecord(CrashRecord&& other25) noexcept {
@@ -1300,6 +1318,7 @@
   silent_after_ms = other25.silent_after_ms;
   sole_suspect = other25.sole_suspect;
   fate = other25.fate;
+  lapsed = other25.lapsed;
   __isset = other25.__isset;
 }
 CrashRecord& CrashRecord::operator=(const CrashRecord& other26) {
@@ -1310,6 +1329,7 @@
   silent_after_ms = other26.silent_after_ms;
   sole_suspect = other26.sole_suspect;
   fate = other26.fate;
+  lapsed = other26.lapsed;
   __isset = other26.__isset;
   return *this;
 }
@@ -1321,6 +1341,7 @@
   silent_after_ms = other27.silent_after_ms;
   sole_suspect = other27.sole_suspect;
   fate = other27.fate;
+  lapsed = other27.lapsed;
   __isset = other27.__isset;
   return *this;
 }
@@ -1334,6 +1355,7 @@
   out << ", " << "silent_after_ms=" << to_string(silent_after_ms);
   out << ", " << "sole_suspect=" << to_string(sole_suspect);
   out << ", " << "fate=" << to_string(fate);
+  out << ", " << "lapsed=" << to_string(lapsed);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -511,7 +511,7 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), sole_suspect(false), fate(false) {}
+  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), sole_suspect(false), fate(false), lapsed(false) {}
   bool attempt :1;
   bool upstream :1;
   bool incarnation :1;
@@ -519,6 +519,7 @@
   bool silent_after_ms :1;
   bool sole_suspect :1;
   bool fate :1;
+  bool lapsed :1;
 } _CrashRecord__isset;
 
 /**
@@ -538,7 +539,8 @@
                 last_seen_ms(0),
                 silent_after_ms(0),
                 sole_suspect(0),
-                fate(0) {
+                fate(0),
+                lapsed(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -565,6 +567,10 @@
    * 0: unknown; 1: another incarnation answered; 2: away for long.
    */
   int32_t fate;
+  /**
+   * The leases had expired before the fate was known.
+   */
+  bool lapsed;
 
   _CrashRecord__isset __isset;
 
@@ -582,6 +588,8 @@
 
   void __set_fate(const int32_t val);
 
+  void __set_lapsed(const bool val);
+
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -598,6 +606,8 @@
       return false;
     if (!(fate == rhs.fate))
       return false;
+    if (!(lapsed == rhs.lapsed))
+      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -84,6 +84,8 @@
   6: bool sole_suspect
   /** 0: unknown; 1: another incarnation answered; 2: away for long. */
   7: i32 fate
+  /** The leases had expired before the fate was known. */
+  8: bool lapsed
 }
 
 /** State of one task that is not done. */
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -176,6 +176,7 @@
         .last_seen = *suspect.last_seen,
         .silent_after = suspect.silent_after,
         .sole_suspect = IsEarly(suspect) && new_jobs.size() == 1,
+        .lapsed = fate == UpstreamFate::kUnknown,
         .fate = fate};
     if (!record->job.MutableTask(id).crashes.Add(crash)) continue;
     MarkChanged(*record);
@@ -282,9 +283,8 @@
     std::erase_if(silent.tasks,
                   [this](const TaskId& id) { return !HasEvidence(id); });
   }
-  std::erase_if(silent_upstreams_, [](const auto& silent) {
-    return silent.second.tasks.empty();
-  });
+  std::erase_if(silent_upstreams_,
+                [](const auto& silent) { return silent.second.tasks.empty(); });
   for (auto& [upstream, silent] : silent_upstreams_) {
     if (silent.assumed_crashed || now - silent.since < kMissingTime) continue;
     if (IsListed(upstream)) continue;
