Jobs: Decide on three early crashes, whoever else was new there

Change: three early crashes decide, with or without other suspects. The cost: a task that crashes its upstreams takes one more along, three in all, which is within the budget.

--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -6,10 +6,8 @@
 namespace mimosarail {
 namespace {
 
-/// Number of early crashes that show the cause. kSoleSuspectLimit applies to
-/// crashes that certainly ended a run if no other job can have caused the last
-/// of them, otherwise kEarlyLimit.
-constexpr size_t kSoleSuspectLimit = 2;
+/// Number of early crashes that show the cause. Two may be a coincidence where
+/// many upstreams crash for other reasons.
 constexpr size_t kEarlyLimit = 3;
 /// Number of crashes at about the same time after the start that show the
 /// cause. Higher than kEarlyLimit, as upstreams that crash for other reasons
@@ -97,22 +95,15 @@
 
 bool CrashEvidence::ShowsCause(const Filter& counts) const {
   size_t early = 0;
-  size_t early_with_run = 0;
-  bool last_is_sole_suspect = false;
   std::vector<Millis> last_seen;
   std::vector<Millis> silent_after;
   for (const SuspectedCrash& it : crashes_) {
     if (!counts(it)) continue;
     last_seen.push_back(it.last_seen);
     silent_after.push_back(it.silent_after);
-    if (!it.early()) continue;
-    ++early;
-    if (it.lapsed) continue;
-    ++early_with_run;
-    last_is_sole_suspect = it.sole_suspect;
+    if (it.early()) ++early;
   }
   if (early >= kEarlyLimit) return true;
-  if (last_is_sole_suspect && early_with_run >= kSoleSuspectLimit) return true;
   return std::max(LargestGroup(std::move(last_seen)),
                   LargestGroup(std::move(silent_after))) >= kSameTimeLimit;
 }
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -34,11 +34,6 @@
   Millis last_seen{0};
   /// Time from the order to start until the upstream became unresponsive.
   Millis silent_after{0};
-  /// No run of another job there had only just started.
-  bool sole_suspect = false;
-  /// The leases expired before the fate was known: the upstream may have
-  /// crashed after the run had ended.
-  bool lapsed = false;
   UpstreamFate fate = UpstreamFate::kUnknown;
 
   /// Whether the upstream became unresponsive as the run started.
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1129,17 +1129,9 @@
   this->silent_after_ms = val;
 }
 
-void CrashRecord::__set_sole_suspect(const bool val) {
-  this->sole_suspect = val;
-}
-
 void CrashRecord::__set_fate(const int32_t val) {
   this->fate = val;
 }
-
-void CrashRecord::__set_lapsed(const bool val) {
-  this->lapsed = val;
-}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -1209,14 +1201,6 @@
         }
         break;
       case 6:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->sole_suspect);
-          this->__isset.sole_suspect = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
-      case 7:
         if (ftype == ::apache::thrift::protocol::T_I32) {
           xfer += iprot->readI32(this->fate);
           this->__isset.fate = true;
@@ -1224,14 +1208,6 @@
           xfer += iprot->skip(ftype);
         }
         break;
-      case 8:
-        if (ftype == ::apache::thrift::protocol::T_BOOL) {
-          xfer += iprot->readBool(this->lapsed);
-          this->__isset.lapsed = true;
-        } else {
-          xfer += iprot->skip(ftype);
-        }
-        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1269,18 +1245,10 @@
   xfer += oprot->writeI64(this->silent_after_ms);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("sole_suspect", ::apache::thrift::protocol::T_BOOL, 6);
-  xfer += oprot->writeBool(this->sole_suspect);
-  xfer += oprot->writeFieldEnd();
-
-  xfer += oprot->writeFieldBegin("fate", ::apache::thrift::protocol::T_I32, 7);
+  xfer += oprot->writeFieldBegin("fate", ::apache::thrift::protocol::T_I32, 6);
   xfer += oprot->writeI32(this->fate);
   xfer += oprot->writeFieldEnd();
 
-  xfer += oprot->writeFieldBegin("lapsed", ::apache::thrift::protocol::T_BOOL, 8);
-  xfer += oprot->writeBool(this->lapsed);
-  xfer += oprot->writeFieldEnd();
-
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1293,9 +1261,7 @@
   swap(a.incarnation, b.incarnation);
   swap(a.last_seen_ms, b.last_seen_ms);
   swap(a.silent_after_ms, b.silent_after_ms);
-  swap(a.sole_suspect, b.sole_suspect);
   swap(a.fate, b.fate);
-  swap(a.lapsed, b.lapsed);
   swap(a.__isset, b.__isset);
 }
 
@@ -1305,9 +1271,7 @@
   incarnation = other24.incarnation;
   last_seen_ms = other24.last_seen_ms;
   silent_after_ms = other24.silent_after_ms;
-  sole_suspect = other24.sole_suspect;
   fate = other24.fate;
-  lapsed = other24.lapsed;
   __isset = other24.__isset;
 }
 CrashRecord::CrashRecord(CrashRecord&& other25) noexcept {
@@ -1316,9 +1280,7 @@
   incarnation = other25.incarnation;
   last_seen_ms = other25.last_seen_ms;
   silent_after_ms = other25.silent_after_ms;
-  sole_suspect = other25.sole_suspect;
   fate = other25.fate;
-  lapsed = other25.lapsed;
   __isset = other25.__isset;
 }
 CrashRecord& CrashRecord::operator=(const CrashRecord& other26) {
@@ -1327,9 +1289,7 @@
   incarnation = other26.incarnation;
   last_seen_ms = other26.last_seen_ms;
   silent_after_ms = other26.silent_after_ms;
-  sole_suspect = other26.sole_suspect;
   fate = other26.fate;
-  lapsed = other26.lapsed;
   __isset = other26.__isset;
   return *this;
 }
@@ -1339,9 +1299,7 @@
   incarnation = other27.incarnation;
   last_seen_ms = other27.last_seen_ms;
   silent_after_ms = other27.silent_after_ms;
-  sole_suspect = other27.sole_suspect;
   fate = other27.fate;
-  lapsed = other27.lapsed;
   __isset = other27.__isset;
   return *this;
 }
@@ -1353,9 +1311,7 @@
   out << ", " << "incarnation=" << to_string(incarnation);
   out << ", " << "last_seen_ms=" << to_string(last_seen_ms);
   out << ", " << "silent_after_ms=" << to_string(silent_after_ms);
-  out << ", " << "sole_suspect=" << to_string(sole_suspect);
   out << ", " << "fate=" << to_string(fate);
-  out << ", " << "lapsed=" << to_string(lapsed);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -511,15 +511,13 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), sole_suspect(false), fate(false), lapsed(false) {}
+  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), fate(false) {}
   bool attempt :1;
   bool upstream :1;
   bool incarnation :1;
   bool last_seen_ms :1;
   bool silent_after_ms :1;
-  bool sole_suspect :1;
   bool fate :1;
-  bool lapsed :1;
 } _CrashRecord__isset;
 
 /**
@@ -538,9 +536,7 @@
                 incarnation(0),
                 last_seen_ms(0),
                 silent_after_ms(0),
-                sole_suspect(0),
-                fate(0),
-                lapsed(0) {
+                fate(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -559,18 +555,10 @@
    * Time from the order to start until the upstream stopped responding.
    */
   int64_t silent_after_ms;
-  /**
-   * No run of another job there had only just begun.
-   */
-  bool sole_suspect;
   /**
    * 0: unknown; 1: another incarnation answered; 2: away for long.
    */
   int32_t fate;
-  /**
-   * The leases had expired before the fate was known.
-   */
-  bool lapsed;
 
   _CrashRecord__isset __isset;
 
@@ -584,12 +572,8 @@
 
   void __set_silent_after_ms(const int64_t val);
 
-  void __set_sole_suspect(const bool val);
-
   void __set_fate(const int32_t val);
 
-  void __set_lapsed(const bool val);
-
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -602,12 +586,8 @@
       return false;
     if (!(silent_after_ms == rhs.silent_after_ms))
       return false;
-    if (!(sole_suspect == rhs.sole_suspect))
-      return false;
     if (!(fate == rhs.fate))
       return false;
-    if (!(lapsed == rhs.lapsed))
-      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -49,8 +49,6 @@
     record.incarnation = crash.incarnation;
     record.last_seen_ms = crash.last_seen.count();
     record.silent_after_ms = crash.silent_after.count();
-    record.sole_suspect = crash.sole_suspect;
-    record.lapsed = crash.lapsed;
     record.fate = static_cast<int32_t>(crash.fate);
   }
   return out;
@@ -64,8 +62,6 @@
              .incarnation = record.incarnation,
              .last_seen = Millis(record.last_seen_ms),
              .silent_after = Millis(record.silent_after_ms),
-             .sole_suspect = record.sole_suspect,
-             .lapsed = record.lapsed,
              .fate = static_cast<UpstreamFate>(record.fate)});
   }
   return out;
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -80,12 +80,8 @@
   4: i64 last_seen_ms
   /** Time from the order to start until the upstream stopped responding. */
   5: i64 silent_after_ms
-  /** No run of another job there had only just begun. */
-  6: bool sole_suspect
   /** 0: unknown; 1: another incarnation answered; 2: away for long. */
-  7: i32 fate
-  /** The leases had expired before the fate was known. */
-  8: bool lapsed
+  6: i32 fate
 }
 
 /** State of one task that is not done. */
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -3,7 +3,7 @@
 // which shows later: it answers again, a later incarnation answers in its
 // place, or it stays away. Only a crash counts against the tasks that ran
 // there. Runs that had only just begun are suspected, and restart where nothing
-// else is new, so that a second crash has a single possible cause.
+// else is new, so that a further crash has a single possible cause.
 
 #include <algorithm>
 
@@ -32,8 +32,6 @@
   return std::chrono::duration_cast<Millis>(now - *when);
 }
 
-bool IsEarly(const SuspectRun& run) { return run.silent_after < kEarlyWindow; }
-
 SuspectRun ToSuspectRun(const Reservation& run, TimePoint unresponsive_since) {
   SuspectRun out{.silent_after = std::chrono::duration_cast<Millis>(
                      unresponsive_since - run.reserved_at)};
@@ -151,10 +149,6 @@
 void Scheduler::AddEvidence(UpstreamIndex upstream, const SuspectRuns& runs,
                             UpstreamFate fate, TimePoint now, Orders& orders) {
   const Upstream& it = pool_.at(upstream);
-  std::set<JobId> new_jobs;
-  for (const auto& [run, suspect] : runs) {
-    if (IsEarly(suspect)) new_jobs.insert(run.first.job);
-  }
   for (const auto& [run, suspect] : runs) {
     const auto& [id, attempt] = run;
     // A run that is not known to have started is not shown to be the cause.
@@ -169,15 +163,12 @@
       continue;
     }
     if (record->job.task(id).phase == TaskPhase::kDone) continue;
-    const SuspectedCrash crash{
-        .attempt = attempt,
-        .upstream = it.entry.id,
-        .incarnation = it.entry.incarnation,
-        .last_seen = *suspect.last_seen,
-        .silent_after = suspect.silent_after,
-        .sole_suspect = IsEarly(suspect) && new_jobs.size() == 1,
-        .lapsed = fate == UpstreamFate::kUnknown,
-        .fate = fate};
+    const SuspectedCrash crash{.attempt = attempt,
+                               .upstream = it.entry.id,
+                               .incarnation = it.entry.incarnation,
+                               .last_seen = *suspect.last_seen,
+                               .silent_after = suspect.silent_after,
+                               .fate = fate};
     if (!record->job.MutableTask(id).crashes.Add(crash)) continue;
     MarkChanged(*record);
     AppendEvents(EvidenceChange::kAdded, id, {crash}, orders);
