Scheduling: Move four duties of the scheduler into units of their own

State that one duty needs stood beside that of all others, so that no duty could be read or tested alone.

Change, without a change of behaviour: - SilentUpstreams: upstreams that tasks may have crashed, and when they are assumed to have crashed. - StopTracker: when stops of runs are ordered, and ordered again. - PassReservations: what waiting gangs reserve in a pass, and their budget. - quarantine.h: where a suspect task may start. - job_record.h and load_summary.h hold what the scheduler keeps of a job, and what it reports of its load. How a run is evicted is known to evicting.cc only. - Gangs were marked as broken in three places and stopped in two; now in one each.

LongRunClearsEarlierCrashes passes without either of the two checks that do its job; LaterRunClearsCrashesThatItOutlasts proves one.

These pass: scheduling, crashing_tasks, restarted_upstreams, failing_upstreams, gang_starvation, accounts, large_jobs, maintenance, cancel and job_fault_injection tests, and the three new ones.

--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -13,18 +13,6 @@
 namespace {
 
 constexpr Millis kEarlyWindow = CrashEvidence::kEarlyWindow;
-/// Duration of a quarantine. A suspect task starts only kEarlyWindow after the
-/// newest start on the upstream. The quarantine is slightly longer, so that it
-/// still holds when the task starts.
-constexpr Millis kQuarantineDuration{400};
-/// A suspect task prefers upstreams that have been known for this long. One
-/// that has just come back is more likely to crash again for reasons of its
-/// own.
-constexpr Millis kEstablishedAge{10000};
-/// An upstream that is unresponsive for this long and not listed is assumed to
-/// have crashed. Much longer than it takes to be listed again after an outage
-/// of the store.
-constexpr Millis kMissingTime{20000};
 
 std::optional<Millis> TimeSince(const std::optional<TimePoint>& when,
                                 TimePoint now) {
@@ -110,7 +98,7 @@
 void Scheduler::ReleaseLostRuns(UpstreamIndex upstream, UpstreamLoss why,
                                 const RunSet& remaining, TimePoint now,
                                 Orders& orders) {
-  stops_.erase(upstream);
+  stops_.RemoveAll(upstream);
   const Reservations lost = pool_.at(upstream).reservations;
   for (const auto& [run, reservation] : lost) {
     if (remaining.count(run) > 0) continue;
@@ -182,8 +170,7 @@
     AppendEvents(EvidenceChange::kAdded, id, {crash}, orders);
     if (fate == UpstreamFate::kUnknown) {
       const TimePoint since = it.unresponsive_since.value_or(now);
-      silent_upstreams_.try_emplace(it.entry.id, SilentUpstream{.since = since})
-          .first->second.tasks.insert(id);
+      silent_upstreams_.Add(it.entry.id, id, since);
     }
     FailIfCrashing(*record, id, now, orders);
   }
@@ -192,9 +179,7 @@
 void Scheduler::UpdateEvidence(const std::string& upstream,
                                const FateUpdate& update, TimePoint now,
                                Orders& orders) {
-  const auto found = silent_upstreams_.find(upstream);
-  if (found == silent_upstreams_.end()) return;
-  for (const TaskId& id : found->second.tasks) {
+  for (const TaskId& id : silent_upstreams_.TasksOf(upstream)) {
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
@@ -215,7 +200,7 @@
                      crashes.SetFate(upstream, fate), orders);
       },
       now, orders);
-  if (fate == UpstreamFate::kReplaced) silent_upstreams_.erase(upstream);
+  if (fate == UpstreamFate::kReplaced) silent_upstreams_.Remove(upstream);
 }
 
 void Scheduler::WithdrawEvidence(const std::string& upstream, TimePoint now,
@@ -227,7 +212,7 @@
                      orders);
       },
       now, orders);
-  silent_upstreams_.erase(upstream);
+  silent_upstreams_.Remove(upstream);
 }
 
 void Scheduler::NoteAnswer(UpstreamIndex upstream, TimePoint now,
@@ -235,7 +220,7 @@
   Upstream& it = pool_.at(upstream);
   it.suspect_runs.clear();
   const std::string& name = it.entry.id;
-  if (silent_upstreams_.count(name) == 0) return;
+  if (!silent_upstreams_.Contains(name)) return;
   UpdateEvidence(
       name,
       [&](CrashEvidence& crashes, const TaskId& id) {
@@ -243,7 +228,7 @@
                      crashes.NoteAnswer(name, it.entry.incarnation), orders);
       },
       now, orders);
-  silent_upstreams_.erase(name);
+  silent_upstreams_.Remove(name);
 }
 
 void Scheduler::RegisterEvidence(const JobRecord& record, TimePoint now) {
@@ -253,17 +238,14 @@
       const TaskId id{step.job, step.occurrence, step.step, i};
       for (const SuspectedCrash& crash : record.job.task(id).crashes.list()) {
         if (crash.fate == UpstreamFate::kReplaced) continue;
-        silent_upstreams_
-            .try_emplace(crash.upstream, SilentUpstream{.since = now})
-            .first->second.tasks.insert(id);
+        silent_upstreams_.Add(crash.upstream, id, now);
       }
     }
   }
 }
 
 bool Scheduler::AwaitsFate(const std::string& upstream) const {
-  const auto found = silent_upstreams_.find(upstream);
-  return found != silent_upstreams_.end() && !found->second.assumed_crashed;
+  return silent_upstreams_.AwaitsFate(upstream);
 }
 
 bool Scheduler::IsListed(const std::string& upstream) const {
@@ -278,17 +260,11 @@
 }
 
 void Scheduler::CheckMissingUpstreams(TimePoint now, Orders& orders) {
-  for (auto& [upstream, silent] : silent_upstreams_) {
-    std::erase_if(silent.tasks,
-                  [this](const TaskId& id) { return !HasEvidence(id); });
-  }
-  std::erase_if(silent_upstreams_, [](const auto& silent) {
-    return silent.second.tasks.empty();
-  });
-  for (auto& [upstream, silent] : silent_upstreams_) {
-    if (silent.assumed_crashed || now - silent.since < kMissingTime) continue;
-    if (IsListed(upstream)) continue;
-    silent.assumed_crashed = true;
+  silent_upstreams_.RemoveTasks(
+      [this](const TaskId& id) { return !HasEvidence(id); });
+  const std::vector<std::string> missing = silent_upstreams_.AssumeCrashes(
+      [this](const std::string& upstream) { return IsListed(upstream); }, now);
+  for (const std::string& upstream : missing) {
     ConfirmCrash(upstream, UpstreamFate::kMissing, now, orders);
   }
 }
@@ -340,60 +316,4 @@
   return false;
 }
 
-void Scheduler::BeginQuarantine(UpstreamIndex upstream, JobId job,
-                                TimePoint now) {
-  pool_.at(upstream).quarantine = {.job = job,
-                                   .until = now + kQuarantineDuration};
-}
-
-Scheduler::Candidate* Scheduler::PickForQuarantine(const JobRecord& record,
-                                                   std::vector<Candidate>& from,
-                                                   TimePoint now) {
-  Candidate* best = nullptr;
-  // Prefers upstreams without recent starts, then those known for long, then
-  // the one where a crash affects the fewest runs.
-  std::tuple<bool, bool, size_t> best_rank;
-  for (Candidate& candidate : from) {
-    if (candidate.fitting_tasks <= 0) continue;
-    const Upstream& it = pool_.at(candidate.upstream);
-    const std::tuple rank(
-        !pool_.HasNoRecentStarts(candidate.upstream, record.job.id(),
-                                 kEarlyWindow, now),
-        now - it.known_since < kEstablishedAge, it.reservations.size());
-    if (best != nullptr && best_rank <= rank) continue;
-    best = &candidate;
-    best_rank = rank;
-  }
-  if (best == nullptr) return nullptr;
-  BeginQuarantine(best->upstream, record.job.id(), now);
-  const bool no_recent_starts = !std::get<0>(best_rank);
-  return no_recent_starts ? best : nullptr;
-}
-
-bool Scheduler::SelectForQuarantine(const JobRecord& record,
-                                    const wire::StepSpec& step,
-                                    std::vector<Candidate>& found,
-                                    TimePoint now) {
-  const auto no_recent_starts = [&](const Candidate& candidate) {
-    return pool_.HasNoRecentStarts(candidate.upstream, record.job.id(),
-                                   kEarlyWindow, now);
-  };
-  std::stable_sort(found.begin(), found.end(),
-                   [&](const Candidate& a, const Candidate& b) {
-                     return no_recent_starts(a) && !no_recent_starts(b);
-                   });
-  int64_t capacity = 0;
-  bool none_has_recent_starts = true;
-  auto end = found.begin();
-  for (; end != found.end() && capacity < step.tasks; ++end) {
-    capacity += end->fitting_tasks;
-    none_has_recent_starts = none_has_recent_starts && no_recent_starts(*end);
-  }
-  found.erase(end, found.end());
-  for (const Candidate& candidate : found) {
-    BeginQuarantine(candidate.upstream, record.job.id(), now);
-  }
-  return none_has_recent_starts;
-}
-
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/evicting.cc
+++ b/src/scheduling/evicting.cc
@@ -19,9 +19,15 @@
   return std::max(Millis(0), std::chrono::duration_cast<Millis>(end - now));
 }
 
-}  // namespace
+/// How a run is evicted when the host of its upstream needs maintenance.
+enum class EvictionMode {
+  kRunToCompletion,
+  kFromCheckpoint,
+  kLongRunningUnlimited,
+  kLongRunningLimited
+};
 
-Scheduler::EvictionMode Scheduler::EvictionModeOf(const wire::StepSpec& step) {
+EvictionMode EvictionModeOf(const wire::StepSpec& step) {
   if (step.long_running) {
     return step.max_unavailable > 0 ? EvictionMode::kLongRunningLimited
                                     : EvictionMode::kLongRunningUnlimited;
@@ -30,6 +36,8 @@
                           : EvictionMode::kRunToCompletion;
 }
 
+}  // namespace
+
 UpstreamWork Scheduler::WorkOn(UpstreamIndex upstream, TimePoint now) const {
   UpstreamWork out;
   for (const auto& [run, reservation] : pool_.at(upstream).reservations) {
@@ -100,13 +108,8 @@
 
 void Scheduler::EvictGang(JobRecord& record, const StepId& id,
                           StopReason reason, TimePoint now, Orders& orders) {
-  StepState& step_state = record.step_state(id.occurrence, id.step);
-  if (step_state.broken) return;
-  step_state.broken = true;
-  step_state.broken_since = now;
-  for (int32_t i = 0; i < record.job.step(id.step).tasks; ++i) {
-    StopTask(record, {id.job, id.occurrence, id.step, i}, reason, now, orders);
-  }
+  if (record.step_state(id.occurrence, id.step).broken) return;
+  StopGang(record, id, reason, now, orders);
 }
 
 int32_t Scheduler::OthersUnavailable(const JobRecord& record,
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "src/scheduling/quarantine.h"
 #include "src/scheduling/scheduler.h"
 
 namespace mimosarail::scheduling {
@@ -99,19 +100,19 @@
                               UpstreamIndex upstream, Amount free,
                               TimePoint now,
                               const PassReservations& reserved) const {
-  const auto reservation = reserved.find(upstream);
-  if (reservation == reserved.end()) return free;
+  const PassReservation* reservation = reserved.Find(upstream);
+  if (reservation == nullptr) return free;
   // A task that ends before the gang needs the capacity may use it meanwhile.
   const auto& needs = record.step_state(id.occurrence, id.step).speed_needs;
   const TimePoint end =
       needs ? now + needs->RunTime(pool_.speeds().Factor(upstream))
             : ExpectedEnd(record.job.step(id.step), now);
-  if (end <= reservation->second.needed_at) return free;
-  free -= reservation->second.amount;
+  if (end <= reservation->needed_at) return free;
+  free -= reservation->amount;
   return free;
 }
 
-std::vector<Scheduler::Candidate> Scheduler::Candidates(
+std::vector<Candidate> Scheduler::Candidates(
     const JobRecord& record, const StepId& id, const StepAdvice& advice,
     TimePoint now, const PassReservations& reserved) const {
   std::vector<Candidate> out;
@@ -152,13 +153,12 @@
                       StartBudget starts) {
   advice_left_ = budget;
   starts_left_ = starts;
-  PassReservations reserved;
   int64_t total_millicores = 0;
   for (const UpstreamIndex upstream : pool_.all()) {
     total_millicores += pool_.at(upstream).capacity[Dimension::kCores];
   }
-  reservable_millicores_ = static_cast<int64_t>(
-      kMaxReservedShare * static_cast<double>(total_millicores));
+  PassReservations reserved(static_cast<int64_t>(
+      kMaxReservedShare * static_cast<double>(total_millicores)));
   accounts_at_limit_.clear();
   if (options_.queue_order == QueueOrder::kDelayCost) {
     PlaceByDelayCost(now, reserved, orders);
@@ -167,7 +167,7 @@
   }
   gang_reserved_.clear();
   gang_reserved_millicores_ = 0;
-  for (const auto& [upstream, reservation] : reserved) {
+  for (const auto& [upstream, reservation] : reserved.by_upstream()) {
     gang_reserved_.emplace(upstream, reservation.amount);
     gang_reserved_millicores_ +=
         std::clamp(reservation.amount[Dimension::kCores], 0,
@@ -232,14 +232,14 @@
   }
   if (orders.awaited_start_bytes) return false;
   const wire::StepSpec& step = record.job.step(id.step);
-  const bool may_wait = gang && UseReservationBudget(step);
+  const bool may_wait = gang && reserved.UseBudget(step);
   const GangPlan no_plan;
   const GangPlan& plan =
       may_wait ? UpdatePlan(record, id, now, reserved) : no_plan;
   if (record.job.queue().advised) {
     OrderAdvice(record, id, now, may_wait, plan, reserved, orders);
   }
-  if (plan.found()) ReserveForGang(step, plan, reserved);
+  if (plan.found()) reserved.Reserve(step, plan);
   return false;
 }
 
@@ -305,7 +305,7 @@
   }
   if (!StartsPermitted(record, step.tasks, orders)) return false;
   if (HasCrashSuspect(record, id) &&
-      !SelectForQuarantine(record, step, found, now)) {
+      !SelectForQuarantine(pool_, record.job.id(), step.tasks, found, now)) {
     return false;
   }
   const int64_t attempt =
@@ -363,7 +363,8 @@
       break;
     }
     const Candidate* pick =
-        suspect ? PickForQuarantine(record, from, now) : first_fitting(from);
+        suspect ? PickForQuarantine(pool_, record.job.id(), from, now)
+                : first_fitting(from);
     // Other tasks may still find an upstream where this one found none.
     if (pick == nullptr && (retry || suspect)) continue;
     if (pick == nullptr) break;
@@ -445,9 +446,9 @@
     if (!it.AcceptsWork()) return;
     if (step_state.exclusion.excluded.count(upstream) > 0) return;
     if (!Matches(upstream, record, step)) return;
-    const auto reservation = reserved.find(upstream);
+    const PassReservation* reservation = reserved.Find(upstream);
     const Amount blocked =
-        reservation == reserved.end() ? Amount{} : reservation->second.amount;
+        reservation == nullptr ? Amount{} : reservation->amount;
     int32_t max_tasks =
         step.max_per_upstream > 0 ? step.max_per_upstream : step.tasks;
     if (!step_state.exclusion.allows_suspects) {
@@ -468,21 +469,4 @@
              : EarliestPlan(slots, step.tasks);
 }
 
-bool Scheduler::UseReservationBudget(const wire::StepSpec& step) {
-  if (reservable_millicores_ <= 0) return false;
-  reservable_millicores_ -=
-      static_cast<int64_t>(step.tasks) * TaskResources(step)[Dimension::kCores];
-  return true;
-}
-
-void Scheduler::ReserveForGang(const wire::StepSpec& step, const GangPlan& plan,
-                               PassReservations& reserved) {
-  const Amount size = TaskResources(step);
-  for (const auto& [upstream, tasks] : plan.tasks_by_upstream) {
-    PassReservation& reservation = reserved[upstream];
-    for (int32_t n = 0; n < tasks; ++n) reservation.amount += size;
-    reservation.needed_at = std::min(reservation.needed_at, plan.ready_at);
-  }
-}
-
 }  // namespace mimosarail::scheduling
--- a/src/scheduling/placing_by_cost.cc
+++ b/src/scheduling/placing_by_cost.cc
@@ -58,10 +58,9 @@
       if (!pool.Usable(upstream, now_)) continue;
       RoomTable::Row row{.upstream = upstream, .free = pool.at(upstream).free};
       row.free_later = row.free;
-      const auto reservation = reserved_.find(upstream);
-      if (reservation != reserved_.end()) {
-        row.free_later -= reservation->second.amount;
-        row.reserved_from = reservation->second.needed_at;
+      if (const PassReservation* reservation = reserved_.Find(upstream)) {
+        row.free_later -= reservation->amount;
+        row.reserved_from = reservation->needed_at;
       }
       room_.Add(row);
     }
@@ -107,7 +106,7 @@
   /// capacity is always placed.
   bool CannotStart(const JobRecord& record, const StepId& id) {
     const wire::StepSpec& step = record.job.step(id.step);
-    if (step.gang && s_.reservable_millicores_ > 0) return false;
+    if (step.gang && reserved_.HasBudget()) return false;
     const int32_t needed = step.gang ? step.tasks : 1;
     // The earliest of the ends that placing may assume.
     const TimePoint end =
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -9,10 +9,6 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A stop that may not have arrived is ordered again when a report at least
-/// this much later still lists the run. Without this delay, the stop would be
-/// repeated after each report, and an upstream with many ends reports often.
-constexpr Millis kFailedStopRetryInterval{100};
 /// After a member of a gang ends without success, the other members should end
 /// by themselves. Those that still run after this time are stopped.
 constexpr Millis kBrokenGangGrace{300};
@@ -102,44 +98,24 @@
 void Scheduler::StopUnwanted(const JobRecord* record, UpstreamIndex upstream,
                              const ports::RunningTask& running, TimePoint now,
                              Orders& orders) {
-  // Waits for the end of a run only if its stop was really ordered. That may
-  // not be so: a new leader may see the run only after its job was cancelled,
-  // or an upstream may execute a start seconds late. If such a run were treated
-  // as being stopped, it would continue for two more reports, which is 2 s or
-  // more.
-  const auto [at, inserted] =
-      stops_[upstream].try_emplace({running.task, running.attempt});
-  StopState& stop_state = at->second;
-  if (inserted) {
-    stop_state.reason = record == nullptr ? StopReason::kUnknownJob
-                                          : ReasonToStop(record->job.state());
-  }
-  if (inserted && record != nullptr && EndsWithoutStop(record->job, running)) {
-    stop_state.due = now + kStopRetryInterval;
-  }
-  if (now < stop_state.due) return;
-  StopOrder stop{.upstream = upstream,
-                 .task = running.task,
-                 .attempt = running.attempt,
-                 .reason = stop_state.reason,
-                 .orphaned = !stop_state.ordered};
+  const StopTracker::Ending ending{
+      .reason = record == nullptr ? StopReason::kUnknownJob
+                                  : ReasonToStop(record->job.state()),
+      .without_stop =
+          record != nullptr && EndsWithoutStop(record->job, running)};
+  std::optional<StopOrder> stop =
+      stops_.NoteListed(upstream, running, ending, now);
+  if (!stop) return;
   if (record != nullptr && record->ended_at) {
-    stop.since_job_end =
+    stop->since_job_end =
         std::chrono::duration_cast<Millis>(now - *record->ended_at);
   }
-  stop_state.ordered = true;
-  stop_state.due = now + kStopRetryInterval;
-  orders.stops.push_back(stop);
+  orders.stops.push_back(*stop);
 }
 
 void Scheduler::OnStopFailed(UpstreamIndex upstream, const TaskId& task,
                              int64_t attempt, TimePoint now) {
-  const auto stops = stops_.find(upstream);
-  if (stops == stops_.end()) return;
-  const auto stop = stops->second.find({task, attempt});
-  if (stop != stops->second.end()) {
-    stop->second.due = now + kFailedStopRetryInterval;
-  }
+  stops_.NoteFailed(upstream, task, attempt, now);
 }
 
 void Scheduler::UpdateCurrentRun(JobRecord& record, UpstreamIndex upstream,
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -34,7 +34,7 @@
   return now + (estimate > Millis(0) ? estimate : kDefaultEstimate);
 }
 
-Scheduler::JobRecord* Scheduler::FindJobRecord(JobId id) {
+JobRecord* Scheduler::FindJobRecord(JobId id) {
   const auto found = jobs_.find(id);
   return found == jobs_.end() ? nullptr : found->second.get();
 }
@@ -44,8 +44,8 @@
   return found == jobs_.end() ? nullptr : &found->second->job;
 }
 
-Scheduler::JobRecord& Scheduler::Insert(const wire::JobSpec& spec,
-                                        TimePoint now, int64_t wall_ms) {
+JobRecord& Scheduler::Insert(const wire::JobSpec& spec, TimePoint now,
+                             int64_t wall_ms) {
   const auto id = static_cast<JobId>(spec.id);
   const int64_t age = std::max<int64_t>(0, wall_ms - spec.accepted_unix_ms);
   auto record = std::make_unique<JobRecord>(spec);
@@ -127,7 +127,7 @@
   }
 }
 
-Scheduler::DueTime Scheduler::NextDue(const Job& job, int32_t occurrence) {
+DueTime Scheduler::NextDue(const Job& job, int32_t occurrence) {
   const wire::JobSpec& spec = job.spec();
   return {.unix_ms = spec.first_due_ms + occurrence * spec.interval_ms,
           .job = job.id()};
@@ -263,8 +263,7 @@
   const Task& task = record.job.task(id);
   if (!task.active() || task.phase == TaskPhase::kStopping) return;
   record.job.SetPhase(id, TaskPhase::kStopping);
-  stops_[task.upstream][{id, task.attempt}] = {
-      .reason = reason, .ordered = true, .due = now + kStopRetryInterval};
+  stops_.NoteOrdered(task.upstream, id, task.attempt, reason, now);
   orders.stops.push_back({.upstream = task.upstream,
                           .task = id,
                           .attempt = task.attempt,
@@ -273,12 +272,14 @@
 
 void Scheduler::BreakGang(JobRecord& record, const StepId& id, TimePoint now,
                           Orders& orders) {
-  StepState& step_state = record.step_state(id.occurrence, id.step);
-  if (!step_state.broken) step_state.broken_since = now;
-  step_state.broken = true;
+  StopGang(record, id, StopReason::kGangBroken, now, orders);
+}
+
+void Scheduler::StopGang(JobRecord& record, const StepId& id, StopReason reason,
+                         TimePoint now, Orders& orders) {
+  record.step_state(id.occurrence, id.step).MarkBroken(now);
   for (int32_t i = 0; i < record.job.step(id.step).tasks; ++i) {
-    StopTask(record, {id.job, id.occurrence, id.step, i},
-             StopReason::kGangBroken, now, orders);
+    StopTask(record, {id.job, id.occurrence, id.step, i}, reason, now, orders);
   }
 }
 
@@ -288,10 +289,7 @@
   record.job.MutableTask(id).upstream = kNoUpstream;
   record.job.SetPhase(id, TaskPhase::kWaiting);
   StepState& step_state = record.step_state(id.occurrence, id.step);
-  if (record.job.step(id.step).gang && !step_state.broken) {
-    step_state.broken = true;
-    step_state.broken_since = now;
-  }
+  if (record.job.step(id.step).gang) step_state.MarkBroken(now);
   UpdateQueued(record, id.occurrence, id.step);
 }
 
@@ -320,7 +318,7 @@
   }
   pool_.Release(order.upstream, order.task, order.attempt);
   // If the run exists in spite of the reply, no stop has reached it.
-  stops_[order.upstream].erase({order.task, order.attempt});
+  stops_.Remove(order.upstream, order.task, order.attempt);
   if (verdict == CallVerdict::kUnhealthy) {
     NoteUpstreamFailure({.upstream = order.upstream,
                          .task = order.task,
@@ -409,7 +407,7 @@
       .attempt = end.attempt,
       .lasted = pool_.RunTime(upstream, end.task, end.attempt, now)};
   pool_.Release(upstream, end.task, end.attempt);
-  stops_[upstream].erase({end.task, end.attempt});
+  stops_.Remove(upstream, end.task, end.attempt);
   if (end.kind != EndKind::kFailed) {
     pool_.at(upstream).health.NoteProbeWithoutResult();
   }
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -6,7 +6,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <tuple>
 #include <unordered_map>
 #include <unordered_set>
 #include <vector>
@@ -16,12 +15,18 @@
 #include "src/scheduling/account_shares.h"
 #include "src/scheduling/advice_call_size.h"
 #include "src/scheduling/advice_state.h"
+#include "src/scheduling/candidate.h"
 #include "src/scheduling/gang_plan.h"
+#include "src/scheduling/job_record.h"
+#include "src/scheduling/load_summary.h"
 #include "src/scheduling/orders.h"
+#include "src/scheduling/pass_reservations.h"
 #include "src/scheduling/placement_exclusion.h"
 #include "src/scheduling/queue_order.h"
+#include "src/scheduling/silent_upstreams.h"
 #include "src/scheduling/speed_choice.h"
 #include "src/scheduling/step_queue.h"
+#include "src/scheduling/stop_tracker.h"
 #include "src/scheduling/task_durations.h"
 #include "src/scheduling/upstream_pool.h"
 #include "src/scheduling/waiting_work.h"
@@ -40,36 +45,6 @@
 /// TimePoint::max() if it is long-running. Thread-safe.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
 
-/// The runs on an upstream that have to end before its host can be taken out of
-/// service.
-struct UpstreamWork {
-  int32_t tasks = 0;
-  /// Long-running tasks of steps that limit how many may be unavailable, except
-  /// those of final jobs.
-  int32_t budgeted_tasks = 0;
-  /// Time until the last task that has to run to completion is expected to end.
-  /// Long-running tasks and tasks with checkpoints are not counted, even if
-  /// EvictTasks() does not stop them.
-  Millis drain_time{0};
-  int64_t millicores = 0;
-};
-
-/// What the tasks of one account take, and how much of its work waits.
-struct AccountLoad {
-  std::string name;
-  int64_t millicores = 0;
-  /// 0 for no limit.
-  int64_t limit_millicores = 0;
-  int64_t waiting_steps = 0;
-  /// The fraction of its dominant resource, of the cell's capacity, that the
-  /// account may take before its steps go after those of other accounts;
-  /// kUnlimitedShare unless QueueOrder::kDelayCost is set, accounts have
-  /// weights and capacity is short.
-  double share_due = kUnlimitedShare;
-  /// The fraction that its tasks take now.
-  double share_taken = 0;
-};
-
 struct SchedulerOptions {
   /// Attempt numbers start above this value, which exceeds every attempt number
   /// of earlier leaders.
@@ -147,7 +122,7 @@
                  const std::vector<ports::RunningTask>& running, TimePoint now,
                  Orders& orders);
   /// A stop may not have arrived. It is ordered again if a report at least
-  /// kFailedStopRetryInterval (running.cc) later still lists the run.
+  /// StopTracker::kFailedStopRetryInterval later still lists the run.
   void OnStopFailed(UpstreamIndex upstream, const TaskId& task, int64_t attempt,
                     TimePoint now);
   /// All runs on the upstream have ended, and their results will not be
@@ -227,111 +202,6 @@
   bool HasFreeCapacityFor(const wire::JobSpec& spec, TimePoint now);
 
  private:
-  /// A stop is ordered again if the end of the run is not reported within this
-  /// time. A stop takes up to 0.9 s where tasks are slow to end.
-  static constexpr Millis kStopRetryInterval{1200};
-
-  /// Scheduling state of one step of one occurrence.
-  struct StepState {
-    bool queued = false;
-    /// Position in the queue; set if `queued`.
-    QueueKey key;
-    StepAdvice advice;
-    PlacementExclusion exclusion;
-    /// When the step was first placed since it was queued; unset before.
-    std::optional<TimePoint> waits_since{};
-    /// Failures of all tasks since a run of the step succeeded or outlasted the
-    /// failed ones.
-    FailureStreak failure_streak;
-    /// For a waiting gang: where and when it could start. Computed again after
-    /// `plan_valid_until`.
-    GangPlan plan;
-    TimePoint plan_valid_until{};
-    /// What the step needs of the speed of its upstreams; unset unless speeds
-    /// are in use. Computed again after `speed_needs_valid_until`.
-    std::optional<SpeedNeeds> speed_needs;
-    TimePoint speed_needs_valid_until{};
-    /// Whether advice is needed is not checked again before this time.
-    TimePoint next_advice_check{};
-    /// A member of the gang could not start, ended without success, stalled,
-    /// was lost or is being moved. All members have to end before the gang
-    /// restarts.
-    bool broken = false;
-    TimePoint broken_since{};
-    /// For a running gang: when it is expected to end.
-    TimePoint expected_end{};
-    /// When a task of the step first waited for a faster upstream.
-    std::optional<TimePoint> waits_for_faster_since{};
-  };
-  /// A job with its scheduling state.
-  struct JobRecord {
-    explicit JobRecord(const wire::JobSpec& spec) : job(spec) {}
-    Job job;
-    AccountIndex account = kNoAccount;
-    /// When the job was accepted, or its first occurrence became due. The
-    /// positions of its steps in the queue depend on it.
-    TimePoint accepted_at{};
-    /// Runs of this job may exist that no upstream has reported yet. No task of
-    /// it starts.
-    bool may_have_unreported_runs = false;
-    /// Its waiting tasks are charged to the account as if they ran, since runs
-    /// of this job may exist that no upstream has reported yet. Unlike
-    /// may_have_unreported_runs, also set for cancelled and failed jobs.
-    bool counts_as_unreported = false;
-    /// When the job became final; unset if it was final when loaded.
-    std::optional<TimePoint> ended_at;
-    /// Number of occurrences whose steps may be queued. Further ones may be
-    /// due; see OpenDueOccurrences().
-    int32_t due_occurrences = 0;
-    /// All occurrences before this one are done.
-    int32_t done_occurrences = 0;
-    /// Number of steps without predecessors that are queued.
-    int32_t queued_first_steps = 0;
-    /// Bytes of memory that the job counts with; see Scheduler::memory_bytes().
-    size_t memory_bytes = 0;
-    /// By step index. A step has a state from when it is first queued until it
-    /// is done.
-    std::unordered_map<size_t, StepState> step_states;
-    /// Allocates the state of a step that has none.
-    StepState& step_state(int32_t occurrence, int32_t step) {
-      return step_states[StepStateIndex(occurrence, step)];
-    }
-    const StepState& step_state(int32_t occurrence, int32_t step) const {
-      static const StepState kNewStep;
-      const auto found = step_states.find(StepStateIndex(occurrence, step));
-      return found == step_states.end() ? kNewStep : found->second;
-    }
-    size_t StepStateIndex(int32_t occurrence, int32_t step) const {
-      return static_cast<size_t>(occurrence) *
-                 static_cast<size_t>(job.steps()) +
-             static_cast<size_t>(step);
-    }
-  };
-  /// When the next occurrence of a job is due.
-  struct DueTime {
-    int64_t unix_ms = 0;
-    JobId job{};
-
-    bool operator<(const DueTime& other) const {
-      return std::tie(unix_ms, job) < std::tie(other.unix_ms, other.job);
-    }
-  };
-  /// An upstream on which tasks of a step could start now.
-  struct Candidate {
-    UpstreamIndex upstream = kNoUpstream;
-    int32_t fitting_tasks = 0;
-    /// The lowest score is the best; see Score().
-    double score = 0;
-  };
-  /// Capacity of an upstream that a waiting gang has reserved in the current
-  /// pass. Steps further back in the queue can't use it.
-  struct PassReservation {
-    Amount amount;
-    /// When the gang needs the capacity. Tasks that end before may use it.
-    TimePoint needed_at = TimePoint::max();
-  };
-  using PassReservations = std::unordered_map<UpstreamIndex, PassReservation>;
-
   /// A run that failed or stalled, or whose start failed.
   struct FailedRun {
     UpstreamIndex upstream = kNoUpstream;
@@ -430,13 +300,6 @@
   /// Forgets the adviser's answers about the upstream: tickets are valid for
   /// one incarnation only.
   void DropAdvice(UpstreamIndex upstream);
-  /// An upstream that may have crashed, and the tasks that may be the cause.
-  struct SilentUpstream {
-    /// Since when it is unresponsive, or when this leader learned of it.
-    TimePoint since{};
-    bool assumed_crashed = false;
-    std::set<TaskId> tasks;
-  };
   /// What is learned of the fate of an upstream changes the evidence.
   using FateUpdate = std::function<void(CrashEvidence&, const TaskId&)>;
 
@@ -471,8 +334,10 @@
   void RemoveOutlastedEvidence(JobRecord& record, UpstreamIndex upstream,
                                const ports::RunningTask& running,
                                Orders& orders);
-  /// Stops all members of a gang that can't succeed, so that it restarts as a
-  /// whole.
+  /// Stops all members of a gang, so that it restarts as a whole.
+  void StopGang(JobRecord& record, const StepId& id, StopReason reason,
+                TimePoint now, Orders& orders);
+  /// Does this for a gang that can't succeed.
   void BreakGang(JobRecord& record, const StepId& id, TimePoint now,
                  Orders& orders);
   /// Stops all runs of the job.
@@ -493,14 +358,6 @@
   void StopUnwanted(const JobRecord* record, UpstreamIndex upstream,
                     const ports::RunningTask& running, TimePoint now,
                     Orders& orders);
-  /// How a run is evicted when the host of its upstream needs maintenance.
-  enum class EvictionMode {
-    kRunToCompletion,
-    kFromCheckpoint,
-    kLongRunningUnlimited,
-    kLongRunningLimited
-  };
-  static EvictionMode EvictionModeOf(const wire::StepSpec& step);
   /// Does what EvictTasks() describes for one run.
   void EvictTask(JobRecord& record, const TaskId& id,
                  const Reservation& reservation, bool all, TimePoint now,
@@ -582,20 +439,6 @@
   bool TakesItsShare(AccountIndex account) const;
   /// Whether any task of the step is suspected of crashing upstreams.
   bool HasCrashSuspect(const JobRecord& record, const StepId& id) const;
-  /// Chooses the best candidate for a task that is suspected of crashing
-  /// upstreams, and begins a quarantine of that upstream. Returns it if the
-  /// task may start there now. Returns null if no candidate has capacity, or if
-  /// runs of other jobs there were started less than kEarlyWindow (crashes.cc)
-  /// ago.
-  Candidate* PickForQuarantine(const JobRecord& record,
-                               std::vector<Candidate>& from, TimePoint now);
-  /// Does the same for a gang: reduces `found` to the upstreams to start on,
-  /// begins their quarantine, and returns whether the gang may start now.
-  /// Precondition: `found` has capacity for the gang.
-  bool SelectForQuarantine(const JobRecord& record, const wire::StepSpec& step,
-                           std::vector<Candidate>& found, TimePoint now);
-  /// Keeps new tasks of other jobs off an upstream for a while.
-  void BeginQuarantine(UpstreamIndex upstream, JobId job, TimePoint now);
   /// Starts as many tasks of the step as possible. Precondition: the step is no
   /// gang.
   void PlaceTasks(JobRecord& record, const StepId& id, TimePoint now,
@@ -611,12 +454,6 @@
   /// Returns where and when a waiting gang could start, as far as is known now.
   GangPlan PlanFor(const JobRecord& record, const StepId& id, TimePoint now,
                    const PassReservations& reserved) const;
-  /// Whether the gang may reserve capacity in this pass. If so, deducts its
-  /// cores from those that may still be reserved.
-  bool UseReservationBudget(const wire::StepSpec& step);
-  /// Reserves the planned capacity for the rest of the pass.
-  static void ReserveForGang(const wire::StepSpec& step, const GangPlan& plan,
-                             PassReservations& reserved);
   /// Returns how much of the free capacity the step may use, given the
   /// reservations of gangs before it in the queue.
   Amount CapacityFor(const JobRecord& record, const StepId& id,
@@ -772,8 +609,6 @@
   AdviceBudget advice_left_;
   /// Bytes of starts that may still be ordered in the current pass.
   StartBudget starts_left_;
-  /// Millicores that gangs may still reserve in the current pass.
-  int64_t reservable_millicores_ = 0;
   /// Capacity that steps with pending advice calls are likely to take. Other
   /// steps prefer to ask about other upstreams.
   std::unordered_map<UpstreamIndex, Amount> claimed_;
@@ -782,21 +617,8 @@
   /// The free part of gang_reserved_, in millicores.
   int64_t gang_reserved_millicores_ = 0;
   AllowanceRates allowance_rates_;
-  /// State of the stop of one run that should end.
-  struct StopState {
-    StopReason reason = StopReason::kOrphaned;
-    /// A stop was ordered at least once.
-    bool ordered = false;
-    /// A report that lists the run at this time or later causes a stop order.
-    TimePoint due{};
-  };
-  /// The runs that should end, by upstream, then by task and attempt. Erased
-  /// when the run ends.
-  std::unordered_map<UpstreamIndex,
-                     std::map<std::pair<TaskId, int64_t>, StopState>>
-      stops_;
-  /// By upstream id. Upstreams that no evidence names are removed later.
-  std::map<std::string, SilentUpstream> silent_upstreams_;
+  StopTracker stops_;
+  SilentUpstreams silent_upstreams_;
 };
 
 }  // namespace mimosarail::scheduling
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -141,6 +141,75 @@
   BOOST_TEST(!harness.scheduler.Find(1)->final());
 }
 
+/// Guards against early crashes that add up although runs between them lasted.
+BOOST_AUTO_TEST_CASE(LaterRunClearsCrashesThatItOutlasts) {
+  constexpr int kCrashes = 4;
+  const TaskId task{1, 0, 0, 0};
+  SchedulerHarness harness(2 * kCrashes);
+  const auto lose = [&](const StartOrder& start, UpstreamLoss why) {
+    Orders orders;
+    harness.scheduler.OnAllRunsEnded(start.upstream, why, harness.now, orders);
+    harness.scheduler.pool().at(start.upstream).reachable = false;
+  };
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.steps[0].long_running = true;
+  harness.scheduler.Add(spec, harness.now, 0);
+  for (int i = 0; i < kCrashes; ++i) {
+    const Orders crashed = harness.Place();
+    BOOST_REQUIRE_EQUAL(crashed.starts.size(), 1U);
+    harness.now += Millis(10);
+    lose(crashed.starts[0], UpstreamLoss::kCrashed);
+    BOOST_TEST(!harness.scheduler.Find(1)->task(task).crashes.empty());
+    const Orders lasting = harness.Place();
+    BOOST_REQUIRE_EQUAL(lasting.starts.size(), 1U);
+    harness.now += Millis(1000);
+    harness.ReportProgress(lasting.starts[0], 100);
+    BOOST_TEST(harness.scheduler.Find(1)->task(task).crashes.empty());
+    lose(lasting.starts[0], UpstreamLoss::kLeft);
+  }
+  BOOST_TEST(!harness.scheduler.Find(1)->final());
+}
+
+/// Guards against a crash that counts against runs which were recorded before
+/// the upstream answered again.
+BOOST_AUTO_TEST_CASE(RecordedRunsDoNotCountOnceTheirUpstreamAnswers) {
+  const TaskId task{1, 0, 0, 0};
+  const SuspectRuns recorded{
+      {{task, 5}, {.last_seen = Millis(20), .silent_after = Millis(40)}}};
+  for (const bool answers : {false, true}) {
+    SchedulerHarness harness(1);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    harness.scheduler.pool().at(0).suspect_runs = recorded;
+    Orders orders;
+    if (answers) harness.scheduler.OnRunning(0, {}, harness.now, orders);
+    harness.scheduler.OnAllRunsEnded(0, UpstreamLoss::kCrashed, harness.now,
+                                     orders);
+    BOOST_TEST(harness.scheduler.Find(1)->task(task).crashes.empty() ==
+               answers);
+  }
+}
+
+/// Guards against a restart under the same id that does not count against the
+/// runs it ended, or that counts against runs which it did not end.
+BOOST_AUTO_TEST_CASE(OnlyRunsThatARestartEndedAreEvidence) {
+  for (const bool remains : {false, true}) {
+    SchedulerHarness harness(1);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    const Orders started = harness.Place();
+    BOOST_REQUIRE_EQUAL(started.starts.size(), 1U);
+    const StartOrder& start = started.starts[0];
+    RunSet remaining;
+    if (remains) remaining.emplace(start.task, start.attempt);
+    Orders orders;
+    harness.scheduler.OnRestarted(start.upstream, 2, remaining, harness.now,
+                                  orders);
+    const CrashEvidence& crashes =
+        harness.scheduler.Find(1)->task(start.task).crashes;
+    BOOST_TEST(crashes.empty() == remains);
+    BOOST_TEST(!harness.scheduler.AwaitsFate("up-0"));
+  }
+}
+
 /// Another version of the program wrote the record of an unresponsive upstream.
 /// Runs that can't be decoded are skipped, and the others count.
 BOOST_AUTO_TEST_CASE(UnreadableRunRecordsAreSkipped) {
