Job entry: Move the store check and the final states into classes of their own

The deadlines of a call were set in four places.

Change, without a change of behaviour: StoreCheck and FinalStates hold their state and have tests; NewCall() sets the deadlines of a call.

These pass: store_check, final_states, job_fault_injection, accounts, takeover_load, link_load, cancel, crashing_tasks, upstream_takeover, leader_load, job_durability and maintenance tests.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -145,7 +145,12 @@
                [this] {
                  return coordinator_ ? coordinator_->SummarizeLoad()
                                      : std::nullopt;
-               }}) {}
+               }}),
+      store_check_(deps_.executor, deps_.store,
+                   {.table = options_.leadership.table,
+                    .max_age = options_.store_check_max_age,
+                    .timeout = options_.store_check_timeout}),
+      final_states_(options_.max_final_states) {}
 
 JobEntry::~JobEntry() = default;
 
@@ -303,6 +308,18 @@
   return deps_.executor.Now() - last_leader_reply_ < kReadyTimeout;
 }
 
+template <typename Reply>
+std::shared_ptr<JobEntry::ForwardedCall<Reply>> JobEntry::NewCall(
+    std::string description, Millis caller_timeout) const {
+  const TimePoint now = deps_.executor.Now();
+  auto out = std::make_shared<ForwardedCall<Reply>>();
+  out->description = std::move(description);
+  out->caller_deadline = now + caller_timeout;
+  out->refusal_deadline =
+      now + std::min(caller_timeout, options_.leader_wait_timeout);
+  return out;
+}
+
 template <typename Reply>
 void JobEntry::Forward(std::shared_ptr<ForwardedCall<Reply>> call) {
   const TimePoint now = deps_.executor.Now();
@@ -348,11 +365,12 @@
       // waiting is useless. A call in doubt is retried in either case, to
       // resolve its outcome.
       if (call->in_doubt) return retry_after_store_pause();
-      return CheckStore([retry_after_store_pause, call, out](bool served) {
-        if (served) return retry_after_store_pause();
-        call->done(
-            {.verdict = JobVerdict::kRefused, .retry_after = out.retry_after});
-      });
+      return store_check_.Run(
+          [retry_after_store_pause, call, out](bool served) {
+            if (served) return retry_after_store_pause();
+            call->done({.verdict = JobVerdict::kRefused,
+                        .retry_after = out.retry_after});
+          });
     }
     // The leader has meanwhile lost its leadership or its connection to the
     // store. Repeating the call at this leader or the next resolves the
@@ -410,31 +428,6 @@
   return std::to_string(std::chrono::duration_cast<Millis>(age).count());
 }
 
-void JobEntry::CheckStore(std::function<void(bool served)> done) {
-  const bool fresh =
-      deps_.executor.Now() - store_checked_at_ < options_.store_check_max_age;
-  // A store known to be unavailable is checked again, but no call waits for
-  // the result.
-  if (fresh || !store_serves_) done(store_serves_);
-  if (fresh) return;
-  if (store_serves_) store_check_waiters_.push_back(std::move(done));
-  if (std::exchange(store_check_running_, true)) return;
-  deps_.store.ReadNewest(
-      options_.leadership.table, "", options_.store_check_timeout,
-      [this](const Result<ports::NewestPage>& page) {
-        store_check_running_ = false;
-        store_serves_ = page.ok();
-        store_checked_at_ = deps_.executor.Now();
-        logging::Event(
-            Level::kInfo, "store checked",
-            {{"serves", page.ok() ? "yes" : "no"},
-             {"waiting", std::to_string(store_check_waiters_.size())}});
-        for (const auto& waiter : std::exchange(store_check_waiters_, {})) {
-          waiter(store_serves_);
-        }
-      });
-}
-
 std::optional<Millis> JobEntry::LinkRetryAfter(
     const wire::JobSpec& spec) const {
   // The leader judges its own jobs by its present backlog.
@@ -491,13 +484,9 @@
   const auto id = static_cast<JobId>(spec.id);
   auto message = std::make_shared<wire::SubmitJobCall>();
   message->job = spec;
-  auto call = std::make_shared<ForwardedCall<wire::SubmitJobReply>>();
-  call->description = "submit " + JobIdText(id);
+  auto call =
+      NewCall<wire::SubmitJobReply>("submit " + JobIdText(id), caller_timeout);
   call->queue = spec.queue.name;
-  call->caller_deadline = deps_.executor.Now() + caller_timeout;
-  call->refusal_deadline =
-      deps_.executor.Now() +
-      std::min(caller_timeout, options_.leader_wait_timeout);
   call->run_locally = [this, message](auto reply) {
     OnSubmit(*message, deps_.executor.Now(), reply);
   };
@@ -521,21 +510,15 @@
 
 void JobEntry::QueryState(JobId id, const CallerAccount& account,
                           Millis caller_timeout, JobDone done) {
-  const auto known = final_states_.find(id);
-  if (known != final_states_.end() && known->second.account == account) {
-    return done(
-        {.verdict = JobVerdict::kConfirmed, .state = known->second.state});
+  if (const auto known = final_states_.Find(id, account)) {
+    return done({.verdict = JobVerdict::kConfirmed, .state = *known});
   }
   wire::JobStateCall message;
   message.id = static_cast<int64_t>(id);
   if (account) message.__set_account(*account);
-  auto call = std::make_shared<ForwardedCall<wire::JobStateReply>>();
+  auto call =
+      NewCall<wire::JobStateReply>("state " + JobIdText(id), caller_timeout);
   call->read_only = true;
-  call->description = "state " + JobIdText(id);
-  call->caller_deadline = deps_.executor.Now() + caller_timeout;
-  call->refusal_deadline =
-      deps_.executor.Now() +
-      std::min(caller_timeout, options_.leader_wait_timeout);
   call->run_locally = [this, message](auto reply) {
     OnQueryState(message, reply);
   };
@@ -546,34 +529,20 @@
   call->done = [this, id, account,
                 done = std::move(done)](const JobAnswer& answer) {
     if (answer.verdict == JobVerdict::kConfirmed && IsFinal(answer.state)) {
-      RememberFinalState(id, account, answer.state);
+      final_states_.Add(id, account, answer.state);
     }
     done(answer);
   };
   Forward(call);
 }
 
-void JobEntry::RememberFinalState(JobId id, const CallerAccount& account,
-                                  JobState state) {
-  const FinalState final_state{.state = state, .account = account};
-  if (!final_states_.emplace(id, final_state).second) return;
-  final_state_order_.push_back(id);
-  if (final_state_order_.size() <= options_.max_final_states) return;
-  final_states_.erase(final_state_order_.front());
-  final_state_order_.pop_front();
-}
-
 void JobEntry::Cancel(JobId id, const CallerAccount& account,
                       Millis caller_timeout, JobDone done) {
   wire::CancelJobCall message;
   message.id = static_cast<int64_t>(id);
   if (account) message.__set_account(*account);
-  auto call = std::make_shared<ForwardedCall<wire::CancelJobReply>>();
-  call->description = "cancel " + JobIdText(id);
-  call->caller_deadline = deps_.executor.Now() + caller_timeout;
-  call->refusal_deadline =
-      deps_.executor.Now() +
-      std::min(caller_timeout, options_.leader_wait_timeout);
+  auto call =
+      NewCall<wire::CancelJobReply>("cancel " + JobIdText(id), caller_timeout);
   call->run_locally = [this, message](auto reply) { OnCancel(message, reply); };
   call->send = [this, message](const std::string& address, Millis timeout,
                                auto reply) {
@@ -587,13 +556,9 @@
                             JobDone done) {
   wire::PendingJobsCall message;
   message.queue = queue;
-  auto call = std::make_shared<ForwardedCall<wire::PendingJobsReply>>();
+  auto call =
+      NewCall<wire::PendingJobsReply>("pending " + queue, caller_timeout);
   call->read_only = true;
-  call->description = "pending " + queue;
-  call->caller_deadline = deps_.executor.Now() + caller_timeout;
-  call->refusal_deadline =
-      deps_.executor.Now() +
-      std::min(caller_timeout, options_.leader_wait_timeout);
   call->run_locally = [this, message](auto reply) {
     OnCountPending(message, reply);
   };
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -1,18 +1,19 @@
 #pragma once
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
-#include <unordered_map>
 
 #include "src/cellconfig/cell_config_watcher.h"
 #include "src/coordinator/coordinator.h"
+#include "src/jobentry/final_states.h"
 #include "src/jobentry/job_service.h"
 #include "src/jobentry/leader_load.h"
 #include "src/jobentry/link_refusals.h"
+#include "src/jobentry/store_check.h"
 #include "src/jobentry/submission_intake.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
@@ -144,15 +145,13 @@
   }
   /// When a caller should return that an overloaded leader refuses.
   Millis OverloadRetryAfter();
-  void RememberFinalState(JobId id, const CallerAccount& account,
-                          JobState state);
   /// Time since a leader last answered a heartbeat, in ms, for the log; "never"
   /// if none has.
   std::string LeaderHeartbeatAge() const;
-  /// Checks whether the store serves this entry and passes the result to
-  /// `done`. A recent result is reused. If an older check has failed, `done`
-  /// gets false at once, and a new check runs in the background.
-  void CheckStore(std::function<void(bool served)> done);
+  /// Returns a call with its deadlines.
+  template <typename Reply>
+  std::shared_ptr<ForwardedCall<Reply>> NewCall(std::string description,
+                                                Millis caller_timeout) const;
   /// Runs the call at this entry if it leads, or else at the leader. Retries it
   /// as needed.
   template <typename Reply>
@@ -176,12 +175,6 @@
   void ForwardSubmission(const wire::JobSpec& spec, Millis caller_timeout,
                          JobDone done);
 
-  /// A final state that a leader has reported to calls of this account.
-  struct FinalState {
-    JobState state = JobState::kComplete;
-    CallerAccount account;
-  };
-
   Dependencies deps_;
   JobEntryOptions options_;
   AccessDirectory access_;
@@ -192,17 +185,14 @@
   leadership::Leadership leadership_;
   /// Null unless this entry leads.
   std::shared_ptr<coordinator::Coordinator> coordinator_;
+  StoreCheck store_check_;
+  FinalStates final_states_;
   bool shutting_down_ = false;
   bool accepting_stopped_ = false;
   int64_t advice_in_flight_ = 0;
   /// Time by which this entry has to answer all calls; set when its shutdown
   /// begins.
   TimePoint shutdown_reply_deadline_ = TimePoint::max();
-  /// Result of the last check of the store.
-  bool store_serves_ = true;
-  bool store_check_running_ = false;
-  TimePoint store_checked_at_{};
-  std::vector<std::function<void(bool)>> store_check_waiters_;
   TimePoint last_leader_reply_{};
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
@@ -212,9 +202,6 @@
   uint64_t unanswered_refusals_ = 0;
   /// Submissions refused here as an overloaded leader.
   uint64_t overload_refusals_ = 0;
-  std::unordered_map<JobId, FinalState> final_states_;
-  /// Keys of final_states_, oldest first.
-  std::deque<JobId> final_state_order_;
 };
 
 }  // namespace mimosarail::jobentry
