Jobs: Decide on two early crashes that nothing else explains

Change: two decide if nothing else explains either: the crash certainly ended the run, no run of another job had only just started there, and no other upstream became unresponsive within 0.3 s. Where upstreams crash in waves it stays at three.

--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -54,7 +54,8 @@
           {"incarnation", Text(crash.incarnation)},
           {"fate", std::string(kUpstreamFateNames.Name(crash.fate))},
           {"last_seen_ms", Text(crash.last_seen.count())},
-          {"silent_after_ms", Text(crash.silent_after.count())}};
+          {"silent_after_ms", Text(crash.silent_after.count())},
+          {"sole_suspect", crash.sole_suspect ? "yes" : "no"}};
 }
 
 }  // namespace
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -176,7 +176,9 @@
   }
   if (links_.count(index) > 0) return;
   if (closure != inherited_closures_.end()) {
-    scheduler_.pool().at(index).suspect_runs = closure->second.suspect_runs;
+    scheduling::Upstream& it = scheduler_.pool().at(index);
+    it.suspect_runs = closure->second.suspect_runs;
+    it.unresponsive_with_others = !it.suspect_runs.empty();
   }
   auto link = std::make_shared<fleet::UpstreamLink>(
       deps_.executor, deps_.task_port, *this,
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -6,9 +6,11 @@
 namespace mimosarail {
 namespace {
 
-/// Number of early crashes that show the cause. Two may be a coincidence where
-/// many upstreams crash for other reasons.
+/// Number of early crashes that show the cause. Lower for those that nothing
+/// else explains: where many upstreams crash for other reasons, two may be a
+/// coincidence.
 constexpr size_t kEarlyLimit = 3;
+constexpr size_t kSoleSuspectLimit = 2;
 /// Number of crashes at about the same time after the start that show the
 /// cause. Higher than kEarlyLimit, as upstreams that crash for other reasons
 /// rarely do so as a task starts.
@@ -95,15 +97,19 @@
 
 bool CrashEvidence::ShowsCause(const Filter& counts) const {
   size_t early = 0;
+  size_t early_as_sole_suspect = 0;
   std::vector<Millis> last_seen;
   std::vector<Millis> silent_after;
   for (const SuspectedCrash& it : crashes_) {
     if (!counts(it)) continue;
     last_seen.push_back(it.last_seen);
     silent_after.push_back(it.silent_after);
-    if (it.early()) ++early;
+    if (!it.early()) continue;
+    ++early;
+    if (it.sole_suspect) ++early_as_sole_suspect;
   }
   if (early >= kEarlyLimit) return true;
+  if (early_as_sole_suspect >= kSoleSuspectLimit) return true;
   return std::max(LargestGroup(std::move(last_seen)),
                   LargestGroup(std::move(silent_after))) >= kSameTimeLimit;
 }
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -34,6 +34,10 @@
   Millis last_seen{0};
   /// Time from the order to start until the upstream became unresponsive.
   Millis silent_after{0};
+  /// Nothing else explains the crash: it certainly ended the run, no run of
+  /// another job had only just started there, and no other upstream became
+  /// unresponsive at that time.
+  bool sole_suspect = false;
   UpstreamFate fate = UpstreamFate::kUnknown;
 
   /// Whether the upstream became unresponsive as the run started.
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -1132,6 +1132,10 @@
 void CrashRecord::__set_fate(const int32_t val) {
   this->fate = val;
 }
+
+void CrashRecord::__set_sole_suspect(const bool val) {
+  this->sole_suspect = val;
+}
 std::ostream& operator<<(std::ostream& out, const CrashRecord& obj)
 {
   obj.printTo(out);
@@ -1208,6 +1212,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 7:
+        if (ftype == ::apache::thrift::protocol::T_BOOL) {
+          xfer += iprot->readBool(this->sole_suspect);
+          this->__isset.sole_suspect = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -1249,6 +1261,10 @@
   xfer += oprot->writeI32(this->fate);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("sole_suspect", ::apache::thrift::protocol::T_BOOL, 7);
+  xfer += oprot->writeBool(this->sole_suspect);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -1262,6 +1278,7 @@
   swap(a.last_seen_ms, b.last_seen_ms);
   swap(a.silent_after_ms, b.silent_after_ms);
   swap(a.fate, b.fate);
+  swap(a.sole_suspect, b.sole_suspect);
   swap(a.__isset, b.__isset);
 }
 
@@ -1272,6 +1289,7 @@
   last_seen_ms = other24.last_seen_ms;
   silent_after_ms = other24.silent_after_ms;
   fate = other24.fate;
+  sole_suspect = other24.sole_suspect;
   __isset = other24.__isset;
 }
 CrashRecord::CrashRecord(CrashRecord&& other25) noexcept {
@@ -1281,6 +1299,7 @@
   last_seen_ms = other25.last_seen_ms;
   silent_after_ms = other25.silent_after_ms;
   fate = other25.fate;
+  sole_suspect = other25.sole_suspect;
   __isset = other25.__isset;
 }
 CrashRecord& CrashRecord::operator=(const CrashRecord& other26) {
@@ -1290,6 +1309,7 @@
   last_seen_ms = other26.last_seen_ms;
   silent_after_ms = other26.silent_after_ms;
   fate = other26.fate;
+  sole_suspect = other26.sole_suspect;
   __isset = other26.__isset;
   return *this;
 }
@@ -1300,6 +1320,7 @@
   last_seen_ms = other27.last_seen_ms;
   silent_after_ms = other27.silent_after_ms;
   fate = other27.fate;
+  sole_suspect = other27.sole_suspect;
   __isset = other27.__isset;
   return *this;
 }
@@ -1312,6 +1333,7 @@
   out << ", " << "last_seen_ms=" << to_string(last_seen_ms);
   out << ", " << "silent_after_ms=" << to_string(silent_after_ms);
   out << ", " << "fate=" << to_string(fate);
+  out << ", " << "sole_suspect=" << to_string(sole_suspect);
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -511,13 +511,14 @@
 std::ostream& operator<<(std::ostream& out, const JobSpec& obj);
 
 typedef struct _CrashRecord__isset {
-  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), fate(false) {}
+  _CrashRecord__isset() : attempt(false), upstream(false), incarnation(false), last_seen_ms(false), silent_after_ms(false), fate(false), sole_suspect(false) {}
   bool attempt :1;
   bool upstream :1;
   bool incarnation :1;
   bool last_seen_ms :1;
   bool silent_after_ms :1;
   bool fate :1;
+  bool sole_suspect :1;
 } _CrashRecord__isset;
 
 /**
@@ -536,7 +537,8 @@
                 incarnation(0),
                 last_seen_ms(0),
                 silent_after_ms(0),
-                fate(0) {
+                fate(0),
+                sole_suspect(0) {
   }
 
   virtual ~CrashRecord() noexcept;
@@ -559,6 +561,10 @@
    * 0: unknown; 1: another incarnation answered; 2: away for long.
    */
   int32_t fate;
+  /**
+   * Nothing else explains the crash.
+   */
+  bool sole_suspect;
 
   _CrashRecord__isset __isset;
 
@@ -574,6 +580,8 @@
 
   void __set_fate(const int32_t val);
 
+  void __set_sole_suspect(const bool val);
+
   bool operator == (const CrashRecord & rhs) const
   {
     if (!(attempt == rhs.attempt))
@@ -588,6 +596,8 @@
       return false;
     if (!(fate == rhs.fate))
       return false;
+    if (!(sole_suspect == rhs.sole_suspect))
+      return false;
     return true;
   }
   bool operator != (const CrashRecord &rhs) const {
--- a/src/jobs/job.cc
+++ b/src/jobs/job.cc
@@ -49,6 +49,7 @@
     record.incarnation = crash.incarnation;
     record.last_seen_ms = crash.last_seen.count();
     record.silent_after_ms = crash.silent_after.count();
+    record.sole_suspect = crash.sole_suspect;
     record.fate = static_cast<int32_t>(crash.fate);
   }
   return out;
@@ -62,6 +63,7 @@
              .incarnation = record.incarnation,
              .last_seen = Millis(record.last_seen_ms),
              .silent_after = Millis(record.silent_after_ms),
+             .sole_suspect = record.sole_suspect,
              .fate = static_cast<UpstreamFate>(record.fate)});
   }
   return out;
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -82,6 +82,8 @@
   5: i64 silent_after_ms
   /** 0: unknown; 1: another incarnation answered; 2: away for long. */
   6: i32 fate
+  /** Nothing else explains the crash. */
+  7: bool sole_suspect
 }
 
 /** State of one task that is not done. */
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -20,6 +20,17 @@
   return std::chrono::duration_cast<Millis>(now - *when);
 }
 
+bool IsEarly(const SuspectRun& run) { return run.silent_after < kEarlyWindow; }
+
+/// The jobs with a run that had only just started, confirmed or not.
+std::set<JobId> NewJobs(const SuspectRuns& runs) {
+  std::set<JobId> out;
+  for (const auto& [run, suspect] : runs) {
+    if (IsEarly(suspect)) out.insert(run.first.job);
+  }
+  return out;
+}
+
 SuspectRun ToSuspectRun(const Reservation& run, TimePoint unresponsive_since) {
   SuspectRun out{.silent_after = std::chrono::duration_cast<Millis>(
                      unresponsive_since - run.reserved_at)};
@@ -137,6 +148,9 @@
 void Scheduler::AddEvidence(UpstreamIndex upstream, const SuspectRuns& runs,
                             UpstreamFate fate, TimePoint now, Orders& orders) {
   const Upstream& it = pool_.at(upstream);
+  const bool sole_suspect = fate == UpstreamFate::kReplaced &&
+                            !it.unresponsive_with_others &&
+                            NewJobs(runs).size() == 1;
   for (const auto& [run, suspect] : runs) {
     const auto& [id, attempt] = run;
     // A run that is not known to have started is not shown to be the cause.
@@ -156,6 +170,7 @@
                                .incarnation = it.entry.incarnation,
                                .last_seen = *suspect.last_seen,
                                .silent_after = suspect.silent_after,
+                               .sole_suspect = sole_suspect && IsEarly(suspect),
                                .fate = fate};
     if (!record->job.MutableTask(id).crashes.Add(crash)) continue;
     MarkChanged(*record);
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -7,6 +7,10 @@
 namespace mimosarail::scheduling {
 namespace {
 
+/// Upstreams that become unresponsive within this time may have done so for the
+/// same reason.
+constexpr Millis kSameTime{300};
+
 Amount CapacityOf(const ports::UpstreamSize& size) {
   Amount out;
   out[Dimension::kCores] = size.millicores;
@@ -110,7 +114,15 @@
   Upstream& upstream = upstreams_[index];
   upstream.reachable = reachable;
   upstream.unresponsive_since.reset();
-  if (!reachable) upstream.unresponsive_since = now;
+  upstream.unresponsive_with_others = false;
+  if (reachable) return;
+  for (const UpstreamIndex other : indexes_in_use_) {
+    std::optional<TimePoint>& since = upstreams_[other].unresponsive_since;
+    if (!since || now - *since >= kSameTime) continue;
+    upstreams_[other].unresponsive_with_others = true;
+    upstream.unresponsive_with_others = true;
+  }
+  upstream.unresponsive_since = now;
 }
 
 void UpstreamPool::Reserve(UpstreamIndex index, const TaskId& task,
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -117,6 +117,9 @@
   /// Time since which the upstream has been unresponsive. Unset while it
   /// responds, or if it has never responded.
   std::optional<TimePoint> unresponsive_since{};
+  /// Another upstream became unresponsive at about the same time, or an earlier
+  /// leader noticed, which does not say.
+  bool unresponsive_with_others = false;
 
   /// Whether tasks may start there, apart from its health.
   bool AcceptsWork() const {
--- a/tests/crash_evidence_test.cc
+++ b/tests/crash_evidence_test.cc
@@ -38,6 +38,17 @@
   BOOST_TEST(!ShowsCause({first, second, CrashAfter(3, Millis(310))}));
 }
 
+/// Guards against a task that takes more upstreams along than is needed to tell
+/// that it crashes them.
+BOOST_AUTO_TEST_CASE(TwoEarlyCrashesWithoutOtherCauseShowTheCause) {
+  SuspectedCrash first = CrashAfter(1, Millis(10));
+  SuspectedCrash second = CrashAfter(2, Millis(20));
+  first.sole_suspect = true;
+  BOOST_TEST(!ShowsCause({first, second}));
+  second.sole_suspect = true;
+  BOOST_TEST(ShowsCause({first, second}));
+}
+
 /// Guards against a job that fails for upstreams whose fate is not known.
 BOOST_AUTO_TEST_CASE(UnknownFatesShowNothing) {
   CrashEvidence evidence;
