Requests: Count an upstream as crashed only if it is known to be lost

What callers saw: the verdict "unknown: several upstreams were lost while running it, and it may be the cause" for a repeatable request whose three upstreams had only been paused and answered again in their lives.

Cause: an attempt that is resolved as not running counted as a crash of its upstream by its task. That was also concluded from silence (the lease must have expired, and the upstream is not attached), and for a task whose start was never confirmed, because some upstream had left the list meanwhile.

A loss reported by a controller is read from the inventory of the upstream and counts as before. Nothing on the wire changes.

--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -44,6 +44,9 @@
   /// Answers of this resolving round and of earlier ones predate the current
   /// state of the task and are ignored.
   int stale_round = 0;
+  /// The task counts as lost, but it is not known that its upstream crashed:
+  /// its start was never confirmed, or the upstream is only unresponsive.
+  bool crash_unproved = false;
   wire::ReportCall report;
 };
 
@@ -76,7 +79,8 @@
   std::optional<int64_t> queue_key;  ///< Keeps its place in the queue.
   std::string status_message;        ///< Why it is in this phase; may be empty.
   std::vector<TaskRecord> tasks;
-  /// Number of upstreams lost while they ran a task of it, by task index.
+  /// Number of upstreams known to have crashed while they ran a task of it, by
+  /// task index.
   std::map<int32_t, int32_t> crashes;
   wire::Outcome outcome;
   TimePoint ended_at{};
--- a/src/requests/requests_attempts.cc
+++ b/src/requests/requests_attempts.cc
@@ -16,8 +16,8 @@
 /// Maximum number of lost or preempted attempts of a request that are repeated
 /// without using up a retry.
 constexpr int32_t kMaxLostAttempts = 10;
-/// Number of lost upstreams after which a task is considered their cause. Each
-/// lost upstream also ends the tasks of other requests that ran on it.
+/// Number of crashed upstreams after which a task is considered their cause.
+/// Each crash also ends the tasks of other requests that ran there.
 constexpr int32_t kMaxCrashes = 3;
 
 }  // namespace
@@ -96,7 +96,9 @@
 bool Requests::CountCrashes(Record& record) {
   bool is_cause = false;
   for (size_t i = 0; i < record.tasks.size(); ++i) {
-    if (record.tasks[i].report.result != wire::TaskEnd::kLost) continue;
+    const TaskRecord& task = record.tasks[i];
+    if (task.report.result != wire::TaskEnd::kLost) continue;
+    if (task.crash_unproved) continue;
     is_cause |= ++record.crashes[static_cast<int32_t>(i)] >= kMaxCrashes;
   }
   return is_cause;
--- a/src/requests/requests_resolving.cc
+++ b/src/requests/requests_resolving.cc
@@ -177,6 +177,7 @@
       case ResolutionResult::kNotRunning:
         report.result = wire::TaskEnd::kLost;
         report.reason = "its upstream was lost";
+        task.crash_unproved = !result.upstream_lost;
         break;
     }
     ApplyReport(*record, report);
--- a/src/requests/resolution.cc
+++ b/src/requests/resolution.cc
@@ -66,6 +66,7 @@
     out.result = input.upstream_removed || began
                      ? ResolutionResult::kNotRunning
                      : ResolutionResult::kNotStarted;
+    out.upstream_lost = began;
     return out;
   }
   if (input.lease_expiry_proved) out.result = ResolutionResult::kNotRunning;
--- a/src/requests/resolution.h
+++ b/src/requests/resolution.h
@@ -46,6 +46,9 @@
   ResolutionResult result = ResolutionResult::kWait;
   std::string controller;   ///< Of a running task: the entry that controls it.
   wire::ReportCall report;  ///< Of an ended task: its result.
+  /// Of a task that is not running: it had started, and its upstream has
+  /// restarted or is gone. Otherwise the upstream may only be unresponsive.
+  bool upstream_lost = false;
 };
 
 /// Resolves the outcome of a task whose controller is unresponsive. Pure
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -615,6 +615,17 @@
   return *cluster.entry_process(best).instance;
 }
 
+/// Returns the upstream where the request has started last.
+std::string UpstreamOfLastStart(const Cluster& cluster,
+                                const std::string& request) {
+  std::string out;
+  for (const auto& event : cluster.history().events()) {
+    if (event["event"] != "start" || event["request"] != request) continue;
+    out = event["upstream"].get<std::string>();
+  }
+  return out;
+}
+
 wire::PlaceCall MakePlaceCall(const std::string& id, int32_t attempt) {
   wire::PlaceCall call;
   call.context.spec = MakeSpec("late", 50);
@@ -649,6 +660,34 @@
   BOOST_TEST(starts <= 3);
 }
 
+// Guards against a request that is given up as the cause of lost upstreams
+// although each of them was only paused and answers again.
+BOOST_AUTO_TEST_CASE(paused_upstreams_are_not_counted_as_crashed) {
+  Cluster cluster({.seed = 9});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  const auto submission = cluster.Submit(0, MakeSpec("long", 20000));
+  constexpr int kPauses = 4;
+  for (int started = 1; started <= kPauses; ++started) {
+    const auto starts = [&] {
+      return StartsOf(cluster.history().events(), submission->id);
+    };
+    BOOST_REQUIRE(cluster.RunUntil(
+        [&] { return starts() == started || submission->answered; },
+        Millis(60000)));
+    if (submission->answered) break;
+    cluster.Run(Millis(500));
+    const std::string upstream = UpstreamOfLastStart(cluster, submission->id);
+    cluster.upstream_executor(upstream).Pause();
+    cluster.RunUntil([&] { return starts() > started || submission->answered; },
+                     Millis(60000));
+    cluster.upstream_executor(upstream).Resume();
+  }
+  BOOST_REQUIRE(
+      cluster.RunUntil([&] { return submission->answered; }, Millis(60000)));
+  BOOST_TEST(submission->outcome.reason == "");
+  BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+}
+
 // An owner has resolved an attempt as never started and has started the next
 // one elsewhere. If its delayed placement call were accepted now, both attempts
 // would run.
--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -313,6 +313,28 @@
   BOOST_TEST(static_cast<int>(result.result) == static_cast<int>(c.expected));
 }
 
+// Guards against an upstream that counts as crashed by a task, although the
+// task may not have started there, or the upstream is only unresponsive.
+BOOST_AUTO_TEST_CASE(only_a_started_task_shows_that_its_upstream_is_lost) {
+  std::map<std::string, wire::FindReply> answers;
+  answers["entry"].attached = {"up-1"};
+  const auto upstream_lost = [&](bool began, bool covered) {
+    const Resolution result =
+        ResolveTask({.attempt = 7,
+                     .answers = &answers,
+                     .listed_upstreams = {covered ? "up-1" : "up-2"},
+                     .fenced = true,
+                     .upstream_removed = true,
+                     .lease_expiry_proved = true,
+                     .began = began});
+    BOOST_TEST((result.result == ResolutionResult::kNotRunning));
+    return result.upstream_lost;
+  };
+  BOOST_TEST(upstream_lost(true, true));
+  BOOST_TEST(!upstream_lost(false, true));
+  BOOST_TEST(!upstream_lost(true, false));
+}
+
 }  // namespace mimosarail::requests
 
 namespace mimosarail::placement {
