Requests: Abandon a reclaim when the owner answers again

What callers saw: the verdict "unknown: another entry has reclaimed the request" from the owner of a keyed request, and "its former owner is dead" from the entry where the key was submitted again, although the owner had only been partitioned and the request had never been started.

Change: attempts are fenced only once the death of the owner is confirmed, without which the reclaim can't start anything anyway. An owner that answers again gets the request back: the caller is forwarded to it.

--- a/src/requests/requests.h
+++ b/src/requests/requests.h
@@ -195,6 +195,9 @@
   void QueryEntries(const std::string& id, int32_t fence_below);
   void EvaluateAnswers(const std::string& id, int32_t fence_below,
                        const std::map<std::string, wire::FindReply>& answers);
+  /// Abandons the reclaim of a key whose owner was only unreachable. Returns
+  /// whether the owner is alive.
+  bool ReturnToOwner(Record& record);
   void EvaluateReclaim(Record& record, int32_t fence_below,
                        const std::map<std::string, wire::FindReply>& answers);
   ResolutionInput MakeResolutionInput(
--- a/src/requests/requests_resolving.cc
+++ b/src/requests/requests_resolving.cc
@@ -43,8 +43,14 @@
   // running as soon as another entry attaches its upstream.
   const bool place_call_expired =
       context_.executor.Now() - record->placed_at > options_.place_validity;
+  // An owner that is only partitioned from this entry continues its request,
+  // and its placement calls must not be refused.
+  const bool owner_may_live =
+      record->phase == Phase::kReclaiming &&
+      !context_.members.IsConfirmedDead(record->former_owner,
+                                        record->former_incarnation);
   const bool fence = record->resolve_round > record->resolve_base_round + 1 &&
-                     place_call_expired;
+                     place_call_expired && !owner_may_live;
   int32_t fence_below = 0;
   if (fence) {
     fence_below = record->phase == Phase::kReclaiming
@@ -202,6 +208,22 @@
   schedule_next_round();
 }
 
+bool Requests::ReturnToOwner(Record& record) {
+  if (!context_.members.IsCurrentProcess(record.former_owner,
+                                         record.former_incarnation)) {
+    return false;
+  }
+  const wire::Intent* intent = context_.ledger.Find(record.spec.id);
+  if (intent == nullptr || intent->owner != record.former_owner ||
+      intent->owner_incarnation != record.former_incarnation) {
+    return false;
+  }
+  record.resolving = false;
+  record.phase = Phase::kClaiming;
+  ForwardToOwner(record.spec.id, wire::Intent(*intent));
+  return true;
+}
+
 void Requests::EvaluateReclaim(
     Record& record, int32_t fence_below,
     const std::map<std::string, wire::FindReply>& answers) {
@@ -211,6 +233,7 @@
       return Finish(record, reply.outcome);
     }
   }
+  if (ReturnToOwner(record)) return;
   const TaskSummary summary = SummarizeTasks(answers);
   if (summary.running) {
     record.status_message = "running; its former owner is dead";
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -766,6 +766,39 @@
   }
 }
 
+// Guards against the verdict "unknown" for a request whose owner was
+// partitioned from the entry that its key was submitted to, and answers again.
+BOOST_DATA_TEST_CASE(reclaim_is_abandoned_when_the_owner_answers_again,
+                     boost::unit_test::data::xrange(10, 16), seed) {
+  Cluster cluster({.seed = static_cast<uint64_t>(seed)});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  FillCluster(cluster, 25000);
+  cluster.Run(Millis(500));
+  wire::RequestSpec spec = MakeSpec("contested", 3000);
+  spec.size.millicores = 4000;
+  spec.keyed = true;
+  spec.id = "contested";
+  const auto first = cluster.Submit(2, spec);
+  cluster.Run(Millis(500));
+  for (const int other : {0, 1}) {
+    cluster.network().BlockLink(Cluster::EntryName(2),
+                                Cluster::EntryName(other));
+    cluster.network().BlockLink(Cluster::EntryName(other),
+                                Cluster::EntryName(2));
+  }
+  cluster.Run(Millis(6000));
+  const auto second = cluster.Submit(0, spec);
+  cluster.Run(Millis(4000));
+  cluster.network().UnblockAllLinks();
+  cluster.RunUntil([&] { return first->answered && second->answered; },
+                   Millis(60000));
+  for (const auto& submission : {first, second}) {
+    BOOST_TEST(submission->outcome.reason == "");
+    BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+  }
+  BOOST_TEST(StartsOf(cluster.history().events(), "contested") == 1);
+}
+
 // A request fails once and then waits for its next attempt until its deadline.
 // The verdict "not run" would tell the caller that it had no effect.
 BOOST_AUTO_TEST_CASE(request_that_failed_is_not_reported_as_not_run) {
