Scheduling: Treat no run as stalled for the pause of its upstream

What callers saw: a task that ran on a paused upstream was stopped as stalled at the first report after the pause, which lost its work since the last checkpoint, broke its gang, and put the upstream into backoff.

Cause: the time without progress includes the time in which the upstream did not answer.

Change: the time without progress begins again with the first report after the upstream was unreachable. A run that makes no progress while its upstream answers is stopped as before.

--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -177,6 +177,9 @@
   // stays at 100 % until the slowest one is done. If it were treated as
   // stalled, gangs would be broken seconds before their end, again and again.
   if (step.gang && running.percent >= kDonePercent) return;
+  // Missing progress shows a stall only while the upstream answers: one that
+  // was paused has made none either.
+  if (!pool_.at(upstream).reachable) task.progressed_at = now;
   const Millis limit = StallLimit(record, upstream, running.task.step, now);
   if (now - task.progressed_at < limit) return;
   NoteUpstreamFailure(
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -200,6 +200,73 @@
   BOOST_TEST(harness.Place().starts.empty());
 }
 
+/// Guards against a job that fails by ends that are no failures, of its current
+/// runs or listed late.
+BOOST_AUTO_TEST_CASE(OnlyFailuresCountAsAttempts) {
+  constexpr int kRuns = 5;
+  for (const EndKind kind : {EndKind::kStopped, EndKind::kLeaseExpired,
+                             EndKind::kGangFailed, EndKind::kGangIncomplete}) {
+    SchedulerHarness harness(4);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    std::vector<StartOrder> runs;
+    for (int i = 0; i < kRuns; ++i) {
+      const Orders orders = harness.Place();
+      BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+      runs.push_back(orders.starts[0]);
+      harness.EndRun(runs.back(), kind);
+      harness.now += Millis(1000);
+    }
+    for (const StartOrder& run : runs) harness.EndRun(run, kind);
+    BOOST_TEST(!harness.scheduler.Find(1)->final());
+    BOOST_TEST(harness.scheduler.Find(1)->Failures(runs[0].task) == 0);
+  }
+}
+
+/// Guards against a failure that is counted twice: by the leader that it was
+/// reported to, and by the next one, whose upstream lists it again.
+BOOST_AUTO_TEST_CASE(FailureReportedToTwoLeadersCountsOnce) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder run = harness.Place().starts.at(0);
+  harness.EndRun(run, EndKind::kFailed);
+  Scheduler next({.attempt_base = 200000});
+  ports::UpstreamEntry entry{.id = "up-0", .pool = "pool"};
+  entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+  const UpstreamIndex up = next.pool().Update(entry);
+  next.pool().at(up).reachable = true;
+  next.Load(Spec(1, 1, 1000), harness.scheduler.Find(1)->Progress(),
+            harness.now, 0);
+  Orders orders;
+  const ports::EndedTask end{.number = 1,
+                             .task = run.task,
+                             .attempt = run.attempt,
+                             .kind = EndKind::kFailed};
+  next.OnEnd(up, end, harness.now, orders);
+  next.ResolveAll(harness.now, orders);
+  next.OnEnd(up, end, harness.now, orders);
+  BOOST_TEST(!next.Find(1)->final());
+  BOOST_TEST(next.Find(1)->Failures(run.task) == 1);
+}
+
+/// Guards against a gang that uses up its attempts at once, since each of its
+/// members fails or ends with the one that fails.
+BOOST_AUTO_TEST_CASE(FailureOfAllMembersOfAGangCountsOnce) {
+  for (const EndKind others : {EndKind::kFailed, EndKind::kGangFailed}) {
+    SchedulerHarness harness(4);
+    wire::JobSpec spec = Spec(1, 4, 10000);
+    spec.steps[0].gang = true;
+    harness.scheduler.Add(spec, harness.now, 0);
+    const Orders orders = harness.Place();
+    BOOST_REQUIRE_EQUAL(orders.starts.size(), 4U);
+    harness.EndRun(orders.starts[2], EndKind::kFailed);
+    for (const StartOrder& member : orders.starts) {
+      harness.EndRun(member, others);
+    }
+    BOOST_TEST(!harness.scheduler.Find(1)->final());
+    BOOST_TEST(harness.scheduler.Find(1)->Failures(orders.starts[3].task) == 1);
+  }
+}
+
 /// The adviser allows only the upstream where the task has failed. When no
 /// other upstream is left to ask about, the task must start there again, or it
 /// would never run.
@@ -398,6 +465,30 @@
   BOOST_TEST(again.starts[0].upstream != start.upstream);
 }
 
+/// Guards against a run that is stopped as stalled, and an upstream that gets
+/// no starts for it, because the upstream was paused or cut off for a while.
+BOOST_AUTO_TEST_CASE(TaskOfPausedUpstreamIsNotTakenForStalled) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder start = harness.Place().starts.at(0);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  harness.now += Millis(500);
+  BOOST_TEST(harness.ReportProgress(start, 20) == 0U);
+  harness.now += Millis(200);
+  harness.scheduler.pool().SetReachable(start.upstream, false, harness.now);
+  harness.now += Millis(3000);
+  BOOST_TEST(harness.ReportProgress(start, 20) == 0U);
+  harness.scheduler.pool().SetReachable(start.upstream, true, harness.now);
+  BOOST_TEST(!harness.scheduler.pool().at(start.upstream).health.suspect());
+  // A task that makes no progress while its upstream answers is still stopped.
+  size_t stops = 0;
+  for (int i = 0; i < 4; ++i) {
+    harness.now += Millis(400);
+    stops += harness.ReportProgress(start, 20);
+  }
+  BOOST_TEST(stops == 1U);
+}
+
 /// A job is cancelled while it waits. The next pass must start no task of it,
 /// although there is free capacity.
 BOOST_AUTO_TEST_CASE(ACancelledJobLeavesTheQueue) {
