Maintenance: Take no host as removed while its upstream answers

What operators saw: a wave reported as complete, for good, although one of its hosts had not had its maintenance.

Cause: a host that two readings of the host list in a row lack counts as permanently removed. Nothing takes back the status of a wave.

Change: the host still counts as pending while the upstream that it was last listed with answers.

Measured: WaveWaitsForHostMissingFromTheList failed before: complete with five of six hosts. maintenance_test passes.

--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -444,6 +444,7 @@
       link != links_.end() && link->second->all_completions_acknowledged();
   return {.known = it.listed && it.reachable && scheduler_.resolved() &&
                    completions_acknowledged,
+          .reachable = it.reachable,
           .tasks = work.tasks,
           .budgeted_tasks = work.budgeted_tasks,
           .drain_time = work.drain_time,
--- a/src/maintenance/wave_manager.cc
+++ b/src/maintenance/wave_manager.cc
@@ -25,8 +25,8 @@
 /// find hosts that have left or come up.
 constexpr Millis kIdleListPeriod{3000};
 /// Consecutive complete readings without a host after which it counts as
-/// permanently removed. One reading may miss a host, because its pages are not
-/// one snapshot.
+/// permanently removed, unless its upstream answers. One reading may miss a
+/// host, because its pages are not one snapshot.
 constexpr int kRemovedAfterReadings = 2;
 
 std::string Text(size_t value) { return std::to_string(value); }
@@ -281,13 +281,18 @@
   return found == listed_hosts_.end() ? nullptr : &found->second;
 }
 
+bool WaveManager::IsRemoved(const ListedHost& listed) const {
+  if (listed.missed_readings < kRemovedAfterReadings) return false;
+  const std::string& upstream = listed.entry.upstream;
+  return upstream.empty() || !deps_.workload.WorkOn(upstream).reachable;
+}
+
 HostView WaveManager::BuildHostView(const std::string& name,
                                     const Host& host) const {
   const TimePoint now = deps_.executor.Now();
   const ListedHost* listed = FindListed(name);
   HostView out{.host = name, .phase = host.phase};
-  out.listed =
-      listed != nullptr && listed->missed_readings < kRemovedAfterReadings;
+  out.listed = listed != nullptr && !IsRemoved(*listed);
   // The state of a host that is missing from the last reading is unknown.
   const bool in_last_reading =
       listed != nullptr && listed->missed_readings == 0;
--- a/src/maintenance/wave_manager.h
+++ b/src/maintenance/wave_manager.h
@@ -150,6 +150,7 @@
   void RecordCompletedMaintenance(Wave& wave, TimePoint read_begun_at);
   void RecordUpstreamEnded(const std::string& name, Host& host);
   const ListedHost* FindListed(const std::string& host) const;
+  bool IsRemoved(const ListedHost& listed) const;
 
   WaveView BuildWaveView(const Wave& wave) const;
   HostView BuildHostView(const std::string& name, const Host& host) const;
--- a/src/maintenance/wave_plan.h
+++ b/src/maintenance/wave_plan.h
@@ -33,6 +33,8 @@
   /// The other fields are reliable: the upstream of the host is listed and
   /// reachable, and it has no completion left that is not acknowledged.
   bool known = true;
+  /// The upstream answers, so the host exists, whatever the host list says.
+  bool reachable = false;
   int32_t tasks = 0;
   /// The long-running tasks among them whose step limits how many of its tasks
   /// may be unavailable. They are moved only within that limit, and never ended
@@ -47,8 +49,8 @@
 /// One host of a wave, as input of the decision.
 struct HostView {
   std::string host;
-  /// Whether the host is on the platform's list. A host that is not has left
-  /// permanently.
+  /// Whether the host is on the platform's list, or its upstream answers. A
+  /// host for which neither holds has left permanently.
   bool listed = true;
   ports::HostState state = ports::HostState::kUp;
   HostMaintenancePhase phase = HostMaintenancePhase::kPending;
--- a/tests/jobsim/host_fake.cc
+++ b/tests/jobsim/host_fake.cc
@@ -89,6 +89,7 @@
       out.next_page_token = out.hosts.back().host;
       break;
     }
+    if (faults_.unlisted.count(at->first) > 0) continue;
     out.hosts.push_back({.host = at->first,
                          .pool = at->second.record.pool,
                          .state = at->second.state,
--- a/tests/jobsim/host_fake.h
+++ b/tests/jobsim/host_fake.h
@@ -29,6 +29,8 @@
   Millis maintenance_overrun{0};
   /// Round-trip time of a call.
   Millis latency{20};
+  /// Hosts that are missing from the list although they exist.
+  std::set<std::string> unlisted{};
 };
 
 /// The platform's hosts, each with its current upstream, and checks of the
--- a/tests/maintenance_test.cc
+++ b/tests/maintenance_test.cc
@@ -598,6 +598,22 @@
   CheckNoViolations(cluster);
 }
 
+/// Guards against a wave that is reported as complete although a host has not
+/// had its maintenance: the host list lacks the host for a while.
+BOOST_AUTO_TEST_CASE(WaveWaitsForHostMissingFromTheList) {
+  JobCluster cluster(WithHosts());
+  cluster.RunFor(Millis(3000));
+  cluster.hosts().RequestWave(Wave(kWave, kAllHosts, 1));
+  cluster.RunFor(Millis(1000));
+  cluster.hosts().faults().unlisted = {"host-5"};
+  BOOST_TEST(!RunUntilComplete(cluster, kWave, Millis(20000)));
+  BOOST_TEST(cluster.hosts().begins() == 5);
+  cluster.hosts().faults().unlisted.clear();
+  BOOST_TEST(RunUntilComplete(cluster, kWave, Millis(30000)));
+  BOOST_TEST(cluster.hosts().begins() == 6);
+  CheckNoViolations(cluster);
+}
+
 /// Jobs and gangs run while all hosts have their maintenance. Every job
 /// completes, each task is done once, and hosts are drained before their
 /// maintenance.
