Tests: Play failures over takeovers and cuts, and count each once

Each task fails once less than permitted while leaders restart or lose the store, upstreams are cut off, and replies and stops are lost. A job that fails there had a failure counted twice, or another end counted as one.

--- a/tests/job_fault_injection_test.cc
+++ b/tests/job_fault_injection_test.cc
@@ -363,6 +363,69 @@
   BOOST_TEST(cluster.upstreams().starts() == 2);
 }
 
+/// Guards against a failure that is counted twice, by two leaders or for two
+/// members of a gang, and against other ends that are counted as failures. Each
+/// task fails once less than permitted, while leaders change and upstreams are
+/// cut off.
+BOOST_DATA_TEST_CASE(EachFailureIsCountedOnce,
+                     boost::unit_test::data::xrange(SeedCount()), seed) {
+  std::mt19937_64 random(seed);
+  const auto pick = [&](uint64_t below) { return random() % below; };
+  JobCluster cluster({});
+  cluster.RunFor(Millis(2000));
+  constexpr JobId kJobs = 40;
+  for (JobId id = 1; id <= kJobs; ++id) {
+    const bool gang = pick(3) == 0;
+    const int32_t tasks = gang ? 3 : 1 + static_cast<int32_t>(pick(3));
+    for (int32_t i = 0; i < (gang ? 1 : tasks); ++i) {
+      TaskBehavior& task = cluster.upstreams().behavior({id, 0, 0, i});
+      task.failing_runs = 1;
+      task.run_time = Millis(50 + pick(1500));
+    }
+    cluster.Submit("entry-0", OneStepJob(id, tasks, 500, gang));
+    cluster.RunFor(Millis(200));
+    const std::string leader = cluster.Leader();
+    const auto upstreams = cluster.upstreams().ids();
+    UpstreamFaults& upstream =
+        cluster.upstreams().faults(upstreams[pick(upstreams.size())]);
+    switch (pick(8)) {
+      case 0:
+        if (!leader.empty()) cluster.Restart(leader);
+        break;
+      case 1:
+        cluster.store().faults().partitioned_entries.insert(leader);
+        break;
+      case 2:
+        cluster.store().faults().partitioned_entries.clear();
+        break;
+      case 3:
+        upstream.unreachable = !upstream.unreachable;
+        break;
+      case 4:
+        upstream.drop_start_replies = 2;
+        break;
+      case 5:
+        upstream.delayed_renew_replies = 2;
+        break;
+      case 6:
+        upstream.drop_stops = 1;
+        break;
+      default:
+        upstream = {};
+    }
+  }
+  cluster.store().faults() = {};
+  for (const std::string& id : cluster.upstreams().ids()) {
+    cluster.upstreams().faults(id) = {};
+  }
+  cluster.RunFor(Millis(30000));
+  for (JobId id = 1; id <= kJobs; ++id) {
+    if (!cluster.accepted(id)) continue;
+    BOOST_CHECK_MESSAGE(cluster.State(id) == JobState::kComplete,
+                        JobIdText(id) << " with seed " << seed);
+  }
+}
+
 /// An upstream leaves a start unanswered and executes it 2.5 s later. By then
 /// the task runs elsewhere; the late start must be refused because of its fence
 /// token.
