Requests: Count no planned leave of an upstream as a crash

What callers saw: the verdict "unknown: several upstreams were lost while running it, and it may be the cause" for a request whose three upstreams had drained and left as planned, as in a rolling upgrade.

Cause: a task that ran on an upstream which was then removed from the list counted as lost in a crash, whatever the list had said before.

Change: an entry remembers which upstreams were listed as leaving when they were removed, and the owner of a request counts no crash for them.

--- a/src/control/controller.cc
+++ b/src/control/controller.cc
@@ -3,6 +3,12 @@
 #include "src/libs/logging/log.h"
 
 namespace mimosarail::control {
+namespace {
+
+/// Longer than it takes to resolve what ran on an upstream that has left.
+constexpr Millis kPlannedLeaveRetention{600000};
+
+}  // namespace
 
 Controller::Controller(Executor& executor, ports::UpstreamPort& port,
                        SessionListener& listener, SessionOptions options)
@@ -22,8 +28,15 @@
   }
   if (before != listed_) ++list_version_;
   for (const auto& [name, old_listed] : before) {
-    if (!listed_.contains(name)) last_delisting_ = executor_.Now();
+    if (listed_.contains(name)) continue;
+    last_delisting_ = executor_.Now();
+    if (old_listed.state != wire::ListedState::kLeaving) continue;
+    planned_leaves_[name] = executor_.Now();
   }
+  std::erase_if(planned_leaves_, [&](const auto& leave) {
+    return listed_.contains(leave.first) ||
+           executor_.Now() - leave.second > kPlannedLeaveRetention;
+  });
   for (const auto& [name, listed] : listed_) {
     if (UpstreamSession* session = Find(name)) session->Update(listed);
   }
--- a/src/control/controller.h
+++ b/src/control/controller.h
@@ -52,6 +52,11 @@
   std::vector<std::string> AttachedSince(TimePoint since) const;
   /// When an upstream last left the instance list; TimePoint{} if never.
   TimePoint last_delisting() const { return last_delisting_; }
+  /// Whether the upstream was removed from the list recently, after the list
+  /// had said that it leaves.
+  bool HasLeftAsPlanned(const std::string& upstream) const {
+    return planned_leaves_.contains(upstream);
+  }
 
  private:
   void ApplyAssignment();
@@ -66,6 +71,8 @@
   std::map<std::string, std::shared_ptr<UpstreamSession>> sessions_;
   std::vector<UpstreamSession*> sessions_by_index_;
   TimePoint last_delisting_{};
+  /// When upstreams left as planned, by name.
+  std::map<std::string, TimePoint> planned_leaves_;
   bool minority_ = false;
   int64_t list_version_ = 0;
 };
--- a/src/requests/record.h
+++ b/src/requests/record.h
@@ -39,13 +39,16 @@
   int64_t controller_incarnation = 0;
   /// The controller assumes that the lease has expired.
   bool lease_expiry_assumed = false;
+  /// Where it ran, if its controller has lost it; empty if that is unknown.
+  std::string upstream;
   /// The upstream has confirmed the start, according to the controller.
   bool began = false;
   /// Answers of this resolving round and of earlier ones predate the current
   /// state of the task and are ignored.
   int stale_round = 0;
   /// The task counts as lost, but it is not known that its upstream crashed:
-  /// its start was never confirmed, or the upstream is only unresponsive.
+  /// its start was never confirmed, or the upstream is only unresponsive or has
+  /// left as planned.
   bool crash_unproved = false;
   wire::ReportCall report;
 };
--- a/src/requests/requests_attempts.cc
+++ b/src/requests/requests_attempts.cc
@@ -41,6 +41,7 @@
     // Not a final result: all entries must be queried for the task.
     MarkUnresolved(record, task);
     task.began |= report.began;
+    task.upstream = report.upstream;
     task.lease_expiry_assumed |= report.result == wire::TaskEnd::kLapseAssumed;
     return StartResolving(record);
   }
--- a/src/requests/requests_resolving.cc
+++ b/src/requests/requests_resolving.cc
@@ -183,7 +183,9 @@
       case ResolutionResult::kNotRunning:
         report.result = wire::TaskEnd::kLost;
         report.reason = "its upstream was lost";
-        task.crash_unproved = !result.upstream_lost;
+        task.crash_unproved =
+            !result.upstream_lost ||
+            context_.controller.HasLeftAsPlanned(task.upstream);
         break;
     }
     ApplyReport(*record, report);
--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -688,6 +688,34 @@
   BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
 }
 
+// Guards against a request that is given up as the cause of lost upstreams
+// although each of them has drained and left as planned.
+BOOST_AUTO_TEST_CASE(drained_upstreams_are_not_counted_as_crashed) {
+  Cluster cluster({.seed = 9});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  const auto submission = cluster.Submit(0, MakeSpec("long", 20000));
+  constexpr int kLeaves = 3;
+  for (int started = 1; started <= kLeaves; ++started) {
+    BOOST_REQUIRE(cluster.RunUntil(
+        [&] {
+          return StartsOf(cluster.history().events(), submission->id) ==
+                     started ||
+                 submission->answered;
+        },
+        Millis(60000)));
+    if (submission->answered) break;
+    const std::string upstream = UpstreamOfLastStart(cluster, submission->id);
+    cluster.list().SetState(upstream, wire::ListedState::kLeaving);
+    cluster.Run(Millis(3000));
+    cluster.upstream(upstream).Crash();
+    cluster.list().Remove(upstream);
+  }
+  BOOST_REQUIRE(
+      cluster.RunUntil([&] { return submission->answered; }, Millis(60000)));
+  BOOST_TEST(submission->outcome.reason == "");
+  BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+}
+
 // An owner has resolved an attempt as never started and has started the next
 // one elsewhere. If its delayed placement call were accepted now, both attempts
 // would run.
