Tests: Prove the guards against conclusions from silence

The test of an abandoned reclaim lets the request wait for longer than a reclaim may take. Before, it also passed with an entry that goes on reclaiming while the owner answers, as long as its attempts aren't fenced.

--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -800,7 +800,7 @@
                      boost::unit_test::data::xrange(10, 16), seed) {
   Cluster cluster({.seed = static_cast<uint64_t>(seed)});
   BOOST_REQUIRE(cluster.WaitUntilReady());
-  FillCluster(cluster, 25000);
+  FillCluster(cluster, 60000);
   cluster.Run(Millis(500));
   wire::RequestSpec spec = MakeSpec("contested", 3000);
   spec.size.millicores = 4000;
@@ -819,7 +819,7 @@
   cluster.Run(Millis(4000));
   cluster.network().UnblockAllLinks();
   cluster.RunUntil([&] { return first->answered && second->answered; },
-                   Millis(60000));
+                   Millis(120000));
   for (const auto& submission : {first, second}) {
     BOOST_TEST(submission->outcome.reason == "");
     BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
