--- a/tests/contract_test.cc
+++ b/tests/contract_test.cc
@@ -615,6 +615,17 @@
   return *cluster.entry_process(best).instance;
 }
 
+/// Returns the upstream where the request has started last.
+std::string UpstreamOfLastStart(const Cluster& cluster,
+                                const std::string& request) {
+  std::string out;
+  for (const auto& event : cluster.history().events()) {
+    if (event["event"] != "start" || event["request"] != request) continue;
+    out = event["upstream"].get<std::string>();
+  }
+  return out;
+}
+
 wire::PlaceCall MakePlaceCall(const std::string& id, int32_t attempt) {
   wire::PlaceCall call;
   call.context.spec = MakeSpec("late", 50);
@@ -649,6 +660,62 @@
   BOOST_TEST(starts <= 3);
 }
 
+// Guards against a request that is given up as the cause of lost upstreams
+// although each of them was only paused and answers again.
+BOOST_AUTO_TEST_CASE(paused_upstreams_are_not_counted_as_crashed) {
+  Cluster cluster({.seed = 9});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  const auto submission = cluster.Submit(0, MakeSpec("long", 20000));
+  constexpr int kPauses = 4;
+  for (int started = 1; started <= kPauses; ++started) {
+    const auto starts = [&] {
+      return StartsOf(cluster.history().events(), submission->id);
+    };
+    BOOST_REQUIRE(cluster.RunUntil(
+        [&] { return starts() == started || submission->answered; },
+        Millis(60000)));
+    if (submission->answered) break;
+    cluster.Run(Millis(500));
+    const std::string upstream = UpstreamOfLastStart(cluster, submission->id);
+    cluster.upstream_executor(upstream).Pause();
+    cluster.RunUntil([&] { return starts() > started || submission->answered; },
+                     Millis(60000));
+    cluster.upstream_executor(upstream).Resume();
+  }
+  BOOST_REQUIRE(
+      cluster.RunUntil([&] { return submission->answered; }, Millis(60000)));
+  BOOST_TEST(submission->outcome.reason == "");
+  BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+}
+
+// Guards against a request that is given up as the cause of lost upstreams
+// although each of them has drained and left as planned.
+BOOST_AUTO_TEST_CASE(drained_upstreams_are_not_counted_as_crashed) {
+  Cluster cluster({.seed = 9});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  const auto submission = cluster.Submit(0, MakeSpec("long", 20000));
+  constexpr int kLeaves = 3;
+  for (int started = 1; started <= kLeaves; ++started) {
+    BOOST_REQUIRE(cluster.RunUntil(
+        [&] {
+          return StartsOf(cluster.history().events(), submission->id) ==
+                     started ||
+                 submission->answered;
+        },
+        Millis(60000)));
+    if (submission->answered) break;
+    const std::string upstream = UpstreamOfLastStart(cluster, submission->id);
+    cluster.list().SetState(upstream, wire::ListedState::kLeaving);
+    cluster.Run(Millis(3000));
+    cluster.upstream(upstream).Crash();
+    cluster.list().Remove(upstream);
+  }
+  BOOST_REQUIRE(
+      cluster.RunUntil([&] { return submission->answered; }, Millis(60000)));
+  BOOST_TEST(submission->outcome.reason == "");
+  BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+}
+
 // An owner has resolved an attempt as never started and has started the next
 // one elsewhere. If its delayed placement call were accepted now, both attempts
 // would run.
@@ -727,6 +794,39 @@
   }
 }
 
+// Guards against the verdict "unknown" for a request whose owner was
+// partitioned from the entry that its key was submitted to, and answers again.
+BOOST_DATA_TEST_CASE(reclaim_is_abandoned_when_the_owner_answers_again,
+                     boost::unit_test::data::xrange(10, 16), seed) {
+  Cluster cluster({.seed = static_cast<uint64_t>(seed)});
+  BOOST_REQUIRE(cluster.WaitUntilReady());
+  FillCluster(cluster, 60000);
+  cluster.Run(Millis(500));
+  wire::RequestSpec spec = MakeSpec("contested", 3000);
+  spec.size.millicores = 4000;
+  spec.keyed = true;
+  spec.id = "contested";
+  const auto first = cluster.Submit(2, spec);
+  cluster.Run(Millis(500));
+  for (const int other : {0, 1}) {
+    cluster.network().BlockLink(Cluster::EntryName(2),
+                                Cluster::EntryName(other));
+    cluster.network().BlockLink(Cluster::EntryName(other),
+                                Cluster::EntryName(2));
+  }
+  cluster.Run(Millis(6000));
+  const auto second = cluster.Submit(0, spec);
+  cluster.Run(Millis(4000));
+  cluster.network().UnblockAllLinks();
+  cluster.RunUntil([&] { return first->answered && second->answered; },
+                   Millis(120000));
+  for (const auto& submission : {first, second}) {
+    BOOST_TEST(submission->outcome.reason == "");
+    BOOST_TEST((submission->outcome.verdict == wire::Verdict::kDone));
+  }
+  BOOST_TEST(StartsOf(cluster.history().events(), "contested") == 1);
+}
+
 // A request fails once and then waits for its next attempt until its deadline.
 // The verdict "not run" would tell the caller that it had no effect.
 BOOST_AUTO_TEST_CASE(request_that_failed_is_not_reported_as_not_run) {
