Tests: Let upstreams pause, lose list entries and crash as a start arrives

Upstreams of the fakes could be cut off, but their list entries stayed, so that no test reached the state in which a living upstream is silent and not listed. JobClusterOptions::list_entries_expire removes the entry of an upstream that is unreachable or paused, or of all while the store is down, list_entry_ttl later and restores it relist_delay after it can be renewed again. Off by default. Upstreams can be paused: their leases expire by their own clock, all other ends wait until they are resumed. A start can be lost in a crash, or get no reply, by task.

--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -153,9 +153,31 @@
 void JobCluster::CheckPeriodically() {
   if (HasActiveFault()) upstreams_.RecordFault();
   upstreams_.CheckCancelled();
+  if (options_.list_entries_expire) UpdateListEntries();
   clock_.At(clock_.now() + kCheckInterval, [this] { CheckPeriodically(); });
 }
 
+void JobCluster::UpdateListEntries() {
+  const TimePoint now = clock_.now();
+  for (const auto& [id, record] : list_entries_) {
+    if (upstreams_.CrashVerdict(id)) {
+      list_renewals_.erase(id);
+      continue;
+    }
+    const bool renewing = upstreams_.Connected(id) && !store_.faults().down;
+    ListRenewal& renewal = list_renewals_[id];
+    if (renewal.renewing != renewing) {
+      renewal.renewing = renewing;
+      renewal.since = now;
+    }
+    const Millis delay =
+        renewing ? options_.relist_delay : options_.list_entry_ttl;
+    if (renewal.listed == renewing || now - renewal.since < delay) continue;
+    renewal.listed = renewing;
+    store_.Put(kUpstreamTable, id, renewing ? rpc::Encode(record) : "");
+  }
+}
+
 bool JobCluster::HasActiveFault() const {
   const StoreFaults& store = store_.faults();
   if (store.down || !store.partitioned_entries.empty() ||
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -77,12 +77,18 @@
   /// How long after the crash of an upstream its list entry is removed, unless
   /// another incarnation has replaced it before.
   Millis list_entry_ttl{4000};
+  /// When an entry that has expired is restored after its upstream can renew it
+  /// again, with list_entries_expire.
+  Millis relist_delay{1500};
   Millis replacement_delay{3000};
   bool replacement_at_new_address = false;
   /// Crashed upstreams restart under their ids, without a memory.
   bool restart_under_same_id = false;
   /// Calls to crashed upstreams time out instead of being refused.
   bool crash_silently = false;
+  /// List entries expire, too, when their upstreams cannot renew them for
+  /// list_entry_ttl: they are unreachable or paused, or the store is down.
+  bool list_entries_expire = false;
   /// Rates of each direction of an entry's link, and of its processor.
   LinkRate link{};
   /// The same for the entries named here.
@@ -235,6 +241,16 @@
   /// cancelled jobs have ended.
   void CheckPeriodically();
   bool HasActiveFault() const;
+  /// Removes the list entries that have expired, and restores those that are
+  /// renewed again.
+  void UpdateListEntries();
+
+  /// Whether an upstream renews its list entry.
+  struct ListRenewal {
+    bool renewing = true;
+    TimePoint since{};
+    bool listed = true;
+  };
 
   JobClusterOptions options_;
   sim::ManualClock clock_;
@@ -250,6 +266,7 @@
   std::map<std::string, Millis> peer_latency_;
   /// The list entry of each incarnation of an upstream.
   std::map<std::string, wire::UpstreamRecord> list_entries_;
+  std::map<std::string, ListRenewal> list_renewals_;
   int replacements_created_ = 0;
   int64_t config_version_ = 1;
   std::map<std::string, std::unique_ptr<MachineFake>> machines_;
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -99,15 +99,38 @@
   if (crash_silently_ && CrashVerdict(id)) return false;
   const auto found = upstreams_.find(id);
   return found != upstreams_.end() && !found->second.faults.terminated &&
-         !found->second.faults.unreachable;
+         !found->second.faults.unreachable && !found->second.paused;
+}
+
+bool UpstreamsFake::Connected(const std::string& id) const {
+  const Upstream& upstream = upstreams_.at(id);
+  return !upstream.faults.unreachable && !upstream.paused;
+}
+
+void UpstreamsFake::Resume(const std::string& id) {
+  Upstream& upstream = upstreams_[id];
+  upstream.paused = false;
+  for (const auto& event : std::exchange(upstream.delayed_by_pause, {})) {
+    event();
+  }
+}
+
+bool UpstreamsFake::LosesStart(const std::string& id, const TaskId& task) {
+  const auto behavior = behaviors_.find(task);
+  if (behavior == behaviors_.end()) return false;
+  if (behavior->second.starts_lost_in_crashes <= 0) return false;
+  --behavior->second.starts_lost_in_crashes;
+  Crash(id);
+  return true;
 }
 
 bool UpstreamsFake::HasActiveFault() const {
   return std::any_of(
       upstreams_.begin(), upstreams_.end(), [](const auto& upstream) {
         const UpstreamFaults& faults = upstream.second.faults;
-        return faults.unreachable || faults.drop_start_replies > 0 ||
-               faults.delayed_starts > 0 || faults.drop_stops > 0;
+        return faults.unreachable || upstream.second.paused ||
+               faults.drop_start_replies > 0 || faults.delayed_starts > 0 ||
+               faults.drop_stops > 0;
       });
 }
 
@@ -147,10 +170,13 @@
   Upstream& upstream = upstreams_[id];
   if (upstream.state != UpstreamState::kAlive) return;
   upstream.state = UpstreamState::kCrashed;
+  upstream.paused = false;
+  upstream.delayed_by_pause.clear();
   const std::map<TaskId, Run> lost = std::exchange(upstream.running, {});
   DropUnacknowledgedCompletions(id);
   for (const auto& [task, run] : lost) {
-    ++crashes_[task];
+    crashes_[task].push_back(
+        std::chrono::duration_cast<Millis>(clock_.now() - run.started));
     BreakGang(task, run.attempt);
   }
   if (on_crash_) on_crash_(id);
@@ -164,21 +190,52 @@
   });
 }
 
+void UpstreamsFake::CrashIfRunning(const std::string& id, const TaskId& task,
+                                   uint64_t run) {
+  Upstream& upstream = upstreams_[id];
+  const auto found = upstream.running.find(task);
+  if (found == upstream.running.end() || found->second.id != run) return;
+  if (!upstream.paused) return Crash(id);
+  upstream.delayed_by_pause.emplace_back(
+      [this, id, task, run] { CrashIfRunning(id, task, run); });
+}
+
 void UpstreamsFake::CrashLater(const std::string& id, const TaskId& task,
                                uint64_t run) {
   const auto behavior = behaviors_.find(task);
   if (behavior == behaviors_.end() || !behavior->second.crash_delay) return;
   clock_.At(clock_.now() + *behavior->second.crash_delay,
-            [this, id, task, run] {
-              const auto& running = upstreams_[id].running;
-              const auto found = running.find(task);
-              if (found != running.end() && found->second.id == run) Crash(id);
-            });
+            [this, id, task, run] { CrashIfRunning(id, task, run); });
+}
+
+bool UpstreamsFake::DropsStartReply(const std::string& id, const TaskId& task) {
+  const auto behavior = behaviors_.find(task);
+  if (behavior != behaviors_.end() && behavior->second.unanswered_starts > 0) {
+    --behavior->second.unanswered_starts;
+    return true;
+  }
+  int& drop_start_replies = upstreams_[id].faults.drop_start_replies;
+  if (drop_start_replies <= 0) return false;
+  --drop_start_replies;
+  return true;
 }
 
 int UpstreamsFake::Crashes(const TaskId& task) const {
   const auto found = crashes_.find(task);
-  return found == crashes_.end() ? 0 : found->second;
+  return found == crashes_.end() ? 0 : static_cast<int>(found->second.size());
+}
+
+int UpstreamsFake::CrashesWithin(const TaskId& task, Millis span) const {
+  const auto found = crashes_.find(task);
+  if (found == crashes_.end()) return 0;
+  return static_cast<int>(
+      std::count_if(found->second.begin(), found->second.end(),
+                    [&](Millis lasted) { return lasted <= span; }));
+}
+
+int UpstreamsFake::FailedRuns(const TaskId& task) const {
+  const auto found = failed_runs_.find(task);
+  return found == failed_runs_.end() ? 0 : found->second;
 }
 
 int UpstreamsFake::Starts(const TaskId& task) const {
@@ -449,6 +506,11 @@
   const auto found = upstream.running.find(task);
   if (found == upstream.running.end() || found->second.id != run) return;
   if (upstream.faults.terminated) return;
+  if (upstream.paused && kind != EndKind::kLeaseExpired) {
+    upstream.delayed_by_pause.emplace_back(
+        [this, id, task, run, kind] { End(id, task, run, kind); });
+    return;
+  }
   const int64_t attempt = found->second.attempt;
   upstream.running.erase(found);
   if (kind == EndKind::kFailed) ++failed_runs_[task];
@@ -623,6 +685,7 @@
       done({.verdict = *verdict, .detail = "Connection refused"});
     });
   }
+  if (upstreams_.LosesStart(target.id, call.task)) return time_out();
   const int64_t incarnation = upstreams_.Incarnation(target.id);
   const auto execute = [this, target, call, incarnation] {
     // A call in flight when the upstream crashes gets no reply, and is
@@ -636,8 +699,7 @@
                           execute);
     return time_out();
   }
-  const bool reply_dropped = faults.drop_start_replies > 0;
-  if (reply_dropped) --faults.drop_start_replies;
+  const bool reply_dropped = upstreams_.DropsStartReply(target.id, call.task);
   auto reply = std::make_shared<ports::CallReply>();
   upstreams_.clock().At(upstreams_.clock().now() + kNetworkDelay,
                         [execute, reply] { *reply = execute(); });
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -24,6 +24,12 @@
   int failing_runs = 0;
   /// Each upstream that starts the task crashes after this delay.
   std::optional<Millis> crash_delay{};
+  /// Number of starts of the task, from the first one on, that never arrive:
+  /// the upstream crashes just before.
+  int starts_lost_in_crashes = 0;
+  /// Number of starts of the task, from the first one on, that are executed
+  /// without a reply.
+  int unanswered_starts = 0;
   /// The checkpoint that each run reports; empty for none.
   std::string checkpoint{};
 };
@@ -109,8 +115,19 @@
   /// When the upstream was last started, in Unix ms; 0 unless upstreams restart
   /// under their ids.
   int64_t Incarnation(const std::string& id) const;
+  /// Suspends the upstream's process. It answers nothing and ends no run, while
+  /// its clock goes on and its leases expire.
+  void Pause(const std::string& id) { upstreams_[id].paused = true; }
+  void Resume(const std::string& id);
+  /// Whether the upstream can renew its list entry.
+  bool Connected(const std::string& id) const;
   /// Number of upstreams that have crashed while they ran the task.
   int Crashes(const TaskId& task) const;
+  /// Number of upstreams that have crashed within this time of a start of the
+  /// task.
+  int CrashesWithin(const TaskId& task, Millis span) const;
+  /// Number of runs of the task that have failed.
+  int FailedRuns(const TaskId& task) const;
   /// Number of starts of the task.
   int Starts(const TaskId& task) const;
 
@@ -161,8 +178,13 @@
   /// Whether a call that was sent to this incarnation of the upstream still
   /// arrives there.
   bool Serves(const std::string& id, int64_t incarnation) const {
-    return !CrashVerdict(id) && Incarnation(id) == incarnation;
+    return !CrashVerdict(id) && Incarnation(id) == incarnation &&
+           !upstreams_.at(id).paused;
   }
+  /// Whether the start is lost because the upstream crashes as it arrives.
+  bool LosesStart(const std::string& id, const TaskId& task);
+  /// Whether the start is executed without a reply.
+  bool DropsStartReply(const std::string& id, const TaskId& task);
   sim::ManualClock& clock() { return clock_; }
 
   /// Violations of the rules so far, each with a description.
@@ -194,6 +216,9 @@
   struct Upstream {
     UpstreamFaults faults;
     UpstreamState state = UpstreamState::kAlive;
+    bool paused = false;
+    /// What happens when the upstream is resumed, in order.
+    std::vector<std::function<void()>> delayed_by_pause;
     int32_t millicores = 0;
     int32_t memory_mb = 0;
     int64_t fence = 0;
@@ -235,6 +260,8 @@
   /// Checks that a task which crashes its upstreams is not started too often.
   void CheckCrashes(const TaskId& task);
   void CrashLater(const std::string& id, const TaskId& task, uint64_t run);
+  /// Crashes the upstream if it still executes the run, or once it is resumed.
+  void CrashIfRunning(const std::string& id, const TaskId& task, uint64_t run);
 
   sim::ManualClock& clock_;
   std::map<std::string, Upstream> upstreams_;
@@ -244,7 +271,8 @@
   std::map<TaskId, int> failed_runs_;
   std::map<TaskId, int> done_runs_;
   std::map<TaskId, int> lost_runs_;
-  std::map<TaskId, int> crashes_;
+  /// How long each run had lasted when its upstream crashed.
+  std::map<TaskId, std::vector<Millis>> crashes_;
   std::map<TaskId, int> task_starts_;
   /// Starts of tasks that crash their upstreams, after the third crash.
   std::map<TaskId, int> starts_after_crashes_;
