Scheduling: Keep late crashes as evidence, and suspect runs that were hardly seen

A crash that shows only by timeouts was never early, since the upstream counts as unresponsive 0.5 to 2.3 s after its last answer: its task got no quarantine, and took its neighbours along until they were given up.

Change: all runs of less than 5 s stay in the evidence when the leases expire. A crash is early if the run was never seen beyond its first 0.3 s. In the quarantine of a suspect only the suspect is blamed.

--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -33,7 +33,7 @@
 }  // namespace
 
 bool SuspectedCrash::early() const {
-  return silent_after < CrashEvidence::kEarlyWindow;
+  return last_seen < CrashEvidence::kEarlyWindow;
 }
 
 bool IsConfirmed(const SuspectedCrash& crash) {
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -34,13 +34,13 @@
   Millis last_seen{0};
   /// Time from the order to start until the upstream became unresponsive.
   Millis silent_after{0};
-  /// Nothing else explains the crash: it certainly ended the run, no run of
-  /// another job had only just started there, and no other upstream became
-  /// unresponsive at that time.
+  /// Nothing else explains the crash: it ended the run in its first moments, no
+  /// run of another job had only just started there, and no other upstream
+  /// became unresponsive at that time.
   bool sole_suspect = false;
   UpstreamFate fate = UpstreamFate::kUnknown;
 
-  /// Whether the upstream became unresponsive as the run started.
+  /// Whether the run was not seen beyond its first moments.
   bool early() const;
 
   bool operator==(const SuspectedCrash&) const = default;
@@ -55,16 +55,16 @@
   using List = std::vector<SuspectedCrash>;
   using Filter = std::function<bool(const SuspectedCrash&)>;
 
-  /// An upstream that becomes unresponsive this soon after a start may have
-  /// been crashed by it. Two crashes at times that differ by less may have the
-  /// same cause.
+  /// A run that was not seen for longer than this may have crashed its upstream
+  /// as it started. Two crashes at times that differ by less may have the same
+  /// cause.
   static constexpr Millis kEarlyWindow{300};
   /// A run of this length shows that its task does not crash upstreams.
   static constexpr Millis kHarmlessRunTime{5000};
 
   bool empty() const { return crashes_.empty(); }
   const List& list() const { return crashes_; }
-  /// Whether any upstream became unresponsive as a run started.
+  /// Whether any crash was early.
   bool suspect() const;
 
   /// Adds a crash, unless its attempt is known or the run lasted for
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -22,6 +22,14 @@
 
 bool IsEarly(const SuspectRun& run) { return run.silent_after < kEarlyWindow; }
 
+/// Whether the job has a run that was not seen beyond its first moments.
+bool HasNewRun(const SuspectRuns& runs, JobId job) {
+  return std::any_of(runs.begin(), runs.end(), [job](const auto& run) {
+    return run.first.first.job == job &&
+           run.second.last_seen.value_or(Millis(0)) < kEarlyWindow;
+  });
+}
+
 /// The jobs with a run that had only just started, confirmed or not.
 std::set<JobId> NewJobs(const SuspectRuns& runs) {
   std::set<JobId> out;
@@ -151,15 +159,14 @@
   const bool sole_suspect = fate == UpstreamFate::kReplaced &&
                             !it.unresponsive_with_others &&
                             NewJobs(runs).size() == 1;
+  const bool explained =
+      it.quarantine.has_value() && HasNewRun(runs, it.quarantine->job);
   for (const auto& [run, suspect] : runs) {
     const auto& [id, attempt] = run;
     // A run that is not known to have started is not shown to be the cause.
     if (!suspect.last_seen) continue;
-    // Once the leases have expired, the upstream may crash without the run.
-    // Only the first moments of a run say that its start was the cause.
-    if (fate == UpstreamFate::kUnknown && *suspect.last_seen >= kEarlyWindow) {
-      continue;
-    }
+    // The suspect that the upstream was quarantined for is the likelier cause.
+    if (explained && id.job != it.quarantine->job) continue;
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
