Coordinator: Log and tell why each job has failed

Cause: a job that failed by its attempts left no line at all, and one that failed by crashes left the numbers only. Operators saw "failed" and couldn't tell which runs had counted, on which upstream, and from what their end was known.

Change: the leader that decides writes "job failed" with the deciding task, and a line for each run that counted ("failure counted", and "crash counted" with how, said_by and why): attempt, upstream, incarnation, who said so. Failures that an earlier leader counted are named as such; so are those from ends that were stored for unreadable records. New counter jobs_failed{cause}.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -236,6 +236,9 @@
   }
   const auto final = final_jobs_.find(id);
   if (final != final_jobs_.end()) {
+    if (final->second.state == JobState::kFailed) {
+      reply.__set_reason(FailureReason(id, final->second));
+    }
     return answer(JobVerdict::kConfirmed, final->second.state);
   }
   // A leader whose process was paused would report a job as running that its
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -249,6 +249,12 @@
   for (const scheduling::PermanentlyFailedTask& task :
        orders.permanently_failed) {
     LogPermanentlyFailed(task);
+    ReportJobFailure(ExplainCrashes(task));
+  }
+  for (const TaskId& task : orders.attempts_exhausted) {
+    const Job* job = scheduler_.Find(task.job);
+    if (job == nullptr) continue;
+    ReportJobFailure(ExplainFailedAttempts(*job, task, failed_runs_));
   }
   for (const scheduling::HealthEvent& event : orders.health) {
     LogHealthChange(event);
@@ -291,11 +297,46 @@
                   {"other_crashes",
                    Text(static_cast<int64_t>(task.crashes.size()) - early)}});
   for (const SuspectedCrash& crash : task.crashes) {
-    logging::Event(Level::kWarning, "crash counted",
-                   DescribeCrash(task.task, crash));
+    const CountedRun run = ToCountedRun(task.task, crash);
+    std::vector<logging::Field> fields = DescribeCrash(task.task, crash);
+    fields.push_back({"how", "lost with its upstream"});
+    fields.push_back(
+        {"said_by", std::string(kEndSourceNames.Name(run.source))});
+    fields.push_back({"why", std::string(kCountReasonNames.Name(run.reason))});
+    logging::Event(Level::kWarning, "crash counted", fields);
   }
 }
 
+void Coordinator::NoteFailedRun(UpstreamIndex upstream,
+                                const ports::EndedTask& end) {
+  if (end.kind != ports::EndKind::kFailed) return;
+  const Job* job = scheduler_.Find(end.task.job);
+  if (job == nullptr || job->final() || !job->Has(end.task)) return;
+  if (job->step(end.task.step).long_running) return;
+  const ports::UpstreamEntry& entry = scheduler_.pool().at(upstream).entry;
+  failed_runs_.Add(job->FailureKeeper(end.task),
+                   {.task = end.task,
+                    .attempt = end.attempt,
+                    .upstream = entry.id,
+                    .incarnation = entry.incarnation,
+                    .source = EndSource::kReport});
+}
+
+void Coordinator::ReportJobFailure(JobFailure failure) {
+  deps_.metrics.Count({.name = "jobs_failed",
+                       .labels = {{"cause", std::string(kFailureCauseNames.Name(
+                                                failure.cause))}}});
+  LogJobFailure(failure);
+  job_failures_.Add(std::move(failure));
+}
+
+std::string Coordinator::FailureReason(JobId id, const FinalJob& job) const {
+  const JobFailure* failure = job_failures_.Find(id);
+  if (failure != nullptr) return FailureText(*failure);
+  return job.ended_in_this_term ? "no longer kept, see the log"
+                                : "decided by an earlier leader, see its log";
+}
+
 void Coordinator::LogEvidence(const scheduling::EvidenceEvent& event) {
   const std::string change(scheduling::kEvidenceChangeNames.Name(event.change));
   deps_.metrics.Count(
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -15,6 +15,7 @@
 #include "src/coordinator/admission.h"
 #include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
+#include "src/coordinator/job_failures.h"
 #include "src/coordinator/job_verdicts.h"
 #include "src/coordinator/memory_budget.h"
 #include "src/coordinator/order_budget.h"
@@ -390,6 +391,12 @@
   void LogLostRun(const scheduling::LostRun& run);
   void LogEvidence(const scheduling::EvidenceEvent& event);
   void LogPermanentlyFailed(const scheduling::PermanentlyFailedTask& task);
+  /// Notes the run if its failure counts against its job.
+  void NoteFailedRun(UpstreamIndex upstream, const ports::EndedTask& end);
+  /// Logs and keeps why a job has failed.
+  void ReportJobFailure(JobFailure failure);
+  /// Why a job is shown as failed, in words.
+  std::string FailureReason(JobId id, const FinalJob& job) const;
   void LogHealthChange(const scheduling::HealthEvent& event);
   void LogDelayedRestart(const scheduling::DelayedRestart& restart);
   /// Logs the stop of an orphaned run, which no valid order accounts for.
@@ -463,6 +470,8 @@
   std::unordered_map<JobId, PendingSubmission> pending_submissions_;
   int64_t last_submission_number_ = 0;
   std::unordered_map<JobId, FinalJob> final_jobs_;
+  FailedRuns failed_runs_;
+  JobFailures job_failures_;
   /// The stored parts of the progress of open jobs with many tasks, as last put
   /// into the journal; empty strings for parts without a record.
   std::unordered_map<JobId, std::vector<std::string>> progress_parts_;
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -19,10 +19,10 @@
 constexpr Millis kStoreRetryDelay{150};
 
 /// Applies a completion that was stored while the records of its job could not
-/// be read.
-void ApplyUnmatchedCompletion(Job& job, const TaskId& task, int64_t attempt,
+/// be read. Returns whether the job has failed with it.
+bool ApplyUnmatchedCompletion(Job& job, const TaskId& task, int64_t attempt,
                               bool failed) {
-  if (job.final()) return;
+  if (job.final()) return false;
   const wire::StepSpec& step = job.step(task.step);
   job.NoteStarted();
   if (failed) {
@@ -30,9 +30,9 @@
                            !step.long_running &&
                            job.Failures(task) >= job.queue().max_attempts;
     if (exhausted) job.SetState(JobState::kFailed);
-    return;
+    return exhausted;
   }
-  if (step.long_running) return;
+  if (step.long_running) return false;
   // The completion of one member completes its whole gang.
   const int32_t first_index = step.gang ? 0 : task.index;
   const int32_t last_index = step.gang ? step.tasks - 1 : task.index;
@@ -40,6 +40,7 @@
     job.SetPhase({task.job, task.occurrence, task.step, i}, TaskPhase::kDone);
   }
   if (job.AllDone()) job.SetState(JobState::kComplete);
+  return false;
 }
 
 }  // namespace
@@ -236,8 +237,11 @@
     for (const UnmatchedCompletion& completion : completions) {
       merged_keys.push_back(CompletionKey(completion.task, completion.attempt));
       if (!job.Has(completion.task)) continue;
-      ApplyUnmatchedCompletion(job, completion.task, completion.attempt,
-                               completion.failed);
+      if (ApplyUnmatchedCompletion(job, completion.task, completion.attempt,
+                                   completion.failed)) {
+        ReportJobFailure(
+            ExplainFailedAttempts(job, completion.task, failed_runs_));
+      }
     }
     StoreProgress(job);
     loaded_progress_[id] = job.Progress();
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -311,6 +311,7 @@
     }
     StoreUnmatchedCompletion(completion);
     NoteFinishedRun(upstream, completion);
+    NoteFailedRun(upstream, completion);
     scheduler_.OnEnd(upstream, completion, now, orders);
   }
   scheduler_.OnRunning(upstream, running, now, orders);
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -4357,6 +4357,11 @@
 void JobStateReply::__set_state(const int32_t val) {
   this->state = val;
 }
+
+void JobStateReply::__set_reason(const std::string& val) {
+  this->reason = val;
+__isset.reason = true;
+}
 std::ostream& operator<<(std::ostream& out, const JobStateReply& obj)
 {
   obj.printTo(out);
@@ -4401,6 +4406,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 3:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->reason);
+          this->__isset.reason = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4426,6 +4439,11 @@
   xfer += oprot->writeI32(this->state);
   xfer += oprot->writeFieldEnd();
 
+  if (this->__isset.reason) {
+    xfer += oprot->writeFieldBegin("reason", ::apache::thrift::protocol::T_STRING, 3);
+    xfer += oprot->writeString(this->reason);
+    xfer += oprot->writeFieldEnd();
+  }
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4435,28 +4453,33 @@
   using ::std::swap;
   swap(a.verdict, b.verdict);
   swap(a.state, b.state);
+  swap(a.reason, b.reason);
   swap(a.__isset, b.__isset);
 }
 
-JobStateReply::JobStateReply(const JobStateReply& other144) noexcept {
+JobStateReply::JobStateReply(const JobStateReply& other144) {
   verdict = other144.verdict;
   state = other144.state;
+  reason = other144.reason;
   __isset = other144.__isset;
 }
 JobStateReply::JobStateReply(JobStateReply&& other145) noexcept {
   verdict = other145.verdict;
   state = other145.state;
+  reason = std::move(other145.reason);
   __isset = other145.__isset;
 }
-JobStateReply& JobStateReply::operator=(const JobStateReply& other146) noexcept {
+JobStateReply& JobStateReply::operator=(const JobStateReply& other146) {
   verdict = other146.verdict;
   state = other146.state;
+  reason = other146.reason;
   __isset = other146.__isset;
   return *this;
 }
 JobStateReply& JobStateReply::operator=(JobStateReply&& other147) noexcept {
   verdict = other147.verdict;
   state = other147.state;
+  reason = std::move(other147.reason);
   __isset = other147.__isset;
   return *this;
 }
@@ -4465,6 +4488,7 @@
   out << "JobStateReply(";
   out << "verdict=" << to_string(verdict);
   out << ", " << "state=" << to_string(state);
+  out << ", " << "reason="; (__isset.reason ? (out << to_string(reason)) : (out << "<null>"));
   out << ")";
 }
 
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -1846,26 +1846,32 @@
 std::ostream& operator<<(std::ostream& out, const JobStateCall& obj);
 
 typedef struct _JobStateReply__isset {
-  _JobStateReply__isset() : verdict(false), state(false) {}
+  _JobStateReply__isset() : verdict(false), state(false), reason(false) {}
   bool verdict :1;
   bool state :1;
+  bool reason :1;
 } _JobStateReply__isset;
 
 class JobStateReply : public virtual ::apache::thrift::TBase {
  public:
 
-  JobStateReply(const JobStateReply&) noexcept;
+  JobStateReply(const JobStateReply&);
   JobStateReply(JobStateReply&&) noexcept;
-  JobStateReply& operator=(const JobStateReply&) noexcept;
+  JobStateReply& operator=(const JobStateReply&);
   JobStateReply& operator=(JobStateReply&&) noexcept;
   JobStateReply() noexcept
                 : verdict(0),
-                  state(0) {
+                  state(0),
+                  reason() {
   }
 
   virtual ~JobStateReply() noexcept;
   int32_t verdict;
   int32_t state;
+  /**
+   * Why the job has failed, for operators.
+   */
+  std::string reason;
 
   _JobStateReply__isset __isset;
 
@@ -1873,12 +1879,18 @@
 
   void __set_state(const int32_t val);
 
+  void __set_reason(const std::string& val);
+
   bool operator == (const JobStateReply & rhs) const
   {
     if (!(verdict == rhs.verdict))
       return false;
     if (!(state == rhs.state))
       return false;
+    if (__isset.reason != rhs.__isset.reason)
+      return false;
+    else if (__isset.reason && !(reason == rhs.reason))
+      return false;
     return true;
   }
   bool operator != (const JobStateReply &rhs) const {
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -266,6 +266,8 @@
 struct JobStateReply {
   1: i32 verdict
   2: i32 state
+  /** Why the job has failed, for operators. */
+  3: optional string reason
 }
 
 struct CancelJobCall {
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -215,6 +215,8 @@
   /// Only to be logged; these require no action.
   std::vector<LostRun> lost;
   std::vector<PermanentlyFailedTask> permanently_failed;
+  /// Tasks whose jobs have failed with them, after too many failed attempts.
+  std::vector<TaskId> attempts_exhausted;
   std::vector<EvidenceEvent> evidence;
   std::vector<HealthEvent> health;
   std::vector<DelayedRestart> delayed_restarts;
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -383,6 +383,7 @@
   BlameForFailure(record, run, now, orders);
   if (job.step(id.step).long_running) return;
   if (job.Failures(id) < job.queue().max_attempts) return;
+  orders.attempts_exhausted.push_back(id);
   FinishJob(record, JobState::kFailed, now);
   StopAll(record, StopReason::kJobFailed, now, orders);
 }
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -172,7 +172,9 @@
         options, rpc::Method::kJobState, call,
         [](const wire::JobStateReply& reply) {
           const auto state = static_cast<JobState>(reply.state);
-          return std::string(kJobStateNames.Name(state));
+          std::string out(kJobStateNames.Name(state));
+          if (reply.__isset.reason) out += "\n" + reply.reason;
+          return out;
         });
   }
   if (args[0] == "cancel") {
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -320,6 +320,17 @@
   });
 }
 
+std::string JobCluster::FailureReason(JobId id) {
+  const std::string leader = Leader();
+  if (leader.empty()) return {};
+  wire::JobStateCall call;
+  call.id = static_cast<int64_t>(id);
+  std::string reason;
+  entry(leader)->OnQueryState(
+      call, [&](const wire::JobStateReply& reply) { reason = reply.reason; });
+  return reason;
+}
+
 void JobCluster::QueryState(const std::string& entry, JobId id,
                             std::function<void(jobentry::JobAnswer)> done,
                             const jobentry::CallerAccount& account) {
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -154,6 +154,9 @@
   /// State of the job as reported by any running entry; empty if none answers
   /// in time.
   std::optional<JobState> State(JobId id);
+  /// Why the job has failed, as the leader tells operators; empty if it tells
+  /// nothing.
+  std::string FailureReason(JobId id);
   /// Asks one entry for the job's state. `done` runs once unless the entry's
   /// process ends before.
   void QueryState(const std::string& entry, JobId id,
