Coordinator: Log and count dropped upstreams that answer again

Cause: "upstream dropped ... crashed" was all that told of an upstream that had only been cut off or paused; nothing said that it answered again in its incarnation.

Change: "upstream dropped" names silent_ms, listed and incarnation, and a warning "dropped upstream answers" how long it was away, if it answers in the same incarnation. After maintenance nothing is remembered, since the next incarnation may not report that it is another one. Counters upstreams_dropped{why} and dropped_upstreams_back{why}.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -15,6 +15,7 @@
 #include "src/coordinator/admission.h"
 #include "src/coordinator/admission_policy.h"
 #include "src/coordinator/advice_lanes.h"
+#include "src/coordinator/dropped_upstreams.h"
 #include "src/coordinator/job_failures.h"
 #include "src/coordinator/job_verdicts.h"
 #include "src/coordinator/memory_budget.h"
@@ -315,6 +316,8 @@
   /// unresponsive for `unresponsive_upstream_timeout`.
   void DropUnresponsiveUpstreams();
   void DropUpstream(UpstreamIndex upstream, scheduling::UpstreamLoss why);
+  /// Logs the answer of an upstream that was dropped although it has not ended.
+  void NoteAnswerOfDropped(UpstreamIndex upstream);
   /// Drops the specs and then the states of final jobs after their retention
   /// times.
   void DropFinalJobs();
@@ -470,6 +473,7 @@
   std::unordered_map<JobId, PendingSubmission> pending_submissions_;
   int64_t last_submission_number_ = 0;
   std::unordered_map<JobId, FinalJob> final_jobs_;
+  DroppedUpstreams dropped_upstreams_;
   FailedRuns failed_runs_;
   JobFailures job_failures_;
   /// The stored parts of the progress of open jobs with many tasks, as last put
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -22,6 +22,10 @@
   return entry.incarnation > 0 && entry.incarnation < known.incarnation;
 }
 
+std::string MillisBetween(TimePoint from, TimePoint until) {
+  return Text(std::chrono::duration_cast<Millis>(until - from).count());
+}
+
 }  // namespace
 
 void Coordinator::ReadUpstreamList() {
@@ -338,6 +342,7 @@
     if (!it.closed) CloseUpstream(upstream);
     return;
   }
+  NoteAnswerOfDropped(upstream);
   inherited_closures_.erase(it.entry.id);
   if (it.entry.draining && !it.closed) CloseUpstream(upstream);
   if (!it.entry.draining && it.closed) ReopenUpstream(upstream);
@@ -377,11 +382,28 @@
 }
 
 void Coordinator::DropUpstream(UpstreamIndex upstream, UpstreamLoss why) {
-  const std::string id = scheduler_.pool().at(upstream).entry.id;
-  logging::Event(
-      Level::kInfo, "upstream dropped",
-      {{"upstream", id},
-       {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
+  const scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  const std::string id = it.entry.id;
+  const std::string why_name(scheduling::kUpstreamLossNames.Name(why));
+  const TimePoint now = deps_.executor.Now();
+  const TimePoint silent_since =
+      it.reachable ? now : it.unresponsive_since.value_or(it.known_since);
+  deps_.metrics.Count(
+      {.name = "upstreams_dropped", .labels = {{"why", why_name}}});
+  logging::Event(Level::kInfo, "upstream dropped",
+                 {{"upstream", id},
+                  {"why", why_name},
+                  {"silent_ms", MillisBetween(silent_since, now)},
+                  {"listed", it.listed ? "yes" : "no"},
+                  {"incarnation", Text(it.entry.incarnation)}});
+  // After maintenance another incarnation returns under the id, perhaps without
+  // reporting that it is another one.
+  if (why != UpstreamLoss::kMaintenance) {
+    dropped_upstreams_.Add(id, {.incarnation = it.entry.incarnation,
+                                .why = why,
+                                .silent_since = silent_since,
+                                .dropped_at = now});
+  }
   journal_->Remove(UpstreamKey(id));
   // The upstream may come back under the same id, and has then seen all fencing
   // tokens that this link used. A link opened with an earlier token would be
@@ -392,6 +414,23 @@
   scheduler_.pool().Remove(upstream);
 }
 
+void Coordinator::NoteAnswerOfDropped(UpstreamIndex upstream) {
+  const ports::UpstreamEntry& entry = scheduler_.pool().at(upstream).entry;
+  const auto dropped =
+      dropped_upstreams_.TakeAnswering(entry.id, entry.incarnation);
+  if (!dropped) return;
+  const TimePoint now = deps_.executor.Now();
+  const std::string why(scheduling::kUpstreamLossNames.Name(dropped->why));
+  deps_.metrics.Count(
+      {.name = "dropped_upstreams_back", .labels = {{"why", why}}});
+  logging::Event(Level::kWarning, "dropped upstream answers",
+                 {{"upstream", entry.id},
+                  {"why", why},
+                  {"away_ms", MillisBetween(dropped->silent_since, now)},
+                  {"dropped_ms_ago", MillisBetween(dropped->dropped_at, now)},
+                  {"incarnation", Text(entry.incarnation)}});
+}
+
 void Coordinator::DropUnresponsiveUpstreams() {
   const TimePoint now = deps_.executor.Now();
   Orders orders;
