Soak: Pause and cut off upstreams while their list entries lapse

Cause: the soak restarted upstreams, and lost replies, but left none of them silent for longer than its leases. So it could not show harmless jobs that fail because their upstreams were silent.

Change: upstreams are paused or cut off for 4 to 8 s, one or all, in 7 of 10 cases with a list entry that lapses meanwhile, over all other faults. Calls to a paused upstream arrive when it goes on, and its runs end then. 2 of 100 runs last up to 4 s. The soak's leaders change every 2 s, and its upstreams restart every 3 s: too soon to learn what became of a silent upstream. A job that is shown as failed is a finding as before, since no task fails or crashes upstreams there; the finding names how many crashes a task saw.

--- a/tests/soak/consistency_checker.cc
+++ b/tests/soak/consistency_checker.cc
@@ -1,5 +1,6 @@
 #include "tests/soak/consistency_checker.h"
 
+#include <algorithm>
 #include <iterator>
 
 #include "tests/soak/account_keys.h"
@@ -37,6 +38,15 @@
   return true;
 }
 
+int ConsistencyChecker::MostCrashes(JobId id) const {
+  int most = 0;
+  for (auto task = tasks_.lower_bound({.job = id});
+       task != tasks_.end() && task->first.job == id; ++task) {
+    most = std::max(most, task->second.crashes);
+  }
+  return most;
+}
+
 void ConsistencyChecker::OnState(JobId id, const std::string& state,
                                  const std::string& entry, TimePoint sent) {
   const auto add_finding = [&](const std::string& what) {
@@ -60,8 +70,14 @@
     if (!job.cancel_requested) add_finding("no caller cancelled it");
     return;
   }
-  // No task fails in this test, so any other final state is wrong.
-  if (state != "complete") return add_finding("no task failed");
+  // No task fails or crashes upstreams in this test, so any other final state
+  // is wrong.
+  if (state != "complete") {
+    return add_finding(
+        "no task failed, and none caused a crash; crashes "
+        "during runs of one task: " +
+        std::to_string(MostCrashes(id)));
+  }
   for (int32_t step = 0; step < std::ssize(job.tasks); ++step) {
     if (!IsStepDone(id, step)) {
       add_finding("step " + std::to_string(step) + " is not done");
--- a/tests/soak/consistency_checker.h
+++ b/tests/soak/consistency_checker.h
@@ -63,6 +63,8 @@
              int64_t completion_number);
   /// A leader has acknowledged the completions up to `completion_number`.
   void OnAcknowledged(const std::string& upstream, int64_t completion_number);
+  /// A run was lost in a crash of its upstream.
+  void OnCrash(const TaskId& task) { ++tasks_[task].crashes; }
   /// Drops the completions that no leader has acknowledged: they no longer
   /// count.
   void OnLeaseExpired(const std::string& upstream) {
@@ -83,6 +85,8 @@
   struct TaskStatus {
     std::set<std::string> runs_on;
     bool done = false;
+    /// Number of upstreams that crashed while they ran the task.
+    int crashes = 0;
     /// A leader has acknowledged a successful run.
     bool acknowledged = false;
   };
@@ -92,6 +96,8 @@
     bool started_again = false;
   };
 
+  /// The highest number of crashes under one task of the job.
+  int MostCrashes(JobId id) const;
   /// Whether all tasks of the step are done.
   bool IsStepDone(JobId job, int32_t step) const;
 
--- a/tests/soak/entries.cc
+++ b/tests/soak/entries.cc
@@ -19,7 +19,6 @@
 
 constexpr Millis kPollInterval{20};
 constexpr Millis kMinFaultInterval{600};
-constexpr Millis kMaxFaultInterval{2400};
 constexpr Millis kMinRestartDelay{100};
 constexpr Millis kMaxRestartDelay{1500};
 constexpr Millis kMinPause{300};
@@ -175,19 +174,18 @@
 }
 
 void ProcessFaultInjector::ScheduleNextFault() {
-  executor_.RunAfter(random_.Between(kMinFaultInterval, kMaxFaultInterval),
-                     [this] {
-                       if (ending_) return;
-                       if (random_.Percent(kKillAllPercent)) {
-                         KillAll();
-                       } else {
-                         InjectFault();
-                         if (random_.Percent(kSecondFaultPercent)) {
-                           InjectFault();
-                         }
-                       }
-                       ScheduleNextFault();
-                     });
+  executor_.RunAfter(random_.Between(kMinFaultInterval, max_interval_), [this] {
+    if (ending_) return;
+    if (random_.Percent(kKillAllPercent)) {
+      KillAll();
+    } else {
+      InjectFault();
+      if (random_.Percent(kSecondFaultPercent)) {
+        InjectFault();
+      }
+    }
+    ScheduleNextFault();
+  });
 }
 
 void ProcessFaultInjector::InjectFault() {
--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -89,10 +89,11 @@
 class ProcessFaultInjector {
  public:
   ProcessFaultInjector(Executor& executor, ConsistencyChecker& checker,
-                       Entries& entries, uint64_t seed)
+                       Entries& entries, Millis max_interval, uint64_t seed)
       : executor_(executor),
         checker_(checker),
         entries_(entries),
+        max_interval_(max_interval),
         random_(seed) {}
 
   void Start();
@@ -115,6 +116,8 @@
   Executor& executor_;
   ConsistencyChecker& checker_;
   Entries& entries_;
+  /// Longest time between two signals.
+  Millis max_interval_;
   SeededRandom random_;
   std::set<Entry*> restarting_;
   bool ending_ = false;
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -15,6 +15,11 @@
 DEFINE_uint64(seed, 1, "seed of faults and calls");
 DEFINE_int32(entries, 5, "entry instances, 3 to 20");
 DEFINE_int32(seconds, 20, "duration of faults and calls, 1 to 3600");
+DEFINE_int32(max_signal_interval_ms, 2400,
+             "longest time between two signals to entries, 600 to 60000");
+DEFINE_int32(max_restart_interval_ms, 6000,
+             "longest time between two restarts of upstreams, 600 to 60000; if "
+             "both are long, leaders see silent upstreams answer again");
 DEFINE_string(logs, "soak-logs", "directory; a run writes logs to seed-SEED");
 DEFINE_string(daemon, "", "path of the daemon, mimosaraild");
 
@@ -40,10 +45,20 @@
                                            .max_slow_latency = Millis(150)};
 
 constexpr Millis kMinRestartInterval{500};
-constexpr Millis kMaxRestartInterval{6000};
 constexpr Millis kMinDowntime{450};
 constexpr Millis kMaxDowntime{2500};
 
+/// Upstreams are paused or cut off for longer than their leases, or nearly.
+constexpr Millis kMinSilenceInterval{1000};
+constexpr Millis kMaxSilenceInterval{7000};
+constexpr Millis kMinSilence{4000};
+constexpr Millis kMaxSilence{8000};
+/// How long after the beginning of a silence the list entry is removed, and how
+/// long after its end it is written again.
+constexpr Millis kMinListEntryLife{500};
+constexpr Millis kMaxListEntryLife{4000};
+constexpr Millis kMaxRelistDelay{2000};
+
 /// One run: fakes of the platform and callers on one thread, entries as
 /// processes.
 class Soak {
@@ -60,6 +75,7 @@
     callers_.Start(kCallers);
     fault_injector_.Start();
     ScheduleUpstreamRestart();
+    ScheduleSilence();
     executor_.RunAfter(std::chrono::seconds(FLAGS_seconds), [this] { End(); });
     io_.run();
     return Report();
@@ -97,8 +113,8 @@
 
   /// Restarts one or more upstreams under their ids, again and again.
   void ScheduleUpstreamRestart() {
-    const Millis delay =
-        upstream_random_.Between(kMinRestartInterval, kMaxRestartInterval);
+    const Millis delay = upstream_random_.Between(
+        kMinRestartInterval, Millis(FLAGS_max_restart_interval_ms));
     executor_.RunAfter(delay, [this] {
       if (ending_) return;
       const size_t first = upstream_random_.Below(upstreams_.size());
@@ -113,6 +129,45 @@
     });
   }
 
+  /// Pauses or cuts off one or more upstreams, again and again.
+  void ScheduleSilence() {
+    executor_.RunAfter(
+        silence_random_.Between(kMinSilenceInterval, kMaxSilenceInterval),
+        [this] {
+          if (ending_) return;
+          const size_t first = silence_random_.Below(upstreams_.size());
+          const bool several = silence_random_.Percent(30);
+          for (size_t i = 0; i < upstreams_.size(); ++i) {
+            if (i == first || several) Silence(*upstreams_[i]);
+          }
+          ScheduleSilence();
+        });
+  }
+
+  void Silence(UpstreamServerFake& upstream) {
+    const Millis span = silence_random_.Between(kMinSilence, kMaxSilence);
+    const bool paused = silence_random_.Percent(50);
+    const bool lapses = silence_random_.Percent(70);
+    checker_.Log((paused ? "pause of " : "cut of ") + upstream.id() + " for " +
+                 std::to_string(span.count()) + " ms, list entry " +
+                 (lapses ? "lapses" : "remains"));
+    if (paused) {
+      upstream.Pause(span);
+    } else {
+      upstream.CutOff(span);
+    }
+    ++silences_;
+    if (!lapses) return;
+    executor_.RunAfter(
+        silence_random_.Between(kMinListEntryLife, kMaxListEntryLife),
+        [this, &upstream] {
+          if (!ending_) store_.log().Put("keyed.servers", upstream.id(), "");
+        });
+    executor_.RunAfter(
+        span + silence_random_.Between(Millis(0), kMaxRelistDelay),
+        [this, &upstream] { ListUpstream(upstream); });
+  }
+
   void StartEntries() {
     std::vector<std::string> peers;
     for (int i = 0; i < FLAGS_entries; ++i) peers.push_back(FreeAddress());
@@ -140,7 +195,11 @@
       return executor_.RunAfter(kCallersPollInterval, [this] { End(); });
     }
     store_.faults().StopInjecting();
-    for (auto& upstream : upstreams_) upstream->faults().StopInjecting();
+    for (auto& upstream : upstreams_) {
+      upstream->faults().StopInjecting();
+      upstream->EndSilence();
+      ListUpstream(*upstream);
+    }
     // Discards state that exists only in a leader's memory, so that the final
     // check sees only what was stored.
     fault_injector_.KillAll();
@@ -165,11 +224,13 @@
     }
     std::printf(
         "seed %lu: %zu jobs submitted, %zu accepted, %zu complete, %zu "
-        "signals, %ld terms, %ld appends out of sequence, %zu lost, %zu "
+        "signals, %zu silences, %ld terms, %ld appends out of sequence, %zu "
+        "lost, %zu "
         "findings\n",
         FLAGS_seed, checker_.jobs().size(), accepted, complete,
-        fault_injector_.signals(), terms, store_.log().out_of_sequence(),
-        final_check_.lost(), checker_.findings().size());
+        fault_injector_.signals(), silences_, terms,
+        store_.log().out_of_sequence(), final_check_.lost(),
+        checker_.findings().size());
     for (const std::string& finding : checker_.findings()) {
       std::printf("  %s\n", finding.c_str());
     }
@@ -191,9 +252,13 @@
   Entries entries_;
   Callers callers_{executor_, client_, checker_, entries_, NextSeed()};
   ProcessFaultInjector fault_injector_{executor_, checker_, entries_,
+                                       Millis(FLAGS_max_signal_interval_ms),
                                        NextSeed()};
   FinalCheck final_check_{executor_, client_, checker_, entries_};
   SeededRandom upstream_random_{NextSeed()};
+  SeededRandom silence_random_{NextSeed()};
+  /// Number of pauses and cuts of upstreams.
+  size_t silences_ = 0;
   bool ending_ = false;
 };
 
@@ -218,8 +283,10 @@
       "of their leader under load, and checks the answers that callers got");
   gflags::ParseCommandLineFlags(&argc, &argv, true);
   constexpr int kUsageError = 2;
+  const auto is_interval = [](int32_t ms) { return ms >= 600 && ms <= 60000; };
   if (FLAGS_entries < 3 || FLAGS_entries > 20 || FLAGS_seconds < 1 ||
-      FLAGS_seconds > 3600 || FLAGS_daemon.empty()) {
+      FLAGS_seconds > 3600 || !is_interval(FLAGS_max_signal_interval_ms) ||
+      !is_interval(FLAGS_max_restart_interval_ms) || FLAGS_daemon.empty()) {
     std::fprintf(stderr, "%s: see --help\n", argv[0]);
     return kUsageError;
   }
--- a/tests/soak/upstream_server_fake.cc
+++ b/tests/soak/upstream_server_fake.cc
@@ -12,6 +12,10 @@
 constexpr int64_t kCapacityMillicores = 64000;
 constexpr Millis kMinRunTime{20};
 constexpr Millis kMaxRunTime{300};
+/// Share of runs that last long enough to be lost to several silent upstreams,
+/// and how long they last at most.
+constexpr size_t kLongRunPercent = 2;
+constexpr Millis kMaxLongRunTime{4000};
 constexpr int64_t kMaxLeaseMs = 6000;
 constexpr int64_t kMaxWaitMs = 2000;
 constexpr Millis kLeaseCheckInterval{50};
@@ -61,8 +65,10 @@
                                  std::function<void()> restarted) {
   if (down_) return;
   down_ = true;
+  paused_until_ = {};
   ++incarnation_;
   for (const auto& [task, attempt] : running_) {
+    checker_.OnCrash(*ParseTaskId(task));
     checker_.OnEnd(id_, *ParseTaskId(task), 0);
   }
   checker_.OnRestarted(id_);
@@ -81,6 +87,24 @@
   });
 }
 
+void UpstreamServerFake::CutOff(Millis span) {
+  cut_off_until_ = Clock::now() + span;
+}
+
+void UpstreamServerFake::Pause(Millis span) {
+  paused_until_ = Clock::now() + span;
+}
+
+void UpstreamServerFake::EndSilence() {
+  cut_off_until_ = {};
+  paused_until_ = {};
+}
+
+Millis UpstreamServerFake::PauseLeft() const {
+  const auto left = std::chrono::ceil<Millis>(paused_until_ - Clock::now());
+  return std::max(left, Millis(0));
+}
+
 int64_t UpstreamServerFake::ClockMs() const {
   return (std::chrono::duration_cast<Millis>(Clock::now() - started_at_) +
           initial_clock_)
@@ -123,7 +147,13 @@
   if (http::FindHeader(request.headers, "X-Expect-Instance") != id_) {
     return respond(Answer(421));
   }
-  if (down_) {
+  if (!down_ && !IsCutOff() && PauseLeft() > Millis(0)) {
+    return executor_.RunAfter(
+        PauseLeft(), [this, request, respond, incarnation = incarnation_] {
+          if (incarnation == incarnation_) HandleRequest(request, respond);
+        });
+  }
+  if (down_ || IsCutOff()) {
     return executor_.RunAfter(kUnansweredTimeout, [respond] {
       respond(JsonResponse(504, Json::object()));
     });
@@ -132,7 +162,7 @@
       [this, body, path = request.target,
        incarnation = incarnation_](const http::Responder& back) {
         // The order is forgotten with the incarnation that held it.
-        if (incarnation != incarnation_) return;
+        if (incarnation != incarnation_ || IsCutOff()) return;
         if (path == "/hold") return RenewLease(body, back);
         if (path == "/run-start") return back(StartTask(body));
         back(path == "/run-stop" ? StopTask(body) : Answer(404));
@@ -165,11 +195,10 @@
   last_attempt_[task] = attempt;
   running_[task] = attempt;
   checker_.OnStart(id_, *id, body.value("spec", ""));
-  executor_.RunAfter(random_.Between(kMinRunTime, kMaxRunTime),
-                     [this, task, attempt] {
-                       ExpireLease();
-                       Finish(task, attempt, "done");
-                     });
+  const Millis longest =
+      random_.Percent(kLongRunPercent) ? kMaxLongRunTime : kMaxRunTime;
+  executor_.RunAfter(random_.Between(kMinRunTime, longest),
+                     [this, task, attempt] { Complete(task, attempt); });
   return Answer(200);
 }
 
@@ -182,6 +211,16 @@
   return Answer(200);
 }
 
+void UpstreamServerFake::Complete(const std::string& task, int64_t attempt) {
+  const Millis pause = PauseLeft();
+  if (pause > Millis(0)) {
+    return executor_.RunAfter(
+        pause, [this, task, attempt] { Complete(task, attempt); });
+  }
+  ExpireLease();
+  Finish(task, attempt, "done");
+}
+
 void UpstreamServerFake::Finish(const std::string& task, int64_t attempt,
                                 const char* how) {
   const auto run = running_.find(task);
@@ -222,7 +261,9 @@
 
 void UpstreamServerFake::Report(TimePoint limit,
                                 const http::Responder& respond) {
-  if (unacknowledged_.empty() && Clock::now() < limit) {
+  if (IsCutOff()) return;
+  const bool waits = unacknowledged_.empty() && Clock::now() < limit;
+  if (waits || PauseLeft() > Millis(0)) {
     return executor_.RunAfter(
         kReportPollInterval,
         [this, limit, respond, incarnation = incarnation_] {
--- a/tests/soak/upstream_server_fake.h
+++ b/tests/soak/upstream_server_fake.h
@@ -29,6 +29,13 @@
   /// Ends the upstream with all that it knows. After `downtime`, in which calls
   /// stay unanswered, it starts again under its id, and `restarted` is called.
   void Restart(Millis downtime, std::function<void()> restarted);
+  /// Leaves all calls unanswered for `span`. The runs and leases go on.
+  void CutOff(Millis span);
+  /// Pauses the upstream for `span`: its runs end only then, unless their lease
+  /// has expired, and calls arrive only then.
+  void Pause(Millis span);
+  /// Ends a pause or a cut.
+  void EndSilence();
   CallFaultInjector& faults() { return faults_; }
 
  private:
@@ -51,6 +58,11 @@
   void DiscardAcknowledged();
   void ExpireLease();
   void Finish(const std::string& task, int64_t attempt, const char* how);
+  /// The run has done its work. It ends at once, or after the pause.
+  void Complete(const std::string& task, int64_t attempt);
+  bool IsCutOff() const { return Clock::now() < cut_off_until_; }
+  /// Time that is left of the pause; 0 without one.
+  Millis PauseLeft() const;
 
   Executor& executor_;
   ConsistencyChecker& checker_;
@@ -60,6 +72,8 @@
   SeededRandom random_;
   http::Server server_;
   bool down_ = false;
+  TimePoint cut_off_until_{};
+  TimePoint paused_until_{};
   /// Number of restarts.
   int64_t incarnation_ = 0;
   TimePoint started_at_{};
