--- a/src/coordinator/job_failures.h
+++ b/src/coordinator/job_failures.h
@@ -47,8 +47,8 @@
 /// Why a run counts against its job.
 enum class CountReason : uint8_t {
   kFailedAttempt,  ///< Each failed attempt counts.
-  kEarlyCrash,     ///< The upstream stopped responding as the run started.
-  kLaterCrash,     ///< It did so later, as during other runs of the task.
+  kEarlyCrash,     ///< The run was not seen beyond its first moments.
+  kLaterCrash,     ///< Its upstream crashed as late in other runs of the task.
 };
 
 inline constexpr EnumTable kCountReasonNames{std::array{
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -165,8 +165,10 @@
     const auto& [id, attempt] = run;
     // A run that is not known to have started is not shown to be the cause.
     if (!suspect.last_seen) continue;
-    // The suspect that the upstream was quarantined for is the likelier cause.
-    if (explained && id.job != it.quarantine->job) continue;
+    // A suspect that had only just started is the likelier cause than a run
+    // that had lasted.
+    const bool lasted = *suspect.last_seen >= kEarlyWindow;
+    if (explained && lasted && id.job != it.quarantine->job) continue;
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
--- a/tests/job_failures_test.cc
+++ b/tests/job_failures_test.cc
@@ -217,6 +217,7 @@
   const SuspectedCrash assumed{.attempt = 1,
                                .upstream = "up-1",
                                .incarnation = 7,
+                               .last_seen = Millis(1400),
                                .silent_after = Millis(1500),
                                .fate = UpstreamFate::kMissing};
   const CountedRun run = coordinator::ToCountedRun(kTask, assumed);
