--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -436,7 +436,7 @@
 void Coordinator::DropUnresponsiveUpstreams() {
   const TimePoint now = deps_.executor.Now();
   Orders orders;
-  scheduler_.CheckMissingUpstreams(now, orders);
+  if (list_known_) scheduler_.CheckMissingUpstreams(now, orders);
   ExecuteOrders(orders);
   std::vector<UpstreamIndex> ended;
   for (const auto& [index, link] : links_) {
--- a/src/jobs/crash_evidence.cc
+++ b/src/jobs/crash_evidence.cc
@@ -76,7 +76,8 @@
                                               int64_t incarnation) {
   List withdrawn = Extract([&](const SuspectedCrash& it) {
     return it.upstream == upstream && it.fate != UpstreamFate::kReplaced &&
-           it.incarnation == incarnation;
+           (it.incarnation == incarnation || it.incarnation == 0 ||
+            incarnation == 0);
   });
   SetFate(upstream, UpstreamFate::kReplaced);
   return withdrawn;
--- a/src/jobs/crash_evidence.h
+++ b/src/jobs/crash_evidence.h
@@ -74,8 +74,9 @@
   /// Sets the fate of the upstream in all crashes where it is not final.
   /// Returns the changed ones.
   List SetFate(const std::string& upstream, UpstreamFate fate);
-  /// The upstream answers as this incarnation. Crashes of that incarnation did
-  /// not happen: they are removed and returned. Earlier ones are confirmed.
+  /// The upstream answers as this incarnation. Crashes of that incarnation, or
+  /// of an unknown one, did not happen: they are removed and returned. Earlier
+  /// ones are confirmed.
   List NoteAnswer(const std::string& upstream, int64_t incarnation);
   /// The upstream has not crashed. Removes and returns all crashes of it that
   /// are not confirmed.
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -92,7 +92,7 @@
                                    TimePoint now) const {
   const Job& job = record.job;
   const wire::StepSpec& step = job.step(id.step);
-  if (!step.long_running && silent_upstreams_.empty()) return 0;
+  if (!step.long_running && !silent_upstreams_.AnyAwaitsFate()) return 0;
   const int32_t waiting = job.step_counts(id.occurrence, id.step).waiting;
   int32_t delayed = 0;
   for (int32_t i = 0; i < step.tasks; ++i) {
--- a/src/scheduling/silent_upstreams.cc
+++ b/src/scheduling/silent_upstreams.cc
@@ -1,5 +1,7 @@
 #include "src/scheduling/silent_upstreams.h"
 
+#include <algorithm>
+
 namespace mimosarail::scheduling {
 
 std::set<TaskId> SilentUpstreams::TasksOf(const std::string& upstream) const {
@@ -14,8 +16,17 @@
 
 void SilentUpstreams::Add(const std::string& upstream, const TaskId& task,
                           TimePoint since) {
-  upstreams_.try_emplace(upstream, SilentUpstream{.since = since})
-      .first->second.tasks.insert(task);
+  SilentUpstream& silent =
+      upstreams_.try_emplace(upstream, SilentUpstream{.since = since})
+          .first->second;
+  if (silent.assumed_crashed) silent.since = since;
+  silent.assumed_crashed = false;
+  silent.tasks.insert(task);
+}
+
+bool SilentUpstreams::AnyAwaitsFate() const {
+  return std::any_of(upstreams_.begin(), upstreams_.end(),
+                     [](const auto& it) { return !it.second.assumed_crashed; });
 }
 
 void SilentUpstreams::RemoveTasks(
@@ -31,8 +42,9 @@
     const std::function<bool(const std::string&)>& is_listed, TimePoint now) {
   std::vector<std::string> out;
   for (auto& [upstream, silent] : upstreams_) {
-    if (silent.assumed_crashed || now - silent.since < kMissingTime) continue;
-    if (is_listed(upstream)) continue;
+    if (silent.assumed_crashed) continue;
+    if (is_listed(upstream)) silent.since = now;
+    if (now - silent.since < kMissingTime) continue;
     silent.assumed_crashed = true;
     out.push_back(upstream);
   }
--- a/src/scheduling/silent_upstreams.h
+++ b/src/scheduling/silent_upstreams.h
@@ -16,7 +16,7 @@
 /// suspected any more. Not thread-safe.
 class SilentUpstreams {
  public:
-  /// An upstream that is unresponsive for this long and not listed is assumed
+  /// An upstream that is unresponsive and not listed for this long is assumed
   /// to have crashed. Much longer than it takes to be listed again after an
   /// outage of the store.
   static constexpr Millis kMissingTime{20000};
@@ -33,20 +33,24 @@
 
   /// The task may have crashed the upstream. `since` is when the upstream
   /// became unresponsive, or when this leader learned of it; ignored if the
-  /// upstream is known.
+  /// upstream awaits its fate.
   void Add(const std::string& upstream, const TaskId& task, TimePoint since);
   /// The fate of the upstream is certain.
   void Remove(const std::string& upstream) { upstreams_.erase(upstream); }
   /// Removes the tasks that are not suspected any more, and the upstreams
   /// without any other task.
   void RemoveTasks(const std::function<bool(const TaskId&)>& is_cleared);
-  /// Assumes that the upstreams have crashed that are unresponsive for
-  /// kMissingTime and not listed. Returns them, each only once.
+  /// Whether any upstream awaits its fate.
+  bool AnyAwaitsFate() const;
+  /// Assumes that the upstreams have crashed that are unresponsive and not
+  /// listed for kMissingTime on end. Returns them, each only once. Call
+  /// regularly.
   std::vector<std::string> AssumeCrashes(
       const std::function<bool(const std::string&)>& is_listed, TimePoint now);
 
  private:
   struct SilentUpstream {
+    /// Since when it is unresponsive and not listed.
     TimePoint since{};
     bool assumed_crashed = false;
     std::set<TaskId> tasks;
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -142,8 +142,8 @@
                                       int64_t attempt, TimePoint now) {
   auto& reservations = upstreams_[index].reservations;
   const auto found = reservations.find({task, attempt});
-  if (found == reservations.end() || found->second.started_at) return;
-  found->second.started_at = now;
+  if (found == reservations.end()) return;
+  if (!found->second.started_at) found->second.started_at = now;
   found->second.confirmed = true;
 }
 
--- a/tests/crash_evidence_test.cc
+++ b/tests/crash_evidence_test.cc
@@ -102,6 +102,8 @@
   BOOST_REQUIRE_EQUAL(evidence.list().size(), 1U);
   BOOST_TEST((evidence.list()[0].fate == kReplaced));
   BOOST_TEST(evidence.NoteAnswer("up-2", 1).empty());
+  evidence.Add(CrashAfter(3, Millis(10), kUnknown));
+  BOOST_TEST(evidence.NoteAnswer("up-3", 0).size() == 1U);
 }
 
 /// Guards against crashes that count against a task which has shown that it
--- a/tests/silent_upstreams_test.cc
+++ b/tests/silent_upstreams_test.cc
@@ -42,7 +42,22 @@
   };
   BOOST_TEST(silent.AssumeCrashes(is_listed, kMissingFrom) == Names{"up-2"});
   BOOST_TEST(silent.AwaitsFate("up-1"));
+  BOOST_TEST(silent.AssumeCrashes(NoneIsListed, kMissingFrom).empty());
+  const TimePoint later = kMissingFrom + SilentUpstreams::kMissingTime;
+  BOOST_TEST(silent.AssumeCrashes(NoneIsListed, later - Millis(1)).empty());
+  BOOST_TEST(silent.AssumeCrashes(NoneIsListed, later) == Names{"up-1"});
+}
+
+/// Guards against a task that is held back forever because a further crash of
+/// its upstream is never decided.
+BOOST_AUTO_TEST_CASE(FurtherCrashAwaitsItsOwnFate) {
+  SilentUpstreams silent;
+  silent.Add("up-1", kTask, kSilentSince);
   BOOST_TEST(silent.AssumeCrashes(NoneIsListed, kMissingFrom) == Names{"up-1"});
+  silent.Add("up-1", kOtherTask, kMissingFrom);
+  BOOST_TEST(silent.AwaitsFate("up-1"));
+  const TimePoint later = kMissingFrom + SilentUpstreams::kMissingTime;
+  BOOST_TEST(silent.AssumeCrashes(NoneIsListed, later) == Names{"up-1"});
 }
 
 /// Guards against a wait that starts again with each further suspected task.
