--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -45,6 +45,19 @@
   return factor ? Text(std::llround(*factor * kPercent)) : "";
 }
 
+/// One run that is evidence that its task crashes upstreams, for a log line.
+std::vector<logging::Field> DescribeCrash(const TaskId& task,
+                                          const SuspectedCrash& crash) {
+  return {{"task", TaskIdText(task)},
+          {"attempt", Text(crash.attempt)},
+          {"upstream", crash.upstream},
+          {"incarnation", Text(crash.incarnation)},
+          {"fate", std::string(kUpstreamFateNames.Name(crash.fate))},
+          {"last_seen_ms", Text(crash.last_seen.count())},
+          {"silent_after_ms", Text(crash.silent_after.count())},
+          {"sole_suspect", crash.sole_suspect ? "yes" : "no"}};
+}
+
 }  // namespace
 
 Coordinator::Coordinator(Dependencies deps, CoordinatorOptions options)
@@ -230,9 +243,18 @@
     RequestAdvice(order);
   }
   for (const scheduling::LostRun& run : orders.lost) LogLostRun(run);
+  for (const scheduling::EvidenceEvent& event : orders.evidence) {
+    LogEvidence(event);
+  }
   for (const scheduling::PermanentlyFailedTask& task :
        orders.permanently_failed) {
     LogPermanentlyFailed(task);
+    ReportJobFailure(ExplainCrashes(task));
+  }
+  for (const TaskId& task : orders.attempts_exhausted) {
+    const Job* job = scheduler_.Find(task.job);
+    if (job == nullptr) continue;
+    ReportJobFailure(ExplainFailedAttempts(*job, task, failed_runs_));
   }
   for (const scheduling::HealthEvent& event : orders.health) {
     LogHealthChange(event);
@@ -265,13 +287,63 @@
 void Coordinator::LogPermanentlyFailed(
     const scheduling::PermanentlyFailedTask& task) {
   deps_.metrics.Count({.name = "tasks_given_up"});
-  logging::Event(
-      Level::kWarning, "task given up",
-      {{"job", JobIdText(task.task.job)},
-       {"task", TaskIdText(task.task)},
-       {"early_crashes", Text(static_cast<int64_t>(task.crashes.early.size()))},
-       {"other_crashes",
-        Text(static_cast<int64_t>(task.crashes.other.size()))}});
+  const auto early =
+      std::count_if(task.crashes.begin(), task.crashes.end(),
+                    [](const SuspectedCrash& it) { return it.early(); });
+  logging::Event(Level::kWarning, "task given up",
+                 {{"job", JobIdText(task.task.job)},
+                  {"task", TaskIdText(task.task)},
+                  {"early_crashes", Text(early)},
+                  {"other_crashes",
+                   Text(static_cast<int64_t>(task.crashes.size()) - early)}});
+  for (const SuspectedCrash& crash : task.crashes) {
+    const CountedRun run = ToCountedRun(task.task, crash);
+    std::vector<logging::Field> fields = DescribeCrash(task.task, crash);
+    fields.push_back({"how", "lost with its upstream"});
+    fields.push_back(
+        {"said_by", std::string(kEndSourceNames.Name(run.source))});
+    fields.push_back({"why", std::string(kCountReasonNames.Name(run.reason))});
+    logging::Event(Level::kWarning, "crash counted", fields);
+  }
+}
+
+void Coordinator::NoteFailedRun(UpstreamIndex upstream,
+                                const ports::EndedTask& end) {
+  if (end.kind != ports::EndKind::kFailed) return;
+  const Job* job = scheduler_.Find(end.task.job);
+  if (job == nullptr || job->final() || !job->Has(end.task)) return;
+  if (job->step(end.task.step).long_running) return;
+  const ports::UpstreamEntry& entry = scheduler_.pool().at(upstream).entry;
+  failed_runs_.Add(job->FailureKeeper(end.task),
+                   {.task = end.task,
+                    .attempt = end.attempt,
+                    .upstream = entry.id,
+                    .incarnation = entry.incarnation,
+                    .source = EndSource::kReport});
+}
+
+void Coordinator::ReportJobFailure(JobFailure failure) {
+  deps_.metrics.Count({.name = "jobs_failed",
+                       .labels = {{"cause", std::string(kFailureCauseNames.Name(
+                                                failure.cause))}}});
+  LogJobFailure(failure);
+  job_failures_.Add(std::move(failure));
+}
+
+std::string Coordinator::FailureReason(JobId id, const FinalJob& job) const {
+  const JobFailure* failure = job_failures_.Find(id);
+  if (failure != nullptr) return FailureText(*failure);
+  return job.ended_in_this_term ? "no longer kept, see the log"
+                                : "decided by an earlier leader, see its log";
+}
+
+void Coordinator::LogEvidence(const scheduling::EvidenceEvent& event) {
+  const std::string change(scheduling::kEvidenceChangeNames.Name(event.change));
+  deps_.metrics.Count(
+      {.name = "crash_evidence", .labels = {{"change", change}}});
+  std::vector<logging::Field> fields = DescribeCrash(event.task, event.crash);
+  fields.push_back({"change", change});
+  logging::Event(Level::kInfo, "crash evidence", fields);
 }
 
 void Coordinator::LogLostRun(const scheduling::LostRun& run) {
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -22,6 +22,10 @@
   return entry.incarnation > 0 && entry.incarnation < known.incarnation;
 }
 
+std::string MillisBetween(TimePoint from, TimePoint until) {
+  return Text(std::chrono::duration_cast<Millis>(until - from).count());
+}
+
 }  // namespace
 
 void Coordinator::ReadUpstreamList() {
@@ -176,7 +180,9 @@
   }
   if (links_.count(index) > 0) return;
   if (closure != inherited_closures_.end()) {
-    scheduler_.pool().at(index).suspect_runs = closure->second.suspect_runs;
+    scheduling::Upstream& it = scheduler_.pool().at(index);
+    it.suspect_runs = closure->second.suspect_runs;
+    it.unresponsive_with_others = !it.suspect_runs.empty();
   }
   auto link = std::make_shared<fleet::UpstreamLink>(
       deps_.executor, deps_.task_port, *this,
@@ -311,6 +317,7 @@
     }
     StoreUnmatchedCompletion(completion);
     NoteFinishedRun(upstream, completion);
+    NoteFailedRun(upstream, completion);
     scheduler_.OnEnd(upstream, completion, now, orders);
   }
   scheduler_.OnRunning(upstream, running, now, orders);
@@ -337,6 +344,7 @@
     if (!it.closed) CloseUpstream(upstream);
     return;
   }
+  NoteAnswerOfDropped(upstream);
   inherited_closures_.erase(it.entry.id);
   if (it.entry.draining && !it.closed) CloseUpstream(upstream);
   if (!it.entry.draining && it.closed) ReopenUpstream(upstream);
@@ -352,11 +360,11 @@
   Orders orders;
   scheduler_.OnAllRunsEnded(upstream, why, deps_.executor.Now(), orders);
   ExecuteOrders(orders);
-  // An upstream whose leases expired is kept while it is listed, or while its
-  // runs may still turn out to have ended in a crash.
+  // An upstream whose leases expired is kept while it is listed, or while one
+  // of its runs may have crashed it.
   const scheduling::Upstream& it = scheduler_.pool().at(upstream);
   const bool ended = why != UpstreamLoss::kLeasesExpired ||
-                     (!it.listed && it.suspect_runs.empty());
+                     (!it.listed && !scheduler_.AwaitsFate(it.entry.id));
   if (ended) DropUpstream(upstream, why);
   ResolveWhenRunningTasksKnown();
   SchedulePlacement();
@@ -376,11 +384,28 @@
 }
 
 void Coordinator::DropUpstream(UpstreamIndex upstream, UpstreamLoss why) {
-  const std::string id = scheduler_.pool().at(upstream).entry.id;
-  logging::Event(
-      Level::kInfo, "upstream dropped",
-      {{"upstream", id},
-       {"why", std::string(scheduling::kUpstreamLossNames.Name(why))}});
+  const scheduling::Upstream& it = scheduler_.pool().at(upstream);
+  const std::string id = it.entry.id;
+  const std::string why_name(scheduling::kUpstreamLossNames.Name(why));
+  const TimePoint now = deps_.executor.Now();
+  const TimePoint silent_since =
+      it.reachable ? now : it.unresponsive_since.value_or(it.known_since);
+  deps_.metrics.Count(
+      {.name = "upstreams_dropped", .labels = {{"why", why_name}}});
+  logging::Event(Level::kInfo, "upstream dropped",
+                 {{"upstream", id},
+                  {"why", why_name},
+                  {"silent_ms", MillisBetween(silent_since, now)},
+                  {"listed", it.listed ? "yes" : "no"},
+                  {"incarnation", Text(it.entry.incarnation)}});
+  // After maintenance another incarnation returns under the id, perhaps without
+  // reporting that it is another one.
+  if (why != UpstreamLoss::kMaintenance) {
+    dropped_upstreams_.Add(id, {.incarnation = it.entry.incarnation,
+                                .why = why,
+                                .silent_since = silent_since,
+                                .dropped_at = now});
+  }
   journal_->Remove(UpstreamKey(id));
   // The upstream may come back under the same id, and has then seen all fencing
   // tokens that this link used. A link opened with an earlier token would be
@@ -391,19 +416,40 @@
   scheduler_.pool().Remove(upstream);
 }
 
+void Coordinator::NoteAnswerOfDropped(UpstreamIndex upstream) {
+  const ports::UpstreamEntry& entry = scheduler_.pool().at(upstream).entry;
+  const auto dropped =
+      dropped_upstreams_.TakeAnswering(entry.id, entry.incarnation);
+  if (!dropped) return;
+  const TimePoint now = deps_.executor.Now();
+  const std::string why(scheduling::kUpstreamLossNames.Name(dropped->why));
+  deps_.metrics.Count(
+      {.name = "dropped_upstreams_back", .labels = {{"why", why}}});
+  logging::Event(Level::kWarning, "dropped upstream answers",
+                 {{"upstream", entry.id},
+                  {"why", why},
+                  {"away_ms", MillisBetween(dropped->silent_since, now)},
+                  {"dropped_ms_ago", MillisBetween(dropped->dropped_at, now)},
+                  {"incarnation", Text(entry.incarnation)}});
+}
+
 void Coordinator::DropUnresponsiveUpstreams() {
   const TimePoint now = deps_.executor.Now();
+  Orders orders;
+  if (list_known_) scheduler_.CheckMissingUpstreams(now, orders);
+  ExecuteOrders(orders);
   std::vector<UpstreamIndex> ended;
   for (const auto& [index, link] : links_) {
     const scheduling::Upstream& it = scheduler_.pool().at(index);
     if (it.listed || !link->all_runs_ended()) continue;
+    if (scheduler_.AwaitsFate(it.entry.id)) continue;
     const TimePoint since = it.unresponsive_since.value_or(it.known_since);
     if (now - since >= options_.unresponsive_upstream_timeout) {
       ended.push_back(index);
     }
   }
   for (const UpstreamIndex index : ended) {
-    OnAllRunsEnded(index, UpstreamLoss::kCrashed);
+    OnAllRunsEnded(index, UpstreamLoss::kUnreachable);
   }
 }
 
@@ -444,6 +490,7 @@
       link != links_.end() && link->second->all_completions_acknowledged();
   return {.known = it.listed && it.reachable && scheduler_.resolved() &&
                    completions_acknowledged,
+          .reachable = it.reachable,
           .tasks = work.tasks,
           .budgeted_tasks = work.budgeted_tasks,
           .drain_time = work.drain_time,
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -1,9 +1,9 @@
-// The part of Scheduler that determines which tasks crash their upstreams. A
-// crash is detected when a new incarnation answers at an upstream's address, or
-// when the upstream stays unresponsive and is no longer listed. Each run there
-// may be the cause or a victim. Runs that had only just begun are suspected,
-// and restart where nothing else is new, so that a second crash has a single
-// possible cause.
+// The part of Scheduler that determines which tasks crash their upstreams. An
+// upstream that stops responding may have crashed, or may only be unreachable,
+// which shows later: it answers again, a later incarnation answers in its
+// place, or it stays away. Only a crash counts against the tasks that ran
+// there. Runs that had only just begun are suspected, and restart where nothing
+// else is new, so that a further crash has a single possible cause.
 
 #include <algorithm>
 
@@ -12,29 +12,7 @@
 namespace mimosarail::scheduling {
 namespace {
 
-/// A task that crashes its upstream usually does so as it starts. A run that
-/// lasts this long is not suspected if the upstream crashes later.
-constexpr Millis kEarlyWindow{300};
-/// Duration of a quarantine. A suspect task starts only kEarlyWindow after the
-/// newest start on the upstream. The quarantine is slightly longer, so that it
-/// still holds when the task starts.
-constexpr Millis kQuarantineDuration{400};
-/// A run of this length shows that its task does not crash upstreams.
-constexpr Millis kHarmlessRunTime{30000};
-/// A suspect task prefers upstreams that have been known for this long. One
-/// that has just come back is more likely to crash again for reasons of its
-/// own.
-constexpr Millis kEstablishedAge{10000};
-/// Number of early crashes after which a task fails permanently. An early crash
-/// is one in the early window of a run. kSoleSuspectLimit applies if the last
-/// crash was in the early window of the task's run and of no run of another
-/// job; otherwise kEarlyLimit applies.
-constexpr size_t kSoleSuspectLimit = 2;
-constexpr size_t kEarlyLimit = 3;
-/// Number of crashes, early or not, after which a task fails permanently. Three
-/// upstreams lost to a task and two more starts of it are acceptable, five in
-/// all. The limit of four leaves one for a crash that no leader recorded.
-constexpr size_t kTotalLimit = 4;
+constexpr Millis kEarlyWindow = CrashEvidence::kEarlyWindow;
 
 std::optional<Millis> TimeSince(const std::optional<TimePoint>& when,
                                 TimePoint now) {
@@ -42,15 +20,40 @@
   return std::chrono::duration_cast<Millis>(now - *when);
 }
 
-/// Whether the run is known to have started, and was still in its early window
-/// when its upstream became unresponsive.
-bool InEarlyWindow(const Reservation& run, TimePoint unresponsive_since) {
-  if (!run.started_at) return false;
-  if (run.last_listed_at &&
-      *run.last_listed_at - *run.started_at >= kEarlyWindow) {
-    return false;
+bool IsEarly(const SuspectRun& run) { return run.silent_after < kEarlyWindow; }
+
+/// Whether the job has a run that was not seen beyond its first moments.
+bool HasNewRun(const SuspectRuns& runs, JobId job) {
+  return std::any_of(runs.begin(), runs.end(), [job](const auto& run) {
+    return run.first.first.job == job &&
+           run.second.last_seen.value_or(Millis(0)) < kEarlyWindow;
+  });
+}
+
+/// The jobs with a run that had only just started, confirmed or not.
+std::set<JobId> NewJobs(const SuspectRuns& runs) {
+  std::set<JobId> out;
+  for (const auto& [run, suspect] : runs) {
+    if (IsEarly(suspect)) out.insert(run.first.job);
+  }
+  return out;
+}
+
+SuspectRun ToSuspectRun(const Reservation& run, TimePoint unresponsive_since) {
+  SuspectRun out{.silent_after = std::chrono::duration_cast<Millis>(
+                     unresponsive_since - run.reserved_at)};
+  if (!run.confirmed) return out;
+  const TimePoint last_seen = run.last_listed_at.value_or(*run.started_at);
+  out.last_seen =
+      std::chrono::duration_cast<Millis>(last_seen - *run.started_at);
+  return out;
+}
+
+void AppendEvents(EvidenceChange change, const TaskId& task,
+                  const CrashEvidence::List& crashes, Orders& orders) {
+  for (const SuspectedCrash& crash : crashes) {
+    orders.evidence.push_back({.task = task, .change = change, .crash = crash});
   }
-  return unresponsive_since - *run.started_at < kEarlyWindow;
 }
 
 }  // namespace
@@ -60,11 +63,19 @@
   SuspectRuns runs = std::exchange(pool_.at(upstream).suspect_runs, {});
   runs.merge(SuspectRunsOn(upstream, now));
   ReleaseLostRuns(upstream, why, {}, now, orders);
-  // Whether the upstream has crashed is known only later: if it was
-  // partitioned, it keeps running and answers again.
-  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
-  if (why == UpstreamLoss::kLeasesExpired) {
-    pool_.at(upstream).suspect_runs = std::move(runs);
+  const ports::UpstreamEntry& entry = pool_.at(upstream).entry;
+  switch (why) {
+    case UpstreamLoss::kCrashed:
+      AddEvidence(upstream, runs, UpstreamFate::kReplaced, now, orders);
+      return ConfirmCrash(entry.id, UpstreamFate::kReplaced, now, orders);
+    case UpstreamLoss::kLeasesExpired:
+      if (entry.draining) return;
+      return AddEvidence(upstream, runs, UpstreamFate::kUnknown, now, orders);
+    case UpstreamLoss::kLeft:
+    case UpstreamLoss::kMaintenance:
+      return WithdrawEvidence(entry.id, now, orders);
+    case UpstreamLoss::kUnreachable:
+      return;
   }
 }
 
@@ -82,7 +93,12 @@
   std::erase_if(
       runs, [&](const auto& run) { return remaining.count(run.first) > 0; });
   ReleaseLostRuns(upstream, why, remaining, now, orders);
-  if (why == UpstreamLoss::kCrashed) CountCrash(runs, now, orders);
+  if (drained) {
+    WithdrawEvidence(it.entry.id, now, orders);
+  } else {
+    AddEvidence(upstream, runs, UpstreamFate::kReplaced, now, orders);
+    ConfirmCrash(it.entry.id, UpstreamFate::kReplaced, now, orders);
+  }
   pool_.NoteRestarted(upstream, incarnation, now);
   DropAdvice(upstream);
 }
@@ -99,7 +115,7 @@
 void Scheduler::ReleaseLostRuns(UpstreamIndex upstream, UpstreamLoss why,
                                 const RunSet& remaining, TimePoint now,
                                 Orders& orders) {
-  stops_.erase(upstream);
+  stops_.RemoveAll(upstream);
   const Reservations lost = pool_.at(upstream).reservations;
   for (const auto& [run, reservation] : lost) {
     if (remaining.count(run) > 0) continue;
@@ -129,67 +145,181 @@
 SuspectRuns Scheduler::SuspectRunsOn(UpstreamIndex upstream,
                                      TimePoint now) const {
   const Upstream& it = pool_.at(upstream);
+  const TimePoint unresponsive_since = it.unresponsive_since.value_or(now);
   SuspectRuns out;
   for (const auto& [run, reservation] : it.reservations) {
-    out.emplace(
-        run, InEarlyWindow(reservation, it.unresponsive_since.value_or(now)));
+    out.emplace(run, ToSuspectRun(reservation, unresponsive_since));
   }
   return out;
 }
 
-void Scheduler::CountCrash(const SuspectRuns& runs, TimePoint now,
-                           Orders& orders) {
-  std::set<JobId> suspects;
-  for (const auto& [run, early] : runs) {
-    if (early) suspects.insert(run.first.job);
-  }
-  for (const auto& [run, early] : runs) {
+void Scheduler::AddEvidence(UpstreamIndex upstream, const SuspectRuns& runs,
+                            UpstreamFate fate, TimePoint now, Orders& orders) {
+  const Upstream& it = pool_.at(upstream);
+  const bool sole_suspect = fate == UpstreamFate::kReplaced &&
+                            !it.unresponsive_with_others &&
+                            NewJobs(runs).size() == 1;
+  const bool explained =
+      it.quarantine.has_value() && HasNewRun(runs, it.quarantine->job);
+  for (const auto& [run, suspect] : runs) {
     const auto& [id, attempt] = run;
+    // A run that is not known to have started is not shown to be the cause.
+    if (!suspect.last_seen) continue;
+    // A suspect that had only just started is the likelier cause than a run
+    // that had lasted.
+    const bool lasted = *suspect.last_seen >= kEarlyWindow;
+    if (explained && lasted && id.job != it.quarantine->job) continue;
     JobRecord* record = FindJobRecord(id.job);
     if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
     }
-    const Task& task = record->job.task(id);
-    if (task.phase == TaskPhase::kDone) continue;
-    if (!record->job.CountCrash(id, attempt, early)) continue;
+    if (record->job.task(id).phase == TaskPhase::kDone) continue;
+    const SuspectedCrash crash{.attempt = attempt,
+                               .upstream = it.entry.id,
+                               .incarnation = it.entry.incarnation,
+                               .last_seen = *suspect.last_seen,
+                               .silent_after = suspect.silent_after,
+                               .sole_suspect = sole_suspect && IsEarly(suspect),
+                               .fate = fate};
+    if (!record->job.MutableTask(id).crashes.Add(crash)) continue;
     MarkChanged(*record);
-    const bool sole_suspect = early && suspects.size() == 1;
-    const size_t limit = sole_suspect ? kSoleSuspectLimit : kEarlyLimit;
-    if (task.crashes.early.size() < limit &&
-        task.crashes.total() < kTotalLimit) {
+    AppendEvents(EvidenceChange::kAdded, id, {crash}, orders);
+    if (fate == UpstreamFate::kUnknown) {
+      const TimePoint since = it.unresponsive_since.value_or(now);
+      silent_upstreams_.Add(it.entry.id, id, since);
+    }
+    FailIfCrashing(*record, id, now, orders);
+  }
+}
+
+void Scheduler::UpdateEvidence(const std::string& upstream,
+                               const FateUpdate& update, TimePoint now,
+                               Orders& orders) {
+  for (const TaskId& id : silent_upstreams_.TasksOf(upstream)) {
+    JobRecord* record = FindJobRecord(id.job);
+    if (record == nullptr || !record->job.Has(id) || record->job.final()) {
       continue;
     }
-    FailPermanently(*record, id, now, orders);
+    if (record->job.task(id).crashes.empty()) continue;
+    update(record->job.MutableTask(id).crashes, id);
+    MarkChanged(*record);
+    FailIfCrashing(*record, id, now, orders);
+  }
+}
+
+void Scheduler::ConfirmCrash(const std::string& upstream, UpstreamFate fate,
+                             TimePoint now, Orders& orders) {
+  UpdateEvidence(
+      upstream,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kConfirmed, id,
+                     crashes.SetFate(upstream, fate), orders);
+      },
+      now, orders);
+  if (fate == UpstreamFate::kReplaced) silent_upstreams_.Remove(upstream);
+}
+
+void Scheduler::WithdrawEvidence(const std::string& upstream, TimePoint now,
+                                 Orders& orders) {
+  UpdateEvidence(
+      upstream,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kWithdrawn, id, crashes.Withdraw(upstream),
+                     orders);
+      },
+      now, orders);
+  silent_upstreams_.Remove(upstream);
+}
+
+void Scheduler::NoteAnswer(UpstreamIndex upstream, TimePoint now,
+                           Orders& orders) {
+  Upstream& it = pool_.at(upstream);
+  it.suspect_runs.clear();
+  const std::string& name = it.entry.id;
+  if (!silent_upstreams_.Contains(name)) return;
+  UpdateEvidence(
+      name,
+      [&](CrashEvidence& crashes, const TaskId& id) {
+        AppendEvents(EvidenceChange::kWithdrawn, id,
+                     crashes.NoteAnswer(name, it.entry.incarnation), orders);
+      },
+      now, orders);
+  silent_upstreams_.Remove(name);
+}
+
+void Scheduler::RegisterEvidence(const JobRecord& record, TimePoint now) {
+  if (record.job.final()) return;
+  for (const StepId& step : record.job.OpenSteps()) {
+    for (int32_t i = 0; i < record.job.step(step.step).tasks; ++i) {
+      const TaskId id{step.job, step.occurrence, step.step, i};
+      for (const SuspectedCrash& crash : record.job.task(id).crashes.list()) {
+        if (crash.fate == UpstreamFate::kReplaced) continue;
+        silent_upstreams_.Add(crash.upstream, id, now);
+      }
+    }
   }
 }
 
-void Scheduler::FailPermanently(JobRecord& record, const TaskId& id,
-                                TimePoint now, Orders& orders) {
+bool Scheduler::AwaitsFate(const std::string& upstream) const {
+  return silent_upstreams_.AwaitsFate(upstream);
+}
+
+bool Scheduler::IsListed(const std::string& upstream) const {
+  const UpstreamIndex index = pool_.Find(upstream);
+  return index != kNoUpstream && pool_.at(index).listed;
+}
+
+bool Scheduler::HasEvidence(const TaskId& id) const {
+  const Job* job = Find(id.job);
+  return job != nullptr && !job->final() && job->Has(id) &&
+         !job->task(id).crashes.empty();
+}
+
+void Scheduler::CheckMissingUpstreams(TimePoint now, Orders& orders) {
+  silent_upstreams_.RemoveTasks(
+      [this](const TaskId& id) { return !HasEvidence(id); });
+  const std::vector<std::string> missing = silent_upstreams_.AssumeCrashes(
+      [this](const std::string& upstream) { return IsListed(upstream); }, now);
+  for (const std::string& upstream : missing) {
+    ConfirmCrash(upstream, UpstreamFate::kMissing, now, orders);
+  }
+}
+
+void Scheduler::FailIfCrashing(JobRecord& record, const TaskId& id,
+                               TimePoint now, Orders& orders) {
+  if (record.job.final()) return;
+  const CrashEvidence& crashes = record.job.task(id).crashes;
+  if (!crashes.ShowsCause(IsConfirmed)) return;
+  CrashEvidence::List counted = crashes.list();
+  std::erase_if(counted,
+                [](const SuspectedCrash& it) { return !IsConfirmed(it); });
   orders.permanently_failed.push_back(
-      {.task = id, .crashes = record.job.task(id).crashes});
+      {.task = id, .crashes = std::move(counted)});
   FinishJob(record, JobState::kFailed, now);
   StopAll(record, StopReason::kJobFailed, now, orders);
 }
 
-void Scheduler::ClearSuspicion(JobRecord& record, UpstreamIndex upstream,
-                               const ports::RunningTask& running) {
-  if (record.job.task(running.task).crashes.total() == 0) return;
-  CrashCounts& crashes = record.job.MutableTask(running.task).crashes;
+bool Scheduler::AwaitsEvidence(const Task& task) const {
+  if (task.crashes.empty()) return false;
+  return task.crashes.ShowsCause([this](const SuspectedCrash& crash) {
+    return IsConfirmed(crash) || !IsListed(crash.upstream);
+  });
+}
+
+void Scheduler::RemoveOutlastedEvidence(JobRecord& record,
+                                        UpstreamIndex upstream,
+                                        const ports::RunningTask& running,
+                                        Orders& orders) {
+  if (record.job.task(running.task).crashes.empty()) return;
   const Reservations& reservations = pool_.at(upstream).reservations;
   const auto run = reservations.find({running.task, running.attempt});
   if (run == reservations.end() || !run->second.started_at) return;
-  const auto lasted = *run->second.last_listed_at - *run->second.started_at;
-  if (lasted >= kHarmlessRunTime) {
-    crashes = {};
-  } else if (lasted >= kEarlyWindow && crashes.suspect()) {
-    // The task does not crash upstreams as it starts, but may still do so
-    // later.
-    crashes.other.insert(crashes.other.end(), crashes.early.begin(),
-                         crashes.early.end());
-    crashes.early.clear();
-  } else {
-    return;
-  }
+  const auto lasted = std::chrono::duration_cast<Millis>(
+      *run->second.last_listed_at - *run->second.started_at);
+  const CrashEvidence::List outlasted =
+      record.job.MutableTask(running.task).crashes.RemoveOutlasted(lasted);
+  if (outlasted.empty()) return;
+  AppendEvents(EvidenceChange::kOutlasted, running.task, outlasted, orders);
   MarkChanged(record);
 }
 
@@ -202,60 +332,4 @@
   return false;
 }
 
-void Scheduler::BeginQuarantine(UpstreamIndex upstream, JobId job,
-                                TimePoint now) {
-  pool_.at(upstream).quarantine = {.job = job,
-                                   .until = now + kQuarantineDuration};
-}
-
-Scheduler::Candidate* Scheduler::PickForQuarantine(const JobRecord& record,
-                                                   std::vector<Candidate>& from,
-                                                   TimePoint now) {
-  Candidate* best = nullptr;
-  // Prefers upstreams without recent starts, then those known for long, then
-  // the one where a crash affects the fewest runs.
-  std::tuple<bool, bool, size_t> best_rank;
-  for (Candidate& candidate : from) {
-    if (candidate.fitting_tasks <= 0) continue;
-    const Upstream& it = pool_.at(candidate.upstream);
-    const std::tuple rank(
-        !pool_.HasNoRecentStarts(candidate.upstream, record.job.id(),
-                                 kEarlyWindow, now),
-        now - it.known_since < kEstablishedAge, it.reservations.size());
-    if (best != nullptr && best_rank <= rank) continue;
-    best = &candidate;
-    best_rank = rank;
-  }
-  if (best == nullptr) return nullptr;
-  BeginQuarantine(best->upstream, record.job.id(), now);
-  const bool no_recent_starts = !std::get<0>(best_rank);
-  return no_recent_starts ? best : nullptr;
-}
-
-bool Scheduler::SelectForQuarantine(const JobRecord& record,
-                                    const wire::StepSpec& step,
-                                    std::vector<Candidate>& found,
-                                    TimePoint now) {
-  const auto no_recent_starts = [&](const Candidate& candidate) {
-    return pool_.HasNoRecentStarts(candidate.upstream, record.job.id(),
-                                   kEarlyWindow, now);
-  };
-  std::stable_sort(found.begin(), found.end(),
-                   [&](const Candidate& a, const Candidate& b) {
-                     return no_recent_starts(a) && !no_recent_starts(b);
-                   });
-  int64_t capacity = 0;
-  bool none_has_recent_starts = true;
-  auto end = found.begin();
-  for (; end != found.end() && capacity < step.tasks; ++end) {
-    capacity += end->fitting_tasks;
-    none_has_recent_starts = none_has_recent_starts && no_recent_starts(*end);
-  }
-  found.erase(end, found.end());
-  for (const Candidate& candidate : found) {
-    BeginQuarantine(candidate.upstream, record.job.id(), now);
-  }
-  return none_has_recent_starts;
-}
-
 }  // namespace mimosarail::scheduling
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -115,8 +115,7 @@
   harness.scheduler.OnRunning(partitioned, {}, harness.now, more);
   harness.scheduler.OnAllRunsEnded(partitioned, UpstreamLoss::kCrashed,
                                    harness.now, more);
-  BOOST_TEST(harness.scheduler.Find(1)->task({1, 0, 0, 0}).crashes.total() ==
-             0U);
+  BOOST_TEST(harness.scheduler.Find(1)->task({1, 0, 0, 0}).crashes.empty());
 }
 
 /// A long-running task loses one upstream after another by crashes. Once a run
@@ -142,6 +141,75 @@
   BOOST_TEST(!harness.scheduler.Find(1)->final());
 }
 
+/// Guards against early crashes that add up although runs between them lasted.
+BOOST_AUTO_TEST_CASE(LaterRunClearsCrashesThatItOutlasts) {
+  constexpr int kCrashes = 4;
+  const TaskId task{1, 0, 0, 0};
+  SchedulerHarness harness(2 * kCrashes);
+  const auto lose = [&](const StartOrder& start, UpstreamLoss why) {
+    Orders orders;
+    harness.scheduler.OnAllRunsEnded(start.upstream, why, harness.now, orders);
+    harness.scheduler.pool().at(start.upstream).reachable = false;
+  };
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.steps[0].long_running = true;
+  harness.scheduler.Add(spec, harness.now, 0);
+  for (int i = 0; i < kCrashes; ++i) {
+    const Orders crashed = harness.Place();
+    BOOST_REQUIRE_EQUAL(crashed.starts.size(), 1U);
+    harness.now += Millis(10);
+    lose(crashed.starts[0], UpstreamLoss::kCrashed);
+    BOOST_TEST(!harness.scheduler.Find(1)->task(task).crashes.empty());
+    const Orders lasting = harness.Place();
+    BOOST_REQUIRE_EQUAL(lasting.starts.size(), 1U);
+    harness.now += Millis(1000);
+    harness.ReportProgress(lasting.starts[0], 100);
+    BOOST_TEST(harness.scheduler.Find(1)->task(task).crashes.empty());
+    lose(lasting.starts[0], UpstreamLoss::kLeft);
+  }
+  BOOST_TEST(!harness.scheduler.Find(1)->final());
+}
+
+/// Guards against a crash that counts against runs which were recorded before
+/// the upstream answered again.
+BOOST_AUTO_TEST_CASE(RecordedRunsDoNotCountOnceTheirUpstreamAnswers) {
+  const TaskId task{1, 0, 0, 0};
+  const SuspectRuns recorded{
+      {{task, 5}, {.last_seen = Millis(20), .silent_after = Millis(40)}}};
+  for (const bool answers : {false, true}) {
+    SchedulerHarness harness(1);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    harness.scheduler.pool().at(0).suspect_runs = recorded;
+    Orders orders;
+    if (answers) harness.scheduler.OnRunning(0, {}, harness.now, orders);
+    harness.scheduler.OnAllRunsEnded(0, UpstreamLoss::kCrashed, harness.now,
+                                     orders);
+    BOOST_TEST(harness.scheduler.Find(1)->task(task).crashes.empty() ==
+               answers);
+  }
+}
+
+/// Guards against a restart under the same id that does not count against the
+/// runs it ended, or that counts against runs which it did not end.
+BOOST_AUTO_TEST_CASE(OnlyRunsThatARestartEndedAreEvidence) {
+  for (const bool remains : {false, true}) {
+    SchedulerHarness harness(1);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    const Orders started = harness.Place();
+    BOOST_REQUIRE_EQUAL(started.starts.size(), 1U);
+    const StartOrder& start = started.starts[0];
+    RunSet remaining;
+    if (remains) remaining.emplace(start.task, start.attempt);
+    Orders orders;
+    harness.scheduler.OnRestarted(start.upstream, 2, remaining, harness.now,
+                                  orders);
+    const CrashEvidence& crashes =
+        harness.scheduler.Find(1)->task(start.task).crashes;
+    BOOST_TEST(crashes.empty() == remains);
+    BOOST_TEST(!harness.scheduler.AwaitsFate("up-0"));
+  }
+}
+
 /// Another version of the program wrote the record of an unresponsive upstream.
 /// Runs that can't be decoded are skipped, and the others count.
 BOOST_AUTO_TEST_CASE(UnreadableRunRecordsAreSkipped) {
@@ -155,8 +223,11 @@
     run.task = name;
     run.attempt = attempt;
     run.early = true;
+    run.last_seen_ms = 20;
+    run.silent_after_ms = 40;
   }
-  const SuspectRuns expected{{{task, 5}, true}};
+  const SuspectRuns expected{
+      {{task, 5}, {.last_seen = Millis(20), .silent_after = Millis(40)}}};
   BOOST_TEST((coordinator::RunsFromRecord(record) == expected));
   BOOST_TEST((coordinator::ToRunRecords(expected).at(0) == record.runs.at(0)));
 }
@@ -200,6 +271,73 @@
   BOOST_TEST(harness.Place().starts.empty());
 }
 
+/// Guards against a job that fails by ends that are no failures, of its current
+/// runs or listed late.
+BOOST_AUTO_TEST_CASE(OnlyFailuresCountAsAttempts) {
+  constexpr int kRuns = 5;
+  for (const EndKind kind : {EndKind::kStopped, EndKind::kLeaseExpired,
+                             EndKind::kGangFailed, EndKind::kGangIncomplete}) {
+    SchedulerHarness harness(4);
+    harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+    std::vector<StartOrder> runs;
+    for (int i = 0; i < kRuns; ++i) {
+      const Orders orders = harness.Place();
+      BOOST_REQUIRE_EQUAL(orders.starts.size(), 1U);
+      runs.push_back(orders.starts[0]);
+      harness.EndRun(runs.back(), kind);
+      harness.now += Millis(1000);
+    }
+    for (const StartOrder& run : runs) harness.EndRun(run, kind);
+    BOOST_TEST(!harness.scheduler.Find(1)->final());
+    BOOST_TEST(harness.scheduler.Find(1)->Failures(runs[0].task) == 0);
+  }
+}
+
+/// Guards against a failure that is counted twice: by the leader that it was
+/// reported to, and by the next one, whose upstream lists it again.
+BOOST_AUTO_TEST_CASE(FailureReportedToTwoLeadersCountsOnce) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder run = harness.Place().starts.at(0);
+  harness.EndRun(run, EndKind::kFailed);
+  Scheduler next({.attempt_base = 200000});
+  ports::UpstreamEntry entry{.id = "up-0", .pool = "pool"};
+  entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+  const UpstreamIndex up = next.pool().Update(entry);
+  next.pool().at(up).reachable = true;
+  next.Load(Spec(1, 1, 1000), harness.scheduler.Find(1)->Progress(),
+            harness.now, 0);
+  Orders orders;
+  const ports::EndedTask end{.number = 1,
+                             .task = run.task,
+                             .attempt = run.attempt,
+                             .kind = EndKind::kFailed};
+  next.OnEnd(up, end, harness.now, orders);
+  next.ResolveAll(harness.now, orders);
+  next.OnEnd(up, end, harness.now, orders);
+  BOOST_TEST(!next.Find(1)->final());
+  BOOST_TEST(next.Find(1)->Failures(run.task) == 1);
+}
+
+/// Guards against a gang that uses up its attempts at once, since each of its
+/// members fails or ends with the one that fails.
+BOOST_AUTO_TEST_CASE(FailureOfAllMembersOfAGangCountsOnce) {
+  for (const EndKind others : {EndKind::kFailed, EndKind::kGangFailed}) {
+    SchedulerHarness harness(4);
+    wire::JobSpec spec = Spec(1, 4, 10000);
+    spec.steps[0].gang = true;
+    harness.scheduler.Add(spec, harness.now, 0);
+    const Orders orders = harness.Place();
+    BOOST_REQUIRE_EQUAL(orders.starts.size(), 4U);
+    harness.EndRun(orders.starts[2], EndKind::kFailed);
+    for (const StartOrder& member : orders.starts) {
+      harness.EndRun(member, others);
+    }
+    BOOST_TEST(!harness.scheduler.Find(1)->final());
+    BOOST_TEST(harness.scheduler.Find(1)->Failures(orders.starts[3].task) == 1);
+  }
+}
+
 /// The adviser allows only the upstream where the task has failed. When no
 /// other upstream is left to ask about, the task must start there again, or it
 /// would never run.
@@ -398,6 +536,30 @@
   BOOST_TEST(again.starts[0].upstream != start.upstream);
 }
 
+/// Guards against a run that is stopped as stalled, and an upstream that gets
+/// no starts for it, because the upstream was paused or cut off for a while.
+BOOST_AUTO_TEST_CASE(TaskOfPausedUpstreamIsNotTakenForStalled) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder start = harness.Place().starts.at(0);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  harness.now += Millis(500);
+  BOOST_TEST(harness.ReportProgress(start, 20) == 0U);
+  harness.now += Millis(200);
+  harness.scheduler.pool().SetReachable(start.upstream, false, harness.now);
+  harness.now += Millis(3000);
+  BOOST_TEST(harness.ReportProgress(start, 20) == 0U);
+  harness.scheduler.pool().SetReachable(start.upstream, true, harness.now);
+  BOOST_TEST(!harness.scheduler.pool().at(start.upstream).health.suspect());
+  // A task that makes no progress while its upstream answers is still stopped.
+  size_t stops = 0;
+  for (int i = 0; i < 4; ++i) {
+    harness.now += Millis(400);
+    stops += harness.ReportProgress(start, 20);
+  }
+  BOOST_TEST(stops == 1U);
+}
+
 /// A job is cancelled while it waits. The next pass must start no task of it,
 /// although there is free capacity.
 BOOST_AUTO_TEST_CASE(ACancelledJobLeavesTheQueue) {
