--- a/tests/lost_runs_test.cc
+++ b/tests/lost_runs_test.cc
@@ -242,7 +242,7 @@
     Kind kind = Kind::kSingle;
     int32_t tasks = 0;
     int32_t max_attempts = 0;
-    bool deadly = false;
+    bool crashing = false;
     /// The final state that the job was shown in, if any.
     std::optional<JobState> final_state{};
   };
@@ -284,13 +284,13 @@
       if (Chance(5)) behavior.unanswered_starts = static_cast<int>(1 + Pick(3));
       if (job.kind == Kind::kSingle && Chance(5)) behavior.failing_runs = 1;
     }
-    job.deadly = Chance(4);
-    if (job.deadly) {
+    job.crashing = Chance(4);
+    if (job.crashing) {
       const auto index = static_cast<int32_t>(Pick(job.tasks));
       const Millis delay(10 + Pick(31));
       // Each of its runs is known to have begun: the others are not evidence.
       cluster_.upstreams().behavior({id, 0, 0, index}) = {.crash_delay = delay};
-      Note("deadly task " + TaskIdText({id, 0, 0, index}) + " submitted");
+      Note("crashing task " + TaskIdText({id, 0, 0, index}) + " submitted");
     }
     jobs_[id] = job;
     cluster_.Submit("entry-" + std::to_string(Pick(4)), spec);
@@ -358,12 +358,12 @@
   }
 
   static bool Lasts(const SubmittedJob& job) {
-    return job.kind == Kind::kLongRunning && !job.deadly;
+    return job.kind == Kind::kLongRunning && !job.crashing;
   }
 
   /// Whether the rules allow the job to be shown as failed.
   bool MayFail(JobId id, const SubmittedJob& job) {
-    if (job.deadly) return true;
+    if (job.crashing) return true;
     for (int32_t i = 0; i < job.tasks; ++i) {
       const TaskId task{id, 0, 0, i};
       const bool failed =
@@ -574,9 +574,9 @@
   CheckCompletes(cluster, kJob);
 }
 
-/// Guards against a deadly task that is started too often because the leader
+/// Guards against a crashing task that is started too often because the leader
 /// dies between one of the crashes and its count.
-BOOST_DATA_TEST_CASE(DeadlyTasksAreGivenUpAlthoughALeaderDies,
+BOOST_DATA_TEST_CASE(CrashingTasksAreGivenUpAlthoughALeaderDies,
                      boost::unit_test::data::make({1, 2, 3}) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      fatal_crash, delay_ms) {
@@ -599,7 +599,7 @@
 
 /// Guards against a task that is started on one upstream after another and
 /// crashes each of them, however these are replaced.
-BOOST_DATA_TEST_CASE(DeadlyTasksAreGivenUp,
+BOOST_DATA_TEST_CASE(CrashingTasksAreGivenUp,
                      boost::unit_test::data::make(kReplacements) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      replacement, delay_ms) {
@@ -612,7 +612,7 @@
 }
 
 /// The same with a long-running task, which has no limit of attempts.
-BOOST_DATA_TEST_CASE(DeadlyLongRunningTasksAreGivenUp,
+BOOST_DATA_TEST_CASE(CrashingLongRunningTasksAreGivenUp,
                      boost::unit_test::data::make(kReplacements) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      replacement, delay_ms) {
@@ -624,7 +624,7 @@
 }
 
 /// The same while other upstreams are cut off and lose their list entries.
-BOOST_DATA_TEST_CASE(DeadlyTasksAreGivenUpDuringCuts,
+BOOST_DATA_TEST_CASE(CrashingTasksAreGivenUpDuringCuts,
                      boost::unit_test::data::make(kReplacements) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      replacement, delay_ms) {
@@ -640,7 +640,7 @@
 }
 
 /// The same while leaders restart every 9 s, too.
-BOOST_DATA_TEST_CASE(DeadlyTasksAreGivenUpDuringCutsAndTakeovers,
+BOOST_DATA_TEST_CASE(CrashingTasksAreGivenUpDuringCutsAndTakeovers,
                      boost::unit_test::data::make(kReplacements) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      replacement, delay_ms) {
@@ -655,9 +655,9 @@
   CheckGivenUp(cluster, kJob);
 }
 
-/// Guards against jobs that are given up along with a deadly task whose
+/// Guards against jobs that are given up along with a crashing task whose
 /// upstreams they share: single tasks, a gang, and a long-running task.
-BOOST_DATA_TEST_CASE(NeighboursOfADeadlyTaskAreNotGivenUp,
+BOOST_DATA_TEST_CASE(NeighboursOfACrashingTaskAreNotGivenUp,
                      boost::unit_test::data::make(kReplacements) *
                          boost::unit_test::data::make(kCrashDelaysMs),
                      replacement, delay_ms) {
@@ -692,8 +692,8 @@
 }
 
 /// Random scenarios in which faults of all kinds overlap: no harmless job is
-/// given up, and every deadly one is.
-BOOST_DATA_TEST_CASE(OnlyDeadlyTasksAreGivenUp,
+/// given up, and every crashing one is.
+BOOST_DATA_TEST_CASE(OnlyCrashingTasksAreGivenUp,
                      boost::unit_test::data::make(Seeds()), seed) {
   PromiseScenario(seed).Play();
 }
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -210,6 +210,23 @@
   }
 }
 
+/// Guards against runs that an earlier version has recorded and that count for
+/// more, or less, than is known of them.
+BOOST_AUTO_TEST_CASE(RunRecordsOfAnEarlierVersionAreRead) {
+  wire::UpstreamRecord record;
+  const TaskId task{7, 0, 1, 2};
+  for (const bool early : {true, false}) {
+    wire::RunRecord& run = record.runs.emplace_back();
+    run.task = TaskIdText(task);
+    run.attempt = early ? 5 : 6;
+    run.early = early;
+  }
+  const SuspectRuns expected{
+      {{task, 5}, {.last_seen = Millis(0), .silent_after = Millis(0)}},
+      {{task, 6}, {.silent_after = CrashEvidence::kHarmlessRunTime}}};
+  BOOST_TEST((coordinator::RunsFromRecord(record) == expected));
+}
+
 /// Another version of the program wrote the record of an unresponsive upstream.
 /// Runs that can't be decoded are skipped, and the others count.
 BOOST_AUTO_TEST_CASE(UnreadableRunRecordsAreSkipped) {
