Fleet: Log what set the end of the leases at an upstream

'leases have run out' named neither the incarnation nor what set the end, and a resolved restart left no line, so the record of two runs of one task could not be traced to a call. The end of the leases moves into a class of its own; what is counted is unchanged (upstream_link_test passes).

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -9,11 +9,6 @@
 
 using ports::CallVerdict;
 
-/// Upper bound of a duration on the local clock, relative to the same duration
-/// on the clock of an upstream. That clock may run 2 % slow; half a percent
-/// more and kLeaseMargin cover the error of the estimate of its time.
-constexpr double kClockDriftFactor = 1.025;
-constexpr Millis kLeaseMargin{50};
 /// Delay before the next renewal after repeated failures, or while no orders
 /// may be sent. The first failure is followed by a renewal at once.
 constexpr Millis kRetryDelay{100};
@@ -31,12 +26,6 @@
 
 }  // namespace
 
-Millis MaxLeaseDuration(Millis lease) {
-  return Millis(static_cast<int64_t>(static_cast<double>(lease.count()) *
-                                     kClockDriftFactor)) +
-         kLeaseMargin;
-}
-
 UpstreamLink::UpstreamLink(Executor& executor, ports::TaskPort& tasks,
                            UpstreamEvents& events, UpstreamLinkOptions options)
     : executor_(executor),
@@ -45,7 +34,8 @@
       options_(std::move(options)),
       fence_(options_.first_fence),
       adaptive_timeout_(options_.min_timeout, options_.max_timeout),
-      incarnation_(options_.incarnation) {}
+      incarnation_(options_.incarnation),
+      leases_(options_.lease) {}
 
 void UpstreamLink::Open() {
   opened_ = true;
@@ -59,7 +49,7 @@
   // has confirmed this leader after the leases' end, no successor could have
   // renewed them in time.
   const TimePoint confirmed = events_.LastStoreConfirmation();
-  if (confirmed <= leases_end_) return false;
+  if (confirmed <= leases_.end()) return false;
   // The upstream has replied to this leader, so it refuses earlier leaders.
   if (upstream_clock_ms_ > 0) return true;
   // An earlier leader may be partitioned together with this upstream. It may
@@ -126,10 +116,7 @@
   // calls, the tasks there would never count as ended.
   const bool renews_lease = upstream_clock_ms_ > 0 &&
                             consecutive_failures_ < kUnreachableAfterFailures;
-  if (renews_lease) {
-    leases_end_ =
-        std::max(leases_end_, sent + MaxLeaseDuration(options_.lease));
-  }
+  if (renews_lease) leases_.NoteCall(LeaseEndCause::kRenewal, sent);
   const bool has_unstored_completions =
       last_stored_completion_ < last_reported_completion_;
   const Millis reply_wait =
@@ -201,11 +188,7 @@
   consecutive_failures_ = 0;
   last_acknowledged_completion_ =
       std::max(last_acknowledged_completion_, acked_completions);
-  if (upstream_clock_ms_ == 0) {
-    // An earlier leader may have granted a lease until now.
-    leases_end_ = std::max(leases_end_,
-                           executor_.Now() + MaxLeaseDuration(options_.lease));
-  }
+  if (upstream_clock_ms_ == 0) leases_.NoteFirstReport(executor_.Now());
   last_report_at_ = ReportTime(reply.call.clock_ms);
   RecordUpstreamClock(reply.call.clock_ms);
   suspended_at_last_report_ = executor_.Suspended();
@@ -303,6 +286,8 @@
 }
 
 void UpstreamLink::ResolveRestart(const ports::RenewReply& reply) {
+  const auto unresolved =
+      std::chrono::duration_cast<Millis>(executor_.Now() - *restarted_at_);
   restarted_at_.reset();
   scheduling::RunSet remaining;
   for (const ports::RunningTask& run : reply.running) {
@@ -314,9 +299,35 @@
   std::erase_if(starts_in_doubt_, [&](const auto& start) {
     return remaining.count(start.first) == 0;
   });
+  // Until this report, calls for an earlier incarnation may have been executed.
+  logging::Event(logging::Level::kInfo, "restart resolved",
+                 {{"upstream", options_.target.id},
+                  {"incarnation", std::to_string(incarnation_)},
+                  {"unresolved_ms", std::to_string(unresolved.count())},
+                  {"clock_ms", std::to_string(reply.call.clock_ms)},
+                  {"running", std::to_string(reply.running.size())},
+                  {"ended", std::to_string(reply.ended.size())}});
   events_.OnRestarted(options_.index, incarnation_, remaining);
 }
 
+void UpstreamLink::LogLeasesExpired() const {
+  const auto since = [now = executor_.Now()](TimePoint time) {
+    return std::to_string(
+        std::chrono::duration_cast<Millis>(now - time).count());
+  };
+  const bool reported = upstream_clock_ms_ > 0;
+  logging::Event(
+      logging::Level::kWarning, "leases have run out",
+      {{"upstream", options_.target.id},
+       {"incarnation", std::to_string(incarnation_)},
+       {"reported", reported ? "yes" : "no"},
+       {"ended_ms_ago", since(leases_.end())},
+       {"set_by", std::string(kLeaseEndCauseNames.Name(leases_.cause()))},
+       {"clock_ms", std::to_string(upstream_clock_ms_)},
+       {"clock_read_ms_ago",
+        reported ? since(upstream_clock_received_at_) : "never"}});
+}
+
 bool UpstreamLink::IncarnationCertain() const {
   // An upstream that does not report its start has a new id when it restarts.
   if (incarnation_ == 0) return true;
@@ -376,8 +387,7 @@
                                   scheduling::UpstreamLoss::kCrashed);
   }
   if (!reachable_ && !all_runs_ended_ && LeasesExpired()) {
-    logging::Event(logging::Level::kWarning, "leases have run out",
-                   {{"upstream", options_.target.id}});
+    LogLeasesExpired();
     all_runs_ended_ = true;
     starts_in_doubt_.clear();
     events_.OnAllRunsEnded(options_.index,
@@ -404,8 +414,7 @@
     return events_.OnStartReply(
         order, {.verdict = CallVerdict::kNotSent, .detail = "not reachable"});
   }
-  leases_end_ =
-      std::max(leases_end_, executor_.Now() + MaxLeaseDuration(options_.lease));
+  leases_.NoteCall(LeaseEndCause::kStart, executor_.Now());
   // A renewal has to wait at the upstream to report the end of this run.
   const bool pausing = renewal_scheduled_ && starts_in_flight_ == 0 &&
                        options_.idle_renew_delay > options_.renew_delay;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include "src/fleet/adaptive_timeout.h"
+#include "src/fleet/task_leases.h"
 #include "src/libs/base/executor.h"
 #include "src/ports/task_port.h"
 #include "src/scheduling/scheduler.h"
@@ -50,10 +51,6 @@
 /// in doubt consumes one.
 inline constexpr int64_t kFenceSpan = 1000000;
 
-/// Returns the longest time, on the local clock, that a lease of duration
-/// `lease` on an upstream's clock can last.
-Millis MaxLeaseDuration(Millis lease);
-
 /// Receives the events of the upstream links, and decides whether they may send
 /// orders. Control thread only.
 class UpstreamEvents {
@@ -163,6 +160,7 @@
   void ResolveRestart(const ports::RenewReply& reply);
   /// Whether the upstream is surely still the incarnation of the last reply.
   bool IncarnationCertain() const;
+  void LogLeasesExpired() const;
   void LogOutdatedReply(bool outdated, const ports::RenewReply& reply);
   void HandleStartReply(const scheduling::StartOrder& order, int64_t fence,
                         ports::CallReply reply);
@@ -233,9 +231,7 @@
   /// local time at which it was received.
   int64_t upstream_clock_ms_ = 0;
   TimePoint upstream_clock_received_at_{};
-  /// No lease granted by this leader, or known from the upstream's first reply,
-  /// lasts beyond this, on the local clock.
-  TimePoint leases_end_{};
+  TaskLeases leases_;
   /// Numbers of the newest completions that were reported, that are stored, and
   /// whose acknowledgement the upstream has confirmed.
   int64_t last_reported_completion_ = 0;
