Tests: Let the upstream fake execute calls that were meant for a former incarnation

The fake lost every call to an incarnation that had ended, began each clock at 0, shortened leases to 6 s, and named the incarnation in replies to starts, stops and refusals. The platform does none of these: a restarted upstream takes what arrives, its clock begins anywhere, the longest lease is 10 s, and only lists of runs name the incarnation. So no test could show a lease that was asked for on the clock of the former incarnation.

Late starts, and now late renewals, are executed by the incarnation that then serves; calls may wait for the restart, answered or not; the next clock can be made to begin behind or ahead. That two runs of a task at a time are a violation was there already (CheckStart).

--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -13,7 +13,11 @@
 using ports::EndKind;
 
 constexpr Millis kNetworkDelay{1};
-constexpr Millis kMaxLease{6000};
+/// A longer lease is shortened to this.
+constexpr Millis kMaxLease{10000};
+/// Range of the first reading of an incarnation's clock.
+constexpr int64_t kMinFirstClockMs = 1000000;
+constexpr int64_t kMaxFirstClockMs = 10000000;
 constexpr Millis kGangWaitTimeout{3000};
 /// How long after its cancellation the tasks of a job may still start and run;
 /// a run that starts late counts from its own start.
@@ -46,6 +50,8 @@
   Upstream& upstream = upstreams_[id];
   upstream.millicores = millicores;
   upstream.memory_mb = memory_mb;
+  upstream.clock_zero =
+      clock_.now() - Millis(FirstClockMs(id, ClockStart::kAnywhere, 0));
 }
 
 void UpstreamsFake::RegisterJob(const wire::JobSpec& spec) {
@@ -65,10 +71,19 @@
 }
 
 int64_t UpstreamsFake::ClockMs(const Upstream& upstream) const {
-  return std::chrono::duration_cast<Millis>(clock_.now() - upstream.started_at)
+  return std::chrono::duration_cast<Millis>(clock_.now() - upstream.clock_zero)
       .count();
 }
 
+int64_t UpstreamsFake::FirstClockMs(const std::string& id, ClockStart start,
+                                    int64_t former_ms) const {
+  if (start == ClockStart::kBehind) return former_ms / 2;
+  if (start == ClockStart::kAhead) return 2 * former_ms;
+  const auto range = static_cast<uint64_t>(kMaxFirstClockMs - kMinFirstClockMs);
+  const uint64_t hash = Hash64(id + "@" + std::to_string(former_ms));
+  return kMinFirstClockMs + static_cast<int64_t>(hash % range);
+}
+
 int64_t UpstreamsFake::Incarnation(const std::string& id) const {
   if (!restart_under_same_id_) return 0;
   constexpr int64_t kUnixMsAtClockZero = 1700000000000;
@@ -80,28 +95,53 @@
 }
 
 ports::CallReply UpstreamsFake::MakeReply(const std::string& id) const {
-  return {.clock_ms = ClockMs(upstreams_.at(id)),
-          .incarnation = Incarnation(id)};
+  return {.clock_ms = ClockMs(upstreams_.at(id))};
 }
 
 void UpstreamsFake::Restart(const std::string& id) {
-  const Upstream& crashed = upstreams_[id];
+  const Upstream crashed = upstreams_[id];
+  const int64_t first_clock_ms =
+      FirstClockMs(id, crashed.faults.next_clock, ClockMs(crashed));
   upstreams_[id] = {.faults = crashed.faults,
                     .millicores = crashed.millicores,
                     .memory_mb = crashed.memory_mb,
-                    .started_at = clock_.now()};
+                    .started_at = clock_.now(),
+                    .clock_zero = clock_.now() - Millis(first_clock_ms)};
   upstreams_[id].faults.terminated = false;
+  for (const auto& call : crashed.waiting_for_restart) call();
 }
 
 bool UpstreamsFake::Reachable(const std::string& id, const std::string& entry) {
   called_.insert(id);
-  if (partition_.count(id) != partition_.count(entry)) return false;
   if (crash_silently_ && CrashVerdict(id)) return false;
+  return Connects(id, entry);
+}
+
+bool UpstreamsFake::Connects(const std::string& id,
+                             const std::string& entry) const {
+  if (partition_.count(id) != partition_.count(entry)) return false;
   const auto found = upstreams_.find(id);
   return found != upstreams_.end() && !found->second.faults.terminated &&
          !found->second.faults.unreachable && !found->second.paused;
 }
 
+bool UpstreamsFake::WaitsForRestart(const std::string& id,
+                                    const std::string& entry) const {
+  return Connects(id, entry) && CrashVerdict(id) &&
+         upstreams_.at(id).faults.calls_wait_for_restart;
+}
+
+void UpstreamsFake::ExecuteLate(const std::string& id,
+                                std::function<void()> call) {
+  Upstream& upstream = upstreams_[id];
+  if (!CrashVerdict(id)) {
+    if (!upstream.paused) call();
+    return;
+  }
+  if (!upstream.faults.calls_wait_for_restart) return;
+  upstream.waiting_for_restart.push_back(std::move(call));
+}
+
 bool UpstreamsFake::Connected(const std::string& id) const {
   const Upstream& upstream = upstreams_.at(id);
   return !upstream.faults.unreachable && !upstream.paused;
@@ -130,7 +170,7 @@
         const UpstreamFaults& faults = upstream.second.faults;
         return faults.unreachable || upstream.second.paused ||
                faults.drop_start_replies > 0 || faults.delayed_starts > 0 ||
-               faults.drop_stops > 0;
+               faults.delayed_renewals > 0 || faults.drop_stops > 0;
       });
 }
 
@@ -321,7 +361,7 @@
 }
 
 void UpstreamsFake::ExtendLease(Upstream& upstream, int64_t until_ms) {
-  const TimePoint requested_end = upstream.started_at + Millis(until_ms);
+  const TimePoint requested_end = upstream.clock_zero + Millis(until_ms);
   const TimePoint max_end = clock_.now() + kMaxLease;
   upstream.lease_end =
       std::max(upstream.lease_end, std::min(requested_end, max_end));
@@ -598,6 +638,8 @@
   }
   upstream.fence = call.fence;
   reply.call.verdict = CallVerdict::kDone;
+  // Only lists of runs name the incarnation.
+  reply.call.incarnation = Incarnation(target.id);
   if (call.lease_until_ms > 0) {
     ExtendLease(upstream, call.lease_until_ms);
     ScheduleLeaseExpiry(target.id);
@@ -656,6 +698,24 @@
   machine_->out.Transfer(bytes, [call, on_reply] { call(on_reply); });
 }
 
+template <typename Reply>
+void UpstreamClientFake::CallAfterRestart(const std::string& id, Millis timeout,
+                                          std::function<Reply()> execute,
+                                          const Reply& time_out,
+                                          std::function<void(Reply)> done) {
+  auto answered = std::make_shared<bool>(false);
+  executor_.RunAfter(timeout, [answered, time_out, done] {
+    if (!std::exchange(*answered, true)) done(time_out);
+  });
+  upstreams_.ExecuteLate(id, [this, id, execute, answered, done] {
+    const Reply reply = execute();
+    if (!upstreams_.faults(id).waiting_calls_answered) return;
+    executor_.RunAfter(kNetworkDelay, [answered, reply, done] {
+      if (!std::exchange(*answered, true)) done(reply);
+    });
+  });
+}
+
 void UpstreamClientFake::Start(const ports::UpstreamTarget& target,
                                const ports::StartCall& call, Millis timeout,
                                std::function<void(ports::CallReply)> done) {
@@ -674,11 +734,17 @@
     const ports::UpstreamTarget& target, const ports::StartCall& call,
     Millis timeout, const std::function<void(ports::CallReply)>& done) {
   UpstreamFaults& faults = upstreams_.faults(target.id);
+  const ports::CallReply no_answer{.verdict = CallVerdict::kUnknown,
+                                   .detail = "no answer"};
   const auto time_out = [&] {
-    executor_.RunAfter(timeout, [done] {
-      done({.verdict = CallVerdict::kUnknown, .detail = "no answer"});
-    });
+    executor_.RunAfter(timeout, [done, no_answer] { done(no_answer); });
   };
+  if (upstreams_.WaitsForRestart(target.id, entry_)) {
+    return CallAfterRestart<ports::CallReply>(
+        target.id, timeout,
+        [this, target, call] { return upstreams_.Start(target, call); },
+        no_answer, done);
+  }
   if (!upstreams_.Reachable(target.id, entry_)) return time_out();
   if (const auto verdict = upstreams_.CrashVerdict(target.id)) {
     return executor_.RunAfter(2 * kNetworkDelay, [done, verdict] {
@@ -696,7 +762,12 @@
   if (faults.delayed_starts > 0) {
     --faults.delayed_starts;
     upstreams_.clock().At(upstreams_.clock().now() + faults.execution_delay,
-                          execute);
+                          [this, target, call] {
+                            upstreams_.ExecuteLate(
+                                target.id, [this, target, call] {
+                                  upstreams_.Start(target, call);
+                                });
+                          });
     return time_out();
   }
   const bool reply_dropped = upstreams_.DropsStartReply(target.id, call.task);
@@ -759,13 +830,19 @@
 void UpstreamClientFake::DoRenew(
     const ports::UpstreamTarget& target, const ports::RenewCall& call,
     Millis timeout, const std::function<void(ports::RenewReply)>& done) {
-  if (!upstreams_.Reachable(target.id, entry_)) {
-    return executor_.RunAfter(timeout, [done] {
-      ports::RenewReply reply;
-      reply.call = {.verdict = CallVerdict::kUnknown, .detail = "no answer"};
-      done(reply);
-    });
+  ports::RenewReply no_answer;
+  no_answer.call = {.verdict = CallVerdict::kUnknown, .detail = "no answer"};
+  const auto time_out = [&] {
+    executor_.RunAfter(timeout, [done, no_answer] { done(no_answer); });
+  };
+  const auto renew = [this, target, call] {
+    return upstreams_.Renew(target, call);
+  };
+  if (upstreams_.WaitsForRestart(target.id, entry_)) {
+    return CallAfterRestart<ports::RenewReply>(target.id, timeout, renew,
+                                               no_answer, done);
   }
+  if (!upstreams_.Reachable(target.id, entry_)) return time_out();
   const int64_t incarnation = upstreams_.Incarnation(target.id);
   if (const auto verdict = upstreams_.CrashVerdict(target.id)) {
     return executor_.RunAfter(2 * kNetworkDelay, [done, verdict] {
@@ -776,6 +853,13 @@
   }
   auto reply = std::make_shared<ports::RenewReply>();
   UpstreamFaults& faults = upstreams_.faults(target.id);
+  if (faults.delayed_renewals > 0) {
+    --faults.delayed_renewals;
+    upstreams_.clock().At(
+        upstreams_.clock().now() + faults.execution_delay,
+        [this, id = target.id, renew] { upstreams_.ExecuteLate(id, renew); });
+    return time_out();
+  }
   const Millis delay =
       call.wait > Millis(0) ? faults.long_poll_wait : kNetworkDelay;
   Millis back = kNetworkDelay;
@@ -784,12 +868,12 @@
     back += faults.renew_reply_delay;
   }
   const auto answered = std::make_shared<bool>(false);
-  upstreams_.clock().At(upstreams_.clock().now() + delay,
-                        [this, target, call, reply, answered, incarnation] {
-                          *answered = upstreams_.Serves(target.id, incarnation);
-                          if (!*answered) return;
-                          *reply = upstreams_.Renew(target, call);
-                        });
+  upstreams_.clock().At(
+      upstreams_.clock().now() + delay,
+      [this, id = target.id, renew, reply, answered, incarnation] {
+        *answered = upstreams_.Serves(id, incarnation);
+        if (*answered) *reply = renew();
+      });
   executor_.RunAfter(delay + back, [=, this] {
     if (*answered || !upstreams_.crashes_silently()) return done(*reply);
     executor_.RunAfter(std::max(Millis(0), timeout - delay - back),
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -34,6 +34,10 @@
   std::string checkpoint{};
 };
 
+/// Where the clock of an upstream's next incarnation begins, compared with that
+/// of the previous one at the time of the restart.
+enum class ClockStart { kAnywhere, kBehind, kAhead };
+
 /// Faults of one upstream, set by tests.
 struct UpstreamFaults {
   /// The upstream has ended with all of its runs. It never comes back under
@@ -44,9 +48,18 @@
   /// Number of upcoming starts that are executed without a reply.
   int drop_start_replies = 0;
   /// Number of upcoming starts that are executed after `execution_delay`
-  /// without a reply.
+  /// without a reply, by the incarnation that then serves under the id.
   int delayed_starts = 0;
+  /// The same for renewals.
+  int delayed_renewals = 0;
   Millis execution_delay{2500};
+  /// Starts and renewals that are sent or due while the upstream is down wait,
+  /// and are executed by its next incarnation.
+  bool calls_wait_for_restart = false;
+  /// Calls that have waited for a restart are answered, if their callers still
+  /// wait.
+  bool waiting_calls_answered = false;
+  ClockStart next_clock = ClockStart::kAnywhere;
   /// Number of upcoming stops that never arrive.
   int drop_stops = 0;
   /// Number of upcoming replies to renewals that arrive `renew_reply_delay`
@@ -181,6 +194,11 @@
     return !CrashVerdict(id) && Incarnation(id) == incarnation &&
            !upstreams_.at(id).paused;
   }
+  /// Whether a call of the entry to the upstream waits for its restart.
+  bool WaitsForRestart(const std::string& id, const std::string& entry) const;
+  /// Lets the incarnation that now serves under the id execute the call. While
+  /// there is none, the call waits for the next one, or is lost.
+  void ExecuteLate(const std::string& id, std::function<void()> call);
   /// Whether the start is lost because the upstream crashes as it arrives.
   bool LosesStart(const std::string& id, const TaskId& task);
   /// Whether the start is executed without a reply.
@@ -219,6 +237,7 @@
     bool paused = false;
     /// What happens when the upstream is resumed, in order.
     std::vector<std::function<void()>> delayed_by_pause;
+    std::vector<std::function<void()>> waiting_for_restart;
     int32_t millicores = 0;
     int32_t memory_mb = 0;
     int64_t fence = 0;
@@ -226,6 +245,8 @@
     /// Completions up to this number are discarded, also those to come.
     int64_t acked_completions = 0;
     TimePoint started_at{};
+    /// When the upstream's clock read 0. No incarnation's clock begins there.
+    TimePoint clock_zero{};
     TimePoint lease_end{};
     /// Number of the last completion before a lease expired.
     int64_t last_completion_before_expiry = 0;
@@ -234,8 +255,13 @@
     std::map<TaskId, int64_t> last_attempt;
   };
 
-  /// The upstream's clock, which counts from its start.
   int64_t ClockMs(const Upstream& upstream) const;
+  /// The first reading of the clock of the incarnation that begins now.
+  /// `former_ms` is that of the previous incarnation, 0 for the first one.
+  int64_t FirstClockMs(const std::string& id, ClockStart start,
+                       int64_t former_ms) const;
+  /// Whether the network between the entry and the upstream works.
+  bool Connects(const std::string& id, const std::string& entry) const;
   ports::CallReply MakeReply(const std::string& id) const;
   void ExtendLease(Upstream& upstream, int64_t until_ms);
   void CheckStart(const std::string& id, const Upstream& upstream,
@@ -342,6 +368,11 @@
   void DoRenew(const ports::UpstreamTarget& target,
                const ports::RenewCall& call, Millis timeout,
                const std::function<void(ports::RenewReply)>& done);
+  /// Lets the next incarnation of the upstream execute the call.
+  template <typename Reply>
+  void CallAfterRestart(const std::string& id, Millis timeout,
+                        std::function<Reply()> execute, const Reply& time_out,
+                        std::function<void(Reply)> done);
 
   UpstreamsFake& upstreams_;
   Executor& executor_;
