Tests: Show second runs of tasks at upstreams that have restarted

A restarted upstream takes calls that were meant for its former incarnation. Their deadlines are on the former clock; where that is ahead of the new one, the upstream keeps all its runs for its longest lease of 10 s, while the leader counts 4 s and then starts the tasks elsewhere. Another cause shows as well: a start that was resolved as not executed is executed by the next incarnation, which has seen no fencing token.

--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -138,8 +138,7 @@
   wire::UpstreamRecord record = list_entries_[crashed];
   if (options_.restart_under_same_id) {
     record.incarnation = upstreams_.Incarnation(crashed);
-    list_entries_[crashed] = record;
-    return store_.Put(kUpstreamTable, crashed, rpc::Encode(record));
+    return ListRestarted(record);
   }
   // The adviser decides by the last digit, so it stays the same.
   record.id =
@@ -150,6 +149,17 @@
   store_.Put(kUpstreamTable, record.id, rpc::Encode(record));
 }
 
+void JobCluster::ListRestarted(const wire::UpstreamRecord& record) {
+  const auto list = [this, record] {
+    // Another incarnation may have begun since.
+    if (upstreams_.Incarnation(record.id) != record.incarnation) return;
+    list_entries_[record.id] = record;
+    store_.Put(kUpstreamTable, record.id, rpc::Encode(record));
+  };
+  if (options_.restart_list_delay == Millis(0)) return list();
+  clock_.At(clock_.now() + options_.restart_list_delay, list);
+}
+
 void JobCluster::CheckPeriodically() {
   if (HasActiveFault()) upstreams_.RecordFault();
   upstreams_.CheckCancelled();
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -84,6 +84,9 @@
   bool replacement_at_new_address = false;
   /// Crashed upstreams restart under their ids, without a memory.
   bool restart_under_same_id = false;
+  /// How long after its restart the list entry of an upstream names the new
+  /// incarnation.
+  Millis restart_list_delay{0};
   /// Calls to crashed upstreams time out instead of being refused.
   bool crash_silently = false;
   /// List entries expire, too, when their upstreams cannot renew them for
@@ -240,6 +243,8 @@
   void AddUpstream(int number);
   /// Lists the next incarnation of an upstream that has crashed.
   void ReplaceUpstream(const std::string& crashed);
+  /// Lists the incarnation of a restarted upstream after restart_list_delay.
+  void ListRestarted(const wire::UpstreamRecord& record);
   /// Checks periodically whether a fault is active, and whether the tasks of
   /// cancelled jobs have ended.
   void CheckPeriodically();
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -362,6 +362,22 @@
   BOOST_TEST(link->restarts() == 1);
 }
 
+/// Guards against leases that last too long: a late reply of the previous
+/// incarnation would set the clock that they are asked for on.
+BOOST_FIXTURE_TEST_CASE(LateReplyOfThePreviousIncarnationSetsNoClock,
+                        RestartFixture) {
+  const size_t old_renewal = last();
+  link->OnListed("up:1", kSecond);
+  const size_t first_renewal = last();
+  BOOST_TEST(calls.renewals[first_renewal].call.lease_until_ms == 0);
+  incarnation = kFirst;
+  Reply(old_renewal, 9000, {}, {});
+  incarnation = kSecond;
+  Reply(first_renewal, 100, {}, {});
+  const int64_t lease_end = 100 + UpstreamLinkOptions{}.lease.count();
+  BOOST_TEST(calls.renewals[last()].call.lease_until_ms == lease_end);
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
