--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -57,7 +57,6 @@
     faults(upstream).calls_wait_for_restart = true;
     cluster.upstreams().Crash(upstream);
     cluster.RunFor(kRestartDelay);
-    faults(upstream).calls_wait_for_restart = false;
   }
   /// Restarts all upstreams. Starts that are sent meanwhile are executed by the
   /// new incarnations.
@@ -73,7 +72,6 @@
     for (const std::string& id : cluster.upstreams().ids()) {
       // Starts on the former clock are late for a clock that is ahead of it.
       BOOST_TEST((cluster.upstreams().Running(id) > 0) == !clock_ahead_);
-      faults(id).calls_wait_for_restart = false;
     }
   }
   void SubmitTask() {
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -108,6 +108,7 @@
                     .started_at = clock_.now(),
                     .clock_zero = clock_.now() - Millis(first_clock_ms)};
   upstreams_[id].faults.terminated = false;
+  upstreams_[id].faults.calls_wait_for_restart = false;
   for (const auto& call : crashed.waiting_for_restart) call();
 }
 
@@ -142,6 +143,18 @@
   upstream.waiting_for_restart.push_back(std::move(call));
 }
 
+void UpstreamsFake::ExecuteAfterDelay(const std::string& id,
+                                      std::function<void()> call) {
+  const UpstreamFaults& faults = upstreams_[id].faults;
+  const int64_t incarnation = Incarnation(id);
+  const bool ends_in_restart = faults.late_calls_end_in_restart;
+  clock_.At(clock_.now() + faults.execution_delay,
+            [this, id, call = std::move(call), incarnation, ends_in_restart] {
+              if (ends_in_restart && !Serves(id, incarnation)) return;
+              ExecuteLate(id, call);
+            });
+}
+
 bool UpstreamsFake::Connected(const std::string& id) const {
   const Upstream& upstream = upstreams_.at(id);
   return !upstream.faults.unreachable && !upstream.paused;
@@ -761,13 +774,8 @@
   };
   if (faults.delayed_starts > 0) {
     --faults.delayed_starts;
-    upstreams_.clock().At(upstreams_.clock().now() + faults.execution_delay,
-                          [this, target, call] {
-                            upstreams_.ExecuteLate(
-                                target.id, [this, target, call] {
-                                  upstreams_.Start(target, call);
-                                });
-                          });
+    upstreams_.ExecuteAfterDelay(
+        target.id, [this, target, call] { upstreams_.Start(target, call); });
     return time_out();
   }
   const bool reply_dropped = upstreams_.DropsStartReply(target.id, call.task);
@@ -855,9 +863,7 @@
   UpstreamFaults& faults = upstreams_.faults(target.id);
   if (faults.delayed_renewals > 0) {
     --faults.delayed_renewals;
-    upstreams_.clock().At(
-        upstreams_.clock().now() + faults.execution_delay,
-        [this, id = target.id, renew] { upstreams_.ExecuteLate(id, renew); });
+    upstreams_.ExecuteAfterDelay(target.id, renew);
     return time_out();
   }
   const Millis delay =
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -53,8 +53,10 @@
   /// The same for renewals.
   int delayed_renewals = 0;
   Millis execution_delay{2500};
-  /// Starts and renewals that are sent or due while the upstream is down wait,
-  /// and are executed by its next incarnation.
+  /// Late calls do not outlive the incarnation that they were sent to.
+  bool late_calls_end_in_restart = false;
+  /// Starts and renewals that are sent or due while the upstream is down wait
+  /// for its next restart, and are executed by the new incarnation.
   bool calls_wait_for_restart = false;
   /// Calls that have waited for a restart are answered, if their callers still
   /// wait.
@@ -199,6 +201,8 @@
   /// Lets the incarnation that now serves under the id execute the call. While
   /// there is none, the call waits for the next one, or is lost.
   void ExecuteLate(const std::string& id, std::function<void()> call);
+  /// Does the same after the upstream's `execution_delay`.
+  void ExecuteAfterDelay(const std::string& id, std::function<void()> call);
   /// Whether the start is lost because the upstream crashes as it arrives.
   bool LosesStart(const std::string& id, const TaskId& task);
   /// Whether the start is executed without a reply.
