Tests: Cut off upstreams and kill leaders in the property of restarts

Upstreams are cut off for 1 to 12 s, alone and with their racks, also up to 4 s after all of a rack have crashed; leaders stay away for up to 6 s; calls that are sent while an upstream is down reach the next incarnation, so long after the crash that they acknowledge nothing. A second property lets any late call reach it, late by up to 12 s.

--- a/tests/restarted_upstreams_test.cc
+++ b/tests/restarted_upstreams_test.cc
@@ -53,24 +53,36 @@
           .crash_silently = crash_silently};
 }
 
-/// Plays one random scenario: upstreams crash and restart under their ids, some
-/// within 50 ms of each other, while jobs are submitted and leaders restart.
+/// Which calls that were meant for its former incarnation an upstream executes.
+enum class FormerCalls {
+  /// Those sent so long after the crash that they acknowledge no completion.
+  kSentWhileDown,
+  /// These, and any call that is executed late.
+  kAll
+};
+
+/// Plays one random scenario: upstreams crash, restart under their ids and are
+/// cut off, alone or with their racks, while jobs are submitted, leaders change
+/// and calls are executed late.
 class RestartScenario {
  public:
-  explicit RestartScenario(uint64_t seed)
+  RestartScenario(uint64_t seed, FormerCalls former_calls)
       : random_(seed),
+        former_calls_(former_calls),
         cluster_({.replacement_delay = Millis(200 + Pick(2500)),
                   .restart_under_same_id = true,
                   .crash_silently = Chance(70)}) {}
 
   void Run() {
     for (const std::string& id : cluster_.upstreams().ids()) {
-      cluster_.upstreams().faults(id).long_poll_wait = Millis(50 + Pick(950));
+      UpstreamFaults& faults = cluster_.upstreams().faults(id);
+      faults.long_poll_wait = Millis(50 + Pick(950));
+      faults.late_calls_end_in_restart = former_calls_ != FormerCalls::kAll;
     }
     cluster_.RunFor(kStartupTime);
     constexpr int kSteps = 300;
     for (int i = 0; i < kSteps; ++i) {
-      if (Chance(60)) SubmitRandomJob();
+      if (Chance(30)) SubmitRandomJob();
       if (Chance(8)) InjectFault();
       cluster_.RunFor(Millis(100));
     }
@@ -91,7 +103,7 @@
     spec.queue.ticket_valid_ms = 1500;
     for (int32_t i = 0; i < tasks; ++i) {
       cluster_.upstreams().behavior({id, 0, 0, i}).run_time =
-          Millis(100 + Pick(2000));
+          Millis(100 + Pick(Chance(30) ? 15000 : 2000));
     }
     cluster_.Submit("entry-" + std::to_string(Pick(4)), spec);
   }
@@ -101,7 +113,7 @@
     const std::string& upstream = ids[Pick(ids.size())];
     UpstreamFaults& faults = cluster_.upstreams().faults(upstream);
     const std::string leader = cluster_.Leader();
-    switch (Pick(9)) {
+    switch (Pick(20)) {
       case 0:
         if (!leader.empty()) cluster_.Restart(leader);
         return;
@@ -110,6 +122,7 @@
         return;
       case 2:
         faults.delayed_starts = static_cast<int>(1 + Pick(2));
+        faults.execution_delay = Millis(500 + Pick(11500));
         return;
       case 3:
         cluster_.store().faults().down = !cluster_.store().faults().down;
@@ -121,11 +134,86 @@
         return;
       case 5:
         return LosePower();
+      case 6:
+        faults.delayed_renewals = static_cast<int>(1 + Pick(3));
+        faults.execution_delay = Millis(500 + Pick(11500));
+        return;
+      case 7:
+        if (!leader.empty()) KillForAWhile(leader);
+        return;
+      case 8:
+        return Cut(upstream, CutTime());
+      case 9:
+        return CutRack();
+      case 10:
+      case 11:
+      case 12:
+      case 13:
+        return CrashWithCallsUnderway(upstream);
       default:
-        cluster_.upstreams().Crash(upstream);
+        CrashAndCutRack();
     }
   }
 
+  Millis CutTime() { return Millis(1000 + Pick(11000)); }
+
+  void KillForAWhile(const std::string& entry) {
+    cluster_.Kill(entry);
+    cluster_.clock().At(cluster_.clock().now() + Millis(Pick(6000)),
+                        [this, entry] { cluster_.Restart(entry); });
+  }
+
+  void Cut(const std::string& upstream, Millis span) {
+    cluster_.upstreams().faults(upstream).unreachable = true;
+    cluster_.clock().At(cluster_.clock().now() + span, [this, upstream] {
+      cluster_.upstreams().faults(upstream).unreachable = false;
+    });
+  }
+
+  std::vector<std::string> RandomRack() {
+    const auto ids = cluster_.upstreams().ids();
+    const std::string rack = cluster_.ListEntryOf(ids[Pick(ids.size())]).rack;
+    std::vector<std::string> out;
+    for (const std::string& id : ids) {
+      if (cluster_.ListEntryOf(id).rack == rack) out.push_back(id);
+    }
+    return out;
+  }
+
+  void CutRack() {
+    const Millis span = CutTime();
+    for (const std::string& id : RandomRack()) Cut(id, span);
+  }
+
+  /// The rack is cut off up to 4 s after its upstreams have crashed.
+  void CrashAndCutRack() {
+    const Millis delay(Pick(4000));
+    const Millis span = CutTime();
+    for (const std::string& id : RandomRack()) {
+      CrashWithCallsUnderway(id);
+      cluster_.clock().At(cluster_.clock().now() + delay,
+                          [this, id, span] { Cut(id, span); });
+    }
+  }
+
+  void CrashWithCallsUnderway(const std::string& upstream) {
+    /// Later than this after a report, a renewal acknowledges nothing.
+    constexpr Millis kAcknowledging{400};
+    UpstreamsFake& upstreams = cluster_.upstreams();
+    const bool wait = Chance(50);
+    const bool all = former_calls_ == FormerCalls::kAll;
+    upstreams.faults(upstream).waiting_calls_answered = Chance(50);
+    upstreams.Crash(upstream);
+    const int64_t incarnation = upstreams.Incarnation(upstream);
+    cluster_.clock().At(
+        cluster_.clock().now() + (all ? Millis(0) : kAcknowledging),
+        [&upstreams, upstream, wait, incarnation] {
+          const bool restarted = upstreams.Incarnation(upstream) != incarnation;
+          upstreams.faults(upstream).calls_wait_for_restart =
+              wait && !restarted;
+        });
+  }
+
   /// All entries and all upstreams end at the same moment.
   void LosePower() {
     for (const std::string& id : cluster_.upstreams().ids()) {
@@ -137,8 +225,10 @@
   void RepairFaults() {
     cluster_.store().faults().down = false;
     for (const std::string& id : cluster_.upstreams().ids()) {
-      cluster_.upstreams().faults(id).drop_start_replies = 0;
-      cluster_.upstreams().faults(id).delayed_starts = 0;
+      UpstreamFaults& faults = cluster_.upstreams().faults(id);
+      faults.drop_start_replies = 0;
+      faults.delayed_starts = 0;
+      faults.delayed_renewals = 0;
     }
   }
 
@@ -153,6 +243,7 @@
   }
 
   std::mt19937_64 random_;
+  FormerCalls former_calls_;
   JobCluster cluster_;
   JobId jobs_ = 0;
 };
@@ -203,10 +294,16 @@
 }
 
 /// Guards against lost jobs and second runs while upstreams restart under their
-/// ids, leaders change, and starts get no reply or execute late.
+/// ids and are cut off, leaders change, and calls get no reply or execute late.
 BOOST_DATA_TEST_CASE(RestartsUnderTheSameIdBreakNoRule,
                      boost::unit_test::data::make(Seeds()), seed) {
-  RestartScenario(seed).Run();
+  RestartScenario(seed, FormerCalls::kSentWhileDown).Run();
+}
+
+/// The same where any late call may reach the next incarnation.
+BOOST_DATA_TEST_CASE(LateCallsAtTheNextIncarnationBreakNoRule,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  RestartScenario(seed, FormerCalls::kAll).Run();
 }
 
 }  // namespace mimosarail::jobsim
