Scheduling: Use no advice that was asked for before a restart

Cause: a ticket is valid during one life of its upstream. OnRestarted() drops the advice known so far, but the answer to a call that was in flight at that moment was stored for the new incarnation, since answers name the id alone. Each start with such a ticket is refused and has its price, and a gang is broken by it.

Change: an advice order carries the time at which it was asked; an answer about an upstream that is known in its present incarnation only since then is not used, and the step asks again.

Measured: the new test was red before (the start carries the ticket "of the previous incarnation", and no new call is made).

--- a/src/scheduling/advice_requests.cc
+++ b/src/scheduling/advice_requests.cc
@@ -290,7 +290,10 @@
     return;
   }
   if (!UseAdviceCall(queue.priority)) return;
-  AdviceOrder order{.purpose = purpose, .step = id, .priority = queue.priority};
+  AdviceOrder order{.purpose = purpose,
+                    .step = id,
+                    .asked_at = now,
+                    .priority = queue.priority};
   order.expected = EstimatedCallTime(queue, asked.size());
   const auto upstream_count = static_cast<int32_t>(asked.size());
   const int32_t waiting = TasksWithinLimit(record, id);
@@ -341,6 +344,8 @@
     if (upstream == kNoUpstream) continue;
     known.pending.erase(upstream);
     if (advice == nullptr) continue;
+    // A ticket is valid for one incarnation only.
+    if (pool_.at(upstream).known_since > order.asked_at) continue;
     const auto found = allowed.find(name);
     const bool first = known.upstreams.find(upstream) == known.upstreams.end();
     UpstreamAdvice& upstream_advice = known.upstreams[upstream];
--- a/src/scheduling/orders.h
+++ b/src/scheduling/orders.h
@@ -90,6 +90,7 @@
   AdvicePurpose purpose = AdvicePurpose::kStart;
   StepId step;
   std::vector<std::string> upstreams;
+  TimePoint asked_at{};
   int32_t priority = 0;
   /// Expected duration of the call.
   Millis expected{0};
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -240,6 +240,32 @@
   BOOST_TEST(harness.Place().starts.empty());
 }
 
+/// Guards against starts that are refused for their tickets: the upstream has
+/// restarted while a call asked for them.
+BOOST_AUTO_TEST_CASE(AdviceThatWasAskedBeforeARestartIsNotUsed) {
+  SchedulerHarness harness(1);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.queue.advised = true;
+  harness.scheduler.Add(spec, harness.now, 0);
+  const Orders before = harness.Place();
+  BOOST_REQUIRE_EQUAL(before.advice.size(), 1U);
+  harness.now += Millis(100);
+  Orders orders;
+  harness.scheduler.OnRestarted(0, 2, {}, harness.now, orders);
+  harness.now += Millis(100);
+  ports::Advice advice{.allowed = {{"up-0", "of the previous incarnation"}},
+                       .valid = Millis(60000)};
+  harness.scheduler.OnAdvice(before.advice[0], &advice, harness.now);
+  const Orders after = harness.Place();
+  BOOST_TEST(after.starts.empty());
+  BOOST_REQUIRE_EQUAL(after.advice.size(), 1U);
+  advice.allowed = {{"up-0", "of this incarnation"}};
+  harness.scheduler.OnAdvice(after.advice[0], &advice, harness.now);
+  const Orders next = harness.Place();
+  BOOST_REQUIRE_EQUAL(next.starts.size(), 1U);
+  BOOST_TEST(next.starts[0].ticket == "of this incarnation");
+}
+
 /// Guards against runs that an earlier version has recorded and that count for
 /// more, or less, than is known of them.
 BOOST_AUTO_TEST_CASE(RunRecordsOfAnEarlierVersionAreRead) {
