Tests: Show an acknowledgement that confirms completions of the next life

A renewal carries "completions up to 40 are stored" to one incarnation of an upstream. Executed by the next one before that has seen a higher fencing token, and answered after the restart is resolved (it may wait there for an end), its reply sets last_acknowledged_completion_ to 40. So all_completions_acknowledged() is true while completion 1 of the new incarnation has not been acknowledged. WorkOn() then lets the host's maintenance begin, and a completion that is lost with it runs again; the upstream also counts as idle for the renewal period.

--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -362,6 +362,22 @@
   BOOST_TEST(link->restarts() == 1);
 }
 
+/// Guards against maintenance of a host whose upstream has unacknowledged
+/// completions: a renewal that was sent to the previous incarnation, and
+/// executed by the new one, tells nothing of what that one has acknowledged.
+BOOST_FIXTURE_TEST_CASE(AcknowledgementToThePreviousIncarnationConfirmsNothing,
+                        RestartFixture) {
+  const size_t old_renewal = last();
+  BOOST_REQUIRE_EQUAL(calls.renewals[old_renewal].call.acked_completions, 40);
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {{.task = TaskOf(1), .attempt = 1}}, {});
+  BOOST_REQUIRE(link->reconciled());
+  Reply(old_renewal, 110, {}, DoneCompletions(1, 1));
+  BOOST_REQUIRE_EQUAL(events.ended.size(), 41U);
+  BOOST_TEST(!link->all_completions_acknowledged());
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
