Tests: Show a new incarnation that is not renewed for an old call's sake

A renewal in flight to the previous incarnation still counts in renewals_in_flight_ after a restart is resolved. ScheduleRenewal() sends nothing while it does, so completions of the new incarnation are read, and its leases renewed, only after the old call's timeout: the adaptive one (100 to 700 ms) plus the wait of 1 s.

Red on this code: upstream_link_test, 1 check (no renewal within 100 ms of the report that resolved the restart). How often an upstream's old connection stays silent, in place of being reset, was not measured.

--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -378,6 +378,19 @@
   BOOST_TEST(!link->all_completions_acknowledged());
 }
 
+/// Guards against completions and leases that wait for the timeout of a renewal
+/// that was sent to the previous incarnation.
+BOOST_FIXTURE_TEST_CASE(NewIncarnationIsRenewedBeforeAnOldRenewalFails,
+                        RestartFixture) {
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {}, {});
+  Reply(last(), 110, {}, {});
+  const size_t before = last();
+  clock.RunFor(Millis(100));
+  BOOST_TEST(last() > before);
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
