Tests: Show a live incarnation made unreachable by calls to the former one

consecutive_failures_ counts timeouts of renewals that were sent to the previous incarnation against the new one. Two of them, which a start in doubt just before the crash is enough for, make it unreachable and closed until its next report; the record that reopens it has to be stored first.

--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -51,7 +51,9 @@
     running = running_now;
     ended.insert(ended.end(), new_completions.begin(), new_completions.end());
   }
-  void OnReachable(UpstreamIndex, bool) override {}
+  void OnReachable(UpstreamIndex, bool reachable_now) override {
+    reachable = reachable_now;
+  }
   void OnAllRunsEnded(UpstreamIndex, scheduling::UpstreamLoss) override {}
   void OnRestarted(UpstreamIndex, int64_t,
                    const scheduling::RunSet& remaining_runs) override {
@@ -69,6 +71,7 @@
   std::vector<ports::EndedTask> ended;
   std::optional<scheduling::RunSet> remaining;
   std::vector<CallVerdict> start_verdicts;
+  bool reachable = false;
 };
 
 struct Fixture {
@@ -391,6 +394,25 @@
   BOOST_TEST(last() > before);
 }
 
+/// Guards against a live incarnation that counts as unreachable, since calls to
+/// the previous one have failed.
+BOOST_FIXTURE_TEST_CASE(FailedCallsToThePreviousIncarnationAreNotCounted,
+                        RestartFixture) {
+  // A start in doubt raises the fencing token, with a renewal of its own.
+  link->Start({.upstream = kIndex, .task = TaskOf(50), .attempt = 1});
+  calls.starts.at(0)({.verdict = CallVerdict::kUnknown});
+  const size_t second_old = last();
+  const size_t first_old = second_old - 1;
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {}, {});
+  BOOST_REQUIRE(events.reachable);
+  for (const size_t renewal : {first_old, second_old}) {
+    calls.renewals[renewal].done({.call = {.verdict = CallVerdict::kUnknown}});
+  }
+  BOOST_TEST(events.reachable);
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
