Scheduling: Continue with a listed run that was taken for lost

When its upstream answers again, or the next incarnation lists a start that was resolved as not started, the run was stopped as unwanted while its task, which waits, could start elsewhere in the same pass. A stop takes a while: two runs at once.

Change: a listed run that is the newest of a waiting task is adopted, as it is by a new leader. Not for gangs, which run again as a whole, and not for earlier attempts, which are stopped as before.

Measured: the new test was red before (a stop, a second start, the job not complete).

--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -90,9 +90,15 @@
        .reserved_at = now});
   pool_.NoteListed(upstream, running.task, running.attempt, now);
   const Task& task = record.job.task(running.task);
-  if (record.may_have_unreported_runs && task.phase == TaskPhase::kWaiting) {
-    AdoptRun(record, upstream, running, now);
-  }
+  if (task.phase != TaskPhase::kWaiting) return;
+  // The task's newest run was taken for lost and was not. A stop takes a while,
+  // in which the task would start again and run twice at once. A gang runs
+  // again as a whole.
+  const bool found_again =
+      task.attempt == running.attempt && !record.job.final() && !step.gang;
+  if (!record.may_have_unreported_runs && !found_again) return;
+  AdoptRun(record, upstream, running, now);
+  UpdateQueued(record, running.task.occurrence, running.task.step);
 }
 
 void Scheduler::StopUnwanted(const JobRecord* record, UpstreamIndex upstream,
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -240,6 +240,21 @@
   BOOST_TEST(harness.Place().starts.empty());
 }
 
+/// Guards against two runs of a task at once: its run was taken for lost, and
+/// is listed again before the task has started again. A stop takes a while.
+BOOST_AUTO_TEST_CASE(ListedRunThatWasTakenForLostContinues) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder start = harness.Place().starts.at(0);
+  Orders orders;
+  harness.scheduler.OnAllRunsEnded(start.upstream, UpstreamLoss::kLeasesExpired,
+                                   harness.now, orders);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  BOOST_TEST(harness.Place().starts.empty());
+  harness.EndRun(start, EndKind::kDone);
+  BOOST_TEST((harness.scheduler.Find(1)->state() == JobState::kComplete));
+}
+
 /// Guards against starts that are refused for their tickets: the upstream has
 /// restarted while a call asked for them.
 BOOST_AUTO_TEST_CASE(AdviceThatWasAskedBeforeARestartIsNotUsed) {
