Tests: Continue a start that the next incarnation executes late

A start that was resolved as not started is executed by the next incarnation, which has seen no fencing token.

--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -255,6 +255,23 @@
   BOOST_TEST((harness.scheduler.Find(1)->state() == JobState::kComplete));
 }
 
+/// Guards against two runs of a task at once: a start that was resolved as not
+/// started is executed by the next incarnation, before the task starts again.
+BOOST_AUTO_TEST_CASE(LateStartOnTheNextIncarnationContinues) {
+  SchedulerHarness harness(1);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  Orders orders;
+  harness.scheduler.Place(harness.now, kAmpleBudget, orders);
+  const StartOrder start = orders.starts.at(0);
+  orders = {};
+  harness.scheduler.OnStartReply(start, CallVerdict::kNotSent, harness.now,
+                                 orders);
+  harness.scheduler.OnRestarted(0, 2, {{start.task, start.attempt}},
+                                harness.now, orders);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  BOOST_TEST(harness.Place().starts.empty());
+}
+
 /// Guards against starts that are refused for their tickets: the upstream has
 /// restarted while a call asked for them.
 BOOST_AUTO_TEST_CASE(AdviceThatWasAskedBeforeARestartIsNotUsed) {
