Tests: Show an entry that is dead to the others after a clock set back

Incarnations of entries of the second stack are ordered by the wall clock (MakeIncarnation). Membership::Receive() drops heartbeats of a lower incarnation, so an entry that restarts after its clock was set back stays dead until the others forget the former one, 40 times dead_after. Meanwhile IsConfirmedDead() of the live process is true, on which its requests may be taken over.

A fix needs a number that survives the process, so none is tried here. The users' wire does not reach this stack.

--- a/tests/placement_test.cc
+++ b/tests/placement_test.cc
@@ -9,12 +9,14 @@
 #include <random>
 #include <set>
 
+#include "src/membership/membership.h"
 #include "src/membership/rack_assignment.h"
 #include "src/placement/policy.h"
 #include "src/placement/starvation_guard.h"
 #include "src/placement/wait_queue.h"
 #include "src/requests/resolution.h"
 #include "src/requests/retry_budget.h"
+#include "tests/sim/manual_executor.h"
 
 namespace mimosarail::placement {
 namespace {
@@ -222,6 +224,14 @@
 }  // namespace mimosarail::placement
 
 namespace mimosarail::membership {
+namespace {
+
+class DiscardingSender final : public HeartbeatSender {
+ public:
+  void Send(const std::string&, const wire::Heartbeat&) override {}
+};
+
+}  // namespace
 
 // Racks are reassigned when an entry joins or leaves. Each reassigned rack
 // needs a takeover, during which its control pauses.
@@ -250,6 +260,37 @@
   BOOST_TEST((AssignRacks(racks, entries) == after));
 }
 
+/// Guards against an entry that is dead to the others although it answers: its
+/// clock, the source of incarnation numbers, was set back before it restarted.
+BOOST_AUTO_TEST_CASE(RestartedEntryIsKnownAfterItsClockWasSetBack) {
+  constexpr int64_t kFormer = 2000;
+  constexpr int64_t kRestarted = 1000;
+  sim::ManualClock clock;
+  sim::ManualExecutor executor{clock};
+  DiscardingSender sender;
+  const MembershipOptions options{.name = "a", .incarnation = 1};
+  Membership self(
+      executor, sender, options, [](wire::Heartbeat&) {}, [] {});
+  self.Start();
+  const auto receive = [&](int64_t incarnation, Millis span) {
+    for (int64_t sequence = 1; span > Millis(0); ++sequence) {
+      wire::Heartbeat heartbeat;
+      heartbeat.name = "b";
+      heartbeat.address = "b:1";
+      heartbeat.incarnation = incarnation;
+      heartbeat.sequence = sequence;
+      self.Receive(heartbeat);
+      clock.RunFor(options.heartbeat_interval);
+      span -= options.heartbeat_interval;
+    }
+  };
+  receive(kFormer, Millis(5000));
+  BOOST_REQUIRE(self.IsCurrentProcess("b", kFormer));
+  receive(kRestarted, options.dead_after + 2 * options.return_after);
+  BOOST_TEST(self.IsCurrentProcess("b", kRestarted));
+  BOOST_TEST(!self.IsConfirmedDead("b", kRestarted));
+}
+
 }  // namespace mimosarail::membership
 
 namespace mimosarail::requests {
