--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -210,6 +210,94 @@
   }
 }
 
+/// Guards against a second run of a completed task: its run was taken for lost,
+/// and its end is reported before the task has started again.
+BOOST_AUTO_TEST_CASE(DoneRunThatWasTakenForLostCompletesItsTask) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder start = harness.Place().starts.at(0);
+  Orders orders;
+  harness.scheduler.OnAllRunsEnded(start.upstream, UpstreamLoss::kLeasesExpired,
+                                   harness.now, orders);
+  harness.EndRun(start, EndKind::kDone);
+  BOOST_TEST((harness.scheduler.Find(1)->state() == JobState::kComplete));
+  BOOST_TEST(harness.Place().starts.empty());
+}
+
+/// As above, for a gang: the end of one member is that of all.
+BOOST_AUTO_TEST_CASE(DoneGangThatWasTakenForLostIsComplete) {
+  SchedulerHarness harness(1);
+  wire::JobSpec gang = Spec(1, 2, 1000);
+  gang.steps[0].gang = true;
+  harness.scheduler.Add(gang, harness.now, 0);
+  const Orders both = harness.Place();
+  BOOST_REQUIRE_EQUAL(both.starts.size(), 2U);
+  Orders orders;
+  harness.scheduler.OnAllRunsEnded(0, UpstreamLoss::kLeasesExpired, harness.now,
+                                   orders);
+  harness.EndRun(both.starts[0], EndKind::kDone);
+  BOOST_TEST((harness.scheduler.Find(1)->state() == JobState::kComplete));
+  BOOST_TEST(harness.Place().starts.empty());
+}
+
+/// Guards against two runs of a task at once: its run was taken for lost, and
+/// is listed again before the task has started again. A stop takes a while.
+BOOST_AUTO_TEST_CASE(ListedRunThatWasTakenForLostContinues) {
+  SchedulerHarness harness(2);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  const StartOrder start = harness.Place().starts.at(0);
+  Orders orders;
+  harness.scheduler.OnAllRunsEnded(start.upstream, UpstreamLoss::kLeasesExpired,
+                                   harness.now, orders);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  BOOST_TEST(harness.Place().starts.empty());
+  harness.EndRun(start, EndKind::kDone);
+  BOOST_TEST((harness.scheduler.Find(1)->state() == JobState::kComplete));
+}
+
+/// Guards against two runs of a task at once: a start that was resolved as not
+/// started is executed by the next incarnation, before the task starts again.
+BOOST_AUTO_TEST_CASE(LateStartOnTheNextIncarnationContinues) {
+  SchedulerHarness harness(1);
+  harness.scheduler.Add(Spec(1, 1, 1000), harness.now, 0);
+  Orders orders;
+  harness.scheduler.Place(harness.now, kAmpleBudget, orders);
+  const StartOrder start = orders.starts.at(0);
+  orders = {};
+  harness.scheduler.OnStartReply(start, CallVerdict::kNotSent, harness.now,
+                                 orders);
+  harness.scheduler.OnRestarted(0, 2, {{start.task, start.attempt}},
+                                harness.now, orders);
+  BOOST_TEST(harness.ReportProgress(start, 10) == 0U);
+  BOOST_TEST(harness.Place().starts.empty());
+}
+
+/// Guards against starts that are refused for their tickets: the upstream has
+/// restarted while a call asked for them.
+BOOST_AUTO_TEST_CASE(AdviceThatWasAskedBeforeARestartIsNotUsed) {
+  SchedulerHarness harness(1);
+  wire::JobSpec spec = Spec(1, 1, 1000);
+  spec.queue.advised = true;
+  harness.scheduler.Add(spec, harness.now, 0);
+  const Orders before = harness.Place();
+  BOOST_REQUIRE_EQUAL(before.advice.size(), 1U);
+  harness.now += Millis(100);
+  Orders orders;
+  harness.scheduler.OnRestarted(0, 2, {}, harness.now, orders);
+  harness.now += Millis(100);
+  ports::Advice advice{.allowed = {{"up-0", "of the previous incarnation"}},
+                       .valid = Millis(60000)};
+  harness.scheduler.OnAdvice(before.advice[0], &advice, harness.now);
+  const Orders after = harness.Place();
+  BOOST_TEST(after.starts.empty());
+  BOOST_REQUIRE_EQUAL(after.advice.size(), 1U);
+  advice.allowed = {{"up-0", "of this incarnation"}};
+  harness.scheduler.OnAdvice(after.advice[0], &advice, harness.now);
+  const Orders next = harness.Place();
+  BOOST_REQUIRE_EQUAL(next.starts.size(), 1U);
+  BOOST_TEST(next.starts[0].ticket == "of this incarnation");
+}
+
 /// Guards against runs that an earlier version has recorded and that count for
 /// more, or less, than is known of them.
 BOOST_AUTO_TEST_CASE(RunRecordsOfAnEarlierVersionAreRead) {
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -51,7 +51,9 @@
     running = running_now;
     ended.insert(ended.end(), new_completions.begin(), new_completions.end());
   }
-  void OnReachable(UpstreamIndex, bool) override {}
+  void OnReachable(UpstreamIndex, bool reachable_now) override {
+    reachable = reachable_now;
+  }
   void OnAllRunsEnded(UpstreamIndex, scheduling::UpstreamLoss) override {}
   void OnRestarted(UpstreamIndex, int64_t,
                    const scheduling::RunSet& remaining_runs) override {
@@ -69,6 +71,7 @@
   std::vector<ports::EndedTask> ended;
   std::optional<scheduling::RunSet> remaining;
   std::vector<CallVerdict> start_verdicts;
+  bool reachable = false;
 };
 
 struct Fixture {
@@ -378,6 +381,54 @@
   BOOST_TEST(calls.renewals[last()].call.lease_until_ms == lease_end);
 }
 
+/// Guards against maintenance of a host whose upstream has unacknowledged
+/// completions: a renewal that was sent to the previous incarnation, and
+/// executed by the new one, tells nothing of what that one has acknowledged.
+BOOST_FIXTURE_TEST_CASE(AcknowledgementToThePreviousIncarnationConfirmsNothing,
+                        RestartFixture) {
+  const size_t old_renewal = last();
+  BOOST_REQUIRE_EQUAL(calls.renewals[old_renewal].call.acked_completions, 40);
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {{.task = TaskOf(1), .attempt = 1}}, {});
+  BOOST_REQUIRE(link->reconciled());
+  Reply(old_renewal, 110, {}, DoneCompletions(1, 1));
+  BOOST_REQUIRE_EQUAL(events.ended.size(), 41U);
+  BOOST_TEST(!link->all_completions_acknowledged());
+}
+
+/// Guards against completions and leases that wait for the timeout of a renewal
+/// that was sent to the previous incarnation.
+BOOST_FIXTURE_TEST_CASE(NewIncarnationIsRenewedBeforeAnOldRenewalFails,
+                        RestartFixture) {
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {}, {});
+  Reply(last(), 110, {}, {});
+  const size_t before = last();
+  clock.RunFor(Millis(100));
+  BOOST_TEST(last() > before);
+}
+
+/// Guards against a live incarnation that counts as unreachable, since calls to
+/// the previous one have failed.
+BOOST_FIXTURE_TEST_CASE(FailedCallsToThePreviousIncarnationAreNotCounted,
+                        RestartFixture) {
+  // A start in doubt raises the fencing token, with a renewal of its own.
+  link->Start({.upstream = kIndex, .task = TaskOf(50), .attempt = 1});
+  calls.starts.at(0)({.verdict = CallVerdict::kUnknown});
+  const size_t second_old = last();
+  const size_t first_old = second_old - 1;
+  link->OnListed("up:1", kSecond);
+  incarnation = kSecond;
+  Reply(last(), 100, {}, {});
+  BOOST_REQUIRE(events.reachable);
+  for (const size_t renewal : {first_old, second_old}) {
+    calls.renewals[renewal].done({.call = {.verdict = CallVerdict::kUnknown}});
+  }
+  BOOST_TEST(events.reachable);
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
