Fleet: Tell renewals to the former incarnation from those to this one

Cause: a renewal that was under way when its upstream restarted counted for the new incarnation: its timeout held back the next renewal (completions and leases waited for up to 1.7 s), two failures made a live upstream unreachable, and its acknowledgement counted as given by the new incarnation, so that maintenance of the host could begin.

Change: a renewal carries how often the upstream had restarted when it was sent. A failure of an earlier one is ignored, and its acknowledgement confirms nothing.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -124,16 +124,18 @@
       last_stored_completion_ < last_reported_completion_;
   const Millis reply_wait =
       has_unstored_completions ? Millis(0) : completion_wait;
-  const int64_t fence = fence_;
-  const int64_t renewal_number = ++renewals_sent_;
+  const SentRenewal renewal{.number = ++renewals_sent_,
+                            .fence = fence_,
+                            .restarts = restarts_,
+                            .acked_completions = acked_completions};
   tasks_.Renew(options_.target,
-               {.fence = fence,
+               {.fence = renewal.fence,
                 .acked_completions = acked_completions,
                 .lease_until_ms = renews_lease ? LeaseEndOnUpstreamClock() : 0,
                 .wait = reply_wait},
                adaptive_timeout_.timeout() + reply_wait,
-               [weak = weak_from_this(), renewal_number, fence, sent,
-                reply_wait, acked_completions](const ports::RenewReply& reply) {
+               [weak = weak_from_this(), renewal, sent,
+                reply_wait](const ports::RenewReply& reply) {
                  const auto self = weak.lock();
                  if (!self || self->closed_) return;
                  // The time until a reply that may wait for a completion is no
@@ -141,15 +143,18 @@
                  if (reply_wait == Millis(0)) {
                    self->RecordReplyTime(sent, reply.call.verdict);
                  }
-                 self->HandleRenewReply(renewal_number, fence,
-                                        acked_completions, reply);
+                 self->HandleRenewReply(renewal, reply);
                });
 }
 
-void UpstreamLink::HandleRenewReply(int64_t renewal_number, int64_t fence,
-                                    int64_t acked_completions,
+void UpstreamLink::HandleRenewReply(const SentRenewal& renewal,
                                     const ports::RenewReply& reply) {
-  --renewals_in_flight_;
+  const bool of_this_incarnation = renewal.restarts == restarts_;
+  if (of_this_incarnation) --renewals_in_flight_;
+  // A call to the previous incarnation that failed tells nothing of this one.
+  const bool done = reply.call.verdict == CallVerdict::kDone;
+  if (!of_this_incarnation && !done) return;
+  const int64_t fence = renewal.fence;
   switch (reply.call.verdict) {
     case CallVerdict::kDone:
       break;
@@ -179,18 +184,20 @@
   // answered.
   const bool outdated = reply.call.clock_ms < upstream_clock_ms_ ||
                         (reply.call.clock_ms == upstream_clock_ms_ &&
-                         renewal_number < newest_answered_renewal_);
+                         renewal.number < newest_answered_renewal_);
   LogOutdatedReply(outdated, reply);
   if (outdated) return ScheduleRenewal(options_.renew_delay);
-  newest_answered_renewal_ = std::max(newest_answered_renewal_, renewal_number);
+  newest_answered_renewal_ = std::max(newest_answered_renewal_, renewal.number);
   // The renewals so far requested no lease, because the upstream's clock was
   // not known or the upstream was unreachable. The next one can, and is sent at
   // once.
   const bool lease_due = upstream_clock_ms_ == 0 ||
                          consecutive_failures_ >= kUnreachableAfterFailures;
   consecutive_failures_ = 0;
-  last_acknowledged_completion_ =
-      std::max(last_acknowledged_completion_, acked_completions);
+  if (of_this_incarnation) {
+    last_acknowledged_completion_ =
+        std::max(last_acknowledged_completion_, renewal.acked_completions);
+  }
   if (upstream_clock_ms_ == 0) leases_.NoteFirstReport(executor_.Now());
   last_report_at_ = ReportTime(reply.call.clock_ms);
   RecordUpstreamClock(reply.call.clock_ms);
@@ -268,6 +275,8 @@
   inventory_received_ = false;
   all_runs_ended_ = false;
   newest_answered_renewal_ = 0;
+  renewals_in_flight_ = 0;
+  consecutive_failures_ = 0;
   upstream_clock_ms_ = 0;
   last_reported_completion_ = 0;
   last_stored_completion_ = 0;
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -138,6 +138,15 @@
   }
 
  private:
+  struct SentRenewal {
+    /// Renewals are numbered from 1 in the order of sending.
+    int64_t number = 0;
+    int64_t fence = 0;
+    /// Value of restarts() when the renewal was sent.
+    int64_t restarts = 0;
+    int64_t acked_completions = 0;
+  };
+
   struct StartInDoubt {
     scheduling::StartOrder order;
     /// Fencing token under which the start was sent.
@@ -146,8 +155,7 @@
 
   void ScheduleRenewal(Millis delay);
   void Renew(Millis completion_wait);
-  void HandleRenewReply(int64_t renewal_number, int64_t fence,
-                        int64_t acked_completions,
+  void HandleRenewReply(const SentRenewal& renewal,
                         const ports::RenewReply& reply);
   void HandleRenewFailure(const ports::CallReply& reply);
   /// Delay before the renewal that follows this report.
@@ -220,7 +228,6 @@
   bool last_reply_outdated_ = false;
   /// When another process was first found at the upstream's address.
   std::optional<TimePoint> replaced_at_;
-  /// Renewals are numbered from 1 in the order of sending.
   int64_t renewals_sent_ = 0;
   int64_t newest_answered_renewal_ = 0;
   /// More than one only after the fencing token was raised: that renewal does
