Scheduling: Place nothing on a new incarnation before its list entry

Cause: a report tells the leader of a restart within milliseconds, but capacity, labels, pool and rack stand in the list only, which is read each 250 ms, later while the store is slow. Until then the new incarnation was used, and stored for later leaders, with the list entry of the previous one.

Change: the pool marks an entry of a previous incarnation as outdated. No task starts there, and the upstream is not stored as reopened, until its own entry has been read. Lists without start times work as before.

--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -235,7 +235,7 @@
 
 void Coordinator::ReopenUpstream(UpstreamIndex upstream) {
   const scheduling::Upstream& it = scheduler_.pool().at(upstream);
-  if (!it.reachable || it.entry.draining) return;
+  if (!it.reachable || it.entry.draining || it.entry_outdated) return;
   // No task may start there while the stored record says that the upstream is
   // closed: a later leader would start the same tasks elsewhere.
   journal_->Put(UpstreamKey(it.entry.id),
@@ -377,8 +377,10 @@
                          orders);
   ExecuteOrders(orders);
   const scheduling::Upstream& it = scheduler_.pool().at(upstream);
-  // OnReachable() stores the record of a closed upstream.
-  if (it.closed) return;
+  // ReopenUpstream() stores the record of a closed upstream. The capacity of a
+  // previous incarnation is not stored as that of this one: a later leader
+  // would use it.
+  if (it.closed || it.entry_outdated) return;
   journal_->Put(UpstreamKey(it.entry.id),
                 EncodeUpstream(ToUpstreamRecord(it.entry)));
 }
--- a/src/scheduling/upstream_pool.cc
+++ b/src/scheduling/upstream_pool.cc
@@ -66,6 +66,7 @@
     upstream.entry.incarnation = incarnation;
     upstream.listed = true;
     upstream.entry_malformed = false;
+    upstream.entry_outdated = false;
     return known->second;
   }
   const auto index = static_cast<UpstreamIndex>(upstreams_.size());
@@ -82,6 +83,9 @@
 void UpstreamPool::NoteRestarted(UpstreamIndex index, int64_t incarnation,
                                  TimePoint now) {
   Upstream& upstream = upstreams_[index];
+  // An entry without a start time may be that of this incarnation.
+  const int64_t listed = upstream.entry.incarnation;
+  upstream.entry_outdated = listed > 0 && listed < incarnation;
   upstream.entry.incarnation = incarnation;
   upstream.health = {};
   speeds_.Reset(index);
--- a/src/scheduling/upstream_pool.h
+++ b/src/scheduling/upstream_pool.h
@@ -95,6 +95,10 @@
   /// The newest list entry is malformed. No task starts there until a valid
   /// entry arrives. Existing runs continue and can be stopped.
   bool entry_malformed = false;
+  /// The newest list entry is that of a previous incarnation, whose capacity
+  /// and labels may have been others. No task starts there until the entry of
+  /// this incarnation arrives.
+  bool entry_outdated = false;
   /// No task starts there. A record in the store says so and lists the jobs
   /// that may have runs there, so that a later leader need not wait for a
   /// report before it starts tasks of other jobs.
@@ -123,8 +127,8 @@
 
   /// Whether tasks may start there, apart from its health.
   bool AcceptsWork() const {
-    return reachable && listed && !entry_malformed && !closed && !cordoned &&
-           !entry.draining;
+    return reachable && listed && !entry_malformed && !entry_outdated &&
+           !closed && !cordoned && !entry.draining;
   }
 };
 
--- a/tests/upstream_takeover_test.cc
+++ b/tests/upstream_takeover_test.cc
@@ -157,6 +157,30 @@
   for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
 }
 
+/// Guards against placement by the capacity of a previous incarnation: an
+/// upstream restarts smaller under its id, and answers before it is listed.
+BOOST_AUTO_TEST_CASE(RestartedUpstreamGetsNoWorkBeforeItsListEntry) {
+  constexpr int32_t kReducedMillicores = 2000;
+  constexpr int32_t kTasks = 8;
+  JobCluster cluster({.upstreams = 1,
+                      .replacement_delay = Millis(600),
+                      .restart_under_same_id = true});
+  cluster.upstreams().OnReplacement([&](const std::string& id) {
+    cluster.upstreams().Resize(id, kReducedMillicores);
+  });
+  cluster.RunFor(kStartupTime);
+  cluster.upstreams().Crash("up-0");
+  cluster.Submit("entry-0", OneStepJob(1, kTasks, 1000));
+  cluster.RunFor(Millis(2500));
+  BOOST_TEST(cluster.upstreams().starts() == 0);
+  wire::UpstreamRecord entry = cluster.ListEntry(0);
+  entry.millicores = kReducedMillicores;
+  cluster.store().Put(kUpstreamTable, entry.id, rpc::Encode(entry));
+  BOOST_TEST(cluster.RunUntilFinal(1, Millis(20000)));
+  BOOST_TEST((cluster.State(1) == JobState::kComplete));
+  for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
+}
+
 /// Guards against tasks above the capacity of upstreams that shrink while they
 /// are busy, in a burst of jobs and over a takeover, and against jobs that wait
 /// on after the capacity has grown back.
