Scheduling: Continue with a former leader's run that was taken for lost

A new leader that takes the leases of an upstream to have expired, and is wrong, knows no attempt of the waiting task; when the upstream listed the run after all, it was stopped while the task could start elsewhere.

Change: a listed run is adopted if its attempt is not below the newest one that the leader knows of the waiting task.

Measured: the new test was red before (a stop and a second start).

--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -95,7 +95,7 @@
   // in which the task would start again and run twice at once. A gang runs
   // again as a whole.
   const bool found_again =
-      task.attempt == running.attempt && !record.job.final() && !step.gang;
+      running.attempt >= task.attempt && !record.job.final() && !step.gang;
   if (!record.may_have_unreported_runs && !found_again) return;
   AdoptRun(record, upstream, running, now);
   UpdateQueued(record, running.task.occurrence, running.task.step);
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -897,6 +897,25 @@
   BOOST_TEST(orders.starts[0].attempt > 200000);
 }
 
+/// Guards against two runs of a task at once: a new leader has taken the leases
+/// of an upstream to have expired, and the upstream lists a run after all.
+BOOST_AUTO_TEST_CASE(NewLeaderContinuesWithARunThatItTookForLost) {
+  Scheduler scheduler({.attempt_base = 200000});
+  ports::UpstreamEntry entry{.id = "up-0", .pool = "pool"};
+  entry.capacity = {.millicores = 16000, .memory_mb = 32000};
+  const UpstreamIndex up = scheduler.pool().Update(entry);
+  const TimePoint now = TimePoint() + std::chrono::hours(1);
+  scheduler.Load(Spec(1, 1, 1000), {}, now, 0);
+  Orders orders;
+  scheduler.ResolveAll(now, orders);
+  scheduler.pool().at(up).reachable = true;
+  scheduler.OnRunning(up, {{.task = {1, 0, 0, 0}, .attempt = 100001}}, now,
+                      orders);
+  scheduler.Place(now, kAmpleBudget, orders);
+  BOOST_TEST(orders.stops.empty());
+  BOOST_TEST(orders.starts.empty());
+}
+
 /// Two upstreams report one failure each to a new leader, the later failure
 /// first. Both must count, or the task would run a third time.
 BOOST_AUTO_TEST_CASE(FailuresReportedOutOfOrderBothCount) {
