Fleet: Bound the stray calls after a restart by the restart alone

Cause, found in review: for a restart that the leader itself has seen, the end of the stray calls was also bounded by the upstream's start time, which depends on the wall clocks (off by more than 5 s: too early), and on a leader that detects the restart within 6 s (one without the store may not). And each further restart without a report moved the end, so that the runs at an upstream in a crash loop were never given up.

Change: the start time is used only for the incarnation that a link begins with, where the calls of earlier leaders are meant. Further restarts without a report move nothing, as no call asks for a lease meanwhile.

--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -10,11 +10,11 @@
 /// more and kLeaseMargin cover the error of the estimate of its time.
 constexpr double kClockDriftFactor = 1.025;
 constexpr Millis kLeaseMargin{50};
-/// For this long after a restart, leaders may send calls to the earlier
-/// incarnation that ask for a lease.
-constexpr Millis kMaxNoticeTime{6000};
-/// The time of day here and at an upstream may differ by this much.
-constexpr Millis kMaxTimeOfDayError{5000};
+/// A leader may send calls that ask for a lease to the previous incarnation for
+/// this long after a restart.
+constexpr Millis kMaxRestartDetectionTime{6000};
+/// The wall clocks of entries and upstreams may differ by this much.
+constexpr Millis kMaxWallClockSkew{5000};
 
 LeaseEnd Later(const LeaseEnd& a, const LeaseEnd& b) {
   return a.at >= b.at ? a : b;
@@ -28,10 +28,17 @@
          kLeaseMargin;
 }
 
-void TaskLeases::BeginIncarnation(std::optional<TimePoint> started,
-                                  TimePoint now) {
-  started_ = started;
-  known_at_ = now;
+void TaskLeases::OnStartKnown(TimePoint started, TimePoint now) {
+  if (reported_) return;
+  stray_calls_ = {
+      .sent_until = now,
+      .detected_by = started + kMaxRestartDetectionTime + kMaxWallClockSkew};
+}
+
+void TaskLeases::OnRestart(TimePoint now) {
+  // No call asks for a lease while no report of an incarnation has come.
+  if (!stray_calls_ || reported_) stray_calls_ = {.sent_until = now};
+  stray_calls_->detected_by = TimePoint::max();
   reported_ = false;
 }
 
@@ -42,10 +49,10 @@
 void TaskLeases::NoteFirstReport(TimePoint now) {
   reported_ = true;
   Extend(LeaseEndCause::kFirstReport, now + MaxLeaseDuration(options_.lease));
-  if (!started_) return;
-  const TimePoint last_stray_call = std::min(now, LastStrayCall(now));
+  if (!stray_calls_) return;
+  const TimePoint executed_by = std::min(now, StrayCallsExecutedBy(now));
   Extend(LeaseEndCause::kStrayCall,
-         last_stray_call + MaxLeaseDuration(options_.max_lease));
+         executed_by + MaxLeaseDuration(options_.max_lease));
 }
 
 std::optional<LeaseEnd> TaskLeases::End(
@@ -56,10 +63,10 @@
       .at = *predecessor_lease_end + MaxLeaseDuration(options_.lease),
       .cause = LeaseEndCause::kPredecessor};
   const LeaseEnd end = Later(end_, of_predecessor);
-  if (!started_) return end;
-  const TimePoint sent_until = std::max(known_at_, *predecessor_lease_end);
+  if (!stray_calls_) return end;
   const LeaseEnd of_stray_call{
-      .at = LastStrayCall(sent_until) + MaxLeaseDuration(options_.max_lease),
+      .at = StrayCallsExecutedBy(*predecessor_lease_end) +
+            MaxLeaseDuration(options_.max_lease),
       .cause = LeaseEndCause::kStrayCall};
   return Later(end, of_stray_call);
 }
@@ -68,9 +75,12 @@
   end_ = Later(end_, {.at = end, .cause = cause});
 }
 
-TimePoint TaskLeases::LastStrayCall(TimePoint sent_until) const {
-  const TimePoint noticed = *started_ + kMaxNoticeTime + kMaxTimeOfDayError;
-  return std::min(sent_until, noticed) + options_.max_call_delay;
+TimePoint TaskLeases::StrayCallsExecutedBy(
+    TimePoint predecessor_lease_end) const {
+  const TimePoint sent_until =
+      std::max(stray_calls_->sent_until, predecessor_lease_end);
+  return std::min(sent_until, stray_calls_->detected_by) +
+         options_.max_call_delay;
 }
 
 }  // namespace mimosarail::fleet
--- a/src/fleet/task_leases.h
+++ b/src/fleet/task_leases.h
@@ -51,7 +51,7 @@
 /// local clock.
 ///
 /// An upstream that restarts under its id may execute stray calls, those meant
-/// for an earlier incarnation. The end of the lease in such a call is a time on
+/// for a previous incarnation. The end of the lease in such a call is a time on
 /// another clock. It may lie far ahead, so that the upstream grants its longest
 /// lease to all that runs there. This ends with the first report to a leader:
 /// from then on, the upstream refuses the fencing tokens of all stray calls.
@@ -61,10 +61,12 @@
  public:
   explicit TaskLeases(TaskLeaseOptions options) : options_(options) {}
 
-  /// The upstream is now known as the incarnation that began at `started`. All
-  /// stray calls of this leader are already sent. `started` is unset if the
-  /// upstream does not report it; it then has a new id when it restarts.
-  void BeginIncarnation(std::optional<TimePoint> started, TimePoint now);
+  /// This leader now knows the upstream, in an incarnation that began at
+  /// `started`. Not to be called if the upstream does not report its start: it
+  /// then has a new id when it restarts.
+  void OnStartKnown(TimePoint started, TimePoint now);
+  /// The upstream has restarted. All stray calls of this leader are sent.
+  void OnRestart(TimePoint now);
   /// A call to the current incarnation that asks for a lease is sent now.
   /// Precondition: NoteFirstReport() was called for this incarnation.
   void NoteCall(LeaseEndCause cause, TimePoint now);
@@ -79,15 +81,21 @@
       std::optional<TimePoint> predecessor_lease_end) const;
 
  private:
+  /// Stray calls that may not be executed yet.
+  struct StrayCalls {
+    /// This leader sent none later.
+    TimePoint sent_until{};
+    /// No leader sent any later, however long it led.
+    TimePoint detected_by = TimePoint::max();
+  };
+
   void Extend(LeaseEndCause cause, TimePoint end);
-  /// When the incarnation has executed the last stray call, if the last one was
-  /// sent before `sent_until`. Precondition: `started_` is set.
-  TimePoint LastStrayCall(TimePoint sent_until) const;
+  /// When the last stray call is executed, if leaders before this one have sent
+  /// none after `predecessor_lease_end`. Precondition: `stray_calls_` is set.
+  TimePoint StrayCallsExecutedBy(TimePoint predecessor_lease_end) const;
 
   TaskLeaseOptions options_;
-  /// When the incarnation began, and when this leader learned of it.
-  std::optional<TimePoint> started_;
-  TimePoint known_at_{};
+  std::optional<StrayCalls> stray_calls_;
   bool reported_ = false;
   LeaseEnd end_;
 };
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -38,7 +38,9 @@
       leases_({.lease = options_.lease,
                .max_lease = options_.max_lease,
                .max_call_delay = options_.max_call_delay}) {
-  leases_.BeginIncarnation(StartedAt(incarnation_), executor_.Now());
+  if (incarnation_ > 0) {
+    leases_.OnStartKnown(StartedAt(incarnation_), executor_.Now());
+  }
 }
 
 void UpstreamLink::Open() {
@@ -57,8 +59,7 @@
   return end && events_.LastStoreConfirmation() > end->at;
 }
 
-std::optional<TimePoint> UpstreamLink::StartedAt(int64_t incarnation) const {
-  if (incarnation == 0) return std::nullopt;
+TimePoint UpstreamLink::StartedAt(int64_t incarnation) const {
   const int64_t age_ms = executor_.UnixMillis() - incarnation;
   return executor_.Now() - Millis(std::max<int64_t>(0, age_ms));
 }
@@ -149,11 +150,11 @@
 
 void UpstreamLink::HandleRenewReply(const SentRenewal& renewal,
                                     const ports::RenewReply& reply) {
-  const bool of_this_incarnation = renewal.restarts == restarts_;
-  if (of_this_incarnation) --renewals_in_flight_;
+  const bool sent_to_this_incarnation = renewal.restarts == restarts_;
+  if (sent_to_this_incarnation) --renewals_in_flight_;
   // A call to the previous incarnation that failed tells nothing of this one.
   const bool done = reply.call.verdict == CallVerdict::kDone;
-  if (!of_this_incarnation && !done) return;
+  if (!sent_to_this_incarnation && !done) return;
   const int64_t fence = renewal.fence;
   switch (reply.call.verdict) {
     case CallVerdict::kDone:
@@ -168,9 +169,10 @@
     default:
       return HandleRenewFailure(reply.call);
   }
-  const bool of_earlier_incarnation =
+  const bool answered_by_earlier_incarnation =
       reply.call.incarnation > 0 && reply.call.incarnation < incarnation_;
-  if (of_earlier_incarnation) return ScheduleRenewal(options_.renew_delay);
+  if (answered_by_earlier_incarnation)
+    return ScheduleRenewal(options_.renew_delay);
   if (CheckRestarted(reply.call)) return;
   if (restarted_at_ && !CanResolveRestart(fence, reply)) {
     return ScheduleRenewal(kRetryDelay);
@@ -194,7 +196,7 @@
   const bool lease_due = upstream_clock_ms_ == 0 ||
                          consecutive_failures_ >= kUnreachableAfterFailures;
   consecutive_failures_ = 0;
-  if (of_this_incarnation) {
+  if (sent_to_this_incarnation) {
     last_acknowledged_completion_ =
         std::max(last_acknowledged_completion_, renewal.acked_completions);
   }
@@ -256,7 +258,7 @@
 
 void UpstreamLink::LearnIncarnation(int64_t incarnation) {
   incarnation_ = incarnation;
-  leases_.BeginIncarnation(StartedAt(incarnation), executor_.Now());
+  leases_.OnStartKnown(StartedAt(incarnation), executor_.Now());
 }
 
 void UpstreamLink::BeginIncarnation(int64_t incarnation) {
@@ -268,7 +270,8 @@
                   {"acked_before", std::to_string(last_stored_completion_)}});
   SetReachable(false);
   ++restarts_;
-  LearnIncarnation(incarnation);
+  incarnation_ = incarnation;
+  leases_.OnRestart(executor_.Now());
   had_report_ = upstream_clock_ms_ > 0 || (restarted_at_ && had_report_);
   restarted_at_ = executor_.Now();
   replaced_at_.reset();
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -163,6 +163,7 @@
   /// Whether the reply is that of a later incarnation than the one known. The
   /// link then starts over with that incarnation.
   bool CheckRestarted(const ports::CallReply& reply);
+  /// The incarnation, unknown so far, is this one.
   void LearnIncarnation(int64_t incarnation);
   /// Forgets what was known of the previous incarnation. Its runs count until
   /// ResolveRestart().
@@ -188,8 +189,8 @@
   /// Whether all leases granted so far have expired, those granted by earlier
   /// leaders included.
   bool LeasesExpired() const;
-  /// When the incarnation began, on the local clock; nullopt if it is unknown.
-  std::optional<TimePoint> StartedAt(int64_t incarnation) const;
+  /// When the incarnation began, on the local clock.
+  TimePoint StartedAt(int64_t incarnation) const;
   int64_t LeaseEndOnUpstreamClock() const;
   void RecordUpstreamClock(int64_t clock_ms);
   /// When the upstream wrote a report, by its clock. A process that was paused
