Tests: Read an upstream's clock before a start that a test sends itself

RunOfRemovedJobIsStopped took the time of the simulation for the clock of the upstream. Since the fake's clocks begin anywhere, the lease of its start was over on arrival, the start was refused, and the test stopped at its precondition. The checks are as before; cancel_test passes.

--- a/tests/cancel_test.cc
+++ b/tests/cancel_test.cc
@@ -374,13 +374,12 @@
   BOOST_REQUIRE(!at.empty());
   cluster.Cancel(cluster.Follower(), 7);
   cluster.RunFor(Millis(20000));
-  const int64_t now = std::chrono::duration_cast<Millis>(
-                          cluster.clock().now().time_since_epoch())
-                          .count();
+  const int64_t lease_until_ms =
+      cluster.upstreams().ClockMs(at) + kLease.count();
   cluster.upstreams().Start({.address = "", .id = at},
                             {.task = {7, 0, 0, 0},
                              .attempt = int64_t{1} << 40U,
-                             .lease_until_ms = now + kLease.count(),
+                             .lease_until_ms = lease_until_ms,
                              .fence = cluster.upstreams().fence(at)});
   BOOST_REQUIRE(cluster.Runs(7));
   BOOST_TEST(cluster.StopsWithin(7, kLongPollWait + kStopTime + Millis(100)));
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -88,6 +88,10 @@
   UpstreamFaults& faults(const std::string& id) {
     return upstreams_[id].faults;
   }
+  /// The reading of the upstream's clock.
+  int64_t ClockMs(const std::string& id) const {
+    return ClockMs(upstreams_.at(id));
+  }
   /// The highest fencing token that the upstream has seen.
   int64_t fence(const std::string& id) const { return upstreams_.at(id).fence; }
   /// Registers the specification of a job, which the checks of its tasks use.
