--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -23,8 +23,8 @@
 JobClusterOptions Options(Millis restart_list_delay) {
   return {.upstreams = 4,
           .replacement_delay = kRestartDelay,
-          .restart_under_same_id = true,
           .restart_list_delay = restart_list_delay,
+          .restart_under_same_id = true,
           .crash_silently = true};
 }
 
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -81,12 +81,12 @@
   /// again, with list_entries_expire.
   Millis relist_delay{1500};
   Millis replacement_delay{3000};
-  bool replacement_at_new_address = false;
-  /// Crashed upstreams restart under their ids, without a memory.
-  bool restart_under_same_id = false;
   /// How long after its restart the list entry of an upstream names the new
   /// incarnation.
   Millis restart_list_delay{0};
+  bool replacement_at_new_address = false;
+  /// Crashed upstreams restart under their ids, without a memory.
+  bool restart_under_same_id = false;
   /// Calls to crashed upstreams time out instead of being refused.
   bool crash_silently = false;
   /// List entries expire, too, when their upstreams cannot renew them for
