Coordinator: Wait for stray calls only where upstreams report their starts

malformed_records_test was red: a leader that can't read the record of an upstream waited for 22 s, also where a restarted upstream has a new id and takes no calls for a previous incarnation. The longer wait now holds only where upstreams report their starts.

--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -271,10 +271,19 @@
 bool Coordinator::UnreadableUpstreamMayRunTasks() const {
   if (!has_unreadable_upstream_) return false;
   const std::optional<TimePoint> last_grant = deps_.predecessor_lease_end();
-  return !last_grant ||
-         deps_.last_store_confirmation() <=
-             *last_grant + options_.max_call_delay +
-                 fleet::MaxLeaseDuration(options_.max_task_lease);
+  if (!last_grant) return true;
+  // Where upstreams report their starts, they may restart under their ids, and
+  // execute calls for a previous incarnation: see fleet::TaskLeases.
+  const scheduling::UpstreamPool& pool = scheduler_.pool();
+  const bool may_restart = std::any_of(
+      pool.all().begin(), pool.all().end(), [&pool](UpstreamIndex index) {
+        return pool.at(index).entry.incarnation > 0;
+      });
+  const Millis longest =
+      may_restart ? options_.max_call_delay +
+                        fleet::MaxLeaseDuration(options_.max_task_lease)
+                  : fleet::MaxLeaseDuration(options_.task_lease);
+  return deps_.last_store_confirmation() <= *last_grant + longest;
 }
 
 void Coordinator::ResolveWhenRunningTasksKnown() {
