Scheduling: Start no task while an earlier run of it is being stopped

Cause: a start that was resolved as not started is executed by the next incarnation of its upstream. The report lists it; if the task has had a later attempt meanwhile, the run is stopped, and the task, which waits, started elsewhere in the same pass.

Change: a run that is listed while its task waits, and is not continued, keeps the task waiting until its end is listed or its upstream is lost.

--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -92,7 +92,10 @@
                                    TimePoint now) const {
   const Job& job = record.job;
   const wire::StepSpec& step = job.step(id.step);
-  if (!step.long_running && !silent_upstreams_.AnyAwaitsFate()) return 0;
+  if (!step.long_running && !silent_upstreams_.AnyAwaitsFate() &&
+      earlier_runs_.empty()) {
+    return 0;
+  }
   const int32_t waiting = job.step_counts(id.occurrence, id.step).waiting;
   int32_t delayed = 0;
   for (int32_t i = 0; i < step.tasks; ++i) {
@@ -100,7 +103,10 @@
     const Task& task = job.task(id_of_task);
     if (task.phase != TaskPhase::kWaiting) continue;
     const Task& keeper = job.task(job.FailureKeeper(id_of_task));
-    if (now >= keeper.earliest_start && !AwaitsEvidence(task)) continue;
+    if (now >= keeper.earliest_start && !AwaitsEvidence(task) &&
+        !HasEarlierRun(id_of_task)) {
+      continue;
+    }
     if (step.gang) return waiting;
     ++delayed;
   }
--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -408,6 +408,7 @@
       .attempt = end.attempt,
       .lasted = pool_.RunTime(upstream, end.task, end.attempt, now)};
   pool_.Release(upstream, end.task, end.attempt);
+  ForgetEarlierRun(end.task, end.attempt);
   stops_.Remove(upstream, end.task, end.attempt);
   if (end.kind != EndKind::kFailed) {
     pool_.at(upstream).health.NoteProbeWithoutResult();
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -329,6 +329,10 @@
   /// Whether a start of the task has to wait until the fate of its earlier
   /// upstreams is known: it would be shown to crash them.
   bool AwaitsEvidence(const Task& task) const;
+  /// Whether an earlier run of the task still takes resources somewhere.
+  bool HasEarlierRun(const TaskId& id) const;
+  /// The run has ended.
+  void ForgetEarlierRun(const TaskId& id, int64_t attempt);
   /// A report lists a run of the task. What happened sooner after a start no
   /// longer counts.
   void RemoveOutlastedEvidence(JobRecord& record, UpstreamIndex upstream,
@@ -619,6 +623,14 @@
   AllowanceRates allowance_rates_;
   StopTracker stops_;
   SilentUpstreams silent_upstreams_;
+
+  struct EarlierRun {
+    UpstreamIndex upstream = kNoUpstream;
+    int64_t attempt = 0;
+  };
+
+  /// Runs that were listed while their tasks waited, and that are stopped.
+  std::map<TaskId, EarlierRun> earlier_runs_;
 };
 
 }  // namespace mimosarail::scheduling
