--- a/src/scheduling/scheduler.cc
+++ b/src/scheduling/scheduler.cc
@@ -420,24 +420,15 @@
   // The end of an earlier run of the task says nothing about its current one.
   const bool current =
       task.active() && task.attempt == end.attempt && task.upstream == upstream;
-  const bool waiting = !task.active() && task.phase != TaskPhase::kDone;
-  const bool ended_before_adoption =
-      record->may_have_unreported_runs && waiting;
-  // A run that was taken for lost was not: its upstream kept it for longer than
-  // expected, or executed its start late. Started again, a task that is done
-  // would run twice.
-  const wire::StepSpec& step = job.step(end.task.step);
-  const bool done_after_loss =
-      end.kind == EndKind::kDone && waiting && !job.final() &&
-      !step.long_running &&
-      (!step.gang ||
-       job.step_counts(end.task.occurrence, end.task.step).active == 0);
+  const bool ended_before_adoption = record->may_have_unreported_runs &&
+                                     !task.active() &&
+                                     task.phase != TaskPhase::kDone;
   if (end.kind == EndKind::kDone) {
     NoteUpstreamSuccess(upstream, end.task, orders);
     ResetFailureStreaks(*record, end.task);
   }
   if (task.phase == TaskPhase::kDone) job.ReleaseTask(end.task);
-  if (!current && !ended_before_adoption && !done_after_loss) {
+  if (!current && !ended_before_adoption) {
     // Of an earlier run only a failure counts. A new leader may learn of it
     // after it has adopted a later run of the task.
     if (end.kind == EndKind::kFailed && !job.final()) {
@@ -445,7 +436,7 @@
     }
     return;
   }
-  if (end.kind == EndKind::kDone && !step.long_running) {
+  if (end.kind == EndKind::kDone && !job.step(end.task.step).long_running) {
     if (!job.final()) {
       job.NoteStarted();
       TaskDone(*record, end.task, now);
