Fleet: Do not count completions that a lease expiry has voided

Cause: an upstream lists what ended before it was cut off. Where its leases expired in between, ends that were not acknowledged before do not count.

Change: a done end with a lower number than the end of a run whose lease expired, both in one report, is read as ended by the expiry. Not covered: an expiry at which nothing ran leaves no trace in the report.

Evidence: upstream_link_test, CompletionBeforeALeaseExpiryDoesNotCount, red without the change by reading (the kind was passed on as it was).

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -210,12 +210,7 @@
   // have ended. Treated as never started, its task would run a second time.
   if (!reply.more_completions) inventory_received_ = true;
   ResolveStartsInDoubt(fence, reply);
-  std::vector<ports::EndedTask> new_completions;
-  for (const ports::EndedTask& completion : reply.ended) {
-    if (completion.number > last_reported_completion_) {
-      new_completions.push_back(completion);
-    }
-  }
+  std::vector<ports::EndedTask> new_completions = NewCompletions(reply.ended);
   if (!new_completions.empty()) {
     last_reported_completion_ = new_completions.back().number;
   }
@@ -226,6 +221,27 @@
   ScheduleRenewal(DelayAfter(reply));
 }
 
+std::vector<ports::EndedTask> UpstreamLink::NewCompletions(
+    const std::vector<ports::EndedTask>& ended) const {
+  int64_t last_expiry = 0;
+  for (const ports::EndedTask& completion : ended) {
+    if (completion.kind != ports::EndKind::kLeaseExpired) continue;
+    last_expiry = completion.number;
+  }
+  std::vector<ports::EndedTask> out;
+  for (const ports::EndedTask& completion : ended) {
+    if (completion.number <= last_reported_completion_) continue;
+    out.push_back(completion);
+    // A completion that was not acknowledged when the leases expired does not
+    // count: its job would be shown as complete, and its task never ended.
+    const bool done = completion.kind == ports::EndKind::kDone;
+    if (done && completion.number < last_expiry) {
+      out.back().kind = ports::EndKind::kLeaseExpired;
+    }
+  }
+  return out;
+}
+
 Millis UpstreamLink::DelayAfter(const ports::RenewReply& reply) const {
   // While completions are not stored, the upstream answers without waiting.
   if (last_stored_completion_ < last_reported_completion_) {
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -158,6 +158,9 @@
   void HandleRenewReply(const SentRenewal& renewal,
                         const ports::RenewReply& reply);
   void HandleRenewFailure(const ports::CallReply& reply);
+  /// Those that were not reported before.
+  std::vector<ports::EndedTask> NewCompletions(
+      const std::vector<ports::EndedTask>& ended) const;
   /// Delay before the renewal that follows this report.
   Millis DelayAfter(const ports::RenewReply& reply) const;
   /// Whether the reply is that of a later incarnation than the one known. The
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -429,6 +429,18 @@
   BOOST_TEST(events.reachable);
 }
 
+/// Guards against a job that is shown as complete although its task has to run
+/// again: the lease expired before its completion was acknowledged.
+BOOST_FIXTURE_TEST_CASE(CompletionBeforeALeaseExpiryDoesNotCount, Fixture) {
+  link->Open();
+  std::vector<ports::EndedTask> ended = DoneCompletions(1, 3);
+  ended[1].kind = ports::EndKind::kLeaseExpired;
+  Reply(0, 1000, {}, ended);
+  BOOST_REQUIRE_EQUAL(events.ended.size(), 3U);
+  BOOST_TEST((events.ended[0].kind == ports::EndKind::kLeaseExpired));
+  BOOST_TEST((events.ended[2].kind == ports::EndKind::kDone));
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
