--- a/tests/scenarios/process.h
+++ b/tests/scenarios/process.h
@@ -23,6 +23,7 @@
   int Wait();
   /// Whether the process has not ended yet.
   bool Alive();
+  pid_t pid() const { return pid_; }
 
  private:
   pid_t pid_ = -1;
--- a/tests/soak/entries.cc
+++ b/tests/soak/entries.cc
@@ -59,6 +59,7 @@
                      {"upstream_speed_spread", 2},
                      {"link_mbps", 100}});
   }
+  settings.update(options_.settings);
   std::ofstream(Path(".json")) << settings.dump(2) << "\n";
 }
 
--- a/tests/soak/entries.h
+++ b/tests/soak/entries.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <vector>
@@ -26,6 +27,8 @@
   /// Turns on what is off by default: the order by cost of delay, admission by
   /// deadline, speeds of upstreams, and the rate of the link.
   bool overload_settings = false;
+  /// Further settings of the entry.
+  nlohmann::json settings = nlohmann::json::object();
 };
 
 /// "ip:port" that is reserved for this process and its children.
@@ -41,6 +44,7 @@
   /// Sends SIGKILL, SIGTERM, SIGSTOP or SIGCONT to the process.
   void Signal(int signal);
   bool alive() { return process_->Alive(); }
+  pid_t pid() const { return process_->pid(); }
   /// The process runs, is not paused, and was not asked to end.
   bool healthy() { return alive() && !paused_ && !shutdown_requested_; }
   /// Exit code of the process, or the negative number of the signal that ended
