Tests: Show how clients that do not behave harm an entry

Clients can take more memory than the entry's machine has, and hold its connections for as long as they like. Causes, as read in the code: the operator's limits on requests are not applied; nothing bounds the bytes of all unfinished requests together; a body is decoded whole before its steps are counted; time limits begin anew with each byte; after a refusal the server reads on for as long as the client sends; idle connections stay for 60 s.

One entry process (memory_mb 64, 400 connections, operator limits of 16 KiB, 256 KiB, 1 s, 1 s) on loopback, against stand-ins. Bounds from the settings, fixed before the first run: resident peak below memory_mb, descriptors below max_connections plus 64, one job submitted and its state returned beside the crowd, endless clients closed within 30 s. The memory check is left out under sanitizers, whose memory counts too.

--- /dev/null
+++ b/tests/entry_under_test.h
@@ -0,0 +1,217 @@
+#pragma once
+
+#include <httplib.h>
+
+#include <boost/test/unit_test.hpp>
+#include <csignal>
+#include <filesystem>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/jobs/task_id.h"
+#include "src/libs/rpc/asio.h"
+#include "src/libs/rpc/asio_executor.h"
+#include "tests/scenarios/process_usage.h"
+#include "tests/soak/entries.h"
+#include "tests/soak/store_server_fake.h"
+#include "tests/soak/upstream_server_fake.h"
+
+namespace mimosarail {
+
+using Json = nlohmann::json;
+
+inline constexpr size_t kBytesPerMb = 1 << 20;
+/// Memory that the entry may take.
+inline constexpr size_t kMemoryMb = 64;
+inline constexpr size_t kMaxConnections = 400;
+/// Descriptors of an entry besides those of callers: listeners, connections to
+/// store, upstream and peers, event queues, log.
+inline constexpr size_t kReservedDescriptors = 64;
+
+/// The operator's limits on requests.
+inline constexpr size_t kMaxHeadBytes = 16 << 10;
+inline constexpr size_t kMaxBodyBytes = 256 << 10;
+inline constexpr int kHeadTimeoutMs = 1000;
+inline constexpr int kIdleTimeoutMs = 1000;
+
+inline constexpr Millis kAnswerLimit{20000};
+inline constexpr Millis kStartLimit{30000};
+inline constexpr Millis kRetryInterval{200};
+inline constexpr std::chrono::seconds kCallTimeout{3};
+
+inline constexpr const char* kHost = "jobs.test";
+inline constexpr const char* kPrefix = "/queue/";
+inline constexpr const char* kPool = "pool";
+
+inline constexpr soak::CallFaultOptions kNoFaults{.min_latency = Millis(1),
+                                                  .max_latency = Millis(1),
+                                                  .refused_percent = 0,
+                                                  .dropped_reply_percent = 0,
+                                                  .delayed_percent = 0};
+
+inline std::string OperatorConfig() {
+  return Json{{"version", 1},
+              {"routes",
+               {{{"name", "jobs"},
+                 {"host", kHost},
+                 {"prefix", kPrefix},
+                 {"service", kPool},
+                 {"maxAttempts", 3}}}},
+              {"services", {{{"name", kPool}}}},
+              {"limits",
+               {{"maxHeaderBytes", kMaxHeadBytes},
+                {"maxBodyBytes", kMaxBodyBytes},
+                {"headerTimeoutMs", kHeadTimeoutMs},
+                {"idleTimeoutMs", kIdleTimeoutMs}}}}
+      .dump();
+}
+
+inline std::string MakeFolder() {
+  std::string pattern = "/tmp/hostile-clients.XXXXXX";
+  return mkdtemp(pattern.data());
+}
+
+/// The platform of one entry, on a thread of its own: store and one upstream.
+class PlatformFake {
+ public:
+  explicit PlatformFake(const std::string& folder)
+      : checker_(folder + "/platform.log"),
+        store_(io_, executor_, kNoFaults, 1),
+        upstream_(io_, executor_, checker_, "upstream-0", kNoFaults, 1) {}
+
+  /// Returns the address of the store.
+  std::string Start() {
+    std::string address = store_.Start();
+    BOOST_REQUIRE(!address.empty() && upstream_.Start());
+    store_.log().Put("keyed.op", "config", OperatorConfig());
+    store_.log().Put("keyed.servers", upstream_.id(),
+                     upstream_.ListEntry(kPool));
+    thread_ = std::thread([this] { io_.run(); });
+    return address;
+  }
+  void Stop() {
+    io_.stop();
+    thread_.join();
+  }
+
+ private:
+  asio::io_context io_{1};
+  rpc::AsioExecutor executor_{io_};
+  soak::ConsistencyChecker checker_;
+  soak::StoreServerFake store_;
+  soak::UpstreamServerFake upstream_;
+  std::thread thread_;
+};
+
+/// Creates a platform that is never destroyed: open calls of its servers refer
+/// to it.
+inline PlatformFake& MakePlatform(const std::string& folder) {
+  static auto* const platforms = new std::vector<std::unique_ptr<PlatformFake>>;
+  platforms->push_back(std::make_unique<PlatformFake>(folder));
+  return *platforms->back();
+}
+
+/// One entry process that leads and accepts jobs.
+class EntryUnderTest {
+ public:
+  explicit EntryUnderTest(size_t max_connections = kMaxConnections)
+      : max_connections_(max_connections),
+        folder_(MakeFolder()),
+        platform_(MakePlatform(folder_)),
+        entry_(Options(platform_.Start())) {
+    entry_.Start();
+    BOOST_REQUIRE(AnswersWithin(kStartLimit));
+  }
+  ~EntryUnderTest() {
+    entry_.Signal(SIGKILL);
+    entry_.exit_code();
+    platform_.Stop();
+    std::filesystem::remove_all(folder_);
+  }
+  EntryUnderTest(const EntryUnderTest&) = delete;
+  EntryUnderTest& operator=(const EntryUnderTest&) = delete;
+
+  int port() const {
+    return std::stoi(entry_.front().substr(entry_.front().rfind(':') + 1));
+  }
+
+  /// Checks, while the crowd is connected, that the process lives within its
+  /// bounds and that an ordinary request is answered.
+  void CheckServes() {
+    const size_t descriptors = scenarios::OpenDescriptors(entry_.pid());
+    const bool answers = AnswersWithin(kAnswerLimit);
+    const size_t peak = scenarios::ResidentPeakBytes(entry_.pid());
+    BOOST_TEST_MESSAGE("resident peak " << peak / kBytesPerMb
+                                        << " MB, descriptors " << descriptors
+                                        << ", answers " << answers);
+    BOOST_CHECK(entry_.alive());
+    BOOST_CHECK(answers);
+    BOOST_CHECK_LE(descriptors, max_connections_ + kReservedDescriptors);
+    // Sanitizers take memory of their own.
+    if (MR_SANITIZED == 0) BOOST_CHECK_LT(peak, kMemoryMb * kBytesPerMb);
+  }
+
+  /// Submits a job with this body and asks for its state; retries both like a
+  /// client.
+  bool AnswersWithin(Millis limit, const std::string& body = JobBody()) {
+    const std::string path = kPrefix + JobIdText(++last_job_);
+    return Retry(limit, [&] { return Call("POST", path, body) == 200; }) &&
+           Retry(limit, [&] { return Call("GET", path, "") == 200; });
+  }
+
+  static std::string JobBody() {
+    return Json{{"spec", "ordinary"},
+                {"steps", {{{"count", 1}, {"cpu", 100}, {"estMs", 200}}}}}
+        .dump();
+  }
+
+ private:
+  soak::EntryOptions Options(const std::string& store) const {
+    const std::string peer = soak::FreeAddress();
+    return {.name = "entry-0",
+            .daemon = MIMOSARAILD,
+            .folder = folder_,
+            .front = soak::FreeAddress(),
+            .peer = peer,
+            .store = store,
+            .seeds = {peer},
+            .settings = {{"memory_mb", kMemoryMb},
+                         {"max_connections", max_connections_}}};
+  }
+
+  template <typename Action>
+  static bool Retry(Millis limit, Action action) {
+    const TimePoint end = Clock::now() + limit;
+    while (!action()) {
+      if (Clock::now() > end) return false;
+      std::this_thread::sleep_for(kRetryInterval);
+    }
+    return true;
+  }
+
+  /// HTTP status; 0 without an answer.
+  int Call(const std::string& method, const std::string& path,
+           const std::string& body) const {
+    httplib::Client client("127.0.0.1", port());
+    client.set_connection_timeout(kCallTimeout);
+    client.set_read_timeout(kCallTimeout);
+    httplib::Request request;
+    request.method = method;
+    request.path = path;
+    request.headers = {{"Host", kHost}, {"X-Deadline-Ms", "3000"}};
+    request.body = body;
+    const auto result = client.send(request);
+    return result ? result->status : 0;
+  }
+
+  size_t max_connections_;
+  std::string folder_;
+  PlatformFake& platform_;
+  soak::Entry entry_;
+  JobId last_job_ = 0;
+};
+
+}  // namespace mimosarail
--- /dev/null
+++ b/tests/hostile_clients_test.cc
@@ -0,0 +1,210 @@
+#define BOOST_TEST_MODULE hostile_clients
+#include <boost/test/unit_test.hpp>
+#include <sstream>
+#include <string>
+#include <thread>
+
+#include "tests/entry_under_test.h"
+#include "tests/scenarios/crowd.h"
+
+namespace mimosarail {
+namespace {
+
+using scenarios::Crowd;
+using scenarios::CrowdBehavior;
+
+constexpr size_t kSmallCrowd = 20;
+constexpr size_t kMediumCrowd = 80;
+/// Bodies of legal size from this many clients exceed the memory of the entry.
+constexpr size_t kLargeCrowd = 320;
+static_assert(kLargeCrowd * kMaxBodyBytes > kMemoryMb * kBytesPerMb);
+
+constexpr Millis kSendLimit{20000};
+constexpr Millis kCloseLimit{30000};
+/// How long a crowd stays before the ordinary request.
+constexpr Millis kCrowdTime{2000};
+
+std::string RequestLine(const std::string& method) {
+  return method + " " + kPrefix + JobIdText(1u << 20) +
+         " HTTP/1.1\r\nHost: " + kHost + "\r\n";
+}
+
+std::string AnnouncedBody(size_t announced, const std::string& sent) {
+  return RequestLine("POST") + "Content-Length: " + std::to_string(announced) +
+         "\r\n\r\n" + sent;
+}
+
+std::string ChunkedHead() {
+  return RequestLine("POST") + "Transfer-Encoding: chunked\r\n\r\n";
+}
+
+std::string Chunk(const std::string& bytes) {
+  std::ostringstream out;
+  out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
+  return out.str();
+}
+
+/// Repeats `item`, separated by commas, up to about `bytes`.
+std::string JsonList(const std::string& item, size_t bytes) {
+  std::string out = "[" + item;
+  while (out.size() + item.size() + 2 < bytes) out += "," + item;
+  return out + "]";
+}
+
+/// A body of at most `bytes` whose only field is a list of `item`.
+std::string ListBody(const std::string& field, const std::string& item,
+                     size_t bytes) {
+  const std::string begin = "{\"" + field + "\":";
+  return begin + JsonList(item, bytes - begin.size() - 1) + "}";
+}
+
+std::string WholeBody(const std::string& body) {
+  return AnnouncedBody(body.size(), body);
+}
+
+/// Checks the entry beside a crowd that has sent its first bytes.
+void CheckServesBeside(size_t clients, CrowdBehavior behavior) {
+  EntryUnderTest entry;
+  const Crowd crowd(entry.port(), clients, std::move(behavior));
+  crowd.WaitUntilSent(kSendLimit);
+  std::this_thread::sleep_for(kCrowdTime);
+  entry.CheckServes();
+}
+
+/// Also checks that the entry closes the connections of clients that never end
+/// what they send.
+void CheckEndsEndless(CrowdBehavior behavior) {
+  EntryUnderTest entry;
+  const Crowd crowd(entry.port(), kSmallCrowd, std::move(behavior));
+  std::this_thread::sleep_for(kCrowdTime);
+  entry.CheckServes();
+  BOOST_CHECK_EQUAL(crowd.WaitUntilClosed(kCloseLimit), 0u);
+  entry.CheckServes();
+}
+
+// Guards against limits that refuse a request within the operator's limits.
+BOOST_AUTO_TEST_CASE(LargestLegalRequestIsServedInCalm) {
+  EntryUnderTest entry;
+  std::string body = EntryUnderTest::JobBody();
+  body.append(kMaxBodyBytes - body.size(), ' ');
+  BOOST_CHECK(entry.AnswersWithin(kAnswerLimit, body));
+}
+
+// Guards against memory that heads over the limit take.
+BOOST_AUTO_TEST_CASE(HeadsOverTheLimit) {
+  CheckServesBeside(
+      kLargeCrowd, {.first = RequestLine("GET") + "X-Filler: " +
+                             std::string(8 * kMaxHeadBytes, 'x') + "\r\n\r\n"});
+}
+
+// Guards against connections that stay open for heads without an end.
+BOOST_AUTO_TEST_CASE(HeadsWithoutEnd) {
+  CheckEndsEndless(
+      {.first = RequestLine("GET"),
+       .repeated = "X-Filler: " + std::string(kMaxHeadBytes, 'x') + "\r\n"});
+}
+
+// Guards against heads that stay open as long as a byte arrives now and then.
+BOOST_AUTO_TEST_CASE(HeadsInSingleBytes) {
+  CheckEndsEndless({.first = RequestLine("GET") + "X-Filler: ",
+                    .repeated = "x",
+                    .pause = Millis(500)});
+}
+
+// Guards against connections that stay open for empty lines without an end.
+BOOST_AUTO_TEST_CASE(EmptyLinesWithoutEnd) {
+  std::string lines;
+  while (lines.size() < kMaxHeadBytes) lines += "\r\n";
+  CheckEndsEndless({.first = lines, .repeated = lines});
+}
+
+// Guards against connections that stay open for a chunk extension without an
+// end.
+BOOST_AUTO_TEST_CASE(ChunkExtensionsWithoutEnd) {
+  CheckEndsEndless({.first = ChunkedHead() + "1;",
+                    .repeated = std::string(kMaxHeadBytes, 'x')});
+}
+
+// Guards against memory that announced bodies over the limit take.
+BOOST_AUTO_TEST_CASE(AnnouncedBodiesOverTheLimit) {
+  const std::string body(kBytesPerMb - 1, ' ');
+  CheckServesBeside(kLargeCrowd,
+                    {.first = AnnouncedBody(body.size() + 1, body)});
+}
+
+// Guards against a server that reads on after it has refused a body.
+BOOST_AUTO_TEST_CASE(BodiesWithoutEnd) {
+  const std::string chunk = Chunk(std::string(kMaxHeadBytes, ' '));
+  CheckEndsEndless({.first = ChunkedHead(), .repeated = chunk});
+}
+
+// Guards against memory that unfinished bodies of legal size take together.
+BOOST_AUTO_TEST_CASE(UnfinishedLegalBodies) {
+  const std::string body(kMaxBodyBytes - 1, ' ');
+  CheckServesBeside(kLargeCrowd, {.first = AnnouncedBody(kMaxBodyBytes, body)});
+}
+
+// Guards against memory that unfinished chunked bodies of legal size take
+// together.
+BOOST_AUTO_TEST_CASE(UnfinishedChunkedBodies) {
+  const std::string body(kMaxBodyBytes - 1, ' ');
+  CheckServesBeside(kLargeCrowd, {.first = ChunkedHead() + Chunk(body)});
+}
+
+// Guards against memory and time that large lists of steps take once decoded.
+BOOST_AUTO_TEST_CASE(LargeStepLists) {
+  CheckServesBeside(kSmallCrowd,
+                    {.first = WholeBody(ListBody("steps", "{}", kBytesPerMb))});
+}
+
+// Guards against memory and time that legal lists of steps take once decoded.
+BOOST_AUTO_TEST_CASE(LegalStepLists) {
+  CheckServesBeside(
+      kMediumCrowd,
+      {.first = WholeBody(ListBody("steps", "{}", kMaxBodyBytes))});
+}
+
+// Guards against memory and time that ignored fields take once decoded.
+BOOST_AUTO_TEST_CASE(IgnoredListsOfEmptyLists) {
+  CheckServesBeside(
+      kMediumCrowd,
+      {.first = WholeBody(ListBody("ignored", "[]", kBytesPerMb))});
+}
+
+// Guards against a parser that ends the process on deep nesting.
+BOOST_AUTO_TEST_CASE(DeeplyNestedLists) {
+  const std::string nested =
+      "{\"ignored\":" + std::string(kMaxBodyBytes / 4, '[') +
+      std::string(kMaxBodyBytes / 4, ']') + "}";
+  CheckServesBeside(kSmallCrowd, {.first = WholeBody(nested)});
+}
+
+// Guards against idle connections that keep ordinary callers out.
+BOOST_AUTO_TEST_CASE(IdleConnectionsUpToTheLimit) {
+  constexpr size_t kFewConnections = 50;
+  EntryUnderTest entry(kFewConnections);
+  const Crowd crowd(entry.port(), kFewConnections, {});
+  std::this_thread::sleep_for(kCrowdTime);
+  entry.CheckServes();
+}
+
+// Guards against bodies that stay open as long as a byte arrives now and then.
+BOOST_AUTO_TEST_CASE(BodiesInSingleBytes) {
+  CheckEndsEndless({.first = AnnouncedBody(kMaxBodyBytes, "{"),
+                    .repeated = " ",
+                    .pause = Millis(500)});
+}
+
+// Guards against memory that answers take which clients do not read.
+BOOST_AUTO_TEST_CASE(AnswersThatAreNotRead) {
+  std::string requests;
+  while (requests.size() < kMaxHeadBytes) {
+    requests += RequestLine("GET") + "\r\n";
+  }
+  CheckServesBeside(
+      kSmallCrowd,
+      {.first = requests, .repeated = requests, .reads_answers = false});
+}
+
+}  // namespace
+}  // namespace mimosarail
