Tests: Close inherited descriptors in child processes

A process started by a test inherited the sockets of stand-ins that an earlier case had left open: the entry of hostile_clients_test held 23 descriptors in the first case and 65, with 20 clients, in the fourth.

--- a/tests/scenarios/process.cc
+++ b/tests/scenarios/process.cc
@@ -23,6 +23,7 @@
   posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
                                    O_WRONLY | O_CREAT | O_APPEND, 0644);
   posix_spawn_file_actions_adddup2(&actions, STDERR_FILENO, STDOUT_FILENO);
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   if (posix_spawn(&pid_, argv[0], &actions, nullptr, argv.data(), environ) !=
       0) {
     pid_ = -1;
--- a/tests/scenarios/process.h
+++ b/tests/scenarios/process.h
@@ -11,7 +11,7 @@
 class Process {
  public:
   /// Starts `arguments` with standard output and standard error appended to
-  /// `log_file`.
+  /// `log_file`. The child inherits no other file descriptors.
   Process(std::vector<std::string> arguments, const std::string& log_file);
   ~Process();
   Process(const Process&) = delete;
