--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -69,6 +69,13 @@
       .dump();
 }
 
+/// A job of equal steps, as the body of its submission.
+inline std::string JobBody(size_t steps = 1) {
+  const Json step = {{"count", 1}, {"cpu", 100}, {"estMs", 200}};
+  return Json{{"spec", "ordinary"}, {"steps", Json::array_t(steps, step)}}
+      .dump();
+}
+
 inline std::string MakeFolder() {
   std::string pattern = "/tmp/hostile-clients.XXXXXX";
   return mkdtemp(pattern.data());
@@ -134,9 +141,8 @@
   EntryUnderTest(const EntryUnderTest&) = delete;
   EntryUnderTest& operator=(const EntryUnderTest&) = delete;
 
-  int port() const {
-    return std::stoi(entry_.front().substr(entry_.front().rfind(':') + 1));
-  }
+  int port() const { return PortOf(entry_.front()); }
+  int ready_port() const { return PortOf(ready_address_); }
 
   /// Checks, while the crowd is connected, that the process lives within its
   /// bounds and that an ordinary request is answered.
@@ -162,12 +168,6 @@
            Retry(limit, [&] { return Call("GET", path, "") == 200; });
   }
 
-  static std::string JobBody() {
-    return Json{{"spec", "ordinary"},
-                {"steps", {{{"count", 1}, {"cpu", 100}, {"estMs", 200}}}}}
-        .dump();
-  }
-
  private:
   soak::EntryOptions Options(const std::string& store) const {
     const std::string peer = soak::FreeAddress();
@@ -178,10 +178,15 @@
             .peer = peer,
             .store = store,
             .seeds = {peer},
-            .settings = {{"memory_mb", kMemoryMb},
+            .settings = {{"ready_address", ready_address_},
+                         {"memory_mb", kMemoryMb},
                          {"max_connections", max_connections_}}};
   }
 
+  static int PortOf(const std::string& address) {
+    return std::stoi(address.substr(address.rfind(':') + 1));
+  }
+
   template <typename Action>
   static bool Retry(Millis limit, Action action) {
     const TimePoint end = Clock::now() + limit;
@@ -208,6 +213,7 @@
   }
 
   size_t max_connections_;
+  std::string ready_address_ = soak::FreeAddress();
   std::string folder_;
   PlatformFake& platform_;
   soak::Entry entry_;
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -4,6 +4,7 @@
 #include <string>
 #include <thread>
 
+#include "src/jobs/job_state.h"
 #include "tests/entry_under_test.h"
 #include "tests/scenarios/crowd.h"
 
@@ -85,7 +86,15 @@
 // Guards against limits that refuse a request within the operator's limits.
 BOOST_AUTO_TEST_CASE(LargestLegalRequestIsServedInCalm) {
   EntryUnderTest entry;
-  std::string body = EntryUnderTest::JobBody();
+  std::string body = JobBody();
+  body.append(kMaxBodyBytes - body.size(), ' ');
+  BOOST_CHECK(entry.AnswersWithin(kAnswerLimit, body));
+}
+
+// Guards against limits on decoding that refuse the largest legal job.
+BOOST_AUTO_TEST_CASE(JobWithMostStepsIsServedInCalm) {
+  EntryUnderTest entry;
+  std::string body = JobBody(kMaxJobSteps);
   body.append(kMaxBodyBytes - body.size(), ' ');
   BOOST_CHECK(entry.AnswersWithin(kAnswerLimit, body));
 }
@@ -132,6 +141,17 @@
                     {.first = AnnouncedBody(body.size() + 1, body)});
 }
 
+// Guards against memory that bodies sent to the readiness endpoint take.
+BOOST_AUTO_TEST_CASE(UnfinishedBodiesAtTheReadinessEndpoint) {
+  const std::string body(kBytesPerMb - 1, ' ');
+  EntryUnderTest entry;
+  const Crowd crowd(entry.ready_port(), kMediumCrowd,
+                    {.first = AnnouncedBody(body.size() + 1, body)});
+  crowd.WaitUntilSent(kSendLimit);
+  std::this_thread::sleep_for(kCrowdTime);
+  entry.CheckServes();
+}
+
 // Guards against a server that reads on after it has refused a body.
 BOOST_AUTO_TEST_CASE(BodiesWithoutEnd) {
   const std::string chunk = Chunk(std::string(kMaxHeadBytes, ' '));
