HTTP: Refuse a request for its size before storing it

Callers saw 400 "not a request" for a body over the limit, after the entry had stored up to 1 MiB of it, although the operator's limit is 256 KiB. 320 clients that announced 1 MiB and sent all but one byte took 363 to 368 MB of 64.

Cause: the parser checked a body only while it arrived, against a limit of its own (1 MiB), and knew one kind of error. Of the head it counted names and values only: spaces, empty lines, chunk extensions counted nothing.

The parser now says why it stops, refuses an announced body when the head is complete, drops what it has stored, and counts all bytes outside of the body for each message. The framing of chunks is left out of the count: a legal body may come in single bytes.

--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -3,14 +3,17 @@
 #include <http_parser.h>
 #include <strings.h>
 
-#include <array>
+#include <climits>
+#include <cstdint>
+#include <utility>
 
 namespace mimosarail::http {
 namespace {
 
-/// Maximum size of the start line and the headers together. http_parser's own
-/// limit is 80 KiB, far more than any peer of this project sends.
-constexpr size_t kMaxHeadBytes = 32 << 10;
+/// Framing of one chunk without extensions: a size of eight digits and two line
+/// ends. It does not count as part of the head, so that a body within its limit
+/// may come in chunks of any size.
+constexpr int64_t kChunkFramingBytes = 12;
 
 }  // namespace
 
@@ -55,6 +58,10 @@
       // whether the request is handled or lost would depend on how its bytes
       // are split into reads.
       p->upgrade = 0;
+      return Self(p).CheckAnnouncedBody();
+    };
+    settings.on_chunk_header = [](http_parser* p) {
+      Self(p).outside_body_bytes -= kChunkFramingBytes;
       return 0;
     };
     settings.on_body = [](http_parser* p, const char* at, size_t n) {
@@ -62,6 +69,8 @@
     };
     settings.on_message_complete = [](http_parser* p) {
       Self(p).Complete();
+      // Feed() resumes: it needs to know where the message ends.
+      http_parser_pause(p, 1);
       return 0;
     };
   }
@@ -74,14 +83,57 @@
     message = {};
     message.request.target.clear();
     headers.clear();
-    head_bytes = 0;
+    stored_head_bytes = 0;
     in_value = false;
     inside_message = true;
   }
 
+  int Fail(ParseError why) {
+    error = why;
+    return -1;
+  }
+
   int CountHeadBytes(size_t bytes) {
-    head_bytes += bytes;
-    return head_bytes > kMaxHeadBytes ? 1 : 0;
+    stored_head_bytes += bytes;
+    return stored_head_bytes > options.max_head_bytes
+               ? Fail(ParseError::kHeadTooLarge)
+               : 0;
+  }
+
+  int CheckAnnouncedBody() {
+    const bool announced = parser.content_length != ULLONG_MAX;
+    return announced && parser.content_length > options.max_body
+               ? Fail(ParseError::kBodyTooLarge)
+               : 0;
+  }
+
+  /// Parses up to the end of a message; returns the number of bytes parsed.
+  size_t Execute(std::string_view bytes) {
+    const size_t parsed =
+        http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
+    outside_body_bytes += static_cast<int64_t>(parsed);
+    const auto code = HTTP_PARSER_ERRNO(&parser);
+    if (code == HPE_PAUSED) {
+      http_parser_pause(&parser, 0);
+    } else if (code == HPE_HEADER_OVERFLOW) {
+      error = ParseError::kHeadTooLarge;
+    } else if (error == ParseError::kNone &&
+               (code != HPE_OK || parsed != bytes.size())) {
+      error = ParseError::kMalformed;
+    }
+    if (error == ParseError::kNone &&
+        outside_body_bytes > static_cast<int64_t>(options.max_head_bytes)) {
+      error = ParseError::kHeadTooLarge;
+    }
+    return parsed;
+  }
+
+  /// Drops what was received of a message.
+  void Clear() {
+    message = {};
+    headers = {};
+    complete = false;
+    inside_message = false;
   }
 
   std::string& HeaderName() {
@@ -96,8 +148,11 @@
   }
 
   int AddBody(const char* at, size_t bytes) {
-    if (Body().size() + bytes > options.max_body) return 1;
+    if (Body().size() + bytes > options.max_body) {
+      return Fail(ParseError::kBodyTooLarge);
+    }
     Body().append(at, bytes);
+    outside_body_bytes -= static_cast<int64_t>(bytes);
     return 0;
   }
 
@@ -113,7 +168,7 @@
       message.response.headers = std::move(headers);
     }
     headers.clear();
-    (*done)(std::move(message));
+    complete = true;
   }
 
   ParserOptions options;
@@ -121,10 +176,16 @@
   http_parser_settings settings{};
   ParsedMessage message;
   std::vector<Header> headers;
-  size_t head_bytes = 0;
+  /// Bytes of start line and headers that `message` and `headers` hold.
+  size_t stored_head_bytes = 0;
+  /// Bytes since the end of the previous message, without those of the body and
+  /// the framing of chunks.
+  int64_t outside_body_bytes = 0;
   bool in_value = false;
   bool inside_message = false;
-  const std::function<void(ParsedMessage)>* done = nullptr;
+  /// `message` is complete and has not been passed on.
+  bool complete = false;
+  ParseError error = ParseError::kNone;
 };
 
 Parser::Parser(ParserOptions options)
@@ -133,13 +194,23 @@
 
 bool Parser::Feed(std::string_view bytes,
                   const std::function<void(ParsedMessage)>& done) {
-  d_->done = &done;
-  const size_t parsed = http_parser_execute(&d_->parser, &d_->settings,
-                                            bytes.data(), bytes.size());
-  d_->done = nullptr;
-  return parsed == bytes.size() && HTTP_PARSER_ERRNO(&d_->parser) == HPE_OK;
+  if (d_->error != ParseError::kNone) return false;
+  do {
+    bytes.remove_prefix(d_->Execute(bytes));
+    if (d_->error != ParseError::kNone) {
+      d_->Clear();
+      return false;
+    }
+    if (!d_->complete) continue;
+    d_->complete = false;
+    d_->outside_body_bytes = 0;
+    done(std::exchange(d_->message, {}));
+  } while (!bytes.empty());
+  return true;
 }
 
+ParseError Parser::error() const { return d_->error; }
+
 bool Parser::inside_message() const { return d_->inside_message; }
 
 }  // namespace mimosarail::http
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -12,10 +12,16 @@
 
 struct ParserOptions {
   MessageKind kind = MessageKind::kRequest;
-  /// Maximum size of a body in bytes; a larger one is an error.
+  /// Maximum size in bytes of a message without its body: empty lines before
+  /// it, start line, headers, chunk extensions and trailers.
+  size_t max_head_bytes = 32 << 10;
+  /// Maximum size of a body in bytes.
   size_t max_body = 4 << 20;
 };
 
+/// Why bytes are not accepted.
+enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+
 /// An HTTP/1.1 message as received on a connection.
 struct ParsedMessage {
   Request request;
@@ -33,9 +39,11 @@
 
   /// Passes every message that `bytes` completes to `done`. Returns false if
   /// the bytes are not HTTP or exceed a limit; the parser cannot be used after
-  /// that.
+  /// that. An announced body over the limit is refused before it arrives.
   bool Feed(std::string_view bytes,
             const std::function<void(ParsedMessage)>& done);
+  /// Why Feed() returned false.
+  ParseError error() const;
   /// Whether a message has been received in part.
   bool inside_message() const;
 
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "src/libs/http/parser.h"
+#include "src/libs/http/refusal_log.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
@@ -42,8 +43,12 @@
       return "Method Not Allowed";
     case 410:
       return "Gone";
+    case 413:
+      return "Content Too Large";
     case 429:
       return "Too Many Requests";
+    case 431:
+      return "Request Header Fields Too Large";
     case 503:
       return "Service Unavailable";
     case 504:
@@ -66,6 +71,25 @@
   return out;
 }
 
+/// A response that ends a connection before the handler sees the request.
+struct Refusal {
+  int status;
+  const char* why;
+};
+
+Refusal ToRefusal(ParseError error) {
+  switch (error) {
+    case ParseError::kHeadTooLarge:
+      return {.status = 431, .why = "head too large"};
+    case ParseError::kBodyTooLarge:
+      return {.status = 413, .why = "body too large"};
+    case ParseError::kMalformed:
+    case ParseError::kNone:
+      break;
+  }
+  return {.status = 400, .why = "malformed"};
+}
+
 class Session;
 
 }  // namespace
@@ -76,7 +100,8 @@
         options(std::move(options_in)),
         handler(std::move(handler_in)),
         acceptor(io_in),
-        accept_retry_timer(io_in) {}
+        accept_retry_timer(io_in),
+        refusals(options.metrics, options.traffic_kind) {}
 
   void AcceptNext();
   void StartSession(tcp::socket socket);
@@ -93,6 +118,7 @@
   /// Accessed on the thread of `io` only, as is `sessions`.
   bool accepting_stopped = false;
   std::unordered_set<Session*> sessions;
+  RefusalLog refusals;
 };
 
 namespace {
@@ -105,7 +131,8 @@
         timer_(server->io),
         server_(std::move(server)),
         parser_({.kind = MessageKind::kRequest,
-                 .max_body = server_->options.max_body}) {
+                 .max_head_bytes = server_->options.limits.max_head_bytes,
+                 .max_body = server_->options.limits.max_body_bytes}) {
     ++server_->connections;
     server_->sessions.insert(this);
   }
@@ -182,14 +209,18 @@
       requests_.push_back(std::move(message));
     });
     CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
-    if (!valid) {
-      keep_alive_ = false;
-      return Write({.status = 400, .body = "not a request\n"}, false);
-    }
+    if (!valid) return Refuse(ToRefusal(parser_.error()));
     if (requests_.empty()) return ReadNext();
     HandleNext();
   }
 
+  void Refuse(Refusal refusal) {
+    server_->refusals.Add(refusal.why, refusal.status, Clock::now());
+    keep_alive_ = false;
+    Write({.status = refusal.status, .body = std::string(refusal.why) + "\n"},
+          false);
+  }
+
   /// The pending response to one request. The handler may drop it without
   /// sending, for example when the object that the request waited for is
   /// destroyed. The destructor then sends status 504, which reports that the
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,7 @@
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/metrics/metrics.h"
 #include "src/libs/metrics/traffic.h"
 
 namespace asio {
@@ -20,6 +21,16 @@
 using Responder = std::function<void(Response)>;
 using Handler = std::function<void(Request, Responder)>;
 
+/// Limits on one request. A request beyond them is refused, and its connection
+/// closed, before the handler sees it.
+struct ServerLimits {
+  /// Bytes of a request without its body: empty lines before it, start line,
+  /// headers, chunk extensions and trailers. Status 431.
+  size_t max_head_bytes = 16 << 10;
+  /// Bytes of the body. Status 413.
+  size_t max_body_bytes = 256 << 10;
+};
+
 struct ServerOptions {
   /// Maximum number of open connections; further ones are closed on accept.
   size_t max_connections = 2000;
@@ -29,11 +40,13 @@
   Millis request_timeout{5000};
   /// A connection without a request is closed after this time.
   Millis idle_timeout{60000};
-  size_t max_body = 1 << 20;
+  ServerLimits limits;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
   std::string traffic_kind = "served";
+  /// Counts refusals unless it is null; must outlive the server.
+  metrics::Registry* metrics = nullptr;
 };
 
 /// HTTP/1.1 server. `handler` runs on the thread of `io`.
--- /dev/null
+++ b/tests/http_limits_test.cc
@@ -0,0 +1,171 @@
+#define BOOST_TEST_MODULE http_limits
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/libs/http/parser.h"
+#include "src/libs/http/server.h"
+#include "src/libs/rpc/asio.h"
+
+namespace mimosarail::http {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kMaxHeadBytes = 200;
+constexpr size_t kMaxBodyBytes = 100;
+
+struct Parsed {
+  std::vector<std::string> bodies;
+  ParseError error = ParseError::kNone;
+};
+
+/// Feeds `bytes` in pieces of `step` bytes.
+Parsed Parse(const std::string& bytes, size_t step) {
+  Parsed out;
+  Parser parser({.max_head_bytes = kMaxHeadBytes, .max_body = kMaxBodyBytes});
+  const auto take = [&](ParsedMessage message) {
+    out.bodies.push_back(std::move(message.request.body));
+  };
+  for (size_t at = 0; at < bytes.size(); at += step) {
+    if (!parser.Feed(std::string_view(bytes).substr(at, step), take)) break;
+  }
+  out.error = parser.error();
+  return out;
+}
+
+/// Checks that the outcome does not depend on how the bytes are split.
+Parsed ParseInAnyPieces(const std::string& bytes) {
+  Parsed whole = Parse(bytes, bytes.size());
+  for (const size_t step : {size_t{1}, size_t{7}, size_t{64}}) {
+    const Parsed pieces = Parse(bytes, step);
+    BOOST_CHECK(pieces.error == whole.error);
+    BOOST_CHECK(pieces.bodies == whole.bodies);
+  }
+  return whole;
+}
+
+std::string Lines(size_t bytes) {
+  std::string out;
+  while (out.size() < bytes) out += "\r\n";
+  return out;
+}
+
+const std::string kChunkedHead =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against limits that add up over the requests of a connection.
+BOOST_AUTO_TEST_CASE(LimitsHoldForEachRequest) {
+  std::string bytes;
+  constexpr size_t kRequests = 20;
+  for (size_t i = 0; i < kRequests; ++i) {
+    bytes += "\r\nPOST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" +
+             std::string(kMaxBodyBytes, 'x');
+  }
+  const Parsed parsed = ParseInAnyPieces(bytes);
+  BOOST_CHECK(parsed.error == ParseError::kNone);
+  BOOST_CHECK_EQUAL(parsed.bodies.size(), kRequests);
+}
+
+// Guards against refusing a legal body for the number of its chunks.
+BOOST_AUTO_TEST_CASE(LegalBodyInSingleBytesIsRead) {
+  std::string bytes = kChunkedHead;
+  for (size_t i = 0; i < kMaxBodyBytes; ++i) bytes += "1\r\nx\r\n";
+  const Parsed parsed = ParseInAnyPieces(bytes + "0\r\n\r\n");
+  BOOST_CHECK(parsed.error == ParseError::kNone);
+  BOOST_REQUIRE_EQUAL(parsed.bodies.size(), 1U);
+  BOOST_CHECK_EQUAL(parsed.bodies[0].size(), kMaxBodyBytes);
+}
+
+// Guards against bytes outside of the body that no limit counts.
+BOOST_AUTO_TEST_CASE(AllBytesOutsideTheBodyAreLimited) {
+  const std::string filler(kMaxHeadBytes + 1, 'x');
+  for (const std::string& bytes :
+       {Lines(kMaxHeadBytes + 1), "GET /" + filler,
+        "GET / HTTP/1.1\r\n" + filler,
+        "GET / HTTP/1.1\r\nA:" + std::string(kMaxHeadBytes, ' '),
+        kChunkedHead + "1;" + filler,
+        kChunkedHead + "1\r\nx\r\n0\r\nA: " + filler}) {
+    BOOST_CHECK(ParseInAnyPieces(bytes).error == ParseError::kHeadTooLarge);
+  }
+}
+
+// Guards against a body that is stored although it is too large.
+BOOST_AUTO_TEST_CASE(AnnouncedBodyIsRefusedWithTheHead) {
+  const Parsed parsed =
+      ParseInAnyPieces("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+  BOOST_CHECK(parsed.error == ParseError::kBodyTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodyOverTheLimitIsRefused) {
+  const Parsed parsed = ParseInAnyPieces(kChunkedHead + "65\r\n" +
+                                         std::string(kMaxBodyBytes + 1, 'x'));
+  BOOST_CHECK(parsed.error == ParseError::kBodyTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(OtherBytesAreMalformed) {
+  BOOST_CHECK(ParseInAnyPieces("not http\r\n").error == ParseError::kMalformed);
+}
+
+/// Server with a thread of its own that answers each request with 200.
+class TestServer {
+ public:
+  explicit TestServer(ServerOptions options)
+      : server_(io_, std::move(options),
+                [](const Request&, const Responder& respond) { respond({}); }) {
+    port_ = server_.Listen("127.0.0.1:0").value();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~TestServer() {
+    io_.stop();
+    thread_.join();
+  }
+  TestServer(const TestServer&) = delete;
+  TestServer& operator=(const TestServer&) = delete;
+
+  tcp::socket Connect() {
+    tcp::socket socket(clients_);
+    socket.connect({asio::ip::address_v4::loopback(), port_});
+    return socket;
+  }
+
+ private:
+  asio::io_context io_;
+  asio::io_context clients_;
+  Server server_;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+/// Returns what arrives until the server ends the connection.
+std::string ReadToEnd(tcp::socket& socket) {
+  std::string out;
+  std::error_code ended;
+  asio::read(socket, asio::dynamic_buffer(out), ended);
+  return out;
+}
+
+/// Returns the status line of the answer to `bytes`.
+std::string StatusLine(TestServer& server, const std::string& bytes) {
+  tcp::socket socket = server.Connect();
+  asio::write(socket, asio::buffer(bytes));
+  const std::string answer = ReadToEnd(socket);
+  return answer.substr(0, answer.find("\r\n"));
+}
+
+// Guards against refusals that do not tell the caller which limit it met.
+BOOST_AUTO_TEST_CASE(RefusalsNameTheLimit) {
+  TestServer server({.limits = {.max_head_bytes = kMaxHeadBytes,
+                                .max_body_bytes = kMaxBodyBytes}});
+  BOOST_CHECK_EQUAL(StatusLine(server, Lines(kMaxHeadBytes + 1)),
+                    "HTTP/1.1 431 Request Header Fields Too Large");
+  BOOST_CHECK_EQUAL(
+      StatusLine(server, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
+      "HTTP/1.1 413 Content Too Large");
+  BOOST_CHECK_EQUAL(StatusLine(server, "not http\r\n"),
+                    "HTTP/1.1 400 Bad Request");
+}
+
+}  // namespace
+}  // namespace mimosarail::http
--- a/tests/soak/store_server_fake.cc
+++ b/tests/soak/store_server_fake.cc
@@ -218,7 +218,7 @@
                                  CallFaultOptions faults, uint64_t seed)
     : executor_(executor),
       faults_(executor, faults, seed),
-      server_(io, {.max_body = kMaxBody},
+      server_(io, {.limits = {.max_body_bytes = kMaxBody}},
               [this](const http::Request& request, http::Responder respond) {
                 HandleRequest(request, std::move(respond));
               }) {}
--- a/tests/soak/upstream_server_fake.cc
+++ b/tests/soak/upstream_server_fake.cc
@@ -22,6 +22,7 @@
 /// Interval at which a lease renewal that waits for an answer checks whether a
 /// task has ended.
 constexpr Millis kReportPollInterval{10};
+constexpr size_t kMaxBody = 1 << 20;
 constexpr size_t kMaxCompletionsPerReply = 500;
 constexpr int kReportedProgressPercent = 50;
 
@@ -48,7 +49,7 @@
       id_(std::move(id)),
       faults_(executor, faults, seed),
       random_(seed),
-      server_(io, {},
+      server_(io, {.limits = {.max_body_bytes = kMaxBody}},
               [this](const http::Request& request, http::Responder respond) {
                 HandleRequest(request, std::move(respond));
               }) {
