--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -47,6 +47,10 @@
 /// Longest time to receive a response of the store: a page of 1 MB takes 6 s
 /// over a link of 2 Mbit/s, which it shares with other traffic.
 constexpr Millis kMaxPageTime{20000};
+/// The metrics endpoint serves a few collectors, which send no bodies.
+constexpr size_t kMaxMetricsConnections = 64;
+constexpr http::ServerLimits kMetricsLimits{.max_head_bytes = 8 << 10,
+                                            .max_body_bytes = 1 << 10};
 constexpr size_t kAdviserConnections = 4;
 /// Connections to the host API: one for a list and one for an order at the same
 /// time.
@@ -183,7 +187,11 @@
                     .metrics = &metrics}),
         metrics_server(
             network_io,
-            {.traffic = &traffic_counters, .traffic_kind = "metrics"},
+            {.max_connections = kMaxMetricsConnections,
+             .limits = kMetricsLimits,
+             .traffic = &traffic_counters,
+             .traffic_kind = "metrics",
+             .metrics = &metrics},
             [this](const http::Request&, const http::Responder& respond) {
               UpdateMetrics();
               respond({.headers = {{"Content-Type", "text/plain"}},
