HTTP: End the reading after a connection's last response

A client that was refused and went on to send kept its connection for good, and with endless bodies a whole core: after the last response the server discarded input until the peer had been silent for 1 s. Now it discards for 1 s and 1 MiB in all, then closes. A peer that sends a body of up to 1 MiB before it reads still gets its answer.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -30,6 +30,11 @@
 /// The value is ten times the longest network latency to a caller in the same
 /// region (a few ms), rounded up.
 constexpr Millis kLastRequestWait{100};
+/// After its last response, a connection is closed once this many bytes have
+/// been discarded or this time has passed. A peer that sends its whole body
+/// before it reads the response still gets it if the body is not longer.
+constexpr size_t kMaxDiscardedBytes = 1 << 20;
+constexpr Millis kMaxDiscardTime{1000};
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
@@ -304,19 +309,21 @@
   void CloseAfterResponse() {
     std::error_code ignored;  // the peer may have closed the connection
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    ArmTimer(kMaxDiscardTime);
     DiscardInput();
   }
 
-  /// Discards received bytes until the peer closes the connection or sends
-  /// nothing for kDiscardTimeout.
+  /// Discards received bytes until the peer closes the connection or a limit is
+  /// reached.
   void DiscardInput() {
-    constexpr Millis kDiscardTimeout{1000};
-    ArmTimer(kDiscardTimeout);
     socket_.async_read_some(
         asio::buffer(buffer_),
-        [self = shared_from_this()](std::error_code error, size_t) {
-          self->DisarmTimer();
-          if (error) return self->Close();
+        [self = shared_from_this()](std::error_code error, size_t bytes) {
+          self->discarded_bytes_ += bytes;
+          if (error || self->discarded_bytes_ > kMaxDiscardedBytes) {
+            self->DisarmTimer();
+            return self->Close();
+          }
           self->DiscardInput();
         });
   }
@@ -340,6 +347,8 @@
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
+  /// Received after the last response.
+  size_t discarded_bytes_ = 0;
   std::string out_;
   std::array<char, kReadBufferBytes> buffer_{};
 };
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -167,5 +167,31 @@
                     "HTTP/1.1 400 Bad Request");
 }
 
+/// Whether the server closes the connection although the client goes on
+/// sending `bytes`, with a pause after each.
+bool ClosesOnSender(tcp::socket& socket, const std::string& bytes,
+                    Millis pause) {
+  constexpr Millis kLimit{20000};
+  const TimePoint end = Clock::now() + kLimit;
+  std::error_code error;
+  while (!error && Clock::now() < end) {
+    asio::write(socket, asio::buffer(bytes), error);
+    std::this_thread::sleep_for(pause);
+  }
+  return static_cast<bool>(error);
+}
+
+// Guards against a refused client that keeps its connection by going on to
+// send, slowly or as fast as it can.
+BOOST_AUTO_TEST_CASE(RefusedSendersAreClosed) {
+  TestServer server({});
+  tcp::socket slow = server.Connect();
+  asio::write(slow, asio::buffer(std::string("not http\r\n")));
+  BOOST_CHECK(ClosesOnSender(slow, "x", Millis(100)));
+  tcp::socket fast = server.Connect();
+  asio::write(fast, asio::buffer(std::string("not http\r\n")));
+  BOOST_CHECK(ClosesOnSender(fast, std::string(1 << 16, 'x'), Millis(0)));
+}
+
 }  // namespace
 }  // namespace mimosarail::http
