HTTP: Limit the time of a whole head and a whole body

A client that sent a byte every now and then kept a request, its memory and its connection for good: the 5 s for an unfinished request began anew with each read, and so did the 60 s of an idle connection with each empty line.

A late request gets 408, counted as refused, and is not accepted. Time in which the server handles the previous request is not counted. Bytes that have arrived when the timer fires are still read, as before: a pause of the process refuses nobody.

--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -58,6 +58,7 @@
       // whether the request is handled or lost would depend on how its bytes
       // are split into reads.
       p->upgrade = 0;
+      Self(p).stage = ParseStage::kBody;
       return Self(p).CheckAnnouncedBody();
     };
     settings.on_chunk_header = [](http_parser* p) {
@@ -85,7 +86,7 @@
     headers.clear();
     stored_head_bytes = 0;
     in_value = false;
-    inside_message = true;
+    stage = ParseStage::kHead;
   }
 
   int Fail(ParseError why) {
@@ -133,7 +134,7 @@
     message = {};
     headers = {};
     complete = false;
-    inside_message = false;
+    stage = ParseStage::kIdle;
   }
 
   std::string& HeaderName() {
@@ -157,7 +158,7 @@
   }
 
   void Complete() {
-    inside_message = false;
+    stage = ParseStage::kIdle;
     message.keep_alive = http_should_keep_alive(&parser) != 0;
     if (options.kind == MessageKind::kRequest) {
       message.request.method =
@@ -182,7 +183,7 @@
   /// the framing of chunks.
   int64_t outside_body_bytes = 0;
   bool in_value = false;
-  bool inside_message = false;
+  ParseStage stage = ParseStage::kIdle;
   /// `message` is complete and has not been passed on.
   bool complete = false;
   ParseError error = ParseError::kNone;
@@ -211,6 +212,11 @@
 
 ParseError Parser::error() const { return d_->error; }
 
-bool Parser::inside_message() const { return d_->inside_message; }
+ParseStage Parser::stage() const { return d_->stage; }
+
+void Parser::Abandon() {
+  d_->Clear();
+  d_->error = ParseError::kMalformed;
+}
 
 }  // namespace mimosarail::http
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -22,6 +22,14 @@
 /// Why bytes are not accepted.
 enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
 
+/// The part of a message that a parser receives.
+enum class ParseStage {
+  /// No message has begun; empty lines may have been received.
+  kIdle,
+  kHead,
+  kBody,
+};
+
 /// An HTTP/1.1 message as received on a connection.
 struct ParsedMessage {
   Request request;
@@ -42,10 +50,14 @@
   /// that. An announced body over the limit is refused before it arrives.
   bool Feed(std::string_view bytes,
             const std::function<void(ParsedMessage)>& done);
+  /// Drops what has been received of a message; the parser cannot be used after
+  /// that.
+  void Abandon();
   /// Why Feed() returned false.
   ParseError error() const;
   /// Whether a message has been received in part.
-  bool inside_message() const;
+  bool inside_message() const { return stage() != ParseStage::kIdle; }
+  ParseStage stage() const;
 
  private:
   struct Private;
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -8,6 +8,7 @@
 #include <unordered_set>
 
 #include "src/libs/http/parser.h"
+#include "src/libs/http/read_deadline.h"
 #include "src/libs/http/refusal_log.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
@@ -46,6 +47,8 @@
       return "Not Found";
     case 405:
       return "Method Not Allowed";
+    case 408:
+      return "Request Timeout";
     case 410:
       return "Gone";
     case 413:
@@ -82,6 +85,8 @@
   const char* why;
 };
 
+constexpr Refusal kTimeoutRefusal{.status = 408, .why = "too slow"};
+
 Refusal ToRefusal(ParseError error) {
   switch (error) {
     case ParseError::kHeadTooLarge:
@@ -165,19 +170,27 @@
  private:
   void ReadNext() {
     reading_ = true;
-    ArmTimer(parser_.inside_message()     ? server_->options.request_timeout
-             : server_->accepting_stopped ? kLastRequestWait
-                                          : server_->options.idle_timeout);
+    ArmTimer(TimeLeftToRead());
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t bytes) {
           self->reading_ = false;
           self->DisarmTimer();
+          const bool timed_out = std::exchange(self->timed_out_, false);
+          if (error && timed_out) return self->Refuse(kTimeoutRefusal);
           if (error) return self->Close();
           self->OnBytes({self->buffer_.data(), bytes});
         });
   }
 
+  Millis TimeLeftToRead() {
+    ServerLimits limits = server_->options.limits;
+    if (server_->accepting_stopped) limits.idle_timeout = kLastRequestWait;
+    const TimePoint now = Clock::now();
+    const TimePoint end = deadline_.Next(parser_.stage(), limits, now);
+    return std::max(Millis(0), std::chrono::duration_cast<Millis>(end - now));
+  }
+
   void ArmTimer(Millis limit) {
     timer_.expires_after(limit);
     timer_.async_wait(
@@ -203,7 +216,11 @@
     // The pending read is about to deliver bytes that arrived just before the
     // time-out: closing the connection would drop their request.
     if (reading_ && HasUnreadBytes()) return;
-    Close();
+    if (!reading_ || !parser_.inside_message()) return Close();
+    // The handler of the read answers, unless it has bytes after all.
+    timed_out_ = true;
+    std::error_code ignored;  // the connection is broken; the read fails
+    socket_.cancel(ignored);
   }
 
   void OnBytes(std::string_view bytes) {
@@ -222,6 +239,7 @@
   void Refuse(Refusal refusal) {
     server_->refusals.Add(refusal.why, refusal.status, Clock::now());
     keep_alive_ = false;
+    parser_.Abandon();
     Write({.status = refusal.status, .body = std::string(refusal.why) + "\n"},
           false);
   }
@@ -286,6 +304,7 @@
                           return self->CloseAfterResponse();
                         }
                         if (!self->requests_.empty()) return self->HandleNext();
+                        self->deadline_.Restart();
                         self->ReadNext();
                       });
   }
@@ -342,11 +361,14 @@
   uint64_t timer_generation_ = 0;
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
+  ReadDeadline deadline_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
+  /// The pending read was cancelled because the request took too long.
+  bool timed_out_ = false;
   /// Received after the last response.
   size_t discarded_bytes_ = 0;
   std::string out_;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,7 @@
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/http/server_limits.h"
 #include "src/libs/metrics/metrics.h"
 #include "src/libs/metrics/traffic.h"
 
@@ -21,25 +22,9 @@
 using Responder = std::function<void(Response)>;
 using Handler = std::function<void(Request, Responder)>;
 
-/// Limits on one request. A request beyond them is refused, and its connection
-/// closed, before the handler sees it.
-struct ServerLimits {
-  /// Bytes of a request without its body: empty lines before it, start line,
-  /// headers, chunk extensions and trailers. Status 431.
-  size_t max_head_bytes = 16 << 10;
-  /// Bytes of the body. Status 413.
-  size_t max_body_bytes = 256 << 10;
-};
-
 struct ServerOptions {
   /// Maximum number of open connections; further ones are closed on accept.
   size_t max_connections = 2000;
-  /// A connection on which a request is incomplete is closed when no bytes
-  /// arrive for this long, so that stalled senders do not occupy connections
-  /// forever.
-  Millis request_timeout{5000};
-  /// A connection without a request is closed after this time.
-  Millis idle_timeout{60000};
   ServerLimits limits;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "src/libs/http/parser.h"
+#include "src/libs/http/read_deadline.h"
 #include "src/libs/http/server.h"
 #include "src/libs/rpc/asio.h"
 
@@ -193,5 +194,46 @@
   BOOST_CHECK(ClosesOnSender(fast, std::string(1 << 16, 'x'), Millis(0)));
 }
 
+constexpr ServerLimits kShortTimes{.head_timeout = Millis(300),
+                                   .body_timeout = Millis(300),
+                                   .idle_timeout = Millis(300)};
+
+// Guards against requests that stay open as long as a byte arrives now and
+// then.
+BOOST_AUTO_TEST_CASE(SlowRequestsAreRefused) {
+  TestServer server({.limits = kShortTimes});
+  const std::vector<std::string> beginnings{
+      "GET / HTTP/1.1\r\nA: ",
+      "POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n"};
+  for (const std::string& beginning : beginnings) {
+    BOOST_CHECK_EQUAL(StatusLine(server, beginning),
+                      "HTTP/1.1 408 Request Timeout");
+    tcp::socket sender = server.Connect();
+    asio::write(sender, asio::buffer(beginning));
+    BOOST_CHECK(ClosesOnSender(sender, "x", Millis(100)));
+  }
+}
+
+// Guards against idle connections that stay open for empty lines.
+BOOST_AUTO_TEST_CASE(EmptyLinesDoNotExtendTheIdleTime) {
+  TestServer server({.limits = kShortTimes});
+  tcp::socket sender = server.Connect();
+  BOOST_CHECK(ClosesOnSender(sender, "\r\n", Millis(100)));
+}
+
+// Guards against deadlines that count the time in which the server handled the
+// previous request.
+BOOST_AUTO_TEST_CASE(DeadlinesBeginAnewAfterAResponse) {
+  ReadDeadline deadline;
+  const TimePoint start{};
+  const TimePoint end = deadline.Next(ParseStage::kHead, kShortTimes, start);
+  BOOST_CHECK(end == start + kShortTimes.head_timeout);
+  BOOST_CHECK(
+      deadline.Next(ParseStage::kHead, kShortTimes, start + Millis(9)) == end);
+  deadline.Restart();
+  BOOST_CHECK(deadline.Next(ParseStage::kHead, kShortTimes,
+                            start + Millis(9)) == end + Millis(9));
+}
+
 }  // namespace
 }  // namespace mimosarail::http
