HTTP: Close the idlest connection for a newcomer at the limit

With as many idle connections as the server admits, ordinary callers were reset on accept until the idle ones timed out. Now a newcomer takes the place of the connection that has been without a request for longest; one with unread bytes is passed over, so that no request that has arrived is dropped. The idle connections are kept in order of last use.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -7,6 +7,7 @@
 #include <deque>
 #include <unordered_set>
 
+#include "src/libs/http/idle_list.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/refusal_log.h"
@@ -36,6 +37,8 @@
 /// before it reads the response still gets it if the body is not longer.
 constexpr size_t kMaxDiscardedBytes = 1 << 20;
 constexpr Millis kMaxDiscardTime{1000};
+/// How many idle connections are looked at to find one without unread bytes.
+constexpr size_t kMaxIdleTries = 8;
 
 std::string_view ReasonPhrase(int status) {
   switch (status) {
@@ -115,6 +118,9 @@
 
   void AcceptNext();
   void StartSession(tcp::socket socket);
+  /// Closes the connection that has been idle for longest. Returns whether
+  /// there is one.
+  bool CloseIdlest();
   void StopAccepting();
 
   asio::io_context& io;
@@ -128,6 +134,7 @@
   /// Accessed on the thread of `io` only, as is `sessions`.
   bool accepting_stopped = false;
   std::unordered_set<Session*> sessions;
+  IdleList<Session> idle;
   RefusalLog refusals;
 };
 
@@ -142,7 +149,8 @@
         server_(std::move(server)),
         parser_({.kind = MessageKind::kRequest,
                  .max_head_bytes = server_->options.limits.max_head_bytes,
-                 .max_body = server_->options.limits.max_body_bytes}) {
+                 .max_body = server_->options.limits.max_body_bytes}),
+        idle_(server_->idle, *this) {
     ++server_->connections;
     server_->sessions.insert(this);
   }
@@ -161,6 +169,17 @@
     ReadNext();
   }
 
+  /// Whether the connection has sent nothing that is still to be read.
+  bool IsSilent() const { return !HasUnreadBytes(); }
+
+  void Close() {
+    idle_.Leave();
+    server_->open_requests -= static_cast<int64_t>(requests_.size());
+    requests_.clear();
+    std::error_code ignored;  // an error on closing has no consequence
+    socket_.close(ignored);
+  }
+
   /// If the connection is waiting for its next request, shortens the wait to
   /// kLastRequestWait.
   void OnAcceptingStopped() {
@@ -170,6 +189,7 @@
  private:
   void ReadNext() {
     reading_ = true;
+    if (!parser_.inside_message()) idle_.Join();
     ArmTimer(TimeLeftToRead());
     socket_.async_read_some(
         asio::buffer(buffer_),
@@ -232,11 +252,13 @@
     });
     CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
     if (!valid) return Refuse(ToRefusal(parser_.error()));
+    if (complete > 0 || parser_.inside_message()) idle_.Leave();
     if (requests_.empty()) return ReadNext();
     HandleNext();
   }
 
   void Refuse(Refusal refusal) {
+    idle_.Leave();
     server_->refusals.Add(refusal.why, refusal.status, Clock::now());
     keep_alive_ = false;
     parser_.Abandon();
@@ -347,13 +369,6 @@
         });
   }
 
-  void Close() {
-    server_->open_requests -= static_cast<int64_t>(requests_.size());
-    requests_.clear();
-    std::error_code ignored;  // an error on closing has no consequence
-    socket_.close(ignored);
-  }
-
   tcp::socket socket_;
   asio::steady_timer timer_;
   /// Incremented each time the timer is armed or disarmed, so that earlier
@@ -362,6 +377,7 @@
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
   ReadDeadline deadline_;
+  IdleList<Session>::Entry idle_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   bool keep_alive_ = true;
@@ -378,10 +394,26 @@
 }  // namespace
 
 void Server::Private::StartSession(tcp::socket socket) {
-  if (connections >= options.max_connections) return;
+  if (connections >= options.max_connections && !CloseIdlest()) {
+    return refusals.Add("too many connections", 0, Clock::now());
+  }
   std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
 }
 
+bool Server::Private::CloseIdlest() {
+  // A request that has arrived is not dropped: its caller would be told
+  // nothing.
+  size_t tries = 0;
+  for (Session* session : idle) {
+    if (++tries > kMaxIdleTries) return false;
+    if (!session->IsSilent()) continue;
+    refusals.Add("idle at the connection limit", 0, Clock::now());
+    session->Close();
+    return true;
+  }
+  return false;
+}
+
 void Server::Private::StopAccepting() {
   shutting_down = true;
   accepting_stopped = true;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -23,7 +23,9 @@
 using Handler = std::function<void(Request, Responder)>;
 
 struct ServerOptions {
-  /// Maximum number of open connections; further ones are closed on accept.
+  /// Maximum number of open connections. A further one takes the place of the
+  /// connection that has been idle for longest; if none is idle, it is closed
+  /// on accept.
   size_t max_connections = 2000;
   ServerLimits limits;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -235,5 +235,26 @@
                             start + Millis(9)) == end + Millis(9));
 }
 
+// Guards against idle connections that keep callers out, and against closing
+// connections that are in use for it.
+BOOST_AUTO_TEST_CASE(IdlestConnectionMakesRoom) {
+  TestServer server({.max_connections = 3});
+  tcp::socket busy = server.Connect();
+  asio::write(busy, asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  tcp::socket idlest = server.Connect();
+  std::this_thread::sleep_for(Millis(50));
+  tcp::socket idle = server.Connect();
+  std::this_thread::sleep_for(Millis(50));
+  BOOST_CHECK_EQUAL(
+      StatusLine(server, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+      "HTTP/1.1 200 OK");
+  BOOST_CHECK(ReadToEnd(idlest).empty());
+  for (tcp::socket* kept : {&busy, &idle}) {
+    const std::string rest = kept == &busy ? "" : "GET / HTTP/1.1\r\n";
+    asio::write(*kept, asio::buffer(rest + "Connection: close\r\n\r\n"));
+    BOOST_CHECK(ReadToEnd(*kept).starts_with("HTTP/1.1 200"));
+  }
+}
+
 }  // namespace
 }  // namespace mimosarail::http
