Entry: Apply the operators' limits on requests

The operators' configuration carries limits on callers' requests, but the entry used limits of its own: maxBodyBytes was decoded and ignored, maxHeaderBytes, headerTimeoutMs and idleTimeoutMs were not read.

All four are now decoded, published with the table of queues and keys, and read at the beginning of each request, so a change holds for open connections as well. A malformed limit makes the configuration invalid, as maxBodyBytes did before.

--- a/src/jobentry/access_table.cc
+++ b/src/jobentry/access_table.cc
@@ -34,7 +34,9 @@
 }  // namespace
 
 AccessTable::AccessTable(const ports::CellConfig& config)
-    : version_(config.version), authenticates_(config.accounts.has_value()) {
+    : version_(config.version),
+      authenticates_(config.accounts.has_value()),
+      limits_(config.limits) {
   for (const ports::QueueConfig& queue : config.queues) {
     HostQueues& host = by_host_[queue.host];
     host.by_prefix[queue.prefix] = queue;
--- a/src/jobentry/access_table.h
+++ b/src/jobentry/access_table.h
@@ -19,6 +19,7 @@
   int64_t version() const { return version_; }
   /// Whether calls to queues that are not open need a key.
   bool authenticates() const { return authenticates_; }
+  const ports::RequestLimits& limits() const { return limits_; }
   /// Returns the queue of this host whose prefix is the longest that matches
   /// the path; null if there is none.
   const ports::QueueConfig* FindQueue(const std::string& host,
@@ -40,6 +41,7 @@
 
   int64_t version_;
   bool authenticates_;
+  ports::RequestLimits limits_;
   std::unordered_map<std::string, HostQueues> by_host_;
   /// By the hash of the key with a secret seed.
   std::unordered_multimap<uint64_t, KeyOwner> by_key_hash_;
--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -214,6 +214,11 @@
 
 ParseStage Parser::stage() const { return d_->stage; }
 
+void Parser::SetLimits(size_t max_head_bytes, size_t max_body) {
+  d_->options.max_head_bytes = max_head_bytes;
+  d_->options.max_body = max_body;
+}
+
 void Parser::Abandon() {
   d_->Clear();
   d_->error = ParseError::kMalformed;
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -50,6 +50,8 @@
   /// that. An announced body over the limit is refused before it arrives.
   bool Feed(std::string_view bytes,
             const std::function<void(ParsedMessage)>& done);
+  /// Applies to what is fed from now on.
+  void SetLimits(size_t max_head_bytes, size_t max_body);
   /// Drops what has been received of a message; the parser cannot be used after
   /// that.
   void Abandon();
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -147,9 +147,7 @@
       : socket_(std::move(socket)),
         timer_(server->io),
         server_(std::move(server)),
-        parser_({.kind = MessageKind::kRequest,
-                 .max_head_bytes = server_->options.limits.max_head_bytes,
-                 .max_body = server_->options.limits.max_body_bytes}),
+        parser_({.kind = MessageKind::kRequest}),
         idle_(server_->idle, *this) {
     ++server_->connections;
     server_->sessions.insert(this);
@@ -189,7 +187,10 @@
  private:
   void ReadNext() {
     reading_ = true;
-    if (!parser_.inside_message()) idle_.Join();
+    if (!parser_.inside_message()) {
+      UpdateLimits();
+      idle_.Join();
+    }
     ArmTimer(TimeLeftToRead());
     socket_.async_read_some(
         asio::buffer(buffer_),
@@ -203,8 +204,15 @@
         });
   }
 
+  void UpdateLimits() {
+    const ServerOptions& options = server_->options;
+    limits_ =
+        options.current_limits ? options.current_limits() : options.limits;
+    parser_.SetLimits(limits_.max_head_bytes, limits_.max_body_bytes);
+  }
+
   Millis TimeLeftToRead() {
-    ServerLimits limits = server_->options.limits;
+    ServerLimits limits = limits_;
     if (server_->accepting_stopped) limits.idle_timeout = kLastRequestWait;
     const TimePoint now = Clock::now();
     const TimePoint end = deadline_.Next(parser_.stage(), limits, now);
@@ -244,6 +252,7 @@
   }
 
   void OnBytes(std::string_view bytes) {
+    if (!parser_.inside_message()) UpdateLimits();
     int64_t complete = 0;
     const bool valid = parser_.Feed(bytes, [&](ParsedMessage message) {
       ++complete;
@@ -376,6 +385,8 @@
   uint64_t timer_generation_ = 0;
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
+  /// Limits of the request that is being received, or of the next one.
+  ServerLimits limits_;
   ReadDeadline deadline_;
   IdleList<Session>::Entry idle_;
   /// Requests that have been read and not yet passed to the handler.
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -28,6 +28,9 @@
   /// on accept.
   size_t max_connections = 2000;
   ServerLimits limits;
+  /// Returns the limits of the request that begins, unless it is empty;
+  /// `limits` then has no effect. Runs on the thread of `io`.
+  std::function<ServerLimits()> current_limits;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/ports/cell_config_port.h
+++ b/src/ports/cell_config_port.h
@@ -43,6 +43,17 @@
   AccountLimit limit;
 };
 
+/// The operators' limits on callers' requests; 0 for what is not given.
+struct RequestLimits {
+  /// Start line and headers of a request, in bytes.
+  int64_t max_head_bytes = 0;
+  int64_t max_body_bytes = 0;
+  /// Longest time in which start line and headers arrive.
+  int64_t head_timeout_ms = 0;
+  /// Longest time of a connection without a request.
+  int64_t idle_timeout_ms = 0;
+};
+
 /// A valid configuration of the cell.
 struct CellConfig {
   int64_t version = 0;
@@ -51,8 +62,7 @@
   std::set<std::string> pools;
   /// Unset if the cell has no accounts; calls then need no key.
   std::optional<std::vector<AccountConfig>> accounts;
-  /// Largest body of a caller's request, in bytes.
-  int64_t max_body_bytes = 0;
+  RequestLimits limits;
 };
 
 /// The result of one read of the configuration.
--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -362,6 +362,21 @@
   }
 }
 
+/// Guards against limits of the operators that are not applied, or only to
+/// connections that begin later.
+BOOST_FIXTURE_TEST_CASE(LimitsFollowTheConfiguration, ServerFixture) {
+  ports::CellConfig config = TwoQueues();
+  config.accounts.reset();
+  Publish(config, Clock::now());
+  const std::string job = std::string("/a/") + kJob;
+  const std::string filler = "X-Filler: " + std::string(1000, 'x') + "\r\n";
+  BOOST_TEST(Status(job, filler) == 200);
+  config.limits.max_head_bytes = 1000;
+  Publish(config, Clock::now());
+  BOOST_TEST(Status(job, "") == 200);
+  BOOST_TEST(Status(job, filler) == 431);
+}
+
 /// Guards against a queue or an account that is found for the wrong path, host
 /// or key.
 BOOST_AUTO_TEST_CASE(QueuesAndAccountsAreFound) {
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -206,8 +206,15 @@
       R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/p/",
       "service":"s","priority":1,"maxAttempts":2,"slackFactor":2.2,
       "targetDurationMs":1000,"advisor":{"decideMs":360.5,"periodMs":5.1,
-      "validMs":1500}}],"limits":{"maxBodyBytes":9}})";
-  BOOST_REQUIRE(DecodeConfig(good).ok());
+      "validMs":1500}}],"limits":{"maxBodyBytes":9,"maxHeaderBytes":8,
+      "headerTimeoutMs":7,"idleTimeoutMs":6}})";
+  const auto decoded = DecodeConfig(good);
+  BOOST_REQUIRE(decoded.ok());
+  const ports::RequestLimits& limits = decoded.value().limits;
+  BOOST_TEST(limits.max_body_bytes == 9);
+  BOOST_TEST(limits.max_head_bytes == 8);
+  BOOST_TEST(limits.head_timeout_ms == 7);
+  BOOST_TEST(limits.idle_timeout_ms == 6);
   struct Row {
     const char* from;
     const char* to;
@@ -242,8 +249,11 @@
            Row{R"({"decideMs":360.5,"periodMs":5.1,
       "validMs":1500})",
                "true"},
-           Row{R"({"maxBodyBytes":9})", "9"},
+           Row{R"("limits":{)", R"("limits":9,"other":{)"},
            Row{R"("maxBodyBytes":9)", R"("maxBodyBytes":-9)"},
+           Row{R"("maxHeaderBytes":8)", R"("maxHeaderBytes":-8)"},
+           Row{R"("headerTimeoutMs":7)", R"("headerTimeoutMs":"7")"},
+           Row{R"("idleTimeoutMs":6)", R"("idleTimeoutMs":1e300)"},
        }) {
     const std::string document = Replaced(good, row.from, row.to);
     BOOST_TEST(!DecodeConfig(document).ok(), document);
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE http_limits
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
@@ -256,5 +257,24 @@
   }
 }
 
+// Guards against limits that are fixed when the server or a connection begins.
+BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
+  std::atomic<size_t> max_body_bytes{9};
+  TestServer server({.current_limits = [&]() -> ServerLimits {
+    return {.max_body_bytes = max_body_bytes};
+  }});
+  const std::string request =
+      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789";
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  tcp::socket socket = server.Connect();
+  asio::write(socket, asio::buffer(request));
+  std::string answer(ok.size(), ' ');
+  asio::read(socket, asio::buffer(answer));
+  BOOST_CHECK_EQUAL(answer, ok);
+  max_body_bytes = 8;
+  asio::write(socket, asio::buffer(request));
+  BOOST_CHECK(ReadToEnd(socket).starts_with("HTTP/1.1 413"));
+}
+
 }  // namespace
 }  // namespace mimosarail::http
