--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -11,6 +11,7 @@
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/refusal_log.h"
+#include "src/libs/http/response_text.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
@@ -40,48 +41,6 @@
 /// How many idle connections are looked at to find one without unread bytes.
 constexpr size_t kMaxIdleTries = 8;
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 408:
-      return "Request Timeout";
-    case 410:
-      return "Gone";
-    case 413:
-      return "Content Too Large";
-    case 429:
-      return "Too Many Requests";
-    case 431:
-      return "Request Header Fields Too Large";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
-std::string Serialize(const Response& response, bool keep_alive) {
-  std::string out = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                    std::string(ReasonPhrase(response.status)) + "\r\n";
-  for (const auto& [name, value] : response.headers) {
-    out += name + ": " + value + "\r\n";
-  }
-  out += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-  if (!keep_alive) out += "Connection: close\r\n";
-  out += "\r\n";
-  out += response.body;
-  return out;
-}
-
 /// A response that ends a connection before the handler sees the request.
 struct Refusal {
   int status;
@@ -324,7 +283,7 @@
         !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
     keep_alive_ =
         keep_alive_ && (!server_->shutting_down || has_further_requests);
-    out_ = Serialize(response, keep_alive_);
+    out_ = ResponseText(response, keep_alive_);
     CountTraffic(metrics::Direction::kOut, out_.size(), 1);
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this(), counted_as_open](
