--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -12,10 +12,24 @@
 
 struct ParserOptions {
   MessageKind kind = MessageKind::kRequest;
-  /// Maximum size of a body in bytes; a larger one is an error.
+  /// Maximum size in bytes of a message without its body: empty lines before
+  /// it, start line, headers, chunk extensions and trailers.
+  size_t max_head_bytes = 32 << 10;
+  /// Maximum size of a body in bytes.
   size_t max_body = 4 << 20;
 };
 
+/// Why bytes are not accepted.
+enum class ParseError { kNone, kMalformed, kHeadTooLarge, kBodyTooLarge };
+
+/// The part of a message that a parser receives.
+enum class ParseStage {
+  /// No message has begun; empty lines may have been received.
+  kIdle,
+  kHead,
+  kBody,
+};
+
 /// An HTTP/1.1 message as received on a connection.
 struct ParsedMessage {
   Request request;
@@ -33,11 +47,19 @@
 
   /// Passes every message that `bytes` completes to `done`. Returns false if
   /// the bytes are not HTTP or exceed a limit; the parser cannot be used after
-  /// that.
+  /// that. An announced body over the limit is refused before it arrives.
   bool Feed(std::string_view bytes,
             const std::function<void(ParsedMessage)>& done);
+  /// Applies to what is fed from now on.
+  void SetLimits(size_t max_head_bytes, size_t max_body);
+  /// Drops what has been received of a message; the parser cannot be used after
+  /// that.
+  void Abandon();
+  /// Why Feed() returned false.
+  ParseError error() const;
   /// Whether a message has been received in part.
-  bool inside_message() const;
+  bool inside_message() const { return stage() != ParseStage::kIdle; }
+  ParseStage stage() const;
 
  private:
   struct Private;
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -7,7 +7,11 @@
 #include <deque>
 #include <unordered_set>
 
+#include "src/libs/http/idle_list.h"
 #include "src/libs/http/parser.h"
+#include "src/libs/http/read_deadline.h"
+#include "src/libs/http/refusal_log.h"
+#include "src/libs/http/response_text.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
@@ -29,41 +33,33 @@
 /// The value is ten times the longest network latency to a caller in the same
 /// region (a few ms), rounded up.
 constexpr Millis kLastRequestWait{100};
+/// After its last response, a connection is closed once this many bytes have
+/// been discarded or this time has passed. A peer that sends its whole body
+/// before it reads the response still gets it if the body is not longer.
+constexpr size_t kMaxDiscardedBytes = 1 << 20;
+constexpr Millis kMaxDiscardTime{1000};
+/// How many idle connections are looked at to find one without unread bytes.
+constexpr size_t kMaxIdleTries = 8;
+
+/// A response that ends a connection before the handler sees the request.
+struct Refusal {
+  int status;
+  const char* why;
+};
 
-std::string_view ReasonPhrase(int status) {
-  switch (status) {
-    case 200:
-      return "OK";
-    case 400:
-      return "Bad Request";
-    case 404:
-      return "Not Found";
-    case 405:
-      return "Method Not Allowed";
-    case 410:
-      return "Gone";
-    case 429:
-      return "Too Many Requests";
-    case 503:
-      return "Service Unavailable";
-    case 504:
-      return "Gateway Timeout";
-    default:
-      return "Status";
-  }
-}
-
-std::string Serialize(const Response& response, bool keep_alive) {
-  std::string out = "HTTP/1.1 " + std::to_string(response.status) + " " +
-                    std::string(ReasonPhrase(response.status)) + "\r\n";
-  for (const auto& [name, value] : response.headers) {
-    out += name + ": " + value + "\r\n";
+constexpr Refusal kTimeoutRefusal{.status = 408, .why = "too slow"};
+
+Refusal ToRefusal(ParseError error) {
+  switch (error) {
+    case ParseError::kHeadTooLarge:
+      return {.status = 431, .why = "head too large"};
+    case ParseError::kBodyTooLarge:
+      return {.status = 413, .why = "body too large"};
+    case ParseError::kMalformed:
+    case ParseError::kNone:
+      break;
   }
-  out += "Content-Length: " + std::to_string(response.body.size()) + "\r\n";
-  if (!keep_alive) out += "Connection: close\r\n";
-  out += "\r\n";
-  out += response.body;
-  return out;
+  return {.status = 400, .why = "malformed"};
 }
 
 class Session;
@@ -76,10 +72,14 @@
         options(std::move(options_in)),
         handler(std::move(handler_in)),
         acceptor(io_in),
-        accept_retry_timer(io_in) {}
+        accept_retry_timer(io_in),
+        refusals(options.metrics, options.traffic_kind) {}
 
   void AcceptNext();
   void StartSession(tcp::socket socket);
+  /// Closes the connection that has been idle for longest. Returns whether
+  /// there is one.
+  bool CloseIdlest();
   void StopAccepting();
 
   asio::io_context& io;
@@ -93,6 +93,8 @@
   /// Accessed on the thread of `io` only, as is `sessions`.
   bool accepting_stopped = false;
   std::unordered_set<Session*> sessions;
+  IdleList<Session> idle;
+  RefusalLog refusals;
 };
 
 namespace {
@@ -104,8 +106,8 @@
       : socket_(std::move(socket)),
         timer_(server->io),
         server_(std::move(server)),
-        parser_({.kind = MessageKind::kRequest,
-                 .max_body = server_->options.max_body}) {
+        parser_({.kind = MessageKind::kRequest}),
+        idle_(server_->idle, *this) {
     ++server_->connections;
     server_->sessions.insert(this);
   }
@@ -124,6 +126,17 @@
     ReadNext();
   }
 
+  /// Whether the connection has sent nothing that is still to be read.
+  bool IsSilent() const { return !HasUnreadBytes(); }
+
+  void Close() {
+    idle_.Leave();
+    server_->open_requests -= static_cast<int64_t>(requests_.size());
+    requests_.clear();
+    std::error_code ignored;  // an error on closing has no consequence
+    socket_.close(ignored);
+  }
+
   /// If the connection is waiting for its next request, shortens the wait to
   /// kLastRequestWait.
   void OnAcceptingStopped() {
@@ -133,19 +146,39 @@
  private:
   void ReadNext() {
     reading_ = true;
-    ArmTimer(parser_.inside_message()     ? server_->options.request_timeout
-             : server_->accepting_stopped ? kLastRequestWait
-                                          : server_->options.idle_timeout);
+    if (!parser_.inside_message()) {
+      UpdateLimits();
+      idle_.Join();
+    }
+    ArmTimer(TimeLeftToRead());
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t bytes) {
           self->reading_ = false;
           self->DisarmTimer();
-          if (error) return self->Close();
+          const bool timed_out = std::exchange(self->timed_out_, false);
+          if (error && timed_out) return self->Refuse(kTimeoutRefusal);
+          // Closed for a newcomer, while this handler was queued.
+          if (error || !self->socket_.is_open()) return self->Close();
           self->OnBytes({self->buffer_.data(), bytes});
         });
   }
 
+  void UpdateLimits() {
+    const ServerOptions& options = server_->options;
+    limits_ =
+        options.current_limits ? options.current_limits() : options.limits;
+    parser_.SetLimits(limits_.max_head_bytes, limits_.max_body_bytes);
+  }
+
+  Millis TimeLeftToRead() {
+    ServerLimits limits = limits_;
+    if (server_->accepting_stopped) limits.idle_timeout = kLastRequestWait;
+    const TimePoint now = Clock::now();
+    const TimePoint end = deadline_.Next(parser_.stage(), limits, now);
+    return std::max(Millis(0), std::chrono::duration_cast<Millis>(end - now));
+  }
+
   void ArmTimer(Millis limit) {
     timer_.expires_after(limit);
     timer_.async_wait(
@@ -171,10 +204,15 @@
     // The pending read is about to deliver bytes that arrived just before the
     // time-out: closing the connection would drop their request.
     if (reading_ && HasUnreadBytes()) return;
-    Close();
+    if (!reading_ || !parser_.inside_message()) return Close();
+    // The handler of the read answers, unless it has bytes after all.
+    timed_out_ = true;
+    std::error_code ignored;  // the connection is broken; the read fails
+    socket_.cancel(ignored);
   }
 
   void OnBytes(std::string_view bytes) {
+    if (!parser_.inside_message()) UpdateLimits();
     int64_t complete = 0;
     const bool valid = parser_.Feed(bytes, [&](ParsedMessage message) {
       ++complete;
@@ -182,14 +220,21 @@
       requests_.push_back(std::move(message));
     });
     CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
-    if (!valid) {
-      keep_alive_ = false;
-      return Write({.status = 400, .body = "not a request\n"}, false);
-    }
+    if (!valid) return Refuse(ToRefusal(parser_.error()));
+    if (complete > 0 || parser_.inside_message()) idle_.Leave();
     if (requests_.empty()) return ReadNext();
     HandleNext();
   }
 
+  void Refuse(Refusal refusal) {
+    idle_.Leave();
+    server_->refusals.Add(refusal.why, refusal.status, Clock::now());
+    keep_alive_ = false;
+    parser_.Abandon();
+    Write({.status = refusal.status, .body = std::string(refusal.why) + "\n"},
+          false);
+  }
+
   /// The pending response to one request. The handler may drop it without
   /// sending, for example when the object that the request waited for is
   /// destroyed. The destructor then sends status 504, which reports that the
@@ -239,7 +284,7 @@
         !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
     keep_alive_ =
         keep_alive_ && (!server_->shutting_down || has_further_requests);
-    out_ = Serialize(response, keep_alive_);
+    out_ = ResponseText(response, keep_alive_);
     CountTraffic(metrics::Direction::kOut, out_.size(), 1);
     asio::async_write(socket_, asio::buffer(out_),
                       [self = shared_from_this(), counted_as_open](
@@ -250,6 +295,7 @@
                           return self->CloseAfterResponse();
                         }
                         if (!self->requests_.empty()) return self->HandleNext();
+                        self->deadline_.Restart();
                         self->ReadNext();
                       });
   }
@@ -273,30 +319,25 @@
   void CloseAfterResponse() {
     std::error_code ignored;  // the peer may have closed the connection
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    ArmTimer(kMaxDiscardTime);
     DiscardInput();
   }
 
-  /// Discards received bytes until the peer closes the connection or sends
-  /// nothing for kDiscardTimeout.
+  /// Discards received bytes until the peer closes the connection or a limit is
+  /// reached.
   void DiscardInput() {
-    constexpr Millis kDiscardTimeout{1000};
-    ArmTimer(kDiscardTimeout);
     socket_.async_read_some(
         asio::buffer(buffer_),
-        [self = shared_from_this()](std::error_code error, size_t) {
-          self->DisarmTimer();
-          if (error) return self->Close();
+        [self = shared_from_this()](std::error_code error, size_t bytes) {
+          self->discarded_bytes_ += bytes;
+          if (error || self->discarded_bytes_ > kMaxDiscardedBytes) {
+            self->DisarmTimer();
+            return self->Close();
+          }
           self->DiscardInput();
         });
   }
 
-  void Close() {
-    server_->open_requests -= static_cast<int64_t>(requests_.size());
-    requests_.clear();
-    std::error_code ignored;  // an error on closing has no consequence
-    socket_.close(ignored);
-  }
-
   tcp::socket socket_;
   asio::steady_timer timer_;
   /// Incremented each time the timer is armed or disarmed, so that earlier
@@ -304,11 +345,19 @@
   uint64_t timer_generation_ = 0;
   std::shared_ptr<Server::Private> server_;
   Parser parser_;
+  /// Limits of the request that is being received, or of the next one.
+  ServerLimits limits_;
+  ReadDeadline deadline_;
+  IdleList<Session>::Entry idle_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
+  /// The pending read was cancelled because the request took too long.
+  bool timed_out_ = false;
+  /// Received after the last response.
+  size_t discarded_bytes_ = 0;
   std::string out_;
   std::array<char, kReadBufferBytes> buffer_{};
 };
@@ -316,10 +365,25 @@
 }  // namespace
 
 void Server::Private::StartSession(tcp::socket socket) {
-  if (connections >= options.max_connections) return;
+  if (connections >= options.max_connections && !CloseIdlest()) {
+    return refusals.Add("too many connections", 0, Clock::now());
+  }
   std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
 }
 
+bool Server::Private::CloseIdlest() {
+  // Passes over connections whose next request has arrived.
+  size_t tries = 0;
+  for (Session* session : idle) {
+    if (++tries > kMaxIdleTries) return false;
+    if (!session->IsSilent()) continue;
+    refusals.Add("idle at the connection limit", 0, Clock::now());
+    session->Close();
+    return true;
+  }
+  return false;
+}
+
 void Server::Private::StopAccepting() {
   shutting_down = true;
   accepting_stopped = true;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,8 @@
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/http/server_limits.h"
+#include "src/libs/metrics/metrics.h"
 #include "src/libs/metrics/traffic.h"
 
 namespace asio {
@@ -21,19 +23,20 @@
 using Handler = std::function<void(Request, Responder)>;
 
 struct ServerOptions {
-  /// Maximum number of open connections; further ones are closed on accept.
+  /// Maximum number of open connections. A further one takes the place of the
+  /// connection that has been idle for longest; if none is idle, it is closed
+  /// on accept.
   size_t max_connections = 2000;
-  /// A connection on which a request is incomplete is closed when no bytes
-  /// arrive for this long, so that stalled senders do not occupy connections
-  /// forever.
-  Millis request_timeout{5000};
-  /// A connection without a request is closed after this time.
-  Millis idle_timeout{60000};
-  size_t max_body = 1 << 20;
+  ServerLimits limits;
+  /// Returns the limits of the request that begins, unless it is empty;
+  /// `limits` then has no effect. Runs on the thread of `io`.
+  std::function<ServerLimits()> current_limits;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
   std::string traffic_kind = "served";
+  /// Counts refusals unless it is null; must outlive the server.
+  metrics::Registry* metrics = nullptr;
 };
 
 /// HTTP/1.1 server. `handler` runs on the thread of `io`.
--- /dev/null
+++ b/tests/http_limits_test.cc
@@ -0,0 +1,281 @@
+#define BOOST_TEST_MODULE http_limits
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include "src/libs/http/parser.h"
+#include "src/libs/http/read_deadline.h"
+#include "src/libs/http/server.h"
+#include "src/libs/rpc/asio.h"
+
+namespace mimosarail::http {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kMaxHeadBytes = 200;
+constexpr size_t kMaxBodyBytes = 100;
+
+struct Parsed {
+  std::vector<std::string> bodies;
+  ParseError error = ParseError::kNone;
+};
+
+/// Feeds `bytes` in pieces of `step` bytes.
+Parsed Parse(const std::string& bytes, size_t step) {
+  Parsed out;
+  const std::string_view all = bytes;
+  Parser parser({.max_head_bytes = kMaxHeadBytes, .max_body = kMaxBodyBytes});
+  const auto take = [&](ParsedMessage message) {
+    out.bodies.push_back(std::move(message.request.body));
+  };
+  for (size_t at = 0; at < bytes.size(); at += step) {
+    if (!parser.Feed(all.substr(at, step), take)) break;
+  }
+  out.error = parser.error();
+  return out;
+}
+
+/// Checks that the outcome does not depend on how the bytes are split.
+Parsed ParseInAnyPieces(const std::string& bytes) {
+  Parsed whole = Parse(bytes, bytes.size());
+  for (const size_t step : {size_t{1}, size_t{7}, size_t{64}}) {
+    const Parsed pieces = Parse(bytes, step);
+    BOOST_CHECK(pieces.error == whole.error);
+    BOOST_CHECK(pieces.bodies == whole.bodies);
+  }
+  return whole;
+}
+
+std::string Lines(size_t bytes) {
+  std::string out;
+  while (out.size() < bytes) out += "\r\n";
+  return out;
+}
+
+const std::string kChunkedHead =
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+// Guards against limits that add up over the requests of a connection.
+BOOST_AUTO_TEST_CASE(LimitsHoldForEachRequest) {
+  std::string bytes;
+  constexpr size_t kRequests = 20;
+  for (size_t i = 0; i < kRequests; ++i) {
+    bytes += "\r\nPOST / HTTP/1.1\r\nContent-Length: 100\r\n\r\n" +
+             std::string(kMaxBodyBytes, 'x');
+  }
+  const Parsed parsed = ParseInAnyPieces(bytes);
+  BOOST_CHECK(parsed.error == ParseError::kNone);
+  BOOST_CHECK_EQUAL(parsed.bodies.size(), kRequests);
+}
+
+// Guards against refusing a legal body for the number of its chunks.
+BOOST_AUTO_TEST_CASE(LegalBodyInSingleBytesIsRead) {
+  std::string bytes = kChunkedHead;
+  for (size_t i = 0; i < kMaxBodyBytes; ++i) bytes += "1\r\nx\r\n";
+  const Parsed parsed = ParseInAnyPieces(bytes + "0\r\n\r\n");
+  BOOST_CHECK(parsed.error == ParseError::kNone);
+  BOOST_REQUIRE_EQUAL(parsed.bodies.size(), 1U);
+  BOOST_CHECK_EQUAL(parsed.bodies[0].size(), kMaxBodyBytes);
+}
+
+// Guards against bytes outside of the body that no limit counts.
+BOOST_AUTO_TEST_CASE(AllBytesOutsideTheBodyAreLimited) {
+  const std::string filler(kMaxHeadBytes + 1, 'x');
+  for (const std::string& bytes :
+       {Lines(kMaxHeadBytes + 1), "GET /" + filler,
+        "GET / HTTP/1.1\r\n" + filler,
+        "GET / HTTP/1.1\r\nA:" + std::string(kMaxHeadBytes, ' '),
+        kChunkedHead + "1;" + filler,
+        kChunkedHead + "1\r\nx\r\n0\r\nA: " + filler}) {
+    BOOST_CHECK(ParseInAnyPieces(bytes).error == ParseError::kHeadTooLarge);
+  }
+}
+
+// Guards against a body that is stored although it is too large.
+BOOST_AUTO_TEST_CASE(AnnouncedBodyIsRefusedWithTheHead) {
+  const Parsed parsed =
+      ParseInAnyPieces("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+  BOOST_CHECK(parsed.error == ParseError::kBodyTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(ChunkedBodyOverTheLimitIsRefused) {
+  const Parsed parsed = ParseInAnyPieces(kChunkedHead + "65\r\n" +
+                                         std::string(kMaxBodyBytes + 1, 'x'));
+  BOOST_CHECK(parsed.error == ParseError::kBodyTooLarge);
+}
+
+BOOST_AUTO_TEST_CASE(OtherBytesAreMalformed) {
+  BOOST_CHECK(ParseInAnyPieces("not http\r\n").error == ParseError::kMalformed);
+}
+
+/// Server with a thread of its own that answers each request with 200.
+class TestServer {
+ public:
+  explicit TestServer(ServerOptions options)
+      : server_(io_, std::move(options),
+                [](const Request&, const Responder& respond) { respond({}); }) {
+    port_ = server_.Listen("127.0.0.1:0").value();
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~TestServer() {
+    io_.stop();
+    thread_.join();
+  }
+  TestServer(const TestServer&) = delete;
+  TestServer& operator=(const TestServer&) = delete;
+
+  tcp::socket Connect() {
+    tcp::socket socket(clients_);
+    socket.connect({asio::ip::address_v4::loopback(), port_});
+    return socket;
+  }
+
+ private:
+  asio::io_context io_;
+  asio::io_context clients_;
+  Server server_;
+  uint16_t port_ = 0;
+  std::thread thread_;
+};
+
+/// Returns what arrives until the server ends the connection.
+std::string ReadToEnd(tcp::socket& socket) {
+  std::string out;
+  std::error_code ended;
+  asio::read(socket, asio::dynamic_buffer(out), ended);
+  return out;
+}
+
+/// Returns the status line of the answer to `bytes`.
+std::string StatusLine(TestServer& server, const std::string& bytes) {
+  tcp::socket socket = server.Connect();
+  asio::write(socket, asio::buffer(bytes));
+  const std::string answer = ReadToEnd(socket);
+  return answer.substr(0, answer.find("\r\n"));
+}
+
+// Guards against refusals that do not tell the caller which limit it met.
+BOOST_AUTO_TEST_CASE(RefusalsNameTheLimit) {
+  TestServer server({.limits = {.max_head_bytes = kMaxHeadBytes,
+                                .max_body_bytes = kMaxBodyBytes}});
+  BOOST_CHECK_EQUAL(StatusLine(server, Lines(kMaxHeadBytes + 1)),
+                    "HTTP/1.1 431 Request Header Fields Too Large");
+  BOOST_CHECK_EQUAL(
+      StatusLine(server, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n"),
+      "HTTP/1.1 413 Content Too Large");
+  BOOST_CHECK_EQUAL(StatusLine(server, "not http\r\n"),
+                    "HTTP/1.1 400 Bad Request");
+}
+
+/// Whether the server closes the connection although the client goes on
+/// sending `bytes`, with a pause after each.
+bool ClosesOnSender(tcp::socket& socket, const std::string& bytes,
+                    Millis pause) {
+  constexpr Millis kLimit{20000};
+  const TimePoint end = Clock::now() + kLimit;
+  std::error_code error;
+  while (!error && Clock::now() < end) {
+    asio::write(socket, asio::buffer(bytes), error);
+    std::this_thread::sleep_for(pause);
+  }
+  return static_cast<bool>(error);
+}
+
+// Guards against a refused client that keeps its connection by going on to
+// send, slowly or as fast as it can.
+BOOST_AUTO_TEST_CASE(RefusedSendersAreClosed) {
+  TestServer server({});
+  tcp::socket slow = server.Connect();
+  asio::write(slow, asio::buffer(std::string("not http\r\n")));
+  BOOST_CHECK(ClosesOnSender(slow, "x", Millis(100)));
+  tcp::socket fast = server.Connect();
+  asio::write(fast, asio::buffer(std::string("not http\r\n")));
+  BOOST_CHECK(ClosesOnSender(fast, std::string(1 << 16, 'x'), Millis(0)));
+}
+
+constexpr ServerLimits kShortTimes{.head_timeout = Millis(300),
+                                   .body_timeout = Millis(300),
+                                   .idle_timeout = Millis(300)};
+
+// Guards against requests that stay open as long as a byte arrives now and
+// then.
+BOOST_AUTO_TEST_CASE(SlowRequestsAreRefused) {
+  TestServer server({.limits = kShortTimes});
+  const std::vector<std::string> beginnings{
+      "GET / HTTP/1.1\r\nA: ",
+      "POST / HTTP/1.1\r\nContent-Length: 9999\r\n\r\n"};
+  for (const std::string& beginning : beginnings) {
+    BOOST_CHECK_EQUAL(StatusLine(server, beginning),
+                      "HTTP/1.1 408 Request Timeout");
+    tcp::socket sender = server.Connect();
+    asio::write(sender, asio::buffer(beginning));
+    BOOST_CHECK(ClosesOnSender(sender, "x", Millis(100)));
+  }
+}
+
+// Guards against idle connections that stay open for empty lines.
+BOOST_AUTO_TEST_CASE(EmptyLinesDoNotExtendTheIdleTime) {
+  TestServer server({.limits = kShortTimes});
+  tcp::socket sender = server.Connect();
+  BOOST_CHECK(ClosesOnSender(sender, "\r\n", Millis(100)));
+}
+
+// Guards against deadlines that count the time in which the server handled the
+// previous request.
+BOOST_AUTO_TEST_CASE(DeadlinesBeginAnewAfterAResponse) {
+  ReadDeadline deadline;
+  const TimePoint start{};
+  const TimePoint end = deadline.Next(ParseStage::kHead, kShortTimes, start);
+  BOOST_CHECK(end == start + kShortTimes.head_timeout);
+  BOOST_CHECK(
+      deadline.Next(ParseStage::kHead, kShortTimes, start + Millis(9)) == end);
+  deadline.Restart();
+  BOOST_CHECK(deadline.Next(ParseStage::kHead, kShortTimes,
+                            start + Millis(9)) == end + Millis(9));
+}
+
+// Guards against idle connections that keep callers out, and against closing
+// connections that are in use for it.
+BOOST_AUTO_TEST_CASE(IdlestConnectionMakesRoom) {
+  TestServer server({.max_connections = 3});
+  tcp::socket busy = server.Connect();
+  asio::write(busy, asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  tcp::socket idlest = server.Connect();
+  std::this_thread::sleep_for(Millis(50));
+  tcp::socket idle = server.Connect();
+  std::this_thread::sleep_for(Millis(50));
+  BOOST_CHECK_EQUAL(
+      StatusLine(server, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+      "HTTP/1.1 200 OK");
+  BOOST_CHECK(ReadToEnd(idlest).empty());
+  for (tcp::socket* kept : {&busy, &idle}) {
+    const std::string rest = kept == &busy ? "" : "GET / HTTP/1.1\r\n";
+    asio::write(*kept, asio::buffer(rest + "Connection: close\r\n\r\n"));
+    BOOST_CHECK(ReadToEnd(*kept).starts_with("HTTP/1.1 200"));
+  }
+}
+
+// Guards against limits that are fixed when the server or a connection begins.
+BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
+  std::atomic<size_t> max_body_bytes{9};
+  TestServer server({.current_limits = [&]() -> ServerLimits {
+    return {.max_body_bytes = max_body_bytes};
+  }});
+  const std::string request =
+      "POST / HTTP/1.1\r\nContent-Length: 9\r\n\r\n123456789";
+  const std::string ok = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+  tcp::socket socket = server.Connect();
+  asio::write(socket, asio::buffer(request));
+  std::string answer(ok.size(), ' ');
+  asio::read(socket, asio::buffer(answer));
+  BOOST_CHECK_EQUAL(answer, ok);
+  max_body_bytes = 8;
+  asio::write(socket, asio::buffer(request));
+  BOOST_CHECK(ReadToEnd(socket).starts_with("HTTP/1.1 413"));
+}
+
+}  // namespace
+}  // namespace mimosarail::http
