Platform: Bound what a job's body decodes into

Callers saw the entry take 162 to 270 MB and answer nobody for seconds while 20 clients sent whole bodies like {"steps":[{},{},...]}.

Cause: the body was decoded in full, into a document of up to 30 times the size of its text and then into one StepSpec of some 300 bytes for each element, before the number of steps was checked. Fields that are ignored were decoded as well.

Change: CheckJobBody reads a submission's body with nlohmann's SAX parser first. It stops at the first fault (kMaxJobSteps, kMaxJobBodyValues, kMaxNesting, not a JSON object), builds no document and returns a typed JobBodyFault; the answer is 400 as for other malformed jobs. Documents of the store, upstreams and hosts go through ParseObject as before. kMaxJobBodyValues is what fits into lists of a body of the operator's 256 KiB, so no legal job meets it.

New cases of decoders_test accept each bound exactly and refuse one more. FindingsAreBounded now meets the bound on steps first, so FindingsOfTheLargestJobAreBounded checks the findings of a job within it.

--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -6,7 +6,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include "platform/job_body_checker.h"
 #include "platform/job_codec.h"
+#include "platform/json_reader.h"
 #include "platform/store_codec.h"
 #include "platform/upstream_codec.h"
 #include "src/jobs/job_state.h"
@@ -49,6 +51,13 @@
   return std::string(levels, '[') + std::string(levels, ']');
 }
 
+/// `count` times the text of a JSON value, as a list.
+std::string JsonList(const std::string& value, size_t count) {
+  std::string out = "[";
+  for (size_t i = 0; i < count; ++i) out += (i == 0 ? "" : ",") + value;
+  return out + "]";
+}
+
 }  // namespace
 
 /// Guards against malformed entries that an external writer leaves in the list
@@ -435,6 +444,85 @@
   BOOST_TEST(findings.ToString().size() < 20000U);
 }
 
+/// Guards against findings of the largest job without a bound.
+BOOST_AUTO_TEST_CASE(FindingsOfTheLargestJobAreBounded) {
+  const std::string body =
+      R"({"steps":)" + JsonList(R"({"count":0})", kMaxJobSteps) + "}";
+  Findings findings;
+  CheckJob(DecodeJob(body, findings), findings);
+  BOOST_TEST(findings.list().size() == Findings::kMaxKept);
+}
+
+/// Guards against memory that a job of too many steps takes once decoded, and
+/// against refusing the largest legal job.
+BOOST_AUTO_TEST_CASE(StepsOfASubmissionAreBounded) {
+  const auto body = [](size_t steps) {
+    return R"({"steps":)" + JsonList("{}", steps) + "}";
+  };
+  BOOST_TEST(!CheckJobBody(body(kMaxJobSteps)));
+  BOOST_TEST(
+      (CheckJobBody(body(kMaxJobSteps + 1)) == JobBodyFault::kTooManySteps));
+  Findings findings;
+  BOOST_TEST(DecodeJob(body(kMaxJobSteps), findings).steps.size() ==
+             kMaxJobSteps);
+  BOOST_TEST(findings.empty());
+  BOOST_TEST(DecodeJob(body(kMaxJobSteps + 1), findings).steps.empty());
+  BOOST_TEST(!findings.empty());
+}
+
+/// Guards against a count of steps that includes other lists.
+BOOST_AUTO_TEST_CASE(OnlyStepsAreCountedAsSteps) {
+  const std::string many = JsonList("0", kMaxJobSteps + 1);
+  for (const std::string& body : {
+           R"({"ignored":)" + many + R"(,"steps":[{}]})",
+           R"({"steps":[{"dependsOn":)" + many + "}]}",
+           R"({"steps":[{"steps":)" + many + "}]}",
+           R"({"steps":[{}],"ignored":)" + many + "}",
+           R"({"steps":[{}],"ignored":{"steps":)" + many + "}}",
+           R"({"steps":)" + JsonList("0", kMaxJobSteps) +
+               R"(,"steps":[{},{}]})",
+       }) {
+    BOOST_TEST(!CheckJobBody(body));
+  }
+}
+
+/// Guards against memory that ignored fields take once decoded.
+BOOST_AUTO_TEST_CASE(ValuesOfASubmissionAreBounded) {
+  for (const std::string value : {"0", "null", "1.5", "\"\"", "[]", "{}"}) {
+    const auto body = [&value](size_t values) {
+      // Besides the elements: the body and the list.
+      return R"({"ignored":)" + JsonList(value, values - 2) + "}";
+    };
+    BOOST_TEST(!CheckJobBody(body(kMaxJobBodyValues)));
+    BOOST_TEST((CheckJobBody(body(kMaxJobBodyValues + 1)) ==
+                JobBodyFault::kTooManyValues));
+  }
+}
+
+/// Guards against nesting that exhausts the stack once decoded.
+BOOST_AUTO_TEST_CASE(NestingOfASubmissionIsBounded) {
+  const auto body = [](int depth) {
+    return R"({"ignored":)" + Nested(depth - 1) + "}";
+  };
+  BOOST_TEST(!CheckJobBody(body(kMaxNesting)));
+  BOOST_TEST(
+      (CheckJobBody(body(kMaxNesting + 1)) == JobBodyFault::kNestedTooDeeply));
+  constexpr int kVeryDeep = 1000000;
+  BOOST_TEST((CheckJobBody(std::string(kVeryDeep, '[')) ==
+              JobBodyFault::kNotAnObject));
+  BOOST_TEST((CheckJobBody(body(kVeryDeep)) == JobBodyFault::kNestedTooDeeply));
+}
+
+/// Guards against a document that is taken for a submission.
+BOOST_AUTO_TEST_CASE(SubmissionsThatAreNoObjectsAreNamed) {
+  for (const char* body : {"", "{", "{}}", R"({"a":})", R"({"a":1e999})"}) {
+    BOOST_TEST((CheckJobBody(body) == JobBodyFault::kNotJson), body);
+  }
+  for (const char* body : {"1", "null", "\"x\"", "[]", "true"}) {
+    BOOST_TEST((CheckJobBody(body) == JobBodyFault::kNotAnObject), body);
+  }
+}
+
 /// Guards against the parser ending the connection at a request that asks for a
 /// protocol upgrade: the request would be accepted if its bytes arrive at once,
 /// and lost if they arrive in two parts. (Inputs 21357, 24991 and 32558 of seed
