--- /dev/null
+++ b/tests/request_memory_test.cc
@@ -0,0 +1,126 @@
+#define BOOST_TEST_MODULE request_memory
+#include <malloc.h>
+
+#include <asio/buffer.hpp>
+#include <asio/connect.hpp>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
+#include <atomic>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <thread>
+
+#include "platform/job_http_server.h"
+#include "src/libs/rpc/asio_executor.h"
+#include "tests/scenarios/process_cluster.h"
+
+namespace mimosarail::platform {
+namespace {
+
+using asio::ip::tcp;
+
+constexpr size_t kBodyBytes = 256 << 10;
+constexpr Millis kPollInterval{5};
+constexpr Millis kWaitLimit{20000};
+
+/// Keeps each submission without an answer, like a leader that is silent.
+class SilentJobService final : public jobentry::JobService {
+ public:
+  jobentry::AccessView Access() const override {
+    ports::CellConfig config;
+    config.queues.push_back({.host = "h", .prefix = "/q/"});
+    return {.table = std::make_shared<const jobentry::AccessTable>(config)};
+  }
+  void Submit(const wire::JobSpec&, Millis, jobentry::JobDone done) override {
+    waiting_.push_back(std::move(done));
+    ++submissions;
+  }
+  void QueryState(JobId, const jobentry::CallerAccount&, Millis,
+                  jobentry::JobDone) override {}
+  void Cancel(JobId, const jobentry::CallerAccount&, Millis,
+              jobentry::JobDone) override {}
+  void CountPending(const std::string&, Millis, jobentry::JobDone) override {}
+  bool Ready() override { return true; }
+
+  void DropWaiting() { waiting_.clear(); }
+
+  std::atomic<size_t> submissions = 0;
+
+ private:
+  std::deque<jobentry::JobDone> waiting_;
+};
+
+/// A server on a thread of its own, and callers that keep their connections.
+class ServerFixture {
+ public:
+  ServerFixture() {
+    BOOST_REQUIRE(server_.Start().ok());
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~ServerFixture() {
+    io_.stop();
+    thread_.join();
+    // While the server that tracks them still exists.
+    service.DropWaiting();
+  }
+  ServerFixture(const ServerFixture&) = delete;
+  ServerFixture& operator=(const ServerFixture&) = delete;
+
+  tcp::socket& Send(const std::string& text) {
+    tcp::socket& caller = callers_.emplace_back(caller_io_);
+    caller.connect({asio::ip::address_v4::loopback(), port_});
+    asio::write(caller, asio::buffer(text));
+    return caller;
+  }
+
+  bool WaitForSubmissions(size_t count) const {
+    const TimePoint end = Clock::now() + kWaitLimit;
+    while (service.submissions < count && Clock::now() < end) {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+    return service.submissions == count;
+  }
+
+  SilentJobService service;
+
+ private:
+  asio::io_context io_{1};
+  rpc::AsioExecutor executor_{io_};
+  uint16_t port_ = static_cast<uint16_t>(scenarios::FreePort());
+  JobHttpServer server_{io_,
+                        executor_,
+                        service,
+                        {.address = "127.0.0.1:" + std::to_string(port_),
+                         .ready_address = "127.0.0.1:0"}};
+  asio::io_context caller_io_;
+  std::deque<tcp::socket> callers_;
+  std::thread thread_;
+};
+
+std::string Submission(size_t body_bytes) {
+  std::string body = R"({"steps":[{"count":1,"cpu":100}]})";
+  body.append(body_bytes - body.size(), ' ');
+  return "POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
+size_t AllocatedBytes() {
+  const auto info = mallinfo2();
+  return info.uordblks + info.hblkhd;
+}
+
+}  // namespace
+
+/// Guards against bodies that are kept until the leader answers.
+BOOST_AUTO_TEST_CASE(TextOfWaitingSubmissionsIsFreed) {
+  constexpr size_t kCallers = 40;
+  ServerFixture server;
+  const std::string submission = Submission(kBodyBytes);
+  const size_t before = AllocatedBytes();
+  for (size_t i = 0; i < kCallers; ++i) server.Send(submission);
+  BOOST_REQUIRE(server.WaitForSubmissions(kCallers));
+  BOOST_TEST(AllocatedBytes() < before + kCallers * kBodyBytes / 2);
+}
+
+}  // namespace mimosarail::platform
