HTTP: Give the requests of all connections one budget of memory

Callers saw the entry end, or grow to several times its machine's memory, while a few hundred clients sent legal bodies short of their last byte.

Cause: each connection had a limit, all of them together had none. 2,000 connections of 1 MiB are 2 GB.

Change: RequestMemory counts the capacity of unfinished bodies and what complete requests hold until their answer, with one charge (RAII) a connection. When the budget is full, the unfinished request that has waited longest for its next bytes is closed, never a complete one; if there is none, the new request gets 503 and Retry-After before it is handled, so it is not accepted. A parser that was abandoned takes no more bytes: a read that was already queued would otherwise continue the body in its middle.

Units: request_memory_test.

Open: a complete request is charged for the text of its body, not for what it is decoded into.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -13,6 +13,7 @@
 #include "platform/job_http_server.h"
 #include "platform/store_client.h"
 #include "platform/upstream_client.h"
+#include "src/coordinator/memory_budget.h"
 #include "src/jobentry/entry_rpc_handlers.h"
 #include "src/jobentry/job_entry.h"
 #include "src/leadership/capacity_use.h"
@@ -128,6 +129,18 @@
   return out;
 }
 
+/// Memory that callers' requests may take.
+size_t RequestMemoryBytes(const JobSettings& s) {
+  constexpr int64_t kBytesPerMb = 1 << 20;
+  constexpr int64_t kDefaultDivisor = 8;
+  if (s.request_memory_mb > 0) {
+    return static_cast<size_t>(s.request_memory_mb * kBytesPerMb);
+  }
+  const int64_t memory_mb =
+      s.memory_mb > 0 ? s.memory_mb : coordinator::kDefaultMemoryMb;
+  return static_cast<size_t>(memory_mb * kBytesPerMb / kDefaultDivisor);
+}
+
 /// Processor time of the process.
 double CpuSeconds(const rusage& usage) {
   const auto seconds = [](const timeval& t) {
@@ -179,6 +192,7 @@
                    {.address = s.front_address,
                     .ready_address = s.ready_address,
                     .max_connections = static_cast<size_t>(s.max_connections),
+                    .request_memory_bytes = RequestMemoryBytes(s),
                     .traffic = &traffic_counters,
                     .metrics = &metrics}),
         metrics_server(
--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -124,6 +124,7 @@
   size_t head_bytes = 0;
   bool in_value = false;
   bool inside_message = false;
+  bool abandoned = false;
   const std::function<void(ParsedMessage)>* done = nullptr;
 };
 
@@ -133,6 +134,7 @@
 
 bool Parser::Feed(std::string_view bytes,
                   const std::function<void(ParsedMessage)>& done) {
+  if (d_->abandoned) return false;
   d_->done = &done;
   const size_t parsed = http_parser_execute(&d_->parser, &d_->settings,
                                             bytes.data(), bytes.size());
@@ -142,4 +144,15 @@
 
 bool Parser::inside_message() const { return d_->inside_message; }
 
+size_t Parser::body_capacity() const {
+  return d_->inside_message ? d_->Body().capacity() : 0;
+}
+
+void Parser::Abandon() {
+  d_->message = {};
+  d_->headers = {};
+  d_->inside_message = false;
+  d_->abandoned = true;
+}
+
 }  // namespace mimosarail::http
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -38,6 +38,11 @@
             const std::function<void(ParsedMessage)>& done);
   /// Whether a message has been received in part.
   bool inside_message() const;
+  /// Memory that the body of the unfinished message takes.
+  size_t body_capacity() const;
+  /// Drops what has been received of a message; the parser cannot be used after
+  /// that.
+  void Abandon();
 
  private:
   struct Private;
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -5,9 +5,11 @@
 #include <array>
 #include <atomic>
 #include <deque>
+#include <limits>
 #include <unordered_set>
 
 #include "src/libs/http/parser.h"
+#include "src/libs/http/request_memory.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
@@ -18,6 +20,8 @@
 using asio::ip::tcp;
 
 constexpr size_t kReadBufferBytes = 16 << 10;
+/// Memory of a request that waits for its answer, besides its body.
+constexpr size_t kWaitingRequestBytes = 1 << 10;
 /// A connection is aborted when sent data remains unacknowledged for this long
 /// (TCP_USER_TIMEOUT).
 constexpr int kUnackedDataTimeoutMs = 5000;
@@ -76,7 +80,11 @@
         options(std::move(options_in)),
         handler(std::move(handler_in)),
         acceptor(io_in),
-        accept_retry_timer(io_in) {}
+        accept_retry_timer(io_in),
+        request_memory(options.request_memory_bytes > 0
+                           ? options.request_memory_bytes
+                           : std::numeric_limits<size_t>::max(),
+                       options.request_memory_metrics) {}
 
   void AcceptNext();
   void StartSession(tcp::socket socket);
@@ -92,6 +100,7 @@
   std::atomic<size_t> connections{0};
   /// Accessed on the thread of `io` only, as is `sessions`.
   bool accepting_stopped = false;
+  RequestMemory request_memory;
   std::unordered_set<Session*> sessions;
 };
 
@@ -184,12 +193,32 @@
     CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
     if (!valid) {
       keep_alive_ = false;
+      parser_.Abandon();
       return Write({.status = 400, .body = "not a request\n"}, false);
     }
+    if (!ChargeMemory()) return RefuseForMemory();
     if (requests_.empty()) return ReadNext();
     HandleNext();
   }
 
+  /// Returns whether the requests of this connection fit into the memory.
+  bool ChargeMemory() {
+    size_t bytes = parser_.body_capacity();
+    for (const ParsedMessage& message : requests_) {
+      bytes += kWaitingRequestBytes + message.request.body.capacity();
+    }
+    return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
+  }
+
+  /// Called before the first of `requests_` is handled, so none is accepted.
+  void RefuseForMemory() {
+    keep_alive_ = false;
+    parser_.Abandon();
+    server_->open_requests -= static_cast<int64_t>(requests_.size());
+    requests_.clear();
+    Write({.status = 503, .headers = {{"Retry-After", "1"}}}, false);
+  }
+
   /// The pending response to one request. The handler may drop it without
   /// sending, for example when the object that the request waited for is
   /// destroyed. The destructor then sends status 504, which reports that the
@@ -250,6 +279,9 @@
                           return self->CloseAfterResponse();
                         }
                         if (!self->requests_.empty()) return self->HandleNext();
+                        if (!self->ChargeMemory()) {
+                          return self->RefuseForMemory();
+                        }
                         self->ReadNext();
                       });
   }
@@ -273,6 +305,8 @@
   void CloseAfterResponse() {
     std::error_code ignored;  // the peer may have closed the connection
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    memory_.Release();
+    parser_.Abandon();
     DiscardInput();
   }
 
@@ -291,6 +325,8 @@
   }
 
   void Close() {
+    memory_.Release();
+    parser_.Abandon();
     server_->open_requests -= static_cast<int64_t>(requests_.size());
     requests_.clear();
     std::error_code ignored;  // an error on closing has no consequence
@@ -306,6 +342,7 @@
   Parser parser_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
+  RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -8,6 +8,7 @@
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/http/message.h"
+#include "src/libs/metrics/metrics.h"
 #include "src/libs/metrics/traffic.h"
 
 namespace asio {
@@ -30,6 +31,11 @@
   /// A connection without a request is closed after this time.
   Millis idle_timeout{60000};
   size_t max_body = 1 << 20;
+  /// Memory that unfinished and waiting requests may take; 0 for no bound.
+  size_t request_memory_bytes = 0;
+  /// Counts the requests closed or refused for memory unless it is null; must
+  /// outlive the server.
+  metrics::Registry* request_memory_metrics = nullptr;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -58,6 +58,9 @@
        "rate of this machine's link; 0 if it is unknown"},
       {"memory_mb", Number{&S::memory_mb, {0, 1 << 20}}, "MB",
        "memory that this process may take; 0 if it is unknown"},
+      {"request_memory_mb", Number{&S::request_memory_mb, {0, 1 << 20}}, "MB",
+       "memory that callers' requests may take until they are answered; 0 for "
+       "an eighth of memory_mb"},
       {"queue_order", Text{&S::queue_order, false}, "",
        "order of waiting work: priority, or delay_cost (what a delay costs "
        "callers, by priority, deadline and work)"},
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -40,6 +40,9 @@
   int64_t link_centi_mbps = 0;
   /// Memory that the process may take, in MB; 0 if unknown.
   int64_t memory_mb = 0;
+  /// Memory that unfinished and waiting requests may take, in MB; 0 for an
+  /// eighth of memory_mb.
+  int64_t request_memory_mb = 0;
   /// Name of a scheduling::QueueOrder.
   std::string queue_order = "priority";
   /// Hundredths of the factor by which the cost of a delay grows with each step
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -1,4 +1,6 @@
 #define BOOST_TEST_MODULE request_memory
+#include "src/libs/http/request_memory.h"
+
 #include <malloc.h>
 
 #include <asio/buffer.hpp>
@@ -15,7 +17,8 @@
 #include "src/libs/rpc/asio_executor.h"
 #include "tests/scenarios/process_cluster.h"
 
-namespace mimosarail::platform {
+namespace mimosarail {
+namespace platform {
 namespace {
 
 using asio::ip::tcp;
@@ -123,4 +126,58 @@
   BOOST_TEST(AllocatedBytes() < before + kCallers * kBodyBytes / 2);
 }
 
-}  // namespace mimosarail::platform
+}  // namespace platform
+
+namespace http {
+namespace {
+
+constexpr size_t kBudget = 100;
+
+struct Connection {
+  explicit Connection(RequestMemory& memory)
+      : charge(memory, [this] { closed = true; }) {}
+  bool closed = false;
+  RequestMemory::Charge charge;
+};
+
+}  // namespace
+
+/// Guards against closing a request whose bytes still arrive, or a whole one.
+BOOST_AUTO_TEST_CASE(UnfinishedRequestLongestWithoutBytesIsClosed) {
+  RequestMemory memory(kBudget, nullptr);
+  Connection whole(memory);
+  Connection first(memory);
+  Connection second(memory);
+  BOOST_TEST(whole.charge.Complete(20));
+  BOOST_TEST(first.charge.Receive(20));
+  BOOST_TEST(second.charge.Receive(30));
+  BOOST_TEST(first.charge.Receive(30));
+  Connection third(memory);
+  BOOST_TEST(third.charge.Receive(20));
+  BOOST_TEST(memory.used_bytes() == kBudget);
+  BOOST_TEST(!second.closed);
+  BOOST_TEST(third.charge.Complete(21));
+  BOOST_TEST(second.closed);
+  BOOST_TEST(!first.closed);
+  BOOST_TEST(!whole.closed);
+  BOOST_TEST(memory.used_bytes() == 71U);
+}
+
+/// Guards against memory that whole requests take beyond the budget.
+BOOST_AUTO_TEST_CASE(NewRequestIsRefusedBesideWholeOnes) {
+  RequestMemory memory(kBudget, nullptr);
+  Connection whole(memory);
+  BOOST_TEST(whole.charge.Complete(90));
+  {
+    Connection next(memory);
+    BOOST_TEST(!next.charge.Receive(11));
+    BOOST_TEST(!next.charge.Complete(11));
+    BOOST_TEST(!next.closed);
+    BOOST_TEST(next.charge.Complete(10));
+  }
+  BOOST_TEST(memory.used_bytes() == 90U);
+  BOOST_TEST(!whole.closed);
+}
+
+}  // namespace http
+}  // namespace mimosarail
