Tests: Check that a submission over the memory budget is not handled

SubmissionOverTheBudgetIsRefusedAndNotHandled, in request_memory_test: beside one complete submission that fills the budget, the next one gets 503 and Retry-After, and the job service never sees it.

--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -7,6 +7,7 @@
 #include <asio/connect.hpp>
 #include <asio/io_context.hpp>
 #include <asio/ip/tcp.hpp>
+#include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -57,7 +58,11 @@
 /// A server on a thread of its own, and callers that keep their connections.
 class ServerFixture {
  public:
-  ServerFixture() {
+  explicit ServerFixture(size_t request_memory_bytes = 0)
+      : server_(io_, executor_, service,
+                {.address = "127.0.0.1:" + std::to_string(port_),
+                 .ready_address = "127.0.0.1:0",
+                 .request_memory_bytes = request_memory_bytes}) {
     BOOST_REQUIRE(server_.Start().ok());
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -91,11 +96,7 @@
   asio::io_context io_{1};
   rpc::AsioExecutor executor_{io_};
   uint16_t port_ = static_cast<uint16_t>(scenarios::FreePort());
-  JobHttpServer server_{io_,
-                        executor_,
-                        service,
-                        {.address = "127.0.0.1:" + std::to_string(port_),
-                         .ready_address = "127.0.0.1:0"}};
+  JobHttpServer server_;
   asio::io_context caller_io_;
   std::deque<tcp::socket> callers_;
   std::thread thread_;
@@ -126,6 +127,24 @@
   BOOST_TEST(AllocatedBytes() < before + kCallers * kBodyBytes / 2);
 }
 
+/// Guards against complete requests that take memory beyond the budget, and
+/// against handling one that was refused.
+BOOST_AUTO_TEST_CASE(SubmissionOverTheBudgetIsRefusedAndNotHandled) {
+  // Fits one received body, whose capacity is up to twice its size.
+  constexpr size_t kBudget = 2 * kBodyBytes + 1536;
+  ServerFixture server(kBudget);
+  const std::string submission = Submission(kBodyBytes);
+  server.Send(submission);
+  BOOST_REQUIRE(server.WaitForSubmissions(1));
+  tcp::socket& caller = server.Send(submission);
+  std::string answer;
+  std::error_code closed;
+  asio::read(caller, asio::dynamic_buffer(answer), closed);
+  BOOST_TEST(answer.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(answer.find("Retry-After: 1\r\n") != std::string::npos);
+  BOOST_TEST(server.service.submissions == 1U);
+}
+
 }  // namespace platform
 
 namespace http {
