--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -224,4 +224,8 @@
   d_->error = ParseError::kMalformed;
 }
 
+size_t Parser::body_capacity() const {
+  return inside_message() ? d_->Body().capacity() : 0;
+}
+
 }  // namespace mimosarail::http
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -60,6 +60,8 @@
   /// Whether a message has been received in part.
   bool inside_message() const { return stage() != ParseStage::kIdle; }
   ParseStage stage() const;
+  /// Memory that the body of the unfinished message takes.
+  size_t body_capacity() const;
 
  private:
   struct Private;
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -5,12 +5,14 @@
 #include <array>
 #include <atomic>
 #include <deque>
+#include <limits>
 #include <unordered_set>
 
 #include "src/libs/http/idle_list.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/refusal_log.h"
+#include "src/libs/http/request_memory.h"
 #include "src/libs/http/response_text.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/asio.h"
@@ -22,6 +24,8 @@
 using asio::ip::tcp;
 
 constexpr size_t kReadBufferBytes = 16 << 10;
+/// Memory of a request that waits for its answer, besides its body.
+constexpr size_t kWaitingRequestBytes = 1 << 10;
 /// A connection is aborted when sent data remains unacknowledged for this long
 /// (TCP_USER_TIMEOUT).
 constexpr int kUnackedDataTimeoutMs = 5000;
@@ -73,6 +77,10 @@
         handler(std::move(handler_in)),
         acceptor(io_in),
         accept_retry_timer(io_in),
+        request_memory(options.request_memory_bytes > 0
+                           ? options.request_memory_bytes
+                           : std::numeric_limits<size_t>::max(),
+                       options.metrics),
         refusals(options.metrics, options.traffic_kind) {}
 
   void AcceptNext();
@@ -92,6 +100,7 @@
   std::atomic<size_t> connections{0};
   /// Accessed on the thread of `io` only, as is `sessions`.
   bool accepting_stopped = false;
+  RequestMemory request_memory;
   std::unordered_set<Session*> sessions;
   IdleList<Session> idle;
   RefusalLog refusals;
@@ -131,6 +140,8 @@
 
   void Close() {
     idle_.Leave();
+    memory_.Release();
+    parser_.Abandon();
     server_->open_requests -= static_cast<int64_t>(requests_.size());
     requests_.clear();
     std::error_code ignored;  // an error on closing has no consequence
@@ -222,6 +233,7 @@
     CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
     if (!valid) return Refuse(ToRefusal(parser_.error()));
     if (complete > 0 || parser_.inside_message()) idle_.Leave();
+    if (!ChargeMemory()) return RefuseForMemory();
     if (requests_.empty()) return ReadNext();
     HandleNext();
   }
@@ -235,6 +247,24 @@
           false);
   }
 
+  /// Returns whether the requests of this connection fit into the memory.
+  bool ChargeMemory() {
+    size_t bytes = parser_.body_capacity();
+    for (const ParsedMessage& message : requests_) {
+      bytes += kWaitingRequestBytes + message.request.body.capacity();
+    }
+    return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
+  }
+
+  /// Called before the first of `requests_` is handled, so none is accepted.
+  void RefuseForMemory() {
+    keep_alive_ = false;
+    parser_.Abandon();
+    server_->open_requests -= static_cast<int64_t>(requests_.size());
+    requests_.clear();
+    Write({.status = 503, .headers = {{"Retry-After", "1"}}}, false);
+  }
+
   /// The pending response to one request. The handler may drop it without
   /// sending, for example when the object that the request waited for is
   /// destroyed. The destructor then sends status 504, which reports that the
@@ -296,6 +326,9 @@
                         }
                         if (!self->requests_.empty()) return self->HandleNext();
                         self->deadline_.Restart();
+                        if (!self->ChargeMemory()) {
+                          return self->RefuseForMemory();
+                        }
                         self->ReadNext();
                       });
   }
@@ -319,6 +352,8 @@
   void CloseAfterResponse() {
     std::error_code ignored;  // the peer may have closed the connection
     socket_.shutdown(tcp::socket::shutdown_send, ignored);
+    memory_.Release();
+    parser_.Abandon();
     ArmTimer(kMaxDiscardTime);
     DiscardInput();
   }
@@ -351,6 +386,7 @@
   IdleList<Session>::Entry idle_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
+  RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -31,6 +31,8 @@
   /// Returns the limits of the request that begins, unless it is empty;
   /// `limits` then has no effect. Runs on the thread of `io`.
   std::function<ServerLimits()> current_limits;
+  /// Memory that unfinished and waiting requests may take; 0 for no bound.
+  size_t request_memory_bytes = 0;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
