--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -171,8 +171,9 @@
   }
   const bool answered_by_earlier_incarnation =
       reply.call.incarnation > 0 && reply.call.incarnation < incarnation_;
-  if (answered_by_earlier_incarnation)
+  if (answered_by_earlier_incarnation) {
     return ScheduleRenewal(options_.renew_delay);
+  }
   if (CheckRestarted(reply.call)) return;
   if (restarted_at_ && !CanResolveRestart(fence, reply)) {
     return ScheduleRenewal(kRetryDelay);
