--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -117,9 +117,10 @@
       coordinator::kAdmissionPolicyNames.Find(s.admission)
           .value_or(coordinator::AdmissionPolicy::kCapacity);
   out.coordinator.link_kb_per_s = s.link_centi_mbps * kBytesPerCentiMbit / 1000;
-  out.coordinator.task_lease = Millis(std::min(s.lease_ms, s.max_lease_ms));
-  out.coordinator.max_task_lease = Millis(s.max_lease_ms);
-  out.coordinator.max_call_delay = Millis(s.max_call_delay_ms);
+  out.coordinator.task_leases = {
+      .lease = Millis(std::min(s.lease_ms, s.max_lease_ms)),
+      .max_lease = Millis(s.max_lease_ms),
+      .max_call_delay = Millis(s.max_call_delay_ms)};
   out.coordinator.upstream_list_period = Millis(s.upstream_list_period_ms);
   out.coordinator.maintenance_duration =
       Millis(s.maintenance_duration_centis * kMsPerCentisecond);
--- a/src/fleet/task_leases.h
+++ b/src/fleet/task_leases.h
@@ -39,7 +39,10 @@
 };
 
 struct TaskLeaseOptions {
-  /// Duration of the leases that leaders ask for.
+  /// Duration of the leases that leaders ask for: how long tasks at an upstream
+  /// keep running without a renewal. With a shorter lease, the tasks of a lost
+  /// upstream can be restarted elsewhere sooner. With a longer one, tasks
+  /// survive a longer time without a leader or a connection.
   Millis lease{4000};
   /// Longest lease that an upstream grants. It shortens longer ones to this.
   Millis max_lease{10000};
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -18,11 +18,8 @@
 /// Renewal period while completions are not stored yet because the store is
 /// slow or unreachable. The upstream then answers a renewal at once instead of
 /// waiting for more completions, and a completion is reported up to this much
-/// later. With a store that is 50 times slower, 25 of 14,459 urgent jobs
-/// completed too late to be of use. With a period of 500 ms it was 39.
+/// later.
 constexpr Millis kUnstoredCompletionsRenewPeriod{200};
-/// No upstream ends and restarts within this time.
-constexpr Millis kMinRestartTime{400};
 
 }  // namespace
 
@@ -35,9 +32,7 @@
       fence_(options_.first_fence),
       adaptive_timeout_(options_.min_timeout, options_.max_timeout),
       incarnation_(options_.incarnation),
-      leases_({.lease = options_.lease,
-               .max_lease = options_.max_lease,
-               .max_call_delay = options_.max_call_delay}) {
+      leases_(options_.leases) {
   if (incarnation_ > 0) {
     leases_.OnStartKnown(StartedAt(incarnation_), executor_.Now());
   }
@@ -59,15 +54,10 @@
   return end && events_.LastStoreConfirmation() > end->at;
 }
 
-TimePoint UpstreamLink::StartedAt(int64_t incarnation) const {
-  const int64_t age_ms = executor_.UnixMillis() - incarnation;
-  return executor_.Now() - Millis(std::max<int64_t>(0, age_ms));
-}
-
 int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
   const auto elapsed = std::chrono::duration_cast<Millis>(
       executor_.Now() - upstream_clock_received_at_);
-  return upstream_clock_ms_ + elapsed.count() + options_.lease.count();
+  return upstream_clock_ms_ + elapsed.count() + options_.leases.lease.count();
 }
 
 TimePoint UpstreamLink::ReportTime(int64_t clock_ms) const {
@@ -256,93 +246,6 @@
               : options_.renew_delay;
 }
 
-bool UpstreamLink::CheckRestarted(const ports::CallReply& reply) {
-  if (reply.incarnation <= incarnation_) return false;
-  if (incarnation_ == 0) {
-    LearnIncarnation(reply.incarnation);
-    return false;
-  }
-  BeginIncarnation(reply.incarnation);
-  return true;
-}
-
-void UpstreamLink::OnListed(const std::string& address, int64_t incarnation) {
-  if (closed_ || incarnation <= incarnation_) return;
-  options_.target.address = address;
-  if (incarnation_ == 0) return LearnIncarnation(incarnation);
-  BeginIncarnation(incarnation);
-}
-
-void UpstreamLink::LearnIncarnation(int64_t incarnation) {
-  incarnation_ = incarnation;
-  leases_.OnStartKnown(StartedAt(incarnation), executor_.Now());
-}
-
-void UpstreamLink::BeginIncarnation(int64_t incarnation) {
-  logging::Event(logging::Level::kWarning, "upstream restarted",
-                 {{"upstream", options_.target.id},
-                  {"incarnation_before", std::to_string(incarnation_)},
-                  {"incarnation", std::to_string(incarnation)},
-                  {"clock_before_ms", std::to_string(upstream_clock_ms_)},
-                  {"acked_before", std::to_string(last_stored_completion_)}});
-  SetReachable(false);
-  ++restarts_;
-  incarnation_ = incarnation;
-  leases_.OnRestart(executor_.Now());
-  had_report_ = upstream_clock_ms_ > 0 || (restarted_at_ && had_report_);
-  restarted_at_ = executor_.Now();
-  replaced_at_.reset();
-  inventory_received_ = false;
-  all_runs_ended_ = false;
-  newest_answered_renewal_ = 0;
-  renewals_in_flight_ = 0;
-  consecutive_failures_ = 0;
-  upstream_clock_ms_ = 0;
-  last_reported_completion_ = 0;
-  last_stored_completion_ = 0;
-  last_acknowledged_completion_ = 0;
-  // A start that was sent to the previous incarnation may have been executed by
-  // the new one, which has seen no fencing token. The report under a higher
-  // token lists such a run, and any start that arrives later is refused.
-  restart_fence_ = fence_ + 1;
-  ++fence_;
-  if (opened_) Renew(Millis(0));
-}
-
-bool UpstreamLink::CanResolveRestart(int64_t fence,
-                                     const ports::RenewReply& reply) const {
-  // As in CheckAllRunsEnded(): a successor may have stored completions of the
-  // previous incarnation, and a completed task would start again.
-  if (events_.LastStoreConfirmation() < *restarted_at_) return false;
-  const bool no_runs_to_resolve = all_runs_ended_ || !had_report_;
-  return fence >= restart_fence_ &&
-         (no_runs_to_resolve || !reply.more_completions);
-}
-
-void UpstreamLink::ResolveRestart(const ports::RenewReply& reply) {
-  const auto unresolved =
-      std::chrono::duration_cast<Millis>(executor_.Now() - *restarted_at_);
-  restarted_at_.reset();
-  scheduling::RunSet remaining;
-  for (const ports::RunningTask& run : reply.running) {
-    remaining.emplace(run.task, run.attempt);
-  }
-  for (const ports::EndedTask& run : reply.ended) {
-    remaining.emplace(run.task, run.attempt);
-  }
-  std::erase_if(starts_in_doubt_, [&](const auto& start) {
-    return remaining.count(start.first) == 0;
-  });
-  logging::Event(logging::Level::kInfo, "restart resolved",
-                 {{"upstream", options_.target.id},
-                  {"incarnation", std::to_string(incarnation_)},
-                  {"unresolved_ms", std::to_string(unresolved.count())},
-                  {"clock_ms", std::to_string(reply.call.clock_ms)},
-                  {"running", std::to_string(reply.running.size())},
-                  {"ended", std::to_string(reply.ended.size())}});
-  events_.OnRestarted(options_.index, incarnation_, remaining);
-}
-
 void UpstreamLink::LogLeasesExpired() const {
   const auto since = [now = executor_.Now()](TimePoint time) {
     return std::to_string(
@@ -362,15 +265,6 @@
                    reported ? since(upstream_clock_received_at_) : "never"}});
 }
 
-bool UpstreamLink::IncarnationCertain() const {
-  // An upstream that does not report its start has a new id when it restarts.
-  if (incarnation_ == 0) return true;
-  const Millis suspended = executor_.Suspended() - suspended_at_last_report_;
-  return upstream_clock_ms_ > 0 && !call_unanswered_ &&
-         renewals_in_flight_ == 0 &&
-         executor_.Now() - last_report_at_ + suspended < kMinRestartTime;
-}
-
 void UpstreamLink::LogOutdatedReply(bool outdated,
                                     const ports::RenewReply& reply) {
   // Only the first of several consecutive ones is logged: they may come with
@@ -443,127 +337,4 @@
   ScheduleRenewal(options_.renew_delay);
 }
 
-void UpstreamLink::Start(const scheduling::StartOrder& order) {
-  if (closed_ || !reachable_ || !events_.MaySendOrders()) {
-    return events_.OnStartReply(
-        order, {.verdict = CallVerdict::kNotSent, .detail = "not reachable"});
-  }
-  leases_.NoteCall(LeaseEndCause::kStart, executor_.Now());
-  // A renewal has to wait at the upstream to report the end of this run.
-  const bool pausing = renewal_scheduled_ && starts_in_flight_ == 0 &&
-                       options_.idle_renew_delay > options_.renew_delay;
-  ++starts_in_flight_;
-  if (pausing) {
-    ++ended_pauses_;
-    renewal_scheduled_ = false;
-    ScheduleRenewal(options_.renew_delay);
-  }
-  const int64_t fence = fence_;
-  tasks_.Start(options_.target,
-               {.task = order.task,
-                .attempt = order.attempt,
-                .payload = order.payload,
-                .lease_until_ms = LeaseEndOnUpstreamClock(),
-                .fence = fence,
-                .checkpoint = order.checkpoint,
-                .ticket = order.ticket},
-               adaptive_timeout_.timeout(),
-               [weak = weak_from_this(), order, fence,
-                sent = executor_.Now()](const ports::CallReply& reply) {
-                 const auto self = weak.lock();
-                 if (!self || self->closed_) return;
-                 --self->starts_in_flight_;
-                 self->RecordReplyTime(sent, reply.verdict);
-                 self->HandleStartReply(order, fence, reply);
-               });
-}
-
-void UpstreamLink::RecordReplyTime(TimePoint sent, CallVerdict verdict) {
-  const bool unanswered =
-      verdict == CallVerdict::kUnknown || verdict == CallVerdict::kNotSent;
-  call_unanswered_ = call_unanswered_ || unanswered;
-  if (verdict == CallVerdict::kUnknown) return adaptive_timeout_.AddTimeout();
-  if (verdict == CallVerdict::kNotSent) return;
-  adaptive_timeout_.AddSample(executor_.Now() - sent);
-}
-
-void UpstreamLink::HandleStartReply(const scheduling::StartOrder& order,
-                                    int64_t fence, ports::CallReply reply) {
-  CheckRestarted(reply);
-  if (reply.verdict == CallVerdict::kFenced && fence >= fence_) {
-    events_.OnStartReply(order, reply);
-    return events_.OnFenced(options_.index);
-  }
-  if (reply.verdict != CallVerdict::kUnknown) {
-    return events_.OnStartReply(order, reply);
-  }
-  // The start may still take effect seconds later. A higher fencing token
-  // prevents that, and the inventory reported under it resolves the start.
-  logging::Event(logging::Level::kWarning, "start without answer",
-                 {{"upstream", options_.target.id},
-                  {"task", TaskIdText(order.task)},
-                  {"attempt", std::to_string(order.attempt)},
-                  {"cause", reply.detail}});
-  starts_in_doubt_.insert_or_assign({order.task, order.attempt},
-                                    StartInDoubt{order, fence});
-  RaiseFence();
-}
-
-void UpstreamLink::RaiseFence() {
-  ++fence_;
-  Renew(Millis(0));
-}
-
-void UpstreamLink::ResolveStartsInDoubt(int64_t fence,
-                                        const ports::RenewReply& reply) {
-  for (auto it = starts_in_doubt_.begin(); it != starts_in_doubt_.end();) {
-    const StartInDoubt& start = it->second;
-    if (start.fence >= fence) {
-      ++it;
-      continue;
-    }
-    const auto matches = [&](const auto& run) {
-      return run.task == start.order.task && run.attempt == start.order.attempt;
-    };
-    const bool started =
-        std::any_of(reply.running.begin(), reply.running.end(), matches) ||
-        std::any_of(reply.ended.begin(), reply.ended.end(), matches);
-    if (!started && reply.more_completions) {
-      // The completion of the run may be among those that are not listed yet.
-      ++it;
-      continue;
-    }
-    const scheduling::StartOrder order = start.order;
-    it = starts_in_doubt_.erase(it);
-    logging::Event(logging::Level::kInfo, "start in doubt resolved",
-                   {{"upstream", options_.target.id},
-                    {"task", TaskIdText(order.task)},
-                    {"started", started ? "yes" : "no"}});
-    events_.OnStartReply(
-        order, {.verdict = started ? CallVerdict::kDone : CallVerdict::kNotSent,
-                .detail = "resolved under a higher fencing token"});
-  }
-}
-
-void UpstreamLink::Stop(const TaskId& task, int64_t attempt) {
-  if (closed_) return;
-  if (!events_.MaySendOrders()) {
-    return events_.OnStopFailed(options_.index, task, attempt);
-  }
-  tasks_.Stop(options_.target, task, attempt, fence_,
-              adaptive_timeout_.timeout(),
-              [weak = weak_from_this(), task, attempt,
-               sent = executor_.Now()](const ports::CallReply& reply) {
-                const auto self = weak.lock();
-                if (!self || self->closed_) return;
-                self->RecordReplyTime(sent, reply.verdict);
-                if (reply.verdict == CallVerdict::kDone) return;
-                logging::Event(logging::Level::kInfo, "stop not confirmed",
-                               {{"upstream", self->options_.target.id},
-                                {"task", TaskIdText(task)},
-                                {"cause", reply.detail}});
-                self->events_.OnStopFailed(self->options_.index, task, attempt);
-              });
-}
-
 }  // namespace mimosarail::fleet
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -25,14 +25,7 @@
   /// First fencing token of this leader at this upstream. The leader may use
   /// kFenceSpan tokens from this one on.
   int64_t first_fence = 0;
-  /// How long tasks at the upstream keep running without a renewal. With a
-  /// shorter lease, the tasks of a lost upstream can be restarted elsewhere
-  /// sooner. With a longer one, tasks survive a longer time without a leader or
-  /// a connection.
-  Millis lease{4000};
-  /// See TaskLeaseOptions.
-  Millis max_lease{10000};
-  Millis max_call_delay{12000};
+  TaskLeaseOptions leases;
   /// How long the upstream may delay its reply to a renewal, to wait for a
   /// completion.
   Millis completion_wait{1000};
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -121,7 +121,7 @@
     if (remaining.count(run) > 0) continue;
     const auto& [id, attempt] = run;
     pool_.Release(upstream, id, attempt);
-    ForgetEarlierRun(id, attempt);
+    earlier_runs_.Forget(id, attempt);
     orders.lost.push_back(
         {.upstream = upstream,
          .task = id,
--- a/src/scheduling/exclusion.cc
+++ b/src/scheduling/exclusion.cc
@@ -104,7 +104,7 @@
     if (task.phase != TaskPhase::kWaiting) continue;
     const Task& keeper = job.task(job.FailureKeeper(id_of_task));
     if (now >= keeper.earliest_start && !AwaitsEvidence(task) &&
-        !HasEarlierRun(id_of_task)) {
+        !earlier_runs_.IsRunning(id_of_task, pool_)) {
       continue;
     }
     if (step.gang) return waiting;
--- a/src/scheduling/placing.cc
+++ b/src/scheduling/placing.cc
@@ -349,7 +349,7 @@
     const TaskId task_id{id.job, id.occurrence, id.step, i};
     const Task& task = record.job.task(task_id);
     if (task.phase != TaskPhase::kWaiting || now < task.earliest_start ||
-        AwaitsEvidence(task) || HasEarlierRun(task_id)) {
+        AwaitsEvidence(task) || earlier_runs_.IsRunning(task_id, pool_)) {
       continue;
     }
     const bool retry = task.failures() > 0;
--- a/src/scheduling/running.cc
+++ b/src/scheduling/running.cc
@@ -97,28 +97,13 @@
   const bool found_again =
       running.attempt >= task.attempt && !record.job.final() && !step.gang;
   if (!record.may_have_unreported_runs && !found_again) {
-    earlier_runs_[running.task] = {.upstream = upstream,
-                                   .attempt = running.attempt};
-    return;
+    return earlier_runs_.Note(
+        running.task, {.upstream = upstream, .attempt = running.attempt});
   }
   AdoptRun(record, upstream, running, now);
   UpdateQueued(record, running.task.occurrence, running.task.step);
 }
 
-bool Scheduler::HasEarlierRun(const TaskId& id) const {
-  const auto run = earlier_runs_.find(id);
-  if (run == earlier_runs_.end()) return false;
-  const auto& [upstream, attempt] = run->second;
-  return pool_.at(upstream).reservations.count({id, attempt}) > 0;
-}
-
-void Scheduler::ForgetEarlierRun(const TaskId& id, int64_t attempt) {
-  const auto run = earlier_runs_.find(id);
-  if (run != earlier_runs_.end() && run->second.attempt == attempt) {
-    earlier_runs_.erase(run);
-  }
-}
-
 void Scheduler::StopUnwanted(const JobRecord* record, UpstreamIndex upstream,
                              const ports::RunningTask& running, TimePoint now,
                              Orders& orders) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -16,13 +16,14 @@
 #include "src/scheduling/advice_call_size.h"
 #include "src/scheduling/advice_state.h"
 #include "src/scheduling/candidate.h"
+#include "src/scheduling/earlier_runs.h"
 #include "src/scheduling/gang_plan.h"
 #include "src/scheduling/job_record.h"
 #include "src/scheduling/load_summary.h"
 #include "src/scheduling/orders.h"
 #include "src/scheduling/pass_reservations.h"
 #include "src/scheduling/placement_exclusion.h"
-#include "src/scheduling/queue_order.h"
+#include "src/scheduling/scheduler_options.h"
 #include "src/scheduling/silent_upstreams.h"
 #include "src/scheduling/speed_choice.h"
 #include "src/scheduling/step_queue.h"
@@ -45,19 +46,6 @@
 /// TimePoint::max() if it is long-running. Thread-safe.
 TimePoint ExpectedEnd(const wire::StepSpec& step, TimePoint now);
 
-struct SchedulerOptions {
-  /// Attempt numbers start above this value, which exceeds every attempt number
-  /// of earlier leaders.
-  int64_t attempt_base = 0;
-  QueueOrder queue_order = QueueOrder::kPriority;
-  /// With QueueOrder::kDelayCost: how many times as much a delay costs a job as
-  /// one of the next lower priority that needs the same resources.
-  double priority_price = 2;
-  /// Measured speeds of upstreams are used once the fast ones are at least this
-  /// many times as fast as the slow ones; 0 for never.
-  double upstream_speed_spread = 0;
-};
-
 /// Queues jobs and decides which tasks start where, and when. It does no I/O
 /// and reads no clock: the owner passes in events and the time, and carries out
 /// the orders that are returned. Not thread-safe.
@@ -329,10 +317,6 @@
   /// Whether a start of the task has to wait until the fate of its earlier
   /// upstreams is known: it would be shown to crash them.
   bool AwaitsEvidence(const Task& task) const;
-  /// Whether an earlier run of the task still takes resources somewhere.
-  bool HasEarlierRun(const TaskId& id) const;
-  /// The run has ended.
-  void ForgetEarlierRun(const TaskId& id, int64_t attempt);
   /// A report lists a run of the task. What happened sooner after a start no
   /// longer counts.
   void RemoveOutlastedEvidence(JobRecord& record, UpstreamIndex upstream,
@@ -623,14 +607,7 @@
   AllowanceRates allowance_rates_;
   StopTracker stops_;
   SilentUpstreams silent_upstreams_;
-
-  struct EarlierRun {
-    UpstreamIndex upstream = kNoUpstream;
-    int64_t attempt = 0;
-  };
-
-  /// Runs that were listed while their tasks waited, and that are stopped.
-  std::map<TaskId, EarlierRun> earlier_runs_;
+  EarlierRuns earlier_runs_;
 };
 
 }  // namespace mimosarail::scheduling
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -377,7 +377,7 @@
   Reply(old_renewal, 9000, {}, {});
   incarnation = kSecond;
   Reply(first_renewal, 100, {}, {});
-  const int64_t lease_end = 100 + UpstreamLinkOptions{}.lease.count();
+  const int64_t lease_end = 100 + UpstreamLinkOptions{}.leases.lease.count();
   BOOST_TEST(calls.renewals[last()].call.lease_until_ms == lease_end);
 }
 
