HTTP: Move the connections of a server into a class of their own files

No change of behaviour: http_limits, shutdown, http_api, request_memory, entry_connections, traffic and accounts tests pass.

--- /dev/null
+++ b/src/libs/http/server_state.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+#include <limits>
+#include <memory>
+#include <unordered_set>
+
+#include "src/libs/http/idle_list.h"
+#include "src/libs/http/refusal_log.h"
+#include "src/libs/http/request_memory.h"
+#include "src/libs/http/server.h"
+#include "src/libs/rpc/asio.h"
+
+namespace mimosarail::http {
+
+class Session;
+
+/// What the connections of a server share. Accessed on the thread of `io` only,
+/// but for the atomic members.
+struct Server::Private : std::enable_shared_from_this<Server::Private> {
+  Private(asio::io_context& io_in, ServerOptions options_in, Handler handler_in)
+      : io(io_in),
+        options(std::move(options_in)),
+        handler(std::move(handler_in)),
+        acceptor(io_in),
+        accept_retry_timer(io_in),
+        request_memory(options.request_memory_bytes > 0
+                           ? options.request_memory_bytes
+                           : std::numeric_limits<size_t>::max(),
+                       options.metrics),
+        refusals(options.metrics, options.traffic_kind) {}
+
+  void AcceptNext();
+  void StartSession(asio::ip::tcp::socket socket);
+  /// Closes the connection that has been idle for longest. Returns whether
+  /// there is one.
+  bool CloseIdlest();
+  void StopAccepting();
+
+  asio::io_context& io;
+  ServerOptions options;
+  Handler handler;
+  asio::ip::tcp::acceptor acceptor;
+  asio::steady_timer accept_retry_timer;
+  std::atomic<bool> shutting_down{false};
+  std::atomic<int64_t> open_requests{0};
+  std::atomic<size_t> connections{0};
+  bool accepting_stopped = false;
+  RequestMemory request_memory;
+  std::unordered_set<Session*> sessions;
+  IdleList<Session> idle;
+  RefusalLog refusals;
+};
+
+}  // namespace mimosarail::http
--- /dev/null
+++ b/src/libs/http/session.cc
@@ -0,0 +1,292 @@
+#include "src/libs/http/session.h"
+
+#include <netinet/tcp.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "src/libs/http/response_text.h"
+#include "src/libs/logging/log.h"
+
+namespace mimosarail::http {
+namespace {
+
+using asio::ip::tcp;
+
+/// Memory of a request that waits for its answer, besides its body.
+constexpr size_t kWaitingRequestBytes = 1 << 10;
+/// A connection is aborted when sent data remains unacknowledged for this long
+/// (TCP_USER_TIMEOUT).
+constexpr int kUnackedDataTimeoutMs = 5000;
+/// How long idle connections stay open after the server has stopped accepting.
+/// Requests that were sent just before can still arrive in this time. If the
+/// connection were closed at once, it would break while a caller writes to it.
+constexpr Millis kLastRequestWait{100};
+/// After its last response, a connection is closed once this many bytes have
+/// been discarded or this time has passed. A peer that sends its whole body
+/// before it reads the response still gets it if the body is not longer.
+constexpr size_t kMaxDiscardedBytes = 1 << 20;
+constexpr Millis kMaxDiscardTime{1000};
+
+constexpr Refusal kTimeoutRefusal{.status = 408, .why = "too slow"};
+
+Refusal ToRefusal(ParseError error) {
+  switch (error) {
+    case ParseError::kHeadTooLarge:
+      return {.status = 431, .why = "head too large"};
+    case ParseError::kBodyTooLarge:
+      return {.status = 413, .why = "body too large"};
+    case ParseError::kMalformed:
+    case ParseError::kNone:
+      break;
+  }
+  return {.status = 400, .why = "malformed"};
+}
+
+}  // namespace
+
+Session::Session(tcp::socket socket, std::shared_ptr<Server::Private> server)
+    : socket_(std::move(socket)),
+      timer_(server->io),
+      server_(std::move(server)),
+      parser_({.kind = MessageKind::kRequest}),
+      idle_(server_->idle, *this) {
+  ++server_->connections;
+  server_->sessions.insert(this);
+}
+
+Session::~Session() {
+  server_->sessions.erase(this);
+  --server_->connections;
+}
+
+void Session::Start() {
+  std::error_code ignored;  // without the option, responses only take longer
+  socket_.set_option(tcp::no_delay(true), ignored);
+  setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
+             &kUnackedDataTimeoutMs, sizeof kUnackedDataTimeoutMs);
+  ReadNext();
+}
+
+void Session::Close() {
+  idle_.Leave();
+  memory_.Release();
+  parser_.Abandon();
+  server_->open_requests -= static_cast<int64_t>(requests_.size());
+  requests_.clear();
+  std::error_code ignored;  // an error on closing has no consequence
+  socket_.close(ignored);
+}
+
+void Session::OnAcceptingStopped() {
+  if (reading_ && !parser_.inside_message()) ArmTimer(kLastRequestWait);
+}
+
+void Session::ReadNext() {
+  reading_ = true;
+  if (!parser_.inside_message()) {
+    UpdateLimits();
+    idle_.Join();
+  }
+  ArmTimer(TimeLeftToRead());
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](std::error_code error, size_t bytes) {
+        self->reading_ = false;
+        self->DisarmTimer();
+        const bool timed_out = std::exchange(self->timed_out_, false);
+        if (error && timed_out) return self->Refuse(kTimeoutRefusal);
+        // Closed for a newcomer, while this handler was queued.
+        if (error || !self->socket_.is_open()) return self->Close();
+        self->OnBytes({self->buffer_.data(), bytes});
+      });
+}
+
+void Session::UpdateLimits() {
+  const ServerOptions& options = server_->options;
+  limits_ = options.current_limits ? options.current_limits() : options.limits;
+  parser_.SetLimits(limits_.max_head_bytes, limits_.max_body_bytes);
+}
+
+Millis Session::TimeLeftToRead() {
+  ServerLimits limits = limits_;
+  if (server_->accepting_stopped) limits.idle_timeout = kLastRequestWait;
+  const TimePoint now = Clock::now();
+  const TimePoint end = deadline_.Next(parser_.stage(), limits, now);
+  return std::max(Millis(0), std::chrono::duration_cast<Millis>(end - now));
+}
+
+void Session::ArmTimer(Millis limit) {
+  timer_.expires_after(limit);
+  timer_.async_wait([weak = weak_from_this(),
+                     generation = ++timer_generation_](std::error_code error) {
+    auto self = weak.lock();
+    if (!error && self && self->timer_generation_ == generation) {
+      self->OnTimeout();
+    }
+  });
+}
+
+// cancel() alone does not stop a time-out whose handler is queued, as after a
+// pause of the process. That handler would close the connection of a request
+// that has just been read, and the caller would get no answer.
+void Session::DisarmTimer() {
+  ++timer_generation_;
+  timer_.cancel();
+}
+
+void Session::OnTimeout() {
+  // The pending read is about to deliver bytes that arrived just before the
+  // time-out: closing the connection would drop their request.
+  if (reading_ && HasUnreadBytes()) return;
+  if (!reading_ || !parser_.inside_message()) return Close();
+  // The handler of the read answers, unless it has bytes after all.
+  timed_out_ = true;
+  std::error_code ignored;  // the connection is broken; the read fails
+  socket_.cancel(ignored);
+}
+
+void Session::OnBytes(std::string_view bytes) {
+  if (!parser_.inside_message()) UpdateLimits();
+  int64_t complete = 0;
+  const bool valid = parser_.Feed(bytes, [&](ParsedMessage message) {
+    ++complete;
+    ++server_->open_requests;
+    requests_.push_back(std::move(message));
+  });
+  CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
+  if (!valid) return Refuse(ToRefusal(parser_.error()));
+  if (complete > 0 || parser_.inside_message()) idle_.Leave();
+  if (!ChargeMemory()) return RefuseForMemory();
+  if (requests_.empty()) return ReadNext();
+  HandleNext();
+}
+
+void Session::Refuse(Refusal refusal) {
+  idle_.Leave();
+  server_->refusals.Add(refusal.why, refusal.status, Clock::now());
+  keep_alive_ = false;
+  parser_.Abandon();
+  Write({.status = refusal.status, .body = std::string(refusal.why) + "\n"},
+        false);
+}
+
+bool Session::ChargeMemory() {
+  size_t bytes = parser_.body_capacity();
+  for (const ParsedMessage& message : requests_) {
+    bytes += kWaitingRequestBytes + message.request.body.capacity();
+  }
+  return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
+}
+
+void Session::RefuseForMemory() {
+  keep_alive_ = false;
+  parser_.Abandon();
+  server_->open_requests -= static_cast<int64_t>(requests_.size());
+  requests_.clear();
+  Write({.status = 503, .headers = {{"Retry-After", "1"}}}, false);
+}
+
+/// The pending response to one request. The handler may drop it without
+/// sending, for example when the object that the request waited for is
+/// destroyed. The destructor then sends status 504, which reports that the
+/// outcome is unknown; otherwise the connection would be closed without a
+/// response.
+class Session::PendingResponse {
+ public:
+  explicit PendingResponse(std::shared_ptr<Session> session)
+      : session_(std::move(session)) {}
+  ~PendingResponse() {
+    if (!session_) return;
+    logging::Event(logging::Level::kError, "request dropped by its handler");
+    Send({.status = 504});
+  }
+  PendingResponse(const PendingResponse&) = delete;
+  PendingResponse& operator=(const PendingResponse&) = delete;
+
+  void Send(Response response) {
+    auto session = std::exchange(session_, nullptr);
+    if (!session) return;
+    auto& io = session->server_->io;
+    asio::post(io,
+               [session = std::move(session), response = std::move(response)] {
+                 session->Write(response, true);
+               });
+  }
+
+ private:
+  std::shared_ptr<Session> session_;
+};
+
+void Session::HandleNext() {
+  ParsedMessage message = std::move(requests_.front());
+  requests_.pop_front();
+  keep_alive_ = message.keep_alive;
+  server_->handler(
+      std::move(message.request),
+      [pending = std::make_shared<PendingResponse>(shared_from_this())](
+          Response response) { pending->Send(std::move(response)); });
+}
+
+void Session::Write(const Response& response, bool counted_as_open) {
+  // During shutdown, the connection is closed with this response, unless the
+  // caller has already sent further requests. Those are answered first: no
+  // request that was read may remain without an answer.
+  const bool has_further_requests =
+      !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
+  keep_alive_ =
+      keep_alive_ && (!server_->shutting_down || has_further_requests);
+  out_ = ResponseText(response, keep_alive_);
+  CountTraffic(metrics::Direction::kOut, out_.size(), 1);
+  asio::async_write(socket_, asio::buffer(out_),
+                    [self = shared_from_this(), counted_as_open](
+                        std::error_code error, size_t) {
+                      if (counted_as_open) --self->server_->open_requests;
+                      if (error) return self->Close();
+                      self->OnWritten();
+                    });
+}
+
+void Session::OnWritten() {
+  if (!keep_alive_) return CloseAfterResponse();
+  if (!requests_.empty()) return HandleNext();
+  deadline_.Restart();
+  if (!ChargeMemory()) return RefuseForMemory();
+  ReadNext();
+}
+
+void Session::CountTraffic(metrics::Direction direction, size_t bytes,
+                           int64_t messages) {
+  const ServerOptions& options = server_->options;
+  if (options.traffic == nullptr) return;
+  options.traffic->Count(options.traffic_kind, direction, bytes, messages);
+}
+
+bool Session::HasUnreadBytes() const {
+  std::error_code error;
+  return socket_.available(error) > 0 && !error;
+}
+
+void Session::CloseAfterResponse() {
+  std::error_code ignored;  // the peer may have closed the connection
+  socket_.shutdown(tcp::socket::shutdown_send, ignored);
+  memory_.Release();
+  parser_.Abandon();
+  ArmTimer(kMaxDiscardTime);
+  DiscardInput();
+}
+
+void Session::DiscardInput() {
+  socket_.async_read_some(
+      asio::buffer(buffer_),
+      [self = shared_from_this()](std::error_code error, size_t bytes) {
+        self->discarded_bytes_ += bytes;
+        if (error || self->discarded_bytes_ > kMaxDiscardedBytes) {
+          self->DisarmTimer();
+          return self->Close();
+        }
+        self->DiscardInput();
+      });
+}
+
+}  // namespace mimosarail::http
