HTTP: Answer complete requests before one behind them is refused

What callers saw: two requests in one read, the second malformed or over a limit: the refusal came first, so it was read as the answer to the first, which was never handled. Older than the limits, but with them a caller may be told 413 for a job that is legal.

Change: the refusal waits until the requests before it are answered.

Evidence: http_limits_test, RequestsBeforeARefusedOneAreAnswered, red before (no 200), green now.

--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -155,7 +155,8 @@
     requests_.push_back(std::move(message));
   });
   CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
-  if (!valid) return Refuse(ToRefusal(parser_.error()));
+  if (!valid) refusal_ = ToRefusal(parser_.error());
+  if (!valid && requests_.empty()) return Refuse(*refusal_);
   if (complete > 0 || parser_.inside_message()) idle_.Leave();
   if (!ChargeMemory()) return RefuseForMemory();
   if (requests_.empty()) return ReadNext();
@@ -250,6 +251,7 @@
 void Session::OnWritten() {
   if (!keep_alive_) return CloseAfterResponse();
   if (!requests_.empty()) return HandleNext();
+  if (refusal_) return Refuse(*refusal_);
   deadline_.Restart();
   if (!ChargeMemory()) return RefuseForMemory();
   ReadNext();
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -89,6 +89,8 @@
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
+  /// Of the request that follows `requests_`, which are answered first.
+  std::optional<Refusal> refusal_;
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -170,6 +170,17 @@
                     "HTTP/1.1 400 Bad Request");
 }
 
+// Guards against a refusal that is read as the answer to an earlier request.
+BOOST_AUTO_TEST_CASE(RequestsBeforeARefusedOneAreAnswered) {
+  TestServer server({});
+  tcp::socket socket = server.Connect();
+  asio::write(socket,
+              asio::buffer(std::string("GET / HTTP/1.1\r\n\r\nnot http\r\n")));
+  const std::string answers = ReadToEnd(socket);
+  BOOST_CHECK(answers.starts_with("HTTP/1.1 200"));
+  BOOST_CHECK(answers.find("HTTP/1.1 400") != std::string::npos);
+}
+
 /// Whether the server closes the connection although the client goes on
 /// sending `bytes`, with a pause after each.
 bool ClosesOnSender(tcp::socket& socket, const std::string& bytes,
