Tests: Play restarts without cuts as before, beside the extended property

The property over restarts had been extended by cuts, takeovers and late calls, with half as many jobs and other weights, so its former seeds were no longer played. They are again, in a case of their own.

--- a/tests/restarted_upstreams_test.cc
+++ b/tests/restarted_upstreams_test.cc
@@ -55,6 +55,8 @@
 
 /// Which calls that were meant for its former incarnation an upstream executes.
 enum class FormerCalls {
+  /// None; no upstream is cut off either.
+  kNone,
   /// Those sent so long after the crash that they acknowledge no completion.
   kSentWhileDown,
   /// These, and any call that is executed late.
@@ -82,7 +84,7 @@
     cluster_.RunFor(kStartupTime);
     constexpr int kSteps = 300;
     for (int i = 0; i < kSteps; ++i) {
-      if (Chance(30)) SubmitRandomJob();
+      if (Chance(SubmitPercent())) SubmitRandomJob();
       if (Chance(8)) InjectFault();
       cluster_.RunFor(Millis(100));
     }
@@ -95,6 +97,10 @@
   uint64_t Pick(uint64_t below) { return random_() % below; }
   bool Chance(uint64_t percent) { return Pick(100) < percent; }
 
+  bool WithCuts() const { return former_calls_ != FormerCalls::kNone; }
+  uint64_t SubmitPercent() const { return WithCuts() ? 30 : 60; }
+  uint64_t LongestRunMs() { return WithCuts() && Chance(30) ? 15000 : 2000; }
+
   void SubmitRandomJob() {
     const JobId id = 0x100 + jobs_++;
     const auto tasks = static_cast<int32_t>(1 + Pick(5));
@@ -103,17 +109,20 @@
     spec.queue.ticket_valid_ms = 1500;
     for (int32_t i = 0; i < tasks; ++i) {
       cluster_.upstreams().behavior({id, 0, 0, i}).run_time =
-          Millis(100 + Pick(Chance(30) ? 15000 : 2000));
+          Millis(100 + Pick(LongestRunMs()));
     }
     cluster_.Submit("entry-" + std::to_string(Pick(4)), spec);
   }
 
+  /// The first ones of InjectFault(); the last three of them are crashes.
+  static constexpr uint64_t kFaultsWithoutCuts = 9;
+
   void InjectFault() {
     const auto ids = cluster_.upstreams().ids();
     const std::string& upstream = ids[Pick(ids.size())];
     UpstreamFaults& faults = cluster_.upstreams().faults(upstream);
     const std::string leader = cluster_.Leader();
-    switch (Pick(20)) {
+    switch (Pick(WithCuts() ? 20 : kFaultsWithoutCuts)) {
       case 0:
         if (!leader.empty()) cluster_.Restart(leader);
         return;
@@ -122,7 +131,7 @@
         return;
       case 2:
         faults.delayed_starts = static_cast<int>(1 + Pick(2));
-        faults.execution_delay = Millis(500 + Pick(11500));
+        if (WithCuts()) faults.execution_delay = Millis(500 + Pick(11500));
         return;
       case 3:
         cluster_.store().faults().down = !cluster_.store().faults().down;
@@ -135,13 +144,16 @@
       case 5:
         return LosePower();
       case 6:
+        if (!WithCuts()) return cluster_.upstreams().Crash(upstream);
         faults.delayed_renewals = static_cast<int>(1 + Pick(3));
         faults.execution_delay = Millis(500 + Pick(11500));
         return;
       case 7:
+        if (!WithCuts()) return cluster_.upstreams().Crash(upstream);
         if (!leader.empty()) KillForAWhile(leader);
         return;
       case 8:
+        if (!WithCuts()) return cluster_.upstreams().Crash(upstream);
         return Cut(upstream, CutTime());
       case 9:
         return CutRack();
@@ -293,6 +305,13 @@
   for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
 }
 
+/// Guards against lost jobs and second runs while upstreams restart under their
+/// ids, leaders change, and starts get no reply or execute late.
+BOOST_DATA_TEST_CASE(RestartsWithoutCutsBreakNoRule,
+                     boost::unit_test::data::make(Seeds()), seed) {
+  RestartScenario(seed, FormerCalls::kNone).Run();
+}
+
 /// Guards against lost jobs and second runs while upstreams restart under their
 /// ids and are cut off, leaders change, and calls get no reply or execute late.
 BOOST_DATA_TEST_CASE(RestartsUnderTheSameIdBreakNoRule,
