--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -30,15 +30,15 @@
 
 void TaskLeases::OnStartKnown(TimePoint started, TimePoint now) {
   if (reported_) return;
-  stray_calls_ = {
+  stale_calls_ = {
       .sent_until = now,
       .detected_by = started + kMaxRestartDetectionTime + kMaxWallClockSkew};
 }
 
 void TaskLeases::OnRestart(TimePoint now) {
   // No call asks for a lease while no report of an incarnation has come.
-  if (!stray_calls_ || reported_) stray_calls_ = {.sent_until = now};
-  stray_calls_->detected_by = TimePoint::max();
+  if (!stale_calls_ || reported_) stale_calls_ = {.sent_until = now};
+  stale_calls_->detected_by = TimePoint::max();
   reported_ = false;
 }
 
@@ -49,9 +49,9 @@
 void TaskLeases::NoteFirstReport(TimePoint now) {
   reported_ = true;
   Extend(LeaseEndCause::kFirstReport, now + MaxLeaseDuration(options_.lease));
-  if (!stray_calls_) return;
-  const TimePoint executed_by = std::min(now, StrayCallsExecutedBy(now));
-  Extend(LeaseEndCause::kStrayCall,
+  if (!stale_calls_) return;
+  const TimePoint executed_by = std::min(now, StaleCallsExecutedBy(now));
+  Extend(LeaseEndCause::kStaleCall,
          executed_by + MaxLeaseDuration(options_.max_lease));
 }
 
@@ -63,23 +63,23 @@
       .at = *predecessor_lease_end + MaxLeaseDuration(options_.lease),
       .cause = LeaseEndCause::kPredecessor};
   const LeaseEnd end = Later(end_, of_predecessor);
-  if (!stray_calls_) return end;
-  const LeaseEnd of_stray_call{
-      .at = StrayCallsExecutedBy(*predecessor_lease_end) +
+  if (!stale_calls_) return end;
+  const LeaseEnd of_stale_call{
+      .at = StaleCallsExecutedBy(*predecessor_lease_end) +
             MaxLeaseDuration(options_.max_lease),
-      .cause = LeaseEndCause::kStrayCall};
-  return Later(end, of_stray_call);
+      .cause = LeaseEndCause::kStaleCall};
+  return Later(end, of_stale_call);
 }
 
 void TaskLeases::Extend(LeaseEndCause cause, TimePoint end) {
   end_ = Later(end_, {.at = end, .cause = cause});
 }
 
-TimePoint TaskLeases::StrayCallsExecutedBy(
+TimePoint TaskLeases::StaleCallsExecutedBy(
     TimePoint predecessor_lease_end) const {
   const TimePoint sent_until =
-      std::max(stray_calls_->sent_until, predecessor_lease_end);
-  return std::min(sent_until, stray_calls_->detected_by) +
+      std::max(stale_calls_->sent_until, predecessor_lease_end);
+  return std::min(sent_until, stale_calls_->detected_by) +
          options_.max_call_delay;
 }
 
--- a/src/fleet/task_leases.h
+++ b/src/fleet/task_leases.h
@@ -20,7 +20,7 @@
   kRenewal,
   kFirstReport,  ///< An earlier leader may have renewed until then.
   kPredecessor,  ///< An earlier leader may have renewed until its lease ended.
-  kStrayCall,    ///< See TaskLeases.
+  kStaleCall,    ///< See TaskLeases.
 };
 
 inline constexpr EnumTable kLeaseEndCauseNames{std::array{
@@ -29,7 +29,7 @@
     EnumName{LeaseEndCause::kRenewal, "renewal"},
     EnumName{LeaseEndCause::kFirstReport, "first report"},
     EnumName{LeaseEndCause::kPredecessor, "predecessor"},
-    EnumName{LeaseEndCause::kStrayCall, "stray call"},
+    EnumName{LeaseEndCause::kStaleCall, "stale call"},
 }};
 
 /// The end of the leases at an upstream, on the local clock.
@@ -53,11 +53,11 @@
 /// Calculates when the task leases at one upstream end at the latest, on the
 /// local clock.
 ///
-/// An upstream that restarts under its id may execute stray calls, those meant
+/// An upstream that restarts under its id may execute stale calls, those meant
 /// for a previous incarnation. The end of the lease in such a call is a time on
 /// another clock. It may lie far ahead, so that the upstream grants its longest
 /// lease to all that runs there. This ends with the first report to a leader:
-/// from then on, the upstream refuses the fencing tokens of all stray calls.
+/// from then on, the upstream refuses the fencing tokens of all stale calls.
 ///
 /// Not thread-safe.
 class TaskLeases {
@@ -68,13 +68,13 @@
   /// `started`. Not to be called if the upstream does not report its start: it
   /// then has a new id when it restarts.
   void OnStartKnown(TimePoint started, TimePoint now);
-  /// The upstream has restarted. All stray calls of this leader are sent.
+  /// The upstream has restarted. All stale calls of this leader are sent.
   void OnRestart(TimePoint now);
   /// A call to the current incarnation that asks for a lease is sent now.
   /// Precondition: NoteFirstReport() was called for this incarnation.
   void NoteCall(LeaseEndCause cause, TimePoint now);
   /// The first report of the incarnation to this leader has arrived, under a
-  /// fencing token higher than those of all stray calls.
+  /// fencing token higher than those of all stale calls.
   void NoteFirstReport(TimePoint now);
 
   /// When all leases have ended. `predecessor_lease_end` is when the lease of
@@ -84,8 +84,8 @@
       std::optional<TimePoint> predecessor_lease_end) const;
 
  private:
-  /// Stray calls that may not be executed yet.
-  struct StrayCalls {
+  /// Stale calls that may not be executed yet.
+  struct StaleCalls {
     /// This leader sent none later.
     TimePoint sent_until{};
     /// No leader sent any later, however long it led.
@@ -93,12 +93,12 @@
   };
 
   void Extend(LeaseEndCause cause, TimePoint end);
-  /// When the last stray call is executed, if leaders before this one have sent
-  /// none after `predecessor_lease_end`. Precondition: `stray_calls_` is set.
-  TimePoint StrayCallsExecutedBy(TimePoint predecessor_lease_end) const;
+  /// When the last stale call is executed, if leaders before this one have sent
+  /// none after `predecessor_lease_end`. Precondition: `stale_calls_` is set.
+  TimePoint StaleCallsExecutedBy(TimePoint predecessor_lease_end) const;
 
   TaskLeaseOptions options_;
-  std::optional<StrayCalls> stray_calls_;
+  std::optional<StaleCalls> stale_calls_;
   bool reported_ = false;
   LeaseEnd end_;
 };
--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -111,9 +111,12 @@
     const int64_t fence = cluster.upstreams().fence(upstream);
     RunUntil([&] { return cluster.upstreams().fence(upstream) > fence; });
   }
-  void Cut(const std::string& upstream) { faults(upstream).unreachable = true; }
-  void Reconnect(const std::string& upstream) {
+  /// Cuts the upstream off for kCutTime, and checks as Check() does.
+  void CutAndCheck(const std::string& upstream) {
+    faults(upstream).unreachable = true;
+    cluster.RunFor(kCutTime);
     faults(upstream).unreachable = false;
+    Check();
   }
   template <typename Condition>
   void RunUntil(Condition condition) {
@@ -151,10 +154,7 @@
   scenario.RunFor(Millis(300));
   const std::string upstream = scenario.RunTask();
   scenario.RunFor(Millis(500));
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// The same where an answered renewal on the former clock found the restart.
@@ -165,10 +165,7 @@
   scenario.RunFor(Millis(2000));
   const std::string upstream = scenario.RunTask();
   scenario.RunFor(Millis(500));
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// The same for a leader that has never reached the upstream.
@@ -179,10 +176,7 @@
   scenario.RunFor(Millis(100));
   const std::string upstream = scenario.RunTask();
   scenario.cluster.Restart(scenario.cluster.Leader());
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// The same for a leader that has just reached the upstream.
@@ -195,10 +189,7 @@
   scenario.cluster.Restart(scenario.cluster.Leader());
   scenario.RunUntilReached(upstream);
   scenario.RunFor(Millis(10));
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// Guards against a second run of a task whose start is in doubt: an
@@ -208,10 +199,7 @@
   Scenario scenario(clock_ahead);
   const std::string upstream = scenario.RunTaskLate(Millis(1500));
   scenario.cluster.upstreams().Crash(upstream);
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// The same while nothing has told the leader of the restart.
@@ -220,10 +208,7 @@
   Scenario scenario(clock_ahead, kCutTime);
   const std::string upstream = scenario.RunTaskLate(Millis(1500));
   scenario.cluster.upstreams().Crash(upstream);
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// Guards against a second run while the first goes on: an incarnation that the
@@ -234,10 +219,7 @@
   scenario.RunFor(kRestartDelay + Millis(50));
   const std::string upstream = scenario.RunTask();
   scenario.RunFor(Millis(5));
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// Guards against a second run of a task whose start was resolved as not
@@ -268,10 +250,7 @@
   const std::string upstream = scenario.RunTaskLate(Millis(3000));
   scenario.RunFor(Millis(1000));
   scenario.cluster.upstreams().Crash(upstream);
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 /// Guards against leases on the clock of the former incarnation, whose reply
@@ -288,10 +267,7 @@
   scenario.RunFor(Millis(3000));
   const std::string upstream = scenario.RunTask();
   scenario.RunFor(Millis(500));
-  scenario.Cut(upstream);
-  scenario.RunFor(kCutTime);
-  scenario.Reconnect(upstream);
-  scenario.Check();
+  scenario.CutAndCheck(upstream);
 }
 
 }  // namespace mimosarail::jobsim
--- a/tests/task_leases_test.cc
+++ b/tests/task_leases_test.cc
@@ -17,7 +17,7 @@
 
 }  // namespace
 
-/// Guards against a second run at a restarted upstream: a stray call has given
+/// Guards against a second run at a restarted upstream: a stale call has given
 /// the new incarnation its longest lease.
 BOOST_AUTO_TEST_CASE(FirstReportAfterARestartCountsTheLongestLease) {
   TaskLeases leases(kOptions);
@@ -28,7 +28,7 @@
   const auto end = leases.End(std::nullopt);
   BOOST_REQUIRE(end);
   BOOST_TEST((end->at == kNow + Millis(1200) + kMaxLease));
-  BOOST_TEST((end->cause == LeaseEndCause::kStrayCall));
+  BOOST_TEST((end->cause == LeaseEndCause::kStaleCall));
 }
 
 /// Guards against tasks that wait for longer than the lease without need.
@@ -42,9 +42,9 @@
   BOOST_TEST((end->cause == LeaseEndCause::kFirstReport));
 }
 
-/// Guards against a second run after a takeover: the predecessor's stray call
+/// Guards against a second run after a takeover: the predecessor's stale call
 /// may be executed late, at an upstream that this leader never reached.
-BOOST_AUTO_TEST_CASE(PredecessorsStrayCallsMayBeExecutedLate) {
+BOOST_AUTO_TEST_CASE(PredecessorsStaleCallsMayBeExecutedLate) {
   TaskLeases leases(kOptions);
   leases.OnStartKnown(kNow - Millis(1000), kNow);
   const TimePoint predecessor_end = kNow + Millis(500);
