HTTP: Let unfinished requests make room for newcomers as well

What callers saw: with all connections taken by clients that had begun a request and went no further, every newcomer was refused until a timeout, 3 s for heads and 10 s for bodies, again and again.

Change: if no connection is idle, the one that has been sending its request for longest is closed. A caller's request is the newest and whole within milliseconds. Idle and receiving connections are kept in the same kind of list (ConnectionList, before IdleList).

Evidence: http_limits_test, LongestUnfinishedRequestMakesRoom, red before (refused), green now.

--- a/src/libs/http/idle_list.h
+++ b/src/libs/http/connection_list.h
@@ -4,21 +4,22 @@
 
 namespace mimosarail::http {
 
-/// The idle connections of a server, in the order in which they became idle.
+/// Connections of a server that are in one state, in the order in which they
+/// entered it.
 /// All operations but iteration take constant time. Not thread-safe.
 template <typename Connection>
-class IdleList {
+class ConnectionList {
  public:
   /// Membership of one connection. The list must outlive it.
   class Entry {
    public:
-    Entry(IdleList& list, Connection& connection)
+    Entry(ConnectionList& list, Connection& connection)
         : list_(list), connection_(connection) {}
     ~Entry() { Leave(); }
     Entry(const Entry&) = delete;
     Entry& operator=(const Entry&) = delete;
 
-    /// Joins as the most recently used, unless the connection is in the list.
+    /// Joins as the last, unless the connection is in the list.
     void Join() {
       if (joined_) return;
       at_ = list_.connections_.insert(list_.connections_.end(), &connection_);
@@ -31,13 +32,13 @@
     }
 
    private:
-    IdleList& list_;
+    ConnectionList& list_;
     Connection& connection_;
     typename std::list<Connection*>::iterator at_;
     bool joined_ = false;
   };
 
-  /// Longest idle first.
+  /// Longest in the state first.
   auto begin() const { return connections_.begin(); }
   auto end() const { return connections_.end(); }
 
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -15,29 +15,39 @@
 
 /// Pause after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptPause{50};
-/// How many idle connections are looked at to find one without unread bytes.
-constexpr size_t kMaxIdleTries = 8;
+/// How many connections are looked at to find one without unread bytes.
+constexpr size_t kMaxTries = 8;
+
+/// Closes the first connection without unread bytes. Returns whether there is
+/// one.
+bool CloseFirstSilent(const ConnectionList<Session>& connections) {
+  size_t tries = 0;
+  for (Session* session : connections) {
+    if (++tries > kMaxTries) return false;
+    if (!session->IsSilent()) continue;
+    session->Close();
+    return true;
+  }
+  return false;
+}
 
 }  // namespace
 
 void Server::Private::StartSession(tcp::socket socket) {
-  if (connections >= options.max_connections && !CloseIdlest()) {
+  if (connections >= options.max_connections && !MakeRoom()) {
     return refusals.Add("too many connections", 0, Clock::now());
   }
   std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
 }
 
-bool Server::Private::CloseIdlest() {
-  // Passes over connections whose next request has arrived.
-  size_t tries = 0;
-  for (Session* session : idle) {
-    if (++tries > kMaxIdleTries) return false;
-    if (!session->IsSilent()) continue;
+bool Server::Private::MakeRoom() {
+  if (CloseFirstSilent(idle)) {
     refusals.Add("idle at the connection limit", 0, Clock::now());
-    session->Close();
     return true;
   }
-  return false;
+  if (!CloseFirstSilent(receiving)) return false;
+  refusals.Add("unfinished at the connection limit", 0, Clock::now());
+  return true;
 }
 
 void Server::Private::StopAccepting() {
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -7,7 +7,7 @@
 #include <memory>
 #include <unordered_set>
 
-#include "src/libs/http/idle_list.h"
+#include "src/libs/http/connection_list.h"
 #include "src/libs/http/refusal_log.h"
 #include "src/libs/http/request_memory.h"
 #include "src/libs/http/server.h"
@@ -34,9 +34,9 @@
 
   void AcceptNext();
   void StartSession(asio::ip::tcp::socket socket);
-  /// Closes the connection that has been idle for longest. Returns whether
-  /// there is one.
-  bool CloseIdlest();
+  /// Closes the connection that has been idle for longest or, if none is idle,
+  /// has been sending its request for longest. Returns whether there is one.
+  bool MakeRoom();
   void StopAccepting();
 
   asio::io_context& io;
@@ -50,7 +50,9 @@
   bool accepting_stopped = false;
   RequestMemory request_memory;
   std::unordered_set<Session*> sessions;
-  IdleList<Session> idle;
+  ConnectionList<Session> idle;
+  /// Those that have sent a part of a request.
+  ConnectionList<Session> receiving;
   RefusalLog refusals;
 };
 
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -50,7 +50,8 @@
       timer_(server->io),
       server_(std::move(server)),
       parser_({.kind = MessageKind::kRequest}),
-      idle_(server_->idle, *this) {
+      idle_(server_->idle, *this),
+      receiving_(server_->receiving, *this) {
   ++server_->connections;
   server_->sessions.insert(this);
 }
@@ -70,6 +71,7 @@
 
 void Session::Close() {
   idle_.Leave();
+  receiving_.Leave();
   memory_.Release();
   parser_.Abandon();
   server_->open_requests -= static_cast<int64_t>(requests_.size());
@@ -87,6 +89,8 @@
   if (!parser_.inside_message()) {
     UpdateLimits();
     idle_.Join();
+  } else {
+    receiving_.Join();
   }
   ArmTimer(TimeLeftToRead());
   socket_.async_read_some(
@@ -158,6 +162,7 @@
   if (!valid) refusal_ = ToRefusal(parser_.error());
   if (!valid && requests_.empty()) return Refuse(*refusal_);
   if (complete > 0 || parser_.inside_message()) idle_.Leave();
+  if (complete > 0) receiving_.Leave();
   if (!ChargeMemory()) return RefuseForMemory();
   if (requests_.empty()) return ReadNext();
   HandleNext();
@@ -165,6 +170,7 @@
 
 void Session::Refuse(Refusal refusal) {
   idle_.Leave();
+  receiving_.Leave();
   server_->refusals.Add(refusal.why, refusal.status, Clock::now());
   keep_alive_ = false;
   parser_.Abandon();
@@ -181,6 +187,7 @@
 }
 
 void Session::RefuseForMemory() {
+  receiving_.Leave();
   keep_alive_ = false;
   parser_.Abandon();
   server_->open_requests -= static_cast<int64_t>(requests_.size());
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -9,7 +9,7 @@
 #include <string>
 #include <string_view>
 
-#include "src/libs/http/idle_list.h"
+#include "src/libs/http/connection_list.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/request_memory.h"
@@ -85,7 +85,8 @@
   /// Limits of the request that is being received, or of the next one.
   ServerLimits limits_;
   ReadDeadline deadline_;
-  IdleList<Session>::Entry idle_;
+  ConnectionList<Session>::Entry idle_;
+  ConnectionList<Session>::Entry receiving_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -269,6 +269,28 @@
   }
 }
 
+// Guards against unfinished requests that keep callers out.
+BOOST_AUTO_TEST_CASE(LongestUnfinishedRequestMakesRoom) {
+  constexpr size_t kConnections = 3;
+  TestServer server({.max_connections = kConnections});
+  std::vector<tcp::socket> unfinished;
+  for (size_t i = 0; i < kConnections; ++i) {
+    unfinished.push_back(server.Connect());
+    asio::write(unfinished.back(),
+                asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+    std::this_thread::sleep_for(Millis(50));
+  }
+  BOOST_CHECK_EQUAL(
+      StatusLine(server, "GET / HTTP/1.1\r\nConnection: close\r\n\r\n"),
+      "HTTP/1.1 200 OK");
+  BOOST_CHECK(ReadToEnd(unfinished[0]).empty());
+  for (size_t i = 1; i < kConnections; ++i) {
+    asio::write(unfinished[i],
+                asio::buffer(std::string("Connection: close\r\n\r\n")));
+    BOOST_CHECK(ReadToEnd(unfinished[i]).starts_with("HTTP/1.1 200"));
+  }
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
