Build: Define how Asio allocates for every source file

The handler was allocated in server.cc with operator new and freed by inline code of the test with free. accounts_test included Asio in the same way.

The definition is now an option of every target, so no include can bypass it, and the header that had to be included first is gone.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -2,13 +2,13 @@
 
 #include <sys/resource.h>
 
+#include <asio.hpp>
 #include <cstdio>
 #include <thread>
 
 #include "src/callers/http_api.h"
 #include "src/instance/instance.h"
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/libs/rpc/client.h"
 #include "src/libs/rpc/server.h"
--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -3,6 +3,7 @@
 #include <sys/resource.h>
 
 #include <algorithm>
+#include <asio.hpp>
 #include <csignal>
 #include <cstdio>
 #include <fstream>
@@ -23,7 +24,6 @@
 #include "src/libs/base/heap_use.h"
 #include "src/libs/base/thread_delays.h"
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/shutdown/shutdown_plan.h"
 #include "src/shutdown/signal_deferral.h"
--- a/src/libs/http/client.cc
+++ b/src/libs/http/client.cc
@@ -3,12 +3,12 @@
 #include <netinet/tcp.h>
 
 #include <array>
+#include <asio.hpp>
 #include <atomic>
 #include <deque>
 #include <unordered_map>
 
 #include "src/libs/http/parser.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
 namespace mimosarail::http {
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -1,11 +1,11 @@
 #include "src/libs/http/server.h"
 
+#include <asio.hpp>
 #include <utility>
 
 #include "src/libs/http/server_state.h"
 #include "src/libs/http/session.h"
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
 namespace mimosarail::http {
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio.hpp>
 #include <atomic>
 #include <cstddef>
 #include <cstdint>
@@ -11,7 +12,6 @@
 #include "src/libs/http/refusal_log.h"
 #include "src/libs/http/request_memory.h"
 #include "src/libs/http/server.h"
-#include "src/libs/rpc/asio.h"
 
 namespace mimosarail::http {
 
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <array>
+#include <asio.hpp>
 #include <cstddef>
 #include <cstdint>
 #include <deque>
@@ -14,7 +15,6 @@
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/request_memory.h"
 #include "src/libs/http/server_state.h"
-#include "src/libs/rpc/asio.h"
 
 namespace mimosarail::http {
 
--- a/src/libs/rpc/asio_executor.cc
+++ b/src/libs/rpc/asio_executor.cc
@@ -1,9 +1,8 @@
 #include "src/libs/rpc/asio_executor.h"
 
+#include <asio.hpp>
 #include <ctime>
 
-#include "src/libs/rpc/asio.h"
-
 namespace mimosarail::rpc {
 
 int64_t AsioExecutor::UnixMillis() const {
--- a/src/libs/rpc/client.cc
+++ b/src/libs/rpc/client.cc
@@ -1,11 +1,11 @@
 #include "src/libs/rpc/client.h"
 
 #include <algorithm>
+#include <asio.hpp>
 #include <atomic>
 #include <mutex>
 #include <unordered_map>
 
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
 namespace mimosarail::rpc {
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio.hpp>
 #include <deque>
 #include <optional>
 #include <string>
@@ -8,7 +9,6 @@
 
 #include "frame_types.h"
 #include "src/libs/base/result.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/codec.h"
 
 namespace mimosarail::rpc {
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -1,10 +1,10 @@
 #include "src/libs/rpc/server.h"
 
+#include <asio.hpp>
 #include <atomic>
 #include <unordered_map>
 
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
 namespace mimosarail::rpc {
--- a/src/peers/udp_heartbeats.cc
+++ b/src/peers/udp_heartbeats.cc
@@ -1,8 +1,8 @@
 #include "src/peers/udp_heartbeats.h"
 
+#include <asio.hpp>
 #include <atomic>
 
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/framing.h"
 
 namespace mimosarail::peers {
--- a/src/tool/job_commands.cc
+++ b/src/tool/job_commands.cc
@@ -1,5 +1,6 @@
 #include "src/tool/job_commands.h"
 
+#include <asio.hpp>
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -10,7 +11,6 @@
 #include "src/coordinator/job_verdicts.h"
 #include "src/jobs/job_state.h"
 #include "src/jobs/task_id.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/client.h"
 #include "src/tool/job_file.h"
 
--- a/tests/callback_threads_test.cc
+++ b/tests/callback_threads_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE callback_threads
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <iostream>
 #include <memory>
@@ -11,7 +12,6 @@
 #include "platform/upstream_client.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/logging/log.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/client.h"
 #include "tests/scenarios/process.h"
 
--- a/tests/daemon_signals_test.cc
+++ b/tests/daemon_signals_test.cc
@@ -4,6 +4,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <csignal>
@@ -17,7 +18,6 @@
 #include <thread>
 #include <vector>
 
-#include "src/libs/rpc/asio.h"
 #include "src/shutdown/signal_deferral.h"
 #include "tests/scenarios/process.h"
 
--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE decoders
 #include <sys/resource.h>
 
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "platform/job_body_checker.h"
@@ -13,7 +14,6 @@
 #include "platform/upstream_codec.h"
 #include "src/jobs/job_state.h"
 #include "src/libs/http/parser.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/codec.h"
 #include "src/libs/rpc/server.h"
 #include "src/tool/job_file.h"
--- a/tests/entry_connections_test.cc
+++ b/tests/entry_connections_test.cc
@@ -1,10 +1,10 @@
 #define BOOST_TEST_MODULE entry_connections
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <memory>
 #include <vector>
 
 #include "src/leadership/rpc_entry_client.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/libs/rpc/framing.h"
 
--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
 #include <filesystem>
@@ -12,7 +13,6 @@
 #include <vector>
 
 #include "src/jobs/task_id.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "tests/scenarios/process_usage.h"
 #include "tests/soak/entries.h"
--- a/tests/fakes/main.cc
+++ b/tests/fakes/main.cc
@@ -4,6 +4,7 @@
 #include <gflags/gflags.h>
 #include <httplib.h>
 
+#include <asio.hpp>
 #include <cstdio>
 #include <fstream>
 #include <future>
@@ -12,7 +13,6 @@
 #include <sstream>
 #include <thread>
 
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/libs/rpc/server.h"
 #include "tests/fakes/instance_list_fake.h"
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE http_limits
+#include <asio.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <string>
@@ -8,7 +9,6 @@
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/server.h"
-#include "src/libs/rpc/asio.h"
 
 namespace mimosarail::http {
 namespace {
--- a/tests/platform_test.cc
+++ b/tests/platform_test.cc
@@ -3,6 +3,7 @@
 
 #define BOOST_TEST_MODULE platform
 #include <array>
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
 
@@ -13,7 +14,6 @@
 #include "src/libs/http/client.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/server.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "src/libs/settings/job_settings.h"
 
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -1,12 +1,12 @@
 #define BOOST_TEST_MODULE rpc_server
 #include <sys/resource.h>
 
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <optional>
 #include <thread>
 
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/client.h"
 #include "src/libs/rpc/framing.h"
 #include "src/libs/rpc/server.h"
--- a/tests/scenarios/crowd.cc
+++ b/tests/scenarios/crowd.cc
@@ -1,12 +1,11 @@
 #include "tests/scenarios/crowd.h"
 
 #include <array>
+#include <asio.hpp>
 #include <atomic>
 #include <thread>
 #include <utility>
 
-#include "src/libs/rpc/asio.h"
-
 namespace mimosarail::scenarios {
 namespace {
 
--- a/tests/scenarios/process_cluster.h
+++ b/tests/scenarios/process_cluster.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <asio.hpp>
 #include <future>
 #include <map>
 #include <memory>
@@ -8,7 +9,6 @@
 #include <thread>
 #include <vector>
 
-#include "src/libs/rpc/asio.h"
 #include "tests/scenarios/process.h"
 #include "tests/scenarios/relay.h"
 
--- a/tests/scenarios/relay.cc
+++ b/tests/scenarios/relay.cc
@@ -1,10 +1,9 @@
 #include "tests/scenarios/relay.h"
 
 #include <array>
+#include <asio.hpp>
 #include <set>
 
-#include "src/libs/rpc/asio.h"
-
 namespace mimosarail::scenarios {
 
 using asio::ip::tcp;
--- a/tests/shutdown_test.cc
+++ b/tests/shutdown_test.cc
@@ -1,12 +1,12 @@
 #define BOOST_TEST_MODULE shutdown
 #include <algorithm>
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <mutex>
 #include <thread>
 #include <vector>
 
 #include "src/libs/http/server.h"
-#include "src/libs/rpc/asio.h"
 #include "src/shutdown/shutdown_plan.h"
 
 namespace mimosarail::shutdown {
--- a/tests/soak/main.cc
+++ b/tests/soak/main.cc
@@ -1,11 +1,11 @@
 #include <gflags/gflags.h>
 
 #include <algorithm>
+#include <asio.hpp>
 #include <cstdio>
 #include <filesystem>
 #include <memory>
 
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "tests/soak/callers.h"
 #include "tests/soak/entries.h"
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -2,6 +2,7 @@
 #include "src/libs/metrics/traffic.h"
 
 #include <algorithm>
+#include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
 #include <thread>
@@ -9,7 +10,6 @@
 #include "platform/store_client.h"
 #include "src/libs/http/client.h"
 #include "src/libs/http/server.h"
-#include "src/libs/rpc/asio.h"
 #include "src/libs/rpc/client.h"
 #include "src/libs/rpc/server.h"
 
