--- a/src/libs/http/connection_list.h
+++ b/src/libs/base/connection_list.h
@@ -2,7 +2,7 @@
 
 #include <list>
 
-namespace mimosarail::http {
+namespace mimosarail {
 
 /// Connections of a server that are in one state, in the order in which they
 /// entered it.
@@ -46,4 +46,4 @@
   std::list<Connection*> connections_;
 };
 
-}  // namespace mimosarail::http
+}  // namespace mimosarail
--- a/src/libs/http/refusal_log.cc
+++ b/src/libs/http/refusal_log.cc
@@ -1,7 +1,5 @@
 #include "src/libs/http/refusal_log.h"
 
-#include <utility>
-
 #include "src/libs/logging/log.h"
 
 namespace mimosarail::http {
@@ -11,17 +9,13 @@
     metrics_->Count({.name = "http_refused",
                      .labels = {{"server", server_}, {"why", why}}});
   }
-  if (now < next_line_) {
-    ++not_logged_;
-    return;
-  }
-  next_line_ = now + kLineInterval;
-  logging::Event(
-      logging::Level::kWarning, "http refused",
-      {{"server", server_},
-       {"why", why},
-       {"status", logging::Text(status)},
-       {"not_logged", logging::Text(std::exchange(not_logged_, 0))}});
+  const auto not_logged = lines_.Add(now);
+  if (!not_logged) return;
+  logging::Event(logging::Level::kWarning, "http refused",
+                 {{"server", server_},
+                  {"why", why},
+                  {"status", logging::Text(status)},
+                  {"not_logged", logging::Text(*not_logged)}});
 }
 
 }  // namespace mimosarail::http
--- a/src/libs/http/refusal_log.h
+++ b/src/libs/http/refusal_log.h
@@ -1,20 +1,19 @@
 #pragma once
 
-#include <cstdint>
 #include <string>
+#include <utility>
 
 #include "src/libs/base/executor.h"
+#include "src/libs/base/line_interval.h"
 #include "src/libs/metrics/metrics.h"
 
 namespace mimosarail::http {
 
 /// Reports connections and requests that a server refused before its handler
-/// saw them. Each is counted in `http_refused`; at most one line per
-/// kLineInterval is logged. Not thread-safe.
+/// saw them. Each is counted in `http_refused`; lines are bounded in rate. Not
+/// thread-safe.
 class RefusalLog {
  public:
-  static constexpr Millis kLineInterval{1000};
-
   /// `metrics` may be null; otherwise it must outlive the log.
   RefusalLog(metrics::Registry* metrics, std::string server)
       : metrics_(metrics), server_(std::move(server)) {}
@@ -26,8 +25,7 @@
  private:
   metrics::Registry* metrics_;
   std::string server_;
-  TimePoint next_line_{};
-  int64_t not_logged_ = 0;
+  LineInterval lines_;
 };
 
 }  // namespace mimosarail::http
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -8,7 +8,7 @@
 #include <memory>
 #include <unordered_set>
 
-#include "src/libs/http/connection_list.h"
+#include "src/libs/base/connection_list.h"
 #include "src/libs/http/refusal_log.h"
 #include "src/libs/http/request_memory.h"
 #include "src/libs/http/server.h"
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -10,7 +10,7 @@
 #include <string>
 #include <string_view>
 
-#include "src/libs/http/connection_list.h"
+#include "src/libs/base/connection_list.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/http/read_deadline.h"
 #include "src/libs/http/request_memory.h"
