RPC: Move the connections of the server to files of their own

No change of behaviour. ServerOptions takes the place of positional arguments, and ServerState is what the connections of a server share, so that limits can be added to both.

Evidence: rpc_server_test and traffic_test pass.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -177,7 +177,8 @@
         peer_client(network_io, &traffic_counters, SendBufferBytes(s)),
         urgent_peer_client(network_io, &traffic_counters),
         peers(peer_client, urgent_peer_client, executor),
-        peer_server(network_io, &traffic_counters, SendBufferBytes(s)),
+        peer_server(network_io, {.traffic = &traffic_counters,
+                                 .send_buffer_bytes = SendBufferBytes(s)}),
         capacity_use(
             {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
              .cpu_percent = s.cpu_percent}),
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -20,14 +20,19 @@
 using Responder = std::function<void(Result<std::string>)>;
 using Handler = std::function<void(std::string body, Responder respond)>;
 
+struct ServerOptions {
+  /// Counts frames as "serve" and the name of the method, unless it is null;
+  /// must outlive the server.
+  metrics::Traffic* traffic = nullptr;
+  /// As in Client.
+  int send_buffer_bytes = 0;
+};
+
 /// Serves calls over framed TCP. Register handlers before Listen().
 class Server {
  public:
-  /// `io` and `traffic`, which may be null, must outlive the server. `traffic`
-  /// counts frames as "serve" and the name of the method. `send_buffer_bytes`
-  /// is as in Client.
-  explicit Server(asio::io_context& io, metrics::Traffic* traffic = nullptr,
-                  int send_buffer_bytes = 0);
+  /// `io` must outlive the server.
+  explicit Server(asio::io_context& io, ServerOptions options = {});
   ~Server();
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
--- /dev/null
+++ b/src/libs/rpc/session.cc
@@ -0,0 +1,86 @@
+#include "src/libs/rpc/session.h"
+
+#include <system_error>
+#include <utility>
+
+namespace mimosarail::rpc {
+
+void Session::ReadNext() {
+  AsyncReadFrames(
+      socket_, reader_,
+      [self = shared_from_this()](wire::Frame frame, size_t bytes) {
+        self->CountTraffic(frame.method, metrics::Direction::kIn, bytes);
+        self->Dispatch(std::move(frame));
+      },
+      [self = shared_from_this()](const Error& error) {
+        if (error.code) return self->Close();
+        self->ReadNext();
+      });
+}
+
+void Session::Dispatch(wire::Frame frame) {
+  if (frame.method == static_cast<int32_t>(Method::kPing)) {
+    return Send(frame.id, frame.method, std::string());
+  }
+  Responder respond = [weak = weak_from_this(),
+                       executor = socket_.get_executor(), id = frame.id,
+                       method = frame.method](Result<std::string> reply) {
+    asio::post(executor,
+               [weak, id, method, reply = std::move(reply)]() mutable {
+                 if (auto self = weak.lock()) {
+                   self->Send(id, method, std::move(reply));
+                 }
+               });
+  };
+  const auto handler = server_->handlers.find(frame.method);
+  if (handler == server_->handlers.end()) {
+    return respond(Errc::kUnknownMethod);
+  }
+  handler->second(std::move(frame.body), std::move(respond));
+}
+
+void Session::Send(int64_t id, int32_t method, Result<std::string> reply) {
+  wire::Frame frame;
+  frame.id = id;
+  frame.reply = true;
+  if (reply.ok()) {
+    frame.body = std::move(reply.value());
+  } else {
+    const std::error_code& code = reply.error().code;
+    const bool is_errc = code.category() == ErrorCategory();
+    frame.error = is_errc ? code.value() : static_cast<int>(Errc::kUnavailable);
+    frame.body = reply.error().message;
+  }
+  queue_.Push(method, FrameBytes(frame));
+  WriteNext();
+}
+
+void Session::WriteNext() {
+  if (!queue_.CanSend()) return;
+  const auto& batch = queue_.TakeBatch();
+  for (const SendQueue::Outgoing& frame : batch) {
+    CountTraffic(frame.method, metrics::Direction::kOut, frame.bytes.size());
+  }
+  asio::async_write(socket_, Buffers(batch),
+                    [self = shared_from_this()](std::error_code error, size_t) {
+                      if (error) return self->Close();
+                      self->queue_.OnSent();
+                      self->WriteNext();
+                    });
+}
+
+void Session::CountTraffic(int32_t method, metrics::Direction direction,
+                           size_t bytes) {
+  server_->bytes += static_cast<int64_t>(bytes);
+  metrics::Traffic* const traffic = server_->options.traffic;
+  if (traffic == nullptr) return;
+  const auto name = kMethodNames.Name(static_cast<Method>(method));
+  traffic->Count("serve " + std::string(name), direction, bytes);
+}
+
+void Session::Close() {
+  std::error_code ignored;  // an error on closing has no consequence
+  socket_.close(ignored);
+}
+
+}  // namespace mimosarail::rpc
--- a/tests/traffic_test.cc
+++ b/tests/traffic_test.cc
@@ -190,7 +190,7 @@
   asio::io_context io;
   Traffic client_traffic;
   Traffic server_traffic;
-  rpc::Server server(io, &server_traffic);
+  rpc::Server server(io, {.traffic = &server_traffic});
   server.Handle(rpc::Method::kHeartbeat,
                 [](const std::string&, const rpc::Responder& respond) {
                   respond(kBody);
