--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -149,6 +149,9 @@
 
   int port() const { return PortOf(entry_.front()); }
   int ready_port() const { return PortOf(ready_address_); }
+  const std::string& peer_address() const { return peer_address_; }
+  int peer_port() const { return PortOf(peer_address_); }
+  pid_t pid() const { return entry_.pid(); }
 
   /// Checks, while the crowd is connected, that the process lives within its
   /// bounds and that an ordinary request is answered.
@@ -175,14 +178,13 @@
 
  private:
   soak::EntryOptions Options(const std::string& store) const {
-    const std::string peer = soak::FreeAddress();
     return {.name = "entry-0",
             .daemon = MIMOSARAILD,
             .folder = folder_,
             .front = soak::FreeAddress(),
-            .peer = peer,
+            .peer = peer_address_,
             .store = store,
-            .seeds = {peer},
+            .seeds = {peer_address_},
             .settings = {{"ready_address", ready_address_},
                          {"memory_mb", kMemoryMb},
                          {"max_connections", max_connections_}}};
@@ -219,6 +221,7 @@
 
   size_t max_connections_;
   std::string ready_address_ = soak::FreeAddress();
+  std::string peer_address_ = soak::FreeAddress();
   std::string folder_;
   PlatformFake& platform_;
   soak::Entry entry_;
