RPC: Bound the connections between entries

What callers saw: each connection to the port of the entries was kept, so that any process could take all descriptors of an entry; connections of entries that lost their power stayed as well.

Change: at most 1,536 connections (600 entries, the most there are, hold two each). Beyond that the one that has been idle for longest makes room, or else the one that has been sending a frame for longest, as in the HTTP server. One with a call in flight or a reply to send is kept, so that no late answer is lost; one whose call has arrived meanwhile, too.

--- a/src/app/daemon.cc
+++ b/src/app/daemon.cc
@@ -79,7 +79,7 @@
                    [this](const wire::Heartbeat& heartbeat) {
                      instance.OnHeartbeat(heartbeat);
                    }),
-        server(network_io),
+        server(network_io, {.metrics = &metrics}),
         instance({.executor = executor,
                   .upstreams = platform,
                   .log = platform,
--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -178,6 +178,7 @@
         urgent_peer_client(network_io, &traffic_counters),
         peers(peer_client, urgent_peer_client, executor),
         peer_server(network_io, {.traffic = &traffic_counters,
+                                 .metrics = &metrics,
                                  .send_buffer_bytes = SendBufferBytes(s)}),
         capacity_use(
             {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -47,6 +47,8 @@
   Result<std::optional<wire::Frame>> Next();
   /// Size on the wire of the frame that Next() returned last.
   size_t last_frame_bytes() const { return last_frame_bytes_; }
+  /// Bytes received of the frame that is not complete yet.
+  size_t unfinished_bytes() const { return received_ - consumed_; }
 
  private:
   /// The buffer grows with the bytes that arrive, not with the length that a
@@ -96,6 +98,7 @@
   }
   /// Whether frames wait and none is being sent.
   bool CanSend() const { return in_flight_.empty() && !waiting_.empty(); }
+  bool empty() const { return in_flight_.empty() && waiting_.empty(); }
   /// Returns the frames to send next, in one write. They are valid until
   /// OnSent(). Precondition: CanSend().
   const std::vector<Outgoing>& TakeBatch();
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -44,8 +44,9 @@
   }
 
   void StartSession(tcp::socket socket) {
+    if (!state->Admit()) return;
     SetSocketOptions(socket, state->options.send_buffer_bytes);
-    std::make_shared<Session>(std::move(socket), state)->ReadNext();
+    std::make_shared<Session>(std::move(socket), state)->Start();
   }
 
   /// Accepts again after a pause. The cause of a failure may be transient, such
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -1,11 +1,14 @@
 #pragma once
 
+#include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
 #include <string>
 
 #include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
+#include "src/libs/metrics/metrics.h"
 #include "src/libs/metrics/traffic.h"
 #include "src/libs/rpc/codec.h"
 #include "src/libs/rpc/method.h"
@@ -20,12 +23,22 @@
 using Responder = std::function<void(Result<std::string>)>;
 using Handler = std::function<void(std::string body, Responder respond)>;
 
+/// What a server accepts at most. A connection beyond a limit is closed.
 struct ServerOptions {
   /// Counts frames as "serve" and the name of the method, unless it is null;
   /// must outlive the server.
   metrics::Traffic* traffic = nullptr;
+  /// Counts refusals as `peers_refused` unless it is null; must outlive the
+  /// server.
+  metrics::Registry* metrics = nullptr;
   /// As in Client.
   int send_buffer_bytes = 0;
+  /// Maximum number of open connections, of which 600 instances hold two each.
+  /// A further one takes the place of the connection that has been idle for
+  /// longest or, if none is idle, has been sending a frame for longest. One
+  /// with a call in flight or a reply to send is not closed. Until those that
+  /// make room have been closed, kMaxOverLimit more may be open.
+  size_t max_connections = 1536;
 };
 
 /// Serves calls over framed TCP. Register handlers before Listen().
--- a/src/libs/rpc/session.cc
+++ b/src/libs/rpc/session.cc
@@ -1,10 +1,41 @@
 #include "src/libs/rpc/session.h"
 
+#include <mutex>
 #include <system_error>
 #include <utility>
 
 namespace mimosarail::rpc {
 
+using asio::ip::tcp;
+
+Session::Session(tcp::socket socket, std::shared_ptr<ServerState> server)
+    : socket_(std::move(socket)),
+      server_(std::move(server)),
+      idle_(server_->idle, *this),
+      receiving_(server_->receiving, *this) {}
+
+Session::~Session() {
+  std::lock_guard lock(server_->mutex);
+  idle_.Leave();
+  receiving_.Leave();
+  --server_->connections;
+}
+
+void Session::Start() {
+  JoinList();
+  ReadNext();
+}
+
+void Session::MakeRoom() {
+  idle_.Leave();
+  receiving_.Leave();
+  // Without a shared pointer here: as the last one, it would run the destructor
+  // while the mutex is held.
+  asio::post(socket_.get_executor(), [weak = weak_from_this()] {
+    if (auto self = weak.lock()) self->CloseUnlessUsed();
+  });
+}
+
 void Session::ReadNext() {
   AsyncReadFrames(
       socket_, reader_,
@@ -14,6 +45,7 @@
       },
       [self = shared_from_this()](const Error& error) {
         if (error.code) return self->Close();
+        self->JoinList();
         self->ReadNext();
       });
 }
@@ -22,14 +54,16 @@
   if (frame.method == static_cast<int32_t>(Method::kPing)) {
     return Send(frame.id, frame.method, std::string());
   }
+  ++calls_in_flight_;
   Responder respond = [weak = weak_from_this(),
                        executor = socket_.get_executor(), id = frame.id,
                        method = frame.method](Result<std::string> reply) {
     asio::post(executor,
                [weak, id, method, reply = std::move(reply)]() mutable {
-                 if (auto self = weak.lock()) {
-                   self->Send(id, method, std::move(reply));
-                 }
+                 auto self = weak.lock();
+                 if (!self) return;
+                 --self->calls_in_flight_;
+                 self->Send(id, method, std::move(reply));
                });
   };
   const auto handler = server_->handlers.find(frame.method);
@@ -66,6 +100,7 @@
                       if (error) return self->Close();
                       self->queue_.OnSent();
                       self->WriteNext();
+                      self->JoinList();
                     });
 }
 
@@ -78,9 +113,27 @@
   traffic->Count("serve " + std::string(name), direction, bytes);
 }
 
+void Session::JoinList() {
+  std::lock_guard lock(server_->mutex);
+  const bool quiet = socket_.is_open() && !IsBusy();
+  const bool unfinished = reader_.unfinished_bytes() > 0;
+  if (!quiet || unfinished) idle_.Leave();
+  if (!quiet || !unfinished) receiving_.Leave();
+  if (!quiet) return;
+  (unfinished ? receiving_ : idle_).Join();
+}
+
+void Session::CloseUnlessUsed() {
+  std::error_code error;
+  const bool has_unread_bytes = socket_.available(error) > 0 && !error;
+  if (IsBusy() || has_unread_bytes) return JoinList();
+  Close();
+}
+
 void Session::Close() {
   std::error_code ignored;  // an error on closing has no consequence
   socket_.close(ignored);
+  JoinList();
 }
 
 }  // namespace mimosarail::rpc
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -1,6 +1,8 @@
 #define BOOST_TEST_MODULE rpc_server
+#include <poll.h>
 #include <sys/resource.h>
 
+#include <array>
 #include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <future>
@@ -33,10 +35,16 @@
   rlimit original_limit_{};
 };
 
-/// An echo server and a client on their own thread.
+/// An echo server and a client on their own thread. Submissions wait for
+/// AnswerSubmissions().
 class ServerAndClient {
  public:
-  ServerAndClient() : server_(io_), client_(io_) {
+  explicit ServerAndClient(ServerOptions options = {})
+      : server_(io_, options), client_(io_) {
+    server_.Handle(Method::kSubmitJob,
+                   [this](const std::string&, Responder respond) {
+                     waiting_.push_back(std::move(respond));
+                   });
     server_.Handle(Method::kHeartbeat, [](std::string body, Responder respond) {
       respond(std::move(body));
     });
@@ -62,7 +70,16 @@
     return promise.get_future().get();
   }
 
+  void AnswerSubmissions() {
+    asio::post(io_, [this] {
+      for (const Responder& respond : std::exchange(waiting_, {})) {
+        respond(std::string());
+      }
+    });
+  }
+
  private:
+  std::vector<Responder> waiting_;
   asio::io_context io_;
   asio::executor_work_guard<asio::io_context::executor_type> work_{
       io_.get_executor()};
@@ -72,6 +89,60 @@
   std::thread thread_;
 };
 
+std::string CallBytes(Method method, std::string body = {}) {
+  wire::Frame frame;
+  frame.id = 1;
+  frame.method = static_cast<int32_t>(method);
+  frame.body = std::move(body);
+  return FrameBytes(frame);
+}
+
+/// A connection to a server, by which a test sends any bytes.
+class RawPeer {
+ public:
+  explicit RawPeer(uint16_t port) : socket_(io_) {
+    socket_.connect({asio::ip::address_v4::loopback(), port});
+  }
+
+  /// Returns whether the server still took the bytes.
+  bool Send(const std::string& bytes) {
+    std::error_code error;
+    asio::write(socket_, asio::buffer(bytes), error);
+    return !error;
+  }
+  /// Returns whether the server answers a call within kAnswerLimit.
+  bool IsAnswered(const std::string& call = CallBytes(Method::kPing)) {
+    return Send(call) && ReadReply();
+  }
+  bool ReadReply() { return Read() > 0; }
+  /// Returns whether the server closes the connection within kAnswerLimit.
+  bool IsClosed() {
+    while (HasInput()) {
+      if (Read() == 0) return true;
+    }
+    return false;
+  }
+
+ private:
+  static constexpr int kAnswerLimitMs = 10000;
+
+  bool HasInput() {
+    pollfd wait{.fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
+    return poll(&wait, 1, kAnswerLimitMs) == 1;
+  }
+  /// Returns how many bytes were read; 0 if there are none in time or the
+  /// connection is closed.
+  size_t Read() {
+    if (!HasInput()) return 0;
+    std::array<char, 4096> buffer{};
+    std::error_code closed;
+    return socket_.read_some(asio::buffer(buffer), closed);
+  }
+
+  asio::io_context io_;
+  tcp::socket socket_;
+};
+
 /// What a fake peer answers.
 enum class Answers {
   kNothing,   ///< A connection that has stopped delivering data.
@@ -267,4 +338,51 @@
   BOOST_TEST(loop.turns() <= kMaxTurns);
 }
 
+/// Guards against a full server that other entries cannot reach, and against
+/// one that closes a connection which is in use for a newcomer.
+BOOST_AUTO_TEST_CASE(LongestIdleConnectionMakesRoom) {
+  ServerAndClient server({.max_connections = 3});
+  RawPeer first(server.port());
+  BOOST_TEST(first.IsAnswered());
+  RawPeer second(server.port());
+  BOOST_TEST(second.IsAnswered());
+  RawPeer third(server.port());
+  BOOST_TEST(third.IsAnswered());
+  BOOST_TEST(first.IsAnswered());
+  RawPeer newcomer(server.port());
+  BOOST_TEST(newcomer.IsAnswered());
+  BOOST_TEST(second.IsClosed());
+  BOOST_TEST(first.IsAnswered());
+  BOOST_TEST(third.IsAnswered());
+}
+
+/// Guards against frames without an end that keep all newcomers out.
+BOOST_AUTO_TEST_CASE(LongestUnfinishedFrameMakesRoom) {
+  ServerAndClient server({.max_connections = 2});
+  const std::string call = CallBytes(Method::kPing);
+  RawPeer first(server.port());
+  BOOST_TEST(first.IsAnswered(call + call.substr(0, 3)));
+  RawPeer second(server.port());
+  BOOST_TEST(second.IsAnswered(call + call.substr(0, 3)));
+  RawPeer newcomer(server.port());
+  BOOST_TEST(newcomer.IsAnswered());
+  BOOST_TEST(first.IsClosed());
+  BOOST_TEST(second.IsAnswered(call.substr(3)));
+}
+
+/// Guards against a late answer that is lost because its connection makes room
+/// for a newcomer.
+BOOST_AUTO_TEST_CASE(ConnectionWithACallInFlightIsKept) {
+  ServerAndClient server({.max_connections = 2});
+  RawPeer waiting(server.port());
+  BOOST_TEST(waiting.Send(CallBytes(Method::kSubmitJob)));
+  RawPeer idle(server.port());
+  BOOST_TEST(idle.IsAnswered());
+  RawPeer newcomer(server.port());
+  BOOST_TEST(newcomer.IsAnswered());
+  BOOST_TEST(idle.IsClosed());
+  server.AnswerSubmissions();
+  BOOST_TEST(waiting.ReadReply());
+}
+
 }  // namespace mimosarail::rpc
