RPC: Close connections whose frame does not arrive

What callers saw: a connection that sent nothing, or a byte of a frame now and then, stayed open for good.

Change: 10 s for the first frame of a connection and for each frame that has begun. The time grows by 1 s for each 16 KiB received, so that it counts progress: 4 MiB, the largest body that operators may allow for a submission, take 17 s over a link of 2 Mbit/s and have 266 s. The longest timeout of a call is 3 s (a configuration), after which its caller closes the connection itself if nothing arrives. Between calls and while a call waits for its answer there is no deadline. What is not a frame is counted as well.

--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -79,13 +79,13 @@
   const std::string_view rest = received.substr(consumed_);
   if (rest.size() < kLengthBytes) return std::optional<wire::Frame>();
   const uint32_t length = FrameLength(rest);
-  if (length > kMaxFrameBytes) return Errc::kMalformed;
+  if (length > kMaxFrameBytes) return {Errc::kMalformed, "frame too large"};
   if (rest.size() - kLengthBytes < length) return std::optional<wire::Frame>();
   last_frame_bytes_ = kLengthBytes + length;
   consumed_ += last_frame_bytes_;
   Result<wire::Frame> frame =
       Decode<wire::Frame>(rest.substr(kLengthBytes, length));
-  if (!frame.ok()) return frame.error();
+  if (!frame.ok()) return {Errc::kMalformed, "not a frame"};
   return std::optional<wire::Frame>(std::move(frame.value()));
 }
 
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -39,6 +39,13 @@
   /// with a call in flight or a reply to send is not closed. Until those that
   /// make room have been closed, kMaxOverLimit more may be open.
   size_t max_connections = 1536;
+  /// Time for a whole frame from its first byte, and for the first frame of a
+  /// connection from its accept. Longer than the timeout of any call, so that a
+  /// frame which exceeds it is of use to nobody.
+  Millis frame_timeout{10000};
+  /// Bytes received of a frame extend its time at this rate. The thinnest
+  /// links, of 2 Mbit/s, carry 15 times as much, and share it among peers.
+  int64_t min_bytes_per_s = 16 << 10;
 };
 
 /// Serves calls over framed TCP. Register handlers before Listen().
--- a/src/libs/rpc/session.cc
+++ b/src/libs/rpc/session.cc
@@ -1,5 +1,6 @@
 #include "src/libs/rpc/session.h"
 
+#include <chrono>
 #include <mutex>
 #include <system_error>
 #include <utility>
@@ -8,6 +9,14 @@
 
 using asio::ip::tcp;
 
+namespace {
+
+/// A frame that is late, but has bytes to read, is looked at again after this
+/// time.
+constexpr Millis kUnreadBytesPause{100};
+
+}  // namespace
+
 Session::Session(tcp::socket socket, std::shared_ptr<ServerState> server)
     : socket_(std::move(socket)),
       server_(std::move(server)),
@@ -22,6 +31,8 @@
 }
 
 void Session::Start() {
+  frame_began_ = Clock::now();
+  ArmFrameTimer(TimeLeftForFrame());
   JoinList();
   ReadNext();
 }
@@ -41,10 +52,13 @@
       socket_, reader_,
       [self = shared_from_this()](wire::Frame frame, size_t bytes) {
         self->CountTraffic(frame.method, metrics::Direction::kIn, bytes);
+        self->frame_completed_ = true;
         self->Dispatch(std::move(frame));
       },
       [self = shared_from_this()](const Error& error) {
+        if (error.code == Errc::kMalformed) return self->Refuse(error.message);
         if (error.code) return self->Close();
+        self->UpdateFrameTime();
         self->JoinList();
         self->ReadNext();
       });
@@ -123,10 +137,54 @@
   (unfinished ? receiving_ : idle_).Join();
 }
 
-void Session::CloseUnlessUsed() {
+void Session::UpdateFrameTime() {
+  const bool completed = std::exchange(frame_completed_, false);
+  if (reader_.unfinished_bytes() == 0) return frame_began_.reset();
+  if (completed || !frame_began_) frame_began_ = Clock::now();
+  ArmFrameTimer(TimeLeftForFrame());
+}
+
+Millis Session::TimeLeftForFrame() const {
+  constexpr int64_t kMsPerS = 1000;
+  const ServerOptions& options = server_->options;
+  const auto bytes = static_cast<int64_t>(reader_.unfinished_bytes());
+  const Millis allowed =
+      options.frame_timeout + Millis(bytes * kMsPerS / options.min_bytes_per_s);
+  return std::chrono::duration_cast<Millis>(*frame_began_ + allowed -
+                                            Clock::now());
+}
+
+void Session::ArmFrameTimer(Millis left) {
+  if (std::exchange(frame_timer_armed_, true)) return;
+  frame_timer_.expires_after(left);
+  frame_timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+    auto self = weak.lock();
+    if (!error && self) self->OnFrameTimer();
+  });
+}
+
+void Session::OnFrameTimer() {
+  frame_timer_armed_ = false;
+  if (!frame_began_ || !socket_.is_open()) return;
+  const Millis left = TimeLeftForFrame();
+  if (left > Millis(0)) return ArmFrameTimer(left);
+  // After a pause of the process, the timer runs before the pending read.
+  if (HasUnreadBytes()) return ArmFrameTimer(kUnreadBytesPause);
+  Refuse("frame too slow");
+}
+
+bool Session::HasUnreadBytes() const {
   std::error_code error;
-  const bool has_unread_bytes = socket_.available(error) > 0 && !error;
-  if (IsBusy() || has_unread_bytes) return JoinList();
+  return socket_.available(error) > 0 && !error;
+}
+
+void Session::CloseUnlessUsed() {
+  if (IsBusy() || HasUnreadBytes()) return JoinList();
+  Close();
+}
+
+void Session::Refuse(const std::string& why) {
+  server_->NoteRefusal(why);
   Close();
 }
 
--- a/src/libs/rpc/session.h
+++ b/src/libs/rpc/session.h
@@ -4,9 +4,11 @@
 #include <cstddef>
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 
 #include "src/libs/base/connection_list.h"
+#include "src/libs/base/executor.h"
 #include "src/libs/base/result.h"
 #include "src/libs/metrics/traffic.h"
 #include "src/libs/rpc/framing.h"
@@ -39,13 +41,28 @@
   bool IsBusy() const { return calls_in_flight_ > 0 || !queue_.empty(); }
   /// Joins the list of the server that the connection belongs to now.
   void JoinList();
+  /// Notes which frame is being received after a read.
+  void UpdateFrameTime();
+  /// Time left to receive the whole frame. Precondition: `frame_began_`.
+  Millis TimeLeftForFrame() const;
+  void ArmFrameTimer(Millis left);
+  void OnFrameTimer();
+  bool HasUnreadBytes() const;
   void CloseUnlessUsed();
+  /// Closes the connection since its peer does not behave.
+  void Refuse(const std::string& why);
   void Close();
 
   asio::ip::tcp::socket socket_;
   std::shared_ptr<ServerState> server_;
   FrameReader reader_;
   SendQueue queue_;
+  /// Since when a frame is being received or, on a new connection, awaited.
+  std::optional<TimePoint> frame_began_;
+  /// The last read has completed a frame.
+  bool frame_completed_ = false;
+  asio::steady_timer frame_timer_{socket_.get_executor()};
+  bool frame_timer_armed_ = false;
   /// Calls that their handlers have not answered yet. One that a handler drops
   /// keeps the connection from making room for others.
   size_t calls_in_flight_ = 0;
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -18,6 +18,10 @@
 
 using asio::ip::tcp;
 
+constexpr Millis kShortTimeout{200};
+constexpr Millis kCloseLimit{10000};
+constexpr size_t kLargeBody = 100000;
+
 /// While an object exists, this process cannot open file descriptors.
 class DescriptorLimit {
  public:
@@ -385,4 +389,52 @@
   BOOST_TEST(waiting.ReadReply());
 }
 
+/// Guards against connections that stay open though they send no call, or no
+/// more than a byte of it now and then.
+BOOST_AUTO_TEST_CASE(ConnectionsThatSendNoFrameAreClosed) {
+  constexpr Millis kBytePause{50};
+  ServerAndClient server({.frame_timeout = kShortTimeout});
+  RawPeer silent(server.port());
+  BOOST_TEST(silent.IsClosed());
+  RawPeer slow(server.port());
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  const TimePoint end = Clock::now() + kCloseLimit;
+  size_t sent = 0;
+  while (slow.Send(call.substr(sent++, 1)) && Clock::now() < end) {
+    std::this_thread::sleep_for(kBytePause);
+  }
+  BOOST_TEST(slow.IsClosed());
+  // After a call, too.
+  RawPeer known(server.port());
+  BOOST_TEST(known.IsAnswered(CallBytes(Method::kPing) + call.substr(0, 1)));
+  BOOST_TEST(known.IsClosed());
+}
+
+/// Guards against the loss of a large call of a peer that has a thin link.
+BOOST_AUTO_TEST_CASE(FrameThatMakesProgressHasMoreTime) {
+  ServerAndClient server(
+      {.frame_timeout = kShortTimeout, .min_bytes_per_s = 1});
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  RawPeer peer(server.port());
+  BOOST_TEST(peer.Send(call.substr(0, kLargeBody / 2)));
+  std::this_thread::sleep_for(5 * kShortTimeout);
+  BOOST_TEST(peer.IsAnswered(call.substr(kLargeBody / 2)));
+}
+
+/// Guards against a deadline that closes connections of peers between their
+/// calls, or while a call waits for its answer.
+BOOST_AUTO_TEST_CASE(ConnectionsBetweenCallsAreKept) {
+  ServerAndClient server({.frame_timeout = kShortTimeout});
+  RawPeer idle(server.port());
+  BOOST_TEST(idle.IsAnswered());
+  RawPeer waiting(server.port());
+  BOOST_TEST(waiting.Send(CallBytes(Method::kSubmitJob)));
+  std::this_thread::sleep_for(5 * kShortTimeout);
+  BOOST_TEST(idle.IsAnswered());
+  server.AnswerSubmissions();
+  BOOST_TEST(waiting.ReadReply());
+}
+
 }  // namespace mimosarail::rpc
