HTTP: Bound what callers' connections hold in the kernel

What callers saw: nothing yet. The platform counts bytes that have been received and not yet read as memory of the process. A connection is not read while its answers wait for a client that doesn't read them, and a client that goes on sending fills its receive buffer: 128 KiB here without any trick, more on a connection that was read fast before. 2,000 connections may hold 256 MB that way, and the machine has 260.

Cause: SO_RCVBUF was set nowhere, so the kernel chose the size, for any number of connections.

Change: receive_buffer_kb, by default an eighth of memory_mb divided by max_connections (16 KiB at 260 MB and 2,000). The kernel doubles it, so all buffers together take a quarter of the memory at most. It is set on the listener, for bytes that come before the accept.

Tests: the crowd's clients that don't read ask for small segments: over loopback's, the server would buffer 2.6 MB of answers for each. CheckServes adds the largest sum of the receive queues (/proc/net/tcp) to the resident peak. IdleConnectionsUpToTheLimit calls a function now, with its crowd as before.

A link with a delay was not tried: with 16 KiB, a body of 256 KiB takes 11 to 16 round trips.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -52,6 +52,7 @@
 constexpr size_t kMaxMetricsConnections = 64;
 constexpr http::ServerLimits kMetricsLimits{.max_head_bytes = 8 << 10,
                                             .max_body_bytes = 1 << 10};
+constexpr int kMetricsReceiveBufferBytes = 16 << 10;
 constexpr size_t kAdviserConnections = 4;
 /// Connections to the host API: one for a list and one for an order at the same
 /// time.
@@ -59,6 +60,7 @@
 /// Fractional settings are stored as hundredths of their unit.
 constexpr double kHundredthsPerUnit = 100;
 constexpr int64_t kMsPerCentisecond = 10;
+constexpr int64_t kBytesPerMb = 1 << 20;
 /// 0.01 Mbit in bytes.
 constexpr int64_t kBytesPerCentiMbit = 1250;
 /// Time reserved at shutdown for the last answers to reach callers.
@@ -136,16 +138,34 @@
   return out;
 }
 
+int64_t MemoryBytes(const JobSettings& s) {
+  const int64_t memory_mb =
+      s.memory_mb > 0 ? s.memory_mb : coordinator::kDefaultMemoryMb;
+  return memory_mb * kBytesPerMb;
+}
+
 /// Memory that callers' requests may take.
 size_t RequestMemoryBytes(const JobSettings& s) {
-  constexpr int64_t kBytesPerMb = 1 << 20;
   constexpr int64_t kDefaultDivisor = 8;
   if (s.request_memory_mb > 0) {
     return static_cast<size_t>(s.request_memory_mb * kBytesPerMb);
   }
-  const int64_t memory_mb =
-      s.memory_mb > 0 ? s.memory_mb : coordinator::kDefaultMemoryMb;
-  return static_cast<size_t>(memory_mb * kBytesPerMb / kDefaultDivisor);
+  return static_cast<size_t>(MemoryBytes(s) / kDefaultDivisor);
+}
+
+/// Receive buffer of a caller's connection. The kernel doubles it, so that the
+/// buffers of all connections take a quarter of the memory at most, as long as
+/// the smallest buffer is not larger.
+int ReceiveBufferBytes(const JobSettings& s) {
+  constexpr int64_t kDefaultDivisor = 8;
+  constexpr int64_t kMinBytes = 4 << 10;
+  constexpr int64_t kMaxBytes = 64 << 10;
+  constexpr int64_t kBytesPerKb = 1 << 10;
+  if (s.receive_buffer_kb > 0) {
+    return static_cast<int>(s.receive_buffer_kb * kBytesPerKb);
+  }
+  const int64_t bytes = MemoryBytes(s) / kDefaultDivisor / s.max_connections;
+  return static_cast<int>(std::clamp(bytes, kMinBytes, kMaxBytes));
 }
 
 /// Processor time of the process.
@@ -200,12 +220,14 @@
                     .ready_address = s.ready_address,
                     .max_connections = static_cast<size_t>(s.max_connections),
                     .request_memory_bytes = RequestMemoryBytes(s),
+                    .receive_buffer_bytes = ReceiveBufferBytes(s),
                     .traffic = &traffic_counters,
                     .metrics = &metrics}),
         metrics_server(
             network_io,
             {.max_connections = kMaxMetricsConnections,
              .limits = kMetricsLimits,
+             .receive_buffer_bytes = kMetricsReceiveBufferBytes,
              .traffic = &traffic_counters,
              .traffic_kind = "metrics",
              .metrics = &metrics},
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -108,6 +108,13 @@
   if (!error) {
     d_->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
+  if (!error && d_->options.receive_buffer_bytes > 0) {
+    // Accepted connections inherit it. Set on them, it would come after bytes
+    // that a client sends at once.
+    d_->acceptor.set_option(asio::socket_base::receive_buffer_size(
+                                d_->options.receive_buffer_bytes),
+                            error);
+  }
   if (!error) d_->acceptor.bind(endpoint, error);
   if (!error) {
     d_->acceptor.listen(asio::socket_base::max_listen_connections, error);
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -33,6 +33,10 @@
   std::function<ServerLimits()> current_limits;
   /// Memory that unfinished and waiting requests may take; 0 for no bound.
   size_t request_memory_bytes = 0;
+  /// Receive buffer of each connection (SO_RCVBUF; the kernel doubles it); 0
+  /// leaves it to the system. What a client sends while its previous requests
+  /// are handled waits there.
+  int receive_buffer_bytes = 0;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/libs/settings/job_settings.cc
+++ b/src/libs/settings/job_settings.cc
@@ -61,6 +61,9 @@
       {"request_memory_mb", Number{&S::request_memory_mb, {0, 1 << 20}}, "MB",
        "memory that callers' requests may take until they are answered; 0 for "
        "an eighth of memory_mb"},
+      {"receive_buffer_kb", Number{&S::receive_buffer_kb, {0, 4 << 10}}, "KiB",
+       "receive buffer of each caller's connection (the kernel doubles it); 0 "
+       "for an eighth of memory_mb divided by max_connections, from 4 to 64"},
       {"queue_order", Text{&S::queue_order, false}, "",
        "order of waiting work: priority, or delay_cost (what a delay costs "
        "callers, by priority, deadline and work)"},
--- a/src/libs/settings/job_settings.h
+++ b/src/libs/settings/job_settings.h
@@ -43,6 +43,9 @@
   /// Memory that unfinished and waiting requests may take, in MB; 0 for an
   /// eighth of memory_mb.
   int64_t request_memory_mb = 0;
+  /// Receive buffer of each caller's connection, in KiB; 0 for an eighth of
+  /// memory_mb divided by max_connections.
+  int64_t receive_buffer_kb = 0;
   /// Name of a scheduling::QueueOrder.
   std::string queue_order = "priority";
   /// Hundredths of the factor by which the cost of a delay grows with each step
--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -2,6 +2,7 @@
 
 #include <httplib.h>
 
+#include <algorithm>
 #include <asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <csignal>
@@ -24,7 +25,7 @@
 using Json = nlohmann::json;
 
 inline constexpr size_t kBytesPerMb = 1 << 20;
-/// Memory that the entry may take.
+/// Memory that the entry may take, unless a test gives another limit.
 inline constexpr size_t kMemoryMb = 64;
 /// Sanitizers take memory of their own.
 #ifdef MR_SANITIZED
@@ -46,6 +47,7 @@
 inline constexpr Millis kAnswerLimit{20000};
 inline constexpr Millis kStartLimit{30000};
 inline constexpr Millis kRetryInterval{200};
+inline constexpr Millis kWatchInterval{100};
 inline constexpr std::chrono::seconds kCallTimeout{3};
 
 inline constexpr const char* kHost = "jobs.test";
@@ -127,11 +129,17 @@
   return *platforms->back();
 }
 
+struct EntryLimits {
+  size_t max_connections = kMaxConnections;
+  /// Memory that the entry may take.
+  size_t memory_mb = kMemoryMb;
+};
+
 /// One entry process that leads and accepts jobs.
 class EntryUnderTest {
  public:
-  explicit EntryUnderTest(size_t max_connections = kMaxConnections)
-      : max_connections_(max_connections),
+  explicit EntryUnderTest(EntryLimits limits = {})
+      : limits_(limits),
         folder_(MakeFolder()),
         platform_(MakePlatform(folder_)),
         entry_(Options(platform_.Start())) {
@@ -149,6 +157,20 @@
 
   int port() const { return PortOf(entry_.front()); }
   int ready_port() const { return PortOf(ready_address_); }
+  int metrics_port() const { return PortOf(metrics_address_); }
+
+  /// Watches the bytes that wait in the kernel for `time`.
+  void Watch(Millis time) {
+    const TimePoint end = Clock::now() + time;
+    do {
+      size_t unread = 0;
+      for (const int port : {this->port(), ready_port(), metrics_port()}) {
+        unread += scenarios::UnreadBytes(port);
+      }
+      peak_unread_ = std::max(peak_unread_, unread);
+      std::this_thread::sleep_for(kWatchInterval);
+    } while (Clock::now() < end);
+  }
 
   /// Checks, while the crowd is connected, that the process lives within its
   /// bounds and that an ordinary request is answered.
@@ -156,13 +178,16 @@
     const size_t descriptors = scenarios::OpenDescriptors(entry_.pid());
     const bool answers = AnswersWithin(kAnswerLimit);
     const size_t peak = scenarios::ResidentPeakBytes(entry_.pid());
-    BOOST_TEST_MESSAGE("resident peak " << peak / kBytesPerMb
+    BOOST_TEST_MESSAGE("resident peak " << peak / kBytesPerMb << " MB, unread "
+                                        << peak_unread_ / kBytesPerMb
                                         << " MB, descriptors " << descriptors
                                         << ", answers " << answers);
     BOOST_CHECK(entry_.alive());
     BOOST_CHECK(answers);
-    BOOST_CHECK_LE(descriptors, max_connections_ + kReservedDescriptors);
-    if (kMemoryIsComparable) BOOST_CHECK_LT(peak, kMemoryMb * kBytesPerMb);
+    BOOST_CHECK_LE(descriptors, limits_.max_connections + kReservedDescriptors);
+    if (kMemoryIsComparable) {
+      BOOST_CHECK_LT(peak + peak_unread_, limits_.memory_mb * kBytesPerMb);
+    }
   }
 
   /// Submits a job with this body and asks for its state; retries both like a
@@ -184,8 +209,9 @@
             .store = store,
             .seeds = {peer},
             .settings = {{"ready_address", ready_address_},
-                         {"memory_mb", kMemoryMb},
-                         {"max_connections", max_connections_}}};
+                         {"metrics_address", metrics_address_},
+                         {"memory_mb", limits_.memory_mb},
+                         {"max_connections", limits_.max_connections}}};
   }
 
   static int PortOf(const std::string& address) {
@@ -217,11 +243,13 @@
     return result ? result->status : 0;
   }
 
-  size_t max_connections_;
+  EntryLimits limits_;
   std::string ready_address_ = soak::FreeAddress();
+  std::string metrics_address_ = soak::FreeAddress();
   std::string folder_;
   PlatformFake& platform_;
   soak::Entry entry_;
+  size_t peak_unread_ = 0;
   JobId last_job_ = 0;
 };
 
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -2,7 +2,6 @@
 #include <boost/test/unit_test.hpp>
 #include <sstream>
 #include <string>
-#include <thread>
 
 #include "src/jobs/job_state.h"
 #include "tests/entry_under_test.h"
@@ -24,6 +23,8 @@
 constexpr Millis kCloseLimit{30000};
 /// How long a crowd stays before the ordinary request.
 constexpr Millis kCrowdTime{2000};
+/// How long answers may take to fill the buffers of a crowd that reads none.
+constexpr Millis kFillTime{8000};
 
 std::string RequestLine(const std::string& method) {
   return method + " " + kPrefix + JobIdText(1u << 20) +
@@ -59,6 +60,29 @@
   return begin + JsonList(item, bytes - begin.size() - 1) + "}";
 }
 
+std::string Repeat(const std::string& text, size_t bytes) {
+  std::string out;
+  while (out.size() < bytes) out += text;
+  return out;
+}
+
+/// Requests for the state of an unknown job, one after the other.
+std::string PipelinedRequests() {
+  return Repeat(RequestLine("GET") + "\r\n", kMaxHeadBytes);
+}
+
+/// Sends requests without reading any answer. Their heads are long, so that
+/// their connection is still open when the answers fill its buffers.
+CrowdBehavior UnreadAnswers() {
+  const std::string request =
+      RequestLine("GET") + "X-Filler: " + std::string(kMaxHeadBytes / 8, 'x') +
+      "\r\n\r\n";
+  return {.first = request,
+          .repeated = Repeat(request, 4 * kMaxHeadBytes),
+          .pause = Millis(0),
+          .reads_answers = false};
+}
+
 std::string WholeBody(const std::string& body) {
   return AnnouncedBody(body.size(), body);
 }
@@ -68,7 +92,7 @@
   EntryUnderTest entry;
   const Crowd crowd(entry.port(), clients, std::move(behavior));
   crowd.WaitUntilSent(kSendLimit);
-  std::this_thread::sleep_for(kCrowdTime);
+  entry.Watch(kCrowdTime);
   entry.CheckServes();
 }
 
@@ -77,12 +101,21 @@
 void CheckEndsEndless(CrowdBehavior behavior) {
   EntryUnderTest entry;
   const Crowd crowd(entry.port(), kSmallCrowd, std::move(behavior));
-  std::this_thread::sleep_for(kCrowdTime);
+  entry.Watch(kCrowdTime);
   entry.CheckServes();
   BOOST_CHECK_EQUAL(crowd.WaitUntilClosed(kCloseLimit), 0u);
   entry.CheckServes();
 }
 
+/// Checks an entry whose connections are all taken by the crowd.
+void CheckServesAtTheConnectionLimit(CrowdBehavior behavior) {
+  constexpr size_t kFewConnections = 50;
+  EntryUnderTest entry({.max_connections = kFewConnections});
+  const Crowd crowd(entry.port(), kFewConnections, std::move(behavior));
+  entry.Watch(kCrowdTime);
+  entry.CheckServes();
+}
+
 // Guards against limits that refuse a request within the operator's limits.
 BOOST_AUTO_TEST_CASE(LargestLegalRequestIsServedInCalm) {
   EntryUnderTest entry;
@@ -148,7 +181,7 @@
   const Crowd crowd(entry.ready_port(), kMediumCrowd,
                     {.first = AnnouncedBody(body.size() + 1, body)});
   crowd.WaitUntilSent(kSendLimit);
-  std::this_thread::sleep_for(kCrowdTime);
+  entry.Watch(kCrowdTime);
   entry.CheckServes();
 }
 
@@ -201,11 +234,7 @@
 
 // Guards against idle connections that keep ordinary callers out.
 BOOST_AUTO_TEST_CASE(IdleConnectionsUpToTheLimit) {
-  constexpr size_t kFewConnections = 50;
-  EntryUnderTest entry(kFewConnections);
-  const Crowd crowd(entry.port(), kFewConnections, {});
-  std::this_thread::sleep_for(kCrowdTime);
-  entry.CheckServes();
+  CheckServesAtTheConnectionLimit({});
 }
 
 // Guards against bodies that stay open as long as a byte arrives now and then.
@@ -215,12 +244,36 @@
                     .pause = Millis(500)});
 }
 
+// Guards against bytes that wait in the kernel behind answers that are not
+// read.
+BOOST_AUTO_TEST_CASE(BytesBehindUnreadAnswers) {
+  EntryUnderTest entry({.memory_mb = 40});
+  const Crowd crowd(entry.port(), kLargeCrowd, UnreadAnswers());
+  entry.Watch(kFillTime);
+  entry.CheckServes();
+}
+
+// Guards against bytes that wait in the kernel behind metrics that are not
+// read.
+BOOST_AUTO_TEST_CASE(BytesBehindUnreadMetrics) {
+  EntryUnderTest entry;
+  const Crowd crowd(entry.metrics_port(), kMediumCrowd, UnreadAnswers());
+  entry.Watch(kFillTime);
+  entry.CheckServes();
+}
+
+// Guards against bytes that wait in the kernel behind readiness answers that
+// are not read.
+BOOST_AUTO_TEST_CASE(BytesBehindUnreadReadiness) {
+  EntryUnderTest entry;
+  const Crowd crowd(entry.ready_port(), kMediumCrowd, UnreadAnswers());
+  entry.Watch(kFillTime);
+  entry.CheckServes();
+}
+
 // Guards against memory that answers take which clients do not read.
 BOOST_AUTO_TEST_CASE(AnswersThatAreNotRead) {
-  std::string requests;
-  while (requests.size() < kMaxHeadBytes) {
-    requests += RequestLine("GET") + "\r\n";
-  }
+  const std::string requests = PipelinedRequests();
   CheckServesBeside(
       kSmallCrowd,
       {.first = requests, .repeated = requests, .reads_answers = false});
--- a/tests/scenarios/crowd.cc
+++ b/tests/scenarios/crowd.cc
@@ -1,5 +1,7 @@
 #include "tests/scenarios/crowd.h"
 
+#include <netinet/tcp.h>
+
 #include <array>
 #include <asio.hpp>
 #include <atomic>
@@ -12,9 +14,13 @@
 using asio::ip::tcp;
 
 constexpr Millis kPollInterval{10};
-/// Receive buffer of a client that reads no answers, small so that few answers
-/// fill it.
-constexpr int kUnreadBufferBytes = 4 << 10;
+/// Receive buffer of a client that reads no answers or reads slowly, small so
+/// that few answers fill it.
+constexpr int kSmallBufferBytes = 4 << 10;
+/// Smallest segments that a client may ask for. A server buffers answers for a
+/// number of segments, so that few fill its buffer.
+constexpr int kSegmentBytes = 88;
+constexpr size_t kReadBytes = 4 << 10;
 
 /// Progress of all clients of a crowd.
 struct Progress {
@@ -26,14 +32,20 @@
  public:
   Client(asio::io_context& io, const CrowdBehavior& behavior,
          Progress& progress)
-      : socket_(io), timer_(io), behavior_(behavior), progress_(progress) {}
+      : socket_(io),
+        timer_(io),
+        read_timer_(io),
+        behavior_(behavior),
+        progress_(progress) {}
 
   void Start(const tcp::endpoint& server) {
     std::error_code ignored;  // the connection fails too
     socket_.open(tcp::v4(), ignored);
-    if (!behavior_.reads_answers) {
+    if (!behavior_.reads_answers || behavior_.read_pause > Millis(0)) {
       socket_.set_option(
-          asio::socket_base::receive_buffer_size(kUnreadBufferBytes), ignored);
+          asio::socket_base::receive_buffer_size(kSmallBufferBytes), ignored);
+      setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_MAXSEG,
+                 &kSegmentBytes, sizeof kSegmentBytes);
     }
     socket_.async_connect(server,
                           [self = shared_from_this()](std::error_code error) {
@@ -44,7 +56,7 @@
  private:
   void OnConnected(std::error_code error) {
     if (error) return Close();
-    if (behavior_.reads_answers) DiscardAnswers();
+    if (behavior_.reads_answers) ReadAfterPause();
     Send(behavior_.first);
   }
 
@@ -66,13 +78,20 @@
     });
   }
 
+  void ReadAfterPause() {
+    read_timer_.expires_after(behavior_.read_pause);
+    read_timer_.async_wait([self = shared_from_this()](std::error_code error) {
+      if (!error) self->DiscardAnswers();
+    });
+  }
+
   void DiscardAnswers() {
     socket_.async_read_some(
         asio::buffer(buffer_),
         [self = shared_from_this()](std::error_code error, size_t) {
           if (error == asio::error::eof) return;
           if (error) return self->Close();
-          self->DiscardAnswers();
+          self->ReadAfterPause();
         });
   }
 
@@ -85,17 +104,19 @@
     NoteFirstSent();
     --progress_.open;
     timer_.cancel();
+    read_timer_.cancel();
     std::error_code ignored;  // it is closed in any case
     socket_.close(ignored);
   }
 
   tcp::socket socket_;
   asio::steady_timer timer_;
+  asio::steady_timer read_timer_;
   const CrowdBehavior& behavior_;
   Progress& progress_;
   bool first_sent_ = false;
   bool closed_ = false;
-  std::array<char, 4096> buffer_{};
+  std::array<char, kReadBytes> buffer_{};
 };
 
 void WaitUntilZero(const std::atomic<size_t>& count, Millis limit) {
--- a/tests/scenarios/crowd.h
+++ b/tests/scenarios/crowd.h
@@ -17,6 +17,8 @@
   /// Pause before each `repeated`.
   Millis pause{10};
   bool reads_answers = true;
+  /// Pause before each read of at most 4 KiB.
+  Millis read_pause{0};
 };
 
 /// Clients of a loopback port that share one behavior and connect once each. A
--- a/tests/scenarios/process_usage.cc
+++ b/tests/scenarios/process_usage.cc
@@ -3,17 +3,26 @@
 #include <filesystem>
 #include <fstream>
 #include <iterator>
+#include <sstream>
 #include <string>
 
 namespace mimosarail::scenarios {
 namespace {
 
 constexpr size_t kBytesPerKb = 1024;
+/// State of a listener in /proc/net/tcp. Its queue holds connections.
+constexpr const char* kListening = "0A";
+constexpr int kHex = 16;
 
 std::string ProcPath(pid_t pid, const char* file) {
   return "/proc/" + std::to_string(pid) + "/" + file;
 }
 
+/// The second figure of "A:B".
+size_t HexAfterColon(const std::string& pair) {
+  return std::stoul(pair.substr(pair.find(':') + 1), nullptr, kHex);
+}
+
 }  // namespace
 
 size_t ResidentPeakBytes(pid_t pid) {
@@ -35,4 +44,27 @@
   return static_cast<size_t>(std::distance(begin(files), end(files)));
 }
 
+// Columns: number, local address, remote address, state, send and receive
+// queue; all figures are hexadecimal.
+size_t UnreadBytes(int port) {
+  std::ifstream connections("/proc/net/tcp");
+  std::string line;
+  std::getline(connections, line);  // names of the columns
+  size_t sum = 0;
+  while (std::getline(connections, line)) {
+    std::istringstream columns(line);
+    std::string number;
+    std::string local;
+    std::string remote;
+    std::string state;
+    std::string queues;
+    columns >> number >> local >> remote >> state >> queues;
+    if (state == kListening ||
+        HexAfterColon(local) != static_cast<size_t>(port))
+      continue;
+    sum += HexAfterColon(queues);
+  }
+  return sum;
+}
+
 }  // namespace mimosarail::scenarios
