HTTP: Give up a response that is read too slowly

What callers saw: a client that reads a few bytes now and then keeps its connection for as long as it likes, and with enough of them all connections. The response waits for the kernel's buffer, which may hold megabytes; a connection in that state is in no list and has no timer.

Cause: only TCP_USER_TIMEOUT (5 s) bounded a write. It ends a client whose window stays closed, not one that opens it from time to time.

Change: a deadline for writing a response, 10 s, after which the connection is closed and counted as "response not read". A client that waits for its answers never meets it: the kernel takes an answer of a few hundred bytes at once, unless hundreds before it are unread.

Evidence (x86-64): http_limits_test, SlowReadersAreClosed, red before (still open after 20 s), green now, the whole test three times; shutdown_test passes.

--- a/src/libs/http/server_limits.h
+++ b/src/libs/http/server_limits.h
@@ -22,6 +22,9 @@
   /// A connection without a request is closed after this time. Empty lines do
   /// not extend it.
   Millis idle_timeout{15000};
+  /// From the start of a response until the kernel has taken it all. The
+  /// connection is closed after this time.
+  Millis write_timeout{10000};
 };
 
 }  // namespace mimosarail::http
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -143,6 +143,7 @@
   // The pending read is about to deliver bytes that arrived just before the
   // time-out: closing the connection would drop their request.
   if (reading_ && HasUnreadBytes()) return;
+  if (writing_) server_->refusals.Add("response not read", 0, Clock::now());
   if (!reading_ || !parser_.inside_message()) return Close();
   // The handler of the read answers, unless it has bytes after all.
   timed_out_ = true;
@@ -246,9 +247,13 @@
       keep_alive_ && (!server_->shutting_down || has_further_requests);
   out_ = ResponseText(response, keep_alive_);
   CountTraffic(metrics::Direction::kOut, out_.size(), 1);
+  writing_ = true;
+  ArmTimer(limits_.write_timeout);
   asio::async_write(socket_, asio::buffer(out_),
                     [self = shared_from_this(), counted_as_open](
                         std::error_code error, size_t) {
+                      self->writing_ = false;
+                      self->DisarmTimer();
                       if (counted_as_open) --self->server_->open_requests;
                       if (error) return self->Close();
                       self->OnWritten();
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -95,6 +95,8 @@
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
+  /// A write of a response is pending.
+  bool writing_ = false;
   /// The pending read was cancelled because the request took too long.
   bool timed_out_ = false;
   /// Received after the last response.
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE http_limits
+#include <array>
 #include <asio.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
@@ -111,12 +112,16 @@
   BOOST_CHECK(ParseInAnyPieces("not http\r\n").error == ParseError::kMalformed);
 }
 
-/// Server with a thread of its own that answers each request with 200.
+/// Server with a thread of its own that answers each request with 200 and a
+/// body.
 class TestServer {
  public:
-  explicit TestServer(ServerOptions options)
-      : server_(io_, std::move(options),
-                [](const Request&, const Responder& respond) { respond({}); }) {
+  explicit TestServer(ServerOptions options, std::string body = {})
+      : server_(
+            io_, std::move(options),
+            [body = std::move(body)](const Request&, const Responder& respond) {
+              respond({.body = body});
+            }) {
     port_ = server_.Listen("127.0.0.1:0").value();
     thread_ = std::thread([this] { io_.run(); });
   }
@@ -127,6 +132,8 @@
   TestServer(const TestServer&) = delete;
   TestServer& operator=(const TestServer&) = delete;
 
+  size_t connections() const { return server_.connections(); }
+
   tcp::socket Connect() {
     tcp::socket socket(clients_);
     socket.connect({asio::ip::address_v4::loopback(), port_});
@@ -209,7 +216,8 @@
 
 constexpr ServerLimits kShortTimes{.head_timeout = Millis(300),
                                    .body_timeout = Millis(300),
-                                   .idle_timeout = Millis(300)};
+                                   .idle_timeout = Millis(300),
+                                   .write_timeout = Millis(300)};
 
 // Guards against requests that stay open as long as a byte arrives now and
 // then.
@@ -227,6 +235,24 @@
   }
 }
 
+// Guards against connections that stay open for a response that is read too
+// slowly.
+BOOST_AUTO_TEST_CASE(SlowReadersAreClosed) {
+  constexpr size_t kResponseBytes = 64 << 20;
+  constexpr Millis kLimit{20000};
+  TestServer server({.limits = kShortTimes}, std::string(kResponseBytes, 'x'));
+  tcp::socket socket = server.Connect();
+  asio::write(socket, asio::buffer(std::string("GET / HTTP/1.1\r\n\r\n")));
+  const TimePoint end = Clock::now() + kLimit;
+  std::array<char, 4096> some{};
+  do {
+    std::error_code closed;
+    socket.read_some(asio::buffer(some), closed);
+    std::this_thread::sleep_for(Millis(100));
+  } while (server.connections() > 0 && Clock::now() < end);
+  BOOST_CHECK_EQUAL(server.connections(), 0U);
+}
+
 // Guards against idle connections that stay open for empty lines.
 BOOST_AUTO_TEST_CASE(EmptyLinesDoNotExtendTheIdleTime) {
   TestServer server({.limits = kShortTimes});
