HTTP: Let clients that go on sending make room for newcomers

What callers saw: with all connections taken by clients that send requests without an end, or read their answers slowly, every newcomer was refused for as long as they went on.

Cause: room for a newcomer came only from connections that are idle or in the middle of a request, and only from those with nothing left to read. A client that always has more to read is neither.

Change: a newcomer that is closed at the limit is remembered, and the next connection whose client has sent more than the request that is answered closes with that answer (Connection: close). A caller that waits for its answer isn't among them, and no request loses an answer that was to come: those behind are not handled. Not during a shutdown, which answers all that was read.

Evidence (x86-64): hostile_clients_test, RequestsWithoutEndUpToTheLimit and SlowlyReadAnswersUpToTheLimit (50 clients, limit of 50) red before (no ordinary answer within 20 s), green now. UnreadAnswersUpToTheLimit was green before: TCP_USER_TIMEOUT ends clients whose window stays closed (Linux 6.18).

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -1,5 +1,6 @@
 #include "src/libs/http/server.h"
 
+#include <algorithm>
 #include <asio.hpp>
 #include <utility>
 
@@ -35,6 +36,7 @@
 
 void Server::Private::StartSession(tcp::socket socket) {
   if (connections >= options.max_connections && !MakeRoom()) {
+    turned_away = std::min(turned_away + 1, options.max_connections);
     return refusals.Add("too many connections", 0, Clock::now());
   }
   std::make_shared<Session>(std::move(socket), shared_from_this())->Start();
@@ -50,6 +52,14 @@
   return true;
 }
 
+bool Server::Private::TakeCloseForRoom() {
+  if (connections < options.max_connections) turned_away = 0;
+  if (turned_away == 0 || shutting_down) return false;
+  --turned_away;
+  refusals.Add("sending on at the connection limit", 0, Clock::now());
+  return true;
+}
+
 void Server::Private::StopAccepting() {
   shutting_down = true;
   accepting_stopped = true;
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -37,6 +37,9 @@
   /// Closes the connection that has been idle for longest or, if none is idle,
   /// has been sending its request for longest. Returns whether there is one.
   bool MakeRoom();
+  /// Whether a connection whose client goes on sending is to close with its
+  /// next response, so that newcomers find room.
+  bool TakeCloseForRoom();
   void StopAccepting();
 
   asio::io_context& io;
@@ -48,6 +51,9 @@
   std::atomic<int64_t> open_requests{0};
   std::atomic<size_t> connections{0};
   bool accepting_stopped = false;
+  /// Newcomers that were closed at the connection limit and for whom no
+  /// connection has made room since.
+  size_t turned_away = 0;
   RequestMemory request_memory;
   std::unordered_set<Session*> sessions;
   ConnectionList<Session> idle;
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -245,6 +245,10 @@
       !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
   keep_alive_ =
       keep_alive_ && (!server_->shutting_down || has_further_requests);
+  // An ordinary caller waits for its answer before it sends its next request.
+  if (keep_alive_ && has_further_requests && server_->TakeCloseForRoom()) {
+    keep_alive_ = false;
+  }
   out_ = ResponseText(response, keep_alive_);
   CountTraffic(metrics::Direction::kOut, out_.size(), 1);
   writing_ = true;
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -271,6 +271,30 @@
   entry.CheckServes();
 }
 
+// Guards against clients that keep ordinary callers out by sending requests
+// without an end.
+BOOST_AUTO_TEST_CASE(RequestsWithoutEndUpToTheLimit) {
+  const std::string request = WholeBody(std::string(kMaxHeadBytes, ' '));
+  CheckServesAtTheConnectionLimit({.first = request,
+                                   .repeated = Repeat(request, kMaxBodyBytes),
+                                   .pause = Millis(0)});
+}
+
+// Guards against clients that keep ordinary callers out by not reading their
+// answers.
+BOOST_AUTO_TEST_CASE(UnreadAnswersUpToTheLimit) {
+  CheckServesAtTheConnectionLimit(UnreadAnswers());
+}
+
+// Guards against clients that keep ordinary callers out by reading their
+// answers slowly.
+BOOST_AUTO_TEST_CASE(SlowlyReadAnswersUpToTheLimit) {
+  CrowdBehavior behavior = UnreadAnswers();
+  behavior.reads_answers = true;
+  behavior.read_pause = Millis(1000);
+  CheckServesAtTheConnectionLimit(behavior);
+}
+
 // Guards against memory that answers take which clients do not read.
 BOOST_AUTO_TEST_CASE(AnswersThatAreNotRead) {
   const std::string requests = PipelinedRequests();
--- a/tests/scenarios/crowd.cc
+++ b/tests/scenarios/crowd.cc
@@ -41,9 +41,11 @@
   void Start(const tcp::endpoint& server) {
     std::error_code ignored;  // the connection fails too
     socket_.open(tcp::v4(), ignored);
-    if (!behavior_.reads_answers || behavior_.read_pause > Millis(0)) {
+    if (!behavior_.reads_answers || ReadsSlowly()) {
       socket_.set_option(
           asio::socket_base::receive_buffer_size(kSmallBufferBytes), ignored);
+    }
+    if (!behavior_.reads_answers) {
       setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_MAXSEG,
                  &kSegmentBytes, sizeof kSegmentBytes);
     }
@@ -78,7 +80,10 @@
     });
   }
 
+  bool ReadsSlowly() const { return behavior_.read_pause > Millis(0); }
+
   void ReadAfterPause() {
+    if (!ReadsSlowly()) return DiscardAnswers();
     read_timer_.expires_after(behavior_.read_pause);
     read_timer_.async_wait([self = shared_from_this()](std::error_code error) {
       if (!error) self->DiscardAnswers();
