Coordinator: Wait only for the usual lease of an upstream that no leader knew

What callers saw: after a takeover, loaded jobs start nothing for up to 22 s beyond the end of the predecessor's lease, because an upstream that has just been listed does not answer.

Cause: UncertainJobs() waits for each link until it has reported or its leases have expired. TaskLeases counts calls of earlier leaders to a former incarnation for every upstream that began recently, also for one that the job table does not contain.

Ruled out: that such an upstream runs what an earlier leader started there. The record goes only with DropUpstream(), when all runs have ended. Not ruled out: the id may be that of an upstream that was dropped shortly before, and its next incarnation may execute a start late. So it isn't waited for 0 s, but as long as one that never restarts.

Evidence, x86-64, simulated time: NewUpstreamThatNeverAnswersDelaysNoLoadedJob failed before; the first start came 25.8 s after the kill, now 7.5 s. The fake gives an upstream that is added later its own start time.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -250,6 +250,9 @@
   /// Tells the scheduler which jobs are uncertain, as soon as UncertainJobs()
   /// is known, and again when their number changes.
   void ResolveWhenRunningTasksKnown();
+  /// Whether all leases that earlier leaders granted have expired, if none
+  /// lasts longer than `longest`.
+  bool EarlierLeasesExpired(Millis longest) const;
   /// Whether an upstream whose record can't be read may run tasks.
   bool UnreadableUpstreamMayRunTasks() const;
   /// Jobs that may have tasks on upstreams which have not reported their
@@ -410,6 +413,8 @@
   bool placement_scheduled_ = false;
   PlacementPacing placement_pacing_;
   std::map<UpstreamIndex, std::shared_ptr<fleet::UpstreamLink>> links_;
+  /// Those of `links_` that the job table did not contain when it was loaded.
+  std::set<UpstreamIndex> added_upstreams_;
   /// First fencing token of the next link to be opened.
   int64_t next_fence_ = 0;
   /// Upstreams that ended with the maintenance of their hosts; the list may
--- a/src/coordinator/upstream_events.cc
+++ b/src/coordinator/upstream_events.cc
@@ -143,6 +143,7 @@
   next_fence_ = std::max(next_fence_, links_.at(upstream)->fence() + 1);
   links_.at(upstream)->Close();
   links_.erase(upstream);
+  added_upstreams_.erase(upstream);
   scheduler_.pool().Remove(upstream);
 }
 
--- a/src/coordinator/upstreams.cc
+++ b/src/coordinator/upstreams.cc
@@ -164,6 +164,7 @@
   // record in the job table is stored.
   journal_->Put(UpstreamKey(entry.id), EncodeUpstream(ToUpstreamRecord(entry)));
   OpenLink(entry);
+  added_upstreams_.insert(scheduler_.pool().Find(entry.id));
 }
 
 void Coordinator::OpenLink(const ports::UpstreamEntry& entry) {
@@ -249,10 +250,22 @@
   });
 }
 
+bool Coordinator::EarlierLeasesExpired(Millis longest) const {
+  const std::optional<TimePoint> last_grant = deps_.predecessor_lease_end();
+  return last_grant && deps_.last_store_confirmation() > *last_grant + longest;
+}
+
 std::optional<std::unordered_set<JobId>> Coordinator::UncertainJobs() const {
   std::unordered_set<JobId> out;
+  // Earlier leaders have started nothing at an upstream that they did not
+  // store. It may have executed calls for a previous incarnation that they
+  // dropped, and usually tells so at once.
+  const bool added_upstreams_awaited = !EarlierLeasesExpired(
+      fleet::MaxLeaseDuration(options_.task_leases.lease));
   for (const auto& [index, link] : links_) {
     if (link->reconciled()) continue;
+    const bool added = added_upstreams_.count(index) > 0;
+    if (added && !added_upstreams_awaited) continue;
     const auto closure =
         inherited_closures_.find(scheduler_.pool().at(index).entry.id);
     if (closure == inherited_closures_.end()) return std::nullopt;
@@ -263,8 +276,6 @@
 
 bool Coordinator::UnreadableUpstreamMayRunTasks() const {
   if (!has_unreadable_upstream_) return false;
-  const std::optional<TimePoint> last_grant = deps_.predecessor_lease_end();
-  if (!last_grant) return true;
   // Where upstreams report their starts, they may restart under their ids, and
   // execute calls for a previous incarnation: see fleet::TaskLeases.
   const scheduling::UpstreamPool& pool = scheduler_.pool();
@@ -277,7 +288,7 @@
       may_restart
           ? leases.max_call_delay + fleet::MaxLeaseDuration(leases.max_lease)
           : fleet::MaxLeaseDuration(leases.lease);
-  return deps_.last_store_confirmation() <= *last_grant + longest;
+  return !EarlierLeasesExpired(longest);
 }
 
 void Coordinator::ResolveWhenRunningTasksKnown() {
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -50,6 +50,7 @@
   Upstream& upstream = upstreams_[id];
   upstream.millicores = millicores;
   upstream.memory_mb = memory_mb;
+  upstream.started_at = clock_.now();
   upstream.clock_zero =
       clock_.now() - Millis(FirstClockMs(id, ClockStart::kAnywhere, 0));
 }
--- a/tests/upstream_takeover_test.cc
+++ b/tests/upstream_takeover_test.cc
@@ -198,6 +198,31 @@
   });
 }
 
+/// Guards against a takeover that waits for a new upstream, which no earlier
+/// leader knew, as long as for one that has restarted.
+BOOST_AUTO_TEST_CASE(NewUpstreamThatNeverAnswersDelaysNoLoadedJob) {
+  constexpr Millis kLeaderLease{2000};
+  constexpr Millis kMaxDelay = kTakeoverTime + kLeaderLease + Millis(5000);
+  JobCluster cluster({.upstreams = 1, .restart_under_same_id = true});
+  cluster.RunFor(kStartupTime);
+  cluster.upstreams().faults("up-0").unreachable = true;
+  cluster.RunFor(kDetectionTime);
+  cluster.Submit("entry-0", OneStepJob(1, 1, 1000));
+  cluster.RunFor(Millis(200));
+  BOOST_REQUIRE(cluster.accepted(1));
+  cluster.upstreams().faults("up-0").unreachable = false;
+  cluster.Kill(cluster.Leader());
+  wire::UpstreamRecord entry = cluster.ListEntry(0);
+  entry.id = "new-0";
+  cluster.upstreams().Add(entry.id, entry.millicores, entry.memory_mb);
+  cluster.upstreams().faults(entry.id).unreachable = true;
+  entry.incarnation = cluster.upstreams().Incarnation(entry.id);
+  cluster.store().Put(kUpstreamTable, entry.id, rpc::Encode(entry));
+  cluster.RunFor(kMaxDelay);
+  BOOST_TEST(cluster.upstreams().starts() == 1);
+  for (const std::string& what : cluster.Violations()) BOOST_ERROR(what);
+}
+
 /// Guards against tasks above the capacity of upstreams that shrink while they
 /// are busy, in a burst of jobs and over a takeover, and against jobs that wait
 /// on after the capacity has grown back.
