Fleet: Keep the estimate of an upstream's clock in one class

The reading of an upstream's clock, its arrival and what is calculated from both stood in UpstreamLink, between orders, renewals and restarts.

--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 
+#include "src/fleet/upstream_clock.h"
+
 namespace mimosarail::fleet {
 namespace {
 
-/// Upper bound of a duration on the local clock, relative to the same duration
-/// on the clock of an upstream. That clock may run 2 % slow; half a percent
-/// more and kLeaseMargin cover the error of the estimate of its time.
-constexpr double kClockDriftFactor = 1.025;
 constexpr Millis kLeaseMargin{50};
 /// A leader may send calls that ask for a lease to the previous incarnation for
 /// this long after a restart.
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -55,27 +55,7 @@
 }
 
 int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
-  const auto elapsed = std::chrono::duration_cast<Millis>(
-      executor_.Now() - upstream_clock_received_at_);
-  return upstream_clock_ms_ + elapsed.count() + options_.leases.lease.count();
-}
-
-TimePoint UpstreamLink::ReportTime(int64_t clock_ms) const {
-  const TimePoint now = executor_.Now();
-  if (upstream_clock_ms_ == 0) return now;
-  return std::min(
-      now, upstream_clock_received_at_ + Millis(clock_ms - upstream_clock_ms_));
-}
-
-void UpstreamLink::RecordUpstreamClock(int64_t clock_ms) {
-  // The upstream may have read its clock just before it replied, a second after
-  // the call if the renewal waited for a completion. The clock reading is
-  // therefore paired with the arrival time of the reply. Paired with the
-  // sending time, leases would outlast the end calculated here, and a task
-  // could run twice at once.
-  if (clock_ms <= upstream_clock_ms_) return;
-  upstream_clock_ms_ = clock_ms;
-  upstream_clock_received_at_ = executor_.Now();
+  return clock_.EstimateAt(executor_.Now()) + options_.leases.lease.count();
 }
 
 void UpstreamLink::ScheduleRenewal(Millis delay) {
@@ -108,8 +88,8 @@
   // reply is lost. A renewal to an unreachable upstream therefore requests no
   // lease and only queries what runs there. With a lease in each of these
   // calls, the tasks there would never count as ended.
-  const bool renews_lease = upstream_clock_ms_ > 0 &&
-                            consecutive_failures_ < kUnreachableAfterFailures;
+  const bool renews_lease =
+      clock_.known() && consecutive_failures_ < kUnreachableAfterFailures;
   if (renews_lease) leases_.NoteCall(LeaseEndCause::kRenewal, sent);
   const bool has_unstored_completions =
       last_stored_completion_ < last_reported_completion_;
@@ -175,8 +155,8 @@
   // The upstream's clock decides which reply is newer, not the order of the
   // calls: a call may have waited at the upstream while a later one was
   // answered.
-  const bool outdated = reply.call.clock_ms < upstream_clock_ms_ ||
-                        (reply.call.clock_ms == upstream_clock_ms_ &&
+  const bool outdated = reply.call.clock_ms < clock_.newest_ms() ||
+                        (reply.call.clock_ms == clock_.newest_ms() &&
                          renewal.number < newest_answered_renewal_);
   LogOutdatedReply(outdated, reply);
   if (outdated) return ScheduleRenewal(options_.renew_delay);
@@ -184,16 +164,17 @@
   // The renewals so far requested no lease, because the upstream's clock was
   // not known or the upstream was unreachable. The next one can, and is sent at
   // once.
-  const bool lease_due = upstream_clock_ms_ == 0 ||
-                         consecutive_failures_ >= kUnreachableAfterFailures;
+  const bool lease_due =
+      !clock_.known() || consecutive_failures_ >= kUnreachableAfterFailures;
   consecutive_failures_ = 0;
   if (sent_to_this_incarnation) {
     last_acknowledged_completion_ =
         std::max(last_acknowledged_completion_, renewal.acked_completions);
   }
-  if (upstream_clock_ms_ == 0) leases_.NoteFirstReport(executor_.Now());
-  last_report_at_ = ReportTime(reply.call.clock_ms);
-  RecordUpstreamClock(reply.call.clock_ms);
+  const TimePoint now = executor_.Now();
+  if (!clock_.known()) leases_.NoteFirstReport(now);
+  last_report_at_ = clock_.ReadAt(reply.call.clock_ms, now);
+  clock_.Record(reply.call.clock_ms, now);
   suspended_at_last_report_ = executor_.Suspended();
   call_unanswered_ = false;
   all_runs_ended_ = false;
@@ -251,7 +232,7 @@
     return std::to_string(
         std::chrono::duration_cast<Millis>(now - time).count());
   };
-  const bool reported = upstream_clock_ms_ > 0;
+  const bool reported = clock_.known();
   const LeaseEnd end =
       leases_.End(events_.PredecessorLeaseEnd()).value_or(LeaseEnd{});
   logging::Event(logging::Level::kWarning, "leases have run out",
@@ -260,9 +241,9 @@
                   {"reported", reported ? "yes" : "no"},
                   {"ended_ms_ago", since(end.at)},
                   {"set_by", std::string(kLeaseEndCauseNames.Name(end.cause))},
-                  {"clock_ms", std::to_string(upstream_clock_ms_)},
+                  {"clock_ms", std::to_string(clock_.newest_ms())},
                   {"clock_read_ms_ago",
-                   reported ? since(upstream_clock_received_at_) : "never"}});
+                   reported ? since(clock_.received_at()) : "never"}});
 }
 
 void UpstreamLink::LogOutdatedReply(bool outdated,
@@ -273,7 +254,7 @@
     logging::Event(logging::Level::kInfo, "outdated report ignored",
                    {{"upstream", options_.target.id},
                     {"clock_ms", std::to_string(reply.call.clock_ms)},
-                    {"known_clock_ms", std::to_string(upstream_clock_ms_)}});
+                    {"known_clock_ms", std::to_string(clock_.newest_ms())}});
   }
   last_reply_outdated_ = outdated;
 }
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -11,6 +11,7 @@
 
 #include "src/fleet/adaptive_timeout.h"
 #include "src/fleet/task_leases.h"
+#include "src/fleet/upstream_clock.h"
 #include "src/libs/base/executor.h"
 #include "src/ports/task_port.h"
 #include "src/scheduling/scheduler.h"
@@ -188,11 +189,6 @@
   /// When the incarnation began, on the local clock.
   TimePoint StartedAt(int64_t incarnation) const;
   int64_t LeaseEndOnUpstreamClock() const;
-  void RecordUpstreamClock(int64_t clock_ms);
-  /// When the upstream wrote a report, by its clock. A process that was paused
-  /// reads reports that have waited for it: counted from their arrival, they
-  /// would make a restarted upstream discard completions that nobody has seen.
-  TimePoint ReportTime(int64_t clock_ms) const;
 
   Executor& executor_;
   ports::TaskPort& tasks_;
@@ -216,8 +212,10 @@
   bool had_report_ = false;
   /// Every call to the previous incarnation had a lower fencing token.
   int64_t restart_fence_ = 0;
-  /// When the last report was received, and how long this machine had been
-  /// suspended until then.
+  /// When the upstream wrote the last report, by its clock, and how long this
+  /// machine had been suspended until its arrival. A process that was paused
+  /// reads reports that have waited for it: counted from their arrival, they
+  /// would make a restarted upstream discard completions that nobody has seen.
   TimePoint last_report_at_{};
   Millis suspended_at_last_report_{0};
   /// A call has remained unanswered since the last report.
@@ -237,10 +235,8 @@
   /// Number of starts that were sent and not answered yet.
   int starts_in_flight_ = 0;
   int consecutive_failures_ = 0;
-  /// The newest time of the upstream's clock (0 until it is known), and the
-  /// local time at which it was received.
-  int64_t upstream_clock_ms_ = 0;
-  TimePoint upstream_clock_received_at_{};
+  /// The clock of this incarnation.
+  UpstreamClock clock_;
   TaskLeases leases_;
   /// Numbers of the newest completions that were reported, that are stored, and
   /// whose acknowledgement the upstream has confirmed.
--- a/src/fleet/upstream_link_restarts.cc
+++ b/src/fleet/upstream_link_restarts.cc
@@ -45,13 +45,13 @@
                  {{"upstream", options_.target.id},
                   {"incarnation_before", std::to_string(incarnation_)},
                   {"incarnation", std::to_string(incarnation)},
-                  {"clock_before_ms", std::to_string(upstream_clock_ms_)},
+                  {"clock_before_ms", std::to_string(clock_.newest_ms())},
                   {"acked_before", std::to_string(last_stored_completion_)}});
   SetReachable(false);
   ++restarts_;
   incarnation_ = incarnation;
   leases_.OnRestart(executor_.Now());
-  had_report_ = upstream_clock_ms_ > 0 || (restarted_at_ && had_report_);
+  had_report_ = clock_.known() || (restarted_at_ && had_report_);
   restarted_at_ = executor_.Now();
   replaced_at_.reset();
   inventory_received_ = false;
@@ -59,7 +59,7 @@
   newest_answered_renewal_ = 0;
   renewals_in_flight_ = 0;
   consecutive_failures_ = 0;
-  upstream_clock_ms_ = 0;
+  clock_ = {};
   last_reported_completion_ = 0;
   last_stored_completion_ = 0;
   last_acknowledged_completion_ = 0;
@@ -109,8 +109,7 @@
   // An upstream that does not report its start has a new id when it restarts.
   if (incarnation_ == 0) return true;
   const Millis suspended = executor_.Suspended() - suspended_at_last_report_;
-  return upstream_clock_ms_ > 0 && !call_unanswered_ &&
-         renewals_in_flight_ == 0 &&
+  return clock_.known() && !call_unanswered_ && renewals_in_flight_ == 0 &&
          executor_.Now() - last_report_at_ + suspended < kMinRestartTime;
 }
 
