Fleet: Hold starts that an incarnation not heard of may have executed

Seen: a task runs twice at once. Its upstream restarts under its id, the new incarnation executes a start that was meant for the previous one, and is cut off before a report or a list entry has told the leader of the restart.

Cause: the leader counted the lease that it had asked for, 4.2 s. The deadline in a start is a time on the clock of the known incarnation. On the clock of the next one it may lie far ahead, and that one grants its longest lease, from when it executes the start, up to max_call_delay after it was sent. Two cases: the start had no answer, or it was answered, and the answer of the new incarnation was taken for one of the known incarnation.

Ruled out: to count the longest lease for all runs of each lost upstream. Runs that a report has listed, or whose start was answered on the known clock, ended with the lease that the leader counts, or with the incarnation.

Change: where upstreams report their starts, a start that was answered on a clock which doesn't continue the known one is in doubt, as one without an answer: the upstream is renewed at once under a higher fencing token, and the report decides. A clock that continues is enough, whoever answers, since deadlines on it end when the leader expects it. When the leases of a lost upstream have expired, its starts in doubt stay held until max_call_delay and the longest lease after the last call that asked for a lease; all other runs are given up as before. New: line "start in doubt held", counter runs_held. Nothing changes for upstreams that have a new id when they restart.

Price: a start that is in doubt when its upstream is cut off waits some 18 s longer, restart or not.

--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -140,6 +140,8 @@
   void OnReachable(UpstreamIndex upstream, bool reachable) override;
   void OnAllRunsEnded(UpstreamIndex upstream,
                       scheduling::UpstreamLoss why) override;
+  void OnLeasesExpired(UpstreamIndex upstream,
+                       const scheduling::RunSet& remaining) override;
   void OnRestarted(UpstreamIndex upstream, int64_t incarnation,
                    const scheduling::RunSet& remaining) override;
   void OnStartReply(const scheduling::StartOrder& order,
--- a/src/coordinator/upstream_events.cc
+++ b/src/coordinator/upstream_events.cc
@@ -97,6 +97,16 @@
   SchedulePlacement();
 }
 
+void Coordinator::OnLeasesExpired(UpstreamIndex upstream,
+                                  const scheduling::RunSet& remaining) {
+  deps_.metrics.Count({.name = "runs_held"},
+                      static_cast<int64_t>(remaining.size()));
+  Orders orders;
+  scheduler_.OnLeasesExpired(upstream, remaining, deps_.executor.Now(), orders);
+  ExecuteOrders(orders);
+  SchedulePlacement();
+}
+
 void Coordinator::OnRestarted(UpstreamIndex upstream, int64_t incarnation,
                               const scheduling::RunSet& remaining) {
   Orders orders;
--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -41,6 +41,7 @@
 }
 
 void TaskLeases::NoteCall(LeaseEndCause cause, TimePoint now) {
+  last_call_ = now;
   Extend(cause, now + MaxLeaseDuration(options_.lease));
 }
 
@@ -69,6 +70,12 @@
   return Later(end, of_stale_call);
 }
 
+LeaseEnd TaskLeases::EndAtUnknownIncarnation() const {
+  return {.at = last_call_ + options_.max_call_delay +
+                MaxLeaseDuration(options_.max_lease),
+          .cause = LeaseEndCause::kStaleCall};
+}
+
 void TaskLeases::Extend(LeaseEndCause cause, TimePoint end) {
   end_ = Later(end_, {.at = end, .cause = cause});
 }
--- a/src/fleet/task_leases.h
+++ b/src/fleet/task_leases.h
@@ -82,6 +82,10 @@
   /// nullopt if the end depends on it.
   std::optional<LeaseEnd> End(
       std::optional<TimePoint> predecessor_lease_end) const;
+  /// When the leases have ended that a later incarnation may have granted, of
+  /// which this leader has not heard: the calls to the current incarnation are
+  /// stale calls there.
+  LeaseEnd EndAtUnknownIncarnation() const;
 
  private:
   /// Stale calls that may not be executed yet.
@@ -101,6 +105,8 @@
   std::optional<StaleCalls> stale_calls_;
   bool reported_ = false;
   LeaseEnd end_;
+  /// When the last call that asks for a lease was sent.
+  TimePoint last_call_{};
 };
 
 }  // namespace mimosarail::fleet
--- a/src/fleet/upstream_clock.h
+++ b/src/fleet/upstream_clock.h
@@ -33,6 +33,10 @@
   int64_t EstimateAt(TimePoint now) const;
   /// Returns when the upstream read `clock_ms`, `now` at the latest.
   TimePoint ReadAt(int64_t clock_ms, TimePoint now) const;
+  /// Whether `clock_ms` may be a reading of the same clock, taken between
+  /// `sent` and `received`. A lease until a time on this clock then ends when
+  /// the leader expects it, even if another incarnation has granted it.
+  bool Continues(int64_t clock_ms, TimePoint sent, TimePoint received) const;
 
  private:
   int64_t newest_ms_ = 0;
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -44,14 +44,53 @@
   CheckAllRunsEnded();
 }
 
-bool UpstreamLink::LeasesExpired() const {
+void UpstreamLink::CheckLeases() {
+  const std::optional<LeaseEnd> end =
+      leases_.End(events_.PredecessorLeaseEnd());
+  if (!end || !HaveExpired(*end)) return;
+  if (!starts_held_) LogLeasesExpired(*end);
+  if (UnknownIncarnationMayHoldLeases()) {
+    if (!starts_held_) HoldStartsInDoubt();
+    return;
+  }
+  if (starts_held_) LogLeasesExpired(leases_.EndAtUnknownIncarnation());
+  all_runs_ended_ = true;
+  starts_held_ = false;
+  starts_in_doubt_.clear();
+  events_.OnAllRunsEnded(options_.index,
+                         scheduling::UpstreamLoss::kLeasesExpired);
+}
+
+bool UpstreamLink::HaveExpired(const LeaseEnd& end) const {
   // While the store does not answer this leader, a successor may renew the
   // leases here, and a task restarted elsewhere would run twice. If the store
   // has confirmed this leader after the leases' end, no successor could have
   // renewed them in time.
-  const std::optional<LeaseEnd> end =
-      leases_.End(events_.PredecessorLeaseEnd());
-  return end && events_.LastStoreConfirmation() > end->at;
+  return events_.LastStoreConfirmation() > end.at;
+}
+
+bool UpstreamLink::UnknownIncarnationMayHoldLeases() const {
+  // An upstream that does not report its start has a new id when it restarts.
+  if (incarnation_ == 0 || starts_in_doubt_.empty()) return false;
+  return !HaveExpired(leases_.EndAtUnknownIncarnation());
+}
+
+void UpstreamLink::HoldStartsInDoubt() {
+  starts_held_ = true;
+  const auto held_for = std::chrono::duration_cast<Millis>(
+      leases_.EndAtUnknownIncarnation().at - executor_.Now());
+  scheduling::RunSet held;
+  for (const auto& [run, start] : starts_in_doubt_) {
+    held.insert(run);
+    logging::Event(logging::Level::kWarning, "start in doubt held",
+                   {{"upstream", options_.target.id},
+                    {"task", TaskIdText(run.first)},
+                    {"attempt", std::to_string(run.second)},
+                    {"incarnation", std::to_string(incarnation_)},
+                    {"cause", start.cause},
+                    {"held_for_ms", std::to_string(held_for.count())}});
+  }
+  events_.OnLeasesExpired(options_.index, held);
 }
 
 int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
@@ -178,6 +217,7 @@
   suspended_at_last_report_ = executor_.Suspended();
   call_unanswered_ = false;
   all_runs_ended_ = false;
+  starts_held_ = false;
   // With an incomplete list of completions, a run that is in neither list may
   // have ended. Treated as never started, its task would run a second time.
   if (!reply.more_completions) inventory_received_ = true;
@@ -227,14 +267,12 @@
               : options_.renew_delay;
 }
 
-void UpstreamLink::LogLeasesExpired() const {
+void UpstreamLink::LogLeasesExpired(const LeaseEnd& end) const {
   const auto since = [now = executor_.Now()](TimePoint time) {
     return std::to_string(
         std::chrono::duration_cast<Millis>(now - time).count());
   };
   const bool reported = clock_.known();
-  const LeaseEnd end =
-      leases_.End(events_.PredecessorLeaseEnd()).value_or(LeaseEnd{});
   logging::Event(logging::Level::kWarning, "leases have run out",
                  {{"upstream", options_.target.id},
                   {"incarnation", std::to_string(incarnation_)},
@@ -295,13 +333,7 @@
     return events_.OnAllRunsEnded(options_.index,
                                   scheduling::UpstreamLoss::kCrashed);
   }
-  if (!reachable_ && !all_runs_ended_ && LeasesExpired()) {
-    LogLeasesExpired();
-    all_runs_ended_ = true;
-    starts_in_doubt_.clear();
-    events_.OnAllRunsEnded(options_.index,
-                           scheduling::UpstreamLoss::kLeasesExpired);
-  }
+  if (!reachable_ && !all_runs_ended_) CheckLeases();
   constexpr Millis kCheckInterval{100};
   executor_.RunAfter(kCheckInterval, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->CheckAllRunsEnded();
--- a/src/fleet/upstream_link.h
+++ b/src/fleet/upstream_link.h
@@ -73,6 +73,12 @@
   /// is expired leases, this incarnation of the upstream never comes back.
   virtual void OnAllRunsEnded(UpstreamIndex upstream,
                               scheduling::UpstreamLoss reason) = 0;
+  /// The leases of all runs at the upstream have expired but those in
+  /// `remaining`: their starts are in doubt, and a later incarnation that this
+  /// leader does not know may have executed them, with longer leases.
+  /// OnReport(), OnRestarted() or OnAllRunsEnded() follows.
+  virtual void OnLeasesExpired(UpstreamIndex upstream,
+                               const scheduling::RunSet& remaining) = 0;
   /// The upstream has restarted under its id. Of the runs known there, only
   /// those in `remaining` exist; the others were lost with the previous
   /// incarnation. OnReport() and OnReachable() follow.
@@ -88,8 +94,9 @@
 };
 
 /// The leader's connection to one upstream: sends orders, renews the leases of
-/// the tasks there, and resolves starts in doubt (those without a reply).
-/// Control thread only.
+/// the tasks there, and resolves starts in doubt: those without a reply, or
+/// with one that may be of an incarnation which has not reported yet. Control
+/// thread only.
 class UpstreamLink : public std::enable_shared_from_this<UpstreamLink> {
  public:
   /// The referenced objects must outlive the link's last callback; there is
@@ -141,10 +148,21 @@
     int64_t acked_completions = 0;
   };
 
+  struct SentStart {
+    scheduling::StartOrder order;
+    int64_t fence = 0;
+    /// Value of restarts() when the start was sent.
+    int64_t restarts = 0;
+    TimePoint sent{};
+    /// The clock that the end of the lease is a time on.
+    UpstreamClock clock;
+  };
+
   struct StartInDoubt {
     scheduling::StartOrder order;
     /// Fencing token under which the start was sent.
-    int64_t fence;
+    int64_t fence = 0;
+    std::string cause;
   };
 
   void ScheduleRenewal(Millis delay);
@@ -170,10 +188,15 @@
   void ResolveRestart(const ports::RenewReply& reply);
   /// Whether the upstream is surely still the incarnation of the last reply.
   bool IncarnationCertain() const;
-  void LogLeasesExpired() const;
+  void LogLeasesExpired(const LeaseEnd& end) const;
   void LogOutdatedReply(bool outdated, const ports::RenewReply& reply);
-  void HandleStartReply(const scheduling::StartOrder& order, int64_t fence,
-                        ports::CallReply reply);
+  void HandleStartReply(const SentStart& start, const ports::CallReply& reply);
+  /// Whether the reply is of the incarnation that the start was meant for, or a
+  /// report tells what became of the start.
+  bool AnsweredByKnownIncarnation(const SentStart& start,
+                                  const ports::CallReply& reply) const;
+  /// The start may be executed, or may have been, by an unknown incarnation.
+  void NoteStartInDoubt(const SentStart& start, const std::string& cause);
   /// Updates the adaptive timeout with the outcome of a call that the upstream
   /// answers at once.
   void RecordReplyTime(TimePoint sent, ports::CallVerdict verdict);
@@ -183,9 +206,16 @@
   /// Checks periodically whether all runs at the upstream have ended.
   void CheckAllRunsEnded();
   void NoteReplaced();
-  /// Whether all leases granted so far have expired, those granted by earlier
-  /// leaders included.
-  bool LeasesExpired() const;
+  /// Checks whether all leases granted so far have expired, those granted by
+  /// earlier leaders included.
+  void CheckLeases();
+  /// Whether the leases that end then have expired.
+  bool HaveExpired(const LeaseEnd& end) const;
+  /// Whether a later incarnation that is not known may hold leases for starts
+  /// in doubt.
+  bool UnknownIncarnationMayHoldLeases() const;
+  /// Reports that of all runs only the starts in doubt may continue.
+  void HoldStartsInDoubt();
   /// When the incarnation began, on the local clock.
   TimePoint StartedAt(int64_t incarnation) const;
   int64_t LeaseEndOnUpstreamClock() const;
@@ -201,6 +231,8 @@
   bool inventory_received_ = false;
   bool reachable_ = false;
   bool all_runs_ended_ = false;
+  /// All leases have expired but those of the starts in doubt.
+  bool starts_held_ = false;
   /// Start time of the upstream's incarnation, in Unix ms; 0 if unknown.
   int64_t incarnation_;
   int64_t restarts_ = 0;
--- a/src/fleet/upstream_link_orders.cc
+++ b/src/fleet/upstream_link_orders.cc
@@ -25,23 +25,26 @@
     renewal_scheduled_ = false;
     ScheduleRenewal(options_.renew_delay);
   }
-  const int64_t fence = fence_;
+  const SentStart start{.order = order,
+                        .fence = fence_,
+                        .restarts = restarts_,
+                        .sent = executor_.Now(),
+                        .clock = clock_};
   tasks_.Start(options_.target,
                {.task = order.task,
                 .attempt = order.attempt,
                 .payload = order.payload,
                 .lease_until_ms = LeaseEndOnUpstreamClock(),
-                .fence = fence,
+                .fence = fence_,
                 .checkpoint = order.checkpoint,
                 .ticket = order.ticket},
                adaptive_timeout_.timeout(),
-               [weak = weak_from_this(), order, fence,
-                sent = executor_.Now()](const ports::CallReply& reply) {
+               [weak = weak_from_this(), start](const ports::CallReply& reply) {
                  const auto self = weak.lock();
                  if (!self || self->closed_) return;
                  --self->starts_in_flight_;
-                 self->RecordReplyTime(sent, reply.verdict);
-                 self->HandleStartReply(order, fence, reply);
+                 self->RecordReplyTime(start.sent, reply.verdict);
+                 self->HandleStartReply(start, reply);
                });
 }
 
@@ -54,25 +57,51 @@
   adaptive_timeout_.AddSample(executor_.Now() - sent);
 }
 
-void UpstreamLink::HandleStartReply(const scheduling::StartOrder& order,
-                                    int64_t fence, ports::CallReply reply) {
+void UpstreamLink::HandleStartReply(const SentStart& start,
+                                    const ports::CallReply& reply) {
   CheckRestarted(reply);
-  if (reply.verdict == CallVerdict::kFenced && fence >= fence_) {
-    events_.OnStartReply(order, reply);
+  if (reply.verdict == CallVerdict::kFenced && start.fence >= fence_) {
+    events_.OnStartReply(start.order, reply);
     return events_.OnFenced(options_.index);
   }
-  if (reply.verdict != CallVerdict::kUnknown) {
-    return events_.OnStartReply(order, reply);
-  }
   // The start may still take effect seconds later. A higher fencing token
   // prevents that, and the inventory reported under it resolves the start.
-  logging::Event(logging::Level::kWarning, "start without answer",
-                 {{"upstream", options_.target.id},
-                  {"task", TaskIdText(order.task)},
-                  {"attempt", std::to_string(order.attempt)},
-                  {"cause", reply.detail}});
-  starts_in_doubt_.insert_or_assign({order.task, order.attempt},
-                                    StartInDoubt{order, fence});
+  if (reply.verdict == CallVerdict::kUnknown) {
+    logging::Event(logging::Level::kWarning, "start without answer",
+                   {{"upstream", options_.target.id},
+                    {"task", TaskIdText(start.order.task)},
+                    {"attempt", std::to_string(start.order.attempt)},
+                    {"cause", reply.detail}});
+    return NoteStartInDoubt(start, reply.detail);
+  }
+  const bool executed = reply.verdict == CallVerdict::kDone;
+  if (executed && !AnsweredByKnownIncarnation(start, reply)) {
+    const int64_t expected_ms = start.clock.EstimateAt(executor_.Now());
+    logging::Event(logging::Level::kWarning, "start answered on another clock",
+                   {{"upstream", options_.target.id},
+                    {"task", TaskIdText(start.order.task)},
+                    {"attempt", std::to_string(start.order.attempt)},
+                    {"clock_ms", std::to_string(reply.clock_ms)},
+                    {"expected_clock_ms", std::to_string(expected_ms)}});
+    return NoteStartInDoubt(start, "answered on another clock");
+  }
+  events_.OnStartReply(start.order, reply);
+}
+
+bool UpstreamLink::AnsweredByKnownIncarnation(
+    const SentStart& start, const ports::CallReply& reply) const {
+  // An upstream that does not report its start has a new id when it restarts.
+  if (incarnation_ == 0 || reply.incarnation == incarnation_) return true;
+  // The report that resolves a restart lists the start if it was executed.
+  if (start.restarts != restarts_) return true;
+  return start.clock.Continues(reply.clock_ms, start.sent, executor_.Now());
+}
+
+void UpstreamLink::NoteStartInDoubt(const SentStart& start,
+                                    const std::string& cause) {
+  starts_in_doubt_.insert_or_assign(
+      {start.order.task, start.order.attempt},
+      StartInDoubt{.order = start.order, .fence = start.fence, .cause = cause});
   RaiseFence();
 }
 
--- a/src/fleet/upstream_link_restarts.cc
+++ b/src/fleet/upstream_link_restarts.cc
@@ -56,6 +56,7 @@
   replaced_at_.reset();
   inventory_received_ = false;
   all_runs_ended_ = false;
+  starts_held_ = false;
   newest_answered_renewal_ = 0;
   renewals_in_flight_ = 0;
   consecutive_failures_ = 0;
--- a/src/scheduling/crashes.cc
+++ b/src/scheduling/crashes.cc
@@ -60,25 +60,34 @@
 
 void Scheduler::OnAllRunsEnded(UpstreamIndex upstream, UpstreamLoss why,
                                TimePoint now, Orders& orders) {
-  SuspectRuns runs = std::exchange(pool_.at(upstream).suspect_runs, {});
-  runs.merge(SuspectRunsOn(upstream, now));
+  if (why == UpstreamLoss::kLeasesExpired) {
+    return OnLeasesExpired(upstream, {}, now, orders);
+  }
+  const SuspectRuns runs = TakeSuspectRuns(upstream, {}, now);
   ReleaseLostRuns(upstream, why, {}, now, orders);
   const ports::UpstreamEntry& entry = pool_.at(upstream).entry;
   switch (why) {
     case UpstreamLoss::kCrashed:
       AddEvidence(upstream, runs, UpstreamFate::kReplaced, now, orders);
       return ConfirmCrash(entry.id, UpstreamFate::kReplaced, now, orders);
-    case UpstreamLoss::kLeasesExpired:
-      if (entry.draining) return;
-      return AddEvidence(upstream, runs, UpstreamFate::kUnknown, now, orders);
     case UpstreamLoss::kLeft:
     case UpstreamLoss::kMaintenance:
       return WithdrawEvidence(entry.id, now, orders);
+    case UpstreamLoss::kLeasesExpired:
     case UpstreamLoss::kUnreachable:
       return;
   }
 }
 
+void Scheduler::OnLeasesExpired(UpstreamIndex upstream, const RunSet& remaining,
+                                TimePoint now, Orders& orders) {
+  const SuspectRuns runs = TakeSuspectRuns(upstream, remaining, now);
+  ReleaseLostRuns(upstream, UpstreamLoss::kLeasesExpired, remaining, now,
+                  orders);
+  if (pool_.at(upstream).entry.draining) return;
+  AddEvidence(upstream, runs, UpstreamFate::kUnknown, now, orders);
+}
+
 void Scheduler::OnRestarted(UpstreamIndex upstream, int64_t incarnation,
                             const RunSet& remaining, TimePoint now,
                             Orders& orders) {
@@ -88,10 +97,7 @@
       it.predecessor_drained || (entry_is_old && it.entry.draining);
   const UpstreamLoss why =
       drained ? UpstreamLoss::kLeft : UpstreamLoss::kCrashed;
-  SuspectRuns runs = std::exchange(pool_.at(upstream).suspect_runs, {});
-  runs.merge(SuspectRunsOn(upstream, now));
-  std::erase_if(
-      runs, [&](const auto& run) { return remaining.count(run.first) > 0; });
+  const SuspectRuns runs = TakeSuspectRuns(upstream, remaining, now);
   ReleaseLostRuns(upstream, why, remaining, now, orders);
   if (drained) {
     WithdrawEvidence(it.entry.id, now, orders);
@@ -112,6 +118,15 @@
   }
 }
 
+SuspectRuns Scheduler::TakeSuspectRuns(UpstreamIndex upstream,
+                                       const RunSet& remaining, TimePoint now) {
+  SuspectRuns runs = std::exchange(pool_.at(upstream).suspect_runs, {});
+  runs.merge(SuspectRunsOn(upstream, now));
+  std::erase_if(
+      runs, [&](const auto& run) { return remaining.count(run.first) > 0; });
+  return runs;
+}
+
 void Scheduler::ReleaseLostRuns(UpstreamIndex upstream, UpstreamLoss why,
                                 const RunSet& remaining, TimePoint now,
                                 Orders& orders) {
--- a/src/scheduling/scheduler.h
+++ b/src/scheduling/scheduler.h
@@ -117,6 +117,10 @@
   /// reported.
   void OnAllRunsEnded(UpstreamIndex upstream, UpstreamLoss why, TimePoint now,
                       Orders& orders);
+  /// The leases on the upstream have expired, except those of the runs in
+  /// `remaining`.
+  void OnLeasesExpired(UpstreamIndex upstream, const RunSet& remaining,
+                       TimePoint now, Orders& orders);
   /// The upstream has restarted under its id. All runs there have ended, and
   /// their results will not be reported, except those in `remaining`.
   void OnRestarted(UpstreamIndex upstream, int64_t incarnation,
@@ -281,6 +285,10 @@
   static void ResetFailureStreaks(JobRecord& record, const TaskId& id);
   /// The task has no run any more and waits for another start.
   void ReturnToWaiting(JobRecord& record, const TaskId& id, TimePoint now);
+  /// Returns the runs on the upstream that count as lost, apart from those in
+  /// `remaining`, and forgets those that an earlier leader has recorded.
+  SuspectRuns TakeSuspectRuns(UpstreamIndex upstream, const RunSet& remaining,
+                              TimePoint now);
   /// Releases the reservations on the upstream, except those of the runs in
   /// `remaining`. Tasks whose runs were lost wait for another start.
   void ReleaseLostRuns(UpstreamIndex upstream, UpstreamLoss why,
--- a/tests/scheduling_test.cc
+++ b/tests/scheduling_test.cc
@@ -256,6 +256,40 @@
   BOOST_TEST(harness.Place().starts.empty());
 }
 
+/// Guards against two runs of a task at once: its start is in doubt and may
+/// have been executed with a longer lease than the others on the upstream.
+BOOST_AUTO_TEST_CASE(OnlyRunsWhoseLeasesHaveExpiredStartElsewhere) {
+  SchedulerHarness harness(3);
+  harness.scheduler.pool().at(1).reachable = false;
+  harness.scheduler.pool().at(2).reachable = false;
+  harness.scheduler.Add(Spec(1, 1, 8000), harness.now, 0);
+  const StartOrder expired = harness.Place().starts.at(0);
+  harness.scheduler.Add(Spec(2, 1, 8000), harness.now, 0);
+  Orders orders;
+  harness.scheduler.Place(harness.now, kAmpleBudget, orders);
+  const StartOrder in_doubt = orders.starts.at(0);
+  harness.scheduler.pool().at(0).reachable = false;
+  harness.scheduler.pool().at(1).reachable = true;
+  orders = {};
+  harness.scheduler.OnLeasesExpired(0, {{in_doubt.task, in_doubt.attempt}},
+                                    harness.now, orders);
+  BOOST_REQUIRE_EQUAL(orders.lost.size(), 1U);
+  BOOST_TEST((orders.lost[0].task == expired.task));
+  BOOST_TEST(!harness.scheduler.Find(1)->task(expired.task).crashes.empty());
+  const Orders first = harness.Place();
+  BOOST_REQUIRE_EQUAL(first.starts.size(), 1U);
+  BOOST_TEST((first.starts[0].task == expired.task));
+  BOOST_TEST(harness.scheduler.pool().at(0).reservations.size() == 1U);
+  orders = {};
+  harness.scheduler.OnAllRunsEnded(0, UpstreamLoss::kLeasesExpired, harness.now,
+                                   orders);
+  BOOST_TEST(harness.scheduler.pool().at(0).reservations.empty());
+  harness.scheduler.pool().at(2).reachable = true;
+  const Orders second = harness.Place();
+  BOOST_REQUIRE_EQUAL(second.starts.size(), 1U);
+  BOOST_TEST((second.starts[0].task == in_doubt.task));
+}
+
 /// Guards against starts that are refused for their tickets: the upstream has
 /// restarted while a call asked for them.
 BOOST_AUTO_TEST_CASE(AdviceThatWasAskedBeforeARestartIsNotUsed) {
--- a/tests/task_leases_test.cc
+++ b/tests/task_leases_test.cc
@@ -91,6 +91,20 @@
   BOOST_TEST((end->at == kNow + kOptions.max_call_delay + kMaxLease));
 }
 
+/// Guards against a second run while an incarnation that the leader does not
+/// know executes the last call late.
+BOOST_AUTO_TEST_CASE(UnknownIncarnationHoldsLeasesAfterTheLastCall) {
+  TaskLeases leases(kOptions);
+  leases.OnStartKnown(kLongAgo, kNow);
+  leases.NoteFirstReport(kNow);
+  leases.NoteCall(LeaseEndCause::kStart, kNow + Millis(100));
+  leases.NoteCall(LeaseEndCause::kRenewal, kNow + Millis(300));
+  const LeaseEnd end = leases.EndAtUnknownIncarnation();
+  BOOST_TEST(
+      (end.at == kNow + Millis(300) + kOptions.max_call_delay + kMaxLease));
+  BOOST_TEST((end.cause == LeaseEndCause::kStaleCall));
+}
+
 /// Guards against a second run where the upstream does not report its start.
 BOOST_AUTO_TEST_CASE(CallsExtendTheEnd) {
   TaskLeases leases(kOptions);
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -54,7 +54,13 @@
   void OnReachable(UpstreamIndex, bool reachable_now) override {
     reachable = reachable_now;
   }
-  void OnAllRunsEnded(UpstreamIndex, scheduling::UpstreamLoss) override {}
+  void OnAllRunsEnded(UpstreamIndex, scheduling::UpstreamLoss) override {
+    ++times_all_runs_ended;
+  }
+  void OnLeasesExpired(UpstreamIndex,
+                       const scheduling::RunSet& remaining_runs) override {
+    held = remaining_runs;
+  }
   void OnRestarted(UpstreamIndex, int64_t,
                    const scheduling::RunSet& remaining_runs) override {
     remaining = remaining_runs;
@@ -70,6 +76,8 @@
   std::vector<ports::RunningTask> running;
   std::vector<ports::EndedTask> ended;
   std::optional<scheduling::RunSet> remaining;
+  std::optional<scheduling::RunSet> held;
+  int times_all_runs_ended = 0;
   std::vector<CallVerdict> start_verdicts;
   bool reachable = false;
 };
@@ -429,6 +437,136 @@
   BOOST_TEST(events.reachable);
 }
 
+/// A link to an upstream that reports nothing more after a start.
+struct StartFixture : Fixture {
+  static constexpr int64_t kFirst = 1000000;
+  static constexpr int64_t kClockMs = 5000;
+  static constexpr Millis kReplyTime{2};
+  /// Longer than the leases that the leader asks for.
+  static constexpr Millis kAfterLeases{4500};
+  /// Longer than any lease that a call for this incarnation gives a later one.
+  static constexpr Millis kAfterStaleCalls{23000};
+  const scheduling::RunSet kRun{{TaskOf(50), 1}};
+
+  void OpenAndStart(int64_t reported_incarnation) {
+    incarnation = reported_incarnation;
+    events.store_confirmation = clock.now();
+    link->Open();
+    Reply(0, kClockMs, {}, {});
+    link->Start({.upstream = kIndex, .task = TaskOf(50), .attempt = 1});
+    clock.RunFor(kReplyTime);
+  }
+  void AnswerStart(int64_t clock_ms) {
+    calls.starts.at(0)({.verdict = CallVerdict::kDone, .clock_ms = clock_ms});
+  }
+  void FailStart() { calls.starts.at(0)({.verdict = CallVerdict::kUnknown}); }
+  /// Lets time pass in which no renewal is answered.
+  void CutOffFor(Millis span) {
+    constexpr Millis kStep{50};
+    for (Millis passed{0}; passed < span; passed += kStep) {
+      while (unanswered < calls.renewals.size()) {
+        const auto fail = calls.renewals[unanswered++].done;
+        fail({.call = {.verdict = CallVerdict::kUnknown}});
+      }
+      clock.RunFor(kStep);
+      events.store_confirmation = clock.now();
+    }
+  }
+  /// Answers the renewals in flight; only the last one has the highest token.
+  void ReportAgain(std::vector<ports::RunningTask> running) {
+    while (unanswered < calls.renewals.size()) {
+      Reply(unanswered++, kClockMs + 30000 + ++reports, running, {});
+    }
+  }
+
+  /// The first renewal without an answer.
+  size_t unanswered = 1;
+  int64_t reports = 0;
+};
+
+/// Guards against two runs of a task at once: an incarnation that the leader
+/// does not know has executed its start, with a longer lease.
+BOOST_FIXTURE_TEST_CASE(StartInDoubtIsHeldWhenTheLeasesHaveExpired,
+                        StartFixture) {
+  OpenAndStart(kFirst);
+  FailStart();
+  CutOffFor(kAfterLeases);
+  BOOST_REQUIRE(events.held);
+  BOOST_TEST((*events.held == kRun));
+  BOOST_TEST(!link->all_runs_ended());
+  CutOffFor(kAfterStaleCalls - kAfterLeases);
+  BOOST_TEST(events.times_all_runs_ended == 1);
+  BOOST_TEST(link->all_runs_ended());
+}
+
+/// The same where that incarnation has answered the start.
+BOOST_FIXTURE_TEST_CASE(StartAnsweredOnAnotherClockIsHeld, StartFixture) {
+  OpenAndStart(kFirst);
+  AnswerStart(kClockMs / 2);
+  BOOST_TEST(events.start_verdicts.empty());
+  BOOST_TEST(calls.renewals.back().call.fence == 2);
+  CutOffFor(kAfterLeases);
+  BOOST_REQUIRE(events.held);
+  BOOST_TEST((*events.held == kRun));
+}
+
+/// Guards against a start that stays in doubt although the known incarnation
+/// lists it.
+BOOST_FIXTURE_TEST_CASE(StartAnsweredOnAnotherClockIsResolvedByTheNextReport,
+                        StartFixture) {
+  OpenAndStart(kFirst);
+  AnswerStart(10 * kClockMs);
+  BOOST_TEST(events.start_verdicts.empty());
+  ReportAgain({{.task = TaskOf(50), .attempt = 1}});
+  BOOST_REQUIRE_EQUAL(events.start_verdicts.size(), 1U);
+  BOOST_TEST((events.start_verdicts[0] == CallVerdict::kDone));
+}
+
+/// Guards against tasks that wait for longer than the lease without need.
+BOOST_FIXTURE_TEST_CASE(StartAnsweredByTheKnownIncarnationIsNotHeld,
+                        StartFixture) {
+  OpenAndStart(kFirst);
+  AnswerStart(kClockMs + 1);
+  BOOST_TEST(events.start_verdicts.size() == 1U);
+  CutOffFor(kAfterLeases);
+  BOOST_TEST(!events.held);
+  BOOST_TEST(events.times_all_runs_ended == 1);
+}
+
+/// The same for an upstream that has a new id when it restarts.
+BOOST_FIXTURE_TEST_CASE(NothingIsHeldWithoutAStartTime, StartFixture) {
+  OpenAndStart(0);
+  FailStart();
+  CutOffFor(kAfterLeases);
+  BOOST_TEST(!events.held);
+  BOOST_TEST(events.times_all_runs_ended == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(AnyAnswerConfirmsAStartWithoutAStartTime,
+                        StartFixture) {
+  OpenAndStart(0);
+  AnswerStart(kClockMs / 2);
+  BOOST_REQUIRE_EQUAL(events.start_verdicts.size(), 1U);
+  BOOST_TEST((events.start_verdicts[0] == CallVerdict::kDone));
+}
+
+/// Guards against a held start whose task waits on although its upstream
+/// answers again.
+BOOST_FIXTURE_TEST_CASE(HeldStartIsResolvedByALaterReport, StartFixture) {
+  OpenAndStart(kFirst);
+  FailStart();
+  CutOffFor(kAfterLeases);
+  BOOST_REQUIRE(events.held);
+  ReportAgain({});
+  BOOST_REQUIRE_EQUAL(events.start_verdicts.size(), 1U);
+  BOOST_TEST((events.start_verdicts[0] == CallVerdict::kNotSent));
+  // Lost again, the upstream holds nothing.
+  events.held.reset();
+  CutOffFor(kAfterLeases);
+  BOOST_TEST(!events.held);
+  BOOST_TEST(events.times_all_runs_ended == 1);
+}
+
 /// Guards against a job that is shown as complete although its task has to run
 /// again: the lease expired before its completion was acknowledged.
 BOOST_FIXTURE_TEST_CASE(CompletionBeforeALeaseExpiryDoesNotCount, Fixture) {
