Tests: Show that a new leader does not know its predecessor's starts in doubt

An upstream restarts under its id and executes a start for its previous incarnation 1.5 s late, while it is cut off and the leader has been replaced. The new leader never reaches it, counts the predecessor's lease and starts the task elsewhere: the task runs twice at once.

--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -222,6 +222,17 @@
   scenario.CutAndCheck(upstream);
 }
 
+/// The same for a leader that did not send the start, and has never reached the
+/// upstream.
+BOOST_AUTO_TEST_CASE(StartInDoubtOfThePredecessorRunsOnce) {
+  Scenario scenario(false, kCutTime);
+  const std::string upstream = scenario.RunTaskLate(Millis(1500));
+  scenario.cluster.upstreams().Crash(upstream);
+  scenario.RunFor(Millis(1000));
+  scenario.cluster.Restart(scenario.cluster.Leader());
+  scenario.CutAndCheck(upstream);
+}
+
 /// Guards against a second run of a task whose start was resolved as not
 /// executed: the next incarnation has seen no fencing token, and executes it.
 BOOST_AUTO_TEST_CASE(ResolvedStartIsStoppedBeforeTheTaskStartsElsewhere) {
