--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -2,13 +2,11 @@
 
 #include <algorithm>
 
+#include "src/fleet/upstream_clock.h"
+
 namespace mimosarail::fleet {
 namespace {
 
-/// Upper bound of a duration on the local clock, relative to the same duration
-/// on the clock of an upstream. That clock may run 2 % slow; half a percent
-/// more and kLeaseMargin cover the error of the estimate of its time.
-constexpr double kClockDriftFactor = 1.025;
 constexpr Millis kLeaseMargin{50};
 /// A leader may send calls that ask for a lease to the previous incarnation for
 /// this long after a restart.
@@ -43,6 +41,7 @@
 }
 
 void TaskLeases::NoteCall(LeaseEndCause cause, TimePoint now) {
+  last_call_ = now;
   Extend(cause, now + MaxLeaseDuration(options_.lease));
 }
 
@@ -71,6 +70,12 @@
   return Later(end, of_stale_call);
 }
 
+LeaseEnd TaskLeases::EndAtUnknownIncarnation() const {
+  return {.at = last_call_ + options_.max_call_delay +
+                MaxLeaseDuration(options_.max_lease),
+          .cause = LeaseEndCause::kStaleCall};
+}
+
 void TaskLeases::Extend(LeaseEndCause cause, TimePoint end) {
   end_ = Later(end_, {.at = end, .cause = cause});
 }
--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -44,38 +44,57 @@
   CheckAllRunsEnded();
 }
 
-bool UpstreamLink::LeasesExpired() const {
+void UpstreamLink::CheckLeases() {
+  const std::optional<LeaseEnd> end =
+      leases_.End(events_.PredecessorLeaseEnd());
+  if (!end || !HaveExpired(*end)) return;
+  if (!starts_held_) LogLeasesExpired(*end);
+  if (UnknownIncarnationMayHoldLeases()) {
+    if (!starts_held_) HoldStartsInDoubt();
+    return;
+  }
+  if (starts_held_) LogLeasesExpired(leases_.EndAtUnknownIncarnation());
+  all_runs_ended_ = true;
+  starts_held_ = false;
+  starts_in_doubt_.clear();
+  events_.OnAllRunsEnded(options_.index,
+                         scheduling::UpstreamLoss::kLeasesExpired);
+}
+
+bool UpstreamLink::HaveExpired(const LeaseEnd& end) const {
   // While the store does not answer this leader, a successor may renew the
   // leases here, and a task restarted elsewhere would run twice. If the store
   // has confirmed this leader after the leases' end, no successor could have
   // renewed them in time.
-  const std::optional<LeaseEnd> end =
-      leases_.End(events_.PredecessorLeaseEnd());
-  return end && events_.LastStoreConfirmation() > end->at;
+  return events_.LastStoreConfirmation() > end.at;
 }
 
-int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
-  const auto elapsed = std::chrono::duration_cast<Millis>(
-      executor_.Now() - upstream_clock_received_at_);
-  return upstream_clock_ms_ + elapsed.count() + options_.leases.lease.count();
+bool UpstreamLink::UnknownIncarnationMayHoldLeases() const {
+  // An upstream that does not report its start has a new id when it restarts.
+  if (incarnation_ == 0 || starts_in_doubt_.empty()) return false;
+  return !HaveExpired(leases_.EndAtUnknownIncarnation());
 }
 
-TimePoint UpstreamLink::ReportTime(int64_t clock_ms) const {
-  const TimePoint now = executor_.Now();
-  if (upstream_clock_ms_ == 0) return now;
-  return std::min(
-      now, upstream_clock_received_at_ + Millis(clock_ms - upstream_clock_ms_));
+void UpstreamLink::HoldStartsInDoubt() {
+  starts_held_ = true;
+  const auto held_for = std::chrono::duration_cast<Millis>(
+      leases_.EndAtUnknownIncarnation().at - executor_.Now());
+  scheduling::RunSet held;
+  for (const auto& [run, start] : starts_in_doubt_) {
+    held.insert(run);
+    logging::Event(logging::Level::kWarning, "start in doubt held",
+                   {{"upstream", options_.target.id},
+                    {"task", TaskIdText(run.first)},
+                    {"attempt", std::to_string(run.second)},
+                    {"incarnation", std::to_string(incarnation_)},
+                    {"cause", start.cause},
+                    {"held_for_ms", std::to_string(held_for.count())}});
+  }
+  events_.OnLeasesExpired(options_.index, held);
 }
 
-void UpstreamLink::RecordUpstreamClock(int64_t clock_ms) {
-  // The upstream may have read its clock just before it replied, a second after
-  // the call if the renewal waited for a completion. The clock reading is
-  // therefore paired with the arrival time of the reply. Paired with the
-  // sending time, leases would outlast the end calculated here, and a task
-  // could run twice at once.
-  if (clock_ms <= upstream_clock_ms_) return;
-  upstream_clock_ms_ = clock_ms;
-  upstream_clock_received_at_ = executor_.Now();
+int64_t UpstreamLink::LeaseEndOnUpstreamClock() const {
+  return clock_.EstimateAt(executor_.Now()) + options_.leases.lease.count();
 }
 
 void UpstreamLink::ScheduleRenewal(Millis delay) {
@@ -108,8 +127,8 @@
   // reply is lost. A renewal to an unreachable upstream therefore requests no
   // lease and only queries what runs there. With a lease in each of these
   // calls, the tasks there would never count as ended.
-  const bool renews_lease = upstream_clock_ms_ > 0 &&
-                            consecutive_failures_ < kUnreachableAfterFailures;
+  const bool renews_lease =
+      clock_.known() && consecutive_failures_ < kUnreachableAfterFailures;
   if (renews_lease) leases_.NoteCall(LeaseEndCause::kRenewal, sent);
   const bool has_unstored_completions =
       last_stored_completion_ < last_reported_completion_;
@@ -175,8 +194,8 @@
   // The upstream's clock decides which reply is newer, not the order of the
   // calls: a call may have waited at the upstream while a later one was
   // answered.
-  const bool outdated = reply.call.clock_ms < upstream_clock_ms_ ||
-                        (reply.call.clock_ms == upstream_clock_ms_ &&
+  const bool outdated = reply.call.clock_ms < clock_.newest_ms() ||
+                        (reply.call.clock_ms == clock_.newest_ms() &&
                          renewal.number < newest_answered_renewal_);
   LogOutdatedReply(outdated, reply);
   if (outdated) return ScheduleRenewal(options_.renew_delay);
@@ -184,19 +203,21 @@
   // The renewals so far requested no lease, because the upstream's clock was
   // not known or the upstream was unreachable. The next one can, and is sent at
   // once.
-  const bool lease_due = upstream_clock_ms_ == 0 ||
-                         consecutive_failures_ >= kUnreachableAfterFailures;
+  const bool lease_due =
+      !clock_.known() || consecutive_failures_ >= kUnreachableAfterFailures;
   consecutive_failures_ = 0;
   if (sent_to_this_incarnation) {
     last_acknowledged_completion_ =
         std::max(last_acknowledged_completion_, renewal.acked_completions);
   }
-  if (upstream_clock_ms_ == 0) leases_.NoteFirstReport(executor_.Now());
-  last_report_at_ = ReportTime(reply.call.clock_ms);
-  RecordUpstreamClock(reply.call.clock_ms);
+  const TimePoint now = executor_.Now();
+  if (!clock_.known()) leases_.NoteFirstReport(now);
+  last_report_at_ = clock_.ReadAt(reply.call.clock_ms, now);
+  clock_.Record(reply.call.clock_ms, now);
   suspended_at_last_report_ = executor_.Suspended();
   call_unanswered_ = false;
   all_runs_ended_ = false;
+  starts_held_ = false;
   // With an incomplete list of completions, a run that is in neither list may
   // have ended. Treated as never started, its task would run a second time.
   if (!reply.more_completions) inventory_received_ = true;
@@ -246,23 +267,21 @@
               : options_.renew_delay;
 }
 
-void UpstreamLink::LogLeasesExpired() const {
+void UpstreamLink::LogLeasesExpired(const LeaseEnd& end) const {
   const auto since = [now = executor_.Now()](TimePoint time) {
     return std::to_string(
         std::chrono::duration_cast<Millis>(now - time).count());
   };
-  const bool reported = upstream_clock_ms_ > 0;
-  const LeaseEnd end =
-      leases_.End(events_.PredecessorLeaseEnd()).value_or(LeaseEnd{});
+  const bool reported = clock_.known();
   logging::Event(logging::Level::kWarning, "leases have run out",
                  {{"upstream", options_.target.id},
                   {"incarnation", std::to_string(incarnation_)},
                   {"reported", reported ? "yes" : "no"},
                   {"ended_ms_ago", since(end.at)},
                   {"set_by", std::string(kLeaseEndCauseNames.Name(end.cause))},
-                  {"clock_ms", std::to_string(upstream_clock_ms_)},
+                  {"clock_ms", std::to_string(clock_.newest_ms())},
                   {"clock_read_ms_ago",
-                   reported ? since(upstream_clock_received_at_) : "never"}});
+                   reported ? since(clock_.received_at()) : "never"}});
 }
 
 void UpstreamLink::LogOutdatedReply(bool outdated,
@@ -273,7 +292,7 @@
     logging::Event(logging::Level::kInfo, "outdated report ignored",
                    {{"upstream", options_.target.id},
                     {"clock_ms", std::to_string(reply.call.clock_ms)},
-                    {"known_clock_ms", std::to_string(upstream_clock_ms_)}});
+                    {"known_clock_ms", std::to_string(clock_.newest_ms())}});
   }
   last_reply_outdated_ = outdated;
 }
@@ -314,13 +333,7 @@
     return events_.OnAllRunsEnded(options_.index,
                                   scheduling::UpstreamLoss::kCrashed);
   }
-  if (!reachable_ && !all_runs_ended_ && LeasesExpired()) {
-    LogLeasesExpired();
-    all_runs_ended_ = true;
-    starts_in_doubt_.clear();
-    events_.OnAllRunsEnded(options_.index,
-                           scheduling::UpstreamLoss::kLeasesExpired);
-  }
+  if (!reachable_ && !all_runs_ended_) CheckLeases();
   constexpr Millis kCheckInterval{100};
   executor_.RunAfter(kCheckInterval, [weak = weak_from_this()] {
     if (const auto self = weak.lock()) self->CheckAllRunsEnded();
