RPC: Bound the memory of unfinished frames between entries

What callers saw: 320 connections that sent all but one byte of a frame of 1 MiB took 436 MB, and kept 448 MB after whole ones: the machines of the deployments have 260 MB. A frame could have 32 MiB.

Cause: each connection had a bound, all together had none, and a buffer never shrank.

Change: one budget for the unfinished frames of all connections (ReceiveBudget, as for callers' requests), an eighth of memory_mb (32.5 MB of 260); the connection whose frame has waited longest for its bytes is closed. One that makes room charges nothing again before it is closed; else its last reads displaced the others. The buffer of a connection is freed once its frames are handled.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -136,16 +136,35 @@
   return out;
 }
 
-/// Memory that callers' requests may take.
-size_t RequestMemoryBytes(const JobSettings& s) {
-  constexpr int64_t kBytesPerMb = 1 << 20;
-  constexpr int64_t kDefaultDivisor = 8;
-  if (s.request_memory_mb > 0) {
-    return static_cast<size_t>(s.request_memory_mb * kBytesPerMb);
-  }
+constexpr int64_t kBytesPerMb = 1 << 20;
+
+/// Memory that the frames of other entries may take while they are received.
+size_t FrameMemoryBytes(const JobSettings& s) {
+  constexpr int64_t kDivisor = 8;
   const int64_t memory_mb =
       s.memory_mb > 0 ? s.memory_mb : coordinator::kDefaultMemoryMb;
-  return static_cast<size_t>(memory_mb * kBytesPerMb / kDefaultDivisor);
+  return static_cast<size_t>(memory_mb * kBytesPerMb / kDivisor);
+}
+
+/// Memory that callers' requests may take.
+size_t RequestMemoryBytes(const JobSettings& s) {
+  if (s.request_memory_mb == 0) return FrameMemoryBytes(s);
+  return static_cast<size_t>(s.request_memory_mb * kBytesPerMb);
+}
+
+rpc::ServerOptions MakePeerServerOptions(const JobSettings& s,
+                                         metrics::Traffic& traffic,
+                                         metrics::Registry& metrics) {
+  // Twice the largest body that operators may allow for a submission.
+  constexpr size_t kMaxFrameBytes = 8 << 20;
+  // The buffer of a frame is up to twice as large.
+  const size_t frame_memory_bytes = FrameMemoryBytes(s);
+  return {.traffic = &traffic,
+          .metrics = &metrics,
+          .send_buffer_bytes = SendBufferBytes(s),
+          .max_frame_bytes = static_cast<uint32_t>(
+              std::min(kMaxFrameBytes, frame_memory_bytes / 2)),
+          .frame_memory_bytes = frame_memory_bytes};
 }
 
 /// Processor time of the process.
@@ -177,9 +196,8 @@
         peer_client(network_io, &traffic_counters, SendBufferBytes(s)),
         urgent_peer_client(network_io, &traffic_counters),
         peers(peer_client, urgent_peer_client, executor),
-        peer_server(network_io, {.traffic = &traffic_counters,
-                                 .metrics = &metrics,
-                                 .send_buffer_bytes = SendBufferBytes(s)}),
+        peer_server(network_io,
+                    MakePeerServerOptions(s, traffic_counters, metrics)),
         capacity_use(
             {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
              .cpu_percent = s.cpu_percent}),
--- a/src/libs/base/receive_budget.cc
+++ b/src/libs/base/receive_budget.cc
@@ -20,6 +20,7 @@
 }
 
 void ReceiveBudget::Charge::Release() {
+  if (bytes_ == 0) return;
   if (unfinished_) budget_.unfinished_.erase(at_);
   unfinished_ = false;
   budget_.used_bytes_ -= bytes_;
--- a/src/libs/rpc/codec.h
+++ b/src/libs/rpc/codec.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
 #include <string_view>
 
@@ -11,6 +12,9 @@
 
 namespace mimosarail::rpc {
 
+/// Maximum size of a frame of either side.
+inline constexpr uint32_t kMaxFrameBytes = 32U << 20U;
+
 /// Encodes a message in Thrift's compact protocol. Thread-safe.
 std::string Encode(const apache::thrift::TBase& message);
 
--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -12,6 +12,8 @@
 /// usual calls, and is what an idle connection keeps allocated.
 constexpr size_t kMinReadBytes = 4 << 10;
 constexpr size_t kMaxReadBytes = 64 << 10;
+/// Largest buffer that is kept while no frame is being received.
+constexpr size_t kMaxKeptBytes = 2 * kMinReadBytes;
 /// Bounds of one write, unless its first frame is larger. On a thin link, the
 /// frames of a write delay those of other connections.
 constexpr size_t kMaxBatchBytes = 16 << 10;
@@ -64,6 +66,8 @@
 asio::mutable_buffer FrameReader::Prepare() {
   buffer_.erase(0, std::exchange(consumed_, 0));
   received_ = buffer_.size();
+  // Else a connection would keep the memory of its largest frame.
+  if (received_ == 0 && buffer_.capacity() > kMaxKeptBytes) buffer_ = {};
   const size_t chunk = std::clamp(received_, kMinReadBytes, kMaxReadBytes);
   buffer_.resize(received_ + chunk);
   return asio::buffer(buffer_.data() + received_, chunk);
@@ -79,7 +83,7 @@
   const std::string_view rest = received.substr(consumed_);
   if (rest.size() < kLengthBytes) return std::optional<wire::Frame>();
   const uint32_t length = FrameLength(rest);
-  if (length > kMaxFrameBytes) return {Errc::kMalformed, "frame too large"};
+  if (length > max_frame_bytes_) return {Errc::kMalformed, "frame too large"};
   if (rest.size() - kLengthBytes < length) return std::optional<wire::Frame>();
   last_frame_bytes_ = kLengthBytes + length;
   consumed_ += last_frame_bytes_;
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -13,9 +13,6 @@
 
 namespace mimosarail::rpc {
 
-/// Maximum size of a frame that either side accepts.
-inline constexpr uint32_t kMaxFrameBytes = 32U << 20U;
-
 /// An IP address and a port.
 struct Endpoint {
   asio::ip::address address;
@@ -36,6 +33,10 @@
 /// can deliver many of them. Not thread-safe.
 class FrameReader {
  public:
+  /// Larger frames are malformed.
+  explicit FrameReader(uint32_t max_frame_bytes = kMaxFrameBytes)
+      : max_frame_bytes_(max_frame_bytes) {}
+
   /// Returns where to store the next bytes received. Valid until the next call
   /// of this or of Next().
   asio::mutable_buffer Prepare();
@@ -49,12 +50,15 @@
   size_t last_frame_bytes() const { return last_frame_bytes_; }
   /// Bytes received of the frame that is not complete yet.
   size_t unfinished_bytes() const { return received_ - consumed_; }
+  /// Bytes of memory that the buffer takes.
+  size_t capacity() const { return buffer_.capacity(); }
 
  private:
   /// The buffer grows with the bytes that arrive, not with the length that a
   /// frame announces: a sender could otherwise use up the 260 MB of memory of
   /// a process by sending only length prefixes of kMaxFrameBytes.
   std::string buffer_;
+  uint32_t max_frame_bytes_;
   /// Bytes of `buffer_` that were received, and those of them that belong to
   /// frames already returned.
   size_t received_ = 0;
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -46,6 +46,11 @@
   /// Bytes received of a frame extend its time at this rate. The thinnest
   /// links, of 2 Mbit/s, carry 15 times as much, and share it among peers.
   int64_t min_bytes_per_s = 16 << 10;
+  uint32_t max_frame_bytes = kMaxFrameBytes;
+  /// Memory that the unfinished frames of all connections may take. Beyond it,
+  /// the connection is closed whose frame has waited longest for its next
+  /// bytes. A buffer is up to twice as large as its frame.
+  size_t frame_memory_bytes = size_t{2} * kMaxFrameBytes;
 };
 
 /// Serves calls over framed TCP. Register handlers before Listen().
--- a/src/libs/rpc/server_state.h
+++ b/src/libs/rpc/server_state.h
@@ -9,6 +9,7 @@
 
 #include "src/libs/base/connection_list.h"
 #include "src/libs/base/line_interval.h"
+#include "src/libs/base/receive_budget.h"
 #include "src/libs/rpc/server.h"
 
 namespace mimosarail::rpc {
@@ -24,7 +25,10 @@
 /// What the connections of a server share. Each may run on another thread.
 class ServerState {
  public:
-  explicit ServerState(ServerOptions options_in) : options(options_in) {}
+  explicit ServerState(ServerOptions options_in)
+      : options(options_in),
+        frame_memory(options.frame_memory_bytes,
+                     [this](Overrun) { Count("frames over memory"); }) {}
   ServerState(const ServerState&) = delete;
   ServerState& operator=(const ServerState&) = delete;
 
@@ -46,6 +50,7 @@
   ConnectionList<Session> idle;
   /// Has sent a part of a frame, otherwise as idle ones.
   ConnectionList<Session> receiving;
+  ReceiveBudget frame_memory;
 
  private:
   /// Closes the first connection of the list. Returns whether there is one.
--- a/src/libs/rpc/session.cc
+++ b/src/libs/rpc/session.cc
@@ -21,12 +21,14 @@
     : socket_(std::move(socket)),
       server_(std::move(server)),
       idle_(server_->idle, *this),
-      receiving_(server_->receiving, *this) {}
+      receiving_(server_->receiving, *this),
+      frame_memory_(server_->frame_memory, [this] { GiveUpFrame(); }) {}
 
 Session::~Session() {
   std::lock_guard lock(server_->mutex);
   idle_.Leave();
   receiving_.Leave();
+  frame_memory_.Release();
   --server_->connections;
 }
 
@@ -40,10 +42,17 @@
 void Session::MakeRoom() {
   idle_.Leave();
   receiving_.Leave();
-  // Without a shared pointer here: as the last one, it would run the destructor
-  // while the mutex is held.
-  asio::post(socket_.get_executor(), [weak = weak_from_this()] {
-    if (auto self = weak.lock()) self->CloseUnlessUsed();
+  Post(&Session::CloseUnlessUsed);
+}
+
+void Session::GiveUpFrame() {
+  frame_given_up_ = true;
+  Post(&Session::Close);
+}
+
+void Session::Post(void (Session::*method)()) {
+  asio::post(socket_.get_executor(), [weak = weak_from_this(), method] {
+    if (auto self = weak.lock()) (self.get()->*method)();
   });
 }
 
@@ -61,6 +70,7 @@
         self->UpdateFrameTime();
         self->JoinList();
         self->ReadNext();
+        if (!self->ChargeMemory()) self->Close();
       });
 }
 
@@ -173,6 +183,13 @@
   Refuse("frame too slow");
 }
 
+bool Session::ChargeMemory() {
+  std::lock_guard lock(server_->mutex);
+  return !frame_given_up_ &&
+         frame_memory_.Receive(
+             reader_.unfinished_bytes() > 0 ? reader_.capacity() : 0);
+}
+
 bool Session::HasUnreadBytes() const {
   std::error_code error;
   return socket_.available(error) > 0 && !error;
@@ -192,6 +209,8 @@
   std::error_code ignored;  // an error on closing has no consequence
   socket_.close(ignored);
   JoinList();
+  std::lock_guard lock(server_->mutex);
+  frame_memory_.Release();
 }
 
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/session.h
+++ b/src/libs/rpc/session.h
@@ -31,6 +31,13 @@
   void MakeRoom();
 
  private:
+  /// Closes the connection since its frame has made room for others.
+  /// Thread-safe; precondition: the mutex of the server's state is held.
+  void GiveUpFrame();
+  /// Runs the method on the strand if the connection still exists. Holds no
+  /// shared pointer meanwhile: as the last one, it would run the destructor
+  /// while the caller holds the mutex. Thread-safe.
+  void Post(void (Session::*method)());
   void ReadNext();
   /// Passes a call to the handler of its method.
   void Dispatch(wire::Frame frame);
@@ -47,6 +54,9 @@
   Millis TimeLeftForFrame() const;
   void ArmFrameTimer(Millis left);
   void OnFrameTimer();
+  /// Charges the unfinished frame to the memory for all of them. Returns
+  /// whether it fits.
+  bool ChargeMemory();
   bool HasUnreadBytes() const;
   void CloseUnlessUsed();
   /// Closes the connection since its peer does not behave.
@@ -55,7 +65,7 @@
 
   asio::ip::tcp::socket socket_;
   std::shared_ptr<ServerState> server_;
-  FrameReader reader_;
+  FrameReader reader_{server_->options.max_frame_bytes};
   SendQueue queue_;
   /// Since when a frame is being received or, on a new connection, awaited.
   std::optional<TimePoint> frame_began_;
@@ -68,6 +78,10 @@
   size_t calls_in_flight_ = 0;
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
+  ReceiveBudget::Charge frame_memory_;
+  /// The frame being received was closed for others and takes no memory again.
+  /// Guarded by the mutex of the server's state.
+  bool frame_given_up_ = false;
 };
 
 }  // namespace mimosarail::rpc
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -437,4 +437,35 @@
   BOOST_TEST(waiting.ReadReply());
 }
 
+/// Guards against memory that unfinished frames take together, and against
+/// closing one whose bytes still arrive.
+BOOST_AUTO_TEST_CASE(LongestWaitingFrameIsClosedForMemory) {
+  // The buffer of a frame takes 8 KiB after its first part.
+  constexpr size_t kFramesThatFit = 2;
+  constexpr size_t kPart = 3000;
+  ServerAndClient server({.frame_memory_bytes = kFramesThatFit * (8 << 10)});
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(5000, 'x'));
+  const std::string begin = CallBytes(Method::kPing) + call.substr(0, kPart);
+  RawPeer first(server.port());
+  BOOST_TEST(first.IsAnswered(begin));
+  RawPeer second(server.port());
+  BOOST_TEST(second.IsAnswered(begin));
+  RawPeer third(server.port());
+  BOOST_TEST(third.IsAnswered(begin));
+  BOOST_TEST(first.IsClosed());
+  BOOST_TEST(second.IsAnswered(call.substr(kPart)));
+  BOOST_TEST(third.IsAnswered(call.substr(kPart)));
+}
+
+/// Guards against a frame that a server accepts beyond its own limit.
+BOOST_AUTO_TEST_CASE(FrameOverTheLimitOfTheServerIsRefused) {
+  ServerAndClient server({.max_frame_bytes = kLargeBody});
+  RawPeer peer(server.port());
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  BOOST_TEST(peer.Send(call.substr(0, 4)));
+  BOOST_TEST(peer.IsClosed());
+}
+
 }  // namespace mimosarail::rpc
