HTTP: Count headers in the budget and bound their number

What callers saw: an entry that outgrows its memory. `a:` takes 4 bytes on the wire and 64 as a Header; a legal head of 16 KiB becomes 262 KB, and the budget counted only bodies.

Cause: neither Receive nor Complete counted start line and headers. Each chunk also took 12 bytes out of the count of the head, whatever its framing took, so one-byte chunks earned room for trailers, which were stored as headers.

Change: headers count with their capacity, their text with the most that a growing string takes. At most 4,096 headers a request (431); a head of 16 KiB can't hold more, so no client inside the operator's limits meets it. Trailers are dropped. A chunk takes no more out of the count than its framing has brought. A chunked message has 12 bytes more for the framing of its last chunk.

--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -3,6 +3,7 @@
 #include <http_parser.h>
 #include <strings.h>
 
+#include <algorithm>
 #include <climits>
 #include <cstdint>
 #include <utility>
@@ -10,10 +11,12 @@
 namespace mimosarail::http {
 namespace {
 
-/// Framing of one chunk without extensions: a size of eight digits and two line
-/// ends. It does not count as part of the head, so that a body within its limit
-/// may come in chunks of any size.
+/// Largest framing of one chunk without extensions: a size of eight digits and
+/// two line ends. It does not count as part of the head, so that a body within
+/// its limit may come in chunks of any size.
 constexpr int64_t kChunkFramingBytes = 12;
+/// A string that grows piece by piece takes up to twice its size.
+constexpr size_t kTextGrowth = 2;
 
 }  // namespace
 
@@ -44,13 +47,10 @@
       return Self(p).CountHeadBytes(n);
     };
     settings.on_header_field = [](http_parser* p, const char* at, size_t n) {
-      Self(p).HeaderName().append(at, n);
-      return Self(p).CountHeadBytes(n);
+      return Self(p).AddHeaderName(at, n);
     };
     settings.on_header_value = [](http_parser* p, const char* at, size_t n) {
-      Self(p).in_value = true;
-      Self(p).headers.back().second.append(at, n);
-      return Self(p).CountHeadBytes(n);
+      return Self(p).AddHeaderValue(at, n);
     };
     settings.on_headers_complete = [](http_parser* p) {
       // Ignores requests to upgrade, as HTTP allows (RFC 9110, 7.8): no other
@@ -62,7 +62,7 @@
       return Self(p).CheckAnnouncedBody();
     };
     settings.on_chunk_header = [](http_parser* p) {
-      Self(p).outside_body_bytes -= kChunkFramingBytes;
+      Self(p).chunk_begins = true;
       return 0;
     };
     settings.on_body = [](http_parser* p, const char* at, size_t n) {
@@ -86,6 +86,7 @@
     headers.clear();
     stored_head_bytes = 0;
     in_value = false;
+    chunk_begins = false;
     stage = ParseStage::kHead;
   }
 
@@ -101,6 +102,40 @@
                : 0;
   }
 
+  int AddHeaderName(const char* at, size_t bytes) {
+    // After the head, it is a trailer.
+    if (stage != ParseStage::kHead) return 0;
+    if (headers.empty() || in_value) {
+      if (headers.size() >= options.max_headers) {
+        return Fail(ParseError::kHeadTooLarge);
+      }
+      headers.emplace_back();
+    }
+    in_value = false;
+    headers.back().first.append(at, bytes);
+    return CountHeadBytes(bytes);
+  }
+
+  int AddHeaderValue(const char* at, size_t bytes) {
+    if (stage != ParseStage::kHead) return 0;
+    in_value = true;
+    headers.back().second.append(at, bytes);
+    return CountHeadBytes(bytes);
+  }
+
+  /// Counts the bytes up to `at` that have not been counted yet.
+  void CountOutsideBody(const char* at) {
+    outside_body_bytes += at - counted_to;
+    counted_to = at;
+  }
+
+  /// Takes the framing of the chunk that begins out of the count.
+  void ForgiveFraming() {
+    if (!std::exchange(chunk_begins, false)) return;
+    outside_body_bytes -=
+        std::min(kChunkFramingBytes, outside_body_bytes - outside_before_chunk);
+  }
+
   int CheckAnnouncedBody() {
     const bool announced = parser.content_length != ULLONG_MAX;
     return announced && parser.content_length > options.max_body
@@ -110,9 +145,10 @@
 
   /// Parses up to the end of a message; returns the number of bytes parsed.
   size_t Execute(std::string_view bytes) {
+    counted_to = bytes.data();
     const size_t parsed =
         http_parser_execute(&parser, &settings, bytes.data(), bytes.size());
-    outside_body_bytes += static_cast<int64_t>(parsed);
+    CountOutsideBody(bytes.data() + parsed);
     const auto code = HTTP_PARSER_ERRNO(&parser);
     if (code == HPE_PAUSED) {
       http_parser_pause(&parser, 0);
@@ -122,13 +158,20 @@
                (code != HPE_OK || parsed != bytes.size())) {
       error = ParseError::kMalformed;
     }
-    if (error == ParseError::kNone &&
-        outside_body_bytes > static_cast<int64_t>(options.max_head_bytes)) {
+    if (error == ParseError::kNone && outside_body_bytes > MaxOutsideBody()) {
       error = ParseError::kHeadTooLarge;
     }
     return parsed;
   }
 
+  /// The last chunk, and one that has not been received to its data, count with
+  /// their framing.
+  int64_t MaxOutsideBody() const {
+    const bool chunked = (parser.flags & F_CHUNKED) != 0;
+    return static_cast<int64_t>(options.max_head_bytes) +
+           (chunked ? kChunkFramingBytes : 0);
+  }
+
   /// Drops what was received of a message, and frees its memory. Assigning an
   /// empty string would keep that.
   void Clear() {
@@ -138,12 +181,6 @@
     stage = ParseStage::kIdle;
   }
 
-  std::string& HeaderName() {
-    if (headers.empty() || in_value) headers.emplace_back();
-    in_value = false;
-    return headers.back().first;
-  }
-
   std::string& Body() {
     return options.kind == MessageKind::kRequest ? message.request.body
                                                  : message.response.body;
@@ -154,12 +191,21 @@
       return Fail(ParseError::kBodyTooLarge);
     }
     Body().append(at, bytes);
-    outside_body_bytes -= static_cast<int64_t>(bytes);
+    CountOutsideBody(at);
+    ForgiveFraming();
+    outside_before_chunk = outside_body_bytes;
+    counted_to = at + bytes;
     return 0;
   }
 
+  size_t Memory() {
+    return kTextGrowth * stored_head_bytes +
+           headers.capacity() * sizeof(Header) + Body().capacity();
+  }
+
   void Complete() {
     stage = ParseStage::kIdle;
+    message.memory_bytes = Memory();
     message.keep_alive = http_should_keep_alive(&parser) != 0;
     if (options.kind == MessageKind::kRequest) {
       message.request.method =
@@ -183,6 +229,12 @@
   /// Bytes since the end of the previous message, without those of the body and
   /// the framing of chunks.
   int64_t outside_body_bytes = 0;
+  /// Value of `outside_body_bytes` at the end of the previous chunk.
+  int64_t outside_before_chunk = 0;
+  /// End of the bytes that have been counted, while they are parsed.
+  const char* counted_to = nullptr;
+  /// The size of a chunk has been received, and nothing else of it.
+  bool chunk_begins = false;
   bool in_value = false;
   ParseStage stage = ParseStage::kIdle;
   /// `message` is complete and has not been passed on.
@@ -206,6 +258,7 @@
     if (!d_->complete) continue;
     d_->complete = false;
     d_->outside_body_bytes = 0;
+    d_->outside_before_chunk = 0;
     done(std::exchange(d_->message, {}));
   } while (!bytes.empty());
   return true;
@@ -225,8 +278,8 @@
   d_->error = ParseError::kMalformed;
 }
 
-size_t Parser::body_capacity() const {
-  return inside_message() ? d_->Body().capacity() : 0;
+size_t Parser::memory_bytes() const {
+  return inside_message() ? d_->Memory() : 0;
 }
 
 }  // namespace mimosarail::http
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -15,6 +15,8 @@
   /// Maximum size in bytes of a message without its body: empty lines before
   /// it, start line, headers, chunk extensions and trailers.
   size_t max_head_bytes = 32 << 10;
+  /// Maximum number of headers. A head of 16 KiB can't contain more.
+  size_t max_headers = 4096;
   /// Maximum size of a body in bytes.
   size_t max_body = 4 << 20;
 };
@@ -35,9 +37,12 @@
   Request request;
   Response response;
   bool keep_alive = false;
+  /// Memory that start line, headers and body take.
+  size_t memory_bytes = 0;
 };
 
-/// Incremental HTTP/1.1 parser based on http_parser. Not thread-safe.
+/// Incremental HTTP/1.1 parser based on http_parser. Discards trailers. Not
+/// thread-safe.
 class Parser {
  public:
   explicit Parser(ParserOptions options);
@@ -60,8 +65,8 @@
   /// Whether a message has been received in part.
   bool inside_message() const { return stage() != ParseStage::kIdle; }
   ParseStage stage() const;
-  /// Memory that the body of the unfinished message takes.
-  size_t body_capacity() const;
+  /// Memory that the unfinished message takes.
+  size_t memory_bytes() const;
 
  private:
   struct Private;
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -13,7 +13,7 @@
 
 using asio::ip::tcp;
 
-/// Memory of a request that waits for its answer, besides its body.
+/// Memory of a request that waits for its answer, besides its text.
 constexpr size_t kWaitingRequestBytes = 1 << 10;
 /// A connection is aborted when sent data remains unacknowledged for this long
 /// (TCP_USER_TIMEOUT).
@@ -179,9 +179,9 @@
 }
 
 bool Session::ChargeMemory() {
-  size_t bytes = parser_.body_capacity();
+  size_t bytes = parser_.memory_bytes();
   for (const ParsedMessage& message : requests_) {
-    bytes += kWaitingRequestBytes + message.request.body.capacity();
+    bytes += kWaitingRequestBytes + message.memory_bytes;
   }
   return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
 }
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -63,6 +63,13 @@
   return AnnouncedBody(body.size(), body);
 }
 
+/// Headers that take 4 bytes each on the wire, in at most `bytes`.
+std::string TinyHeaders(size_t bytes) {
+  std::string out;
+  for (size_t i = 0; i < bytes / 4; ++i) out += "a:\r\n";
+  return out;
+}
+
 /// Checks the entry beside a crowd that has sent its first bytes.
 void CheckServesBeside(size_t clients, CrowdBehavior behavior) {
   EntryUnderTest entry;
@@ -199,6 +206,24 @@
   CheckServesBeside(kSmallCrowd, {.first = WholeBody(nested)});
 }
 
+// Guards against memory that legal heads of many small headers take together.
+BOOST_AUTO_TEST_CASE(HeadsOfTinyHeaders) {
+  const std::string begin = RequestLine("POST") + "Content-Length: 2\r\n";
+  CheckServesBeside(
+      kLargeCrowd,
+      {.first =
+           begin + TinyHeaders(kMaxHeadBytes - begin.size() - 2) + "\r\n{"});
+}
+
+// Guards against memory that small trailers behind small chunks take together.
+BOOST_AUTO_TEST_CASE(TinyTrailersBehindSmallChunks) {
+  constexpr size_t kChunks = 8000;
+  std::string chunks;
+  for (size_t i = 0; i < kChunks; ++i) chunks += Chunk(" ");
+  CheckServesBeside(kLargeCrowd, {.first = ChunkedHead() + chunks + "0\r\n" +
+                                           TinyHeaders(3 * kMaxHeadBytes)});
+}
+
 // Guards against idle connections that keep ordinary callers out.
 BOOST_AUTO_TEST_CASE(IdleConnectionsUpToTheLimit) {
   constexpr size_t kFewConnections = 50;
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -94,6 +94,44 @@
   }
 }
 
+// Guards against chunks that earn more room for trailers than they take.
+BOOST_AUTO_TEST_CASE(ChunksEarnNoRoomForTrailers) {
+  std::string bytes = kChunkedHead;
+  for (size_t i = 0; i < kMaxBodyBytes; ++i) bytes += "1\r\nx\r\n";
+  bytes += "0\r\n";
+  for (size_t i = 0; i < kMaxHeadBytes / 4; ++i) bytes += "a:\r\n";
+  BOOST_CHECK(ParseInAnyPieces(bytes).error == ParseError::kHeadTooLarge);
+}
+
+// Guards against trailers that are kept without a limit on their number.
+BOOST_AUTO_TEST_CASE(TrailersAreNotKept) {
+  Parser parser({});
+  std::vector<Header> headers;
+  parser.Feed(kChunkedHead + "1\r\nx\r\n0\r\nA: b\r\n\r\n",
+              [&](ParsedMessage message) {
+                headers = std::move(message.request.headers);
+              });
+  BOOST_CHECK_EQUAL(headers.size(), 1U);
+}
+
+/// The error of a parser with an operator's largest limit on the head.
+ParseError ErrorOf(const std::string& bytes) {
+  Parser parser({.max_head_bytes = 64 << 10});
+  parser.Feed(bytes, [](const ParsedMessage&) {});
+  return parser.error();
+}
+
+// Guards against small headers without a bound on their number.
+BOOST_AUTO_TEST_CASE(NumberOfHeadersIsLimited) {
+  const std::string line = "GET / HTTP/1.1\r\n";
+  std::string head = line;
+  while (head.size() + 6 <= 16 << 10) head += "a:\r\n";
+  BOOST_CHECK(ErrorOf(head + "\r\n") == ParseError::kNone);
+  head = line;
+  for (size_t i = 0; i <= 4096; ++i) head += "a:\r\n";
+  BOOST_CHECK(ErrorOf(head + "\r\n") == ParseError::kHeadTooLarge);
+}
+
 // Guards against a body that is stored although it is too large.
 BOOST_AUTO_TEST_CASE(AnnouncedBodyIsRefusedWithTheHead) {
   const Parsed parsed =
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -110,6 +110,14 @@
          std::to_string(body.size()) + "\r\n\r\n" + body;
 }
 
+bool WaitForBytes(const tcp::socket& caller) {
+  const TimePoint end = Clock::now() + kWaitLimit;
+  while (caller.available() == 0 && Clock::now() < end) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return caller.available() > 0;
+}
+
 size_t AllocatedBytes() {
   const auto info = mallinfo2();
   return info.uordblks + info.hblkhd;
@@ -157,6 +165,23 @@
   BOOST_TEST(server.service.submissions == 1U);
 }
 
+/// Guards against headers that take many times their text, uncounted.
+BOOST_AUTO_TEST_CASE(HeadersCountAgainstTheBudget) {
+  constexpr size_t kBudget = 64 << 10;
+  constexpr size_t kHeaders = 4000;
+  ServerFixture server(kBudget);
+  std::string submission = Submission(64);
+  const size_t headers_at = submission.find("Host");
+  for (size_t i = 0; i < kHeaders; ++i) submission.insert(headers_at, "a:\r\n");
+  tcp::socket& caller = server.Send(submission);
+  BOOST_REQUIRE(WaitForBytes(caller));
+  std::string answer;
+  std::error_code closed;
+  asio::read(caller, asio::dynamic_buffer(answer), closed);
+  BOOST_TEST(answer.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(server.service.submissions == 0U);
+}
+
 }  // namespace platform
 
 namespace http {
