HTTP: Keep a request in the socket until it is handled

What callers saw: at the limit of connections, a connection that was accepted and had sent its whole request was closed without an answer.

Cause: async_read_some reads at once if it can. The bytes are then in the buffer and the handler is queued, so the next accept in the same turn (up to 256) found a connection in `idle` without unread bytes.

Change: the connection waits until the socket is readable, and the handler reads. What has arrived is seen by available() until then.

Evidence: http_limits_test, NewcomersWithWholeRequestsAreAllAnswered: red before (four of five without an answer), green now. Cost, by reading Asio 1.22: one epoll_ctl for each read in place of a read that fails with EAGAIN; not measured.

--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -64,6 +64,9 @@
 void Session::Start() {
   std::error_code ignored;  // without the option, responses only take longer
   socket_.set_option(tcp::no_delay(true), ignored);
+  std::error_code error;
+  socket_.non_blocking(true, error);
+  if (error) return Close();
   setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &kUnackedDataTimeoutMs, sizeof kUnackedDataTimeoutMs);
   ReadNext();
@@ -93,17 +96,25 @@
     receiving_.Join();
   }
   ArmTimer(TimeLeftToRead());
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](std::error_code error, size_t bytes) {
-        self->reading_ = false;
-        self->DisarmTimer();
-        const bool timed_out = std::exchange(self->timed_out_, false);
-        if (error && timed_out) return self->Refuse(kTimeoutRefusal);
-        // Closed for a newcomer, while this handler was queued.
-        if (error || !self->socket_.is_open()) return self->Close();
-        self->OnBytes({self->buffer_.data(), bytes});
-      });
+  // The bytes stay in the socket until they are handled: IsSilent() and
+  // OnTimeout() would not see those of a read whose handler is queued, and the
+  // connection would be closed without an answer.
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code error) {
+                       self->OnReadable(error);
+                     });
+}
+
+void Session::OnReadable(std::error_code error) {
+  reading_ = false;
+  DisarmTimer();
+  const bool timed_out = std::exchange(timed_out_, false);
+  if (error && timed_out) return Refuse(kTimeoutRefusal);
+  size_t bytes = 0;
+  if (!error) bytes = socket_.read_some(asio::buffer(buffer_), error);
+  if (error == asio::error::would_block) return ReadNext();
+  if (error) return Close();
+  OnBytes({buffer_.data(), bytes});
 }
 
 void Session::UpdateLimits() {
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -48,6 +48,7 @@
   static constexpr size_t kReadBufferBytes = 16 << 10;
 
   void ReadNext();
+  void OnReadable(std::error_code error);
   void UpdateLimits();
   Millis TimeLeftToRead();
   void ArmTimer(Millis limit);
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -2,6 +2,7 @@
 #include <asio.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <latch>
 #include <string>
 #include <thread>
 #include <vector>
@@ -171,6 +172,11 @@
     return socket;
   }
 
+  /// Keeps the server's thread busy until `released`.
+  void Hold(std::latch& released) {
+    asio::post(io_, [&released] { released.wait(); });
+  }
+
  private:
   asio::io_context io_;
   asio::io_context clients_;
@@ -329,6 +335,39 @@
   }
 }
 
+const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+
+/// Connections that have each sent the beginning of a request.
+std::vector<tcp::socket> ConnectUnfinished(TestServer& server, size_t count) {
+  std::vector<tcp::socket> out;
+  for (size_t i = 0; i < count; ++i) {
+    out.push_back(server.Connect());
+    asio::write(out.back(), asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  }
+  return out;
+}
+
+// Guards against closing a connection whose whole request has been read, but
+// not yet handled, for one that is accepted at the same time.
+BOOST_AUTO_TEST_CASE(NewcomersWithWholeRequestsAreAllAnswered) {
+  constexpr size_t kConnections = 10;
+  constexpr size_t kNewcomers = 5;
+  TestServer server({.max_connections = kConnections});
+  const auto crowd = ConnectUnfinished(server, kConnections);
+  std::this_thread::sleep_for(Millis(100));
+  std::latch released(1);
+  server.Hold(released);
+  std::vector<tcp::socket> newcomers;
+  for (size_t i = 0; i < kNewcomers; ++i) {
+    newcomers.push_back(server.Connect());
+    asio::write(newcomers.back(), asio::buffer(kLastRequest));
+  }
+  released.count_down();
+  for (tcp::socket& newcomer : newcomers) {
+    BOOST_CHECK(ReadToEnd(newcomer).starts_with("HTTP/1.1 200"));
+  }
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
