HTTP: Let old unfinished requests go before newcomers

What callers saw: while unfinished requests kept all connections, newcomers were closed by the next ones before their requests arrived.

Cause: idle connections always went first, and newcomers are idle until their first bytes.

Change: the unfinished request goes first if it began more than 1 s before the longest idle connection became idle. Without that difference, a connection that is in use would go before one that became idle a moment later (IdlestConnectionMakesRoom).

Evidence: http_limits_test, OldUnfinishedRequestsGoBeforeNewcomers: red before (two of three newcomers closed), green now.

--- a/src/libs/http/connection_list.h
+++ b/src/libs/http/connection_list.h
@@ -2,6 +2,8 @@
 
 #include <list>
 
+#include "src/libs/base/executor.h"
+
 namespace mimosarail::http {
 
 /// Connections of a server that are in one state, in the order in which they
@@ -10,6 +12,12 @@
 template <typename Connection>
 class ConnectionList {
  public:
+  struct Member {
+    Connection* connection;
+    /// When the connection joined.
+    TimePoint since;
+  };
+
   /// Membership of one connection. The list must outlive it.
   class Entry {
    public:
@@ -22,7 +30,8 @@
     /// Joins as the last, unless the connection is in the list.
     void Join() {
       if (joined_) return;
-      at_ = list_.connections_.insert(list_.connections_.end(), &connection_);
+      at_ = list_.connections_.insert(list_.connections_.end(),
+                                      {&connection_, Clock::now()});
       joined_ = true;
     }
     void Leave() {
@@ -34,16 +43,18 @@
    private:
     ConnectionList& list_;
     Connection& connection_;
-    typename std::list<Connection*>::iterator at_;
+    typename std::list<Member>::iterator at_;
     bool joined_ = false;
   };
 
   /// Longest in the state first.
   auto begin() const { return connections_.begin(); }
   auto end() const { return connections_.end(); }
+  bool empty() const { return connections_.empty(); }
+  const Member& front() const { return connections_.front(); }
 
  private:
-  std::list<Connection*> connections_;
+  std::list<Member> connections_;
 };
 
 }  // namespace mimosarail::http
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -17,12 +17,15 @@
 constexpr Millis kAcceptPause{50};
 /// How many connections are looked at to find one without unread bytes.
 constexpr size_t kMaxTries = 8;
+/// An unfinished request that is older than the longest idle time by more than
+/// this is closed before idle connections are.
+constexpr Millis kUnfinishedLead{1000};
 
 /// Closes the first connection without unread bytes. Returns whether there is
 /// one.
 bool CloseFirstSilent(const ConnectionList<Session>& connections) {
   size_t tries = 0;
-  for (Session* session : connections) {
+  for (const auto& [session, since] : connections) {
     if (++tries > kMaxTries) return false;
     if (!session->IsSilent()) continue;
     session->Close();
@@ -41,10 +44,23 @@
 }
 
 bool Server::Private::MakeRoom() {
-  if (CloseFirstSilent(idle)) {
-    refusals.Add("idle at the connection limit", 0, Clock::now());
-    return true;
-  }
+  // Newcomers are idle until their requests arrive. While unfinished requests
+  // keep the other connections, they would only close each other.
+  const bool unfinished_first =
+      !receiving.empty() &&
+      (idle.empty() ||
+       receiving.front().since + kUnfinishedLead < idle.front().since);
+  if (unfinished_first) return CloseUnfinished() || CloseIdle();
+  return CloseIdle() || CloseUnfinished();
+}
+
+bool Server::Private::CloseIdle() {
+  if (!CloseFirstSilent(idle)) return false;
+  refusals.Add("idle at the connection limit", 0, Clock::now());
+  return true;
+}
+
+bool Server::Private::CloseUnfinished() {
   if (!CloseFirstSilent(receiving)) return false;
   refusals.Add("unfinished at the connection limit", 0, Clock::now());
   return true;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -24,8 +24,9 @@
 
 struct ServerOptions {
   /// Maximum number of open connections. A further one takes the place of the
-  /// connection that has been idle for longest or, if none is idle, has been
-  /// sending its request for longest. If there is none, it is closed on accept.
+  /// connection that has been idle for longest or, if none is idle or it began
+  /// much earlier, has been sending its request for longest. If there is none,
+  /// it is closed on accept.
   size_t max_connections = 2000;
   ServerLimits limits;
   /// Returns the limits of the request that begins, unless it is empty;
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -34,9 +34,12 @@
 
   void AcceptNext();
   void StartSession(asio::ip::tcp::socket socket);
-  /// Closes the connection that has been idle for longest or, if none is idle,
-  /// has been sending its request for longest. Returns whether there is one.
+  /// Closes the connection that has been idle for longest or, if none is idle
+  /// or it began much earlier, has been sending its request for longest.
+  /// Returns whether there is one.
   bool MakeRoom();
+  bool CloseIdle();
+  bool CloseUnfinished();
   void StopAccepting();
 
   asio::io_context& io;
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -335,6 +335,10 @@
   }
 }
 
+constexpr Millis kLongTime{60000};
+/// Exceeds the time after which an unfinished request goes before a connection
+/// without one.
+constexpr Millis kUnfinishedTime{1500};
 const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
 
 /// Connections that have each sent the beginning of a request.
@@ -368,6 +372,27 @@
   }
 }
 
+// Guards against newcomers that close each other while unfinished requests
+// keep all other connections.
+BOOST_AUTO_TEST_CASE(OldUnfinishedRequestsGoBeforeNewcomers) {
+  constexpr size_t kConnections = 3;
+  TestServer server(
+      {.max_connections = kConnections,
+       .limits = {.head_timeout = kLongTime, .idle_timeout = kLongTime}});
+  const auto crowd = ConnectUnfinished(server, kConnections);
+  std::this_thread::sleep_for(kUnfinishedTime);
+  std::vector<tcp::socket> newcomers;
+  for (size_t i = 0; i < kConnections; ++i) {
+    newcomers.push_back(server.Connect());
+    std::this_thread::sleep_for(Millis(50));
+  }
+  for (tcp::socket& newcomer : newcomers) {
+    std::error_code closed;
+    asio::write(newcomer, asio::buffer(kLastRequest), closed);
+    BOOST_CHECK(ReadToEnd(newcomer).starts_with("HTTP/1.1 200"));
+  }
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
