HTTP: Let connections with their last response make room

Cause: a connection that is only read to its end was in no list from which one is closed for a newcomer.

Change: it is in one that goes before all others.

Evidence: http_limits_test, RefusedConnectionsMakeRoom: red before (closed without an answer), green now.

--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -44,6 +44,7 @@
 }
 
 bool Server::Private::MakeRoom() {
+  if (CloseAnswered()) return true;
   // Newcomers are idle until their requests arrive. While unfinished requests
   // keep the other connections, they would only close each other.
   const bool unfinished_first =
@@ -54,6 +55,13 @@
   return CloseIdle() || CloseUnfinished();
 }
 
+bool Server::Private::CloseAnswered() {
+  if (closing.empty()) return false;
+  closing.front().connection->Close();
+  refusals.Add("answered at the connection limit", 0, Clock::now());
+  return true;
+}
+
 bool Server::Private::CloseIdle() {
   if (!CloseFirstSilent(idle)) return false;
   refusals.Add("idle at the connection limit", 0, Clock::now());
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -23,10 +23,11 @@
 using Handler = std::function<void(Request, Responder)>;
 
 struct ServerOptions {
-  /// Maximum number of open connections. A further one takes the place of the
+  /// Maximum number of open connections. A further one takes the place of one
+  /// that has had its last response. If there is none, it takes that of the
   /// connection that has been idle for longest or, if none is idle or it began
-  /// much earlier, has been sending its request for longest. If there is none,
-  /// it is closed on accept.
+  /// much earlier, has been sending its request for longest. Otherwise it is
+  /// closed on accept.
   size_t max_connections = 2000;
   ServerLimits limits;
   /// Returns the limits of the request that begins, unless it is empty;
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -34,10 +34,12 @@
 
   void AcceptNext();
   void StartSession(asio::ip::tcp::socket socket);
-  /// Closes the connection that has been idle for longest or, if none is idle
+  /// Closes the connection that has had its last response for longest. If there
+  /// is none, closes the one that has been idle for longest or, if none is idle
   /// or it began much earlier, has been sending its request for longest.
   /// Returns whether there is one.
   bool MakeRoom();
+  bool CloseAnswered();
   bool CloseIdle();
   bool CloseUnfinished();
   void StopAccepting();
@@ -56,6 +58,8 @@
   ConnectionList<Session> idle;
   /// Those that have sent a part of a request.
   ConnectionList<Session> receiving;
+  /// Those that have had their last response and not closed their side yet.
+  ConnectionList<Session> closing;
   RefusalLog refusals;
 };
 
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -51,7 +51,8 @@
       server_(std::move(server)),
       parser_({.kind = MessageKind::kRequest}),
       idle_(server_->idle, *this),
-      receiving_(server_->receiving, *this) {
+      receiving_(server_->receiving, *this),
+      closing_(server_->closing, *this) {
   ++server_->connections;
   server_->sessions.insert(this);
 }
@@ -75,6 +76,7 @@
 void Session::Close() {
   idle_.Leave();
   receiving_.Leave();
+  closing_.Leave();
   memory_.Release();
   parser_.Abandon();
   server_->open_requests -= static_cast<int64_t>(requests_.size());
@@ -292,6 +294,7 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   memory_.Release();
   parser_.Abandon();
+  closing_.Join();
   ArmTimer(kMaxDiscardTime);
   DiscardInput();
 }
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -88,6 +88,7 @@
   ReadDeadline deadline_;
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
+  ConnectionList<Session>::Entry closing_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -393,6 +393,19 @@
   }
 }
 
+// Guards against refused clients that keep callers out by staying connected.
+BOOST_AUTO_TEST_CASE(RefusedConnectionsMakeRoom) {
+  constexpr size_t kConnections = 3;
+  TestServer server({.max_connections = kConnections});
+  std::vector<tcp::socket> refused;
+  for (size_t i = 0; i < kConnections; ++i) {
+    refused.push_back(server.Connect());
+    asio::write(refused.back(), asio::buffer(std::string("not http\r\n")));
+    BOOST_CHECK(ReadToEnd(refused.back()).starts_with("HTTP/1.1 400"));
+  }
+  BOOST_CHECK_EQUAL(StatusLine(server, kLastRequest), "HTTP/1.1 200 OK");
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
