HTTP: Parse requests that are sent ahead one by one

What callers saw: 503 for everybody while a few callers had sent small requests ahead: one read of 16 KiB holds 910 of them, and each counted 1 KiB until the last was answered. When they did not fit, one 503 answered several whole requests.

Change: a connection parses up to the end of one request and keeps the rest as bytes, at most the read buffer, until that is answered. Requests before one that is refused are still answered first, as they are handled before it is parsed. A request is counted as open until the next one of its connection is, so that a shutdown doesn't end between the two.

Evidence: request_memory_test, RequestsSentAheadTakeNoBudget: red before (2 of 8 callers fit), green now; RequestsBeforeARefusedOneAreAnswered and shutdown_test stay green.

--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -246,22 +246,23 @@
     : d_(std::make_unique<Private>(options)) {}
 Parser::~Parser() = default;
 
+std::optional<ParsedMessage> Parser::Next(std::string_view& bytes) {
+  if (d_->error != ParseError::kNone) return std::nullopt;
+  bytes.remove_prefix(d_->Execute(bytes));
+  if (d_->error != ParseError::kNone) d_->Clear();
+  if (!d_->complete) return std::nullopt;
+  d_->complete = false;
+  d_->outside_body_bytes = 0;
+  d_->outside_before_chunk = 0;
+  return std::exchange(d_->message, {});
+}
+
 bool Parser::Feed(std::string_view bytes,
                   const std::function<void(ParsedMessage)>& done) {
-  if (d_->error != ParseError::kNone) return false;
   do {
-    bytes.remove_prefix(d_->Execute(bytes));
-    if (d_->error != ParseError::kNone) {
-      d_->Clear();
-      return false;
-    }
-    if (!d_->complete) continue;
-    d_->complete = false;
-    d_->outside_body_bytes = 0;
-    d_->outside_before_chunk = 0;
-    done(std::exchange(d_->message, {}));
-  } while (!bytes.empty());
-  return true;
+    if (auto message = Next(bytes)) done(std::move(*message));
+  } while (!bytes.empty() && d_->error == ParseError::kNone);
+  return d_->error == ParseError::kNone;
 }
 
 ParseError Parser::error() const { return d_->error; }
--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "src/libs/http/message.h"
@@ -50,6 +51,10 @@
   Parser(const Parser&) = delete;
   Parser& operator=(const Parser&) = delete;
 
+  /// Parses up to the end of a message and removes what it has parsed from
+  /// `bytes`. Returns the message; none if it is still incomplete, or if the
+  /// bytes are not accepted, which error() tells.
+  std::optional<ParsedMessage> Next(std::string_view& bytes);
   /// Passes every message that `bytes` completes to `done`. Returns false if
   /// the bytes are not HTTP or exceed a limit; the parser cannot be used after
   /// that. An announced body over the limit is refused before it arrives.
@@ -60,7 +65,7 @@
   /// Drops what has been received of a message; the parser cannot be used after
   /// that.
   void Abandon();
-  /// Why Feed() returned false.
+  /// Why bytes are not accepted, if so.
   ParseError error() const;
   /// Whether a message has been received in part.
   bool inside_message() const { return stage() != ParseStage::kIdle; }
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -79,8 +79,6 @@
   closing_.Leave();
   memory_.Release();
   parser_.Abandon();
-  server_->open_requests -= static_cast<int64_t>(requests_.size());
-  requests_.clear();
   std::error_code ignored;  // an error on closing has no consequence
   socket_.close(ignored);
 }
@@ -164,21 +162,20 @@
 }
 
 void Session::OnBytes(std::string_view bytes) {
+  CountTraffic(metrics::Direction::kIn, bytes.size(), 0);
+  unparsed_ = bytes;
+  ParseNext();
+}
+
+void Session::ParseNext() {
   if (!parser_.inside_message()) UpdateLimits();
-  int64_t complete = 0;
-  const bool valid = parser_.Feed(bytes, [&](ParsedMessage message) {
-    ++complete;
-    ++server_->open_requests;
-    requests_.push_back(std::move(message));
-  });
-  CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
-  if (!valid) refusal_ = ToRefusal(parser_.error());
-  if (!valid && requests_.empty()) return Refuse(*refusal_);
-  if (complete > 0 || parser_.inside_message()) idle_.Leave();
-  if (complete > 0) receiving_.Leave();
-  if (!ChargeMemory()) return RefuseForMemory();
-  if (requests_.empty()) return ReadNext();
-  HandleNext();
+  auto message = parser_.Next(unparsed_);
+  const ParseError error = parser_.error();
+  if (error != ParseError::kNone) return Refuse(ToRefusal(error));
+  if (message || parser_.inside_message()) idle_.Leave();
+  if (message) return OnRequest(std::move(*message));
+  if (!memory_.Receive(parser_.memory_bytes())) return RefuseForMemory();
+  ReadNext();
 }
 
 void Session::Refuse(Refusal refusal) {
@@ -191,20 +188,10 @@
         false);
 }
 
-bool Session::ChargeMemory() {
-  size_t bytes = parser_.memory_bytes();
-  for (const ParsedMessage& message : requests_) {
-    bytes += kWaitingRequestBytes + message.memory_bytes;
-  }
-  return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
-}
-
 void Session::RefuseForMemory() {
   receiving_.Leave();
   keep_alive_ = false;
   parser_.Abandon();
-  server_->open_requests -= static_cast<int64_t>(requests_.size());
-  requests_.clear();
   Write({.status = 503, .headers = {{"Retry-After", "1"}}}, false);
 }
 
@@ -239,9 +226,13 @@
   std::shared_ptr<Session> session_;
 };
 
-void Session::HandleNext() {
-  ParsedMessage message = std::move(requests_.front());
-  requests_.pop_front();
+void Session::OnRequest(ParsedMessage message) {
+  receiving_.Leave();
+  CountTraffic(metrics::Direction::kIn, 0, 1);
+  if (!memory_.Complete(kWaitingRequestBytes + message.memory_bytes)) {
+    return RefuseForMemory();
+  }
+  ++server_->open_requests;
   keep_alive_ = message.keep_alive;
   server_->handler(
       std::move(message.request),
@@ -254,7 +245,7 @@
   // caller has already sent further requests. Those are answered first: no
   // request that was read may remain without an answer.
   const bool has_further_requests =
-      !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
+      !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
   keep_alive_ =
       keep_alive_ && (!server_->shutting_down || has_further_requests);
   out_ = ResponseText(response, keep_alive_);
@@ -262,19 +253,23 @@
   asio::async_write(socket_, asio::buffer(out_),
                     [self = shared_from_this(), counted_as_open](
                         std::error_code error, size_t) {
+                      if (error) {
+                        self->Close();
+                      } else {
+                        self->OnWritten();
+                      }
+                      // Last, so that the next request is counted if it has
+                      // been read.
                       if (counted_as_open) --self->server_->open_requests;
-                      if (error) return self->Close();
-                      self->OnWritten();
                     });
 }
 
 void Session::OnWritten() {
   if (!keep_alive_) return CloseAfterResponse();
-  if (!requests_.empty()) return HandleNext();
-  if (refusal_) return Refuse(*refusal_);
+  memory_.Release();
   deadline_.Restart();
-  if (!ChargeMemory()) return RefuseForMemory();
-  ReadNext();
+  if (unparsed_.empty()) return ReadNext();
+  ParseNext();
 }
 
 void Session::CountTraffic(metrics::Direction direction, size_t bytes,
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -4,9 +4,7 @@
 #include <asio.hpp>
 #include <cstddef>
 #include <cstdint>
-#include <deque>
 #include <memory>
-#include <optional>
 #include <string>
 #include <string_view>
 
@@ -56,12 +54,12 @@
   void DisarmTimer();
   void OnTimeout();
   void OnBytes(std::string_view bytes);
+  /// Continues with `unparsed_`: handles one request, or reads on.
+  void ParseNext();
+  void OnRequest(ParsedMessage message);
   void Refuse(Refusal refusal);
-  /// Returns whether the requests of this connection fit into the memory.
-  bool ChargeMemory();
-  /// Called before the first of `requests_` is handled, so none is accepted.
+  /// Refuses a request that has not been handled.
   void RefuseForMemory();
-  void HandleNext();
   void Write(const Response& response, bool counted_as_open);
   void OnWritten();
   void CountTraffic(metrics::Direction direction, size_t bytes,
@@ -89,11 +87,7 @@
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
   ConnectionList<Session>::Entry closing_;
-  /// Requests that have been read and not yet passed to the handler.
-  std::deque<ParsedMessage> requests_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
-  /// Of the request that follows `requests_`, which are answered first.
-  std::optional<Refusal> refusal_;
   bool keep_alive_ = true;
   /// A read of the socket is pending.
   bool reading_ = false;
@@ -103,6 +97,10 @@
   size_t discarded_bytes_ = 0;
   std::string out_;
   std::array<char, kReadBufferBytes> buffer_{};
+  /// The part of `buffer_` that follows the request being handled. Requests
+  /// that the peer sends ahead are parsed one by one: parsed, they take many
+  /// times the memory.
+  std::string_view unparsed_;
 };
 
 }  // namespace mimosarail::http
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -182,6 +182,22 @@
   BOOST_TEST(server.service.submissions == 0U);
 }
 
+/// Guards against requests that a caller sends ahead and that take the memory
+/// of all until the first is answered.
+BOOST_AUTO_TEST_CASE(RequestsSentAheadTakeNoBudget) {
+  constexpr size_t kBudget = 256 << 10;
+  constexpr size_t kCallers = 8;
+  constexpr size_t kSentAhead = 100;
+  ServerFixture server(kBudget);
+  const std::string submission = Submission(64);
+  std::string many;
+  for (size_t i = 0; i < kSentAhead; ++i) many += submission;
+  for (size_t i = 0; i < kCallers; ++i) server.Send(many);
+  BOOST_TEST(server.WaitForSubmissions(kCallers));
+  server.Send(submission);
+  BOOST_TEST(server.WaitForSubmissions(kCallers + 1));
+}
+
 }  // namespace platform
 
 namespace http {
