HTTP: Count the steps of a submission as they are decoded

What callers saw: an entry that takes more memory than its budget says. 1,000 steps in 10 KB of text become two lists of 1,000 StepSpec, one in the request, one in its copy for the leader.

Cause: only the text was counted until the answer, though it is freed once decoded.

Change: the larger of the text and the decoded steps is counted.

--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -35,6 +35,10 @@
   std::function<ServerLimits()> current_limits;
   /// Memory that unfinished and waiting requests may take; 0 for no bound.
   size_t request_memory_bytes = 0;
+  /// Returns at most how much memory the handler makes of a body, unless it is
+  /// empty. The larger of this and the body itself counts until the answer.
+  /// Runs on the thread of `io`.
+  std::function<size_t(const std::string& body)> decoded_bytes;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -226,12 +226,19 @@
   std::shared_ptr<Session> session_;
 };
 
+size_t Session::MemoryToHandle(const ParsedMessage& message) const {
+  const size_t bytes = kWaitingRequestBytes + message.memory_bytes;
+  const auto& decoded_bytes = server_->options.decoded_bytes;
+  if (!decoded_bytes) return bytes;
+  const std::string& body = message.request.body;
+  return bytes - body.capacity() +
+         std::max(body.capacity(), decoded_bytes(body));
+}
+
 void Session::OnRequest(ParsedMessage message) {
   receiving_.Leave();
   CountTraffic(metrics::Direction::kIn, 0, 1);
-  if (!memory_.Complete(kWaitingRequestBytes + message.memory_bytes)) {
-    return RefuseForMemory();
-  }
+  if (!memory_.Complete(MemoryToHandle(message))) return RefuseForMemory();
   ++server_->open_requests;
   keep_alive_ = message.keep_alive;
   server_->handler(
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -56,6 +56,8 @@
   void OnBytes(std::string_view bytes);
   /// Continues with `unparsed_`: handles one request, or reads on.
   void ParseNext();
+  /// Memory that a request takes until its answer.
+  size_t MemoryToHandle(const ParsedMessage& message) const;
   void OnRequest(ParsedMessage message);
   void Refuse(Refusal refusal);
   /// Refuses a request that has not been handled.
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -15,6 +15,7 @@
 #include <thread>
 
 #include "platform/job_http_server.h"
+#include "src/jobs/job_state.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/rpc/asio_executor.h"
 #include "tests/scenarios/process_cluster.h"
@@ -103,11 +104,15 @@
   std::thread thread_;
 };
 
+std::string Submission(const std::string& body) {
+  return "POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string Submission(size_t body_bytes) {
   std::string body = R"({"steps":[{"count":1,"cpu":100}]})";
   body.append(body_bytes - body.size(), ' ');
-  return "POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return Submission(body);
 }
 
 bool WaitForBytes(const tcp::socket& caller) {
@@ -198,6 +203,21 @@
   BOOST_TEST(server.WaitForSubmissions(kCallers + 1));
 }
 
+/// Guards against memory that decoded jobs take beyond the budget.
+BOOST_AUTO_TEST_CASE(DecodedStepsCountAgainstTheBudget) {
+  constexpr size_t kBudget = 64 << 10;
+  std::string body = R"({"steps":[{"cpu":1})";
+  for (size_t i = 1; i < kMaxJobSteps; ++i) body += R"(,{"cpu":1})";
+  ServerFixture server(kBudget);
+  tcp::socket& caller = server.Send(Submission(body + "]}"));
+  BOOST_REQUIRE(WaitForBytes(caller));
+  std::string answer;
+  std::error_code closed;
+  asio::read(caller, asio::dynamic_buffer(answer), closed);
+  BOOST_TEST(answer.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(server.service.submissions == 0U);
+}
+
 }  // namespace platform
 
 namespace http {
