--- a/tests/callback_threads_test.cc
+++ b/tests/callback_threads_test.cc
@@ -1,9 +1,7 @@
 #define BOOST_TEST_MODULE callback_threads
 #include <asio.hpp>
 #include <boost/test/unit_test.hpp>
-#include <iostream>
 #include <memory>
-#include <sstream>
 #include <thread>
 
 #include "platform/host_client.h"
@@ -11,8 +9,8 @@
 #include "platform/store_client.h"
 #include "platform/upstream_client.h"
 #include "src/leadership/rpc_entry_client.h"
-#include "src/libs/logging/log.h"
 #include "src/libs/rpc/client.h"
+#include "tests/captured_log.h"
 #include "tests/scenarios/process.h"
 
 namespace mimosarail {
@@ -89,28 +87,6 @@
   bool answered = false;
 };
 
-/// Collects the log lines while it exists.
-class CapturedLog {
- public:
-  CapturedLog() : original_(std::cout.rdbuf(text_.rdbuf())) {
-    logging::Start("entry");
-  }
-  ~CapturedLog() { Take(); }
-  CapturedLog(const CapturedLog&) = delete;
-  CapturedLog& operator=(const CapturedLog&) = delete;
-
-  /// Ends the collection and returns the lines.
-  std::string Take() {
-    logging::Stop();
-    std::cout.rdbuf(original_);
-    return text_.str();
-  }
-
- private:
-  std::ostringstream text_;
-  std::streambuf* original_;
-};
-
 }  // namespace
 
 /// Guards against state of the control thread that the network thread changes
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -18,6 +18,7 @@
 #include "src/jobs/job_state.h"
 #include "src/libs/http/parser.h"
 #include "src/libs/rpc/asio_executor.h"
+#include "tests/captured_log.h"
 #include "tests/scenarios/process_cluster.h"
 
 namespace mimosarail {
@@ -218,6 +219,28 @@
   BOOST_TEST(server.service.submissions == 0U);
 }
 
+/// Guards against log lines as long as the longest target.
+BOOST_AUTO_TEST_CASE(LongTargetsAreCutInTheLog) {
+  constexpr size_t kTargetBytes = 8000;
+  const std::string target(kTargetBytes, 'x');
+  CapturedLog log;
+  {
+    ServerFixture server;
+    for (const char* prefix : {"/q/", "/other/"}) {
+      tcp::socket& caller =
+          server.Send("POST " + (prefix + target) +
+                      " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      std::string answer;
+      std::error_code closed;
+      asio::read(caller, asio::dynamic_buffer(answer), closed);
+    }
+  }
+  const std::string lines = log.Take();
+  BOOST_TEST(lines.find("\"request\"") != std::string::npos);
+  BOOST_TEST(lines.find("\"request refused\"") != std::string::npos);
+  BOOST_TEST(lines.size() < kTargetBytes);
+}
+
 }  // namespace platform
 
 namespace http {
