--- a/src/libs/http/parser.h
+++ b/src/libs/http/parser.h
@@ -2,6 +2,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string_view>
 
 #include "src/libs/http/message.h"
@@ -15,6 +16,8 @@
   /// Maximum size in bytes of a message without its body: empty lines before
   /// it, start line, headers, chunk extensions and trailers.
   size_t max_head_bytes = 32 << 10;
+  /// Maximum number of headers. A head of 16 KiB can't contain more.
+  size_t max_headers = 4096;
   /// Maximum size of a body in bytes.
   size_t max_body = 4 << 20;
 };
@@ -35,9 +38,12 @@
   Request request;
   Response response;
   bool keep_alive = false;
+  /// Memory that start line, headers and body take.
+  size_t memory_bytes = 0;
 };
 
-/// Incremental HTTP/1.1 parser based on http_parser. Not thread-safe.
+/// Incremental HTTP/1.1 parser based on http_parser. Discards trailers. Not
+/// thread-safe.
 class Parser {
  public:
   explicit Parser(ParserOptions options);
@@ -45,6 +51,10 @@
   Parser(const Parser&) = delete;
   Parser& operator=(const Parser&) = delete;
 
+  /// Parses up to the end of a message and removes what it has parsed from
+  /// `bytes`. Returns the message; none if it is still incomplete, or if the
+  /// bytes are not accepted, which error() tells.
+  std::optional<ParsedMessage> Next(std::string_view& bytes);
   /// Passes every message that `bytes` completes to `done`. Returns false if
   /// the bytes are not HTTP or exceed a limit; the parser cannot be used after
   /// that. An announced body over the limit is refused before it arrives.
@@ -55,13 +65,13 @@
   /// Drops what has been received of a message; the parser cannot be used after
   /// that.
   void Abandon();
-  /// Why Feed() returned false.
+  /// Why bytes are not accepted, if so.
   ParseError error() const;
   /// Whether a message has been received in part.
   bool inside_message() const { return stage() != ParseStage::kIdle; }
   ParseStage stage() const;
-  /// Memory that the body of the unfinished message takes.
-  size_t body_capacity() const;
+  /// Memory that the unfinished message takes.
+  size_t memory_bytes() const;
 
  private:
   struct Private;
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -23,9 +23,11 @@
 using Handler = std::function<void(Request, Responder)>;
 
 struct ServerOptions {
-  /// Maximum number of open connections. A further one takes the place of the
-  /// connection that has been idle for longest or, if none is idle, has been
-  /// sending its request for longest. If there is none, it is closed on accept.
+  /// Maximum number of open connections. A further one takes the place of one
+  /// that has had its last response. If there is none, it takes that of the
+  /// connection that has been idle for longest or, if none is idle or it began
+  /// much earlier, has been sending its request for longest. Otherwise it is
+  /// closed on accept.
   size_t max_connections = 2000;
   ServerLimits limits;
   /// Returns the limits of the request that begins, unless it is empty;
@@ -37,6 +39,10 @@
   /// leaves it to the system. What a client sends while its previous requests
   /// are handled waits there.
   int receive_buffer_bytes = 0;
+  /// Returns at most how much memory the handler makes of a body, unless it is
+  /// empty. The larger of this and the body itself counts until the answer.
+  /// Runs on the thread of `io`.
+  std::function<size_t(const std::string& body)> decoded_bytes;
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -13,7 +13,7 @@
 
 using asio::ip::tcp;
 
-/// Memory of a request that waits for its answer, besides its body.
+/// Memory of a request that waits for its answer, besides its text.
 constexpr size_t kWaitingRequestBytes = 1 << 10;
 /// A connection is aborted when sent data remains unacknowledged for this long
 /// (TCP_USER_TIMEOUT).
@@ -51,7 +51,8 @@
       server_(std::move(server)),
       parser_({.kind = MessageKind::kRequest}),
       idle_(server_->idle, *this),
-      receiving_(server_->receiving, *this) {
+      receiving_(server_->receiving, *this),
+      closing_(server_->closing, *this) {
   ++server_->connections;
   server_->sessions.insert(this);
 }
@@ -64,6 +65,9 @@
 void Session::Start() {
   std::error_code ignored;  // without the option, responses only take longer
   socket_.set_option(tcp::no_delay(true), ignored);
+  std::error_code error;
+  socket_.non_blocking(true, error);
+  if (error) return Close();
   setsockopt(socket_.native_handle(), IPPROTO_TCP, TCP_USER_TIMEOUT,
              &kUnackedDataTimeoutMs, sizeof kUnackedDataTimeoutMs);
   ReadNext();
@@ -72,10 +76,9 @@
 void Session::Close() {
   idle_.Leave();
   receiving_.Leave();
+  closing_.Leave();
   memory_.Release();
   parser_.Abandon();
-  server_->open_requests -= static_cast<int64_t>(requests_.size());
-  requests_.clear();
   std::error_code ignored;  // an error on closing has no consequence
   socket_.close(ignored);
 }
@@ -93,17 +96,25 @@
     receiving_.Join();
   }
   ArmTimer(TimeLeftToRead());
-  socket_.async_read_some(
-      asio::buffer(buffer_),
-      [self = shared_from_this()](std::error_code error, size_t bytes) {
-        self->reading_ = false;
-        self->DisarmTimer();
-        const bool timed_out = std::exchange(self->timed_out_, false);
-        if (error && timed_out) return self->Refuse(kTimeoutRefusal);
-        // Closed for a newcomer, while this handler was queued.
-        if (error || !self->socket_.is_open()) return self->Close();
-        self->OnBytes({self->buffer_.data(), bytes});
-      });
+  // The bytes stay in the socket until they are handled: IsSilent() and
+  // OnTimeout() would not see those of a read whose handler is queued, and the
+  // connection would be closed without an answer.
+  socket_.async_wait(tcp::socket::wait_read,
+                     [self = shared_from_this()](std::error_code error) {
+                       self->OnReadable(error);
+                     });
+}
+
+void Session::OnReadable(std::error_code error) {
+  reading_ = false;
+  DisarmTimer();
+  const bool timed_out = std::exchange(timed_out_, false);
+  if (error && timed_out) return Refuse(kTimeoutRefusal);
+  size_t bytes = 0;
+  if (!error) bytes = socket_.read_some(asio::buffer(buffer_), error);
+  if (error == asio::error::would_block) return ReadNext();
+  if (error) return Close();
+  OnBytes({buffer_.data(), bytes});
 }
 
 void Session::UpdateLimits() {
@@ -152,21 +163,20 @@
 }
 
 void Session::OnBytes(std::string_view bytes) {
+  CountTraffic(metrics::Direction::kIn, bytes.size(), 0);
+  unparsed_ = bytes;
+  ParseNext();
+}
+
+void Session::ParseNext() {
   if (!parser_.inside_message()) UpdateLimits();
-  int64_t complete = 0;
-  const bool valid = parser_.Feed(bytes, [&](ParsedMessage message) {
-    ++complete;
-    ++server_->open_requests;
-    requests_.push_back(std::move(message));
-  });
-  CountTraffic(metrics::Direction::kIn, bytes.size(), complete);
-  if (!valid) refusal_ = ToRefusal(parser_.error());
-  if (!valid && requests_.empty()) return Refuse(*refusal_);
-  if (complete > 0 || parser_.inside_message()) idle_.Leave();
-  if (complete > 0) receiving_.Leave();
-  if (!ChargeMemory()) return RefuseForMemory();
-  if (requests_.empty()) return ReadNext();
-  HandleNext();
+  auto message = parser_.Next(unparsed_);
+  const ParseError error = parser_.error();
+  if (error != ParseError::kNone) return Refuse(ToRefusal(error));
+  if (message || parser_.inside_message()) idle_.Leave();
+  if (message) return OnRequest(std::move(*message));
+  if (!memory_.Receive(parser_.memory_bytes())) return RefuseForMemory();
+  ReadNext();
 }
 
 void Session::Refuse(Refusal refusal) {
@@ -179,20 +189,10 @@
         false);
 }
 
-bool Session::ChargeMemory() {
-  size_t bytes = parser_.body_capacity();
-  for (const ParsedMessage& message : requests_) {
-    bytes += kWaitingRequestBytes + message.request.body.capacity();
-  }
-  return requests_.empty() ? memory_.Receive(bytes) : memory_.Complete(bytes);
-}
-
 void Session::RefuseForMemory() {
   receiving_.Leave();
   keep_alive_ = false;
   parser_.Abandon();
-  server_->open_requests -= static_cast<int64_t>(requests_.size());
-  requests_.clear();
   Write({.status = 503, .headers = {{"Retry-After", "1"}}}, false);
 }
 
@@ -227,9 +227,20 @@
   std::shared_ptr<Session> session_;
 };
 
-void Session::HandleNext() {
-  ParsedMessage message = std::move(requests_.front());
-  requests_.pop_front();
+size_t Session::MemoryToHandle(const ParsedMessage& message) const {
+  const size_t bytes = kWaitingRequestBytes + message.memory_bytes;
+  const auto& decoded_bytes = server_->options.decoded_bytes;
+  if (!decoded_bytes) return bytes;
+  const std::string& body = message.request.body;
+  return bytes - body.capacity() +
+         std::max(body.capacity(), decoded_bytes(body));
+}
+
+void Session::OnRequest(ParsedMessage message) {
+  receiving_.Leave();
+  CountTraffic(metrics::Direction::kIn, 0, 1);
+  if (!memory_.Complete(MemoryToHandle(message))) return RefuseForMemory();
+  ++server_->open_requests;
   keep_alive_ = message.keep_alive;
   server_->handler(
       std::move(message.request),
@@ -242,7 +253,7 @@
   // caller has already sent further requests. Those are answered first: no
   // request that was read may remain without an answer.
   const bool has_further_requests =
-      !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
+      !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
   keep_alive_ =
       keep_alive_ && (!server_->shutting_down || has_further_requests);
   // An ordinary caller waits for its answer before it sends its next request.
@@ -258,19 +269,23 @@
                         std::error_code error, size_t) {
                       self->writing_ = false;
                       self->DisarmTimer();
+                      if (error) {
+                        self->Close();
+                      } else {
+                        self->OnWritten();
+                      }
+                      // Last, so that the next request is counted if it has
+                      // been read.
                       if (counted_as_open) --self->server_->open_requests;
-                      if (error) return self->Close();
-                      self->OnWritten();
                     });
 }
 
 void Session::OnWritten() {
   if (!keep_alive_) return CloseAfterResponse();
-  if (!requests_.empty()) return HandleNext();
-  if (refusal_) return Refuse(*refusal_);
+  memory_.Release();
   deadline_.Restart();
-  if (!ChargeMemory()) return RefuseForMemory();
-  ReadNext();
+  if (unparsed_.empty()) return ReadNext();
+  ParseNext();
 }
 
 void Session::CountTraffic(metrics::Direction direction, size_t bytes,
@@ -290,6 +305,7 @@
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
   memory_.Release();
   parser_.Abandon();
+  closing_.Join();
   ArmTimer(kMaxDiscardTime);
   DiscardInput();
 }
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -3,6 +3,7 @@
 #include <asio.hpp>
 #include <atomic>
 #include <boost/test/unit_test.hpp>
+#include <latch>
 #include <string>
 #include <thread>
 #include <vector>
@@ -95,6 +96,44 @@
   }
 }
 
+// Guards against chunks that earn more room for trailers than they take.
+BOOST_AUTO_TEST_CASE(ChunksEarnNoRoomForTrailers) {
+  std::string bytes = kChunkedHead;
+  for (size_t i = 0; i < kMaxBodyBytes; ++i) bytes += "1\r\nx\r\n";
+  bytes += "0\r\n";
+  for (size_t i = 0; i < kMaxHeadBytes / 4; ++i) bytes += "a:\r\n";
+  BOOST_CHECK(ParseInAnyPieces(bytes).error == ParseError::kHeadTooLarge);
+}
+
+// Guards against trailers that are kept without a limit on their number.
+BOOST_AUTO_TEST_CASE(TrailersAreNotKept) {
+  Parser parser({});
+  std::vector<Header> headers;
+  parser.Feed(kChunkedHead + "1\r\nx\r\n0\r\nA: b\r\n\r\n",
+              [&](ParsedMessage message) {
+                headers = std::move(message.request.headers);
+              });
+  BOOST_CHECK_EQUAL(headers.size(), 1U);
+}
+
+/// The error of a parser with an operator's largest limit on the head.
+ParseError ErrorOf(const std::string& bytes) {
+  Parser parser({.max_head_bytes = 64 << 10});
+  parser.Feed(bytes, [](const ParsedMessage&) {});
+  return parser.error();
+}
+
+// Guards against small headers without a bound on their number.
+BOOST_AUTO_TEST_CASE(NumberOfHeadersIsLimited) {
+  const std::string line = "GET / HTTP/1.1\r\n";
+  std::string head = line;
+  while (head.size() + 6 <= 16 << 10) head += "a:\r\n";
+  BOOST_CHECK(ErrorOf(head + "\r\n") == ParseError::kNone);
+  head = line;
+  for (size_t i = 0; i <= 4096; ++i) head += "a:\r\n";
+  BOOST_CHECK(ErrorOf(head + "\r\n") == ParseError::kHeadTooLarge);
+}
+
 // Guards against a body that is stored although it is too large.
 BOOST_AUTO_TEST_CASE(AnnouncedBodyIsRefusedWithTheHead) {
   const Parsed parsed =
@@ -140,6 +179,11 @@
     return socket;
   }
 
+  /// Keeps the server's thread busy until `released`.
+  void Hold(std::latch& released) {
+    asio::post(io_, [&released] { released.wait(); });
+  }
+
  private:
   asio::io_context io_;
   asio::io_context clients_;
@@ -317,6 +361,77 @@
   }
 }
 
+constexpr Millis kLongTime{60000};
+/// Exceeds the time after which an unfinished request goes before a connection
+/// without one.
+constexpr Millis kUnfinishedTime{1500};
+const std::string kLastRequest = "GET / HTTP/1.1\r\nConnection: close\r\n\r\n";
+
+/// Connections that have each sent the beginning of a request.
+std::vector<tcp::socket> ConnectUnfinished(TestServer& server, size_t count) {
+  std::vector<tcp::socket> out;
+  for (size_t i = 0; i < count; ++i) {
+    out.push_back(server.Connect());
+    asio::write(out.back(), asio::buffer(std::string("GET / HTTP/1.1\r\n")));
+  }
+  return out;
+}
+
+// Guards against closing a connection whose whole request has been read, but
+// not yet handled, for one that is accepted at the same time.
+BOOST_AUTO_TEST_CASE(NewcomersWithWholeRequestsAreAllAnswered) {
+  constexpr size_t kConnections = 10;
+  constexpr size_t kNewcomers = 5;
+  TestServer server({.max_connections = kConnections});
+  const auto crowd = ConnectUnfinished(server, kConnections);
+  std::this_thread::sleep_for(Millis(100));
+  std::latch released(1);
+  server.Hold(released);
+  std::vector<tcp::socket> newcomers;
+  for (size_t i = 0; i < kNewcomers; ++i) {
+    newcomers.push_back(server.Connect());
+    asio::write(newcomers.back(), asio::buffer(kLastRequest));
+  }
+  released.count_down();
+  for (tcp::socket& newcomer : newcomers) {
+    BOOST_CHECK(ReadToEnd(newcomer).starts_with("HTTP/1.1 200"));
+  }
+}
+
+// Guards against newcomers that close each other while unfinished requests
+// keep all other connections.
+BOOST_AUTO_TEST_CASE(OldUnfinishedRequestsGoBeforeNewcomers) {
+  constexpr size_t kConnections = 3;
+  TestServer server(
+      {.max_connections = kConnections,
+       .limits = {.head_timeout = kLongTime, .idle_timeout = kLongTime}});
+  const auto crowd = ConnectUnfinished(server, kConnections);
+  std::this_thread::sleep_for(kUnfinishedTime);
+  std::vector<tcp::socket> newcomers;
+  for (size_t i = 0; i < kConnections; ++i) {
+    newcomers.push_back(server.Connect());
+    std::this_thread::sleep_for(Millis(50));
+  }
+  for (tcp::socket& newcomer : newcomers) {
+    std::error_code closed;
+    asio::write(newcomer, asio::buffer(kLastRequest), closed);
+    BOOST_CHECK(ReadToEnd(newcomer).starts_with("HTTP/1.1 200"));
+  }
+}
+
+// Guards against refused clients that keep callers out by staying connected.
+BOOST_AUTO_TEST_CASE(RefusedConnectionsMakeRoom) {
+  constexpr size_t kConnections = 3;
+  TestServer server({.max_connections = kConnections});
+  std::vector<tcp::socket> refused;
+  for (size_t i = 0; i < kConnections; ++i) {
+    refused.push_back(server.Connect());
+    asio::write(refused.back(), asio::buffer(std::string("not http\r\n")));
+    BOOST_CHECK(ReadToEnd(refused.back()).starts_with("HTTP/1.1 400"));
+  }
+  BOOST_CHECK_EQUAL(StatusLine(server, kLastRequest), "HTTP/1.1 200 OK");
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -15,7 +15,10 @@
 #include <thread>
 
 #include "platform/job_http_server.h"
+#include "src/jobs/job_state.h"
+#include "src/libs/http/parser.h"
 #include "src/libs/rpc/asio_executor.h"
+#include "tests/captured_log.h"
 #include "tests/scenarios/process_cluster.h"
 
 namespace mimosarail {
@@ -102,11 +105,23 @@
   std::thread thread_;
 };
 
+std::string Submission(const std::string& body) {
+  return "POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
+         std::to_string(body.size()) + "\r\n\r\n" + body;
+}
+
 std::string Submission(size_t body_bytes) {
   std::string body = R"({"steps":[{"count":1,"cpu":100}]})";
   body.append(body_bytes - body.size(), ' ');
-  return "POST /q/00000000000000a1 HTTP/1.1\r\nHost: h\r\nContent-Length: " +
-         std::to_string(body.size()) + "\r\n\r\n" + body;
+  return Submission(body);
+}
+
+bool WaitForBytes(const tcp::socket& caller) {
+  const TimePoint end = Clock::now() + kWaitLimit;
+  while (caller.available() == 0 && Clock::now() < end) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  return caller.available() > 0;
 }
 
 size_t AllocatedBytes() {
@@ -127,6 +142,17 @@
   BOOST_TEST(AllocatedBytes() < before + kCallers * kBodyBytes / 2);
 }
 
+/// Guards against bodies that are kept after their request was refused.
+BOOST_AUTO_TEST_CASE(BodyOfAnAbandonedRequestIsFreed) {
+  http::Parser parser({});
+  const size_t before = AllocatedBytes();
+  const std::string submission = Submission(kBodyBytes);
+  const auto unfinished = std::string_view(submission).substr(0, kBodyBytes);
+  BOOST_REQUIRE(parser.Feed(unfinished, [](const http::ParsedMessage&) {}));
+  parser.Abandon();
+  BOOST_TEST(AllocatedBytes() < before + submission.size() + kBodyBytes / 2);
+}
+
 /// Guards against complete requests that take memory beyond the budget, and
 /// against handling one that was refused.
 BOOST_AUTO_TEST_CASE(SubmissionOverTheBudgetIsRefusedAndNotHandled) {
@@ -145,6 +171,76 @@
   BOOST_TEST(server.service.submissions == 1U);
 }
 
+/// Guards against headers that take many times their text, uncounted.
+BOOST_AUTO_TEST_CASE(HeadersCountAgainstTheBudget) {
+  constexpr size_t kBudget = 64 << 10;
+  constexpr size_t kHeaders = 4000;
+  ServerFixture server(kBudget);
+  std::string submission = Submission(64);
+  const size_t headers_at = submission.find("Host");
+  for (size_t i = 0; i < kHeaders; ++i) submission.insert(headers_at, "a:\r\n");
+  tcp::socket& caller = server.Send(submission);
+  BOOST_REQUIRE(WaitForBytes(caller));
+  std::string answer;
+  std::error_code closed;
+  asio::read(caller, asio::dynamic_buffer(answer), closed);
+  BOOST_TEST(answer.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(server.service.submissions == 0U);
+}
+
+/// Guards against requests that a caller sends ahead and that take the memory
+/// of all until the first is answered.
+BOOST_AUTO_TEST_CASE(RequestsSentAheadTakeNoBudget) {
+  constexpr size_t kBudget = 256 << 10;
+  constexpr size_t kCallers = 8;
+  constexpr size_t kSentAhead = 100;
+  ServerFixture server(kBudget);
+  const std::string submission = Submission(64);
+  std::string many;
+  for (size_t i = 0; i < kSentAhead; ++i) many += submission;
+  for (size_t i = 0; i < kCallers; ++i) server.Send(many);
+  BOOST_TEST(server.WaitForSubmissions(kCallers));
+  server.Send(submission);
+  BOOST_TEST(server.WaitForSubmissions(kCallers + 1));
+}
+
+/// Guards against memory that decoded jobs take beyond the budget.
+BOOST_AUTO_TEST_CASE(DecodedStepsCountAgainstTheBudget) {
+  constexpr size_t kBudget = 64 << 10;
+  std::string body = R"({"steps":[{"cpu":1})";
+  for (size_t i = 1; i < kMaxJobSteps; ++i) body += R"(,{"cpu":1})";
+  ServerFixture server(kBudget);
+  tcp::socket& caller = server.Send(Submission(body + "]}"));
+  BOOST_REQUIRE(WaitForBytes(caller));
+  std::string answer;
+  std::error_code closed;
+  asio::read(caller, asio::dynamic_buffer(answer), closed);
+  BOOST_TEST(answer.find("HTTP/1.1 503") == 0U);
+  BOOST_TEST(server.service.submissions == 0U);
+}
+
+/// Guards against log lines as long as the longest target.
+BOOST_AUTO_TEST_CASE(LongTargetsAreCutInTheLog) {
+  constexpr size_t kTargetBytes = 8000;
+  const std::string target(kTargetBytes, 'x');
+  CapturedLog log;
+  {
+    ServerFixture server;
+    for (const char* prefix : {"/q/", "/other/"}) {
+      tcp::socket& caller =
+          server.Send("POST " + (prefix + target) +
+                      " HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n");
+      std::string answer;
+      std::error_code closed;
+      asio::read(caller, asio::dynamic_buffer(answer), closed);
+    }
+  }
+  const std::string lines = log.Take();
+  BOOST_TEST(lines.find("\"request\"") != std::string::npos);
+  BOOST_TEST(lines.find("\"request refused\"") != std::string::npos);
+  BOOST_TEST(lines.size() < kTargetBytes);
+}
+
 }  // namespace platform
 
 namespace http {
