RPC: Don't read calls whose replies wait for the peer

Change: with 64 KiB of replies waiting, nothing more is read from the connection until some are sent, so that the peer's own buffers fill. rpc::Client always reads, and replies are sent in order, so no peer of ours waits longer. A batch of replies that is not taken within the time of a frame of its size closes the connection.

The client's queue needs no such bound: calls to a peer that doesn't read time out within 3 s, and the connection is closed with them.

--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -99,6 +99,7 @@
       !waiting_.empty() && in_flight_.size() < kMaxBatchFrames &&
       (bytes == 0 || bytes + waiting_.front().bytes.size() <= kMaxBatchBytes)) {
     bytes += waiting_.front().bytes.size();
+    waiting_bytes_ -= MemoryOf(waiting_.front().bytes);
     in_flight_.push_back(std::move(waiting_.front()));
     waiting_.pop_front();
   }
--- a/src/libs/rpc/framing.h
+++ b/src/libs/rpc/framing.h
@@ -98,8 +98,11 @@
   };
 
   void Push(int32_t method, std::string bytes) {
+    waiting_bytes_ += MemoryOf(bytes);
     waiting_.push_back({method, std::move(bytes)});
   }
+  /// Memory that the frames take which are not being sent yet.
+  size_t waiting_bytes() const { return waiting_bytes_; }
   /// Whether frames wait and none is being sent.
   bool CanSend() const { return in_flight_.empty() && !waiting_.empty(); }
   bool empty() const { return in_flight_.empty() && waiting_.empty(); }
@@ -110,7 +113,12 @@
   void OnSent() { in_flight_.clear(); }
 
  private:
+  static size_t MemoryOf(const std::string& bytes) {
+    return sizeof(Outgoing) + bytes.size();
+  }
+
   std::deque<Outgoing> waiting_;
+  size_t waiting_bytes_ = 0;
   std::vector<Outgoing> in_flight_;
 };
 
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -46,6 +46,10 @@
   /// Bytes received of a frame extend its time at this rate. The thinnest
   /// links, of 2 Mbit/s, carry 15 times as much, and share it among peers.
   int64_t min_bytes_per_s = 16 << 10;
+  /// No more calls are read from a connection while replies of this size wait
+  /// to be sent on it. If its peer takes no reply within the time of a frame,
+  /// the connection is closed.
+  size_t max_unsent_bytes = 64 << 10;
   uint32_t max_frame_bytes = kMaxFrameBytes;
   /// Memory that the unfinished frames of all connections may take. Beyond it,
   /// the connection is closed whose frame has waited longest for its next
--- a/src/libs/rpc/session.cc
+++ b/src/libs/rpc/session.cc
@@ -1,5 +1,6 @@
 #include "src/libs/rpc/session.h"
 
+#include <algorithm>
 #include <chrono>
 #include <mutex>
 #include <system_error>
@@ -11,9 +12,9 @@
 
 namespace {
 
-/// A frame that is late, but has bytes to read, is looked at again after this
+/// A transfer that is late, but may have gone on, is looked at again after this
 /// time.
-constexpr Millis kUnreadBytesPause{100};
+constexpr Millis kOverduePause{100};
 
 }  // namespace
 
@@ -34,7 +35,7 @@
 
 void Session::Start() {
   frame_began_ = Clock::now();
-  ArmFrameTimer(TimeLeftForFrame());
+  ArmTimer(server_->options.frame_timeout);
   JoinList();
   ReadNext();
 }
@@ -69,11 +70,16 @@
         if (error.code) return self->Close();
         self->UpdateFrameTime();
         self->JoinList();
-        self->ReadNext();
-        if (!self->ChargeMemory()) self->Close();
+        self->ReadUnlessUnsent();
       });
 }
 
+void Session::ReadUnlessUnsent() {
+  reading_paused_ = queue_.waiting_bytes() > server_->options.max_unsent_bytes;
+  if (!reading_paused_) ReadNext();
+  if (!ChargeMemory()) Close();
+}
+
 void Session::Dispatch(wire::Frame frame) {
   if (frame.method == static_cast<int32_t>(Method::kPing)) {
     return Send(frame.id, frame.method, std::string());
@@ -116,18 +122,31 @@
 void Session::WriteNext() {
   if (!queue_.CanSend()) return;
   const auto& batch = queue_.TakeBatch();
+  write_began_ = Clock::now();
+  write_bytes_ = 0;
   for (const SendQueue::Outgoing& frame : batch) {
+    write_bytes_ += frame.bytes.size();
     CountTraffic(frame.method, metrics::Direction::kOut, frame.bytes.size());
   }
+  ArmTimer(server_->options.frame_timeout);
   asio::async_write(socket_, Buffers(batch),
                     [self = shared_from_this()](std::error_code error, size_t) {
                       if (error) return self->Close();
-                      self->queue_.OnSent();
-                      self->WriteNext();
-                      self->JoinList();
+                      self->OnSent();
                     });
 }
 
+void Session::OnSent() {
+  queue_.OnSent();
+  write_began_.reset();
+  write_overdue_ = false;
+  WriteNext();
+  JoinList();
+  if (!reading_paused_) return;
+  if (frame_began_) frame_began_ = Clock::now();
+  ReadUnlessUnsent();
+}
+
 void Session::CountTraffic(int32_t method, metrics::Direction direction,
                            size_t bytes) {
   server_->bytes += static_cast<int64_t>(bytes);
@@ -151,38 +170,51 @@
   const bool completed = std::exchange(frame_completed_, false);
   if (reader_.unfinished_bytes() == 0) return frame_began_.reset();
   if (completed || !frame_began_) frame_began_ = Clock::now();
-  ArmFrameTimer(TimeLeftForFrame());
+  ArmTimer(server_->options.frame_timeout);
 }
 
-Millis Session::TimeLeftForFrame() const {
+Millis Session::TimeLeft(TimePoint began, size_t bytes) const {
   constexpr int64_t kMsPerS = 1000;
   const ServerOptions& options = server_->options;
-  const auto bytes = static_cast<int64_t>(reader_.unfinished_bytes());
-  const Millis allowed =
-      options.frame_timeout + Millis(bytes * kMsPerS / options.min_bytes_per_s);
-  return std::chrono::duration_cast<Millis>(*frame_began_ + allowed -
-                                            Clock::now());
+  const Millis extension(static_cast<int64_t>(bytes) * kMsPerS /
+                         options.min_bytes_per_s);
+  const TimePoint end = began + options.frame_timeout + extension;
+  return std::chrono::duration_cast<Millis>(end - Clock::now());
 }
 
-void Session::ArmFrameTimer(Millis left) {
-  if (std::exchange(frame_timer_armed_, true)) return;
-  frame_timer_.expires_after(left);
-  frame_timer_.async_wait([weak = weak_from_this()](std::error_code error) {
+void Session::ArmTimer(Millis left) {
+  if (std::exchange(timer_armed_, true)) return;
+  // What begins later may have less time left.
+  timer_.expires_after(std::min(left, server_->options.frame_timeout));
+  timer_.async_wait([weak = weak_from_this()](std::error_code error) {
     auto self = weak.lock();
-    if (!error && self) self->OnFrameTimer();
+    if (!error && self) self->OnTimer();
   });
 }
 
-void Session::OnFrameTimer() {
-  frame_timer_armed_ = false;
-  if (!frame_began_ || !socket_.is_open()) return;
-  const Millis left = TimeLeftForFrame();
-  if (left > Millis(0)) return ArmFrameTimer(left);
+void Session::OnTimer() {
+  timer_armed_ = false;
+  if (!socket_.is_open()) return;
+  if (frame_began_) CheckFrameTime();
+  if (write_began_) CheckWriteTime();
+}
+
+void Session::CheckFrameTime() {
+  const Millis left = TimeLeft(*frame_began_, reader_.unfinished_bytes());
+  if (left > Millis(0)) return ArmTimer(left);
   // After a pause of the process, the timer runs before the pending read.
-  if (HasUnreadBytes()) return ArmFrameTimer(kUnreadBytesPause);
+  if (HasUnreadBytes()) return ArmTimer(kOverduePause);
   Refuse("frame too slow");
 }
 
+void Session::CheckWriteTime() {
+  const Millis left = TimeLeft(*write_began_, write_bytes_);
+  if (left > Millis(0)) return ArmTimer(left);
+  // After a pause of the process, the timer runs before the completed write.
+  if (!std::exchange(write_overdue_, true)) return ArmTimer(kOverduePause);
+  Refuse("replies not read");
+}
+
 bool Session::ChargeMemory() {
   std::lock_guard lock(server_->mutex);
   return !frame_given_up_ &&
--- a/src/libs/rpc/session.h
+++ b/src/libs/rpc/session.h
@@ -39,10 +39,13 @@
   /// while the caller holds the mutex. Thread-safe.
   void Post(void (Session::*method)());
   void ReadNext();
+  /// Reads on, unless the peer first has to take more replies.
+  void ReadUnlessUnsent();
   /// Passes a call to the handler of its method.
   void Dispatch(wire::Frame frame);
   void Send(int64_t id, int32_t method, Result<std::string> reply);
   void WriteNext();
+  void OnSent();
   void CountTraffic(int32_t method, metrics::Direction direction, size_t bytes);
   /// A reply is being sent, or a call was not answered yet.
   bool IsBusy() const { return calls_in_flight_ > 0 || !queue_.empty(); }
@@ -50,10 +53,12 @@
   void JoinList();
   /// Notes which frame is being received after a read.
   void UpdateFrameTime();
-  /// Time left to receive the whole frame. Precondition: `frame_began_`.
-  Millis TimeLeftForFrame() const;
-  void ArmFrameTimer(Millis left);
-  void OnFrameTimer();
+  /// Time left for a transfer that began then and has this many bytes.
+  Millis TimeLeft(TimePoint began, size_t bytes) const;
+  void ArmTimer(Millis left);
+  void OnTimer();
+  void CheckFrameTime();
+  void CheckWriteTime();
   /// Charges the unfinished frame to the memory for all of them. Returns
   /// whether it fits.
   bool ChargeMemory();
@@ -71,8 +76,15 @@
   std::optional<TimePoint> frame_began_;
   /// The last read has completed a frame.
   bool frame_completed_ = false;
-  asio::steady_timer frame_timer_{socket_.get_executor()};
-  bool frame_timer_armed_ = false;
+  /// Since when a batch of replies is being sent, and its size.
+  std::optional<TimePoint> write_began_;
+  size_t write_bytes_ = 0;
+  bool write_overdue_ = false;
+  /// Too many replies wait to be sent.
+  bool reading_paused_ = false;
+  /// Checks the time of frames and replies; runs on when they are done.
+  asio::steady_timer timer_{socket_.get_executor()};
+  bool timer_armed_ = false;
   /// Calls that their handlers have not answered yet. One that a handler drops
   /// keeps the connection from making room for others.
   size_t calls_in_flight_ = 0;
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -1,7 +1,9 @@
 #define BOOST_TEST_MODULE rpc_server
 #include <poll.h>
 #include <sys/resource.h>
+#include <sys/socket.h>
 
+#include <algorithm>
 #include <array>
 #include <asio.hpp>
 #include <boost/test/unit_test.hpp>
@@ -21,6 +23,9 @@
 constexpr Millis kShortTimeout{200};
 constexpr Millis kCloseLimit{10000};
 constexpr size_t kLargeBody = 100000;
+/// Calls with large bodies that exceed all buffers of the kernel for one
+/// connection.
+constexpr size_t kManyCalls = 1000;
 
 /// While an object exists, this process cannot open file descriptors.
 class DescriptorLimit {
@@ -114,6 +119,34 @@
     asio::write(socket_, asio::buffer(bytes), error);
     return !error;
   }
+  /// Returns false if the server doesn't take all of the bytes for a while.
+  bool SendUnlessBlocked(std::string_view bytes) {
+    constexpr int kBlockedMs = 500;
+    while (!bytes.empty()) {
+      pollfd wait{
+          .fd = socket_.native_handle(), .events = POLLOUT, .revents = 0};
+      if (poll(&wait, 1, kBlockedMs) != 1) return false;
+      const ssize_t sent = send(socket_.native_handle(), bytes.data(),
+                                bytes.size(), MSG_DONTWAIT | MSG_NOSIGNAL);
+      if (sent <= 0) return false;
+      bytes.remove_prefix(static_cast<size_t>(sent));
+    }
+    return true;
+  }
+  /// Returns whether this many bytes of replies arrive.
+  bool ReadAll(size_t bytes) {
+    while (bytes > 0) {
+      const size_t read = Read();
+      if (read == 0) return false;
+      bytes -= std::min(bytes, read);
+    }
+    return true;
+  }
+  /// Whether the server has not reset the connection.
+  bool IsOpen() {
+    pollfd state{.fd = socket_.native_handle(), .events = 0, .revents = 0};
+    return poll(&state, 1, 0) == 0;
+  }
   /// Returns whether the server answers a call within kAnswerLimit.
   bool IsAnswered(const std::string& call = CallBytes(Method::kPing)) {
     return Send(call) && ReadReply();
@@ -468,4 +501,32 @@
   BOOST_TEST(peer.IsClosed());
 }
 
+/// Guards against replies that pile up for a peer which doesn't read them.
+BOOST_AUTO_TEST_CASE(CallsAreNotReadWhileRepliesWait) {
+  ServerAndClient server;
+  RawPeer peer(server.port());
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  size_t sent = 0;
+  while (sent < kManyCalls && peer.SendUnlessBlocked(call)) ++sent;
+  BOOST_TEST(sent < kManyCalls);
+  // All calls that were sent are answered once the peer reads.
+  BOOST_TEST(peer.ReadAll(sent * kLargeBody));
+}
+
+/// Guards against connections that stay open though their peer reads no reply.
+BOOST_AUTO_TEST_CASE(ConnectionWhosePeerReadsNoReplyIsClosed) {
+  ServerAndClient server({.frame_timeout = kShortTimeout});
+  RawPeer peer(server.port());
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  size_t sent = 0;
+  while (sent < kManyCalls && peer.SendUnlessBlocked(call)) ++sent;
+  const TimePoint end = Clock::now() + kCloseLimit;
+  while (peer.IsOpen() && Clock::now() < end) {
+    std::this_thread::sleep_for(kShortTimeout);
+  }
+  BOOST_TEST(!peer.IsOpen());
+}
+
 }  // namespace mimosarail::rpc
