--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -60,7 +60,16 @@
                                                   .dropped_reply_percent = 0,
                                                   .delayed_percent = 0};
 
-inline std::string OperatorConfig() {
+struct EntryLimits {
+  size_t max_connections = kMaxConnections;
+  /// Memory that the entry may take.
+  size_t memory_mb = kMemoryMb;
+  /// The operator's.
+  int head_timeout_ms = kHeadTimeoutMs;
+  int idle_timeout_ms = kIdleTimeoutMs;
+};
+
+inline std::string OperatorConfig(const EntryLimits& limits) {
   return Json{{"version", 1},
               {"routes",
                {{{"name", "jobs"},
@@ -72,8 +81,8 @@
               {"limits",
                {{"maxHeaderBytes", kMaxHeadBytes},
                 {"maxBodyBytes", kMaxBodyBytes},
-                {"headerTimeoutMs", kHeadTimeoutMs},
-                {"idleTimeoutMs", kIdleTimeoutMs}}}}
+                {"headerTimeoutMs", limits.head_timeout_ms},
+                {"idleTimeoutMs", limits.idle_timeout_ms}}}}
       .dump();
 }
 
@@ -98,10 +107,10 @@
         upstream_(io_, executor_, checker_, "upstream-0", kNoFaults, 1) {}
 
   /// Returns the address of the store.
-  std::string Start() {
+  std::string Start(const EntryLimits& limits) {
     std::string address = store_.Start();
     BOOST_REQUIRE(!address.empty() && upstream_.Start());
-    store_.log().Put("keyed.op", "config", OperatorConfig());
+    store_.log().Put("keyed.op", "config", OperatorConfig(limits));
     store_.log().Put("keyed.servers", upstream_.id(),
                      upstream_.ListEntry(kPool));
     thread_ = std::thread([this] { io_.run(); });
@@ -129,10 +138,13 @@
   return *platforms->back();
 }
 
-struct EntryLimits {
-  size_t max_connections = kMaxConnections;
-  /// Memory that the entry may take.
-  size_t memory_mb = kMemoryMb;
+/// What an entry takes.
+struct EntryUsage {
+  size_t resident_peak_bytes = 0;
+  /// Largest sum, while it was watched, of the bytes that its connections had
+  /// received and it had not read.
+  size_t unread_peak_bytes = 0;
+  size_t descriptors = 0;
 };
 
 /// One entry process that leads and accepts jobs.
@@ -142,7 +154,7 @@
       : limits_(limits),
         folder_(MakeFolder()),
         platform_(MakePlatform(folder_)),
-        entry_(Options(platform_.Start())) {
+        entry_(Options(platform_.Start(limits))) {
     entry_.Start();
     BOOST_REQUIRE(AnswersWithin(kStartLimit));
   }
@@ -167,35 +179,48 @@
       for (const int port : {this->port(), ready_port(), metrics_port()}) {
         unread += scenarios::UnreadBytes(port);
       }
-      peak_unread_ = std::max(peak_unread_, unread);
+      unread_peak_ = std::max(unread_peak_, unread);
       std::this_thread::sleep_for(kWatchInterval);
     } while (Clock::now() < end);
   }
 
+  EntryUsage usage() const {
+    return {.resident_peak_bytes = scenarios::ResidentPeakBytes(entry_.pid()),
+            .unread_peak_bytes = unread_peak_,
+            .descriptors = scenarios::OpenDescriptors(entry_.pid())};
+  }
+  bool alive() { return entry_.alive(); }
+
   /// Checks, while the crowd is connected, that the process lives within its
   /// bounds and that an ordinary request is answered.
   void CheckServes() {
-    const size_t descriptors = scenarios::OpenDescriptors(entry_.pid());
+    const size_t descriptors = usage().descriptors;
     const bool answers = AnswersWithin(kAnswerLimit);
-    const size_t peak = scenarios::ResidentPeakBytes(entry_.pid());
+    const size_t peak = usage().resident_peak_bytes;
     BOOST_TEST_MESSAGE("resident peak " << peak / kBytesPerMb << " MB, unread "
-                                        << peak_unread_ / kBytesPerMb
+                                        << unread_peak_ / kBytesPerMb
                                         << " MB, descriptors " << descriptors
                                         << ", answers " << answers);
     BOOST_CHECK(entry_.alive());
     BOOST_CHECK(answers);
     BOOST_CHECK_LE(descriptors, limits_.max_connections + kReservedDescriptors);
     if (kMemoryIsComparable) {
-      BOOST_CHECK_LT(peak + peak_unread_, limits_.memory_mb * kBytesPerMb);
+      BOOST_CHECK_LT(peak + unread_peak_, limits_.memory_mb * kBytesPerMb);
     }
   }
 
+  /// Whether a GET at this port of the entry is answered with 200.
+  static bool AnswersAtWithin(int port, Millis limit) {
+    return Retry(limit, [&] { return Call(port, "GET", "/", "") == 200; });
+  }
+
   /// Submits a job with this body and asks for its state; retries both like a
   /// client.
   bool AnswersWithin(Millis limit, const std::string& body = JobBody()) {
     const std::string path = kPrefix + JobIdText(++last_job_);
-    return Retry(limit, [&] { return Call("POST", path, body) == 200; }) &&
-           Retry(limit, [&] { return Call("GET", path, "") == 200; });
+    return Retry(limit,
+                 [&] { return Call(port(), "POST", path, body) == 200; }) &&
+           Retry(limit, [&] { return Call(port(), "GET", path, "") == 200; });
   }
 
  private:
@@ -229,9 +254,9 @@
   }
 
   /// HTTP status; 0 without an answer.
-  int Call(const std::string& method, const std::string& path,
-           const std::string& body) const {
-    httplib::Client client("127.0.0.1", port());
+  static int Call(int port, const std::string& method, const std::string& path,
+                  const std::string& body) {
+    httplib::Client client("127.0.0.1", port);
     client.set_connection_timeout(kCallTimeout);
     client.set_read_timeout(kCallTimeout);
     httplib::Request request;
@@ -249,7 +274,7 @@
   std::string folder_;
   PlatformFake& platform_;
   soak::Entry entry_;
-  size_t peak_unread_ = 0;
+  size_t unread_peak_ = 0;
   JobId last_job_ = 0;
 };
 
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -1,10 +1,12 @@
 #define BOOST_TEST_MODULE hostile_clients
 #include <boost/test/unit_test.hpp>
-#include <sstream>
+#include <list>
 #include <string>
+#include <vector>
 
 #include "src/jobs/job_state.h"
 #include "tests/entry_under_test.h"
+#include "tests/hostile_requests.h"
 #include "tests/scenarios/crowd.h"
 
 namespace mimosarail {
@@ -26,67 +28,6 @@
 /// How long answers may take to fill the buffers of a crowd that reads none.
 constexpr Millis kFillTime{8000};
 
-std::string RequestLine(const std::string& method) {
-  return method + " " + kPrefix + JobIdText(1u << 20) +
-         " HTTP/1.1\r\nHost: " + kHost + "\r\n";
-}
-
-std::string AnnouncedBody(size_t announced, const std::string& sent) {
-  return RequestLine("POST") + "Content-Length: " + std::to_string(announced) +
-         "\r\n\r\n" + sent;
-}
-
-std::string ChunkedHead() {
-  return RequestLine("POST") + "Transfer-Encoding: chunked\r\n\r\n";
-}
-
-std::string Chunk(const std::string& bytes) {
-  std::ostringstream out;
-  out << std::hex << bytes.size() << "\r\n" << bytes << "\r\n";
-  return out.str();
-}
-
-/// Repeats `item`, separated by commas, up to about `bytes`.
-std::string JsonList(const std::string& item, size_t bytes) {
-  std::string out = "[" + item;
-  while (out.size() + item.size() + 2 < bytes) out += "," + item;
-  return out + "]";
-}
-
-/// A body of at most `bytes` whose only field is a list of `item`.
-std::string ListBody(const std::string& field, const std::string& item,
-                     size_t bytes) {
-  const std::string begin = "{\"" + field + "\":";
-  return begin + JsonList(item, bytes - begin.size() - 1) + "}";
-}
-
-std::string Repeat(const std::string& text, size_t bytes) {
-  std::string out;
-  while (out.size() < bytes) out += text;
-  return out;
-}
-
-/// Requests for the state of an unknown job, one after the other.
-std::string PipelinedRequests() {
-  return Repeat(RequestLine("GET") + "\r\n", kMaxHeadBytes);
-}
-
-/// Sends requests without reading any answer. Their heads are long, so that
-/// their connection is still open when the answers fill its buffers.
-CrowdBehavior UnreadAnswers() {
-  const std::string request =
-      RequestLine("GET") + "X-Filler: " + std::string(kMaxHeadBytes / 8, 'x') +
-      "\r\n\r\n";
-  return {.first = request,
-          .repeated = Repeat(request, 4 * kMaxHeadBytes),
-          .pause = Millis(0),
-          .reads_answers = false};
-}
-
-std::string WholeBody(const std::string& body) {
-  return AnnouncedBody(body.size(), body);
-}
-
 /// Checks the entry beside a crowd that has sent its first bytes.
 void CheckServesBeside(size_t clients, CrowdBehavior behavior) {
   EntryUnderTest entry;
@@ -226,10 +167,7 @@
 
 // Guards against a parser that ends the process on deep nesting.
 BOOST_AUTO_TEST_CASE(DeeplyNestedLists) {
-  const std::string nested =
-      "{\"ignored\":" + std::string(kMaxBodyBytes / 4, '[') +
-      std::string(kMaxBodyBytes / 4, ']') + "}";
-  CheckServesBeside(kSmallCrowd, {.first = WholeBody(nested)});
+  CheckServesBeside(kSmallCrowd, {.first = WholeBody(NestedBody())});
 }
 
 // Guards against idle connections that keep ordinary callers out.
@@ -289,10 +227,7 @@
 // Guards against clients that keep ordinary callers out by reading their
 // answers slowly.
 BOOST_AUTO_TEST_CASE(SlowlyReadAnswersUpToTheLimit) {
-  CrowdBehavior behavior = UnreadAnswers();
-  behavior.reads_answers = true;
-  behavior.read_pause = Millis(1000);
-  CheckServesAtTheConnectionLimit(behavior);
+  CheckServesAtTheConnectionLimit(SlowlyReadAnswers());
 }
 
 // Guards against memory that answers take which clients do not read.
@@ -303,5 +238,94 @@
       {.first = requests, .repeated = requests, .reads_answers = false});
 }
 
+/// One crowd of each kind that this file knows.
+std::vector<CrowdBehavior> AllKinds() {
+  const std::string over_limit(kBytesPerMb - 1, ' ');
+  const std::string unfinished(kMaxBodyBytes - 1, ' ');
+  const std::string filler(kMaxHeadBytes, 'x');
+  const std::string request = WholeBody(std::string(kMaxHeadBytes, ' '));
+  return {
+      {},
+      UnreadAnswers(),
+      SlowlyReadAnswers(),
+      {.first = RequestLine("GET") + "X-Filler: " +
+                std::string(8 * kMaxHeadBytes, 'x') + "\r\n\r\n"},
+      {.first = RequestLine("GET"), .repeated = "X-Filler: " + filler + "\r\n"},
+      {.first = RequestLine("GET") + "X-Filler: ",
+       .repeated = "x",
+       .pause = Millis(500)},
+      {.first = "\r\n", .repeated = Repeat("\r\n", kMaxHeadBytes)},
+      {.first = ChunkedHead() + "1;", .repeated = filler},
+      {.first = AnnouncedBody(kBytesPerMb, over_limit)},
+      {.first = ChunkedHead(),
+       .repeated = Chunk(std::string(kMaxHeadBytes, ' '))},
+      {.first = AnnouncedBody(kMaxBodyBytes, unfinished)},
+      {.first = ChunkedHead() + Chunk(unfinished)},
+      {.first = AnnouncedBody(kMaxBodyBytes, "{"),
+       .repeated = " ",
+       .pause = Millis(500)},
+      {.first = WholeBody(ListBody("steps", "{}", kBytesPerMb))},
+      {.first = WholeBody(ListBody("steps", "{}", kMaxBodyBytes))},
+      {.first = WholeBody(ListBody("ignored", "[]", kMaxBodyBytes))},
+      {.first = WholeBody(NestedBody())},
+      {.first = request,
+       .repeated = Repeat(request, kMaxBodyBytes),
+       .pause = Millis(0)},
+  };
+}
+
+// Guards against bounds that hold for one kind of crowd and not for all of them
+// together.
+BOOST_AUTO_TEST_CASE(AllKindsTogether) {
+  EntryUnderTest entry;
+  std::list<Crowd> crowds;
+  for (const CrowdBehavior& behavior : AllKinds()) {
+    crowds.emplace_back(entry.port(), kSmallCrowd, behavior);
+  }
+  for (const int port : {entry.ready_port(), entry.metrics_port()}) {
+    crowds.emplace_back(port, kSmallCrowd, UnreadAnswers());
+  }
+  crowds.emplace_back(entry.port(), kMaxConnections, CrowdBehavior{});
+  entry.Watch(kFillTime);
+  entry.CheckServes();
+}
+
+// Guards against memory and descriptors that clients of the metrics endpoint
+// take.
+BOOST_AUTO_TEST_CASE(UnfinishedBodiesAtTheMetricsEndpoint) {
+  const std::string body(kBytesPerMb - 1, ' ');
+  EntryUnderTest entry;
+  const Crowd crowd(entry.metrics_port(), kMediumCrowd,
+                    {.first = AnnouncedBody(body.size() + 1, body)});
+  crowd.WaitUntilSent(kSendLimit);
+  entry.Watch(kCrowdTime);
+  entry.CheckServes();
+}
+
+// Guards against clients of the metrics endpoint that keep collectors out.
+BOOST_AUTO_TEST_CASE(IdleConnectionsAtTheMetricsEndpoint) {
+  EntryUnderTest entry;
+  const Crowd crowd(entry.metrics_port(), kMediumCrowd, {});
+  entry.Watch(kCrowdTime);
+  entry.CheckServes();
+  BOOST_CHECK(entry.AnswersAtWithin(entry.metrics_port(), kAnswerLimit));
+}
+
+// Guards against clients that keep load balancers and collectors out by sending
+// requests without an end.
+BOOST_AUTO_TEST_CASE(RequestsWithoutEndAtTheOtherEndpoints) {
+  const std::string request = RequestLine("GET") + "\r\n";
+  EntryUnderTest entry;
+  for (const int port : {entry.ready_port(), entry.metrics_port()}) {
+    const Crowd crowd(port, kMediumCrowd,
+                      {.first = request,
+                       .repeated = Repeat(request, kMaxHeadBytes),
+                       .pause = Millis(0)});
+    entry.Watch(kCrowdTime);
+    entry.CheckServes();
+    BOOST_CHECK(entry.AnswersAtWithin(port, kAnswerLimit));
+  }
+}
+
 }  // namespace
 }  // namespace mimosarail
