--- a/src/libs/rpc/server_state.cc
+++ b/src/libs/rpc/server_state.cc
@@ -28,8 +28,8 @@
 
 bool ServerState::CloseFirst(const ConnectionList<Session>& list,
                              const char* why) {
-  if (list.begin() == list.end()) return false;
-  (*list.begin())->MakeRoom();
+  if (list.empty()) return false;
+  list.front().connection->MakeRoom();
   Count(why);
   return true;
 }
