RPC: Bound the lists in calls between entries

What callers saw: 20 submissions of 256 KiB from another process, each a list of 262,143 empty steps, took 344 MB once decoded.

Cause: a list may have 2^18 elements, for the 100,000 tasks of a record, and an element takes up to 250 times as much as on the wire. Calls have no such lists.

--- a/src/libs/rpc/codec.cc
+++ b/src/libs/rpc/codec.cc
@@ -12,14 +12,6 @@
 using apache::thrift::protocol::TCompactProtocol;
 using apache::thrift::transport::TMemoryBuffer;
 
-namespace {
-
-/// Maximum length of a list in a message: a job has up to 100,000 tasks. A list
-/// of this length with the largest elements takes 65 MB.
-constexpr int32_t kMaxElements = 1 << 18;
-
-}  // namespace
-
 std::string Encode(const apache::thrift::TBase& message) {
   auto buffer = std::make_shared<TMemoryBuffer>();
   TCompactProtocol protocol(buffer);
@@ -27,7 +19,8 @@
   return buffer->getBufferAsString();
 }
 
-bool DecodeInto(std::string_view bytes, apache::thrift::TBase& message) {
+bool DecodeInto(std::string_view bytes, apache::thrift::TBase& message,
+                int32_t max_elements) {
   // In OBSERVE mode, Thrift only reads through the pointer.
   auto* data =
       reinterpret_cast<uint8_t*>(const_cast<char*>(bytes.data()));  // NOLINT
@@ -37,7 +30,7 @@
   // of bytes received. Elements are up to 250 times larger in memory than on
   // the wire.
   const auto limit = static_cast<int32_t>(bytes.size()) + 1;
-  TCompactProtocol protocol(buffer, limit, std::min(limit, kMaxElements));
+  TCompactProtocol protocol(buffer, limit, std::min(limit, max_elements));
   try {
     message.read(&protocol);
   } catch (const std::exception&) {
--- a/src/libs/rpc/server.cc
+++ b/src/libs/rpc/server.cc
@@ -99,6 +99,10 @@
   return d_->acceptor.local_endpoint().port();
 }
 
+int32_t Server::max_list_elements() const {
+  return d_->state->options.max_list_elements;
+}
+
 int64_t Server::bytes() const { return d_->state->bytes.load(); }
 
 }  // namespace mimosarail::rpc
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -51,6 +51,9 @@
   /// the connection is closed.
   size_t max_unsent_bytes = 64 << 10;
   uint32_t max_frame_bytes = kMaxFrameBytes;
+  /// Maximum length of a list in a call. Elements take up to 250 times as much
+  /// memory as on the wire.
+  int32_t max_list_elements = kMaxElements;
   /// Memory that the unfinished frames of all connections may take. Beyond it,
   /// the connection is closed whose frame has waited longest for its next
   /// bytes. A buffer is up to twice as large as its frame.
@@ -72,6 +75,8 @@
   /// Binds "ip:port" (port 0 lets the kernel choose) and returns the port.
   Result<uint16_t> Listen(const std::string& address);
 
+  int32_t max_list_elements() const;
+
   /// Bytes of frames sent and received so far. Thread-safe.
   int64_t bytes() const;
 
@@ -88,9 +93,10 @@
     Server& server, Executor& executor, Method method,
     std::function<void(Message, TimePoint, std::function<void(Reply)>)>
         handle) {
-  server.Handle(method, [&executor, handle = std::move(handle)](
+  server.Handle(method, [&executor, handle = std::move(handle),
+                         max_elements = server.max_list_elements()](
                             std::string body, Responder respond) {
-    Result<Message> call = Decode<Message>(body);
+    Result<Message> call = Decode<Message>(body, max_elements);
     if (!call.ok()) return respond(call.error());
     executor.Post([handle, respond = std::move(respond),
                    received = executor.Now(),
--- a/tests/hostile_peers_test.cc
+++ b/tests/hostile_peers_test.cc
@@ -34,6 +34,7 @@
 constexpr size_t kPartOfLargestFrame = 8 * kBytesPerMb;
 static_assert(kSmallCrowd * kPartOfLargestFrame > kMemoryMb * kBytesPerMb);
 constexpr size_t kBytesOfPings = 16 << 10;
+constexpr size_t kBytesOfCalls = 64 << 10;
 /// Descriptors that the entry may open besides those of a crowd: of store,
 /// upstream and ordinary callers.
 constexpr size_t kOtherDescriptors = 10;
@@ -65,6 +66,22 @@
   return rpc::FrameBytes(frame);
 }
 
+/// An encoded wire::SubmitJobCall with many steps of one byte each.
+std::string SubmissionOfEmptySteps() {
+  constexpr uint32_t kSteps = (1 << 18) - 1;
+  constexpr char kJobField = 0x1c;    // field 1, a struct
+  constexpr char kStepsField = 0x39;  // field 3, a list
+  constexpr char kLongListOfStructs = static_cast<char>(0xfc);
+  std::string out = {kJobField, kStepsField, kLongListOfStructs};
+  uint32_t left = kSteps;
+  for (; left > 0x7fU; left >>= 7U) {
+    out.push_back(static_cast<char>((left & 0x7fU) | 0x80U));
+  }
+  out.push_back(static_cast<char>(left));
+  constexpr size_t kEndsOfJobAndCall = 2;
+  return out + std::string(kSteps + kEndsOfJobAndCall, '\0');
+}
+
 /// Another entry, with one connection that it opens again when it is lost.
 class OrdinaryPeer {
  public:
@@ -215,5 +232,30 @@
   CheckServesBeside(kLargeCrowd, {.first = Call(rpc::Method::kReport, body)});
 }
 
+// Guards against memory that calls take which arrive faster than they are
+// handled.
+BOOST_AUTO_TEST_CASE(SubmissionsWithoutEnd) {
+  wire::SubmitJobCall call;
+  call.job.payload = std::string(kBytesOfCalls, 'x');
+  const std::string frame = Call(rpc::Method::kSubmitJob, rpc::Encode(call));
+  CheckServesBeside(kSmallCrowd, {.first = frame, .repeated = frame});
+}
+
+// Guards against memory that small calls take which arrive faster than they
+// are handled.
+BOOST_AUTO_TEST_CASE(HeartbeatsWithoutEnd) {
+  const std::string call =
+      Call(rpc::Method::kHeartbeat, rpc::Encode(wire::HeartbeatCall()));
+  std::string calls;
+  while (calls.size() < kBytesOfCalls) calls += call;
+  CheckServesBeside(kSmallCrowd, {.first = calls, .repeated = calls});
+}
+
+// Guards against memory that lists in a call take once decoded.
+BOOST_AUTO_TEST_CASE(LongListsOfSteps) {
+  CheckServesBeside(kSmallCrowd, {.first = Call(rpc::Method::kSubmitJob,
+                                                SubmissionOfEmptySteps())});
+}
+
 }  // namespace
 }  // namespace mimosarail
