RPC: Don't read calls faster than they are answered

Change: calls count with their body and 1 KiB until their responder is gone, those of closed connections too.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -157,13 +157,15 @@
                                          metrics::Registry& metrics) {
   // Twice the largest body that operators may allow for a submission.
   constexpr size_t kMaxFrameBytes = 8 << 20;
-  // Four times the steps of a job; advice is asked about 100 upstreams at a time.
+  // Four times the steps of a job; advice is asked about 100 upstreams at a
+  // time.
   constexpr int32_t kMaxListElements = 4096;
   // The buffer of a frame is up to twice as large.
   const size_t frame_memory_bytes = FrameMemoryBytes(s);
   return {.traffic = &traffic,
           .metrics = &metrics,
           .send_buffer_bytes = SendBufferBytes(s),
+          .call_memory_bytes = frame_memory_bytes,
           .max_frame_bytes = static_cast<uint32_t>(
               std::min(kMaxFrameBytes, frame_memory_bytes / 2)),
           .max_list_elements = kMaxListElements,
--- a/src/libs/rpc/server.h
+++ b/src/libs/rpc/server.h
@@ -50,6 +50,9 @@
   /// to be sent on it. If its peer takes no reply within the time of a frame,
   /// the connection is closed.
   size_t max_unsent_bytes = 64 << 10;
+  /// Memory that calls may take until they are answered. Beyond it, nothing is
+  /// read from connections whose calls take more than kFreeCallBytes.
+  size_t call_memory_bytes = size_t{2} * kMaxFrameBytes;
   uint32_t max_frame_bytes = kMaxFrameBytes;
   /// Maximum length of a list in a call. Elements take up to 250 times as much
   /// memory as on the wire.
--- a/src/libs/rpc/server_state.h
+++ b/src/libs/rpc/server_state.h
@@ -22,6 +22,9 @@
 /// as are accepted in one turn of the event loop.
 inline constexpr size_t kMaxOverLimit = 256;
 
+/// Memory that the calls of a connection may take whatever others take.
+inline constexpr size_t kFreeCallBytes = 64 << 10;
+
 /// What the connections of a server share. Each may run on another thread.
 class ServerState {
  public:
@@ -42,6 +45,9 @@
   /// Not changed once the server listens.
   HandlerTable handlers;
   std::atomic<int64_t> bytes{0};
+  /// Memory of the calls that are not answered yet, those of closed connections
+  /// included.
+  std::atomic<size_t> call_bytes{0};
 
   /// Guards all that follows.
   std::mutex mutex;
--- a/src/libs/rpc/session.cc
+++ b/src/libs/rpc/session.cc
@@ -16,6 +16,26 @@
 /// time.
 constexpr Millis kOverduePause{100};
 
+/// Memory of a call in flight besides its body: the decoded message, and the
+/// handler that is queued for it.
+constexpr size_t kCallOverheadBytes = 1 << 10;
+
+/// Counts a call in flight until its responder is destroyed.
+class CallCharge {
+ public:
+  CallCharge(std::shared_ptr<ServerState> server, size_t bytes)
+      : server_(std::move(server)), bytes_(bytes) {
+    server_->call_bytes += bytes_;
+  }
+  ~CallCharge() { server_->call_bytes -= bytes_; }
+  CallCharge(const CallCharge&) = delete;
+  CallCharge& operator=(const CallCharge&) = delete;
+
+ private:
+  std::shared_ptr<ServerState> server_;
+  size_t bytes_;
+};
+
 }  // namespace
 
 Session::Session(tcp::socket socket, std::shared_ptr<ServerState> server)
@@ -70,30 +90,62 @@
         if (error.code) return self->Close();
         self->UpdateFrameTime();
         self->JoinList();
-        self->ReadUnlessUnsent();
+        self->ReadOrPause();
       });
 }
 
-void Session::ReadUnlessUnsent() {
-  reading_paused_ = queue_.waiting_bytes() > server_->options.max_unsent_bytes;
-  if (!reading_paused_) ReadNext();
+bool Session::MustPause() const {
+  const ServerOptions& options = server_->options;
+  return queue_.waiting_bytes() > options.max_unsent_bytes ||
+         (call_bytes_ > kFreeCallBytes &&
+          server_->call_bytes > options.call_memory_bytes);
+}
+
+void Session::ReadOrPause() {
+  reading_paused_ = MustPause();
+  if (reading_paused_) {
+    AwaitError();
+  } else {
+    ReadNext();
+  }
   if (!ChargeMemory()) Close();
 }
 
+void Session::AwaitError() {
+  if (std::exchange(awaiting_error_, true)) return;
+  socket_.async_wait(tcp::socket::wait_error,
+                     [self = shared_from_this()](std::error_code) {
+                       self->awaiting_error_ = false;
+                       if (self->reading_paused_) self->Close();
+                     });
+}
+
+void Session::ResumeReading() {
+  if (!reading_paused_ || MustPause()) return;
+  if (frame_began_) frame_began_ = Clock::now();
+  ReadOrPause();
+}
+
 void Session::Dispatch(wire::Frame frame) {
   if (frame.method == static_cast<int32_t>(Method::kPing)) {
     return Send(frame.id, frame.method, std::string());
   }
   ++calls_in_flight_;
+  const size_t bytes = frame.body.size() + kCallOverheadBytes;
+  call_bytes_ += bytes;
   Responder respond = [weak = weak_from_this(),
                        executor = socket_.get_executor(), id = frame.id,
-                       method = frame.method](Result<std::string> reply) {
+                       method = frame.method, bytes,
+                       charge = std::make_shared<CallCharge>(server_, bytes)](
+                          Result<std::string> reply) {
     asio::post(executor,
-               [weak, id, method, reply = std::move(reply)]() mutable {
+               [weak, id, method, bytes, reply = std::move(reply)]() mutable {
                  auto self = weak.lock();
                  if (!self) return;
                  --self->calls_in_flight_;
+                 self->call_bytes_ -= bytes;
                  self->Send(id, method, std::move(reply));
+                 self->ResumeReading();
                });
   };
   const auto handler = server_->handlers.find(frame.method);
@@ -142,9 +194,7 @@
   write_overdue_ = false;
   WriteNext();
   JoinList();
-  if (!reading_paused_) return;
-  if (frame_began_) frame_began_ = Clock::now();
-  ReadUnlessUnsent();
+  ResumeReading();
 }
 
 void Session::CountTraffic(int32_t method, metrics::Direction direction,
--- a/src/libs/rpc/session.h
+++ b/src/libs/rpc/session.h
@@ -39,8 +39,15 @@
   /// while the caller holds the mutex. Thread-safe.
   void Post(void (Session::*method)());
   void ReadNext();
-  /// Reads on, unless the peer first has to take more replies.
-  void ReadUnlessUnsent();
+  /// Whether replies have to be taken, or calls to be answered, before more
+  /// calls are read.
+  bool MustPause() const;
+  /// Reads on, or pauses.
+  void ReadOrPause();
+  void ResumeReading();
+  /// Keeps this object while nothing is read, until the connection fails or is
+  /// closed.
+  void AwaitError();
   /// Passes a call to the handler of its method.
   void Dispatch(wire::Frame frame);
   void Send(int64_t id, int32_t method, Result<std::string> reply);
@@ -80,14 +87,16 @@
   std::optional<TimePoint> write_began_;
   size_t write_bytes_ = 0;
   bool write_overdue_ = false;
-  /// Too many replies wait to be sent.
   bool reading_paused_ = false;
+  bool awaiting_error_ = false;
   /// Checks the time of frames and replies; runs on when they are done.
   asio::steady_timer timer_{socket_.get_executor()};
   bool timer_armed_ = false;
   /// Calls that their handlers have not answered yet. One that a handler drops
   /// keeps the connection from making room for others.
   size_t calls_in_flight_ = 0;
+  /// Memory that these take.
+  size_t call_bytes_ = 0;
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
   ReceiveBudget::Charge frame_memory_;
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -529,4 +529,21 @@
   BOOST_TEST(!peer.IsOpen());
 }
 
+/// Guards against calls that pile up while their handlers are slow, and against
+/// a server that then reads from no peer.
+BOOST_AUTO_TEST_CASE(CallsAreNotReadWhileTooManyAreInFlight) {
+  constexpr size_t kCallsInFlight = 10;
+  ServerAndClient server({.call_memory_bytes = kCallsInFlight * kLargeBody});
+  RawPeer peer(server.port());
+  const std::string call =
+      CallBytes(Method::kSubmitJob, std::string(kLargeBody, 'x'));
+  size_t sent = 0;
+  while (sent < kManyCalls && peer.SendUnlessBlocked(call)) ++sent;
+  BOOST_TEST(sent < kManyCalls);
+  BOOST_TEST(server.Call("text").ok());
+  server.AnswerSubmissions();
+  BOOST_TEST(peer.ReadReply());
+  BOOST_TEST(peer.SendUnlessBlocked(call));
+}
+
 }  // namespace mimosarail::rpc
