HTTP: Let newcomers take the place of clients that go on sending

What callers saw: clients that send requests without an end and connect again whenever they are closed kept ordinary callers out for good. A place that became free with an answer went to the client that connected first, never to a caller that tries again every 200 ms.

Change: for a newcomer, a connection is closed whose client has sent more than the request that is handled; it sees no answer to that one. Callers that wait for their only request are not touched. A connection that was closed so counts until its request is handled, and keeps its share of the memory for requests; at most an eighth of max_connections may be in that state. During a shutdown all requests that were read are still answered.

--- a/src/libs/http/connection_list.h
+++ b/src/libs/http/connection_list.h
@@ -25,6 +25,7 @@
       at_ = list_.connections_.insert(list_.connections_.end(), &connection_);
       joined_ = true;
     }
+    bool joined() const { return joined_; }
     void Leave() {
       if (!joined_) return;
       list_.connections_.erase(at_);
--- a/src/libs/http/server.cc
+++ b/src/libs/http/server.cc
@@ -16,16 +16,22 @@
 
 /// Pause after a failed accept, for example when no file descriptors are left.
 constexpr Millis kAcceptPause{50};
-/// How many connections are looked at to find one without unread bytes.
+/// How many connections of a list are looked at to find one to close.
 constexpr size_t kMaxTries = 8;
+/// Closed connections whose request is still handled may be this part of
+/// ServerOptions::max_connections, and one, on top of it.
+constexpr size_t kClosedDivisor = 8;
 
-/// Closes the first connection without unread bytes. Returns whether there is
-/// one.
-bool CloseFirstSilent(const ConnectionList<Session>& connections) {
+bool IsSilent(const Session& session) { return session.IsSilent(); }
+bool SendsOn(const Session& session) { return session.SendsOn(); }
+
+/// Closes the first connection that fits. Returns whether there is one.
+bool CloseFirst(const ConnectionList<Session>& connections,
+                bool (*fits)(const Session&)) {
   size_t tries = 0;
   for (Session* session : connections) {
     if (++tries > kMaxTries) return false;
-    if (!session->IsSilent()) continue;
+    if (!fits(*session)) continue;
     session->Close();
     return true;
   }
@@ -43,15 +49,26 @@
 }
 
 bool Server::Private::MakeRoom() {
-  if (CloseFirstSilent(idle)) {
+  if (CloseFirst(idle, IsSilent)) {
     refusals.Add("idle at the connection limit", 0, Clock::now());
     return true;
   }
-  if (!CloseFirstSilent(receiving)) return false;
-  refusals.Add("unfinished at the connection limit", 0, Clock::now());
+  if (CloseFirst(receiving, IsSilent)) {
+    refusals.Add("unfinished at the connection limit", 0, Clock::now());
+    return true;
+  }
+  // A shutdown answers all requests that were read. A closed connection counts
+  // until its request is handled, so that those do not become too many.
+  if (shutting_down || connections >= MaxWithClosed()) return false;
+  if (!CloseFirst(handling, SendsOn)) return false;
+  refusals.Add("sending on at the connection limit", 0, Clock::now());
   return true;
 }
 
+size_t Server::Private::MaxWithClosed() const {
+  return options.max_connections + 1 + options.max_connections / kClosedDivisor;
+}
+
 bool Server::Private::TakeCloseForRoom() {
   if (connections < options.max_connections) turned_away = 0;
   if (turned_away == 0 || shutting_down) return false;
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -35,8 +35,12 @@
   void AcceptNext();
   void StartSession(asio::ip::tcp::socket socket);
   /// Closes the connection that has been idle for longest or, if none is idle,
-  /// has been sending its request for longest. Returns whether there is one.
+  /// has been sending its request for longest or, if none does, one that has
+  /// sent more than the request that is handled. Returns whether there is one.
   bool MakeRoom();
+  /// Maximum number of connections that are open, or closed and their request
+  /// still handled.
+  size_t MaxWithClosed() const;
   /// Whether a connection whose client goes on sending is to close with its
   /// next response, so that newcomers find room.
   bool TakeCloseForRoom();
@@ -59,6 +63,8 @@
   ConnectionList<Session> idle;
   /// Those that have sent a part of a request.
   ConnectionList<Session> receiving;
+  /// Those whose request is handled or whose response is written.
+  ConnectionList<Session> handling;
   RefusalLog refusals;
 };
 
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -51,7 +51,8 @@
       server_(std::move(server)),
       parser_({.kind = MessageKind::kRequest}),
       idle_(server_->idle, *this),
-      receiving_(server_->receiving, *this) {
+      receiving_(server_->receiving, *this),
+      handling_(server_->handling, *this) {
   ++server_->connections;
   server_->sessions.insert(this);
 }
@@ -72,7 +73,9 @@
 void Session::Close() {
   idle_.Leave();
   receiving_.Leave();
-  memory_.Release();
+  // The handler still holds its request.
+  if (!handling_.joined()) memory_.Release();
+  handling_.Leave();
   parser_.Abandon();
   server_->open_requests -= static_cast<int64_t>(requests_.size());
   requests_.clear();
@@ -228,6 +231,7 @@
 };
 
 void Session::HandleNext() {
+  handling_.Join();
   ParsedMessage message = std::move(requests_.front());
   requests_.pop_front();
   keep_alive_ = message.keep_alive;
@@ -241,12 +245,10 @@
   // During shutdown, the connection is closed with this response, unless the
   // caller has already sent further requests. Those are answered first: no
   // request that was read may remain without an answer.
-  const bool has_further_requests =
-      !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
-  keep_alive_ =
-      keep_alive_ && (!server_->shutting_down || has_further_requests);
+  const bool sends_on = SendsOn();
+  keep_alive_ = keep_alive_ && (!server_->shutting_down || sends_on);
   // An ordinary caller waits for its answer before it sends its next request.
-  if (keep_alive_ && has_further_requests && server_->TakeCloseForRoom()) {
+  if (keep_alive_ && sends_on && server_->TakeCloseForRoom()) {
     keep_alive_ = false;
   }
   out_ = ResponseText(response, keep_alive_);
@@ -265,6 +267,7 @@
 }
 
 void Session::OnWritten() {
+  handling_.Leave();
   if (!keep_alive_) return CloseAfterResponse();
   if (!requests_.empty()) return HandleNext();
   if (refusal_) return Refuse(*refusal_);
@@ -280,6 +283,10 @@
   options.traffic->Count(options.traffic_kind, direction, bytes, messages);
 }
 
+bool Session::SendsOn() const {
+  return !requests_.empty() || parser_.inside_message() || HasUnreadBytes();
+}
+
 bool Session::HasUnreadBytes() const {
   std::error_code error;
   return socket_.available(error) > 0 && !error;
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -37,6 +37,8 @@
   void Start();
   /// Whether the connection has sent nothing that is still to be read.
   bool IsSilent() const { return !HasUnreadBytes(); }
+  /// Whether the client has sent more than the request that is handled.
+  bool SendsOn() const;
   void Close();
   /// If the connection is waiting for its next request, shortens the wait to
   /// that for requests that were sent before the server stopped accepting.
@@ -87,6 +89,7 @@
   ReadDeadline deadline_;
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
+  ConnectionList<Session>::Entry handling_;
   /// Requests that have been read and not yet passed to the handler.
   std::deque<ParsedMessage> requests_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
--- a/tests/hostile_clients_test.cc
+++ b/tests/hostile_clients_test.cc
@@ -218,6 +218,16 @@
                                    .pause = Millis(0)});
 }
 
+// Guards against clients that keep ordinary callers out by sending requests
+// without an end and connecting again whenever they are closed.
+BOOST_AUTO_TEST_CASE(ReconnectingClientsUpToTheLimit) {
+  const std::string request = WholeBody(std::string(kMaxHeadBytes, ' '));
+  CheckServesAtTheConnectionLimit({.first = request,
+                                   .repeated = Repeat(request, kMaxBodyBytes),
+                                   .pause = Millis(0),
+                                   .reconnects = true});
+}
+
 // Guards against clients that keep ordinary callers out by not reading their
 // answers.
 BOOST_AUTO_TEST_CASE(UnreadAnswersUpToTheLimit) {
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -317,6 +317,45 @@
   }
 }
 
+// Guards against closing callers that wait for their answers: for a newcomer,
+// only a client that has sent more than its request is closed.
+BOOST_AUTO_TEST_CASE(SendingOnMakesRoomAndWaitingDoesNot) {
+  constexpr size_t kConnections = 3;
+  constexpr Millis kLimit{5000};
+  const std::string request = "GET / HTTP/1.1\r\n\r\n";
+  asio::io_context io;
+  std::vector<Responder> waiting;
+  Server server(io, {.max_connections = kConnections},
+                [&](const Request&, Responder respond) {
+                  waiting.push_back(std::move(respond));
+                });
+  const uint16_t port = server.Listen("127.0.0.1:0").value();
+  std::vector<tcp::socket> clients;
+  const auto connect = [&](const std::string& bytes) {
+    clients.emplace_back(io).connect({asio::ip::address_v4::loopback(), port});
+    asio::write(clients.back(), asio::buffer(bytes));
+  };
+  const auto run_until = [&](size_t requests) {
+    while (waiting.size() < requests && io.run_one_for(kLimit) > 0) {
+    }
+    BOOST_REQUIRE_EQUAL(waiting.size(), requests);
+  };
+  connect(request);
+  run_until(1);
+  connect(request + request);
+  run_until(2);
+  connect(request);
+  run_until(kConnections);
+  connect(request);
+  run_until(kConnections + 1);
+  for (const Responder& respond : waiting) respond({});
+  io.run_for(Millis(500));
+  BOOST_CHECK_EQUAL(clients[0].available(), clients[3].available());
+  BOOST_CHECK_GT(clients[0].available(), 0U);
+  BOOST_CHECK_EQUAL(clients[1].available(), 0U);
+  BOOST_CHECK_GT(clients[2].available(), 0U);
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
--- a/tests/scenarios/crowd.cc
+++ b/tests/scenarios/crowd.cc
@@ -32,13 +32,15 @@
  public:
   Client(asio::io_context& io, const CrowdBehavior& behavior,
          Progress& progress)
-      : socket_(io),
+      : io_(io),
+        socket_(io),
         timer_(io),
         read_timer_(io),
         behavior_(behavior),
         progress_(progress) {}
 
   void Start(const tcp::endpoint& server) {
+    server_ = server;
     std::error_code ignored;  // the connection fails too
     socket_.open(tcp::v4(), ignored);
     if (!behavior_.reads_answers || ReadsSlowly()) {
@@ -107,6 +109,7 @@
   void Close() {
     if (std::exchange(closed_, true)) return;
     NoteFirstSent();
+    if (behavior_.reconnects) Reconnect();
     --progress_.open;
     timer_.cancel();
     read_timer_.cancel();
@@ -114,6 +117,16 @@
     socket_.close(ignored);
   }
 
+  /// Another client takes the place of this one.
+  void Reconnect() {
+    auto next = std::make_shared<Client>(io_, behavior_, progress_);
+    next->first_sent_ = true;
+    ++progress_.open;
+    next->Start(server_);
+  }
+
+  asio::io_context& io_;
+  tcp::endpoint server_;
   tcp::socket socket_;
   asio::steady_timer timer_;
   asio::steady_timer read_timer_;
--- a/tests/scenarios/crowd.h
+++ b/tests/scenarios/crowd.h
@@ -19,9 +19,11 @@
   bool reads_answers = true;
   /// Pause before each read of at most 4 KiB.
   Millis read_pause{0};
+  /// Connects again as soon as the connection is lost.
+  bool reconnects = false;
 };
 
-/// Clients of a loopback port that share one behavior and connect once each. A
+/// Clients of a loopback port that share one behavior. A
 /// client keeps its connection open until a write or read fails; the end of the
 /// server's answers alone does not close it. Not thread-safe.
 class Crowd {
--- a/tests/scenarios/process_usage.cc
+++ b/tests/scenarios/process_usage.cc
@@ -59,10 +59,9 @@
     std::string state;
     std::string queues;
     columns >> number >> local >> remote >> state >> queues;
-    if (state == kListening ||
-        HexAfterColon(local) != static_cast<size_t>(port))
-      continue;
-    sum += HexAfterColon(queues);
+    const bool matches = state != kListening &&
+                         HexAfterColon(local) == static_cast<size_t>(port);
+    if (matches) sum += HexAfterColon(queues);
   }
   return sum;
 }
