--- a/src/libs/base/connection_list.h
+++ b/src/libs/base/connection_list.h
@@ -34,6 +34,7 @@
                                       {&connection_, Clock::now()});
       joined_ = true;
     }
+    bool joined() const { return joined_; }
     void Leave() {
       if (!joined_) return;
       list_.connections_.erase(at_);
--- a/src/libs/http/server_state.h
+++ b/src/libs/http/server_state.h
@@ -36,15 +36,20 @@
   void StartSession(asio::ip::tcp::socket socket);
   /// Closes the connection that has had its last response for longest. If there
   /// is none, closes the one that has been idle for longest or, if none is idle
-  /// or it began much earlier, has been sending its request for longest.
-  /// Returns whether there is one.
+  /// or it began much earlier, has been sending its request for longest. If
+  /// there is none either, closes one that has sent more than the request that
+  /// is handled. Returns whether there is one.
   bool MakeRoom();
+  /// Maximum number of connections that are open, or closed and their request
+  /// still handled.
+  size_t MaxWithClosed() const;
   /// Whether a connection whose client goes on sending is to close with its
   /// next response, so that newcomers find room.
   bool TakeCloseForRoom();
   bool CloseAnswered();
   bool CloseIdle();
   bool CloseUnfinished();
+  bool CloseSendingOn();
   void StopAccepting();
 
   asio::io_context& io;
@@ -66,6 +71,8 @@
   ConnectionList<Session> receiving;
   /// Those that have had their last response and not closed their side yet.
   ConnectionList<Session> closing;
+  /// Those whose request is handled or whose response is written.
+  ConnectionList<Session> handling;
   RefusalLog refusals;
 };
 
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -52,7 +52,8 @@
       parser_({.kind = MessageKind::kRequest}),
       idle_(server_->idle, *this),
       receiving_(server_->receiving, *this),
-      closing_(server_->closing, *this) {
+      closing_(server_->closing, *this),
+      handling_(server_->handling, *this) {
   ++server_->connections;
   server_->sessions.insert(this);
 }
@@ -77,7 +78,9 @@
   idle_.Leave();
   receiving_.Leave();
   closing_.Leave();
-  memory_.Release();
+  // The handler still holds its request.
+  if (!handling_.joined()) memory_.Release();
+  handling_.Leave();
   parser_.Abandon();
   std::error_code ignored;  // an error on closing has no consequence
   socket_.close(ignored);
@@ -241,6 +244,7 @@
   CountTraffic(metrics::Direction::kIn, 0, 1);
   if (!memory_.Complete(MemoryToHandle(message))) return RefuseForMemory();
   ++server_->open_requests;
+  handling_.Join();
   keep_alive_ = message.keep_alive;
   server_->handler(
       std::move(message.request),
@@ -252,12 +256,10 @@
   // During shutdown, the connection is closed with this response, unless the
   // caller has already sent further requests. Those are answered first: no
   // request that was read may remain without an answer.
-  const bool has_further_requests =
-      !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
-  keep_alive_ =
-      keep_alive_ && (!server_->shutting_down || has_further_requests);
+  const bool sends_on = SendsOn();
+  keep_alive_ = keep_alive_ && (!server_->shutting_down || sends_on);
   // An ordinary caller waits for its answer before it sends its next request.
-  if (keep_alive_ && has_further_requests && server_->TakeCloseForRoom()) {
+  if (keep_alive_ && sends_on && server_->TakeCloseForRoom()) {
     keep_alive_ = false;
   }
   out_ = ResponseText(response, keep_alive_);
@@ -281,6 +283,7 @@
 }
 
 void Session::OnWritten() {
+  handling_.Leave();
   if (!keep_alive_) return CloseAfterResponse();
   memory_.Release();
   deadline_.Restart();
@@ -295,6 +298,10 @@
   options.traffic->Count(options.traffic_kind, direction, bytes, messages);
 }
 
+bool Session::SendsOn() const {
+  return !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
+}
+
 bool Session::HasUnreadBytes() const {
   std::error_code error;
   return socket_.available(error) > 0 && !error;
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -35,6 +35,8 @@
   void Start();
   /// Whether the connection has sent nothing that is still to be read.
   bool IsSilent() const { return !HasUnreadBytes(); }
+  /// Whether the client has sent more than the request that is handled.
+  bool SendsOn() const;
   void Close();
   /// If the connection is waiting for its next request, shortens the wait to
   /// that for requests that were sent before the server stopped accepting.
@@ -89,6 +91,7 @@
   ConnectionList<Session>::Entry idle_;
   ConnectionList<Session>::Entry receiving_;
   ConnectionList<Session>::Entry closing_;
+  ConnectionList<Session>::Entry handling_;
   RequestMemory::Charge memory_{server_->request_memory, [this] { Close(); }};
   bool keep_alive_ = true;
   /// A read of the socket is pending.
