Fleet: Take an earlier start than the known one for a failed renewal

What callers saw: nothing yet; found by reading. An upstream restarts after its wall clock was set back, and reports an earlier start than the known one. It stays reachable: new tasks start there, leases are asked for on the clock of the former incarnation, and no end is ever read. A list entry with a start far ahead does the same to all later reports.

Cause: such a reply counts as a late one of a former incarnation, which is dropped without a failure.

Ruled out: late replies of a former incarnation are still dropped without a failure, as they answer renewals that were sent before the restart was known (ReportOfAnEarlierIncarnationIsIgnored).

Change: a renewal to the current incarnation that is answered with an earlier start has failed. After the second one the upstream is unreachable, no lease is asked for, and "upstream does not answer" gives the cause.

Evidence, x86-64: IncarnationWithAnEarlierStartIsUnreachable failed before (reachable, lease until 9176 ms); upstream_link_test, 20 cases, passes. Not solved: the upstream gets no work until its start is later than the known one, and what was started there meanwhile may hold the longest lease.

--- a/src/fleet/upstream_link.cc
+++ b/src/fleet/upstream_link.cc
@@ -161,6 +161,12 @@
   }
   const bool answered_by_earlier_incarnation =
       reply.call.incarnation > 0 && reply.call.incarnation < incarnation_;
+  if (answered_by_earlier_incarnation && sent_to_this_incarnation) {
+    // Start times are wall-clock times, which may be set back: this may be the
+    // current incarnation. Its reports cannot be ordered, so it gets no work.
+    return HandleRenewFailure(
+        {.detail = "reports an earlier start than known"});
+  }
   if (answered_by_earlier_incarnation) {
     return ScheduleRenewal(options_.renew_delay);
   }
--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -365,6 +365,23 @@
   BOOST_TEST(link->restarts() == 1);
 }
 
+/// Guards against starts and leases at an incarnation whose ends are not read:
+/// its start is earlier than the known one, since its wall clock was set back.
+BOOST_FIXTURE_TEST_CASE(IncarnationWithAnEarlierStartIsUnreachable,
+                        RestartFixture) {
+  BOOST_REQUIRE(events.reachable);
+  incarnation = kFirst - 1;
+  Reply(last(), 100, {}, {});
+  clock.RunFor(Millis(100));
+  Reply(last(), 200, {}, {});
+  BOOST_TEST(!events.reachable);
+  clock.RunFor(Millis(200));
+  BOOST_TEST(calls.renewals[last()].call.lease_until_ms == 0);
+  incarnation = kFirst;
+  Reply(last(), 9000, {}, {});
+  BOOST_TEST(events.reachable);
+}
+
 /// Guards against leases that last too long: a late reply of the previous
 /// incarnation would set the clock that they are asked for on.
 BOOST_FIXTURE_TEST_CASE(LateReplyOfThePreviousIncarnationSetsNoClock,
