Tests: Show a void completion that counts before its lease expiry is read

An upstream lists at most 500 ends in a reply. NewCompletions() looks for a lease expiry in one reply only, so a done end in the first counts although an expiry in the second has voided it: its job would be shown as complete.

Not mended: the second reply comes only once the first ends are acknowledged, and an acknowledged end must be stored. The job table would need ends that count only if no expiry follows.

--- a/tests/upstream_link_test.cc
+++ b/tests/upstream_link_test.cc
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE upstream_link
 #include "src/fleet/upstream_link.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 
 #include "tests/sim/manual_executor.h"
@@ -458,6 +459,24 @@
   BOOST_TEST((events.ended[2].kind == ports::EndKind::kDone));
 }
 
+/// The same where the expiry does not fit into the reply with the completion.
+BOOST_FIXTURE_TEST_CASE(CompletionBeforeALeaseExpiryInTheNextReplyDoesNotCount,
+                        Fixture) {
+  link->Open();
+  Reply(0, 1000, {}, DoneCompletions(1, kMaxListedCompletions), true);
+  link->AcknowledgeCompletions(0, kMaxListedCompletions);
+  clock.RunFor(Millis(300));
+  std::vector<ports::EndedTask> expiry{
+      DoneCompletion(kMaxListedCompletions + 1)};
+  expiry[0].kind = ports::EndKind::kLeaseExpired;
+  Reply(calls.renewals.size() - 1, 1300, {}, expiry);
+  BOOST_REQUIRE(link->reconciled());
+  const bool counted = std::any_of(
+      events.ended.begin(), events.ended.end(),
+      [](const auto& end) { return end.kind == ports::EndKind::kDone; });
+  BOOST_TEST(!counted);
+}
+
 /// Guards against ends that are reported late: a task starts at an upstream
 /// between two renewals that are far apart, since nothing ran there.
 BOOST_FIXTURE_TEST_CASE(StartEndsThePauseOfAnIdleUpstream, Fixture) {
