Tests: Show leases that end too early after an unresolved restart

A leader reads of a restart in the list, closes the upstream and never reaches the new incarnation, which has executed a start for the former one. The leader dies and the list entry is removed. The record names the former start, so the next leader counts the usual lease, and the task runs twice.

Not mended: the next leader needs the newer start to count the leases, and the former one to find out which runs were lost. Storing the newer start alone would lose the evidence of a crash.

--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -234,6 +234,28 @@
   scenario.CutDuringTakeoverAndCheck(upstream);
 }
 
+/// The same where the restart was listed, but the leader never reached the new
+/// incarnation either.
+BOOST_AUTO_TEST_CASE(TakeoverCountsLeasesFromAnUnresolvedRestart) {
+  Scenario scenario(false);
+  scenario.RunFor(kStaleCallTime);
+  const auto ids = scenario.cluster.upstreams().ids();
+  for (const std::string& id : ids) {
+    scenario.faults(id).calls_wait_for_restart = true;
+  }
+  scenario.CrashAll();
+  scenario.SubmitTask();
+  std::string upstream;
+  scenario.RunUntil([&] {
+    upstream = scenario.cluster.upstreams().UpstreamRunning(kTask);
+    return !upstream.empty();
+  });
+  scenario.faults(upstream).unreachable = true;
+  scenario.RunFor(Millis(1000));
+  scenario.cluster.store().Put(kUpstreamTable, upstream, "");
+  scenario.CutDuringTakeoverAndCheck(upstream);
+}
+
 /// Guards against a second run of a task whose start is in doubt: an
 /// incarnation that has not answered yet executes it.
 BOOST_DATA_TEST_CASE(StartInDoubtRunsOnceOnAnIncarnationThatNeverAnswered,
