RPC: Free the buffer of a connection after a large frame

What callers saw: nothing yet; a connection between entries kept up to twice its largest frame while it was idle, and that memory is in no budget.

Change: the buffer is swapped with an empty string.

Evidence: rpc_server_test, BufferOfALargeFrameIsFreed: red before (131,072 bytes kept), green now.

--- a/src/libs/rpc/framing.cc
+++ b/src/libs/rpc/framing.cc
@@ -66,8 +66,11 @@
 asio::mutable_buffer FrameReader::Prepare() {
   buffer_.erase(0, std::exchange(consumed_, 0));
   received_ = buffer_.size();
-  // Else a connection would keep the memory of its largest frame.
-  if (received_ == 0 && buffer_.capacity() > kMaxKeptBytes) buffer_ = {};
+  // Else a connection would keep the memory of its largest frame. Assigning an
+  // empty string keeps the capacity.
+  if (received_ == 0 && buffer_.capacity() > kMaxKeptBytes) {
+    std::string().swap(buffer_);
+  }
   const size_t chunk = std::clamp(received_, kMinReadBytes, kMaxReadBytes);
   buffer_.resize(received_ + chunk);
   return asio::buffer(buffer_.data() + received_, chunk);
--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -546,4 +546,23 @@
   BOOST_TEST(peer.SendUnlessBlocked(call));
 }
 
+/// Guards against connections that keep the memory of their largest frame.
+BOOST_AUTO_TEST_CASE(BufferOfALargeFrameIsFreed) {
+  constexpr size_t kSmallBuffer = 16 << 10;
+  const std::string call =
+      CallBytes(Method::kHeartbeat, std::string(kLargeBody, 'x'));
+  FrameReader reader;
+  size_t sent = 0;
+  while (sent < call.size()) {
+    const asio::mutable_buffer to = reader.Prepare();
+    const size_t bytes = asio::buffer_copy(to, asio::buffer(call) + sent);
+    reader.Commit(bytes);
+    sent += bytes;
+  }
+  BOOST_TEST(reader.capacity() > kLargeBody);
+  BOOST_TEST(reader.Next().value().has_value());
+  reader.Prepare();
+  BOOST_TEST(reader.capacity() < kSmallBuffer);
+}
+
 }  // namespace mimosarail::rpc
