--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -271,14 +271,9 @@
                         std::error_code error, size_t) {
                       self->writing_ = false;
                       self->DisarmTimer();
-                      if (error) {
-                        self->Close();
-                      } else {
-                        self->OnWritten();
-                      }
-                      // Last, so that the next request is counted if it has
-                      // been read.
                       if (counted_as_open) --self->server_->open_requests;
+                      if (error) return self->Close();
+                      self->OnWritten();
                     });
 }
 
