Tests: Destroy responders before the event loop that they refer to

AddressSanitizer reported it in CallsAreNotReadWhileTooManyAreInFlight (heap-use-after-free when the test's server is destroyed): responders that were never called outlived the loop. The daemons are never destroyed.

--- a/tests/rpc_server_test.cc
+++ b/tests/rpc_server_test.cc
@@ -88,8 +88,9 @@
   }
 
  private:
-  std::vector<Responder> waiting_;
   asio::io_context io_;
+  /// Refer to `io_`.
+  std::vector<Responder> waiting_;
   asio::executor_work_guard<asio::io_context::executor_type> work_{
       io_.get_executor()};
   Server server_;
