Tests: Prove which connection makes room at the limit

A second case for http_limits_test: clients that send on behind more waiting callers than are looked at close with their next answer.

--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -317,43 +317,97 @@
   }
 }
 
+const std::string kRequest = "GET / HTTP/1.1\r\n\r\n";
+
+/// Server that answers when it is told to, and clients, all on one thread.
+class DeferringServer {
+ public:
+  explicit DeferringServer(size_t max_connections)
+      : server_(io_, {.max_connections = max_connections},
+                [this](const Request&, Responder respond) {
+                  waiting_.push_back(std::move(respond));
+                }),
+        port_(server_.Listen("127.0.0.1:0").value()) {}
+
+  void Connect(const std::string& bytes) {
+    tcp::socket& client = clients_.emplace_back(io_);
+    client.connect({asio::ip::address_v4::loopback(), port_});
+    asio::write(client, asio::buffer(bytes));
+  }
+  /// Runs until this many requests have been handled.
+  void RunUntil(size_t requests) {
+    while (waiting_.size() < requests && io_.run_one_for(kLimit) > 0) {
+    }
+    BOOST_REQUIRE_EQUAL(waiting_.size(), requests);
+  }
+  void Run() { io_.run_for(kPause); }
+  void AnswerAll() {
+    for (const Responder& respond : waiting_) respond({});
+    Run();
+  }
+  /// What a client has received.
+  std::string Received(size_t client) {
+    std::error_code closed;
+    std::string out(clients_[client].available(closed), ' ');
+    if (!out.empty()) asio::read(clients_[client], asio::buffer(out), closed);
+    return out;
+  }
+
+ private:
+  static constexpr Millis kLimit{5000};
+  static constexpr Millis kPause{500};
+
+  asio::io_context io_;
+  std::vector<Responder> waiting_;
+  Server server_;
+  uint16_t port_;
+  std::vector<tcp::socket> clients_;
+};
+
+bool IsOk(const std::string& answer) {
+  return answer.starts_with("HTTP/1.1 200");
+}
+
 // Guards against closing callers that wait for their answers: for a newcomer,
 // only a client that has sent more than its request is closed.
 BOOST_AUTO_TEST_CASE(SendingOnMakesRoomAndWaitingDoesNot) {
-  constexpr size_t kConnections = 3;
-  constexpr Millis kLimit{5000};
-  const std::string request = "GET / HTTP/1.1\r\n\r\n";
-  asio::io_context io;
-  std::vector<Responder> waiting;
-  Server server(io, {.max_connections = kConnections},
-                [&](const Request&, Responder respond) {
-                  waiting.push_back(std::move(respond));
-                });
-  const uint16_t port = server.Listen("127.0.0.1:0").value();
-  std::vector<tcp::socket> clients;
-  const auto connect = [&](const std::string& bytes) {
-    clients.emplace_back(io).connect({asio::ip::address_v4::loopback(), port});
-    asio::write(clients.back(), asio::buffer(bytes));
-  };
-  const auto run_until = [&](size_t requests) {
-    while (waiting.size() < requests && io.run_one_for(kLimit) > 0) {
-    }
-    BOOST_REQUIRE_EQUAL(waiting.size(), requests);
-  };
-  connect(request);
-  run_until(1);
-  connect(request + request);
-  run_until(2);
-  connect(request);
-  run_until(kConnections);
-  connect(request);
-  run_until(kConnections + 1);
-  for (const Responder& respond : waiting) respond({});
-  io.run_for(Millis(500));
-  BOOST_CHECK_EQUAL(clients[0].available(), clients[3].available());
-  BOOST_CHECK_GT(clients[0].available(), 0U);
-  BOOST_CHECK_EQUAL(clients[1].available(), 0U);
-  BOOST_CHECK_GT(clients[2].available(), 0U);
+  DeferringServer server(3);
+  server.Connect(kRequest);
+  server.RunUntil(1);
+  server.Connect(kRequest + kRequest);
+  server.RunUntil(2);
+  server.Connect(kRequest);
+  server.RunUntil(3);
+  server.Connect(kRequest);
+  server.RunUntil(4);
+  server.AnswerAll();
+  for (const size_t caller : {0, 2, 3}) {
+    BOOST_CHECK(IsOk(server.Received(caller)));
+  }
+  BOOST_CHECK(server.Received(1).empty());
+}
+
+// Guards against clients that send on behind many callers that wait, and keep
+// newcomers out.
+BOOST_AUTO_TEST_CASE(SendingOnEndsWithTheNextAnswer) {
+  constexpr size_t kCallers = 9;
+  DeferringServer server(kCallers + 1);
+  for (size_t caller = 0; caller < kCallers; ++caller) {
+    server.Connect(kRequest);
+    server.RunUntil(caller + 1);
+  }
+  server.Connect(kRequest + kRequest);
+  server.RunUntil(kCallers + 1);
+  server.Connect(kRequest);
+  server.Run();
+  server.AnswerAll();
+  const std::string last = "Connection: close";
+  const std::string waiting = server.Received(0);
+  BOOST_CHECK(IsOk(waiting));
+  BOOST_CHECK(waiting.find(last) == std::string::npos);
+  const std::string sending = server.Received(kCallers);
+  BOOST_CHECK(IsOk(sending));
+  BOOST_CHECK(sending.find(last) != std::string::npos);
 }
 
 // Guards against limits that are fixed when the server or a connection begins.
