--- a/tests/former_incarnation_test.cc
+++ b/tests/former_incarnation_test.cc
@@ -290,6 +290,7 @@
 /// upstream.
 BOOST_AUTO_TEST_CASE(StartInDoubtOfThePredecessorRunsOnce) {
   Scenario scenario(false, kCutTime);
+  scenario.RunFor(kStaleCallTime);
   const std::string upstream = scenario.RunTaskLate(Millis(1500));
   scenario.cluster.upstreams().Crash(upstream);
   scenario.RunFor(Millis(1000));
