--- a/tests/decoders_test.cc
+++ b/tests/decoders_test.cc
@@ -480,6 +480,23 @@
   BOOST_TEST(!findings.empty());
 }
 
+/// Guards against a legal job that is refused between entries, since it names
+/// an earlier step very often.
+BOOST_AUTO_TEST_CASE(RepeatedDependenciesAreKeptOnce) {
+  constexpr size_t kRepeated = 5000;
+  const std::string body = R"({"steps":[{"count":1},{"count":1,"dependsOn":)" +
+                           JsonList("0", kRepeated) +
+                           R"(},{"count":1,"dependsOn":[1,0,1]}]})";
+  Findings findings;
+  const wire::JobSpec job = DecodeJob(body, findings);
+  CheckJob(job, findings);
+  BOOST_TEST(findings.empty());
+  BOOST_TEST(job.steps.at(1).after == std::vector<int32_t>({0}),
+             boost::test_tools::per_element());
+  BOOST_TEST(job.steps.at(2).after == std::vector<int32_t>({0, 1}),
+             boost::test_tools::per_element());
+}
+
 /// Guards against a count of steps that includes other lists.
 BOOST_AUTO_TEST_CASE(OnlyStepsAreCountedAsSteps) {
   const std::string many = JsonList("0", kMaxJobSteps + 1);
