App: Make the options of a daemon's components in files of their own

job_daemon.cc had grown from 456 to 530 lines, most of it limits that are calculated from the settings.

--- a/src/app/job_daemon.cc
+++ b/src/app/job_daemon.cc
@@ -14,11 +14,10 @@
 #include "platform/job_http_server.h"
 #include "platform/store_client.h"
 #include "platform/upstream_client.h"
-#include "src/coordinator/memory_budget.h"
+#include "src/app/job_daemon_options.h"
 #include "src/jobentry/entry_rpc_handlers.h"
 #include "src/jobentry/job_entry.h"
 #include "src/leadership/capacity_use.h"
-#include "src/leadership/leader_fitness.h"
 #include "src/leadership/rpc_entry_client.h"
 #include "src/libs/base/enum_table.h"
 #include "src/libs/base/heap_use.h"
@@ -57,14 +56,6 @@
 /// Connections to the host API: one for a list and one for an order at the same
 /// time.
 constexpr size_t kHostsConnections = 2;
-/// Fractional settings are stored as hundredths of their unit.
-constexpr double kHundredthsPerUnit = 100;
-constexpr int64_t kMsPerCentisecond = 10;
-constexpr int64_t kBytesPerMb = 1 << 20;
-/// 0.01 Mbit in bytes.
-constexpr int64_t kBytesPerCentiMbit = 1250;
-/// Time reserved at shutdown for the last answers to reach callers.
-constexpr Millis kLastAnswerTime{700};
 /// How often a shutdown checks whether all requests are answered.
 constexpr Millis kShutdownCheckPeriod{50};
 /// How often the traffic on the link is logged.
@@ -75,125 +66,6 @@
 /// How often the settings file is read again; it may change without a SIGHUP.
 constexpr Millis kSettingsCheckPeriod{2000};
 
-/// Size of the send buffers of connections that carry bulk, over a link of this
-/// rate; 0 leaves it to the system. What waits in these buffers is ahead of
-/// heartbeats and renewals on the link. The system lets a buffer grow to some
-/// megabytes, which a link of 2 Mbit/s takes seconds to send.
-int SendBufferBytes(const JobSettings& s) {
-  constexpr int64_t kBufferTimeMs = 50;
-  constexpr int64_t kMinBytes = 16 << 10;
-  constexpr int64_t kMaxBytes = 128 << 10;
-  const int64_t bytes =
-      s.link_centi_mbps * kBytesPerCentiMbit * kBufferTimeMs / 1000;
-  if (bytes == 0 || bytes > kMaxBytes) return 0;
-  return static_cast<int>(std::max(bytes, kMinBytes));
-}
-
-scheduling::SchedulerOptions MakeSchedulerOptions(const JobSettings& s) {
-  return {.queue_order = scheduling::kQueueOrderNames.Find(s.queue_order)
-                             .value_or(scheduling::QueueOrder::kPriority),
-          .priority_price = static_cast<double>(s.priority_price_percent) /
-                            kHundredthsPerUnit,
-          .upstream_speed_spread =
-              static_cast<double>(s.upstream_speed_spread_percent) /
-              kHundredthsPerUnit};
-}
-
-jobentry::JobEntryOptions MakeOptions(const JobSettings& s) {
-  jobentry::JobEntryOptions out;
-  out.leadership.member.name = s.name;
-  out.leadership.member.address = s.peer_address;
-  out.leadership.member.memory_mb = static_cast<int32_t>(s.memory_mb);
-  out.leadership.seeds = s.seeds;
-  out.leadership.heartbeat_interval = Millis(s.heartbeat_interval_ms);
-  out.leadership.leader_suspect_after = Millis(s.leader_suspect_after_ms);
-  out.leadership.renew_period = Millis(s.renew_ms);
-  out.leadership.election_timeout = Millis(s.election_timeout_ms);
-  out.leadership.store_unreachable_after = Millis(s.store_unreachable_after_ms);
-  out.leadership.leader_lease = Millis(s.leader_lease_ms);
-  out.leadership.member.fitness = leadership::LeaderFitness(
-      s.cpu_percent,
-      static_cast<double>(s.link_centi_mbps) / kHundredthsPerUnit);
-  out.coordinator.scheduler = MakeSchedulerOptions(s);
-  out.coordinator.admission =
-      coordinator::kAdmissionPolicyNames.Find(s.admission)
-          .value_or(coordinator::AdmissionPolicy::kCapacity);
-  out.coordinator.link_kb_per_s = s.link_centi_mbps * kBytesPerCentiMbit / 1000;
-  out.coordinator.task_leases = {
-      .lease = Millis(std::min(s.lease_ms, s.max_lease_ms)),
-      .max_lease = Millis(s.max_lease_ms),
-      .max_call_delay = Millis(s.max_call_delay_ms)};
-  out.coordinator.upstream_list_period = Millis(s.upstream_list_period_ms);
-  out.coordinator.maintenance_duration =
-      Millis(s.maintenance_duration_centis * kMsPerCentisecond);
-  out.coordinator.host_lists_per_s =
-      static_cast<double>(s.host_lists_per_100_s) / kHundredthsPerUnit;
-  out.coordinator.host_orders_per_s =
-      static_cast<double>(s.host_orders_per_100_s) / kHundredthsPerUnit;
-  out.coordinator.host_holder_timeout = Millis(s.holder_lease_ms);
-  out.coordinator.max_jobs = static_cast<size_t>(s.max_jobs);
-  out.access.revocation_timeout = Millis(s.revocation_timeout_ms);
-  out.leader_wait_timeout = Millis(s.leader_wait_timeout_ms);
-  out.shutdown_reply_timeout = Millis(s.shutdown_ms) - kLastAnswerTime;
-  return out;
-}
-
-int64_t MemoryBytes(const JobSettings& s) {
-  const int64_t memory_mb =
-      s.memory_mb > 0 ? s.memory_mb : coordinator::kDefaultMemoryMb;
-  return memory_mb * kBytesPerMb;
-}
-
-/// Memory that the frames of other entries may take while they are received.
-size_t FrameMemoryBytes(const JobSettings& s) {
-  constexpr int64_t kDivisor = 8;
-  return static_cast<size_t>(MemoryBytes(s) / kDivisor);
-}
-
-/// Memory that callers' requests may take.
-size_t RequestMemoryBytes(const JobSettings& s) {
-  constexpr int64_t kDefaultDivisor = 8;
-  if (s.request_memory_mb > 0) {
-    return static_cast<size_t>(s.request_memory_mb * kBytesPerMb);
-  }
-  return static_cast<size_t>(MemoryBytes(s) / kDefaultDivisor);
-}
-
-/// Receive buffer of a caller's connection. The kernel doubles it, so that the
-/// buffers of all connections take a quarter of the memory at most, as long as
-/// the smallest buffer is not larger.
-int ReceiveBufferBytes(const JobSettings& s) {
-  constexpr int64_t kDefaultDivisor = 8;
-  constexpr int64_t kMinBytes = 4 << 10;
-  constexpr int64_t kMaxBytes = 64 << 10;
-  constexpr int64_t kBytesPerKb = 1 << 10;
-  if (s.receive_buffer_kb > 0) {
-    return static_cast<int>(s.receive_buffer_kb * kBytesPerKb);
-  }
-  const int64_t bytes = MemoryBytes(s) / kDefaultDivisor / s.max_connections;
-  return static_cast<int>(std::clamp(bytes, kMinBytes, kMaxBytes));
-}
-
-rpc::ServerOptions MakePeerServerOptions(const JobSettings& s,
-                                         metrics::Traffic& traffic,
-                                         metrics::Registry& metrics) {
-  // Twice the largest body that operators may allow for a submission.
-  constexpr size_t kMaxFrameBytes = 8 << 20;
-  // Four times the steps of a job; advice is asked about 100 upstreams at a
-  // time.
-  constexpr int32_t kMaxListElements = 4096;
-  // The buffer of a frame is up to twice as large.
-  const size_t frame_memory_bytes = FrameMemoryBytes(s);
-  return {.traffic = &traffic,
-          .metrics = &metrics,
-          .send_buffer_bytes = SendBufferBytes(s),
-          .call_memory_bytes = frame_memory_bytes,
-          .max_frame_bytes = static_cast<uint32_t>(
-              std::min(kMaxFrameBytes, frame_memory_bytes / 2)),
-          .max_list_elements = kMaxListElements,
-          .frame_memory_bytes = frame_memory_bytes};
-}
-
 /// Processor time of the process.
 double CpuSeconds(const rusage& usage) {
   const auto seconds = [](const timeval& t) {
@@ -225,9 +97,8 @@
         peers(peer_client, urgent_peer_client, executor),
         peer_server(network_io,
                     MakePeerServerOptions(s, traffic_counters, metrics)),
-        capacity_use(
-            {.link_bytes_per_s = s.link_centi_mbps * kBytesPerCentiMbit,
-             .cpu_percent = s.cpu_percent}),
+        capacity_use({.link_bytes_per_s = LinkBytesPerS(s),
+                      .cpu_percent = s.cpu_percent}),
         entry({.executor = executor,
                .store = store,
                .config = store,
@@ -241,7 +112,7 @@
                .saturated =
                    [this] { return capacity_use.saturated(executor.Now()); },
                .heap_bytes = AllocatedHeapBytes},
-              MakeOptions(s)),
+              MakeJobEntryOptions(s)),
         job_server(network_io, executor, entry,
                    {.address = s.front_address,
                     .ready_address = s.ready_address,
