--- a/src/fleet/task_leases.cc
+++ b/src/fleet/task_leases.cc
@@ -9,7 +9,8 @@
 
 constexpr Millis kLeaseMargin{50};
 /// A leader may send calls that ask for a lease to the previous incarnation for
-/// this long after a restart.
+/// this long after a restart: a pause between renewals, and two renewals
+/// without an answer (see UpstreamLinkOptions).
 constexpr Millis kMaxRestartDetectionTime{6000};
 /// The wall clocks of entries and upstreams may differ by this much.
 constexpr Millis kMaxWallClockSkew{5000};
