--- a/src/libs/http/parser.cc
+++ b/src/libs/http/parser.cc
@@ -130,7 +130,7 @@
   }
 
   /// Takes the framing of the chunk that begins out of the count.
-  void ForgiveFraming() {
+  void ExcludeFraming() {
     if (!std::exchange(chunk_begins, false)) return;
     outside_body_bytes -=
         std::min(kChunkFramingBytes, outside_body_bytes - outside_before_chunk);
@@ -192,7 +192,7 @@
     }
     Body().append(at, bytes);
     CountOutsideBody(at);
-    ForgiveFraming();
+    ExcludeFraming();
     outside_before_chunk = outside_body_bytes;
     counted_to = at + bytes;
     return 0;
