--- a/review/rig-3/standins.py
+++ b/review/rig-3/standins.py
@@ -5,6 +5,7 @@
 import base64
 import json
 import os
+import random
 import signal
 import socket
 import struct
@@ -21,9 +22,15 @@
 
 
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """A port below those of outgoing connections, which could take it before a daemon listens."""
+    while True:
+        port = random.randint(15000, 30000)
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
