--- a/review/11/case.py
+++ b/review/11/case.py
@@ -13,7 +13,7 @@
 import standins as s  # noqa: E402
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HOST, PREFIX = "jobs.example", "/work/"
+HOST, PREFIX = "jobs.example", "/jobs/"
 FREEZE_S = 4.0
 CANCEL_S, KILL_GRACE_S = 3.0, 0.9
 JOBS = ["%016x" % (0xabc00 + n) for n in range(6)]
