Jobs: Log cancellations of unknown jobs, clients that have gone and held calls

- Leader: "unknown job cancelled" with id, account and term, and a counter unknown_jobs_cancelled.

No behaviour changes.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -279,7 +279,7 @@
     return done(CancelReply(JobVerdict::kUnreadable));
   }
   if (scheduler_.Find(id) == nullptr) {
-    return ReplyNoSuchJob(id, std::move(done));
+    return ReplyNoSuchJob(id, account, std::move(done));
   }
   Orders orders;
   scheduler_.Cancel(id, deps_.executor.Now(), orders);
@@ -332,7 +332,8 @@
 }
 
 void Coordinator::ReplyNoSuchJob(
-    JobId id, std::function<void(wire::CancelJobReply)> done) {
+    JobId id, const std::optional<std::string>& account,
+    std::function<void(wire::CancelJobReply)> done) {
   // A leader whose process was paused does not know the jobs that its successor
   // has accepted meanwhile. If it replied "no such job" for one of them, the
   // caller would assume that the job does not run. Only an append that the
@@ -341,16 +342,26 @@
   journal_->Remove(ProgressKey(id));
   auto once = WithReplyDeadline<wire::CancelJobReply>(
       std::move(done), CancelReply(JobVerdict::kOutcomeUnknown));
-  journal_->WhenStored(
-      [weak = weak_from_this(), id, once = std::move(once)](bool stored) {
-        const auto self = weak.lock();
-        // If the job was submitted meanwhile, the caller has to repeat the
-        // call.
-        const bool no_such_job =
-            stored && self && !self->closed_ && !self->IsJobKnown(id);
-        once(CancelReply(no_such_job ? JobVerdict::kNoSuchJob
-                                     : JobVerdict::kOutcomeUnknown));
-      });
+  journal_->WhenStored([weak = weak_from_this(), id, account,
+                        once = std::move(once)](bool stored) {
+    const auto self = weak.lock();
+    // If the job was submitted meanwhile, the caller has to repeat the
+    // call.
+    const bool no_such_job =
+        stored && self && !self->closed_ && !self->IsJobKnown(id);
+    if (no_such_job) self->NoteUnknownCancel(id, account);
+    once(CancelReply(no_such_job ? JobVerdict::kNoSuchJob
+                                 : JobVerdict::kOutcomeUnknown));
+  });
+}
+
+void Coordinator::NoteUnknownCancel(JobId id,
+                                    const std::optional<std::string>& account) {
+  deps_.metrics.Count({.name = "unknown_jobs_cancelled"});
+  logging::Event(Level::kInfo, "unknown job cancelled",
+                 {{"job", JobIdText(id)},
+                  {"account", account.value_or("")},
+                  {"term", Text(options_.term)}});
 }
 
 void Coordinator::ReplyRefused(JobId id, const wire::SubmitJobReply& refusal,
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -343,7 +343,11 @@
   int64_t StoreRetryAfterMs(JobId id);
   /// Replies that there is no such job, once the store has confirmed that this
   /// entry still leads.
-  void ReplyNoSuchJob(JobId id, std::function<void(wire::CancelJobReply)> done);
+  void ReplyNoSuchJob(JobId id, const std::optional<std::string>& account,
+                      std::function<void(wire::CancelJobReply)> done);
+  /// Logs and counts the acknowledged cancellation of a job that this leader
+  /// does not know.
+  void NoteUnknownCancel(JobId id, const std::optional<std::string>& account);
   void LogStop(const scheduling::StopOrder& stop);
   void LogLostRun(const scheduling::LostRun& run);
   void LogEvidence(const scheduling::EvidenceEvent& event);
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -73,6 +73,8 @@
   std::string description;
   /// Queue of the job; empty unless the call submits one.
   std::string queue;
+  /// When this entry received the call from its caller.
+  TimePoint received;
   /// Time at which an unanswered call is refused if it is not in doubt.
   TimePoint refusal_deadline;
   /// Time at which the caller stops waiting.
@@ -314,12 +316,25 @@
   const TimePoint now = deps_.executor.Now();
   auto out = std::make_shared<ForwardedCall<Reply>>();
   out->description = std::move(description);
+  out->received = now;
   out->caller_deadline = now + caller_timeout;
   out->refusal_deadline =
       now + std::min(caller_timeout, options_.leader_wait_timeout);
   return out;
 }
 
+template <typename Reply>
+void JobEntry::LogIfRetried(const ForwardedCall<Reply>& call) const {
+  if (call.tries <= 1) return;
+  const auto held =
+      std::chrono::duration_cast<Millis>(deps_.executor.Now() - call.received);
+  logging::Event(Level::kInfo, "call answered after retries",
+                 {{"call", call.description},
+                  {"tries", std::to_string(call.tries)},
+                  {"held_ms", std::to_string(held.count())},
+                  {"answer", call.last_try_outcome}});
+}
+
 template <typename Reply>
 void JobEntry::Forward(std::shared_ptr<ForwardedCall<Reply>> call) {
   const TimePoint now = deps_.executor.Now();
@@ -392,6 +407,7 @@
     if (refused && call->in_doubt) {
       out.verdict = JobVerdict::kOutcomeUnknown;
     }
+    LogIfRetried(*call);
     call->done(out);
   };
   if (!leadership_.leader_ready()) {
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -156,6 +156,9 @@
   /// as needed.
   template <typename Reply>
   void Forward(std::shared_ptr<ForwardedCall<Reply>> call);
+  /// Logs how long a call was held here, unless its first try was answered.
+  template <typename Reply>
+  void LogIfRetried(const ForwardedCall<Reply>& call) const;
 
   /// Returns the time after which to retry if the job is to be refused since
   /// the leader's link is full; nothing if the job has to be forwarded.
--- a/src/libs/http/message.h
+++ b/src/libs/http/message.h
@@ -19,6 +19,9 @@
   std::string target = "/";
   std::vector<Header> headers;
   std::string body;
+  /// On a server: the client had closed its sending side when the request was
+  /// read, so it probably does not wait for the response any more.
+  bool client_closed = false;
 };
 
 struct Response {
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -1,8 +1,10 @@
 #include "src/libs/http/session.h"
 
 #include <netinet/tcp.h>
+#include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <utility>
 
 #include "src/libs/http/response_text.h"
@@ -246,6 +248,7 @@
   ++server_->open_requests;
   handling_.Join();
   keep_alive_ = message.keep_alive;
+  message.request.client_closed = ClosedByPeer();
   server_->handler(
       std::move(message.request),
       [pending = std::make_shared<PendingResponse>(shared_from_this())](
@@ -302,6 +305,15 @@
   return socket_.available(error) > 0 && !error;
 }
 
+bool Session::ClosedByPeer() {
+  char next = 0;
+  const ssize_t peeked = recv(socket_.native_handle(), &next, sizeof next,
+                              MSG_PEEK | MSG_DONTWAIT);
+  const bool nothing_to_read =
+      peeked < 0 && (errno == EAGAIN || errno == EINTR);
+  return peeked <= 0 && !nothing_to_read;
+}
+
 void Session::CloseAfterResponse() {
   std::error_code ignored;  // the peer may have closed the connection
   socket_.shutdown(tcp::socket::shutdown_send, ignored);
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -70,6 +70,9 @@
                     int64_t messages);
   /// Whether the socket has received bytes that have not been read.
   bool HasUnreadBytes() const;
+  /// Whether the peer has closed its sending side or the whole connection, and
+  /// everything that it sent has been read.
+  bool ClosedByPeer();
   /// Closes the connection after its last response. Shuts down only the sending
   /// side at first: closing a socket with unread bytes would reset the
   /// connection and could discard the response in transit.
