Jobs: Remember cancellations of jobs that the leader does not know

Cause: the leader kept nothing of a cancelling whose id it did not know. The append that it waited for proved that it still led, and changed nothing, so the submission was new to it, and to the next leader.

Ruled out as the cause: that entries pass on what nobody waits for any more, and that they hold calls.

Change: a cancellation of an unknown id is stored as a tombstone before it is answered. A submission that meets one is accepted as cancelled: it is stored in that state and never runs, as if it had come first. A cancellation of another account's job takes the same way, so that its answer tells nothing.

Why it works: between the DELETE's append and the end of the retention each leader either has the tombstone in memory, or has loaded it before it accepts anything.

The fake of the upstreams now takes each "no such job" for a cancellation, and job_durability_test has lost its exception for submissions on their way.

--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -1,10 +1,12 @@
-// The part of Coordinator that serves callers: it accepts and cancels jobs and
-// answers queries about them.
+// The part of Coordinator that serves callers: it accepts jobs and answers
+// queries about them.
 
 #include <algorithm>
 
 #include "src/coordinator/coordinator.h"
+#include "src/coordinator/job_replies.h"
 #include "src/coordinator/job_table.h"
+#include "src/coordinator/reply_deadline.h"
 #include "src/jobs/job_memory.h"
 #include "src/libs/logging/log.h"
 #include "src/libs/rpc/codec.h"
@@ -14,7 +16,6 @@
 
 using logging::Level;
 using logging::Text;
-using scheduling::Orders;
 
 /// Time after which a caller retries a job that was refused because the store
 /// is unavailable or there are too many jobs.
@@ -30,20 +31,6 @@
 /// Number of queues whose counts are kept.
 constexpr size_t kMaxPendingCounts = 1000;
 
-wire::SubmitJobReply SubmitReply(JobVerdict verdict,
-                                 int64_t retry_after_ms = 0) {
-  wire::SubmitJobReply reply;
-  reply.verdict = static_cast<int32_t>(verdict);
-  reply.retry_after_ms = retry_after_ms;
-  return reply;
-}
-
-wire::CancelJobReply CancelReply(JobVerdict verdict) {
-  wire::CancelJobReply reply;
-  reply.verdict = static_cast<int32_t>(verdict);
-  return reply;
-}
-
 }  // namespace
 
 void Coordinator::FailPendingSubmissions() {
@@ -101,6 +88,11 @@
     if (const auto refusal = RefuseForMemory(spec)) {
       return ReplyRefused(id, *refusal, std::move(done));
     }
+    const auto cancelled_ago =
+        tombstones_.AgeOf(id, spec.account, deps_.executor.Now());
+    if (cancelled_ago) {
+      return StoreAsCancelled(spec, *cancelled_ago, std::move(done));
+    }
     if (const std::optional<Millis> retry = RefuseForLink(spec)) {
       wire::SubmitJobReply reply =
           SubmitReply(JobVerdict::kRefused, retry->count());
@@ -143,24 +135,9 @@
           self->OnJobStored(stored_spec);
         });
   }
-  pending_submissions_[id].replies.push_back(
-      WithReplyDeadline<wire::SubmitJobReply>(
-          std::move(done), SubmitReply(JobVerdict::kOutcomeUnknown)));
-}
-
-template <typename Reply>
-std::function<void(Reply)> Coordinator::WithReplyDeadline(
-    std::function<void(Reply)> done, Reply timeout_reply) {
-  auto answered = std::make_shared<bool>(false);
-  auto once = [answered, done = std::move(done)](const Reply& reply) {
-    if (std::exchange(*answered, true)) return;
-    done(reply);
-  };
-  deps_.executor.RunAfter(options_.reply_deadline,
-                          [once, timeout_reply = std::move(timeout_reply)] {
-                            once(timeout_reply);
-                          });
-  return once;
+  pending_submissions_[id].replies.push_back(WithReplyDeadline(
+      deps_.executor, options_.reply_deadline, std::move(done),
+      SubmitReply(JobVerdict::kOutcomeUnknown)));
 }
 
 void Coordinator::RefuseUnsentJobs() {
@@ -201,17 +178,20 @@
                   {"priority", Text(spec.queue.priority)},
                   {"steps", Text(static_cast<int64_t>(spec.steps.size()))},
                   {"term", Text(options_.term)}});
-  const auto submission = pending_submissions_.extract(id);
-  if (!submission.empty()) {
-    pending_bytes_ -= submission.mapped().memory_bytes;
-    for (auto& reply : submission.mapped().replies) {
-      reply(SubmitReply(JobVerdict::kConfirmed));
-    }
-  }
+  ReplyAccepted(id);
   scheduler_.Tick(deps_.executor.Now(), deps_.executor.UnixMillis());
   SchedulePlacement();
 }
 
+void Coordinator::ReplyAccepted(JobId id) {
+  const auto submission = pending_submissions_.extract(id);
+  if (submission.empty()) return;
+  pending_bytes_ -= submission.mapped().memory_bytes;
+  for (auto& reply : submission.mapped().replies) {
+    reply(SubmitReply(JobVerdict::kConfirmed));
+  }
+}
+
 JobVerdict Coordinator::VerdictOnUnknownJob() const {
   // If the store has not confirmed the leader lease recently, a successor may
   // already have accepted jobs that are unknown here, even if other entries
@@ -263,36 +243,6 @@
                 job->started() ? JobState::kRunning : JobState::kQueued);
 }
 
-void Coordinator::Cancel(JobId id, const std::optional<std::string>& account,
-                         std::function<void(wire::CancelJobReply)> done) {
-  if (!loaded_) return done(CancelReply(JobVerdict::kNotLeading));
-  if (!MayAccess(account, id)) {
-    return done(CancelReply(VerdictOnUnknownJob()));
-  }
-  if (final_jobs_.count(id) > 0) {
-    return done(CancelReply(JobVerdict::kConfirmed));
-  }
-  if (pending_submissions_.count(id) > 0) {
-    return done(CancelReply(JobVerdict::kOutcomeUnknown));
-  }
-  if (unreadable_jobs_.count(id) > 0) {
-    return done(CancelReply(JobVerdict::kUnreadable));
-  }
-  if (scheduler_.Find(id) == nullptr) {
-    return ReplyNoSuchJob(id, account, std::move(done));
-  }
-  Orders orders;
-  scheduler_.Cancel(id, deps_.executor.Now(), orders);
-  deps_.metrics.Count({.name = "jobs_cancelled"});
-  ExecuteOrders(orders);
-  auto once = WithReplyDeadline<wire::CancelJobReply>(
-      std::move(done), CancelReply(JobVerdict::kOutcomeUnknown));
-  journal_->WhenStored([once = std::move(once)](bool stored) {
-    once(CancelReply(stored ? JobVerdict::kConfirmed
-                            : JobVerdict::kOutcomeUnknown));
-  });
-}
-
 bool Coordinator::IsJobKnown(JobId id) const {
   return scheduler_.Find(id) != nullptr || final_jobs_.count(id) > 0 ||
          pending_submissions_.count(id) > 0;
@@ -331,46 +281,15 @@
   SchedulePlacement();
 }
 
-void Coordinator::ReplyNoSuchJob(
-    JobId id, const std::optional<std::string>& account,
-    std::function<void(wire::CancelJobReply)> done) {
-  // A leader whose process was paused does not know the jobs that its successor
-  // has accepted meanwhile. If it replied "no such job" for one of them, the
-  // caller would assume that the job does not run. Only an append that the
-  // store accepts under this leader's term proves that it has no successor.
-  // This append changes nothing, since an unknown job has no progress record.
-  journal_->Remove(ProgressKey(id));
-  auto once = WithReplyDeadline<wire::CancelJobReply>(
-      std::move(done), CancelReply(JobVerdict::kOutcomeUnknown));
-  journal_->WhenStored([weak = weak_from_this(), id, account,
-                        once = std::move(once)](bool stored) {
-    const auto self = weak.lock();
-    // If the job was submitted meanwhile, the caller has to repeat the
-    // call.
-    const bool no_such_job =
-        stored && self && !self->closed_ && !self->IsJobKnown(id);
-    if (no_such_job) self->NoteUnknownCancel(id, account);
-    once(CancelReply(no_such_job ? JobVerdict::kNoSuchJob
-                                 : JobVerdict::kOutcomeUnknown));
-  });
-}
-
-void Coordinator::NoteUnknownCancel(JobId id,
-                                    const std::optional<std::string>& account) {
-  deps_.metrics.Count({.name = "unknown_jobs_cancelled"});
-  logging::Event(Level::kInfo, "unknown job cancelled",
-                 {{"job", JobIdText(id)},
-                  {"account", account.value_or("")},
-                  {"term", Text(options_.term)}});
-}
-
 void Coordinator::ReplyRefused(JobId id, const wire::SubmitJobReply& refusal,
                                std::function<void(wire::SubmitJobReply)> done) {
-  // As in ReplyNoSuchJob(): a successor may have accepted this id, and then a
-  // refusal, which says that the job does not run, would be false.
+  // As in CancelUnknownJob(): a successor may have accepted this id, and then a
+  // refusal, which says that the job does not run, would be false. This append
+  // changes nothing, since an unknown job has no progress record.
   journal_->Remove(ProgressKey(id));
-  auto once = WithReplyDeadline<wire::SubmitJobReply>(
-      std::move(done), SubmitReply(JobVerdict::kOutcomeUnknown));
+  auto once = WithReplyDeadline(deps_.executor, options_.reply_deadline,
+                                std::move(done),
+                                SubmitReply(JobVerdict::kOutcomeUnknown));
   journal_->WhenStored([weak = weak_from_this(), id, refusal,
                         once = std::move(once)](bool stored) {
     const auto self = weak.lock();
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -53,6 +53,8 @@
       scheduler_(SchedulerOptionsFor(options_)),
       order_budget_(options_.link_kb_per_s),
       next_fence_(options_.term * fleet::kFenceSpan),
+      tombstones_(
+          {.term = options_.term, .retention = options_.tombstone_retention}),
       admission_(options_.scheduler.queue_order,
                  options_.scheduler.priority_price) {
   journal_ = std::make_shared<journal::Journal>(
@@ -107,6 +109,7 @@
   ResolveWhenRunningTasksKnown();
   RefuseUnsentJobs();
   DropFinalJobs();
+  DropTombstones();
   UpdateMemoryBudget();
   UpdateBacklog();
   ReportLoad();
@@ -198,6 +201,12 @@
   }
 }
 
+void Coordinator::DropTombstones() {
+  for (const std::string& key : tombstones_.DropExpired(deps_.executor.Now())) {
+    journal_->Remove(key);
+  }
+}
+
 void Coordinator::SetLanes(const std::vector<std::string>& addresses) {
   lanes_.SetEntries(addresses, deps_.executor.Now());
 }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -14,6 +14,7 @@
 #include "jobs_types.h"
 #include "src/coordinator/admission.h"
 #include "src/coordinator/advice_lanes.h"
+#include "src/coordinator/cancel_tombstones.h"
 #include "src/coordinator/coordinator_options.h"
 #include "src/coordinator/dropped_upstreams.h"
 #include "src/coordinator/job_failures.h"
@@ -110,7 +111,8 @@
   wire::JobStateReply QueryState(
       JobId id, const std::optional<std::string>& account) const;
   /// Cancels a job. `done` runs once, with kConfirmed only if a final state of
-  /// the job is stored.
+  /// the job is stored, and with kNoSuchJob only if it is stored that the job
+  /// must not run if it is submitted later.
   void Cancel(JobId id, const std::optional<std::string>& account,
               std::function<void(wire::CancelJobReply)> done);
   /// Counts the accepted jobs of the queue of which no task has started.
@@ -281,11 +283,6 @@
   void ReportUpstreams(TimePoint now);
   void ReportAccounts();
 
-  /// Wraps `done` so that it runs once: with the first reply, or with
-  /// `timeout_reply` if there is none within `reply_deadline`.
-  template <typename Reply>
-  std::function<void(Reply)> WithReplyDeadline(std::function<void(Reply)> done,
-                                               Reply timeout_reply);
   /// Verdict on a query for a job that this leader does not know.
   JobVerdict VerdictOnUnknownJob() const;
   /// Replies kOutcomeUnknown to all callers whose jobs are not stored yet.
@@ -341,13 +338,25 @@
   void CountRefusedJob(const std::string& reason, const std::string& queue);
   /// When a caller refused for lack of the store should return, in ms.
   int64_t StoreRetryAfterMs(JobId id);
-  /// Replies that there is no such job, once the store has confirmed that this
-  /// entry still leads.
-  void ReplyNoSuchJob(JobId id, const std::optional<std::string>& account,
-                      std::function<void(wire::CancelJobReply)> done);
-  /// Logs and counts the acknowledged cancellation of a job that this leader
-  /// does not know.
-  void NoteUnknownCancel(JobId id, const std::optional<std::string>& account);
+  /// Cancels a job that the leader does not know, or that belongs to another
+  /// account. Replies that there is no such job once a tombstone is stored.
+  void CancelUnknownJob(JobId id, const std::optional<std::string>& account,
+                        std::function<void(wire::CancelJobReply)> done);
+  /// Replies that there is no room for another tombstone.
+  void RefuseCancel(JobId id, const std::optional<std::string>& account,
+                    const std::function<void(wire::CancelJobReply)>& done);
+  /// Logs and counts an acknowledged cancellation of an unknown job, whose
+  /// tombstone is in the record with this key.
+  void NoteUnknownCancel(JobId id, const std::optional<std::string>& account,
+                         const std::string& key, TimePoint began);
+  /// Accepts a job that was cancelled before, and never runs it.
+  void StoreAsCancelled(const wire::JobSpec& spec, Millis cancelled_ago,
+                        std::function<void(wire::SubmitJobReply)> done);
+  void OnStoredAsCancelled(JobId id, int64_t submission_number);
+  /// Replies to the callers of a submission that is stored.
+  void ReplyAccepted(JobId id);
+  /// Drops the tombstones that are not needed any more, also from the store.
+  void DropTombstones();
   void LogStop(const scheduling::StopOrder& stop);
   void LogLostRun(const scheduling::LostRun& run);
   void LogEvidence(const scheduling::EvidenceEvent& event);
@@ -433,6 +442,7 @@
   std::unordered_map<JobId, PendingSubmission> pending_submissions_;
   int64_t last_submission_number_ = 0;
   std::unordered_map<JobId, FinalJob> final_jobs_;
+  CancelTombstones tombstones_;
   DroppedUpstreams dropped_upstreams_;
   FailedRuns failed_runs_;
   JobFailures job_failures_;
--- a/src/coordinator/coordinator_options.h
+++ b/src/coordinator/coordinator_options.h
@@ -5,6 +5,7 @@
 #include <string>
 
 #include "src/coordinator/admission_policy.h"
+#include "src/coordinator/cancel_tombstones.h"
 #include "src/fleet/task_leases.h"
 #include "src/scheduling/scheduler_options.h"
 
@@ -51,6 +52,9 @@
   Millis spec_retention{15000};
   /// Minimum time for which the state of a final job can be queried.
   Millis state_retention{150000};
+  /// How long the cancellation of an unknown job is remembered: longer than a
+  /// submission can be late.
+  Millis tombstone_retention = kTombstoneRetention;
   /// Name under which this entry calls the platform's host API.
   std::string holder;
   /// How long a host is unavailable during its maintenance.
--- a/src/coordinator/job_table.cc
+++ b/src/coordinator/job_table.cc
@@ -89,6 +89,10 @@
   return kCompletionPrefix + TaskIdText(task) + "." + std::to_string(attempt);
 }
 
+std::string TombstoneKey(int64_t term, int64_t number) {
+  return kTombstonePrefix + std::to_string(term) + "." + std::to_string(number);
+}
+
 wire::UpstreamRecord ToUpstreamRecord(const ports::UpstreamEntry& entry) {
   wire::UpstreamRecord out;
   out.id = entry.id;
--- a/src/coordinator/job_table.h
+++ b/src/coordinator/job_table.h
@@ -16,15 +16,16 @@
 
 /// Key prefixes of the job table, by kind of record: the spec of a job, its
 /// progress, a part of the progress of a job with many tasks, the completion of
-/// a task whose job's records can't be read, and an upstream that may run tasks
-/// of this service. The journal writes records in the order of their keys, so
-/// the parts of a job's progress are stored before the progress that leaves
-/// their tasks out.
+/// a task whose job's records can't be read, an upstream that may run tasks of
+/// this service, and cancellations of unknown jobs. The journal writes records
+/// in the order of their keys, so the parts of a job's progress are stored
+/// before the progress that leaves their tasks out.
 inline constexpr char kSpecPrefix = 's';
 inline constexpr char kProgressPrefix = 'p';
 inline constexpr char kProgressPartPrefix = 'n';
 inline constexpr char kCompletionPrefix = 'e';
 inline constexpr char kUpstreamPrefix = 'u';
+inline constexpr char kTombstonePrefix = 'c';
 
 /// Timeout of one read of the job table or of the upstream list.
 inline constexpr Millis kStoreReadTimeout{1500};
@@ -41,6 +42,8 @@
     std::string_view key);
 std::string UpstreamKey(const std::string& id);
 std::string CompletionKey(const TaskId& task, int64_t attempt);
+/// `number` counts the records of the leader with this term.
+std::string TombstoneKey(int64_t term, int64_t number);
 /// Whether the store takes a record of this key and value.
 bool IsStorable(const std::string& key, const std::string& value);
 /// Encodes progress or a part of it. Leaves out the checkpoints if the store
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -100,6 +100,10 @@
   if (kind == kUpstreamPrefix) return DecodeUpstream(record);
   if (kind == kCompletionPrefix) return DecodeUnmatchedCompletion(record);
   if (kind == kProgressPartPrefix) return DecodeProgressPart(record);
+  if (kind == kTombstonePrefix) {
+    const bool valid = tombstones_.Load(record, deps_.executor.Now());
+    return valid ? "" : "does not decode";
+  }
   if (kind == maintenance::kWaveKeyPrefix) {
     // Without a host API the record is left to a leader that has one.
     const bool valid = wave_manager_ == nullptr || wave_manager_->Load(record);
@@ -311,6 +315,7 @@
        {"end_offset", Text(end_offset)},
        {"open", Text(static_cast<int64_t>(open_jobs_loaded_))},
        {"final", Text(static_cast<int64_t>(final_jobs_.size()))},
+       {"tombstones", Text(static_cast<int64_t>(tombstones_.size()))},
        {"unreadable", Text(static_cast<int64_t>(unreadable_jobs_.size()))},
        {"state_bytes", Text(static_cast<int64_t>(StateBytes()))},
        {"budget_bytes", Text(static_cast<int64_t>(memory_budget_.bytes()))},
--- a/src/coordinator/memory_admission.cc
+++ b/src/coordinator/memory_admission.cc
@@ -11,6 +11,9 @@
 using logging::Level;
 using logging::Text;
 
+/// Part of the budget for the state of jobs that tombstones may take beside it.
+constexpr size_t kTombstoneDivisor = 16;
+
 }  // namespace
 
 size_t Coordinator::StateBytes() const {
@@ -21,6 +24,9 @@
 void Coordinator::UpdateMemoryBudget() {
   memory_budget_.SetMachineMemory(
       deps_.smallest_memory_mb ? deps_.smallest_memory_mb() : 0);
+  const Accounts& accounts = deps_.accounts();
+  tombstones_.SetLimits(memory_budget_.bytes() / kTombstoneDivisor,
+                        accounts ? accounts->size() : 0);
   memory_budget_.NoteReleased(scheduler_.released_bytes(),
                               deps_.executor.Now());
 }
@@ -62,11 +68,15 @@
   set("jobs", scheduler_.memory_bytes());
   set("state", StateBytes());
   set("budget", memory_budget_.bytes());
+  set("tombstones", tombstones_.bytes());
+  deps_.metrics.Set({.name = "cancel_tombstones"},
+                    static_cast<double>(tombstones_.size()));
   set("heap", heap);
   logging::Event(
       Level::kInfo, "memory",
       {{"jobs", Text(static_cast<int64_t>(scheduler_.job_count()))},
        {"state_bytes", Text(static_cast<int64_t>(StateBytes()))},
+       {"tombstone_bytes", Text(static_cast<int64_t>(tombstones_.bytes()))},
        {"budget_bytes", Text(static_cast<int64_t>(memory_budget_.bytes()))},
        {"heap_bytes", Text(static_cast<int64_t>(heap))}});
 }
--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -47,10 +47,13 @@
   return out;
 }
 
+Millis RetryAfterOf(int64_t retry_after_ms) {
+  return std::clamp(Millis(retry_after_ms), Millis(0), kMaxRetryAfter);
+}
+
 JobAnswer ToAnswer(const wire::SubmitJobReply& reply) {
   return {.verdict = ToJobVerdict(reply.verdict),
-          .retry_after = std::clamp(Millis(reply.retry_after_ms), Millis(0),
-                                    kMaxRetryAfter)};
+          .retry_after = RetryAfterOf(reply.retry_after_ms)};
 }
 JobAnswer ToAnswer(const wire::JobStateReply& reply) {
   if (!IsJobState(reply.state)) return {.verdict = JobVerdict::kOutcomeUnknown};
@@ -58,7 +61,8 @@
           .state = static_cast<JobState>(reply.state)};
 }
 JobAnswer ToAnswer(const wire::CancelJobReply& reply) {
-  return {.verdict = ToJobVerdict(reply.verdict)};
+  return {.verdict = ToJobVerdict(reply.verdict),
+          .retry_after = RetryAfterOf(reply.retry_after_ms)};
 }
 JobAnswer ToAnswer(const wire::PendingJobsReply& reply) {
   return {.verdict = ToJobVerdict(reply.verdict),
@@ -488,11 +492,11 @@
 
 void JobEntry::Submit(const wire::JobSpec& spec, Millis caller_timeout,
                       JobDone done) {
+  const Millis timeout = std::min(caller_timeout, options_.max_submission_hold);
   if (const std::optional<Millis> retry = LinkRetryAfter(spec)) {
-    return RefuseForLinkUnlessKnown(spec, *retry, caller_timeout,
-                                    std::move(done));
+    return RefuseForLinkUnlessKnown(spec, *retry, timeout, std::move(done));
   }
-  ForwardSubmission(spec, caller_timeout, std::move(done));
+  ForwardSubmission(spec, timeout, std::move(done));
 }
 
 void JobEntry::ForwardSubmission(const wire::JobSpec& spec,
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -28,6 +28,10 @@
   /// Longest time that a call waits for a leader's answer, unless its outcome
   /// is in doubt. A takeover takes about 1.2 s.
   Millis leader_wait_timeout{1300};
+  /// Longest time that a submission is held here while its outcome is in doubt,
+  /// however long its caller waits: the leader remembers for a limited time
+  /// that a job was cancelled before it was submitted.
+  Millis max_submission_hold = coordinator::kMaxSubmissionHold;
   /// Pause before the first retry of a call to the leader.
   Millis first_retry_pause{50};
   /// Pause before a call is repeated at a leader that cannot reach the store.
--- a/src/jobs/gen/jobs_types.cpp
+++ b/src/jobs/gen/jobs_types.cpp
@@ -4625,6 +4625,10 @@
 void CancelJobReply::__set_verdict(const int32_t val) {
   this->verdict = val;
 }
+
+void CancelJobReply::__set_retry_after_ms(const int64_t val) {
+  this->retry_after_ms = val;
+}
 std::ostream& operator<<(std::ostream& out, const CancelJobReply& obj)
 {
   obj.printTo(out);
@@ -4661,6 +4665,14 @@
           xfer += iprot->skip(ftype);
         }
         break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_I64) {
+          xfer += iprot->readI64(this->retry_after_ms);
+          this->__isset.retry_after_ms = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
       default:
         xfer += iprot->skip(ftype);
         break;
@@ -4682,6 +4694,10 @@
   xfer += oprot->writeI32(this->verdict);
   xfer += oprot->writeFieldEnd();
 
+  xfer += oprot->writeFieldBegin("retry_after_ms", ::apache::thrift::protocol::T_I64, 2);
+  xfer += oprot->writeI64(this->retry_after_ms);
+  xfer += oprot->writeFieldEnd();
+
   xfer += oprot->writeFieldStop();
   xfer += oprot->writeStructEnd();
   return xfer;
@@ -4690,24 +4706,29 @@
 void swap(CancelJobReply &a, CancelJobReply &b) {
   using ::std::swap;
   swap(a.verdict, b.verdict);
+  swap(a.retry_after_ms, b.retry_after_ms);
   swap(a.__isset, b.__isset);
 }
 
 CancelJobReply::CancelJobReply(const CancelJobReply& other152) noexcept {
   verdict = other152.verdict;
+  retry_after_ms = other152.retry_after_ms;
   __isset = other152.__isset;
 }
 CancelJobReply::CancelJobReply(CancelJobReply&& other153) noexcept {
   verdict = other153.verdict;
+  retry_after_ms = other153.retry_after_ms;
   __isset = other153.__isset;
 }
 CancelJobReply& CancelJobReply::operator=(const CancelJobReply& other154) noexcept {
   verdict = other154.verdict;
+  retry_after_ms = other154.retry_after_ms;
   __isset = other154.__isset;
   return *this;
 }
 CancelJobReply& CancelJobReply::operator=(CancelJobReply&& other155) noexcept {
   verdict = other155.verdict;
+  retry_after_ms = other155.retry_after_ms;
   __isset = other155.__isset;
   return *this;
 }
@@ -4715,6 +4736,7 @@
   using ::apache::thrift::to_string;
   out << "CancelJobReply(";
   out << "verdict=" << to_string(verdict);
+  out << ", " << "retry_after_ms=" << to_string(retry_after_ms);
   out << ")";
 }
 
@@ -5604,4 +5626,270 @@
   out << ")";
 }
 
+
+CancelledJobs::~CancelledJobs() noexcept {
+}
+
+
+void CancelledJobs::__set_account(const std::string& val) {
+  this->account = val;
+__isset.account = true;
+}
+
+void CancelledJobs::__set_ids(const std::vector<int64_t> & val) {
+  this->ids = val;
+}
+std::ostream& operator<<(std::ostream& out, const CancelledJobs& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t CancelledJobs::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_STRING) {
+          xfer += iprot->readString(this->account);
+          this->__isset.account = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      case 2:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->ids.clear();
+            uint32_t _size198;
+            ::apache::thrift::protocol::TType _etype201;
+            xfer += iprot->readListBegin(_etype201, _size198);
+            this->ids.resize(_size198);
+            uint32_t _i202;
+            for (_i202 = 0; _i202 < _size198; ++_i202)
+            {
+              xfer += iprot->readI64(this->ids[_i202]);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.ids = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t CancelledJobs::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("CancelledJobs");
+
+  if (this->__isset.account) {
+    xfer += oprot->writeFieldBegin("account", ::apache::thrift::protocol::T_STRING, 1);
+    xfer += oprot->writeString(this->account);
+    xfer += oprot->writeFieldEnd();
+  }
+  xfer += oprot->writeFieldBegin("ids", ::apache::thrift::protocol::T_LIST, 2);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_I64, static_cast<uint32_t>(this->ids.size()));
+    std::vector<int64_t> ::const_iterator _iter203;
+    for (_iter203 = this->ids.begin(); _iter203 != this->ids.end(); ++_iter203)
+    {
+      xfer += oprot->writeI64((*_iter203));
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(CancelledJobs &a, CancelledJobs &b) {
+  using ::std::swap;
+  swap(a.account, b.account);
+  swap(a.ids, b.ids);
+  swap(a.__isset, b.__isset);
+}
+
+CancelledJobs::CancelledJobs(const CancelledJobs& other204) {
+  account = other204.account;
+  ids = other204.ids;
+  __isset = other204.__isset;
+}
+CancelledJobs::CancelledJobs(CancelledJobs&& other205) noexcept {
+  account = std::move(other205.account);
+  ids = std::move(other205.ids);
+  __isset = other205.__isset;
+}
+CancelledJobs& CancelledJobs::operator=(const CancelledJobs& other206) {
+  account = other206.account;
+  ids = other206.ids;
+  __isset = other206.__isset;
+  return *this;
+}
+CancelledJobs& CancelledJobs::operator=(CancelledJobs&& other207) noexcept {
+  account = std::move(other207.account);
+  ids = std::move(other207.ids);
+  __isset = other207.__isset;
+  return *this;
+}
+void CancelledJobs::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "CancelledJobs(";
+  out << "account="; (__isset.account ? (out << to_string(account)) : (out << "<null>"));
+  out << ", " << "ids=" << to_string(ids);
+  out << ")";
+}
+
+
+TombstoneRecord::~TombstoneRecord() noexcept {
+}
+
+
+void TombstoneRecord::__set_accounts(const std::vector<CancelledJobs> & val) {
+  this->accounts = val;
+}
+std::ostream& operator<<(std::ostream& out, const TombstoneRecord& obj)
+{
+  obj.printTo(out);
+  return out;
+}
+
+
+uint32_t TombstoneRecord::read(::apache::thrift::protocol::TProtocol* iprot) {
+
+  ::apache::thrift::protocol::TInputRecursionTracker tracker(*iprot);
+  uint32_t xfer = 0;
+  std::string fname;
+  ::apache::thrift::protocol::TType ftype;
+  int16_t fid;
+
+  xfer += iprot->readStructBegin(fname);
+
+  using ::apache::thrift::protocol::TProtocolException;
+
+
+  while (true)
+  {
+    xfer += iprot->readFieldBegin(fname, ftype, fid);
+    if (ftype == ::apache::thrift::protocol::T_STOP) {
+      break;
+    }
+    switch (fid)
+    {
+      case 1:
+        if (ftype == ::apache::thrift::protocol::T_LIST) {
+          {
+            this->accounts.clear();
+            uint32_t _size208;
+            ::apache::thrift::protocol::TType _etype211;
+            xfer += iprot->readListBegin(_etype211, _size208);
+            this->accounts.resize(_size208);
+            uint32_t _i212;
+            for (_i212 = 0; _i212 < _size208; ++_i212)
+            {
+              xfer += this->accounts[_i212].read(iprot);
+            }
+            xfer += iprot->readListEnd();
+          }
+          this->__isset.accounts = true;
+        } else {
+          xfer += iprot->skip(ftype);
+        }
+        break;
+      default:
+        xfer += iprot->skip(ftype);
+        break;
+    }
+    xfer += iprot->readFieldEnd();
+  }
+
+  xfer += iprot->readStructEnd();
+
+  return xfer;
+}
+
+uint32_t TombstoneRecord::write(::apache::thrift::protocol::TProtocol* oprot) const {
+  uint32_t xfer = 0;
+  ::apache::thrift::protocol::TOutputRecursionTracker tracker(*oprot);
+  xfer += oprot->writeStructBegin("TombstoneRecord");
+
+  xfer += oprot->writeFieldBegin("accounts", ::apache::thrift::protocol::T_LIST, 1);
+  {
+    xfer += oprot->writeListBegin(::apache::thrift::protocol::T_STRUCT, static_cast<uint32_t>(this->accounts.size()));
+    std::vector<CancelledJobs> ::const_iterator _iter213;
+    for (_iter213 = this->accounts.begin(); _iter213 != this->accounts.end(); ++_iter213)
+    {
+      xfer += (*_iter213).write(oprot);
+    }
+    xfer += oprot->writeListEnd();
+  }
+  xfer += oprot->writeFieldEnd();
+
+  xfer += oprot->writeFieldStop();
+  xfer += oprot->writeStructEnd();
+  return xfer;
+}
+
+void swap(TombstoneRecord &a, TombstoneRecord &b) {
+  using ::std::swap;
+  swap(a.accounts, b.accounts);
+  swap(a.__isset, b.__isset);
+}
+
+TombstoneRecord::TombstoneRecord(const TombstoneRecord& other214) {
+  accounts = other214.accounts;
+  __isset = other214.__isset;
+}
+TombstoneRecord::TombstoneRecord(TombstoneRecord&& other215) noexcept {
+  accounts = std::move(other215.accounts);
+  __isset = other215.__isset;
+}
+TombstoneRecord& TombstoneRecord::operator=(const TombstoneRecord& other216) {
+  accounts = other216.accounts;
+  __isset = other216.__isset;
+  return *this;
+}
+TombstoneRecord& TombstoneRecord::operator=(TombstoneRecord&& other217) noexcept {
+  accounts = std::move(other217.accounts);
+  __isset = other217.__isset;
+  return *this;
+}
+void TombstoneRecord::printTo(std::ostream& out) const {
+  using ::apache::thrift::to_string;
+  out << "TombstoneRecord(";
+  out << "accounts=" << to_string(accounts);
+  out << ")";
+}
+
 }} // namespace
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -274,7 +274,10 @@
   1: i64 id
   2: optional string account
 }
-struct CancelJobReply { 1: i32 verdict }
+struct CancelJobReply {
+  1: i32 verdict
+  2: i64 retry_after_ms
+}
 
 struct PendingJobsCall { 1: string queue }
 struct PendingJobsReply {
@@ -309,3 +312,13 @@
   /** How long after the store's last confirmation the entries may do so. */
   3: i64 max_store_outage_ms
 }
+
+/** Cancelled jobs that the leader did not know. */
+struct CancelledJobs {
+  /** On whose behalf they were cancelled, as in CancelJobCall. */
+  1: optional string account
+  2: list<i64> ids
+}
+
+/** Cancellations of unknown jobs that came at about the same time. */
+struct TombstoneRecord { 1: list<CancelledJobs> accounts }
--- a/tests/job_durability_test.cc
+++ b/tests/job_durability_test.cc
@@ -358,30 +358,15 @@
     cluster_.Cancel(RandomEntry(), static_cast<JobId>(job.spec.id));
   }
 
-  /// Whether a call that submits the job may have taken effect after the given
-  /// cancel was answered.
-  bool SubmitMayTakeEffectAfter(size_t cancel) const {
-    const auto& calls = cluster_.calls();
-    const JobId id = calls[cancel].job;
-    for (size_t i = 0; i < calls.size(); ++i) {
-      const CallerCall& call = calls[i];
-      if (call.job != id || call.kind != CallKind::kSubmit) continue;
-      const bool ended = call.answers > 0 || call.connection_lost;
-      if (!ended || call.ended > calls[cancel].ended || i > cancel) return true;
-    }
-    return false;
-  }
-
   /// Records the jobs whose cancel was answered "no such job". Such a job must
-  /// not start until it is submitted again.
+  /// not start, whichever of its submissions is still on its way.
   void RecordReportedUnknown() {
     std::erase_if(pending_cancels_, [this](size_t at) {
       const CallerCall& call = cluster_.calls()[at];
       if (call.answers == 0) return call.connection_lost;
-      const bool reported_unknown = call.verdict == JobVerdict::kNoSuchJob;
-      if (reported_unknown && !SubmitMayTakeEffectAfter(at)) {
-        reported_unknown_[call.job] =
-            cluster_.upstreams().Starts({call.job, 0, 0, 0});
+      if (call.verdict == JobVerdict::kNoSuchJob) {
+        reported_unknown_.emplace(
+            call.job, cluster_.upstreams().Starts({call.job, 0, 0, 0}));
       }
       return true;
     });
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -400,19 +400,17 @@
   process->executor.Post([this, target, id, account, call] {
     target->Cancel(
         id, account, kCallTimeout,
-        [this, id, call](jobentry::JobAnswer answer) {
+        [this, id, account, call](jobentry::JobAnswer answer) {
           RecordAnswer(call, answer);
           ++cancel_answers_[id];
           if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
             cancelled_.insert(id);
           }
-          // A caller that gets "no such job" for an accepted job assumes that
-          // it has ended as well.
-          const bool ended =
-              answer.verdict == coordinator::JobVerdict::kNoSuchJob &&
-              accepted_.count(id) > 0;
-          if (ended || answer.verdict == coordinator::JobVerdict::kConfirmed) {
-            upstreams_.RecordCancelled(id);
+          // A caller that gets "no such job" assumes that the job does not run,
+          // whatever of its submissions is still on its way.
+          if (answer.verdict == coordinator::JobVerdict::kNoSuchJob ||
+              answer.verdict == coordinator::JobVerdict::kConfirmed) {
+            upstreams_.RecordCancelled(id, account);
           }
         });
   });
--- a/tests/jobsim/upstream_fake.cc
+++ b/tests/jobsim/upstream_fake.cc
@@ -185,10 +185,24 @@
       });
 }
 
+std::optional<TimePoint> UpstreamsFake::CancelledAt(JobId job) const {
+  const auto cancelled = cancelled_at_.find(job);
+  if (cancelled == cancelled_at_.end()) return std::nullopt;
+  const auto spec = specs_.find(job);
+  std::optional<TimePoint> out;
+  for (const auto& [account, at] : cancelled->second) {
+    const bool may_cancel = !account || spec == specs_.end() ||
+                            spec->second.account.empty() ||
+                            spec->second.account == *account;
+    if (may_cancel) out = std::min(out.value_or(at), at);
+  }
+  return out;
+}
+
 void UpstreamsFake::CheckSentStart(const TaskId& task) {
-  const auto cancelled = cancelled_at_.find(task.job);
-  if (cancelled == cancelled_at_.end()) return;
-  const TimePoint since = std::max(cancelled->second, last_fault_at_);
+  const auto cancelled = CancelledAt(task.job);
+  if (!cancelled) return;
+  const TimePoint since = std::max(*cancelled, last_fault_at_);
   if (clock_.now() <= since + kCancelBound) return;
   violations_.push_back("start ordered after the job was cancelled: " +
                         TaskIdText(task));
@@ -198,10 +212,10 @@
   for (const auto& [id, upstream] : upstreams_) {
     if (upstream.faults.terminated) continue;
     for (const auto& [task, run] : upstream.running) {
-      const auto cancelled = cancelled_at_.find(task.job);
-      if (cancelled == cancelled_at_.end()) continue;
+      const auto cancelled = CancelledAt(task.job);
+      if (!cancelled) continue;
       const TimePoint since =
-          std::max({cancelled->second, run.started, last_fault_at_});
+          std::max({*cancelled, run.started, last_fault_at_});
       if (clock_.now() <= since + kCancelBound + kStopBound) continue;
       if (!reported_overruns_.insert(run.id).second) continue;
       violations_.push_back("still running after its job was cancelled: " +
--- a/tests/jobsim/upstream_fake.h
+++ b/tests/jobsim/upstream_fake.h
@@ -173,9 +173,11 @@
                         int64_t attempt, int64_t fence);
   ports::RenewReply Renew(const ports::UpstreamTarget& target,
                           const ports::RenewCall& call);
-  /// Records that a caller got the answer that the job is cancelled or does not
-  /// exist.
-  void RecordCancelled(JobId job) { cancelled_at_.emplace(job, clock_.now()); }
+  /// Records that a caller of this account, or one that may cancel the jobs of
+  /// all accounts, got the answer that the job is cancelled or does not exist.
+  void RecordCancelled(JobId job, const std::optional<std::string>& account) {
+    cancelled_at_[job].emplace(account, clock_.now());
+  }
   /// Records that a fault is active now; time bounds start again.
   void RecordFault() { last_fault_at_ = clock_.now(); }
   /// Whether any upstream has a fault that affects calls.
@@ -285,6 +287,9 @@
   /// lease is extended before.
   void ScheduleLeaseExpiry(const std::string& id);
   const wire::StepSpec* StepOf(const TaskId& task) const;
+  /// When a caller that may cancel the job was told that it is cancelled or
+  /// does not exist; nothing if none was.
+  std::optional<TimePoint> CancelledAt(JobId job) const;
   /// Whether the task has worked for at least the run time of its behavior. For
   /// a long-running task this is the time that it needs to become available.
   bool IsWorking(const TaskId& task) const;
@@ -320,7 +325,9 @@
   std::set<TaskId> acknowledged_done_;
   std::set<JobId> ran_;
   std::set<std::string> called_;
-  std::map<JobId, TimePoint> cancelled_at_;
+  /// By the account of the caller, see RecordCancelled().
+  std::map<JobId, std::map<std::optional<std::string>, TimePoint>>
+      cancelled_at_;
   TimePoint last_fault_at_{};
   /// Runs already reported as outlasting the cancellation of their job.
   std::set<uint64_t> reported_overruns_;
