Entries: Drop submissions that are read after a pause and whose client has left

An entry that froze for 4 s read submissions whose clients had left a second before, and passed them on; a caller that had meanwhile been refused elsewhere (503, "never runs") had its job run.

Cause: an entry counts a caller's deadline from when it reads the request. What waits in a socket has no age. And the deadlines of calls that it held stood still while the machine was suspended.

Ruled out: dropping whatever a client has closed, since one that closes only its sending side still waits.

Change: PauseDetector notices over 1 s without a tick of the control thread. A submission that is read within 1 s after such a pause is dropped (504: an earlier try may have been accepted) if its client has closed its side, or if the pause was longer than the 12 s that tombstones allow for. Deadlines of held calls count the time of suspension.

Why it works: the pause of an entry is the one delay of a submission that has no other bound, and the entry itself can see it.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -77,7 +77,8 @@
   std::string description;
   /// Queue of the job; empty unless the call submits one.
   std::string queue;
-  /// When this entry received the call from its caller.
+  /// When this entry received the call from its caller. This and the deadlines
+  /// are times of AccessTime().
   TimePoint received;
   /// Time at which an unanswered call is refused if it is not in doubt.
   TimePoint refusal_deadline;
@@ -233,6 +234,9 @@
   config_.Start();
   leadership_.Start();
   RunEvery(deps_.executor, kLaneRefreshPeriod, [this] { RefreshLanes(); });
+  pauses_ = PauseDetector(AccessTime());
+  RunEvery(deps_.executor, PauseDetector::kTickPeriod,
+           [this] { pauses_.Tick(AccessTime()); });
 }
 
 void JobEntry::OnElected(int64_t term) {
@@ -303,8 +307,7 @@
 
 void JobEntry::BeginShutdown() {
   shutting_down_ = true;
-  shutdown_reply_deadline_ =
-      deps_.executor.Now() + options_.shutdown_reply_timeout;
+  shutdown_reply_deadline_ = AccessTime() + options_.shutdown_reply_timeout;
   leadership_.ResignForShutdown();
 }
 
@@ -317,7 +320,7 @@
 template <typename Reply>
 std::shared_ptr<JobEntry::ForwardedCall<Reply>> JobEntry::NewCall(
     std::string description, Millis caller_timeout) const {
-  const TimePoint now = deps_.executor.Now();
+  const TimePoint now = AccessTime();
   auto out = std::make_shared<ForwardedCall<Reply>>();
   out->description = std::move(description);
   out->received = now;
@@ -331,7 +334,7 @@
 void JobEntry::LogIfRetried(const ForwardedCall<Reply>& call) const {
   if (call.tries <= 1) return;
   const auto held =
-      std::chrono::duration_cast<Millis>(deps_.executor.Now() - call.received);
+      std::chrono::duration_cast<Millis>(AccessTime() - call.received);
   logging::Event(Level::kInfo, "call answered after retries",
                  {{"call", call.description},
                   {"tries", std::to_string(call.tries)},
@@ -341,7 +344,7 @@
 
 template <typename Reply>
 void JobEntry::Forward(std::shared_ptr<ForwardedCall<Reply>> call) {
-  const TimePoint now = deps_.executor.Now();
+  const TimePoint now = AccessTime();
   // A call that may have taken effect can't be refused any more, so it is
   // retried, to resolve its outcome, for as long as its caller waits. An entry
   // that shuts down must answer each call before it exits.
@@ -458,15 +461,15 @@
 void JobEntry::RefuseForLinkUnlessKnown(const wire::JobSpec& spec,
                                         Millis retry_after,
                                         Millis caller_timeout, JobDone done) {
-  const TimePoint deadline = deps_.executor.Now() + caller_timeout;
+  const TimePoint deadline = AccessTime() + caller_timeout;
   QueryState(
       static_cast<JobId>(spec.id), std::nullopt, caller_timeout,
       [this, spec, retry_after, deadline,
        done = std::move(done)](const JobAnswer& answer) {
         if (answer.verdict == JobVerdict::kConfirmed ||
             answer.verdict == JobVerdict::kUnreadable) {
-          const auto remaining = std::chrono::duration_cast<Millis>(
-              deadline - deps_.executor.Now());
+          const auto remaining =
+              std::chrono::duration_cast<Millis>(deadline - AccessTime());
           return ForwardSubmission(spec, std::max(Millis(0), remaining), done);
         }
         // Without an answer the job can neither be refused nor sent: its bytes
@@ -490,9 +493,30 @@
                   {"retry_after_ms", std::to_string(retry_after.count())}});
 }
 
-void JobEntry::Submit(const wire::JobSpec& spec, Millis caller_timeout,
+bool JobEntry::MayBeOutdated(const Submitter& submitter) const {
+  const Millis pause = pauses_.RecentPause(AccessTime());
+  // The leader remembers cancellations for longer than such a pause only.
+  if (pause > coordinator::kMaxEntryPause) return true;
+  return submitter.closed && pause > Millis(0);
+}
+
+void JobEntry::DropOutdated(const wire::JobSpec& spec,
+                            const Submitter& submitter, const JobDone& done) {
+  const Millis pause = pauses_.RecentPause(AccessTime());
+  deps_.metrics.Count({.name = "outdated_submissions"});
+  logging::Event(Level::kWarning, "outdated submission dropped",
+                 {{"job", JobIdText(static_cast<JobId>(spec.id))},
+                  {"queue", spec.queue.name},
+                  {"paused_ms", std::to_string(pause.count())},
+                  {"client_closed", submitter.closed ? "yes" : "no"}});
+  done({.verdict = JobVerdict::kOutcomeUnknown});
+}
+
+void JobEntry::Submit(const wire::JobSpec& spec, const Submitter& submitter,
                       JobDone done) {
-  const Millis timeout = std::min(caller_timeout, options_.max_submission_hold);
+  if (MayBeOutdated(submitter)) return DropOutdated(spec, submitter, done);
+  const Millis timeout =
+      std::min(submitter.timeout, options_.max_submission_hold);
   if (const std::optional<Millis> retry = LinkRetryAfter(spec)) {
     return RefuseForLinkUnlessKnown(spec, *retry, timeout, std::move(done));
   }
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -17,6 +17,7 @@
 #include "src/jobentry/submission_intake.h"
 #include "src/jobentry/waiting_calls.h"
 #include "src/leadership/leadership.h"
+#include "src/libs/base/pause_detector.h"
 
 namespace mimosarail::jobentry {
 
@@ -89,7 +90,7 @@
   int64_t advice_in_flight() const { return advice_in_flight_; }
 
   AccessView Access() const override { return access_.View(AccessTime()); }
-  void Submit(const wire::JobSpec& spec, Millis caller_timeout,
+  void Submit(const wire::JobSpec& spec, const Submitter& submitter,
               JobDone done) override;
   void QueryState(JobId id, const CallerAccount& account, Millis caller_timeout,
                   JobDone done) override;
@@ -143,7 +144,7 @@
   /// the leader. `queue` is empty unless the call submits a job.
   Millis RetryAfterWithoutAnswer(const std::string& queue);
   /// A clock that does not stop while the machine is suspended: keys may be
-  /// revoked meanwhile. Thread-safe.
+  /// revoked and callers may give up meanwhile. Thread-safe.
   TimePoint AccessTime() const {
     return deps_.executor.Now() + deps_.executor.Suspended();
   }
@@ -164,6 +165,13 @@
   template <typename Reply>
   void LogIfRetried(const ForwardedCall<Reply>& call) const;
 
+  /// Whether the submission may be so old that its caller has given up, and has
+  /// perhaps cancelled the job meanwhile.
+  bool MayBeOutdated(const Submitter& submitter) const;
+  /// Answers that the outcome is unknown: an earlier try of the caller may have
+  /// been accepted.
+  void DropOutdated(const wire::JobSpec& spec, const Submitter& submitter,
+                    const JobDone& done);
   /// Returns the time after which to retry if the job is to be refused since
   /// the leader's link is full; nothing if the job has to be forwarded.
   std::optional<Millis> LinkRetryAfter(const wire::JobSpec& spec) const;
@@ -197,12 +205,13 @@
   bool shutting_down_ = false;
   bool accepting_stopped_ = false;
   int64_t advice_in_flight_ = 0;
-  /// Time by which this entry has to answer all calls; set when its shutdown
-  /// begins.
+  /// Time of AccessTime() by which this entry has to answer all calls; set when
+  /// its shutdown begins.
   TimePoint shutdown_reply_deadline_ = TimePoint::max();
   TimePoint last_leader_reply_{};
   /// How long this machine had been suspended at that time.
   Millis suspended_at_last_leader_reply_{0};
+  PauseDetector pauses_{AccessTime()};
   LinkRefusals link_refusals_;
   LeaderLoad load_;
   /// Calls refused here without an answer from the leader.
--- a/src/jobentry/job_service.h
+++ b/src/jobentry/job_service.h
@@ -32,17 +32,25 @@
 
 using JobDone = std::function<void(JobAnswer)>;
 
+/// The caller of a submission, as far as its connection shows.
+struct Submitter {
+  /// How long it waits for the answer, counted from the call.
+  Millis timeout{0};
+  /// It had closed its side of the connection when its request was read.
+  bool closed = false;
+};
+
 /// Operations that an entry offers to callers. Control thread only, except for
 /// Access(). `done` runs once, on the control thread, possibly within the call.
-/// It runs after `caller_timeout` at the latest, unless a try at this entry or
-/// a check of the store is under way then: that is awaited first.
+/// It runs after the caller's timeout at the latest, unless a try at this entry
+/// or a check of the store is under way then: that is awaited first.
 class JobService {
  public:
   virtual ~JobService() = default;
   /// The queues and accounts that the entry knows now. Thread-safe.
   virtual AccessView Access() const = 0;
   /// Precondition: CheckJob() found nothing.
-  virtual void Submit(const wire::JobSpec& spec, Millis caller_timeout,
+  virtual void Submit(const wire::JobSpec& spec, const Submitter& submitter,
                       JobDone done) = 0;
   virtual void QueryState(JobId id, const CallerAccount& account,
                           Millis caller_timeout, JobDone done) = 0;
--- a/tests/accounts_test.cc
+++ b/tests/accounts_test.cc
@@ -68,7 +68,7 @@
   jobentry::AccessView Access() const override {
     return access.View(executor_.Now());
   }
-  void Submit(const wire::JobSpec& spec, Millis,
+  void Submit(const wire::JobSpec& spec, const jobentry::Submitter&,
               jobentry::JobDone done) override {
     Note(spec.account);
     done({.verdict = JobVerdict::kConfirmed});
--- a/tests/callback_threads_test.cc
+++ b/tests/callback_threads_test.cc
@@ -73,7 +73,8 @@
     config.queues.push_back({.host = "h", .prefix = "/q/"});
     return {.table = std::make_shared<const jobentry::AccessTable>(config)};
   }
-  void Submit(const wire::JobSpec&, Millis, jobentry::JobDone) override {}
+  void Submit(const wire::JobSpec&, const jobentry::Submitter&,
+              jobentry::JobDone) override {}
   void QueryState(JobId, const jobentry::CallerAccount&, Millis,
                   jobentry::JobDone done) override {
     answered = true;
--- a/tests/entry_under_test.h
+++ b/tests/entry_under_test.h
@@ -217,6 +217,17 @@
     return Retry(limit, [&] { return Call(port, "GET", "/", "") == 200; });
   }
 
+  /// HTTP status of the answer to one call; 0 without an answer.
+  int Status(const std::string& method, const std::string& path,
+             const std::string& body = "") const {
+    return Call(port(), method, path, body);
+  }
+  /// Body of the answer to one call; empty without an answer.
+  std::string Body(const std::string& method, const std::string& path) const {
+    const auto result = Send(port(), method, path, "");
+    return result ? result->body : "";
+  }
+
   /// Submits a job with this body and asks for its state; retries both like a
   /// client.
   bool AnswersWithin(Millis limit, const std::string& body = JobBody()) {
@@ -255,9 +266,9 @@
     return true;
   }
 
-  /// HTTP status; 0 without an answer.
-  static int Call(int port, const std::string& method, const std::string& path,
-                  const std::string& body) {
+  static httplib::Result Send(int port, const std::string& method,
+                              const std::string& path,
+                              const std::string& body) {
     httplib::Client client("127.0.0.1", port);
     client.set_connection_timeout(kCallTimeout);
     client.set_read_timeout(kCallTimeout);
@@ -266,7 +277,13 @@
     request.path = path;
     request.headers = {{"Host", kHost}, {"X-Deadline-Ms", "3000"}};
     request.body = body;
-    const auto result = client.send(request);
+    return client.send(request);
+  }
+
+  /// HTTP status; 0 without an answer.
+  static int Call(int port, const std::string& method, const std::string& path,
+                  const std::string& body) {
+    const auto result = Send(port, method, path, body);
     return result ? result->status : 0;
   }
 
--- a/tests/job_durability_test.cc
+++ b/tests/job_durability_test.cc
@@ -206,7 +206,8 @@
 
 std::string AnyFollower(JobCluster& cluster, const std::string& leader) {
   for (const std::string& name : cluster.names()) {
-    if (name != leader && cluster.entry(name) != nullptr) return name;
+    const bool serves = cluster.entry(name) != nullptr && !cluster.paused(name);
+    if (name != leader && serves) return name;
   }
   return {};
 }
--- a/tests/jobsim/job_cluster.cc
+++ b/tests/jobsim/job_cluster.cc
@@ -269,6 +269,11 @@
   if (processes_[entry]) processes_[entry]->executor.Resume();
 }
 
+bool JobCluster::paused(const std::string& entry) const {
+  const auto& process = processes_.at(entry);
+  return process && process->executor.paused();
+}
+
 void JobCluster::SetIsolated(const std::string& entry, bool isolated) {
   if (isolated) {
     isolated_.insert(entry);
@@ -341,8 +346,11 @@
   ++submissions_[id];
   auto* target = process->entry.get();
   process->executor.Post([this, target, spec, id, call] {
+    // A paused entry reads the submission after its caller has given up.
+    const bool closed = clock_.now() - calls_[call].sent >= kCallTimeout;
     target->Submit(
-        spec, kCallTimeout, [this, id, call](jobentry::JobAnswer answer) {
+        spec, {.timeout = kCallTimeout, .closed = closed},
+        [this, id, call](jobentry::JobAnswer answer) {
           RecordAnswer(call, answer);
           submission_answers_[id].push_back(answer.verdict);
           if (answer.verdict == coordinator::JobVerdict::kConfirmed) {
--- a/tests/jobsim/job_cluster.h
+++ b/tests/jobsim/job_cluster.h
@@ -138,6 +138,7 @@
   void Kill(const std::string& entry);
   void Pause(const std::string& entry);
   void Resume(const std::string& entry);
+  bool paused(const std::string& entry) const;
   /// Makes the entry and all other entries unreachable for each other.
   void SetIsolated(const std::string& entry, bool isolated);
   /// Partitions the network: these entries and upstreams reach only each other,
--- a/tests/request_memory_test.cc
+++ b/tests/request_memory_test.cc
@@ -39,7 +39,8 @@
     config.queues.push_back({.host = "h", .prefix = "/q/"});
     return {.table = std::make_shared<const jobentry::AccessTable>(config)};
   }
-  void Submit(const wire::JobSpec&, Millis, jobentry::JobDone done) override {
+  void Submit(const wire::JobSpec&, const jobentry::Submitter&,
+              jobentry::JobDone done) override {
     waiting_.push_back(std::move(done));
     ++submissions;
   }
--- a/tests/unknown_cancel_test.cc
+++ b/tests/unknown_cancel_test.cc
@@ -102,6 +102,21 @@
   cluster.RunFor(Millis(1500));
 }
 
+/// Submits the job at the leader, which refuses it since the store does not
+/// answer.
+void SubmitWhileStoreIsDown(ReadyCluster& cluster) {
+  constexpr Millis kStallTime{500};
+  constexpr Millis kRefusalTime{470};
+  cluster.store().faults().down = true;
+  cluster.Submit(cluster.Leader(), JobOf(kJob + 1));
+  cluster.RunFor(kStallTime);
+  const size_t index = cluster.calls().size();
+  cluster.Submit(cluster.Leader(), JobOf(kJob));
+  cluster.RunFor(kRefusalTime);
+  BOOST_REQUIRE((cluster.calls()[index].verdict == JobVerdict::kRefused));
+  cluster.store().faults() = {};
+}
+
 void CheckNeverRuns(ReadyCluster& cluster, JobId id) {
   cluster.RunFor(kRunTime);
   BOOST_CHECK_MESSAGE(!cluster.upstreams().HasRun(id),
@@ -273,6 +288,22 @@
   CheckNeverRuns(cluster, kJob);
 }
 
+/// Guards against an entry that passes on a submission that it reads after a
+/// pause, although its caller has given up meanwhile.
+BOOST_AUTO_TEST_CASE(SubmissionReadAfterItsCallerGaveUpIsDropped) {
+  ReadyCluster cluster;
+  const std::string paused = cluster.Follower();
+  cluster.Pause(paused);
+  cluster.Submit(paused, JobOf(kJob));
+  cluster.RunFor(Millis(3500));
+  cluster.Resume(paused);
+  cluster.RunFor(kRunTime);
+  BOOST_TEST(!cluster.upstreams().HasRun(kJob));
+  BOOST_TEST((cluster.calls().front().verdict == JobVerdict::kOutcomeUnknown));
+  BOOST_TEST(
+      (cluster.SubmitNow(paused, JobOf(kJob + 1)) == JobVerdict::kConfirmed));
+}
+
 /// Guards against a cancellation that only the leader which acknowledged it
 /// knows.
 BOOST_AUTO_TEST_CASE(CancellationOfUnknownJobSurvivesTakeovers) {
@@ -476,6 +507,48 @@
   BOOST_TEST(cluster.Violations().empty());
 }
 
+/// Guards against a caller that is told that its job never runs while an
+/// earlier try of it, which got no answer, is still at a paused entry.
+BOOST_AUTO_TEST_CASE(RefusedJobIsNotRunByAPausedEntry) {
+  ReadyCluster cluster;
+  const std::string paused = cluster.Follower();
+  cluster.Pause(paused);
+  cluster.Submit(paused, JobOf(kJob));
+  cluster.RunFor(Millis(3000));
+  SubmitWhileStoreIsDown(cluster);
+  cluster.RunFor(kStartupTime);
+  cluster.Resume(paused);
+  cluster.RunFor(kRunTime);
+  BOOST_TEST(!cluster.upstreams().HasRun(kJob));
+}
+
+/// The same with an earlier try that its entry repeats, since its outcome is in
+/// doubt. Its caller has left.
+BOOST_AUTO_TEST_CASE(RefusedJobIsNotRunByAnEarlierTry) {
+  ReadyCluster cluster;
+  const std::string holder = cluster.Follower();
+  cluster.SetIsolated(holder, true);
+  cluster.Submit(holder, JobOf(kJob));
+  SubmitWhileStoreIsDown(cluster);
+  cluster.SetIsolated(holder, false);
+  cluster.RunFor(kRunTime);
+  BOOST_TEST(!cluster.upstreams().HasRun(kJob));
+}
+
+/// Guards against a submission that was paused at its entry for longer than the
+/// leader remembers that its job was cancelled. Its caller still waits.
+BOOST_AUTO_TEST_CASE(SubmissionReadAfterALongPauseIsDropped) {
+  ReadyCluster cluster;
+  const std::string paused = cluster.Follower();
+  cluster.Pause(paused);
+  cluster.RunFor(coordinator::kTombstoneRetention + Millis(5000));
+  cluster.Submit(paused, JobOf(kJob));
+  cluster.Resume(paused);
+  cluster.RunFor(kRunTime);
+  BOOST_TEST((cluster.calls().front().verdict == JobVerdict::kOutcomeUnknown));
+  BOOST_TEST(!cluster.upstreams().HasRun(kJob));
+}
+
 /// Guards against an entry that repeats a submission in doubt for as long as
 /// its caller claims to wait, after the cancellation is forgotten.
 BOOST_AUTO_TEST_CASE(SubmissionInDoubtIsHeldForALimitedTime) {
@@ -485,7 +558,7 @@
   cluster.SetIsolated(holder, true);
   JobVerdict verdict = JobVerdict::kConfirmed;
   cluster.entry(holder)->Submit(
-      JobOf(kJob), kHour,
+      JobOf(kJob), {.timeout = kHour},
       [&](const jobentry::JobAnswer& answer) { verdict = answer.verdict; });
   cluster.RunFor(coordinator::kMaxSubmissionHold + Millis(1000));
   BOOST_TEST((verdict == JobVerdict::kOutcomeUnknown));
