Soak: Cancel unanswered submissions and send their copies late

A quarter of the submissions without an answer are cancelled at another entry; a copy follows within 5 s. A start after a 410 is a finding.

--- a/tests/soak/callers.cc
+++ b/tests/soak/callers.cc
@@ -39,6 +39,10 @@
 constexpr size_t kOtherEntryPercent = 15;
 /// Share of refused submissions that are not retried.
 constexpr size_t kAbandonRefusedPercent = 50;
+/// Share of unanswered submissions whose job is cancelled instead.
+constexpr size_t kCancelUnansweredPercent = 25;
+/// Delay of the late copy of a submission whose job was cancelled.
+constexpr Millis kMaxCopyDelay{5000};
 /// All entries must know a job this long after its acceptance.
 constexpr Millis kVisibilityLimit{3000};
 
@@ -238,6 +242,10 @@
     return ScheduleNextCall(caller);
   }
   if (reply.refused()) ++job.refusals;
+  const bool unanswered = reply.status == 0 && !reply.unsent;
+  if (unanswered && random_.Percent(kCancelUnansweredPercent)) {
+    return CancelUnanswered(caller, id);
+  }
   const bool abandons =
       reply.refused() && random_.Percent(kAbandonRefusedPercent);
   if (abandons || retries >= kMaxRetries) return ScheduleNextCall(caller);
@@ -249,6 +257,19 @@
                      });
 }
 
+void Callers::CancelUnanswered(size_t caller, JobId id) {
+  checker_.jobs()[id].cancel_requested = true;
+  client_.Call(
+      *entries_[random_.Below(entries_.size())],
+      {.method = "DELETE", .job = id}, [this, caller, id](const auto& reply) {
+        if (reply.status == 410) checker_.jobs()[id].denied = true;
+        executor_.RunAfter(random_.Between(Millis(0), kMaxCopyDelay),
+                           [this, caller, id] {
+                             Submit(caller, id, PickEntry(caller), kMaxRetries);
+                           });
+      });
+}
+
 void Callers::QueryOrCancel(size_t caller, JobId id, bool cancel) {
   Entry& entry = PickEntry(caller);
   JobRecord& job = checker_.jobs()[id];
--- a/tests/soak/callers.h
+++ b/tests/soak/callers.h
@@ -96,6 +96,9 @@
   void Submit(size_t caller, JobId id, Entry& entry, int retries);
   void OnSubmitReply(size_t caller, JobId id, Entry& entry, int retries,
                      const CallerReply& reply);
+  /// Cancels a job whose submission got no answer. A copy of the submission
+  /// arrives later.
+  void CancelUnanswered(size_t caller, JobId id);
   /// Queries an accepted job with a key that does not permit it.
   void QueryWithoutPermission(size_t caller, JobId id);
   /// Queries or cancels an accepted job.
--- a/tests/soak/consistency_checker.cc
+++ b/tests/soak/consistency_checker.cc
@@ -96,6 +96,10 @@
                          task.index < found->second.tasks[step] &&
                          payload == Payload(task.job);
   if (!requested) return AddFinding("started without being requested: " + what);
+  if (found->second.denied) {
+    AddFinding("started although a caller was told that it does not exist: " +
+               what);
+  }
   found->second.started = true;
   if (step > 0 && !IsStepDone(task.job, task.step - 1)) {
     AddFinding("started before the previous step was done: " + what);
--- a/tests/soak/consistency_checker.h
+++ b/tests/soak/consistency_checker.h
@@ -28,6 +28,8 @@
   std::string accepted_by;
   TimePoint accepted_at{};
   bool cancel_requested = false;
+  /// A caller that cancelled the job was told that it does not exist.
+  bool denied = false;
   /// The first final state that an entry reported, and when; empty before.
   std::string final_state;
   TimePoint final_reported_at{};
