Jobs: Keep records of tombstones storable, and meet jobs without an owner

Found when reading the change: a record was closed by the number of its ids, so that account names of any length could make it larger than the store takes, which would block every append behind it. It is closed by bytes now (8 KiB), and names above 64 KiB are refused. And a submission to a public queue, whose job every account may cancel, did not meet the tombstone of an account.

--- a/src/coordinator/cancel_tombstones.cc
+++ b/src/coordinator/cancel_tombstones.cc
@@ -14,8 +14,18 @@
 /// for operators.
 constexpr size_t kOtherRooms = 2;
 
+/// Longest name of an account that fits into a record with others.
+constexpr size_t kMaxAccountBytes = 64 << 10;
+/// Most bytes that an id, and an account besides its name, take in a record.
+constexpr size_t kEncodedIdBytes = 10;
+constexpr size_t kEncodedAccountBytes = 16;
+
+size_t NameBytes(const CancelTombstones::CallAccount& account) {
+  return account ? account->size() : 0;
+}
+
 size_t GroupBytes(const CancelTombstones::CallAccount& account) {
-  return kTombstoneGroupBytes + (account ? account->size() : 0);
+  return kTombstoneGroupBytes + NameBytes(account);
 }
 
 Millis Since(TimePoint then, TimePoint now) {
@@ -30,6 +40,7 @@
 }
 
 bool CancelTombstones::HasRoom(const CallAccount& account) const {
+  if (NameBytes(account) > kMaxAccountBytes) return false;
   const auto found = accounts_.find(account);
   const size_t used = found == accounts_.end() ? 0 : found->second.bytes;
   return used + kTombstoneBytes + GroupBytes(account) <= room_bytes_;
@@ -48,7 +59,7 @@
 CancelTombstones::Record& CancelTombstones::OpenRecord(TimePoint now) {
   const bool open = last_is_open_ && !records_.empty() &&
                     now - records_.back().opened < options_.record_span &&
-                    records_.back().size < options_.max_ids_per_record;
+                    records_.back().encoded_bytes < options_.full_record_bytes;
   if (open) return records_.back();
   const int64_t number = LastNumber() + 1;
   records_.push_back({.key = TombstoneKey(options_.term, number),
@@ -63,13 +74,17 @@
   const auto [newest, is_new] = of_account.records.emplace(id, LastNumber());
   if (!is_new && newest->second == LastNumber()) return;
   newest->second = LastNumber();
-  const auto [group, is_new_group] = records_.back().ids.try_emplace(account);
+  Record& record = records_.back();
+  const auto [group, is_new_group] = record.ids.try_emplace(account);
   group->second.push_back(id);
-  const size_t bytes =
-      kTombstoneBytes + (is_new_group ? GroupBytes(account) : 0);
+  record.encoded_bytes += kEncodedIdBytes;
+  size_t bytes = kTombstoneBytes;
+  if (is_new_group) {
+    record.encoded_bytes += kEncodedAccountBytes + NameBytes(account);
+    bytes += GroupBytes(account);
+  }
   of_account.bytes += bytes;
   bytes_ += bytes;
-  ++records_.back().size;
   ++size_;
 }
 
@@ -88,21 +103,23 @@
 }
 
 const CancelTombstones::Record* CancelTombstones::FindRecord(
-    const CallAccount& account, JobId id) const {
-  const auto of_account = accounts_.find(account);
-  if (of_account == accounts_.end()) return nullptr;
-  const auto number = of_account->second.records.find(id);
-  if (number == of_account->second.records.end()) return nullptr;
+    const AccountTombstones& tombstones, JobId id) const {
+  const auto number = tombstones.records.find(id);
+  if (number == tombstones.records.end()) return nullptr;
   return &records_[static_cast<size_t>(number->second - first_number_)];
 }
 
 std::optional<Millis> CancelTombstones::AgeOf(JobId id,
                                               const std::string& account,
                                               TimePoint now) const {
-  const Record* record = FindRecord(account, id);
-  if (record == nullptr) record = FindRecord(std::nullopt, id);
-  if (record == nullptr) return std::nullopt;
-  return Since(record->opened, now);
+  for (const auto& [cancelled_by, tombstones] : accounts_) {
+    const bool may_cancel =
+        !cancelled_by || account.empty() || *cancelled_by == account;
+    if (!may_cancel) continue;
+    const Record* record = FindRecord(tombstones, id);
+    if (record != nullptr) return Since(record->opened, now);
+  }
+  return std::nullopt;
 }
 
 bool CancelTombstones::Load(const ports::KeyedRecord& record, TimePoint now) {
--- a/src/coordinator/cancel_tombstones.h
+++ b/src/coordinator/cancel_tombstones.h
@@ -37,9 +37,11 @@
   /// Term of this leader, a part of the keys of its records.
   int64_t term = 0;
   Millis retention = kTombstoneRetention;
-  /// Tombstones that are added within this time share a record.
+  /// Tombstones that are added within this time share a record, which is
+  /// written again with each of them.
   Millis record_span{200};
-  size_t max_ids_per_record = 1000;
+  /// Size at which a record takes no further tombstones.
+  size_t full_record_bytes = 8 << 10;
 };
 
 /// Cancellations of jobs that the leader does not know. A submission of such a
@@ -68,7 +70,8 @@
   ports::KeyedRecord Add(JobId id, const CallAccount& account, TimePoint now);
 
   /// How long ago the job of this account was cancelled, or loaded if that was
-  /// under an earlier leader; nothing if it has no tombstone.
+  /// under an earlier leader; nothing if it has no tombstone. An empty account
+  /// stands for a job without an owner, which any account may cancel.
   std::optional<Millis> AgeOf(JobId id, const std::string& account,
                               TimePoint now) const;
 
@@ -87,7 +90,8 @@
     std::string key;
     TimePoint opened{};
     TimePoint last_added{};
-    size_t size = 0;
+    /// Upper bound of its encoded size.
+    size_t encoded_bytes = 0;
     std::map<CallAccount, std::vector<JobId>> ids{};
   };
   struct AccountTombstones {
@@ -104,7 +108,8 @@
   /// Adds a tombstone to the last record, unless that holds it already.
   void AddToLast(JobId id, const CallAccount& account);
   void DropFirst();
-  const Record* FindRecord(const CallAccount& account, JobId id) const;
+  /// The newest record that holds the id; null if none does.
+  const Record* FindRecord(const AccountTombstones& tombstones, JobId id) const;
 
   CancelTombstonesOptions options_;
   size_t room_bytes_ = 0;
