Entries: Forward a submission after a long pause if the leader knows its job

Change: after such a pause the entry asks the leader for the job first, as it does when the leader's link is full (one function now), and drops the submission only if the leader doesn't know it.

--- a/src/jobentry/job_entry.cc
+++ b/src/jobentry/job_entry.cc
@@ -458,30 +458,38 @@
   return link_refusals_.RetryAfter(spec.queue.priority, deps_.executor.Now());
 }
 
-void JobEntry::RefuseForLinkUnlessKnown(const wire::JobSpec& spec,
-                                        Millis retry_after,
-                                        Millis caller_timeout, JobDone done) {
-  const TimePoint deadline = AccessTime() + caller_timeout;
+void JobEntry::ForwardIfKnown(const wire::JobSpec& spec, Millis timeout,
+                              const JobDone& done,
+                              std::function<void()> if_unknown) {
+  const TimePoint deadline = AccessTime() + timeout;
   QueryState(
-      static_cast<JobId>(spec.id), std::nullopt, caller_timeout,
-      [this, spec, retry_after, deadline,
-       done = std::move(done)](const JobAnswer& answer) {
+      static_cast<JobId>(spec.id), std::nullopt, timeout,
+      [this, spec, deadline, done,
+       if_unknown = std::move(if_unknown)](const JobAnswer& answer) {
         if (answer.verdict == JobVerdict::kConfirmed ||
             answer.verdict == JobVerdict::kUnreadable) {
           const auto remaining =
               std::chrono::duration_cast<Millis>(deadline - AccessTime());
           return ForwardSubmission(spec, std::max(Millis(0), remaining), done);
         }
-        // Without an answer the job can neither be refused nor sent: its bytes
-        // would add to those that delay the answers.
-        if (answer.verdict != JobVerdict::kNoSuchJob) {
-          return done({.verdict = JobVerdict::kOutcomeUnknown});
+        if (answer.verdict == JobVerdict::kNoSuchJob) {
+          return if_unknown();
         }
-        LogLinkRefusal(spec, retry_after);
-        done({.verdict = JobVerdict::kRefused, .retry_after = retry_after});
+        done({.verdict = JobVerdict::kOutcomeUnknown});
       });
 }
 
+void JobEntry::RefuseForLinkUnlessKnown(const wire::JobSpec& spec,
+                                        Millis retry_after, Millis timeout,
+                                        const JobDone& done) {
+  // Without an answer the job can neither be refused nor sent: its bytes would
+  // add to those that delay the answers.
+  ForwardIfKnown(spec, timeout, done, [this, spec, retry_after, done] {
+    LogLinkRefusal(spec, retry_after);
+    done({.verdict = JobVerdict::kRefused, .retry_after = retry_after});
+  });
+}
+
 void JobEntry::LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after) {
   deps_.metrics.Count(
       {.name = "jobs_refused",
@@ -493,16 +501,9 @@
                   {"retry_after_ms", std::to_string(retry_after.count())}});
 }
 
-bool JobEntry::MayBeOutdated(const Submitter& submitter) const {
-  const Millis pause = pauses_.RecentPause(AccessTime());
-  // The leader remembers cancellations for longer than such a pause only.
-  if (pause > coordinator::kMaxEntryPause) return true;
-  return submitter.closed && pause > Millis(0);
-}
-
 void JobEntry::DropOutdated(const wire::JobSpec& spec,
-                            const Submitter& submitter, const JobDone& done) {
-  const Millis pause = pauses_.RecentPause(AccessTime());
+                            const Submitter& submitter, Millis pause,
+                            const JobDone& done) {
   deps_.metrics.Count({.name = "outdated_submissions"});
   logging::Event(Level::kWarning, "outdated submission dropped",
                  {{"job", JobIdText(static_cast<JobId>(spec.id))},
@@ -514,11 +515,21 @@
 
 void JobEntry::Submit(const wire::JobSpec& spec, const Submitter& submitter,
                       JobDone done) {
-  if (MayBeOutdated(submitter)) return DropOutdated(spec, submitter, done);
+  const Millis pause = pauses_.RecentPause(AccessTime());
+  if (submitter.closed && pause > Millis(0)) {
+    return DropOutdated(spec, submitter, pause, done);
+  }
   const Millis timeout =
       std::min(submitter.timeout, options_.max_submission_hold);
+  if (pause > coordinator::kMaxEntryPause) {
+    // The job may have been cancelled longer ago than the leader remembers.
+    return ForwardIfKnown(spec, timeout, done,
+                          [this, spec, submitter, pause, done] {
+                            DropOutdated(spec, submitter, pause, done);
+                          });
+  }
   if (const std::optional<Millis> retry = LinkRetryAfter(spec)) {
-    return RefuseForLinkUnlessKnown(spec, *retry, timeout, std::move(done));
+    return RefuseForLinkUnlessKnown(spec, *retry, timeout, done);
   }
   ForwardSubmission(spec, timeout, std::move(done));
 }
--- a/src/jobentry/job_entry.h
+++ b/src/jobentry/job_entry.h
@@ -165,21 +165,23 @@
   template <typename Reply>
   void LogIfRetried(const ForwardedCall<Reply>& call) const;
 
-  /// Whether the submission may be so old that its caller has given up, and has
-  /// perhaps cancelled the job meanwhile.
-  bool MayBeOutdated(const Submitter& submitter) const;
-  /// Answers that the outcome is unknown: an earlier try of the caller may have
-  /// been accepted.
+  /// Drops a submission that is read after a pause of this entry, and whose
+  /// caller may have given up and cancelled the job. Answers that the outcome
+  /// is unknown: an earlier try of the caller may have been accepted.
   void DropOutdated(const wire::JobSpec& spec, const Submitter& submitter,
-                    const JobDone& done);
+                    Millis pause, const JobDone& done);
   /// Returns the time after which to retry if the job is to be refused since
   /// the leader's link is full; nothing if the job has to be forwarded.
   std::optional<Millis> LinkRetryAfter(const wire::JobSpec& spec) const;
-  /// Refuses the job unless the leader knows its id: a caller that got no
+  /// Forwards the submission if the leader knows the job: a caller that got no
   /// answer repeats a job that may have been accepted through another entry.
-  /// The query takes a fraction of the bytes of a submission.
+  /// Otherwise runs `if_unknown`. The query takes a fraction of the bytes of a
+  /// submission.
+  void ForwardIfKnown(const wire::JobSpec& spec, Millis timeout,
+                      const JobDone& done, std::function<void()> if_unknown);
+  /// Refuses the job unless the leader knows its id.
   void RefuseForLinkUnlessKnown(const wire::JobSpec& spec, Millis retry_after,
-                                Millis caller_timeout, JobDone done);
+                                Millis timeout, const JobDone& done);
   void LogLinkRefusal(const wire::JobSpec& spec, Millis retry_after);
   /// Handles a submission as the leader, or rejects it.
   void HandleSubmission(SubmissionIntake::Submission submission);
