Callers: Handle no request that waited for long behind others

Callers could see a job run whose cancellation was acknowledged: a client sends DELETE of one job and POST of another on one connection, the outcome of the first stays in doubt for as long as its deadline allows (up to an hour), and the second is read only then, as if it had just come. Its client may have cancelled it through another entry meanwhile, and after 60 s the leader has forgotten that.

Cause: the requests of a connection are handled one after the other, and what waits in its socket has no age. The sum of delays that the retention of tombstones is made of left this wait out.

The session now notes since when its client has sent on without waiting for answers. The waits of several calls add up. A shutdown answers all that was sent, as before.

--- a/src/coordinator/cancel_tombstones.h
+++ b/src/coordinator/cancel_tombstones.h
@@ -16,16 +16,17 @@
 namespace mimosarail::coordinator {
 
 /// By how much a submission may reach the leader later than the cancellation of
-/// its job: a copy is late on its way to an entry, the entry is paused or cut
-/// off, it holds the submission while the outcome is in doubt, and its last
-/// call waits at the leader.
+/// its job: a copy is late on its way to an entry, waits behind other requests
+/// of its connection, the entry is paused or cut off, it holds the submission
+/// while the outcome is in doubt, and its last call waits at the leader.
 inline constexpr Millis kMaxCopyDelay{12000};
+inline constexpr Millis kMaxWaitBehind{4000};
 inline constexpr Millis kMaxEntryPause{12000};
 inline constexpr Millis kMaxSubmissionHold{30000};
 inline constexpr Millis kMaxLeaderDelay{2000};
 inline constexpr Millis kTombstoneRetention{60000};
-static_assert(kMaxCopyDelay + kMaxEntryPause + kMaxSubmissionHold +
-                  kMaxLeaderDelay <=
+static_assert(kMaxCopyDelay + kMaxWaitBehind + kMaxEntryPause +
+                  kMaxSubmissionHold + kMaxLeaderDelay <=
               kTombstoneRetention);
 
 /// Memory of a tombstone, and of the tombstones of an account in one record,
--- a/src/libs/http/server.h
+++ b/src/libs/http/server.h
@@ -43,6 +43,11 @@
   /// empty. The larger of this and the body itself counts until the answer.
   /// Runs on the thread of `io`.
   std::function<size_t(const std::string& body)> decoded_bytes;
+  /// A request that may have been sent longer ago than this is not handled,
+  /// because it waited for the answers to earlier ones: its connection closes
+  /// with the answer before it. A shutdown handles such requests. 0 for no
+  /// bound.
+  Millis max_wait_behind{0};
   /// Counts requests and responses as `traffic_kind` unless it is null; must
   /// outlive the server.
   metrics::Traffic* traffic = nullptr;
--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -247,6 +247,7 @@
   if (!memory_.Complete(MemoryToHandle(message))) return RefuseForMemory();
   ++server_->open_requests;
   handling_.Join();
+  if (!sends_on_) sending_on_since_ = Clock::now();
   keep_alive_ = message.keep_alive;
   message.request.client_closed = ClosedByPeer();
   server_->handler(
@@ -265,6 +266,7 @@
   if (keep_alive_ && sends_on && server_->TakeCloseForRoom()) {
     keep_alive_ = false;
   }
+  keep_alive_ = keep_alive_ && !NextIsOutdated();
   out_ = ResponseText(response, keep_alive_);
   CountTraffic(metrics::Direction::kOut, out_.size(), 1);
   writing_ = true;
@@ -282,7 +284,8 @@
 
 void Session::OnWritten() {
   handling_.Leave();
-  if (!keep_alive_) return CloseAfterResponse();
+  sends_on_ = SendsOn();
+  if (!keep_alive_ || NextIsOutdated()) return CloseAfterResponse();
   memory_.Release();
   deadline_.Restart();
   if (unparsed_.empty()) return ReadNext();
@@ -300,6 +303,16 @@
   return !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
 }
 
+bool Session::NextIsOutdated() const {
+  const TimePoint now = Clock::now();
+  const Millis max_wait = server_->options.max_wait_behind;
+  const bool outdated = max_wait > Millis(0) && SendsOn() &&
+                        !server_->shutting_down &&
+                        now - sending_on_since_ > max_wait;
+  if (outdated) server_->refusals.Add("waited behind others", 0, now);
+  return outdated;
+}
+
 bool Session::HasUnreadBytes() const {
   std::error_code error;
   return socket_.available(error) > 0 && !error;
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -68,6 +68,8 @@
   void OnWritten();
   void CountTraffic(metrics::Direction direction, size_t bytes,
                     int64_t messages);
+  /// Whether the next request may have waited for too long behind others.
+  bool NextIsOutdated() const;
   /// Whether the socket has received bytes that have not been read.
   bool HasUnreadBytes() const;
   /// Whether the peer has closed its sending side or the whole connection, and
@@ -103,6 +105,10 @@
   bool writing_ = false;
   /// The pending read was cancelled because the request took too long.
   bool timed_out_ = false;
+  /// When a request was read that had been sent after all earlier answers. The
+  /// ones since then were sent after it, but maybe before its answer.
+  TimePoint sending_on_since_{};
+  bool sends_on_ = false;
   /// Received after the last response.
   size_t discarded_bytes_ = 0;
   std::string out_;
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -437,8 +437,8 @@
 /// Server that answers when it is told to, and clients, all on one thread.
 class DeferringServer {
  public:
-  explicit DeferringServer(size_t max_connections)
-      : server_(io_, {.max_connections = max_connections},
+  explicit DeferringServer(ServerOptions options)
+      : server_(io_, std::move(options),
                 [this](const Request&, Responder respond) {
                   waiting_.push_back(std::move(respond));
                 }),
@@ -455,7 +455,7 @@
     }
     BOOST_REQUIRE_EQUAL(waiting_.size(), requests);
   }
-  void Run() { io_.run_for(kPause); }
+  void Run(Millis time = kPause) { io_.run_for(time); }
   void AnswerAll() {
     for (const Responder& respond : waiting_) respond({});
     Run();
@@ -486,7 +486,7 @@
 // Guards against closing callers that wait for their answers: for a newcomer,
 // only a client that has sent more than its request is closed.
 BOOST_AUTO_TEST_CASE(SendingOnMakesRoomAndWaitingDoesNot) {
-  DeferringServer server(3);
+  DeferringServer server({.max_connections = 3});
   server.Connect(kRequest);
   server.RunUntil(1);
   server.Connect(kRequest + kRequest);
@@ -506,7 +506,7 @@
 // newcomers out.
 BOOST_AUTO_TEST_CASE(SendingOnEndsWithTheNextAnswer) {
   constexpr size_t kCallers = 9;
-  DeferringServer server(kCallers + 1);
+  DeferringServer server({.max_connections = kCallers + 1});
   for (size_t caller = 0; caller < kCallers; ++caller) {
     server.Connect(kRequest);
     server.RunUntil(caller + 1);
@@ -525,6 +525,26 @@
   BOOST_CHECK(sending.find(last) != std::string::npos);
 }
 
+// Guards against a request that is handled long after its client sent it, and
+// maybe cancelled it elsewhere: it waited for several answers before it.
+BOOST_AUTO_TEST_CASE(RequestsThatWaitedForTooLongAreNotHandled) {
+  constexpr Millis kMaxWait{3000};
+  constexpr Millis kTimeToHandle{2000};
+  DeferringServer server({.max_wait_behind = kMaxWait});
+  server.Connect(kRequest + kRequest + kRequest);
+  server.Connect(kRequest);
+  server.RunUntil(2);
+  server.Run(kTimeToHandle);
+  server.AnswerAll();
+  server.RunUntil(3);
+  server.Run(kTimeToHandle);
+  server.AnswerAll();
+  server.RunUntil(3);
+  const std::string last = "Connection: close";
+  BOOST_CHECK(server.Received(0).find(last) != std::string::npos);
+  BOOST_CHECK(server.Received(1).find(last) == std::string::npos);
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
