--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -105,10 +105,12 @@
   bool writing_ = false;
   /// The pending read was cancelled because the request took too long.
   bool timed_out_ = false;
-  /// When a request was read that had been sent after all earlier answers. The
-  /// ones since then were sent after it, but maybe before its answer.
-  TimePoint sending_on_since_{};
+  /// Whether a part of the next request was there when the last answer had been
+  /// written.
   bool sends_on_ = false;
+  /// When the first of the requests was read that have followed each other in
+  /// this way. All later ones may have been sent since.
+  TimePoint sending_on_since_{};
   /// Received after the last response.
   size_t discarded_bytes_ = 0;
   std::string out_;
