Callers: Idle time is no wait behind other requests

A client that ends its requests with an empty line, which some do, looked as if it sent on without a gap, however long it was idle: its next two requests on the connection met the bound of 4 s, and the second was not handled.

Now a chain of requests that were sent ahead ends whenever the session waits for a request and nothing is there to read. The check that also counts the closing is no longer a const question, and is named like TakeCloseForRoom().

IdleTimeIsNoWaitBehindOthers failed before (2 requests handled, 3 due).

--- a/src/libs/http/session.cc
+++ b/src/libs/http/session.cc
@@ -95,6 +95,7 @@
 void Session::ReadNext() {
   reading_ = true;
   if (!parser_.inside_message()) {
+    if (!HasUnreadBytes()) sends_on_ = false;
     UpdateLimits();
     idle_.Join();
   } else {
@@ -248,6 +249,7 @@
   ++server_->open_requests;
   handling_.Join();
   if (!sends_on_) sending_on_since_ = Clock::now();
+  sends_on_ = true;
   keep_alive_ = message.keep_alive;
   message.request.client_closed = ClosedByPeer();
   server_->handler(
@@ -266,7 +268,7 @@
   if (keep_alive_ && sends_on && server_->TakeCloseForRoom()) {
     keep_alive_ = false;
   }
-  keep_alive_ = keep_alive_ && !NextIsOutdated();
+  keep_alive_ = keep_alive_ && !TakeCloseForWait();
   out_ = ResponseText(response, keep_alive_);
   CountTraffic(metrics::Direction::kOut, out_.size(), 1);
   writing_ = true;
@@ -284,8 +286,7 @@
 
 void Session::OnWritten() {
   handling_.Leave();
-  sends_on_ = SendsOn();
-  if (!keep_alive_ || NextIsOutdated()) return CloseAfterResponse();
+  if (!keep_alive_ || TakeCloseForWait()) return CloseAfterResponse();
   memory_.Release();
   deadline_.Restart();
   if (unparsed_.empty()) return ReadNext();
@@ -303,14 +304,15 @@
   return !unparsed_.empty() || parser_.inside_message() || HasUnreadBytes();
 }
 
-bool Session::NextIsOutdated() const {
-  const TimePoint now = Clock::now();
+bool Session::TakeCloseForWait() {
   const Millis max_wait = server_->options.max_wait_behind;
-  const bool outdated = max_wait > Millis(0) && SendsOn() &&
-                        !server_->shutting_down &&
-                        now - sending_on_since_ > max_wait;
-  if (outdated) server_->refusals.Add("waited behind others", 0, now);
-  return outdated;
+  if (max_wait == Millis(0) || server_->shutting_down || !SendsOn()) {
+    return false;
+  }
+  const TimePoint now = Clock::now();
+  if (now - sending_on_since_ <= max_wait) return false;
+  server_->refusals.Add("waited behind others", 0, now);
+  return true;
 }
 
 bool Session::HasUnreadBytes() const {
--- a/src/libs/http/session.h
+++ b/src/libs/http/session.h
@@ -68,8 +68,9 @@
   void OnWritten();
   void CountTraffic(metrics::Direction direction, size_t bytes,
                     int64_t messages);
-  /// Whether the next request may have waited for too long behind others.
-  bool NextIsOutdated() const;
+  /// Whether the connection is to close with this response, since the next
+  /// request may have waited for too long behind others.
+  bool TakeCloseForWait();
   /// Whether the socket has received bytes that have not been read.
   bool HasUnreadBytes() const;
   /// Whether the peer has closed its sending side or the whole connection, and
@@ -105,11 +106,10 @@
   bool writing_ = false;
   /// The pending read was cancelled because the request took too long.
   bool timed_out_ = false;
-  /// Whether a part of the next request was there when the last answer had been
-  /// written.
+  /// Whether there has been something to handle or to read since
+  /// `sending_on_since_`. All requests that were read later may have been sent
+  /// since then.
   bool sends_on_ = false;
-  /// When the first of the requests was read that have followed each other in
-  /// this way. All later ones may have been sent since.
   TimePoint sending_on_since_{};
   /// Received after the last response.
   size_t discarded_bytes_ = 0;
--- a/tests/http_limits_test.cc
+++ b/tests/http_limits_test.cc
@@ -449,6 +449,9 @@
     client.connect({asio::ip::address_v4::loopback(), port_});
     asio::write(client, asio::buffer(bytes));
   }
+  void Send(size_t client, const std::string& bytes) {
+    asio::write(clients_[client], asio::buffer(bytes));
+  }
   /// Runs until this many requests have been handled.
   void RunUntil(size_t requests) {
     while (waiting_.size() < requests && io_.run_one_for(kLimit) > 0) {
@@ -545,6 +548,21 @@
   BOOST_CHECK(server.Received(1).find(last) == std::string::npos);
 }
 
+// Guards against a connection that is closed for requests that did not wait:
+// the client was idle before, and ended its request with an empty line.
+BOOST_AUTO_TEST_CASE(IdleTimeIsNoWaitBehindOthers) {
+  constexpr Millis kMaxWait{1000};
+  DeferringServer server({.max_wait_behind = kMaxWait});
+  server.Connect(kRequest + "\r\n");
+  server.RunUntil(1);
+  server.AnswerAll();
+  server.Run(kMaxWait);
+  server.Send(0, kRequest + kRequest);
+  server.RunUntil(2);
+  server.AnswerAll();
+  server.RunUntil(3);
+}
+
 // Guards against limits that are fixed when the server or a connection begins.
 BOOST_AUTO_TEST_CASE(ChangedLimitsHoldForTheNextRequest) {
   std::atomic<size_t> max_body_bytes{9};
