--- a/src/coordinator/callers.cc
+++ b/src/coordinator/callers.cc
@@ -88,8 +88,8 @@
     if (const auto refusal = RefuseForMemory(spec)) {
       return ReplyRefused(id, *refusal, std::move(done));
     }
-    const auto cancelled_ago =
-        tombstones_.AgeOf(id, spec.account, deps_.executor.Now());
+    const auto cancelled_ago = unknown_cancels_.tombstones().AgeOf(
+        id, spec.account, deps_.executor.Now());
     if (cancelled_ago) {
       return StoreAsCancelled(spec, *cancelled_ago, std::move(done));
     }
@@ -283,9 +283,9 @@
 
 void Coordinator::ReplyRefused(JobId id, const wire::SubmitJobReply& refusal,
                                std::function<void(wire::SubmitJobReply)> done) {
-  // As in CancelUnknownJob(): a successor may have accepted this id, and then a
-  // refusal, which says that the job does not run, would be false. This append
-  // changes nothing, since an unknown job has no progress record.
+  // As in UnknownCancels::Cancel(): a successor may have accepted this id, and
+  // then a refusal, which says that the job does not run, would be false. This
+  // append changes nothing, since an unknown job has no progress record.
   journal_->Remove(ProgressKey(id));
   auto once = WithReplyDeadline(deps_.executor, options_.reply_deadline,
                                 std::move(done),
--- a/src/coordinator/cancelling.cc
+++ b/src/coordinator/cancelling.cc
@@ -2,7 +2,6 @@
 
 #include <utility>
 
-#include "src/coordinator/admission.h"
 #include "src/coordinator/coordinator.h"
 #include "src/coordinator/job_replies.h"
 #include "src/coordinator/job_table.h"
@@ -18,10 +17,6 @@
 using logging::Text;
 using scheduling::Orders;
 
-/// Callers whose cancellation is refused return within this time after the
-/// oldest tombstones are dropped.
-constexpr Millis kCancelReturnWindow{10000};
-
 }  // namespace
 
 void Coordinator::Cancel(JobId id, const std::optional<std::string>& account,
@@ -60,62 +55,13 @@
 void Coordinator::CancelUnknownJob(
     JobId id, const std::optional<std::string>& account,
     std::function<void(wire::CancelJobReply)> done) {
-  if (!tombstones_.HasRoom(account)) {
-    return RefuseCancel(id, account, done);
-  }
-  // A submission that was sent before the cancellation may arrive after it, at
-  // this leader or the next. And a leader whose process was paused does not
-  // know the jobs that its successor has accepted meanwhile: only an append
-  // that the store accepts under this leader's term proves that it has none.
-  const TimePoint began = deps_.executor.Now();
-  ports::KeyedRecord record = tombstones_.Add(id, account, began);
-  journal_->Put(record.key, std::move(record.value));
-  auto once = WithReplyDeadline(deps_.executor, options_.reply_deadline,
-                                std::move(done),
-                                CancelReply(JobVerdict::kOutcomeUnknown));
-  journal_->WhenStored([weak = weak_from_this(), id, account, began,
-                        key = record.key, once = std::move(once)](bool stored) {
+  auto still_unknown = [weak = weak_from_this(), id, account] {
     const auto self = weak.lock();
-    // If the job was submitted meanwhile, the caller has to repeat the call.
-    const bool no_such_job =
-        stored && self && !self->closed_ &&
-        !(self->IsJobKnown(id) && self->MayAccess(account, id));
-    if (no_such_job) self->NoteUnknownCancel(id, account, key, began);
-    once(CancelReply(no_such_job ? JobVerdict::kNoSuchJob
-                                 : JobVerdict::kOutcomeUnknown));
-  });
-}
-
-void Coordinator::RefuseCancel(
-    JobId id, const std::optional<std::string>& account,
-    const std::function<void(wire::CancelJobReply)>& done) {
-  const Millis retry =
-      SpreadReturnEvenly(tombstones_.TimeToRoom(account, deps_.executor.Now()),
-                         kCancelReturnWindow, id);
-  deps_.metrics.Count({.name = "cancels_refused"});
-  logging::Event(
-      Level::kWarning, "cancel refused",
-      {{"job", JobIdText(id)},
-       {"account", account.value_or("")},
-       {"cause", "too many unknown jobs were cancelled"},
-       {"tombstones", Text(static_cast<int64_t>(tombstones_.size()))},
-       {"tombstone_bytes", Text(static_cast<int64_t>(tombstones_.bytes()))},
-       {"retry_after_ms", Text(retry.count())}});
-  done(CancelReply(JobVerdict::kRefused, retry.count()));
-}
-
-void Coordinator::NoteUnknownCancel(JobId id,
-                                    const std::optional<std::string>& account,
-                                    const std::string& key, TimePoint began) {
-  const auto took =
-      std::chrono::duration_cast<Millis>(deps_.executor.Now() - began);
-  deps_.metrics.Count({.name = "unknown_jobs_cancelled"});
-  logging::Event(Level::kInfo, "unknown job cancelled",
-                 {{"job", JobIdText(id)},
-                  {"account", account.value_or("")},
-                  {"term", Text(options_.term)},
-                  {"record", key},
-                  {"stored_ms", Text(took.count())}});
+    return self && !self->closed_ &&
+           !(self->IsJobKnown(id) && self->MayAccess(account, id));
+  };
+  unknown_cancels_.Cancel(id, account, *journal_, std::move(still_unknown),
+                          std::move(done));
 }
 
 void Coordinator::StoreAsCancelled(
--- a/src/coordinator/coordinator.cc
+++ b/src/coordinator/coordinator.cc
@@ -53,8 +53,11 @@
       scheduler_(SchedulerOptionsFor(options_)),
       order_budget_(options_.link_kb_per_s),
       next_fence_(options_.term * fleet::kFenceSpan),
-      tombstones_(
-          {.term = options_.term, .retention = options_.tombstone_retention}),
+      unknown_cancels_(
+          deps_.executor, deps_.metrics,
+          {.tombstones = {.term = options_.term,
+                          .retention = options_.tombstone_retention},
+           .reply_deadline = options_.reply_deadline}),
       admission_(options_.scheduler.queue_order,
                  options_.scheduler.priority_price) {
   journal_ = std::make_shared<journal::Journal>(
@@ -109,7 +112,7 @@
   ResolveWhenRunningTasksKnown();
   RefuseUnsentJobs();
   DropFinalJobs();
-  DropTombstones();
+  unknown_cancels_.DropExpired(*journal_);
   UpdateMemoryBudget();
   UpdateBacklog();
   ReportLoad();
@@ -201,12 +204,6 @@
   }
 }
 
-void Coordinator::DropTombstones() {
-  for (const std::string& key : tombstones_.DropExpired(deps_.executor.Now())) {
-    journal_->Remove(key);
-  }
-}
-
 void Coordinator::SetLanes(const std::vector<std::string>& addresses) {
   lanes_.SetEntries(addresses, deps_.executor.Now());
 }
--- a/src/coordinator/coordinator.h
+++ b/src/coordinator/coordinator.h
@@ -14,14 +14,15 @@
 #include "jobs_types.h"
 #include "src/coordinator/admission.h"
 #include "src/coordinator/advice_lanes.h"
-#include "src/coordinator/cancel_tombstones.h"
 #include "src/coordinator/coordinator_options.h"
 #include "src/coordinator/dropped_upstreams.h"
 #include "src/coordinator/job_failures.h"
 #include "src/coordinator/job_verdicts.h"
+#include "src/coordinator/kept_state.h"
 #include "src/coordinator/memory_budget.h"
 #include "src/coordinator/order_budget.h"
 #include "src/coordinator/placement_pacing.h"
+#include "src/coordinator/unknown_cancels.h"
 #include "src/fleet/upstream_link.h"
 #include "src/journal/journal.h"
 #include "src/libs/faults/malformed_record_reporter.h"
@@ -164,47 +165,6 @@
   }
 
  private:
-  /// A job whose record is not stored yet.
-  struct PendingSubmission {
-    /// Distinguishes this submission from an earlier, withdrawn one of the job.
-    int64_t submission_number = 0;
-    /// Account of the job.
-    std::string account;
-    std::string queue;
-    /// Its work, which is not in the scheduler's queue yet. Unset unless jobs
-    /// are refused by deadline.
-    std::optional<BacklogRow> waiting{};
-    /// Bytes of memory that the job is counted with.
-    size_t memory_bytes = 0;
-    /// Reply functions of the callers that have submitted the job.
-    std::vector<std::function<void(wire::SubmitJobReply)>> replies;
-  };
-  /// Completion of a task, reported by an upstream while the records of the
-  /// task's job could not be read.
-  struct UnmatchedCompletion {
-    TaskId task;
-    int64_t attempt = 0;
-    bool failed = false;
-  };
-  /// What an earlier leader stored about an upstream that it closed.
-  struct InheritedClosure {
-    /// The only jobs that may have tasks running there.
-    std::unordered_set<JobId> jobs;
-    /// The runs that ended with the upstream if it has crashed.
-    scheduling::SuspectRuns suspect_runs;
-  };
-  struct FinalJob {
-    JobState state = JobState::kComplete;
-    /// Account of the job; empty if it has no owner.
-    std::string account;
-    /// When its final state was stored, or loaded if it ended in an earlier
-    /// term.
-    TimePoint final_since{};
-    /// Whether the store still holds the job's spec.
-    bool spec_stored = false;
-    bool ended_in_this_term = false;
-  };
-
   void MakeWaveManager();
   /// Reads the page of the job table that follows the key `after`.
   void LoadPage(const std::string& after);
@@ -342,21 +302,12 @@
   /// account. Replies that there is no such job once a tombstone is stored.
   void CancelUnknownJob(JobId id, const std::optional<std::string>& account,
                         std::function<void(wire::CancelJobReply)> done);
-  /// Replies that there is no room for another tombstone.
-  void RefuseCancel(JobId id, const std::optional<std::string>& account,
-                    const std::function<void(wire::CancelJobReply)>& done);
-  /// Logs and counts an acknowledged cancellation of an unknown job, whose
-  /// tombstone is in the record with this key.
-  void NoteUnknownCancel(JobId id, const std::optional<std::string>& account,
-                         const std::string& key, TimePoint began);
   /// Accepts a job that was cancelled before, and never runs it.
   void StoreAsCancelled(const wire::JobSpec& spec, Millis cancelled_ago,
                         std::function<void(wire::SubmitJobReply)> done);
   void OnStoredAsCancelled(JobId id, int64_t submission_number);
   /// Replies to the callers of a submission that is stored.
   void ReplyAccepted(JobId id);
-  /// Drops the tombstones that are not needed any more, also from the store.
-  void DropTombstones();
   void LogStop(const scheduling::StopOrder& stop);
   void LogLostRun(const scheduling::LostRun& run);
   void LogEvidence(const scheduling::EvidenceEvent& event);
@@ -442,7 +393,7 @@
   std::unordered_map<JobId, PendingSubmission> pending_submissions_;
   int64_t last_submission_number_ = 0;
   std::unordered_map<JobId, FinalJob> final_jobs_;
-  CancelTombstones tombstones_;
+  UnknownCancels unknown_cancels_;
   DroppedUpstreams dropped_upstreams_;
   FailedRuns failed_runs_;
   JobFailures job_failures_;
--- a/src/coordinator/loading.cc
+++ b/src/coordinator/loading.cc
@@ -101,7 +101,8 @@
   if (kind == kCompletionPrefix) return DecodeUnmatchedCompletion(record);
   if (kind == kProgressPartPrefix) return DecodeProgressPart(record);
   if (kind == kTombstonePrefix) {
-    const bool valid = tombstones_.Load(record, deps_.executor.Now());
+    const bool valid =
+        unknown_cancels_.tombstones().Load(record, deps_.executor.Now());
     return valid ? "" : "does not decode";
   }
   if (kind == maintenance::kWaveKeyPrefix) {
@@ -315,7 +316,8 @@
        {"end_offset", Text(end_offset)},
        {"open", Text(static_cast<int64_t>(open_jobs_loaded_))},
        {"final", Text(static_cast<int64_t>(final_jobs_.size()))},
-       {"tombstones", Text(static_cast<int64_t>(tombstones_.size()))},
+       {"tombstones",
+        Text(static_cast<int64_t>(unknown_cancels_.tombstones().size()))},
        {"unreadable", Text(static_cast<int64_t>(unreadable_jobs_.size()))},
        {"state_bytes", Text(static_cast<int64_t>(StateBytes()))},
        {"budget_bytes", Text(static_cast<int64_t>(memory_budget_.bytes()))},
--- a/src/coordinator/memory_admission.cc
+++ b/src/coordinator/memory_admission.cc
@@ -25,8 +25,9 @@
   memory_budget_.SetMachineMemory(
       deps_.smallest_memory_mb ? deps_.smallest_memory_mb() : 0);
   const Accounts& accounts = deps_.accounts();
-  tombstones_.SetLimits(memory_budget_.bytes() / kTombstoneDivisor,
-                        accounts ? accounts->size() : 0);
+  unknown_cancels_.tombstones().SetLimits(
+      memory_budget_.bytes() / kTombstoneDivisor,
+      accounts ? accounts->size() : 0);
   memory_budget_.NoteReleased(scheduler_.released_bytes(),
                               deps_.executor.Now());
 }
@@ -60,6 +61,7 @@
 }
 
 void Coordinator::ReportMemory() {
+  const CancelTombstones& tombstones = unknown_cancels_.tombstones();
   const size_t heap = deps_.heap_bytes ? deps_.heap_bytes() : 0;
   const auto set = [this](const char* of, size_t bytes) {
     deps_.metrics.Set({.name = "memory_bytes", .labels = {{"of", of}}},
@@ -68,15 +70,15 @@
   set("jobs", scheduler_.memory_bytes());
   set("state", StateBytes());
   set("budget", memory_budget_.bytes());
-  set("tombstones", tombstones_.bytes());
+  set("tombstones", tombstones.bytes());
   deps_.metrics.Set({.name = "cancel_tombstones"},
-                    static_cast<double>(tombstones_.size()));
+                    static_cast<double>(tombstones.size()));
   set("heap", heap);
   logging::Event(
       Level::kInfo, "memory",
       {{"jobs", Text(static_cast<int64_t>(scheduler_.job_count()))},
        {"state_bytes", Text(static_cast<int64_t>(StateBytes()))},
-       {"tombstone_bytes", Text(static_cast<int64_t>(tombstones_.bytes()))},
+       {"tombstone_bytes", Text(static_cast<int64_t>(tombstones.bytes()))},
        {"budget_bytes", Text(static_cast<int64_t>(memory_budget_.bytes()))},
        {"heap_bytes", Text(static_cast<int64_t>(heap))}});
 }
