--- a/src/coordinator/cancel_tombstones.cc
+++ b/src/coordinator/cancel_tombstones.cc
@@ -3,9 +3,9 @@
 #include <algorithm>
 #include <utility>
 
-#include "jobs_types.h"
 #include "src/coordinator/job_table.h"
 #include "src/libs/rpc/codec.h"
+#include "tombstones_types.h"
 
 namespace mimosarail::coordinator {
 namespace {
--- a/src/jobs/gen/jobs_types.h
+++ b/src/jobs/gen/jobs_types.h
@@ -75,10 +75,6 @@
 
 class QuorumRecord;
 
-class CancelledJobs;
-
-class TombstoneRecord;
-
 typedef struct _StepSpec__isset {
   _StepSpec__isset() : tasks(true), millicores(false), memory_mb(false), accelerators(false), estimate_ms(false), after(false), checkpoints(false), gang(false), one_rack(false), label(false), data_rack(false), max_per_upstream(false), speculative(false), long_running(false), image(false), target_ms(false), filler(false), max_unavailable(false) {}
   bool tasks :1;
@@ -2369,112 +2365,6 @@
 
 std::ostream& operator<<(std::ostream& out, const QuorumRecord& obj);
 
-typedef struct _CancelledJobs__isset {
-  _CancelledJobs__isset() : account(false), ids(false) {}
-  bool account :1;
-  bool ids :1;
-} _CancelledJobs__isset;
-
-/**
- * Cancelled jobs that the leader did not know.
- */
-class CancelledJobs : public virtual ::apache::thrift::TBase {
- public:
-
-  CancelledJobs(const CancelledJobs&);
-  CancelledJobs(CancelledJobs&&) noexcept;
-  CancelledJobs& operator=(const CancelledJobs&);
-  CancelledJobs& operator=(CancelledJobs&&) noexcept;
-  CancelledJobs() noexcept
-                : account() {
-  }
-
-  virtual ~CancelledJobs() noexcept;
-  /**
-   * On whose behalf they were cancelled, as in CancelJobCall.
-   */
-  std::string account;
-  std::vector<int64_t>  ids;
-
-  _CancelledJobs__isset __isset;
-
-  void __set_account(const std::string& val);
-
-  void __set_ids(const std::vector<int64_t> & val);
-
-  bool operator == (const CancelledJobs & rhs) const
-  {
-    if (__isset.account != rhs.__isset.account)
-      return false;
-    else if (__isset.account && !(account == rhs.account))
-      return false;
-    if (!(ids == rhs.ids))
-      return false;
-    return true;
-  }
-  bool operator != (const CancelledJobs &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const CancelledJobs & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(CancelledJobs &a, CancelledJobs &b);
-
-std::ostream& operator<<(std::ostream& out, const CancelledJobs& obj);
-
-typedef struct _TombstoneRecord__isset {
-  _TombstoneRecord__isset() : accounts(false) {}
-  bool accounts :1;
-} _TombstoneRecord__isset;
-
-/**
- * Cancellations of unknown jobs that came at about the same time.
- */
-class TombstoneRecord : public virtual ::apache::thrift::TBase {
- public:
-
-  TombstoneRecord(const TombstoneRecord&);
-  TombstoneRecord(TombstoneRecord&&) noexcept;
-  TombstoneRecord& operator=(const TombstoneRecord&);
-  TombstoneRecord& operator=(TombstoneRecord&&) noexcept;
-  TombstoneRecord() noexcept {
-  }
-
-  virtual ~TombstoneRecord() noexcept;
-  std::vector<CancelledJobs>  accounts;
-
-  _TombstoneRecord__isset __isset;
-
-  void __set_accounts(const std::vector<CancelledJobs> & val);
-
-  bool operator == (const TombstoneRecord & rhs) const
-  {
-    if (!(accounts == rhs.accounts))
-      return false;
-    return true;
-  }
-  bool operator != (const TombstoneRecord &rhs) const {
-    return !(*this == rhs);
-  }
-
-  bool operator < (const TombstoneRecord & ) const;
-
-  uint32_t read(::apache::thrift::protocol::TProtocol* iprot) override;
-  uint32_t write(::apache::thrift::protocol::TProtocol* oprot) const override;
-
-  virtual void printTo(std::ostream& out) const;
-};
-
-void swap(TombstoneRecord &a, TombstoneRecord &b);
-
-std::ostream& operator<<(std::ostream& out, const TombstoneRecord& obj);
-
 }} // namespace
 
 #endif
--- a/src/jobs/jobs.thrift
+++ b/src/jobs/jobs.thrift
@@ -312,13 +312,3 @@
   /** How long after the store's last confirmation the entries may do so. */
   3: i64 max_store_outage_ms
 }
-
-/** Cancelled jobs that the leader did not know. */
-struct CancelledJobs {
-  /** On whose behalf they were cancelled, as in CancelJobCall. */
-  1: optional string account
-  2: list<i64> ids
-}
-
-/** Cancellations of unknown jobs that came at about the same time. */
-struct TombstoneRecord { 1: list<CancelledJobs> accounts }
